--- /dev/null
+++ b/src/apply.rs
@@ -0,0 +1,175 @@
+//! Version-controlled objects: checked, and put into the platform.
+//!
+//! A file holds one object as JSON with comments: `{"kind", "name", "spec"}`.
+//! `apply` writes by conditional update against the version it read, so an edit
+//! that another made meanwhile is reported and never overwritten.
+
+use crate::{
+  catalog::Catalog,
+  object::{Kind, Name},
+  platform::{self, Client},
+  settings::{Error, Settings, jsonc},
+};
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+use serde_json::Value;
+use std::{
+  path::{Path, PathBuf},
+  process::ExitCode,
+};
+
+/// An object, as a file holds it.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+  kind: String,
+  name: String,
+  spec: Value,
+}
+
+fn read(path: &Path) -> Result<(Name, Value), String> {
+  let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+  let file: File = serde_json::from_value(jsonc(&text)?).map_err(|error| error.to_string())?;
+  let kind = Kind::parse(&file.kind).filter(|kind| Kind::CONFIGURED.contains(kind));
+  let kind = kind.ok_or_else(|| format!("kind: `{}` is not configuration", file.kind))?;
+  if file.name.is_empty() || file.name.contains(['/', '?', ' ']) {
+    return Err(format!(
+      "name: `{}` is empty or holds `/`, `?` or a space",
+      file.name
+    ));
+  }
+  let name = Name::of(kind, file.name);
+  Catalog::check(&name, Some(&file.spec.to_string()))?;
+  Ok((name, file.spec))
+}
+
+/// Faults of a file of settings or of an object.
+pub fn faults(path: &Path) -> Vec<String> {
+  let text = match std::fs::read_to_string(path) {
+    Ok(text) => text,
+    Err(error) => return vec![error.to_string()],
+  };
+  let value = match jsonc(&text) {
+    Ok(value) => value,
+    Err(error) => return vec![error],
+  };
+  let fault = match value.get("kind") {
+    Some(_) => read(path).err(),
+    None => Settings::parse(&text).err(),
+  };
+  fault.into_iter().collect()
+}
+
+fn files(folder: &Path) -> Result<Vec<PathBuf>, Report<Error>> {
+  let unreadable = || Error(format!("could not read `{}`", folder.display()));
+  let entries = std::fs::read_dir(folder).change_context_lazy(unreadable)?;
+  let mut files = Vec::new();
+  for entry in entries {
+    let path = entry.change_context_lazy(unreadable)?.path();
+    let extension = path.extension().and_then(|extension| extension.to_str());
+    if matches!(extension, Some("json" | "jsonc")) {
+      files.push(path);
+    }
+  }
+  files.sort();
+  Ok(files)
+}
+
+fn client(platform: &str) -> Client {
+  Client::open(&Settings {
+    instance: "apply".into(),
+    zone: String::new(),
+    callers: String::new(),
+    peers: String::new(),
+    operators: String::new(),
+    platform: platform.into(),
+    seeds: Vec::new(),
+    limits: Default::default(),
+  })
+}
+
+/// Puts every object of a folder into the platform; all are checked first.
+pub fn apply(rest: &[String], platform: &str) -> Result<ExitCode, Report<Error>> {
+  let [folder] = rest else {
+    return Err(Report::new(Error("apply: name one folder".into())));
+  };
+  let mut objects = Vec::new();
+  let mut catalog = Catalog::default();
+  for path in files(Path::new(folder))? {
+    let fault = |fault| Report::new(Error(format!("{}: {fault}", path.display())));
+    let (name, spec) = read(&path).map_err(fault)?;
+    catalog.put(&name, Some(&spec.to_string())).map_err(fault)?;
+    objects.push((name, spec));
+  }
+  if let Some(fault) = catalog.dangling().first() {
+    return Err(Report::new(Error(fault.clone())));
+  }
+  let client = client(platform);
+  let mut code = ExitCode::SUCCESS;
+  for (name, spec) in objects {
+    match put(&client, &name, &spec) {
+      Ok(said) => println!("{name}: {said}"),
+      Err(fault) => {
+        eprintln!("{name}: {fault}");
+        code = ExitCode::FAILURE;
+      }
+    }
+  }
+  Ok(code)
+}
+
+/// Writes one object against the version just read.
+pub fn put(client: &Client, name: &Name, spec: &Value) -> Result<String, String> {
+  let held = client
+    .read(name)
+    .map_err(|_| "platform unavailable; nothing written")?;
+  let same = |held: &Option<String>| {
+    let value = held
+      .as_deref()
+      .and_then(|text| serde_json::from_str::<Value>(text).ok());
+    value.as_ref() == Some(spec)
+  };
+  if same(&held.value) {
+    return Ok(format!("unchanged at version {}", held.version));
+  }
+  match client.write(name, held.version, &spec.to_string()) {
+    Ok(version) => Ok(format!("written as version {version}")),
+    Err(platform::Error::Conflict) => {
+      Err("another edit came first; read it and apply again".into())
+    }
+    Err(platform::Error::Declined) => Err("the platform declines the value".into()),
+    // The answer was lost: what stands there now tells.
+    Err(platform::Error::Unavailable) => match client.read(name) {
+      Ok(now) if same(&now.value) => Ok(format!("written as version {}", now.version)),
+      Ok(now) if now.version == held.version => Err("platform unavailable; not written".into()),
+      Ok(_) => Err("another edit came first; read it and apply again".into()),
+      Err(_) => Err("platform unavailable; may have been written".into()),
+    },
+  }
+}
+
+/// Prints objects of the platform.
+pub fn get(rest: &[String], platform: &str) -> Result<ExitCode, Report<Error>> {
+  let client = client(platform);
+  let unavailable = |_| Report::new(Error("platform unavailable".into()));
+  let kinds = match rest.first() {
+    None => Kind::CONFIGURED.to_vec(),
+    Some(word) => {
+      let unknown = || Report::new(Error(format!("kind: `{word}` is unknown")));
+      vec![Kind::parse(word).ok_or_else(unknown)?]
+    }
+  };
+  if let Some(name) = rest.get(1) {
+    let object = client
+      .read(&Name::of(kinds[0], name))
+      .map_err(unavailable)?;
+    println!("{}", object.value.as_deref().unwrap_or("absent"));
+    return Ok(ExitCode::SUCCESS);
+  }
+  for kind in kinds {
+    for (name, version) in client.names(kind).map_err(unavailable)? {
+      println!("{}/{name}\t{version}", kind.word());
+    }
+  }
+  Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/audit.rs
@@ -0,0 +1,240 @@
+//! Ownership of models, and recovery of what others left unfinished.
+//!
+//! The owner reads the record of each of its models when it becomes owner and
+//! from time to time after that. A replica that is decided but not loaded is
+//! rolled forward when someone waits for it, and let go otherwise.
+
+use crate::{
+  effect::Effect,
+  event::Tag,
+  fact::{Body, Key, Listed},
+  history::History,
+  job::Step,
+  object::{Kind, Name},
+  replica::{Replica, Target},
+  report::Stage,
+  state::{Owned, State},
+  update::{Outcome, Value},
+};
+
+/// Reads of records begun in one round of housekeeping.
+const READS: usize = 8;
+/// Time after which a read that has not come counts as lost, ms.
+const LOST_MS: u64 = 10_000;
+/// How long a replica may be decided but not loaded before the owner rolls it
+/// forward, ms.
+const FORWARD_MS: u64 = 500;
+/// How long before the owner lets it go when nobody waits for it, ms.
+const LET_GO_MS: u64 = 5_000;
+
+impl State {
+  /// Works out which models this instance owns.
+  pub fn refresh_owned(&mut self) {
+    let epoch = self.members.epoch + 1;
+    if self.owned_epoch == epoch {
+      return;
+    }
+    self.owned_epoch = epoch;
+    let models: Vec<String> = self.catalog.models.keys().cloned().collect();
+    let mut owned = std::collections::BTreeMap::new();
+    for model in models {
+      if self.owns(&model) {
+        let held = self.owned.remove(&model).unwrap_or_default();
+        owned.insert(model, held);
+      }
+    }
+    self.owned = owned;
+  }
+
+  /// Begins the reads that are due.
+  pub fn audit(&mut self) {
+    let now = self.now;
+    let due: Vec<String> = self
+      .owned
+      .iter()
+      .filter(|(_, owned)| owned.audit_at <= now)
+      .filter(|(_, owned)| owned.asked_at.is_none_or(|at| at + LOST_MS < now))
+      .map(|(model, _)| model.clone())
+      .take(READS)
+      .collect();
+    for model in due {
+      if let Some(owned) = self.owned.get_mut(&model) {
+        owned.asked_at = Some(now);
+      }
+      let urgent = !self.owned.get(&model).is_some_and(|owned| owned.seen);
+      self.emit(Effect::Update {
+        tag: Tag::Audit {
+          model: model.clone(),
+        },
+        name: Name::of(Kind::ModelRecord, model),
+        change: None,
+        urgent,
+      });
+    }
+  }
+
+  /// Takes up a record that was read.
+  pub fn on_audited(&mut self, model: &str, outcome: Outcome) {
+    let pause = self.limits.audit_ms;
+    let later = self.now + pause / 2 + self.random(pause);
+    let soon = self.now + self.random(1_000);
+    let Some(owned) = self.owned.get_mut(model) else {
+      return;
+    };
+    owned.asked_at = None;
+    let Outcome::Applied(stored) = outcome else {
+      owned.audit_at = soon;
+      return;
+    };
+    owned.audit_at = later;
+    let Value::Model(record) = stored.value else {
+      return;
+    };
+    self.see_record(model, stored.version, &record);
+    for replica in &record.replicas {
+      let key = self.group(model, &replica.policy);
+      let group = &mut self.groups[key];
+      if group.last_use == 0 {
+        group.last_use = self.now;
+      }
+      if group.history.counts().is_empty() {
+        group.history = History::from_counts(&record.gaps);
+      }
+      self.mark_active(key);
+    }
+    let waiting: Vec<_> = self.active.iter().copied().collect();
+    for key in waiting {
+      if self.groups[key].model == model {
+        self.decide(key);
+      }
+    }
+  }
+
+  /// Takes on replicas of an owned model that no one brings further.
+  pub fn recover(&mut self, model: &str) {
+    let replicas = self.placement(model).to_vec();
+    for replica in replicas {
+      if self.stuck(model, &replica) {
+        self.adopt(model, replica);
+      }
+    }
+  }
+
+  /// Whether a replica is decided but not loaded, and nobody here works on it.
+  fn stuck(&mut self, model: &str, replica: &Replica) -> bool {
+    let known = self
+      .facts
+      .get(&Key::Residence(replica.server.clone()))
+      .is_some();
+    let lost = self.listed(&replica.server) == Listed::Gone;
+    let server = self.server(&replica.server);
+    let stage = self.servers[server].residents.get(&replica.id);
+    let loaded = stage.is_some_and(|(_, stage)| *stage == Stage::Ready);
+    let loading = stage.is_some_and(|(_, stage)| *stage == Stage::Loading);
+    let fine = (loaded || loading) && replica.target == Target::Loaded;
+    let stuck = (known || lost) && !fine && !self.jobs.contains_key(&replica.id);
+    let now = self.now;
+    let Some(owned) = self.owned.get_mut(model) else {
+      return false;
+    };
+    if !stuck {
+      owned.missing.remove(&replica.id);
+      return false;
+    }
+    owned.missing.entry(replica.id).or_insert(now);
+    true
+  }
+
+  fn adopt(&mut self, model: &str, replica: Replica) {
+    let since = self
+      .owned
+      .get(model)
+      .and_then(|owned| owned.missing.get(&replica.id));
+    let age = self.now - since.copied().unwrap_or(self.now);
+    let key = self.group(model, &replica.policy);
+    let wanted =
+      self.groups[key].waiting(self.now) > 0 || self.policy(&replica.policy).min_replicas > 0;
+    if replica.target == Target::Gone {
+      if age >= FORWARD_MS {
+        self.retire(model, replica, "withdrawn");
+      }
+    } else if wanted && self.usable(&replica.server) {
+      if age >= FORWARD_MS {
+        self.start_job(model, replica, Step::Reserve, 0);
+      }
+    } else if age >= LET_GO_MS {
+      self.retire(model, replica, "not loaded");
+    }
+  }
+
+  /// Takes up a status report: what changed on the engine is told to all.
+  pub fn on_reported(&mut self, status: crate::order::Status) {
+    let key = self.server(&status.server);
+    let Some(report) = &status.report else {
+      self.servers[key].silent += 1;
+      return;
+    };
+    self.servers[key].silent = 0;
+    let version = crate::fact::Version(report.boot, report.seq);
+    let residence = Body::Residence {
+      residents: report
+        .residents
+        .iter()
+        .map(|resident| crate::fact::Resident {
+          replica: resident.replica,
+          model: resident.model.clone(),
+          stage: resident.stage,
+        })
+        .collect(),
+      cached: report.cached.clone(),
+      leaving: report.leaving,
+    };
+    self.publish_changed(Key::Residence(status.server.clone()), version, residence);
+    let loads = report
+      .residents
+      .iter()
+      .filter(|resident| resident.running > 0)
+      .map(|resident| (resident.replica, resident.running))
+      .collect();
+    self.publish_changed(Key::Load(status.server.clone()), version, Body::Load(loads));
+    self.jobs_reported(&status);
+  }
+
+  fn publish_changed(&mut self, key: Key, version: crate::fact::Version, body: Body) {
+    let held = self.facts.get(&key);
+    // A new boot starts a new order of versions, so it is told even when alike.
+    let same = held.is_some_and(|(held, at)| *held == body && at.0 == version.0);
+    if !same {
+      self.publish(key, version, body);
+    }
+  }
+
+  /// Asks the engines this instance looks after for their status.
+  pub fn poll_servers(&mut self) {
+    let names: Vec<String> = self.catalog.servers.keys().cloned().collect();
+    for name in names {
+      if !self.owns(&format!("server/{name}")) || self.listed(&name) == Listed::Gone {
+        continue;
+      }
+      let key = self.server(&name);
+      let pause = self.limits.poll_ms;
+      let server = &mut self.servers[key];
+      if server.polled_at + pause > self.now {
+        continue;
+      }
+      server.polled_at = self.now;
+      if let Some(spec) = self.spec(&name) {
+        let address = spec.address.clone();
+        self.emit(Effect::Poll {
+          server: name,
+          address,
+        });
+      }
+    }
+  }
+
+  /// What this instance knows of a model it owns.
+  pub fn owned(&self, model: &str) -> Option<&Owned> {
+    self.owned.get(model)
+  }
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,129 @@
+//! Everything that can happen to an instance.
+
+use crate::{
+  ask::{Ask, Ticket},
+  attempt::End,
+  claim,
+  fact::Listed,
+  notice::Notice,
+  object::{Name, Object},
+  order,
+  replica::Id,
+  update,
+};
+
+/// Says whose update or read an outcome belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Tag {
+  /// A step of a replica's job; the number tells a late answer from a current
+  /// one.
+  Job { replica: Id, step: u64 },
+  /// A read of the model's record.
+  Audit { model: String },
+  /// The grouped change of a claim shard.
+  Claims { shard: u32, group: u64 },
+  /// A submission, poll or cancellation by a caller.
+  Caller { ticket: Ticket },
+  /// A batch that this instance runs.
+  Batch { id: String },
+}
+
+/// An exchange with a neighbour, decoded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delta {
+  pub from: String,
+  pub boot: u64,
+  /// Newest change of the receiver that the sender has merged.
+  pub seen: u64,
+  /// Newest change of the sender in this delta.
+  pub upto: u64,
+  /// Encoded facts.
+  pub facts: Vec<Vec<u8>>,
+  /// Repair hashes; empty when not compared.
+  pub buckets: Vec<u64>,
+}
+
+/// Identifies a call of another instance that waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Call(pub u64);
+
+/// An entry of the platform's list of instances.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+  pub id: String,
+  /// Peer address for an entry instance.
+  pub peer: Option<String>,
+  pub state: Listed,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+  /// Time has passed.
+  Tick,
+  /// A caller's request arrived.
+  Asked(Ask),
+  /// An attempt ended.
+  Ended {
+    ticket: Ticket,
+    number: u32,
+    end: End,
+    /// Status and body of a service's answer, kept with its claim.
+    answer: Option<(u16, Option<String>)>,
+  },
+  /// A caller submits, polls or cancels a batch.
+  BatchAsked {
+    ticket: Ticket,
+    id: String,
+    change: Option<crate::batch::Change>,
+  },
+  /// One item of a batch run by this instance has its outcome.
+  ItemEnded {
+    id: String,
+    at: usize,
+    item: crate::batch::Item,
+  },
+  /// An update or read of the platform ended.
+  Updated {
+    tag: Tag,
+    name: Name,
+    outcome: update::Outcome,
+  },
+  /// An order to an engine ended.
+  Ordered {
+    replica: Id,
+    step: u64,
+    outcome: order::Outcome,
+  },
+  /// An engine answered, or did not.
+  Reported(order::Status),
+  /// Configuration objects were read from the platform.
+  Watched(Vec<Object>),
+  /// Unfinished batches were listed.
+  BatchesListed(Vec<(String, u64)>),
+  /// The platform's list of instances was read.
+  Listed {
+    revision: u64,
+    entries: Vec<Listing>,
+  },
+  /// A neighbour sent a delta and waits for ours.
+  Exchange { call: Call, delta: Delta },
+  /// A neighbour answered our delta.
+  Exchanged { peer: String, delta: Option<Delta> },
+  /// Notices came from another instance.
+  Notified { from: String, items: Vec<Notice> },
+  /// Another instance asks for claims in a shard and waits.
+  ClaimAsked {
+    call: Call,
+    shard: u32,
+    changes: Vec<claim::Change>,
+  },
+  /// The shard's owner answered our claims.
+  ClaimAnswered {
+    shard: u32,
+    group: u64,
+    outcomes: Option<Vec<claim::Outcome>>,
+  },
+  /// The instance is to stop.
+  Stop,
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,134 @@
+//! The time line of one instance: a bounded record of changes of state.
+
+use crate::{refusal::Reason, verdict::Verdict};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// A change of state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "what")]
+pub enum Entry {
+  Waiting {
+    model: String,
+    policy: String,
+  },
+  Decided {
+    model: String,
+    replica: String,
+    server: String,
+    policy: String,
+  },
+  Ordered {
+    model: String,
+    replica: String,
+    server: String,
+  },
+  Ready {
+    model: String,
+    replica: String,
+    server: String,
+    policy: String,
+    took_ms: u64,
+  },
+  Retiring {
+    model: String,
+    replica: String,
+    server: String,
+    why: String,
+  },
+  Gone {
+    model: String,
+    replica: String,
+    server: String,
+  },
+  /// A request that waited for a load got its dispatch.
+  Cold {
+    model: String,
+    policy: String,
+    waited_ms: u64,
+  },
+  /// A request got its dispatch without a load.
+  Warm {
+    policy: String,
+    waited_ms: u64,
+  },
+  Refused {
+    policy: String,
+    reason: Reason,
+    verdict: Verdict,
+  },
+  /// A loaded replica stood idle.
+  Idle {
+    policy: String,
+    ms: u64,
+  },
+  Retried {
+    verdict: Verdict,
+  },
+  Member {
+    instance: String,
+    state: String,
+  },
+  Configured {
+    object: String,
+    version: u64,
+  },
+  Rejected {
+    object: String,
+    version: u64,
+    why: String,
+  },
+  PlatformLost,
+  PlatformBack,
+  Claimed {
+    grouped: u32,
+  },
+  Stopping,
+}
+
+impl Entry {
+  /// Whether the entry is a count rather than a change of state worth a line.
+  pub fn is_count(&self) -> bool {
+    matches!(
+      self,
+      Self::Cold { .. }
+        | Self::Warm { .. }
+        | Self::Idle { .. }
+        | Self::Retried { .. }
+        | Self::Refused { .. }
+        | Self::Claimed { .. }
+    )
+  }
+}
+
+/// An entry with its time, ms.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+  pub at: u64,
+  #[serde(flatten)]
+  pub entry: Entry,
+}
+
+/// The newest lines.
+#[derive(Debug, Default)]
+pub struct Journal {
+  lines: VecDeque<Line>,
+}
+
+/// Lines kept.
+const LIMIT: usize = 20_000;
+
+impl Journal {
+  /// Adds a line; the oldest gives way.
+  pub fn push(&mut self, at: u64, entry: Entry) {
+    if self.lines.len() == LIMIT {
+      self.lines.pop_front();
+    }
+    self.lines.push_back(Line { at, entry });
+  }
+
+  /// The lines, oldest first.
+  pub fn lines(&self) -> impl Iterator<Item = &Line> {
+    self.lines.iter()
+  }
+}
--- /dev/null
+++ b/src/learn.rs
@@ -0,0 +1,211 @@
+//! What follows from a newly learned fact.
+
+use crate::{
+  catalog::Catalog,
+  effect::Effect,
+  event::Listing,
+  fact::{Body, Key, Listed, Version},
+  journal::Entry,
+  object::{Name, Object},
+  replica::Replica,
+  server,
+  state::State,
+};
+
+impl State {
+  /// Brings derived state up to date with the fact now held for `key`.
+  pub fn learn(&mut self, key: &Key) {
+    let Some((body, version)) = self.facts.get(key) else {
+      return;
+    };
+    let body = body.clone();
+    match (key, body) {
+      (Key::Member(_), Body::Member(_)) => self.refresh_members(),
+      (Key::Listing(machine), Body::Listing(listed)) => self.learn_listing(machine, listed),
+      (Key::Object(name), Body::Object(value)) => self.learn_object(name, version, value),
+      (Key::Placement(model), Body::Placement(replicas)) => {
+        self.learn_placement(model, &replicas);
+      }
+      (
+        Key::Residence(server),
+        Body::Residence {
+          residents,
+          cached,
+          leaving,
+        },
+      ) => {
+        let key = self.server(server);
+        let server = &mut self.servers[key];
+        server.leaving = leaving;
+        server.cached = cached
+          .into_iter()
+          .map(|cached| (cached.model, cached.tier))
+          .collect();
+        server.residents = residents
+          .into_iter()
+          .map(|resident| (resident.replica, (resident.model, resident.stage)))
+          .collect();
+        self.wake_server(key);
+      }
+      (Key::Load(server), Body::Load(loads)) => {
+        let key = self.server(server);
+        let server = &mut self.servers[key];
+        server.others = loads
+          .into_iter()
+          .map(|(id, running)| (id, running.saturating_sub(server.mine(id))))
+          .collect();
+        self.wake_server(key);
+      }
+      (Key::Batch(id), Body::Batch { finished }) => self.learn_batch(id, finished),
+      _ => {}
+    }
+  }
+
+  fn learn_listing(&mut self, machine: &str, listed: Listed) {
+    if listed == Listed::Live || !self.catalog.servers.contains_key(machine) {
+      return;
+    }
+    let key = self.server(machine);
+    let models: Vec<String> = self.servers[key].decided.values().cloned().collect();
+    for model in models {
+      self.touch_model(&model);
+    }
+  }
+
+  fn learn_object(&mut self, name: &Name, version: Version, value: Option<String>) {
+    if let Err(why) = self.catalog.put(name, value.as_deref()) {
+      // Checked before it became a fact; a peer of another release may differ.
+      self.reject(name, version.0, why);
+      return;
+    }
+    self.configured = true;
+    self.owned_epoch = 0;
+    self.note(Entry::Configured {
+      object: name.to_string(),
+      version: version.0,
+    });
+    let groups: Vec<_> = self.active.iter().copied().collect();
+    for group in groups {
+      self.pump(group);
+    }
+  }
+
+  fn reject(&mut self, name: &Name, version: u64, why: String) {
+    self.note(Entry::Rejected {
+      object: name.to_string(),
+      version,
+      why: why.clone(),
+    });
+    let key = Key::Rejected(name.clone());
+    self.publish(key, Version(version, 0), Body::Rejected(why));
+  }
+
+  /// Takes up objects read from the platform; one that fails its check leaves the
+  /// last good one in force.
+  pub fn on_watched(&mut self, objects: Vec<Object>) {
+    for object in objects {
+      let key = Key::Object(object.name.clone());
+      let rejected = self.facts.version(&Key::Rejected(object.name.clone()));
+      if self.facts.version(&key).0 >= object.version || rejected.0 >= object.version {
+        continue;
+      }
+      match Catalog::check(&object.name, object.value.as_deref()) {
+        Ok(()) => self.publish(key, Version(object.version, 0), Body::Object(object.value)),
+        Err(why) => self.reject(&object.name, object.version, why),
+      }
+    }
+    self.configured = true;
+  }
+
+  /// Takes up the platform's list; what was listed and no longer is has gone.
+  pub fn on_listed(&mut self, revision: u64, entries: Vec<Listing>) {
+    for entry in &entries {
+      if let (Some(peer), true) = (&entry.peer, entry.state != Listed::Gone) {
+        self.seed(&entry.id, peer);
+      }
+    }
+    let vanished: Vec<String> = self
+      .facts
+      .range(Key::Listing(String::new()))
+      .map_while(|(key, body)| match (key, body) {
+        (Key::Listing(id), Body::Listing(listed)) => Some((id, listed)),
+        _ => None,
+      })
+      .filter(|(id, listed)| **listed != Listed::Gone && !entries.iter().any(|e| e.id == **id))
+      .map(|(id, _)| id.clone())
+      .collect();
+    let listed = entries.into_iter().map(|entry| (entry.id, entry.state));
+    let gone = vanished.into_iter().map(|id| (id, Listed::Gone));
+    for (id, state) in listed.chain(gone) {
+      let key = Key::Listing(id.clone());
+      let known = matches!(self.facts.get(&key), Some((Body::Listing(held), _)) if *held == state);
+      if !known {
+        self.publish(key, Version(revision, 0), Body::Listing(state));
+      }
+    }
+  }
+
+  fn seed(&mut self, id: &str, address: &str) {
+    let known = self.peer(id).is_some() || self.me.seeds.iter().any(|seed| seed == address);
+    if !known && id != self.me.instance {
+      self.me.seeds.push(address.into());
+    }
+  }
+
+  fn learn_placement(&mut self, model: &str, replicas: &[Replica]) {
+    for (_, server) in &mut self.servers {
+      server.decided.retain(|_, decided| decided != model);
+    }
+    let mut groups = Vec::new();
+    for replica in replicas {
+      let key = self.server(&replica.server);
+      self.servers[key].decided.insert(replica.id, model.into());
+      groups.push(self.group(model, &replica.policy));
+    }
+    for group in groups {
+      self.mark_active(group);
+      self.pump(group);
+    }
+  }
+
+  /// Serves what waits for a replica on this server.
+  fn wake_server(&mut self, key: server::Key) {
+    let ids: Vec<_> = self.servers[key]
+      .residents
+      .iter()
+      .map(|(id, (model, _))| (*id, model.clone()))
+      .collect();
+    for (id, model) in ids {
+      let replica = self.placement(&model).iter().find(|r| r.id == id);
+      if let Some(policy) = replica.map(|replica| replica.policy.clone()) {
+        let group = self.group(&model, &policy);
+        self.mark_active(group);
+        self.pump(group);
+      }
+    }
+  }
+
+  /// Decides who of the fleet reads the platform, and starts or stops reading.
+  pub fn choose_watchers(&mut self) {
+    let me = &self.me.instance;
+    let zone = self.zone_members();
+    let watch = zone.is_empty()
+      || crate::rendezvous::leads(&zone, &self.me.zone, me, WATCHERS)
+      || !self.configured;
+    if watch != self.watching {
+      self.watching = watch;
+      self.emit(Effect::Watch(watch));
+    }
+  }
+
+  fn zone_members(&self) -> Vec<String> {
+    let same = |id: &&String| match self.facts.get(&Key::Member((*id).clone())) {
+      Some((Body::Member(member), _)) => member.zone == self.me.zone,
+      _ => false,
+    };
+    self.members.live.iter().filter(same).cloned().collect()
+  }
+}
+
+/// Instances of an availability zone that read the platform for the others.
+pub const WATCHERS: usize = 2;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+  bendsaddle::run::run()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,137 @@
+//! Counters and histograms, scraped in the Prometheus text format.
+
+use crate::journal::Entry;
+use opentelemetry::{
+  KeyValue,
+  metrics::{Counter, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the wait histograms, seconds.
+const BOUNDS: [f64; 14] = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0,
+];
+
+/// The instruments of one instance.
+pub struct Metrics {
+  registry: Registry,
+  _provider: SdkMeterProvider,
+  cold: Histogram<f64>,
+  queue: Histogram<f64>,
+  load: Histogram<f64>,
+  refusals: Counter<u64>,
+  retries: Counter<u64>,
+  decisions: Counter<u64>,
+  unloads: Counter<u64>,
+  idle: Counter<f64>,
+  claims: Counter<u64>,
+  claim_writes: Counter<u64>,
+  /// Calls to the platform and those that failed, as totals.
+  calls: Counter<u64>,
+}
+
+fn seconds(meter: &Meter, name: &'static str, text: &'static str) -> Histogram<f64> {
+  meter
+    .f64_histogram(name)
+    .with_description(text)
+    .with_unit("s")
+    .with_boundaries(BOUNDS.to_vec())
+    .build()
+}
+
+fn count(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+  meter.u64_counter(name).with_description(text).build()
+}
+
+impl Metrics {
+  /// Opens the instruments.
+  pub fn open() -> Result<Self, Box<dyn std::error::Error>> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+      .with_registry(registry.clone())
+      .build()?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    let meter = provider.meter("bendsaddle");
+    let idle = meter
+      .f64_counter("idle_accelerator")
+      .with_description("Time for which loaded replicas stood idle, by policy")
+      .with_unit("s")
+      .build();
+    Ok(Self {
+      cold: seconds(&meter, "cold_start", "Wait of requests that needed a load"),
+      queue: seconds(&meter, "queue", "Wait of requests that needed none"),
+      load: seconds(&meter, "load", "From decision to loaded replica"),
+      refusals: count(&meter, "refusals", "Refusals by reason and verdict"),
+      retries: count(&meter, "retries", "Attempts after the first"),
+      decisions: count(&meter, "loads_decided", "Replicas decided"),
+      unloads: count(&meter, "unloads", "Replicas let go"),
+      claims: count(&meter, "claims", "Claim changes written"),
+      claim_writes: count(&meter, "claim_writes", "Updates that carried them"),
+      calls: count(&meter, "platform_calls", "Calls to the platform by result"),
+      idle,
+      registry,
+      _provider: provider,
+    })
+  }
+
+  /// Counts a journal entry.
+  pub fn count(&self, entry: &Entry) {
+    match entry {
+      Entry::Cold {
+        policy, waited_ms, ..
+      } => self.cold.record(ms(*waited_ms), &[label("policy", policy)]),
+      Entry::Warm { policy, waited_ms } => {
+        self
+          .queue
+          .record(ms(*waited_ms), &[label("policy", policy)]);
+      }
+      Entry::Ready {
+        policy, took_ms, ..
+      } => self.load.record(ms(*took_ms), &[label("policy", policy)]),
+      Entry::Refused {
+        policy,
+        reason,
+        verdict,
+      } => self.refusals.add(
+        1,
+        &[
+          label("policy", policy),
+          label("reason", reason.word()),
+          label("verdict", verdict.word()),
+        ],
+      ),
+      Entry::Retried { verdict } => self.retries.add(1, &[label("verdict", verdict.word())]),
+      Entry::Decided { policy, .. } => self.decisions.add(1, &[label("policy", policy)]),
+      Entry::Retiring { why, .. } => self.unloads.add(1, &[label("why", why)]),
+      Entry::Idle { policy, ms: idle } => self.idle.add(ms(*idle), &[label("policy", policy)]),
+      Entry::Claimed { grouped } => {
+        self.claims.add(u64::from(*grouped), &[]);
+        self.claim_writes.add(1, &[]);
+      }
+      _ => {}
+    }
+  }
+
+  /// Counts platform calls made since the last count.
+  pub fn platform(&self, answered: u64, failed: u64) {
+    self.calls.add(answered, &[label("result", "answered")]);
+    self.calls.add(failed, &[label("result", "failed")]);
+  }
+
+  /// All instruments in the text format.
+  pub fn text(&self) -> String {
+    let mut text = Vec::new();
+    // Writing to memory does not fail; an encoding fault leaves the text short.
+    let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+    String::from_utf8_lossy(&text).into_owned()
+  }
+}
+
+fn label(key: &'static str, value: &str) -> KeyValue {
+  KeyValue::new(key, value.to_string())
+}
+
+fn ms(ms: u64) -> f64 {
+  ms as f64 / 1_000.0
+}
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,55 @@
+//! The operators' port: health, metrics, status and time line.
+
+use crate::instance::Shared;
+use rouille::{Request, Response, Server};
+use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, thread, time::Duration};
+
+/// Pause between two looks for requests.
+const POLL: Duration = Duration::from_millis(100);
+/// Threads that answer operators.
+const THREADS: usize = 2;
+
+/// Binds the port and answers until the process ends.
+pub fn bind(shared: &Arc<Shared>) -> io::Result<SocketAddr> {
+  let address = shared.settings.operators.clone();
+  let shared = shared.clone();
+  let server = Server::new(address, move |request| answer(&shared, request))
+    .map_err(|error| io::Error::other(error.to_string()))?
+    .pool_size(THREADS);
+  let address = server.server_addr();
+  let builder = thread::Builder::new().name("operators".into());
+  builder.spawn(move || {
+    loop {
+      server.poll_timeout(POLL);
+    }
+  })?;
+  Ok(address)
+}
+
+fn answer(shared: &Shared, request: &Request) -> Response {
+  match request.url().as_str() {
+    "/health" => health(shared),
+    "/metrics" => Response::text(shared.metrics.text()),
+    "/status" => match shared.status() {
+      Some(status) => Response::json(&status),
+      None => Response::text("no status").with_status_code(503),
+    },
+    "/timeline" => {
+      let since = request
+        .get_param("since")
+        .and_then(|since| since.parse().ok());
+      Response::json(&shared.lines(since.unwrap_or_default()))
+    }
+    _ => Response::empty_404(),
+  }
+}
+
+fn health(shared: &Shared) -> Response {
+  if shared.stopping.load(Ordering::Relaxed) {
+    return Response::text("stopping").with_status_code(503);
+  }
+  match shared.status() {
+    Some(status) if status.serving => Response::text("serving"),
+    _ => Response::text("starting").with_status_code(503),
+  }
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,302 @@
+//! Calls between instances, over tonic. The only module with an async runtime.
+
+use crate::{
+  claim::{Change, Outcome},
+  event::{Call, Delta, Event},
+  notice::Notice,
+  wire::{
+    self,
+    peer_client::PeerClient,
+    peer_server::{Peer, PeerServer},
+  },
+};
+use std::{
+  collections::HashMap,
+  net::SocketAddr,
+  sync::{Arc, Mutex, PoisonError},
+  time::Duration,
+};
+use tokio::sync::oneshot;
+use tonic::{
+  Request, Response, Status,
+  transport::{Channel, Endpoint, Server},
+};
+
+/// Longest wait for another instance.
+const CALL: Duration = Duration::from_millis(1_000);
+/// Longest wait for a claim, which holds a platform write.
+const CLAIM: Duration = Duration::from_millis(5_000);
+/// Threads of the runtime.
+const THREADS: usize = 2;
+
+/// Takes events for the reducer.
+pub type Sink = Arc<dyn Fn(Event) + Send + Sync>;
+
+enum Waiter {
+  Delta(oneshot::Sender<Delta>),
+  Claims(oneshot::Sender<Vec<Outcome>>),
+}
+
+#[derive(Default)]
+struct Waiters {
+  next: u64,
+  open: HashMap<Call, Waiter>,
+}
+
+/// A bound peer port with its clients.
+pub struct Port {
+  runtime: tokio::runtime::Runtime,
+  clients: Arc<Mutex<HashMap<String, PeerClient<Channel>>>>,
+  waiters: Arc<Mutex<Waiters>>,
+  sink: Sink,
+  me: String,
+  boot: u64,
+  /// Address bound.
+  pub address: SocketAddr,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Service {
+  waiters: Arc<Mutex<Waiters>>,
+  sink: Sink,
+}
+
+impl Service {
+  fn open_call(&self, waiter: Waiter) -> Call {
+    let mut waiters = lock(&self.waiters);
+    waiters.next += 1;
+    let call = Call(waiters.next);
+    waiters.open.insert(call, waiter);
+    call
+  }
+
+  async fn answer<T>(
+    &self,
+    call: Call,
+    answer: oneshot::Receiver<T>,
+    wait: Duration,
+  ) -> Result<T, Status> {
+    let answer = tokio::time::timeout(wait, answer).await;
+    lock(&self.waiters).open.remove(&call);
+    match answer {
+      Ok(Ok(answer)) => Ok(answer),
+      _ => Err(Status::deadline_exceeded("no answer")),
+    }
+  }
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+  async fn exchange(&self, request: Request<wire::Delta>) -> Result<Response<wire::Delta>, Status> {
+    let delta = from_wire(request.into_inner());
+    let (sender, receiver) = oneshot::channel();
+    let call = self.open_call(Waiter::Delta(sender));
+    (self.sink)(Event::Exchange { call, delta });
+    let answer = self.answer(call, receiver, CALL).await?;
+    Ok(Response::new(to_wire(answer)))
+  }
+
+  async fn notify(
+    &self,
+    request: Request<wire::Notice>,
+  ) -> Result<Response<wire::Receipt>, Status> {
+    let notice = request.into_inner();
+    let items = notice.items.iter().filter_map(|item| Notice::decode(item));
+    (self.sink)(Event::Notified {
+      from: notice.from,
+      items: items.collect(),
+    });
+    Ok(Response::new(wire::Receipt {}))
+  }
+
+  async fn claim(&self, request: Request<wire::Claims>) -> Result<Response<wire::Claims>, Status> {
+    let claims = request.into_inner();
+    let changes: Result<Vec<Change>, _> = claims
+      .items
+      .iter()
+      .map(|item| postcard::from_bytes(item))
+      .collect();
+    let changes = changes.map_err(|error| Status::invalid_argument(error.to_string()))?;
+    let (sender, receiver) = oneshot::channel();
+    let call = self.open_call(Waiter::Claims(sender));
+    (self.sink)(Event::ClaimAsked {
+      call,
+      shard: claims.shard,
+      changes,
+    });
+    let outcomes = self.answer(call, receiver, CLAIM).await?;
+    Ok(Response::new(wire::Claims {
+      items: encode(&outcomes),
+      ..wire::Claims::default()
+    }))
+  }
+}
+
+fn encode<T: serde::Serialize>(items: &[T]) -> Vec<Vec<u8>> {
+  let encoded = items.iter().map(postcard::to_stdvec);
+  encoded.map(Result::unwrap_or_default).collect()
+}
+
+fn from_wire(delta: wire::Delta) -> Delta {
+  Delta {
+    from: delta.from,
+    boot: delta.boot,
+    seen: delta.seen,
+    upto: delta.upto,
+    facts: delta.facts,
+    buckets: delta.buckets,
+  }
+}
+
+fn to_wire(delta: Delta) -> wire::Delta {
+  wire::Delta {
+    from: delta.from,
+    boot: delta.boot,
+    seen: delta.seen,
+    upto: delta.upto,
+    facts: delta.facts,
+    buckets: delta.buckets,
+  }
+}
+
+impl Port {
+  /// Binds the peer port and serves other instances.
+  pub fn bind(address: &str, me: &str, boot: u64, sink: Sink) -> std::io::Result<Self> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+      .worker_threads(THREADS)
+      .thread_name("peer")
+      .enable_all()
+      .build()?;
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let waiters = Arc::new(Mutex::new(Waiters::default()));
+    let service = Service {
+      waiters: waiters.clone(),
+      sink: sink.clone(),
+    };
+    let incoming = {
+      let _runtime = runtime.enter();
+      let listener = tokio::net::TcpListener::from_std(listener)?;
+      tonic::transport::server::TcpIncoming::from(listener).with_nodelay(Some(true))
+    };
+    let server = Server::builder()
+      .add_service(PeerServer::new(service))
+      .serve_with_incoming(incoming);
+    runtime.spawn(server);
+    Ok(Self {
+      runtime,
+      clients: Arc::default(),
+      waiters,
+      sink,
+      me: me.into(),
+      boot,
+      address,
+    })
+  }
+
+  fn client(&self, address: &str) -> Option<PeerClient<Channel>> {
+    let mut clients = lock(&self.clients);
+    if let Some(client) = clients.get(address) {
+      return Some(client.clone());
+    }
+    let _runtime = self.runtime.enter();
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let endpoint = endpoint.connect_timeout(CALL).tcp_nodelay(true);
+    let client = PeerClient::new(endpoint.connect_lazy());
+    clients.insert(address.into(), client.clone());
+    Some(client)
+  }
+
+  /// Exchanges facts with a neighbour.
+  pub fn exchange(&self, peer: String, address: &str, delta: Delta) {
+    let Some(mut client) = self.client(address) else {
+      (self.sink)(Event::Exchanged { peer, delta: None });
+      return;
+    };
+    let sink = self.sink.clone();
+    self.runtime.spawn(async move {
+      let call = client.exchange(to_wire(delta));
+      let answer = tokio::time::timeout(CALL, call).await;
+      let delta = match answer {
+        Ok(Ok(response)) => Some(from_wire(response.into_inner())),
+        _ => None,
+      };
+      sink(Event::Exchanged { peer, delta });
+    });
+  }
+
+  /// Sends notices to an instance.
+  pub fn notify(&self, address: &str, items: &[Notice]) {
+    let Some(mut client) = self.client(address) else {
+      return;
+    };
+    let notice = wire::Notice {
+      from: self.me.clone(),
+      boot: self.boot,
+      items: items.iter().map(Notice::encode).collect(),
+    };
+    self.runtime.spawn(async move {
+      // Soft state: a lost notice is stated again.
+      let _ = tokio::time::timeout(CALL, client.notify(notice)).await;
+    });
+  }
+
+  /// Asks a shard's owner for claims.
+  pub fn claim(&self, address: &str, shard: u32, group: u64, changes: &[Change]) {
+    let Some(mut client) = self.client(address) else {
+      (self.sink)(Event::ClaimAnswered {
+        shard,
+        group,
+        outcomes: None,
+      });
+      return;
+    };
+    let claims = wire::Claims {
+      from: self.me.clone(),
+      boot: self.boot,
+      shard,
+      items: encode(changes),
+    };
+    let sink = self.sink.clone();
+    self.runtime.spawn(async move {
+      let answer = tokio::time::timeout(CLAIM, client.claim(claims)).await;
+      let outcomes = match answer {
+        Ok(Ok(response)) => decode_outcomes(&response.into_inner()),
+        _ => None,
+      };
+      sink(Event::ClaimAnswered {
+        shard,
+        group,
+        outcomes,
+      });
+    });
+  }
+
+  /// Answers a neighbour's exchange.
+  pub fn answer(&self, call: Call, delta: Delta) {
+    if let Some(Waiter::Delta(waiter)) = lock(&self.waiters).open.remove(&call) {
+      let _ = waiter.send(delta);
+    }
+  }
+
+  /// Answers another instance's claims.
+  pub fn answer_claims(&self, call: Call, outcomes: Vec<Outcome>) {
+    if let Some(Waiter::Claims(waiter)) = lock(&self.waiters).open.remove(&call) {
+      let _ = waiter.send(outcomes);
+    }
+  }
+
+  /// Ends the runtime without waiting for open calls.
+  pub fn close(self) {
+    self.runtime.shutdown_background();
+  }
+}
+
+fn decode_outcomes(claims: &wire::Claims) -> Option<Vec<Outcome>> {
+  let decoded = claims.items.iter().map(|item| postcard::from_bytes(item));
+  decoded.collect::<Result<_, _>>().ok()
+}
--- /dev/null
+++ b/src/reduce.rs
@@ -0,0 +1,165 @@
+//! The reducer: one event in, new state and effects out.
+//!
+//! Time, randomness and the outcomes of effects all come in as events, so the
+//! same events in the same order give the same effects.
+
+use crate::{
+  effect::Effect,
+  event::{Event, Tag},
+  journal::Entry,
+  object::Name,
+  state::State,
+  update::Outcome,
+};
+
+/// Pause between two rounds of housekeeping, ms.
+const CHORES_MS: u64 = 50;
+
+/// Takes up an event that happened at `at` (ms) and says what to do.
+pub fn reduce(state: &mut State, at: u64, event: Event) -> Vec<Effect> {
+  state.now = state.now.max(at);
+  take_up(state, event);
+  state.run_jobs();
+  state.gossip();
+  if state.chores_at <= state.now {
+    state.chores_at = state.now + CHORES_MS;
+    chores(state);
+  }
+  std::mem::take(&mut state.out)
+}
+
+fn take_up(state: &mut State, event: Event) {
+  match event {
+    Event::Tick => {}
+    Event::Asked(ask) => {
+      let ticket = ask.ticket;
+      state.on_asked(ask);
+      tell(state, ticket);
+    }
+    Event::Ended {
+      ticket,
+      number,
+      end,
+      answer,
+    } => state.on_ended(ticket, number, end, answer),
+    Event::BatchAsked { ticket, id, change } => state.on_batch_asked(ticket, id, change),
+    Event::ItemEnded { id, at, item } => state.on_item_ended(&id, at, item),
+    Event::Updated { tag, name, outcome } => on_updated(state, tag, &name, outcome),
+    Event::Ordered {
+      replica,
+      step,
+      outcome,
+    } => state.on_ordered(replica, step, outcome),
+    Event::Reported(status) => state.on_reported(status),
+    Event::Watched(objects) => state.on_watched(objects),
+    Event::BatchesListed(listed) => state.on_batches_listed(listed),
+    Event::Listed { revision, entries } => state.on_listed(revision, entries),
+    Event::Exchange { call, delta } => state.on_exchange(call, &delta),
+    Event::Exchanged { peer, delta } => state.on_exchanged(&peer, delta.as_ref()),
+    Event::Notified { from, items } => state.on_notified(&from, items),
+    Event::ClaimAsked {
+      call,
+      shard,
+      changes,
+    } => state.on_claim_asked(call, shard, changes),
+    Event::ClaimAnswered {
+      shard,
+      group,
+      outcomes,
+    } => state.on_claim_answered(shard, group, outcomes),
+    Event::Stop => stop(state),
+  }
+}
+
+/// Demand for a model that has just begun is told at once.
+fn tell(state: &mut State, ticket: crate::ask::Ticket) {
+  let request = state.requests.get(&ticket);
+  if let Some(key) = request.and_then(|request| request.group) {
+    state.tell_demand(key);
+    state.decide_own(key);
+  }
+}
+
+fn on_updated(state: &mut State, tag: Tag, name: &Name, outcome: Outcome) {
+  match tag {
+    Tag::Job { replica, step } => state.on_job_updated(replica, step, outcome),
+    Tag::Audit { model } => state.on_audited(&model, outcome),
+    Tag::Claims { shard, group } => state.on_claims_updated(shard, group, &outcome),
+    Tag::Caller { ticket } => state.on_caller_updated(ticket, name, outcome),
+    Tag::Batch { id } => state.on_batch_updated(&id, outcome),
+  }
+}
+
+fn stop(state: &mut State) {
+  if state.stopping {
+    return;
+  }
+  state.stopping = true;
+  state.note(Entry::Stopping);
+  let key = crate::fact::Key::Member(state.me.instance.clone());
+  let incarnation = state.facts.version(&key).1 / 4;
+  state.announce(incarnation + 1);
+}
+
+fn chores(state: &mut State) {
+  state.choose_watchers();
+  state.refresh_owned();
+  state.audit();
+  state.poll_servers();
+  state.tend_claims();
+  state.tend_batches();
+  let models: Vec<String> = state.owned.keys().cloned().collect();
+  for model in models {
+    state.recover(&model);
+  }
+  let groups: Vec<_> = state.active.iter().copied().collect();
+  for key in groups {
+    state.expire(key);
+    state.pump(key);
+    state.tell_demand(key);
+    state.decide_own(key);
+    state.share(key);
+    state.let_go(key);
+    state.rest(key);
+  }
+  if state.stopping && !state.stopped && state.drained() {
+    state.stopped = true;
+    state.emit(Effect::Stopped);
+  }
+}
+
+impl State {
+  /// Decides for a group whose model this instance owns.
+  pub fn decide_own(&mut self, key: crate::group::Key) {
+    let model = &self.groups[key].model;
+    if self.owned.contains_key(model) {
+      self.decide(key);
+    }
+  }
+
+  /// Takes a group out of housekeeping when nothing of it is left.
+  fn rest(&mut self, key: crate::group::Key) {
+    let group = &self.groups[key];
+    let told = group.told.waiting + group.told.running + group.arrived > 0;
+    let busy = !group.queue.is_empty() || group.running > 0 || told;
+    let policy = &group.policy;
+    let held = self
+      .placement(&group.model)
+      .iter()
+      .any(|replica| replica.policy == *policy);
+    if !busy && !held && !group.in_use(self.now) {
+      self.active.remove(&key);
+    }
+  }
+
+  /// Whether a planned stop has nothing left to wait for.
+  fn drained(&self) -> bool {
+    self.requests.is_empty()
+      && self.claims.idle()
+      && self.batches.idle()
+      && self
+        .jobs
+        .values()
+        .all(|job| job.step == crate::job::Step::AwaitReady)
+  }
+}
--- /dev/null
+++ b/src/refusal.rs
@@ -0,0 +1,56 @@
+//! A final answer to a caller whose request was not served.
+
+use crate::verdict::Verdict;
+use serde::{Deserialize, Serialize};
+
+/// Why a request was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+  UnknownModel,
+  QueueFull,
+  TooLate,
+  Stopping,
+  NoServer,
+  PlatformUnavailable,
+  ServerFailed,
+  Claimed,
+  ClaimsFull,
+}
+
+impl Reason {
+  /// The word sent to callers and used as a metric label.
+  pub fn word(self) -> &'static str {
+    match self {
+      Self::UnknownModel => "unknown-model",
+      Self::QueueFull => "queue-full",
+      Self::TooLate => "too-late",
+      Self::Stopping => "stopping",
+      Self::NoServer => "no-server",
+      Self::PlatformUnavailable => "platform-unavailable",
+      Self::ServerFailed => "server-failed",
+      Self::Claimed => "claimed",
+      Self::ClaimsFull => "claims-full",
+    }
+  }
+
+  /// HTTP status for the reason.
+  pub fn status(self) -> u16 {
+    match self {
+      Self::UnknownModel => 404,
+      Self::QueueFull => 429,
+      Self::ServerFailed => 502,
+      Self::Claimed => 409,
+      _ => 503,
+    }
+  }
+}
+
+/// A refusal with its verdict and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+  pub reason: Reason,
+  pub verdict: Verdict,
+  /// Milliseconds after which a repeat may be served; `None`: do not repeat.
+  pub retry_after: Option<u64>,
+}
--- /dev/null
+++ b/src/rendezvous.rs
@@ -0,0 +1,39 @@
+//! Highest-random-weight hashing: which member usually acts for a key.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+fn weight(member: &str, key: u64) -> u64 {
+  xxh3_64_with_seed(member.as_bytes(), key)
+}
+
+fn seed(key: &str) -> u64 {
+  xxh3_64_with_seed(key.as_bytes(), 0)
+}
+
+/// The member that acts for `key`.
+pub fn owner<'a>(members: &'a [String], key: &str) -> Option<&'a str> {
+  let seed = seed(key);
+  members
+    .iter()
+    .max_by_key(|member| weight(member, seed))
+    .map(String::as_str)
+}
+
+/// Whether `member` is among the first `count` for `key`.
+pub fn leads(members: &[String], key: &str, member: &str, count: usize) -> bool {
+  let seed = seed(key);
+  let mine = weight(member, seed);
+  let ahead = members
+    .iter()
+    .filter(|other| *other != member && weight(other, seed) > mine);
+  ahead.count() < count
+}
+
+/// The `count` members first for `key`.
+pub fn first(members: &[String], key: &str, count: usize) -> Vec<String> {
+  let seed = seed(key);
+  let mut ranked: Vec<_> = members.to_vec();
+  ranked.sort_by_key(|member| std::cmp::Reverse(weight(member, seed)));
+  ranked.truncate(count);
+  ranked
+}
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,138 @@
+//! The command line.
+
+use crate::{
+  apply,
+  instance::Instance,
+  settings::{Error, Settings},
+  timeline,
+};
+use error_stack::{Report, ResultExt};
+use lexopt::{
+  Arg::{Long, Value},
+  Parser, ValueExt,
+};
+use slog::{Drain, Logger, o};
+use std::{path::PathBuf, process::ExitCode, sync::mpsc::channel};
+
+const USAGE: &str = "\
+usage: bendsaddle serve --settings FILE
+       bendsaddle check FILE...
+       bendsaddle apply DIR --platform IP:PORT
+       bendsaddle get [KIND [NAME]] --platform IP:PORT
+       bendsaddle status --instance IP:PORT
+       bendsaddle timeline --instance IP:PORT [--trace]";
+
+type Outcome = Result<ExitCode, Report<Error>>;
+
+/// Options of every command.
+#[derive(Default)]
+struct Options {
+  settings: Option<PathBuf>,
+  platform: Option<String>,
+  instance: Option<String>,
+  trace: bool,
+  rest: Vec<String>,
+}
+
+/// Runs the command named on the command line.
+pub fn run() -> ExitCode {
+  match dispatch() {
+    Ok(code) => code,
+    Err(report) => {
+      eprintln!("error: {report}");
+      ExitCode::FAILURE
+    }
+  }
+}
+
+fn dispatch() -> Outcome {
+  let mut parser = Parser::from_env();
+  let (command, options) = parse(&mut parser).change_context(Error(USAGE.into()))?;
+  match command.as_str() {
+    "serve" => serve(&options),
+    "check" => check(&options),
+    "apply" => apply::apply(&options.rest, &named(&options.platform, "--platform")?),
+    "get" => apply::get(&options.rest, &named(&options.platform, "--platform")?),
+    "status" => timeline::status(&named(&options.instance, "--instance")?),
+    "timeline" => timeline::timeline(&named(&options.instance, "--instance")?, options.trace),
+    "help" | "" => {
+      println!("{USAGE}");
+      Ok(ExitCode::SUCCESS)
+    }
+    other => Err(Report::new(Error(format!(
+      "command: `{other}` is unknown\n{USAGE}"
+    )))),
+  }
+}
+
+fn parse(parser: &mut Parser) -> Result<(String, Options), lexopt::Error> {
+  let mut options = Options::default();
+  let mut command = String::new();
+  while let Some(arg) = parser.next()? {
+    match arg {
+      Long("settings") => options.settings = Some(parser.value()?.into()),
+      Long("platform") => options.platform = Some(parser.value()?.string()?),
+      Long("instance") => options.instance = Some(parser.value()?.string()?),
+      Long("trace") => options.trace = true,
+      Long("help") => command = "help".into(),
+      Value(value) if command.is_empty() => command = value.string()?,
+      Value(value) => options.rest.push(value.string()?),
+      other => return Err(other.unexpected()),
+    }
+  }
+  Ok((command, options))
+}
+
+fn named(value: &Option<String>, option: &str) -> Result<String, Report<Error>> {
+  let missing = || Report::new(Error(format!("{option}: missing\n{USAGE}")));
+  let value = value.clone().ok_or_else(missing)?;
+  match value.parse::<std::net::SocketAddr>() {
+    Ok(_) => Ok(value),
+    Err(_) => Err(Report::new(Error(format!(
+      "{option}: `{value}` is not ip:port"
+    )))),
+  }
+}
+
+fn serve(options: &Options) -> Outcome {
+  let path = options.settings.clone();
+  let path = path.ok_or_else(|| Report::new(Error(format!("--settings: missing\n{USAGE}"))))?;
+  let settings = Settings::open(&path)?;
+  let log = logger(&settings.instance);
+  let failed = || Error("could not start the instance".into());
+  let instance = Instance::spawn(settings, log).change_context_lazy(failed)?;
+  let ports = serde_json::json!({ "callers": instance.callers.to_string(),
+    "peers": instance.peers.to_string(), "operators": instance.operators.to_string() });
+  println!("{ports}");
+  let (sender, receiver) = channel();
+  let handler = ctrlc::set_handler(move || {
+    // A second signal finds the stop begun.
+    let _ = sender.send(());
+  });
+  handler.change_context_lazy(failed)?;
+  // An error says that no signal can come any more.
+  let _ = receiver.recv();
+  instance.stop();
+  instance.wait();
+  Ok(ExitCode::SUCCESS)
+}
+
+fn logger(instance: &str) -> Logger {
+  let drain = slog_json::Json::default(std::io::stderr()).fuse();
+  let drain = slog_async::Async::new(drain).build().fuse();
+  Logger::root(drain, o!("instance" => instance.to_string()))
+}
+
+fn check(options: &Options) -> Outcome {
+  if options.rest.is_empty() {
+    return Err(Report::new(Error(format!("check: no file\n{USAGE}"))));
+  }
+  let mut code = ExitCode::SUCCESS;
+  for file in &options.rest {
+    for fault in apply::faults(std::path::Path::new(file)) {
+      eprintln!("{file}: {fault}");
+      code = ExitCode::FAILURE;
+    }
+  }
+  Ok(code)
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,213 @@
+//! Settings of one instance: JSON with comments, checked whole before start.
+
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, path::Path};
+
+/// A settings file that cannot be used.
+#[derive(Debug)]
+pub struct Error(pub String);
+
+impl std::fmt::Display for Error {
+  fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+    f.write_str(&self.0)
+  }
+}
+
+impl std::error::Error for Error {}
+
+/// How waiting requests reach a replica's slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Dispatch {
+  /// Each instance sends to the replica it believes least loaded.
+  Push,
+  /// The deciding instance hands out shares of the slots by demand.
+  #[default]
+  Share,
+}
+
+/// Times, bounds and budgets; milliseconds unless named otherwise.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default, rename_all = "camelCase")]
+pub struct Limits {
+  /// Requests handled at once by the instance.
+  pub requests: usize,
+  /// Requests waiting for one model.
+  pub queue: usize,
+  /// Largest request body, bytes.
+  pub body_bytes: usize,
+  /// Longest wait on a caller that does not read.
+  pub caller_stall_ms: u64,
+  /// Deadline of an interactive request that names none.
+  pub deadline_ms: u64,
+  /// Attempts for one request.
+  pub attempts: u32,
+  /// Retries for each hundred requests.
+  pub retry_percent: u32,
+  /// Wait for an engine between two tokens.
+  pub token_stall_ms: u64,
+  /// Wait for a connection.
+  pub connect_ms: u64,
+  /// Pause between two exchanges with a neighbour.
+  pub exchange_ms: u64,
+  /// Time from suspicion to removal of an instance.
+  pub suspect_ms: u64,
+  /// Pause between two reads of the platform's list.
+  pub list_ms: u64,
+  /// Pause between two status questions to an engine.
+  pub poll_ms: u64,
+  /// From withdrawing a replica to ordering its unload.
+  pub drain_ms: u64,
+  /// Longest time from reading a decision to sending its order.
+  pub fresh_ms: u64,
+  /// Longest time an order stays on its way after its sender gave up.
+  pub order_ttl_ms: u64,
+  /// Longest load.
+  pub load_ms: u64,
+  /// Pause between two reads of an owned model's record.
+  pub audit_ms: u64,
+  /// How long a claim is kept.
+  pub claim_ms: u64,
+  /// Shards of claims.
+  pub claim_shards: u32,
+  /// Platform calls a second.
+  pub platform_rate: u32,
+  /// Longest wait for a platform call, retries included.
+  pub platform_ms: u64,
+  /// Least time a replica is idle before it gives way to another model.
+  pub yield_ms: u64,
+  /// How waiting requests reach slots.
+  pub dispatch: Dispatch,
+  /// 0: weigh cold-start time alone; 100: weigh idle accelerators alone.
+  pub thrift: u32,
+  /// Bytes of facts in one exchange.
+  pub delta_bytes: usize,
+}
+
+impl Default for Limits {
+  fn default() -> Self {
+    Self {
+      requests: 1024,
+      queue: 512,
+      body_bytes: 1 << 20,
+      caller_stall_ms: 10_000,
+      deadline_ms: 60_000,
+      attempts: 3,
+      retry_percent: 20,
+      token_stall_ms: 10_000,
+      connect_ms: 500,
+      exchange_ms: 250,
+      suspect_ms: 1_500,
+      list_ms: 1_000,
+      poll_ms: 250,
+      drain_ms: 500,
+      fresh_ms: 2_000,
+      order_ttl_ms: 5_000,
+      load_ms: 120_000,
+      audit_ms: 30_000,
+      claim_ms: 600_000,
+      claim_shards: 16,
+      platform_rate: 60,
+      platform_ms: 3_000,
+      yield_ms: 1_000,
+      dispatch: Dispatch::Share,
+      thrift: 50,
+      delta_bytes: 65_536,
+    }
+  }
+}
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "camelCase")]
+pub struct Settings {
+  /// Identity in the platform's list of instances.
+  pub instance: String,
+  pub zone: String,
+  /// Where callers reach the instance, `ip:port`.
+  pub callers: String,
+  /// Where other instances reach it, `ip:port`.
+  pub peers: String,
+  /// Where operators reach it, `ip:port`.
+  pub operators: String,
+  /// The platform's object API, `ip:port`.
+  pub platform: String,
+  /// Peer addresses to ask while the platform is out of reach.
+  #[serde(default)]
+  pub seeds: Vec<String>,
+  #[serde(default)]
+  pub limits: Limits,
+}
+
+impl Settings {
+  /// Reads and checks a file.
+  pub fn open(path: &Path) -> Result<Self, Report<Error>> {
+    let text = std::fs::read_to_string(path)
+      .change_context_lazy(|| Error(format!("could not read settings `{}`", path.display())))?;
+    Self::parse(&text).map_err(|error| Report::new(Error(format!("{}: {error}", path.display()))))
+  }
+
+  /// Reads and checks settings.
+  pub fn parse(text: &str) -> Result<Self, String> {
+    let value = jsonc(text)?;
+    let settings: Self = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    match settings.fault() {
+      Some(fault) => Err(fault),
+      None => Ok(settings),
+    }
+  }
+
+  fn fault(&self) -> Option<String> {
+    if self.instance.is_empty() || self.instance.contains('/') {
+      return Some(format!(
+        "instance: `{}` is empty or holds a slash",
+        self.instance
+      ));
+    }
+    let fields = [
+      ("callers", &self.callers),
+      ("peers", &self.peers),
+      ("operators", &self.operators),
+      ("platform", &self.platform),
+    ];
+    let seeds = self.seeds.iter().map(|seed| ("seeds", seed));
+    for (field, value) in fields.into_iter().chain(seeds) {
+      if value.parse::<SocketAddr>().is_err() {
+        return Some(format!("{field}: `{value}` is not ip:port"));
+      }
+    }
+    self.limits.fault()
+  }
+}
+
+impl Limits {
+  fn fault(&self) -> Option<String> {
+    let positive = [
+      ("requests", self.requests as u64),
+      ("queue", self.queue as u64),
+      ("bodyBytes", self.body_bytes as u64),
+      ("deadlineMs", self.deadline_ms),
+      ("attempts", self.attempts.into()),
+      ("exchangeMs", self.exchange_ms),
+      ("pollMs", self.poll_ms),
+      ("listMs", self.list_ms),
+      ("claimShards", self.claim_shards.into()),
+      ("platformRate", self.platform_rate.into()),
+      ("deltaBytes", self.delta_bytes as u64),
+    ];
+    let zero = positive.into_iter().find(|(_, value)| *value == 0);
+    if let Some((field, _)) = zero {
+      return Some(format!("limits.{field}: `0` is not positive"));
+    }
+    if self.thrift > 100 {
+      return Some(format!("limits.thrift: `{}` is above 100", self.thrift));
+    }
+    None
+  }
+}
+
+/// Parses JSON with comments.
+pub fn jsonc(text: &str) -> Result<serde_json::Value, String> {
+  jsonc_parser::parse_to_serde_value(text, &Default::default()).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/src/share.rs
@@ -0,0 +1,214 @@
+//! Demand told to the owner of a model, and shares of slots handed out by it.
+//!
+//! The owner alone knows who has work, so it gives each instance a bound on its
+//! requests at a replica. Shares are soft state: without one an instance falls
+//! back on its own estimate of the replica's load.
+
+use crate::{
+  effect::Effect,
+  group::{self, Demand, RESTATE_MS, SOFT_STATE_MS, Share},
+  notice::Notice,
+  replica::{Id, Target},
+  settings::Dispatch,
+  state::State,
+};
+use std::collections::BTreeMap;
+
+impl State {
+  /// Tells the owner of a group's model what this instance has of it.
+  pub fn tell_demand(&mut self, key: group::Key) {
+    let group = &self.groups[key];
+    let demand = Demand {
+      waiting: group.queue.len() as u32,
+      running: group.running,
+      at: self.now,
+    };
+    let told = group.told;
+    let same = told.waiting == demand.waiting && told.running == demand.running;
+    let idle = demand.waiting + demand.running + group.arrived == 0;
+    let first = (told.waiting == 0) != (demand.waiting == 0);
+    let due = self.now >= told.at + RESTATE_MS / 4;
+    let restate = self.now >= told.at + RESTATE_MS;
+    if (idle && same) || !(first || (due && !same) || (restate && !idle)) {
+      return;
+    }
+    let arrived = std::mem::take(&mut self.groups[key].arrived);
+    self.groups[key].told = demand;
+    let group = &self.groups[key];
+    let (model, policy) = (group.model.clone(), group.policy.clone());
+    let owner = self.members.owner(&model).map(str::to_string);
+    match owner {
+      Some(owner) if owner != self.me.instance => {
+        let notice = Notice::Demand {
+          model,
+          policy,
+          waiting: demand.waiting,
+          running: demand.running,
+          arrived,
+        };
+        self.notify(&owner, notice);
+      }
+      _ => {
+        let me = self.me.instance.clone();
+        self.groups[key].state(&me, demand, arrived);
+      }
+    }
+  }
+
+  /// Sends a notice to an instance whose address is known.
+  pub fn notify(&mut self, instance: &str, notice: Notice) {
+    if let Some(address) = self.peer(instance) {
+      self.emit(Effect::Notify {
+        address,
+        items: vec![notice],
+      });
+    }
+  }
+
+  /// Takes up notices of another instance.
+  pub fn on_notified(&mut self, from: &str, items: Vec<Notice>) {
+    for item in items {
+      match item {
+        Notice::Demand {
+          model,
+          policy,
+          waiting,
+          running,
+          arrived,
+        } => self.on_demand(from, &model, &policy, (waiting, running, arrived)),
+        Notice::Share { replica, slots } => self.on_share(replica, slots),
+        Notice::Yield { model, replica } => self.on_yield(&model, replica),
+      }
+    }
+  }
+
+  fn on_demand(&mut self, from: &str, model: &str, policy: &str, counts: (u32, u32, u32)) {
+    let (waiting, running, arrived) = counts;
+    let key = self.group(model, policy);
+    let at = self.now;
+    let demand = Demand {
+      waiting,
+      running,
+      at,
+    };
+    self.groups[key].state(from, demand, arrived);
+    self.mark_active(key);
+    self.decide(key);
+    self.share(key);
+  }
+
+  fn on_share(&mut self, replica: Id, slots: u32) {
+    let until = self.now + SOFT_STATE_MS;
+    let holder = self
+      .active
+      .iter()
+      .copied()
+      .find(|key| self.decided(*key).contains(&replica));
+    if let Some(key) = holder {
+      let share = Share { slots, until };
+      self.groups[key].shares.insert(replica, share);
+      self.pump(key);
+    }
+  }
+
+  /// Replicas decided for a group.
+  fn decided(&self, key: group::Key) -> Vec<Id> {
+    let group = &self.groups[key];
+    self
+      .placement(&group.model)
+      .iter()
+      .filter(|replica| replica.policy == group.policy && replica.target == Target::Loaded)
+      .map(|replica| replica.id)
+      .collect()
+  }
+
+  /// Hands out the slots of a group's replicas by demand.
+  pub fn share(&mut self, key: group::Key) {
+    if self.limits.dispatch == Dispatch::Push || !self.owns(&self.groups[key].model.clone()) {
+      return;
+    }
+    let group = &self.groups[key];
+    let contended = group.waiting(self.now) > 0;
+    let demand: BTreeMap<String, u32> = group
+      .demand
+      .iter()
+      .filter(|(_, demand)| demand.at + SOFT_STATE_MS > self.now)
+      .map(|(instance, demand)| (instance.clone(), demand.waiting + demand.running))
+      .filter(|(_, wants)| *wants > 0)
+      .collect();
+    if !contended || demand.is_empty() {
+      return;
+    }
+    let ids = self.decided(key);
+    let slots: Vec<(Id, u32)> = ids
+      .into_iter()
+      .filter_map(|id| Some((id, self.slots_of(key, id)?)))
+      .collect();
+    let turn = (self.now / SOFT_STATE_MS) as usize;
+    for (id, instance, slots) in divide(&slots, &demand, turn) {
+      self.give(key, id, &instance, slots);
+    }
+  }
+
+  fn slots_of(&self, key: group::Key, id: Id) -> Option<u32> {
+    let placement = self.placement(&self.groups[key].model);
+    let replica = placement.iter().find(|replica| replica.id == id)?;
+    Some(self.spec(&replica.server)?.slots)
+  }
+
+  fn give(&mut self, key: group::Key, id: Id, instance: &str, slots: u32) {
+    let now = self.now;
+    let given = (id, instance.to_string());
+    let fresh = |share: &Share| share.slots == slots && share.until > now + SOFT_STATE_MS / 2;
+    if self.groups[key].given.get(&given).is_some_and(fresh) {
+      return;
+    }
+    let until = now + SOFT_STATE_MS;
+    self.groups[key].given.retain(|_, share| share.until > now);
+    self.groups[key].given.insert(given, Share { slots, until });
+    if instance == self.me.instance {
+      let share = Share { slots, until };
+      self.groups[key].shares.insert(id, share);
+      self.pump(key);
+    } else {
+      let notice = Notice::Share { replica: id, slots };
+      self.notify(instance, notice);
+    }
+  }
+}
+
+/// Divides the slots of each replica in proportion to demand, by largest
+/// remainder; `turn` moves ties on, so that none starves.
+pub fn divide(
+  replicas: &[(Id, u32)],
+  demand: &BTreeMap<String, u32>,
+  turn: usize,
+) -> Vec<(Id, String, u32)> {
+  let total: u64 = demand.values().map(|wants| u64::from(*wants)).sum();
+  let count = demand.len();
+  let mut shares = Vec::new();
+  for (id, slots) in replicas {
+    let slots = u64::from(*slots);
+    let mut parts: Vec<(u64, u64, usize, &String)> = demand
+      .iter()
+      .enumerate()
+      .map(|(at, (instance, wants))| {
+        let exact = slots * u64::from(*wants);
+        let tie = (at + turn) % count;
+        (exact / total, exact % total, tie, instance)
+      })
+      .collect();
+    let mut left = slots - parts.iter().map(|part| part.0).sum::<u64>();
+    parts.sort_by_key(|part| (std::cmp::Reverse(part.1), part.2));
+    for part in &mut parts {
+      let more = u64::from(left > 0);
+      part.0 += more;
+      left -= more;
+    }
+    let given = parts
+      .into_iter()
+      .map(|(slots, _, _, instance)| (*id, instance.clone(), slots as u32));
+    shares.extend(given);
+  }
+  shares
+}
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,203 @@
+//! What an instance knows, for operators.
+
+use crate::{
+  fact::{Body, Health, Key, Listed},
+  object::Name,
+  replica::Target,
+  state::State,
+};
+use serde::{Deserialize, Serialize};
+
+/// A replica, as the instance sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Replica {
+  pub id: String,
+  pub model: String,
+  pub server: String,
+  pub policy: String,
+  pub target: Target,
+  pub ready: bool,
+}
+
+/// Which policy rules a model, and why.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ruling {
+  pub model: String,
+  pub policy: String,
+  pub why: String,
+}
+
+/// A configuration object in force.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Configured {
+  pub object: String,
+  pub version: u64,
+}
+
+/// A configuration object that was not taken.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rejected {
+  pub object: String,
+  pub version: u64,
+  pub why: String,
+}
+
+/// Another instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Member {
+  pub instance: String,
+  pub operators: String,
+  pub zone: String,
+  pub health: Health,
+  pub leaving: bool,
+}
+
+/// State of one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+  pub instance: String,
+  /// Takes new requests.
+  pub serving: bool,
+  pub members: Vec<Member>,
+  pub configured: Vec<Configured>,
+  pub rejected: Vec<Rejected>,
+  pub dangling: Vec<String>,
+  pub replicas: Vec<Replica>,
+  pub rulings: Vec<Ruling>,
+  pub leaving: Vec<String>,
+  /// Requests between arrival and final answer.
+  pub requests: usize,
+  /// Requests waiting for a replica.
+  pub waiting: usize,
+  pub jobs: usize,
+  pub owned: usize,
+  pub facts: usize,
+  pub watching: bool,
+}
+
+impl Status {
+  /// The state's summary.
+  pub fn of(state: &State) -> Self {
+    let groups = state.groups.values();
+    Self {
+      instance: state.me.instance.clone(),
+      serving: state.configured && !state.stopping,
+      members: members(state),
+      configured: configured(state),
+      rejected: rejected(state),
+      dangling: state.catalog.dangling(),
+      replicas: replicas(state),
+      rulings: rulings(state),
+      leaving: leaving(state),
+      requests: state.requests.len(),
+      waiting: groups.map(|group| group.queue.len()).sum(),
+      jobs: state.jobs.len(),
+      owned: state.owned.len(),
+      facts: state.facts.len(),
+      watching: state.watching,
+    }
+  }
+}
+
+fn members(state: &State) -> Vec<Member> {
+  let facts = state.facts.iter();
+  let members = facts.filter_map(|(key, _, body)| match (key, body) {
+    (Key::Member(id), Body::Member(member)) => Some(Member {
+      instance: id.clone(),
+      operators: member.operators.clone(),
+      zone: member.zone.clone(),
+      health: member.health,
+      leaving: member.leaving,
+    }),
+    _ => None,
+  });
+  members.collect()
+}
+
+fn configured(state: &State) -> Vec<Configured> {
+  let facts = state.facts.iter();
+  let objects = facts.filter_map(|(key, version, body)| match (key, body) {
+    (Key::Object(name), Body::Object(Some(_))) => Some(Configured {
+      object: name.to_string(),
+      version: version.0,
+    }),
+    _ => None,
+  });
+  objects.collect()
+}
+
+fn rejected(state: &State) -> Vec<Rejected> {
+  let newer = |name: &Name, version: u64| {
+    let object = state.facts.version(&Key::Object(name.clone()));
+    version > object.0
+  };
+  let facts = state.facts.iter();
+  let rejected = facts.filter_map(|(key, version, body)| match (key, body) {
+    (Key::Rejected(name), Body::Rejected(why)) if newer(name, version.0) => Some(Rejected {
+      object: name.to_string(),
+      version: version.0,
+      why: why.clone(),
+    }),
+    _ => None,
+  });
+  rejected.collect()
+}
+
+fn replicas(state: &State) -> Vec<Replica> {
+  let mut replicas = Vec::new();
+  for (key, _, body) in state.facts.iter() {
+    let (Key::Placement(model), Body::Placement(placed)) = (key, body) else {
+      continue;
+    };
+    replicas.extend(placed.iter().map(|replica| {
+      let server = state.server_keys.get(&replica.server);
+      Replica {
+        id: replica.id.to_string(),
+        model: model.clone(),
+        server: replica.server.clone(),
+        policy: replica.policy.clone(),
+        target: replica.target,
+        ready: server.is_some_and(|server| state.servers[*server].ready(replica.id)),
+      }
+    }));
+  }
+  replicas
+}
+
+fn rulings(state: &State) -> Vec<Ruling> {
+  let models = state.catalog.models.iter();
+  let rulings = models.map(|(name, model)| {
+    let matching: Vec<String> = state
+      .catalog
+      .policies
+      .iter()
+      .filter(|(_, policy)| policy.models.matches(&model.labels))
+      .map(|(name, policy)| match policy.slice {
+        Some(slice) => format!(
+          "{name} (precedence {}, callers {}..{}%)",
+          policy.precedence, slice.from, slice.to
+        ),
+        None => format!("{name} (precedence {})", policy.precedence),
+      })
+      .collect();
+    let why = match matching.is_empty() {
+      true => "no policy selects it".to_string(),
+      false => format!("selected by {}", matching.join(", ")),
+    };
+    Ruling {
+      model: name.clone(),
+      policy: state.ruling(model, 0),
+      why,
+    }
+  });
+  rulings.collect()
+}
+
+fn leaving(state: &State) -> Vec<String> {
+  let facts = state.facts.iter();
+  let leaving = facts.filter_map(|(key, _, body)| match (key, body) {
+    (Key::Listing(id), Body::Listing(Listed::Leaving)) => Some(id.clone()),
+    _ => None,
+  });
+  leaving.collect()
+}
--- /dev/null
+++ b/stand-ins/src/caller.rs
@@ -0,0 +1,183 @@
+//! A caller: sends requests and keeps what came back.
+
+use serde_json::{Value, json};
+use std::{
+  io::{BufRead, BufReader},
+  time::{Duration, Instant},
+};
+use ureq::Agent;
+
+/// What a caller got.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+  /// HTTP status; 0 when the connection failed.
+  pub status: u16,
+  pub text: String,
+  /// The stream ended with its end mark, or the body was whole.
+  pub whole: bool,
+  /// Reason and verdict of a refusal.
+  pub reason: String,
+  pub verdict: String,
+  pub retry_after_ms: Option<u64>,
+  pub first: Duration,
+  pub total: Duration,
+  /// The answer's body, where it is JSON.
+  pub body: Value,
+}
+
+impl Answer {
+  /// Whether the answer is exactly this text, whole.
+  pub fn is(&self, text: &str) -> bool {
+    self.status == 200 && self.whole && self.text == text
+  }
+
+  fn refused(&mut self, error: &Value) {
+    let word = |field: &str| error[field].as_str().unwrap_or_default().to_string();
+    self.reason = word("reason");
+    self.verdict = word("verdict");
+    self.retry_after_ms = error["retry_after_ms"].as_u64();
+  }
+}
+
+fn agent(wait: Duration) -> Agent {
+  Agent::config_builder()
+    .http_status_as_error(false)
+    .max_redirects(0)
+    .proxy(None)
+    .max_idle_connections(0)
+    .timeout_global(Some(wait))
+    .build()
+    .new_agent()
+}
+
+/// A completion to ask for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+  pub model: String,
+  pub prompt: String,
+  pub tokens: u32,
+  pub stream: bool,
+  pub deadline: Duration,
+  pub class: &'static str,
+  pub caller: String,
+}
+
+impl Ask {
+  /// A streamed, interactive completion.
+  pub fn of(model: &str, prompt: &str, tokens: u32) -> Self {
+    Self {
+      model: model.into(),
+      prompt: prompt.into(),
+      tokens,
+      stream: true,
+      deadline: Duration::from_secs(30),
+      class: "interactive",
+      caller: "tester".into(),
+    }
+  }
+
+  /// The same with another deadline.
+  pub fn within(self, deadline: Duration) -> Self {
+    Self { deadline, ..self }
+  }
+
+  /// The same by another caller.
+  pub fn by(self, caller: &str) -> Self {
+    Self {
+      caller: caller.into(),
+      ..self
+    }
+  }
+
+  /// Sends it to an instance.
+  pub fn send(&self, address: &str) -> Answer {
+    let start = Instant::now();
+    let body = json!({ "model": self.model, "prompt": self.prompt, "max_tokens": self.tokens,
+      "stream": self.stream });
+    let sent = agent(self.deadline + Duration::from_secs(30))
+      .post(format!("http://{address}/v1/completions"))
+      .header("x-deadline-ms", self.deadline.as_millis().to_string())
+      .header("x-class", self.class)
+      .header("x-caller", &self.caller)
+      .send(body.to_string());
+    let mut answer = Answer::default();
+    if let Ok(response) = sent {
+      answer.status = response.status().as_u16();
+      if answer.status == 200 && self.stream {
+        read_stream(response, start, &mut answer);
+      } else {
+        read_whole(response, &mut answer);
+      }
+    }
+    answer.total = start.elapsed();
+    answer
+  }
+}
+
+fn read_stream(response: ureq::http::Response<ureq::Body>, start: Instant, answer: &mut Answer) {
+  let reader = BufReader::new(response.into_body().into_reader());
+  for line in reader.lines().map_while(Result::ok) {
+    let Some(data) = line.strip_prefix("data: ") else {
+      continue;
+    };
+    if data == "[DONE]" {
+      answer.whole = true;
+      return;
+    }
+    let event: Value = serde_json::from_str(data).unwrap_or_default();
+    if event["error"].is_object() {
+      answer.refused(&event["error"]);
+      return;
+    }
+    if answer.text.is_empty() {
+      answer.first = start.elapsed();
+    }
+    answer.text += event["choices"][0]["text"].as_str().unwrap_or_default();
+  }
+}
+
+fn read_whole(mut response: ureq::http::Response<ureq::Body>, answer: &mut Answer) {
+  let Ok(text) = response.body_mut().read_to_string() else {
+    return;
+  };
+  answer.whole = true;
+  answer.body = serde_json::from_str(&text).unwrap_or_default();
+  let body = answer.body.clone();
+  if body["error"].is_object() {
+    answer.refused(&body["error"]);
+  }
+  let choice = &body["choices"][0];
+  let text = choice["text"]
+    .as_str()
+    .or(choice["message"]["content"].as_str());
+  answer.text = text.unwrap_or_default().to_string();
+}
+
+/// Calls a plain service through an instance.
+pub fn call(address: &str, path: &str, key: Option<&str>, body: &str) -> Answer {
+  let start = Instant::now();
+  let mut request = agent(Duration::from_secs(60)).post(format!("http://{address}{path}"));
+  if let Some(key) = key {
+    request = request.header("idempotency-key", key);
+  }
+  let mut answer = Answer::default();
+  if let Ok(response) = request.send(body) {
+    answer.status = response.status().as_u16();
+    read_whole(response, &mut answer);
+  }
+  answer.total = start.elapsed();
+  answer
+}
+
+/// Reads a page of an instance.
+pub fn get(address: &str, path: &str) -> Answer {
+  let mut answer = Answer::default();
+  let sent = agent(Duration::from_secs(10))
+    .get(format!("http://{address}{path}"))
+    .call();
+  if let Ok(response) = sent {
+    answer.status = response.status().as_u16();
+    read_whole(response, &mut answer);
+  }
+  answer
+}
--- /dev/null
+++ b/stand-ins/src/demo.rs
@@ -0,0 +1,114 @@
+//! The demonstration: a burst for cold models, sent at several instances at
+//! once, answered whole.
+
+use crate::{
+  caller::Ask,
+  engine::{Engine, answer},
+  fleet::{Fleet, Plan},
+};
+use serde_json::json;
+use std::{io, thread, time::Duration};
+
+/// Requests of the burst for each model.
+const REQUESTS: usize = 12;
+const MODELS: usize = 4;
+const TOKENS: u32 = 20;
+
+/// What the demonstration saw.
+pub struct Summary {
+  pub whole: usize,
+  pub asked: usize,
+  pub loads: u64,
+  pub violations: Vec<String>,
+  /// Time to first token, sorted.
+  pub first: Vec<Duration>,
+}
+
+impl Summary {
+  /// Whether every request was answered whole and nothing was passed.
+  pub fn good(&self) -> bool {
+    self.whole == self.asked && self.violations.is_empty() && self.loads == MODELS as u64
+  }
+}
+
+/// Runs the demonstration and prints what it saw.
+pub fn run() -> io::Result<Summary> {
+  let mut plan = Plan::default().engines(3, |options| options.memory_mb = 400);
+  for at in 0..MODELS {
+    plan = plan.model(&format!("model-{at}"), 200);
+  }
+  let fleet = plan
+    .policy("all", json!({ "keepAlive": { "adaptive": 600_000 } }))
+    .limits(json!({ "listMs": 200 }))
+    .start()?;
+  println!(
+    "3 instances, 3 engines, {MODELS} cold models; a burst of {} requests",
+    REQUESTS * MODELS
+  );
+  let summary = burst(&fleet);
+  print(&fleet, &summary);
+  Ok(summary)
+}
+
+fn burst(fleet: &Fleet) -> Summary {
+  let mut threads = Vec::new();
+  for at in 0..REQUESTS * MODELS {
+    let address = fleet.callers(at).to_string();
+    threads.push(thread::spawn(move || {
+      let prompt = format!("question {at}");
+      let ask = Ask::of(&format!("model-{}", at % MODELS), &prompt, TOKENS);
+      let reply = ask.send(&address);
+      (reply.is(&answer(&prompt, TOKENS as usize)), reply.first)
+    }));
+  }
+  let answers: Vec<_> = threads
+    .into_iter()
+    .filter_map(|thread| thread.join().ok())
+    .collect();
+  let mut first: Vec<Duration> = answers.iter().map(|(_, first)| *first).collect();
+  first.sort();
+  Summary {
+    whole: answers.iter().filter(|(whole, _)| *whole).count(),
+    asked: REQUESTS * MODELS,
+    loads: fleet.engines.iter().map(Engine::loads).sum(),
+    violations: fleet.violations(),
+    first,
+  }
+}
+
+fn print(fleet: &Fleet, summary: &Summary) {
+  println!("answered whole: {} of {}", summary.whole, summary.asked);
+  println!("loads: {} for {MODELS} models", summary.loads);
+  println!("violations: {}", summary.violations.len());
+  let at = |part: f64| {
+    let index = (summary.first.len() as f64 * part) as usize;
+    summary
+      .first
+      .get(index.min(summary.first.len() - 1))
+      .copied()
+      .unwrap_or_default()
+  };
+  println!("time to first token: p50 {:?}, p99 {:?}", at(0.5), at(0.99));
+  println!("time line:");
+  let mut lines = Vec::new();
+  for member in &fleet.members {
+    let body = crate::caller::get(&member.operators, "/timeline").body;
+    for line in body.as_array().into_iter().flatten() {
+      let what = line["what"].as_str().unwrap_or_default().to_string();
+      if ["decided", "ordered", "ready"].contains(&what.as_str()) {
+        let at = line["at"].as_u64().unwrap_or_default();
+        let model = line["model"].as_str().unwrap_or_default().to_string();
+        let server = line["server"].as_str().unwrap_or_default().to_string();
+        lines.push((at, member.name.clone(), what, model, server));
+      }
+    }
+  }
+  lines.sort();
+  let start = lines.first().map(|line| line.0).unwrap_or_default();
+  for (at, name, what, model, server) in lines {
+    println!(
+      "{:>6} ms  {name}  {what:<8} {model} on {server}",
+      at - start
+    );
+  }
+}
--- /dev/null
+++ b/stand-ins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the systems bendsaddle serves, with faults on demand.
+//!
+//! They keep records of their own, so that a promise is checked from outside.
+
+pub mod caller;
+pub mod demo;
+pub mod engine;
+pub mod fleet;
+pub mod http;
+pub mod platform;
+pub mod proxy;
+pub mod service;
+pub mod store;
--- /dev/null
+++ b/stand-ins/src/main.rs
@@ -0,0 +1,104 @@
+//! Runs stand-ins from the command line.
+
+use lexopt::Arg::{Long, Value};
+use stand_ins::{
+  demo,
+  engine::{Engine, Options},
+  platform::Platform,
+  proxy::Proxy,
+  service::Service,
+};
+use std::{error::Error, process::ExitCode, time::Duration};
+
+const USAGE: &str = "usage: stand-ins demo
+       stand-ins platform [--listen IP:PORT] [--lag-ms N]
+       stand-ins engine [--listen IP:PORT] [--name NAME] [--memory-mb N] [--slots N] [--no-fencing]
+       stand-ins service [--listen IP:PORT] [--time-ms N]
+       stand-ins proxy --target IP:PORT";
+
+struct Args {
+  command: String,
+  listen: String,
+  target: Option<String>,
+  name: String,
+  memory_mb: u64,
+  slots: u32,
+  fencing: bool,
+  ms: u64,
+}
+
+fn parse() -> Result<Args, lexopt::Error> {
+  let mut args = Args {
+    command: String::new(),
+    listen: "127.0.0.1:0".into(),
+    target: None,
+    name: "server-0".into(),
+    memory_mb: 1_000,
+    slots: 4,
+    fencing: true,
+    ms: 0,
+  };
+  let mut parser = lexopt::Parser::from_env();
+  while let Some(arg) = parser.next()? {
+    match arg {
+      Long("listen") => args.listen = parser.value()?.string()?,
+      Long("target") => args.target = Some(parser.value()?.string()?),
+      Long("name") => args.name = parser.value()?.string()?,
+      Long("memory-mb") => args.memory_mb = parser.value()?.parse()?,
+      Long("slots") => args.slots = parser.value()?.parse()?,
+      Long("no-fencing") => args.fencing = false,
+      Long("lag-ms" | "time-ms") => args.ms = parser.value()?.parse()?,
+      Value(command) if args.command.is_empty() => args.command = command.string()?,
+      other => return Err(other.unexpected()),
+    }
+  }
+  Ok(args)
+}
+
+use lexopt::ValueExt;
+
+fn run() -> Result<bool, Box<dyn Error>> {
+  let args = parse()?;
+  let address = match args.command.as_str() {
+    "demo" => return Ok(demo::run()?.good()),
+    "platform" => Platform::bind(&args.listen, Duration::from_millis(args.ms))?.address,
+    "service" => Service::bind(&args.listen, Duration::from_millis(args.ms))?.address,
+    "engine" => {
+      let options = Options {
+        memory_mb: args.memory_mb,
+        slots: args.slots,
+        fencing: args.fencing,
+        ..Options::named(&args.name)
+      };
+      Engine::bind(&args.listen, options)?.address
+    }
+    "proxy" => {
+      let target = args.target.ok_or("proxy: --target is missing")?;
+      Proxy::bind(
+        target
+          .parse()
+          .map_err(|_| format!("--target: `{target}` is not ip:port"))?,
+      )?
+      .address
+    }
+    other => return Err(format!("command: `{other}` is unknown\n{USAGE}").into()),
+  };
+  println!("{address}");
+  let (sender, receiver) = std::sync::mpsc::channel();
+  ctrlc::set_handler(move || {
+    let _ = sender.send(());
+  })?;
+  receiver.recv()?;
+  Ok(true)
+}
+
+fn main() -> ExitCode {
+  match run() {
+    Ok(true) => ExitCode::SUCCESS,
+    Ok(false) => ExitCode::FAILURE,
+    Err(error) => {
+      eprintln!("error: {error}");
+      ExitCode::FAILURE
+    }
+  }
+}
--- /dev/null
+++ b/stand-ins/src/service.rs
@@ -0,0 +1,54 @@
+//! A plain service that records how often each call ran.
+
+use crate::http;
+use serde_json::json;
+use std::{
+  collections::BTreeMap,
+  io,
+  net::SocketAddr,
+  sync::{Arc, Mutex, PoisonError},
+  thread,
+  time::Duration,
+};
+
+/// Runs by body.
+type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+
+/// A running plain service.
+#[derive(Clone)]
+pub struct Service {
+  runs: Runs,
+  pub address: SocketAddr,
+}
+
+impl Service {
+  /// Binds a service whose calls take `time`.
+  pub fn bind(address: &str, time: Duration) -> io::Result<Self> {
+    let runs: Runs = Arc::default();
+    let counted = runs.clone();
+    let address = http::bind(address, move |mut request| {
+      let body = String::from_utf8_lossy(&http::body(&mut request)).into_owned();
+      let run = {
+        let mut runs = counted.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = runs.entry(body.clone()).or_default();
+        *count += 1;
+        *count
+      };
+      thread::sleep(time);
+      http::json(request, 200, &json!({ "body": body, "run": run }));
+    })?;
+    Ok(Self { runs, address })
+  }
+
+  /// How often the call with this body ran.
+  pub fn runs(&self, body: &str) -> u32 {
+    let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+    runs.get(body).copied().unwrap_or_default()
+  }
+
+  /// All runs.
+  pub fn all(&self) -> BTreeMap<String, u32> {
+    let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+    runs.clone()
+  }
+}
