let two unloaders of one replica finish

Ruled out: lost settlements; the record showed both processes alive, at await-gone. Change: only senders of load orders are listed; an unload that comes late finds nothing, since replica ids are never used again.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -17,11 +17,7 @@
 use std::{
   io::{self, Read},
   net::SocketAddr,
-  sync::{
-    Arc,
-    atomic::Ordering,
-    mpsc::{Receiver, RecvTimeoutError},
-  },
+  sync::{Arc, atomic::Ordering, mpsc::Receiver},
   thread,
   time::Duration,
 };
@@ -319,10 +315,7 @@
 /// deadline.
 fn next(shared: &Shared, directives: &Receiver<Directive>, deadline: u64) -> Option<Directive> {
   let left = Duration::from_millis(deadline.saturating_sub(shared.now()));
-  match directives.recv_timeout(left + GRACE) {
-    Ok(directive) => Some(directive),
-    Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => None,
-  }
+  directives.recv_timeout(left + GRACE).ok()
 }
 
 /// Runs one item of a batch.
--- a/src/group.rs
+++ b/src/group.rs
@@ -85,9 +85,8 @@
     if arrived > 0 && idle && self.last_use > 0 {
       self.history.add(demand.at.saturating_sub(self.last_use));
     }
-    if arrived + demand.waiting + demand.running > 0 {
-      self.last_use = demand.at;
-    } else if self.demand.get(from).is_some_and(|old| old.running > 0) {
+    let ended = self.demand.get(from).is_some_and(|old| old.running > 0);
+    if arrived + demand.waiting + demand.running > 0 || ended {
       self.last_use = demand.at;
     }
     self.demand.insert(from.into(), demand);
--- a/src/job.rs
+++ b/src/job.rs
@@ -61,6 +61,8 @@
   pub limit: u32,
   /// Senders of orders known to have ended.
   pub ended: Vec<String>,
+  /// When the decision was last asked for, ms.
+  pub read_at: u64,
 }
 
 impl Job {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -49,6 +49,7 @@
       unsure_until: 0,
       limit,
       ended: Vec::new(),
+      read_at: 0,
     };
     self.jobs.insert(id, job);
     self.advance(id);
@@ -92,10 +93,28 @@
       .map(|(id, _)| *id)
       .collect();
     for id in due {
-      self.advance(id);
+      self.resume(id);
     }
   }
 
+  /// Acts on a job whose pause is over or whose answer did not come.
+  fn resume(&mut self, id: Id) {
+    let until = self.now + self.limits.order_ttl_ms;
+    if let Some(job) = self.jobs.get_mut(&id) {
+      let back = match job.step {
+        Step::Load => Some(Step::Reserve),
+        Step::Unload => Some(Step::Unreserve),
+        _ => None,
+      };
+      if let Some(step) = back {
+        // The order may have gone out: only a fresh look may repeat it.
+        job.step = step;
+        job.unsure_until = job.unsure_until.max(until);
+      }
+    }
+    self.advance(id);
+  }
+
   /// Does what the job's step asks for.
   fn advance(&mut self, id: Id) {
     let now = self.now;
@@ -192,6 +211,10 @@
   }
 
   fn read_decision(&mut self, id: Id) {
+    let now = self.now;
+    if let Some(job) = self.jobs.get_mut(&id) {
+      job.read_at = now;
+    }
     self.update(id, Kind::ModelRecord, None);
   }
 
@@ -217,9 +240,11 @@
 
   fn unreserve(&mut self, id: Id) {
     let orderer = self.orderer();
+    let unsure_until = self.jobs.get(&id).map(|job| job.unsure_until);
     let change = ledger::Change::Unload {
       replica: id,
       orderer,
+      settled: unsure_until.unwrap_or_default() <= self.now,
     };
     self.update(id, Kind::ServerRecord, Some(Change::Server(change)));
   }
@@ -277,6 +302,7 @@
     };
     let (model, server) = (job.model.clone(), job.replica.server.clone());
     let (fence, number) = (job.fence, job.number);
+    let job_read_at = job.read_at;
     let spec = self.catalog.models.get(&model);
     let base = spec.and_then(|spec| spec.base.clone());
     let memory_mb = spec.map(|spec| spec.memory_mb).unwrap_or_default();
@@ -301,7 +327,12 @@
         server,
       });
     }
-    let fresh_until = self.now + self.limits.fresh_ms;
+    // What was read last binds only for so long, however late it came.
+    let read_at = match step {
+      Step::Load => job_read_at,
+      _ => self.now,
+    };
+    let fresh_until = read_at + self.limits.fresh_ms;
     self.emit(Effect::Order {
       order: Order {
         server,
@@ -445,7 +476,7 @@
       job.ended = ended;
       job.unsure_until = job.unsure_until.max(until);
     }
-    self.go_later(id, Step::AwaitGone);
+    self.go_later(id, Step::Unreserve);
   }
 
   /// Takes up the end of an order.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -25,7 +25,7 @@
   pub model: String,
   pub memory_mb: u64,
   pub phase: Phase,
-  /// Processes, as `instance/boot`, with an order that may be in flight.
+  /// Processes, as `instance/boot`, with a load order that may be in flight.
   pub orderers: Vec<String>,
 }
 
@@ -49,8 +49,14 @@
     capacity_mb: u64,
     orderer: String,
   },
-  /// Turns the reservation to unloading and joins it; the fencing number rises.
-  Unload { replica: Id, orderer: String },
+  /// Turns the reservation to unloading; the fencing number rises. `settled`: no
+  /// load order of the sender is on its way. Orders to unload need no sender's
+  /// name: one that comes late finds nothing, since ids are never used again.
+  Unload {
+    replica: Id,
+    orderer: String,
+    settled: bool,
+  },
   /// The orderer has no order in flight for the replica any more.
   Settle { replica: Id, orderer: String },
   /// Frees the memory. `fenced`: the engine refuses the orders of others.
@@ -106,7 +112,11 @@
         capacity_mb,
         orderer,
       } => self.reserve(*replica, model, *memory_mb, *capacity_mb, orderer),
-      Change::Unload { replica, orderer } => self.unload(*replica, orderer),
+      Change::Unload {
+        replica,
+        orderer,
+        settled,
+      } => self.unload(*replica, orderer, *settled),
       Change::Settle { replica, orderer } => Ok(self.settle(*replica, orderer)),
       Change::Release {
         replica,
@@ -147,10 +157,12 @@
     Ok(true)
   }
 
-  fn unload(&mut self, replica: Id, orderer: &str) -> Result<bool, Rejection> {
+  fn unload(&mut self, replica: Id, orderer: &str, settled: bool) -> Result<bool, Rejection> {
     let held = self.find_mut(replica).ok_or(Rejection::Missing)?;
     held.phase = Phase::Unload;
-    join(held, orderer);
+    if settled {
+      held.orderers.retain(|other| other != orderer);
+    }
     self.fence += 1;
     Ok(true)
   }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -146,7 +146,7 @@
       Some((status, serde_json::from_str(&text).ok()))
     };
     let answer = result.ok().and_then(read);
-    if !answer.as_ref().is_some_and(|(status, _)| *status < 500) {
+    if answer.as_ref().is_none_or(|(status, _)| *status >= 500) {
       self.failures.fetch_add(1, Ordering::Relaxed);
     }
     answer.ok_or(Error::Unavailable)
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -39,8 +39,16 @@
   Ok(ExitCode::SUCCESS)
 }
 
+/// What the instances answered.
+pub struct Gathered {
+  /// Lines by time, with the instance that wrote each.
+  pub lines: Vec<(String, Line)>,
+  /// Instances that did not answer.
+  pub silent: Vec<Member>,
+}
+
 /// Lines of all instances that answer, by time, with those that do not.
-pub fn gather(address: &str) -> Result<(Vec<(String, Line)>, Vec<Member>), Report<Error>> {
+pub fn gather(address: &str) -> Result<Gathered, Report<Error>> {
   let status: Status = get(address, "/status")?;
   let mut lines = Vec::new();
   let mut silent = Vec::new();
@@ -51,12 +59,12 @@
     }
   }
   lines.sort_by_key(|(_, line)| line.at);
-  Ok((lines, silent))
+  Ok(Gathered { lines, silent })
 }
 
 /// Prints the time line of all instances, as text or as trace events.
 pub fn timeline(address: &str, trace: bool) -> Result<ExitCode, Report<Error>> {
-  let (lines, silent) = gather(address)?;
+  let Gathered { lines, silent } = gather(address)?;
   for member in silent {
     eprintln!("{}: no answer from `{}`", member.instance, member.operators);
   }
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,754 @@
+//! Several reducers against a model of the platform, engines and network, all
+//! driven by a list of numbers: any interleaving, loss, pause or restart.
+
+use bendsaddle::{
+  ask::{Ask, Class, Ticket, Work},
+  attempt::{Attempt, End},
+  claim,
+  effect::Effect,
+  event::{Event, Listing},
+  fact::Listed,
+  ledger,
+  object::{Kind, Name, Object},
+  order::{self, Act, Order, Status},
+  record,
+  reduce::reduce,
+  refusal::Refusal,
+  replica::Id,
+  report::{Report, Resident, Stage},
+  settings::Limits,
+  state::{Identity, State},
+  update::{Change, Outcome, Stored, Value},
+  verdict::Verdict,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub const INSTANCES: usize = 3;
+pub const MODELS: [&str; 3] = ["alpha", "beta", "gamma"];
+pub const SERVERS: [&str; 2] = ["north", "south"];
+const MODEL_MB: u64 = 60;
+const CAPACITY_MB: u64 = 100;
+
+struct Engine {
+  fencing: bool,
+  fence: u64,
+  boot: u64,
+  seq: u64,
+  replicas: BTreeMap<Id, (String, Stage)>,
+}
+
+struct Node {
+  state: State,
+  alive: bool,
+  paused: bool,
+}
+
+/// Something on its way. `from` is an instance with its boot.
+#[derive(Clone)]
+enum Pending {
+  Effect(usize, u64, Effect),
+  /// An order on the network, with the time it was sent.
+  Wire(usize, u64, Order, u64, u64),
+  Event(usize, u64, Event),
+  /// A conditional write whose sender has given up on its answer.
+  Late(Name, u64, Value),
+}
+
+/// A mechanism switched off, to see that the checks notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weak {
+  /// Memory is reserved past capacity.
+  Memory,
+  /// Replicas are decided past the limit.
+  Limit,
+  /// Memory is freed while a load order may be on its way.
+  InFlight,
+  /// Claims are forgotten.
+  Claims,
+}
+
+impl Weak {
+  fn spoil(self, change: Change, value: &mut Value) -> Change {
+    match (self, change) {
+      (Self::Memory, Change::Server(mut change)) => {
+        if let ledger::Change::Reserve { capacity_mb, .. } = &mut change {
+          *capacity_mb *= 10;
+        }
+        Change::Server(change)
+      }
+      (Self::Limit, Change::Model(mut change)) => {
+        if let record::Change::Add { limit, .. } = &mut change {
+          *limit *= 10;
+        }
+        Change::Model(change)
+      }
+      (Self::InFlight, Change::Server(mut change)) => {
+        if let ledger::Change::Release { fenced, .. } = &mut change {
+          *fenced = true;
+        }
+        Change::Server(change)
+      }
+      (Self::Claims, change @ Change::Claims { .. }) => {
+        *value = Value::Claims(claim::Shard::default());
+        change
+      }
+      (_, change) => change,
+    }
+  }
+}
+
+pub struct World {
+  weak: Option<Weak>,
+  now: u64,
+  nodes: Vec<Node>,
+  platform: BTreeMap<Name, (u64, Value)>,
+  revision: u64,
+  engines: BTreeMap<String, Engine>,
+  pending: Vec<Pending>,
+  listed: BTreeMap<String, Listed>,
+  /// Times each request ran, and each key.
+  ran: BTreeMap<(usize, u64, u64), u32>,
+  ran_key: BTreeMap<u64, u32>,
+  keys: BTreeMap<(usize, u64, u64), u64>,
+  answered: BTreeSet<(usize, u64, u64)>,
+  asked: BTreeSet<(usize, u64, u64)>,
+  next_ticket: u64,
+  pub faults: Vec<String>,
+}
+
+fn limits() -> Limits {
+  Limits {
+    order_ttl_ms: 3_000,
+    load_ms: 20_000,
+    audit_ms: 2_000,
+    deadline_ms: 20_000,
+    ..Limits::default()
+  }
+}
+
+fn identity(at: usize, boot: u64) -> Identity {
+  Identity {
+    instance: format!("entry-{at}"),
+    zone: "zone".into(),
+    peers: format!("10.0.0.{at}:1"),
+    operators: format!("10.0.0.{at}:2"),
+    boot,
+    seeds: (0..INSTANCES).map(|at| format!("10.0.0.{at}:1")).collect(),
+  }
+}
+
+fn configuration() -> Vec<Object> {
+  let object = |kind, name: &str, version, value: serde_json::Value| Object {
+    name: Name::of(kind, name),
+    version,
+    value: Some(value.to_string()),
+  };
+  let models = MODELS.iter().enumerate().map(|(at, name)| {
+    let value = serde_json::json!({ "memoryMb": MODEL_MB });
+    object(Kind::Model, name, at as u64 + 1, value)
+  });
+  let servers = SERVERS.iter().enumerate().map(|(at, name)| {
+    let value = serde_json::json!({ "address": format!("10.0.1.{at}:1"), "zone": "zone",
+      "memoryMb": CAPACITY_MB, "slots": 2, "fencing": at == 0 });
+    object(Kind::Server, name, at as u64 + 11, value)
+  });
+  let policy = serde_json::json!({ "keepAlive": { "fixed": 1_500 } });
+  let service = serde_json::json!({ "addresses": ["10.0.2.1:1", "10.0.2.2:1"] });
+  models
+    .chain(servers)
+    .chain([
+      object(Kind::Policy, "all", 21, policy),
+      object(Kind::Service, "portal", 22, service),
+    ])
+    .collect()
+}
+
+impl World {
+  pub fn open(weak: Option<Weak>) -> Self {
+    let now = 1_000_000;
+    let engine = |fencing| Engine {
+      fencing,
+      fence: 0,
+      boot: 1,
+      seq: 0,
+      replicas: BTreeMap::new(),
+    };
+    let mut world = Self {
+      weak,
+      now,
+      nodes: Vec::new(),
+      platform: BTreeMap::new(),
+      revision: 100,
+      engines: BTreeMap::from([
+        (SERVERS[0].to_string(), engine(true)),
+        (SERVERS[1].to_string(), engine(false)),
+      ]),
+      pending: Vec::new(),
+      listed: BTreeMap::new(),
+      ran: BTreeMap::new(),
+      ran_key: BTreeMap::new(),
+      keys: BTreeMap::new(),
+      answered: BTreeSet::new(),
+      asked: BTreeSet::new(),
+      next_ticket: 0,
+      faults: Vec::new(),
+    };
+    for at in 0..INSTANCES {
+      let state = State::open(identity(at, now), limits(), at as u64, now);
+      world.nodes.push(Node {
+        state,
+        alive: true,
+        paused: false,
+      });
+      world.listed.insert(format!("entry-{at}"), Listed::Live);
+      world.give(at, Event::Watched(configuration()));
+    }
+    world
+  }
+
+  fn boot(&self, at: usize) -> u64 {
+    self.nodes[at].state.me.boot
+  }
+
+  /// Gives an instance an event at once.
+  fn give(&mut self, at: usize, event: Event) {
+    if !self.nodes[at].alive {
+      return;
+    }
+    let now = self.now;
+    let boot = self.boot(at);
+    for effect in reduce(&mut self.nodes[at].state, now, event) {
+      match effect {
+        Effect::Note(_) | Effect::Watch(_) | Effect::Stopped => {}
+        effect => self.pending.push(Pending::Effect(at, boot, effect)),
+      }
+    }
+    self.check();
+  }
+
+  fn give_of(&mut self, at: usize, boot: u64, event: Event) {
+    if self.boot(at) != boot || !self.nodes[at].alive {
+      return;
+    }
+    if self.nodes[at].paused {
+      self.pending.push(Pending::Event(at, boot, event));
+    } else {
+      self.give(at, event);
+    }
+  }
+
+  /// One step of the history.
+  pub fn step(&mut self, number: u16) {
+    let choice = usize::from(number >> 4);
+    let at = choice % INSTANCES;
+    match number & 15 {
+      0..=5 => self.deliver(choice, false),
+      6 => self.deliver(choice, true),
+      7 => self.now += [1, 20, 60, 400][choice % 4],
+      8 => self.tick(at),
+      9 => self.ask(at, choice / INSTANCES),
+      10 => self.call(at, choice / INSTANCES),
+      11 => self.nodes[at].paused ^= choice % 2 == 0,
+      12 if choice % 8 == 0 => self.restart(at),
+      13 if choice % 8 == 0 => self.restart_engine(choice / 8),
+      14 => self.now += [100, 1_000, 3_000, 8_000][choice % 4],
+      15 => self.list(at),
+      _ => self.tick(at),
+    }
+    self.check();
+  }
+
+  fn tick(&mut self, at: usize) {
+    if !self.nodes[at].paused {
+      self.give(at, Event::Tick);
+    }
+  }
+
+  fn ask(&mut self, at: usize, choice: usize) {
+    let model = MODELS[choice % MODELS.len()].to_string();
+    self.request(at, Work::Model { model }, None);
+  }
+
+  fn call(&mut self, at: usize, choice: usize) {
+    let key = (choice % 4) as u64;
+    let work = Work::Service {
+      service: "portal".into(),
+      repeatable: false,
+      key: Some(key),
+    };
+    self.request(at, work, Some(key));
+  }
+
+  fn request(&mut self, at: usize, work: Work, key: Option<u64>) {
+    if self.nodes[at].paused {
+      return;
+    }
+    self.next_ticket += 1;
+    let ticket = self.next_ticket;
+    let name = (at, self.boot(at), ticket);
+    self.asked.insert(name);
+    if let Some(key) = key {
+      self.keys.insert(name, key);
+    }
+    self.give(
+      at,
+      Event::Asked(Ask {
+        ticket: Ticket(ticket),
+        work,
+        class: Class::Interactive,
+        deadline: self.now + 20_000,
+        caller: ticket,
+      }),
+    );
+  }
+
+  /// A process ends and another starts in its place.
+  fn restart(&mut self, at: usize) {
+    self.now += 1;
+    let boot = self.now;
+    let kept = |name: &(usize, u64, u64)| name.0 != at;
+    self.asked.retain(kept);
+    self.nodes[at] = Node {
+      state: State::open(identity(at, boot), limits(), boot, boot),
+      alive: true,
+      paused: false,
+    };
+    self.give(at, Event::Watched(configuration()));
+  }
+
+  fn restart_engine(&mut self, choice: usize) {
+    let name = SERVERS[choice % SERVERS.len()];
+    let now = self.now;
+    if let Some(engine) = self.engines.get_mut(name) {
+      engine.boot = now.max(engine.boot + 1);
+      engine.seq = 0;
+      engine.replicas.clear();
+    }
+  }
+
+  fn list(&mut self, at: usize) {
+    let entries = self.listed.iter().map(|(id, state)| Listing {
+      id: id.clone(),
+      peer: None,
+      state: *state,
+    });
+    let entries: Vec<_> = entries.collect();
+    let revision = self.now;
+    if !self.nodes[at].paused {
+      self.give(at, Event::Listed { revision, entries });
+    }
+  }
+
+  fn deliver(&mut self, choice: usize, badly: bool) {
+    if self.pending.is_empty() {
+      return;
+    }
+    let pick = choice % self.pending.len();
+    match self.pending.swap_remove(pick) {
+      Pending::Late(name, version, value) => self.land(name, version, value),
+      Pending::Event(at, boot, event) => {
+        let stays = self.boot(at) == boot && self.nodes[at].paused;
+        if stays {
+          self.pending.push(Pending::Event(at, boot, event));
+        } else {
+          self.give_of(at, boot, event);
+        }
+      }
+      Pending::Wire(at, boot, order, step, sent) => self.arrive(at, boot, order, step, sent, badly),
+      Pending::Effect(at, boot, effect) => {
+        // What a process has not sent when it ends or pauses stays with it.
+        if self.boot(at) != boot {
+          return;
+        }
+        if self.nodes[at].paused {
+          self.pending.push(Pending::Effect(at, boot, effect));
+          return;
+        }
+        self.carry_out(at, boot, effect, choice, badly);
+      }
+    }
+  }
+
+  fn carry_out(&mut self, at: usize, boot: u64, effect: Effect, choice: usize, badly: bool) {
+    match effect {
+      Effect::Update {
+        tag, name, change, ..
+      } => {
+        let (version, value) = self.read(&name);
+        let stored = Stored { version, value };
+        let outcome = self.update(&name, stored, change, choice, badly);
+        let event = Event::Updated { tag, name, outcome };
+        self.answer(at, boot, event);
+      }
+      Effect::Order { order, step } => {
+        let replica = order.replica;
+        if self.now < order.fresh_until {
+          let wire = Pending::Wire(at, boot, order, step, self.now);
+          self.pending.push(wire);
+        } else {
+          let outcome = order::Outcome::NotSent;
+          let event = Event::Ordered {
+            replica,
+            step,
+            outcome,
+          };
+          self.answer(at, boot, event);
+        }
+      }
+      Effect::Poll { server, .. } => {
+        let report = if badly { None } else { self.report(&server) };
+        let status = Status {
+          server,
+          asked_at: self.now,
+          report,
+        };
+        self.answer(at, boot, Event::Reported(status));
+      }
+      Effect::Exchange {
+        peer,
+        address,
+        delta,
+      } => {
+        let to = self.node(&address);
+        if badly || self.nodes[to].paused {
+          self.answer(at, boot, Event::Exchanged { peer, delta: None });
+          return;
+        }
+        let before = self.pending.len();
+        let call = bendsaddle::event::Call(self.next_ticket);
+        self.give(to, Event::Exchange { call, delta });
+        let mut reply = None;
+        let mut kept = Vec::new();
+        for pending in self.pending.drain(before..) {
+          match pending {
+            Pending::Effect(_, _, Effect::Answer { delta, .. }) => reply = Some(delta),
+            other => kept.push(other),
+          }
+        }
+        self.pending.extend(kept);
+        self.answer(at, boot, Event::Exchanged { peer, delta: reply });
+      }
+      Effect::Notify { address, items } if !badly => {
+        let to = self.node(&address);
+        let from = format!("entry-{at}");
+        let boot = self.boot(to);
+        self.answer(to, boot, Event::Notified { from, items });
+      }
+      Effect::Claim { shard, group, .. } => {
+        // The owner is out of reach: the instance writes for itself.
+        let outcomes = None;
+        self.answer(
+          at,
+          boot,
+          Event::ClaimAnswered {
+            shard,
+            group,
+            outcomes,
+          },
+        );
+      }
+      Effect::Send(attempt) => self.run(at, boot, &attempt, choice, badly),
+      Effect::Refuse { ticket, refusal } => self.refused(at, boot, ticket, refusal),
+      Effect::Replay { ticket, .. } => {
+        let key = self
+          .keys
+          .get(&(at, boot, ticket.0))
+          .copied()
+          .unwrap_or_default();
+        if self.ran_key.get(&key).copied().unwrap_or_default() == 0 {
+          self
+            .faults
+            .push(format!("replayed key {key}, which never ran"));
+        }
+        self.answered.insert((at, boot, ticket.0));
+      }
+      _ => {}
+    }
+  }
+
+  fn answer(&mut self, at: usize, boot: u64, event: Event) {
+    self.pending.push(Pending::Event(at, boot, event));
+  }
+
+  fn node(&self, address: &str) -> usize {
+    let mine = |node: &Node| node.state.me.peers == address;
+    self.nodes.iter().position(mine).unwrap_or_default()
+  }
+
+  fn read(&self, name: &Name) -> (u64, Value) {
+    match self.platform.get(name) {
+      Some(found) => found.clone(),
+      None => (0, Value::absent(name.kind).expect("a kind of our own")),
+    }
+  }
+
+  fn update(
+    &mut self,
+    name: &Name,
+    mut stored: Stored,
+    change: Option<Change>,
+    choice: usize,
+    badly: bool,
+  ) -> Outcome {
+    let Some(change) = change else {
+      return if badly {
+        Outcome::Unavailable
+      } else {
+        Outcome::Applied(stored)
+      };
+    };
+    let version = stored.version;
+    let change = match self.weak {
+      Some(weak) => weak.spoil(change, &mut stored.value),
+      None => change,
+    };
+    match stored.value.apply(&change) {
+      Err(why) => return Outcome::Rejected(why, stored),
+      Ok(false) => return Outcome::Applied(stored),
+      Ok(true) => {}
+    }
+    match (badly, choice % 3) {
+      (true, 0) => Outcome::Unavailable,
+      (true, 1) => {
+        let late = Pending::Late(name.clone(), version, stored.value);
+        self.pending.push(late);
+        Outcome::Unavailable
+      }
+      (lost, _) => {
+        self.land(name.clone(), version, stored.value.clone());
+        stored.version = self.revision;
+        if lost {
+          Outcome::Unavailable
+        } else {
+          Outcome::Applied(stored)
+        }
+      }
+    }
+  }
+
+  fn land(&mut self, name: Name, version: u64, value: Value) {
+    let held = self.platform.get(&name).map(|held| held.0);
+    if held.unwrap_or_default() == version {
+      self.revision += 1;
+      self.platform.insert(name, (self.revision, value));
+    }
+  }
+
+  fn arrive(&mut self, at: usize, boot: u64, order: Order, step: u64, sent: u64, badly: bool) {
+    let replica = order.replica;
+    // Sender gives up after a second; the network after the order's lifetime.
+    if self.now > sent + limits().order_ttl_ms {
+      let outcome = order::Outcome::Unknown;
+      self.answer(
+        at,
+        boot,
+        Event::Ordered {
+          replica,
+          step,
+          outcome,
+        },
+      );
+      return;
+    }
+    if badly {
+      let outcome = order::Outcome::Unknown;
+      self
+        .pending
+        .push(Pending::Wire(at, boot, order, u64::MAX, sent));
+      self.answer(
+        at,
+        boot,
+        Event::Ordered {
+          replica,
+          step,
+          outcome,
+        },
+      );
+      return;
+    }
+    let outcome = self.obey(&order);
+    self.answer(
+      at,
+      boot,
+      Event::Ordered {
+        replica,
+        step,
+        outcome,
+      },
+    );
+  }
+
+  fn obey(&mut self, order: &Order) -> order::Outcome {
+    let Some(engine) = self.engines.get_mut(&order.server) else {
+      return order::Outcome::Unknown;
+    };
+    if engine.fencing && order.fence < engine.fence {
+      return order::Outcome::Stale;
+    }
+    engine.fence = engine.fence.max(order.fence);
+    match &order.act {
+      Act::Load { model, .. } => {
+        let entry = (model.clone(), Stage::Loading);
+        engine.replicas.entry(order.replica).or_insert(entry);
+      }
+      Act::Unload => drop(engine.replicas.remove(&order.replica)),
+    }
+    order::Outcome::Accepted
+  }
+
+  /// Each look at an engine finds its loads further on.
+  fn report(&mut self, server: &str) -> Option<Report> {
+    let engine = self.engines.get_mut(server)?;
+    engine.seq += 1;
+    let residents = engine.replicas.iter().map(|(id, (model, stage))| Resident {
+      replica: *id,
+      model: model.clone(),
+      stage: *stage,
+      running: 0,
+      idle_ms: 60_000,
+    });
+    let report = Report {
+      boot: engine.boot,
+      seq: engine.seq,
+      leaving: false,
+      residents: residents.collect(),
+      cached: Vec::new(),
+    };
+    for (_, stage) in engine.replicas.values_mut() {
+      *stage = Stage::Ready;
+    }
+    Some(report)
+  }
+
+  fn run(&mut self, at: usize, boot: u64, attempt: &Attempt, choice: usize, badly: bool) {
+    let name = (at, boot, attempt.ticket.0);
+    let (runs, end) = match (badly, choice % 4) {
+      (false, _) => (true, End::Whole),
+      (true, 0) => (false, End::Broken(Verdict::NotRun)),
+      (true, 1) => (false, End::Declined),
+      (true, 2) => (false, End::Broken(Verdict::MayHaveRun)),
+      (true, _) => (true, End::Broken(Verdict::MayHaveRun)),
+    };
+    if runs {
+      *self.ran.entry(name).or_default() += 1;
+      if let Some(key) = self.keys.get(&name) {
+        *self.ran_key.entry(*key).or_default() += 1;
+      }
+    }
+    if end == End::Whole {
+      self.answered.insert(name);
+    }
+    let answer = (end == End::Whole).then(|| (200, Some("done".to_string())));
+    let event = Event::Ended {
+      ticket: attempt.ticket,
+      number: attempt.number,
+      end,
+      answer,
+    };
+    self.answer(at, boot, event);
+  }
+
+  fn refused(&mut self, at: usize, boot: u64, ticket: Ticket, refusal: Refusal) {
+    let name = (at, boot, ticket.0);
+    let ran = self.ran.get(&name).copied().unwrap_or_default();
+    if refusal.verdict == Verdict::NotRun && ran > 0 {
+      let text = format!("request {name:?} ran {ran} times, refused as not run");
+      self.faults.push(text);
+    }
+    if !self.answered.insert(name) {
+      self.faults.push(format!("request {name:?} answered twice"));
+    }
+  }
+
+  fn check(&mut self) {
+    for (key, ran) in &self.ran_key {
+      if *ran > 1 {
+        self.faults.push(format!("key {key} ran {ran} times"));
+      }
+    }
+    let mut loaded: BTreeMap<&str, usize> = BTreeMap::new();
+    for (server, engine) in &self.engines {
+      let used = engine.replicas.len() as u64 * MODEL_MB;
+      if used > CAPACITY_MB {
+        self
+          .faults
+          .push(format!("{server}: {used} of {CAPACITY_MB} MB"));
+      }
+      for (model, _) in engine.replicas.values() {
+        *loaded.entry(model).or_default() += 1;
+      }
+    }
+    for (model, count) in loaded {
+      let name = Name::of(Kind::ModelRecord, model);
+      let decided = match self.platform.get(&name) {
+        Some((_, Value::Model(record))) => record.replicas.len(),
+        _ => 0,
+      };
+      if count > decided || decided > 1 {
+        let text = format!("{model}: {count} loaded, {decided} decided, 1 allowed");
+        self.faults.push(text);
+      }
+    }
+  }
+
+  /// Ends all faults, and lets the system come to rest; every request of a live
+  /// process must have its answer then.
+  pub fn settle(&mut self) {
+    for node in &mut self.nodes {
+      node.paused = false;
+    }
+    for round in 0..1_500 {
+      self.now += 40;
+      for at in 0..INSTANCES {
+        self.tick(at);
+        if round % 50 == 0 {
+          self.list(at);
+        }
+      }
+      let mut budget = 200;
+      while !self.pending.is_empty() && budget > 0 {
+        self.deliver(0, false);
+        budget -= 1;
+      }
+    }
+    for name in self.asked.clone() {
+      if !self.answered.contains(&name) {
+        self.faults.push(format!("request {name:?} has no answer"));
+      }
+    }
+  }
+
+  /// Replicas held by records and ledgers, to see that nothing leaks.
+  pub fn held(&self) -> (usize, usize) {
+    let mut held = (0, 0);
+    for (_, value) in self.platform.values() {
+      match value {
+        Value::Model(record) => held.0 += record.replicas.len(),
+        Value::Server(ledger) => held.1 += ledger.reservations.len(),
+        _ => {}
+      }
+    }
+    held
+  }
+
+  /// What holds on, for a failure's message.
+  pub fn describe(&self) -> String {
+    let jobs = self.nodes.iter().map(|node| {
+      let jobs = node.state.jobs.values();
+      let jobs: Vec<_> = jobs.map(|job| (job.step, job.due, job.failures)).collect();
+      (node.state.members.live.clone(), jobs)
+    });
+    let jobs: Vec<_> = jobs.collect();
+    format!(
+      "now {} jobs {jobs:?} pending {} records {:?}",
+      self.now,
+      self.pending.len(),
+      self.platform
+    )
+  }
+
+  /// Requests answered.
+  pub fn answers(&self) -> usize {
+    self.answered.len()
+  }
+}
