keep standing replicas without demand; prove placement, answers and single runs

Cause: a policy with minReplicas loaded nothing until someone asked, since only asked-for models had a group (a test that waits for two replicas waited in vain). Change: the owner of a model opens the groups of policies that always keep it loaded. Tests with processes behind the proxy for replica count, memory, whole answers, verdicts and calls that may not be repeated.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -5,12 +5,14 @@
 //! rolled forward when someone waits for it, and let go otherwise.
 
 use crate::{
+  catalog::Model,
   effect::Effect,
   event::Tag,
   fact::{Body, Key, Listed},
   history::History,
   job::Step,
   object::{Kind, Name},
+  policy::Policy,
   replica::{Replica, Target},
   report::Stage,
   state::State,
@@ -44,6 +46,32 @@
       }
     }
     self.owned = owned;
+    self.open_standing();
+  }
+
+  /// Opens the groups of owned models that some policy always keeps loaded.
+  fn open_standing(&mut self) {
+    let mut standing = Vec::new();
+    for model in self.owned.keys() {
+      let Some(spec) = self.catalog.models.get(model) else {
+        continue;
+      };
+      let policies = self.catalog.policies.iter();
+      let keeping = policies
+        .filter(|(_, policy)| policy.min_replicas > 0 && policy.models.matches(&spec.labels))
+        .filter(|(name, policy)| self.rules(name, policy, spec));
+      standing.extend(keeping.map(|(policy, _)| (model.clone(), policy.clone())));
+    }
+    for (model, policy) in standing {
+      let key = self.group(&model, &policy);
+      self.mark_active(key);
+    }
+  }
+
+  /// Whether a policy rules a model for some caller.
+  fn rules(&self, name: &str, policy: &Policy, model: &Model) -> bool {
+    let first = policy.slice.map_or(0, |slice| u64::from(slice.from));
+    self.ruling(model, first) == name
   }
 
   /// Begins the reads that are due.
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -149,7 +149,8 @@
       .placement(&group.model)
       .iter()
       .any(|replica| replica.policy == *policy);
-    if !busy && !held && !group.in_use(self.now) {
+    let standing = self.owned.contains_key(&group.model) && self.policy(policy).min_replicas > 0;
+    if !busy && !held && !standing && !group.in_use(self.now) {
       self.active.remove(&key);
     }
   }
