take a repeated submission of a batch for the same batch

Cause: a submission repeated under its idempotency key was told of a conflict, since the deadlines, worked out at arrival, differ (a test with a lost answer). Change: model, prompts and token bound decide; the first deadline holds.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -88,10 +88,15 @@
       *self = batch.clone();
       return Ok(true);
     }
-    if self.prompts == batch.prompts && self.deadline == batch.deadline {
-      return Ok(false);
+    // A repeat comes later, so its deadline differs; the first one's holds.
+    let same = self.model == batch.model
+      && self.prompts == batch.prompts
+      && self.max_tokens == batch.max_tokens;
+    if same {
+      Ok(false)
+    } else {
+      Err(Rejection::Taken)
     }
-    Err(Rejection::Taken)
   }
 
   fn record(&mut self, outcomes: &[(usize, Item)]) -> bool {
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -74,6 +74,7 @@
   rates: (u32, u32),
   second: Instant,
   spent: (u32, u32),
+  races: BTreeMap<(String, String), Value>,
 }
 
 /// A running platform.
@@ -97,6 +98,7 @@
       rates: (0, 0),
       second: Instant::now(),
       spent: (0, 0),
+      races: BTreeMap::new(),
     };
     let inner = Arc::new((Mutex::new(inner), Condvar::new()));
     let served = inner.clone();
@@ -132,6 +134,21 @@
     version
   }
 
+  /// Removes an object past any check.
+  pub fn delete(&self, kind: Kind, name: &str) -> u64 {
+    let mut inner = self.lock();
+    let version = inner.put(kind.word(), name, None);
+    self.inner.1.notify_all();
+    version
+  }
+
+  /// Writes this value just before the next write of the object, as another
+  /// operator could.
+  pub fn race(&self, kind: Kind, name: &str, value: Value) {
+    let key = (kind.word().to_string(), name.to_string());
+    self.lock().races.insert(key, value);
+  }
+
   /// An object's value.
   pub fn get(&self, kind: Kind, name: &str) -> Option<Value> {
     let inner = self.lock();
@@ -289,6 +306,9 @@
     .and_then(|version| version.parse().ok())
     .unwrap_or_default();
   let key = (kind.to_string(), name.to_string());
+  if let Some(value) = inner.races.remove(&key) {
+    inner.put(kind, name, Some(value));
+  }
   let held = inner.objects.held.get(&key);
   let version = match held {
     Some(held) if held.value.is_some() => held.version,
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,251 @@
+//! Backend servers that leave, and planned stops of instances.
+
+use bendsaddle::fact::Listed;
+use serde_json::json;
+use stand_ins::{
+  caller::{self, Ask},
+  engine::answer,
+  fleet::{Fleet, Plan, wait_for},
+  proxy::Fault,
+};
+use std::{
+  sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, Ordering},
+  },
+  thread::{self, JoinHandle},
+  time::Duration,
+};
+
+fn plan() -> Plan {
+  Plan::default()
+    .program(env!("CARGO_BIN_EXE_bendsaddle"))
+    .limits(json!({ "listMs": 100, "orderTtlMs": 1_500 }))
+    .policy("all", json!({ "keepAlive": { "fixed": 60_000 } }))
+    .model("contracts", 200)
+}
+
+fn placed(fleet: &Fleet) -> usize {
+  let record = fleet.platform.record("contracts");
+  fleet.engine(&record.replicas[0].server)
+}
+
+fn served(fleet: &Fleet, at: usize, prompt: &str) {
+  let reply = Ask::of("contracts", prompt, 5).send(fleet.callers(at));
+  assert!(reply.is(&answer(prompt, 5)), "{reply:?}");
+}
+
+fn all_know_it_leaves(fleet: &Fleet, server: &str) -> bool {
+  fleet.members.iter().all(|member| {
+    let leaving = member.status()["leaving"].clone();
+    leaving
+      .as_array()
+      .is_some_and(|list| list.iter().any(|name| name == server))
+  })
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_and_its_model_moves() {
+  let fleet = plan().engines(2, |_| {}).start().unwrap();
+  served(&fleet, 0, "before");
+  let old = placed(&fleet);
+  let name = fleet.engines[old].name().to_string();
+  fleet.platform.machine(&name, None, Listed::Leaving);
+  wait_for("all to know", || all_know_it_leaves(&fleet, &name));
+  let runs = fleet.engines[old].runs().len();
+  for at in 0..6 {
+    served(&fleet, at, &format!("after {at}"));
+  }
+  assert_eq!(fleet.engines[old].runs().len(), runs);
+  assert_eq!(fleet.engines[1 - old].runs().len(), 6);
+  assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+#[test]
+fn a_server_known_to_leave_gets_no_work_while_the_platform_is_down() {
+  let mut fleet = plan()
+    .engines(2, |_| {})
+    .policy(
+      "two",
+      json!({ "minReplicas": 2, "maxReplicas": 2, "precedence": 1 }),
+    )
+    .start()
+    .unwrap();
+  wait_for("two replicas", || fleet.loaded("contracts") == 2);
+  let name = fleet.engines[0].name().to_string();
+  fleet.platform.machine(&name, None, Listed::Leaving);
+  wait_for("all to know", || all_know_it_leaves(&fleet, &name));
+  fleet.platform_proxy.fault(Fault::Refuse);
+  // An instance that starts now learns it from its peers.
+  fleet.add().unwrap();
+  fleet.settle();
+  wait_for("the new one to know", || all_know_it_leaves(&fleet, &name));
+  let runs = fleet.engines[0].runs().len();
+  for at in 0..8 {
+    served(&fleet, at, &format!("down {at}"));
+  }
+  assert_eq!(fleet.engines[0].runs().len(), runs);
+}
+
+#[test]
+fn an_engine_that_says_it_leaves_gets_no_work_without_the_list() {
+  let fleet = plan().engines(2, |_| {}).start().unwrap();
+  served(&fleet, 0, "before");
+  let old = placed(&fleet);
+  fleet.engines[old].leave();
+  for at in 0..6 {
+    served(&fleet, at, &format!("after {at}"));
+  }
+  assert_eq!(fleet.engines[1 - old].runs().len(), 6);
+}
+
+#[test]
+fn a_load_on_a_server_that_leaves_is_decided_again_elsewhere() {
+  let fleet = plan()
+    .engines(2, |options| options.load[2] = Duration::from_millis(10))
+    .start()
+    .unwrap();
+  let address = fleet.callers(0).to_string();
+  let request = thread::spawn(move || Ask::of("contracts", "moved", 5).send(&address));
+  wait_for("a load", || fleet.loads() == 1);
+  let old = placed(&fleet);
+  fleet
+    .platform
+    .machine(fleet.engines[old].name(), None, Listed::Leaving);
+  let reply = request.join().unwrap();
+  assert!(reply.is(&answer("moved", 5)), "{reply:?}");
+  assert_eq!(fleet.engines[1 - old].runs().len(), 1);
+  assert_eq!(fleet.violations(), Vec::<String>::new());
+}
+
+/// Callers that ask one after the other, as a balancer would spread them.
+struct Load {
+  stop: Arc<AtomicBool>,
+  targets: Arc<Mutex<Vec<String>>>,
+  threads: Vec<JoinHandle<(usize, Vec<caller::Answer>)>>,
+}
+
+impl Load {
+  fn start(fleet: &Fleet, callers: usize) -> Self {
+    let stop = Arc::new(AtomicBool::new(false));
+    let targets = Arc::new(Mutex::new(Self::serving(fleet)));
+    let threads = (0..callers).map(|at| {
+      let (stop, targets) = (stop.clone(), targets.clone());
+      thread::spawn(move || ask_on(at, &stop, &targets))
+    });
+    Self {
+      threads: threads.collect(),
+      stop,
+      targets,
+    }
+  }
+
+  fn serving(fleet: &Fleet) -> Vec<String> {
+    let members = fleet.members.iter();
+    members.map(|member| member.callers.clone()).collect()
+  }
+
+  /// The balancer takes a target out when its health turns false.
+  fn retarget(&self, fleet: &Fleet, without: Option<usize>) {
+    let mut targets = Self::serving(fleet);
+    if let Some(without) = without {
+      targets.remove(without);
+    }
+    *self.targets.lock().unwrap() = targets;
+  }
+
+  fn end(self) -> (usize, Vec<caller::Answer>) {
+    self.stop.store(true, Ordering::Relaxed);
+    let mut whole = 0;
+    let mut others = Vec::new();
+    for thread in self.threads {
+      let (count, failed) = thread.join().unwrap();
+      whole += count;
+      others.extend(failed);
+    }
+    (whole, others)
+  }
+}
+
+fn ask_on(
+  caller: usize,
+  stop: &AtomicBool,
+  targets: &Mutex<Vec<String>>,
+) -> (usize, Vec<caller::Answer>) {
+  let mut whole = 0;
+  let mut others = Vec::new();
+  let mut at = caller;
+  while !stop.load(Ordering::Relaxed) {
+    at += 1;
+    let target = {
+      let targets = targets.lock().unwrap();
+      targets[at % targets.len()].clone()
+    };
+    let prompt = format!("load {caller} {at}");
+    let reply = Ask::of("contracts", &prompt, 10).send(&target);
+    if reply.is(&answer(&prompt, 10)) {
+      whole += 1;
+    } else {
+      others.push(reply);
+    }
+  }
+  (whole, others)
+}
+
+/// Each request not served was refused by name, as not run and with a time.
+fn truly_refused(others: &[caller::Answer]) {
+  for reply in others {
+    assert_eq!(
+      (reply.reason.as_str(), reply.verdict.as_str()),
+      ("stopping", "not-run"),
+      "{reply:?}"
+    );
+  }
+}
+
+#[test]
+fn a_planned_stop_under_load_cuts_off_nothing() {
+  let mut fleet = plan()
+    .engines(2, |options| options.token = Duration::from_millis(10))
+    .start()
+    .unwrap();
+  served(&fleet, 0, "warm");
+  let load = Load::start(&fleet, 6);
+  wait_for("requests to run", || {
+    fleet.engines.iter().any(|engine| engine.runs().len() > 10)
+  });
+  fleet.members[0].signal("-TERM");
+  wait_for("health to turn false", || {
+    caller::get(&fleet.members[0].operators, "/health").status != 200
+  });
+  load.retarget(&fleet, Some(0));
+  assert!(fleet.members[0].wait());
+  let (whole, others) = load.end();
+  assert!(whole > 10);
+  truly_refused(&others);
+}
+
+#[test]
+fn a_rolling_replacement_of_all_instances_cuts_off_nothing() {
+  let mut fleet = plan()
+    .engines(2, |options| options.token = Duration::from_millis(10))
+    .start()
+    .unwrap();
+  served(&fleet, 0, "warm");
+  let load = Load::start(&fleet, 6);
+  for _ in 0..3 {
+    fleet.add().unwrap();
+    fleet.settle();
+    load.retarget(&fleet, Some(0));
+    fleet.members[0].signal("-TERM");
+    assert!(fleet.members[0].wait());
+    let gone = fleet.members.remove(0);
+    fleet.platform.machine(&gone.name, None, Listed::Gone);
+  }
+  let (whole, others) = load.end();
+  assert!(whole > 10);
+  truly_refused(&others);
+  served(&fleet, 0, "after");
+  assert_eq!(fleet.loads(), 1);
+  assert_eq!(fleet.violations(), Vec::<String>::new());
+}
