bound what each instance holds and hears at the two-year size

Cause: worked out at 420 nodes, load reports told to all would cost 40 KB/s a node, residence facts with model names 9.6 KB/s, and housekeeping visited every placed group and hashed every server 20 times a second. Change: load is told only where dispatch goes by it; shares come from the owner, who hears demand directly, from half the slots on; residence carries ids only; cached checkpoints are a fact of their own; groups are housekept where they are owned or in use; ownership is worked out when members change.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -8,19 +8,23 @@
   catalog::Model,
   effect::Effect,
   event::Tag,
-  fact::{Body, Key, Listed},
+  fact::{Body, Key, Listed, Resident, Version, short},
   history::History,
   job::Step,
   object::{Kind, Name},
+  order::Status,
   policy::Policy,
   replica::{Replica, Target},
-  report::Stage,
-  state::State,
+  report::{Report, Stage, Tier},
+  settings::Dispatch,
+  state::{Owned, State},
   update::{Outcome, Value},
 };
 
 /// Reads of records begun in one round of housekeeping.
 const READS: usize = 8;
+/// How many times rarer the record of a model without replicas is read.
+const UNPLACED: u64 = 20;
 /// Time after which a read that has not come counts as lost, ms.
 const LOST_MS: u64 = 10_000;
 /// How long a replica may be decided but not loaded before the owner rolls it
@@ -46,9 +50,22 @@
       }
     }
     self.owned = owned;
+    let servers = self.catalog.servers.keys();
+    let tended = servers.filter(|name| self.owns(&format!("server/{name}")));
+    self.tended = tended.cloned().collect();
     self.open_standing();
   }
 
+  /// Works out whether this instance owns one model that was configured.
+  pub fn refresh_owner(&mut self, model: &str) {
+    if !self.catalog.models.contains_key(model) || !self.owns(model) {
+      self.owned.remove(model);
+    } else if !self.owned.contains_key(model) {
+      self.owned.insert(model.into(), Owned::default());
+      self.open_standing();
+    }
+  }
+
   /// Opens the groups of owned models that some policy always keeps loaded.
   fn open_standing(&mut self) {
     let mut standing = Vec::new();
@@ -114,10 +131,13 @@
       owned.audit_at = soon;
       return;
     };
-    owned.audit_at = later;
     let Value::Model(record) = stored.value else {
       return;
     };
+    owned.audit_at = match record.replicas.is_empty() {
+      true => later + UNPLACED * pause,
+      false => later,
+    };
     self.see_record(model, stored.version, &record);
     for replica in &record.replicas {
       let key = self.group(model, &replica.policy);
@@ -157,8 +177,8 @@
     let lost = self.listed(&replica.server) == Listed::Gone;
     let server = self.server(&replica.server);
     let stage = self.servers[server].residents.get(&replica.id);
-    let loaded = stage.is_some_and(|(_, stage)| *stage == Stage::Ready);
-    let loading = stage.is_some_and(|(_, stage)| *stage == Stage::Loading);
+    let loaded = stage == Some(&Stage::Ready);
+    let loading = stage == Some(&Stage::Loading);
     let fine = (loaded || loading) && replica.target == Target::Loaded;
     let stuck = (known || lost) && !fine && !self.jobs.contains_key(&replica.id);
     let now = self.now;
@@ -196,39 +216,53 @@
   }
 
   /// Takes up a status report: what changed on the engine is told to all.
-  pub fn on_reported(&mut self, status: crate::order::Status) {
+  pub fn on_reported(&mut self, status: Status) {
     let key = self.server(&status.server);
     let Some(report) = &status.report else {
       self.servers[key].silent += 1;
       return;
     };
     self.servers[key].silent = 0;
-    let version = crate::fact::Version(report.boot, report.seq);
+    let version = Version(report.boot, report.seq);
     let residence = Body::Residence {
       residents: report
         .residents
         .iter()
-        .map(|resident| crate::fact::Resident {
+        .map(|resident| Resident {
           replica: resident.replica,
-          model: resident.model.clone(),
           stage: resident.stage,
         })
         .collect(),
-      cached: report.cached.clone(),
       leaving: report.leaving,
     };
     self.publish_changed(Key::Residence(status.server.clone()), version, residence);
+    let near = report.cached.iter();
+    let cache = near
+      .filter(|cached| cached.tier != Tier::Remote)
+      .map(|cached| (short(&cached.model), cached.tier))
+      .collect();
+    self.publish_changed(
+      Key::Cache(status.server.clone()),
+      version,
+      Body::Cache(cache),
+    );
+    if self.limits.dispatch == Dispatch::Push {
+      self.publish_load(&status.server, version, report);
+    }
+    self.jobs_reported(&status);
+  }
+
+  fn publish_load(&mut self, server: &str, version: Version, report: &Report) {
     let loads = report
       .residents
       .iter()
       .filter(|resident| resident.running > 0)
       .map(|resident| (resident.replica, resident.running))
       .collect();
-    self.publish_changed(Key::Load(status.server.clone()), version, Body::Load(loads));
-    self.jobs_reported(&status);
+    self.publish_changed(Key::Load(server.into()), version, Body::Load(loads));
   }
 
-  fn publish_changed(&mut self, key: Key, version: crate::fact::Version, body: Body) {
+  fn publish_changed(&mut self, key: Key, version: Version, body: Body) {
     let held = self.facts.get(&key);
     // A new boot starts a new order of versions, so it is told even when alike.
     let same = held.is_some_and(|(held, at)| *held == body && at.0 == version.0);
@@ -239,9 +273,8 @@
 
   /// Asks the engines this instance looks after for their status.
   pub fn poll_servers(&mut self) {
-    let names: Vec<String> = self.catalog.servers.keys().cloned().collect();
-    for name in names {
-      if !self.owns(&format!("server/{name}")) || self.listed(&name) == Listed::Gone {
+    for name in self.tended.clone() {
+      if self.listed(&name) == Listed::Gone {
         continue;
       }
       let key = self.server(&name);
@@ -263,11 +296,7 @@
 
   /// Reads the records of servers this instance looks after, from time to time.
   pub fn inspect_servers(&mut self) {
-    let names: Vec<String> = self.catalog.servers.keys().cloned().collect();
-    for name in names {
-      if !self.owns(&format!("server/{name}")) {
-        continue;
-      }
+    for name in self.tended.clone() {
       let key = self.server(&name);
       if self.servers[key].inspect_at > self.now {
         continue;
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -4,9 +4,10 @@
   object::Name,
   replica::Id,
   replica::Replica,
-  report::{Cached, Stage},
+  report::{Stage, Tier},
 };
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Names a fact.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -21,9 +22,11 @@
   Rejected(Name),
   /// Decided replicas of a model.
   Placement(String),
-  /// Replicas and checkpoints on a backend server.
+  /// Replicas on a backend server.
   Residence(String),
-  /// Load of a backend server.
+  /// Checkpoints cached near a backend server.
+  Cache(String),
+  /// Load of a backend server; told only where dispatch goes by it.
   Load(String),
   /// A batch, for whoever runs it.
   Batch(String),
@@ -65,11 +68,16 @@
   Gone,
 }
 
+/// The short hash of a model's name in `Body::Cache`. Two names that share one
+/// mislead an estimate, nothing more.
+pub fn short(model: &str) -> u32 {
+  xxh3_64(model.as_bytes()) as u32
+}
+
 /// A replica on a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resident {
   pub replica: Id,
-  pub model: String,
   pub stage: Stage,
 }
 
@@ -85,9 +93,10 @@
   Placement(Vec<Replica>),
   Residence {
     residents: Vec<Resident>,
-    cached: Vec<Cached>,
     leaving: bool,
   },
+  /// Hashes of models with the tier of their checkpoint, where it is not remote.
+  Cache(Vec<(u32, Tier)>),
   /// Running and queued requests by replica.
   Load(Vec<(Id, u32)>),
   /// Whether every item of the batch has its outcome.
@@ -125,6 +134,7 @@
         | (Key::Rejected(_), Body::Rejected(_))
         | (Key::Placement(_), Body::Placement(_))
         | (Key::Residence(_), Body::Residence { .. })
+        | (Key::Cache(_), Body::Cache(_))
         | (Key::Load(_), Body::Load(_))
         | (Key::Batch(_), Body::Batch { .. })
     )
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -5,10 +5,10 @@
   effect::Effect,
   event::Listing,
   fact::{Body, Key, Listed, Version},
+  group,
   journal::Entry,
-  object::{Name, Object},
+  object::{Kind, Name, Object},
   replica::Replica,
-  server,
   state::State,
 };
 
@@ -26,26 +26,19 @@
       (Key::Placement(model), Body::Placement(replicas)) => {
         self.learn_placement(model, &replicas);
       }
-      (
-        Key::Residence(server),
-        Body::Residence {
-          residents,
-          cached,
-          leaving,
-        },
-      ) => {
+      (Key::Residence(server), Body::Residence { residents, leaving }) => {
         let key = self.server(server);
         let server = &mut self.servers[key];
         server.leaving = leaving;
-        server.cached = cached
-          .into_iter()
-          .map(|cached| (cached.model, cached.tier))
-          .collect();
+        let residents = residents.into_iter();
         server.residents = residents
-          .into_iter()
-          .map(|resident| (resident.replica, (resident.model, resident.stage)))
+          .map(|resident| (resident.replica, resident.stage))
           .collect();
-        self.wake_server(key);
+        self.pump_waiting();
+      }
+      (Key::Cache(server), Body::Cache(cached)) => {
+        let key = self.server(server);
+        self.servers[key].cached = cached.into_iter().collect();
       }
       (Key::Load(server), Body::Load(loads)) => {
         let key = self.server(server);
@@ -54,7 +47,7 @@
           .into_iter()
           .map(|(id, running)| (id, running.saturating_sub(server.mine(id))))
           .collect();
-        self.wake_server(key);
+        self.pump_waiting();
       }
       (Key::Batch(id), Body::Batch { finished }) => self.learn_batch(id, finished),
       _ => {}
@@ -79,15 +72,18 @@
       return;
     }
     self.configured = true;
-    self.owned_epoch = 0;
     self.note(Entry::Configured {
       object: name.to_string(),
       version: version.0,
     });
-    let groups: Vec<_> = self.active.iter().copied().collect();
-    for group in groups {
-      self.pump(group);
+    if name.kind == Kind::Model {
+      self.refresh_owner(&name.name);
+    }
+    if matches!(name.kind, Kind::Server | Kind::Policy) {
+      // Who looks after which server, and what is always kept, may differ now.
+      self.owned_epoch = 0;
     }
+    self.pump_waiting();
   }
 
   fn reject(&mut self, name: &Name, version: u64, why: String) {
@@ -153,40 +149,42 @@
   }
 
   fn learn_placement(&mut self, model: &str, replicas: &[Replica]) {
-    for (_, server) in &mut self.servers {
-      server.decided.retain(|_, decided| decided != model);
+    for (server, id) in self.placed.remove(model).unwrap_or_default() {
+      self.servers[server].decided.remove(&id);
     }
-    let mut groups = Vec::new();
+    let owned = self.owned.contains_key(model);
+    let mut placed = Vec::new();
     for replica in replicas {
-      let key = self.server(&replica.server);
-      self.servers[key].decided.insert(replica.id, model.into());
-      groups.push(self.group(model, &replica.policy));
-    }
-    for group in groups {
-      self.mark_active(group);
-      self.pump(group);
+      let server = self.server(&replica.server);
+      self.servers[server]
+        .decided
+        .insert(replica.id, model.into());
+      placed.push((server, replica.id));
+      if owned {
+        let group = self.group(model, &replica.policy);
+        self.mark_active(group);
+      }
     }
+    self.placed.insert(model.into(), placed);
+    self.pump_waiting();
   }
 
-  /// Serves what waits for a replica on this server.
-  fn wake_server(&mut self, key: server::Key) {
-    let ids: Vec<_> = self.servers[key]
-      .residents
-      .iter()
-      .map(|(id, (model, _))| (*id, model.clone()))
-      .collect();
-    for (id, model) in ids {
-      let replica = self.placement(&model).iter().find(|r| r.id == id);
-      if let Some(policy) = replica.map(|replica| replica.policy.clone()) {
-        let group = self.group(&model, &policy);
-        self.mark_active(group);
-        self.pump(group);
-      }
+  /// Sends what waits, as far as something has become free.
+  fn pump_waiting(&mut self) {
+    let waiting = |key: &group::Key| !self.groups[*key].queue.is_empty();
+    let waiting: Vec<_> = self.active.iter().copied().filter(waiting).collect();
+    for key in waiting {
+      self.pump(key);
     }
   }
 
   /// Decides who of the fleet reads the platform, and starts or stops reading.
   pub fn choose_watchers(&mut self) {
+    let seen = (self.members.epoch, self.configured);
+    if self.watchers_seen == Some(seen) {
+      return;
+    }
+    self.watchers_seen = Some(seen);
     let me = &self.me.instance;
     let zone = self.zone_members();
     let watch = zone.is_empty()
--- a/src/notice.rs
+++ b/src/notice.rs
@@ -19,7 +19,12 @@
     arrived: u32,
   },
   /// From that instance: how many requests of the receiver a replica may run.
-  Share { replica: Id, slots: u32 },
+  Share {
+    model: String,
+    policy: String,
+    replica: Id,
+    slots: u32,
+  },
   /// To the instance that decides for a model: memory is short where the
   /// replica stands, and the sender has use for it.
   Yield { model: String, replica: Id },
--- a/src/place.rs
+++ b/src/place.rs
@@ -70,15 +70,10 @@
   }
 
   fn base_ready(&self, server: &server::Server, base: &str) -> bool {
-    let placement = self.placement(base);
-    let kept = |id| {
-      let replica = placement.iter().find(|replica| replica.id == id);
-      replica.is_some_and(|replica| replica.target == Target::Loaded)
-    };
-    server
-      .residents
-      .iter()
-      .any(|(id, (model, stage))| model == base && *stage == Stage::Ready && kept(*id))
+    let mut replicas = self.placement(base).iter();
+    replicas.any(|replica| {
+      replica.server == server.name && replica.target == Target::Loaded && server.ready(replica.id)
+    })
   }
 
   /// Memory decided for a server, MB.
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -145,11 +145,10 @@
     let told = group.told.waiting + group.told.running + group.arrived > 0;
     let busy = !group.queue.is_empty() || group.running > 0 || told;
     let policy = &group.policy;
-    let held = self
-      .placement(&group.model)
-      .iter()
-      .any(|replica| replica.policy == *policy);
-    let standing = self.owned.contains_key(&group.model) && self.policy(policy).min_replicas > 0;
+    let owned = self.owned.contains_key(&group.model);
+    let mut replicas = self.placement(&group.model).iter();
+    let held = owned && replicas.any(|replica| replica.policy == *policy);
+    let standing = owned && self.policy(policy).min_replicas > 0;
     if !busy && !held && !standing && !group.in_use(self.now) {
       self.active.remove(&key);
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,6 +1,7 @@
 //! A backend server, as one instance knows it.
 
 use crate::{
+  fact::short,
   replica::Id,
   report::{Stage, Tier},
 };
@@ -16,9 +17,9 @@
 pub struct Server {
   pub name: String,
   /// Replicas on the engine.
-  pub residents: BTreeMap<Id, (String, Stage)>,
-  /// Tiers of checkpoints cached near it.
-  pub cached: HashMap<String, Tier>,
+  pub residents: BTreeMap<Id, Stage>,
+  /// Tiers of checkpoints cached near it, by short hash of the model.
+  pub cached: HashMap<u32, Tier>,
   /// Replicas decided for it, with their models.
   pub decided: BTreeMap<Id, String>,
   /// Requests of this instance, by replica.
@@ -52,14 +53,15 @@
 
   /// Whether the replica takes requests.
   pub fn ready(&self, replica: Id) -> bool {
-    self
-      .residents
-      .get(&replica)
-      .is_some_and(|(_, stage)| *stage == Stage::Ready)
+    self.residents.get(&replica) == Some(&Stage::Ready)
   }
 
   /// Tier of the model's checkpoint.
   pub fn tier(&self, model: &str) -> Tier {
-    self.cached.get(model).copied().unwrap_or(Tier::Remote)
+    self
+      .cached
+      .get(&short(model))
+      .copied()
+      .unwrap_or(Tier::Remote)
   }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -105,7 +105,7 @@
       fresh_ms: 2_000,
       order_ttl_ms: 5_000,
       load_ms: 120_000,
-      audit_ms: 30_000,
+      audit_ms: 60_000,
       claim_ms: 600_000,
       claim_shards: 16,
       platform_rate: 60,
--- a/src/share.rs
+++ b/src/share.rs
@@ -76,7 +76,12 @@
           running,
           arrived,
         } => self.on_demand(from, &model, &policy, (waiting, running, arrived)),
-        Notice::Share { replica, slots } => self.on_share(replica, slots),
+        Notice::Share {
+          model,
+          policy,
+          replica,
+          slots,
+        } => self.on_share(&model, &policy, replica, slots),
         Notice::Yield { model, replica } => self.on_yield(&model, replica),
       }
     }
@@ -97,18 +102,14 @@
     self.share(key);
   }
 
-  fn on_share(&mut self, replica: Id, slots: u32) {
-    let until = self.now + SOFT_STATE_MS;
-    let holder = self
-      .active
-      .iter()
-      .copied()
-      .find(|key| self.decided(*key).contains(&replica));
-    if let Some(key) = holder {
-      let share = Share { slots, until };
-      self.groups[key].shares.insert(replica, share);
-      self.pump(key);
-    }
+  fn on_share(&mut self, model: &str, policy: &str, replica: Id, slots: u32) {
+    let now = self.now;
+    let until = now + SOFT_STATE_MS;
+    let key = self.group(model, policy);
+    let shares = &mut self.groups[key].shares;
+    shares.retain(|_, share| share.until > now);
+    shares.insert(replica, Share { slots, until });
+    self.pump(key);
   }
 
   /// Replicas decided for a group.
@@ -124,11 +125,10 @@
 
   /// Hands out the slots of a group's replicas by demand.
   pub fn share(&mut self, key: group::Key) {
-    if self.limits.dispatch == Dispatch::Push || !self.owns(&self.groups[key].model.clone()) {
+    let group = &self.groups[key];
+    if self.limits.dispatch == Dispatch::Push || !self.owned.contains_key(&group.model) {
       return;
     }
-    let group = &self.groups[key];
-    let contended = group.waiting(self.now) > 0;
     let demand: BTreeMap<String, u32> = group
       .demand
       .iter()
@@ -136,14 +136,17 @@
       .map(|(instance, demand)| (instance.clone(), demand.waiting + demand.running))
       .filter(|(_, wants)| *wants > 0)
       .collect();
-    if !contended || demand.is_empty() {
-      return;
-    }
     let ids = self.decided(key);
     let slots: Vec<(Id, u32)> = ids
       .into_iter()
       .filter_map(|id| Some((id, self.slots_of(key, id)?)))
       .collect();
+    let wanted: u32 = demand.values().sum();
+    let offered: u32 = slots.iter().map(|(_, slots)| slots).sum();
+    // Far below the slots nobody is in another's way.
+    if demand.is_empty() || wanted * 2 < offered {
+      return;
+    }
     let turn = (self.now / SOFT_STATE_MS) as usize;
     for (id, instance, slots) in divide(&slots, &demand, turn) {
       self.give(key, id, &instance, slots);
@@ -171,7 +174,13 @@
       self.groups[key].shares.insert(id, share);
       self.pump(key);
     } else {
-      let notice = Notice::Share { replica: id, slots };
+      let group = &self.groups[key];
+      let notice = Notice::Share {
+        model: group.model.clone(),
+        policy: group.policy.clone(),
+        replica: id,
+        slots,
+      };
       self.notify(instance, notice);
     }
   }
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,6 +95,12 @@
   pub requests: HashMap<Ticket, Request>,
   pub jobs: BTreeMap<Id, Job>,
   pub owned: BTreeMap<String, Owned>,
+  /// Servers this instance looks after.
+  pub tended: Vec<String>,
+  /// Where each model's replicas are decided.
+  pub placed: HashMap<String, Vec<(server::Key, Id)>>,
+  /// Epoch and configuration for which the watchers were chosen.
+  pub watchers_seen: Option<(u64, bool)>,
   /// Membership epoch for which `owned` was worked out.
   pub owned_epoch: u64,
   pub claims: Claims,
@@ -137,6 +143,9 @@
       requests: HashMap::new(),
       jobs: BTreeMap::new(),
       owned: BTreeMap::new(),
+      tended: Vec::new(),
+      placed: HashMap::new(),
+      watchers_seen: None,
       owned_epoch: 0,
       claims: Claims::default(),
       batches: Batches::default(),
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -79,7 +79,9 @@
     if fault == Fault::Refuse {
       self.cut();
       // Wakes the acceptor, so that it closes its socket.
-      drop(TcpStream::connect(self.address));
+      while TcpStream::connect(self.address).is_ok() {
+        thread::sleep(Duration::from_millis(1));
+      }
     }
   }
 
