--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,8 @@
 /// Idle time, in multiples of the load time, that a cold start is worth when both
 /// measures weigh the same.
 const WORTH: u64 = 4;
+/// Idle time recorded at once, ms.
+const IDLE_NOTE_MS: u64 = 1_000;
 /// Points of thrift that halve that worth.
 const HALVING: u32 = 10;
 
@@ -166,6 +168,26 @@
     }
   }
 
+  /// Adds up the time for which ready replicas of an owned group stand idle.
+  pub fn count_idle(&mut self, key: group::Key) {
+    if !self.owned.contains_key(&self.groups[key].model) {
+      return;
+    }
+    let ready = u64::from(self.count(key).0);
+    let now = self.now;
+    let group = &mut self.groups[key];
+    let since = std::mem::replace(&mut group.idle_at, now);
+    let idle = !group.in_use(now) && since > 0;
+    let added = if idle { (now - since) * ready } else { 0 };
+    group.idle_ms += added;
+    let due = group.idle_ms >= IDLE_NOTE_MS || (added == 0 && group.idle_ms > 0);
+    if due {
+      let ms = std::mem::take(&mut group.idle_ms);
+      let (model, policy) = (group.model.clone(), group.policy.clone());
+      self.note(Entry::Idle { model, policy, ms });
+    }
+  }
+
   fn carries_here(&self, server: &str, base: &str) -> bool {
     let Some(key) = self.server_keys.get(server) else {
       return false;
--- a/src/group.rs
+++ b/src/group.rs
@@ -60,6 +60,10 @@
   /// As the owner: last use anywhere, ms; 0: never since this instance owns it.
   pub last_use: u64,
   pub history: History,
+  /// As the owner: idle time of ready replicas not yet recorded, ms.
+  pub idle_ms: u64,
+  /// As the owner: time up to which idle time was added, ms.
+  pub idle_at: u64,
   /// No new replica is decided before this time, ms.
   pub hold_until: u64,
 }
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -59,6 +59,7 @@
   },
   /// A loaded replica stood idle.
   Idle {
+    model: String,
     policy: String,
     ms: u64,
   },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod claims;
+pub mod compare;
 pub mod decide;
 pub mod effect;
 pub mod engine;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -104,7 +104,9 @@
       Entry::Retried { verdict } => self.retries.add(1, &[label("verdict", verdict.word())]),
       Entry::Decided { policy, .. } => self.decisions.add(1, &[label("policy", policy)]),
       Entry::Retiring { why, .. } => self.unloads.add(1, &[label("why", why)]),
-      Entry::Idle { policy, ms: idle } => self.idle.add(ms(*idle), &[label("policy", policy)]),
+      Entry::Idle {
+        policy, ms: idle, ..
+      } => self.idle.add(ms(*idle), &[label("policy", policy)]),
       Entry::Claimed { grouped } => {
         self.claims.add(u64::from(*grouped), &[]);
         self.claim_writes.add(1, &[]);
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -121,6 +121,7 @@
     state.tell_demand(key);
     state.decide_own(key);
     state.share(key);
+    state.count_idle(key);
     state.let_go(key);
     state.rest(key);
   }
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::{
-  apply,
+  apply, compare,
   instance::Instance,
   settings::{Error, Settings},
   timeline,
@@ -20,7 +20,8 @@
        bendsaddle apply DIR --platform IP:PORT
        bendsaddle get [KIND [NAME]] --platform IP:PORT
        bendsaddle status --instance IP:PORT
-       bendsaddle timeline --instance IP:PORT [--trace]";
+       bendsaddle timeline --instance IP:PORT [--trace]
+       bendsaddle compare POLICY POLICY --instance IP:PORT [--plot FILE.svg]";
 
 type Outcome = Result<ExitCode, Report<Error>>;
 
@@ -31,6 +32,7 @@
   platform: Option<String>,
   instance: Option<String>,
   trace: bool,
+  plot: Option<PathBuf>,
   rest: Vec<String>,
 }
 
@@ -55,6 +57,11 @@
     "get" => apply::get(&options.rest, &named(&options.platform, "--platform")?),
     "status" => timeline::status(&named(&options.instance, "--instance")?),
     "timeline" => timeline::timeline(&named(&options.instance, "--instance")?, options.trace),
+    "compare" => compare::compare(
+      &options.rest,
+      &named(&options.instance, "--instance")?,
+      options.plot.as_deref(),
+    ),
     "help" | "" => {
       println!("{USAGE}");
       Ok(ExitCode::SUCCESS)
@@ -73,6 +80,7 @@
       Long("settings") => options.settings = Some(parser.value()?.into()),
       Long("platform") => options.platform = Some(parser.value()?.string()?),
       Long("instance") => options.instance = Some(parser.value()?.string()?),
+      Long("plot") => options.plot = Some(parser.value()?.into()),
       Long("trace") => options.trace = true,
       Long("help") => command = "help".into(),
       Value(value) if command.is_empty() => command = value.string()?,
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod proxy;
 pub mod service;
 pub mod store;
+pub mod trace;
--- a/stand-ins/src/main.rs
+++ b/stand-ins/src/main.rs
@@ -1,16 +1,21 @@
 //! Runs stand-ins from the command line.
 
-use lexopt::Arg::{Long, Value};
+use lexopt::{
+  Arg::{Long, Value},
+  ValueExt,
+};
 use stand_ins::{
   demo,
   engine::{Engine, Options},
   platform::Platform,
   proxy::Proxy,
   service::Service,
+  trace,
 };
-use std::{error::Error, process::ExitCode, time::Duration};
+use std::{error::Error, path::PathBuf, process::ExitCode, time::Duration};
 
 const USAGE: &str = "usage: stand-ins demo
+       stand-ins trace --program BENDSADDLE [--seeds N] [--instances N] [POLICY...]
        stand-ins platform [--listen IP:PORT] [--lag-ms N]
        stand-ins engine [--listen IP:PORT] [--name NAME] [--memory-mb N] [--slots N] [--no-fencing]
        stand-ins service [--listen IP:PORT] [--time-ms N]
@@ -25,6 +30,10 @@
   slots: u32,
   fencing: bool,
   ms: u64,
+  program: Option<PathBuf>,
+  seeds: u64,
+  instances: usize,
+  rest: Vec<String>,
 }
 
 fn parse() -> Result<Args, lexopt::Error> {
@@ -37,6 +46,10 @@
     slots: 4,
     fencing: true,
     ms: 0,
+    program: None,
+    seeds: 2,
+    instances: 4,
+    rest: Vec::new(),
   };
   let mut parser = lexopt::Parser::from_env();
   while let Some(arg) = parser.next()? {
@@ -48,19 +61,54 @@
       Long("slots") => args.slots = parser.value()?.parse()?,
       Long("no-fencing") => args.fencing = false,
       Long("lag-ms" | "time-ms") => args.ms = parser.value()?.parse()?,
+      Long("program") => args.program = Some(parser.value()?.into()),
+      Long("seeds") => args.seeds = parser.value()?.parse()?,
+      Long("instances") => args.instances = parser.value()?.parse()?,
       Value(command) if args.command.is_empty() => args.command = command.string()?,
+      Value(value) => args.rest.push(value.string()?),
       other => return Err(other.unexpected()),
     }
   }
   Ok(args)
 }
 
-use lexopt::ValueExt;
+/// Replays every seed for every named policy, seed by seed, so that all meet the
+/// same moments of the machine.
+fn run_traces(args: &Args) -> Result<bool, Box<dyn Error>> {
+  let program = args.program.as_ref().ok_or("trace: --program is missing")?;
+  let known = trace::variants();
+  let unknown = |name: &&String| !known.iter().any(|variant| variant.name == name.as_str());
+  if let Some(name) = args.rest.iter().find(unknown) {
+    return Err(format!("trace: policy `{name}` is unknown").into());
+  }
+  let wanted = |variant: &&trace::Variant| {
+    args.rest.is_empty() || args.rest.iter().any(|name| name == variant.name)
+  };
+  let variants: Vec<_> = known.iter().filter(wanted).collect();
+  let mut outcomes = vec![trace::Outcome::default(); variants.len()];
+  for seed in 1..=args.seeds {
+    for (variant, outcome) in variants.iter().zip(&mut outcomes) {
+      let replayed = trace::replay(program, variant, seed, args.instances)?;
+      eprintln!("seed {seed} {}", trace::row(variant.name, &replayed));
+      outcome.add(replayed);
+    }
+  }
+  println!("{}", trace::HEAD);
+  for (variant, outcome) in variants.iter().zip(&outcomes) {
+    println!("{}", trace::row(variant.name, outcome));
+  }
+  Ok(
+    outcomes
+      .iter()
+      .all(|outcome| outcome.violations == 0 && outcome.broken == 0),
+  )
+}
 
 fn run() -> Result<bool, Box<dyn Error>> {
   let args = parse()?;
   let address = match args.command.as_str() {
     "demo" => return Ok(demo::run()?.good()),
+    "trace" => return run_traces(&args),
     "platform" => Platform::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "service" => Service::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "engine" => {
