assume realistic load times until loads were seen

Cause: slow colds of the default policy loaded from the remote store (0.8 s, 2.4 s with the store slow) where a disk copy (0.15 s) stood on a server that had to make room; until a first remote load was seen, remote was assumed at 0.25 ms a MB, so that 200 MB seemed cheaper (50 ms) than giving way (400 ms). Ruled out: the wait for shares (no request waited at an engine) and the retry of reservations (the slow jobs had one order each). Change: 0.1, 0.5 and 4 ms a MB for memory, disk and remote.

--- a/src/state.rs
+++ b/src/state.rs
@@ -118,7 +118,7 @@
 }
 
 /// Load time assumed before the first load was seen, microseconds for each MB.
-const LOAD_RATES: [u64; 3] = [10, 50, 250];
+const LOAD_RATES: [u64; 3] = [100, 500, 4_000];
 /// Retries allowed at the start, in hundredths.
 const RETRY_START: u32 = 1_000;
 
