--- a/src/admit.rs
+++ b/src/admit.rs
@@ -398,13 +398,12 @@
     }
   }
 
-  /// The caller of a waiting request is gone.
-  pub fn forget(&mut self, ticket: Ticket) {
-    if let Some(request) = self.requests.remove(&ticket)
-      && let Some(key) = request.group
-    {
-      let entry = (request.ask.class, request.ask.deadline, ticket);
-      self.groups[key].queue.remove(&entry);
+  /// The caller of a waiting request is gone; a running one ends by itself.
+  pub fn on_caller_left(&mut self, ticket: Ticket) {
+    let request = self.requests.get(&ticket);
+    let waits = request.is_some_and(|request| request.group.is_some() && request.at.is_none());
+    if waits {
+      self.refuse(ticket, Reason::CallerGone, 0);
     }
   }
 }
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -22,7 +22,7 @@
 };
 
 /// Reads of records begun in one round of housekeeping.
-const READS: usize = 8;
+const READS: usize = 16;
 /// How many times rarer the record of a model without replicas is read.
 const UNPLACED: u64 = 20;
 /// Time after which a read that has not come counts as lost, ms.
@@ -158,6 +158,18 @@
     }
   }
 
+  /// Looks after every owned model that has replicas.
+  pub fn recover_all(&mut self) {
+    let placed = self.placed.iter();
+    let placed: Vec<String> = placed
+      .filter(|(model, replicas)| !replicas.is_empty() && self.owned.contains_key(*model))
+      .map(|(model, _)| model.clone())
+      .collect();
+    for model in placed {
+      self.recover(&model);
+    }
+  }
+
   /// Takes on replicas of an owned model that no one brings further.
   pub fn recover(&mut self, model: &str) {
     let replicas = self.placement(model).to_vec();
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' port: completions, plain services and batches.
 
 use crate::{
-  ask::{Ask, Class, Work},
+  ask::{Ask, Class, Ticket, Work},
   attempt::{Attempt, End},
   batch::{BATCH_LIMIT, Batch, Change, Item},
   call::{self, Waits},
@@ -12,22 +12,28 @@
   reply::{self, Reply},
   update::{Outcome, Value},
   verdict::Verdict,
+  web::{self, Bounds, Request},
 };
 use serde::Deserialize;
 use std::{
-  io::{self, Read},
+  io,
   net::SocketAddr,
-  sync::{Arc, atomic::Ordering, mpsc::Receiver},
-  thread,
+  sync::{
+    Arc,
+    mpsc::{Receiver, RecvTimeoutError},
+  },
   time::Duration,
 };
-use tiny_http::{Method, Request, Server};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest prompt batch, items.
 const ITEMS: usize = 10_000;
 /// Longest deadline a caller may name, ms.
 const DEADLINE_MOST: u64 = 86_400_000;
+/// Bytes of a request's head.
+const HEAD_BYTES: usize = 16 << 10;
+/// Pause between two looks whether a waiting caller is still there.
+const LOOK: Duration = Duration::from_millis(250);
 /// Time past its deadline after which a request's thread stops waiting.
 const GRACE: Duration = Duration::from_secs(30);
 /// Tokens of a completion that names no bound.
@@ -67,46 +73,21 @@
 
 /// Binds the port and answers until the process ends.
 pub fn bind(shared: &Arc<Shared>) -> io::Result<SocketAddr> {
-  let listener = std::net::TcpListener::bind(&shared.settings.callers)?;
-  let socket = socket2::Socket::from(listener);
-  // Accepted sockets inherit these: a caller that stops reading frees its thread.
-  let stall = Duration::from_millis(shared.settings.limits.caller_stall_ms);
-  socket.set_write_timeout(Some(stall))?;
-  socket.set_tcp_nodelay(true)?;
-  socket.set_keepalive(true)?;
-  let listener = std::net::TcpListener::from(socket);
-  let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
-  let address = server.server_addr().to_ip();
-  let address = address.ok_or_else(|| io::Error::other("callers: not an ip address"))?;
-  let shared = shared.clone();
-  let builder = thread::Builder::new().name("callers".into());
-  builder.spawn(move || accept(&shared, &server))?;
-  Ok(address)
-}
-
-fn accept(shared: &Arc<Shared>, server: &Server) {
-  loop {
-    let Ok(request) = server.recv() else {
-      continue;
-    };
-    let limit = shared.settings.limits.requests;
-    if shared.open.load(Ordering::Relaxed) >= limit {
-      reply::refuse(request, busy());
-      continue;
-    }
-    shared.open.fetch_add(1, Ordering::Relaxed);
-    let worker = shared.clone();
-    let builder = thread::Builder::new()
-      .name("request".into())
-      .stack_size(STACK);
-    let spawned = builder.spawn(move || {
-      handle(&worker, request);
-      worker.open.fetch_sub(1, Ordering::Relaxed);
-    });
-    if spawned.is_err() {
-      shared.open.fetch_sub(1, Ordering::Relaxed);
-    }
-  }
+  let limits = &shared.settings.limits;
+  let bounds = Bounds {
+    connections: limits.requests,
+    head: HEAD_BYTES,
+    body: limits.body_bytes,
+    arrive: Duration::from_millis(limits.caller_stall_ms),
+    idle: Duration::from_millis(limits.caller_idle_ms),
+    stall: Duration::from_millis(limits.caller_stall_ms),
+    stack: STACK,
+  };
+  let busy = reply::refusal_body(busy()).to_string();
+  let worker = shared.clone();
+  web::bind(&shared.settings.callers, bounds, busy, move |request| {
+    handle(&worker, request);
+  })
 }
 
 fn busy() -> Refusal {
@@ -117,47 +98,21 @@
   }
 }
 
-fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-  let mut headers = request.headers().iter();
-  let found = headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
-  found.map(|header| header.value.as_str())
-}
-
-fn handle(shared: &Shared, mut request: Request) {
-  let limit = shared.settings.limits.body_bytes;
-  let mut body = Vec::new();
-  let read = request
-    .as_reader()
-    .take(limit as u64 + 1)
-    .read_to_end(&mut body);
-  if read.is_err() {
-    return;
-  }
-  if body.len() > limit {
-    let text = format!("body: more than {limit} bytes");
-    reply::error(request, 413, "invalid_request", &text);
-    return;
-  }
-  let path = request
-    .url()
-    .split('?')
-    .next()
-    .unwrap_or_default()
-    .to_string();
+fn handle(shared: &Shared, request: &mut Request) {
+  let path = request.path().to_string();
   let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
-  match (request.method().clone(), parts.as_slice()) {
-    (Method::Post, ["v1", "completions"]) => complete(shared, request, &body, false),
-    (Method::Post, ["v1", "chat", "completions"]) => complete(shared, request, &body, true),
-    (Method::Get, ["v1", "models"]) => models(shared, request),
-    (Method::Post, ["v1", "batches"]) => submit(shared, request, &body),
-    (Method::Get, ["v1", "batches", id]) => batch(shared, request, id, None),
-    (Method::Post, ["v1", "batches", id, "cancel"]) => {
+  match (request.method.as_str(), parts.as_slice()) {
+    ("POST", ["v1", "completions"]) => complete(shared, request, false),
+    ("POST", ["v1", "chat", "completions"]) => complete(shared, request, true),
+    ("GET", ["v1", "models"]) => models(shared, request),
+    ("POST", ["v1", "batches"]) => submit(shared, request),
+    ("GET", ["v1", "batches", id]) => batch(shared, request, id, None),
+    ("POST", ["v1", "batches", id, "cancel"]) => {
       batch(shared, request, id, Some(Change::Cancel));
     }
-    (method @ (Method::Get | Method::Post), ["services", service, ..]) => {
-      let service = service.to_string();
-      let call = path.splitn(4, '/').nth(3).unwrap_or_default().to_string();
-      serve(shared, request, method, &service, &format!("/{call}"), body);
+    ("GET" | "POST", ["services", service, ..]) => {
+      let call = path.splitn(4, '/').nth(3).unwrap_or_default();
+      serve(shared, request, service, &format!("/{call}"));
     }
     _ => reply::error(
       request,
@@ -176,12 +131,12 @@
 }
 
 fn terms(shared: &Shared, request: &Request, user: Option<&str>) -> Result<Terms, String> {
-  let class = match header(request, "x-class") {
+  let class = match request.header("x-class") {
     None | Some("interactive") => Class::Interactive,
     Some("batch") => Class::Batch,
     Some(other) => return Err(format!("x-class: `{other}` is not interactive or batch")),
   };
-  let wait = match header(request, "x-deadline-ms") {
+  let wait = match request.header("x-deadline-ms") {
     None => shared.settings.limits.deadline_ms,
     Some(text) => match text.parse::<u64>() {
       Ok(wait) if (1..=DEADLINE_MOST).contains(&wait) => wait,
@@ -193,12 +148,11 @@
     },
   };
   let name = user
-    .or_else(|| header(request, "x-caller"))
-    .or_else(|| header(request, "authorization"));
-  let caller = match (name, request.remote_addr()) {
-    (Some(name), _) => xxh3_64(name.as_bytes()),
-    (None, Some(address)) => xxh3_64(address.ip().to_string().as_bytes()),
-    (None, None) => 0,
+    .or_else(|| request.header("x-caller"))
+    .or_else(|| request.header("authorization"));
+  let caller = match name {
+    Some(name) => xxh3_64(name.as_bytes()),
+    None => xxh3_64(request.peer.ip().to_string().as_bytes()),
   };
   Ok(Terms {
     class,
@@ -221,13 +175,13 @@
   Ok(lines.collect::<Vec<_>>().join("\n"))
 }
 
-fn complete(shared: &Shared, request: Request, body: &[u8], chat: bool) {
-  let parsed = serde_json::from_slice::<Body>(body)
+fn complete(shared: &Shared, request: &mut Request, chat: bool) {
+  let parsed = serde_json::from_slice::<Body>(&request.body)
     .map_err(|error| format!("body: {error}"))
     .and_then(|body| {
       Ok((
         prompt(&body)?,
-        terms(shared, &request, body.user.as_deref())?,
+        terms(shared, request, body.user.as_deref())?,
         body,
       ))
     });
@@ -280,7 +234,7 @@
   };
   shared.tell(Event::Asked(ask));
   loop {
-    let attempt = match next(shared, directives, deadline) {
+    let attempt = match await_turn(shared, directives, ticket, deadline, reply) {
       Some(Directive::Send(attempt)) => attempt,
       Some(Directive::Refuse(refusal)) => return reply.refuse(refusal),
       _ => return reply.refuse(busy()),
@@ -318,6 +272,31 @@
   directives.recv_timeout(left + GRACE).ok()
 }
 
+/// The next directive, with a look now and then whether the caller is still
+/// there; one that has gone gives its place in the queue back.
+fn await_turn(
+  shared: &Shared,
+  directives: &Receiver<Directive>,
+  ticket: Ticket,
+  deadline: u64,
+  reply: &Reply,
+) -> Option<Directive> {
+  let until = deadline + GRACE.as_millis() as u64;
+  let mut told = false;
+  while shared.now() < until {
+    match directives.recv_timeout(LOOK) {
+      Ok(directive) => return Some(directive),
+      Err(RecvTimeoutError::Disconnected) => return None,
+      Err(RecvTimeoutError::Timeout) if !told && reply.gone() => {
+        told = true;
+        shared.tell(Event::CallerLeft { ticket });
+      }
+      Err(RecvTimeoutError::Timeout) => {}
+    }
+  }
+  None
+}
+
 /// Runs one item of a batch.
 pub fn run_item(
   shared: &Shared,
@@ -331,12 +310,12 @@
   reply.item()
 }
 
-fn models(shared: &Shared, request: Request) {
-  let rulings = shared.status().map(|status| status.rulings);
-  let models: Vec<_> = rulings
+fn models(shared: &Shared, request: &mut Request) {
+  let names = shared.look(|state| state.catalog.models.keys().cloned().collect::<Vec<_>>());
+  let models: Vec<_> = names
     .unwrap_or_default()
     .into_iter()
-    .map(|ruling| serde_json::json!({ "id": ruling.model, "object": "model" }))
+    .map(|name| serde_json::json!({ "id": name, "object": "model" }))
     .collect();
   reply::json(
     request,
@@ -346,23 +325,18 @@
 }
 
 /// Carries a plain service's call.
-fn serve(
-  shared: &Shared,
-  request: Request,
-  method: Method,
-  service: &str,
-  path: &str,
-  body: Vec<u8>,
-) {
-  let terms = match terms(shared, &request, None) {
+fn serve(shared: &Shared, request: &mut Request, service: &str, path: &str) {
+  let terms = match terms(shared, request, None) {
     Ok(terms) => terms,
     Err(text) => return reply::error(request, 400, "invalid_request", &text),
   };
-  let repeatable = method == Method::Get || repeatable(shared, service, path);
-  let key = header(&request, "idempotency-key")
+  let repeatable = request.method == "GET" || repeatable(shared, service, path);
+  let key = request
+    .header("idempotency-key")
     .map(|key| xxh3_64(format!("{service}{path}\n{key}").as_bytes()))
     .filter(|_| !repeatable);
-  let content = header(&request, "content-type")
+  let content = request
+    .header("content-type")
     .unwrap_or("application/octet-stream")
     .to_string();
   let (ticket, directives) = shared.open_ticket();
@@ -381,7 +355,7 @@
   loop {
     match next(shared, &directives, terms.deadline) {
       Some(Directive::Send(attempt)) => {
-        let outgoing = outgoing(&method, &attempt, path, &content, &id, &body);
+        let outgoing = outgoing(request, &attempt, path, &content, &id);
         if let Some(answer) = call_once(shared, &attempt, outgoing) {
           reply::raw(request, &answer);
           break;
@@ -412,19 +386,18 @@
 }
 
 fn outgoing(
-  method: &Method,
+  request: &Request,
   attempt: &Attempt,
   path: &str,
   content: &str,
   id: &str,
-  body: &[u8],
 ) -> Result<ureq::http::Request<Vec<u8>>, call::Failure> {
   ureq::http::Request::builder()
-    .method(method.as_str())
+    .method(request.method.as_str())
     .uri(format!("http://{}{path}", attempt.address))
     .header("content-type", content)
     .header("x-request", id)
-    .body(body.to_vec())
+    .body(request.body.clone())
     .map_err(|error| call::Failure {
       verdict: Verdict::NotRun,
       text: error.to_string(),
@@ -463,11 +436,11 @@
   }
 }
 
-fn submit(shared: &Shared, request: Request, body: &[u8]) {
-  let parsed = serde_json::from_slice::<BatchBody>(body)
+fn submit(shared: &Shared, request: &mut Request) {
+  let parsed = serde_json::from_slice::<BatchBody>(&request.body)
     .map_err(|error| format!("body: {error}"))
     .and_then(check_batch)
-    .and_then(|body| Ok((terms(shared, &request, None)?, body)));
+    .and_then(|body| Ok((terms(shared, request, None)?, body)));
   let (terms, body) = match parsed {
     Ok(parsed) => parsed,
     Err(text) => return reply::error(request, 400, "invalid_request", &text),
@@ -486,7 +459,7 @@
       format!("prompts: `{size}` bytes are more than {BATCH_LIMIT}; submit several batches");
     return reply::error(request, 413, "invalid_request", &text);
   }
-  let id = match header(&request, "idempotency-key") {
+  let id = match request.header("idempotency-key") {
     Some(key) => format!(
       "{:016x}",
       xxh3_64(format!("{}\n{key}", terms.caller).as_bytes())
@@ -514,7 +487,7 @@
 }
 
 /// Submits, polls or cancels a batch.
-fn batch(shared: &Shared, request: Request, id: &str, change: Option<Change>) {
+fn batch(shared: &Shared, request: &mut Request, id: &str, change: Option<Change>) {
   let submits = matches!(change, Some(Change::Submit(_)));
   let (ticket, directives) = shared.open_ticket();
   shared.tell(Event::BatchAsked {
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -144,6 +144,16 @@
     Ok(())
   }
 
+  /// Number of objects in force.
+  pub fn len(&self) -> usize {
+    self.models.len() + self.servers.len() + self.services.len() + self.policies.len()
+  }
+
+  /// Whether nothing is in force.
+  pub fn is_empty(&self) -> bool {
+    self.len() == 0
+  }
+
   /// Faults between objects: an adapter without its base.
   pub fn dangling(&self) -> Vec<String> {
     let missing = |model: &&Model| {
--- a/src/event.rs
+++ b/src/event.rs
@@ -65,6 +65,8 @@
   Tick,
   /// A caller's request arrived.
   Asked(Ask),
+  /// The caller of a waiting request has gone.
+  CallerLeft { ticket: Ticket },
   /// An attempt ended.
   Ended {
     ticket: Ticket,
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -1,38 +1,51 @@
 //! The table of facts, its change log and its repair hashes.
 
 use crate::fact::{Body, Fact, Key, Version};
-use std::collections::BTreeMap;
+use slotmap::SlotMap;
+use std::{
+  collections::{BTreeMap, HashMap},
+  sync::Arc,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of repair hashes in a table.
 pub const BUCKETS: usize = 64;
 
+slotmap::new_key_type! {
+  struct Slot;
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
+  key: Arc<Key>,
   version: Version,
   body: Body,
   /// Position in the change log.
   seq: u64,
-  /// Neighbour the value came from; empty when from this instance.
-  origin: String,
+  /// Neighbour the value came from; 0 when from this instance.
+  origin: u32,
 }
 
 /// Facts by key, newest version only.
 #[derive(Clone, Debug)]
 pub struct Table {
-  entries: BTreeMap<Key, Entry>,
-  log: BTreeMap<u64, Key>,
+  entries: SlotMap<Slot, Entry>,
+  index: BTreeMap<Arc<Key>, Slot>,
+  log: BTreeMap<u64, Slot>,
   next: u64,
   buckets: [u64; BUCKETS],
+  origins: HashMap<String, u32>,
 }
 
 impl Default for Table {
   fn default() -> Self {
     Self {
-      entries: BTreeMap::new(),
+      entries: SlotMap::with_key(),
+      index: BTreeMap::new(),
       log: BTreeMap::new(),
       next: 1,
       buckets: [0; BUCKETS],
+      origins: HashMap::new(),
     }
   }
 }
@@ -42,42 +55,79 @@
 }
 
 /// The repair bucket of a key.
-pub fn bucket(key: &Key) -> usize {
+fn bucket(key: &Key) -> usize {
   let hash = xxh3_64(&postcard::to_stdvec(key).unwrap_or_default());
   (hash % BUCKETS as u64) as usize
 }
 
+fn encode(entry: &Entry) -> Vec<u8> {
+  Fact {
+    key: Key::clone(&entry.key),
+    version: entry.version,
+    body: entry.body.clone(),
+  }
+  .encode()
+}
+
 impl Table {
   /// Takes a fact unless one at least as new is held; true when taken.
   pub fn merge(&mut self, fact: Fact, origin: &str) -> bool {
-    let bucket = bucket(&fact.key);
-    if let Some(held) = self.entries.get(&fact.key) {
-      if held.version >= fact.version {
-        return false;
-      }
-      self.log.remove(&held.seq);
-      self.buckets[bucket] ^= mark(&fact.key, held.version);
+    let held = self.index.get(&fact.key).copied();
+    if let Some(entry) = held.and_then(|slot| self.entries.get(slot))
+      && entry.version >= fact.version
+    {
+      return false;
     }
-    self.buckets[bucket] ^= mark(&fact.key, fact.version);
+    let origin = self.origin(origin);
     let seq = self.next;
     self.next += 1;
-    self.log.insert(seq, fact.key.clone());
-    let entry = Entry {
-      version: fact.version,
-      body: fact.body,
-      seq,
-      origin: origin.into(),
+    let bucket = bucket(&fact.key);
+    self.buckets[bucket] ^= mark(&fact.key, fact.version);
+    let slot = match held {
+      Some(slot) => {
+        let entry = &mut self.entries[slot];
+        self.buckets[bucket] ^= mark(&fact.key, entry.version);
+        self.log.remove(&entry.seq);
+        entry.version = fact.version;
+        entry.body = fact.body;
+        entry.seq = seq;
+        entry.origin = origin;
+        slot
+      }
+      None => {
+        let key = Arc::new(fact.key);
+        let slot = self.entries.insert(Entry {
+          key: key.clone(),
+          version: fact.version,
+          body: fact.body,
+          seq,
+          origin,
+        });
+        self.index.insert(key, slot);
+        slot
+      }
     };
-    self.entries.insert(fact.key, entry);
+    self.log.insert(seq, slot);
     true
   }
 
+  fn origin(&mut self, name: &str) -> u32 {
+    if name.is_empty() {
+      return 0;
+    }
+    if let Some(origin) = self.origins.get(name) {
+      return *origin;
+    }
+    let origin = self.origins.len() as u32 + 1;
+    self.origins.insert(name.into(), origin);
+    origin
+  }
+
   /// The value and version held for a key.
   pub fn get(&self, key: &Key) -> Option<(&Body, Version)> {
-    self
-      .entries
-      .get(key)
-      .map(|entry| (&entry.body, entry.version))
+    let slot = self.index.get(key)?;
+    let entry = self.entries.get(*slot)?;
+    Some((&entry.body, entry.version))
   }
 
   /// Version held for a key; zero when none is.
@@ -111,15 +161,16 @@
   /// Encoded facts changed after `seen`, but those that came from `peer`, up to
   /// `most` bytes, with the sequence they reach.
   pub fn since(&self, seen: u64, peer: &str, most: usize) -> (Vec<Vec<u8>>, u64) {
+    let peer = self.origins.get(peer).copied();
     let mut facts = Vec::new();
     let mut bytes = 0;
     let mut upto = seen;
-    for (seq, key) in self.log.range(seen + 1..) {
-      let Some(entry) = self.entries.get(key) else {
+    for (seq, slot) in self.log.range(seen + 1..) {
+      let Some(entry) = self.entries.get(*slot) else {
         continue;
       };
-      if entry.origin != peer {
-        let encoded = self.encode(key, entry);
+      if Some(entry.origin) != peer {
+        let encoded = encode(entry);
         if bytes > 0 && bytes + encoded.len() > most {
           return (facts, upto);
         }
@@ -131,43 +182,36 @@
     (facts, upto)
   }
 
-  fn encode(&self, key: &Key, entry: &Entry) -> Vec<u8> {
-    Fact {
-      key: key.clone(),
-      version: entry.version,
-      body: entry.body.clone(),
-    }
-    .encode()
-  }
-
   /// Keys in the buckets whose hash differs from `theirs`.
   pub fn differing(&self, theirs: &[u64]) -> Vec<Key> {
-    if theirs.len() != BUCKETS {
+    if theirs.len() != BUCKETS || theirs == self.buckets {
       return Vec::new();
     }
-    let differs = |key: &&Key| {
+    let differs = |key: &Key| {
       let bucket = bucket(key);
       theirs[bucket] != self.buckets[bucket]
     };
-    self.entries.keys().filter(differs).cloned().collect()
+    let keys = self.index.keys().map(|key| Key::clone(key));
+    keys.filter(differs).collect()
   }
 
   /// The encoded fact for a key.
   pub fn encoded(&self, key: &Key) -> Option<Vec<u8>> {
-    self.entries.get(key).map(|entry| self.encode(key, entry))
+    let slot = self.index.get(key)?;
+    self.entries.get(*slot).map(encode)
   }
 
   /// Facts from `start` on, in key order.
   pub fn range(&self, start: Key) -> impl Iterator<Item = (&Key, &Body)> {
-    let entries = self.entries.range(start..);
-    entries.map(|(key, entry)| (key, &entry.body))
+    let slots = self.index.range(Arc::new(start)..);
+    slots.filter_map(|(key, slot)| Some((&**key, &self.entries.get(*slot)?.body)))
   }
 
   /// All facts, in key order.
   pub fn iter(&self) -> impl Iterator<Item = (&Key, Version, &Body)> {
-    self
-      .entries
-      .iter()
-      .map(|(key, entry)| (key, entry.version, &entry.body))
+    self.index.values().filter_map(|slot| {
+      let entry = self.entries.get(*slot)?;
+      Some((&*entry.key, entry.version, &entry.body))
+    })
   }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -15,8 +15,12 @@
 const REPAIR_EVERY: u32 = 20;
 /// Delay that lets changes made together travel together, ms.
 const GATHER_MS: u64 = 5;
-/// Part of the pause between exchanges for which news waits after one.
-const CALM_PART: u64 = 10;
+/// Time after an exchange for which even news waits, ms.
+const CALM_MS: u64 = 25;
+/// Instances for which the pause between exchanges is as set; it grows in
+/// proportion from there, up to `SLOWEST` times, so that a node's cost does not.
+const SMALL: u64 = 28;
+const SLOWEST: u64 = 4;
 
 /// What is known of one neighbour.
 #[derive(Clone, Debug, Default)]
@@ -114,8 +118,14 @@
     self.confirm_suspects();
   }
 
+  /// Pause between two exchanges with a neighbour, ms.
+  fn pause(&self) -> u64 {
+    let fleet = self.members.live.len() as u64;
+    self.limits.exchange_ms * fleet.clamp(SMALL, SMALL * SLOWEST) / SMALL
+  }
+
   fn exchange(&mut self, peer: &str, address: &str) {
-    let pause = self.limits.exchange_ms;
+    let pause = self.pause();
     let news = self.gossip.urgent;
     let gathered = self.now >= self.gossip.urgent_at + GATHER_MS;
     let link = self.gossip.links.entry(peer.into()).or_default();
@@ -132,7 +142,7 @@
     let delta = self.delta(peer);
     if let Some(link) = self.gossip.links.get_mut(peer) {
       link.next_at = self.now + due;
-      link.calm_until = self.now + pause / CALM_PART;
+      link.calm_until = self.now + CALM_MS;
     }
     self.emit(Effect::Exchange {
       peer: peer.into(),
@@ -204,6 +214,11 @@
   /// Merges a neighbour's delta and answers with ours.
   pub fn on_exchange(&mut self, call: Call, delta: &Delta) {
     self.merge(delta);
+    let next_at = self.now + self.pause();
+    if let Some(link) = self.gossip.links.get_mut(&delta.from) {
+      // The neighbour is heard of: no need to ask it as well.
+      link.next_at = link.next_at.max(next_at);
+    }
     let answer = self.delta(&delta.from);
     self.emit(Effect::Answer {
       call,
@@ -229,7 +244,7 @@
   }
 
   fn on_silence(&mut self, peer: &str) {
-    let pause = self.limits.exchange_ms;
+    let pause = self.pause();
     let Some(link) = self.gossip.links.get_mut(peer) else {
       return;
     };
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -12,7 +12,7 @@
   metrics::Metrics,
   object::Kind,
   operators, order,
-  peer::Port,
+  peer::{Port, Traffic},
   platform::Client,
   pool::Pool,
   reduce::reduce,
@@ -29,7 +29,7 @@
   net::SocketAddr,
   sync::{
     Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
     mpsc::{Receiver, RecvTimeoutError, Sender, channel},
   },
   thread,
@@ -42,6 +42,8 @@
 const PLATFORM_THREADS: usize = 8;
 const ORDER_THREADS: usize = 8;
 const POLL_THREADS: usize = 4;
+/// Longest wait for a look at the state.
+const LOOK: Duration = Duration::from_secs(2);
 /// Longest wait of one watch.
 const WATCH: Duration = Duration::from_secs(5);
 /// Pause before a failed watch is made again.
@@ -59,9 +61,12 @@
   Batch(Outcome),
 }
 
+/// A look at the state, made on the reducer's thread.
+type Look = Box<dyn FnOnce(&State) + Send>;
+
 enum Input {
   Event(Event),
-  Status(Sender<Status>),
+  Look(Look),
 }
 
 /// What all threads of an instance share.
@@ -74,8 +79,8 @@
   pub platform: Client,
   /// Repeatable paths of plain services in force.
   pub services: Mutex<HashMap<String, Vec<String>>>,
-  /// Requests being handled.
-  pub open: AtomicUsize,
+  /// What went between this instance and others.
+  pub traffic: Arc<Traffic>,
   /// A planned stop has begun.
   pub stopping: AtomicBool,
   input: Sender<Input>,
@@ -121,11 +126,30 @@
     }
   }
 
+  /// What a look at the state finds; none when the reducer does not answer.
+  pub fn look<T: Send + 'static>(
+    &self,
+    look: impl FnOnce(&State) -> T + Send + 'static,
+  ) -> Option<T> {
+    let (sender, receiver) = channel();
+    let look: Look = Box::new(move |state| {
+      // The asker may have given up.
+      let _ = sender.send(look(state));
+    });
+    self.input.send(Input::Look(look)).ok()?;
+    receiver.recv_timeout(LOOK).ok()
+  }
+
   /// The instance's state, for operators.
   pub fn status(&self) -> Option<Status> {
-    let (sender, receiver) = channel();
-    self.input.send(Input::Status(sender)).ok()?;
-    receiver.recv_timeout(Duration::from_secs(2)).ok()
+    let status = self.look(Status::of)?;
+    let sent = self.traffic.sent.load(Ordering::Relaxed);
+    let received = self.traffic.received.load(Ordering::Relaxed);
+    Some(Status {
+      peer_bytes: sent + received,
+      peer_messages: self.traffic.messages.load(Ordering::Relaxed),
+      ..status
+    })
   }
 
   /// Lines of the time line after `since`, ms.
@@ -177,7 +201,7 @@
       journal: Mutex::default(),
       platform: Client::open(&settings),
       services: Mutex::default(),
-      open: AtomicUsize::new(0),
+      traffic: Arc::default(),
       stopping: AtomicBool::new(false),
       input,
       directives: Mutex::default(),
@@ -191,6 +215,7 @@
       &shared.settings.peers,
       &shared.settings.instance,
       boot,
+      shared.traffic.clone(),
       Arc::new(move |event| sink.tell(event)),
     )?;
     let operators = operators::bind(&shared)?;
@@ -241,9 +266,8 @@
   loop {
     let event = match inputs.recv_timeout(TICK) {
       Ok(Input::Event(event)) => event,
-      Ok(Input::Status(sender)) => {
-        // The asker may have given up.
-        let _ = sender.send(Status::of(&state));
+      Ok(Input::Look(look)) => {
+        look(&state);
         continue;
       }
       Err(RecvTimeoutError::Timeout) => Event::Tick,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -636,6 +636,10 @@
       owned.seen = true;
       owned.gaps = record.gaps.clone();
     }
+    if record.replicas.is_empty() && self.facts.get(&key).is_none() {
+      // Most models are never placed: nothing needs telling.
+      return;
+    }
     let body = Body::Placement(record.replicas.clone());
     self.publish(key, Version(version, 0), body);
   }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,5 +61,6 @@
 pub mod timeline;
 pub mod update;
 pub mod verdict;
+pub mod web;
 #[allow(missing_docs, clippy::all)]
 pub mod wire;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' port: health, metrics, status and time line.
 
-use crate::instance::Shared;
+use crate::{instance::Shared, status::Configuration};
 use rouille::{Request, Response, Server};
 use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, thread, time::Duration};
 
@@ -34,6 +34,10 @@
       Some(status) => Response::json(&status),
       None => Response::text("no status").with_status_code(503),
     },
+    "/configuration" => match shared.look(Configuration::of) {
+      Some(configuration) => Response::json(&configuration),
+      None => Response::text("no configuration").with_status_code(503),
+    },
     "/timeline" => {
       let since = request
         .get_param("since")
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -10,10 +10,14 @@
     peer_server::{Peer, PeerServer},
   },
 };
+use prost::Message;
 use std::{
   collections::HashMap,
   net::SocketAddr,
-  sync::{Arc, Mutex, PoisonError},
+  sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+  },
   time::Duration,
 };
 use tokio::sync::oneshot;
@@ -43,12 +47,34 @@
   open: HashMap<Call, Waiter>,
 }
 
+/// Bytes of messages between instances, without framing.
+#[derive(Debug, Default)]
+pub struct Traffic {
+  pub sent: AtomicU64,
+  pub received: AtomicU64,
+  pub messages: AtomicU64,
+}
+
+impl Traffic {
+  fn out(&self, message: &impl Message) {
+    self.messages.fetch_add(1, Ordering::Relaxed);
+    let length = message.encoded_len() as u64;
+    self.sent.fetch_add(length, Ordering::Relaxed);
+  }
+
+  fn back(&self, message: &impl Message) {
+    let length = message.encoded_len() as u64;
+    self.received.fetch_add(length, Ordering::Relaxed);
+  }
+}
+
 /// A bound peer port with its clients.
 pub struct Port {
   runtime: tokio::runtime::Runtime,
   clients: Arc<Mutex<HashMap<String, PeerClient<Channel>>>>,
   waiters: Arc<Mutex<Waiters>>,
   sink: Sink,
+  traffic: Arc<Traffic>,
   me: String,
   boot: u64,
   /// Address bound.
@@ -60,6 +86,7 @@
 }
 
 struct Service {
+  traffic: Arc<Traffic>,
   waiters: Arc<Mutex<Waiters>>,
   sink: Sink,
 }
@@ -91,12 +118,15 @@
 #[tonic::async_trait]
 impl Peer for Service {
   async fn exchange(&self, request: Request<wire::Delta>) -> Result<Response<wire::Delta>, Status> {
-    let delta = from_wire(request.into_inner());
+    let delta = request.into_inner();
+    self.traffic.back(&delta);
+    let delta = from_wire(delta);
     let (sender, receiver) = oneshot::channel();
     let call = self.open_call(Waiter::Delta(sender));
     (self.sink)(Event::Exchange { call, delta });
-    let answer = self.answer(call, receiver, CALL).await?;
-    Ok(Response::new(to_wire(answer)))
+    let answer = to_wire(self.answer(call, receiver, CALL).await?);
+    self.traffic.out(&answer);
+    Ok(Response::new(answer))
   }
 
   async fn notify(
@@ -104,6 +134,7 @@
     request: Request<wire::Notice>,
   ) -> Result<Response<wire::Receipt>, Status> {
     let notice = request.into_inner();
+    self.traffic.back(&notice);
     let items = notice.items.iter().filter_map(|item| Notice::decode(item));
     (self.sink)(Event::Notified {
       from: notice.from,
@@ -114,6 +145,7 @@
 
   async fn claim(&self, request: Request<wire::Claims>) -> Result<Response<wire::Claims>, Status> {
     let claims = request.into_inner();
+    self.traffic.back(&claims);
     let changes: Result<Vec<Change>, _> = claims
       .items
       .iter()
@@ -164,7 +196,13 @@
 
 impl Port {
   /// Binds the peer port and serves other instances.
-  pub fn bind(address: &str, me: &str, boot: u64, sink: Sink) -> std::io::Result<Self> {
+  pub fn bind(
+    address: &str,
+    me: &str,
+    boot: u64,
+    traffic: Arc<Traffic>,
+    sink: Sink,
+  ) -> std::io::Result<Self> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
       .worker_threads(THREADS)
       .thread_name("peer")
@@ -175,6 +213,7 @@
     let address = listener.local_addr()?;
     let waiters = Arc::new(Mutex::new(Waiters::default()));
     let service = Service {
+      traffic: traffic.clone(),
       waiters: waiters.clone(),
       sink: sink.clone(),
     };
@@ -192,6 +231,7 @@
       clients: Arc::default(),
       waiters,
       sink,
+      traffic,
       me: me.into(),
       boot,
       address,
@@ -218,11 +258,17 @@
       return;
     };
     let sink = self.sink.clone();
+    let traffic = self.traffic.clone();
     self.runtime.spawn(async move {
-      let call = client.exchange(to_wire(delta));
-      let answer = tokio::time::timeout(CALL, call).await;
+      let delta = to_wire(delta);
+      traffic.out(&delta);
+      let answer = tokio::time::timeout(CALL, client.exchange(delta)).await;
       let delta = match answer {
-        Ok(Ok(response)) => Some(from_wire(response.into_inner())),
+        Ok(Ok(response)) => {
+          let answer = response.into_inner();
+          traffic.back(&answer);
+          Some(from_wire(answer))
+        }
         _ => None,
       };
       sink(Event::Exchanged { peer, delta });
@@ -239,6 +285,7 @@
       boot: self.boot,
       items: items.iter().map(Notice::encode).collect(),
     };
+    self.traffic.out(&notice);
     self.runtime.spawn(async move {
       // Soft state: a lost notice is stated again.
       let _ = tokio::time::timeout(CALL, client.notify(notice)).await;
@@ -261,6 +308,7 @@
       shard,
       items: encode(changes),
     };
+    self.traffic.out(&claims);
     let sink = self.sink.clone();
     self.runtime.spawn(async move {
       let answer = tokio::time::timeout(CLAIM, client.claim(claims)).await;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -27,6 +27,8 @@
 
 /// Largest answer read, bytes.
 const ANSWER_LIMIT: u64 = 64 << 20;
+/// Objects kept as a base for the next write.
+const CACHED: usize = 256;
 /// Longest wait for one answer.
 const CALL: Duration = Duration::from_millis(1_000);
 /// Pause before a failed call is made again, and its most.
@@ -285,6 +287,9 @@
 
   fn keep(&self, name: &Name, stored: &Stored) {
     let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+    if cache.len() >= CACHED {
+      cache.clear();
+    }
     cache.insert(name.clone(), stored.clone());
   }
 
@@ -294,12 +299,10 @@
       Some(text) => Value::decode(name.kind, text).ok(),
       None => Value::absent(name.kind),
     };
-    let stored = Stored {
+    Ok(Stored {
       version: object.version,
       value: value.ok_or(Error::Declined)?,
-    };
-    self.keep(name, &stored);
-    Ok(stored)
+    })
   }
 
   /// Applies the change to a base. `None`: a cached base says nothing would
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -15,6 +15,9 @@
 /// Pause between two rounds of housekeeping, ms.
 const CHORES_MS: u64 = 50;
 
+/// Pause between two rounds through all owned models, ms.
+const ROUNDS_MS: u64 = 250;
+
 /// Takes up an event that happened at `at` (ms) and says what to do.
 pub fn reduce(state: &mut State, at: u64, event: Event) -> Vec<Effect> {
   state.now = state.now.max(at);
@@ -36,6 +39,7 @@
       state.on_asked(ask);
       tell(state, ticket);
     }
+    Event::CallerLeft { ticket } => state.on_caller_left(ticket),
     Event::Ended {
       ticket,
       number,
@@ -105,14 +109,14 @@
 fn chores(state: &mut State) {
   state.choose_watchers();
   state.refresh_owned();
-  state.audit();
   state.poll_servers();
   state.inspect_servers();
   state.tend_claims();
   state.tend_batches();
-  let models: Vec<String> = state.owned.keys().cloned().collect();
-  for model in models {
-    state.recover(&model);
+  if state.rounds_at <= state.now {
+    state.rounds_at = state.now + ROUNDS_MS;
+    state.audit();
+    state.recover_all();
   }
   let groups: Vec<_> = state.active.iter().copied().collect();
   for key in groups {
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -16,6 +16,7 @@
   ServerFailed,
   Claimed,
   ClaimsFull,
+  CallerGone,
 }
 
 impl Reason {
@@ -31,6 +32,7 @@
       Self::ServerFailed => "server-failed",
       Self::Claimed => "claimed",
       Self::ClaimsFull => "claims-full",
+      Self::CallerGone => "caller-gone",
     }
   }
 
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -3,45 +3,27 @@
 use crate::{
   batch::Item,
   refusal::{Reason, Refusal},
+  web::{Parts, Request},
 };
-use chunked_transfer::Encoder;
 use serde_json::{Value, json};
-use std::io::{self, Read, Write};
-use tiny_http::{Header, Request, Response};
+use std::io::Read;
 use ureq::Body;
 
-fn header(name: &str, value: &str) -> Option<Header> {
-  Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
-}
+const JSON: (&str, &str) = ("content-type", "application/json");
 
 /// Answers with JSON.
-pub fn json(request: Request, status: u16, body: &Value) {
-  send(
-    request,
-    status,
-    body.to_string(),
-    &[("content-type", "application/json")],
-  );
-}
-
-fn send(request: Request, status: u16, body: String, headers: &[(&str, &str)]) {
-  let mut response = Response::from_string(body).with_status_code(status);
-  for (name, value) in headers {
-    if let Some(header) = header(name, value) {
-      response.add_header(header);
-    }
-  }
-  // A caller that is gone needs no answer.
-  let _ = request.respond(response);
+pub fn json(request: &mut Request, status: u16, body: &Value) {
+  request.respond(status, &[JSON], body.to_string().as_bytes());
 }
 
 /// Answers that the request itself is at fault.
-pub fn error(request: Request, status: u16, code: &str, text: &str) {
+pub fn error(request: &mut Request, status: u16, code: &str, text: &str) {
   let body = json!({ "error": { "type": code, "message": text, "verdict": "not-run" } });
   json(request, status, &body);
 }
 
-fn refusal_body(refusal: Refusal) -> Value {
+/// The body of a refusal.
+pub fn refusal_body(refusal: Refusal) -> Value {
   json!({ "error": {
     "type": "refused",
     "message": format!("refused: {}", refusal.reason.word()),
@@ -52,25 +34,22 @@
 }
 
 /// Answers with a refusal.
-pub fn refuse(request: Request, refusal: Refusal) {
+pub fn refuse(request: &mut Request, refusal: Refusal) {
   let body = refusal_body(refusal).to_string();
   let after = refusal.retry_after.map(|ms| ms.div_ceil(1_000).to_string());
-  let mut headers = vec![("content-type", "application/json")];
+  let mut headers = vec![JSON];
   if let Some(after) = &after {
     headers.push(("retry-after", after));
   }
-  send(request, refusal.reason.status(), body, &headers);
+  request.respond(refusal.reason.status(), &headers, body.as_bytes());
 }
 
 /// Answers with the recorded answer of an earlier call.
-pub fn replay(request: Request, status: u16, body: Option<String>) {
+pub fn replay(request: &mut Request, status: u16, body: Option<String>) {
   match body {
     Some(body) => {
-      let headers = [
-        ("content-type", "application/json"),
-        ("idempotent-replayed", "true"),
-      ];
-      send(request, status, body, &headers);
+      let headers = [JSON, ("idempotent-replayed", "true")];
+      request.respond(status, &headers, body.as_bytes());
     }
     None => {
       let body = json!({ "done": true, "status": status, "result": "not kept" });
@@ -113,35 +92,16 @@
 }
 
 /// Passes a plain service's answer on.
-pub fn raw(request: Request, answer: &Answer) {
-  let mut response = Response::from_data(answer.body.clone()).with_status_code(answer.status);
-  if let Some(header) = header("content-type", &answer.content) {
-    response.add_header(header);
-  }
-  let _ = request.respond(response);
-}
-
-/// A writer that flushes after each write: the encoder's own flush stops at the
-/// server's buffer.
-struct Flush(Box<dyn Write + Send>);
-
-impl Write for Flush {
-  fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-    self.0.write_all(bytes)?;
-    self.0.flush()?;
-    Ok(bytes.len())
-  }
-
-  fn flush(&mut self) -> io::Result<()> {
-    self.0.flush()
-  }
+pub fn raw(request: &mut Request, answer: &Answer) {
+  let headers = [("content-type", answer.content.as_str())];
+  request.respond(answer.status, &headers, &answer.body);
 }
 
-enum Output {
+enum Output<'a> {
   /// No byte has been sent.
-  Untouched(Request),
+  Untouched(&'a mut Request),
   /// The head of a stream has been sent.
-  Stream(Encoder<Flush>),
+  Stream(&'a mut Request, Parts),
   /// Kept here, for a batch.
   Gather,
   /// Ended.
@@ -149,8 +109,8 @@
 }
 
 /// The answer to a completion.
-pub struct Reply {
-  output: Output,
+pub struct Reply<'a> {
+  output: Output<'a>,
   id: String,
   model: String,
   chat: bool,
@@ -160,9 +120,9 @@
   refusal: Option<Refusal>,
 }
 
-impl Reply {
+impl<'a> Reply<'a> {
   /// An answer to a caller.
-  pub fn open(request: Request, id: &str, model: &str, chat: bool, streams: bool) -> Self {
+  pub fn open(request: &'a mut Request, id: &str, model: &str, chat: bool, streams: bool) -> Self {
     Self {
       output: Output::Untouched(request),
       id: id.into(),
@@ -201,6 +161,15 @@
     self.write(&event)
   }
 
+  /// Whether the caller has gone; told without sending anything.
+  pub fn gone(&self) -> bool {
+    match &self.output {
+      Output::Untouched(request) => request.gone(),
+      Output::Stream(request, _) => request.gone(),
+      Output::Gather | Output::Closed => false,
+    }
+  }
+
   fn begin(&mut self) {
     if !matches!(self.output, Output::Untouched(_)) {
       return;
@@ -208,22 +177,24 @@
     let Output::Untouched(request) = std::mem::replace(&mut self.output, Output::Closed) else {
       return;
     };
-    let mut writer = Flush(request.into_writer());
-    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                cache-control: no-cache\r\ntransfer-encoding: chunked\r\n\r\n";
-    if writer.write_all(head.as_bytes()).is_ok() {
-      self.output = Output::Stream(Encoder::new(writer));
+    let headers = [
+      ("content-type", "text/event-stream"),
+      ("cache-control", "no-cache"),
+    ];
+    if let Ok(parts) = request.stream(&headers) {
+      self.output = Output::Stream(request, parts);
     }
   }
 
   fn write(&mut self, event: &str) -> bool {
-    let Output::Stream(encoder) = &mut self.output else {
+    let Output::Stream(request, parts) = &mut self.output else {
       return false;
     };
-    let written = encoder
-      .write_all(event.as_bytes())
-      .and_then(|()| encoder.flush());
-    written.is_ok()
+    let written = parts.send(event).is_ok();
+    if !written {
+      request.close();
+    }
+    written
   }
 
   fn chunk(&self, text: &str) -> Value {
@@ -265,8 +236,8 @@
     self.refusal = Some(refusal);
     match std::mem::replace(&mut self.output, Output::Closed) {
       Output::Untouched(request) => refuse(request, refusal),
-      Output::Stream(encoder) => {
-        self.output = Output::Stream(encoder);
+      Output::Stream(request, parts) => {
+        self.output = Output::Stream(request, parts);
         self.write(&format!("data: {}\n\n", refusal_body(refusal)));
         self.output = Output::Closed;
       }
--- a/src/selector.rs
+++ b/src/selector.rs
@@ -1,10 +1,10 @@
 //! Label selectors: equality and set forms.
 
+use litemap::LiteMap;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
-/// Labels of an object.
-pub type Labels = BTreeMap<String, String>;
+/// Labels of an object; few, so kept as a sorted list.
+pub type Labels = LiteMap<String, String>;
 
 /// A set form.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default, rename_all = "camelCase")]
 pub struct Limits {
-  /// Requests handled at once by the instance.
+  /// Connections of callers at once.
   pub requests: usize,
   /// Requests waiting for one model.
   pub queue: usize,
@@ -39,6 +39,8 @@
   pub body_bytes: usize,
   /// Longest wait on a caller that does not read.
   pub caller_stall_ms: u64,
+  /// Longest pause between two requests of a connection.
+  pub caller_idle_ms: u64,
   /// Deadline of an interactive request that names none.
   pub deadline_ms: u64,
   /// Attempts for one request.
@@ -92,6 +94,7 @@
       queue: 512,
       body_bytes: 1 << 20,
       caller_stall_ms: 10_000,
+      caller_idle_ms: 60_000,
       deadline_ms: 60_000,
       attempts: 3,
       retry_percent: 20,
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,8 @@
   pub watching: bool,
   /// Next housekeeping, ms.
   pub chores_at: u64,
+  /// Next round through all owned models, ms.
+  pub rounds_at: u64,
   pub out: Vec<Effect>,
 }
 
@@ -155,6 +157,7 @@
       stopped: false,
       watching: false,
       chores_at: 0,
+      rounds_at: 0,
       out: Vec::new(),
     };
     state.announce(0);
--- a/src/status.rs
+++ b/src/status.rs
@@ -59,11 +59,10 @@
   /// Takes new requests.
   pub serving: bool,
   pub members: Vec<Member>,
-  pub configured: Vec<Configured>,
+  /// Configuration objects in force.
+  pub configured: usize,
   pub rejected: Vec<Rejected>,
-  pub dangling: Vec<String>,
   pub replicas: Vec<Replica>,
-  pub rulings: Vec<Ruling>,
   pub leaving: Vec<String>,
   /// Requests between arrival and final answer.
   pub requests: usize,
@@ -73,6 +72,11 @@
   pub owned: usize,
   pub facts: usize,
   pub watching: bool,
+  /// Bytes and messages exchanged with other instances since the start.
+  #[serde(default)]
+  pub peer_bytes: u64,
+  #[serde(default)]
+  pub peer_messages: u64,
 }
 
 impl Status {
@@ -83,11 +87,9 @@
       instance: state.me.instance.clone(),
       serving: state.configured && !state.stopping,
       members: members(state),
-      configured: configured(state),
+      configured: state.catalog.len(),
       rejected: rejected(state),
-      dangling: state.catalog.dangling(),
       replicas: replicas(state),
-      rulings: rulings(state),
       leaving: leaving(state),
       requests: state.requests.len(),
       waiting: groups.map(|group| group.queue.len()).sum(),
@@ -95,6 +97,27 @@
       owned: state.owned.len(),
       facts: state.facts.len(),
       watching: state.watching,
+      peer_bytes: 0,
+      peer_messages: 0,
+    }
+  }
+}
+
+/// The configuration in force at one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Configuration {
+  pub configured: Vec<Configured>,
+  pub dangling: Vec<String>,
+  pub rulings: Vec<Ruling>,
+}
+
+impl Configuration {
+  /// The state's configuration.
+  pub fn of(state: &State) -> Self {
+    Self {
+      configured: configured(state),
+      dangling: state.catalog.dangling(),
+      rulings: rulings(state),
     }
   }
 }
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -5,7 +5,7 @@
 use crate::{
   journal::Line,
   settings::Error,
-  status::{Member, Status},
+  status::{Configuration, Member, Status},
 };
 use error_stack::{Report, ResultExt};
 use serde::de::DeserializeOwned;
@@ -36,6 +36,9 @@
   let failed = || Error("could not print the status".into());
   let text = serde_json::to_string_pretty(&status).change_context_lazy(failed)?;
   println!("{text}");
+  let configuration: Configuration = get(address, "/configuration")?;
+  let text = serde_json::to_string_pretty(&configuration).change_context_lazy(failed)?;
+  println!("{text}");
   Ok(ExitCode::SUCCESS)
 }
 
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -40,6 +40,12 @@
     caller::get(&self.operators, "/status").body
   }
 
+  /// The configuration in force at the instance.
+  pub fn configured(&self) -> Vec<Value> {
+    let body = caller::get(&self.operators, "/configuration").body;
+    body["configured"].as_array().cloned().unwrap_or_default()
+  }
+
   /// The process, where the instance is one.
   pub fn pid(&self) -> Option<u32> {
     match &self.runner {
@@ -294,11 +300,8 @@
         let status = member.status();
         let members = status["members"].as_array().cloned().unwrap_or_default();
         let alive = members.iter().filter(|member| member["health"] == "Alive");
-        let configured = status["configured"]
-          .as_array()
-          .map(Vec::len)
-          .unwrap_or_default();
-        status["serving"] == true && alive.count() >= count && configured > 0
+        let configured = status["configured"].as_u64() > Some(0);
+        status["serving"] == true && alive.count() >= count && configured
       });
     }
   }
--- a/stand-ins/src/main.rs
+++ b/stand-ins/src/main.rs
@@ -5,7 +5,7 @@
   ValueExt,
 };
 use stand_ins::{
-  demo,
+  capacity, demo,
   engine::{Engine, Options},
   platform::Platform,
   proxy::Proxy,
@@ -16,6 +16,7 @@
 
 const USAGE: &str = "usage: stand-ins demo
        stand-ins trace --program BENDSADDLE [--seeds N] [--instances N] [POLICY...]
+       stand-ins capacity --program BENDSADDLE [PART...]
        stand-ins platform [--listen IP:PORT] [--lag-ms N]
        stand-ins engine [--listen IP:PORT] [--name NAME] [--memory-mb N] [--slots N] [--no-fencing]
        stand-ins service [--listen IP:PORT] [--time-ms N]
@@ -104,11 +105,23 @@
   )
 }
 
+/// Prints the measured points as JSON.
+fn run_capacity(args: &Args) -> Result<bool, Box<dyn Error>> {
+  let program = args
+    .program
+    .as_ref()
+    .ok_or("capacity: --program is missing")?;
+  let measured = capacity::run(program, &args.rest)?;
+  println!("{}", serde_json::to_string_pretty(&measured)?);
+  Ok(true)
+}
+
 fn run() -> Result<bool, Box<dyn Error>> {
   let args = parse()?;
   let address = match args.command.as_str() {
     "demo" => return Ok(demo::run()?.good()),
     "trace" => return run_traces(&args),
+    "capacity" => return run_capacity(&args),
     "platform" => Platform::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "service" => Service::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "engine" => {
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -1,6 +1,7 @@
 //! A TCP proxy that injects faults.
 
 use std::{
+  collections::HashMap,
   io::{self, Read, Write},
   net::{Shutdown, SocketAddr, TcpListener, TcpStream},
   sync::{
@@ -38,7 +39,7 @@
   fault: Mutex<Fault>,
   /// Connections still to be hit; then the fault ends.
   left: AtomicU64,
-  open: Mutex<Vec<TcpStream>>,
+  open: Mutex<HashMap<u64, [TcpStream; 2]>>,
   connections: AtomicU64,
   closing: AtomicBool,
 }
@@ -93,7 +94,7 @@
 
   /// Closes every open connection.
   pub fn cut(&self) {
-    for stream in lock(&self.inner.open).drain(..) {
+    for stream in lock(&self.inner.open).values().flatten() {
       let _ = stream.shutdown(Shutdown::Both);
     }
   }
@@ -135,9 +136,12 @@
     if *lock(&inner.fault) == Fault::Refuse {
       continue;
     }
-    inner.connections.fetch_add(1, Ordering::SeqCst);
+    let number = inner.connections.fetch_add(1, Ordering::SeqCst);
     let inner = inner.clone();
-    thread::spawn(move || carry(&inner, client));
+    thread::spawn(move || {
+      carry(&inner, client, number);
+      lock(&inner.open).remove(&number);
+    });
   }
 }
 
@@ -150,7 +154,7 @@
   if taken.is_ok() { fault } else { Fault::None }
 }
 
-fn carry(inner: &Inner, client: TcpStream) {
+fn carry(inner: &Inner, client: TcpStream, number: u64) {
   let fault = take_fault(inner);
   let target = *lock(&inner.target);
   if fault == Fault::Close {
@@ -161,8 +165,6 @@
   };
   let _ = client.set_nodelay(true);
   let _ = server.set_nodelay(true);
-  remember(inner, &client);
-  remember(inner, &server);
   let (up, down) = match fault {
     Fault::Delay(time) => (Pass::Delay(time), Pass::Delay(time)),
     Fault::Hold => (Pass::Swallow, Pass::Swallow),
@@ -174,22 +176,14 @@
   let (Ok(client_read), Ok(server_read)) = (client.try_clone(), server.try_clone()) else {
     return;
   };
+  if let (Ok(client), Ok(server)) = (client.try_clone(), server.try_clone()) {
+    lock(&inner.open).insert(number, [client, server]);
+  }
   let upstream = thread::spawn(move || pump(client_read, server, up));
   pump(server_read, client, down);
   let _ = upstream.join();
 }
 
-fn remember(inner: &Inner, stream: &TcpStream) {
-  if let Ok(stream) = stream.try_clone() {
-    let mut open = lock(&inner.open);
-    // Forgets those closed long ago.
-    if open.len() > 4_096 {
-      open.retain(|stream| stream.peer_addr().is_ok());
-    }
-    open.push(stream);
-  }
-}
-
 #[derive(Clone, Copy)]
 enum Pass {
   All,
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -24,8 +24,7 @@
 
 /// Version of an object in force at an instance.
 fn version(member: &Member, object: &str) -> u64 {
-  let configured = member.status()["configured"].clone();
-  let list = configured.as_array().cloned().unwrap_or_default();
+  let list = member.configured();
   let found = list.iter().find(|entry| entry["object"] == object);
   found
     .and_then(|entry| entry["version"].as_u64())
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -113,14 +113,14 @@
 
 #[test]
 fn a_load_order_that_outlives_its_sender_finds_its_memory_kept() {
-  let mut world = World::open(None);
+  let mut world = World::unfenced(None);
   world.late_order();
   assert_eq!(world.faults, Vec::<String>::new());
 }
 
 #[test]
 fn the_check_notices_memory_freed_too_early() {
-  let mut world = World::open(Some(Weak::InFlight));
+  let mut world = World::unfenced(Some(Weak::InFlight));
   world.late_order();
   let noticed = |fault: &String| fault.contains("1 loaded, 0 decided");
   assert!(world.faults.iter().any(noticed), "{:?}", world.faults);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -99,6 +99,8 @@
 
 pub struct World {
   weak: Option<Weak>,
+  /// Whether one of the engines checks fencing numbers.
+  fenced: bool,
   now: u64,
   nodes: Vec<Node>,
   platform: BTreeMap<Name, (u64, Value)>,
@@ -140,7 +142,7 @@
   }
 }
 
-fn configuration() -> Vec<Object> {
+fn configuration(fenced: bool) -> Vec<Object> {
   let object = |kind, name: &str, version, value: serde_json::Value| Object {
     name: Name::of(kind, name),
     version,
@@ -152,7 +154,7 @@
   });
   let servers = SERVERS.iter().enumerate().map(|(at, name)| {
     let value = serde_json::json!({ "address": format!("10.0.1.{at}:1"), "zone": "zone",
-      "memoryMb": CAPACITY_MB, "slots": 2, "fencing": at == 0 });
+      "memoryMb": CAPACITY_MB, "slots": 2, "fencing": fenced && at == 0 });
     object(Kind::Server, name, at as u64 + 11, value)
   });
   let policy = serde_json::json!({ "keepAlive": { "fixed": 1_500 } });
@@ -168,6 +170,15 @@
 
 impl World {
   pub fn open(weak: Option<Weak>) -> Self {
+    Self::with(weak, true)
+  }
+
+  /// A world whose engines all ignore fencing numbers.
+  pub fn unfenced(weak: Option<Weak>) -> Self {
+    Self::with(weak, false)
+  }
+
+  fn with(weak: Option<Weak>, fenced: bool) -> Self {
     let now = 1_000_000;
     let engine = |fencing| Engine {
       fencing,
@@ -178,12 +189,13 @@
     };
     let mut world = Self {
       weak,
+      fenced,
       now,
       nodes: Vec::new(),
       platform: BTreeMap::new(),
       revision: 100,
       engines: BTreeMap::from([
-        (SERVERS[0].to_string(), engine(true)),
+        (SERVERS[0].to_string(), engine(fenced)),
         (SERVERS[1].to_string(), engine(false)),
       ]),
       pending: Vec::new(),
@@ -207,7 +219,7 @@
         paused: false,
       });
       world.listed.insert(format!("entry-{at}"), Listed::Live);
-      world.give(at, Event::Watched(configuration()));
+      world.give(at, Event::Watched(configuration(fenced)));
     }
     world
   }
@@ -330,7 +342,7 @@
       alive: true,
       paused: false,
     };
-    self.give(at, Event::Watched(configuration()));
+    self.give(at, Event::Watched(configuration(self.fenced)));
   }
 
   fn restart_engine(&mut self, choice: usize) {
@@ -754,14 +766,6 @@
       let mut nodes = world.nodes.iter();
       nodes.all(|node| node.state.members.live.len() == INSTANCES)
     });
-    for engine in self.engines.values_mut() {
-      engine.fencing = false;
-    }
-    for node in &mut self.nodes {
-      for server in node.state.catalog.servers.values_mut() {
-        server.fencing = false;
-      }
-    }
     self.delay_load = true;
     self.ask(0, 0);
     self.run(|world| world.delayed.is_some());
