read configuration in pages

Cause: 20,000 models came as one answer and as trees of values, and left an instance with 69.7 MB. Change: watches answer up to 500 objects; values stay text; the time line has one entry for all objects that came into force together.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -70,8 +70,9 @@
     instance: String,
     state: String,
   },
+  /// Objects came into force; the newest has this version.
   Configured {
-    object: String,
+    objects: usize,
     version: u64,
   },
   Rejected {
@@ -117,7 +118,7 @@
 }
 
 /// Lines kept.
-const LIMIT: usize = 20_000;
+const LIMIT: usize = 10_000;
 
 impl Journal {
   /// Adds a line; the oldest gives way.
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -72,10 +72,8 @@
       return;
     }
     self.configured = true;
-    self.note(Entry::Configured {
-      object: name.to_string(),
-      version: version.0,
-    });
+    self.news.0 += 1;
+    self.news.1 = self.news.1.max(version.0);
     if name.kind == Kind::Model {
       self.refresh_owner(&name.name);
     }
@@ -86,6 +84,14 @@
     self.pump_waiting();
   }
 
+  /// Records what came into force since the last round.
+  pub fn note_news(&mut self) {
+    let (objects, version) = std::mem::take(&mut self.news);
+    if objects > 0 {
+      self.note(Entry::Configured { objects, version });
+    }
+  }
+
   fn reject(&mut self, name: &Name, version: u64, why: String) {
     self.note(Entry::Rejected {
       object: name.to_string(),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,8 +2,9 @@
 //!
 //! `GET /objects/KIND/NAME` answers `{version, value}` or 404;
 //! `PUT /objects/KIND/NAME?version=N` writes if the object still has version N
-//! (0: absent), else 409; `GET /objects?kinds=K,K&after=REV&wait=MS` answers the
-//! objects changed after a revision, waiting for one; `GET /names/KIND` answers
+//! (0: absent), else 409; `GET /objects?kinds=K,K&after=REV&wait=MS&limit=N`
+//! answers up to N objects changed after a revision, by version, waiting for one,
+//! and the revision reached; `GET /names/KIND` answers
 //! `[[name, version]]`; `GET /instances` answers the list of machines.
 
 use crate::{
@@ -15,6 +16,7 @@
   update::{Change, Outcome, Stored, Value},
 };
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 use std::{
   collections::HashMap,
   sync::{
@@ -27,6 +29,8 @@
 
 /// Largest answer read, bytes.
 const ANSWER_LIMIT: u64 = 64 << 20;
+/// Objects in one answer to a watch.
+const PAGE: usize = 500;
 /// Objects kept as a base for the next write.
 const CACHED: usize = 256;
 /// Longest wait for one answer.
@@ -54,7 +58,7 @@
 #[derive(Deserialize)]
 struct Read {
   version: u64,
-  value: serde_json::Value,
+  value: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -62,7 +66,7 @@
   kind: String,
   name: String,
   version: u64,
-  value: Option<serde_json::Value>,
+  value: Option<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
@@ -171,7 +175,7 @@
       Some(read) => Object {
         name: name.clone(),
         version: read.version,
-        value: Some(read.value.to_string()),
+        value: Some(read.value.get().to_string()),
       },
       None => Object {
         name: name.clone(),
@@ -214,7 +218,7 @@
     }
     let kinds = Kind::CONFIGURED.map(Kind::word).join(",");
     let wait_ms = wait.as_millis();
-    let path = format!("/objects?kinds={kinds}&after={after}&wait={wait_ms}");
+    let path = format!("/objects?kinds={kinds}&after={after}&wait={wait_ms}&limit={PAGE}");
     let watched: Option<Watched> = self.get(&path, wait + CALL)?;
     let watched = watched.ok_or(Error::Unavailable)?;
     let objects = watched.objects.into_iter().filter_map(object).collect();
@@ -335,6 +339,6 @@
   Some(Object {
     name: Name::of(Kind::parse(&changed.kind)?, changed.name),
     version: changed.version,
-    value: changed.value.map(|value| value.to_string()),
+    value: changed.value.map(|value| value.get().to_string()),
   })
 }
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -107,6 +107,7 @@
 }
 
 fn chores(state: &mut State) {
+  state.note_news();
   state.choose_watchers();
   state.refresh_owned();
   state.poll_servers();
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,9 @@
   pub catalog: Catalog,
   /// Some configuration is known.
   pub configured: bool,
+  /// Objects that came into force and are not yet recorded, and the newest
+  /// version among them.
+  pub news: (usize, u64),
   pub facts: Table,
   pub members: Members,
   pub gossip: Gossip,
@@ -134,6 +137,7 @@
       rng: SmallRng::seed_from_u64(seed),
       catalog: Catalog::default(),
       configured: false,
+      news: (0, 0),
       facts: Table::default(),
       members: Members::default(),
       gossip: Gossip::default(),
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -357,6 +357,9 @@
   let wait: u64 = http::param(url, "wait")
     .and_then(|wait| wait.parse().ok())
     .unwrap_or_default();
+  let limit: usize = http::param(url, "limit")
+    .and_then(|limit| limit.parse().ok())
+    .unwrap_or(usize::MAX);
   let kinds = http::param(url, "kinds").unwrap_or_default();
   let until = Instant::now() + Duration::from_millis(wait);
   let mut held = inner.0.lock().unwrap_or_else(PoisonError::into_inner);
@@ -368,19 +371,26 @@
       return;
     }
     let objects = held.objects();
-    let changed: Vec<Value> = objects
-      .held
-      .iter()
-      .filter(|((kind, _), held)| {
-        held.version > after && kinds.split(',').any(|wanted| wanted == kind)
-      })
-      .map(|((kind, name), held)| {
-        json!({ "kind": kind, "name": name, "version": held.version, "value": held.value })
-      })
-      .collect();
+    let changed = objects.held.iter().filter(|((kind, _), held)| {
+      held.version > after && kinds.split(',').any(|wanted| wanted == kind)
+    });
+    let mut changed: Vec<_> = changed.collect();
+    changed.sort_by_key(|(_, held)| held.version);
+    let cut = changed.len() > limit;
+    changed.truncate(limit);
+    let last = changed.last().map(|(_, held)| held.version);
+    let revision = if cut {
+      last.unwrap_or_default()
+    } else {
+      objects.revision
+    };
     let left = until.saturating_duration_since(Instant::now());
     if !changed.is_empty() || left.is_zero() || after == 0 {
-      let body = json!({ "revision": objects.revision, "objects": changed });
+      let page = changed.into_iter().map(|((kind, name), held)| {
+        json!({ "kind": kind, "name": name, "version": held.version, "value": held.value })
+      });
+      let page: Vec<Value> = page.collect();
+      let body = json!({ "revision": revision, "objects": page });
       drop(held);
       return http::json(request, 200, &body);
     }
