--- a/src/call.rs
+++ b/src/call.rs
@@ -30,6 +30,9 @@
   pub text: String,
 }
 
+/// Bytes buffered each way; many streams are open at once.
+const BUFFER: usize = 8 << 10;
+
 /// Bounds on a call's waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Waits {
@@ -91,6 +94,8 @@
     .http_status_as_error(false)
     .proxy(None)
     .max_idle_connections(0)
+    .input_buffer_size(BUFFER)
+    .output_buffer_size(BUFFER)
     .timeout_connect(Some(waits.connect))
     .timeout_recv_response(Some(waits.answer))
     .timeout_per_read(Some(waits.read))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,9 +74,6 @@
   /// Prefer an availability zone without a replica of the model.
   #[serde(default)]
   pub spread: bool,
-  /// Load before a recurring time of use.
-  #[serde(default)]
-  pub early: bool,
   #[serde(default)]
   pub slice: Option<Slice>,
 }
@@ -106,7 +103,6 @@
       place: Place::default(),
       evict: Evict::default(),
       spread: false,
-      early: false,
       slice: None,
     }
   }
--- a/src/web.rs
+++ b/src/web.rs
@@ -7,6 +7,7 @@
 //! between is here. docs/DESIGN.md has the measurements.
 
 use chunked_transfer::{Decoder, Encoder};
+use socket2::{Domain, Socket, Type};
 use std::{
   io::{self, BufRead, BufReader, Read, Write},
   net::{SocketAddr, TcpListener, TcpStream},
@@ -185,7 +186,7 @@
   busy: String,
   handle: impl Fn(&mut Request) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
-  let listener = TcpListener::bind(address)?;
+  let listener = listen(address)?;
   let address = listener.local_addr()?;
   let handle = Arc::new(handle);
   let open = Arc::new(AtomicUsize::new(0));
@@ -201,6 +202,20 @@
   Ok(address)
 }
 
+/// Bursts come at once: the usual backlog of 128 would drop connections, which
+/// callers try again only after a second.
+const BACKLOG: i32 = 1024;
+
+/// A listening socket with room for a burst.
+pub fn listen(address: &str) -> io::Result<TcpListener> {
+  let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+  let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+  socket.set_reuse_address(true)?;
+  socket.bind(&address.into())?;
+  socket.listen(BACKLOG)?;
+  Ok(socket.into())
+}
+
 fn admit<F: Fn(&mut Request) + Send + Sync + 'static>(
   stream: TcpStream,
   peer: SocketAddr,
--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -23,6 +23,8 @@
   pub total: Duration,
   /// The answer's body, where it is JSON.
   pub body: Value,
+  /// The answer's body as text.
+  pub raw: String,
 }
 
 impl Answer {
@@ -142,6 +144,7 @@
   };
   answer.whole = true;
   answer.body = serde_json::from_str(&text).unwrap_or_default();
+  answer.raw = text;
   let body = answer.body.clone();
   if body["error"].is_object() {
     answer.refused(&body["error"]);
--- a/stand-ins/src/capacity.rs
+++ b/stand-ins/src/capacity.rs
@@ -45,6 +45,11 @@
 /// Bytes of a page of `/proc/PID/statm`.
 const PAGE: f64 = 4096.0;
 
+/// Resident memory of an instance, MB, on average.
+pub fn memory_mb(fleet: &Fleet) -> f64 {
+  read(fleet).memory_mb / fleet.members.len() as f64
+}
+
 fn read(fleet: &Fleet) -> Reading {
   let mut sum = Reading {
     cpu_ms: 0.0,
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -361,6 +361,8 @@
   let mut child = Command::new(program)
     .args(["serve", "--settings"])
     .arg(&path)
+    // As docs/OPERATIONS.md asks of every deployment.
+    .env("MALLOC_ARENA_MAX", "2")
     .stdout(Stdio::piped())
     .stderr(log)
     .spawn()?;
--- a/stand-ins/src/http.rs
+++ b/stand-ins/src/http.rs
@@ -11,7 +11,8 @@
   address: &str,
   handle: impl Fn(Request) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
-  let server = Server::http(address).map_err(io::Error::other)?;
+  let listener = bendsaddle::web::listen(address)?;
+  let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
   let address = server.server_addr().to_ip();
   let address = address.ok_or_else(|| io::Error::other("not an ip address"))?;
   let handle = Arc::new(handle);
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! They keep records of their own, so that a promise is checked from outside.
 
+pub mod bench;
 pub mod caller;
 pub mod capacity;
 pub mod demo;
 pub mod engine;
+pub mod faults;
 pub mod fleet;
 pub mod http;
 pub mod platform;
--- a/stand-ins/src/main.rs
+++ b/stand-ins/src/main.rs
@@ -5,8 +5,9 @@
   ValueExt,
 };
 use stand_ins::{
-  capacity, demo,
+  bench, capacity, demo,
   engine::{Engine, Options},
+  faults,
   platform::Platform,
   proxy::Proxy,
   service::Service,
@@ -16,6 +17,8 @@
 
 const USAGE: &str = "usage: stand-ins demo
        stand-ins trace --program BENDSADDLE [--seeds N] [--instances N] [POLICY...]
+       stand-ins bench --program BENDSADDLE
+       stand-ins faults --program BENDSADDLE
        stand-ins capacity --program BENDSADDLE [PART...]
        stand-ins platform [--listen IP:PORT] [--lag-ms N]
        stand-ins engine [--listen IP:PORT] [--name NAME] [--memory-mb N] [--slots N] [--no-fencing]
@@ -105,6 +108,13 @@
   )
 }
 
+/// Prints the benchmarks as JSON.
+fn run_bench(args: &Args) -> Result<bool, Box<dyn Error>> {
+  let program = args.program.as_ref().ok_or("bench: --program is missing")?;
+  println!("{}", serde_json::to_string_pretty(&bench::run(program)?)?);
+  Ok(true)
+}
+
 /// Prints the measured points as JSON.
 fn run_capacity(args: &Args) -> Result<bool, Box<dyn Error>> {
   let program = args
@@ -122,6 +132,16 @@
     "demo" => return Ok(demo::run()?.good()),
     "trace" => return run_traces(&args),
     "capacity" => return run_capacity(&args),
+    "bench" => return run_bench(&args),
+    "faults" => {
+      faults::run(
+        args
+          .program
+          .as_ref()
+          .ok_or("faults: --program is missing")?,
+      )?;
+      return Ok(true);
+    }
     "platform" => Platform::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "service" => Service::bind(&args.listen, Duration::from_millis(args.ms))?.address,
     "engine" => {
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -1,5 +1,6 @@
 //! A TCP proxy that injects faults.
 
+use bendsaddle::web::listen;
 use std::{
   collections::HashMap,
   io::{self, Read, Write},
@@ -58,7 +59,7 @@
 impl Proxy {
   /// Binds a proxy before `target`.
   pub fn bind(target: SocketAddr) -> io::Result<Self> {
-    let listener = listen("127.0.0.1:0".parse().map_err(io::Error::other)?)?;
+    let listener = listen("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let inner = Arc::new(Inner {
       target: Mutex::new(target),
@@ -110,14 +111,6 @@
   }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-  let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
-  socket.set_reuse_address(true)?;
-  socket.bind(&address.into())?;
-  socket.listen(256)?;
-  Ok(socket.into())
-}
-
 fn accept(inner: &Arc<Inner>, listener: TcpListener, address: SocketAddr) {
   let mut listener = Some(listener);
   while !inner.closing.load(Ordering::Relaxed) {
@@ -127,7 +120,7 @@
       continue;
     }
     let Some(current) = &listener else {
-      listener = listen(address).ok();
+      listener = listen(&address.to_string()).ok();
       continue;
     };
     let Ok((client, _)) = current.accept() else {
