--- a/justfile
+++ b/justfile
@@ -23,3 +23,26 @@
 generate:
   cargo run --manifest-path proto/generate/Cargo.toml --target-dir target/generate
   cargo fmt --all
+
+release:
+  cargo build --release --workspace --locked
+
+# Added latency, memory at 500 streams, push against share.
+bench: release
+  target/release/stand-ins bench --program target/release/bendsaddle
+
+# Policies against baselines; three seeds of about half a minute each.
+trace *policies: release
+  target/release/stand-ins trace --program target/release/bendsaddle --seeds 3 {{policies}}
+
+# Slopes; the output belongs into docs/capacity.json.
+capacity *parts: release
+  target/release/stand-ins capacity --program target/release/bendsaddle {{parts}}
+
+# Recovery times of faults.
+faults: release
+  target/release/stand-ins faults --program target/release/bendsaddle
+
+# Check the example deployments.
+examples:
+  cargo run --locked -- check examples/*/*.jsonc
--- a/src/apply.rs
+++ b/src/apply.rs
@@ -1,6 +1,7 @@
 //! Version-controlled objects: checked, and put into the platform.
 //!
-//! A file holds one object as JSON with comments: `{"kind", "name", "spec"}`.
+//! A file holds one object or a list of them, as JSON with comments:
+//! `{"kind", "name", "spec"}`.
 //! `apply` writes by conditional update against the version it read, so an edit
 //! that another made meanwhile is reported and never overwritten.
 
@@ -27,9 +28,17 @@
   spec: Value,
 }
 
-fn read(path: &Path) -> Result<(Name, Value), String> {
+/// Reads and checks the objects of a file.
+pub fn read(path: &Path) -> Result<Vec<(Name, Value)>, String> {
   let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
-  let file: File = serde_json::from_value(jsonc(&text)?).map_err(|error| error.to_string())?;
+  match jsonc(&text)? {
+    Value::Array(objects) => objects.into_iter().map(object).collect(),
+    value => Ok(vec![object(value)?]),
+  }
+}
+
+fn object(value: Value) -> Result<(Name, Value), String> {
+  let file: File = serde_json::from_value(value).map_err(|error| error.to_string())?;
   let kind = Kind::parse(&file.kind).filter(|kind| Kind::CONFIGURED.contains(kind));
   let kind = kind.ok_or_else(|| format!("kind: `{}` is not configuration", file.kind))?;
   if file.name.is_empty() || file.name.contains(['/', '?', ' ']) {
@@ -54,8 +63,8 @@
     Err(error) => return vec![error],
   };
   let fault = match value.get("kind") {
-    Some(_) => read(path).err(),
-    None => Settings::parse(&text).err(),
+    None if value.is_object() => Settings::parse(&text).err(),
+    _ => read(path).err(),
   };
   fault.into_iter().collect()
 }
@@ -97,9 +106,10 @@
   let mut catalog = Catalog::default();
   for path in files(Path::new(folder))? {
     let fault = |fault| Report::new(Error(format!("{}: {fault}", path.display())));
-    let (name, spec) = read(&path).map_err(fault)?;
-    catalog.put(&name, Some(&spec.to_string())).map_err(fault)?;
-    objects.push((name, spec));
+    for (name, spec) in read(&path).map_err(fault)? {
+      catalog.put(&name, Some(&spec.to_string())).map_err(fault)?;
+      objects.push((name, spec));
+    }
   }
   if let Some(fault) = catalog.dangling().first() {
     return Err(Report::new(Error(fault.clone())));
--- a/src/history.rs
+++ b/src/history.rs
@@ -11,6 +11,9 @@
 /// Total above which counts are halved, so that old habits fade.
 const FADE: u32 = 256;
 
+/// Gaps seen after which the assumed ones weigh half.
+const TRUST: u64 = 8;
+
 impl History {
   /// The history stored in a record.
   pub fn from_counts(counts: &[u32]) -> Self {
@@ -40,8 +43,9 @@
   /// replica is kept, and `penalty` (ms of idle time a cold start is worth) for
   /// each gap that outlasts it. Never above `most`.
   ///
-  /// One gap of unknown length is added to what was seen: without history the
-  /// answer is `penalty` itself, within a factor of two of the best for any gap.
+  /// A few gaps are assumed besides those seen, three of half the penalty and one
+  /// without end: without history the answer is `penalty` itself, which costs at
+  /// most twice the best for any gap. The three weigh less the more was seen.
   pub fn keep_alive(&self, penalty: u64, most: u64) -> u64 {
     let candidates = (0..self.counts.len() as u32).map(|bucket| 2u64 << bucket);
     let best = std::iter::once(0)
@@ -58,7 +62,10 @@
       .enumerate()
       .map(|(bucket, count)| u64::from(*count) * gap_cost(3 << bucket >> 1, keep, penalty))
       .sum();
-    seen + gap_cost(penalty, keep, penalty) + gap_cost(u64::MAX, keep, penalty) / 2
+    let endless = gap_cost(u64::MAX, keep, penalty);
+    let assumed = gap_cost(penalty / 2, keep, penalty);
+    let count: u64 = self.counts.iter().copied().map(u64::from).sum();
+    (seen + endless) * (TRUST + count) + 3 * TRUST * assumed
   }
 }
 
