split the callers' port, the jobs and the instance by job

Change: completions, services, submissions; outcomes of steps; what threads share; the watchers. The arithmetic of the capacity page.

--- a/justfile
+++ b/justfile
@@ -46,3 +46,7 @@
 # Check the example deployments.
 examples:
   cargo run --locked -- check examples/*/*.jsonc
+
+# The table of docs/CAPACITY.md; fails when a slope breaks a limit.
+budget:
+  cargo run --locked -p stand-ins -- budget docs/capacity.json
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,34 +1,29 @@
 //! A running instance: the reducer's thread and what carries out its effects.
 
 use crate::{
-  ask::{Ask, Ticket, Work},
-  attempt::{Attempt, End},
+  ask::{Ask, Work},
   batch::Item,
-  callers,
+  callers, completions,
   effect::Effect,
   engine,
   event::Event,
-  journal::{Entry, Journal, Line},
   metrics::Metrics,
-  object::Kind,
   operators, order,
-  peer::{Port, Traffic},
+  peer::Port,
   platform::Client,
   pool::Pool,
   reduce::reduce,
-  refusal::Refusal,
   settings::Settings,
+  shared::{Directive, Input, Shared},
   state::{Identity, State},
-  status::Status,
-  update::Outcome,
+  watchers,
 };
-use slog::{Logger, info};
+use slog::Logger;
 use std::{
-  collections::HashMap,
   io,
   net::SocketAddr,
   sync::{
-    Arc, Mutex, PoisonError,
+    Arc, Mutex,
     atomic::{AtomicBool, AtomicU64, Ordering},
     mpsc::{Receiver, RecvTimeoutError, Sender, channel},
   },
@@ -42,140 +37,9 @@
 const PLATFORM_THREADS: usize = 8;
 const ORDER_THREADS: usize = 8;
 const POLL_THREADS: usize = 4;
-/// Longest wait for a look at the state.
-const LOOK: Duration = Duration::from_secs(2);
-/// Longest wait of one watch.
-const WATCH: Duration = Duration::from_secs(5);
-/// Pause before a failed watch is made again.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
-/// Reads of the list between two listings of batches.
-const BATCH_LIST_EVERY: u32 = 10;
 /// Stack of a thread that carries a request, bytes.
 pub const STACK: usize = 192 << 10;
 
-/// What a request's thread is told.
-pub enum Directive {
-  Send(Attempt),
-  Refuse(Refusal),
-  Replay { status: u16, body: Option<String> },
-  Batch(Outcome),
-}
-
-/// A look at the state, made on the reducer's thread.
-type Look = Box<dyn FnOnce(&State) + Send>;
-
-enum Input {
-  Event(Event),
-  Look(Look),
-}
-
-/// What all threads of an instance share.
-pub struct Shared {
-  pub settings: Settings,
-  pub boot: u64,
-  pub log: Logger,
-  pub metrics: Metrics,
-  pub journal: Mutex<Journal>,
-  pub platform: Client,
-  /// Repeatable paths of plain services in force.
-  pub services: Mutex<HashMap<String, Vec<String>>>,
-  /// What went between this instance and others.
-  pub traffic: Arc<Traffic>,
-  /// A planned stop has begun.
-  pub stopping: AtomicBool,
-  input: Sender<Input>,
-  directives: Mutex<HashMap<Ticket, Sender<Directive>>>,
-  tickets: AtomicU64,
-  started: Instant,
-  watching: AtomicBool,
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-  mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl Shared {
-  /// Time, ms: wall clock at the start, monotonic after it.
-  pub fn now(&self) -> u64 {
-    self.boot + self.started.elapsed().as_millis() as u64
-  }
-
-  /// Gives the reducer an event.
-  pub fn tell(&self, event: Event) {
-    // Fails only after the reducer has ended, with the process.
-    let _ = self.input.send(Input::Event(event));
-  }
-
-  /// A new ticket with the channel on which its directives come.
-  pub fn open_ticket(&self) -> (Ticket, Receiver<Directive>) {
-    let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1);
-    let (sender, receiver) = channel();
-    lock(&self.directives).insert(ticket, sender);
-    (ticket, receiver)
-  }
-
-  /// Forgets a ticket.
-  pub fn close_ticket(&self, ticket: Ticket) {
-    lock(&self.directives).remove(&ticket);
-  }
-
-  fn direct(&self, ticket: Ticket, directive: Directive) {
-    if let Some(sender) = lock(&self.directives).get(&ticket) {
-      // The request's thread has ended: nobody is left to tell.
-      let _ = sender.send(directive);
-    }
-  }
-
-  /// What a look at the state finds; none when the reducer does not answer.
-  pub fn look<T: Send + 'static>(
-    &self,
-    look: impl FnOnce(&State) -> T + Send + 'static,
-  ) -> Option<T> {
-    let (sender, receiver) = channel();
-    let look: Look = Box::new(move |state| {
-      // The asker may have given up.
-      let _ = sender.send(look(state));
-    });
-    self.input.send(Input::Look(look)).ok()?;
-    receiver.recv_timeout(LOOK).ok()
-  }
-
-  /// The instance's state, for operators.
-  pub fn status(&self) -> Option<Status> {
-    let status = self.look(Status::of)?;
-    let sent = self.traffic.sent.load(Ordering::Relaxed);
-    let received = self.traffic.received.load(Ordering::Relaxed);
-    Some(Status {
-      peer_bytes: sent + received,
-      peer_messages: self.traffic.messages.load(Ordering::Relaxed),
-      ..status
-    })
-  }
-
-  /// Lines of the time line after `since`, ms.
-  pub fn lines(&self, since: u64) -> Vec<Line> {
-    let journal = lock(&self.journal);
-    let lines = journal.lines().filter(|line| line.at > since);
-    lines.cloned().collect()
-  }
-
-  /// Tells the requests' threads which paths may be repeated.
-  fn put_services(&self, state: &State) {
-    let services = state.catalog.services.iter();
-    let paths = services.map(|(name, service)| (name.clone(), service.repeatable.clone()));
-    *lock(&self.services) = paths.collect();
-  }
-
-  fn note(&self, entry: Entry) {
-    self.metrics.count(&entry);
-    if !entry.is_count() {
-      let text = serde_json::to_string(&entry).unwrap_or_default();
-      info!(self.log, "{}", text);
-    }
-    lock(&self.journal).push(self.now(), entry);
-  }
-}
-
 /// A running instance.
 pub struct Instance {
   pub shared: Arc<Shared>,
@@ -223,7 +87,7 @@
     let peers = port.address;
     let me = identity(&shared, peers, operators);
     let (finished, stopped) = channel();
-    start_watchers(&shared)?;
+    watchers::spawn(&shared)?;
     let hands = Hands::open(shared.clone(), port)?;
     let state = State::open(me, shared.settings.limits.clone(), rand::random(), boot);
     let builder = thread::Builder::new().name("reducer".into());
@@ -401,7 +265,7 @@
           deadline,
           caller,
         };
-        let item = callers::run_item(&shared, ask, &directives, prompt, max_tokens);
+        let item = completions::run_item(&shared, ask, &directives, prompt, max_tokens);
         shared.close_ticket(ticket);
         shared.tell(Event::ItemEnded { id, at, item });
       }
@@ -415,87 +279,3 @@
     }
   }
 }
-
-fn start_watchers(shared: &Arc<Shared>) -> io::Result<()> {
-  let watcher = shared.clone();
-  thread::Builder::new()
-    .name("watch".into())
-    .spawn(move || watch(&watcher))?;
-  let lister = shared.clone();
-  thread::Builder::new()
-    .name("list".into())
-    .spawn(move || list(&lister))?;
-  Ok(())
-}
-
-fn pause(base: Duration) {
-  thread::sleep(base.mul_f64(rand::random_range(0.5..1.5)));
-}
-
-fn watch(shared: &Shared) {
-  let mut after = 0;
-  let mut reached = true;
-  loop {
-    if !shared.watching.load(Ordering::Relaxed) {
-      pause(WATCH_PAUSE);
-      continue;
-    }
-    let answer = shared.platform.watch(after, WATCH);
-    if answer.is_ok() != reached {
-      reached = answer.is_ok();
-      shared.note(match reached {
-        true => Entry::PlatformBack,
-        false => Entry::PlatformLost,
-      });
-    }
-    match answer {
-      Ok((revision, objects)) => {
-        after = after.max(revision);
-        shared.tell(Event::Watched(objects));
-      }
-      Err(_) => pause(WATCH_PAUSE * 2),
-    }
-  }
-}
-
-fn list(shared: &Shared) {
-  let every = Duration::from_millis(shared.settings.limits.list_ms);
-  let mut round = 0;
-  let mut counted = (0, 0);
-  loop {
-    count_calls(shared, &mut counted);
-    if shared.watching.load(Ordering::Relaxed) {
-      if let Ok((revision, entries)) = shared.platform.list() {
-        shared.tell(Event::Listed { revision, entries });
-      }
-      if round % BATCH_LIST_EVERY == 0
-        && let Ok(names) = shared.platform.names(Kind::Batch)
-      {
-        shared.tell(Event::BatchesListed(names));
-      }
-      round += 1;
-    }
-    pause(every);
-  }
-}
-
-fn count_calls(shared: &Shared, counted: &mut (u64, u64)) {
-  let calls = shared.platform.calls.load(Ordering::Relaxed);
-  let failed = shared.platform.failures.load(Ordering::Relaxed);
-  let new_calls = calls.saturating_sub(counted.0);
-  let new_failed = failed.saturating_sub(counted.1);
-  shared
-    .metrics
-    .platform(new_calls.saturating_sub(new_failed), new_failed);
-  *counted = (calls, failed);
-}
-
-/// How an attempt's end is told to the reducer.
-pub fn ended(shared: &Shared, attempt: &Attempt, end: End, answer: Option<(u16, Option<String>)>) {
-  shared.tell(Event::Ended {
-    ticket: attempt.ticket,
-    number: attempt.number,
-    end,
-    answer,
-  });
-}
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' port: health, metrics, status and time line.
 
-use crate::{instance::Shared, status::Configuration};
+use crate::{shared::Shared, status::Configuration};
 use rouille::{Request, Response, Server};
 use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, thread, time::Duration};
 
--- /dev/null
+++ b/src/shared.rs
@@ -0,0 +1,166 @@
+//! What the threads of an instance share.
+
+use crate::{
+  ask::Ticket,
+  attempt::{Attempt, End},
+  event::Event,
+  journal::{Entry, Journal, Line},
+  metrics::Metrics,
+  peer::Traffic,
+  platform::Client,
+  refusal::Refusal,
+  settings::Settings,
+  state::State,
+  status::Status,
+  update::Outcome,
+};
+use slog::{Logger, info};
+use std::{
+  collections::HashMap,
+  sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+    mpsc::{Receiver, Sender, channel},
+  },
+  time::{Duration, Instant},
+};
+
+/// Longest wait for a look at the state.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// What a request's thread is told.
+pub enum Directive {
+  Send(Attempt),
+  Refuse(Refusal),
+  Replay { status: u16, body: Option<String> },
+  Batch(Outcome),
+}
+
+/// A look at the state, made on the reducer's thread.
+pub type Look = Box<dyn FnOnce(&State) + Send>;
+
+/// What reaches the reducer's thread.
+pub enum Input {
+  Event(Event),
+  Look(Look),
+}
+
+/// What all threads of an instance share.
+pub struct Shared {
+  pub settings: Settings,
+  pub boot: u64,
+  pub log: Logger,
+  pub metrics: Metrics,
+  pub journal: Mutex<Journal>,
+  pub platform: Client,
+  /// Repeatable paths of plain services in force.
+  pub services: Mutex<HashMap<String, Vec<String>>>,
+  /// What went between this instance and others.
+  pub traffic: Arc<Traffic>,
+  /// A planned stop has begun.
+  pub stopping: AtomicBool,
+  pub(crate) input: Sender<Input>,
+  pub(crate) directives: Mutex<HashMap<Ticket, Sender<Directive>>>,
+  pub(crate) tickets: AtomicU64,
+  pub(crate) started: Instant,
+  pub(crate) watching: AtomicBool,
+}
+
+/// Locks a mutex; a holder that panicked leaves usable data here.
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+  /// Time, ms: wall clock at the start, monotonic after it.
+  pub fn now(&self) -> u64 {
+    self.boot + self.started.elapsed().as_millis() as u64
+  }
+
+  /// Gives the reducer an event.
+  pub fn tell(&self, event: Event) {
+    // Fails only after the reducer has ended, with the process.
+    let _ = self.input.send(Input::Event(event));
+  }
+
+  /// A new ticket with the channel on which its directives come.
+  pub fn open_ticket(&self) -> (Ticket, Receiver<Directive>) {
+    let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1);
+    let (sender, receiver) = channel();
+    lock(&self.directives).insert(ticket, sender);
+    (ticket, receiver)
+  }
+
+  /// Forgets a ticket.
+  pub fn close_ticket(&self, ticket: Ticket) {
+    lock(&self.directives).remove(&ticket);
+  }
+
+  /// Tells a request's thread how it goes on.
+  pub fn direct(&self, ticket: Ticket, directive: Directive) {
+    if let Some(sender) = lock(&self.directives).get(&ticket) {
+      // The request's thread has ended: nobody is left to tell.
+      let _ = sender.send(directive);
+    }
+  }
+
+  /// What a look at the state finds; none when the reducer does not answer.
+  pub fn look<T: Send + 'static>(
+    &self,
+    look: impl FnOnce(&State) -> T + Send + 'static,
+  ) -> Option<T> {
+    let (sender, receiver) = channel();
+    let look: Look = Box::new(move |state| {
+      // The asker may have given up.
+      let _ = sender.send(look(state));
+    });
+    self.input.send(Input::Look(look)).ok()?;
+    receiver.recv_timeout(LOOK).ok()
+  }
+
+  /// The instance's state, for operators.
+  pub fn status(&self) -> Option<Status> {
+    let status = self.look(Status::of)?;
+    let sent = self.traffic.sent.load(Ordering::Relaxed);
+    let received = self.traffic.received.load(Ordering::Relaxed);
+    Some(Status {
+      peer_bytes: sent + received,
+      peer_messages: self.traffic.messages.load(Ordering::Relaxed),
+      ..status
+    })
+  }
+
+  /// Lines of the time line after `since`, ms.
+  pub fn lines(&self, since: u64) -> Vec<Line> {
+    let journal = lock(&self.journal);
+    let lines = journal.lines().filter(|line| line.at > since);
+    lines.cloned().collect()
+  }
+
+  /// Tells the requests' threads which paths may be repeated.
+  pub fn put_services(&self, state: &State) {
+    let services = state.catalog.services.iter();
+    let paths = services.map(|(name, service)| (name.clone(), service.repeatable.clone()));
+    *lock(&self.services) = paths.collect();
+  }
+
+  /// Records a change of state.
+  pub fn note(&self, entry: Entry) {
+    self.metrics.count(&entry);
+    if !entry.is_count() {
+      let text = serde_json::to_string(&entry).unwrap_or_default();
+      info!(self.log, "{}", text);
+    }
+    lock(&self.journal).push(self.now(), entry);
+  }
+}
+
+/// How an attempt's end is told to the reducer.
+pub fn ended(shared: &Shared, attempt: &Attempt, end: End, answer: Option<(u16, Option<String>)>) {
+  shared.tell(Event::Ended {
+    ticket: attempt.ticket,
+    number: attempt.number,
+    end,
+    answer,
+  });
+}
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They keep records of their own, so that a promise is checked from outside.
 
 pub mod bench;
+pub mod budget;
 pub mod caller;
 pub mod capacity;
 pub mod demo;
--- a/stand-ins/src/main.rs
+++ b/stand-ins/src/main.rs
@@ -5,7 +5,7 @@
   ValueExt,
 };
 use stand_ins::{
-  bench, capacity, demo,
+  bench, budget, capacity, demo,
   engine::{Engine, Options},
   faults,
   platform::Platform,
@@ -20,6 +20,7 @@
        stand-ins bench --program BENDSADDLE
        stand-ins faults --program BENDSADDLE
        stand-ins capacity --program BENDSADDLE [PART...]
+       stand-ins budget CAPACITY.json
        stand-ins platform [--listen IP:PORT] [--lag-ms N]
        stand-ins engine [--listen IP:PORT] [--name NAME] [--memory-mb N] [--slots N] [--no-fencing]
        stand-ins service [--listen IP:PORT] [--time-ms N]
@@ -108,6 +109,21 @@
   )
 }
 
+/// Prints the table of roles and the limits that are broken.
+fn run_budget(args: &Args) -> Result<bool, Box<dyn Error>> {
+  let path = args
+    .rest
+    .first()
+    .ok_or("budget: name the file of measured points")?;
+  let measured = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+  print!("{}", budget::table(&measured));
+  let broken = budget::broken(&measured);
+  for limit in &broken {
+    eprintln!("{limit}");
+  }
+  Ok(broken.is_empty())
+}
+
 /// Prints the benchmarks as JSON.
 fn run_bench(args: &Args) -> Result<bool, Box<dyn Error>> {
   let program = args.program.as_ref().ok_or("bench: --program is missing")?;
@@ -133,6 +149,7 @@
     "trace" => return run_traces(&args),
     "capacity" => return run_capacity(&args),
     "bench" => return run_bench(&args),
+    "budget" => return run_budget(&args),
     "faults" => {
       faults::run(
         args
