divide the platform's call budget; remove old batches; urgent requests first

Figures: a bucket of 8 gives 6 calls to ordinary and 2 more to urgent callers; the tests of batches, outage and policies pass.

--- a/src/batches.rs
+++ b/src/batches.rs
@@ -29,6 +29,8 @@
 const ITEM_PAUSE_MS: u64 = 500;
 /// How many times the estimated run time is left before the deadline.
 const MARGIN: u64 = 3;
+/// How long after its deadline a finished batch can still be polled, ms.
+const KEEP_MS: u64 = 86_400_000;
 /// Estimated time of an item of a model never seen, ms.
 const ITEM_MS: u64 = 1_000;
 
@@ -49,6 +51,8 @@
   asked_at: Option<u64>,
   /// No item is started before this time, ms.
   pause_until: u64,
+  /// As last read by its owner: version, and the time after which it is removed.
+  kept: Option<(u64, u64)>,
 }
 
 /// Batches by id.
@@ -115,10 +119,19 @@
     }
   }
 
-  /// Takes up the platform's list of batches.
+  /// Takes up the platform's list of batches: finished ones that are no longer
+  /// listed were removed.
   pub fn on_batches_listed(&mut self, listed: Vec<(String, u64)>) {
+    let names: BTreeSet<&String> = listed.iter().map(|(id, _)| id).collect();
+    let kept = |id: &String, entry: &Entry| !entry.finished || names.contains(id);
+    self.batches.entries.retain(|id, entry| kept(id, entry));
     for (id, _) in listed {
-      self.batches.entries.entry(id).or_default();
+      let mine = self.owns(&owner_key(&id));
+      let entry = self.batches.entries.entry(id).or_default();
+      if mine && entry.kept.is_none() {
+        // Its owner reads it once, to know when it may be removed.
+        entry.finished = false;
+      }
     }
   }
 
@@ -131,6 +144,7 @@
       .filter(|(_, entry)| !entry.finished || !entry.outcomes.is_empty())
       .map(|(id, _)| id.clone())
       .collect();
+    self.remove_old();
     for id in open {
       let mine = self.owns(&owner_key(&id)) && !self.stopping;
       self.record_items(&id);
@@ -143,6 +157,27 @@
     }
   }
 
+  /// Removes finished batches of this instance that nobody polls any more.
+  fn remove_old(&mut self) {
+    let now = self.now;
+    let old: Vec<(String, u64)> = self
+      .batches
+      .entries
+      .iter()
+      .filter(|(_, entry)| entry.finished && entry.outcomes.is_empty())
+      .filter_map(|(id, entry)| Some((id.clone(), entry.kept?)))
+      .filter(|(_, (_, until))| *until <= now)
+      .map(|(id, (version, _))| (id, version))
+      .collect();
+    for (id, version) in old {
+      self.batches.entries.remove(&id);
+      self.emit(Effect::Remove {
+        name: Name::of(Kind::Batch, id),
+        version,
+      });
+    }
+  }
+
   fn disown(&mut self, id: &str) {
     if let Some(entry) = self.batches.entries.get_mut(id)
       && entry.running.is_empty()
@@ -211,7 +246,9 @@
           entry.finished = true;
           return;
         }
-        entry.batch = Some(batch.clone());
+        entry.kept = Some((stored.version, batch.deadline + KEEP_MS));
+        entry.finished = batch.finished();
+        entry.batch = (!entry.finished).then(|| batch.clone());
         self.tell_batch(id, stored.version, &batch);
       }
     }
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -24,6 +24,12 @@
     }
   }
 
+  /// Changes the rate.
+  pub fn set_rate(&mut self, rate: u32) {
+    self.rate = f64::from(rate);
+    self.tokens = self.tokens.min(self.rate);
+  }
+
   /// Takes a token, or says how long to wait for one.
   pub fn take(&mut self, urgent: bool, now: Instant) -> Result<(), Duration> {
     let gained = now.duration_since(self.filled).as_secs_f64() * self.rate;
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -50,6 +50,8 @@
     /// Decisions go before status.
     urgent: bool,
   },
+  /// Remove an object that still has this version.
+  Remove { name: Name, version: u64 },
   /// Send an order to an engine.
   Order { order: Order, step: u64 },
   /// Ask an engine for its status.
@@ -78,6 +80,8 @@
   },
   /// Watch the platform's configuration and list, or stop watching.
   Watch(bool),
+  /// Make at most this many platform calls a second.
+  Rate(u32),
   /// Record a change of state.
   Note(Entry),
   /// Nothing is left to do before the end.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -196,6 +196,10 @@
         let outcome = shared.platform.update(&name, change.as_ref(), urgent);
         shared.tell(Event::Updated { tag, name, outcome });
       }),
+      Effect::Remove { name, version } => self.platform.run(move || {
+        // One that fails is listed again, and tried again by its owner then.
+        let _ = shared.platform.remove(&name, version);
+      }),
       Effect::Order { order, step } => self.orders.run(move || {
         let replica = order.replica;
         // A pause between decision and here must not let an old order out.
@@ -233,6 +237,7 @@
       } => self.port.claim(&address, shard, group, &changes),
       Effect::ClaimAnswer { call, outcomes } => self.port.answer_claims(call, outcomes),
       Effect::Watch(on) => shared.watching.store(on, Ordering::Relaxed),
+      Effect::Rate(rate) => shared.platform.set_rate(rate),
       Effect::Note(entry) => shared.note(entry),
       Effect::Stopped => {}
     }
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -191,6 +191,7 @@
       return;
     }
     self.watchers_seen = Some(seen);
+    self.share_budget();
     let me = &self.me.instance;
     let zone = self.zone_members();
     let watch = zone.is_empty()
@@ -202,6 +203,13 @@
     }
   }
 
+  /// Divides the platform's call budget among the live instances.
+  fn share_budget(&mut self) {
+    let live = self.members.live.len().max(1) as u32;
+    let rate = (self.limits.platform_budget / live).clamp(1, self.limits.platform_rate);
+    self.emit(Effect::Rate(rate));
+  }
+
   fn zone_members(&self) -> Vec<String> {
     let same = |id: &&String| match self.facts.get(&Key::Member((*id).clone())) {
       Some((Body::Member(member), _)) => member.zone == self.me.zone,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -123,6 +123,12 @@
     }
   }
 
+  /// Changes this instance's share of the call budget.
+  pub fn set_rate(&self, rate: u32) {
+    let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
+    bucket.set_rate(rate);
+  }
+
   /// Waits for leave to make a call; false: not before `until`.
   fn permit(&self, urgent: bool, until: Instant) -> bool {
     loop {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -75,7 +75,9 @@
   pub claim_gather_ms: u64,
   /// Shards of claims.
   pub claim_shards: u32,
-  /// Platform calls a second.
+  /// Platform calls a second of all instances together.
+  pub platform_budget: u32,
+  /// Platform calls a second of one instance, at most.
   pub platform_rate: u32,
   /// Longest wait for a platform call, retries included.
   pub platform_ms: u64,
@@ -114,6 +116,7 @@
       claim_ms: 600_000,
       claim_gather_ms: 50,
       claim_shards: 4,
+      platform_budget: 1_000,
       platform_rate: 60,
       platform_ms: 3_000,
       yield_ms: 1_000,
@@ -200,6 +203,7 @@
       ("listMs", self.list_ms),
       ("claimShards", self.claim_shards.into()),
       ("platformRate", self.platform_rate.into()),
+      ("platformBudget", self.platform_budget.into()),
       ("deltaBytes", self.delta_bytes as u64),
     ];
     let zero = positive.into_iter().find(|(_, value)| *value == 0);
--- a/stand-ins/src/engine.rs
+++ b/stand-ins/src/engine.rs
@@ -87,6 +87,8 @@
   stage: Stage,
   running: u32,
   waiting: u32,
+  /// Of those waiting, the urgent ones.
+  urgent: u32,
   idle_since: Instant,
   loaded_at: Option<Instant>,
 }
@@ -364,6 +366,7 @@
     stage: Stage::Loading,
     running: 0,
     waiting: 0,
+    urgent: 0,
     idle_since: Instant::now(),
     loaded_at: None,
   };
@@ -476,7 +479,9 @@
   if !takes || loaded.waiting >= options.queue {
     return None;
   }
+  let urgent = u32::from(completion.priority == 0);
   loaded.waiting += 1;
+  loaded.urgent += urgent;
   let waiting: u32 = held.replicas.values().map(|loaded| loaded.waiting).sum();
   held.crowd = held.crowd.max(waiting.saturating_sub(1));
   loop {
@@ -485,8 +490,11 @@
     }
     held.count_idle();
     let loaded = held.replicas.get_mut(&completion.replica)?;
-    if loaded.running < options.slots {
+    // Urgent requests take free slots first.
+    let turn = urgent == 1 || loaded.urgent == 0;
+    if loaded.running < options.slots && turn {
       loaded.waiting -= 1;
+      loaded.urgent -= urgent;
       loaded.running += 1;
       held.runs.push(Run {
         request: completion.request.clone(),
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -1,5 +1,15 @@
 //! Work that may wait: durable before it is accepted, finished or refused.
 
+use bendsaddle::{
+  batch::{Batch, Item},
+  effect::Effect,
+  event::{Event, Tag},
+  object::{Kind, Name},
+  reduce::reduce,
+  settings::Limits,
+  state::{Identity, State},
+  update::{self, Outcome, Stored},
+};
 use serde_json::{Value, json};
 use stand_ins::{
   caller::{self, Ask},
@@ -167,3 +177,43 @@
   assert!(poll(&fleet, 0, &id)["waiting"].as_u64().unwrap() > 0);
   assert_eq!(done(&finish(&fleet, &id)), 40);
 }
+
+#[test]
+fn a_finished_batch_is_removed_a_day_after_its_deadline() {
+  let me = Identity {
+    instance: "entry-0".into(),
+    zone: "zone".into(),
+    peers: "10.0.0.1:1".into(),
+    operators: "10.0.0.1:2".into(),
+    boot: 1,
+    seeds: Vec::new(),
+  };
+  let now = 100_000_000;
+  let mut state = State::open(me, Limits::default(), 1, now);
+  let listed = Event::BatchesListed(vec![("old".into(), 5)]);
+  let effects = reduce(&mut state, now, listed);
+  let reads = |effect: &Effect| matches!(effect, Effect::Update { name, .. } if name.name == "old");
+  assert!(effects.iter().any(reads), "{effects:?}");
+  let batch = Batch {
+    model: "archive".into(),
+    deadline: 1_000,
+    prompts: vec!["page".into()],
+    items: vec![Item::Cancelled],
+    ..Batch::default()
+  };
+  let name = Name::of(Kind::Batch, "old");
+  let read = Event::Updated {
+    tag: Tag::Batch { id: "old".into() },
+    name: name.clone(),
+    outcome: Outcome::Applied(Stored {
+      version: 5,
+      value: update::Value::Batch(batch),
+    }),
+  };
+  let effects = reduce(&mut state, now + 100, read);
+  let version = 5;
+  assert!(
+    effects.contains(&Effect::Remove { name, version }),
+    "{effects:?}"
+  );
+}
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -279,6 +279,26 @@
   assert!(table(&[("a", sample)]).contains("too small to judge: 3 cold starts, below 30"));
 }
 
+#[test]
+fn urgent_calls_have_a_part_of_the_budget_to_themselves() {
+  use bendsaddle::bucket::Bucket;
+  let start = std::time::Instant::now();
+  let mut bucket = Bucket::open(8, start);
+  let taken = |bucket: &mut Bucket, urgent| {
+    (0..20)
+      .filter(|_| bucket.take(urgent, start).is_ok())
+      .count()
+  };
+  assert_eq!(taken(&mut bucket, false), 6);
+  assert_eq!(taken(&mut bucket, true), 2);
+  let later = start + std::time::Duration::from_secs(5);
+  bucket.set_rate(4);
+  assert_eq!(
+    (0..20).filter(|_| bucket.take(true, later).is_ok()).count(),
+    4
+  );
+}
+
 #[test]
 fn quantiles_are_values_of_the_sample() {
   assert_eq!(quantile(&[], 0.5), 0.0);
