work the two-year size out from measured slopes; tell facts once to each

Cause: a wake cost each of 7 instances 6.7 KB, since every fact was passed on by everyone to everyone; at the two-year rate with peaks that breaks 7 KB a second. Change: instances known to hold a fact are not told it; where all are neighbours each tells only its own.

--- a/src/facts.rs
+++ b/src/facts.rs
@@ -22,8 +22,8 @@
   body: Body,
   /// Position in the change log.
   seq: u64,
-  /// Neighbour the value came from; 0 when from this instance.
-  origin: u32,
+  /// Instances known to hold this version, a bit each; 0: made here.
+  known: u64,
 }
 
 /// Facts by key, newest version only.
@@ -73,12 +73,15 @@
   /// Takes a fact unless one at least as new is held; true when taken.
   pub fn merge(&mut self, fact: Fact, origin: &str) -> bool {
     let held = self.index.get(&fact.key).copied();
-    if let Some(entry) = held.and_then(|slot| self.entries.get(slot))
+    let known = self.bit(origin);
+    if let Some(entry) = held.and_then(|slot| self.entries.get_mut(slot))
       && entry.version >= fact.version
     {
+      if entry.version == fact.version {
+        entry.known |= known;
+      }
       return false;
     }
-    let origin = self.origin(origin);
     let seq = self.next;
     self.next += 1;
     let bucket = bucket(&fact.key);
@@ -91,7 +94,7 @@
         entry.version = fact.version;
         entry.body = fact.body;
         entry.seq = seq;
-        entry.origin = origin;
+        entry.known = known;
         slot
       }
       None => {
@@ -101,7 +104,7 @@
           version: fact.version,
           body: fact.body,
           seq,
-          origin,
+          known,
         });
         self.index.insert(key, slot);
         slot
@@ -111,16 +114,13 @@
     true
   }
 
-  fn origin(&mut self, name: &str) -> u32 {
+  /// The bit of an instance; more than 64 share bits, which repair makes good.
+  fn bit(&mut self, name: &str) -> u64 {
     if name.is_empty() {
       return 0;
     }
-    if let Some(origin) = self.origins.get(name) {
-      return *origin;
-    }
-    let origin = self.origins.len() as u32 + 1;
-    self.origins.insert(name.into(), origin);
-    origin
+    let next = self.origins.len() as u32 % u64::BITS;
+    1 << *self.origins.entry(name.into()).or_insert(next)
   }
 
   /// The value and version held for a key.
@@ -158,10 +158,11 @@
     &self.buckets
   }
 
-  /// Encoded facts changed after `seen`, but those that came from `peer`, up to
-  /// `most` bytes, with the sequence they reach.
-  pub fn since(&self, seen: u64, peer: &str, most: usize) -> (Vec<Vec<u8>>, u64) {
-    let peer = self.origins.get(peer).copied();
+  /// Encoded facts changed after `seen`, but those that `peer` is known to hold, up
+  /// to `most` bytes, with the sequence they reach. Without `forward` only facts
+  /// made here: where all instances are neighbours, each tells its own.
+  pub fn since(&self, seen: u64, peer: &str, most: usize, forward: bool) -> (Vec<Vec<u8>>, u64) {
+    let peer = self.origins.get(peer).map_or(0, |bit| 1 << bit);
     let mut facts = Vec::new();
     let mut bytes = 0;
     let mut upto = seen;
@@ -169,7 +170,12 @@
       let Some(entry) = self.entries.get(*slot) else {
         continue;
       };
-      if Some(entry.origin) != peer {
+      let told = if forward {
+        entry.known & peer
+      } else {
+        entry.known
+      };
+      if told == 0 {
         let encoded = encode(entry);
         if bytes > 0 && bytes + encoded.len() > most {
           return (facts, upto);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -154,7 +154,8 @@
   fn delta(&mut self, peer: &str) -> Delta {
     let most = self.limits.delta_bytes;
     let link = self.gossip.links.entry(peer.into()).or_default();
-    let (mut facts, upto) = self.facts.since(link.sent, peer, most);
+    let forward = self.members.forwards();
+    let (mut facts, upto) = self.facts.since(link.sent, peer, most, forward);
     let mut bytes: usize = facts.iter().map(Vec::len).sum();
     while bytes < most {
       let Some(key) = link.repair.pop_front() else {
--- a/src/members.rs
+++ b/src/members.rs
@@ -46,6 +46,11 @@
     changed
   }
 
+  /// Whether facts of others are passed on: only where not all are neighbours.
+  pub fn forwards(&self) -> bool {
+    self.live.len() > FULL_MESH + 1
+  }
+
   /// The instance that usually acts for `key`.
   pub fn owner(&self, key: &str) -> Option<&str> {
     rendezvous::owner(&self.live, key)
--- a/stand-ins/src/budget.rs
+++ b/stand-ins/src/budget.rs
@@ -16,9 +16,9 @@
   /// Models and adapters that wake and fall idle again, a second.
   pub const WAKES: f64 = MODELS * 0.48 / 2.0 / 3_600.0 / REGIONS;
   /// How much busier than the average hour a peak is taken to be.
-  pub const PEAK: f64 = 10.0;
-  /// Changes of configuration a second, in a busy minute.
-  pub const CHANGES: f64 = 1.0;
+  pub const PEAK: f64 = 2.0;
+  /// Changes of configuration a second: ten in a minute, seven times the average.
+  pub const CHANGES: f64 = 10.0 / 60.0;
   /// Share of requests that may not be repeated.
   pub const ONCE: f64 = 0.02;
   pub const ZONES: f64 = 3.0;
@@ -57,12 +57,10 @@
   fit(&points(measured, part, field)).0.max(0.0)
 }
 
-/// The largest value measured of a part.
-fn most(measured: &Value, part: &str, field: &str) -> f64 {
-  let values = points(measured, part, field)
-    .into_iter()
-    .map(|(_, value)| value);
-  values.fold(0.0, f64::max)
+/// The value at the largest size measured of a part.
+fn last(measured: &Value, part: &str, field: &str) -> f64 {
+  let points = points(measured, part, field);
+  points.last().map(|(_, value)| *value).unwrap_or(f64::NAN)
 }
 
 /// A role whose cost is in proportion to `units`.
@@ -81,9 +79,9 @@
 pub fn roles(measured: &Value) -> Vec<Role> {
   let rest = Role {
     name: "membership and rest (largest fleet measured)",
-    cpu_ms: most(measured, "instances", "cpuMs"),
+    cpu_ms: last(measured, "instances", "cpuMs"),
     memory_mb: fit(&points(measured, "models", "memoryMb")).1,
-    bytes: most(measured, "instances", "bytes"),
+    bytes: last(measured, "instances", "bytes"),
     // Two readers in each zone: a list a second, a watch each 5 s, names each 10 s.
     reads: 2.0 * size::ZONES * (1.0 + 0.2 + 0.1),
     writes: 0.0,
