go to a server with room when others were quicker

A server short of memory was also passed over for requests to its ready replicas. Change: without memory, a server with room is taken instead, without the pause for draining; being full no longer bars dispatch.

--- a/src/job.rs
+++ b/src/job.rs
@@ -55,7 +55,9 @@
   pub began: u64,
   /// Time after which loading is given up, ms.
   pub give_up: u64,
-  /// Newest fencing number.
+  /// The job began with the decision, so the replica served nobody before.
+  pub reserving: bool,
+  /// Newest fencing number; 0 before the reservation.
   pub fence: u64,
   /// Time until which an order of this instance may still arrive, ms.
   pub unsure_until: u64,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -41,6 +41,7 @@
       since: self.now,
       began: self.now,
       give_up: self.now + self.limits.load_ms,
+      reserving: step == Step::Decide,
       fence: 0,
       unsure_until: 0,
       limit,
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -57,7 +57,7 @@
       Step::Decide => self.go(id, Step::Reserve),
       Step::Reserve => self.go(id, Step::Verify),
       Step::Verify => self.on_verified(id, value),
-      Step::Retire => self.go(id, Step::Drain),
+      Step::Retire => self.on_withdrawn(id),
       Step::Unreserve => self.go(id, Step::Unload),
       Step::Release => self.go(id, Step::Drop),
       Step::Settle => self.end_job(id),
@@ -106,7 +106,7 @@
     use update::Rejection::{Model, Server};
     match (step, why) {
       (Step::Decide, _) => self.end_job(id),
-      (Step::Reserve, Server(Ledger::Memory)) => self.go(id, Step::MakeRoom),
+      (Step::Reserve, Server(Ledger::Memory)) => self.on_no_memory(id),
       (Step::Reserve, Server(Ledger::Unloading)) => self.go(id, Step::Settle),
       (Step::Unreserve, Server(Ledger::Missing)) => self.go(id, Step::Drop),
       (Step::Release, Server(Ledger::InFlight)) => self.on_in_flight(id, value),
@@ -115,6 +115,34 @@
     }
   }
 
+  /// Others were quicker on this server: a server with room is sooner than one
+  /// where a replica must give way.
+  fn on_no_memory(&mut self, id: Id) {
+    let Some(job) = self.jobs.get(&id) else {
+      return;
+    };
+    let (model, server) = (job.model.clone(), job.replica.server.clone());
+    let policy = self.policy(&job.replica.policy);
+    if !self.room_elsewhere(&model, &policy, &server) {
+      self.go(id, Step::MakeRoom);
+      return;
+    }
+    let key = self.server(&server);
+    self.servers[key].full_until = self.now + self.limits.yield_ms;
+    self.go(id, Step::Retire);
+  }
+
+  /// Requests are drained only from a replica that may have taken some.
+  fn on_withdrawn(&mut self, id: Id) {
+    let reserved = self.jobs.get(&id).is_some_and(|job| job.fence > 0);
+    let placed = self.jobs.get(&id).is_some_and(|job| job.reserving);
+    let next = match placed && !reserved {
+      true => Step::Unreserve,
+      false => Step::Drain,
+    };
+    self.go(id, next);
+  }
+
   /// Another process may still send an order: wait until it has settled or is
   /// known to have ended, and look at the engine again after that.
   fn on_in_flight(&mut self, id: Id, value: &Value) {
@@ -244,7 +272,7 @@
     let victims = self.victims(key, report, need);
     // Waiting here helps no more: another server may have room.
     if victims.is_empty() && self.now > began + 4 * self.limits.drain_ms {
-      self.servers[server].avoid_until = self.now + self.limits.yield_ms;
+      self.servers[server].full_until = self.now + self.limits.yield_ms;
       self.go(id, Step::Retire);
       return;
     }
--- a/src/place.rs
+++ b/src/place.rs
@@ -31,7 +31,8 @@
     let mut scored = Vec::new();
     for name in candidates {
       let server = self.server(&name);
-      if self.servers[server].avoid_until > self.now {
+      let known = &self.servers[server];
+      if known.avoid_until.max(known.full_until) > self.now {
         continue;
       }
       if let Some(score) = self.score(&model, &policy, server) {
@@ -69,6 +70,29 @@
     Some(score + self.zone_cost(model, policy, &server.name))
   }
 
+  /// Whether another server has memory left for the model, as far as decided.
+  pub fn room_elsewhere(&self, model: &str, policy: &Policy, except: &str) -> bool {
+    let Some(spec) = self.catalog.models.get(model) else {
+      return false;
+    };
+    let mut servers = self.catalog.servers.iter();
+    servers.any(|(name, server)| {
+      let Some(key) = self.server_keys.get(name) else {
+        return false;
+      };
+      let known = &self.servers[*key];
+      name != except
+        && policy.servers.matches(&server.labels)
+        && self.usable(name)
+        && known.avoid_until.max(known.full_until) <= self.now
+        && self.decided_mb(known) + spec.memory_mb <= server.memory_mb
+        && spec
+          .base
+          .as_ref()
+          .is_none_or(|base| self.base_ready(known, base))
+    })
+  }
+
   fn base_ready(&self, server: &server::Server, base: &str) -> bool {
     let mut replicas = self.placement(base).iter();
     replicas.any(|replica| {
--- a/src/server.rs
+++ b/src/server.rs
@@ -28,6 +28,8 @@
   pub others: HashMap<Id, u32>,
   /// Nothing is sent before this time, ms: a recent failure.
   pub avoid_until: u64,
+  /// No replica is placed here before this time, ms: memory was short.
+  pub full_until: u64,
   /// The engine says that it is leaving.
   pub leaving: bool,
   /// When this instance last asked for a status, ms.
