ask the state for repeatable paths; fewer places that stand twice

Cause: after every exchange with a neighbour the map of repeatable paths was built anew for the requests' threads, though it follows from the state; the world model wrote the same event in five places, two tests the same sum. Change: a service's call looks at the state; one function for each.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -64,7 +64,6 @@
       metrics,
       journal: Mutex::default(),
       platform: Client::open(&settings),
-      services: Mutex::default(),
       traffic: Arc::default(),
       stopping: AtomicBool::new(false),
       input,
@@ -137,15 +136,7 @@
       Err(RecvTimeoutError::Timeout) => Event::Tick,
       Err(RecvTimeoutError::Disconnected) => return,
     };
-    let configures = matches!(
-      event,
-      Event::Watched(_) | Event::Exchange { .. } | Event::Exchanged { .. }
-    );
-    let effects = reduce(&mut state, hands.shared.now(), event);
-    if configures {
-      hands.shared.put_services(&state);
-    }
-    for effect in effects {
+    for effect in reduce(&mut state, hands.shared.now(), event) {
       if effect == Effect::Stopped {
         let _ = finished.send(());
       } else {
--- a/src/services.rs
+++ b/src/services.rs
@@ -69,10 +69,13 @@
 }
 
 fn repeatable(shared: &Shared, service: &str, path: &str) -> bool {
-  let services = shared.services.lock();
-  let services = services.unwrap_or_else(std::sync::PoisonError::into_inner);
-  let paths = services.get(service);
-  paths.is_some_and(|paths| paths.iter().any(|repeatable| repeatable == path))
+  let (service, path) = (service.to_string(), path.to_string());
+  let known = shared.look(move |state| {
+    let service = state.catalog.services.get(&service);
+    service.is_some_and(|service| service.repeatable.contains(&path))
+  });
+  // Without an answer the call counts as one that may not be repeated.
+  known.unwrap_or(false)
 }
 
 fn outgoing(
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -53,8 +53,6 @@
   pub metrics: Metrics,
   pub journal: Mutex<Journal>,
   pub platform: Client,
-  /// Repeatable paths of plain services in force.
-  pub services: Mutex<HashMap<String, Vec<String>>>,
   /// What went between this instance and others.
   pub traffic: Arc<Traffic>,
   /// A planned stop has begun.
@@ -137,13 +135,6 @@
     lines.cloned().collect()
   }
 
-  /// Tells the requests' threads which paths may be repeated.
-  pub fn put_services(&self, state: &State) {
-    let services = state.catalog.services.iter();
-    let paths = services.map(|(name, service)| (name.clone(), service.repeatable.clone()));
-    *lock(&self.services) = paths.collect();
-  }
-
   /// Records a change of state.
   pub fn note(&self, entry: Entry) {
     self.metrics.count(&entry);
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -331,6 +331,15 @@
     residents.filter(|(resident, _)| resident == model).count()
   }
 
+  /// Requests waiting at all instances.
+  pub fn waiting(&self) -> u64 {
+    let waiting = self
+      .members
+      .iter()
+      .map(|member| member.status()["waiting"].as_u64());
+    waiting.flatten().sum()
+  }
+
   /// Loads begun on all engines.
   pub fn loads(&self) -> u64 {
     self.engines.iter().map(Engine::loads).sum()
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -52,13 +52,7 @@
       thread::spawn(move || Ask::of("cold", &format!("waits {at}"), 5).send(&address))
     })
     .collect();
-  wait_for("the requests to wait", || {
-    let waiting = fleet
-      .members
-      .iter()
-      .map(|member| member.status()["waiting"].as_u64());
-    waiting.flatten().sum::<u64>() == 6
-  });
+  wait_for("the requests to wait", || fleet.waiting() == 6);
   fleet.platform_proxy.fault(Fault::None);
   fleet.platform_proxy.cut();
   for (at, thread) in threads.into_iter().enumerate() {
@@ -97,13 +91,7 @@
       thread::spawn(move || Ask::of(model, &format!("{at}"), 5).send(&address))
     })
     .collect();
-  wait_for("the requests to wait", || {
-    let waiting = fleet
-      .members
-      .iter()
-      .map(|member| member.status()["waiting"].as_u64());
-    waiting.flatten().sum::<u64>() == 12
-  });
+  wait_for("the requests to wait", || fleet.waiting() == 12);
   fleet.platform_proxy.fault(Fault::None);
   for thread in threads {
     let reply = thread.join().unwrap();
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -416,12 +416,7 @@
           self.pending.push(wire);
         } else {
           let outcome = order::Outcome::NotSent;
-          let event = Event::Ordered {
-            replica,
-            step,
-            outcome,
-          };
-          self.answer(at, boot, event);
+          self.ordered(at, boot, replica, step, outcome);
         }
       }
       Effect::Poll { server, .. } => {
@@ -499,6 +494,15 @@
     self.pending.push(Pending::Event(at, boot, event));
   }
 
+  fn ordered(&mut self, at: usize, boot: u64, replica: Id, step: u64, outcome: order::Outcome) {
+    let event = Event::Ordered {
+      replica,
+      step,
+      outcome,
+    };
+    self.answer(at, boot, event);
+  }
+
   fn node(&self, address: &str) -> usize {
     let mine = |node: &Node| node.state.me.peers == address;
     self.nodes.iter().position(mine).unwrap_or_default()
@@ -568,27 +572,14 @@
     // Sender gives up after a second; the network after the order's lifetime.
     if self.now > sent + limits().order_ttl_ms {
       let outcome = order::Outcome::Unknown;
-      self.answer(
-        at,
-        boot,
-        Event::Ordered {
-          replica,
-          step,
-          outcome,
-        },
-      );
+      self.ordered(at, boot, replica, step, outcome);
       return;
     }
     if self.delay_load && matches!(order.act, Act::Load { .. }) {
       self.delay_load = false;
       self.delayed = Some((order, sent));
       let outcome = order::Outcome::Unknown;
-      let event = Event::Ordered {
-        replica,
-        step,
-        outcome,
-      };
-      self.answer(at, boot, event);
+      self.ordered(at, boot, replica, step, outcome);
       return;
     }
     if badly {
@@ -596,27 +587,11 @@
       self
         .pending
         .push(Pending::Wire(at, boot, order, u64::MAX, sent));
-      self.answer(
-        at,
-        boot,
-        Event::Ordered {
-          replica,
-          step,
-          outcome,
-        },
-      );
+      self.ordered(at, boot, replica, step, outcome);
       return;
     }
     let outcome = self.obey(&order);
-    self.answer(
-      at,
-      boot,
-      Event::Ordered {
-        replica,
-        step,
-        outcome,
-      },
-    );
+    self.ordered(at, boot, replica, step, outcome);
   }
 
   fn obey(&mut self, order: &Order) -> order::Outcome {
