wait for the time line's last entry

The order asserted is right, the moment of reading was not. Change: the test waits until the entry is there; its assertions are unchanged.

--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -44,7 +44,10 @@
     assert!(reply.is(&answer("prompt", 3)), "{reply:?}");
   }
   let operators = &fleet.members[0].operators;
-  let text = said(&["timeline", "--instance", operators]);
+  // Requests may be served before the deciding instance itself sees the replica.
+  let merged = || said(&["timeline", "--instance", operators]);
+  wait_for("the load to be recorded", || merged().contains("\"ready\""));
+  let text = merged();
   let at = |word: &str| {
     text
       .find(word)
