route requests on the users' platform: the thin path

Cause: nothing of bendsaddle spoke the platform's protocol. Change: routing as the product's own concept (routes, deployment, backend servers, retry budget, one reducer in dispatch), pass-through of heads and bodies as bytes, streams passed on by whole events; platform/ holds only the names and decoders. No orders to engines yet.

--- a/src/apply.rs
+++ b/src/apply.rs
@@ -94,6 +94,8 @@
     platform: platform.into(),
     seeds: Vec::new(),
     limits: Default::default(),
+    health: None,
+    routing: None,
   })
 }
 
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,57 @@
+//! Orders to the model engines of backend servers, and what they answer.
+
+use crate::dispatch::Model;
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// What an engine is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+  Load,
+  Unload,
+}
+
+/// One order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Command {
+  /// The server that is meant, and where it is.
+  pub id: String,
+  pub address: SocketAddr,
+  pub act: Act,
+  pub model: Model,
+  /// Orders the server must have taken before, or it does nothing.
+  pub orders: u64,
+  /// The machine that orders, and its lease's term: rises with every holder.
+  pub holder: String,
+  pub term: u64,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+  /// The engine is at work on it.
+  Accepted,
+  /// It is done, or was already.
+  Done,
+  /// Another order is under way, or was taken in between; nothing was done.
+  Conflict,
+  /// The engine declined with this status; nothing was done.
+  Declined(u16),
+  /// Another server has the address.
+  Replaced,
+  NotSent,
+  /// No answer: it may have been taken, or may be yet.
+  Unknown,
+}
+
+/// What an engine holds, as it says when asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Inventory {
+  /// Models held, each with its adapters.
+  pub models: BTreeMap<String, Vec<String>>,
+  /// An order is under way.
+  pub busy: bool,
+  /// Orders taken.
+  pub orders: u64,
+  pub queued: u32,
+  pub running: u32,
+}
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,609 @@
+//! The reducer of routed requests: admission, choice of a backend server,
+//! retries and refusals.
+//!
+//! Events go in with their time, effects come out; threads around it carry
+//! effects out and hold no decision of their own.
+
+use crate::{
+  ask::Ticket,
+  backend::{self, Backend, Holding, Spec, Stage, missing_name},
+  deployment::{Deployment, Engine},
+  refusal::{Reason, Refusal},
+  retry::{Bound, Budget},
+  route::Route,
+  verdict::Verdict,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+use std::{
+  collections::{BTreeMap, BTreeSet, HashMap},
+  net::SocketAddr,
+  sync::Arc,
+};
+
+/// Pause of a server after its first failure, ms; doubled for each further one.
+const AVOID_MS: u64 = 500;
+/// Longest pause of a server that fails, ms.
+const AVOID_MOST_MS: u64 = 4_000;
+/// Pause of a server that declined because it was full, ms.
+const FULL_MS: u64 = 60;
+/// Time for which a server is believed not to hold what it said it lacked, ms.
+const MISSING_MS: u64 = 400;
+/// Pause before a waiting request is looked at again without news, ms.
+const LOOK_MS: u64 = 100;
+/// Sends beyond a route's attempts, for sends that were declined.
+const DECLINED_MOST: u32 = 4;
+/// Requests by which a preferred server may be ahead of the least loaded one,
+/// in hundredths of its slots.
+const AHEAD_PERCENT: u32 = 12;
+/// After this part of its time a request that waits counts as hopeless when no
+/// server of its pool is known, in hundredths.
+const COME_BACK_MS: u64 = 500;
+/// Load in slots that a request between availability zones is worth.
+const ZONE_LOAD: u32 = 1;
+
+/// A model with the adapter that a request names.
+#[derive(
+  Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Model {
+  pub name: String,
+  pub adapter: Option<String>,
+}
+
+impl Model {
+  /// The model named by `MODEL` or `MODEL/ADAPTER`.
+  pub fn parse(text: &str) -> Self {
+    match text.split_once('/') {
+      Some((name, adapter)) => Self {
+        name: name.into(),
+        adapter: Some(adapter.into()),
+      },
+      None => Self {
+        name: text.into(),
+        adapter: None,
+      },
+    }
+  }
+}
+
+/// A request, as far as decisions need it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+  pub ticket: Ticket,
+  /// The caller's own id of the request.
+  pub id: String,
+  pub route: Arc<Route>,
+  pub pool: String,
+  pub model: Option<Model>,
+  /// Equal for requests that share the start of their prompt.
+  pub affinity: u64,
+  /// When it is given up, ms.
+  pub until: u64,
+}
+
+/// One send of a request to a backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+  pub ticket: Ticket,
+  pub backend: backend::Key,
+  pub id: String,
+  pub address: SocketAddr,
+  /// Counts the sends of one request, from 1.
+  pub number: u32,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+  /// The caller has the whole answer.
+  Whole,
+  /// The server answered with a failure of its own, which the caller has.
+  Failed,
+  /// The server is full: it did not run the request.
+  Full,
+  /// The server does not hold the model: it did not run the request.
+  Missing,
+  /// Another server has the address now.
+  Replaced,
+  /// No connection came up.
+  Unreached,
+  /// The request may have run; nothing of an answer counts.
+  Broken,
+  /// The caller has gone.
+  Left,
+  /// The request's time is over.
+  Late,
+}
+
+impl End {
+  /// Whether the server may have run the request.
+  pub fn verdict(self) -> Verdict {
+    match self {
+      Self::Full | Self::Missing | Self::Replaced | Self::Unreached => Verdict::NotRun,
+      _ => Verdict::MayHaveRun,
+    }
+  }
+}
+
+/// A change of a pool's servers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+  /// All servers there are.
+  All(Vec<Spec>),
+  Set(Spec),
+  Gone(String),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+  Deployed(Arc<Deployment>),
+  Servers(Vec<Change>),
+  /// The planner told what servers hold, and how many instances there are.
+  Told {
+    holdings: Vec<Holding>,
+    instances: usize,
+  },
+  Arrived(Ask),
+  Ended {
+    ticket: Ticket,
+    end: End,
+  },
+  /// A waiting request's time has come to be looked at again.
+  Look(Ticket),
+  /// The caller of a waiting request has gone.
+  Left(Ticket),
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+  Send(Attempt),
+  /// Wait for news, at most until then, ms.
+  Wait(Ticket, u64),
+  Refuse(Ticket, Refusal),
+  /// The planner should load a model.
+  Want,
+}
+
+/// A request between arrival and its final answer.
+#[derive(Clone, Debug)]
+pub struct Request {
+  pub ask: Ask,
+  pub sends: u32,
+  /// Sends that may have run.
+  pub runs: u32,
+  pub at: Option<backend::Key>,
+  pub tried: Vec<backend::Key>,
+  pub verdict: Verdict,
+  pub arrived: u64,
+  /// It waits for a server since then, ms.
+  pub waiting: Option<u64>,
+}
+
+/// Requests that wait for a model, told to the planner.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Demand {
+  pub pool: String,
+  pub model: Model,
+  pub waiting: u32,
+  /// Most urgent priority among them.
+  pub priority: u8,
+  /// How long the oldest waits, ms.
+  pub age_ms: u64,
+}
+
+/// Everything that routed requests are decided by.
+pub struct State {
+  pub zone: String,
+  pub bound: Bound,
+  pub deployment: Option<Arc<Deployment>>,
+  pub backends: SlotMap<backend::Key, Backend>,
+  pub ids: HashMap<String, backend::Key>,
+  /// The servers were read at least once.
+  pub listed: bool,
+  pub requests: HashMap<Ticket, Request>,
+  /// Waiting requests: the most urgent first, then the one that ends first.
+  pub waiting: BTreeSet<(u8, u64, Ticket)>,
+  /// Requests sent, by server and model.
+  pub running: BTreeMap<(backend::Key, Model), u32>,
+  pub budgets: BTreeMap<String, Budget>,
+  /// Instances that share the budget.
+  pub instances: usize,
+  rng: SmallRng,
+  now: u64,
+  out: Vec<Effect>,
+}
+
+/// Instances assumed until the planner has told how many there are.
+const INSTANCES: usize = 8;
+
+impl State {
+  /// State of an instance that knows nothing yet.
+  pub fn open(zone: &str, bound: Bound, seed: u64) -> Self {
+    Self {
+      zone: zone.into(),
+      bound,
+      deployment: None,
+      backends: SlotMap::with_key(),
+      ids: HashMap::new(),
+      listed: false,
+      requests: HashMap::new(),
+      waiting: BTreeSet::new(),
+      running: BTreeMap::new(),
+      budgets: BTreeMap::new(),
+      instances: INSTANCES,
+      rng: SmallRng::seed_from_u64(seed),
+      now: 0,
+      out: Vec::new(),
+    }
+  }
+
+  /// Whether requests can be served.
+  pub fn ready(&self) -> bool {
+    self.deployment.is_some() && self.listed
+  }
+
+  /// Takes up an event; gives what is to be done.
+  pub fn reduce(&mut self, now: u64, event: Event) -> Vec<Effect> {
+    self.now = now;
+    match event {
+      Event::Deployed(deployment) => self.deployed(deployment),
+      Event::Servers(changes) => self.servers(changes),
+      Event::Told {
+        holdings,
+        instances,
+      } => self.told(holdings, instances),
+      Event::Arrived(ask) => self.arrived(ask),
+      Event::Ended { ticket, end } => self.ended(ticket, end),
+      Event::Look(ticket) => self.place(ticket),
+      Event::Left(ticket) => self.forget(ticket),
+    }
+    std::mem::take(&mut self.out)
+  }
+
+  fn deployed(&mut self, deployment: Arc<Deployment>) {
+    let newer = |old: &Arc<Deployment>| old.version < deployment.version;
+    if self.deployment.as_ref().is_none_or(newer) {
+      self.deployment = Some(deployment);
+      self.place_waiting();
+    }
+  }
+
+  fn servers(&mut self, changes: Vec<Change>) {
+    for change in changes {
+      match change {
+        Change::All(specs) => {
+          let gone: Vec<String> = self
+            .ids
+            .keys()
+            .filter(|id| !specs.iter().any(|spec| spec.id == **id))
+            .cloned()
+            .collect();
+          gone.iter().for_each(|id| self.gone(id));
+          specs.into_iter().for_each(|spec| self.set(spec));
+          self.listed = true;
+        }
+        Change::Set(spec) => self.set(spec),
+        Change::Gone(id) => self.gone(&id),
+      }
+    }
+    self.place_waiting();
+  }
+
+  fn set(&mut self, spec: Spec) {
+    match self.ids.get(&spec.id) {
+      Some(key) => self.backends[*key].spec = spec,
+      None => {
+        let id = spec.id.clone();
+        let key = self.backends.insert(Backend::open(spec));
+        self.ids.insert(id, key);
+      }
+    }
+  }
+
+  /// A server that is gone keeps its place while requests run there.
+  fn gone(&mut self, id: &str) {
+    let Some(key) = self.ids.get(id).copied() else {
+      return;
+    };
+    self.backends[key].spec.stage = Stage::Draining;
+    if self.backends[key].running == 0 {
+      self.drop_backend(key);
+    } else {
+      self.ids.remove(id);
+    }
+  }
+
+  fn drop_backend(&mut self, key: backend::Key) {
+    if let Some(backend) = self.backends.remove(key) {
+      self.ids.remove(&backend.spec.id);
+    }
+  }
+
+  fn told(&mut self, holdings: Vec<Holding>, instances: usize) {
+    self.instances = instances.max(1);
+    for holding in holdings {
+      let Some(key) = self.ids.get(&holding.id).copied() else {
+        continue;
+      };
+      let backend = &mut self.backends[key];
+      backend.heard = self.now;
+      backend.holding = Some(holding);
+    }
+    self.place_waiting();
+  }
+
+  fn arrived(&mut self, ask: Ask) {
+    let budget = self.budgets.entry(ask.pool.clone()).or_default();
+    budget.request(self.now, &self.bound);
+    let ticket = ask.ticket;
+    let request = Request {
+      ask,
+      sends: 0,
+      runs: 0,
+      at: None,
+      tried: Vec::new(),
+      verdict: Verdict::NotRun,
+      arrived: self.now,
+      waiting: None,
+    };
+    self.requests.insert(ticket, request);
+    self.place(ticket);
+  }
+
+  fn forget(&mut self, ticket: Ticket) {
+    if let Some(request) = self.requests.remove(&ticket) {
+      self.waiting.remove(&order(&request.ask));
+    }
+  }
+
+  fn refuse(&mut self, ticket: Ticket, reason: Reason) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let refusal = Refusal {
+      reason,
+      verdict: request.verdict,
+      retry_after: Some(COME_BACK_MS),
+    };
+    self.out.push(Effect::Refuse(ticket, refusal));
+    self.forget(ticket);
+  }
+
+  fn place_waiting(&mut self) {
+    let tickets: Vec<Ticket> = self.waiting.iter().map(|entry| entry.2).collect();
+    for ticket in tickets {
+      self.place(ticket);
+    }
+  }
+
+  /// Sends a request, lets it wait, or gives it up.
+  fn place(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    if request.at.is_some() {
+      return;
+    }
+    if self.now >= request.ask.until {
+      return self.refuse(ticket, Reason::TooLate);
+    }
+    if request.sends >= request.ask.route.attempts + DECLINED_MOST {
+      return self.refuse(ticket, Reason::NoServer);
+    }
+    match self.choose(ticket) {
+      Some(key) => self.send(ticket, key),
+      None => self.hold(ticket),
+    }
+  }
+
+  fn hold(&mut self, ticket: Ticket) {
+    let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let new = request.waiting.is_none();
+    request.waiting.get_or_insert(now);
+    let until = request.ask.until.min(now + LOOK_MS);
+    let entry = order(&request.ask);
+    let wants = request.ask.model.is_some();
+    self.waiting.insert(entry);
+    self.out.push(Effect::Wait(ticket, until));
+    if new && wants {
+      self.out.push(Effect::Want);
+    }
+  }
+
+  fn send(&mut self, ticket: Ticket, key: backend::Key) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    request.sends += 1;
+    request.at = Some(key);
+    request.waiting = None;
+    let entry = order(&request.ask);
+    let backend = &mut self.backends[key];
+    backend.running += 1;
+    if let Some(model) = &request.ask.model {
+      *self.running.entry((key, model.clone())).or_default() += 1;
+    }
+    let attempt = Attempt {
+      ticket,
+      backend: key,
+      id: backend.spec.id.clone(),
+      address: backend.spec.address,
+      number: request.sends,
+    };
+    self.waiting.remove(&entry);
+    self.out.push(Effect::Send(attempt));
+  }
+
+  fn ended(&mut self, ticket: Ticket, end: End) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let Some(key) = request.at.take() else {
+      return;
+    };
+    if end.verdict() == Verdict::MayHaveRun {
+      request.runs += 1;
+      request.tried.push(key);
+    }
+    request.verdict = request.verdict.and(end.verdict());
+    let model = request.ask.model.clone();
+    self.settle(key, model, end);
+    match end {
+      End::Whole | End::Failed | End::Left => self.forget(ticket),
+      End::Late => self.refuse(ticket, Reason::TooLate),
+      End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
+      End::Broken => self.broken(ticket),
+    }
+    self.place_waiting();
+  }
+
+  fn broken(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let route = &request.ask.route;
+    if route.repeatable() && request.runs < route.attempts {
+      self.again(ticket);
+    } else {
+      self.refuse(ticket, Reason::ServerFailed);
+    }
+  }
+
+  fn again(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let now = self.now;
+    let budget = self.budgets.entry(request.ask.pool.clone()).or_default();
+    if budget.repeat(now, &self.bound, self.instances) {
+      self.place(ticket);
+    } else {
+      let reason = match request.verdict {
+        Verdict::NotRun => Reason::NoServer,
+        Verdict::MayHaveRun => Reason::ServerFailed,
+      };
+      self.refuse(ticket, reason);
+    }
+  }
+
+  /// Takes up what a send's end says of the server.
+  fn settle(&mut self, key: backend::Key, model: Option<Model>, end: End) {
+    let now = self.now;
+    let Some(backend) = self.backends.get_mut(key) else {
+      return;
+    };
+    backend.running = backend.running.saturating_sub(1);
+    match end {
+      End::Whole => backend.failures = 0,
+      End::Failed | End::Left | End::Late => {}
+      End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
+      End::Missing => {
+        if let Some(model) = &model {
+          let name = missing_name(&model.name, model.adapter.as_deref());
+          backend.missing.insert(name, now + MISSING_MS);
+        }
+      }
+      End::Replaced => backend.spec.stage = Stage::Draining,
+      End::Unreached | End::Broken => {
+        let pause = AVOID_MS << backend.failures.min(4);
+        backend.failures += 1;
+        backend.avoid_until = now + pause.min(AVOID_MOST_MS);
+      }
+    }
+    if let Some(model) = model {
+      let entry = (key, model);
+      if let Some(count) = self.running.get_mut(&entry) {
+        *count -= 1;
+        if *count == 0 {
+          self.running.remove(&entry);
+        }
+      }
+    }
+    let backend = &self.backends[key];
+    if backend.running == 0 && !self.ids.contains_key(&backend.spec.id) {
+      self.backends.remove(key);
+    }
+  }
+
+  fn engine(&self, pool: &str) -> Option<&Engine> {
+    let pool = self.deployment.as_ref()?.pools.get(pool)?;
+    pool.engine.as_ref()
+  }
+
+  /// The server for a request's next send.
+  fn choose(&mut self, ticket: Ticket) -> Option<backend::Key> {
+    let request = self.requests.get(&ticket)?;
+    let ask = &request.ask;
+    let slots = self.engine(&ask.pool).map(|engine| engine.slots);
+    let mut found: Vec<(backend::Key, u32)> = Vec::new();
+    for (key, backend) in &self.backends {
+      let fits = backend.spec.pool == ask.pool
+        && backend.usable(self.now)
+        && !request.tried.contains(&key)
+        && self.fits(backend, ask);
+      if fits {
+        let near = backend.spec.zone == self.zone;
+        let far = if near { 0 } else { ZONE_LOAD };
+        let load = backend.running + backend.others(self.now) + far;
+        found.push((key, load));
+      }
+    }
+    let least = found.iter().map(|(_, load)| *load).min()?;
+    let ahead = slots.map_or(0, |slots| slots * AHEAD_PERCENT / 100);
+    found.retain(|(_, load)| *load <= least + ahead);
+    if slots.is_some() {
+      let affinity = ask.affinity;
+      let backends = &self.backends;
+      let best = found.iter().max_by_key(|(key, _)| {
+        let id = backends[*key].spec.id.as_bytes();
+        xxhash_rust::xxh3::xxh3_64_with_seed(id, affinity)
+      });
+      return best.map(|(key, _)| *key);
+    }
+    let pick = self.rng.random_range(0..found.len());
+    Some(found[pick].0)
+  }
+
+  fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
+    match &ask.model {
+      Some(model) => backend.holds(&model.name, model.adapter.as_deref(), self.now),
+      None => true,
+    }
+  }
+
+  /// Waiting requests by model, for the planner.
+  pub fn demand(&self, now: u64) -> Vec<Demand> {
+    let mut demand: BTreeMap<(String, Model), Demand> = BTreeMap::new();
+    for (priority, _, ticket) in &self.waiting {
+      let Some(request) = self.requests.get(ticket) else {
+        continue;
+      };
+      let Some(model) = &request.ask.model else {
+        continue;
+      };
+      let key = (request.ask.pool.clone(), model.clone());
+      let age_ms = now.saturating_sub(request.arrived);
+      let entry = demand.entry(key).or_insert_with(|| Demand {
+        pool: request.ask.pool.clone(),
+        model: model.clone(),
+        waiting: 0,
+        priority: *priority,
+        age_ms,
+      });
+      entry.waiting += 1;
+      entry.priority = entry.priority.min(*priority);
+      entry.age_ms = entry.age_ms.max(age_ms);
+    }
+    demand.into_values().collect()
+  }
+}
+
+fn order(ask: &Ask) -> (u8, u64, Ticket) {
+  (ask.route.priority, ask.until, ask.ticket)
+}
--- /dev/null
+++ b/src/edge.rs
@@ -0,0 +1,37 @@
+//! What a deployment brings to a routing instance: names, decoders and calls.
+
+use crate::{
+  backend::Spec,
+  command::{Command, Inventory, Taken},
+  deployment::Deployment,
+  dialect::Dialect,
+  store::{Object, Store},
+};
+use std::net::SocketAddr;
+
+type Order = dyn Fn(&Command) -> Taken + Send + Sync;
+type Report = dyn Fn(SocketAddr, &str) -> Option<Inventory> + Send + Sync;
+
+/// The kinds of objects that routing reads and writes.
+#[derive(Clone, Copy, Debug)]
+pub struct Kinds {
+  pub deployments: &'static str,
+  pub servers: &'static str,
+  pub leases: &'static str,
+  pub policies: &'static str,
+}
+
+/// The edges of a routing instance.
+pub struct Edge {
+  pub dialect: Dialect,
+  pub kinds: Kinds,
+  pub store: Store,
+  /// The deployment in an object; none for an object that is none.
+  pub deployment: fn(&Object) -> Result<Option<Deployment>, String>,
+  /// The backend server in an object.
+  pub server: fn(&Object) -> Result<Spec, String>,
+  /// Sends an order to a backend server, once.
+  pub order: Box<Order>,
+  /// Asks the server with this id what it holds.
+  pub report: Box<Report>,
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,305 @@
+//! The callers' port of a routing instance: connections, heads, bodies, routes.
+
+use crate::{
+  deployment::{Bounds, Deployment},
+  http::{Body, Fault, Framing, Headers, Request, Response},
+  hub::{Hub, Mailbox},
+  refusal::{Reason, Refusal},
+  relay::{self, Incoming},
+  route,
+  socket::{Fill, Socket, Want, wait},
+  verdict::Verdict,
+  web,
+};
+use slog::{info, warn};
+use std::{
+  io,
+  net::{SocketAddr, TcpListener, TcpStream},
+  sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+  },
+  thread,
+  time::{Duration, Instant},
+};
+
+/// Stack of a connection's thread, bytes.
+const STACK: usize = 128 << 10;
+/// Pause after an accept that failed, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time for a body to arrive, from the end of its head.
+const BODY_TIME: Duration = Duration::from_secs(15);
+/// Time for a short answer of this instance's own to be taken.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Time after which a caller refused for want of a configuration comes back, ms.
+const UNCONFIGURED_MS: u64 = 300;
+
+/// Why a request could not be read.
+enum Stop {
+  /// The connection ended, or was idle for too long.
+  Closed,
+  Answer(u16, String),
+}
+
+impl From<io::Error> for Stop {
+  fn from(_: io::Error) -> Self {
+    // A caller whose connection broke gets no answer.
+    Self::Closed
+  }
+}
+
+/// Binds the callers' port; at most `most` connections at once.
+pub fn bind(hub: &Arc<Hub>, address: &str, most: usize) -> io::Result<SocketAddr> {
+  let listener = web::listen(address)?;
+  let address = listener.local_addr()?;
+  let hub = hub.clone();
+  let builder = thread::Builder::new().name("accept".into());
+  builder.spawn(move || accept(&hub, &listener, most))?;
+  Ok(address)
+}
+
+fn accept(hub: &Arc<Hub>, listener: &TcpListener, most: usize) {
+  let open = Arc::new(AtomicUsize::new(0));
+  loop {
+    let stream = match listener.accept() {
+      Ok((stream, _)) => stream,
+      Err(error) => {
+        warn!(hub.log, "accept failed"; "error" => %error);
+        thread::sleep(ACCEPT_PAUSE);
+        continue;
+      }
+    };
+    if open.fetch_add(1, Ordering::Relaxed) >= most {
+      open.fetch_sub(1, Ordering::Relaxed);
+      warn!(hub.log, "caller turned away"; "connections" => most);
+      turn_away(stream);
+      continue;
+    }
+    let (hub, counted) = (hub.clone(), open.clone());
+    let builder = thread::Builder::new()
+      .name("caller".into())
+      .stack_size(STACK);
+    let spawned = builder.spawn(move || {
+      serve(&hub, stream);
+      counted.fetch_sub(1, Ordering::Relaxed);
+    });
+    if spawned.is_err() {
+      open.fetch_sub(1, Ordering::Relaxed);
+    }
+  }
+}
+
+fn turn_away(stream: TcpStream) {
+  let refusal = Refusal {
+    reason: Reason::QueueFull,
+    verdict: Verdict::NotRun,
+    retry_after: Some(UNCONFIGURED_MS),
+  };
+  if let Ok(mut socket) = Socket::accept(stream) {
+    // A caller that does not take even this is owed nothing more.
+    let _ = socket.push(&relay::refusal_answer(&refusal, false));
+  }
+}
+
+fn serve(hub: &Hub, stream: TcpStream) {
+  let (Ok(mut socket), Ok(mailbox)) = (Socket::accept(stream), Mailbox::open()) else {
+    return;
+  };
+  let mailbox = Arc::new(mailbox);
+  loop {
+    let bounds = bounds(hub);
+    match read(hub, &mut socket, &bounds) {
+      Ok(Some((head, body, arrived))) => {
+        hub.active.fetch_add(1, Ordering::Relaxed);
+        let keep = answer(hub, &mailbox, &mut socket, head, body, arrived);
+        hub.active.fetch_sub(1, Ordering::Relaxed);
+        if !keep {
+          return close(socket);
+        }
+      }
+      Ok(None) | Err(Stop::Closed) => return,
+      Err(Stop::Answer(status, text)) => {
+        info!(hub.log, "request declined"; "status" => status, "why" => &text);
+        let answer = error_answer(status, &text);
+        // Whoever sent what cannot be read may not read this either.
+        let _ = socket.write_all(&answer, Instant::now() + ANSWER_TIME);
+        return close(socket);
+      }
+    }
+  }
+}
+
+/// Closes so that what was written still arrives: unread bytes would reset the
+/// connection.
+fn close(mut socket: Socket) {
+  // A connection that has ended already needs no shutdown.
+  let _ = socket.stream.shutdown(std::net::Shutdown::Write);
+  while let Ok(Fill::Some) = socket.fill() {
+    socket.input.clear();
+  }
+}
+
+fn bounds(hub: &Hub) -> Bounds {
+  let state = hub.state();
+  state
+    .deployment
+    .as_ref()
+    .map(|deployment| deployment.bounds)
+    .unwrap_or_default()
+}
+
+/// The next request; none when the connection ends.
+fn read(
+  hub: &Hub,
+  socket: &mut Socket,
+  bounds: &Bounds,
+) -> Result<Option<(Request, Vec<u8>, u64)>, Stop> {
+  let idle = Instant::now() + bounds.idle_time;
+  while socket.input.is_empty() {
+    if hub.stopping.load(Ordering::Relaxed) {
+      return Ok(None);
+    }
+    let [called, _] = wait(
+      [
+        Some((&socket.stream, Want::Read)),
+        Some((&hub.stop_bell, Want::Read)),
+      ],
+      idle,
+    )?;
+    if called {
+      if socket.fill()? == Fill::End {
+        return Ok(None);
+      }
+    } else if Instant::now() >= idle {
+      return Ok(None);
+    }
+  }
+  let arrived = hub.now();
+  let head = read_head(socket, bounds)?;
+  let body = read_body(socket, &head, bounds)?;
+  Ok(Some((head, body, arrived)))
+}
+
+fn bad(fault: Fault) -> Stop {
+  Stop::Answer(400, fault.0)
+}
+
+fn late(error: io::Error, what: &str) -> Stop {
+  match error.kind() {
+    io::ErrorKind::TimedOut => Stop::Answer(408, format!("{what}: not whole in time")),
+    _ => Stop::Closed,
+  }
+}
+
+fn read_head(socket: &mut Socket, bounds: &Bounds) -> Result<Request, Stop> {
+  let until = Instant::now() + bounds.head_time;
+  loop {
+    // An empty line before a request is allowed.
+    while socket.input.starts_with(b"\r\n") {
+      socket.input.drain(..2);
+    }
+    if let Some((head, length)) = Request::parse(&socket.input).map_err(bad)? {
+      if length > bounds.head_bytes {
+        return Err(large_head(bounds));
+      }
+      socket.input.drain(..length);
+      return Ok(head);
+    }
+    if socket.input.len() > bounds.head_bytes {
+      return Err(large_head(bounds));
+    }
+    let filled = socket.fill_by(until);
+    if filled.map_err(|error| late(error, "head"))? == Fill::End {
+      return Err(Stop::Closed);
+    }
+  }
+}
+
+fn large_head(bounds: &Bounds) -> Stop {
+  Stop::Answer(431, format!("head: more than {} bytes", bounds.head_bytes))
+}
+
+fn read_body(socket: &mut Socket, head: &Request, bounds: &Bounds) -> Result<Vec<u8>, Stop> {
+  let framing = head.framing().map_err(bad)?;
+  let large = || Stop::Answer(413, format!("body: more than {} bytes", bounds.body_bytes));
+  if matches!(framing, Framing::Length(length) if length > bounds.body_bytes as u64) {
+    return Err(large());
+  }
+  let mut body = Body::open(framing);
+  let mut bytes = Vec::new();
+  let until = Instant::now() + BODY_TIME;
+  if head.headers.names("expect", "100-continue") && !body.done() && socket.input.is_empty() {
+    socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", until)?;
+  }
+  loop {
+    body.take(&mut socket.input, &mut bytes).map_err(bad)?;
+    if bytes.len() > bounds.body_bytes {
+      return Err(large());
+    }
+    if body.done() {
+      return Ok(bytes);
+    }
+    let filled = socket.fill_by(until);
+    if filled.map_err(|error| late(error, "body"))? == Fill::End {
+      return Err(Stop::Closed);
+    }
+  }
+}
+
+/// Answers a request; false when the connection is to be closed.
+fn answer(
+  hub: &Hub,
+  mailbox: &Arc<Mailbox>,
+  socket: &mut Socket,
+  head: Request,
+  body: Vec<u8>,
+  arrived: u64,
+) -> bool {
+  let deployment: Option<Arc<Deployment>> = hub.state().deployment.clone();
+  let keep = head.keeps();
+  let Some(deployment) = deployment else {
+    let refusal = Refusal {
+      reason: Reason::PlatformUnavailable,
+      verdict: Verdict::NotRun,
+      retry_after: Some(UNCONFIGURED_MS),
+    };
+    info!(hub.log, "refused"; "request" => head.headers.get(hub.dialect.request_id),
+      "reason" => refusal.reason.word(), "why" => "no configuration is known");
+    return own(socket, &relay::refusal_answer(&refusal, keep), keep);
+  };
+  let host = head.headers.get("host").unwrap_or_default();
+  let Some(route) = route::find(&deployment.routes, host, head.path()) else {
+    info!(hub.log, "no route"; "request" => head.headers.get(hub.dialect.request_id),
+      "host" => host, "path" => head.path(), "version" => deployment.version);
+    let text = format!("route: none for `{host}{}`", head.path());
+    return own(socket, &error_answer(404, &text), keep) && keep;
+  };
+  let incoming = Incoming {
+    route: route.clone(),
+    head,
+    body,
+    arrived,
+  };
+  relay::serve(hub, mailbox, socket, &incoming)
+}
+
+fn own(socket: &mut Socket, answer: &[u8], keep: bool) -> bool {
+  let written = socket.write_all(answer, Instant::now() + ANSWER_TIME);
+  keep && written.is_ok()
+}
+
+fn error_answer(status: u16, text: &str) -> Vec<u8> {
+  let body = serde_json::json!({ "error": {
+    "type": "invalid_request", "message": text, "verdict": "not-run" } });
+  let body = body.to_string();
+  let mut head = Response {
+    status,
+    reason: "Declined".into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  head.headers.set("Content-Type", "application/json");
+  let mut bytes = head.encode(Framing::Length(body.len() as u64), status == 404);
+  bytes.extend_from_slice(body.as_bytes());
+  bytes
+}
--- /dev/null
+++ b/src/hub.rs
@@ -0,0 +1,182 @@
+//! The routed requests' reducer and the threads that wait for its decisions.
+
+use crate::{
+  ask::Ticket,
+  dialect::Dialect,
+  dispatch::{Attempt, Effect, Event, State},
+  refusal::Refusal,
+  socket::Bell,
+  upstream::Pool,
+};
+use slog::Logger;
+use std::{
+  collections::{HashMap, VecDeque},
+  io,
+  sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+  },
+  time::{Duration, Instant},
+};
+
+/// What a request's thread is to do next.
+#[derive(Clone, Debug)]
+pub enum Directive {
+  Send(Attempt),
+  /// Look again at this time, ms, or when the bell rings.
+  Wait(u64),
+  Refuse(Refusal),
+}
+
+/// Where a thread finds its directives.
+#[derive(Debug)]
+pub struct Mailbox {
+  directives: Mutex<VecDeque<Directive>>,
+  pub bell: Bell,
+}
+
+impl Mailbox {
+  /// An empty mailbox.
+  pub fn open() -> io::Result<Self> {
+    Ok(Self {
+      directives: Mutex::default(),
+      bell: Bell::open()?,
+    })
+  }
+
+  fn put(&self, directive: Directive) {
+    let mut directives = lock(&self.directives);
+    directives.push_back(directive);
+  }
+
+  /// The newest directive; older ones no longer count.
+  pub fn take(&self) -> Option<Directive> {
+    let mut directives = lock(&self.directives);
+    let newest = directives.pop_back();
+    directives.clear();
+    newest
+  }
+}
+
+/// Counts of what the hub's threads did, for the metrics page.
+#[derive(Debug, Default)]
+pub struct Counts {
+  pub requests: AtomicU64,
+  pub whole: AtomicU64,
+  pub failed: AtomicU64,
+  pub left: AtomicU64,
+  pub refused: AtomicU64,
+  pub sends: AtomicU64,
+  pub repeats: AtomicU64,
+  pub connections: AtomicU64,
+}
+
+/// What the threads of a routing instance share.
+pub struct Hub {
+  pub log: Logger,
+  pub dialect: Dialect,
+  pub pool: Pool,
+  pub counts: Counts,
+  /// A planned stop has begun.
+  pub stopping: AtomicBool,
+  /// Rings at a planned stop.
+  pub stop_bell: Bell,
+  /// Rings when the planner should be told of demand.
+  pub want_bell: Bell,
+  /// Requests under way.
+  pub active: AtomicUsize,
+  started: Instant,
+  tickets: AtomicU64,
+  state: Mutex<State>,
+  mailboxes: Mutex<HashMap<Ticket, Arc<Mailbox>>>,
+}
+
+impl Hub {
+  /// A hub around a state.
+  pub fn open(state: State, dialect: Dialect, log: Logger) -> io::Result<Arc<Self>> {
+    Ok(Arc::new(Self {
+      log,
+      dialect,
+      pool: Pool::default(),
+      counts: Counts::default(),
+      stopping: AtomicBool::new(false),
+      stop_bell: Bell::open()?,
+      want_bell: Bell::open()?,
+      active: AtomicUsize::new(0),
+      started: Instant::now(),
+      tickets: AtomicU64::new(0),
+      state: Mutex::new(state),
+      mailboxes: Mutex::default(),
+    }))
+  }
+
+  /// Milliseconds on the steady clock since the start.
+  pub fn now(&self) -> u64 {
+    self.started.elapsed().as_millis() as u64
+  }
+
+  /// The moment of a time on the hub's clock.
+  pub fn instant(&self, ms: u64) -> Instant {
+    self.started + Duration::from_millis(ms)
+  }
+
+  /// A new ticket whose directives go to `mailbox`.
+  pub fn ticket(&self, mailbox: &Arc<Mailbox>) -> Ticket {
+    let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+    lock(&self.mailboxes).insert(ticket, mailbox.clone());
+    ticket
+  }
+
+  /// Ends a ticket.
+  pub fn close(&self, ticket: Ticket) {
+    lock(&self.mailboxes).remove(&ticket);
+  }
+
+  /// The state, for a look.
+  pub fn state(&self) -> MutexGuard<'_, State> {
+    lock(&self.state)
+  }
+
+  /// Takes up an event and hands its effects out; `own` needs no bell.
+  pub fn apply(&self, event: Event, own: Option<Ticket>) {
+    let effects = self.state().reduce(self.now(), event);
+    if effects.is_empty() {
+      return;
+    }
+    let mailboxes = lock(&self.mailboxes);
+    for effect in effects {
+      let (ticket, directive) = match effect {
+        Effect::Send(attempt) => (attempt.ticket, Directive::Send(attempt)),
+        Effect::Wait(ticket, until) => (ticket, Directive::Wait(until)),
+        Effect::Refuse(ticket, refusal) => (ticket, Directive::Refuse(refusal)),
+        Effect::Want => {
+          self.want_bell.ring();
+          continue;
+        }
+      };
+      let Some(mailbox) = mailboxes.get(&ticket) else {
+        continue;
+      };
+      let own = own == Some(ticket);
+      if !own && matches!(directive, Directive::Wait(_)) {
+        // Its thread waits already and looks again by itself.
+        continue;
+      }
+      mailbox.put(directive);
+      if !own {
+        mailbox.bell.ring();
+      }
+    }
+  }
+
+  /// Begins a planned stop.
+  pub fn stop(&self) {
+    self.stopping.store(true, Ordering::Relaxed);
+    self.stop_bell.ring();
+  }
+}
+
+/// Locks what no panic leaves half done.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/outbound.rs
@@ -0,0 +1,162 @@
+//! Small HTTP calls over kept connections: to the platform's store and for
+//! orders and reports.
+
+use crate::{
+  http::{Body, Framing, Headers, Request, Response},
+  socket::{Fill, Socket},
+};
+use std::{
+  collections::HashMap,
+  io,
+  net::SocketAddr,
+  sync::{Mutex, PoisonError},
+  time::{Duration, Instant},
+};
+
+/// Largest answer taken, bytes: a page of the store holds 1 MB.
+const ANSWER_MOST: usize = 16 << 20;
+/// A kept connection that rested longer is not used again.
+const REST_MOST: Duration = Duration::from_millis(2_000);
+/// Connections kept for one address.
+const KEPT: usize = 4;
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+  /// No connection came up: the call was not made.
+  NotSent,
+  /// The call went out and may have been carried out, now or later.
+  NoAnswer,
+}
+
+/// An answer in whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+  pub status: u16,
+  pub headers: Headers,
+  pub body: Vec<u8>,
+}
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct Call<'a> {
+  pub method: &'a str,
+  pub target: &'a str,
+  /// Headers besides host and framing.
+  pub headers: &'a [(&'a str, &'a str)],
+  pub body: &'a [u8],
+  /// Time for connecting.
+  pub connect: Duration,
+  /// Time for the answer.
+  pub answer: Duration,
+}
+
+/// Makes calls; connections are kept for the next one.
+#[derive(Debug, Default)]
+pub struct Client {
+  kept: Mutex<HashMap<SocketAddr, Vec<(Socket, Instant)>>>,
+}
+
+impl Client {
+  fn kept(&self, address: SocketAddr) -> Option<Socket> {
+    let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+    let sockets = kept.get_mut(&address)?;
+    while let Some((mut socket, since)) = sockets.pop() {
+      if since.elapsed() < REST_MOST && socket.quiet() {
+        return Some(socket);
+      }
+    }
+    None
+  }
+
+  fn keep(&self, address: SocketAddr, socket: Socket) {
+    let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+    let sockets = kept.entry(address).or_default();
+    if sockets.len() < KEPT {
+      sockets.push((socket, Instant::now()));
+    }
+  }
+
+  /// Makes one call, once.
+  pub fn send(&self, address: SocketAddr, call: &Call) -> Result<Answer, Failure> {
+    let mut socket = match self.kept(address) {
+      Some(socket) => socket,
+      None => Socket::connect(address, call.connect).map_err(|_| Failure::NotSent)?,
+    };
+    let until = Instant::now() + call.answer;
+    let (answer, keep) =
+      exchange(&mut socket, address, call, until).map_err(|_| Failure::NoAnswer)?;
+    if keep && socket.input.is_empty() {
+      self.keep(address, socket);
+    }
+    Ok(answer)
+  }
+}
+
+fn exchange(
+  socket: &mut Socket,
+  address: SocketAddr,
+  call: &Call,
+  until: Instant,
+) -> io::Result<(Answer, bool)> {
+  let mut request = Request {
+    method: call.method.into(),
+    target: call.target.into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  request.headers.set("Host", &address.to_string());
+  for (name, value) in call.headers {
+    request.headers.set(name, value);
+  }
+  let framing = match (call.method, call.body.len()) {
+    ("GET" | "DELETE", 0) => Framing::Empty,
+    (_, length) => Framing::Length(length as u64),
+  };
+  let mut bytes = request.encode(framing);
+  bytes.extend_from_slice(call.body);
+  socket.write_all(&bytes, until)?;
+  let head = loop {
+    match Response::parse(&socket.input).map_err(|fault| io::Error::other(fault.0))? {
+      Some((head, length)) => {
+        socket.input.drain(..length);
+        if head.status >= 200 {
+          break head;
+        }
+      }
+      None => match socket.fill_by(until)? {
+        Fill::End => return Err(io::ErrorKind::UnexpectedEof.into()),
+        Fill::Some | Fill::Empty => {}
+      },
+    }
+  };
+  let framing = head
+    .framing(call.method)
+    .map_err(|fault| io::Error::other(fault.0))?;
+  let mut body = Body::open(framing);
+  let mut out = Vec::new();
+  loop {
+    body
+      .take(&mut socket.input, &mut out)
+      .map_err(|fault| io::Error::other(fault.0))?;
+    if body.done() {
+      break;
+    }
+    if out.len() > ANSWER_MOST {
+      return Err(io::ErrorKind::InvalidData.into());
+    }
+    if socket.fill_by(until)? == Fill::End {
+      if body.end() {
+        break;
+      }
+      return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+  }
+  let keep = head.keeps() && framing != Framing::Close;
+  let answer = Answer {
+    status: head.status,
+    headers: head.headers,
+    body: out,
+  };
+  Ok((answer, keep))
+}
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,168 @@
+//! A running routing instance: its ports, its feeds and its planned stop.
+
+use crate::{
+  dispatch::{Change, Event, State},
+  edge::Edge,
+  entry,
+  feed::{self, News},
+  health,
+  hub::Hub,
+  settings::Settings,
+  store::Object,
+};
+use slog::{Logger, info, warn};
+use std::{
+  io,
+  net::SocketAddr,
+  sync::{Arc, atomic::Ordering},
+  thread,
+  time::{Duration, Instant},
+};
+
+/// A balancer takes an instance out after two missed questions, asked each
+/// second; until then it sends new connections.
+const TAKEN_OUT: Duration = Duration::from_millis(3_000);
+/// Pause between looks whether a planned stop is done.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+/// Stack of a feed's thread, bytes.
+const STACK: usize = 256 << 10;
+
+/// A running routing instance.
+pub struct Router {
+  pub hub: Arc<Hub>,
+  pub callers: SocketAddr,
+  pub health: Option<SocketAddr>,
+  grace: Duration,
+}
+
+impl Router {
+  /// Binds the ports and starts the feeds.
+  pub fn spawn(settings: &Settings, edge: Edge, log: Logger) -> io::Result<Self> {
+    let routing = settings.routing.clone().unwrap_or_default();
+    let state = State::open(&settings.zone, routing.bound(), rand::random());
+    let hub = Hub::open(state, edge.dialect, log)?;
+    let edge = Arc::new(edge);
+    feed_deployments(&hub, &edge)?;
+    feed_servers(&hub, &edge)?;
+    let health = match &settings.health {
+      Some(address) => Some(health::bind(&hub, address)?),
+      None => None,
+    };
+    let callers = entry::bind(&hub, &settings.callers, settings.limits.requests)?;
+    info!(hub.log, "started"; "callers" => %callers, "zone" => &settings.zone);
+    Ok(Self {
+      hub,
+      callers,
+      health,
+      grace: Duration::from_millis(routing.grace_ms),
+    })
+  }
+
+  /// Stops as planned: no new callers, then the end of those that are here.
+  pub fn stop(&self) {
+    let began = Instant::now();
+    let active = || self.hub.active.load(Ordering::Relaxed);
+    info!(self.hub.log, "stopping"; "active" => active());
+    self.hub.stop();
+    while began.elapsed() < TAKEN_OUT || (active() > 0 && began.elapsed() < self.grace) {
+      thread::sleep(STOP_LOOK);
+    }
+    info!(self.hub.log, "stopped"; "active" => active(),
+      "took_ms" => began.elapsed().as_millis() as u64);
+  }
+}
+
+fn feed_deployments(hub: &Arc<Hub>, edge: &Arc<Edge>) -> io::Result<()> {
+  let (hub, edge) = (hub.clone(), edge.clone());
+  let builder = thread::Builder::new()
+    .name("deployments".into())
+    .stack_size(STACK);
+  builder.spawn(move || {
+    feed::follow(&edge.store, edge.kinds.deployments, &hub.log, |news| {
+      let objects = match news {
+        News::All(objects) => objects,
+        News::Some(objects) => objects
+          .into_iter()
+          .filter_map(|(object, removed)| (!removed).then_some(object))
+          .collect(),
+      };
+      for object in objects {
+        deploy(&hub, &edge, &object);
+      }
+    })
+  })?;
+  Ok(())
+}
+
+fn deploy(hub: &Hub, edge: &Edge, object: &Object) {
+  match (edge.deployment)(object) {
+    Ok(Some(deployment)) => {
+      info!(hub.log, "configured"; "version" => deployment.version,
+        "revision" => object.revision, "routes" => deployment.routes.len());
+      hub.apply(Event::Deployed(Arc::new(deployment)), None);
+    }
+    Ok(None) => {}
+    Err(fault) => {
+      warn!(hub.log, "configuration is faulty, the last good one stays in force";
+        "object" => &object.name, "revision" => object.revision, "fault" => fault);
+    }
+  }
+}
+
+fn feed_servers(hub: &Arc<Hub>, edge: &Arc<Edge>) -> io::Result<()> {
+  let (hub, edge) = (hub.clone(), edge.clone());
+  let builder = thread::Builder::new()
+    .name("servers".into())
+    .stack_size(STACK);
+  builder.spawn(move || {
+    feed::follow(&edge.store, edge.kinds.servers, &hub.log, |news| {
+      let decode = |object: &Object| {
+        (edge.server)(object)
+          .map_err(|fault| {
+            warn!(hub.log, "server's entry is faulty"; "server" => &object.name, "fault" => fault);
+          })
+          .ok()
+      };
+      let changes = match news {
+        News::All(objects) => vec![Change::All(objects.iter().filter_map(decode).collect())],
+        News::Some(objects) => objects
+          .iter()
+          .filter_map(|(object, removed)| match removed {
+            true => Some(Change::Gone(object.name.clone())),
+            false => decode(object).map(Change::Set),
+          })
+          .collect(),
+      };
+      for change in &changes {
+        note(&hub, change);
+      }
+      hub.apply(Event::Servers(changes), None);
+      let known: Vec<String> = hub.state().ids.keys().cloned().collect();
+      hub.pool.retain(|id| known.iter().any(|name| name == id));
+    })
+  })?;
+  Ok(())
+}
+
+/// Records what is news about a server besides its holdings.
+fn note(hub: &Hub, change: &Change) {
+  let state = hub.state();
+  match change {
+    Change::All(specs) => {
+      info!(hub.log, "servers read"; "count" => specs.len());
+    }
+    Change::Set(spec) => {
+      let old = state
+        .ids
+        .get(&spec.id)
+        .map(|key| state.backends[*key].spec.stage);
+      if old != Some(spec.stage) {
+        info!(hub.log, "server"; "server" => &spec.id, "pool" => &spec.pool,
+          "stage" => format!("{:?}", spec.stage), "address" => %spec.address);
+      }
+    }
+    Change::Gone(id) => {
+      info!(hub.log, "server is gone"; "server" => id);
+    }
+  }
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -2,7 +2,9 @@
 
 use crate::{
   apply, compare,
+  edge::Edge,
   instance::Instance,
+  router::Router,
   settings::{Error, Settings},
   timeline,
 };
@@ -112,21 +114,57 @@
   let ports = serde_json::json!({ "callers": instance.callers.to_string(),
     "peers": instance.peers.to_string(), "operators": instance.operators.to_string() });
   println!("{ports}");
+  await_stop().change_context_lazy(failed)?;
+  instance.stop();
+  instance.wait();
+  Ok(ExitCode::SUCCESS)
+}
+
+/// Runs an instance that routes requests; `edge` makes its edges.
+pub fn route(edge: fn(&Settings) -> Result<Edge, String>) -> ExitCode {
+  match routed(edge) {
+    Ok(code) => code,
+    Err(report) => {
+      eprintln!("error: {report}");
+      ExitCode::FAILURE
+    }
+  }
+}
+
+fn routed(edge: fn(&Settings) -> Result<Edge, String>) -> Outcome {
+  let mut parser = Parser::from_env();
+  let (command, options) = parse(&mut parser).change_context(Error(USAGE.into()))?;
+  if command != "serve" {
+    return Err(Report::new(Error(format!(
+      "command: `{command}` is unknown"
+    ))));
+  }
+  let path = options.settings.clone();
+  let path = path.ok_or_else(|| Report::new(Error(format!("--settings: missing\n{USAGE}"))))?;
+  let settings = Settings::open(&path)?;
+  let log = logger(&settings.instance);
+  let edge = edge(&settings).map_err(|fault| Report::new(Error(fault)))?;
+  let failed = || Error("could not start the instance".into());
+  let router = Router::spawn(&settings, edge, log).change_context_lazy(failed)?;
+  await_stop().change_context_lazy(failed)?;
+  router.stop();
+  Ok(ExitCode::SUCCESS)
+}
+
+/// Waits for the signal that asks for a planned stop.
+fn await_stop() -> Result<(), ctrlc::Error> {
   let (sender, receiver) = channel();
-  let handler = ctrlc::set_handler(move || {
+  ctrlc::set_handler(move || {
     // A second signal finds the stop begun.
     let _ = sender.send(());
-  });
-  handler.change_context_lazy(failed)?;
+  })?;
   // An error says that no signal can come any more.
   let _ = receiver.recv();
-  instance.stop();
-  instance.wait();
-  Ok(ExitCode::SUCCESS)
+  Ok(())
 }
 
 fn logger(instance: &str) -> Logger {
-  let drain = slog_json::Json::default(std::io::stderr()).fuse();
+  let drain = slog_json::Json::default(std::io::stdout()).fuse();
   let drain = slog_async::Async::new(drain).build().fuse();
   Logger::root(drain, o!("instance" => instance.to_string()))
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,7 +128,7 @@
 }
 
 /// Settings of one instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "camelCase")]
 pub struct Settings {
   /// Identity in the platform's list of instances.
@@ -147,6 +147,71 @@
   pub seeds: Vec<String>,
   #[serde(default)]
   pub limits: Limits,
+  /// Where a balancer asks whether the instance takes requests, `ip:port`.
+  #[serde(default)]
+  pub health: Option<String>,
+  /// For an instance that routes requests by the deployment's routes.
+  #[serde(default)]
+  pub routing: Option<Routing>,
+}
+
+/// Bounds of a routing instance; milliseconds unless named otherwise.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default, rename_all = "camelCase")]
+pub struct Routing {
+  /// The machine, as orders to backend servers name their sender.
+  pub machine: String,
+  /// Repeats allowed for each request of a pool, over all instances.
+  pub retry_ratio: f64,
+  /// Repeats allowed besides within one window.
+  pub retry_slack: f64,
+  pub retry_window_ms: u64,
+  /// Two instances give orders to one server no closer than this.
+  pub lease_ms: u64,
+  /// Window in which loads from the weight store are counted.
+  pub load_window_ms: u64,
+  /// Loads in a window, as a part of the rate that the weight store allows.
+  pub load_overage: f64,
+  /// From the signal to stop to the end of the process.
+  pub grace_ms: u64,
+}
+
+impl Default for Routing {
+  /// What the users' platform states where it states nothing else.
+  fn default() -> Self {
+    Self {
+      machine: "127.0.0.1".into(),
+      retry_ratio: 0.2,
+      retry_slack: 50.0,
+      retry_window_ms: 10_000,
+      lease_ms: 3_000,
+      load_window_ms: 5_000,
+      load_overage: 1.0,
+      grace_ms: 7_000,
+    }
+  }
+}
+
+impl Routing {
+  /// The budget of repeats.
+  pub fn bound(&self) -> crate::retry::Bound {
+    crate::retry::Bound {
+      ratio: self.retry_ratio,
+      slack: self.retry_slack,
+      window_ms: self.retry_window_ms,
+    }
+  }
+
+  fn fault(&self) -> Option<String> {
+    let positive = [
+      ("retryWindowMs", self.retry_window_ms),
+      ("leaseMs", self.lease_ms),
+      ("loadWindowMs", self.load_window_ms),
+      ("graceMs", self.grace_ms),
+    ];
+    let zero = positive.into_iter().find(|(_, value)| *value == 0);
+    zero.map(|(field, _)| format!("routing.{field}: `0` is not positive"))
+  }
 }
 
 impl Settings {
@@ -181,12 +246,14 @@
       ("platform", &self.platform),
     ];
     let seeds = self.seeds.iter().map(|seed| ("seeds", seed));
-    for (field, value) in fields.into_iter().chain(seeds) {
+    let health = self.health.iter().map(|health| ("health", health));
+    for (field, value) in fields.into_iter().chain(seeds).chain(health) {
       if value.parse::<SocketAddr>().is_err() {
         return Some(format!("{field}: `{value}` is not ip:port"));
       }
     }
-    self.limits.fault()
+    let routing = self.routing.as_ref().and_then(Routing::fault);
+    routing.or_else(|| self.limits.fault())
   }
 }
 
