--- a/src/backend.rs
+++ b/src/backend.rs
@@ -31,8 +31,6 @@
   /// Checkpoints with a copy in the server's memory or on its disk.
   pub in_memory: Vec<String>,
   pub on_disk: Vec<String>,
-  /// Orders taken since its start.
-  pub orders: u64,
 }
 
 impl Spec {
@@ -52,8 +50,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Holding {
   pub id: String,
-  /// Orders taken when this held.
-  pub orders: u64,
   pub models: BTreeMap<String, Vec<String>>,
   /// Models about to be unloaded: no new work.
   pub leaving: Vec<String>,
@@ -78,9 +74,10 @@
   pub missing: BTreeMap<String, u64>,
 }
 
-/// Time for which the planner's word on a server's holdings counts, ms: longer
-/// than a server's entry takes to show a change.
-const HOLDING_MS: u64 = 6_000;
+/// Time for which the planner's word on a server's holdings counts, ms: it is told
+/// again every half second, and a server's own entry takes about two seconds to
+/// show a change.
+const HOLDING_MS: u64 = 2_500;
 
 impl Backend {
   /// A server not used so far.
@@ -98,8 +95,7 @@
 
   fn word(&self, now: u64) -> Option<&Holding> {
     let holding = self.holding.as_ref()?;
-    let counts = holding.orders >= self.spec.orders && now < self.heard + HOLDING_MS;
-    counts.then_some(holding)
+    (now < self.heard + HOLDING_MS).then_some(holding)
   }
 
   /// Whether a request for a model, and an adapter of it, can run there.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -203,6 +203,8 @@
   pub ids: HashMap<String, backend::Key>,
   /// The servers were read at least once.
   pub listed: bool,
+  /// Counts changes of the deployment and of servers.
+  pub changes: u64,
   pub requests: HashMap<Ticket, Request>,
   /// Waiting requests: the most urgent first, then the one that ends first.
   pub waiting: BTreeSet<(u8, u64, Ticket)>,
@@ -229,6 +231,7 @@
       backends: SlotMap::with_key(),
       ids: HashMap::new(),
       listed: false,
+      changes: 0,
       requests: HashMap::new(),
       waiting: BTreeSet::new(),
       running: BTreeMap::new(),
@@ -267,11 +270,13 @@
     let newer = |old: &Arc<Deployment>| old.version < deployment.version;
     if self.deployment.as_ref().is_none_or(newer) {
       self.deployment = Some(deployment);
+      self.changes += 1;
       self.place_waiting();
     }
   }
 
   fn servers(&mut self, changes: Vec<Change>) {
+    self.changes += 1;
     for change in changes {
       match change {
         Change::All(specs) => {
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,334 @@
+//! The lease under which one machine gives orders to a group of backend servers.
+//!
+//! It lies in the platform's store. Its holder stops giving orders `length` after
+//! it began to write its last renewal; another machine takes it only `length` and
+//! `gap` after it learnt of that renewal, so that their orders lie `gap` apart
+//! however slow either is. All times are on the steady clock, which goes on while
+//! a process is frozen: a holder that wakes up finds its time over.
+
+use crate::store::{Error, Object, Result};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The holder's time, as a part of the gap between two holders' orders: long
+/// enough for a slow store to answer, short enough to be taken over soon.
+const LENGTH_PERCENT: u64 = 50;
+/// Renewals within the holder's time.
+const RENEWALS: u64 = 3;
+/// Pause between two reads by an instance that hears nothing of the holder, ms.
+const READ_MS: u64 = 600;
+/// Pause after a call that failed, ms.
+const RETRY_MS: u64 = 150;
+/// Word of the holder that is older makes an instance read the lease, ms.
+const SILENT_MS: u64 = 1_200;
+
+/// The lease as it lies in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Record {
+  /// The machine; orders that come from it are one holder's.
+  pub machine: String,
+  /// Where the holder hears of demand.
+  pub address: SocketAddr,
+  /// Rises with every taking.
+  pub term: u64,
+  /// Rises with every renewal of a term.
+  pub renewal: u64,
+  /// The holder has stopped and gives no further orders.
+  pub released: bool,
+}
+
+/// The holder's word of its renewal, told to other instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+  pub machine: String,
+  pub revision: u64,
+  /// Since the renewal was begun, ms.
+  pub age_ms: u64,
+  pub term: u64,
+}
+
+/// What is known of the lease in the store.
+#[derive(Clone, Debug, PartialEq)]
+struct Seen {
+  /// None: there is no lease.
+  record: Option<Record>,
+  revision: u64,
+  /// When this revision was first known of, ms.
+  since: u64,
+}
+
+/// What this machine holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Held {
+  term: u64,
+  /// Orders may go out before this time, ms.
+  until: u64,
+  /// When the last renewal was begun, ms.
+  renewed: u64,
+}
+
+/// A call to make.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+  Read,
+  Write { record: Record, revision: u64 },
+}
+
+/// One instance's view of a lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+  machine: String,
+  address: SocketAddr,
+  length: u64,
+  gap: u64,
+  seen: Option<Seen>,
+  held: Option<Held>,
+  /// When the holder was last heard of, ms.
+  heard: u64,
+  /// A call is under way since, ms.
+  calling: Option<u64>,
+  /// A write failed: only a read tells what the store holds.
+  doubt: bool,
+  /// No call before this time, ms.
+  rest_until: u64,
+  /// Spreads takers apart, ms.
+  jitter: u64,
+}
+
+impl Lease {
+  /// The view of an instance that has not read the lease; `gap` is the least time
+  /// between two holders' orders, ms.
+  pub fn open(machine: &str, address: SocketAddr, gap: u64, jitter: u64) -> Self {
+    Self {
+      machine: machine.into(),
+      address,
+      length: gap * LENGTH_PERCENT / 100,
+      gap,
+      seen: None,
+      held: None,
+      heard: 0,
+      calling: None,
+      doubt: false,
+      rest_until: 0,
+      jitter,
+    }
+  }
+
+  /// The term under which orders may go out now.
+  pub fn term(&self, now: u64) -> Option<u64> {
+    let held = self.held?;
+    (now < held.until).then_some(held.term)
+  }
+
+  /// Until when orders may go out, ms.
+  pub fn until(&self) -> u64 {
+    self.held.map_or(0, |held| held.until)
+  }
+
+  /// Where the holder hears of demand.
+  pub fn holder(&self) -> Option<SocketAddr> {
+    let record = self.seen.as_ref()?.record.as_ref()?;
+    (!record.released).then_some(record.address)
+  }
+
+  /// What the holder tells other instances.
+  pub fn word(&self, now: u64) -> Option<Word> {
+    let held = self.held?;
+    Some(Word {
+      machine: self.machine.clone(),
+      revision: self.seen.as_ref()?.revision,
+      age_ms: now.saturating_sub(held.renewed),
+      term: held.term,
+    })
+  }
+
+  /// Takes up the holder's word, heard from `address`.
+  pub fn told(&mut self, now: u64, word: Word, address: SocketAddr) {
+    let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
+    if word.revision < known {
+      return;
+    }
+    self.heard = now;
+    let since = now.saturating_sub(word.age_ms);
+    if word.revision > known {
+      self.seen = Some(Seen {
+        record: Some(Record {
+          machine: word.machine,
+          address,
+          term: word.term,
+          renewal: 0,
+          released: false,
+        }),
+        revision: word.revision,
+        since,
+      });
+    }
+  }
+
+  /// The call to make now.
+  pub fn call(&mut self, now: u64, stopping: bool) -> Option<Call> {
+    if self.calling.is_some() || now < self.rest_until {
+      return None;
+    }
+    let call = self.wanted(now, stopping)?;
+    self.calling = Some(now);
+    Some(call)
+  }
+
+  fn wanted(&self, now: u64, stopping: bool) -> Option<Call> {
+    if self.doubt {
+      return Some(Call::Read);
+    }
+    if let Some(held) = self.held {
+      return self.renewal(now, held, stopping);
+    }
+    if stopping {
+      return None;
+    }
+    let Some(seen) = &self.seen else {
+      return Some(Call::Read);
+    };
+    if now >= self.free_at(seen) {
+      return Some(self.taking(seen));
+    }
+    let silent = now >= self.heard.max(seen.since) + SILENT_MS;
+    silent.then_some(Call::Read)
+  }
+
+  fn renewal(&self, now: u64, held: Held, stopping: bool) -> Option<Call> {
+    if !stopping && now < held.renewed + self.length / RENEWALS {
+      return None;
+    }
+    let seen = self.seen.as_ref()?;
+    let mut record = seen.record.clone()?;
+    record.renewal += 1;
+    record.released = stopping;
+    Some(Call::Write {
+      record,
+      revision: seen.revision,
+    })
+  }
+
+  /// When the lease may be taken, ms.
+  fn free_at(&self, seen: &Seen) -> u64 {
+    match &seen.record {
+      None => 0,
+      // This machine's own earlier process has ended.
+      Some(record) if record.machine == self.machine => 0,
+      Some(record) if record.released => seen.since + self.gap,
+      Some(_) => seen.since + self.length + self.gap + self.jitter,
+    }
+  }
+
+  fn taking(&self, seen: &Seen) -> Call {
+    let term = seen.record.as_ref().map_or(0, |record| record.term) + 1;
+    Call::Write {
+      record: Record {
+        machine: self.machine.clone(),
+        address: self.address,
+        term,
+        renewal: 0,
+        released: false,
+      },
+      revision: seen.revision,
+    }
+  }
+
+  /// When to look for a call again, ms.
+  pub fn due(&self, now: u64) -> u64 {
+    if self.calling.is_some() {
+      return now + READ_MS;
+    }
+    if self.doubt {
+      return self.rest_until.max(now);
+    }
+    let due = match (&self.held, &self.seen) {
+      (Some(held), _) => held.renewed + self.length / RENEWALS,
+      (None, None) => now,
+      (None, Some(seen)) => self
+        .free_at(seen)
+        .min(self.heard.max(seen.since) + SILENT_MS),
+    };
+    due.max(self.rest_until).max(now)
+  }
+
+  /// Takes up the outcome of a call; true: this machine has just taken the lease.
+  pub fn answered(&mut self, now: u64, call: &Call, result: Result<Object>) -> bool {
+    let sent = self.calling.take().unwrap_or(now);
+    match (call, result) {
+      (Call::Read, result) => {
+        self.read(now, result);
+        false
+      }
+      (Call::Write { record, .. }, Ok(object)) => self.written(now, sent, record, &object),
+      (Call::Write { .. }, Err(_)) => {
+        self.doubt = true;
+        self.rest_until = now + RETRY_MS;
+        false
+      }
+    }
+  }
+
+  fn written(&mut self, now: u64, sent: u64, record: &Record, object: &Object) -> bool {
+    self.seen = Some(Seen {
+      record: Some(record.clone()),
+      revision: object.revision,
+      since: now,
+    });
+    if record.released {
+      self.held = None;
+      return false;
+    }
+    let new = self.held.is_none();
+    self.held = Some(Held {
+      term: record.term,
+      until: sent + self.length,
+      renewed: sent,
+    });
+    new
+  }
+
+  fn read(&mut self, now: u64, result: Result<Object>) {
+    self.rest_until = now + READ_MS;
+    match result {
+      Ok(object) => {
+        self.doubt = false;
+        self.learn(now, object);
+      }
+      Err(Error::Absent) => {
+        self.doubt = false;
+        self.held = None;
+        self.seen = Some(Seen {
+          record: None,
+          revision: 0,
+          since: now,
+        });
+        self.rest_until = now;
+      }
+      // Without an answer nothing new is known.
+      Err(_) => self.rest_until = now + RETRY_MS,
+    }
+  }
+
+  fn learn(&mut self, now: u64, object: Object) {
+    let known = self.seen.as_ref().map(|seen| seen.revision);
+    if known.is_some_and(|known| known >= object.revision) {
+      return;
+    }
+    let Ok(record) = serde_json::from_value::<Record>(object.spec) else {
+      // Not a record of this version: whoever wrote it goes on holding it.
+      return;
+    };
+    let mine = |held: &Held| record.machine == self.machine && record.term == held.term;
+    if !self.held.as_ref().is_some_and(mine) {
+      self.held = None;
+    }
+    self.seen = Some(Seen {
+      record: Some(record),
+      revision: object.revision,
+      since: now,
+    });
+    self.rest_until = now;
+  }
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -53,6 +53,9 @@
   begun: Option<Framing>,
   events: Events,
   first_ms: Option<u64>,
+  /// When events last came, and the longest pause between them, ms.
+  event_ms: u64,
+  pause_ms: u64,
   /// A server's failure, given to the caller when nothing better comes.
   held: Option<(Response, Vec<u8>)>,
   /// The connection to the caller can carry another request.
@@ -100,6 +103,8 @@
     begun: None,
     events: Events::default(),
     first_ms: None,
+    event_ms: 0,
+    pause_ms: 0,
     held: None,
     keep,
   };
@@ -222,7 +227,7 @@
       "why" => result.why, "verdict" => result.end.verdict().word(),
       "waited_ms" => sent.saturating_sub(self.incoming.arrived), "took_ms" => now - sent,
       "first_ms" => self.first_ms.map(|at| at - self.incoming.arrived),
-      "events" => self.events.count);
+      "events" => self.events.count, "pause_ms" => self.pause_ms);
   }
 
   /// Sends the request once and passes on what comes.
@@ -451,7 +456,12 @@
       bytes.clear();
       if !whole.is_empty() {
         any = true;
-        self.first_ms.get_or_insert(self.hub.now());
+        let now = self.hub.now();
+        if self.first_ms.is_some() {
+          self.pause_ms = self.pause_ms.max(now - self.event_ms);
+        }
+        self.event_ms = now;
+        self.first_ms.get_or_insert(now);
         self.deliver(head, framing, &whole, body.done())?;
       }
       if body.done() {
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,6 +7,7 @@
   feed::{self, News},
   health,
   hub::Hub,
+  planner,
   settings::Settings,
   store::Object,
 };
@@ -44,6 +45,7 @@
     let edge = Arc::new(edge);
     feed_deployments(&hub, &edge)?;
     feed_servers(&hub, &edge)?;
+    planner::spawn(&hub, &edge, settings)?;
     let health = match &settings.health {
       Some(address) => Some(health::bind(&hub, address)?),
       None => None,
