load adapters ahead; nothing from the weight store while a copy is near

Cause: further replicas were loaded from the weight store (29 loads of 6 s) and held their servers; adapters were ordered beside loads and refused. Change: the weight store only when no server has a copy; one order a server, whatever it is for; adapters of models in use are loaded ahead.

--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -12,6 +12,8 @@
   pub warm_ms: u64,
   pub disk_ms: u64,
   pub remote_ms: u64,
+  /// Names of its adapters.
+  pub adapters: Vec<String>,
   /// Memory of one adapter, MB.
   pub adapter_mb: u64,
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -33,9 +33,10 @@
 const LOOK_MS: u64 = 100;
 /// Sends beyond a route's attempts, for sends that were declined.
 const DECLINED_MOST: u32 = 4;
-/// Requests by which a preferred server may be ahead of the least loaded one,
-/// in hundredths of its slots.
-const AHEAD_PERCENT: u32 = 12;
+/// Part of its slots by which a server that may have the prompt's start may be
+/// ahead of the least loaded one, in hundredths. Reading 200 shared tokens again
+/// takes some 7 ms; a request more in a batch delays all others.
+const AHEAD_PERCENT: u32 = 2;
 /// After this part of its time a request that waits counts as hopeless when no
 /// server of its pool is known, in hundredths.
 const COME_BACK_MS: u64 = 500;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -51,10 +51,21 @@
 const TELL_LEAST_MS: u64 = 10;
 /// Weight of a model's other replicas when it is considered to give way.
 const SPARE: u64 = 8;
+/// A request that waits for longer may have its model loaded from the weight
+/// store although some server has a copy: that server seems to be of no use, ms.
+const REMOTE_AGE_MS: u64 = 3_000;
+/// What a request running on a server adds to the cost of a load there, ms: its
+/// adapters cannot be changed meanwhile.
+const LOAD_COST: u64 = 15;
 /// Servers with a place that can be freed at once, kept in each pool.
 const FREEABLE: usize = 2;
-/// Adapters that may be on their way to one server.
-const ADAPTERS_COMING: usize = 4;
+/// Requests a replica carries, in hundredths of its slots, before another one is
+/// loaded; and up to which the others take over those of one that leaves.
+const FURTHER_PERCENT: u32 = 14;
+const CARRY_PERCENT: u32 = 9;
+/// Requests by which a server must be below the one that has an adapter to get a
+/// copy of it.
+const COPY_LEAST: u32 = 2;
 
 /// What an instance tells the planner.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -120,7 +131,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
   Order(Command),
-  Ask { id: String, address: SocketAddr },
+  Ask {
+    id: String,
+    address: SocketAddr,
+  },
   Tell(Vec<Holding>),
   /// A decision, for the log: what, about which server and model, and why.
   Note {
@@ -497,7 +511,9 @@
       };
       let holders = self.holders(&demand.pool, &demand.model.name);
       if holders.is_empty() {
-        self.load(&engine, &demand);
+        if !self.keep(&demand.pool, &demand.model.name) {
+          self.load(&engine, &demand);
+        }
       } else if let Some(adapter) = &demand.model.adapter {
         let adapter = adapter.clone();
         self.load_adapter(&engine, &demand, &adapter, &holders);
@@ -520,8 +536,36 @@
     servers.map(|(id, _)| id.clone()).collect()
   }
 
+  /// Whether a server that takes work has a copy of a model's checkpoint.
+  fn copied(&self, pool: &str, model: &str) -> bool {
+    self.servers.values().any(|server| {
+      server.spec.pool == pool
+        && server.spec.stage == Stage::Ready
+        && server.spec.tier(model) != Tier::Remote
+    })
+  }
+
+  /// Keeps a model that was to leave and is wanted again, where its unload has not
+  /// begun.
+  fn keep(&mut self, pool: &str, model: &str) -> bool {
+    let kept = self.servers.values_mut().find(|server| {
+      let mut jobs = server.job.iter();
+      let given = jobs.any(|job| job.victims.iter().any(|name| name == model));
+      server.spec.pool == pool && server.leaving.contains(model) && !given
+    });
+    let Some(server) = kept else {
+      return false;
+    };
+    server.leaving.remove(model);
+    self.news = true;
+    true
+  }
+
   fn loading(&self, model: &str) -> bool {
-    let mut jobs = self.servers.values().filter_map(|server| server.job.as_ref());
+    let mut jobs = self
+      .servers
+      .values()
+      .filter_map(|server| server.job.as_ref());
     jobs.any(|job| job.model == model)
   }
 
@@ -531,18 +575,22 @@
       return;
     }
     let mut best: Option<(u64, String, Vec<String>)> = None;
+    let near = self.copied(&demand.pool, &model);
+    let remote = demand.waiting > 0 && (!near || demand.age_ms > REMOTE_AGE_MS);
     for (id, server) in &self.servers {
-      if server.spec.pool != demand.pool || !server.free(self.now) {
+      let here = server.models.contains_key(&model);
+      if server.spec.pool != demand.pool || here || !server.free(self.now) {
         continue;
       }
       let tier = server.spec.tier(&model);
-      if tier == Tier::Remote && !self.may_load(engine) {
+      if tier == Tier::Remote && !(remote && self.may_load(engine)) {
         continue;
       }
       let Some((cost, victims)) = self.room(engine, id, &model) else {
         continue;
       };
-      let cost = cost + load_ms(&engine.models[&model], tier);
+      let cost =
+        cost + load_ms(&engine.models[&model], tier) + LOAD_COST * u64::from(server.load());
       if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
         best = Some((cost, id.clone(), victims));
       }
@@ -649,22 +697,21 @@
 
   fn load_adapter(&mut self, engine: &Engine, demand: &Demand, adapter: &str, holders: &[String]) {
     let model = &demand.model;
-    let has = |server: &Server| {
-      let adapters = server.models.get(&model.name);
-      adapters.is_some_and(|adapters| adapters.iter().any(|name| name == adapter))
-    };
     let coming = |server: &Server| {
       let mut orders = server.adapters.iter();
       orders.any(|(other, act)| other == model && *act == Act::Load)
     };
     let servers = &self.servers;
-    if holders.iter().any(|id| has(&servers[id]) || coming(&servers[id])) {
+    if holders
+      .iter()
+      .any(|id| servers[id].has(model) || coming(&servers[id]))
+    {
       return;
     }
     let now = self.now;
     let usable = |id: &&String| {
       let server = &servers[*id];
-      server.synced && now >= server.rest_until && server.adapters.len() < ADAPTERS_COMING
+      server.free(now)
     };
     let free = holders.iter().filter(usable);
     let best = free.min_by_key(|id| {
@@ -680,7 +727,12 @@
     }
     let why = format!("{} waiting for {} ms", demand.waiting, demand.age_ms);
     self.order_adapter(&id, model.clone(), Act::Load);
-    self.note("load adapter", &id, &format!("{}/{adapter}", model.name), why);
+    self.note(
+      "load adapter",
+      &id,
+      &format!("{}/{adapter}", model.name),
+      why,
+    );
   }
 
   /// Unloads the adapter of a server that was not used for longest.
@@ -711,8 +763,8 @@
     if !server.adapters.is_empty() && orders.any(|(other, _)| *other == model) {
       return;
     }
-    // One at a time: each counts as an order.
-    if !server.adapters.is_empty() || server.job.as_ref().is_some_and(|job| job.waiting) {
+    // One order at a time, whatever it is for.
+    if !server.adapters.is_empty() || server.job.is_some() {
       return;
     }
     server.adapters.push((model.clone(), act));
@@ -738,7 +790,13 @@
       .filter_map(|(name, pool)| Some((name.clone(), pool.engine.clone()?)))
       .collect();
     for (pool, engine) in pools {
-      let of_pool = || self.servers.values().filter(|server| server.spec.pool == pool);
+      self.spread(&pool, &engine);
+      let of_pool = || {
+        self
+          .servers
+          .values()
+          .filter(|server| server.spec.pool == pool)
+      };
       let freeable = of_pool().filter(|server| {
         let mut names = server.models.keys();
         server.memory(&engine) < engine.memory_mb / 2
@@ -746,12 +804,118 @@
           || !server.leaving.is_empty()
       });
       if freeable.count() < FREEABLE {
-        self.leave_one(&pool);
+        self.leave_one(&pool, &engine);
+      }
+    }
+  }
+
+  /// Loads a further replica of a model, or a further copy of an adapter, where
+  /// those that are there carry many requests.
+  fn spread(&mut self, pool: &str, engine: &Engine) {
+    let mut running: BTreeMap<Model, u32> = BTreeMap::new();
+    for server in self
+      .servers
+      .values()
+      .filter(|server| server.spec.pool == pool)
+    {
+      for (model, count) in &server.running {
+        *running.entry(model.clone()).or_default() += count;
+        if model.adapter.is_some() {
+          *running.entry(whole(&model.name)).or_default() += count;
+        }
+      }
+    }
+    for (model, count) in running {
+      let holders = self.holders(pool, &model.name);
+      let most = holders.len() as u32 * engine.slots * FURTHER_PERCENT / 100;
+      let demand = Demand {
+        pool: pool.into(),
+        model: model.clone(),
+        waiting: 0,
+        priority: u8::MAX,
+        age_ms: 0,
+      };
+      match &model.adapter {
+        None if count > most && !holders.is_empty() => self.load(engine, &demand),
+        Some(adapter) if count > 1 => self.copy_adapter(engine, &demand, adapter, &holders),
+        None => self.fetch_adapter(engine, &demand, &holders),
+        _ => {}
       }
     }
   }
 
-  fn leave_one(&mut self, pool: &str) {
+  /// Loads an adapter of a model in use ahead of demand: one that no server has.
+  fn fetch_adapter(&mut self, engine: &Engine, demand: &Demand, holders: &[String]) {
+    let name = &demand.model.name;
+    let Some(checkpoint) = engine.models.get(name) else {
+      return;
+    };
+    let servers = &self.servers;
+    let absent = checkpoint.adapters.iter().find(|adapter| {
+      let model = Model {
+        name: name.clone(),
+        adapter: Some((*adapter).clone()),
+      };
+      let there = |id: &String| {
+        let mut coming = servers[id].adapters.iter();
+        servers[id].has(&model) || coming.any(|(other, _)| *other == model)
+      };
+      !holders.iter().any(there)
+    });
+    let slots = engine.adapter_slots as usize;
+    let now = self.now;
+    let room = |id: &&String| servers[*id].free(now) && servers[*id].adapter_count() < slots;
+    let id = holders
+      .iter()
+      .filter(room)
+      .min_by_key(|id| servers[*id].adapter_count());
+    if let (Some(adapter), Some(id)) = (absent.cloned(), id.cloned()) {
+      let model = Model {
+        name: name.clone(),
+        adapter: Some(adapter.clone()),
+      };
+      self.order_adapter(&id, model, Act::Load);
+      self.note(
+        "fetch adapter",
+        &id,
+        &format!("{name}/{adapter}"),
+        "model is in use".into(),
+      );
+    }
+  }
+
+  /// Loads a further copy of an adapter at a holder with fewer requests.
+  fn copy_adapter(&mut self, engine: &Engine, demand: &Demand, adapter: &str, holders: &[String]) {
+    let model = &demand.model;
+    let has = |id: &&String| self.servers[*id].has(model);
+    let least = holders
+      .iter()
+      .filter(has)
+      .map(|id| self.servers[id].load())
+      .min();
+    let slots = engine.adapter_slots as usize;
+    let (now, servers) = (self.now, &self.servers);
+    let others = holders.iter().filter(|id| {
+      let server = &servers[*id];
+      !server.has(model) && server.free(now) && server.adapter_count() < slots
+    });
+    let best = others.min_by_key(|id| servers[*id].load()).cloned();
+    let (Some(least), Some(id)) = (least, best) else {
+      return;
+    };
+    if self.servers[&id].load() + COPY_LEAST <= least {
+      let why = format!("{least} requests where it is");
+      self.order_adapter(&id, model.clone(), Act::Load);
+      self.note(
+        "copy adapter",
+        &id,
+        &format!("{}/{adapter}", model.name),
+        why,
+      );
+    }
+  }
+
+  fn leave_one(&mut self, pool: &str, engine: &Engine) {
     let mut best: Option<(u32, String, String)> = None;
     for (id, server) in &self.servers {
       if server.spec.pool != pool || !server.synced {
@@ -759,9 +923,13 @@
       }
       for name in server.models.keys() {
         let holders = self.holders(pool, name);
-        let running: u32 = holders.iter().map(|id| self.servers[id].running_of(name)).sum();
+        let running: u32 = holders
+          .iter()
+          .map(|id| self.servers[id].running_of(name))
+          .sum();
         let spare = holders.len() as u32 > self.policy.min_replicas.max(1);
-        let carried = running <= self.policy.further_at * (holders.len() as u32).saturating_sub(1);
+        let rest = (holders.len() as u32).saturating_sub(1);
+        let carried = running <= rest * engine.slots * CARRY_PERCENT / 100;
         let here = server.running_of(name);
         let less = best.as_ref().is_none_or(|(least, ..)| here < *least);
         if spare && carried && less {
@@ -885,6 +1053,13 @@
     used.map(|(_, at)| *at).max().unwrap_or_default()
   }
 
+  fn has(&self, model: &Model) -> bool {
+    self.models.get(&model.name).is_some_and(|adapters| {
+      let adapter = model.adapter.as_ref();
+      adapter.is_none_or(|adapter| adapters.contains(adapter))
+    })
+  }
+
   fn adapter_count(&self) -> usize {
     self.models.values().map(Vec::len).sum()
   }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -155,8 +155,14 @@
 
   fn due(&self, now: u64) -> u64 {
     let mut due = self.lease.due(now).min(now + SLEEP_MS);
-    let waiting = self.last.as_ref().is_some_and(|last| !last.demand.is_empty());
-    let running = self.last.as_ref().is_some_and(|last| !last.running.is_empty());
+    let waiting = self
+      .last
+      .as_ref()
+      .is_some_and(|last| !last.demand.is_empty());
+    let running = self
+      .last
+      .as_ref()
+      .is_some_and(|last| !last.running.is_empty());
     let pause = match (waiting, running) {
       (true, _) => DEMAND_MS,
       (false, true) => RUNNING_MS,
@@ -260,14 +266,20 @@
   fn report(&mut self, wanted: bool) {
     let now = self.hub.now();
     let report = self.state_report(now);
-    let same = self.last.as_ref().is_some_and(|last| last.running == report.running);
+    let same = self
+      .last
+      .as_ref()
+      .is_some_and(|last| last.running == report.running);
     let pause = match (report.demand.is_empty(), same) {
       (false, _) => DEMAND_MS,
       (true, false) => RUNNING_MS,
       (true, true) => IDLE_MS,
     };
     let relieved = report.demand.is_empty()
-      && self.last.as_ref().is_some_and(|last| !last.demand.is_empty());
+      && self
+        .last
+        .as_ref()
+        .is_some_and(|last| !last.demand.is_empty());
     if !wanted && !relieved && now < self.reported + pause {
       return;
     }
