short watches; SIGHUP reads the settings again

Change: a watch waits 2.5 s, the first one after a failure 1 ms; signals by signal-hook over pipes, SIGHUP reads the settings again.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -5,8 +5,12 @@
 use slog::{Logger, info, warn};
 use std::{thread, time::Duration};
 
-/// Longest wait of one watch. A waiting watch counts as a call.
-const WATCH: Duration = Duration::from_millis(8_000);
+/// Longest wait of one watch. A waiting watch counts as a call; but one that was
+/// begun while the store was silent is never answered, and hides all news until
+/// its time is over.
+const WATCH: Duration = Duration::from_millis(2_500);
+/// Wait of the first watch after a failure: it only shows that the store answers.
+const FIRST: Duration = Duration::from_millis(1);
 /// Pause after news, so that changes made together come in one answer.
 const GATHER: Duration = Duration::from_millis(250);
 /// Pause after a failure, doubled for each further one, and its most.
@@ -29,7 +33,10 @@
   loop {
     let result = match from {
       None => all(store, kind).map(|(objects, revision)| (News::All(objects), revision)),
-      Some(revision) => (store.watch)(kind, revision, WATCH).map(some),
+      Some(revision) => {
+        let wait = if failures > 0 { FIRST } else { WATCH };
+        (store.watch)(kind, revision, wait).map(some)
+      }
     };
     match result {
       Ok((news, revision)) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod settings;
 pub mod share;
 pub mod shared;
+pub mod signals;
 pub mod socket;
 pub mod sse;
 pub mod state;
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,7 +8,7 @@
   health,
   hub::Hub,
   planner,
-  settings::Settings,
+  settings::{self, Settings},
   store::Object,
 };
 use slog::{Logger, info, warn};
@@ -23,6 +23,8 @@
 /// A balancer takes an instance out after two missed questions, asked each
 /// second; until then it sends new connections.
 const TAKEN_OUT: Duration = Duration::from_millis(3_000);
+/// Part of the grace time that is left for the end of the process.
+const GRACE_LEFT: Duration = Duration::from_millis(1_000);
 /// Pause between looks whether a planned stop is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 /// Stack of a feed's thread, bytes.
@@ -56,10 +58,27 @@
       hub,
       callers,
       health,
-      grace: Duration::from_millis(routing.grace_ms),
+      grace: Duration::from_millis(routing.grace_ms).saturating_sub(GRACE_LEFT),
     })
   }
 
+  /// Takes up settings that were read again; only the budget of repeats changes
+  /// while an instance runs.
+  pub fn reload(&self, settings: Result<Settings, error_stack::Report<settings::Error>>) {
+    match settings {
+      Ok(settings) => {
+        let bound = settings.routing.unwrap_or_default().bound();
+        info!(self.hub.log, "settings read again"; "retry_ratio" => bound.ratio,
+          "retry_slack" => bound.slack, "retry_window_ms" => bound.window_ms);
+        self.hub.state().bound = bound;
+      }
+      Err(error) => {
+        warn!(self.hub.log, "settings are faulty, the last good ones stay in force";
+          "error" => %error);
+      }
+    }
+  }
+
   /// Stops as planned: no new callers, then the end of those that are here.
   pub fn stop(&self) {
     let began = Instant::now();
--- a/src/run.rs
+++ b/src/run.rs
@@ -6,6 +6,7 @@
   instance::Instance,
   router::Router,
   settings::{Error, Settings},
+  signals::{Signal, Signals},
   timeline,
 };
 use error_stack::{Report, ResultExt};
@@ -14,7 +15,7 @@
   Parser, ValueExt,
 };
 use slog::{Drain, Logger, o};
-use std::{path::PathBuf, process::ExitCode, sync::mpsc::channel};
+use std::{path::PathBuf, process::ExitCode};
 
 const USAGE: &str = "\
 usage: bendsaddle serve --settings FILE
@@ -114,7 +115,9 @@
   let ports = serde_json::json!({ "callers": instance.callers.to_string(),
     "peers": instance.peers.to_string(), "operators": instance.operators.to_string() });
   println!("{ports}");
-  await_stop().change_context_lazy(failed)?;
+  let mut signals = Signals::open().change_context_lazy(failed)?;
+  // An instance reads its settings at its start only.
+  while signals.next().change_context_lazy(failed)? == Signal::Reload {}
   instance.stop();
   instance.wait();
   Ok(ExitCode::SUCCESS)
@@ -146,23 +149,14 @@
   let edge = edge(&settings).map_err(|fault| Report::new(Error(fault)))?;
   let failed = || Error("could not start the instance".into());
   let router = Router::spawn(&settings, edge, log).change_context_lazy(failed)?;
-  await_stop().change_context_lazy(failed)?;
+  let mut signals = Signals::open().change_context_lazy(failed)?;
+  while signals.next().change_context_lazy(failed)? == Signal::Reload {
+    router.reload(Settings::open(&path));
+  }
   router.stop();
   Ok(ExitCode::SUCCESS)
 }
 
-/// Waits for the signal that asks for a planned stop.
-fn await_stop() -> Result<(), ctrlc::Error> {
-  let (sender, receiver) = channel();
-  ctrlc::set_handler(move || {
-    // A second signal finds the stop begun.
-    let _ = sender.send(());
-  })?;
-  // An error says that no signal can come any more.
-  let _ = receiver.recv();
-  Ok(())
-}
-
 fn logger(instance: &str) -> Logger {
   let drain = slog_json::Json::default(std::io::stdout()).fuse();
   let drain = slog_async::Async::new(drain).build().fuse();
