--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -155,6 +155,8 @@
   Look(Ticket),
   /// The caller of a waiting request has gone.
   Left(Ticket),
+  /// A planned stop: what waits is refused at this time, ms.
+  Stopping(u64),
 }
 
 /// Something to do.
@@ -214,6 +216,8 @@
   pub budgets: BTreeMap<String, Budget>,
   /// Instances that share the budget.
   pub instances: usize,
+  /// Requests that wait at this time are refused: the process is to end, ms.
+  stop_at: u64,
   rng: SmallRng,
   now: u64,
   out: Vec<Effect>,
@@ -238,6 +242,7 @@
       running: BTreeMap::new(),
       budgets: BTreeMap::new(),
       instances: INSTANCES,
+      stop_at: u64::MAX,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -263,6 +268,7 @@
       Event::Ended { ticket, end } => self.ended(ticket, end),
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.forget(ticket),
+      Event::Stopping(at) => self.stop_at = at,
     }
     std::mem::take(&mut self.out)
   }
@@ -396,6 +402,9 @@
     if self.now >= request.ask.until {
       return self.refuse(ticket, Reason::TooLate);
     }
+    if self.now >= self.stop_at {
+      return self.refuse(ticket, Reason::Stopping);
+    }
     if request.sends >= request.ask.route.attempts + DECLINED_MOST {
       return self.refuse(ticket, Reason::NoServer);
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -25,6 +25,8 @@
 const TAKEN_OUT: Duration = Duration::from_millis(3_000);
 /// Part of the grace time that is left for the end of the process.
 const GRACE_LEFT: Duration = Duration::from_millis(1_000);
+/// Part of the rest in which requests that still wait are refused.
+const REFUSE_LEFT: Duration = Duration::from_millis(1_000);
 /// Pause between looks whether a planned stop is done.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 /// Stack of a feed's thread, bytes.
@@ -85,6 +87,9 @@
     let active = || self.hub.active.load(Ordering::Relaxed);
     info!(self.hub.log, "stopping"; "active" => active());
     self.hub.stop();
+    let last = self.grace.saturating_sub(REFUSE_LEFT).as_millis() as u64;
+    let at = self.hub.now() + last;
+    self.hub.apply(Event::Stopping(at), None);
     while began.elapsed() < TAKEN_OUT || (active() > 0 && began.elapsed() < self.grace) {
       thread::sleep(STOP_LOOK);
     }
--- /dev/null
+++ b/tests/http.rs
@@ -0,0 +1,130 @@
+//! Messages are taken apart strictly, however their bytes arrive.
+
+use bendsaddle::{
+  http::{Body, Framing, LAST_CHUNK, Request, Response, chunk},
+  sse::Events,
+};
+use quickcheck::quickcheck;
+
+fn framing(head: &str) -> Result<Framing, String> {
+  let parsed = Request::parse(head.as_bytes()).map_err(|fault| fault.0)?;
+  let (request, _) = parsed.expect("the head is whole");
+  request.framing().map_err(|fault| fault.0)
+}
+
+#[test]
+fn a_request_whose_length_is_in_doubt_is_a_fault() {
+  let heads = [
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n",
+    "POST / HTTP/1.1\r\nContent-Length: \r\n\r\n",
+    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "POST / HTTP/1.1\nContent-Length: 3\n\n",
+    "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\n",
+    "POST / HTTP/1.1\r\nA: b\r\n Content-Length: 3\r\n\r\n",
+  ];
+  for head in heads {
+    assert!(framing(head).is_err(), "{head:?}");
+  }
+  assert_eq!(framing("GET / HTTP/1.1\r\n\r\n"), Ok(Framing::Empty));
+  assert_eq!(
+    framing("POST / HTTP/1.1\r\ncontent-length: 3\r\n\r\n"),
+    Ok(Framing::Length(3))
+  );
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+  let text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n\
+    TE: trailers\r\nX-Kept: 2\r\n\r\n";
+  let (mut request, _) = Request::parse(text.as_bytes()).unwrap().unwrap();
+  assert!(!request.keeps());
+  request.headers.remove_hop();
+  let names: Vec<&str> = request
+    .headers
+    .0
+    .iter()
+    .map(|(name, _)| name.as_str())
+    .collect();
+  assert_eq!(names, ["X-Kept"]);
+}
+
+#[test]
+fn an_answer_without_length_ends_with_its_connection() {
+  let text = "HTTP/1.1 200 OK\r\n\r\nbytes";
+  let (response, length) = Response::parse(text.as_bytes()).unwrap().unwrap();
+  let framing = response.framing("GET").unwrap();
+  assert_eq!(framing, Framing::Close);
+  let mut body = Body::open(framing);
+  let mut out = Vec::new();
+  body
+    .take(&mut text.as_bytes()[length..].to_vec(), &mut out)
+    .unwrap();
+  assert!(!body.done());
+  assert!(body.end());
+  assert_eq!(out, b"bytes");
+}
+
+#[test]
+fn a_body_cut_short_is_not_whole() {
+  for (framing, bytes) in [
+    (Framing::Length(5), "four".to_string()),
+    (Framing::Chunked, "4\r\nfour\r\n".to_string()),
+    (Framing::Chunked, "4\r\nfo".to_string()),
+  ] {
+    let mut body = Body::open(framing);
+    body.take(&mut bytes.into_bytes(), &mut Vec::new()).unwrap();
+    assert!(!body.done() && !body.end(), "{framing:?}");
+  }
+}
+
+quickcheck! {
+  fn a_chunked_body_is_whole_however_it_arrives(pieces: Vec<Vec<u8>>, cuts: Vec<usize>) -> bool {
+    let pieces: Vec<Vec<u8>> = pieces.into_iter().filter(|piece| !piece.is_empty()).collect();
+    let mut wire: Vec<u8> = pieces.iter().flat_map(|piece| chunk(piece)).collect();
+    wire.extend_from_slice(LAST_CHUNK);
+    wire.extend_from_slice(b"next");
+    let mut body = Body::open(Framing::Chunked);
+    let (mut input, mut out) = (Vec::new(), Vec::new());
+    let mut cuts = cuts.into_iter();
+    while !wire.is_empty() {
+      let length = cuts.next().map_or(wire.len(), |cut| cut % wire.len() + 1);
+      input.extend(wire.drain(..length));
+      body.take(&mut input, &mut out).unwrap();
+    }
+    body.done() && out == pieces.concat() && input == b"next"
+  }
+
+  fn events_come_out_whole_however_they_arrive(count: u8, cuts: Vec<usize>) -> bool {
+    let text: String = (0..count).map(|id| format!("id: {id}\ndata: x\n\n")).collect();
+    let mut wire = text.clone().into_bytes();
+    let (mut events, mut out) = (Events::default(), Vec::new());
+    let mut cuts = cuts.into_iter();
+    while !wire.is_empty() {
+      let length = cuts.next().map_or(wire.len(), |cut| cut % wire.len() + 1);
+      let part: Vec<u8> = wire.drain(..length).collect();
+      let whole = events.take(&part);
+      if !whole.is_empty() && !whole.ends_with(b"\n\n") {
+        return false;
+      }
+      out.extend(whole);
+    }
+    let last = count.checked_sub(1).map(|id| id.to_string());
+    out == text.as_bytes() && events.count == u64::from(count) && events.last_id == last
+  }
+}
+
+#[test]
+fn a_stream_cut_within_an_event_keeps_the_last_whole_one() {
+  let mut events = Events::default();
+  let whole = events.take(b"id: 1\ndata: a\n\nid: 2\nda");
+  assert_eq!(whole, b"id: 1\ndata: a\n\n");
+  assert_eq!(events.last_id.as_deref(), Some("1"));
+  events.cut();
+  assert!(events.partial().is_empty());
+  assert_eq!(events.last_id.as_deref(), Some("1"));
+}
--- /dev/null
+++ b/tests/lease.rs
@@ -0,0 +1,240 @@
+//! Two machines never give orders closer together than the gap, whatever the
+//! store answers, loses or delays, and however long a machine stands still.
+
+use bendsaddle::{
+  lease::{Call, Lease, Record},
+  store::{Error, Object},
+};
+use quickcheck::{TestResult, quickcheck};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const GAP: u64 = 3_000;
+
+/// A store of one object.
+#[derive(Default)]
+struct Store {
+  object: Option<Object>,
+  revision: u64,
+}
+
+impl Store {
+  fn apply(&mut self, call: &Call) -> Result<Object, Error> {
+    let Call::Write { record, revision } = call else {
+      return self.object.clone().ok_or(Error::Absent);
+    };
+    let current = self.object.as_ref().map_or(0, |object| object.revision);
+    if current != *revision {
+      return Err(Error::Conflict);
+    }
+    self.revision += 1;
+    let object = Object {
+      name: "orders".into(),
+      revision: self.revision,
+      spec: serde_json::to_value(record).unwrap(),
+    };
+    self.object = Some(object.clone());
+    Ok(object)
+  }
+
+  fn record(&self) -> Record {
+    serde_json::from_value(self.object.as_ref().unwrap().spec.clone()).unwrap()
+  }
+}
+
+fn lease(name: &str) -> Lease {
+  Lease::open(name, "127.0.0.1:1".parse().unwrap(), GAP, 0)
+}
+
+/// Lets an instance make its calls; the store answers at once.
+fn run(lease: &mut Lease, store: &mut Store, now: u64) {
+  for _ in 0..4 {
+    if let Some(call) = lease.call(now, false) {
+      let result = store.apply(&call);
+      lease.answered(now, &call, result);
+    }
+  }
+}
+
+#[test]
+fn the_first_takes_it_and_keeps_it() {
+  let mut store = Store::default();
+  let (mut one, mut two) = (lease("one"), lease("two"));
+  for now in (0..20_000).step_by(100) {
+    run(&mut one, &mut store, now);
+    run(&mut two, &mut store, now);
+    assert_eq!(one.term(now), Some(1), "{now}");
+    assert_eq!(two.term(now), None, "{now}");
+  }
+}
+
+#[test]
+fn a_machine_that_starts_again_goes_on_at_once_under_a_new_term() {
+  let mut store = Store::default();
+  let mut old = lease("one");
+  run(&mut old, &mut store, 0);
+  let mut new = lease("one");
+  run(&mut new, &mut store, 10);
+  assert_eq!(new.term(10), Some(2));
+}
+
+#[test]
+fn a_released_lease_is_taken_after_the_gap() {
+  let mut store = Store::default();
+  let (mut one, mut two) = (lease("one"), lease("two"));
+  run(&mut one, &mut store, 0);
+  run(&mut two, &mut store, 0);
+  let call = one.call(1_000, true).unwrap();
+  let result = store.apply(&call);
+  one.answered(1_000, &call, result);
+  assert_eq!(one.term(1_000), None);
+  assert!(store.record().released);
+  let taken = (1_000..20_000).step_by(50).find(|now| {
+    run(&mut two, &mut store, *now);
+    two.term(*now).is_some()
+  });
+  let taken = taken.expect("it is taken");
+  assert!(
+    (1_000 + GAP..1_000 + GAP + 1_500).contains(&taken),
+    "{taken}"
+  );
+}
+
+#[test]
+fn a_write_without_answer_is_read_back() {
+  let mut store = Store::default();
+  let mut one = lease("one");
+  run(&mut one, &mut store, 0);
+  let call = one.call(600, false).unwrap();
+  store.apply(&call).unwrap();
+  one.answered(700, &call, Err(Error::NoAnswer));
+  let again = one.call(900, false).unwrap();
+  assert_eq!(again, Call::Read);
+  let result = store.apply(&again);
+  one.answered(900, &again, result);
+  run(&mut one, &mut store, 910);
+  assert_eq!(one.term(1_500), Some(1));
+}
+
+#[test]
+fn word_of_the_holder_holds_a_taker_back() {
+  let mut store = Store::default();
+  let (mut one, mut two) = (lease("one"), lease("two"));
+  run(&mut one, &mut store, 0);
+  run(&mut two, &mut store, 0);
+  let address = "127.0.0.1:1".parse().unwrap();
+  for now in (0..15_000).step_by(250) {
+    run(&mut one, &mut store, now);
+    two.told(now, one.word(now).unwrap(), address);
+    // Its own reads would tell the same: they are left out here.
+    let called = two.call(now, false);
+    assert_eq!(called, None, "{now}");
+  }
+}
+
+/// A call on its way: answered, lost, or carried out late.
+struct Flight {
+  at: u64,
+  /// Whose call it is; none: the store carries a write out late.
+  who: Option<usize>,
+  call: Call,
+  applied: bool,
+  answers: bool,
+}
+
+/// Plays three machines over a bad store; tells the orders each could give.
+fn play(seed: u64) -> Vec<(u64, usize, u64)> {
+  let mut rng = SmallRng::seed_from_u64(seed);
+  let mut store = Store::default();
+  let names = ["one", "two", "three"];
+  let mut leases: Vec<Lease> = names.iter().map(|name| lease(name)).collect();
+  let mut frozen = [0u64; 3];
+  let mut flights: Vec<Flight> = Vec::new();
+  let mut orders = Vec::new();
+  for now in (0..90_000u64).step_by(50) {
+    let (due, later): (Vec<Flight>, Vec<Flight>) =
+      flights.into_iter().partition(|flight| flight.at <= now);
+    flights = later;
+    for flight in due {
+      let result = match flight.applied {
+        true => store.apply(&flight.call),
+        false => Err(Error::Refused(503)),
+      };
+      let Some(who) = flight.who else {
+        continue;
+      };
+      let heard = flight.answers && now >= frozen[who];
+      let result = if heard { result } else { Err(Error::NoAnswer) };
+      leases[who].answered(now, &flight.call, result);
+    }
+    for who in 0..3 {
+      if rng.random_range(0..400) == 0 {
+        frozen[who] = now + rng.random_range(200..9_000);
+      }
+      if rng.random_range(0..1_500) == 0 {
+        leases[who] = lease(names[who]);
+        flights.retain(|flight| flight.who != Some(who));
+      }
+      if now < frozen[who] {
+        continue;
+      }
+      if let Some(term) = leases[who].term(now) {
+        orders.push((now, who, term));
+      }
+      if let Some(call) = leases[who].call(now, false) {
+        let at = now + rng.random_range(1..400);
+        let kind = rng.random_range(0..10);
+        let late = kind == 0;
+        flights.push(Flight {
+          at,
+          who: Some(who),
+          call: call.clone(),
+          applied: kind > 2,
+          answers: kind > 3,
+        });
+        if late {
+          flights.push(Flight {
+            at: at + rng.random_range(1_000..6_000),
+            who: None,
+            call,
+            applied: true,
+            answers: false,
+          });
+        }
+      }
+    }
+  }
+  orders
+}
+
+fn too_close(orders: &[(u64, usize, u64)]) -> Option<String> {
+  for pair in orders.windows(2) {
+    let ((before, one, term), (after, two, next)) = (pair[0], pair[1]);
+    if one != two && after < before + GAP {
+      return Some(format!("{one} at {before}, {two} at {after}"));
+    }
+    if next < term || (one != two && next == term) {
+      return Some(format!("term {next} of {two} after {term} of {one}"));
+    }
+  }
+  None
+}
+
+quickcheck! {
+  fn orders_of_two_machines_lie_the_gap_apart(seed: u64) -> TestResult {
+    match too_close(&play(seed)) {
+      None => TestResult::passed(),
+      Some(fault) => TestResult::error(fault),
+    }
+  }
+}
+
+#[test]
+fn the_histories_have_several_holders() {
+  let holders = |seed| {
+    let orders = play(seed);
+    let changes = orders.windows(2).filter(|pair| pair[0].1 != pair[1].1);
+    changes.count()
+  };
+  let changes: usize = (0..20).map(holders).sum();
+  assert!(changes > 20, "{changes}");
+}
