load ahead of demand where servers come empty

Change: the planner keeps the use of each model, fading; models whose replicas carry 1.5 requests each or more go to empty servers first, then demand by urgency and count, then models in use that no server holds. At most four loads from the weight store at once (a setting).

--- a/src/plan.rs
+++ b/src/plan.rs
@@ -57,6 +57,21 @@
 /// What a request running on a server adds to the cost of a load there, ms: its
 /// adapters cannot be changed meanwhile.
 const LOAD_COST: u64 = 15;
+/// Weight of a waiting request of the most urgent priority; a quarter for each
+/// step below.
+const URGENCY: u64 = 1 << 16;
+/// Loads from the weight store at once that are begun without demand: further
+/// ones would slow those that requests wait for.
+const AHEAD_AT_ONCE: usize = 2;
+/// Time over which a model's use is forgotten by half, ms.
+const FADE_MS: f64 = 15_000.0;
+/// Use is counted this often, ms.
+const FADE_STEP_MS: u64 = 200;
+/// Use of each replica, in requests at once, from which a model gets a further one
+/// where there is room.
+const HEAVY_USE: f64 = 1.5;
+/// Use, in requests at once, below which a model is not loaded ahead of demand.
+const USE_LEAST: f64 = 0.05;
 /// Servers with a place that can be freed at once, kept in each pool.
 const FREEABLE: usize = 2;
 /// Requests a replica carries, in hundredths of its slots, before another one is
@@ -104,6 +119,8 @@
   /// An order or a question is under way.
   waiting: bool,
   tries: u32,
+  /// It takes the weight store's time.
+  remote: bool,
   /// When the load should be done, and when it is given up, ms.
   until: u64,
 }
@@ -152,10 +169,14 @@
   deployment: Arc<Deployment>,
   servers: BTreeMap<String, Server>,
   members: BTreeMap<String, Member>,
+  /// How much each pool's models are used: requests at once, fading.
+  used: BTreeMap<(String, String), f64>,
+  faded: u64,
   /// Loads from the weight store, ms.
   remote: VecDeque<u64>,
   load_window_ms: u64,
   load_overage: f64,
+  loads_at_once: usize,
   policy: Policy,
   told: u64,
   news: bool,
@@ -165,16 +186,19 @@
 
 impl Plan {
   /// The plan of a machine that holds no lease yet.
-  pub fn open(machine: &str, load_window_ms: u64, load_overage: f64) -> Self {
+  pub fn open(machine: &str, load_window_ms: u64, load_overage: f64, loads_at_once: usize) -> Self {
     Self {
       machine: machine.into(),
       term: 0,
       deployment: Arc::default(),
       servers: BTreeMap::new(),
       members: BTreeMap::new(),
+      used: BTreeMap::new(),
+      faded: 0,
       remote: VecDeque::new(),
       load_window_ms,
       load_overage,
+      loads_at_once,
       policy: Policy::default(),
       told: 0,
       news: false,
@@ -371,7 +395,10 @@
       self.sync(id);
       self.work(id);
     }
+    self.fade();
+    self.fill_room(HEAVY_USE);
     self.serve_demand();
+    self.fill_room(USE_LEAST);
     self.free_places();
     for id in &ids {
       self.work(id);
@@ -393,6 +420,90 @@
     open.unwrap_or(wait).min(tell).max(now + 1)
   }
 
+  /// Takes up what is in use now, and forgets what was.
+  fn fade(&mut self) {
+    let elapsed = self.now.saturating_sub(self.faded);
+    if elapsed < FADE_STEP_MS {
+      return;
+    }
+    self.faded = self.now;
+    let rest = 0.5f64.powf(elapsed as f64 / FADE_MS);
+    self.used.values_mut().for_each(|used| *used *= rest);
+    let mut seen: BTreeMap<(String, String), u32> = BTreeMap::new();
+    for server in self.servers.values() {
+      for (model, count) in &server.running {
+        let key = (server.spec.pool.clone(), model.name.clone());
+        *seen.entry(key).or_default() += count;
+      }
+    }
+    for demand in self.demand() {
+      let key = (demand.pool, demand.model.name);
+      *seen.entry(key).or_default() += demand.waiting;
+    }
+    for (key, count) in seen {
+      *self.used.entry(key).or_default() += f64::from(count) * (1.0 - rest);
+    }
+  }
+
+  /// Loads models in use where there is room without anything giving way: on
+  /// servers that came empty, while those that leave still serve. A model counts
+  /// when each of its replicas carries `least` requests or more.
+  fn fill_room(&mut self, least: f64) {
+    let mut wanted: Vec<(f64, (String, String))> = Vec::new();
+    for (key, used) in &self.used {
+      let (pool, model) = key;
+      let holders = self.holders(pool, model).len() + usize::from(self.loading(model));
+      if holders > 0 && least < HEAVY_USE {
+        continue;
+      }
+      let each = used / holders.max(1) as f64;
+      if each >= least {
+        wanted.push((each, key.clone()));
+      }
+    }
+    wanted.sort_by(|one, two| two.0.total_cmp(&one.0));
+    for (used, (pool, model)) in wanted {
+      if let Some(engine) = self.engine(&pool) {
+        self.load_ahead(&engine, &pool, &model, used);
+      }
+    }
+  }
+
+  fn load_ahead(&mut self, engine: &Engine, pool: &str, model: &str, used: f64) {
+    let Some(checkpoint) = engine.models.get(model) else {
+      return;
+    };
+    let remote = self.remote_jobs();
+    let mut best: Option<(u64, String)> = None;
+    for (id, server) in &self.servers {
+      let room = engine.memory_mb.saturating_sub(server.memory(engine));
+      let here = server.models.contains_key(model);
+      if server.spec.pool != pool || here || !server.free(self.now) || room < checkpoint.memory_mb {
+        continue;
+      }
+      let tier = server.spec.tier(model);
+      if tier == Tier::Remote && (remote >= AHEAD_AT_ONCE || !self.may_load(engine)) {
+        continue;
+      }
+      let cost = load_ms(checkpoint, tier) + LOAD_COST * u64::from(server.load());
+      if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+        best = Some((cost, id.clone()));
+      }
+    }
+    let Some((cost, id)) = best else {
+      return;
+    };
+    let demand = Demand {
+      pool: pool.into(),
+      model: whole(model),
+      waiting: 0,
+      priority: u8::MAX,
+      age_ms: 0,
+    };
+    self.start(engine, &id, model, Vec::new(), cost, &demand);
+    self.note("ahead", &id, model, format!("use {used:.2}"));
+  }
+
   fn note(&mut self, what: &'static str, server: &str, model: &str, why: String) {
     self.out.push(Effect::Note {
       what,
@@ -505,22 +616,57 @@
   }
 
   fn serve_demand(&mut self) {
-    for demand in self.demand() {
+    let demand = self.demand();
+    for demand in self.without_holder(&demand) {
+      let Some(engine) = self.engine(&demand.pool) else {
+        continue;
+      };
+      if !self.keep(&demand.pool, &demand.model.name) {
+        self.load(&engine, &demand);
+      }
+    }
+    for demand in demand {
       let Some(engine) = self.engine(&demand.pool) else {
         continue;
       };
       let holders = self.holders(&demand.pool, &demand.model.name);
       if holders.is_empty() {
-        if !self.keep(&demand.pool, &demand.model.name) {
-          self.load(&engine, &demand);
-        }
-      } else if let Some(adapter) = &demand.model.adapter {
+        continue;
+      }
+      if let Some(adapter) = &demand.model.adapter {
         let adapter = adapter.clone();
         self.load_adapter(&engine, &demand, &adapter, &holders);
       }
     }
   }
 
+  /// Demand for models that no server holds, adapters taken together: what the
+  /// most urgent requests wait for goes first.
+  fn without_holder(&self, demand: &[Demand]) -> Vec<Demand> {
+    let mut models: BTreeMap<(&str, &str), (u64, Demand)> = BTreeMap::new();
+    for demand in demand {
+      let (pool, name) = (demand.pool.as_str(), demand.model.name.as_str());
+      if !self.holders(pool, name).is_empty() {
+        continue;
+      }
+      let weight = u64::from(demand.waiting) * (URGENCY >> (2 * demand.priority.min(8)));
+      let (total, sum) = models.entry((pool, name)).or_insert_with(|| {
+        let empty = Demand {
+          waiting: 0,
+          model: whole(name),
+          ..demand.clone()
+        };
+        (0, empty)
+      });
+      *total += weight;
+      sum.waiting += demand.waiting;
+      sum.age_ms = sum.age_ms.max(demand.age_ms);
+    }
+    let mut models: Vec<(u64, Demand)> = models.into_values().collect();
+    models.sort_by_key(|(weight, demand)| std::cmp::Reverse((*weight, demand.age_ms)));
+    models.into_iter().map(|(_, demand)| demand).collect()
+  }
+
   fn engine(&self, pool: &str) -> Option<Engine> {
     self.deployment.pools.get(pool)?.engine.clone()
   }
@@ -627,6 +773,7 @@
       due: now + wait,
       waiting: false,
       tries: 0,
+      remote: tier == Tier::Remote,
       until: load_ms(&engine.models[model], tier),
     });
     self.news = true;
@@ -637,8 +784,19 @@
     self.note("load", id, model, why);
   }
 
+  fn remote_jobs(&self) -> usize {
+    let jobs = self
+      .servers
+      .values()
+      .filter_map(|server| server.job.as_ref());
+    jobs.filter(|job| job.remote).count()
+  }
+
   /// Whether the weight store allows another load now.
   fn may_load(&self, engine: &Engine) -> bool {
+    if self.remote_jobs() >= self.loads_at_once {
+      return false;
+    }
     let from = self.now.saturating_sub(self.load_window_ms);
     let recent = self.remote.iter().filter(|at| **at >= from).count();
     let window_s = self.load_window_ms as f64 / 1_000.0;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -105,6 +105,7 @@
       &routing.machine,
       routing.load_window_ms,
       routing.load_overage,
+      routing.loads_at_once,
     ),
     holding: false,
     calls: Pool::spawn("lease", 1)?,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -23,7 +23,7 @@
 const CALLER_STALL: Duration = Duration::from_millis(5_000);
 /// A repeatable request moves on when its server has not answered within this
 /// many objectives.
-const STALL_OBJECTIVES: u64 = 3;
+const STALL_OBJECTIVES: u64 = 4;
 /// But not before this time, ms.
 const STALL_LEAST_MS: u64 = 900;
 /// A resumable stream moves on after this many of the pauses allowed.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -172,6 +172,8 @@
   pub load_window_ms: u64,
   /// Loads in a window, as a part of the rate that the weight store allows.
   pub load_overage: f64,
+  /// Loads at once up to which the weight store serves each at full speed.
+  pub loads_at_once: usize,
   /// From the signal to stop to the end of the process.
   pub grace_ms: u64,
 }
@@ -187,6 +189,7 @@
       lease_ms: 3_000,
       load_window_ms: 5_000,
       load_overage: 1.0,
+      loads_at_once: 4,
       grace_ms: 7_000,
     }
   }
@@ -208,6 +211,7 @@
       ("leaseMs", self.lease_ms),
       ("loadWindowMs", self.load_window_ms),
       ("graceMs", self.grace_ms),
+      ("loadsAtOnce", self.loads_at_once as u64),
     ];
     let zero = positive.into_iter().find(|(_, value)| *value == 0);
     zero.map(|(field, _)| format!("routing.{field}: `0` is not positive"))
