--- a/src/entry.rs
+++ b/src/entry.rs
@@ -31,6 +31,8 @@
 const BODY_TIME: Duration = Duration::from_secs(15);
 /// Time for a short answer of this instance's own to be taken.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// Time for the first byte of a caller that comes during a planned stop.
+const LATE_CALLER: Duration = Duration::from_millis(1_000);
 /// Time after which a caller refused for want of a configuration comes back, ms.
 const UNCONFIGURED_MS: u64 = 300;
 
@@ -106,9 +108,11 @@
     return;
   };
   let mailbox = Arc::new(mailbox);
+  let mut first = true;
   loop {
     let bounds = bounds(hub);
-    match read(hub, &mut socket, &bounds) {
+    let begun = begin(hub, &mut socket, &bounds, std::mem::take(&mut first));
+    match begun.and_then(|begun| begun.then(|| read(hub, &mut socket, &bounds)).transpose()) {
       Ok(Some((head, body, arrived))) => {
         hub.active.fetch_add(1, Ordering::Relaxed);
         let keep = answer(hub, &mailbox, &mut socket, head, body, arrived);
@@ -148,36 +152,39 @@
     .unwrap_or_default()
 }
 
-/// The next request; none when the connection ends.
-fn read(
-  hub: &Hub,
-  socket: &mut Socket,
-  bounds: &Bounds,
-) -> Result<Option<(Request, Vec<u8>, u64)>, Stop> {
+/// Waits for the next request's first byte; false when the connection is to end. A
+/// planned stop ends connections at rest, but a balancer that does not know of it
+/// yet still sends new ones.
+fn begin(hub: &Hub, socket: &mut Socket, bounds: &Bounds, first: bool) -> Result<bool, Stop> {
   let idle = Instant::now() + bounds.idle_time;
   while socket.input.is_empty() {
-    if hub.stopping.load(Ordering::Relaxed) {
-      return Ok(None);
+    let stopping = hub.stopping.load(Ordering::Relaxed);
+    if stopping && !first {
+      return Ok(false);
     }
-    let [called, _] = wait(
-      [
-        Some((&socket.stream, Want::Read)),
-        Some((&hub.stop_bell, Want::Read)),
-      ],
-      idle,
-    )?;
+    let until = match stopping {
+      true => idle.min(Instant::now() + LATE_CALLER),
+      false => idle,
+    };
+    let stop = (!stopping).then_some((&hub.stop_bell as _, Want::Read));
+    let [called, stopped] = wait([Some((&socket.stream as _, Want::Read)), stop], until)?;
     if called {
       if socket.fill()? == Fill::End {
-        return Ok(None);
+        return Ok(false);
       }
-    } else if Instant::now() >= idle {
-      return Ok(None);
+    } else if !stopped {
+      return Ok(false);
     }
   }
+  Ok(true)
+}
+
+/// Reads a request that has begun.
+fn read(hub: &Hub, socket: &mut Socket, bounds: &Bounds) -> Result<(Request, Vec<u8>, u64), Stop> {
   let arrived = hub.now();
   let head = read_head(socket, bounds)?;
   let body = read_body(socket, &head, bounds)?;
-  Ok(Some((head, body, arrived)))
+  Ok((head, body, arrived))
 }
 
 fn bad(fault: Fault) -> Stop {
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,296 @@
+//! The reducer of routed requests: choice, retries, verdicts and refusals.
+
+use bendsaddle::{
+  ask::Ticket,
+  backend::{Holding, Spec, Stage},
+  deployment::{Deployment, Engine, Pool},
+  dispatch::{Ask, Change, Effect, End, Event, Model, State},
+  refusal::{Reason, Refusal},
+  retry::{Bound, Budget},
+  route::{Part, Repeat, Route, Stream},
+  verdict::Verdict,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+const BOUND: Bound = Bound {
+  ratio: 0.2,
+  slack: 80.0,
+  window_ms: 10_000,
+};
+
+fn route(repeat: Repeat, stream: Option<Stream>, attempts: u32) -> Arc<Route> {
+  Arc::new(Route {
+    name: "r".into(),
+    host: "host".into(),
+    prefix: "/".into(),
+    parts: vec![Part {
+      pool: "pool".into(),
+      weight: 1,
+    }],
+    repeat,
+    stream,
+    attempts,
+    timeout_ms: 5_000,
+    objective_ms: 300,
+    priority: 1,
+  })
+}
+
+fn spec(id: &str, models: &[&str]) -> Spec {
+  Spec {
+    id: id.into(),
+    pool: "pool".into(),
+    address: "127.0.0.1:9".parse().unwrap(),
+    zone: "a".into(),
+    slots: 8,
+    stage: Stage::Ready,
+    models: models
+      .iter()
+      .map(|name| (name.to_string(), Vec::new()))
+      .collect(),
+    in_memory: Vec::new(),
+    on_disk: Vec::new(),
+  }
+}
+
+fn state(specs: Vec<Spec>) -> State {
+  let mut state = State::open("a", BOUND, 1);
+  let engine = Engine {
+    slots: 8,
+    ..Engine::default()
+  };
+  let pool = Pool {
+    engine: Some(engine),
+  };
+  let deployment = Deployment {
+    version: 1,
+    pools: BTreeMap::from([("pool".into(), pool)]),
+    ..Deployment::default()
+  };
+  state.reduce(0, Event::Deployed(Arc::new(deployment)));
+  state.reduce(0, Event::Servers(vec![Change::All(specs)]));
+  state
+}
+
+fn ask(ticket: u64, route: &Arc<Route>, model: Option<&str>) -> Event {
+  Event::Arrived(Ask {
+    ticket: Ticket(ticket),
+    id: ticket.to_string(),
+    route: route.clone(),
+    pool: "pool".into(),
+    model: model.map(Model::parse),
+    affinity: 0,
+    until: 5_000,
+  })
+}
+
+fn ended(ticket: u64, end: End) -> Event {
+  Event::Ended {
+    ticket: Ticket(ticket),
+    end,
+  }
+}
+
+fn sent(effects: &[Effect]) -> Option<String> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Send(attempt) => Some(attempt.id.clone()),
+    _ => None,
+  })
+}
+
+fn refused(effects: &[Effect]) -> Option<Refusal> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Refuse(_, refusal) => Some(*refusal),
+    _ => None,
+  })
+}
+
+#[test]
+fn a_run_that_may_have_begun_is_repeated_only_where_the_route_allows() {
+  for (repeat, stream, again) in [
+    (Repeat::Always, None, true),
+    (Repeat::Never, None, false),
+    (
+      Repeat::Never,
+      Some(Stream {
+        resumable: true,
+        gap_ms: 300,
+      }),
+      true,
+    ),
+    (
+      Repeat::Never,
+      Some(Stream {
+        resumable: false,
+        gap_ms: 300,
+      }),
+      false,
+    ),
+  ] {
+    let route = route(repeat, stream, 2);
+    let mut state = state(vec![spec("one", &[]), spec("two", &[])]);
+    let first = sent(&state.reduce(1, ask(1, &route, None))).unwrap();
+    let effects = state.reduce(2, ended(1, End::Broken));
+    if again {
+      let second = sent(&effects).unwrap();
+      assert_ne!(first, second);
+      let effects = state.reduce(3, ended(1, End::Broken));
+      assert_eq!(sent(&effects), None, "no more runs than attempts");
+      assert_eq!(refused(&effects).unwrap().verdict, Verdict::MayHaveRun);
+    } else {
+      assert_eq!(sent(&effects), None);
+      let refusal = refused(&effects).unwrap();
+      assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+      assert_eq!(refusal.reason, Reason::ServerFailed);
+    }
+  }
+}
+
+#[test]
+fn a_declined_request_goes_on_and_its_refusal_is_true() {
+  let route = route(Repeat::Never, None, 1);
+  let mut state = state(vec![spec("one", &[]), spec("two", &[])]);
+  let first = sent(&state.reduce(1, ask(1, &route, None))).unwrap();
+  let second = sent(&state.reduce(2, ended(1, End::Full))).unwrap();
+  assert_ne!(first, second);
+  state.reduce(3, ended(1, End::Unreached));
+  let effects = state.reduce(5_000, Event::Look(Ticket(1)));
+  let refusal = refused(&effects).unwrap();
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn a_request_broken_once_is_never_called_not_run() {
+  let route = route(Repeat::Always, None, 3);
+  let mut state = state(vec![spec("one", &[]), spec("two", &[])]);
+  state.reduce(1, ask(1, &route, None));
+  state.reduce(2, ended(1, End::Broken));
+  state.reduce(3, ended(1, End::Full));
+  let effects = state.reduce(5_000, Event::Look(Ticket(1)));
+  assert_eq!(refused(&effects).unwrap().verdict, Verdict::MayHaveRun);
+}
+
+#[test]
+fn a_request_waits_for_its_model_and_is_sent_when_it_is_told_of() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("one", &["warm"])]);
+  let effects = state.reduce(1, ask(1, &route, Some("cold/a1")));
+  assert!(effects.contains(&Effect::Want), "{effects:?}");
+  assert_eq!(sent(&effects), None);
+  let demand = state.demand(101);
+  assert_eq!((demand[0].waiting, demand[0].age_ms), (1, 100));
+  let holding = Holding {
+    id: "one".into(),
+    models: BTreeMap::from([("cold".into(), vec!["a1".into()])]),
+    leaving: Vec::new(),
+    running: 0,
+  };
+  let told = Event::Told {
+    holdings: vec![holding],
+    instances: 3,
+  };
+  assert_eq!(sent(&state.reduce(200, told)).as_deref(), Some("one"));
+  assert!(state.demand(200).is_empty());
+}
+
+#[test]
+fn a_model_that_leaves_gets_no_new_requests() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("one", &["m"]), spec("two", &["m"])]);
+  let holding = Holding {
+    id: "one".into(),
+    models: BTreeMap::from([("m".into(), Vec::new())]),
+    leaving: vec!["m".into()],
+    running: 0,
+  };
+  let told = Event::Told {
+    holdings: vec![holding],
+    instances: 3,
+  };
+  state.reduce(1, told);
+  for ticket in 0..20 {
+    let effects = state.reduce(2, ask(ticket, &route, Some("m")));
+    assert_eq!(sent(&effects).as_deref(), Some("two"));
+  }
+}
+
+#[test]
+fn a_server_that_leaves_or_is_replaced_gets_no_new_requests() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("one", &[]), spec("two", &[]), spec("three", &[])]);
+  let mut leaving = spec("one", &[]);
+  leaving.stage = Stage::Draining;
+  state.reduce(1, Event::Servers(vec![Change::Set(leaving)]));
+  state.reduce(1, Event::Servers(vec![Change::Gone("two".into())]));
+  for ticket in 0..20 {
+    let effects = state.reduce(2, ask(ticket, &route, None));
+    assert_eq!(sent(&effects).as_deref(), Some("three"));
+  }
+  let effects = state.reduce(3, ended(0, End::Replaced));
+  assert_eq!(sent(&effects), None);
+  let effects = state.reduce(4_000, ask(30, &route, None));
+  assert_eq!(sent(&effects), None, "its address is another server's");
+}
+
+#[test]
+fn an_older_deployment_never_comes_back() {
+  let mut state = state(Vec::new());
+  let with = |version| {
+    Event::Deployed(Arc::new(Deployment {
+      version,
+      ..Deployment::default()
+    }))
+  };
+  state.reduce(1, with(5));
+  state.reduce(2, with(4));
+  assert_eq!(state.deployment.unwrap().version, 5);
+}
+
+#[test]
+fn what_waits_at_a_planned_stop_is_refused_as_not_run() {
+  let route = route(Repeat::Never, None, 1);
+  let mut state = state(Vec::new());
+  state.reduce(1, ask(1, &route, None));
+  state.reduce(2, Event::Stopping(1_000));
+  assert_eq!(refused(&state.reduce(999, Event::Look(Ticket(1)))), None);
+  let refusal = refused(&state.reduce(1_000, Event::Look(Ticket(1)))).unwrap();
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert_eq!(refusal.reason, Reason::Stopping);
+}
+
+#[test]
+fn repeats_of_all_instances_stay_within_the_budget() {
+  let instances = 4;
+  let mut budgets = vec![Budget::default(); instances];
+  let mut repeats = 0;
+  for now in 0..1_000u64 {
+    for budget in &mut budgets {
+      if now % 10 == 0 {
+        budget.request(now, &BOUND);
+      }
+      repeats += u32::from(budget.repeat(now, &BOUND, instances));
+    }
+  }
+  let allowed = BOUND.ratio * 400.0 + BOUND.slack;
+  assert!(f64::from(repeats) <= allowed, "{repeats} of {allowed}");
+  assert!(
+    f64::from(repeats) >= allowed * 0.5,
+    "{repeats} of {allowed}"
+  );
+}
+
+#[test]
+fn requests_go_to_the_server_with_fewer_of_them() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("one", &["m"]), spec("two", &["m"])]);
+  let mut counts = BTreeMap::new();
+  for ticket in 0..40 {
+    let id = sent(&state.reduce(1, ask(ticket, &route, Some("m")))).unwrap();
+    *counts.entry(id).or_insert(0) += 1;
+  }
+  assert!(
+    counts.values().all(|count| (17..=23).contains(count)),
+    "{counts:?}"
+  );
+}
--- /dev/null
+++ b/tests/plan.rs
@@ -0,0 +1,386 @@
+//! The planner: which server takes which model, and what it does with answers
+//! that are lost, late or refused.
+
+use bendsaddle::{
+  backend::{Spec, Stage},
+  command::{Act, Command, Inventory, Taken},
+  deployment::{Checkpoint, Deployment, Engine, Pool},
+  dispatch::{Demand, Model},
+  plan::{Effect, Plan, Report},
+};
+use std::{
+  collections::{BTreeMap, BTreeSet},
+  sync::Arc,
+};
+
+const MEMORY: u64 = 230;
+const MODEL: u64 = 70;
+
+/// Servers that carry orders out, with the plan that gives them.
+struct World {
+  plan: Plan,
+  now: u64,
+  servers: BTreeMap<String, Server>,
+  /// Models that are waited for, and what runs where.
+  waiting: Vec<(String, u32)>,
+  running: Vec<(String, String, u32)>,
+  orders: Vec<Command>,
+  asked: u32,
+  /// What becomes of orders from now on, instead of being carried out.
+  fate: Option<Taken>,
+}
+
+struct Server {
+  spec: Spec,
+  held: BTreeMap<String, Vec<String>>,
+  orders: u64,
+  busy_until: u64,
+  loading: Option<String>,
+}
+
+fn engine(models: &[&str]) -> Engine {
+  let checkpoint = Checkpoint {
+    memory_mb: MODEL,
+    warm_ms: 400,
+    disk_ms: 800,
+    remote_ms: 6_000,
+    adapters: vec!["a1".into(), "a2".into(), "a3".into()],
+    adapter_mb: 1,
+  };
+  Engine {
+    slots: 64,
+    kv_tokens: 100_000,
+    memory_mb: MEMORY,
+    adapter_slots: 2,
+    loads_per_s: 3.0,
+    models: models
+      .iter()
+      .map(|name| (name.to_string(), checkpoint.clone()))
+      .collect(),
+  }
+}
+
+impl World {
+  fn open(models: &[&str], servers: &[(&str, &[&str], &[&str])]) -> Self {
+    let mut plan = Plan::open("10.0.0.1", 5_000, 1.0, 4);
+    let pool = Pool {
+      engine: Some(engine(models)),
+    };
+    let deployment = Deployment {
+      version: 1,
+      pools: BTreeMap::from([("pool".into(), pool)]),
+      ..Deployment::default()
+    };
+    let servers: BTreeMap<String, Server> = servers
+      .iter()
+      .map(|(id, held, disk)| {
+        let held: BTreeMap<String, Vec<String>> = held
+          .iter()
+          .map(|name| (name.to_string(), Vec::new()))
+          .collect();
+        let spec = Spec {
+          id: id.to_string(),
+          pool: "pool".into(),
+          address: "127.0.0.1:9".parse().unwrap(),
+          zone: "a".into(),
+          slots: 64,
+          stage: Stage::Ready,
+          models: held.clone(),
+          in_memory: Vec::new(),
+          on_disk: disk.iter().map(|name| name.to_string()).collect(),
+        };
+        let server = Server {
+          spec,
+          held,
+          orders: 0,
+          busy_until: 0,
+          loading: None,
+        };
+        (id.to_string(), server)
+      })
+      .collect();
+    plan.begin(1);
+    let specs = servers.values().map(|server| server.spec.clone()).collect();
+    plan.servers(Arc::new(deployment), specs);
+    Self {
+      plan,
+      now: 10_000,
+      servers,
+      waiting: Vec::new(),
+      running: Vec::new(),
+      orders: Vec::new(),
+      asked: 0,
+      fate: None,
+    }
+  }
+
+  fn report(&mut self) {
+    let demand = self.waiting.iter().map(|(model, waiting)| Demand {
+      pool: "pool".into(),
+      model: Model::parse(model),
+      waiting: *waiting,
+      priority: 0,
+      age_ms: 0,
+    });
+    let running = self.running.iter();
+    let report = Report {
+      instance: "one".into(),
+      demand: demand.collect(),
+      running: running
+        .map(|(id, model, count)| (id.clone(), Model::parse(model), *count))
+        .collect(),
+    };
+    let address = "127.0.0.1:1".parse().unwrap();
+    self.plan.report(self.now, address, report);
+  }
+
+  /// Lets time pass; orders are carried out, questions answered.
+  fn run(&mut self, ms: u64) {
+    let end = self.now + ms;
+    while self.now < end {
+      self.now += 10;
+      self.report();
+      for effect in self.plan.step(self.now) {
+        match effect {
+          Effect::Order(command) => self.order(command),
+          Effect::Ask { id, .. } => self.ask(&id),
+          Effect::Tell(_) | Effect::Note { .. } => {}
+        }
+      }
+    }
+  }
+
+  fn order(&mut self, command: Command) {
+    self.orders.push(command.clone());
+    let taken = match self.fate {
+      Some(fate) => fate,
+      None => self.carry_out(&command),
+    };
+    self.plan.ordered(self.now, &command, taken);
+  }
+
+  fn carry_out(&mut self, command: &Command) -> Taken {
+    let now = self.now;
+    let server = self.servers.get_mut(&command.id).unwrap();
+    server.finish(now);
+    if now < server.busy_until || command.orders != server.orders {
+      return Taken::Conflict;
+    }
+    server.orders += 1;
+    let name = command.model.name.clone();
+    match (command.act, &command.model.adapter) {
+      (Act::Load, Some(adapter)) => {
+        server.held.get_mut(&name).unwrap().push(adapter.clone());
+      }
+      (Act::Unload, Some(adapter)) => {
+        let held = server.held.get_mut(&name).unwrap();
+        held.retain(|known| known != adapter);
+        return Taken::Done;
+      }
+      (Act::Load, None) => {
+        let used = server.held.len() as u64 * MODEL;
+        assert!(used + MODEL <= MEMORY, "{} is overcommitted", command.id);
+        let near = server.spec.on_disk.contains(&name);
+        server.busy_until = now + if near { 800 } else { 6_000 };
+        server.loading = Some(name);
+      }
+      (Act::Unload, None) => {
+        server.held.remove(&name);
+        server.busy_until = now + 40;
+      }
+    }
+    let adapters: usize = server.held.values().map(Vec::len).sum();
+    assert!(
+      adapters <= 2,
+      "{} has more adapters than places",
+      command.id
+    );
+    Taken::Accepted
+  }
+
+  fn ask(&mut self, id: &str) {
+    self.asked += 1;
+    let now = self.now;
+    let server = self.servers.get_mut(id).unwrap();
+    server.finish(now);
+    let inventory = Inventory {
+      models: server.held.clone(),
+      busy: now < server.busy_until,
+      orders: server.orders,
+      queued: 0,
+      running: 0,
+    };
+    self.plan.inventory(now, id, Some(inventory));
+  }
+
+  fn holds(&mut self, id: &str, model: &str) -> bool {
+    let now = self.now;
+    let server = self.servers.get_mut(id).unwrap();
+    server.finish(now);
+    server.held.contains_key(model)
+  }
+
+  fn loads(&self) -> Vec<(String, String)> {
+    let loads = self
+      .orders
+      .iter()
+      .filter(|order| order.act == Act::Load && order.model.adapter.is_none());
+    loads
+      .map(|order| (order.id.clone(), order.model.name.clone()))
+      .collect()
+  }
+}
+
+impl Server {
+  fn finish(&mut self, now: u64) {
+    if now >= self.busy_until
+      && let Some(model) = self.loading.take()
+    {
+      self.held.insert(model, Vec::new());
+    }
+  }
+}
+
+#[test]
+fn a_wanted_model_goes_where_a_copy_is_and_something_idle_gives_way() {
+  let mut world = World::open(
+    &["a", "b", "c", "d"],
+    &[
+      ("one", &["a", "b", "c"], &[]),
+      ("two", &["a", "b", "c"], &["d"]),
+    ],
+  );
+  world.running = vec![("two".into(), "a".into(), 3)];
+  world.run(600);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(1_200);
+  assert_eq!(world.loads(), [("two".to_string(), "d".to_string())]);
+  assert!(world.holds("two", "d"));
+  assert!(world.holds("two", "a"), "what runs does not give way");
+}
+
+#[test]
+fn orders_carry_the_term_and_the_count_of_orders() {
+  let mut world = World::open(&["a", "d"], &[("one", &["a"], &["d"])]);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(1_000);
+  assert!(!world.orders.is_empty());
+  for (count, order) in world.orders.iter().enumerate() {
+    assert_eq!((order.term, order.orders), (1, count as u64));
+  }
+}
+
+#[test]
+fn nothing_is_ordered_before_the_server_was_asked() {
+  let mut world = World::open(&["a", "d"], &[("one", &["a"], &["d"])]);
+  world.servers.get_mut("one").unwrap().orders = 7;
+  world.waiting = vec![("d".into(), 1)];
+  world.run(1_000);
+  assert!(world.asked > 0);
+  assert_eq!(world.orders[0].orders, 7);
+}
+
+#[test]
+fn the_weight_store_is_used_only_without_a_copy() {
+  let mut world = World::open(
+    &["a", "d", "e"],
+    &[("one", &["a"], &[]), ("two", &["a"], &["d"])],
+  );
+  world.waiting = vec![("d".into(), 1), ("e".into(), 1)];
+  world.run(300);
+  let loads: BTreeSet<(String, String)> = world.loads().into_iter().collect();
+  assert!(loads.contains(&("two".into(), "d".into())), "{loads:?}");
+  assert!(loads.contains(&("one".into(), "e".into())), "{loads:?}");
+}
+
+#[test]
+fn loads_from_the_weight_store_are_bounded() {
+  let names: Vec<String> = (0..12).map(|number| format!("m{number}")).collect();
+  let names: Vec<&str> = names.iter().map(String::as_str).collect();
+  let ids: Vec<String> = (0..10).map(|number| format!("s{number}")).collect();
+  let servers: Vec<(&str, &[&str], &[&str])> = ids
+    .iter()
+    .map(|id| (id.as_str(), &[][..], &[][..]))
+    .collect();
+  let mut world = World::open(&names, &servers);
+  world.waiting = names.iter().map(|name| (name.to_string(), 1)).collect();
+  world.run(2_000);
+  assert_eq!(world.loads().len(), 4, "{:?}", world.loads());
+}
+
+#[test]
+fn an_order_without_answer_is_not_repeated_blindly() {
+  let mut world = World::open(&["a", "d"], &[("one", &["a"], &["d"])]);
+  world.run(100);
+  world.fate = Some(Taken::Unknown);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(300);
+  assert_eq!(world.orders.len(), 1);
+  let asked = world.asked;
+  // It was taken all the same.
+  world.fate = None;
+  let order = world.orders[0].clone();
+  world.carry_out(&order);
+  world.run(3_000);
+  assert!(world.asked > asked, "the server is asked first");
+  assert_eq!(world.loads().len(), 1, "{:?}", world.orders);
+  assert!(world.holds("one", "d"));
+}
+
+#[test]
+fn an_order_that_is_carried_out_late_finds_another_count() {
+  let mut world = World::open(&["a", "d"], &[("one", &["a"], &["d"])]);
+  world.run(100);
+  world.fate = Some(Taken::Unknown);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(100);
+  let late = world.orders[0].clone();
+  world.fate = None;
+  world.run(3_000);
+  assert!(world.holds("one", "d"), "it was ordered again");
+  assert_eq!(world.carry_out(&late), Taken::Conflict);
+}
+
+#[test]
+fn adapters_of_a_model_in_use_are_loaded_within_the_places() {
+  let mut world = World::open(&["a"], &[("one", &["a"], &[]), ("two", &["a"], &[])]);
+  world.running = vec![("one".into(), "a".into(), 2)];
+  world.run(3_000);
+  let held: BTreeSet<String> = world
+    .servers
+    .values()
+    .flat_map(|server| server.held["a"].clone())
+    .collect();
+  assert_eq!(held.len(), 3, "{held:?}");
+}
+
+#[test]
+fn an_adapter_that_is_waited_for_takes_the_place_of_an_idle_one() {
+  let mut world = World::open(&["a"], &[("one", &["a"], &[])]);
+  world.waiting = vec![("a/a1".into(), 1)];
+  world.run(500);
+  world.waiting = vec![("a/a2".into(), 1)];
+  world.run(500);
+  world.waiting = vec![("a/a3".into(), 1)];
+  world.run(500);
+  let held = &world.servers["one"].held["a"];
+  assert!(held.contains(&"a3".to_string()), "{held:?}");
+}
+
+#[test]
+fn a_server_that_comes_empty_gets_a_replica_of_what_is_used_most() {
+  let mut world = World::open(&["a", "b"], &[("one", &["a", "b"], &[]), ("two", &[], &[])]);
+  world.running = vec![("one".into(), "a".into(), 8)];
+  world.run(9_000);
+  assert_eq!(world.loads()[0], ("two".to_string(), "a".to_string()));
+}
+
+#[test]
+fn a_new_term_asks_again() {
+  let mut world = World::open(&["a"], &[("one", &["a"], &[])]);
+  world.run(200);
+  let asked = world.asked;
+  world.plan.begin(2);
+  world.run(200);
+  assert!(world.asked > asked);
+}
