--- a/src/run.rs
+++ b/src/run.rs
@@ -117,7 +117,7 @@
   println!("{ports}");
   let mut signals = Signals::open().change_context_lazy(failed)?;
   // An instance reads its settings at its start only.
-  while signals.next().change_context_lazy(failed)? == Signal::Reload {}
+  while signals.wait().change_context_lazy(failed)? == Signal::Reload {}
   instance.stop();
   instance.wait();
   Ok(ExitCode::SUCCESS)
@@ -150,7 +150,7 @@
   let failed = || Error("could not start the instance".into());
   let router = Router::spawn(&settings, edge, log).change_context_lazy(failed)?;
   let mut signals = Signals::open().change_context_lazy(failed)?;
-  while signals.next().change_context_lazy(failed)? == Signal::Reload {
+  while signals.wait().change_context_lazy(failed)? == Signal::Reload {
     router.reload(Settings::open(&path));
   }
   router.stop();
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -38,7 +38,7 @@
   }
 
   /// Waits for the next signal.
-  pub fn next(&mut self) -> io::Result<Signal> {
+  pub fn wait(&mut self) -> io::Result<Signal> {
     loop {
       let until = Instant::now() + WAIT;
       let waits = [
@@ -46,13 +46,14 @@
         Some((&self.reload as _, Want::Read)),
       ];
       let [stop, reload] = wait(waits, until)?;
-      let mut bytes = [0; 64];
+      // A byte a signal.
+      let mut byte = [0];
       if stop {
-        self.stop.read(&mut bytes)?;
+        self.stop.read_exact(&mut byte)?;
         return Ok(Signal::Stop);
       }
       if reload {
-        self.reload.read(&mut bytes)?;
+        self.reload.read_exact(&mut byte)?;
         return Ok(Signal::Reload);
       }
     }
