one instance watches the store for all

Change: the lease's holder tells with its word how far it has followed each kind and when something last changed that others need; they watch by themselves only when they lack a change or hear nothing for 1.2 s. Holdings are told as changes with a count; an instance that missed one is told all again.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -53,17 +53,22 @@
   pub models: BTreeMap<String, Vec<String>>,
   /// Models about to be unloaded: no new work.
   pub leaving: Vec<String>,
-  /// Requests that all instances have there.
-  pub running: u32,
+}
+
+/// A server's id, short enough to be told often.
+pub fn short(id: &str) -> u32 {
+  xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
 
 /// A backend server as one instance sees it.
 #[derive(Clone, Debug)]
 pub struct Backend {
   pub spec: Spec,
-  pub holding: Option<Holding>,
-  /// When the holding was heard, ms.
+  /// When the server's own statement was last heard, ms.
   pub heard: u64,
+  pub holding: Option<Holding>,
+  /// Requests of all instances there, as told.
+  pub load: u32,
   /// This instance's requests there.
   pub running: u32,
   /// Failures in a row.
@@ -74,18 +79,14 @@
   pub missing: BTreeMap<String, u64>,
 }
 
-/// Time for which the planner's word on a server's holdings counts, ms: it is told
-/// again every half second, and a server's own entry takes about two seconds to
-/// show a change.
-const HOLDING_MS: u64 = 2_500;
-
 impl Backend {
   /// A server not used so far.
-  pub fn open(spec: Spec) -> Self {
+  pub fn open(spec: Spec, now: u64) -> Self {
     Self {
       spec,
+      heard: now,
       holding: None,
-      heard: 0,
+      load: 0,
       running: 0,
       failures: 0,
       avoid_until: 0,
@@ -93,14 +94,11 @@
     }
   }
 
-  fn word(&self, now: u64) -> Option<&Holding> {
-    let holding = self.holding.as_ref()?;
-    (now < self.heard + HOLDING_MS).then_some(holding)
-  }
-
-  /// Whether a request for a model, and an adapter of it, can run there.
-  pub fn holds(&self, model: &str, adapter: Option<&str>, now: u64) -> bool {
-    let word = self.word(now);
+  /// Whether a request for a model, and an adapter of it, can run there. The
+  /// planner's word counts before `told`, ms, and after it until the server says
+  /// otherwise: without a planner nothing changes.
+  pub fn holds(&self, model: &str, adapter: Option<&str>, told: u64, now: u64) -> bool {
+    let word = self.holding.as_ref().filter(|_| self.heard < told);
     let models = word.map_or(&self.spec.models, |holding| &holding.models);
     let leaves = word.is_some_and(|holding| holding.leaving.iter().any(|name| name == model));
     let found = models.get(model).is_some_and(|adapters| match adapter {
@@ -113,9 +111,8 @@
   }
 
   /// Requests of other instances there, as far as told.
-  pub fn others(&self, now: u64) -> u32 {
-    let told = self.word(now).map_or(0, |holding| holding.running);
-    told.saturating_sub(self.running)
+  pub fn others(&self) -> u32 {
+    self.load.saturating_sub(self.running)
   }
 
   /// Whether new work may go there.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -37,8 +37,11 @@
 /// ahead of the least loaded one, in hundredths. Reading 200 shared tokens again
 /// takes some 7 ms; a request more in a batch delays all others.
 const AHEAD_PERCENT: u32 = 2;
-/// After this part of its time a request that waits counts as hopeless when no
-/// server of its pool is known, in hundredths.
+/// Time for which the planner's word on holdings counts, ms: it speaks every half
+/// second, and a server's own entry takes about two seconds to show a change.
+const TOLD_MS: u64 = 2_500;
+/// Time after which a refused caller may come back, ms: a load from a server's disk
+/// takes about as long.
 const COME_BACK_MS: u64 = 500;
 /// Load in slots that a request between availability zones is worth.
 const ZONE_LOAD: u32 = 1;
@@ -144,6 +147,10 @@
   /// The planner told what servers hold, and how many instances there are.
   Told {
     holdings: Vec<Holding>,
+    /// These are all holdings, not only those that changed.
+    all: bool,
+    /// Requests at servers, by short id; none: not told this time.
+    loads: Option<Vec<(u32, u16)>>,
     instances: usize,
   },
   Arrived(Ask),
@@ -218,6 +225,8 @@
   pub instances: usize,
   /// Requests that wait at this time are refused: the process is to end, ms.
   stop_at: u64,
+  /// When the planner was last heard of, ms.
+  told_at: u64,
   rng: SmallRng,
   now: u64,
   out: Vec<Effect>,
@@ -243,6 +252,7 @@
       budgets: BTreeMap::new(),
       instances: INSTANCES,
       stop_at: u64::MAX,
+      told_at: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -262,8 +272,17 @@
       Event::Servers(changes) => self.servers(changes),
       Event::Told {
         holdings,
+        all,
+        loads,
         instances,
-      } => self.told(holdings, instances),
+      } => {
+        self.instances = instances.max(1);
+        self.told_at = now;
+        if let Some(loads) = loads {
+          self.loads(&loads);
+        }
+        self.told(holdings, all);
+      }
       Event::Arrived(ask) => self.arrived(ask),
       Event::Ended { ticket, end } => self.ended(ticket, end),
       Event::Look(ticket) => self.place(ticket),
@@ -306,10 +325,14 @@
 
   fn set(&mut self, spec: Spec) {
     match self.ids.get(&spec.id) {
-      Some(key) => self.backends[*key].spec = spec,
+      Some(key) => {
+        let backend = &mut self.backends[*key];
+        backend.spec = spec;
+        backend.heard = self.now;
+      }
       None => {
         let id = spec.id.clone();
-        let key = self.backends.insert(Backend::open(spec));
+        let key = self.backends.insert(Backend::open(spec, self.now));
         self.ids.insert(id, key);
       }
     }
@@ -334,17 +357,29 @@
     }
   }
 
-  fn told(&mut self, holdings: Vec<Holding>, instances: usize) {
-    self.instances = instances.max(1);
+  fn told(&mut self, holdings: Vec<Holding>, all: bool) {
+    if all {
+      for backend in self.backends.values_mut() {
+        backend.holding = None;
+      }
+    }
+    let news = !holdings.is_empty();
     for holding in holdings {
-      let Some(key) = self.ids.get(&holding.id).copied() else {
-        continue;
-      };
-      let backend = &mut self.backends[key];
-      backend.heard = self.now;
-      backend.holding = Some(holding);
+      if let Some(key) = self.ids.get(&holding.id) {
+        self.backends[*key].holding = Some(holding);
+      }
+    }
+    if news {
+      self.place_waiting();
+    }
+  }
+
+  fn loads(&mut self, loads: &[(u32, u16)]) {
+    for backend in self.backends.values_mut() {
+      let short = backend::short(&backend.spec.id);
+      let found = loads.iter().find(|(id, _)| *id == short);
+      backend.load = found.map_or(0, |(_, load)| u32::from(*load));
     }
-    self.place_waiting();
   }
 
   fn arrived(&mut self, ask: Ask) {
@@ -565,7 +600,7 @@
       if fits {
         let near = backend.spec.zone == self.zone;
         let far = if near { 0 } else { ZONE_LOAD };
-        let load = backend.running + backend.others(self.now) + far;
+        let load = backend.running + backend.others() + far;
         found.push((key, load));
       }
     }
@@ -587,7 +622,10 @@
 
   fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
     match &ask.model {
-      Some(model) => backend.holds(&model.name, model.adapter.as_deref(), self.now),
+      Some(model) => {
+        let told = self.told_at + TOLD_MS;
+        backend.holds(&model.name, model.adapter.as_deref(), told, self.now)
+      }
       None => true,
     }
   }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -1,9 +1,17 @@
 //! Follows a kind of the store's objects: reads all, then watches, and begins
 //! again when the history is gone.
 
-use crate::store::{Changes, Error, Object, Result, Store};
+use crate::{
+  hub::lock,
+  store::{Changes, Error, Object, Result, Store},
+};
+use serde::{Deserialize, Serialize};
 use slog::{Logger, info, warn};
-use std::{thread, time::Duration};
+use std::{
+  sync::{Condvar, Mutex},
+  thread,
+  time::{Duration, Instant},
+};
 
 /// Longest wait of one watch. A waiting watch counts as a call; but one that was
 /// begun while the store was silent is never answered, and hides all news until
@@ -17,6 +25,127 @@
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_millis(800);
 
+/// Without another instance's word for this long, an instance watches by itself.
+const SILENT: Duration = Duration::from_millis(1_200);
+/// Another instance's word counts while its own last answer is not older.
+const STALE_MS: u64 = 3_000;
+
+/// How far an instance has followed a kind, told to others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+  /// The store's revision up to which everything is known.
+  pub revision: u64,
+  /// Revision of the last change that matters to others.
+  pub changed: u64,
+  /// Since the store's last answer, ms.
+  pub age_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+  revision: u64,
+  changed: u64,
+  answered: Option<Instant>,
+  /// Another instance's word, and when it was heard.
+  word: Option<(Word, Instant)>,
+  /// This instance must watch by itself: others go by its word.
+  leads: bool,
+  /// Changes that did not matter were passed over: all is to be read.
+  skipped: bool,
+}
+
+/// Lets one instance watch a kind for many: the others watch by themselves only
+/// when its word names a change that they do not know of, or falls silent.
+#[derive(Debug, Default)]
+pub struct Gate {
+  state: Mutex<State>,
+  changed: Condvar,
+}
+
+impl Gate {
+  /// What this instance tells others.
+  pub fn word(&self) -> Word {
+    let state = lock(&self.state);
+    let age = state.answered.map_or(Duration::MAX, |at| at.elapsed());
+    Word {
+      revision: state.revision,
+      changed: state.changed,
+      age_ms: age.as_millis().min(u128::from(u64::MAX)) as u64,
+    }
+  }
+
+  /// Takes up another instance's word.
+  pub fn told(&self, word: Word) {
+    let mut state = lock(&self.state);
+    if word.age_ms > STALE_MS {
+      return;
+    }
+    if word.changed <= state.revision {
+      // Nothing between that matters here.
+      state.skipped |= word.revision > state.revision;
+      state.revision = state.revision.max(word.revision);
+    }
+    state.word = Some((word, Instant::now()));
+    self.changed.notify_all();
+  }
+
+  /// Whether others go by this instance's word.
+  pub fn lead(&self, leads: bool) {
+    let mut state = lock(&self.state);
+    if state.leads != leads {
+      state.leads = leads;
+      self.changed.notify_all();
+    }
+  }
+
+  /// Waits until a call is needed, and says which.
+  fn wait(&self) -> Next {
+    let mut state = lock(&self.state);
+    loop {
+      if state.leads && state.skipped {
+        state.skipped = false;
+        return Next::All;
+      }
+      let watch = Next::Watch {
+        revision: state.revision,
+        there: false,
+      };
+      let (false, Some((word, heard))) = (state.leads, state.word) else {
+        return watch;
+      };
+      if word.changed > state.revision {
+        return Next::Watch {
+          revision: state.revision,
+          there: true,
+        };
+      }
+      let Some(left) = SILENT.checked_sub(heard.elapsed()) else {
+        return watch;
+      };
+      let waited = self.changed.wait_timeout(state, left);
+      state = waited.map_or_else(|poisoned| poisoned.into_inner().0, |waited| waited.0);
+    }
+  }
+
+  fn answered(&self, revision: u64, matters: bool) {
+    let mut state = lock(&self.state);
+    state.revision = state.revision.max(revision);
+    state.answered = Some(Instant::now());
+    if matters {
+      state.changed = state.changed.max(revision);
+    }
+  }
+}
+
+/// The next call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+  /// Read everything.
+  All,
+  /// Watch from a revision; `there`: a change is known to be there.
+  Watch { revision: u64, there: bool },
+}
+
 /// News of a kind.
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
@@ -26,15 +155,26 @@
   Some(Vec<(Object, bool)>),
 }
 
-/// Follows a kind for ever.
-pub fn follow(store: &Store, kind: &str, log: &Logger, mut take: impl FnMut(News)) -> ! {
+/// Follows a kind for ever; `take` says whether the news matters to others.
+pub fn follow(
+  store: &Store,
+  kind: &str,
+  gate: &Gate,
+  log: &Logger,
+  mut take: impl FnMut(News) -> bool,
+) -> ! {
   let mut from: Option<u64> = None;
   let mut failures = 0;
   loop {
-    let result = match from {
-      None => all(store, kind).map(|(objects, revision)| (News::All(objects), revision)),
-      Some(revision) => {
-        let wait = if failures > 0 { FIRST } else { WATCH };
+    let next = match from {
+      None => Next::All,
+      Some(_) => gate.wait(),
+    };
+    let result = match next {
+      Next::All => all(store, kind).map(|(objects, revision)| (News::All(objects), revision)),
+      Next::Watch { revision, there } => {
+        from = Some(revision);
+        let wait = if failures > 0 || there { FIRST } else { WATCH };
         (store.watch)(kind, revision, wait).map(some)
       }
     };
@@ -46,8 +186,9 @@
         failures = 0;
         from = Some(revision);
         let empty = matches!(&news, News::Some(objects) if objects.is_empty());
+        let matters = !empty && take(news);
+        gate.answered(revision, matters);
         if !empty {
-          take(news);
           thread::sleep(GATHER);
         }
       }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -4,6 +4,7 @@
   ask::Ticket,
   dialect::Dialect,
   dispatch::{Attempt, Effect, Event, State},
+  feed::Gate,
   refusal::Refusal,
   socket::Bell,
   upstream::Pool,
@@ -71,12 +72,20 @@
   pub connections: AtomicU64,
 }
 
+/// Who watches what of the store.
+#[derive(Debug, Default)]
+pub struct Gates {
+  pub deployments: Gate,
+  pub servers: Gate,
+}
+
 /// What the threads of a routing instance share.
 pub struct Hub {
   pub log: Logger,
   pub dialect: Dialect,
   pub pool: Pool,
   pub counts: Counts,
+  pub gates: Gates,
   /// A planned stop has begun.
   pub stopping: AtomicBool,
   /// Rings at a planned stop.
@@ -99,6 +108,7 @@
       dialect,
       pool: Pool::default(),
       counts: Counts::default(),
+      gates: Gates::default(),
       stopping: AtomicBool::new(false),
       stop_bell: Bell::open()?,
       want_bell: Bell::open()?,
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -6,7 +6,7 @@
 //! what has to give way for it.
 
 use crate::{
-  backend::{Holding, Spec, Stage},
+  backend::{Holding, Spec, Stage, short},
   command::{Act, Command, Inventory, Taken},
   deployment::{Checkpoint, Deployment, Engine},
   dispatch::{Demand, Model},
@@ -47,6 +47,9 @@
 const ADAPTER_MS: u64 = 15;
 /// Instances cannot use what they were not told: told again this often, ms.
 const TELL_MS: u64 = 500;
+/// An instance that lacks changes is told all within this time after it says so,
+/// ms; later it has said so again.
+const BEHIND_MS: u64 = 100;
 /// Changes are told together when they come this close, ms.
 const TELL_LEAST_MS: u64 = 10;
 /// Weight of a model's other replicas when it is considered to give way.
@@ -89,6 +92,8 @@
   pub demand: Vec<Demand>,
   /// Requests sent and not ended, by server and model.
   pub running: Vec<(String, Model, u32)>,
+  /// Count up to which it knows the changes of holdings in this term.
+  pub known: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -142,6 +147,22 @@
   used: BTreeMap<Model, u64>,
   /// Requests of all instances, by model and adapter.
   running: BTreeMap<Model, u32>,
+  /// The holding as last told, and the count of that change.
+  told: Option<Holding>,
+  changed: u64,
+}
+
+/// What instances are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+  /// None: all instances.
+  pub to: Option<SocketAddr>,
+  /// Holdings that changed between these counts; from 0: all holdings.
+  pub since: u64,
+  pub latest: u64,
+  pub holdings: Vec<Holding>,
+  /// Requests at servers that have some, by short id.
+  pub loads: Vec<(u32, u16)>,
 }
 
 /// Something to do.
@@ -152,7 +173,7 @@
     id: String,
     address: SocketAddr,
   },
-  Tell(Vec<Holding>),
+  Tell(News),
   /// A decision, for the log: what, about which server and model, and why.
   Note {
     what: &'static str,
@@ -180,6 +201,8 @@
   policy: Policy,
   told: u64,
   news: bool,
+  /// Counts changes of holdings in this term.
+  changes: u64,
   now: u64,
   out: Vec<Effect>,
 }
@@ -202,6 +225,7 @@
       policy: Policy::default(),
       told: 0,
       news: false,
+      changes: 0,
       now: 0,
       out: Vec::new(),
     }
@@ -210,12 +234,15 @@
   /// The lease was taken: nothing that was known of the servers counts.
   pub fn begin(&mut self, term: u64) {
     self.term = term;
+    self.changes = 0;
     for server in self.servers.values_mut() {
       server.synced = false;
       server.asking = false;
       server.job = None;
       server.adapters.clear();
       server.leaving.clear();
+      server.told = None;
+      server.changed = 0;
     }
   }
 
@@ -519,11 +546,54 @@
     if !due {
       return;
     }
+    let due_loads = since >= TELL_MS;
     self.told = self.now;
     self.news = false;
-    let servers = self.servers.values().filter(|server| server.synced);
-    let holdings = servers.map(Server::holding).collect();
-    self.out.push(Effect::Tell(holdings));
+    let since = self.changes;
+    for server in self.servers.values_mut().filter(|server| server.synced) {
+      let holding = server.holding();
+      if server.told.as_ref() != Some(&holding) {
+        self.changes += 1;
+        server.changed = self.changes;
+        server.told = Some(holding);
+      }
+    }
+    let loads = match due_loads {
+      true => self.loads(),
+      false => Vec::new(),
+    };
+    self.tell_since(None, since, loads);
+    let behind = self
+      .members
+      .values()
+      .filter(|member| member.report.known < since && self.now <= member.heard + BEHIND_MS);
+    let behind: Vec<SocketAddr> = behind.map(|member| member.address).collect();
+    for address in behind {
+      self.tell_since(Some(address), 0, Vec::new());
+    }
+  }
+
+  fn tell_since(&mut self, to: Option<SocketAddr>, since: u64, loads: Vec<(u32, u16)>) {
+    let told = self
+      .servers
+      .values()
+      .filter(|server| server.changed > since);
+    let news = News {
+      to,
+      since,
+      latest: self.changes,
+      holdings: told.filter_map(|server| server.told.clone()).collect(),
+      loads,
+    };
+    self.out.push(Effect::Tell(news));
+  }
+
+  fn loads(&self) -> Vec<(u32, u16)> {
+    let loads = self.servers.iter().map(|(id, server)| (id, server.load()));
+    let some = loads.filter(|(_, load)| *load > 0);
+    some
+      .map(|(id, load)| (short(id), load.min(u32::from(u16::MAX)) as u16))
+      .collect()
   }
 
   fn sync(&mut self, id: &str) {
@@ -1142,6 +1212,8 @@
       rest_until: 0,
       used: BTreeMap::new(),
       running: BTreeMap::new(),
+      told: None,
+      changed: 0,
     }
   }
 
@@ -1189,7 +1261,6 @@
       id: self.spec.id.clone(),
       models: self.models.clone(),
       leaving: self.leaving.iter().cloned().collect(),
-      running: self.load(),
     }
   }
 
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -9,9 +9,10 @@
   command::{Command, Inventory, Taken},
   dispatch::Event,
   edge::Edge,
+  feed,
   hub::Hub,
   lease::{self, Lease, Word},
-  plan::{Effect, Plan, Report},
+  plan::{Effect, News, Plan, Report},
   pool::Pool,
   settings::Settings,
   socket::{Bell, Want, wait},
@@ -53,11 +54,25 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
   Report(Report),
-  Told {
-    word: Word,
-    instances: u32,
-    holdings: Vec<Holding>,
-  },
+  Told(Told),
+}
+
+/// What the lease's holder tells other instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+  pub word: Word,
+  /// How far the holder has followed the deployment and the servers.
+  pub deployments: feed::Word,
+  pub servers: feed::Word,
+  pub instances: u32,
+  /// Changes of holdings between these counts; from 0: all holdings.
+  pub since: u64,
+  pub latest: u64,
+  pub holdings: Vec<Holding>,
+  /// Holdings known before no longer count.
+  pub first: bool,
+  /// Requests of all instances at servers that have some; empty when not told.
+  pub loads: Vec<(u32, u16)>,
 }
 
 /// What other threads bring back.
@@ -85,6 +100,10 @@
   seen: u64,
   reported: u64,
   last: Option<Report>,
+  /// Term, and count up to which changes of holdings are known.
+  known: (u64, u64),
+  /// Changes were missed and not yet asked for.
+  behind: bool,
 }
 
 /// Binds the instance's port and starts the planner's thread.
@@ -116,6 +135,8 @@
     seen: 0,
     reported: 0,
     last: None,
+    known: (0, 0),
+    behind: false,
   };
   let builder = thread::Builder::new().name("planner".into());
   builder.spawn(move || planner.run())?;
@@ -182,16 +203,7 @@
       let now = self.hub.now();
       match postcard::from_bytes::<Message>(&bytes[..length]) {
         Ok(Message::Report(report)) => self.plan.report(now, from, report),
-        Ok(Message::Told {
-          word,
-          instances,
-          holdings,
-        }) => {
-          self.lease.told(now, word, from);
-          if !self.holding {
-            self.told(holdings, instances as usize);
-          }
-        }
+        Ok(Message::Told(told)) => self.hear(now, told, from),
         Err(error) => {
           warn!(self.hub.log, "datagram not understood"; "from" => %from, "error" => %error);
         }
@@ -199,10 +211,31 @@
     }
   }
 
-  fn told(&self, holdings: Vec<Holding>, instances: usize) {
+  /// Takes up the holder's word.
+  fn hear(&mut self, now: u64, told: Told, from: SocketAddr) {
+    let term = told.word.term;
+    self.lease.told(now, told.word, from);
+    if self.holding {
+      return;
+    }
+    self.hub.gates.deployments.told(told.deployments);
+    self.hub.gates.servers.told(told.servers);
+    let all = told.since == 0;
+    let follows = self.known.0 == term && self.known.1 >= told.since;
+    if !all && !follows {
+      // Something between was lost: the next report says so.
+      self.known = (term, 0);
+      self.behind = true;
+    }
+    if all || follows {
+      self.known = (term, told.latest.max(if all { 0 } else { self.known.1 }));
+    }
+    let taken = all || follows;
     let event = Event::Told {
-      holdings,
-      instances,
+      holdings: if taken { told.holdings } else { Vec::new() },
+      all: taken && told.first,
+      loads: (!told.loads.is_empty()).then_some(told.loads),
+      instances: told.instances as usize,
     };
     self.hub.apply(event, None);
   }
@@ -242,6 +275,8 @@
     let held = !stopping && self.lease.term(now).is_some();
     if held != self.holding {
       self.holding = held;
+      self.hub.gates.deployments.lead(held);
+      self.hub.gates.servers.lead(held);
       info!(self.hub.log, "orders"; "given_here" => held);
     }
     let Some(call) = self.lease.call(now, stopping) else {
@@ -281,9 +316,10 @@
         .last
         .as_ref()
         .is_some_and(|last| !last.demand.is_empty());
-    if !wanted && !relieved && now < self.reported + pause {
+    if !wanted && !relieved && !self.behind && now < self.reported + pause {
       return;
     }
+    self.behind = false;
     self.reported = now;
     self.last = Some(report.clone());
     if self.holding {
@@ -305,6 +341,7 @@
       instance: self.instance.clone(),
       demand: state.demand(now),
       running: running.collect(),
+      known: self.known.1,
     }
   }
 
@@ -326,7 +363,7 @@
       match effect {
         Effect::Order(command) => self.order(command),
         Effect::Ask { id, address } => self.ask(id, address),
-        Effect::Tell(holdings) => self.tell(holdings),
+        Effect::Tell(news) => self.tell(&news),
         Effect::Note {
           what,
           server,
@@ -379,28 +416,58 @@
     });
   }
 
-  fn tell(&self, holdings: Vec<Holding>) {
+  fn tell(&mut self, news: &News) {
     let now = self.hub.now();
     let Some(word) = self.lease.word(now) else {
       return;
     };
+    let own = self.socket.local_addr().ok();
     let members = self.plan.members(now);
     let instances = members.len().max(1);
-    let own = self.socket.local_addr().ok();
-    let parts: Vec<&[Holding]> = match holdings.is_empty() {
-      true => vec![&[]],
-      false => holdings.chunks(HOLDINGS).collect(),
+    let to: Vec<SocketAddr> = match news.to {
+      Some(address) => vec![address],
+      None => members,
     };
-    for part in parts {
-      let message = Message::Told {
+    let empty: &[Holding] = &[];
+    let mut parts: Vec<&[Holding]> = news.holdings.chunks(HOLDINGS).collect();
+    if parts.is_empty() {
+      parts.push(empty);
+    }
+    let last = parts.len() - 1;
+    for (number, part) in parts.into_iter().enumerate() {
+      let message = Message::Told(Told {
         word: word.clone(),
+        deployments: self.hub.gates.deployments.word(),
+        servers: self.hub.gates.servers.word(),
         instances: instances as u32,
+        since: news.since,
+        // Only the last part brings an instance up to date.
+        latest: if number == last {
+          news.latest
+        } else {
+          news.since
+        },
         holdings: part.to_vec(),
-      };
-      for member in members.iter().filter(|member| Some(**member) != own) {
+        first: news.since == 0 && number == 0,
+        loads: if number == 0 {
+          news.loads.clone()
+        } else {
+          Vec::new()
+        },
+      });
+      for member in to.iter().filter(|member| Some(**member) != own) {
         self.send(&message, *member);
       }
     }
-    self.told(holdings, instances);
+    if news.to.is_none() || news.to == own {
+      self.known = (word.term, news.latest);
+      let event = Event::Told {
+        holdings: news.holdings.clone(),
+        all: news.since == 0,
+        loads: (!news.loads.is_empty()).then(|| news.loads.clone()),
+        instances,
+      };
+      self.hub.apply(event, None);
+    }
   }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,6 +1,7 @@
 //! A running routing instance: its ports, its feeds and its planned stop.
 
 use crate::{
+  backend::Spec,
   dispatch::{Change, Event, State},
   edge::Edge,
   entry,
@@ -104,18 +105,26 @@
     .name("deployments".into())
     .stack_size(STACK);
   builder.spawn(move || {
-    feed::follow(&edge.store, edge.kinds.deployments, &hub.log, |news| {
-      let objects = match news {
-        News::All(objects) => objects,
-        News::Some(objects) => objects
-          .into_iter()
-          .filter_map(|(object, removed)| (!removed).then_some(object))
-          .collect(),
-      };
-      for object in objects {
-        deploy(&hub, &edge, &object);
-      }
-    })
+    let gate = &hub.gates.deployments;
+    feed::follow(
+      &edge.store,
+      edge.kinds.deployments,
+      gate,
+      &hub.log,
+      |news| {
+        let objects = match news {
+          News::All(objects) => objects,
+          News::Some(objects) => objects
+            .into_iter()
+            .filter_map(|(object, removed)| (!removed).then_some(object))
+            .collect(),
+        };
+        for object in &objects {
+          deploy(&hub, &edge, object);
+        }
+        true
+      },
+    )
   })?;
   Ok(())
 }
@@ -141,7 +150,8 @@
     .name("servers".into())
     .stack_size(STACK);
   builder.spawn(move || {
-    feed::follow(&edge.store, edge.kinds.servers, &hub.log, |news| {
+    let gate = &hub.gates.servers;
+    feed::follow(&edge.store, edge.kinds.servers, gate, &hub.log, |news| {
       let decode = |object: &Object| {
         (edge.server)(object)
           .map_err(|fault| {
@@ -159,36 +169,44 @@
           })
           .collect(),
       };
-      for change in &changes {
-        note(&hub, change);
-      }
+      let matters = changes.iter().filter(|change| note(&hub, change)).count() > 0;
       hub.apply(Event::Servers(changes), None);
       let known: Vec<String> = hub.state().ids.keys().cloned().collect();
       hub.pool.retain(|id| known.iter().any(|name| name == id));
+      matters
     })
   })?;
   Ok(())
 }
 
-/// Records what is news about a server besides its holdings.
-fn note(hub: &Hub, change: &Change) {
+/// Records what is news about a server besides its holdings; whether it is.
+fn note(hub: &Hub, change: &Change) -> bool {
   let state = hub.state();
   match change {
     Change::All(specs) => {
       info!(hub.log, "servers read"; "count" => specs.len());
+      specs.len() != state.ids.len() || !specs.iter().all(|spec| known(&state, spec))
     }
     Change::Set(spec) => {
-      let old = state
-        .ids
-        .get(&spec.id)
-        .map(|key| state.backends[*key].spec.stage);
-      if old != Some(spec.stage) {
-        info!(hub.log, "server"; "server" => &spec.id, "pool" => &spec.pool,
-          "stage" => format!("{:?}", spec.stage), "address" => %spec.address);
+      if known(&state, spec) {
+        return false;
       }
+      info!(hub.log, "server"; "server" => &spec.id, "pool" => &spec.pool,
+        "stage" => format!("{:?}", spec.stage), "address" => %spec.address);
+      true
     }
     Change::Gone(id) => {
       info!(hub.log, "server is gone"; "server" => id);
+      true
     }
   }
 }
+
+/// Whether a server is known as it states itself, its holdings apart.
+fn known(state: &State, spec: &Spec) -> bool {
+  let known = state
+    .ids
+    .get(&spec.id)
+    .map(|key| &state.backends[*key].spec);
+  known.is_some_and(|known| known.stage == spec.stage && known.address == spec.address)
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -184,10 +184,11 @@
     id: "one".into(),
     models: BTreeMap::from([("cold".into(), vec!["a1".into()])]),
     leaving: Vec::new(),
-    running: 0,
   };
   let told = Event::Told {
     holdings: vec![holding],
+    all: false,
+    loads: None,
     instances: 3,
   };
   assert_eq!(sent(&state.reduce(200, told)).as_deref(), Some("one"));
@@ -202,10 +203,11 @@
     id: "one".into(),
     models: BTreeMap::from([("m".into(), Vec::new())]),
     leaving: vec!["m".into()],
-    running: 0,
   };
   let told = Event::Told {
     holdings: vec![holding],
+    all: false,
+    loads: None,
     instances: 3,
   };
   state.reduce(1, told);
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -129,6 +129,7 @@
       running: running
         .map(|(id, model, count)| (id.clone(), Model::parse(model), *count))
         .collect(),
+      known: 0,
     };
     let address = "127.0.0.1:1".parse().unwrap();
     self.plan.report(self.now, address, report);
