--- a/src/plan.rs
+++ b/src/plan.rs
@@ -79,8 +79,8 @@
 const FREEABLE: usize = 2;
 /// Requests a replica carries, in hundredths of its slots, before another one is
 /// loaded; and up to which the others take over those of one that leaves.
-const FURTHER_PERCENT: u32 = 14;
-const CARRY_PERCENT: u32 = 9;
+const FURTHER_PERCENT: u32 = 6;
+const CARRY_PERCENT: u32 = 4;
 /// Requests by which a server must be below the one that has an adapter to get a
 /// copy of it.
 const COPY_LEAST: u32 = 2;
@@ -1065,7 +1065,7 @@
       };
       match &model.adapter {
         None if count > most && !holders.is_empty() => self.load(engine, &demand),
-        Some(adapter) if count > 1 => self.copy_adapter(engine, &demand, adapter, &holders),
+        Some(adapter) if count > 0 => self.copy_adapter(engine, &demand, adapter, &holders),
         None => self.fetch_adapter(engine, &demand, &holders),
         _ => {}
       }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -104,6 +104,8 @@
   known: (u64, u64),
   /// Changes were missed and not yet asked for.
   behind: bool,
+  /// Where datagrams are taken.
+  buffer: Vec<u8>,
 }
 
 /// Binds the instance's port and starts the planner's thread.
@@ -137,6 +139,7 @@
     last: None,
     known: (0, 0),
     behind: false,
+    buffer: vec![0; DATAGRAM],
   };
   let builder = thread::Builder::new().name("planner".into());
   builder.spawn(move || planner.run())?;
@@ -177,31 +180,27 @@
 
   fn due(&self, now: u64) -> u64 {
     let mut due = self.lease.due(now).min(now + SLEEP_MS);
-    let waiting = self
-      .last
-      .as_ref()
-      .is_some_and(|last| !last.demand.is_empty());
-    let running = self
-      .last
-      .as_ref()
-      .is_some_and(|last| !last.running.is_empty());
-    let pause = match (waiting, running) {
-      (true, _) => DEMAND_MS,
-      (false, true) => RUNNING_MS,
-      (false, false) => IDLE_MS,
-    };
-    due = due.min(self.reported + pause);
+    due = due.min(self.reported + self.pause());
     if self.holding {
       due = due.min(self.plan.due(now));
     }
     due.max(now)
   }
 
+  /// Time from one report to the next.
+  fn pause(&self) -> u64 {
+    match &self.last {
+      Some(last) if !last.demand.is_empty() => DEMAND_MS,
+      Some(last) if !last.running.is_empty() => RUNNING_MS,
+      _ => IDLE_MS,
+    }
+  }
+
   fn receive(&mut self) {
-    let mut bytes = vec![0; DATAGRAM];
-    while let Ok((length, from)) = self.socket.recv_from(&mut bytes) {
+    let mut buffer = std::mem::take(&mut self.buffer);
+    while let Ok((length, from)) = self.socket.recv_from(&mut buffer) {
       let now = self.hub.now();
-      match postcard::from_bytes::<Message>(&bytes[..length]) {
+      match postcard::from_bytes::<Message>(&buffer[..length]) {
         Ok(Message::Report(report)) => self.plan.report(now, from, report),
         Ok(Message::Told(told)) => self.hear(now, told, from),
         Err(error) => {
@@ -209,6 +208,7 @@
         }
       }
     }
+    self.buffer = buffer;
   }
 
   /// Takes up the holder's word.
@@ -301,24 +301,10 @@
   /// Tells the holder, or this machine's own plan, what is wanted and running.
   fn report(&mut self, wanted: bool) {
     let now = self.hub.now();
-    let report = self.state_report(now);
-    let same = self
-      .last
-      .as_ref()
-      .is_some_and(|last| last.running == report.running);
-    let pause = match (report.demand.is_empty(), same) {
-      (false, _) => DEMAND_MS,
-      (true, false) => RUNNING_MS,
-      (true, true) => IDLE_MS,
-    };
-    let relieved = report.demand.is_empty()
-      && self
-        .last
-        .as_ref()
-        .is_some_and(|last| !last.demand.is_empty());
-    if !wanted && !relieved && !self.behind && now < self.reported + pause {
+    if !wanted && !self.behind && now < self.reported + self.pause() {
       return;
     }
+    let report = self.state_report(now);
     self.behind = false;
     self.reported = now;
     self.last = Some(report.clone());
