a holder that hears of another one gives up; planners tell of members

Further: after a takeover the new holder knew no instance, took models in use for idle, and instances found it only by reading the store. Change: word of another holder ends what is held; the holder tells instances of each other, waits 150 ms for reports, and one whose time is over says it is there; an instance without store and planner sends callers elsewhere.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -128,3 +128,8 @@
     None => model.into(),
   }
 }
+
+/// The group of servers, of so many, that a server belongs to.
+pub fn group(id: &str, groups: u32) -> u32 {
+  short(id) % groups.max(1)
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -40,6 +40,9 @@
 /// Time for which the planner's word on holdings counts, ms: it speaks every half
 /// second, and a server's own entry takes about two seconds to show a change.
 const TOLD_MS: u64 = 2_500;
+/// An instance without the store that has heard of no planner for this long cannot
+/// have models loaded, ms: a planner speaks every half second, also while it may not order.
+const ISOLATED_MS: u64 = 1_800;
 /// Time after which a refused caller may come back, ms: a load from a server's disk
 /// takes about as long.
 const COME_BACK_MS: u64 = 500;
@@ -147,8 +150,8 @@
   /// The planner told what servers hold, and how many instances there are.
   Told {
     holdings: Vec<Holding>,
-    /// These are all holdings, not only those that changed.
-    all: bool,
+    /// These are all holdings of a group, of so many, not only those that changed.
+    all: Option<(u32, u32)>,
     /// Requests at servers, by short id; none: not told this time.
     loads: Option<Vec<(u32, u16)>>,
     instances: usize,
@@ -162,6 +165,8 @@
   Look(Ticket),
   /// The caller of a waiting request has gone.
   Left(Ticket),
+  /// The platform's store does not answer this instance, or does again.
+  StoreLost(bool),
   /// A planned stop: what waits is refused at this time, ms.
   Stopping(u64),
 }
@@ -225,8 +230,11 @@
   pub instances: usize,
   /// Requests that wait at this time are refused: the process is to end, ms.
   stop_at: u64,
-  /// When the planner was last heard of, ms.
-  told_at: u64,
+  /// When a planner was last heard of, ms.
+  pub told_at: u64,
+  store_lost: bool,
+  /// Counts changes of holdings that were told.
+  pub tellings: u64,
   rng: SmallRng,
   now: u64,
   out: Vec<Effect>,
@@ -253,6 +261,8 @@
       instances: INSTANCES,
       stop_at: u64::MAX,
       told_at: 0,
+      store_lost: false,
+      tellings: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -287,6 +297,7 @@
       Event::Ended { ticket, end } => self.ended(ticket, end),
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.forget(ticket),
+      Event::StoreLost(lost) => self.store_lost = lost,
       Event::Stopping(at) => self.stop_at = at,
     }
     std::mem::take(&mut self.out)
@@ -357,13 +368,16 @@
     }
   }
 
-  fn told(&mut self, holdings: Vec<Holding>, all: bool) {
-    if all {
+  fn told(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
+    if let Some((group, groups)) = all {
       for backend in self.backends.values_mut() {
-        backend.holding = None;
+        if backend::group(&backend.spec.id, groups) == group {
+          backend.holding = None;
+        }
       }
     }
     let news = !holdings.is_empty();
+    self.tellings += u64::from(news || all.is_some());
     for holding in holdings {
       if let Some(key) = self.ids.get(&holding.id) {
         self.backends[*key].holding = Some(holding);
@@ -377,8 +391,9 @@
   fn loads(&mut self, loads: &[(u32, u16)]) {
     for backend in self.backends.values_mut() {
       let short = backend::short(&backend.spec.id);
-      let found = loads.iter().find(|(id, _)| *id == short);
-      backend.load = found.map_or(0, |(_, load)| u32::from(*load));
+      if let Some((_, load)) = loads.iter().find(|(id, _)| *id == short) {
+        backend.load = u32::from(*load);
+      }
     }
   }
 
@@ -451,9 +466,15 @@
 
   fn hold(&mut self, ticket: Ticket) {
     let now = self.now;
+    let silent = self.told_at > 0 && now > self.told_at + ISOLATED_MS;
+    let isolated = silent && self.store_lost;
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
+    if isolated && request.ask.model.is_some() && request.verdict == Verdict::NotRun {
+      // Nobody hears what is wanted here: another instance can do more.
+      return self.refuse(ticket, Reason::NoServer);
+    }
     let new = request.waiting.is_none();
     request.waiting.get_or_insert(now);
     let until = request.ask.until.min(now + LOOK_MS);
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -153,6 +153,10 @@
   All(Vec<Object>),
   /// Objects that changed, and whether each was removed.
   Some(Vec<(Object, bool)>),
+  /// The store does not answer; what is known may be old.
+  Lost,
+  /// It answers again.
+  Back,
 }
 
 /// Follows a kind for ever; `take` says whether the news matters to others.
@@ -182,6 +186,7 @@
       Ok((news, revision)) => {
         if failures > 0 {
           info!(log, "store is back"; "kind" => kind, "failures" => failures, "revision" => revision);
+          take(News::Back);
         }
         failures = 0;
         from = Some(revision);
@@ -199,6 +204,7 @@
       Err(error) => {
         if failures == 0 {
           warn!(log, "store is lost"; "kind" => kind, "error" => %error, "revision" => from);
+          take(News::Lost);
         }
         thread::sleep((RETRY * (1 << failures.min(3))).min(RETRY_MOST));
         failures += 1;
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -14,7 +14,7 @@
 /// enough for a slow store to answer, short enough to be taken over soon.
 const LENGTH_PERCENT: u64 = 50;
 /// Renewals within the holder's time.
-const RENEWALS: u64 = 3;
+const RENEWALS: u64 = 2;
 /// Pause between two reads by an instance that hears nothing of the holder, ms.
 const READ_MS: u64 = 600;
 /// Pause after a call that failed, ms.
@@ -94,6 +94,7 @@
   rest_until: u64,
   /// Spreads takers apart, ms.
   jitter: u64,
+  reluctance: u64,
 }
 
 impl Lease {
@@ -112,6 +113,7 @@
       doubt: false,
       rest_until: 0,
       jitter,
+      reluctance: 0,
     }
   }
 
@@ -151,21 +153,37 @@
     }
     self.heard = now;
     let since = now.saturating_sub(word.age_ms);
-    if word.revision > known {
-      self.seen = Some(Seen {
-        record: Some(Record {
-          machine: word.machine,
-          address,
-          term: word.term,
-          renewal: 0,
-          released: false,
-        }),
-        revision: word.revision,
-        since,
-      });
+    if word.revision == known {
+      return;
+    }
+    let record = Record {
+      machine: word.machine,
+      address,
+      term: word.term,
+      renewal: 0,
+      released: false,
+    };
+    self.compare(&record);
+    self.seen = Some(Seen {
+      record: Some(record),
+      revision: word.revision,
+      since,
+    });
+  }
+
+  /// Gives up what this machine holds when the lease is another holder's.
+  fn compare(&mut self, record: &Record) {
+    let mine = |held: &Held| record.machine == self.machine && record.term == held.term;
+    if !self.held.as_ref().is_some_and(mine) {
+      self.held = None;
     }
   }
 
+  /// Holds an instance that has other leases back from taking this one, ms.
+  pub fn defer(&mut self, reluctance: u64) {
+    self.reluctance = reluctance;
+  }
+
   /// The call to make now.
   pub fn call(&mut self, now: u64, stopping: bool) -> Option<Call> {
     if self.calling.is_some() || now < self.rest_until {
@@ -213,11 +231,11 @@
   /// When the lease may be taken, ms.
   fn free_at(&self, seen: &Seen) -> u64 {
     match &seen.record {
-      None => 0,
+      None => seen.since + self.reluctance,
       // This machine's own earlier process has ended.
       Some(record) if record.machine == self.machine => 0,
-      Some(record) if record.released => seen.since + self.gap,
-      Some(_) => seen.since + self.length + self.gap + self.jitter,
+      Some(record) if record.released => seen.since + self.gap + self.jitter + self.reluctance,
+      Some(_) => seen.since + self.length + self.gap + self.jitter + self.reluctance,
     }
   }
 
@@ -271,6 +289,14 @@
   }
 
   fn written(&mut self, now: u64, sent: u64, record: &Record, object: &Object) -> bool {
+    if self
+      .seen
+      .as_ref()
+      .is_some_and(|seen| seen.revision > object.revision)
+    {
+      // Another holder has been heard of since.
+      return false;
+    }
     self.seen = Some(Seen {
       record: Some(record.clone()),
       revision: object.revision,
@@ -320,10 +346,7 @@
       // Not a record of this version: whoever wrote it goes on holding it.
       return;
     };
-    let mine = |held: &Held| record.machine == self.machine && record.term == held.term;
-    if !self.held.as_ref().is_some_and(mine) {
-      self.held = None;
-    }
+    self.compare(&record);
     self.seen = Some(Seen {
       record: Some(record),
       revision: object.revision,
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -6,7 +6,7 @@
 //! what has to give way for it.
 
 use crate::{
-  backend::{Holding, Spec, Stage, short},
+  backend::{Holding, Spec, Stage, missing_name, short},
   command::{Act, Command, Inventory, Taken},
   deployment::{Checkpoint, Deployment, Engine},
   dispatch::{Demand, Model},
@@ -68,6 +68,11 @@
 const AHEAD_AT_ONCE: usize = 2;
 /// Time over which a model's use is forgotten by half, ms.
 const FADE_MS: f64 = 15_000.0;
+/// Time for instances to report to a new holder, ms.
+const SETTLE_MS: u64 = 150;
+/// Time that each group has for a model that is waited for before the next one may
+/// load it, ms: an order is told of within some ten.
+const TURN_MS: u64 = 300;
 /// Use is counted this often, ms.
 const FADE_STEP_MS: u64 = 200;
 /// Use of each replica, in requests at once, from which a model gets a further one
@@ -75,8 +80,8 @@
 const HEAVY_USE: f64 = 1.5;
 /// Use, in requests at once, below which a model is not loaded ahead of demand.
 const USE_LEAST: f64 = 0.05;
-/// Servers with a place that can be freed at once, kept in each pool.
-const FREEABLE: usize = 2;
+/// Servers with a place that can be freed at once, kept in each pool and group.
+const FREEABLE: usize = 1;
 /// Requests a replica carries, in hundredths of its slots, before another one is
 /// loaded; and up to which the others take over those of one that leaves.
 const FURTHER_PERCENT: u32 = 6;
@@ -92,8 +97,8 @@
   pub demand: Vec<Demand>,
   /// Requests sent and not ended, by server and model.
   pub running: Vec<(String, Model, u32)>,
-  /// Count up to which it knows the changes of holdings in this term.
-  pub known: u64,
+  /// For each group, the count up to which it knows the changes of holdings.
+  pub known: Vec<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -103,6 +108,13 @@
   report: Report,
 }
 
+impl Member {
+  fn knows(&self, group: u32) -> u64 {
+    let known = self.report.known.get(group as usize);
+    known.copied().unwrap_or_default()
+  }
+}
+
 /// A step of changing what a server holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -183,8 +195,24 @@
   },
 }
 
+/// A server of another group, as far as it is told.
+#[derive(Clone, Debug)]
+pub struct Other {
+  pub group: u32,
+  pub pool: String,
+  /// Models that can be used there.
+  pub models: BTreeMap<String, Vec<String>>,
+  /// Checkpoints with a copy there.
+  pub copies: Vec<String>,
+}
+
 /// The planner of one group.
 pub struct Plan {
+  /// Which of the groups this is.
+  group: u32,
+  others: Vec<Other>,
+  /// Nothing is moved before this time: instances have not reported yet, ms.
+  settled_at: u64,
   machine: String,
   term: u64,
   deployment: Arc<Deployment>,
@@ -209,8 +237,17 @@
 
 impl Plan {
   /// The plan of a machine that holds no lease yet.
-  pub fn open(machine: &str, load_window_ms: u64, load_overage: f64, loads_at_once: usize) -> Self {
+  pub fn open(
+    machine: &str,
+    group: u32,
+    load_window_ms: u64,
+    load_overage: f64,
+    loads_at_once: usize,
+  ) -> Self {
     Self {
+      group,
+      others: Vec::new(),
+      settled_at: 0,
       machine: machine.into(),
       term: 0,
       deployment: Arc::default(),
@@ -232,7 +269,8 @@
   }
 
   /// The lease was taken: nothing that was known of the servers counts.
-  pub fn begin(&mut self, term: u64) {
+  pub fn begin(&mut self, now: u64, term: u64) {
+    self.settled_at = now + SETTLE_MS;
     self.term = term;
     self.changes = 0;
     for server in self.servers.values_mut() {
@@ -261,6 +299,61 @@
     }
   }
 
+  /// Takes up what servers of other groups hold.
+  pub fn others(&mut self, others: Vec<Other>) {
+    self.others = others;
+  }
+
+  /// Whether a server of another group holds a model.
+  fn elsewhere(&self, pool: &str, model: &Model) -> bool {
+    let others = self.others.iter().filter(|other| other.pool == pool);
+    let mut held = others.filter_map(|other| other.models.get(&model.name));
+    held.any(|adapters| {
+      let adapter = model.adapter.as_ref();
+      adapter.is_none_or(|adapter| adapters.contains(adapter))
+    })
+  }
+
+  /// This group's turn among those that could load a model: those with a copy of
+  /// its checkpoint, or all.
+  fn turn(&self, pool: &str, model: &Model) -> u64 {
+    let mut groups: BTreeSet<u32> = BTreeSet::new();
+    for other in self.others.iter().filter(|other| other.pool == pool) {
+      let near = match model.adapter {
+        None => other.copies.contains(&model.name),
+        Some(_) => other.models.contains_key(&model.name),
+      };
+      if near {
+        groups.insert(other.group);
+      }
+    }
+    let own = match model.adapter {
+      None => self.copied_here(pool, &model.name),
+      Some(_) => !self.holders(pool, &model.name).is_empty(),
+    };
+    if own || groups.is_empty() {
+      groups.insert(self.group);
+    }
+    if groups.len() == 1 && groups.contains(&self.group) && !own {
+      // No group has a copy: all may, one after the other.
+      groups.extend(self.others.iter().map(|other| other.group));
+    }
+    let name = missing_name(&model.name, model.adapter.as_deref());
+    let weight =
+      |group: &u32| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), (*group).into());
+    let mine = weight(&self.group);
+    let ahead = groups.iter().filter(|group| weight(group) > mine).count();
+    match groups.contains(&self.group) {
+      true => ahead as u64,
+      false => groups.len() as u64,
+    }
+  }
+
+  /// Whether this group's turn has come for what has waited for so long.
+  fn may_serve(&self, demand: &Demand) -> bool {
+    demand.age_ms >= self.turn(&demand.pool, &demand.model) * TURN_MS
+  }
+
   /// Takes up an instance's report.
   pub fn report(&mut self, now: u64, address: SocketAddr, report: Report) {
     let instance = report.instance.clone();
@@ -423,10 +516,12 @@
       self.work(id);
     }
     self.fade();
-    self.fill_room(HEAVY_USE);
-    self.serve_demand();
-    self.fill_room(USE_LEAST);
-    self.free_places();
+    if now >= self.settled_at {
+      self.fill_room(HEAVY_USE);
+      self.serve_demand();
+      self.fill_room(USE_LEAST);
+      self.free_places();
+    }
     for id in &ids {
       self.work(id);
     }
@@ -480,7 +575,8 @@
     for (key, used) in &self.used {
       let (pool, model) = key;
       let holders = self.holders(pool, model).len() + usize::from(self.loading(model));
-      if holders > 0 && least < HEAVY_USE {
+      let served = holders > 0 || self.elsewhere(pool, &whole(model));
+      if served && (least < HEAVY_USE || holders == 0) {
         continue;
       }
       let each = used / holders.max(1) as f64;
@@ -566,7 +662,7 @@
     let behind = self
       .members
       .values()
-      .filter(|member| member.report.known < since && self.now <= member.heard + BEHIND_MS);
+      .filter(|member| member.knows(self.group) < since && self.now <= member.heard + BEHIND_MS);
     let behind: Vec<SocketAddr> = behind.map(|member| member.address).collect();
     for address in behind {
       self.tell_since(Some(address), 0, Vec::new());
@@ -691,7 +787,7 @@
       let Some(engine) = self.engine(&demand.pool) else {
         continue;
       };
-      if !self.keep(&demand.pool, &demand.model.name) {
+      if !self.keep(&demand.pool, &demand.model.name) && self.may_serve(&demand) {
         self.load(&engine, &demand);
       }
     }
@@ -700,10 +796,12 @@
         continue;
       };
       let holders = self.holders(&demand.pool, &demand.model.name);
-      if holders.is_empty() {
+      if holders.is_empty() || self.elsewhere(&demand.pool, &demand.model) {
         continue;
       }
-      if let Some(adapter) = &demand.model.adapter {
+      if let Some(adapter) = &demand.model.adapter
+        && self.may_serve(&demand)
+      {
         let adapter = adapter.clone();
         self.load_adapter(&engine, &demand, &adapter, &holders);
       }
@@ -716,7 +814,7 @@
     let mut models: BTreeMap<(&str, &str), (u64, Demand)> = BTreeMap::new();
     for demand in demand {
       let (pool, name) = (demand.pool.as_str(), demand.model.name.as_str());
-      if !self.holders(pool, name).is_empty() {
+      if !self.holders(pool, name).is_empty() || self.elsewhere(pool, &whole(name)) {
         continue;
       }
       let weight = u64::from(demand.waiting) * (URGENCY >> (2 * demand.priority.min(8)));
@@ -754,6 +852,12 @@
 
   /// Whether a server that takes work has a copy of a model's checkpoint.
   fn copied(&self, pool: &str, model: &str) -> bool {
+    let mut others = self.others.iter().filter(|other| other.pool == pool);
+    self.copied_here(pool, model)
+      || others.any(|other| other.copies.iter().any(|name| name == model))
+  }
+
+  fn copied_here(&self, pool: &str, model: &str) -> bool {
     self.servers.values().any(|server| {
       server.spec.pool == pool
         && server.spec.stage == Stage::Ready
@@ -915,7 +1019,8 @@
     }
     let checkpoint = engine.models.get(name);
     let reload = checkpoint.map_or(0, |checkpoint| load_ms(checkpoint, server.spec.tier(name)));
-    let others = self.holders(&server.spec.pool, name).len() as u64;
+    let elsewhere = self.elsewhere(&server.spec.pool, &whole(name));
+    let others = self.holders(&server.spec.pool, name).len() as u64 + u64::from(elsewhere);
     let worth = match self.policy.evict {
       Evict::Oldest => 1_000_000 / (idle + 1),
       Evict::Cheapest => reload * 1_000 / (idle + 500),
@@ -1063,8 +1168,18 @@
         priority: u8::MAX,
         age_ms: 0,
       };
+      let adapters = engine
+        .models
+        .get(&model.name)
+        .map_or(0, |found| found.adapters.len());
+      let elsewhere = self
+        .others
+        .iter()
+        .filter(|other| other.pool == pool && other.models.contains_key(&model.name));
+      let places = (holders.len() + elsewhere.count()) * engine.adapter_slots as usize;
+      let heavy = count > most || (adapters > places && count as usize > holders.len());
       match &model.adapter {
-        None if count > most && !holders.is_empty() => self.load(engine, &demand),
+        None if heavy && !holders.is_empty() => self.load(engine, &demand),
         Some(adapter) if count > 0 => self.copy_adapter(engine, &demand, adapter, &holders),
         None => self.fetch_adapter(engine, &demand, &holders),
         _ => {}
@@ -1088,7 +1203,7 @@
         let mut coming = servers[id].adapters.iter();
         servers[id].has(&model) || coming.any(|(other, _)| *other == model)
       };
-      !holders.iter().any(there)
+      !holders.iter().any(there) && !self.elsewhere(&demand.pool, &model)
     });
     let slots = engine.adapter_slots as usize;
     let now = self.now;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -5,16 +5,16 @@
 //! lost: each is told again while it counts.
 
 use crate::{
-  backend::{Holding, Spec},
+  backend::{self, Backend, Holding, Spec, Stage},
   command::{Command, Inventory, Taken},
   dispatch::Event,
   edge::Edge,
   feed,
   hub::Hub,
   lease::{self, Lease, Word},
-  plan::{Effect, News, Plan, Report},
+  plan::{Effect, News, Other, Plan, Report},
   pool::Pool,
-  settings::Settings,
+  settings::{Routing, Settings},
   socket::{Bell, Want, wait},
   store,
 };
@@ -31,8 +31,6 @@
   thread,
 };
 
-/// Name of the lease object.
-const LEASE: &str = "orders";
 /// Threads for orders and questions; one order a server is under way.
 const ORDER_THREADS: usize = 6;
 /// Waiting requests are told again this often, ms.
@@ -49,6 +47,12 @@
 const SLEEP_MS: u64 = 1_000;
 /// Most by which takers of a lease are spread, ms.
 const JITTER_MS: u64 = 250;
+/// Each lease that an instance holds keeps it back from taking another one, ms.
+const RELUCTANCE_MS: u64 = 400;
+/// A holder whose time is over says that it is there this often, ms.
+const ALIVE_MS: u64 = 500;
+/// The holder tells others of all instances this often, ms.
+const MEMBERS_MS: u64 = 2_000;
 
 /// A datagram between instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,14 +61,18 @@
   Told(Told),
 }
 
-/// What the lease's holder tells other instances.
+/// What the holder of a group's lease tells other instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Told {
+  pub group: u32,
   pub word: Word,
   /// How far the holder has followed the deployment and the servers.
   pub deployments: feed::Word,
   pub servers: feed::Word,
   pub instances: u32,
+  /// Where instances hear each other, so that the next holder knows them; empty
+  /// when not told.
+  pub members: Vec<SocketAddr>,
   /// Changes of holdings between these counts; from 0: all holdings.
   pub since: u64,
   pub latest: u64,
@@ -77,9 +85,27 @@
 
 /// What other threads bring back.
 enum Done {
-  Lease(lease::Call, store::Result<store::Object>),
-  Ordered(Command, Taken),
-  Asked(String, Option<Inventory>),
+  Lease(usize, lease::Call, store::Result<store::Object>),
+  Ordered(usize, Command, Taken),
+  Asked(usize, String, Option<Inventory>),
+}
+
+/// A group of servers: its lease, and the plan that counts while this machine
+/// holds it.
+struct Group {
+  number: u32,
+  /// Name of the lease object.
+  name: String,
+  lease: Lease,
+  plan: Plan,
+  holding: bool,
+  /// Counts of the state that the plan has seen.
+  seen: (u64, u64),
+  /// Term, and count up to which changes of holdings are known.
+  known: (u64, u64),
+  /// When instances were last told of each other, and that the holder is there, ms.
+  told_members: u64,
+  told_alive: u64,
 }
 
 /// Everything the planner's thread works with.
@@ -87,23 +113,20 @@
   hub: Arc<Hub>,
   edge: Arc<Edge>,
   socket: UdpSocket,
+  own: SocketAddr,
   instance: String,
-  lease: Lease,
-  plan: Plan,
-  holding: bool,
+  groups: Vec<Group>,
   calls: Pool,
   orders: Pool,
   done: Sender<Done>,
   finished: Receiver<Done>,
   bell: Arc<Bell>,
-  /// Version of the servers that the plan has.
-  seen: u64,
   reported: u64,
   last: Option<Report>,
-  /// Term, and count up to which changes of holdings are known.
-  known: (u64, u64),
-  /// Changes were missed and not yet asked for.
+  /// A holder lacks this instance's report, or it lacks changes.
   behind: bool,
+  /// Instances that holders told of.
+  members: Vec<SocketAddr>,
   /// Where datagrams are taken.
   buffer: Vec<u8>,
 }
@@ -115,30 +138,24 @@
   let address = socket.local_addr()?;
   let routing = settings.routing.clone().unwrap_or_default();
   let (done, finished) = channel();
-  let jitter = rand::random::<u64>() % JITTER_MS;
   let planner = Planner {
     hub: hub.clone(),
     edge: edge.clone(),
     socket,
+    own: address,
     instance: settings.instance.clone(),
-    lease: Lease::open(&routing.machine, address, routing.lease_ms, jitter),
-    plan: Plan::open(
-      &routing.machine,
-      routing.load_window_ms,
-      routing.load_overage,
-      routing.loads_at_once,
-    ),
-    holding: false,
-    calls: Pool::spawn("lease", 1)?,
+    groups: (0..routing.groups)
+      .map(|number| group(number, &routing, address))
+      .collect(),
+    calls: Pool::spawn("lease", 2)?,
     orders: Pool::spawn("order", ORDER_THREADS)?,
     done,
     finished,
     bell: Arc::new(Bell::open()?),
-    seen: 0,
     reported: 0,
     last: None,
-    known: (0, 0),
     behind: false,
+    members: Vec::new(),
     buffer: vec![0; DATAGRAM],
   };
   let builder = thread::Builder::new().name("planner".into());
@@ -146,6 +163,30 @@
   Ok(address)
 }
 
+fn group(number: u32, routing: &Routing, address: SocketAddr) -> Group {
+  let jitter = rand::random::<u64>() % JITTER_MS;
+  let groups = routing.groups.max(1);
+  let loads_at_once = routing.loads_at_once.div_ceil(groups as usize);
+  let overage = routing.load_overage.min(1.0) / f64::from(groups);
+  Group {
+    number,
+    name: format!("orders-{number}"),
+    lease: Lease::open(&routing.machine, address, routing.lease_ms, jitter),
+    plan: Plan::open(
+      &routing.machine,
+      number,
+      routing.load_window_ms,
+      overage,
+      loads_at_once,
+    ),
+    holding: false,
+    seen: (0, 0),
+    known: (0, 0),
+    told_members: 0,
+    told_alive: 0,
+  }
+}
+
 impl Planner {
   fn run(mut self) {
     loop {
@@ -174,15 +215,19 @@
       self.finish();
       self.lease();
       self.report(wanted);
-      self.plan();
+      for index in 0..self.groups.len() {
+        self.plan(index);
+      }
     }
   }
 
   fn due(&self, now: u64) -> u64 {
-    let mut due = self.lease.due(now).min(now + SLEEP_MS);
-    due = due.min(self.reported + self.pause());
-    if self.holding {
-      due = due.min(self.plan.due(now));
+    let mut due = (now + SLEEP_MS).min(self.reported + self.pause());
+    for group in &self.groups {
+      due = due.min(group.lease.due(now));
+      if group.holding {
+        due = due.min(group.plan.due(now));
+      }
     }
     due.max(now)
   }
@@ -201,7 +246,11 @@
     while let Ok((length, from)) = self.socket.recv_from(&mut buffer) {
       let now = self.hub.now();
       match postcard::from_bytes::<Message>(&buffer[..length]) {
-        Ok(Message::Report(report)) => self.plan.report(now, from, report),
+        Ok(Message::Report(report)) => {
+          for group in self.groups.iter_mut().filter(|group| group.holding) {
+            group.plan.report(now, from, report.clone());
+          }
+        }
         Ok(Message::Told(told)) => self.hear(now, told, from),
         Err(error) => {
           warn!(self.hub.log, "datagram not understood"; "from" => %from, "error" => %error);
@@ -211,29 +260,40 @@
     self.buffer = buffer;
   }
 
-  /// Takes up the holder's word.
+  /// Takes up a holder's word.
   fn hear(&mut self, now: u64, told: Told, from: SocketAddr) {
+    let groups = self.groups.len() as u32;
+    let Some(group) = self.groups.get_mut(told.group as usize) else {
+      warn!(self.hub.log, "instances differ in their groups"; "from" => %from,
+        "group" => told.group, "groups" => groups);
+      return;
+    };
     let term = told.word.term;
-    self.lease.told(now, told.word, from);
-    if self.holding {
+    group.lease.told(now, told.word, from);
+    if !told.members.is_empty() {
+      self.members = told.members;
+    }
+    if group.holding {
       return;
     }
     self.hub.gates.deployments.told(told.deployments);
     self.hub.gates.servers.told(told.servers);
     let all = told.since == 0;
-    let follows = self.known.0 == term && self.known.1 >= told.since;
-    if !all && !follows {
+    let new = group.known.0 != term;
+    let follows = !new && group.known.1 >= told.since;
+    if all {
+      group.known = (term, told.latest);
+    } else if follows {
+      group.known.1 = group.known.1.max(told.latest);
+    } else {
       // Something between was lost: the next report says so.
-      self.known = (term, 0);
-      self.behind = true;
-    }
-    if all || follows {
-      self.known = (term, told.latest.max(if all { 0 } else { self.known.1 }));
+      group.known = (term, 0);
     }
+    self.behind |= new || !(all || follows);
     let taken = all || follows;
     let event = Event::Told {
       holdings: if taken { told.holdings } else { Vec::new() },
-      all: taken && told.first,
+      all: (taken && told.first).then_some((told.group, groups)),
       loads: (!told.loads.is_empty()).then_some(told.loads),
       instances: told.instances as usize,
     };
@@ -244,77 +304,108 @@
     while let Ok(done) = self.finished.try_recv() {
       let now = self.hub.now();
       match done {
-        Done::Lease(call, result) => {
-          let failed = result.as_ref().err().map(ToString::to_string);
-          if let (Some(error), lease::Call::Write { record, revision }) = (&failed, &call) {
-            info!(self.hub.log, "lease not written"; "error" => error,
-              "term" => record.term, "revision" => revision);
-          }
-          if self.lease.answered(now, &call, result) {
-            let term = self.lease.term(now).unwrap_or_default();
-            info!(self.hub.log, "lease taken"; "term" => term);
-            self.plan.begin(term);
-            self.seen = 0;
-          }
-        }
-        Done::Ordered(command, taken) => {
+        Done::Lease(index, call, result) => self.leased(now, index, &call, result),
+        Done::Ordered(index, command, taken) => {
           info!(self.hub.log, "ordered"; "server" => &command.id,
             "act" => format!("{:?}", command.act), "model" => &command.model.name,
             "adapter" => &command.model.adapter, "orders" => command.orders,
             "term" => command.term, "taken" => format!("{taken:?}"));
-          self.plan.ordered(now, &command, taken);
+          self.groups[index].plan.ordered(now, &command, taken);
+        }
+        Done::Asked(index, id, inventory) => {
+          self.groups[index].plan.inventory(now, &id, inventory);
         }
-        Done::Asked(id, inventory) => self.plan.inventory(now, &id, inventory),
       }
     }
   }
 
+  fn leased(
+    &mut self,
+    now: u64,
+    index: usize,
+    call: &lease::Call,
+    result: store::Result<store::Object>,
+  ) {
+    let group = &mut self.groups[index];
+    if let (Err(error), lease::Call::Write { record, revision }) = (&result, call) {
+      info!(self.hub.log, "lease not written"; "lease" => &group.name, "error" => %error,
+        "term" => record.term, "revision" => revision);
+    }
+    if group.lease.answered(now, call, result) {
+      let term = group.lease.term(now).unwrap_or_default();
+      info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
+      group.plan.begin(now, term);
+      group.seen = (0, 0);
+      group.told_members = 0;
+      self.behind = true;
+    }
+  }
+
   fn lease(&mut self) {
     let now = self.hub.now();
     let stopping = self.hub.stopping.load(Ordering::Relaxed);
-    let held = !stopping && self.lease.term(now).is_some();
-    if held != self.holding {
-      self.holding = held;
-      self.hub.gates.deployments.lead(held);
-      self.hub.gates.servers.lead(held);
-      info!(self.hub.log, "orders"; "given_here" => held);
+    let held = |group: &Group| !stopping && group.lease.term(now).is_some();
+    let count = self.groups.iter().filter(|group| held(group)).count() as u64;
+    for index in 0..self.groups.len() {
+      let group = &mut self.groups[index];
+      let holding = held(group);
+      if holding != group.holding {
+        group.holding = holding;
+        info!(self.hub.log, "orders"; "lease" => &group.name, "given_here" => holding);
+      }
+      group.lease.defer(count * RELUCTANCE_MS);
+      if let Some(call) = group.lease.call(now, stopping) {
+        self.call(index, call);
+      }
     }
-    let Some(call) = self.lease.call(now, stopping) else {
-      return;
-    };
+    let leads = self.groups.iter().any(|group| group.holding);
+    self.hub.gates.deployments.lead(leads);
+    self.hub.gates.servers.lead(leads);
+  }
+
+  fn call(&self, index: usize, call: lease::Call) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
+    let name = self.groups[index].name.clone();
     self.calls.run(move || {
       let kind = edge.kinds.leases;
       let result = match &call {
-        lease::Call::Read => (edge.store.read)(kind, LEASE),
+        lease::Call::Read => (edge.store.read)(kind, &name),
         lease::Call::Write { record, revision } => {
           let spec = serde_json::to_value(record).unwrap_or_default();
-          (edge.store.write)(kind, LEASE, *revision, &spec)
+          (edge.store.write)(kind, &name, *revision, &spec)
         }
       };
       // The planner's thread lives as long as the process.
-      let _ = done.send(Done::Lease(call, result));
+      let _ = done.send(Done::Lease(index, call, result));
       bell.ring();
     });
   }
 
-  /// Tells the holder, or this machine's own plan, what is wanted and running.
+  /// Tells the holders what is wanted and running here.
   fn report(&mut self, wanted: bool) {
     let now = self.hub.now();
     if !wanted && !self.behind && now < self.reported + self.pause() {
       return;
     }
-    let report = self.state_report(now);
     self.behind = false;
     self.reported = now;
-    self.last = Some(report.clone());
-    if self.holding {
-      if let Ok(own) = self.socket.local_addr() {
-        self.plan.report(now, own, report);
+    let report = self.state_report(now);
+    let mut holders: Vec<SocketAddr> = Vec::new();
+    for group in &mut self.groups {
+      if group.holding {
+        group.plan.report(now, self.own, report.clone());
+      } else if let Some(holder) = group.lease.holder()
+        && holder != self.own
+        && !holders.contains(&holder)
+      {
+        holders.push(holder);
       }
-    } else if let Some(holder) = self.lease.holder() {
-      self.send(&Message::Report(report), holder);
     }
+    let message = Message::Report(report.clone());
+    for holder in holders {
+      self.send(&message, holder);
+    }
+    self.last = Some(report);
   }
 
   fn state_report(&self, now: u64) -> Report {
@@ -327,7 +418,7 @@
       instance: self.instance.clone(),
       demand: state.demand(now),
       running: running.collect(),
-      known: self.known.1,
+      known: self.groups.iter().map(|group| group.known.1).collect(),
     }
   }
 
@@ -339,17 +430,17 @@
     }
   }
 
-  fn plan(&mut self) {
-    if !self.holding {
-      return;
+  fn plan(&mut self, index: usize) {
+    if !self.groups[index].holding {
+      return self.say_alive(index);
     }
-    self.feed_plan();
+    self.feed_plan(index);
     let now = self.hub.now();
-    for effect in self.plan.step(now) {
+    for effect in self.groups[index].plan.step(now) {
       match effect {
-        Effect::Order(command) => self.order(command),
-        Effect::Ask { id, address } => self.ask(id, address),
-        Effect::Tell(news) => self.tell(&news),
+        Effect::Order(command) => self.order(index, command),
+        Effect::Ask { id, address } => self.ask(index, id, address),
+        Effect::Tell(news) => self.tell(index, &news),
         Effect::Note {
           what,
           server,
@@ -361,71 +452,120 @@
     }
   }
 
-  fn feed_plan(&mut self) {
+  /// A holder whose time is over, as when the store is down, is still there: others
+  /// must not think themselves alone.
+  fn say_alive(&mut self, index: usize) {
+    let now = self.hub.now();
+    let group = &mut self.groups[index];
+    if group.lease.word(now).is_none() || now < group.told_alive + ALIVE_MS {
+      return;
+    }
+    group.told_alive = now;
+    let news = News {
+      to: None,
+      since: group.known.1.max(1),
+      latest: group.known.1.max(1),
+      holdings: Vec::new(),
+      loads: Vec::new(),
+    };
+    self.tell(index, &news);
+  }
+
+  fn feed_plan(&mut self, index: usize) {
+    let groups = self.groups.len() as u32;
+    let group = &mut self.groups[index];
     let state = self.hub.state();
-    if state.changes == self.seen {
+    let counts = (state.changes, state.tellings);
+    if counts == group.seen {
       return;
     }
-    self.seen = state.changes;
     let Some(deployment) = state.deployment.clone() else {
       return;
     };
-    let specs: Vec<Spec> = state
-      .ids
-      .values()
-      .map(|key| state.backends[*key].spec.clone())
-      .collect();
-    drop(state);
-    self.plan.servers(deployment, specs);
+    let mine = |id: &str| backend::group(id, groups) == group.number;
+    if counts.0 != group.seen.0 {
+      let specs: Vec<Spec> = state
+        .ids
+        .iter()
+        .filter(|(id, _)| mine(id))
+        .map(|(_, key)| state.backends[*key].spec.clone())
+        .collect();
+      group.plan.servers(deployment, specs);
+    }
+    let others = state.ids.iter().filter(|(id, _)| !mine(id));
+    let others = others.map(|(id, key)| other(backend::group(id, groups), &state.backends[*key]));
+    group.plan.others(others.collect());
+    group.seen = counts;
   }
 
-  fn order(&self, command: Command) {
+  fn order(&self, index: usize, command: Command) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
-    let (hub, until) = (self.hub.clone(), self.lease.until());
+    let (hub, until) = (self.hub.clone(), self.groups[index].lease.until());
     self.orders.run(move || {
       // A pause between decision and here must not let an order out late.
       let taken = match hub.now() < until {
         true => (edge.order)(&command),
         false => Taken::NotSent,
       };
-      let _ = done.send(Done::Ordered(command, taken));
+      let _ = done.send(Done::Ordered(index, command, taken));
       bell.ring();
     });
   }
 
-  fn ask(&self, id: String, address: SocketAddr) {
+  fn ask(&self, index: usize, id: String, address: SocketAddr) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     self.orders.run(move || {
       let inventory = (edge.report)(address, &id);
-      let _ = done.send(Done::Asked(id, inventory));
+      let _ = done.send(Done::Asked(index, id, inventory));
       bell.ring();
     });
   }
 
-  fn tell(&mut self, news: &News) {
+  fn tell(&mut self, index: usize, news: &News) {
     let now = self.hub.now();
-    let Some(word) = self.lease.word(now) else {
+    let groups = self.groups.len() as u32;
+    let group = &mut self.groups[index];
+    let Some(word) = group.lease.word(now) else {
       return;
     };
-    let own = self.socket.local_addr().ok();
-    let members = self.plan.members(now);
+    let mut members = group.plan.members(now);
+    for member in &self.members {
+      if !members.contains(member) {
+        members.push(*member);
+      }
+    }
     let instances = members.len().max(1);
-    let to: Vec<SocketAddr> = match news.to {
-      Some(address) => vec![address],
-      None => members,
-    };
+    let tell_members = news.to.is_none() && now >= group.told_members + MEMBERS_MS;
+    if tell_members {
+      group.told_members = now;
+      self.members = group.plan.members(now);
+    }
     let empty: &[Holding] = &[];
     let mut parts: Vec<&[Holding]> = news.holdings.chunks(HOLDINGS).collect();
     if parts.is_empty() {
       parts.push(empty);
     }
     let last = parts.len() - 1;
+    let own = self.own;
+    let to: Vec<SocketAddr> = match news.to {
+      Some(address) => vec![address],
+      None => members.clone(),
+    };
+    let mine = news.to.is_none() || news.to == Some(own);
+    if mine && group.holding {
+      group.known = (word.term, news.latest);
+    }
     for (number, part) in parts.into_iter().enumerate() {
       let message = Message::Told(Told {
+        group: index as u32,
         word: word.clone(),
         deployments: self.hub.gates.deployments.word(),
         servers: self.hub.gates.servers.word(),
         instances: instances as u32,
+        members: match tell_members && number == 0 {
+          true => members.clone(),
+          false => Vec::new(),
+        },
         since: news.since,
         // Only the last part brings an instance up to date.
         latest: if number == last {
@@ -441,15 +581,14 @@
           Vec::new()
         },
       });
-      for member in to.iter().filter(|member| Some(**member) != own) {
+      for member in to.iter().filter(|member| **member != own) {
         self.send(&message, *member);
       }
     }
-    if news.to.is_none() || news.to == own {
-      self.known = (word.term, news.latest);
+    if mine {
       let event = Event::Told {
         holdings: news.holdings.clone(),
-        all: news.since == 0,
+        all: (news.since == 0).then_some((index as u32, groups)),
         loads: (!news.loads.is_empty()).then(|| news.loads.clone()),
         instances,
       };
@@ -457,3 +596,29 @@
     }
   }
 }
+
+/// A server of another group, as this instance knows it.
+fn other(group: u32, backend: &Backend) -> Other {
+  let (mut models, spec) = match &backend.holding {
+    Some(holding) => (holding.models.clone(), &backend.spec),
+    None => (backend.spec.models.clone(), &backend.spec),
+  };
+  if let Some(holding) = &backend.holding {
+    models.retain(|name, _| !holding.leaving.contains(name));
+  }
+  let ready = spec.stage == Stage::Ready;
+  if !ready {
+    models.clear();
+  }
+  let copies = spec.in_memory.iter().chain(&spec.on_disk);
+  Other {
+    group,
+    pool: spec.pool.clone(),
+    models,
+    copies: if ready {
+      copies.cloned().collect()
+    } else {
+      Vec::new()
+    },
+  }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -118,6 +118,8 @@
             .into_iter()
             .filter_map(|(object, removed)| (!removed).then_some(object))
             .collect(),
+          // The feed of the servers tells of the store.
+          News::Lost | News::Back => return false,
         };
         for object in &objects {
           deploy(&hub, &edge, object);
@@ -168,6 +170,10 @@
             false => decode(object).map(Change::Set),
           })
           .collect(),
+        News::Lost | News::Back => {
+          hub.apply(Event::StoreLost(matches!(news, News::Lost)), None);
+          return false;
+        }
       };
       let matters = changes.iter().filter(|change| note(&hub, change)).count() > 0;
       hub.apply(Event::Servers(changes), None);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -168,6 +168,9 @@
   pub retry_window_ms: u64,
   /// Two instances give orders to one server no closer than this.
   pub lease_ms: u64,
+  /// Groups of backend servers, each with a lease of its own; equal on all
+  /// instances.
+  pub groups: u32,
   /// Window in which loads from the weight store are counted.
   pub load_window_ms: u64,
   /// Loads in a window, as a part of the rate that the weight store allows.
@@ -187,6 +190,7 @@
       retry_slack: 50.0,
       retry_window_ms: 10_000,
       lease_ms: 3_000,
+      groups: 3,
       load_window_ms: 5_000,
       load_overage: 1.0,
       loads_at_once: 4,
@@ -209,6 +213,7 @@
     let positive = [
       ("retryWindowMs", self.retry_window_ms),
       ("leaseMs", self.lease_ms),
+      ("groups", self.groups.into()),
       ("loadWindowMs", self.load_window_ms),
       ("graceMs", self.grace_ms),
       ("loadsAtOnce", self.loads_at_once as u64),
