plan split by job; operators' policies on the platform

Change: held (one server), choose (where, and what gives way), ahead (without demand), adapters; plan keeps intake, orders and word.

--- /dev/null
+++ b/src/choose.rs
@@ -0,0 +1,280 @@
+//! Where a model that is wanted is loaded, and what gives way for it.
+
+use crate::{
+  backend::{Stage, missing_name},
+  deployment::Engine,
+  dispatch::{Demand, Model},
+  held::{Job, Server, Step, load_ms, whole},
+  plan::{LOAD_COST, Plan},
+  policy::Evict,
+  report::Tier,
+};
+use std::collections::BTreeSet;
+
+/// Time for instances to hear that a model leaves before it is unloaded, ms.
+const LEAVE_MS: u64 = 25;
+/// A model used within this time does not give way, ms.
+const FRESH_MS: u64 = 400;
+/// Weight of a model's other replicas when it is considered to give way.
+const SPARE: u64 = 8;
+/// A request that waits for longer may have its model loaded from the weight
+/// store although some server has a copy: that server seems to be of no use, ms.
+const REMOTE_AGE_MS: u64 = 3_000;
+/// Time that each group has for a model that is waited for before the next one may
+/// load it, ms: an order is told of within some ten.
+const TURN_MS: u64 = 300;
+
+impl Plan {
+  /// Whether a server of another group holds a model.
+  pub(crate) fn elsewhere(&self, pool: &str, model: &Model) -> bool {
+    let others = self.others.iter().filter(|other| other.pool == pool);
+    let mut held = others.filter_map(|other| other.models.get(&model.name));
+    held.any(|adapters| {
+      let adapter = model.adapter.as_ref();
+      adapter.is_none_or(|adapter| adapters.contains(adapter))
+    })
+  }
+
+  /// This group's turn among those that could load a model: those with a copy of
+  /// its checkpoint, or all.
+  pub(crate) fn turn(&self, pool: &str, model: &Model) -> u64 {
+    let mut groups: BTreeSet<u32> = BTreeSet::new();
+    for other in self.others.iter().filter(|other| other.pool == pool) {
+      let near = match model.adapter {
+        None => other.copies.contains(&model.name),
+        Some(_) => other.models.contains_key(&model.name),
+      };
+      if near {
+        groups.insert(other.group);
+      }
+    }
+    let own = match model.adapter {
+      None => self.copied_here(pool, &model.name),
+      Some(_) => !self.holders(pool, &model.name).is_empty(),
+    };
+    if own || groups.is_empty() {
+      groups.insert(self.group);
+    }
+    if groups.len() == 1 && groups.contains(&self.group) && !own {
+      // No group has a copy: all may, one after the other.
+      groups.extend(self.others.iter().map(|other| other.group));
+    }
+    let name = missing_name(&model.name, model.adapter.as_deref());
+    let weight =
+      |group: &u32| xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), (*group).into());
+    let mine = weight(&self.group);
+    let ahead = groups.iter().filter(|group| weight(group) > mine).count();
+    match groups.contains(&self.group) {
+      true => ahead as u64,
+      false => groups.len() as u64,
+    }
+  }
+
+  /// Whether this group's turn has come for what has waited for so long.
+  pub(crate) fn may_serve(&self, demand: &Demand) -> bool {
+    demand.age_ms >= self.turn(&demand.pool, &demand.model) * TURN_MS
+  }
+
+  pub(crate) fn engine(&self, pool: &str) -> Option<Engine> {
+    self.deployment.pools.get(pool)?.engine.clone()
+  }
+
+  /// Servers of a pool that hold a model and keep it.
+  pub(crate) fn holders(&self, pool: &str, model: &str) -> Vec<String> {
+    let servers = self.servers.iter().filter(|(_, server)| {
+      server.spec.pool == pool
+        && server.spec.stage == Stage::Ready
+        && server.models.contains_key(model)
+        && !server.leaving.contains(model)
+    });
+    servers.map(|(id, _)| id.clone()).collect()
+  }
+
+  /// Whether a server that takes work has a copy of a model's checkpoint.
+  pub(crate) fn copied(&self, pool: &str, model: &str) -> bool {
+    let mut others = self.others.iter().filter(|other| other.pool == pool);
+    self.copied_here(pool, model)
+      || others.any(|other| other.copies.iter().any(|name| name == model))
+  }
+
+  pub(crate) fn copied_here(&self, pool: &str, model: &str) -> bool {
+    self.servers.values().any(|server| {
+      server.spec.pool == pool
+        && server.spec.stage == Stage::Ready
+        && server.spec.tier(model) != Tier::Remote
+    })
+  }
+
+  /// Keeps a model that was to leave and is wanted again, where its unload has not
+  /// begun.
+  pub(crate) fn keep(&mut self, pool: &str, model: &str) -> bool {
+    let kept = self.servers.values_mut().find(|server| {
+      let mut jobs = server.job.iter();
+      let given = jobs.any(|job| job.victims.iter().any(|name| name == model));
+      server.spec.pool == pool && server.leaving.contains(model) && !given
+    });
+    let Some(server) = kept else {
+      return false;
+    };
+    server.leaving.remove(model);
+    self.news = true;
+    true
+  }
+
+  pub(crate) fn loading(&self, model: &str) -> bool {
+    let mut jobs = self
+      .servers
+      .values()
+      .filter_map(|server| server.job.as_ref());
+    jobs.any(|job| job.model == model)
+  }
+
+  pub(crate) fn load(&mut self, engine: &Engine, demand: &Demand) {
+    let model = demand.model.name.clone();
+    if self.loading(&model) || !engine.models.contains_key(&model) {
+      return;
+    }
+    let mut best: Option<(u64, String, Vec<String>)> = None;
+    let policy = self.policy(&demand.pool, &model);
+    let held = self.holders(&demand.pool, &model).len() as u32;
+    if held >= policy.max_replicas {
+      return;
+    }
+    let near = self.copied(&demand.pool, &model);
+    let remote = demand.waiting > 0 && (!near || demand.age_ms > REMOTE_AGE_MS);
+    for (id, server) in &self.servers {
+      let here = server.models.contains_key(&model);
+      let chosen = server.spec.pool == demand.pool && policy.servers.matches(&server.labels());
+      if !chosen || here || !server.free(self.now) {
+        continue;
+      }
+      let tier = server.spec.tier(&model);
+      if tier == Tier::Remote && !(remote && self.may_load(engine)) {
+        continue;
+      }
+      let Some((cost, victims)) = self.room(engine, id, &model) else {
+        continue;
+      };
+      let cost =
+        cost + load_ms(&engine.models[&model], tier) + LOAD_COST * u64::from(server.load());
+      if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+        best = Some((cost, id.clone(), victims));
+      }
+    }
+    let Some((cost, id, victims)) = best else {
+      return;
+    };
+    self.start(engine, &id, &model, victims, cost, demand);
+  }
+
+  pub(crate) fn start(
+    &mut self,
+    engine: &Engine,
+    id: &str,
+    model: &str,
+    victims: Vec<String>,
+    cost: u64,
+    demand: &Demand,
+  ) {
+    let now = self.now;
+    let Some(server) = self.servers.get_mut(id) else {
+      return;
+    };
+    let tier = server.spec.tier(model);
+    if tier == Tier::Remote {
+      self.remote.push_back(now);
+    }
+    let wait = if victims.is_empty() { 0 } else { LEAVE_MS };
+    server.leaving.extend(victims.iter().cloned());
+    server.job = Some(Job {
+      model: model.into(),
+      victims: victims.clone(),
+      step: Step::Leave,
+      due: now + wait,
+      waiting: false,
+      tries: 0,
+      remote: tier == Tier::Remote,
+      until: load_ms(&engine.models[model], tier),
+    });
+    self.news = true;
+    let why = format!(
+      "{} waiting for {} ms, from {tier:?}, instead of {victims:?}, cost {cost}",
+      demand.waiting, demand.age_ms
+    );
+    self.note("load", id, model, why);
+  }
+
+  pub(crate) fn remote_jobs(&self) -> usize {
+    let jobs = self
+      .servers
+      .values()
+      .filter_map(|server| server.job.as_ref());
+    jobs.filter(|job| job.remote).count()
+  }
+
+  /// Whether the weight store allows another load now.
+  pub(crate) fn may_load(&self, engine: &Engine) -> bool {
+    if self.remote_jobs() >= self.loads_at_once {
+      return false;
+    }
+    let from = self.now.saturating_sub(self.load_window_ms);
+    let recent = self.remote.iter().filter(|at| **at >= from).count();
+    let window_s = self.load_window_ms as f64 / 1_000.0;
+    // The allowance on top is left to what other machines began before.
+    let allowed = engine.loads_per_s * window_s * self.load_overage.min(1.0);
+    engine.loads_per_s == 0.0 || (recent as f64) + 1.0 <= allowed
+  }
+
+  /// What has to give way on a server for a model, and what that costs; none when
+  /// there is no room.
+  pub(crate) fn room(&self, engine: &Engine, id: &str, model: &str) -> Option<(u64, Vec<String>)> {
+    let server = self.servers.get(id)?;
+    let need = engine.models.get(model)?.memory_mb;
+    let mut free = engine.memory_mb.saturating_sub(server.memory(engine));
+    let mut cost = 0;
+    let mut victims = Vec::new();
+    let mut candidates: Vec<(u64, String)> = server
+      .models
+      .keys()
+      .filter_map(|name| Some((self.loss(engine, server, name)?, name.clone())))
+      .collect();
+    candidates.sort();
+    for (loss, name) in candidates {
+      if free >= need {
+        break;
+      }
+      free += server.memory_of(engine, &name);
+      cost += loss;
+      victims.push(name);
+    }
+    (free >= need).then_some((cost, victims))
+  }
+
+  /// What it costs when a model gives way; none: it may not.
+  pub(crate) fn loss(&self, engine: &Engine, server: &Server, name: &str) -> Option<u64> {
+    if server.busy_with(name) {
+      return None;
+    }
+    if server.leaving.contains(name) {
+      return Some(0);
+    }
+    let used = server.last_used(name);
+    let idle = self.now.saturating_sub(used);
+    if used > 0 && idle < FRESH_MS {
+      return None;
+    }
+    let checkpoint = engine.models.get(name);
+    let reload = checkpoint.map_or(0, |checkpoint| load_ms(checkpoint, server.spec.tier(name)));
+    let elsewhere = self.elsewhere(&server.spec.pool, &whole(name));
+    let others = self.holders(&server.spec.pool, name).len() as u64 + u64::from(elsewhere);
+    let policy = self.policy(&server.spec.pool, name);
+    if others <= u64::from(policy.min_replicas) {
+      return None;
+    }
+    let worth = match policy.evict {
+      Evict::Oldest => 1_000_000 / (idle + 1),
+      Evict::Cheapest => reload * 1_000 / (idle + 500),
+    };
+    Some(if others > 1 { worth / SPARE } else { worth })
+  }
+}
--- /dev/null
+++ b/src/held.rs
@@ -0,0 +1,208 @@
+//! What one backend server holds, as the planner of its group knows it, and the
+//! change that is under way there.
+
+use crate::{
+  backend::{Holding, Spec, Stage},
+  command::{Act, Command, Taken},
+  deployment::{Checkpoint, Engine},
+  dispatch::Model,
+  plan::{ASK_MS, LAG_MS},
+  report::Tier,
+  selector::Labels,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Pause of a server whose order got no answer, ms: one that is carried out late
+/// finds another count of orders.
+pub(crate) const DOUBT_MS: u64 = 1_000;
+/// An adapter comes within some milliseconds; time until requests may try it, ms.
+const ADAPTER_MS: u64 = 15;
+
+/// A step of changing what a server holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+  /// Instances are told that the victim leaves.
+  Leave,
+  Unload,
+  Load,
+  /// The load is under way.
+  Await,
+}
+
+/// A change of what a server holds.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+  pub(crate) model: String,
+  pub(crate) victims: Vec<String>,
+  pub(crate) step: Step,
+  pub(crate) due: u64,
+  /// An order or a question is under way.
+  pub(crate) waiting: bool,
+  pub(crate) tries: u32,
+  /// It takes the weight store's time.
+  pub(crate) remote: bool,
+  /// When the load should be done, and when it is given up, ms.
+  pub(crate) until: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+  pub(crate) spec: Spec,
+  pub(crate) models: BTreeMap<String, Vec<String>>,
+  pub(crate) orders: u64,
+  /// The server was asked since this machine took the lease.
+  pub(crate) synced: bool,
+  pub(crate) asking: bool,
+  pub(crate) leaving: BTreeSet<String>,
+  pub(crate) job: Option<Job>,
+  /// Adapter orders under way.
+  pub(crate) adapters: Vec<(Model, Act)>,
+  pub(crate) rest_until: u64,
+  /// When models and adapters were last in use, ms.
+  pub(crate) used: BTreeMap<Model, u64>,
+  /// Requests of all instances, by model and adapter.
+  pub(crate) running: BTreeMap<Model, u32>,
+  /// The holding as last told, and the count of that change.
+  pub(crate) told: Option<Holding>,
+  pub(crate) changed: u64,
+}
+
+/// The model itself, without an adapter.
+pub(crate) fn whole(name: &str) -> Model {
+  Model {
+    name: name.into(),
+    adapter: None,
+  }
+}
+
+/// Time of a load from a tier, ms.
+pub(crate) fn load_ms(checkpoint: &Checkpoint, tier: Tier) -> u64 {
+  match tier {
+    Tier::Memory => checkpoint.warm_ms,
+    Tier::Disk => checkpoint.disk_ms,
+    Tier::Remote => checkpoint.remote_ms,
+  }
+}
+
+impl Server {
+  pub(crate) fn open(spec: Spec) -> Self {
+    Self {
+      models: spec.models.clone(),
+      orders: 0,
+      spec,
+      synced: false,
+      asking: false,
+      leaving: BTreeSet::new(),
+      job: None,
+      adapters: Vec::new(),
+      rest_until: 0,
+      used: BTreeMap::new(),
+      running: BTreeMap::new(),
+      told: None,
+      changed: 0,
+    }
+  }
+
+  /// Labels that policies select servers by.
+  pub(crate) fn labels(&self) -> Labels {
+    [("server", &self.spec.id), ("zone", &self.spec.zone)]
+      .map(|(key, value)| (key.to_string(), value.clone()))
+      .into_iter()
+      .collect()
+  }
+
+  pub(crate) fn free(&self, now: u64) -> bool {
+    self.spec.stage == Stage::Ready
+      && self.synced
+      && self.job.is_none()
+      && self.adapters.is_empty()
+      && now >= self.rest_until
+  }
+
+  pub(crate) fn doubt(&mut self, now: u64, taken: Taken) {
+    self.synced = false;
+    self.leaving.clear();
+    self.rest_until = match taken {
+      Taken::Unknown | Taken::NotSent => now + DOUBT_MS,
+      _ => now + LAG_MS + ASK_MS,
+    };
+  }
+
+  pub(crate) fn adapter_ordered(&mut self, now: u64, command: &Command, taken: Taken) {
+    self.adapters.retain(|(model, _)| *model != command.model);
+    let Some(adapter) = command.model.adapter.clone() else {
+      return;
+    };
+    match taken {
+      Taken::Accepted | Taken::Done => {
+        self.orders = self.orders.max(command.orders + 1);
+        self.rest_until = self.rest_until.max(now + ADAPTER_MS);
+        let Some(adapters) = self.models.get_mut(&command.model.name) else {
+          return;
+        };
+        adapters.retain(|name| *name != adapter);
+        if command.act == Act::Load {
+          adapters.push(adapter);
+          self.used.insert(command.model.clone(), now);
+        }
+      }
+      _ => self.doubt(now, taken),
+    }
+  }
+
+  pub(crate) fn holding(&self) -> Holding {
+    Holding {
+      id: self.spec.id.clone(),
+      models: self.models.clone(),
+      leaving: self.leaving.iter().cloned().collect(),
+    }
+  }
+
+  pub(crate) fn load(&self) -> u32 {
+    self.running.values().sum()
+  }
+
+  pub(crate) fn running_of(&self, name: &str) -> u32 {
+    let running = self.running.iter().filter(|(model, _)| model.name == name);
+    running.map(|(_, count)| count).sum()
+  }
+
+  pub(crate) fn busy_with(&self, name: &str) -> bool {
+    self.running_of(name) > 0
+  }
+
+  pub(crate) fn last_used(&self, name: &str) -> u64 {
+    let used = self.used.iter().filter(|(model, _)| model.name == name);
+    used.map(|(_, at)| *at).max().unwrap_or_default()
+  }
+
+  pub(crate) fn has(&self, model: &Model) -> bool {
+    self.models.get(&model.name).is_some_and(|adapters| {
+      let adapter = model.adapter.as_ref();
+      adapter.is_none_or(|adapter| adapters.contains(adapter))
+    })
+  }
+
+  pub(crate) fn adapter_count(&self) -> usize {
+    self.models.values().map(Vec::len).sum()
+  }
+
+  /// Memory of a model and its adapters, MB.
+  pub(crate) fn memory_of(&self, engine: &Engine, name: &str) -> u64 {
+    let adapters = self.models.get(name).map_or(0, Vec::len) as u64;
+    let checkpoint = engine.models.get(name);
+    checkpoint.map_or(0, |checkpoint| {
+      checkpoint.memory_mb + adapters * checkpoint.adapter_mb
+    })
+  }
+
+  pub(crate) fn memory(&self, engine: &Engine) -> u64 {
+    let models = self.models.keys();
+    models.map(|name| self.memory_of(engine, name)).sum()
+  }
+
+  /// Sends of the order that is under way.
+  pub(crate) fn tries(&self) -> u32 {
+    self.job.as_ref().map_or(0, |job| job.tries)
+  }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! events and answers with effects; threads around it turn effects into calls
 //! and their answers into events.
 
+pub mod adapters;
 pub mod admit;
+pub mod ahead;
 pub mod apply;
 pub mod ask;
 pub mod attempt;
@@ -16,6 +18,7 @@
 pub mod call;
 pub mod callers;
 pub mod catalog;
+pub mod choose;
 pub mod claim;
 pub mod claims;
 pub mod command;
@@ -36,6 +39,7 @@
 pub mod gossip;
 pub mod group;
 pub mod health;
+pub mod held;
 pub mod history;
 pub mod http;
 pub mod hub;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -13,6 +13,7 @@
   hub::Hub,
   lease::{self, Lease, Word},
   plan::{Effect, News, Other, Plan, Report},
+  policy::Policy,
   pool::Pool,
   settings::{Routing, Settings},
   socket::{Bell, Want, wait},
@@ -21,6 +22,7 @@
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::{
+  collections::BTreeMap,
   io,
   net::{SocketAddr, UdpSocket},
   sync::{
@@ -51,6 +53,8 @@
 const RELUCTANCE_MS: u64 = 400;
 /// A holder whose time is over says that it is there this often, ms.
 const ALIVE_MS: u64 = 500;
+/// Policies are read this often, ms: operators change them some times a day.
+const POLICIES_MS: u64 = 10_000;
 /// The holder tells others of all instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
 
@@ -88,6 +92,7 @@
   Lease(usize, lease::Call, store::Result<store::Object>),
   Ordered(usize, Command, Taken),
   Asked(usize, String, Option<Inventory>),
+  Policies(store::Result<store::Page>),
 }
 
 /// A group of servers: its lease, and the plan that counts while this machine
@@ -123,6 +128,8 @@
   bell: Arc<Bell>,
   reported: u64,
   last: Option<Report>,
+  /// When policies are read next, ms.
+  policies_at: u64,
   /// A holder lacks this instance's report, or it lacks changes.
   behind: bool,
   /// Instances that holders told of.
@@ -154,6 +161,7 @@
     bell: Arc::new(Bell::open()?),
     reported: 0,
     last: None,
+    policies_at: 0,
     behind: false,
     members: Vec::new(),
     buffer: vec![0; DATAGRAM],
@@ -214,6 +222,7 @@
       self.receive();
       self.finish();
       self.lease();
+      self.read_policies();
       self.report(wanted);
       for index in 0..self.groups.len() {
         self.plan(index);
@@ -312,6 +321,7 @@
             "term" => command.term, "taken" => format!("{taken:?}"));
           self.groups[index].plan.ordered(now, &command, taken);
         }
+        Done::Policies(page) => self.take_policies(page),
         Done::Asked(index, id, inventory) => {
           self.groups[index].plan.inventory(now, &id, inventory);
         }
@@ -363,6 +373,48 @@
     self.hub.gates.servers.lead(leads);
   }
 
+  /// Reads the operators' policies now and then, while this machine gives orders.
+  fn read_policies(&mut self) {
+    let now = self.hub.now();
+    let holds = self.groups.iter().any(|group| group.holding);
+    if !holds || now < self.policies_at {
+      return;
+    }
+    self.policies_at = now + POLICIES_MS;
+    let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
+    self.calls.run(move || {
+      let page = (edge.store.list)(edge.kinds.policies, None);
+      let _ = done.send(Done::Policies(page));
+      bell.ring();
+    });
+  }
+
+  fn take_policies(&mut self, page: store::Result<store::Page>) {
+    let objects = match page {
+      Ok(page) => page.objects,
+      Err(store::Error::Absent) => Vec::new(),
+      Err(error) => {
+        info!(self.hub.log, "policies not read, the last ones stay in force"; "error" => %error);
+        return;
+      }
+    };
+    let mut policies = BTreeMap::new();
+    for object in objects {
+      let policy = serde_json::from_value::<Policy>(object.spec).map_err(|error| error.to_string());
+      let checked = policy.and_then(|policy| policy.fault().map_or(Ok(policy), Err));
+      match checked {
+        Ok(policy) => {
+          policies.insert(object.name, policy);
+        }
+        Err(fault) => warn!(self.hub.log, "policy is faulty and left out";
+          "policy" => &object.name, "revision" => object.revision, "fault" => fault),
+      }
+    }
+    for group in &mut self.groups {
+      group.plan.policies(policies.clone());
+    }
+  }
+
   fn call(&self, index: usize, call: lease::Call) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     let name = self.groups[index].name.clone();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -109,6 +109,15 @@
 }
 
 impl Policy {
+  /// The policy of a routed model that no policy selects: as many replicas as its
+  /// requests need.
+  pub fn default_routed() -> Self {
+    Self {
+      max_replicas: u32::MAX,
+      ..Self::default()
+    }
+  }
+
   /// The first fault of the policy, naming field and value.
   pub fn fault(&self) -> Option<String> {
     if self.max_replicas == 0 || self.max_replicas < self.min_replicas {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -385,3 +385,22 @@
   world.run(200);
   assert!(world.asked > asked);
 }
+
+#[test]
+fn policies_bound_replicas_and_choose_servers() {
+  let models = ["a", "d"];
+  let mut world = World::open(&models, &[("one", &["a"], &["d"]), ("two", &["a"], &["d"])]);
+  let policy = |text: &str| serde_json::from_str(text).unwrap();
+  let only_two = r#"{ "models": { "matchLabels": { "model": "d" } },
+    "servers": { "matchLabels": { "server": "two" } } }"#;
+  let keep =
+    r#"{ "models": { "matchLabels": { "model": "a" } }, "minReplicas": 2, "maxReplicas": 9 }"#;
+  world.plan.policies(BTreeMap::from([
+    ("only-two".into(), policy(only_two)),
+    ("keep".into(), policy(keep)),
+  ]));
+  world.waiting = vec![("d".into(), 40)];
+  world.run(3_000);
+  assert_eq!(world.loads(), [("two".to_string(), "d".to_string())]);
+  assert!(world.holds("one", "a") && world.holds("two", "a"));
+}
