the plan's cost: an index of holders, one engine for all, pace by cost

Cause: on the grown site the holder took 0.7 of a real core: each step cloned the pool's 500 checkpoints for every demand and looked through 90 servers for every model. Change: engines are shared, who holds what is worked out once a step, what needs no request is looked after every 40 ms, and a step is followed by a rest of six times its length.

--- a/src/ahead.rs
+++ b/src/ahead.rs
@@ -7,7 +7,7 @@
   plan::{HEAVY_USE, LOAD_COST, Plan},
   report::Tier,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 /// Loads from the weight store at once that are begun without demand: further
 /// ones would slow those that requests wait for.
@@ -117,7 +117,7 @@
   /// Lets a replica go that its model can do without, where too few servers have
   /// a place that can be freed at once.
   pub(crate) fn free_places(&mut self) {
-    let pools: Vec<(String, Engine)> = self
+    let pools: Vec<(String, Arc<Engine>)> = self
       .deployment
       .pools
       .iter()
@@ -160,7 +160,7 @@
       }
     }
     for (model, count) in running {
-      let holders = self.holders(pool, &model.name);
+      let holders = self.holders(pool, &model.name).to_vec();
       let most = holders.len() as u32 * engine.slots * FURTHER_PERCENT / 100;
       let demand = Demand {
         pool: pool.into(),
@@ -217,6 +217,7 @@
     if let Some(server) = self.servers.get_mut(&id) {
       server.leaving.insert(name.clone());
       self.news = true;
+      self.index();
       let why = format!("{running} requests there, others carry them");
       self.note("leave", &id, &name, why);
     }
--- a/src/choose.rs
+++ b/src/choose.rs
@@ -9,7 +9,7 @@
   policy::Evict,
   report::Tier,
 };
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 /// Time for instances to hear that a model leaves before it is unloaded, ms.
 const LEAVE_MS: u64 = 25;
@@ -75,19 +75,30 @@
     demand.age_ms >= self.turn(&demand.pool, &demand.model) * TURN_MS
   }
 
-  pub(crate) fn engine(&self, pool: &str) -> Option<Engine> {
+  pub(crate) fn engine(&self, pool: &str) -> Option<Arc<Engine>> {
     self.deployment.pools.get(pool)?.engine.clone()
   }
 
   /// Servers of a pool that hold a model and keep it.
-  pub(crate) fn holders(&self, pool: &str, model: &str) -> Vec<String> {
-    let servers = self.servers.iter().filter(|(_, server)| {
-      server.spec.pool == pool
-        && server.spec.stage == Stage::Ready
-        && server.models.contains_key(model)
-        && !server.leaving.contains(model)
-    });
-    servers.map(|(id, _)| id.clone()).collect()
+  pub(crate) fn holders(&self, pool: &str, model: &str) -> &[String] {
+    let held = self.held.get(pool).and_then(|models| models.get(model));
+    held.map(Vec::as_slice).unwrap_or_default()
+  }
+
+  /// Works out who holds what; due after every change of it.
+  pub(crate) fn index(&mut self) {
+    self.held.clear();
+    for (id, server) in &self.servers {
+      if server.spec.stage != Stage::Ready {
+        continue;
+      }
+      let models = self.held.entry(server.spec.pool.clone()).or_default();
+      for name in server.models.keys() {
+        if !server.leaving.contains(name) {
+          models.entry(name.clone()).or_default().push(id.clone());
+        }
+      }
+    }
   }
 
   /// Whether a server that takes work has a copy of a model's checkpoint.
@@ -118,6 +129,7 @@
     };
     server.leaving.remove(model);
     self.news = true;
+    self.index();
     true
   }
 
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -38,7 +38,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Pool {
   /// None: a plain service.
-  pub engine: Option<Engine>,
+  pub engine: Option<Arc<Engine>>,
 }
 
 /// What callers may send, and how long they may take.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -604,7 +604,7 @@
 
   fn engine(&self, pool: &str) -> Option<&Engine> {
     let pool = self.deployment.as_ref()?.pools.get(pool)?;
-    pool.engine.as_ref()
+    pool.engine.as_deref()
   }
 
   /// The server for a request's next send.
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -42,6 +42,8 @@
 /// An instance that lacks changes is told all within this time after it says so,
 /// ms; later it has said so again.
 const BEHIND_MS: u64 = 100;
+/// What needs no request to wait is looked after this often, ms.
+const SWEEP_MS: u64 = 40;
 /// Changes are told together when they come this close, ms.
 const TELL_LEAST_MS: u64 = 10;
 /// What a request running on a server adds to the cost of a load there, ms: its
@@ -130,6 +132,10 @@
   /// Which of the groups this is.
   pub(crate) group: u32,
   pub(crate) others: Vec<Other>,
+  /// Who holds what, by pool and model.
+  pub(crate) held: BTreeMap<String, BTreeMap<String, Vec<String>>>,
+  /// When what needs no request to wait was last looked after, ms.
+  swept: u64,
   /// Nothing is moved before this time: instances have not reported yet, ms.
   pub(crate) settled_at: u64,
   pub(crate) machine: String,
@@ -167,6 +173,8 @@
     Self {
       group,
       others: Vec::new(),
+      held: BTreeMap::new(),
+      swept: 0,
       settled_at: 0,
       machine: machine.into(),
       term: 0,
@@ -227,6 +235,9 @@
   /// The policy of a model: of those that select it by its labels `model` and
   /// `pool` the one of highest precedence, then of the smallest name.
   pub(crate) fn policy(&self, pool: &str, model: &str) -> Policy {
+    if self.policies.is_empty() {
+      return Policy::default_routed();
+    }
     let labels: Labels = [("model", model), ("pool", pool)]
       .map(|(key, value)| (key.to_string(), value.to_string()))
       .into_iter()
@@ -400,6 +411,7 @@
   pub fn step(&mut self, now: u64) -> Vec<Effect> {
     self.now = now;
     self.count();
+    self.index();
     let ids: Vec<String> = self.servers.keys().cloned().collect();
     for id in &ids {
       self.sync(id);
@@ -407,10 +419,16 @@
     }
     self.fade();
     if now >= self.settled_at {
-      self.fill_room(HEAVY_USE);
+      let sweep = now >= self.swept + SWEEP_MS;
+      if sweep {
+        self.swept = now;
+        self.fill_room(HEAVY_USE);
+      }
       self.serve_demand();
-      self.fill_room(USE_LEAST);
-      self.free_places();
+      if sweep {
+        self.fill_room(USE_LEAST);
+        self.free_places();
+      }
     }
     for id in &ids {
       self.work(id);
@@ -600,7 +618,7 @@
       let Some(engine) = self.engine(&demand.pool) else {
         continue;
       };
-      let holders = self.holders(&demand.pool, &demand.model.name);
+      let holders = self.holders(&demand.pool, &demand.model.name).to_vec();
       if holders.is_empty() || self.elsewhere(&demand.pool, &demand.model) {
         continue;
       }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -31,6 +31,7 @@
     mpsc::{Receiver, Sender, channel},
   },
   thread,
+  time::Instant,
 };
 
 /// Threads for orders and questions; one order a server is under way.
@@ -55,6 +56,9 @@
 const ALIVE_MS: u64 = 500;
 /// Policies are read this often, ms: operators change them some times a day.
 const POLICIES_MS: u64 = 10_000;
+/// A step is followed by a rest of this many times its length: the holder serves
+/// requests too.
+const PACE: u32 = 6;
 /// The holder tells others of all instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
 
@@ -104,6 +108,8 @@
   lease: Lease,
   plan: Plan,
   holding: bool,
+  /// No step before this time: deciding takes its part of the processor only, ms.
+  rest_until: u64,
   /// Counts of the state that the plan has seen.
   seen: (u64, u64),
   /// Term, and count up to which changes of holdings are known.
@@ -188,6 +194,7 @@
       loads_at_once,
     ),
     holding: false,
+    rest_until: 0,
     seen: (0, 0),
     known: (0, 0),
     told_members: 0,
@@ -235,7 +242,7 @@
     for group in &self.groups {
       due = due.min(group.lease.due(now));
       if group.holding {
-        due = due.min(group.plan.due(now));
+        due = due.min(group.plan.due(now).max(group.rest_until));
       }
     }
     due.max(now)
@@ -486,9 +493,16 @@
     if !self.groups[index].holding {
       return self.say_alive(index);
     }
-    self.feed_plan(index);
     let now = self.hub.now();
-    for effect in self.groups[index].plan.step(now) {
+    if now < self.groups[index].rest_until {
+      return;
+    }
+    self.feed_plan(index);
+    let began = Instant::now();
+    let effects = self.groups[index].plan.step(now);
+    let took = began.elapsed() * PACE;
+    self.groups[index].rest_until = now + took.as_millis() as u64;
+    for effect in effects {
       match effect {
         Effect::Order(command) => self.order(index, command),
         Effect::Ask { id, address } => self.ask(index, id, address),
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -60,7 +60,7 @@
     ..Engine::default()
   };
   let pool = Pool {
-    engine: Some(engine),
+    engine: Some(Arc::new(engine)),
   };
   let deployment = Deployment {
     version: 1,
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -64,7 +64,7 @@
   fn open(models: &[&str], servers: &[(&str, &[&str], &[&str])]) -> Self {
     let mut plan = Plan::open("10.0.0.1", 0, 5_000, 1.0, 4);
     let pool = Pool {
-      engine: Some(engine(models)),
+      engine: Some(Arc::new(engine(models))),
     };
     let deployment = Deployment {
       version: 1,
