explain: from a request's id to its cause

Change: a subcommand that reads the logs of many instances and prints a request's lines with what planners did for its model, lost and regained dependencies, and a conclusion; the first wait of a request gets a line with its model.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod engine;
 pub mod entry;
 pub mod event;
+pub mod explain;
 pub mod fact;
 pub mod facts;
 pub mod feed;
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -53,6 +53,8 @@
   begun: Option<Framing>,
   events: Events,
   first_ms: Option<u64>,
+  /// It has waited for a server.
+  waited: bool,
   /// When events last came, and the longest pause between them, ms.
   event_ms: u64,
   pause_ms: u64,
@@ -103,6 +105,7 @@
     begun: None,
     events: Events::default(),
     first_ms: None,
+    waited: false,
     event_ms: 0,
     pause_ms: 0,
     held: None,
@@ -155,7 +158,7 @@
           }
           directive = mailbox.take();
         }
-        Some(Directive::Wait(until)) => match self.rest(mailbox, until) {
+        Some(Directive::Wait(until)) => match self.await_news(mailbox, until) {
           Ok(true) => directive = mailbox.take().or(Some(Directive::Wait(until))),
           Ok(false) => {
             self.hub.apply(Event::Look(ticket), Some(ticket));
@@ -183,6 +186,18 @@
     }
   }
 
+  /// Waits as `rest` does; the first wait of a request is recorded.
+  fn await_news(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
+    if !std::mem::replace(&mut self.waited, true) {
+      let model = self.incoming.head.headers.get(self.hub.dialect.model);
+      info!(self.hub.log, "waiting"; "request" => &self.id,
+        "route" => &self.incoming.route.name, "model" => model,
+        "why" => "no server can take it now",
+        "planner_age_ms" => self.hub.now().saturating_sub(self.hub.state().told_at));
+    }
+    self.rest(mailbox, until)
+  }
+
   /// Waits for the bell or a time; an error says that the caller has gone.
   fn rest(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
     let until = self.hub.instant(until);
--- a/src/run.rs
+++ b/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
   apply, compare,
   edge::Edge,
+  explain,
   instance::Instance,
   router::Router,
   settings::{Error, Settings},
@@ -24,7 +25,8 @@
        bendsaddle get [KIND [NAME]] --platform IP:PORT
        bendsaddle status --instance IP:PORT
        bendsaddle timeline --instance IP:PORT [--trace]
-       bendsaddle compare POLICY POLICY --instance IP:PORT [--plot FILE.svg]";
+       bendsaddle compare POLICY POLICY --instance IP:PORT [--plot FILE.svg]
+       bendsaddle explain REQUEST FILE...";
 
 type Outcome = Result<ExitCode, Report<Error>>;
 
@@ -65,6 +67,7 @@
       &named(&options.instance, "--instance")?,
       options.plot.as_deref(),
     ),
+    "explain" => explain::explain(&options.rest),
     "help" | "" => {
       println!("{USAGE}");
       Ok(ExitCode::SUCCESS)
