take nothing new late in a planned stop

Change: from 2.7 s after the signal on, requests are refused as not run. Test: nothing is taken long after a planned stop began; it failed first.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -167,8 +167,9 @@
   Left(Ticket),
   /// The platform's store does not answer this instance, or does again.
   StoreLost(bool),
-  /// A planned stop: what waits is refused at this time, ms.
-  Stopping(u64),
+  /// A planned stop: nothing new is taken from the first time on, and what waits is
+  /// refused at the second, ms.
+  Stopping(u64, u64),
 }
 
 /// Something to do.
@@ -228,6 +229,9 @@
   pub budgets: BTreeMap<String, Budget>,
   /// Instances that share the budget.
   pub instances: usize,
+  /// Requests that arrive from this time on are refused: their answers might be
+  /// cut off, ms.
+  new_until: u64,
   /// Requests that wait at this time are refused: the process is to end, ms.
   stop_at: u64,
   /// When a planner was last heard of, ms.
@@ -259,6 +263,7 @@
       running: BTreeMap::new(),
       budgets: BTreeMap::new(),
       instances: INSTANCES,
+      new_until: u64::MAX,
       stop_at: u64::MAX,
       told_at: 0,
       store_lost: false,
@@ -298,7 +303,10 @@
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.forget(ticket),
       Event::StoreLost(lost) => self.store_lost = lost,
-      Event::Stopping(at) => self.stop_at = at,
+      Event::Stopping(new_until, wait_until) => {
+        self.new_until = new_until;
+        self.stop_at = wait_until;
+      }
     }
     std::mem::take(&mut self.out)
   }
@@ -412,6 +420,9 @@
       waiting: None,
     };
     self.requests.insert(ticket, request);
+    if self.now >= self.new_until {
+      return self.refuse(ticket, Reason::Stopping);
+    }
     self.place(ticket);
   }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -24,6 +24,9 @@
 /// A balancer takes an instance out after two missed questions, asked each
 /// second; until then it sends new connections.
 const TAKEN_OUT: Duration = Duration::from_millis(3_000);
+/// New requests are refused from this long before a balancer should have taken the
+/// instance out, ms: it may go on sending when too few others are ready.
+const NEW_MARGIN_MS: u64 = 300;
 /// Part of the grace time that is left for the end of the process.
 const GRACE_LEFT: Duration = Duration::from_millis(1_000);
 /// Part of the rest in which requests that still wait are refused.
@@ -89,8 +92,9 @@
     info!(self.hub.log, "stopping"; "active" => active());
     self.hub.stop();
     let last = self.grace.saturating_sub(REFUSE_LEFT).as_millis() as u64;
-    let at = self.hub.now() + last;
-    self.hub.apply(Event::Stopping(at), None);
+    let now = self.hub.now();
+    let new_until = now + TAKEN_OUT.as_millis() as u64 - NEW_MARGIN_MS;
+    self.hub.apply(Event::Stopping(new_until, now + last), None);
     while began.elapsed() < TAKEN_OUT || (active() > 0 && began.elapsed() < self.grace) {
       thread::sleep(STOP_LOOK);
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -287,13 +287,27 @@
   let route = route(Repeat::Never, None, 1);
   let mut state = state(Vec::new());
   state.reduce(1, ask(1, &route, None));
-  state.reduce(2, Event::Stopping(1_000));
+  state.reduce(2, Event::Stopping(500, 1_000));
   assert_eq!(refused(&state.reduce(999, Event::Look(Ticket(1)))), None);
   let refusal = refused(&state.reduce(1_000, Event::Look(Ticket(1)))).unwrap();
   assert_eq!(refusal.verdict, Verdict::NotRun);
   assert_eq!(refusal.reason, Reason::Stopping);
 }
 
+#[test]
+fn nothing_is_taken_long_after_a_planned_stop_began() {
+  let route = route(Repeat::Never, None, 1);
+  let mut state = state(vec![spec("one", &[])]);
+  state.reduce(1, Event::Stopping(500, 1_000));
+  let effects = state.reduce(499, ask(1, &route, None));
+  assert!(sent(&effects).is_some());
+  let effects = state.reduce(500, ask(2, &route, None));
+  assert_eq!(sent(&effects), None);
+  let refusal = refused(&effects).unwrap();
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert!(refusal.retry_after.is_some());
+}
+
 #[test]
 fn repeats_of_all_instances_stay_within_the_budget() {
   let instances = 4;
