--- a/src/choose.rs
+++ b/src/choose.rs
@@ -19,7 +19,7 @@
 const SPARE: u64 = 8;
 /// A request that waits for longer may have its model loaded from the weight
 /// store although some server has a copy: that server seems to be of no use, ms.
-const REMOTE_AGE_MS: u64 = 3_000;
+const REMOTE_AGE_MS: u64 = 8_000;
 /// Time that each group has for a model that is waited for before the next one may
 /// load it, ms: an order is told of within some ten.
 const TURN_MS: u64 = 300;
