replicas by requests where servers have few slots

Cause: the grown sites' runners have 16 slots: 6 in 100 of them are less than one request, so every model in use was copied, and none was let go. Change: at least 3 requests a replica before a further one, at least 2 that a leaving one hands over. Thresholds at 64 slots are what they were.

--- a/src/ahead.rs
+++ b/src/ahead.rs
@@ -22,6 +22,9 @@
 /// loaded; and up to which the others take over those of one that leaves.
 const FURTHER_PERCENT: u32 = 6;
 const CARRY_PERCENT: u32 = 4;
+/// But not fewer than these, where a server has few slots.
+const FURTHER_LEAST: u32 = 3;
+const CARRY_LEAST: u32 = 2;
 
 impl Plan {
   /// Takes up what is in use now, and forgets what was.
@@ -161,7 +164,7 @@
     }
     for (model, count) in running {
       let holders = self.holders(pool, &model.name).to_vec();
-      let most = holders.len() as u32 * engine.slots * FURTHER_PERCENT / 100;
+      let most = holders.len() as u32 * (engine.slots * FURTHER_PERCENT / 100).max(FURTHER_LEAST);
       let demand = Demand {
         pool: pool.into(),
         model: model.clone(),
@@ -203,7 +206,7 @@
         let least = self.policy(pool, name).min_replicas.max(1);
         let spare = holders.len() as u32 > least;
         let rest = (holders.len() as u32).saturating_sub(1);
-        let carried = running <= rest * engine.slots * CARRY_PERCENT / 100;
+        let carried = running <= rest * (engine.slots * CARRY_PERCENT / 100).max(CARRY_LEAST);
         let here = server.running_of(name);
         let less = best.as_ref().is_none_or(|(least, ..)| here < *least);
         if spare && carried && less {
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -99,10 +99,8 @@
 
 /// What the request's own lines amount to, in a sentence.
 pub fn conclusion(request: &str, lines: &[Line]) -> String {
-  let own = lines
-    .iter()
-    .filter(|line| line.text("request") == Some(request));
-  let Some(last) = own.last() else {
+  let mine = |line: &&Line| line.text("request") == Some(request);
+  let Some(last) = lines.iter().rev().find(mine) else {
     return format!("request `{request}` is in none of the files");
   };
   let waited = last.fields.get("waited_ms").and_then(Value::as_u64);
