another instance's word counts only while the store answers it

Ruled out: the watch itself; all instances were late by the same 2.4 s. Change: the word's age is that of the lease's last renewal (every 750 ms, told at once), and it counts for 1.3 s; then an instance watches by itself. Tests: a fetched change, an old word, a leader that passed changes over.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -25,10 +25,11 @@
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_millis(800);
 
-/// Without another instance's word for this long, an instance watches by itself.
-const SILENT: Duration = Duration::from_millis(1_200);
-/// Another instance's word counts while its own last answer is not older.
-const STALE_MS: u64 = 3_000;
+/// Another instance's word counts for this long after the store last answered that
+/// instance; then this one watches by itself. The holder of a lease hears from the
+/// store every 750 ms; with the watch that follows, news that the holder is cut off
+/// from arrives within 1.5 s, and deployments give two.
+const STALE: Duration = Duration::from_millis(1_300);
 
 /// How far an instance has followed a kind, told to others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,8 +46,7 @@
 struct State {
   revision: u64,
   changed: u64,
-  answered: Option<Instant>,
-  /// Another instance's word, and when it was heard.
+  /// Another instance's word, and when the store last answered that instance.
   word: Option<(Word, Instant)>,
   /// This instance must watch by itself: others go by its word.
   leads: bool,
@@ -63,29 +63,34 @@
 }
 
 impl Gate {
-  /// What this instance tells others.
-  pub fn word(&self) -> Word {
+  /// What this instance tells others; `age_ms`: since the store last answered it.
+  pub fn word(&self, age_ms: u64) -> Word {
     let state = lock(&self.state);
-    let age = state.answered.map_or(Duration::MAX, |at| at.elapsed());
     Word {
       revision: state.revision,
       changed: state.changed,
-      age_ms: age.as_millis().min(u128::from(u64::MAX)) as u64,
+      // Before the first answer nothing is known.
+      age_ms: if state.revision == 0 {
+        u64::MAX
+      } else {
+        age_ms
+      },
     }
   }
 
   /// Takes up another instance's word.
   pub fn told(&self, word: Word) {
     let mut state = lock(&self.state);
-    if word.age_ms > STALE_MS {
+    let age = Duration::from_millis(word.age_ms);
+    let Some(answered) = Instant::now().checked_sub(age).filter(|_| age < STALE) else {
       return;
-    }
+    };
     if word.changed <= state.revision {
       // Nothing between that matters here.
       state.skipped |= word.revision > state.revision;
       state.revision = state.revision.max(word.revision);
     }
-    state.word = Some((word, Instant::now()));
+    state.word = Some((word, answered));
     self.changed.notify_all();
   }
 
@@ -110,7 +115,7 @@
         revision: state.revision,
         there: false,
       };
-      let (false, Some((word, heard))) = (state.leads, state.word) else {
+      let (false, Some((word, answered))) = (state.leads, state.word) else {
         return watch;
       };
       if word.changed > state.revision {
@@ -119,7 +124,7 @@
           there: true,
         };
       }
-      let Some(left) = SILENT.checked_sub(heard.elapsed()) else {
+      let Some(left) = STALE.checked_sub(answered.elapsed()) else {
         return watch;
       };
       let waited = self.changed.wait_timeout(state, left);
@@ -130,7 +135,6 @@
   fn answered(&self, revision: u64, matters: bool) {
     let mut state = lock(&self.state);
     state.revision = state.revision.max(revision);
-    state.answered = Some(Instant::now());
     if matters {
       state.changed = state.changed.max(revision);
     }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -250,6 +250,11 @@
     chosen.map_or_else(Policy::default_routed, |(_, policy)| policy.clone())
   }
 
+  /// Tells instances at the next step, news or not.
+  pub fn speak(&mut self) {
+    self.news = true;
+  }
+
   /// Takes up what servers of other groups hold.
   pub fn others(&mut self, others: Vec<Other>) {
     self.others = others;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -348,6 +348,10 @@
       info!(self.hub.log, "lease not written"; "lease" => &group.name, "error" => %error,
         "term" => record.term, "revision" => revision);
     }
+    if result.is_ok() {
+      // Others go by the time of the last renewal.
+      group.plan.speak();
+    }
     if group.lease.answered(now, call, result) {
       let term = group.lease.term(now).unwrap_or_default();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
@@ -594,6 +598,7 @@
     let Some(word) = group.lease.word(now) else {
       return;
     };
+    let age_ms = word.age_ms;
     let mut members = group.plan.members(now);
     for member in &self.members {
       if !members.contains(member) {
@@ -625,8 +630,8 @@
       let message = Message::Told(Told {
         group: index as u32,
         word: word.clone(),
-        deployments: self.hub.gates.deployments.word(),
-        servers: self.hub.gates.servers.word(),
+        deployments: self.hub.gates.deployments.word(age_ms),
+        servers: self.hub.gates.servers.word(age_ms),
         instances: instances as u32,
         members: match tell_members && number == 0 {
           true => members.clone(),
--- /dev/null
+++ b/tests/feed.rs
@@ -0,0 +1,171 @@
+//! One instance watches the store for others: they watch by themselves as soon as
+//! its word is old or names a change that they lack.
+
+use bendsaddle::{
+  feed::{Gate, News, Word, follow},
+  store::{Changes, Error, Object, Page, Store},
+};
+use slog::{Discard, Logger, o};
+use std::{
+  sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+    mpsc::{Receiver, channel},
+  },
+  thread,
+  time::{Duration, Instant},
+};
+
+/// A store whose revision is a number, and that counts its calls.
+#[derive(Default)]
+struct Numbers {
+  revision: AtomicU64,
+  watches: AtomicU64,
+  lists: AtomicU64,
+}
+
+fn object(revision: u64) -> Object {
+  Object {
+    name: "one".into(),
+    revision,
+    spec: revision.into(),
+  }
+}
+
+fn store(numbers: &Arc<Numbers>) -> Store {
+  let (listed, watched) = (numbers.clone(), numbers.clone());
+  Store {
+    list: Box::new(move |_, _| {
+      listed.lists.fetch_add(1, Ordering::Relaxed);
+      let revision = listed.revision.load(Ordering::Relaxed);
+      Ok(Page {
+        objects: vec![object(revision)],
+        more: false,
+        revision,
+      })
+    }),
+    watch: Box::new(move |_, from, wait| {
+      watched.watches.fetch_add(1, Ordering::Relaxed);
+      let until = Instant::now() + wait;
+      loop {
+        let revision = watched.revision.load(Ordering::Relaxed);
+        if revision > from || Instant::now() >= until {
+          let objects = (revision > from).then(|| (object(revision), false));
+          return Ok(Changes {
+            objects: objects.into_iter().collect(),
+            revision,
+          });
+        }
+        thread::sleep(Duration::from_millis(5));
+      }
+    }),
+    read: Box::new(|_, _| Err(Error::Absent)),
+    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+  }
+}
+
+/// Follows the store in a thread; gives the revisions of its news.
+fn spawn(numbers: &Arc<Numbers>, gate: &Arc<Gate>) -> Receiver<u64> {
+  let (sender, receiver) = channel();
+  let (store, gate) = (store(numbers), gate.clone());
+  let log = Logger::root(Discard, o!());
+  thread::spawn(move || {
+    follow(&store, "kind", &gate, &log, move |news| {
+      let revision = match news {
+        News::All(objects) => objects[0].revision,
+        News::Some(objects) => objects[0].0.revision,
+        News::Lost | News::Back => return false,
+      };
+      let _ = sender.send(revision);
+      true
+    })
+  });
+  receiver
+}
+
+fn word(revision: u64, changed: u64, age_ms: u64) -> Word {
+  Word {
+    revision,
+    changed,
+    age_ms,
+  }
+}
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// Speaks for a holder every few milliseconds until `done`; gives the longest
+/// silence, which a busy machine may make long.
+fn speak(gate: &Gate, word: Word, mut done: impl FnMut() -> bool) -> Duration {
+  let began = Instant::now();
+  let (mut last, mut longest) = (began, Duration::ZERO);
+  while !done() {
+    assert!(began.elapsed() < LONG, "not in time");
+    gate.told(word);
+    longest = longest.max(last.elapsed());
+    last = Instant::now();
+    thread::sleep(Duration::from_millis(20));
+  }
+  longest
+}
+
+#[test]
+fn a_change_that_the_word_names_is_fetched_and_others_cost_no_call() {
+  let numbers = Arc::new(Numbers::default());
+  numbers.revision.store(5, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  gate.told(word(5, 5, 0));
+  let news = spawn(&numbers, &gate);
+  assert_eq!(news.recv_timeout(LONG), Ok(5));
+  // Further changes do not matter: nothing is fetched while the word is fresh.
+  numbers.revision.store(9, Ordering::Relaxed);
+  let mut spoken = 0;
+  let silence = speak(&gate, word(9, 5, 0), || {
+    spoken += 1;
+    spoken > 100
+  });
+  let watches = numbers.watches.load(Ordering::Relaxed);
+  assert!(
+    watches == 0 || silence > Duration::from_secs(1),
+    "{watches}"
+  );
+  numbers.revision.store(12, Ordering::Relaxed);
+  let mut heard = None;
+  speak(&gate, word(12, 12, 0), || {
+    heard = heard.or(news.try_recv().ok());
+    heard.is_some()
+  });
+  assert_eq!(heard, Some(12));
+}
+
+#[test]
+fn an_old_word_does_not_hide_news() {
+  let numbers = Arc::new(Numbers::default());
+  numbers.revision.store(5, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  gate.told(word(5, 5, 0));
+  let news = spawn(&numbers, &gate);
+  assert_eq!(news.recv_timeout(LONG), Ok(5));
+  // The holder speaks on, but the store has not answered it for long.
+  numbers.revision.store(7, Ordering::Relaxed);
+  let mut heard = None;
+  speak(&gate, word(5, 5, 1_400), || {
+    heard = heard.or(news.try_recv().ok());
+    heard.is_some()
+  });
+  assert_eq!(heard, Some(7));
+}
+
+#[test]
+fn who_leads_reads_all_that_it_passed_over() {
+  let numbers = Arc::new(Numbers::default());
+  numbers.revision.store(5, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  gate.told(word(5, 5, 0));
+  let news = spawn(&numbers, &gate);
+  assert_eq!(news.recv_timeout(LONG), Ok(5));
+  numbers.revision.store(9, Ordering::Relaxed);
+  gate.told(word(9, 5, 0));
+  gate.lead(true);
+  assert_eq!(news.recv_timeout(LONG), Ok(9));
+  assert_eq!(numbers.lists.load(Ordering::Relaxed), 2);
+}
