look at the lease's end after connecting

The lease's end was looked at before a connection to the runner was made; a process frozen while it connected sent its order on waking, against a server whose holdings had changed. Change: an order goes out before the lease's end, looked at once the connection is there, or not at all.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -7,9 +7,9 @@
   dialect::Dialect,
   store::{Object, Store},
 };
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
-type Order = dyn Fn(&Command) -> Taken + Send + Sync;
+type Order = dyn Fn(&Command, Instant) -> Taken + Send + Sync;
 type Report = dyn Fn(SocketAddr, &str) -> Option<Inventory> + Send + Sync;
 
 /// The kinds of objects that routing reads and writes.
@@ -30,7 +30,7 @@
   pub deployment: fn(&Object) -> Result<Option<Deployment>, String>,
   /// The backend server in an object.
   pub server: fn(&Object) -> Result<Spec, String>,
-  /// Sends an order to a backend server, once.
+  /// Sends an order to a backend server, once, before a moment or not at all.
   pub order: Box<Order>,
   /// Asks the server with this id what it holds.
   pub report: Box<Report>,
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -49,6 +49,9 @@
   pub connect: Duration,
   /// Time for the answer.
   pub answer: Duration,
+  /// The call goes out before this moment or not at all, however long the process
+  /// stood still while it connected.
+  pub before: Option<Instant>,
 }
 
 /// Makes calls; connections are kept for the next one.
@@ -83,6 +86,9 @@
       Some(socket) => socket,
       None => Socket::connect(address, call.connect).map_err(|_| Failure::NotSent)?,
     };
+    if call.before.is_some_and(|before| Instant::now() >= before) {
+      return Err(Failure::NotSent);
+    }
     let until = Instant::now() + call.answer;
     let (answer, keep) =
       exchange(&mut socket, address, call, until).map_err(|_| Failure::NoAnswer)?;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -572,11 +572,8 @@
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     let (hub, until) = (self.hub.clone(), self.groups[index].lease.until());
     self.orders.run(move || {
-      // A pause between decision and here must not let an order out late.
-      let taken = match hub.now() < until {
-        true => (edge.order)(&command),
-        false => Taken::NotSent,
-      };
+      // A pause between decision and sending must not let an order out late.
+      let taken = (edge.order)(&command, hub.instant(until));
       let _ = done.send(Done::Ordered(index, command, taken));
       bell.ring();
     });
