log lines with typed fields on standard output, also where they carried a text

Cause: lines of the product's own interface carried a JSON text in msg; since logs went to standard output the harness could take one for the line of ports, and writing to a closed output ended the log's thread. Change: an entry's fields are the line's; the queue is bounded to 2,048 lines, drops and counts; the harness looks for the line without msg and reads on.

--- a/src/journal.rs
+++ b/src/journal.rs
@@ -103,6 +103,23 @@
   }
 }
 
+/// An entry's fields for a line of the log, named and typed.
+pub struct Fields<'a>(pub &'a Entry);
+
+impl slog::KV for Fields<'_> {
+  fn serialize(&self, _: &slog::Record, out: &mut dyn slog::Serializer) -> slog::Result {
+    let fields = serde_json::to_value(self.0).map_err(std::io::Error::other)?;
+    for (name, value) in fields.as_object().into_iter().flatten() {
+      match (value.as_u64(), value.as_str()) {
+        (Some(number), _) => out.emit_u64(name.clone().into(), number)?,
+        (_, Some(text)) => out.emit_str(name.clone().into(), text)?,
+        _ => out.emit_str(name.clone().into(), &value.to_string())?,
+      }
+    }
+    Ok(())
+  }
+}
+
 /// An entry with its time, ms.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
--- a/src/run.rs
+++ b/src/run.rs
@@ -160,9 +160,19 @@
   Ok(ExitCode::SUCCESS)
 }
 
+/// Lines that wait to be written; further ones are dropped, and a line counts them.
+const LOG_LINES: usize = 2_048;
+
+/// A log of JSON lines on standard output. Writing never blocks a request: a thread
+/// writes, from a bounded queue.
 fn logger(instance: &str) -> Logger {
-  let drain = slog_json::Json::default(std::io::stdout()).fuse();
-  let drain = slog_async::Async::new(drain).build().fuse();
+  // Nobody could be told that standard output is closed.
+  let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
+  let drain = slog_async::Async::new(drain)
+    .chan_size(LOG_LINES)
+    .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+    .build()
+    .ignore_res();
   Logger::root(drain, o!("instance" => instance.to_string()))
 }
 
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -4,7 +4,7 @@
   ask::Ticket,
   attempt::{Attempt, End},
   event::Event,
-  journal::{Entry, Journal, Line},
+  journal::{self, Entry, Journal, Line},
   metrics::Metrics,
   peer::Traffic,
   platform::Client,
@@ -139,8 +139,7 @@
   pub fn note(&self, entry: Entry) {
     self.metrics.count(&entry);
     if !entry.is_count() {
-      let text = serde_json::to_string(&entry).unwrap_or_default();
-      info!(self.log, "{}", text);
+      info!(self.log, "changed"; journal::Fields(&entry));
     }
     lock(&self.journal).push(self.now(), entry);
   }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -379,10 +379,24 @@
     .stdout
     .take()
     .ok_or_else(|| io::Error::other("no output"))?;
-  let mut line = String::new();
-  BufReader::new(stdout).read_line(&mut line)?;
+  let mut lines = BufReader::new(stdout).lines();
+  let ports = loop {
+    let line = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
+    let value: Value = serde_json::from_str(&line).map_err(io::Error::other)?;
+    // Lines of the log may come before it.
+    if value.get("msg").is_none() {
+      break value;
+    }
+  };
   std::fs::remove_file(&path)?;
-  let ports: Value = serde_json::from_str(&line).map_err(io::Error::other)?;
+  let echo = std::env::var_os("BENDSADDLE_TEST_LOG").is_some();
+  std::thread::spawn(move || {
+    for line in lines.map_while(Result::ok) {
+      if echo {
+        eprintln!("{line}");
+      }
+    }
+  });
   let port = |field: &str| ports[field].as_str().unwrap_or_default().to_string();
   Ok(Member {
     name: name.into(),
