--- a/justfile
+++ b/justfile
@@ -50,3 +50,7 @@
 # The table of docs/CAPACITY.md; fails when a slope breaks a limit.
 budget:
   cargo run --locked -p stand-ins -- budget docs/capacity.json
+
+# One instance between stand-ins of the users' platform.
+platform:
+  cargo test --locked -p bendsaddle-platform
