messages in a module of their own; a reused connection has a type

Cause: read as a newcomer: planner.rs mixed what goes over the wire with the thread that sends it, and an Option of an Option said whether a connection may be used again. A record that could not be encoded would have been written as null. Change: message, relay::Reuse; the error is the call's. Nothing decides otherwise.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod members;
+pub mod message;
 pub mod metrics;
 pub mod notice;
 pub mod object;
--- /dev/null
+++ b/src/message.rs
@@ -0,0 +1,35 @@
+//! Datagrams between routing instances, encoded by `postcard`. All are soft state:
+//! one that is lost is told again.
+
+use crate::{backend::Holding, feed, lease::Word, plan::Report};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A datagram between instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+  Report(Report),
+  Told(Told),
+}
+
+/// What the holder of a group's lease tells other instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+  pub group: u32,
+  pub word: Word,
+  /// How far the holder has followed the deployment and the servers.
+  pub deployments: feed::Word,
+  pub servers: feed::Word,
+  pub instances: u32,
+  /// Where instances hear each other, so that the next holder knows them; empty
+  /// when not told.
+  pub members: Vec<SocketAddr>,
+  /// Changes of holdings between these counts; from 0: all holdings.
+  pub since: u64,
+  pub latest: u64,
+  pub holdings: Vec<Holding>,
+  /// Holdings known before no longer count.
+  pub first: bool,
+  /// Requests of all instances at servers that have some; empty when not told.
+  pub loads: Vec<(u32, u16)>,
+}
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -9,9 +9,9 @@
   command::{Command, Inventory, Taken},
   dispatch::Event,
   edge::Edge,
-  feed,
   hub::Hub,
-  lease::{self, Lease, Word},
+  lease::{self, Lease},
+  message::{Message, Told},
   plan::{Effect, News, Other, Plan, Report},
   policy::Policy,
   pool::Pool,
@@ -19,7 +19,6 @@
   socket::{Bell, Want, wait},
   store,
 };
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::{
   collections::BTreeMap,
@@ -62,35 +61,6 @@
 /// The holder tells others of all instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
 
-/// A datagram between instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-  Report(Report),
-  Told(Told),
-}
-
-/// What the holder of a group's lease tells other instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
-  pub group: u32,
-  pub word: Word,
-  /// How far the holder has followed the deployment and the servers.
-  pub deployments: feed::Word,
-  pub servers: feed::Word,
-  pub instances: u32,
-  /// Where instances hear each other, so that the next holder knows them; empty
-  /// when not told.
-  pub members: Vec<SocketAddr>,
-  /// Changes of holdings between these counts; from 0: all holdings.
-  pub since: u64,
-  pub latest: u64,
-  pub holdings: Vec<Holding>,
-  /// Holdings known before no longer count.
-  pub first: bool,
-  /// Requests of all instances at servers that have some; empty when not told.
-  pub loads: Vec<(u32, u16)>,
-}
-
 /// What other threads bring back.
 enum Done {
   Lease(usize, lease::Call, store::Result<store::Object>),
@@ -434,8 +404,10 @@
       let result = match &call {
         lease::Call::Read => (edge.store.read)(kind, &name),
         lease::Call::Write { record, revision } => {
-          let spec = serde_json::to_value(record).unwrap_or_default();
-          (edge.store.write)(kind, &name, *revision, &spec)
+          let spec = serde_json::to_value(record);
+          spec
+            .map_err(|error| store::Error::Malformed(error.to_string()))
+            .and_then(|spec| (edge.store.write)(kind, &name, *revision, &spec))
         }
       };
       // The planner's thread lives as long as the process.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -64,6 +64,14 @@
   keep: bool,
 }
 
+/// Whether a connection to a server carries another request.
+#[derive(Clone, Copy)]
+enum Reuse {
+  No,
+  /// Yes; with the time for which the server keeps it at rest, where it says so.
+  Within(Option<Duration>),
+}
+
 /// What came of a send, with why.
 struct Outcome {
   end: End,
@@ -262,8 +270,8 @@
     self.events.cut();
     let result = self.exchange(&mut socket, attempt);
     match result {
-      Ok((result, rest)) => {
-        if let Some(rest) = rest
+      Ok((result, reuse)) => {
+        if let Reuse::Within(rest) = reuse
           && socket.input.is_empty()
         {
           self.hub.pool.keep(&attempt.id, socket, rest);
@@ -418,12 +426,11 @@
     }
   }
 
-  #[allow(clippy::type_complexity)]
   fn exchange(
     &mut self,
     socket: &mut Socket,
     attempt: &Attempt,
-  ) -> Result<(Outcome, Option<Option<Duration>>), Outcome> {
+  ) -> Result<(Outcome, Reuse), Outcome> {
     let bytes = self.outgoing(attempt);
     let written = self.write(socket, &bytes)?;
     let (head, framing) = self.head(socket)?;
@@ -437,20 +444,17 @@
     if success && head.headers.get("content-encoding").is_some() {
       return Err(outcome(End::Broken, "answer in an encoding not asked for"));
     }
-    let keep = (written && head.keeps() && framing != Framing::Close).then(|| {
-      let header = head.headers.get("keep-alive")?;
-      let timeout = header
-        .split(',')
-        .find_map(|item| item.trim().strip_prefix("timeout="))?;
-      timeout.parse().ok().map(Duration::from_secs)
-    });
+    let reuse = match written && head.keeps() && framing != Framing::Close {
+      true => Reuse::Within(rest_allowed(&head)),
+      false => Reuse::No,
+    };
     let streams = success && self.incoming.route.stream.is_some();
     let result = if streams {
       self.stream(socket, &head, framing)?
     } else {
       self.whole(socket, head, framing, attempt)?
     };
-    Ok((result, keep))
+    Ok((result, reuse))
   }
 
   /// Passes a stream's events on as they come.
@@ -645,6 +649,15 @@
   }
 }
 
+/// Time for which a server keeps a connection at rest, where it says so.
+fn rest_allowed(head: &Response) -> Option<Duration> {
+  let header = head.headers.get("keep-alive")?;
+  let timeout = header
+    .split(',')
+    .find_map(|item| item.trim().strip_prefix("timeout="))?;
+  timeout.parse().ok().map(Duration::from_secs)
+}
+
 /// The status of a refusal: only what has not run may be called so.
 pub fn status(refusal: &Refusal) -> u16 {
   match (refusal.verdict, refusal.reason) {
