a test that bites: wait for the copy rather than the weight store

Cause: of eight mechanisms switched off one by one, seven were noticed by the tests of the plan, dispatch, http and the adapter; allowing the weight store always was not, because the copy was cheaper anyway. Change: a case in which the server with the copies is busy. With the mechanism switched off it fails, with it it passes.

--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -294,6 +294,19 @@
   assert!(loads.contains(&("one".into(), "e".into())), "{loads:?}");
 }
 
+#[test]
+fn a_model_waits_for_the_server_with_its_copy_rather_than_for_the_weight_store() {
+  let mut world = World::open(
+    &["a", "d", "e"],
+    &[("one", &[], &[]), ("two", &[], &["d", "e"])],
+  );
+  world.waiting = vec![("d".into(), 1), ("e".into(), 1)];
+  world.run(2_500);
+  let loads: BTreeSet<(String, String)> = world.loads().into_iter().collect();
+  let two = |model: &str| ("two".to_string(), model.to_string());
+  assert_eq!(loads, BTreeSet::from([two("d"), two("e")]));
+}
+
 #[test]
 fn loads_from_the_weight_store_are_bounded() {
   let names: Vec<String> = (0..12).map(|number| format!("m{number}")).collect();
