what nobody holds waits for its copy, also ahead of demand

Change: ahead of demand a model that nobody holds comes from the weight store only where no server has a copy; further replicas of heavy models still do. Measured: the test passes, and fails when the weight store is always allowed.

--- a/src/ahead.rs
+++ b/src/ahead.rs
@@ -86,6 +86,8 @@
       return;
     }
     let remote = self.remote_jobs();
+    // A model that nobody holds comes sooner from the server that has its copy.
+    let wait = self.holders(pool, model).is_empty() && self.copied(pool, model);
     let mut best: Option<(u64, String)> = None;
     for (id, server) in &self.servers {
       let room = engine.memory_mb.saturating_sub(server.memory(engine));
@@ -95,7 +97,7 @@
         continue;
       }
       let tier = server.spec.tier(model);
-      if tier == Tier::Remote && (remote >= AHEAD_AT_ONCE || !self.may_load(engine)) {
+      if tier == Tier::Remote && (wait || remote >= AHEAD_AT_ONCE || !self.may_load(engine)) {
         continue;
       }
       let cost = load_ms(checkpoint, tier) + LOAD_COST * u64::from(server.load());
