feed tests share their set-up

Cause: three tests set up the same store and gate, and two waited for news in the same words. Change: followed and heard; the assertions are the same.

--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -108,14 +108,30 @@
   longest
 }
 
-#[test]
-fn a_change_that_the_word_names_is_fetched_and_others_cost_no_call() {
+/// A store at revision 5 that is followed under a holder's word, and its news.
+fn followed() -> (Arc<Numbers>, Arc<Gate>, Receiver<u64>) {
   let numbers = Arc::new(Numbers::default());
   numbers.revision.store(5, Ordering::Relaxed);
   let gate = Arc::new(Gate::default());
   gate.told(word(5, 5, 0));
   let news = spawn(&numbers, &gate);
   assert_eq!(news.recv_timeout(LONG), Ok(5));
+  (numbers, gate, news)
+}
+
+/// Speaks for a holder until there is news.
+fn heard(gate: &Gate, word: Word, news: &Receiver<u64>) -> Option<u64> {
+  let mut heard = None;
+  speak(gate, word, || {
+    heard = heard.or(news.try_recv().ok());
+    heard.is_some()
+  });
+  heard
+}
+
+#[test]
+fn a_change_that_the_word_names_is_fetched_and_others_cost_no_call() {
+  let (numbers, gate, news) = followed();
   // Further changes do not matter: nothing is fetched while the word is fresh.
   numbers.revision.store(9, Ordering::Relaxed);
   let mut spoken = 0;
@@ -129,40 +145,20 @@
     "{watches}"
   );
   numbers.revision.store(12, Ordering::Relaxed);
-  let mut heard = None;
-  speak(&gate, word(12, 12, 0), || {
-    heard = heard.or(news.try_recv().ok());
-    heard.is_some()
-  });
-  assert_eq!(heard, Some(12));
+  assert_eq!(heard(&gate, word(12, 12, 0), &news), Some(12));
 }
 
 #[test]
 fn an_old_word_does_not_hide_news() {
-  let numbers = Arc::new(Numbers::default());
-  numbers.revision.store(5, Ordering::Relaxed);
-  let gate = Arc::new(Gate::default());
-  gate.told(word(5, 5, 0));
-  let news = spawn(&numbers, &gate);
-  assert_eq!(news.recv_timeout(LONG), Ok(5));
+  let (numbers, gate, news) = followed();
   // The holder speaks on, but the store has not answered it for long.
   numbers.revision.store(7, Ordering::Relaxed);
-  let mut heard = None;
-  speak(&gate, word(5, 5, 1_400), || {
-    heard = heard.or(news.try_recv().ok());
-    heard.is_some()
-  });
-  assert_eq!(heard, Some(7));
+  assert_eq!(heard(&gate, word(5, 5, 1_400), &news), Some(7));
 }
 
 #[test]
 fn who_leads_reads_all_that_it_passed_over() {
-  let numbers = Arc::new(Numbers::default());
-  numbers.revision.store(5, Ordering::Relaxed);
-  let gate = Arc::new(Gate::default());
-  gate.told(word(5, 5, 0));
-  let news = spawn(&numbers, &gate);
-  assert_eq!(news.recv_timeout(LONG), Ok(5));
+  let (numbers, gate, news) = followed();
   numbers.revision.store(9, Ordering::Relaxed);
   gate.told(word(9, 5, 0));
   gate.lead(true);
