questions apart from orders; room is looked at again after an order without answer

An order without answer that is carried out late takes room and moves the count of orders; a job planned meanwhile met a conflict, learnt the new count and went on without looking at the room again. (2) Orders waited up to 2.8 s for one of six threads while questions to servers that were cut off took 0.3 s each, again and again.

Change: a job goes on after a question only where its load still finds room, and not while the server is at work on something that is not known; questions have threads of their own, and a silent server rests longer each time.

--- a/src/held.rs
+++ b/src/held.rs
@@ -15,6 +15,8 @@
 /// Pause of a server whose order got no answer, ms: one that is carried out late
 /// finds another count of orders.
 pub(crate) const DOUBT_MS: u64 = 1_000;
+/// Doublings of that pause for a server that does not answer again and again.
+const SILENT_MOST: u32 = 3;
 /// An adapter comes within some milliseconds; time until requests may try it, ms.
 const ADAPTER_MS: u64 = 15;
 
@@ -58,6 +60,8 @@
   /// Adapter orders under way.
   pub(crate) adapters: Vec<(Model, Act)>,
   pub(crate) rest_until: u64,
+  /// Questions without an answer, in a row.
+  pub(crate) silent: u32,
   /// When models and adapters were last in use, ms.
   pub(crate) used: BTreeMap<Model, u64>,
   /// Requests of all instances, by model and adapter.
@@ -96,6 +100,7 @@
       job: None,
       adapters: Vec::new(),
       rest_until: 0,
+      silent: 0,
       used: BTreeMap::new(),
       running: BTreeMap::new(),
       told: None,
@@ -119,6 +124,16 @@
       && now >= self.rest_until
   }
 
+  /// A question got no answer: the server rests, longer each time.
+  pub(crate) fn unanswered(&mut self, now: u64) {
+    self.rest_until = now + (DOUBT_MS << self.silent.min(SILENT_MOST));
+    self.silent += 1;
+    if let Some(job) = &mut self.job {
+      job.waiting = false;
+      job.due = self.rest_until;
+    }
+  }
+
   pub(crate) fn doubt(&mut self, now: u64, taken: Taken) {
     self.synced = false;
     self.leaving.clear();
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -10,7 +10,7 @@
   command::{Act, Command, Inventory, Taken},
   deployment::Deployment,
   dispatch::{Demand, Model},
-  held::{DOUBT_MS, Server, Step, whole},
+  held::{Server, Step, whole},
   policy::Policy,
   selector::Labels,
 };
@@ -204,6 +204,7 @@
     for server in self.servers.values_mut() {
       server.synced = false;
       server.asking = false;
+      server.silent = 0;
       server.job = None;
       server.adapters.clear();
       server.leaving.clear();
@@ -360,13 +361,10 @@
     };
     server.asking = false;
     let Some(inventory) = inventory else {
-      server.rest_until = now + DOUBT_MS;
-      if let Some(job) = &mut server.job {
-        job.waiting = false;
-        job.due = now + ASK_MS;
-      }
+      server.unanswered(now);
       return;
     };
+    server.silent = 0;
     let first = !server.synced;
     if inventory.orders < server.orders {
       // Older than the last order.
@@ -393,7 +391,18 @@
     job.waiting = false;
     if job.step != Step::Await {
       server.models = inventory.models;
-      server.job = Some(job);
+      job.tries += 1;
+      if !inventory.busy {
+        server.job = Some(job);
+        return self.keep_job(id);
+      }
+      // What is under way takes room that is not known of yet.
+      match job.tries < AGAIN_MOST {
+        true => server.job = Some(job),
+        false => server.leaving.clear(),
+      }
+      server.synced = false;
+      server.rest_until = now + ASK_MS;
       return;
     }
     let done = inventory.models.contains_key(&job.model);
@@ -412,6 +421,39 @@
     server.job = Some(job);
   }
 
+  /// Goes on with a job after its server was asked again, where the load still finds
+  /// room: an earlier order without answer may have been carried out meanwhile.
+  fn keep_job(&mut self, id: &str) {
+    let Some(server) = self.servers.get_mut(id) else {
+      return;
+    };
+    let engine = self.deployment.pools.get(&server.spec.pool);
+    let engine = engine.and_then(|pool| pool.engine.as_ref());
+    let (Some(engine), Some(job)) = (engine, &mut server.job) else {
+      return;
+    };
+    let models = &server.models;
+    job.victims.retain(|victim| models.contains_key(victim));
+    if job.victims.is_empty() && job.step == Step::Unload {
+      job.step = Step::Load;
+    }
+    let job = job.clone();
+    let freed = job.victims.iter();
+    let freed: u64 = freed.map(|name| server.memory_of(engine, name)).sum();
+    let need = engine.models.get(&job.model).map(|model| model.memory_mb);
+    let left = engine
+      .memory_mb
+      .saturating_sub(server.memory(engine) - freed);
+    if !server.models.contains_key(&job.model) && need.is_some_and(|need| need <= left) {
+      return;
+    }
+    server.job = None;
+    server.leaving.clear();
+    self.news = true;
+    let why = format!("{left} MB left for {need:?} MB, or it is there");
+    self.note("load given up", id, &job.model, why);
+  }
+
   /// Goes on with everything that is due.
   pub fn step(&mut self, now: u64) -> Vec<Effect> {
     self.now = now;
@@ -549,7 +591,8 @@
     let Some(job) = &mut server.job else {
       return;
     };
-    if job.waiting || now < job.due {
+    let known = server.synced || job.step == Step::Await;
+    if job.waiting || now < job.due || !known {
       return;
     }
     if job.step == Step::Leave {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -33,8 +33,11 @@
   time::Instant,
 };
 
-/// Threads for orders and questions; one order a server is under way.
-const ORDER_THREADS: usize = 6;
+/// Threads for orders; one order a server is under way. One to a server that is cut off
+/// takes a thread for up to a second.
+const ORDER_THREADS: usize = 8;
+/// Threads for questions: apart, for servers that are cut off are asked again and again.
+const ASK_THREADS: usize = 6;
 /// Waiting requests are told again this often, ms.
 const DEMAND_MS: u64 = 150;
 /// Running requests are told this often, ms.
@@ -99,6 +102,7 @@
   groups: Vec<Group>,
   calls: Pool,
   orders: Pool,
+  asks: Pool,
   done: Sender<Done>,
   finished: Receiver<Done>,
   bell: Arc<Bell>,
@@ -132,6 +136,7 @@
       .collect(),
     calls: Pool::spawn("lease", 2)?,
     orders: Pool::spawn("order", ORDER_THREADS)?,
+    asks: Pool::spawn("ask", ASK_THREADS)?,
     done,
     finished,
     bell: Arc::new(Bell::open()?),
@@ -553,7 +558,7 @@
 
   fn ask(&self, index: usize, id: String, address: SocketAddr) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
-    self.orders.run(move || {
+    self.asks.run(move || {
       let inventory = (edge.report)(address, &id);
       let _ = done.send(Done::Asked(index, id, inventory));
       bell.ring();
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -355,6 +355,33 @@
   assert_eq!(world.carry_out(&late), Taken::Conflict);
 }
 
+#[test]
+fn an_order_carried_out_late_takes_the_room_of_the_next_load() {
+  let mut world = World::open(&["a", "b", "d", "e"], &[("one", &["a", "b"], &["d", "e"])]);
+  world.running = vec![("one".into(), "a".into(), 1), ("one".into(), "b".into(), 1)];
+  world.run(100);
+  world.fate = Some(Taken::Unknown);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(100);
+  let late = world.orders.iter().find(|order| order.model.name == "d");
+  let late = late.unwrap().clone();
+  // The server is asked before the order is carried out: there is room for another.
+  world.fate = Some(Taken::Conflict);
+  world.waiting = vec![("e".into(), 1)];
+  while world.loads().len() < 2 {
+    world.run(10);
+  }
+  world.fate = None;
+  assert_eq!(world.carry_out(&late), Taken::Accepted);
+  world.servers.get_mut("one").unwrap().busy_until = world.now + 300;
+  // The world panics where more is ordered than there is memory for.
+  world.run(3_000);
+  assert!(
+    world.holds("one", "e"),
+    "what is waited for takes the room of what is not"
+  );
+}
+
 #[test]
 fn adapters_of_a_model_in_use_are_loaded_within_the_places() {
   let mut world = World::open(&["a"], &[("one", &["a"], &[]), ("two", &["a"], &[])]);
