callers that would leave before a load ends are told when to come back; requests that miss a model make the planner ask

Ruled out for (1): refusing at arrival whenever the load takes longer than the objective.

Change: a request that waits is refused as not run, with the time the load takes, when the model cannot be ready before its caller leaves, and at nine tenths of the caller's patience in any case; what refused callers want counts as demand until they are back, and is not unloaded. Instances report models that requests did not find; the planner asks the server, at most once a second. A watch without news and the pause after it (2.75 s) no longer count as a silence of the store (3.1 s).

Tests: a_model_that_requests_do_not_find_is_loaded_again (failed before).

--- /dev/null
+++ b/soak/src/check.rs
@@ -0,0 +1,336 @@
+//! The promises, checked against a history.
+
+use crate::history::{End, History, Kind, Order, Sent, Target};
+use std::collections::{BTreeMap, HashMap};
+
+/// Bounds that hold on top of the machine's own delays, ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+  /// From the end of a caller's patience to its final answer.
+  pub answer_ms: u64,
+  /// From the store's word that a server leaves to the last new request there.
+  pub drain_ms: u64,
+  /// From the store's word of a configuration to its force everywhere.
+  pub configure_ms: u64,
+  /// Without trouble for this long an instance is in touch.
+  pub contact_ms: u64,
+  /// Between orders of two holders to one server.
+  pub lease_ms: u64,
+  /// After a freeze or a cut, orders that were on their way may still arrive.
+  pub thaw_ms: u64,
+  /// From the end of all faults to full service.
+  pub recover_ms: u64,
+  /// Replicas that the policy allows for the bounded model.
+  pub replicas: usize,
+  /// Whether bounds of time are checked: they depend on the machine's speed.
+  pub timed: bool,
+}
+
+impl Default for Bounds {
+  /// The bounds of the users' deployments (`drain_ms`, `config_apply_ms`,
+  /// `contact_ms`, `thaw_slack_ms`, `recovery_s`), with some room for one machine.
+  fn default() -> Self {
+    Self {
+      answer_ms: 500,
+      drain_ms: 2_500,
+      configure_ms: 2_500,
+      contact_ms: 3_000,
+      lease_ms: 1_000,
+      thaw_ms: 400,
+      recover_ms: 6_000,
+      replicas: 2,
+      timed: true,
+    }
+  }
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+  pub promise: &'static str,
+  pub at: u64,
+  pub text: String,
+}
+
+/// Part of calm requests that must be served, in hundredths.
+const SERVED_PERCENT: usize = 90;
+/// Factor on this machine's longest delay where times are compared.
+const LAG: u64 = 2;
+
+struct Check<'a> {
+  history: &'a History,
+  bounds: Bounds,
+  /// Servers that ran a request, with times.
+  runs: HashMap<&'a str, Vec<(&'a str, u64)>>,
+  found: Vec<Violation>,
+}
+
+/// All broken promises, in order of time.
+pub fn check(history: &History, bounds: &Bounds) -> Vec<Violation> {
+  let mut runs: HashMap<&str, Vec<(&str, u64)>> = HashMap::new();
+  for run in &history.runs {
+    let entry = runs.entry(&run.id).or_default();
+    entry.push((&run.server, run.at));
+  }
+  let mut check = Check {
+    history,
+    bounds: *bounds,
+    runs,
+    found: Vec::new(),
+  };
+  check.requests();
+  check.orders();
+  check.memory();
+  check.configurations();
+  if bounds.timed {
+    check.drained();
+  }
+  check.recovery();
+  let mut found = check.found;
+  found.sort_by_key(|violation| violation.at);
+  found
+}
+
+impl Check<'_> {
+  fn found(&mut self, promise: &'static str, at: u64, text: String) {
+    self.found.push(Violation { promise, at, text });
+  }
+
+  /// Whether a fault at a target lasted at some time between two.
+  fn troubled(&self, target: &Target, from: u64, to: u64) -> bool {
+    let mut troubles = self.history.troubles.iter();
+    troubles.any(|trouble| trouble.target == *target && trouble.from <= to && trouble.to >= from)
+  }
+
+  fn any_server_troubled(&self, from: u64, to: u64) -> bool {
+    let mut troubles = self.history.troubles.iter();
+    troubles.any(|trouble| {
+      matches!(trouble.target, Target::Server(_)) && trouble.from <= to && trouble.to >= from
+    })
+  }
+
+  fn slack(&self) -> u64 {
+    LAG * self.history.lag_ms
+  }
+
+  fn requests(&mut self) {
+    for sent in &self.history.sent {
+      self.once(sent);
+      self.refusal(sent);
+      self.answer(sent);
+      if self.bounds.timed {
+        self.in_time(sent);
+      }
+    }
+  }
+
+  fn runs_of(&self, sent: &Sent) -> usize {
+    self.runs.get(sent.id.as_str()).map_or(0, Vec::len)
+  }
+
+  /// What may not be repeated runs at most once.
+  fn once(&mut self, sent: &Sent) {
+    let runs = self.runs_of(sent);
+    if !sent.kind.repeatable() && runs > 1 {
+      let text = format!("`{}` ran {runs} times", sent.id);
+      self.found("once", sent.at, text);
+    }
+  }
+
+  /// What is called not run has not run.
+  fn refusal(&mut self, sent: &Sent) {
+    let End::Failure { status, signed } = sent.end else {
+      return;
+    };
+    let runs = self.runs_of(sent);
+    if matches!(status, 408 | 421 | 429 | 503) && !signed && runs > 0 {
+      let text = format!(
+        "`{}` was refused with {status} and ran {runs} times",
+        sent.id
+      );
+      self.found("refusal", sent.at, text);
+    }
+  }
+
+  /// A caller gets the whole answer to its own request, or a final answer.
+  fn answer(&mut self, sent: &Sent) {
+    let instance = Target::Instance(sent.instance);
+    let excused = self.troubled(&instance, sent.at, sent.ended);
+    match sent.end {
+      End::Success { own: false } => {
+        let text = format!("`{}` got what is not its own whole answer", sent.id);
+        self.found("answer", sent.at, text);
+      }
+      End::Cut if !excused && !self.any_server_troubled(sent.at, sent.ended) => {
+        let text = format!("the answer to `{}` broke off without a fault", sent.id);
+        self.found("answer", sent.at, text);
+      }
+      End::Closed if !excused => {
+        // A request that crosses the close of a connection at rest has not been read.
+        if !(sent.reused && self.runs_of(sent) == 0) {
+          let text = format!("`{}` ended without an answer", sent.id);
+          self.found("stop", sent.at, text);
+        }
+      }
+      _ => {}
+    }
+  }
+
+  /// Served or refused in time.
+  fn in_time(&mut self, sent: &Sent) {
+    let instance = Target::Instance(sent.instance);
+    let last = sent.at + sent.kind.deadline_ms() + self.bounds.answer_ms + self.slack();
+    if sent.ended > last && !self.troubled(&instance, sent.at, sent.ended) {
+      let took = sent.ended - sent.at;
+      let text = format!("`{}` took {took} ms to its final answer", sent.id);
+      self.found("in time", sent.at, text);
+    }
+  }
+
+  /// One holder gives orders to a server at a time.
+  fn orders(&mut self) {
+    let mut servers: BTreeMap<&str, Vec<&Order>> = BTreeMap::new();
+    for order in &self.history.orders {
+      servers.entry(&order.server).or_default().push(order);
+    }
+    for (server, mut orders) in servers {
+      orders.sort_by_key(|order| order.at);
+      let pairs: Vec<(&Order, &Order)> = orders.windows(2).map(|pair| (pair[0], pair[1])).collect();
+      for (one, two) in pairs {
+        if one.holder != two.holder && !self.on_its_way(server, two.at) {
+          self.two_holders(server, one, two);
+        }
+      }
+    }
+  }
+
+  fn two_holders(&mut self, server: &str, one: &Order, two: &Order) {
+    let between = two.at - one.at;
+    let wrong = match () {
+      () if one.term == two.term => "with the same term",
+      () if one.term > two.term => "with a lower term",
+      () if self.bounds.timed && between + self.slack() < self.bounds.lease_ms => "too soon",
+      () => return,
+    };
+    let text = format!(
+      "server `{server}` got orders of `{}` (term {}) and {between} ms later of `{}` (term {}): {wrong}",
+      one.holder, one.term, two.holder, two.term
+    );
+    self.found("orders", two.at, text);
+  }
+
+  /// An order that a cut or a freeze held up may arrive after it.
+  fn on_its_way(&self, server: &str, at: u64) -> bool {
+    let from = at.saturating_sub(self.bounds.thaw_ms + self.slack());
+    let mut troubles = self.history.troubles.iter();
+    troubles.any(|trouble| {
+      let held = match &trouble.target {
+        Target::Instance(_) => trouble.what == "freeze",
+        Target::Server(id) => id == server,
+        Target::Store => false,
+      };
+      held && trouble.from <= at && trouble.to >= from
+    })
+  }
+
+  /// Memory is not overcommitted, and no more replicas are loaded than decided.
+  fn memory(&mut self) {
+    for (server, loads) in &self.history.overfull {
+      let text = format!("server `{server}` was given {loads} loads beyond its memory");
+      self.found("memory", 0, text);
+    }
+    let most = self.bounds.replicas;
+    let over = self
+      .history
+      .replicas
+      .iter()
+      .find(|(_, count)| *count > most);
+    if let Some((at, count)) = over
+      && !self.history.late_orders
+    {
+      let text = format!("{count} servers hold the model that {most} may hold");
+      self.found("replicas", *at, text);
+    }
+  }
+
+  /// A configuration is in force in time and never goes back.
+  fn configurations(&mut self) {
+    let mut newest: BTreeMap<(usize, u32), u64> = BTreeMap::new();
+    for probe in &self.history.probes {
+      let before = newest.entry((probe.instance, probe.life)).or_default();
+      if probe.version < *before {
+        let text = format!(
+          "instance {} went from version {before} back to {}",
+          probe.instance, probe.version
+        );
+        self.found("configuration", probe.at, text);
+      }
+      *before = (*before).max(probe.version);
+      let bound = self.bounds.configure_ms + self.slack();
+      let due = self.history.configured.iter();
+      let due = due.filter(|(_, at)| at + bound <= probe.at);
+      let due = due.map(|(version, _)| *version).max().unwrap_or_default();
+      let from = probe.at.saturating_sub(self.bounds.contact_ms + bound);
+      let excused = self.troubled(&Target::Instance(probe.instance), from, probe.at)
+        || self.troubled(&Target::Store, from, probe.at);
+      if self.bounds.timed && probe.version < due && !excused {
+        let text = format!(
+          "instance {} has version {}, not {due}",
+          probe.instance, probe.version
+        );
+        self.found("configuration", probe.at, text);
+      }
+    }
+  }
+
+  /// A server that leaves gets no new work.
+  fn drained(&mut self) {
+    for (server, at) in &self.history.drained {
+      let bound = at + self.bounds.drain_ms + self.slack();
+      let mut late = self.history.runs.iter();
+      let late = late.find(|run| run.server == *server && run.at > bound);
+      let Some(run) = late else {
+        continue;
+      };
+      let from = at.saturating_sub(self.bounds.contact_ms);
+      let sent = self.history.sent.iter().find(|sent| sent.id == run.id);
+      let excused = self.troubled(&Target::Store, from, run.at)
+        || sent.is_none_or(|sent| self.troubled(&Target::Instance(sent.instance), from, run.at));
+      if !excused {
+        let late = run.at - at;
+        let text = format!(
+          "server `{server}` got `{}` {late} ms after it began to leave",
+          run.id
+        );
+        self.found("leaving", run.at, text);
+      }
+    }
+  }
+
+  /// After all faults everything is served again.
+  fn recovery(&mut self) {
+    let from = self.history.calm_from + self.bounds.recover_ms;
+    for kind in Kind::ALL {
+      let calm = self.history.sent.iter();
+      let calm: Vec<&Sent> = calm
+        .filter(|sent| sent.kind == kind && sent.at >= from && sent.end != End::Left)
+        .collect();
+      let served = calm.iter();
+      let served = served
+        .filter(|sent| matches!(sent.end, End::Success { .. }))
+        .count();
+      let enough = match self.bounds.timed {
+        true => served * 100 >= calm.len() * SERVED_PERCENT,
+        false => served > 0,
+      };
+      if calm.is_empty() || !enough {
+        let text = format!(
+          "{served} of {} requests `{}` were served",
+          calm.len(),
+          kind.route()
+        );
+        self.found("recovery", from, text);
+      }
+    }
+  }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,1 +1,9 @@
+//! Random faults against real instances of bendsaddle, as processes before stand-ins
+//! of the users' platform, with the promises checked from what callers and backend
+//! servers saw.
 
+pub mod check;
+pub mod history;
+pub mod load;
+pub mod plan;
+pub mod world;
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,192 @@
+//! The plan of a run: faults and load, all from a seed.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use std::fmt;
+
+/// How a connection is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+  /// New connections are refused, open ones end.
+  Refuse,
+  /// Nothing passes either way; connections stay.
+  Silent,
+  /// Questions pass and answers do not.
+  OneWay,
+}
+
+/// What the platform's store does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Store {
+  Down,
+  /// Down, and entries of servers lapse meanwhile.
+  Lapse,
+  Silent,
+  Slow,
+  LosesAnswers,
+  WritesLate,
+  Forgets,
+}
+
+/// What a server does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Server {
+  Crash,
+  Drain,
+  /// Its entry goes without a word, and it serves on for a while.
+  Vanish,
+  Slow,
+  Fails,
+  Declines,
+  LosesAnswers,
+  BreaksStreams,
+  OrdersLate,
+  Cut(Cut),
+  Delay,
+}
+
+/// A fault; instances and servers by number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+  /// SIGKILL; it starts again at the end.
+  Kill(usize),
+  /// SIGSTOP until the end.
+  Freeze(usize),
+  /// SIGTERM; it starts again when it has ended.
+  Stop(usize),
+  /// SIGHUP.
+  Reload(usize),
+  /// SIGKILL of all.
+  KillAll,
+  Store(Store),
+  StoreCut(usize, Cut),
+  Server(usize, Server),
+  /// Changes of the configuration, one after the other.
+  Configure(u32),
+  /// Many times the requests.
+  Burst,
+}
+
+/// A fault with its time, ms since the load began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+  pub at: u64,
+  pub lasts: u64,
+  pub fault: Fault,
+}
+
+impl fmt::Display for Step {
+  fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+    write!(
+      f,
+      "{:>6} ms for {:>5} ms: {:?}",
+      self.at, self.lasts, self.fault
+    )
+  }
+}
+
+/// Sizes of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+  pub instances: usize,
+  /// Model engines, and as many plain servers.
+  pub servers: usize,
+  /// Callers of each instance.
+  pub callers: usize,
+  /// Time in which faults begin, ms.
+  pub faults_ms: u64,
+}
+
+impl Default for Size {
+  fn default() -> Self {
+    Self {
+      instances: 3,
+      servers: 4,
+      callers: 6,
+      faults_ms: 12_000,
+    }
+  }
+}
+
+/// Mean pause between two faults, ms.
+const PAUSE_MS: u64 = 700;
+/// A fault comes with a second one at the same time, in hundredths.
+const TWICE: u32 = 25;
+
+/// Draws a plan; the same seed and size give the same.
+pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed);
+  let mut steps = Vec::new();
+  let mut at = 500;
+  while at < size.faults_ms {
+    steps.push(step(&mut rng, size, at));
+    if !rng.random_ratio(TWICE, 100) {
+      at += rng.random_range(PAUSE_MS / 3..PAUSE_MS * 5 / 3);
+    }
+  }
+  steps
+}
+
+fn step(rng: &mut SmallRng, size: &Size, at: u64) -> Step {
+  Step {
+    at,
+    lasts: rng.random_range(500..4_500),
+    fault: fault(rng, size),
+  }
+}
+
+fn fault(rng: &mut SmallRng, size: &Size) -> Fault {
+  let instance = rng.random_range(0..size.instances);
+  match rng.random_range(0..100) {
+    0..8 => Fault::Kill(instance),
+    8..16 => Fault::Freeze(instance),
+    16..22 => Fault::Stop(instance),
+    22..26 => Fault::Reload(instance),
+    26..28 => Fault::KillAll,
+    28..44 => Fault::Store(store(rng)),
+    44..54 => Fault::StoreCut(instance, cut(rng)),
+    54..84 => Fault::Server(rng.random_range(0..size.servers * 2), server(rng)),
+    84..96 => Fault::Configure(rng.random_range(1..5)),
+    _ => Fault::Burst,
+  }
+}
+
+fn pick<T: Copy>(rng: &mut SmallRng, among: &[T]) -> T {
+  *among.choose(rng).expect("something to choose from")
+}
+
+fn cut(rng: &mut SmallRng) -> Cut {
+  pick(rng, &[Cut::Refuse, Cut::Silent, Cut::OneWay])
+}
+
+fn store(rng: &mut SmallRng) -> Store {
+  let all = [
+    Store::Down,
+    Store::Lapse,
+    Store::Silent,
+    Store::Slow,
+    Store::LosesAnswers,
+    Store::WritesLate,
+    Store::Forgets,
+  ];
+  pick(rng, &all)
+}
+
+fn server(rng: &mut SmallRng) -> Server {
+  let cut = Server::Cut(cut(rng));
+  let all = [
+    Server::Crash,
+    Server::Crash,
+    Server::Drain,
+    Server::Drain,
+    Server::Vanish,
+    Server::Slow,
+    Server::Fails,
+    Server::Declines,
+    Server::LosesAnswers,
+    Server::BreaksStreams,
+    Server::OrdersLate,
+    cut,
+    Server::Delay,
+  ];
+  pick(rng, &all)
+}
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -53,6 +53,17 @@
   pub models: BTreeMap<String, Vec<String>>,
   /// Models about to be unloaded: no new work.
   pub leaving: Vec<String>,
+  /// The model that is being loaded.
+  pub coming: Option<String>,
+}
+
+/// A load under way, as far as an instance was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loading {
+  pub model: String,
+  pub tier: Tier,
+  /// When it was first told of, ms.
+  pub since: u64,
 }
 
 /// A server's id, short enough to be told often.
@@ -79,6 +90,7 @@
   pub missing: BTreeMap<String, u64>,
   /// Its entry is missing since the store was silent; it may come back.
   pub lapsed: bool,
+  pub loading: Option<Loading>,
 }
 
 impl Backend {
@@ -94,7 +106,21 @@
       avoid_until: 0,
       missing: BTreeMap::new(),
       lapsed: false,
+      loading: None,
+    }
+  }
+
+  /// Takes up the planner's word on what is held.
+  pub fn told(&mut self, holding: Holding, now: u64) {
+    let same = |loading: &Loading| Some(&loading.model) == holding.coming.as_ref();
+    if !self.loading.as_ref().is_some_and(same) {
+      self.loading = holding.coming.as_ref().map(|model| Loading {
+        model: model.clone(),
+        tier: self.spec.tier(model),
+        since: now,
+      });
     }
+    self.holding = Some(holding);
   }
 
   /// Whether a request for a model, and an adapter of it, can run there. The
--- a/src/choose.rs
+++ b/src/choose.rs
@@ -270,7 +270,8 @@
 
   /// What it costs when a model gives way; none: it may not.
   pub(crate) fn loss(&self, engine: &Engine, server: &Server, name: &str) -> Option<u64> {
-    if server.busy_with(name) {
+    let wanted = (server.spec.pool.clone(), name.to_string());
+    if server.busy_with(name) || self.wanted.contains(&wanted) {
       return None;
     }
     if server.leaving.contains(name) {
--- /dev/null
+++ b/src/cold.rs
@@ -0,0 +1,156 @@
+//! Requests for models that no server holds: when such a model will be ready, and
+//! whether a caller waits for it or is told when to come back.
+//!
+//! A caller that would leave before the load ends is told so at once, and comes back to
+//! a loaded model. What it wants counts as demand until then.
+
+use crate::{
+  backend::{Backend, Stage},
+  dispatch::{Ask, Demand, Model, Request, State},
+  held::load_ms,
+  verdict::Verdict,
+};
+use std::collections::BTreeMap;
+
+/// From a decision to load to its begin, ms: word of what gives way, its unload and the
+/// order take 25, 60 and some 10.
+const LEAD_MS: u64 = 120;
+/// From demand to that decision, ms: a report and a step of the planner.
+const DECISION_MS: u64 = 80;
+/// Added where no planner is heard of, ms: another one takes over in about this time.
+const TAKEOVER_MS: u64 = 2_000;
+/// Added to the time after which a caller may come back, ms: it should not come before
+/// the word of the load's end.
+const MARGIN_MS: u64 = 100;
+/// What a caller that was refused wants counts as demand for this long after it may
+/// come back, ms: callers come back within some hundred.
+const STAY_MS: u64 = 700;
+/// A load that should be over may take this much longer, ms.
+const LATE_MS: u64 = 300;
+/// Part of a caller's patience after which a request that waits is refused, in
+/// hundredths: its answer should arrive before the caller leaves.
+const PATIENCE_PERCENT: u64 = 90;
+/// Callers give a stream up when nothing comes for this long, ms, or for this many
+/// objectives, or pauses allowed, whichever is longest (docs/QUESTIONS.md).
+const STREAM_PATIENCE_MS: u64 = 2_000;
+const STREAM_OBJECTIVES: u64 = 4;
+const STREAM_GAPS: u64 = 8;
+
+/// What callers want that were told to come back.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+  /// When the first of them asked, and until when it counts, ms.
+  since: u64,
+  until: u64,
+  callers: u32,
+  priority: u8,
+}
+
+/// Wants by pool and model.
+pub(crate) type Wants = BTreeMap<(String, Model), Want>;
+
+/// When a request that waits without an offer is given up, ms: before its caller leaves.
+pub(crate) fn give_up_at(request: &Request) -> u64 {
+  let ask = &request.ask;
+  let whole = ask.until.saturating_sub(request.arrived);
+  let route = &ask.route;
+  let silence = route.stream.map_or(u64::MAX, |stream| {
+    STREAM_PATIENCE_MS
+      .max(route.objective_ms * STREAM_OBJECTIVES)
+      .max(stream.gap_ms * STREAM_GAPS)
+  });
+  request.arrived + whole.min(silence) * PATIENCE_PERCENT / 100
+}
+
+impl State {
+  /// For a request that finds no server: after how long its caller should come back,
+  /// ms; none: it waits.
+  pub(crate) fn come_back(&self, request: &Request) -> Option<u64> {
+    let model = request.ask.model.as_ref()?;
+    if request.verdict != Verdict::NotRun || self.held(&request.ask.pool, &model.name) {
+      return None;
+    }
+    let ready = self.ready_at(&request.ask)?;
+    (ready > give_up_at(request)).then(|| ready.saturating_sub(self.now) + MARGIN_MS)
+  }
+
+  /// Whether a server that takes work holds a model.
+  fn held(&self, pool: &str, model: &str) -> bool {
+    let told = self.told_until();
+    let holds = |backend: &&Backend| backend.holds(model, None, told, self.now);
+    self.working(pool).any(|backend| holds(&backend))
+  }
+
+  fn working<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Backend> {
+    let backends = self.backends.values();
+    backends.filter(move |backend| backend.spec.pool == pool && backend.spec.stage == Stage::Ready)
+  }
+
+  /// When a model that nobody holds can be used, as far as known, ms.
+  fn ready_at(&self, ask: &Ask) -> Option<u64> {
+    let model = ask.model.as_ref()?;
+    let engine = self.engine(&ask.pool)?;
+    let checkpoint = engine.models.get(&model.name)?;
+    let loading = self
+      .working(&ask.pool)
+      .filter_map(|backend| backend.loading.as_ref())
+      .filter(|loading| loading.model == model.name)
+      .map(|loading| loading.since + LEAD_MS + load_ms(checkpoint, loading.tier))
+      .min();
+    let ready = match loading {
+      Some(ready) => ready,
+      None => {
+        let tiers = self
+          .working(&ask.pool)
+          .map(|backend| backend.spec.tier(&model.name));
+        let load = load_ms(checkpoint, tiers.min()?);
+        let silent = self.now > self.told_until();
+        let takeover = if silent { TAKEOVER_MS } else { 0 };
+        self.wanted_since(&ask.pool, model) + takeover + DECISION_MS + LEAD_MS + load
+      }
+    };
+    Some(ready.max(self.now + LATE_MS * u64::from(ready < self.now)))
+  }
+
+  fn wanted_since(&self, pool: &str, model: &Model) -> u64 {
+    let want = self.wants.get(&(pool.to_string(), model.clone()));
+    let want = want.filter(|want| self.now < want.until);
+    want.map_or(self.now, |want| want.since)
+  }
+
+  /// A caller goes with the promise that its model is being loaded.
+  pub(crate) fn want(&mut self, ask: &Ask, retry_after: u64) {
+    let Some(model) = ask.model.clone() else {
+      return;
+    };
+    let now = self.now;
+    self.wants.retain(|_, want| now < want.until);
+    let want = self.wants.entry((ask.pool.clone(), model)).or_insert(Want {
+      since: now,
+      until: 0,
+      callers: 0,
+      priority: ask.route.priority,
+    });
+    want.until = want.until.max(now + retry_after + STAY_MS);
+    want.callers += 1;
+    want.priority = want.priority.min(ask.route.priority);
+  }
+
+  /// Adds to the demand what callers want that were told to come back.
+  pub(crate) fn add_wants(&self, now: u64, demand: &mut BTreeMap<(String, Model), Demand>) {
+    for ((pool, model), want) in self.wants.iter().filter(|(_, want)| now < want.until) {
+      let entry = demand
+        .entry((pool.clone(), model.clone()))
+        .or_insert_with(|| Demand {
+          pool: pool.clone(),
+          model: model.clone(),
+          waiting: 0,
+          priority: want.priority,
+          age_ms: 0,
+        });
+      entry.waiting += want.callers;
+      entry.priority = entry.priority.min(want.priority);
+      entry.age_ms = entry.age_ms.max(now.saturating_sub(want.since));
+    }
+  }
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::{
   ask::Ticket,
   backend::{self, Backend, Holding, Spec, Stage, missing_name},
+  cold::{Wants, give_up_at},
   deployment::{Deployment, Engine},
   feed::SILENT,
   refusal::{Reason, Refusal},
@@ -249,12 +250,14 @@
   /// When a planner was last heard of, ms.
   pub told_at: u64,
   store_lost: bool,
+  /// What callers want that were told to come back.
+  pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
   lapse_until: u64,
   /// Counts changes of holdings that were told.
   pub tellings: u64,
   rng: SmallRng,
-  now: u64,
+  pub(crate) now: u64,
   out: Vec<Effect>,
 }
 
@@ -281,6 +284,7 @@
       stop_at: u64::MAX,
       told_at: 0,
       store_lost: false,
+      wants: Wants::new(),
       lapse_until: 0,
       tellings: 0,
       rng: SmallRng::seed_from_u64(seed),
@@ -442,6 +446,7 @@
       for backend in self.backends.values_mut() {
         if backend::group(&backend.spec.id, groups) == group {
           backend.holding = None;
+          backend.loading = None;
         }
       }
     }
@@ -449,7 +454,7 @@
     self.tellings += u64::from(news || all.is_some());
     for holding in holdings {
       if let Some(key) = self.ids.get(&holding.id) {
-        self.backends[*key].holding = Some(holding);
+        self.backends[*key].told(holding, self.now);
       }
     }
     if news {
@@ -494,13 +499,18 @@
   }
 
   fn refuse(&mut self, ticket: Ticket, reason: Reason) {
+    self.send_back(ticket, reason, COME_BACK_MS);
+  }
+
+  /// Refuses a request; its caller may come back after some time, ms.
+  fn send_back(&mut self, ticket: Ticket, reason: Reason, retry_after: u64) {
     let Some(request) = self.requests.get(&ticket) else {
       return;
     };
     let refusal = Refusal {
       reason,
       verdict: request.verdict,
-      retry_after: Some(COME_BACK_MS),
+      retry_after: Some(retry_after),
     };
     self.out.push(Effect::Refuse(ticket, refusal));
     self.forget(ticket);
@@ -549,7 +559,21 @@
     }
     let new = request.waiting.is_none();
     request.waiting.get_or_insert(now);
-    let until = request.ask.until.min(now + LOOK_MS);
+    let give_up = match request.verdict {
+      Verdict::NotRun => give_up_at(request),
+      // It may be resumed, and nothing else would be known of it.
+      Verdict::MayHaveRun => request.ask.until,
+    };
+    let request = request.clone();
+    if let Some(retry_after) = self.come_back(&request) {
+      self.want(&request.ask, retry_after);
+      self.out.push(Effect::Want);
+      return self.send_back(ticket, Reason::Loading, retry_after);
+    }
+    if now >= give_up {
+      return self.refuse(ticket, Reason::NoServer);
+    }
+    let until = request.ask.until.min(give_up).min(now + LOOK_MS);
     let entry = order(&request.ask);
     let wants = request.ask.model.is_some();
     self.waiting.insert(entry);
@@ -674,7 +698,12 @@
     }
   }
 
-  fn engine(&self, pool: &str) -> Option<&Engine> {
+  /// Until when the planner's last word on holdings counts, ms.
+  pub(crate) fn told_until(&self) -> u64 {
+    self.told_at + TOLD_MS
+  }
+
+  pub(crate) fn engine(&self, pool: &str) -> Option<&Engine> {
     let pool = self.deployment.as_ref()?.pools.get(pool)?;
     pool.engine.as_deref()
   }
@@ -716,13 +745,27 @@
   fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
     match &ask.model {
       Some(model) => {
-        let told = self.told_at + TOLD_MS;
+        let told = self.told_until();
         backend.holds(&model.name, model.adapter.as_deref(), told, self.now)
       }
       None => true,
     }
   }
 
+  /// Servers that lately declined requests for a model that they should hold, for the
+  /// planner.
+  pub fn missing(&self, now: u64) -> Vec<(String, String)> {
+    let backends = self.backends.values();
+    let found = backends.flat_map(|backend| {
+      let names = backend
+        .missing
+        .iter()
+        .filter(move |(_, until)| now < **until);
+      names.map(|(name, _)| (backend.spec.id.clone(), Model::parse(name).name))
+    });
+    found.collect()
+  }
+
   /// Waiting requests by model, for the planner.
   pub fn demand(&self, now: u64) -> Vec<Demand> {
     let mut demand: BTreeMap<(String, Model), Demand> = BTreeMap::new();
@@ -746,6 +789,7 @@
       entry.priority = entry.priority.min(*priority);
       entry.age_ms = entry.age_ms.max(age_ms);
     }
+    self.add_wants(now, &mut demand);
     demand.into_values().collect()
   }
 }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -20,9 +20,9 @@
 /// Wait of the first watch after a failure: it only shows that the store answers.
 const FIRST: Duration = Duration::from_millis(1);
 /// The store was silent when nothing was heard of it for this long: longer than a
-/// watch without news, shorter than the three heartbeats, of a bit more than a second
-/// each, after which entries of servers lapse.
-pub const SILENT: Duration = Duration::from_millis(2_700);
+/// watch without news and the pause before it, shorter than the three heartbeats, of a
+/// bit more than a second each, after which entries of servers lapse.
+pub const SILENT: Duration = Duration::from_millis(3_100);
 /// Pause after news, so that changes made together come in one answer.
 const GATHER: Duration = Duration::from_millis(250);
 /// Pause after a failure, doubled for each further one, and its most.
--- a/src/held.rs
+++ b/src/held.rs
@@ -60,6 +60,8 @@
   /// Adapter orders under way.
   pub(crate) adapters: Vec<(Model, Act)>,
   pub(crate) rest_until: u64,
+  /// When it was last asked because a request did not find a model there, ms.
+  pub(crate) doubted: u64,
   /// Questions without an answer, in a row.
   pub(crate) silent: u32,
   /// When models and adapters were last in use, ms.
@@ -100,6 +102,7 @@
       job: None,
       adapters: Vec::new(),
       rest_until: 0,
+      doubted: 0,
       silent: 0,
       used: BTreeMap::new(),
       running: BTreeMap::new(),
@@ -124,6 +127,16 @@
       && now >= self.rest_until
   }
 
+  /// A request did not find a model that should be here: an unload that got no answer
+  /// may have been carried out late. The server is asked.
+  pub(crate) fn missed(&mut self, now: u64, model: &str) {
+    let believed = self.models.contains_key(model) && !self.leaving.contains(model);
+    if believed && self.free(now) && now >= self.doubted + DOUBT_MS {
+      self.doubted = now;
+      self.synced = false;
+    }
+  }
+
   /// A question got no answer: the server rests, longer each time.
   pub(crate) fn unanswered(&mut self, now: u64) {
     self.rest_until = now + (DOUBT_MS << self.silent.min(SILENT_MOST));
@@ -170,6 +183,7 @@
       id: self.spec.id.clone(),
       models: self.models.clone(),
       leaving: self.leaving.iter().cloned().collect(),
+      coming: self.job.as_ref().map(|job| job.model.clone()),
     }
   }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod choose;
 pub mod claim;
 pub mod claims;
+pub mod cold;
 pub mod command;
 pub mod compare;
 pub mod completions;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -15,7 +15,7 @@
   selector::Labels,
 };
 use std::{
-  collections::{BTreeMap, VecDeque},
+  collections::{BTreeMap, BTreeSet, VecDeque},
   net::SocketAddr,
   sync::Arc,
 };
@@ -67,6 +67,8 @@
   pub demand: Vec<Demand>,
   /// Requests sent and not ended, by server and model.
   pub running: Vec<(String, Model, u32)>,
+  /// Models that servers were found not to hold, against what was told.
+  pub missing: Vec<(String, String)>,
   /// For each group, the count up to which it knows the changes of holdings.
   pub known: Vec<u64>,
 }
@@ -134,6 +136,8 @@
   pub(crate) others: Vec<Other>,
   /// Who holds what, by pool and model.
   pub(crate) held: BTreeMap<String, BTreeMap<String, Vec<String>>>,
+  /// Pools and models that callers wait for, or will come back for.
+  pub(crate) wanted: BTreeSet<(String, String)>,
   /// When what needs no request to wait was last looked after, ms.
   swept: u64,
   /// Nothing is moved before this time: instances have not reported yet, ms.
@@ -176,6 +180,7 @@
       group,
       others: Vec::new(),
       held: BTreeMap::new(),
+      wanted: BTreeSet::new(),
       swept: 0,
       settled_at: 0,
       machine: machine.into(),
@@ -271,6 +276,11 @@
 
   /// Takes up an instance's report.
   pub fn report(&mut self, now: u64, address: SocketAddr, report: Report) {
+    for (id, model) in &report.missing {
+      if let Some(server) = self.servers.get_mut(id) {
+        server.missed(now, model);
+      }
+    }
     let instance = report.instance.clone();
     let member = Member {
       address,
@@ -662,6 +672,10 @@
 
   pub(crate) fn serve_demand(&mut self) {
     let demand = self.demand();
+    let wanted = demand.iter();
+    self.wanted = wanted
+      .map(|demand| (demand.pool.clone(), demand.model.name.clone()))
+      .collect();
     for demand in self.without_holder(&demand) {
       let Some(engine) = self.engine(&demand.pool) else {
         continue;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -478,6 +478,7 @@
       instance: self.instance.clone(),
       demand: state.demand(now),
       running: running.collect(),
+      missing: state.missing(now),
       known: self.groups.iter().map(|group| group.known.1).collect(),
     }
   }
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -12,6 +12,8 @@
   TooLate,
   Stopping,
   NoServer,
+  /// The model is being loaded for callers that come back.
+  Loading,
   PlatformUnavailable,
   ServerFailed,
   Claimed,
@@ -28,6 +30,7 @@
       Self::TooLate => "too-late",
       Self::Stopping => "stopping",
       Self::NoServer => "no-server",
+      Self::Loading => "loading",
       Self::PlatformUnavailable => "platform-unavailable",
       Self::ServerFailed => "server-failed",
       Self::Claimed => "claimed",
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -43,8 +43,13 @@
   open: Mutex<HashMap<u64, [TcpStream; 2]>>,
   connections: AtomicU64,
   closing: AtomicBool,
+  /// Nothing passes towards the target, and from it.
+  held: [AtomicBool; 2],
 }
 
+/// Pause between two looks whether a held direction is open again.
+const HELD: Duration = Duration::from_millis(5);
+
 /// A running proxy.
 #[derive(Clone)]
 pub struct Proxy {
@@ -68,6 +73,7 @@
       open: Mutex::default(),
       connections: AtomicU64::new(0),
       closing: AtomicBool::new(false),
+      held: Default::default(),
     });
     let served = inner.clone();
     thread::spawn(move || accept(&served, listener, address));
@@ -93,6 +99,13 @@
     self.inner.left.store(connections, Ordering::SeqCst);
   }
 
+  /// Lets nothing pass towards the target, from it, or both; open connections stay and
+  /// are silent.
+  pub fn hold(&self, up: bool, down: bool) {
+    self.inner.held[0].store(up, Ordering::SeqCst);
+    self.inner.held[1].store(down, Ordering::SeqCst);
+  }
+
   /// Closes every open connection.
   pub fn cut(&self) {
     for stream in lock(&self.inner.open).values().flatten() {
@@ -147,7 +160,7 @@
   if taken.is_ok() { fault } else { Fault::None }
 }
 
-fn carry(inner: &Inner, client: TcpStream, number: u64) {
+fn carry(inner: &Arc<Inner>, client: TcpStream, number: u64) {
   let fault = take_fault(inner);
   let target = *lock(&inner.target);
   if fault == Fault::Close {
@@ -172,8 +185,9 @@
   if let (Ok(client), Ok(server)) = (client.try_clone(), server.try_clone()) {
     lock(&inner.open).insert(number, [client, server]);
   }
-  let upstream = thread::spawn(move || pump(client_read, server, up));
-  pump(server_read, client, down);
+  let holder = inner.clone();
+  let upstream = thread::spawn(move || pump(client_read, server, up, &holder.held[0]));
+  pump(server_read, client, down, &inner.held[1]);
   let _ = upstream.join();
 }
 
@@ -186,7 +200,7 @@
   Cut(usize),
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, pass: Pass) {
+fn pump(mut from: TcpStream, mut to: TcpStream, pass: Pass, held: &AtomicBool) {
   let mut buffer = [0; 8 << 10];
   let mut passed = 0;
   loop {
@@ -195,6 +209,9 @@
       _ => break,
     };
     let mut length = length;
+    while held.load(Ordering::SeqCst) {
+      thread::sleep(HELD);
+    }
     match pass {
       Pass::All => {}
       Pass::Delay(time) => thread::sleep(time),
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -184,6 +184,7 @@
     id: "one".into(),
     models: BTreeMap::from([("cold".into(), vec!["a1".into()])]),
     leaving: Vec::new(),
+    coming: None,
   };
   let told = Event::Told {
     holdings: vec![holding],
@@ -241,6 +242,7 @@
     id: "one".into(),
     models: BTreeMap::from([("m".into(), Vec::new())]),
     leaving: vec!["m".into()],
+    coming: None,
   };
   let told = Event::Told {
     holdings: vec![holding],
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -26,6 +26,8 @@
   running: Vec<(String, String, u32)>,
   orders: Vec<Command>,
   asked: u32,
+  /// Models that requests did not find.
+  missing: Vec<(String, String)>,
   /// What becomes of orders from now on, instead of being carried out.
   fate: Option<Taken>,
 }
@@ -110,6 +112,7 @@
       running: Vec::new(),
       orders: Vec::new(),
       asked: 0,
+      missing: Vec::new(),
       fate: None,
     }
   }
@@ -129,6 +132,7 @@
       running: running
         .map(|(id, model, count)| (id.clone(), Model::parse(model), *count))
         .collect(),
+      missing: std::mem::take(&mut self.missing),
       known: Vec::new(),
     };
     let address = "127.0.0.1:1".parse().unwrap();
@@ -382,6 +386,25 @@
   );
 }
 
+#[test]
+fn a_model_that_requests_do_not_find_is_loaded_again() {
+  let mut world = World::open(&["a", "d"], &[("one", &["a"], &["a", "d"])]);
+  world.run(1_500);
+  // An unload that was given up is carried out late.
+  let server = world.servers.get_mut("one").unwrap();
+  server.held.remove("a");
+  server.orders += 1;
+  world.waiting = vec![("a".into(), 1)];
+  world.run(500);
+  assert!(
+    !world.holds("one", "a"),
+    "the planner believes that it is there"
+  );
+  world.missing = vec![("one".into(), "a".into())];
+  world.run(1_500);
+  assert!(world.holds("one", "a"));
+}
+
 #[test]
 fn adapters_of_a_model_in_use_are_loaded_within_the_places() {
   let mut world = World::open(&["a"], &[("one", &["a"], &[]), ("two", &["a"], &[])]);
