an adapter in use keeps its place until the server says otherwise

The planner counted its place as free at once and loaded another adapter; models are safe, for a server at work declines the next order.

Ruled out: two holders (one lease), an order that was held up (no fault at that time), adapters on their way (counted from reports).

--- a/src/held.rs
+++ b/src/held.rs
@@ -161,8 +161,13 @@
     let Some(adapter) = command.model.adapter.clone() else {
       return;
     };
-    match taken {
-      Taken::Accepted | Taken::Done => {
+    match (taken, command.act) {
+      // It is in use, and keeps its place until the server says otherwise.
+      (Taken::Accepted, Act::Unload) => {
+        self.orders = self.orders.max(command.orders + 1);
+        self.doubt(now, taken);
+      }
+      (Taken::Accepted | Taken::Done, _) => {
         self.orders = self.orders.max(command.orders + 1);
         self.rest_until = self.rest_until.max(now + ADAPTER_MS);
         let Some(adapters) = self.models.get_mut(&command.model.name) else {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -26,6 +26,8 @@
   running: Vec<(String, String, u32)>,
   orders: Vec<Command>,
   asked: u32,
+  /// Adapters are unloaded only once their requests have ended.
+  adapters_in_use: bool,
   /// Models that requests did not find.
   missing: Vec<(String, String)>,
   /// What becomes of orders from now on, instead of being carried out.
@@ -112,6 +114,7 @@
       running: Vec::new(),
       orders: Vec::new(),
       asked: 0,
+      adapters_in_use: false,
       missing: Vec::new(),
       fate: None,
     }
@@ -177,6 +180,7 @@
       (Act::Load, Some(adapter)) => {
         server.held.get_mut(&name).unwrap().push(adapter.clone());
       }
+      (Act::Unload, Some(_)) if self.adapters_in_use => return Taken::Accepted,
       (Act::Unload, Some(adapter)) => {
         let held = server.held.get_mut(&name).unwrap();
         held.retain(|known| known != adapter);
@@ -431,6 +435,23 @@
   assert!(held.contains(&"a3".to_string()), "{held:?}");
 }
 
+#[test]
+fn an_adapter_in_use_keeps_its_place_until_the_server_says_otherwise() {
+  let mut world = World::open(&["a"], &[("one", &["a"], &[])]);
+  world.waiting = vec![("a/a1".into(), 1)];
+  world.run(300);
+  world.waiting = vec![("a/a2".into(), 1)];
+  world.run(300);
+  world.adapters_in_use = true;
+  world.waiting = vec![("a/a3".into(), 1)];
+  // The world panics where a third adapter is ordered.
+  world.run(2_000);
+  world.adapters_in_use = false;
+  world.run(2_000);
+  let held = &world.servers["one"].held["a"];
+  assert!(held.contains(&"a3".to_string()), "{held:?}");
+}
+
 #[test]
 fn a_server_that_comes_empty_gets_a_replica_of_what_is_used_most() {
   let mut world = World::open(&["a", "b"], &[("one", &["a", "b"], &[]), ("two", &[], &[])]);
