a fault soak of the project's own

Change: soak/ plays real instances as processes before the stand-ins. A seed fixes faults and load: processes killed, stopped, frozen, told to read their settings; the store down, silent, slow, losing answers, writing late, without history, with entries that lapse; servers that crash, leave with or without a word, slow, failing, full, cut one way or both; series of configurations and bursts, overlapping.

Ruled out: steps of the wall clock; instances read it for log lines only.

--- a/justfile
+++ b/justfile
@@ -54,3 +54,19 @@
 # One instance between stand-ins of the users' platform.
 platform:
   cargo test --locked -p bendsaddle-platform
+
+# Random faults against real instances, by seed: `just soak --seed 1 --seed 2`, or
+# `just soak --seconds 300` for fresh seeds.
+soak *args: release
+  target/release/soak --program target/release/bendsaddle-platform {{args}}
+
+# Each switch that breaks a mechanism must be noticed.
+soak-switches: release
+  for name in repeat lie mix lease grace deaf leave memory patience policy; do \
+    target/release/soak --program target/release/bendsaddle-platform --seed 7 --break $name || exit 1; \
+  done
+
+# Lines of the soak beside all lines.
+soak-size:
+  cat soak/src/*.rs | wc -l
+  git ls-files '*.rs' | xargs cat | wc -l
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,6 +1,6 @@
 //! The promises, checked against a history.
 
-use crate::history::{End, History, Kind, Order, Sent, Target};
+use crate::history::{End, FROZEN, History, Kind, Order, STOPPED, Sent, Target};
 use std::collections::{BTreeMap, HashMap};
 
 /// Bounds that hold on top of the machine's own delays, ms.
@@ -102,6 +102,19 @@
     troubles.any(|trouble| trouble.target == *target && trouble.from <= to && trouble.to >= from)
   }
 
+  /// Whether a fault at its instance excuses how a request ended; a planned stop does
+  /// so only for what came after the end of the process.
+  fn excused(&self, sent: &Sent) -> bool {
+    let mut troubles = self.history.troubles.iter();
+    troubles.any(|trouble| {
+      let begins = match trouble.what {
+        STOPPED => trouble.from <= sent.at,
+        _ => trouble.from <= sent.ended,
+      };
+      trouble.target == Target::Instance(sent.instance) && begins && trouble.to >= sent.at
+    })
+  }
+
   fn any_server_troubled(&self, from: u64, to: u64) -> bool {
     let mut troubles = self.history.troubles.iter();
     troubles.any(|trouble| {
@@ -154,8 +167,7 @@
 
   /// A caller gets the whole answer to its own request, or a final answer.
   fn answer(&mut self, sent: &Sent) {
-    let instance = Target::Instance(sent.instance);
-    let excused = self.troubled(&instance, sent.at, sent.ended);
+    let excused = self.excused(sent);
     match sent.end {
       End::Success { own: false } => {
         let text = format!("`{}` got what is not its own whole answer", sent.id);
@@ -165,12 +177,10 @@
         let text = format!("the answer to `{}` broke off without a fault", sent.id);
         self.found("answer", sent.at, text);
       }
-      End::Closed if !excused => {
-        // A request that crosses the close of a connection at rest has not been read.
-        if !(sent.reused && self.runs_of(sent) == 0) {
-          let text = format!("`{}` ended without an answer", sent.id);
-          self.found("stop", sent.at, text);
-        }
+      // A request that crosses the close of a connection at rest has not been read.
+      End::Closed if !excused && !(sent.reused && self.runs_of(sent) == 0) => {
+        let text = format!("`{}` ended without an answer", sent.id);
+        self.found("stop", sent.at, text);
       }
       _ => {}
     }
@@ -178,9 +188,8 @@
 
   /// Served or refused in time.
   fn in_time(&mut self, sent: &Sent) {
-    let instance = Target::Instance(sent.instance);
     let last = sent.at + sent.kind.deadline_ms() + self.bounds.answer_ms + self.slack();
-    if sent.ended > last && !self.troubled(&instance, sent.at, sent.ended) {
+    if sent.ended > last && !self.excused(sent) {
       let took = sent.ended - sent.at;
       let text = format!("`{}` took {took} ms to its final answer", sent.id);
       self.found("in time", sent.at, text);
@@ -225,7 +234,7 @@
     let mut troubles = self.history.troubles.iter();
     troubles.any(|trouble| {
       let held = match &trouble.target {
-        Target::Instance(_) => trouble.what == "freeze",
+        Target::Instance(_) => trouble.what == FROZEN,
         Target::Server(id) => id == server,
         Target::Store => false,
       };
@@ -287,21 +296,21 @@
   fn drained(&mut self) {
     for (server, at) in &self.history.drained {
       let bound = at + self.bounds.drain_ms + self.slack();
-      let mut late = self.history.runs.iter();
-      let late = late.find(|run| run.server == *server && run.at > bound);
-      let Some(run) = late else {
-        continue;
-      };
       let from = at.saturating_sub(self.bounds.contact_ms);
-      let sent = self.history.sent.iter().find(|sent| sent.id == run.id);
-      let excused = self.troubled(&Target::Store, from, run.at)
-        || sent.is_none_or(|sent| self.troubled(&Target::Instance(sent.instance), from, run.at));
-      if !excused {
-        let late = run.at - at;
-        let text = format!(
-          "server `{server}` got `{}` {late} ms after it began to leave",
-          run.id
-        );
+      let runs = self.history.runs.iter();
+      let late = runs.filter(|run| run.server == *server && run.at > bound);
+      let unexcused = late.filter(|run| {
+        // Probes are nobody's requests.
+        let sent = self.history.sent.iter().find(|sent| sent.id == run.id);
+        sent.is_some_and(|sent| {
+          let instance = Target::Instance(sent.instance);
+          !self.troubled(&Target::Store, from, run.at) && !self.troubled(&instance, from, run.at)
+        })
+      });
+      let first = unexcused.min_by_key(|run| run.at);
+      if let Some(run) = first {
+        let (id, late) = (&run.id, run.at - at);
+        let text = format!("server `{server}` got `{id}` {late} ms after it began to leave");
         self.found("leaving", run.at, text);
       }
     }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -111,6 +111,11 @@
   Store,
 }
 
+/// What a trouble is called that follows a planned stop.
+pub const STOPPED: &str = "stopped";
+/// What a trouble is called that stops a process for a while.
+pub const FROZEN: &str = "freeze";
+
 /// A fault, while it lasted.
 #[derive(Clone, Debug)]
 pub struct Trouble {
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -97,7 +97,7 @@
   match kind {
     Kind::Once | Kind::Again => None,
     Kind::Batch => Some(MODELS[drawn % MODELS.len()].into()),
-    Kind::Stream | Kind::Single if drawn % 5 == 0 => Some(format!("{}/a1", MODELS[often])),
+    Kind::Stream | Kind::Single if drawn.is_multiple_of(5) => Some(format!("{}/a1", MODELS[often])),
     Kind::Stream | Kind::Single => Some(MODELS[often].into()),
   }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -134,7 +134,10 @@
 
 /// Plays one seed; whether it kept all promises, or broke the one that a switch breaks.
 fn one(arguments: &Arguments, seed: u64, stop: &AtomicBool) -> bool {
-  let mut steps = plan::draw(seed, &arguments.size);
+  let mut steps = match arguments.broken {
+    Some((_, broken, _)) => broken.steps(),
+    None => plan::draw(seed, &arguments.size),
+  };
   steps.truncate(arguments.steps);
   println!("seed {seed}, {} faults", steps.len());
   let Some((history, found)) = played(arguments, seed, &steps, stop) else {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! A deployment of real instances before stand-ins, and the faults done to it.
 
 use crate::{
-  history::{Book, History, Order, Probe, Run, Target},
+  history::{Book, FROZEN, History, Order, Probe, Run, STOPPED, Target},
   load::{self, Traffic},
   plan::{Cut, Fault, Server, Size, Step, Store as StoreFault},
 };
@@ -58,13 +58,32 @@
     ("lie", Self::Lie, "refusal"),
     ("mix", Self::Mix, "answer"),
     ("lease", Self::Lease, "orders"),
-    ("grace", Self::Grace, "stop"),
+    ("grace", Self::Grace, "answer"),
     ("deaf", Self::Deaf, "configuration"),
     ("leave", Self::Leave, "leaving"),
     ("memory", Self::Memory, "memory"),
     ("patience", Self::Patience, "in time"),
     ("policy", Self::Policy, "replicas"),
   ];
+
+  /// The faults in which the broken mechanism shows.
+  pub fn steps(self) -> Vec<Step> {
+    let step = |at, lasts, fault| Step { at, lasts, fault };
+    match self {
+      Self::Grace => vec![
+        step(1_000, 0, Fault::Stop(0)),
+        step(1_000, 3_000, Fault::Burst),
+      ],
+      Self::Deaf => (0..6)
+        .map(|n| step(500 + n * 1_000, 0, Fault::Configure(1)))
+        .collect(),
+      Self::Leave => vec![step(500, 0, Fault::Server(5, Server::Drain))],
+      Self::Policy => vec![step(300, 6_000, Fault::Burst)],
+      Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Memory | Self::Patience => {
+        vec![step(300, 4_000, Fault::Burst)]
+      }
+    }
+  }
 }
 
 /// What a run is made of.
@@ -98,7 +117,7 @@
 /// Pause between two changes of a series.
 const SERIES: Duration = Duration::from_millis(200);
 /// The model whose replicas a policy bounds, and how many there may be.
-const BOUNDED: &str = MODELS[2];
+const BOUNDED: &str = MODELS[0];
 const REPLICAS: u32 = 2;
 
 /// One place for a server: its proxy, and who is behind it now.
@@ -204,7 +223,9 @@
       broken,
     };
     world.configure();
-    world.moods(Mood::default());
+    for place in &world.places {
+      lock(&place.runner).mood(world.mood());
+    }
     for member in &world.members {
       lock(&member.instance).wait_ready();
     }
@@ -224,26 +245,20 @@
       Some(Break::Lie) => mood.lie = 5,
       Some(Break::Mix) => mood.mix = 5,
       Some(Break::Repeat) => mood.lose = 10,
-      Some(Break::Patience) => mood.work = Duration::from_millis(4_000),
+      Some(Break::Patience | Break::Grace) => mood.work = Duration::from_millis(4_000),
+      Some(Break::Policy) => mood.work = Duration::from_millis(400),
       _ => {}
     }
     mood
   }
 
-  fn moods(&self, _quiet: Mood) {
-    for place in &self.places {
-      lock(&place.runner).mood(self.mood());
-    }
-  }
-
   /// Writes the next version of the configuration: each has one route of its own.
   fn configure(&self) {
     let mut version = lock(&self.version);
     *version += 1;
     let spec = configuration(*version, self.broken);
-    let began = self.book.now();
     self.store.put("config", "main", spec);
-    let at = self.book.now().max(began);
+    let at = self.book.now();
     self
       .book
       .note(|history| history.configured.push((*version, at)));
@@ -276,6 +291,7 @@
   /// Asks an instance which configuration is in force.
   fn probe(&self, instance: usize) {
     let (address, ready) = &self.traffic.instances[instance];
+    let mut known = 1;
     while !self.over() {
       thread::sleep(PROBE);
       if !ready.load(Ordering::Relaxed) {
@@ -285,7 +301,8 @@
       let newest = *lock(&self.version);
       let at = self.book.now();
       let in_force = |version: &u64| self.ask(*address, *version) == Some(200);
-      let found = (newest.saturating_sub(2)..=newest).rev().find(in_force);
+      let found = (known.min(newest)..=newest).rev().find(in_force);
+      known = found.unwrap_or(known);
       let same = life == self.members[instance].life.load(Ordering::Relaxed);
       if let (Some(version), true) = (found, same) {
         let probe = Probe {
@@ -424,7 +441,7 @@
 
   fn freeze(&self, number: usize, lasts: Duration) {
     let instance = lock(&self.members[number].instance);
-    let trouble = self.book.begin(Target::Instance(number), "freeze");
+    let trouble = self.book.begin(Target::Instance(number), FROZEN);
     let _ = instance.signal(Signal::STOP);
     thread::sleep(lasts);
     let _ = instance.signal(Signal::CONT);
@@ -437,7 +454,7 @@
     let mut instance = lock(&member.instance);
     let _ = instance.signal(Signal::TERM);
     let _ = instance.child.wait();
-    let trouble = self.book.begin(Target::Instance(number), "stopped");
+    let trouble = self.book.begin(Target::Instance(number), STOPPED);
     self.start(member, &mut instance);
     self.book.end(trouble);
   }
--- /dev/null
+++ b/soak/tests/check.rs
@@ -0,0 +1,254 @@
+//! Each check passes what is allowed and finds what is not.
+
+use soak::{
+  check::{Bounds, check},
+  history::{End, FROZEN, History, Kind, Order, Probe, Run, STOPPED, Sent, Target, Trouble},
+};
+
+/// A history in which everything is served after the last fault.
+fn calm() -> History {
+  let sent = Kind::ALL.iter().map(|kind| Sent {
+    at: 20_000,
+    ended: 20_050,
+    ..sent("calm", *kind, End::Success { own: true })
+  });
+  History {
+    sent: sent.collect(),
+    calm_from: 10_000,
+    ..History::default()
+  }
+}
+
+fn sent(id: &str, kind: Kind, end: End) -> Sent {
+  Sent {
+    id: id.into(),
+    kind,
+    instance: 0,
+    reused: false,
+    at: 1_000,
+    ended: 1_100,
+    end,
+  }
+}
+
+fn run(id: &str, server: &str, at: u64) -> Run {
+  Run {
+    id: id.into(),
+    server: server.into(),
+    at,
+  }
+}
+
+fn trouble(target: Target, what: &'static str, from: u64, to: u64) -> Trouble {
+  Trouble {
+    target,
+    what,
+    from,
+    to,
+  }
+}
+
+/// The promises that a history breaks.
+fn broken(history: &History) -> Vec<&'static str> {
+  let found = check(history, &Bounds::default());
+  found.iter().map(|violation| violation.promise).collect()
+}
+
+/// The promises broken by one request and its runs.
+fn with(sent: Sent, runs: &[Run]) -> Vec<&'static str> {
+  let mut history = calm();
+  history.sent.push(sent);
+  history.runs.extend(runs.iter().cloned());
+  broken(&history)
+}
+
+const SERVED: End = End::Success { own: true };
+
+#[test]
+fn a_calm_history_breaks_nothing() {
+  assert!(broken(&calm()).is_empty());
+}
+
+#[test]
+fn what_may_not_be_repeated_runs_once() {
+  let runs = [run("r", "a", 1_010), run("r", "b", 1_020)];
+  for kind in Kind::ALL {
+    let expected: &[&str] = if kind.repeatable() { &[] } else { &["once"] };
+    assert_eq!(with(sent("r", kind, SERVED), &runs), expected, "{kind:?}");
+    assert!(with(sent("r", kind, SERVED), &runs[..1]).is_empty());
+  }
+}
+
+#[test]
+fn a_refusal_is_true() {
+  let refused = |status, signed| sent("r", Kind::Again, End::Failure { status, signed });
+  let runs = [run("r", "a", 1_010)];
+  assert_eq!(with(refused(503, false), &runs), ["refusal"]);
+  assert_eq!(with(refused(429, false), &runs), ["refusal"]);
+  assert!(with(refused(503, false), &[]).is_empty());
+  assert!(
+    with(refused(502, false), &runs).is_empty(),
+    "502 promises nothing"
+  );
+  assert!(
+    with(refused(503, true), &runs).is_empty(),
+    "the server's own"
+  );
+}
+
+#[test]
+fn a_caller_gets_the_whole_answer_to_its_own_request() {
+  let end = |end| sent("r", Kind::Once, end);
+  assert_eq!(with(end(End::Success { own: false }), &[]), ["answer"]);
+  assert_eq!(with(end(End::Cut), &[]), ["answer"]);
+  assert_eq!(with(end(End::Closed), &[]), ["stop"]);
+  let mut crossed = end(End::Closed);
+  crossed.reused = true;
+  assert!(with(crossed.clone(), &[]).is_empty(), "it was not read");
+  assert_eq!(with(crossed, &[run("r", "a", 1_010)]), ["stop"]);
+}
+
+#[test]
+fn a_fault_at_the_instance_excuses_a_cut_and_a_planned_stop_does_not() {
+  for (what, from, excused) in [
+    ("kill", 1_050, true),
+    (STOPPED, 1_050, false),
+    (STOPPED, 900, true),
+  ] {
+    let mut history = calm();
+    history.sent.push(sent("r", Kind::Once, End::Closed));
+    history
+      .troubles
+      .push(trouble(Target::Instance(0), what, from, 2_000));
+    assert_eq!(broken(&history).is_empty(), excused, "{what} from {from}");
+    history.troubles[0].target = Target::Instance(1);
+    assert_eq!(broken(&history), ["stop"], "another instance");
+  }
+}
+
+#[test]
+fn a_request_is_answered_in_time() {
+  let mut late = sent("r", Kind::Once, SERVED);
+  late.ended = late.at + late.kind.deadline_ms() + 400;
+  assert!(with(late.clone(), &[]).is_empty());
+  late.ended += 200;
+  assert_eq!(with(late, &[]), ["in time"]);
+}
+
+#[test]
+fn one_holder_orders_a_server_at_a_time() {
+  let order = |holder: &str, term, at| Order {
+    server: "a".into(),
+    holder: holder.into(),
+    term,
+    at,
+  };
+  let orders = |one, two| {
+    let mut history = calm();
+    history.orders = vec![one, two];
+    history
+  };
+  let one = || order("x", 1, 5_000);
+  assert!(broken(&orders(one(), order("x", 1, 5_010))).is_empty());
+  assert!(broken(&orders(one(), order("y", 2, 6_100))).is_empty());
+  assert_eq!(
+    broken(&orders(one(), order("y", 1, 7_000))),
+    ["orders"],
+    "the same term"
+  );
+  assert_eq!(
+    broken(&orders(one(), order("y", 0, 7_000))),
+    ["orders"],
+    "a lower term"
+  );
+  let early = orders(one(), order("y", 2, 5_500));
+  assert_eq!(broken(&early), ["orders"], "too soon");
+  let mut thawed = early;
+  thawed
+    .troubles
+    .push(trouble(Target::Instance(1), FROZEN, 4_000, 5_400));
+  assert!(broken(&thawed).is_empty(), "it was on its way");
+}
+
+#[test]
+fn memory_and_replicas_stay_within_their_bounds() {
+  let mut history = calm();
+  history.overfull.push(("a".into(), 1));
+  assert_eq!(broken(&history), ["memory"]);
+  let mut history = calm();
+  history.replicas = vec![(500, 2)];
+  assert!(broken(&history).is_empty());
+  history.replicas.push((600, 3));
+  assert_eq!(broken(&history), ["replicas"]);
+  history.late_orders = true;
+  assert!(broken(&history).is_empty(), "an order was carried out late");
+}
+
+#[test]
+fn a_configuration_is_in_force_in_time_and_never_goes_back() {
+  let probe = |at, version| Probe {
+    instance: 0,
+    life: 1,
+    at,
+    version,
+  };
+  let probes = |probes: &[Probe]| {
+    let mut history = calm();
+    history.configured = vec![(1, 0), (2, 5_000)];
+    history.probes = probes.to_vec();
+    history
+  };
+  assert!(broken(&probes(&[probe(6_000, 1), probe(7_600, 2)])).is_empty());
+  assert_eq!(
+    broken(&probes(&[probe(6_000, 2), probe(6_200, 1)])),
+    ["configuration"]
+  );
+  let late = probes(&[probe(7_600, 1)]);
+  assert_eq!(broken(&late), ["configuration"]);
+  let mut cut = late.clone();
+  cut
+    .troubles
+    .push(trouble(Target::Store, "store", 4_000, 5_500));
+  assert!(broken(&cut).is_empty(), "the store was down");
+  let mut restarted = probes(&[probe(6_000, 2), probe(6_200, 1)]);
+  restarted.probes[1].life = 2;
+  assert!(broken(&restarted).is_empty(), "another process");
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_new_work() {
+  let history = |at| {
+    let mut history = calm();
+    history.drained.push(("a".into(), 1_000));
+    history.runs.push(run("calm", "a", at));
+    history
+  };
+  assert!(broken(&history(3_000)).is_empty());
+  assert_eq!(broken(&history(4_000)), ["leaving"]);
+}
+
+#[test]
+fn after_all_faults_every_kind_is_served() {
+  let mut history = calm();
+  history.sent.pop();
+  assert_eq!(broken(&history), ["recovery"], "nothing of a kind was sent");
+  let mut history = calm();
+  history.sent[0].end = End::Failure {
+    status: 503,
+    signed: false,
+  };
+  assert_eq!(broken(&history), ["recovery"]);
+}
+
+#[test]
+fn times_are_left_out_where_the_machine_decides_them() {
+  let mut history = calm();
+  let mut late = sent("r", Kind::Once, SERVED);
+  late.ended = 30_000;
+  history.sent.push(late);
+  let bounds = Bounds {
+    timed: false,
+    ..Bounds::default()
+  };
+  assert!(check(&history, &bounds).is_empty());
+}
