--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -168,6 +168,8 @@
   /// A caller gets the whole answer to its own request, or a final answer.
   fn answer(&mut self, sent: &Sent) {
     let excused = self.excused(sent);
+    // A request that crosses the close of a connection at rest has not been read.
+    let crossed = sent.reused && self.runs_of(sent) == 0;
     match sent.end {
       End::Success { own: false } => {
         let text = format!("`{}` got what is not its own whole answer", sent.id);
@@ -177,8 +179,7 @@
         let text = format!("the answer to `{}` broke off without a fault", sent.id);
         self.found("answer", sent.at, text);
       }
-      // A request that crosses the close of a connection at rest has not been read.
-      End::Closed if !excused && !(sent.reused && self.runs_of(sent) == 0) => {
+      End::Closed if !(excused || crossed) => {
         let text = format!("`{}` ended without an answer", sent.id);
         self.found("stop", sent.at, text);
       }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -79,7 +79,9 @@
         .collect(),
       Self::Leave => vec![step(500, 0, Fault::Server(5, Server::Drain))],
       Self::Policy => vec![step(300, 6_000, Fault::Burst)],
-      Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Memory | Self::Patience => {
+      // What only this server held is loaded where there is no room.
+      Self::Memory => vec![step(500, 500, Fault::Server(0, Server::Crash))],
+      Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Patience => {
         vec![step(300, 4_000, Fault::Burst)]
       }
     }
