dispatch, plan and planner split by job

Cause: dispatch.rs, plan.rs and planner.rs had 700 to 800 lines and several jobs. Tests unchanged and green: plan, dispatch, lease, feed.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -153,4 +153,45 @@
       entry.age_ms = entry.age_ms.max(now.saturating_sub(want.since));
     }
   }
+
+  /// Servers that lately declined requests for a model that they should hold, for the
+  /// planner.
+  pub fn missing(&self, now: u64) -> Vec<(String, String)> {
+    let backends = self.backends.values();
+    let found = backends.flat_map(|backend| {
+      let names = backend
+        .missing
+        .iter()
+        .filter(move |(_, until)| now < **until);
+      names.map(|(name, _)| (backend.spec.id.clone(), Model::parse(name).name))
+    });
+    found.collect()
+  }
+
+  /// Waiting requests by model, for the planner.
+  pub fn demand(&self, now: u64) -> Vec<Demand> {
+    let mut demand: BTreeMap<(String, Model), Demand> = BTreeMap::new();
+    for (priority, _, ticket) in &self.waiting {
+      let Some(request) = self.requests.get(ticket) else {
+        continue;
+      };
+      let Some(model) = &request.ask.model else {
+        continue;
+      };
+      let key = (request.ask.pool.clone(), model.clone());
+      let age_ms = now.saturating_sub(request.arrived);
+      let entry = demand.entry(key).or_insert_with(|| Demand {
+        pool: request.ask.pool.clone(),
+        model: model.clone(),
+        waiting: 0,
+        priority: *priority,
+        age_ms,
+      });
+      entry.waiting += 1;
+      entry.priority = entry.priority.min(*priority);
+      entry.age_ms = entry.age_ms.max(age_ms);
+    }
+    self.add_wants(now, &mut demand);
+    demand.into_values().collect()
+  }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,7 +9,6 @@
   backend::{self, Backend, Holding, Spec, Stage, missing_name},
   cold::{Wants, give_up_at},
   deployment::{Deployment, Engine},
-  feed::SILENT,
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::Route,
@@ -49,10 +48,6 @@
 /// Time after which a refused caller may come back, ms: a load from a server's disk
 /// takes about as long.
 const COME_BACK_MS: u64 = 500;
-/// Time for which entries that lapsed while the store was silent may come back once it
-/// answers again, ms: the platform says about two seconds, and what is missing then
-/// is gone.
-const LAPSE_MS: u64 = 2_000;
 /// Load in slots that a request between availability zones is worth.
 const ZONE_LOAD: u32 = 1;
 
@@ -249,16 +244,16 @@
   stop_at: u64,
   /// When a planner was last heard of, ms.
   pub told_at: u64,
-  store_lost: bool,
+  pub(crate) store_lost: bool,
   /// What callers want that were told to come back.
   pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
-  lapse_until: u64,
+  pub(crate) lapse_until: u64,
   /// Counts changes of holdings that were told.
   pub tellings: u64,
   rng: SmallRng,
   pub(crate) now: u64,
-  out: Vec<Effect>,
+  pub(crate) out: Vec<Effect>,
 }
 
 /// Instances assumed until the planner has told how many there are.
@@ -341,136 +336,6 @@
     }
   }
 
-  fn servers(&mut self, changes: Vec<Change>) {
-    self.changes += 1;
-    for change in changes {
-      match change {
-        Change::All(specs) => {
-          let gone: Vec<String> = self
-            .ids
-            .keys()
-            .filter(|id| !specs.iter().any(|spec| spec.id == **id))
-            .cloned()
-            .collect();
-          gone.iter().for_each(|id| self.gone(id));
-          specs.into_iter().for_each(|spec| self.set(spec));
-          self.listed = true;
-        }
-        Change::Set(spec) => self.set(spec),
-        Change::Gone(id) => self.gone(&id),
-      }
-    }
-    self.place_waiting();
-  }
-
-  fn set(&mut self, spec: Spec) {
-    match self.ids.get(&spec.id) {
-      Some(key) => {
-        let backend = &mut self.backends[*key];
-        backend.spec = spec;
-        backend.heard = self.now;
-        backend.lapsed = false;
-      }
-      None => {
-        let id = spec.id.clone();
-        let key = self.backends.insert(Backend::open(spec, self.now));
-        self.ids.insert(id, key);
-      }
-    }
-  }
-
-  fn store_back(&mut self, silence: Duration) {
-    self.store_lost = false;
-    // Entries still missing from an earlier silence had no time to come back.
-    let missing = self.backends.values().any(|backend| backend.lapsed);
-    if silence >= SILENT || missing {
-      self.lapse_until = self.now + LAPSE_MS;
-    }
-  }
-
-  /// Whether an entry that is missing now may come back.
-  pub fn lapsing(&self, now: u64) -> bool {
-    now < self.lapse_until
-  }
-
-  /// Gives up the servers whose entries did not come back in time.
-  fn drop_lapsed(&mut self) {
-    if self.lapse_until == 0 || self.store_lost || self.lapsing(self.now) {
-      return;
-    }
-    self.lapse_until = 0;
-    let lapsed = self.backends.values().filter(|backend| backend.lapsed);
-    let ids: Vec<String> = lapsed.map(|backend| backend.spec.id.clone()).collect();
-    self.changes += u64::from(!ids.is_empty());
-    for id in ids {
-      self.remove(&id);
-      self.out.push(Effect::Gone(id));
-    }
-  }
-
-  /// A server's entry is gone; around the store's silence that says little of the
-  /// server, unless it was leaving.
-  fn gone(&mut self, id: &str) {
-    let Some(key) = self.ids.get(id).copied() else {
-      return;
-    };
-    let backend = &mut self.backends[key];
-    if self.now < self.lapse_until && backend.spec.stage == Stage::Ready {
-      backend.lapsed = true;
-    } else {
-      self.remove(id);
-    }
-  }
-
-  /// A server that is gone keeps its place while requests run there.
-  fn remove(&mut self, id: &str) {
-    let Some(key) = self.ids.get(id).copied() else {
-      return;
-    };
-    self.backends[key].spec.stage = Stage::Draining;
-    if self.backends[key].running == 0 {
-      self.drop_backend(key);
-    } else {
-      self.ids.remove(id);
-    }
-  }
-
-  fn drop_backend(&mut self, key: backend::Key) {
-    if let Some(backend) = self.backends.remove(key) {
-      self.ids.remove(&backend.spec.id);
-    }
-  }
-
-  fn told(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
-    if let Some((group, groups)) = all {
-      for backend in self.backends.values_mut() {
-        if backend::group(&backend.spec.id, groups) == group {
-          backend.holding = None;
-          backend.loading = None;
-        }
-      }
-    }
-    let news = !holdings.is_empty();
-    self.tellings += u64::from(news || all.is_some());
-    for holding in holdings {
-      if let Some(key) = self.ids.get(&holding.id) {
-        self.backends[*key].told(holding, self.now);
-      }
-    }
-    if news {
-      self.place_waiting();
-    }
-  }
-
-  fn loads(&mut self, loads: &[(u32, u16)]) {
-    for backend in self.backends.values_mut() {
-      let short = backend::short(&backend.spec.id);
-      if let Some((_, load)) = loads.iter().find(|(id, _)| *id == short) {
-        backend.load = u32::from(*load);
-      }
-    }
-  }
-
   fn arrived(&mut self, ask: Ask) {
     let budget = self.budgets.entry(ask.pool.clone()).or_default();
     budget.request(self.now, &self.bound);
@@ -516,7 +381,7 @@
     self.forget(ticket);
   }
 
-  fn place_waiting(&mut self) {
+  pub(crate) fn place_waiting(&mut self) {
     let tickets: Vec<Ticket> = self.waiting.iter().map(|entry| entry.2).collect();
     for ticket in tickets {
       self.place(ticket);
@@ -751,47 +616,6 @@
       None => true,
     }
   }
-
-  /// Servers that lately declined requests for a model that they should hold, for the
-  /// planner.
-  pub fn missing(&self, now: u64) -> Vec<(String, String)> {
-    let backends = self.backends.values();
-    let found = backends.flat_map(|backend| {
-      let names = backend
-        .missing
-        .iter()
-        .filter(move |(_, until)| now < **until);
-      names.map(|(name, _)| (backend.spec.id.clone(), Model::parse(name).name))
-    });
-    found.collect()
-  }
-
-  /// Waiting requests by model, for the planner.
-  pub fn demand(&self, now: u64) -> Vec<Demand> {
-    let mut demand: BTreeMap<(String, Model), Demand> = BTreeMap::new();
-    for (priority, _, ticket) in &self.waiting {
-      let Some(request) = self.requests.get(ticket) else {
-        continue;
-      };
-      let Some(model) = &request.ask.model else {
-        continue;
-      };
-      let key = (request.ask.pool.clone(), model.clone());
-      let age_ms = now.saturating_sub(request.arrived);
-      let entry = demand.entry(key).or_insert_with(|| Demand {
-        pool: request.ask.pool.clone(),
-        model: model.clone(),
-        waiting: 0,
-        priority: *priority,
-        age_ms,
-      });
-      entry.waiting += 1;
-      entry.priority = entry.priority.min(*priority);
-      entry.age_ms = entry.age_ms.max(age_ms);
-    }
-    self.add_wants(now, &mut demand);
-    demand.into_values().collect()
-  }
 }
 
 fn order(ask: &Ask) -> (u8, u64, Ticket) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod learn;
 pub mod lease;
 pub mod ledger;
+pub mod listing;
 pub mod members;
 pub mod message;
 pub mod metrics;
@@ -101,3 +102,5 @@
 pub mod web;
 #[allow(missing_docs, clippy::all)]
 pub mod wire;
+pub mod word;
+pub mod work;
--- /dev/null
+++ b/src/listing.rs
@@ -0,0 +1,146 @@
+//! Backend servers of a routing instance: as the store lists them, and as the planner
+//! tells of them.
+
+use crate::{
+  backend::{self, Backend, Holding, Spec, Stage},
+  dispatch::{Change, Effect, State},
+  feed::SILENT,
+};
+use std::time::Duration;
+
+/// Time for which entries that lapsed while the store was silent may come back once it
+/// answers again, ms: the platform says about two seconds, and what is missing then
+/// is gone.
+const LAPSE_MS: u64 = 2_000;
+
+impl State {
+  pub(crate) fn servers(&mut self, changes: Vec<Change>) {
+    self.changes += 1;
+    for change in changes {
+      match change {
+        Change::All(specs) => {
+          let gone: Vec<String> = self
+            .ids
+            .keys()
+            .filter(|id| !specs.iter().any(|spec| spec.id == **id))
+            .cloned()
+            .collect();
+          gone.iter().for_each(|id| self.gone(id));
+          specs.into_iter().for_each(|spec| self.set(spec));
+          self.listed = true;
+        }
+        Change::Set(spec) => self.set(spec),
+        Change::Gone(id) => self.gone(&id),
+      }
+    }
+    self.place_waiting();
+  }
+
+  fn set(&mut self, spec: Spec) {
+    match self.ids.get(&spec.id) {
+      Some(key) => {
+        let backend = &mut self.backends[*key];
+        backend.spec = spec;
+        backend.heard = self.now;
+        backend.lapsed = false;
+      }
+      None => {
+        let id = spec.id.clone();
+        let key = self.backends.insert(Backend::open(spec, self.now));
+        self.ids.insert(id, key);
+      }
+    }
+  }
+
+  pub(crate) fn store_back(&mut self, silence: Duration) {
+    self.store_lost = false;
+    // Entries still missing from an earlier silence had no time to come back.
+    let missing = self.backends.values().any(|backend| backend.lapsed);
+    if silence >= SILENT || missing {
+      self.lapse_until = self.now + LAPSE_MS;
+    }
+  }
+
+  /// Whether an entry that is missing now may come back.
+  pub fn lapsing(&self, now: u64) -> bool {
+    now < self.lapse_until
+  }
+
+  /// Gives up the servers whose entries did not come back in time.
+  pub(crate) fn drop_lapsed(&mut self) {
+    if self.lapse_until == 0 || self.store_lost || self.lapsing(self.now) {
+      return;
+    }
+    self.lapse_until = 0;
+    let lapsed = self.backends.values().filter(|backend| backend.lapsed);
+    let ids: Vec<String> = lapsed.map(|backend| backend.spec.id.clone()).collect();
+    self.changes += u64::from(!ids.is_empty());
+    for id in ids {
+      self.remove(&id);
+      self.out.push(Effect::Gone(id));
+    }
+  }
+
+  /// A server's entry is gone; around the store's silence that says little of the
+  /// server, unless it was leaving.
+  fn gone(&mut self, id: &str) {
+    let Some(key) = self.ids.get(id).copied() else {
+      return;
+    };
+    let backend = &mut self.backends[key];
+    if self.now < self.lapse_until && backend.spec.stage == Stage::Ready {
+      backend.lapsed = true;
+    } else {
+      self.remove(id);
+    }
+  }
+
+  /// A server that is gone keeps its place while requests run there.
+  fn remove(&mut self, id: &str) {
+    let Some(key) = self.ids.get(id).copied() else {
+      return;
+    };
+    self.backends[key].spec.stage = Stage::Draining;
+    if self.backends[key].running == 0 {
+      self.drop_backend(key);
+    } else {
+      self.ids.remove(id);
+    }
+  }
+
+  fn drop_backend(&mut self, key: backend::Key) {
+    if let Some(backend) = self.backends.remove(key) {
+      self.ids.remove(&backend.spec.id);
+    }
+  }
+
+  pub(crate) fn told(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
+    if let Some((group, groups)) = all {
+      for backend in self.backends.values_mut() {
+        if backend::group(&backend.spec.id, groups) == group {
+          backend.holding = None;
+          backend.loading = None;
+        }
+      }
+    }
+    let news = !holdings.is_empty();
+    self.tellings += u64::from(news || all.is_some());
+    for holding in holdings {
+      if let Some(key) = self.ids.get(&holding.id) {
+        self.backends[*key].told(holding, self.now);
+      }
+    }
+    if news {
+      self.place_waiting();
+    }
+  }
+
+  pub(crate) fn loads(&mut self, loads: &[(u32, u16)]) {
+    for backend in self.backends.values_mut() {
+      let short = backend::short(&backend.spec.id);
+      if let Some((_, load)) = loads.iter().find(|(id, _)| *id == short) {
+        backend.load = u32::from(*load);
+      }
+    }
+  }
+}
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -7,10 +7,10 @@
 
 use crate::{
   backend::{Holding, Spec, short},
-  command::{Act, Command, Inventory, Taken},
+  command::Command,
   deployment::Deployment,
   dispatch::{Demand, Model},
-  held::{Server, Step, whole},
+  held::{Server, whole},
   policy::Policy,
   selector::Labels,
 };
@@ -24,19 +24,10 @@
 const MEMBER_MS: u64 = 3_000;
 /// Demand told longer ago does not count, ms.
 const DEMAND_MS: u64 = 600;
-/// Pause between an unload and the load that follows, ms: runners were seen to take
-/// between 30 and 60 ms for an unload without runs.
-const UNLOAD_MS: u64 = 60;
-/// Pause before an order that met another one is sent again, ms.
-const AGAIN_MS: u64 = 60;
-/// Sends of an order that meets another one.
-const AGAIN_MOST: u32 = 12;
 /// A server tells its holdings with this lag, ms.
 pub(crate) const LAG_MS: u64 = 200;
 /// Pause between two questions whether a load is done, ms.
 pub(crate) const ASK_MS: u64 = 100;
-/// A load may take this many times its estimate.
-const LATE: u64 = 4;
 /// Instances cannot use what they were not told: told again this often, ms.
 const TELL_MS: u64 = 500;
 /// An instance that lacks changes is told all within this time after it says so,
@@ -317,161 +308,6 @@
     live.map(|member| member.address).collect()
   }
 
-  /// Takes up what became of an order.
-  pub fn ordered(&mut self, now: u64, command: &Command, taken: Taken) {
-    self.now = now;
-    let Some(server) = self.servers.get_mut(&command.id) else {
-      return;
-    };
-    if command.model.adapter.is_some() {
-      server.adapter_ordered(now, command, taken);
-      self.news = true;
-      return;
-    }
-    if taken == Taken::Accepted {
-      server.orders = server.orders.max(command.orders + 1);
-    }
-    if command.act == Act::Unload && matches!(taken, Taken::Accepted | Taken::Done) {
-      server.models.remove(&command.model.name);
-      server.leaving.remove(&command.model.name);
-      self.news = true;
-    }
-    let Some(mut job) = server.job.take() else {
-      return;
-    };
-    job.waiting = false;
-    let again = job.tries < AGAIN_MOST;
-    match (taken, job.step) {
-      (Taken::Accepted | Taken::Done, Step::Unload) => {
-        job.victims.retain(|victim| *victim != command.model.name);
-        job.tries = 0;
-        if job.victims.is_empty() {
-          job.step = Step::Load;
-        }
-        job.due = now + UNLOAD_MS;
-        server.job = Some(job);
-      }
-      (Taken::Accepted, Step::Load) => {
-        let took = job.until;
-        job.step = Step::Await;
-        job.due = now + took;
-        job.until = now + (took + LAG_MS) * LATE;
-        server.job = Some(job);
-      }
-      (Taken::Conflict, _) if again => {
-        job.tries += 1;
-        job.due = now + AGAIN_MS;
-        server.job = Some(job);
-        if server.tries() % 4 == 3 {
-          // The count of orders may be another one.
-          server.synced = false;
-        }
-      }
-      _ => server.doubt(now, taken),
-    }
-  }
-
-  /// Takes up a server's answer to a question.
-  pub fn inventory(&mut self, now: u64, id: &str, inventory: Option<Inventory>) {
-    self.now = now;
-    let Some(server) = self.servers.get_mut(id) else {
-      return;
-    };
-    server.asking = false;
-    let Some(inventory) = inventory else {
-      server.unanswered(now);
-      return;
-    };
-    server.silent = 0;
-    let first = !server.synced;
-    if inventory.orders < server.orders {
-      // Older than the last order.
-      server.rest_until = server.rest_until.max(now + ASK_MS);
-      if let Some(job) = &mut server.job {
-        job.waiting = false;
-        job.due = now + ASK_MS;
-      }
-      return;
-    }
-    server.synced = true;
-    server.orders = inventory.orders;
-    let Some(mut job) = server.job.take() else {
-      if first || !inventory.busy {
-        self.news |= server.models != inventory.models;
-        server.models = inventory.models;
-      }
-      if inventory.busy {
-        server.rest_until = now + ASK_MS;
-        server.synced = false;
-      }
-      return;
-    };
-    job.waiting = false;
-    if job.step != Step::Await {
-      server.models = inventory.models;
-      job.tries += 1;
-      if !inventory.busy {
-        server.job = Some(job);
-        return self.keep_job(id);
-      }
-      // What is under way takes room that is not known of yet.
-      match job.tries < AGAIN_MOST {
-        true => server.job = Some(job),
-        false => server.leaving.clear(),
-      }
-      server.synced = false;
-      server.rest_until = now + ASK_MS;
-      return;
-    }
-    let done = inventory.models.contains_key(&job.model);
-    if done && !inventory.busy {
-      server.models = inventory.models;
-      server.used.insert(whole(&job.model), now);
-      self.news = true;
-      return;
-    }
-    if now >= job.until || !inventory.busy && now >= job.due + LAG_MS * 2 {
-      server.models = inventory.models;
-      self.news = true;
-      return;
-    }
-    job.due = now + ASK_MS;
-    server.job = Some(job);
-  }
-
-  /// Goes on with a job after its server was asked again, where the load still finds
-  /// room: an earlier order without answer may have been carried out meanwhile.
-  fn keep_job(&mut self, id: &str) {
-    let Some(server) = self.servers.get_mut(id) else {
-      return;
-    };
-    let engine = self.deployment.pools.get(&server.spec.pool);
-    let engine = engine.and_then(|pool| pool.engine.as_ref());
-    let (Some(engine), Some(job)) = (engine, &mut server.job) else {
-      return;
-    };
-    let models = &server.models;
-    job.victims.retain(|victim| models.contains_key(victim));
-    if job.victims.is_empty() && job.step == Step::Unload {
-      job.step = Step::Load;
-    }
-    let job = job.clone();
-    let freed = job.victims.iter();
-    let freed: u64 = freed.map(|name| server.memory_of(engine, name)).sum();
-    let need = engine.models.get(&job.model).map(|model| model.memory_mb);
-    let left = engine
-      .memory_mb
-      .saturating_sub(server.memory(engine) - freed);
-    if !server.models.contains_key(&job.model) && need.is_some_and(|need| need <= left) {
-      return;
-    }
-    server.job = None;
-    server.leaving.clear();
-    self.news = true;
-    let why = format!("{left} MB left for {need:?} MB, or it is there");
-    self.note("load given up", id, &job.model, why);
-  }
-
   /// Goes on with everything that is due.
   pub fn step(&mut self, now: u64) -> Vec<Effect> {
     self.now = now;
@@ -580,72 +416,6 @@
       .collect()
   }
 
-  pub(crate) fn sync(&mut self, id: &str) {
-    let Some(server) = self.servers.get_mut(id) else {
-      return;
-    };
-    let engine = self.deployment.pools.get(&server.spec.pool);
-    let engine = engine.and_then(|pool| pool.engine.as_ref());
-    if server.synced || server.asking || self.now < server.rest_until || engine.is_none() {
-      return;
-    }
-    if server.job.as_ref().is_some_and(|job| job.waiting) {
-      return;
-    }
-    server.asking = true;
-    let effect = Effect::Ask {
-      id: id.into(),
-      address: server.spec.address,
-    };
-    self.out.push(effect);
-  }
-
-  /// Goes on with a server's job.
-  pub(crate) fn work(&mut self, id: &str) {
-    let now = self.now;
-    let Some(server) = self.servers.get_mut(id) else {
-      return;
-    };
-    let Some(job) = &mut server.job else {
-      return;
-    };
-    let known = server.synced || job.step == Step::Await;
-    if job.waiting || now < job.due || !known {
-      return;
-    }
-    if job.step == Step::Leave {
-      job.step = match job.victims.is_empty() {
-        true => Step::Load,
-        false => Step::Unload,
-      };
-    }
-    if job.step == Step::Await {
-      job.waiting = true;
-      server.asking = true;
-      let address = server.spec.address;
-      self.out.push(Effect::Ask {
-        id: id.into(),
-        address,
-      });
-      return;
-    }
-    let (act, model) = match (job.step, job.victims.first()) {
-      (Step::Unload, Some(victim)) => (Act::Unload, victim.clone()),
-      _ => (Act::Load, job.model.clone()),
-    };
-    job.waiting = true;
-    let command = Command {
-      id: id.into(),
-      address: server.spec.address,
-      act,
-      model: whole(&model),
-      orders: server.orders,
-      holder: self.machine.clone(),
-      term: self.term,
-    };
-    self.out.push(Effect::Order(command));
-  }
-
   pub(crate) fn demand(&self) -> Vec<Demand> {
     let mut all: BTreeMap<(String, Model), Demand> = BTreeMap::new();
     for member in self.members.values() {
--- /dev/null
+++ b/src/word.rs
@@ -0,0 +1,220 @@
+//! What an instance tells others, and hears: reports of demand to the holders of leases,
+//! and the holders' word on what servers hold.
+
+use crate::{
+  backend::Holding,
+  dispatch::Event,
+  message::{Message, Told},
+  plan::{News, Report},
+  planner::Planner,
+};
+use slog::warn;
+use std::net::SocketAddr;
+
+/// Holdings in one datagram.
+const HOLDINGS: usize = 6;
+/// The holder tells others of all instances this often, ms.
+const MEMBERS_MS: u64 = 2_000;
+/// A holder whose time is over says that it is there this often, ms.
+const ALIVE_MS: u64 = 500;
+/// Part of its link that a holder takes to tell others, as a divisor.
+const TELL_PART: f64 = 5.0;
+/// Bits of a byte, and bits that a link of 1 Mbit/s carries in a millisecond.
+const BITS: f64 = 8.0;
+const BITS_MS: f64 = 1_000.0;
+
+impl Planner {
+  /// Takes up a holder's word.
+  pub(crate) fn hear(&mut self, now: u64, told: Told, from: SocketAddr) {
+    let groups = self.groups.len() as u32;
+    let Some(group) = self.groups.get_mut(told.group as usize) else {
+      warn!(self.hub.log, "instances differ in their groups"; "from" => %from,
+        "group" => told.group, "groups" => groups);
+      return;
+    };
+    let term = told.word.term;
+    group.lease.told(now, told.word, from);
+    if !told.members.is_empty() {
+      self.members = told.members;
+    }
+    if group.holding {
+      return;
+    }
+    self.hub.gates.deployments.told(told.deployments);
+    self.hub.gates.servers.told(told.servers);
+    let all = told.since == 0;
+    let new = group.known.0 != term;
+    let follows = !new && group.known.1 >= told.since;
+    if all {
+      group.known = (term, told.latest);
+    } else if follows {
+      group.known.1 = group.known.1.max(told.latest);
+    } else {
+      // Something between was lost: the next report says so.
+      group.known = (term, 0);
+    }
+    self.behind |= new || !(all || follows);
+    let taken = all || follows;
+    let event = Event::Told {
+      holdings: if taken { told.holdings } else { Vec::new() },
+      all: (taken && told.first).then_some((told.group, groups)),
+      loads: (!told.loads.is_empty()).then_some(told.loads),
+      instances: told.instances as usize,
+    };
+    self.hub.apply(event, None);
+  }
+
+  /// Tells the holders what is wanted and running here.
+  pub(crate) fn report(&mut self, wanted: bool) {
+    let now = self.hub.now();
+    if !wanted && !self.behind && now < self.reported + self.pause() {
+      return;
+    }
+    self.behind = false;
+    self.reported = now;
+    let report = self.state_report(now);
+    let mut holders: Vec<SocketAddr> = Vec::new();
+    for group in &mut self.groups {
+      if group.holding {
+        group.plan.report(now, self.own, report.clone());
+      } else if let Some(holder) = group.lease.holder()
+        && holder != self.own
+        && !holders.contains(&holder)
+      {
+        holders.push(holder);
+      }
+    }
+    let message = Message::Report(report.clone());
+    self.send(&message, &holders);
+    self.last = Some(report);
+  }
+
+  fn state_report(&self, now: u64) -> Report {
+    let state = self.hub.state();
+    let running = state.running.iter().filter_map(|((key, model), count)| {
+      let backend = state.backends.get(*key)?;
+      Some((backend.spec.id.clone(), model.clone(), *count))
+    });
+    Report {
+      instance: self.instance.clone(),
+      demand: state.demand(now),
+      running: running.collect(),
+      missing: state.missing(now),
+      known: self.groups.iter().map(|group| group.known.1).collect(),
+    }
+  }
+
+  /// Sends a datagram to some instances; gives the bytes sent.
+  fn send(&self, message: &Message, to: &[SocketAddr]) -> usize {
+    match postcard::to_stdvec(message) {
+      Ok(bytes) => {
+        for address in to {
+          // A datagram that is lost is told again.
+          let _ = self.socket.send_to(&bytes, address);
+        }
+        bytes.len() * to.len()
+      }
+      Err(error) => {
+        warn!(self.hub.log, "message not encoded"; "error" => %error);
+        0
+      }
+    }
+  }
+
+  /// A holder whose time is over, as when the store is down, is still there: others
+  /// must not think themselves alone.
+  pub(crate) fn say_alive(&mut self, index: usize) {
+    let now = self.hub.now();
+    let group = &mut self.groups[index];
+    if group.lease.word(now).is_none() || now < group.told_alive + ALIVE_MS {
+      return;
+    }
+    group.told_alive = now;
+    let news = News {
+      to: None,
+      since: group.known.1.max(1),
+      latest: group.known.1.max(1),
+      holdings: Vec::new(),
+      loads: Vec::new(),
+    };
+    self.tell(index, &news);
+  }
+
+  pub(crate) fn tell(&mut self, index: usize, news: &News) {
+    let now = self.hub.now();
+    let groups = self.groups.len() as u32;
+    let group = &mut self.groups[index];
+    let Some(word) = group.lease.word(now) else {
+      return;
+    };
+    let age_ms = word.age_ms;
+    let mut members = group.plan.members(now);
+    for member in &self.members {
+      if !members.contains(member) {
+        members.push(*member);
+      }
+    }
+    let instances = members.len().max(1);
+    let tell_members = news.to.is_none() && now >= group.told_members + MEMBERS_MS;
+    if tell_members {
+      group.told_members = now;
+      self.members = group.plan.members(now);
+    }
+    let empty: &[Holding] = &[];
+    let mut parts: Vec<&[Holding]> = news.holdings.chunks(HOLDINGS).collect();
+    if parts.is_empty() {
+      parts.push(empty);
+    }
+    let last = parts.len() - 1;
+    let own = self.own;
+    let to: Vec<SocketAddr> = match news.to {
+      Some(address) => vec![address],
+      None => members.clone(),
+    };
+    let mine = news.to.is_none() || news.to == Some(own);
+    if mine && group.holding {
+      group.known = (word.term, news.latest);
+    }
+    let others: Vec<SocketAddr> = to.into_iter().filter(|member| *member != own).collect();
+    let mut bytes = 0;
+    for (number, part) in parts.into_iter().enumerate() {
+      let message = Message::Told(Told {
+        group: index as u32,
+        word: word.clone(),
+        deployments: self.hub.gates.deployments.word(age_ms),
+        servers: self.hub.gates.servers.word(age_ms),
+        instances: instances as u32,
+        members: match tell_members && number == 0 {
+          true => members.clone(),
+          false => Vec::new(),
+        },
+        since: news.since,
+        // Only the last part brings an instance up to date.
+        latest: if number == last {
+          news.latest
+        } else {
+          news.since
+        },
+        holdings: part.to_vec(),
+        first: news.since == 0 && number == 0,
+        loads: if number == 0 {
+          news.loads.clone()
+        } else {
+          Vec::new()
+        },
+      });
+      bytes += self.send(&message, &others);
+    }
+    let pause = bytes as f64 * BITS * TELL_PART / (self.link_mbps * BITS_MS);
+    self.groups[index].plan.pace(pause as u64);
+    if mine {
+      let event = Event::Told {
+        holdings: news.holdings.clone(),
+        all: (news.since == 0).then_some((index as u32, groups)),
+        loads: (!news.loads.is_empty()).then(|| news.loads.clone()),
+        instances,
+      };
+      self.hub.apply(event, None);
+    }
+  }
+}
