metrics of routing instances by opentelemetry

Cause: the health address told eight plain counts, no times and no reasons. Change: counters by end, reason, verdict, act and outcome, and histograms of first byte, wait and pause; leases taken and losses of the store. An encoding fault is an answer 500 with its text, not a short page. Test: metrics_count_what_happened. Left: calls of the store by outcome, loads by tier.

--- a/src/command.rs
+++ b/src/command.rs
@@ -10,6 +10,16 @@
   Unload,
 }
 
+impl Act {
+  /// The word used in logs and as a metric label.
+  pub fn word(self) -> &'static str {
+    match self {
+      Self::Load => "load",
+      Self::Unload => "unload",
+    }
+  }
+}
+
 /// One order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Command {
@@ -43,6 +53,21 @@
   Unknown,
 }
 
+impl Taken {
+  /// The word used as a metric label.
+  pub fn word(self) -> &'static str {
+    match self {
+      Self::Accepted => "accepted",
+      Self::Done => "done",
+      Self::Conflict => "conflict",
+      Self::Declined(_) => "declined",
+      Self::Replaced => "replaced",
+      Self::NotSent => "not-sent",
+      Self::Unknown => "unknown",
+    }
+  }
+}
+
 /// What an engine holds, as it says when asked.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Inventory {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -126,6 +126,21 @@
 }
 
 impl End {
+  /// The word used as a metric label.
+  pub fn word(self) -> &'static str {
+    match self {
+      Self::Whole => "whole",
+      Self::Failed => "failed",
+      Self::Full => "full",
+      Self::Missing => "missing",
+      Self::Replaced => "replaced",
+      Self::Unreached => "unreached",
+      Self::Broken => "broken",
+      Self::Left => "left",
+      Self::Late => "late",
+    }
+  }
+
   /// Whether the server may have run the request.
   pub fn verdict(self) -> Verdict {
     match self {
--- a/src/health.rs
+++ b/src/health.rs
@@ -74,7 +74,10 @@
 
 fn page(hub: &Hub, path: &str) -> (u16, String) {
   if path.ends_with("/metrics") {
-    return (200, metrics(hub));
+    return match hub.measures.text() {
+      Ok(text) => (200, text),
+      Err(error) => (500, format!("metrics not encoded: {error}\n")),
+    };
   }
   let ready = hub.state().ready() && !hub.stopping.load(Ordering::Relaxed);
   match ready {
@@ -82,26 +85,3 @@
     false => (503, "not ready\n".into()),
   }
 }
-
-fn metrics(hub: &Hub) -> String {
-  let counts = &hub.counts;
-  let rows = [
-    ("requests", &counts.requests),
-    ("whole", &counts.whole),
-    ("failed", &counts.failed),
-    ("left", &counts.left),
-    ("refused", &counts.refused),
-    ("sends", &counts.sends),
-    ("repeats", &counts.repeats),
-    ("connections", &counts.connections),
-  ];
-  rows
-    .iter()
-    .map(|(name, count)| {
-      format!(
-        "bendsaddle_routed_{name} {}\n",
-        count.load(Ordering::Relaxed)
-      )
-    })
-    .collect()
-}
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -5,6 +5,7 @@
   dialect::Dialect,
   dispatch::{Attempt, Effect, Event, State},
   feed::Gate,
+  measures::Measures,
   refusal::Refusal,
   socket::Bell,
   upstream::Pool,
@@ -59,19 +60,6 @@
   }
 }
 
-/// Counts of what the hub's threads did, for the metrics page.
-#[derive(Debug, Default)]
-pub struct Counts {
-  pub requests: AtomicU64,
-  pub whole: AtomicU64,
-  pub failed: AtomicU64,
-  pub left: AtomicU64,
-  pub refused: AtomicU64,
-  pub sends: AtomicU64,
-  pub repeats: AtomicU64,
-  pub connections: AtomicU64,
-}
-
 /// Who watches what of the store.
 #[derive(Debug, Default)]
 pub struct Gates {
@@ -84,7 +72,7 @@
   pub log: Logger,
   pub dialect: Dialect,
   pub pool: Pool,
-  pub counts: Counts,
+  pub measures: Measures,
   pub gates: Gates,
   /// A planned stop has begun.
   pub stopping: AtomicBool,
@@ -103,11 +91,12 @@
 impl Hub {
   /// A hub around a state.
   pub fn open(state: State, dialect: Dialect, log: Logger) -> io::Result<Arc<Self>> {
+    let measures = Measures::open().map_err(|error| io::Error::other(error.to_string()))?;
     Ok(Arc::new(Self {
       log,
       dialect,
       pool: Pool::default(),
-      counts: Counts::default(),
+      measures,
       gates: Gates::default(),
       stopping: AtomicBool::new(false),
       stop_bell: Bell::open()?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod listing;
+pub mod measures;
 pub mod members;
 pub mod message;
 pub mod metrics;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,7 +31,8 @@
   calls: Counter<u64>,
 }
 
-fn seconds(meter: &Meter, name: &'static str, text: &'static str) -> Histogram<f64> {
+/// A histogram of times.
+pub(crate) fn seconds(meter: &Meter, name: &'static str, text: &'static str) -> Histogram<f64> {
   meter
     .f64_histogram(name)
     .with_description(text)
@@ -40,7 +41,8 @@
     .build()
 }
 
-fn count(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+/// A counter.
+pub(crate) fn count(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
   meter.u64_counter(name).with_description(text).build()
 }
 
@@ -130,10 +132,12 @@
   }
 }
 
-fn label(key: &'static str, value: &str) -> KeyValue {
+/// A label of an instrument.
+pub(crate) fn label(key: &'static str, value: &str) -> KeyValue {
   KeyValue::new(key, value.to_string())
 }
 
-fn ms(ms: u64) -> f64 {
+/// Milliseconds as seconds.
+pub(crate) fn ms(ms: u64) -> f64 {
   ms as f64 / 1_000.0
 }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -271,6 +271,7 @@
             "act" => format!("{:?}", command.act), "model" => &command.model.name,
             "adapter" => &command.model.adapter, "orders" => command.orders,
             "term" => command.term, "taken" => format!("{taken:?}"));
+          self.hub.measures.order(command.act, taken);
           self.groups[index].plan.ordered(now, &command, taken);
         }
         Done::Policies(page) => self.take_policies(page),
@@ -299,6 +300,7 @@
     }
     if group.lease.answered(now, call, result) {
       let term = group.lease.term(now).unwrap_or_default();
+      self.hub.measures.lease();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
       group.plan.begin(now, term);
       group.seen = (0, 0);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -5,6 +5,7 @@
   dispatch::{Ask, Attempt, End, Event, Model},
   http::{Body, Framing, LAST_CHUNK, Request, Response, chunk},
   hub::{Directive, Hub, Mailbox},
+  measures,
   refusal::{Reason, Refusal},
   route::Route,
   socket::{Fill, Socket, Want, wait},
@@ -119,7 +120,7 @@
     held: None,
     keep,
   };
-  hub.counts.requests.fetch_add(1, Ordering::Relaxed);
+  hub.measures.request();
   mailbox.bell.clear();
   mailbox.take();
   hub.apply(Event::Arrived(ask), Some(ticket));
@@ -173,7 +174,7 @@
             directive = mailbox.take();
           }
           Err(_) => {
-            self.hub.counts.left.fetch_add(1, Ordering::Relaxed);
+            self.hub.measures.left();
             info!(self.hub.log, "caller left"; "request" => &self.id, "phase" => "waiting",
               "waited_ms" => self.hub.now() - self.incoming.arrived);
             self.keep = false;
@@ -233,18 +234,14 @@
   }
 
   fn note(&self, attempt: &Attempt, result: &Outcome, sent: u64) {
-    let counts = &self.hub.counts;
-    counts.sends.fetch_add(1, Ordering::Relaxed);
-    if attempt.number > 1 {
-      counts.repeats.fetch_add(1, Ordering::Relaxed);
-    }
-    match result.end {
-      End::Whole => counts.whole.fetch_add(1, Ordering::Relaxed),
-      End::Failed => counts.failed.fetch_add(1, Ordering::Relaxed),
-      End::Left => counts.left.fetch_add(1, Ordering::Relaxed),
-      _ => 0,
-    };
     let now = self.hub.now();
+    self.hub.measures.send(&measures::Send {
+      number: attempt.number,
+      end: result.end,
+      waited_ms: sent.saturating_sub(self.incoming.arrived),
+      first_ms: self.first_ms.map(|at| at - self.incoming.arrived),
+      pause_ms: self.pause_ms,
+    });
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
       "server" => &attempt.id, "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().word(),
@@ -265,7 +262,7 @@
       return outcome(End::Unreached, "no connection");
     };
     if !used {
-      self.hub.counts.connections.fetch_add(1, Ordering::Relaxed);
+      self.hub.measures.connection();
     }
     self.events.cut();
     let result = self.exchange(&mut socket, attempt);
@@ -626,7 +623,7 @@
 
   /// The final answer to a request that is not served.
   fn refuse(&mut self, refusal: Refusal) {
-    self.hub.counts.refused.fetch_add(1, Ordering::Relaxed);
+    self.hub.measures.refusal(&refusal);
     info!(self.hub.log, "refused"; "request" => &self.id, "route" => &self.incoming.route.name,
       "reason" => refusal.reason.word(), "verdict" => refusal.verdict.word(),
       "begun" => self.begun.is_some(),
--- a/src/router.rs
+++ b/src/router.rs
@@ -122,8 +122,12 @@
             .into_iter()
             .filter_map(|(object, removed)| (!removed).then_some(object))
             .collect(),
+          News::Lost => {
+            hub.measures.lost(edge.kinds.deployments);
+            return false;
+          }
           // The feed of the servers tells of the store.
-          News::Lost | News::Back(_) => return false,
+          News::Back(_) => return false,
         };
         for object in &objects {
           deploy(&hub, &edge, object);
@@ -175,6 +179,7 @@
           })
           .collect(),
         News::Lost => {
+          hub.measures.lost(edge.kinds.servers);
           hub.apply(Event::StoreLost, None);
           return false;
         }
