--- a/src/cold.rs
+++ b/src/cold.rs
@@ -70,7 +70,7 @@
     if request.verdict != Verdict::NotRun || self.held(&request.ask.pool, &model.name) {
       return None;
     }
-    let ready = self.ready_at(&request.ask)?;
+    let ready = self.ready_at(request)?;
     (ready > give_up_at(request)).then(|| ready.saturating_sub(self.now) + MARGIN_MS)
   }
 
@@ -87,7 +87,8 @@
   }
 
   /// When a model that nobody holds can be used, as far as known, ms.
-  fn ready_at(&self, ask: &Ask) -> Option<u64> {
+  fn ready_at(&self, request: &Request) -> Option<u64> {
+    let ask = &request.ask;
     let model = ask.model.as_ref()?;
     let engine = self.engine(&ask.pool)?;
     let checkpoint = engine.models.get(&model.name)?;
@@ -106,16 +107,17 @@
         let load = load_ms(checkpoint, tiers.min()?);
         let silent = self.now > self.told_until();
         let takeover = if silent { TAKEOVER_MS } else { 0 };
-        self.wanted_since(&ask.pool, model) + takeover + DECISION_MS + LEAD_MS + load
+        self.wanted_since(request, model) + takeover + DECISION_MS + LEAD_MS + load
       }
     };
     Some(ready.max(self.now + LATE_MS * u64::from(ready < self.now)))
   }
 
-  fn wanted_since(&self, pool: &str, model: &Model) -> u64 {
-    let want = self.wants.get(&(pool.to_string(), model.clone()));
+  /// When the planner first heard of a request's model from here, ms.
+  fn wanted_since(&self, request: &Request, model: &Model) -> u64 {
+    let want = self.wants.get(&(request.ask.pool.clone(), model.clone()));
     let want = want.filter(|want| self.now < want.until);
-    want.map_or(self.now, |want| want.since)
+    want.map_or(request.arrived, |want| want.since.min(request.arrived))
   }
 
   /// A caller goes with the promise that its model is being loaded.
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,186 @@
+//! Requests for models that no server holds: who waits, who is told when to come back.
+
+use bendsaddle::{
+  ask::Ticket,
+  backend::{Holding, Spec, Stage},
+  deployment::{Checkpoint, Deployment, Engine, Pool},
+  dispatch::{Ask, Change, Effect, Event, Model, State},
+  refusal::{Reason, Refusal},
+  retry::Bound,
+  route::{Part, Repeat, Route, Stream},
+  verdict::Verdict,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// A caller of the route leaves after 2.4 s of silence: eight pauses of 300 ms.
+const PATIENCE: u64 = 2_400;
+
+fn route() -> Arc<Route> {
+  Arc::new(Route {
+    name: "r".into(),
+    host: "host".into(),
+    prefix: "/".into(),
+    parts: vec![Part {
+      pool: "pool".into(),
+      weight: 1,
+    }],
+    repeat: Repeat::Never,
+    stream: Some(Stream {
+      resumable: true,
+      gap_ms: 300,
+    }),
+    attempts: 2,
+    timeout_ms: 15_000,
+    objective_ms: 400,
+    priority: 1,
+  })
+}
+
+/// An instance whose one server has the model `near` on its disk and `far` nowhere.
+fn state() -> State {
+  let bound = Bound {
+    ratio: 0.2,
+    slack: 80.0,
+    window_ms: 10_000,
+  };
+  let mut state = State::open("a", bound, 1);
+  let checkpoint = Checkpoint {
+    memory_mb: 1,
+    warm_ms: 400,
+    disk_ms: 800,
+    remote_ms: 6_000,
+    ..Checkpoint::default()
+  };
+  let models = ["near", "far"].map(|name| (name.to_string(), checkpoint.clone()));
+  let engine = Engine {
+    slots: 8,
+    models: models.into(),
+    ..Engine::default()
+  };
+  let pool = Pool {
+    engine: Some(Arc::new(engine)),
+  };
+  let deployment = Deployment {
+    version: 1,
+    pools: BTreeMap::from([("pool".into(), pool)]),
+    ..Deployment::default()
+  };
+  state.reduce(0, Event::Deployed(Arc::new(deployment)));
+  let spec = Spec {
+    id: "one".into(),
+    pool: "pool".into(),
+    address: "127.0.0.1:9".parse().unwrap(),
+    zone: "a".into(),
+    slots: 8,
+    stage: Stage::Ready,
+    models: BTreeMap::new(),
+    in_memory: Vec::new(),
+    on_disk: vec!["near".into()],
+  };
+  state.reduce(0, Event::Servers(vec![Change::All(vec![spec])]));
+  tell(&mut state, 0, None, &[]);
+  state
+}
+
+/// The planner tells what the server holds and loads.
+fn tell(state: &mut State, now: u64, coming: Option<&str>, held: &[&str]) -> Vec<Effect> {
+  let held = held.iter().map(|name| (name.to_string(), Vec::new()));
+  let holding = Holding {
+    id: "one".into(),
+    models: held.collect(),
+    leaving: Vec::new(),
+    coming: coming.map(str::to_string),
+  };
+  let told = Event::Told {
+    holdings: vec![holding],
+    all: None,
+    loads: None,
+    instances: 3,
+  };
+  state.reduce(now, told)
+}
+
+fn ask(state: &mut State, now: u64, ticket: u64, model: &str) -> Vec<Effect> {
+  let ask = Ask {
+    ticket: Ticket(ticket),
+    id: ticket.to_string(),
+    route: route(),
+    pool: "pool".into(),
+    model: Some(Model::parse(model)),
+    affinity: 0,
+    until: now + 15_000,
+  };
+  state.reduce(now, Event::Arrived(ask))
+}
+
+fn refused(effects: &[Effect]) -> Option<Refusal> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Refuse(_, refusal) => Some(*refusal),
+    _ => None,
+  })
+}
+
+#[test]
+fn a_caller_that_would_leave_before_the_load_ends_is_told_when_to_come_back() {
+  let mut state = state();
+  let refusal = refused(&ask(&mut state, 100, 1, "far")).expect("a refusal at once");
+  assert_eq!(
+    (refusal.reason, refusal.verdict),
+    (Reason::Loading, Verdict::NotRun)
+  );
+  let after = refusal.retry_after.unwrap();
+  assert!((6_000..6_500).contains(&after), "{after}");
+}
+
+#[test]
+fn a_caller_whose_model_comes_in_time_waits_for_it() {
+  let mut state = state();
+  assert_eq!(refused(&ask(&mut state, 100, 1, "near")), None);
+  let effects = tell(&mut state, 900, None, &["near"]);
+  assert!(matches!(effects[..], [Effect::Send(_)]), "{effects:?}");
+}
+
+#[test]
+fn what_a_refused_caller_wants_is_demand_until_it_is_back() {
+  let mut state = state();
+  let effects = ask(&mut state, 100, 1, "far");
+  assert!(effects.contains(&Effect::Want), "the planner hears at once");
+  let after = refused(&effects).unwrap().retry_after.unwrap();
+  let demand = state.demand(100 + after);
+  assert_eq!((demand.len(), demand[0].waiting), (1, 1));
+  assert_eq!(demand[0].age_ms, after);
+  assert!(state.demand(100 + after + 1_000).is_empty());
+}
+
+#[test]
+fn the_time_to_come_back_counts_from_the_loads_begin() {
+  let mut state = state();
+  tell(&mut state, 100, Some("far"), &[]);
+  // Told again, it is the same load.
+  tell(&mut state, 600, Some("far"), &[]);
+  let early = refused(&ask(&mut state, 1_100, 1, "far")).unwrap();
+  let after = early.retry_after.unwrap();
+  assert!((5_000..5_500).contains(&after), "{after}");
+  // Near the end of the load it is worth waiting.
+  tell(&mut state, 4_000, Some("far"), &[]);
+  assert_eq!(refused(&ask(&mut state, 5_000, 2, "far")), None);
+}
+
+#[test]
+fn a_request_that_waits_in_vain_is_refused_before_its_caller_leaves() {
+  let mut state = state();
+  ask(&mut state, 100, 1, "near");
+  let mut now = 100;
+  let refusal = loop {
+    now += 100;
+    assert!(now < 100 + PATIENCE, "its caller has left");
+    let mut effects = tell(&mut state, now, None, &[]);
+    effects.extend(state.reduce(now, Event::Look(Ticket(1))));
+    if let Some(refusal) = refused(&effects) {
+      break refusal;
+    }
+  };
+  assert!(now > 100 + PATIENCE / 2, "refused at {now} ms");
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert!(refusal.retry_after.is_some());
+}
