a request whose time is over before it is sent says nothing of its server

Cause: it counted as a connection that did not come up, so a sound server got nothing for half a second and more, and a repeat was charged to the budget. Change: an end of its own (unsent): refused as not run, no mark on the server. Test: a_request_whose_time_is_over_says_nothing_of_its_server.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -117,6 +117,8 @@
   Replaced,
   /// No connection came up.
   Unreached,
+  /// Its time was over before anything went out.
+  Unsent,
   /// The request may have run; nothing of an answer counts.
   Broken,
   /// The caller has gone.
@@ -135,6 +137,7 @@
       Self::Missing => "missing",
       Self::Replaced => "replaced",
       Self::Unreached => "unreached",
+      Self::Unsent => "unsent",
       Self::Broken => "broken",
       Self::Left => "left",
       Self::Late => "late",
@@ -144,7 +147,9 @@
   /// Whether the server may have run the request.
   pub fn verdict(self) -> Verdict {
     match self {
-      Self::Full | Self::Missing | Self::Replaced | Self::Unreached => Verdict::NotRun,
+      Self::Full | Self::Missing | Self::Replaced | Self::Unreached | Self::Unsent => {
+        Verdict::NotRun
+      }
       _ => Verdict::MayHaveRun,
     }
   }
@@ -503,7 +508,7 @@
     self.settle(key, model, end);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
-      End::Late => self.refuse(ticket, Reason::TooLate),
+      End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
       End::Broken => self.broken(ticket),
     }
@@ -548,7 +553,7 @@
     backend.running = backend.running.saturating_sub(1);
     match end {
       End::Whole => backend.failures = 0,
-      End::Failed | End::Left | End::Late => {}
+      End::Failed | End::Left | End::Late | End::Unsent => {}
       End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
       End::Missing => {
         if let Some(model) = &model {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -255,8 +255,7 @@
     let once = !self.incoming.route.repeatable();
     let now = self.hub.now();
     if now >= self.until {
-      // Nothing went out.
-      return outcome(End::Unreached, "time over before it was sent");
+      return outcome(End::Unsent, "time over before it was sent");
     }
     let Ok((mut socket, used)) = self.hub.pool.connect(&attempt.id, attempt.address, once) else {
       return outcome(End::Unreached, "no connection");
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -431,3 +431,14 @@
   let effects = state.reduce(4_600, ask(3, &route, None));
   assert_eq!(sent(&effects), None);
 }
+
+#[test]
+fn a_request_whose_time_is_over_says_nothing_of_its_server() {
+  let mut state = state(vec![spec("s", &[])]);
+  let route = route(Repeat::Never, None, 1);
+  assert!(sent(&state.reduce(0, ask(1, &route, None))).is_some());
+  let refusal = refused(&state.reduce(10, ended(1, End::Unsent))).unwrap();
+  assert_eq!(refusal.reason, Reason::TooLate);
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert!(sent(&state.reduce(20, ask(2, &route, None))).is_some());
+}
