a feed test waits until the gate knows the news

News is handed on before the gate notes its revision; the test spoke in between, so nothing was passed over and a watch was right. Ruled out: the product: a word that comes in between leaves the revision where it is, and the watch from there brings everything. Change: the tests' set-up waits until the gate knows; the assertions stay.

--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -128,6 +128,12 @@
   gate.told(word(5, 5, 0));
   let news = spawn(&numbers, &gate);
   assert_eq!(news.recv_timeout(LONG), Ok(5));
+  // News is taken up before the gate knows of it.
+  let began = Instant::now();
+  while gate.word(0).revision < 5 {
+    assert!(began.elapsed() < LONG, "not in time");
+    thread::sleep(Duration::from_millis(1));
+  }
   (numbers, gate, news)
 }
 
