a stream that ends within an event is not framed as complete

The whole events were delivered with the last chunk before the part was looked at. Ruled out: a part that comes alone (was noticed before). Change: the last chunk goes out only where no part of an event is left; the stream then goes on at another runner.

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -477,7 +477,9 @@
         }
         self.event_ms = now;
         self.first_ms.get_or_insert(now);
-        self.deliver(head, framing, &whole, body.done())?;
+        // A part of an event that follows shows that the stream is not complete.
+        let last = body.done() && self.events.partial().is_empty();
+        self.deliver(head, framing, &whole, last)?;
       }
       if body.done() {
         if !self.events.partial().is_empty() {
