the soak asks the stand-in whether an instance is ready

Cause: the readiness path of the users' platform stood in soak/, outside platform/, and its question stood twice. Change: client::ready in platform/stand-in, used by both. Lints clean; a_short_run_breaks_no_promise passed. No other test was run on this commit.

--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -337,8 +337,7 @@
     let health = lock(&self.members[instance].instance).health;
     let mut misses = 0;
     while !self.over() {
-      let answer = client::get(health, "/api/readyz");
-      let ready = answer.is_some_and(|answer| answer.status == 200);
+      let ready = client::ready(health);
       misses = if ready { 0 } else { misses + 1 };
       let (_, sends) = &self.traffic.instances[instance];
       sends.store(misses < MISSES, Ordering::Relaxed);
