loads by what can still be met, replicas by what requests see

Beside it, a model that had become the most used stayed on one server for 20 s with up to 76 requests a second, since further replicas came after all single loads, one at a time, and not at all while two loads from the weight store ran.

--- a/src/ahead.rs
+++ b/src/ahead.rs
@@ -2,7 +2,7 @@
 
 use crate::{
   deployment::Engine,
-  dispatch::{Demand, Model},
+  dispatch::Demand,
   held::{load_ms, whole},
   plan::{HEAVY_USE, LOAD_COST, Plan},
   report::Tier,
@@ -11,21 +11,13 @@
 
 /// Loads from the weight store at once that are begun without demand: further
 /// ones would slow those that requests wait for.
-pub(crate) const AHEAD_AT_ONCE: usize = 2;
+const AHEAD_AT_ONCE: usize = 2;
 /// Time over which a model's use is forgotten by half, ms.
 const FADE_MS: f64 = 15_000.0;
 /// Use is counted this often, ms.
 const FADE_STEP_MS: u64 = 200;
 /// Servers with a place that can be freed at once, kept in each pool and group.
 const FREEABLE: usize = 1;
-/// Requests a replica carries, in hundredths of its slots, before another one is
-/// loaded; and up to which the others take over those of one that leaves.
-const FURTHER_PERCENT: u32 = 6;
-const CARRY_PERCENT: u32 = 4;
-/// But not fewer than these, where a server has few slots.
-const FURTHER_LEAST: u32 = 3;
-const CARRY_LEAST: u32 = 2;
-
 impl Plan {
   /// Takes up what is in use now, and forgets what was.
   pub(crate) fn fade(&mut self) {
@@ -34,6 +26,8 @@
       return;
     }
     self.faded = self.now;
+    let servers = self.servers.values_mut();
+    servers.for_each(|server| server.occupy(elapsed));
     let rest = 0.5f64.powf(elapsed as f64 / FADE_MS);
     self.used.values_mut().for_each(|used| *used *= rest);
     let mut seen: BTreeMap<(String, String), u32> = BTreeMap::new();
@@ -108,13 +102,7 @@
     let Some((cost, id)) = best else {
       return;
     };
-    let demand = Demand {
-      pool: pool.into(),
-      model: whole(model),
-      waiting: 0,
-      priority: u8::MAX,
-      age_ms: 0,
-    };
+    let demand = Demand::ahead(pool, whole(model));
     self.start(engine, &id, model, Vec::new(), cost, &demand);
     self.note("ahead", &id, model, format!("use {used:.2}"));
   }
@@ -129,7 +117,7 @@
       .filter_map(|(name, pool)| Some((name.clone(), pool.engine.clone()?)))
       .collect();
     for (pool, engine) in pools {
-      self.spread(&pool, &engine);
+      self.spread_adapters(&pool, &engine);
       let of_pool = || {
         self
           .servers
@@ -143,88 +131,8 @@
           || !server.leaving.is_empty()
       });
       if freeable.count() < FREEABLE {
-        self.leave_one(&pool, &engine);
-      }
-    }
-  }
-
-  /// Loads a further replica of a model, or a further copy of an adapter, where
-  /// those that are there carry many requests.
-  pub(crate) fn spread(&mut self, pool: &str, engine: &Engine) {
-    let mut running: BTreeMap<Model, u32> = BTreeMap::new();
-    for server in self
-      .servers
-      .values()
-      .filter(|server| server.spec.pool == pool)
-    {
-      for (model, count) in &server.running {
-        *running.entry(model.clone()).or_default() += count;
-        if model.adapter.is_some() {
-          *running.entry(whole(&model.name)).or_default() += count;
-        }
-      }
-    }
-    for (model, count) in running {
-      let holders = self.holders(pool, &model.name).to_vec();
-      let most = holders.len() as u32 * (engine.slots * FURTHER_PERCENT / 100).max(FURTHER_LEAST);
-      let demand = Demand {
-        pool: pool.into(),
-        model: model.clone(),
-        waiting: 0,
-        priority: u8::MAX,
-        age_ms: 0,
-      };
-      let adapters = engine
-        .models
-        .get(&model.name)
-        .map_or(0, |found| found.adapters.len());
-      let elsewhere = self
-        .others
-        .iter()
-        .filter(|other| other.pool == pool && other.models.contains_key(&model.name));
-      let places = (holders.len() + elsewhere.count()) * engine.adapter_slots as usize;
-      let heavy = count > most || (adapters > places && count as usize > holders.len());
-      match &model.adapter {
-        None if heavy && !holders.is_empty() => self.load(engine, &demand),
-        Some(adapter) if count > 0 => self.copy_adapter(engine, &demand, adapter, &holders),
-        None => self.fetch_adapter(engine, &demand, &holders),
-        _ => {}
+        self.leave_one(&pool);
       }
     }
   }
-
-  pub(crate) fn leave_one(&mut self, pool: &str, engine: &Engine) {
-    let mut best: Option<(u32, String, String)> = None;
-    for (id, server) in &self.servers {
-      if server.spec.pool != pool || !server.synced {
-        continue;
-      }
-      for name in server.models.keys() {
-        let holders = self.holders(pool, name);
-        let running: u32 = holders
-          .iter()
-          .map(|id| self.servers[id].running_of(name))
-          .sum();
-        let least = self.policy(pool, name).min_replicas.max(1);
-        let spare = holders.len() as u32 > least;
-        let rest = (holders.len() as u32).saturating_sub(1);
-        let carried = running <= rest * (engine.slots * CARRY_PERCENT / 100).max(CARRY_LEAST);
-        let here = server.running_of(name);
-        let less = best.as_ref().is_none_or(|(least, ..)| here < *least);
-        if spare && carried && less {
-          best = Some((here, id.clone(), name.clone()));
-        }
-      }
-    }
-    let Some((running, id, name)) = best else {
-      return;
-    };
-    if let Some(server) = self.servers.get_mut(&id) {
-      server.leaving.insert(name.clone());
-      self.news = true;
-      self.index();
-      let why = format!("{running} requests there, others carry them");
-      self.note("leave", &id, &name, why);
-    }
-  }
 }
--- a/src/choose.rs
+++ b/src/choose.rs
@@ -1,7 +1,6 @@
 //! Where a model that is wanted is loaded, and what gives way for it.
 
 use crate::{
-  ahead::AHEAD_AT_ONCE,
   backend::{Stage, missing_name},
   deployment::Engine,
   dispatch::{Demand, Model},
@@ -9,6 +8,7 @@
   plan::{LOAD_COST, Plan},
   policy::Evict,
   report::Tier,
+  urgency::gain,
 };
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -25,6 +25,15 @@
 /// load it, ms: an order is told of within some ten.
 const TURN_MS: u64 = 300;
 
+/// Why a model is loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+  /// Requests wait for it.
+  Waiting,
+  /// Its replicas are too slow for its requests.
+  Strained,
+}
+
 impl Plan {
   /// Whether a server of another group holds a model.
   pub(crate) fn elsewhere(&self, pool: &str, model: &Model) -> bool {
@@ -144,9 +153,19 @@
     jobs.any(|job| job.model == model)
   }
 
-  pub(crate) fn load(&mut self, engine: &Engine, demand: &Demand) {
+  /// Loads of a model that are under way in a pool.
+  pub(crate) fn loads_of(&self, pool: &str, model: &str) -> usize {
+    let servers = self.servers.values();
+    let jobs = servers
+      .filter(|server| server.spec.pool == pool)
+      .filter_map(|server| server.job.as_ref());
+    jobs.filter(|job| job.model == model).count()
+  }
+
+  /// Loads a model where it costs least, if some server can take it.
+  pub(crate) fn load(&mut self, engine: &Engine, demand: &Demand, cause: Cause) {
     let model = demand.model.name.clone();
-    if self.loading(&model) || !engine.models.contains_key(&model) {
+    if cause != Cause::Strained && self.loading(&model) || !engine.models.contains_key(&model) {
       return;
     }
     let mut best: Option<(u64, String, Vec<String>)> = None;
@@ -156,9 +175,9 @@
       return;
     }
     let near = self.copied(&demand.pool, &model);
-    let remote = match demand.waiting {
-      0 => !near && self.remote_jobs() < AHEAD_AT_ONCE,
-      _ => !near || demand.age_ms > REMOTE_AGE_MS,
+    let remote = match cause {
+      Cause::Strained => !near,
+      Cause::Waiting => !near || demand.age_ms > REMOTE_AGE_MS,
     };
     for (id, server) in &self.servers {
       let here = server.models.contains_key(&model);
@@ -173,18 +192,36 @@
       let Some((cost, victims)) = self.room(engine, id, &model) else {
         continue;
       };
-      let cost =
-        cost + load_ms(&engine.models[&model], tier) + LOAD_COST * u64::from(server.load());
+      let load = load_ms(&engine.models[&model], tier);
+      if cause == Cause::Waiting && tier == Tier::Remote && !server.pays(self.now, demand, load) {
+        continue;
+      }
+      let others = load as f64 * server.occupied;
+      let cost = cost + load + others as u64 + LOAD_COST * u64::from(server.load());
       if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
         best = Some((cost, id.clone(), victims));
       }
     }
     let Some((cost, id, victims)) = best else {
+      if cause == Cause::Waiting {
+        self.delayed(engine, &demand.pool, &model);
+      }
       return;
     };
     self.start(engine, &id, &model, victims, cost, demand);
   }
 
+  /// Time from a decision to load a model until it can be used, from its nearest copy
+  /// on a server that takes work, ms.
+  pub(crate) fn path_ms(&self, engine: &Engine, pool: &str, model: &str) -> Option<u64> {
+    let checkpoint = engine.models.get(model)?;
+    let servers = self.servers.values();
+    let working =
+      servers.filter(|server| server.spec.pool == pool && server.spec.stage == Stage::Ready);
+    let tier = working.map(|server| server.spec.tier(model)).min()?;
+    Some(LEAVE_MS + self.unload_ms as u64 + load_ms(checkpoint, tier))
+  }
+
   pub(crate) fn start(
     &mut self,
     engine: &Engine,
@@ -202,6 +239,10 @@
     if tier == Tier::Remote {
       self.remote.push_back(now);
     }
+    server.earn(
+      now,
+      gain(&demand.waits, load_ms(&engine.models[model], tier)),
+    );
     let wait = if victims.is_empty() { 0 } else { LEAVE_MS };
     server.leaving.extend(victims.iter().cloned());
     server.job = Some(Job {
@@ -211,13 +252,17 @@
       due: now + wait,
       waiting: false,
       tries: 0,
+      unloaded: false,
       remote: tier == Tier::Remote,
       until: load_ms(&engine.models[model], tier),
     });
     self.news = true;
+    let delay = self.delays.remove(&(demand.pool.clone(), model.into()));
     let why = format!(
-      "{} waiting for {} ms, from {tier:?}, instead of {victims:?}, cost {cost}",
-      demand.waiting, demand.age_ms
+      "{} waiting for {} ms, from {tier:?}, instead of {victims:?}, cost {cost}, delayed by [{}]",
+      demand.waiting,
+      demand.age_ms,
+      delay.unwrap_or_default().text()
     );
     self.note("load", id, model, why);
   }
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -8,6 +8,7 @@
   backend::{Backend, Stage},
   dispatch::{Ask, Demand, Model, Request, State},
   held::load_ms,
+  urgency::Wait,
   verdict::Verdict,
 };
 use std::collections::BTreeMap;
@@ -36,6 +37,10 @@
 const STREAM_OBJECTIVES: u64 = 4;
 const STREAM_GAPS: u64 = 8;
 
+/// Time left is told in steps of this many ms: requests that arrive together stand
+/// together, and a report stays small.
+const STEP_MS: u64 = 50;
+
 /// What callers want that were told to come back.
 #[derive(Clone, Debug)]
 pub(crate) struct Want {
@@ -62,6 +67,17 @@
   request.arrived + whole.min(silence) * PATIENCE_PERCENT / 100
 }
 
+/// How much time a waiting request has left.
+fn wait(request: &Request, now: u64) -> Wait {
+  let left = |until: u64| (until.saturating_sub(now) / STEP_MS * STEP_MS) as u32;
+  let objective_ms = request.ask.route.objective_ms;
+  Wait {
+    requests: 1,
+    objective_ms: left(request.arrived + objective_ms),
+    patience_ms: left(give_up_at(request)),
+  }
+}
+
 impl State {
   /// For a request that finds no server: after how long its caller should come back,
   /// ms; none: it waits.
@@ -144,13 +160,14 @@
       let entry = demand
         .entry((pool.clone(), model.clone()))
         .or_insert_with(|| Demand {
-          pool: pool.clone(),
-          model: model.clone(),
-          waiting: 0,
           priority: want.priority,
-          age_ms: 0,
+          ..Demand::ahead(pool, model.clone())
         });
-      entry.waiting += want.callers;
+      entry.add(Wait {
+        requests: want.callers,
+        objective_ms: 0,
+        patience_ms: (want.until - now) as u32,
+      });
       entry.priority = entry.priority.min(want.priority);
       entry.age_ms = entry.age_ms.max(now.saturating_sub(want.since));
     }
@@ -183,13 +200,10 @@
       let key = (request.ask.pool.clone(), model.clone());
       let age_ms = now.saturating_sub(request.arrived);
       let entry = demand.entry(key).or_insert_with(|| Demand {
-        pool: request.ask.pool.clone(),
-        model: model.clone(),
-        waiting: 0,
         priority: *priority,
-        age_ms,
+        ..Demand::ahead(&request.ask.pool, model.clone())
       });
-      entry.waiting += 1;
+      entry.add(wait(request, now));
       entry.priority = entry.priority.min(*priority);
       entry.age_ms = entry.age_ms.max(age_ms);
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,8 @@
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::Route,
+  strain::Book,
+  urgency::Wait,
   verdict::Verdict,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -183,6 +185,8 @@
     ticket: Ticket,
     end: End,
   },
+  /// The answer of a request's send has begun.
+  Began(Ticket),
   /// A waiting request's time has come to be looked at again.
   Look(Ticket),
   /// The caller of a waiting request has gone.
@@ -224,6 +228,8 @@
   pub arrived: u64,
   /// It waits for a server since then, ms.
   pub waiting: Option<u64>,
+  /// When it was last sent, ms.
+  pub(crate) sent: u64,
 }
 
 /// Requests that wait for a model, told to the planner.
@@ -236,6 +242,34 @@
   pub priority: u8,
   /// How long the oldest waits, ms.
   pub age_ms: u64,
+  /// How much time they have left; requests that have about as much stand together.
+  pub waits: Vec<Wait>,
+}
+
+impl Demand {
+  /// Demand of nobody, for a load ahead of it.
+  pub fn ahead(pool: &str, model: Model) -> Self {
+    Self {
+      pool: pool.into(),
+      model,
+      waiting: 0,
+      priority: u8::MAX,
+      age_ms: 0,
+      waits: Vec::new(),
+    }
+  }
+
+  /// Adds requests with this much time left.
+  pub(crate) fn add(&mut self, wait: Wait) {
+    self.waiting += wait.requests;
+    let like = |known: &&mut Wait| {
+      known.objective_ms == wait.objective_ms && known.patience_ms == wait.patience_ms
+    };
+    match self.waits.iter_mut().find(like) {
+      Some(known) => known.requests += wait.requests,
+      None => self.waits.push(wait),
+    }
+  }
 }
 
 /// Everything that routed requests are decided by.
@@ -269,6 +303,8 @@
   pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
   pub(crate) lapse_until: u64,
+  /// How slow servers were for each model since the last report.
+  pub(crate) strain: Book,
   /// Counts changes of holdings that were told.
   pub tellings: u64,
   rng: SmallRng,
@@ -301,6 +337,7 @@
       store_lost: false,
       wants: Wants::new(),
       lapse_until: 0,
+      strain: Book::new(),
       tellings: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
@@ -335,6 +372,7 @@
       }
       Event::Arrived(ask) => self.arrived(ask),
       Event::Ended { ticket, end } => self.ended(ticket, end),
+      Event::Began(ticket) => self.began(ticket),
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.forget(ticket),
       Event::StoreLost => self.store_lost = true,
@@ -369,6 +407,7 @@
       verdict: Verdict::NotRun,
       arrived: self.now,
       waiting: None,
+      sent: 0,
     };
     self.requests.insert(ticket, request);
     if self.now >= self.new_until {
@@ -475,6 +514,7 @@
     request.sends += 1;
     request.at = Some(key);
     request.waiting = None;
+    request.sent = self.now;
     let entry = order(&request.ask);
     let backend = &mut self.backends[key];
     backend.running += 1;
@@ -505,6 +545,9 @@
     }
     request.verdict = request.verdict.and(end.verdict());
     let model = request.ask.model.clone();
+    if end == End::Full {
+      self.declined(ticket);
+    }
     self.settle(key, model, end);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
--- a/src/held.rs
+++ b/src/held.rs
@@ -5,10 +5,11 @@
   backend::{Holding, Spec, Stage},
   command::{Act, Command, Taken},
   deployment::{Checkpoint, Engine},
-  dispatch::Model,
+  dispatch::{Demand, Model},
   plan::{ASK_MS, LAG_MS},
   report::Tier,
   selector::Labels,
+  urgency::gain,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +21,19 @@
 /// An adapter comes within some milliseconds; time until requests may try it, ms.
 const ADAPTER_MS: u64 = 15;
 
+/// A server's pace before it was seen at work: reports that lag never show less.
+const PACE_FIRST: f64 = 1.0;
+/// Change of a server's pace after a load that ended later than its estimate, and after
+/// one that had ended by then: one request in some twenty finds its model too early.
+const PACE_UP: f64 = 0.1;
+const PACE_DOWN: f64 = 0.005;
+const PACE_LEAST: f64 = 0.5;
+const PACE_MOST: f64 = 4.0;
+
+/// Time over which the use of an order path counts by half as much, ms: some five loads
+/// from a near copy.
+const PATH_HALF_MS: f64 = 4_000.0;
+
 /// A step of changing what a server holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -41,6 +55,8 @@
   /// An order or a question is under way.
   pub(crate) waiting: bool,
   pub(crate) tries: u32,
+  /// Its last order was an unload.
+  pub(crate) unloaded: bool,
   /// It takes the weight store's time.
   pub(crate) remote: bool,
   /// When the load should be done, and when it is given up, ms.
@@ -66,6 +82,16 @@
   pub(crate) silent: u32,
   /// When models and adapters were last in use, ms.
   pub(crate) used: BTreeMap<Model, u64>,
+  /// A load that was taken as done when its time was over, and when the server is asked
+  /// whether it is, ms.
+  pub(crate) taken_as_done: Option<(String, u64)>,
+  /// How long loads take here, as a multiple of what their checkpoints state.
+  pub(crate) pace: f64,
+  /// The part of the time in which its order path was occupied lately, 0 to 1.
+  pub(crate) occupied: f64,
+  /// What requests gained from loads here lately, fading, and when it was counted, ms.
+  earned: f64,
+  earned_at: u64,
   /// Requests of all instances, by model and adapter.
   pub(crate) running: BTreeMap<Model, u32>,
   /// The holding as last told, and the count of that change.
@@ -105,6 +131,11 @@
       doubted: 0,
       silent: 0,
       used: BTreeMap::new(),
+      taken_as_done: None,
+      pace: PACE_FIRST,
+      occupied: 0.0,
+      earned: 0.0,
+      earned_at: 0,
       running: BTreeMap::new(),
       told: None,
       changed: 0,
@@ -130,6 +161,10 @@
   /// A request did not find a model that should be here: an unload that got no answer
   /// may have been carried out late. The server is asked.
   pub(crate) fn missed(&mut self, now: u64, model: &str) {
+    let early = |(loaded, until): &(String, u64)| loaded == model && now < *until;
+    if self.taken_as_done.as_ref().is_some_and(early) {
+      return self.paced(false);
+    }
     let believed = self.models.contains_key(model) && !self.leaving.contains(model);
     if believed && self.free(now) && now >= self.doubted + DOUBT_MS {
       self.doubted = now;
@@ -137,6 +172,40 @@
     }
   }
 
+  /// Counts the time for which the order path was occupied, or not.
+  pub(crate) fn occupy(&mut self, elapsed_ms: u64) {
+    let rest = 0.5f64.powf(elapsed_ms as f64 / PATH_HALF_MS);
+    let now = f64::from(u8::from(self.job.is_some()));
+    self.occupied = self.occupied * rest + now * (1.0 - rest);
+  }
+
+  /// What requests gained lately in a millisecond of the order path.
+  fn earning(&self, now: u64) -> f64 {
+    let elapsed = now.saturating_sub(self.earned_at) as f64;
+    let earned = self.earned * 0.5f64.powf(elapsed / PATH_HALF_MS);
+    earned * std::f64::consts::LN_2 / PATH_HALF_MS
+  }
+
+  /// Requests gain so much from a load that begins.
+  pub(crate) fn earn(&mut self, now: u64, gain: f64) {
+    self.earned = self.earning(now) * PATH_HALF_MS / std::f64::consts::LN_2 + gain;
+    self.earned_at = now;
+  }
+
+  /// Whether a long load gains as much as others did in so much time here.
+  pub(crate) fn pays(&self, now: u64, demand: &Demand, load_ms: u64) -> bool {
+    gain(&demand.waits, load_ms) >= self.earning(now) * load_ms as f64
+  }
+
+  /// Takes up whether the load that was taken as done was.
+  pub(crate) fn paced(&mut self, done: bool) {
+    if self.taken_as_done.take().is_none() {
+      return;
+    }
+    let change = if done { -PACE_DOWN } else { PACE_UP };
+    self.pace = (self.pace + change).clamp(PACE_LEAST, PACE_MOST);
+  }
+
   /// A question got no answer: the server rests, longer each time.
   pub(crate) fn unanswered(&mut self, now: u64) {
     self.rest_until = now + (DOUBT_MS << self.silent.min(SILENT_MOST));
--- a/src/message.rs
+++ b/src/message.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// A datagram between instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
   Report(Report),
   Told(Told),
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -7,12 +7,17 @@
 
 use crate::{
   backend::{Holding, Spec, short},
+  choose::Cause,
   command::Command,
   deployment::Deployment,
   dispatch::{Demand, Model},
   held::{Server, whole},
+  obstacle::Delay,
   policy::Policy,
   selector::Labels,
+  strain::{Seen, Strain},
+  urgency::gain,
+  work::UNLOAD_MS,
 };
 use std::{
   collections::{BTreeMap, BTreeSet, VecDeque},
@@ -23,7 +28,7 @@
 /// An instance not heard of for this long does not count, ms.
 const MEMBER_MS: u64 = 3_000;
 /// Demand told longer ago does not count, ms.
-const DEMAND_MS: u64 = 600;
+pub(crate) const DEMAND_MS: u64 = 600;
 /// A server tells its holdings with this lag, ms.
 pub(crate) const LAG_MS: u64 = 200;
 /// Pause between two questions whether a load is done, ms.
@@ -43,9 +48,6 @@
 /// What a request running on a server adds to the cost of a load there, ms: its
 /// adapters cannot be changed meanwhile.
 pub(crate) const LOAD_COST: u64 = 15;
-/// Weight of a waiting request of the most urgent priority; a quarter for each
-/// step below.
-const URGENCY: u64 = 1 << 16;
 /// Time for instances to report to a new holder, ms.
 const SETTLE_MS: u64 = 150;
 /// Use of each replica, in requests at once, from which a model gets a further one
@@ -55,7 +57,7 @@
 const USE_LEAST: f64 = 0.05;
 
 /// What an instance tells the planner.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
   pub instance: String,
   pub demand: Vec<Demand>,
@@ -63,6 +65,8 @@
   pub running: Vec<(String, Model, u32)>,
   /// Models that servers were found not to hold, against what was told.
   pub missing: Vec<(String, String)>,
+  /// How slow servers were for each model since the last report.
+  pub strain: Vec<Seen>,
   /// For each group, the count up to which it knows the changes of holdings.
   pub known: Vec<u64>,
 }
@@ -134,6 +138,8 @@
   pub(crate) held: BTreeMap<String, BTreeMap<String, Vec<String>>>,
   /// Pools and models that callers wait for, or will come back for.
   pub(crate) wanted: BTreeSet<(String, String)>,
+  /// What has kept models that are waited for from being loaded, by pool and model.
+  pub(crate) delays: BTreeMap<(String, String), Delay>,
   /// When what needs no request to wait was last looked after, ms.
   swept: u64,
   /// Nothing is moved before this time: instances have not reported yet, ms.
@@ -146,8 +152,12 @@
   /// How much each pool's models are used: requests at once, fading.
   pub(crate) used: BTreeMap<(String, String), f64>,
   pub(crate) faded: u64,
+  /// How slow servers are for each pool's models.
+  pub(crate) strain: BTreeMap<(String, String), Strain>,
   /// Loads from the weight store, ms.
   pub(crate) remote: VecDeque<u64>,
+  /// Time that an unload without runs takes, as learnt from orders, ms.
+  pub(crate) unload_ms: f64,
   pub(crate) load_window_ms: u64,
   pub(crate) load_overage: f64,
   pub(crate) loads_at_once: usize,
@@ -177,6 +187,7 @@
       others: Vec::new(),
       held: BTreeMap::new(),
       wanted: BTreeSet::new(),
+      delays: BTreeMap::new(),
       swept: 0,
       settled_at: 0,
       machine: machine.into(),
@@ -186,7 +197,9 @@
       members: BTreeMap::new(),
       used: BTreeMap::new(),
       faded: 0,
+      strain: BTreeMap::new(),
       remote: VecDeque::new(),
+      unload_ms: UNLOAD_MS,
       load_window_ms,
       load_overage,
       loads_at_once,
@@ -277,6 +290,12 @@
         server.missed(now, model);
       }
     }
+    for seen in &report.strain {
+      let key = (seen.pool.clone(), seen.model.clone());
+      let (requests, slowness) = (f64::from(seen.requests), f64::from(seen.slowness));
+      let strain = self.strain.entry(key).or_default();
+      strain.add(now, requests, slowness);
+    }
     let instance = report.instance.clone();
     let known = self.members.get(&instance);
     let member = Member {
@@ -331,6 +350,7 @@
       if sweep {
         self.swept = now;
         self.fill_room(HEAVY_USE);
+        self.replicate();
       }
       self.serve_demand();
       if sweep {
@@ -449,11 +469,11 @@
       for demand in &member.report.demand {
         let key = (demand.pool.clone(), demand.model.clone());
         let sum = all.entry(key).or_insert_with(|| Demand {
-          waiting: 0,
-          age_ms: 0,
-          ..demand.clone()
+          priority: demand.priority,
+          ..Demand::ahead(&demand.pool, demand.model.clone())
         });
-        sum.waiting += demand.waiting;
+        let waits = demand.waits.iter();
+        waits.for_each(|wait| sum.add(wait.aged(age)));
         sum.priority = sum.priority.min(demand.priority);
         sum.age_ms = sum.age_ms.max(demand.age_ms + age);
       }
@@ -474,7 +494,7 @@
         continue;
       };
       if !self.keep(&demand.pool, &demand.model.name) && self.may_serve(&demand) {
-        self.load(&engine, &demand);
+        self.load(&engine, &demand, Cause::Waiting);
       }
     }
     for demand in demand {
@@ -494,30 +514,42 @@
     }
   }
 
-  /// Demand for models that no server holds, adapters taken together: what the
-  /// most urgent requests wait for goes first.
+  /// Demand for models that no server holds, adapters taken together: what gains most
+  /// from being loaded now goes first.
   pub(crate) fn without_holder(&self, demand: &[Demand]) -> Vec<Demand> {
-    let mut models: BTreeMap<(&str, &str), (u64, Demand)> = BTreeMap::new();
+    let mut models: BTreeMap<(&str, &str), Demand> = BTreeMap::new();
     for demand in demand {
       let (pool, name) = (demand.pool.as_str(), demand.model.name.as_str());
       if !self.holders(pool, name).is_empty() || self.elsewhere(pool, &whole(name)) {
         continue;
       }
-      let weight = u64::from(demand.waiting) * (URGENCY >> (2 * demand.priority.min(8)));
-      let (total, sum) = models.entry((pool, name)).or_insert_with(|| {
-        let empty = Demand {
-          waiting: 0,
-          model: whole(name),
-          ..demand.clone()
-        };
-        (0, empty)
+      let sum = models.entry((pool, name)).or_insert_with(|| Demand {
+        priority: demand.priority,
+        ..Demand::ahead(pool, whole(name))
       });
-      *total += weight;
-      sum.waiting += demand.waiting;
+      let waits = demand.waits.iter();
+      waits.for_each(|wait| sum.add(*wait));
       sum.age_ms = sum.age_ms.max(demand.age_ms);
     }
-    let mut models: Vec<(u64, Demand)> = models.into_values().collect();
-    models.sort_by_key(|(weight, demand)| std::cmp::Reverse((*weight, demand.age_ms)));
+    let mut models: Vec<(f64, Demand)> = models
+      .into_values()
+      .map(|demand| (self.gain_rate(&demand), demand))
+      .collect();
+    models.sort_by(|(one, first), (two, second)| {
+      let later = second.age_ms.cmp(&first.age_ms);
+      two.total_cmp(one).then(later)
+    });
     models.into_iter().map(|(_, demand)| demand).collect()
   }
+
+  /// What requests gain from a load of their model for each second that it takes.
+  fn gain_rate(&self, demand: &Demand) -> f64 {
+    let Some(engine) = self.engine(&demand.pool) else {
+      return 0.0;
+    };
+    let Some(path_ms) = self.path_ms(&engine, &demand.pool, &demand.model.name) else {
+      return 0.0;
+    };
+    gain(&demand.waits, path_ms) * 1_000.0 / path_ms as f64
+  }
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -50,6 +50,7 @@
   incoming: &'a Incoming,
   id: String,
   until: u64,
+  ticket: Ticket,
   /// The answer's head has gone to the caller.
   begun: Option<Framing>,
   events: Events,
@@ -111,6 +112,7 @@
     incoming,
     id,
     until,
+    ticket,
     begun: None,
     events: Events::default(),
     first_ms: None,
@@ -198,9 +200,8 @@
   /// Waits as `rest` does; the first wait of a request is recorded.
   fn await_news(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
     if !std::mem::replace(&mut self.waited, true) {
-      let model = self.incoming.head.headers.get(self.hub.dialect.model);
       info!(self.hub.log, "waiting"; "request" => &self.id,
-        "route" => &self.incoming.route.name, "model" => model,
+        "route" => &self.incoming.route.name, "model" => self.model(),
         "why" => "no server can take it now",
         "planner_age_ms" => self.hub.now().saturating_sub(self.hub.state().told_at));
     }
@@ -233,6 +234,21 @@
     }
   }
 
+  fn model(&self) -> Option<&str> {
+    self.incoming.head.headers.get(self.hub.dialect.model)
+  }
+
+  /// What of an answer came later than its route allows, for the log.
+  fn late(&self) -> &'static str {
+    let route = &self.incoming.route;
+    let first_ms = self.first_ms.map_or(0, |at| at - self.incoming.arrived);
+    match route.stream {
+      _ if first_ms > route.objective_ms => "first",
+      Some(stream) if self.pause_ms > stream.gap_ms => "pause",
+      _ => "no",
+    }
+  }
+
   fn note(&self, attempt: &Attempt, result: &Outcome, sent: u64) {
     let now = self.hub.now();
     self.hub.measures.send(&measures::Send {
@@ -243,6 +259,7 @@
       pause_ms: self.pause_ms,
     });
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
+      "model" => self.model(), "late" => self.late(),
       "server" => &attempt.id, "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().word(),
       "waited_ms" => sent.saturating_sub(self.incoming.arrived), "took_ms" => now - sent,
@@ -476,7 +493,10 @@
           self.pause_ms = self.pause_ms.max(now - self.event_ms);
         }
         self.event_ms = now;
-        self.first_ms.get_or_insert(now);
+        if self.first_ms.is_none() {
+          self.first_ms = Some(now);
+          self.hub.apply(Event::Began(self.ticket), Some(self.ticket));
+        }
         // A part of an event that follows shows that the stream is not complete.
         let last = body.done() && self.events.partial().is_empty();
         self.deliver(head, framing, &whole, last)?;
@@ -627,7 +647,7 @@
     self.hub.measures.refusal(&refusal);
     info!(self.hub.log, "refused"; "request" => &self.id, "route" => &self.incoming.route.name,
       "reason" => refusal.reason.word(), "verdict" => refusal.verdict.word(),
-      "begun" => self.begun.is_some(),
+      "model" => self.model(), "begun" => self.begun.is_some(),
       "waited_ms" => self.hub.now() - self.incoming.arrived);
     if self.begun.is_some() {
       // An answer that ends early must not look whole.
--- /dev/null
+++ b/src/replicas.rs
@@ -0,0 +1,115 @@
+//! How many replicas a model has: as few as answer within their objectives, by what
+//! requests see of the servers that hold it.
+
+use crate::{
+  backend::Stage,
+  choose::Cause,
+  deployment::Engine,
+  dispatch::{Demand, Model},
+  held::whole,
+  plan::Plan,
+};
+use std::collections::BTreeMap;
+
+/// Part of their objective that requests of a model may spend at servers, in the mean,
+/// before it gets a further replica: what the slowest of them see is some three times
+/// the mean.
+const STRAINED: f64 = 0.3;
+/// And below which the other replicas can take over the requests of one.
+const EASY: f64 = STRAINED / 2.0;
+
+impl Plan {
+  /// Loads further replicas of models whose servers are too slow for them, and further
+  /// copies of adapters in use.
+  pub(crate) fn replicate(&mut self) {
+    let strained: Vec<((String, String), f64)> = self
+      .strain
+      .iter()
+      .filter_map(|(key, strain)| Some((key.clone(), strain.mean(self.now)?)))
+      .filter(|(_, mean)| *mean >= STRAINED)
+      .collect();
+    for ((pool, model), mean) in strained {
+      let Some(engine) = self.engine(&pool) else {
+        continue;
+      };
+      let holders = self.holders(&pool, &model).len();
+      let wanted = (holders as f64 * (mean / STRAINED).min(2.0)).ceil() as usize;
+      let coming = self.loads_of(&pool, &model);
+      for _ in holders + coming..wanted {
+        let demand = Demand::ahead(&pool, whole(&model));
+        self.load(&engine, &demand, Cause::Strained);
+      }
+    }
+  }
+
+  /// Whether the other replicas of a model can take over the requests of one.
+  fn spare(&self, pool: &str, model: &str) -> bool {
+    let holders = self.holders(pool, model).len() as u32;
+    let least = self.policy(pool, model).min_replicas.max(1);
+    if holders <= least {
+      return false;
+    }
+    let key = (pool.to_string(), model.to_string());
+    let mean = self
+      .strain
+      .get(&key)
+      .and_then(|strain| strain.mean(self.now));
+    let more = f64::from(holders) / f64::from(holders - 1);
+    mean.unwrap_or_default() * more < EASY
+  }
+
+  /// Requests of a pool that run, by model and adapter; those of adapters count for
+  /// their model too.
+  fn running(&self, pool: &str) -> BTreeMap<Model, u32> {
+    let mut running: BTreeMap<Model, u32> = BTreeMap::new();
+    let servers = self.servers.values();
+    for server in servers.filter(|server| server.spec.pool == pool) {
+      for (model, count) in &server.running {
+        *running.entry(model.clone()).or_default() += count;
+        if model.adapter.is_some() {
+          *running.entry(whole(&model.name)).or_default() += count;
+        }
+      }
+    }
+    running
+  }
+
+  /// Loads further copies of adapters in use, and adapters of models in use.
+  pub(crate) fn spread_adapters(&mut self, pool: &str, engine: &Engine) {
+    for (model, _) in self.running(pool) {
+      let holders = self.holders(pool, &model.name).to_vec();
+      let demand = Demand::ahead(pool, model.clone());
+      match &model.adapter {
+        Some(adapter) => self.copy_adapter(engine, &demand, adapter, &holders),
+        None => self.fetch_adapter(engine, &demand, &holders),
+      }
+    }
+  }
+
+  /// Lets the replica go that has the fewest requests, of a model that can do without.
+  pub(crate) fn leave_one(&mut self, pool: &str) {
+    let mut best: Option<(u32, String, String)> = None;
+    for (id, server) in &self.servers {
+      if server.spec.pool != pool || !server.synced || server.spec.stage != Stage::Ready {
+        continue;
+      }
+      for name in server.models.keys() {
+        let here = server.running_of(name);
+        let less = best.as_ref().is_none_or(|(least, ..)| here < *least);
+        if less && !server.leaving.contains(name) && self.spare(pool, name) {
+          best = Some((here, id.clone(), name.clone()));
+        }
+      }
+    }
+    let Some((running, id, name)) = best else {
+      return;
+    };
+    if let Some(server) = self.servers.get_mut(&id) {
+      server.leaving.insert(name.clone());
+      self.news = true;
+      self.index();
+      let why = format!("{running} requests there, others carry them");
+      self.note("leave", &id, &name, why);
+    }
+  }
+}
--- a/src/word.rs
+++ b/src/word.rs
@@ -90,7 +90,8 @@
   }
 
   fn state_report(&self, now: u64) -> Report {
-    let state = self.hub.state();
+    let mut state = self.hub.state();
+    let strain = state.take_strain();
     let running = state.running.iter().filter_map(|((key, model), count)| {
       let backend = state.backends.get(*key)?;
       Some((backend.spec.id.clone(), model.clone(), *count))
@@ -100,6 +101,7 @@
       demand: state.demand(now),
       running: running.collect(),
       missing: state.missing(now),
+      strain,
       known: self.groups.iter().map(|group| group.known.1).collect(),
     }
   }
--- a/src/work.rs
+++ b/src/work.rs
@@ -7,13 +7,19 @@
   plan::{ASK_MS, Effect, LAG_MS, Plan},
 };
 
-/// Pause between an unload and the load that follows, ms: runners were seen to take
-/// between 30 and 60 ms for an unload without runs.
-const UNLOAD_MS: u64 = 60;
+/// Pause between an unload and the order that follows before one was seen, ms; and its
+/// change after an order that met the unload, and after one that did not: one in twenty
+/// does.
+pub(crate) const UNLOAD_MS: f64 = 40.0;
+const UNLOAD_UP_MS: f64 = 10.0;
+const UNLOAD_DOWN_MS: f64 = 0.5;
 /// Pause before an order that met another one is sent again, ms.
-const AGAIN_MS: u64 = 60;
+const AGAIN_MS: u64 = 20;
 /// Sends of an order that meets another one.
-const AGAIN_MOST: u32 = 12;
+const AGAIN_MOST: u32 = 36;
+/// After a load was taken as done the server is asked within this time, ms: its reports
+/// show by then what it held at that moment.
+const CHECK_MS: u64 = LAG_MS * 2;
 /// A load may take this many times its estimate.
 const LATE: u64 = 4;
 
@@ -31,6 +37,7 @@
     }
     if taken == Taken::Accepted {
       server.orders = server.orders.max(command.orders + 1);
+      server.paced(true);
     }
     if command.act == Act::Unload && matches!(taken, Taken::Accepted | Taken::Done) {
       server.models.remove(&command.model.name);
@@ -49,11 +56,18 @@
         if job.victims.is_empty() {
           job.step = Step::Load;
         }
-        job.due = now + UNLOAD_MS;
+        job.unloaded = true;
+        job.due = now + self.unload_ms as u64;
         server.job = Some(job);
       }
       (Taken::Accepted, Step::Load) => {
-        let took = job.until;
+        if job.unloaded && job.tries == 0 {
+          self.unload_ms = (self.unload_ms - UNLOAD_DOWN_MS).max(0.0);
+        }
+        let took = match job.remote {
+          true => job.until,
+          false => (job.until as f64 * server.pace) as u64,
+        };
         job.step = Step::Await;
         job.due = now + took;
         job.until = now + (took + LAG_MS) * LATE;
@@ -61,6 +75,10 @@
       }
       (Taken::Conflict, _) if again => {
         job.tries += 1;
+        server.paced(false);
+        if job.step == Step::Load && job.unloaded {
+          self.unload_ms += UNLOAD_UP_MS;
+        }
         job.due = now + AGAIN_MS;
         server.job = Some(job);
         if server.tries() % 4 == 3 {
@@ -140,6 +158,38 @@
     server.job = Some(job);
   }
 
+  /// A load from a near copy is taken as done when its time is over: a report would show
+  /// it only after a lag. The server is asked later.
+  fn take_as_done(&mut self, id: &str) {
+    let now = self.now;
+    let Some(server) = self.servers.get_mut(id) else {
+      return;
+    };
+    let Some(job) = server.job.take() else {
+      return;
+    };
+    server.models.insert(job.model.clone(), Vec::new());
+    server.used.insert(whole(&job.model), now);
+    server.taken_as_done = Some((job.model, now + CHECK_MS));
+    self.news = true;
+    self.index();
+  }
+
+  /// Asks a server whether the load that was taken as done is, unless the next one is
+  /// under way.
+  fn check_load(&mut self, id: &str) {
+    let now = self.now;
+    let Some(server) = self.servers.get_mut(id) else {
+      return;
+    };
+    let due = |(_, at): &(String, u64)| now >= *at;
+    if server.job.is_some() || !server.taken_as_done.as_ref().is_some_and(due) {
+      return;
+    }
+    server.paced(true);
+    server.synced = false;
+  }
+
   /// Goes on with a job after its server was asked again, where the load still finds
   /// room: an earlier order without answer may have been carried out meanwhile.
   fn keep_job(&mut self, id: &str) {
@@ -174,6 +224,7 @@
   }
 
   pub(crate) fn sync(&mut self, id: &str) {
+    self.check_load(id);
     let Some(server) = self.servers.get_mut(id) else {
       return;
     };
@@ -212,6 +263,9 @@
         false => Step::Unload,
       };
     }
+    if job.step == Step::Await && !job.remote {
+      return self.take_as_done(id);
+    }
     if job.step == Step::Await {
       job.waiting = true;
       server.asking = true;
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -7,6 +7,7 @@
   deployment::{Checkpoint, Deployment, Engine, Pool},
   dispatch::{Demand, Model},
   plan::{Effect, Plan, Report},
+  urgency::Wait,
 };
 use std::{
   collections::{BTreeMap, BTreeSet},
@@ -127,6 +128,11 @@
       waiting: *waiting,
       priority: 0,
       age_ms: 0,
+      waits: vec![Wait {
+        requests: *waiting,
+        objective_ms: 1_000,
+        patience_ms: 10_000,
+      }],
     });
     let running = self.running.iter();
     let report = Report {
@@ -137,6 +143,7 @@
         .collect(),
       missing: std::mem::take(&mut self.missing),
       known: Vec::new(),
+      strain: Vec::new(),
     };
     let address = "127.0.0.1:1".parse().unwrap();
     self.plan.report(self.now, address, report);
@@ -508,6 +515,7 @@
         running: Vec::new(),
         missing: Vec::new(),
         known: Vec::new(),
+        strain: Vec::new(),
       };
       let address = format!("127.0.0.1:{}", 2_000 + number).parse().unwrap();
       world.plan.report(world.now, address, report);
