loads are followed to their end without the lease; bursts and heavy use get two

Change: a holder whose time is over sends no order, but goes on following what is under way and telling it. A burst beyond half of a server's slots has several loads at once; a model with 1.5 requests at once in the mean keeps two replicas.

--- a/src/choose.rs
+++ b/src/choose.rs
@@ -165,7 +165,11 @@
   /// Loads a model where it costs least, if some server can take it.
   pub(crate) fn load(&mut self, engine: &Engine, demand: &Demand, cause: Cause) {
     let model = demand.model.name.clone();
-    if cause != Cause::Strained && self.loading(&model) || !engine.models.contains_key(&model) {
+    if !engine.models.contains_key(&model) {
+      return;
+    }
+    let at_once = 1 + demand.waiting / (engine.slots / 2).max(1);
+    if cause == Cause::Waiting && self.loads_of(&demand.pool, &model) >= at_once as usize {
       return;
     }
     let mut best: Option<(u64, String, Vec<String>)> = None;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -146,6 +146,8 @@
   pub(crate) settled_at: u64,
   pub(crate) machine: String,
   pub(crate) term: u64,
+  /// Orders may go out.
+  pub(crate) ordering: bool,
   pub(crate) deployment: Arc<Deployment>,
   pub(crate) servers: BTreeMap<String, Server>,
   pub(crate) members: BTreeMap<String, Member>,
@@ -192,6 +194,7 @@
       settled_at: 0,
       machine: machine.into(),
       term: 0,
+      ordering: true,
       deployment: Arc::default(),
       servers: BTreeMap::new(),
       members: BTreeMap::new(),
@@ -334,6 +337,11 @@
     live.map(|member| member.address).collect()
   }
 
+  /// Whether orders may go out: otherwise what is under way is followed to its end.
+  pub fn order(&mut self, may: bool) {
+    self.ordering = may;
+  }
+
   /// Goes on with everything that is due.
   pub fn step(&mut self, now: u64) -> Vec<Effect> {
     self.now = now;
@@ -345,7 +353,7 @@
       self.work(id);
     }
     self.fade();
-    if now >= self.settled_at {
+    if self.ordering && now >= self.settled_at {
       let sweep = now >= self.swept + SWEEP_MS;
       if sweep {
         self.swept = now;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -87,9 +87,16 @@
   pub(crate) seen: (u64, u64),
   /// Term, and count up to which changes of holdings are known.
   pub(crate) known: (u64, u64),
-  /// When instances were last told of each other, and that the holder is there, ms.
+  /// When instances were last told of each other, ms.
   pub(crate) told_members: u64,
-  pub(crate) told_alive: u64,
+}
+
+impl Group {
+  /// Whether this instance is the last holder as far as it knows. While the store is
+  /// down its time may be over; what it ordered before goes on, and others are told.
+  pub(crate) fn leads(&self, now: u64) -> bool {
+    self.lease.word(now).is_some()
+  }
 }
 
 /// Everything the planner's thread works with.
@@ -183,7 +190,6 @@
     seen: (0, 0),
     known: (0, 0),
     told_members: 0,
-    told_alive: 0,
   }
 }
 
@@ -226,7 +232,7 @@
     let mut due = (now + SLEEP_MS).min(self.reported + self.pause());
     for group in &self.groups {
       due = due.min(group.lease.due(now));
-      if group.holding {
+      if group.leads(now) {
         due = due.min(group.plan.due(now).max(group.rest_until));
       }
     }
@@ -248,7 +254,7 @@
       let now = self.hub.now();
       match postcard::from_bytes::<Message>(&buffer[..length]) {
         Ok(Message::Report(report)) => {
-          for group in self.groups.iter_mut().filter(|group| group.holding) {
+          for group in self.groups.iter_mut().filter(|group| group.leads(now)) {
             group.plan.report(now, from, report.clone());
           }
         }
@@ -394,13 +400,12 @@
   }
 
   fn plan(&mut self, index: usize) {
-    if !self.groups[index].holding {
-      return self.say_alive(index);
-    }
     let now = self.hub.now();
-    if now < self.groups[index].rest_until {
+    let group = &mut self.groups[index];
+    if !group.leads(now) || now < group.rest_until {
       return;
     }
+    group.plan.order(group.holding);
     self.feed_plan(index);
     let began = Instant::now();
     let effects = self.groups[index].plan.step(now);
--- a/src/replicas.rs
+++ b/src/replicas.rs
@@ -7,7 +7,7 @@
   deployment::Engine,
   dispatch::{Demand, Model},
   held::whole,
-  plan::Plan,
+  plan::{HEAVY_USE, Plan},
 };
 use std::collections::BTreeMap;
 
@@ -22,18 +22,22 @@
   /// Loads further replicas of models whose servers are too slow for them, and further
   /// copies of adapters in use.
   pub(crate) fn replicate(&mut self) {
-    let strained: Vec<((String, String), f64)> = self
+    let seen: Vec<((String, String), f64)> = self
       .strain
       .iter()
       .filter_map(|(key, strain)| Some((key.clone(), strain.mean(self.now)?)))
-      .filter(|(_, mean)| *mean >= STRAINED)
+      .filter(|(key, mean)| *mean >= STRAINED || self.heavy(key))
       .collect();
-    for ((pool, model), mean) in strained {
+    for ((pool, model), mean) in seen {
       let Some(engine) = self.engine(&pool) else {
         continue;
       };
       let holders = self.holders(&pool, &model).len();
-      let wanted = (holders as f64 * (mean / STRAINED).min(2.0)).ceil() as usize;
+      let needed = (holders as f64 * (mean / STRAINED).min(2.0)).ceil() as usize;
+      let wanted = match mean >= STRAINED {
+        true => needed,
+        false => 2,
+      };
       let coming = self.loads_of(&pool, &model);
       for _ in holders + coming..wanted {
         let demand = Demand::ahead(&pool, whole(&model));
@@ -42,14 +46,20 @@
     }
   }
 
+  /// Whether a model is used so much that the loss of its only server would be felt by
+  /// many: it has two replicas.
+  fn heavy(&self, key: &(String, String)) -> bool {
+    self.used.get(key).is_some_and(|used| *used >= HEAVY_USE)
+  }
+
   /// Whether the other replicas of a model can take over the requests of one.
   fn spare(&self, pool: &str, model: &str) -> bool {
     let holders = self.holders(pool, model).len() as u32;
-    let least = self.policy(pool, model).min_replicas.max(1);
-    if holders <= least {
+    let key = (pool.to_string(), model.to_string());
+    let least = if self.heavy(&key) { 2 } else { 1 };
+    if holders <= self.policy(pool, model).min_replicas.max(least) {
       return false;
     }
-    let key = (pool.to_string(), model.to_string());
     let mean = self
       .strain
       .get(&key)
--- a/src/word.rs
+++ b/src/word.rs
@@ -15,8 +15,6 @@
 const HOLDINGS: usize = 6;
 /// The holder tells others of all instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
-/// A holder whose time is over says that it is there this often, ms.
-const ALIVE_MS: u64 = 500;
 /// Part of its link that a holder takes to tell others, as a divisor.
 const TELL_PART: f64 = 5.0;
 /// Bits of a byte, and bits that a link of 1 Mbit/s carries in a millisecond.
@@ -75,7 +73,7 @@
     let report = self.state_report(now);
     let mut holders: Vec<SocketAddr> = Vec::new();
     for group in &mut self.groups {
-      if group.holding {
+      if group.leads(now) {
         group.plan.report(now, self.own, report.clone());
       } else if let Some(holder) = group.lease.holder()
         && holder != self.own
@@ -123,25 +121,6 @@
     }
   }
 
-  /// A holder whose time is over, as when the store is down, is still there: others
-  /// must not think themselves alone.
-  pub(crate) fn say_alive(&mut self, index: usize) {
-    let now = self.hub.now();
-    let group = &mut self.groups[index];
-    if group.lease.word(now).is_none() || now < group.told_alive + ALIVE_MS {
-      return;
-    }
-    group.told_alive = now;
-    let news = News {
-      to: None,
-      since: group.known.1.max(1),
-      latest: group.known.1.max(1),
-      holdings: Vec::new(),
-      loads: Vec::new(),
-    };
-    self.tell(index, &news);
-  }
-
   pub(crate) fn tell(&mut self, index: usize, news: &News) {
     let now = self.hub.now();
     let groups = self.groups.len() as u32;
@@ -174,7 +153,7 @@
       None => members.clone(),
     };
     let mine = news.to.is_none() || news.to == Some(own);
-    if mine && group.holding {
+    if mine {
       group.known = (word.term, news.latest);
     }
     let others: Vec<SocketAddr> = to.into_iter().filter(|member| *member != own).collect();
--- a/src/work.rs
+++ b/src/work.rs
@@ -254,7 +254,8 @@
       return;
     };
     let known = server.synced || job.step == Step::Await;
-    if job.waiting || now < job.due || !known {
+    let may = self.ordering || job.step == Step::Await;
+    if job.waiting || now < job.due || !known || !may {
       return;
     }
     if job.step == Step::Leave {
