a holder that the store does not answer goes on while all others promise

Ruled out: handing the lease over (orders of two machines must lie the gap apart, so it costs the same); relaying writes through a peer (helps only where some peer reaches the store). Change: the record lists the machines that the holder hears of. Where a renewal is late the holder asks all of them not to take the lease, and may order for the lease's length after it asked once all have promised, for 20 s after its last renewal at the most. A machine that is not listed waits those 20 s longer; one whose own taking may be under way promises nothing; an earlier process' promise is kept by counting from the start.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -6,9 +6,12 @@
 //! however slow either is. All times are on the steady clock, which goes on while
 //! a process is frozen: a holder that wakes up finds its time over.
 
-use crate::store::{Error, Object, Result};
+use crate::{
+  promise::{EXTENSION_MS, LATE_WRITE_MS, Promise, Question, Rounds, short},
+  store::{Error, Object, Result},
+};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// The holder's time, as a part of the gap between two holders' orders: long
 /// enough for a slow store to answer, short enough to be taken over soon.
@@ -19,6 +22,9 @@
 const READ_MS: u64 = 600;
 /// Pause after a call that failed, ms.
 const RETRY_MS: u64 = 150;
+/// A renewal that is so late makes the holder ask for promises, ms: the store answers
+/// within some milliseconds.
+const ASK_MS: u64 = 250;
 /// Word of the holder that is older makes an instance read the lease, ms.
 const SILENT_MS: u64 = 1_200;
 
@@ -36,6 +42,9 @@
   pub renewal: u64,
   /// The holder has stopped and gives no further orders.
   pub released: bool,
+  /// Machines whose promise the holder needs to go on without the store.
+  #[serde(default)]
+  pub machines: BTreeSet<u32>,
 }
 
 /// The holder's word of its renewal, told to other instances.
@@ -43,7 +52,7 @@
 pub struct Word {
   pub machine: String,
   pub revision: u64,
-  /// Since the renewal was begun, ms.
+  /// Since the renewal was begun, or promises were asked for that all gave, ms.
   pub age_ms: u64,
   pub term: u64,
 }
@@ -56,16 +65,22 @@
   revision: u64,
   /// When this revision was first known of, ms.
   since: u64,
+  /// The record was read, or written here: its machines are known.
+  read: bool,
 }
 
 /// What this machine holds.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 struct Held {
   term: u64,
   /// Orders may go out before this time, ms.
   until: u64,
   /// When the last renewal was begun, ms.
   renewed: u64,
+  /// Machines whose promise is needed: those of the last record that was written, and of
+  /// every write since that may have taken effect.
+  needed: BTreeSet<u32>,
+  rounds: Rounds,
 }
 
 /// A call to make.
@@ -86,8 +101,8 @@
   held: Option<Held>,
   /// When the holder was last heard of, ms.
   heard: u64,
-  /// A call is under way since, ms.
-  calling: Option<u64>,
+  /// A call is under way since, ms, and whether it takes the lease.
+  calling: Option<(u64, bool)>,
   /// A write failed: only a read tells what the store holds.
   doubt: bool,
   /// No call before this time, ms.
@@ -95,12 +110,21 @@
   /// Spreads takers apart, ms.
   jitter: u64,
   reluctance: u64,
+  /// Machines heard of lately.
+  machines: BTreeSet<u32>,
+  /// No taking before this time, as promised, ms.
+  promised_until: u64,
+  /// When this process started, ms.
+  started: u64,
+  /// A taking may reach the store until this time, ms: of this process, or of an earlier
+  /// one on this machine.
+  taking_until: u64,
 }
 
 impl Lease {
   /// The view of an instance that has not read the lease; `gap` is the least time
-  /// between two holders' orders, ms.
-  pub fn open(machine: &str, address: SocketAddr, gap: u64, jitter: u64) -> Self {
+  /// between two holders' orders, `now` when its process started, ms.
+  pub fn open(machine: &str, address: SocketAddr, gap: u64, jitter: u64, now: u64) -> Self {
     Self {
       machine: machine.into(),
       address,
@@ -114,18 +138,22 @@
       rest_until: 0,
       jitter,
       reluctance: 0,
+      machines: BTreeSet::new(),
+      promised_until: 0,
+      started: now,
+      taking_until: now + LATE_WRITE_MS,
     }
   }
 
   /// The term under which orders may go out now.
   pub fn term(&self, now: u64) -> Option<u64> {
-    let held = self.held?;
+    let held = self.held.as_ref()?;
     (now < held.until).then_some(held.term)
   }
 
   /// Until when orders may go out, ms.
   pub fn until(&self) -> u64 {
-    self.held.map_or(0, |held| held.until)
+    self.held.as_ref().map_or(0, |held| held.until)
   }
 
   /// Where the holder hears of demand.
@@ -136,15 +164,21 @@
 
   /// What the holder tells other instances.
   pub fn word(&self, now: u64) -> Option<Word> {
-    let held = self.held?;
+    let held = self.held.as_ref()?;
     Some(Word {
       machine: self.machine.clone(),
       revision: self.seen.as_ref()?.revision,
-      age_ms: now.saturating_sub(held.renewed),
+      age_ms: now.saturating_sub(held.until.saturating_sub(self.length)),
       term: held.term,
     })
   }
 
+  /// Since the last renewal was begun, ms: the store has answered since.
+  pub fn renewal_age(&self, now: u64) -> u64 {
+    let held = self.held.as_ref();
+    held.map_or(u64::MAX, |held| now.saturating_sub(held.renewed))
+  }
+
   /// Takes up the holder's word, heard from `address`.
   pub fn told(&mut self, now: u64, word: Word, address: SocketAddr) {
     let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
@@ -162,15 +196,67 @@
       term: word.term,
       renewal: 0,
       released: false,
+      machines: BTreeSet::new(),
     };
     self.compare(&record);
     self.seen = Some(Seen {
       record: Some(record),
       revision: word.revision,
       since,
+      read: false,
     });
   }
 
+  /// Takes up which machines are heard of.
+  pub fn hear(&mut self, machines: BTreeSet<u32>) {
+    self.machines = machines;
+  }
+
+  /// A question to all other machines, where a renewal is late.
+  pub fn question(&mut self, now: u64) -> Option<Question> {
+    let (length, held) = (self.length, self.held.as_mut()?);
+    let late = held.renewed + length / RENEWALS + ASK_MS;
+    let extends = now >= late && now < held.renewed + EXTENSION_MS;
+    if !extends || now < held.rounds.due() {
+      return None;
+    }
+    Some(Question {
+      term: held.term,
+      round: held.rounds.begin(now),
+    })
+  }
+
+  /// Answers a holder's question: with a promise, where nothing that this machine does
+  /// or did can take the lease before the promise is over.
+  pub fn promise(&mut self, now: u64, question: Question) -> Option<Promise> {
+    let record = self.seen.as_ref()?.record.as_ref()?;
+    let theirs = record.term == question.term && record.machine != self.machine;
+    let taking = now < self.taking_until || matches!(self.calling, Some((_, true)));
+    if !theirs || record.released || taking || self.held.is_some() {
+      return None;
+    }
+    self.promised_until = now + self.length + self.gap;
+    self.heard = now;
+    Some(Promise {
+      machine: short(&self.machine),
+      term: question.term,
+      round: question.round,
+    })
+  }
+
+  /// Takes up a machine's promise: orders may go out for the lease's length after all
+  /// machines that could take it were asked.
+  pub fn promised(&mut self, promise: &Promise) {
+    let length = self.length;
+    let Some(held) = self.held.as_mut().filter(|held| held.term == promise.term) else {
+      return;
+    };
+    if let Some(asked) = held.rounds.answer(promise, &held.needed) {
+      let last = held.renewed + EXTENSION_MS;
+      held.until = held.until.max((asked + length).min(last));
+    }
+  }
+
   /// Gives up what this machine holds when the lease is another holder's.
   fn compare(&mut self, record: &Record) {
     let mine = |held: &Held| record.machine == self.machine && record.term == held.term;
@@ -190,7 +276,11 @@
       return None;
     }
     let call = self.wanted(now, stopping)?;
-    self.calling = Some(now);
+    let takes = self.held.is_none() && matches!(call, Call::Write { .. });
+    if let (Call::Write { record, .. }, Some(held)) = (&call, &mut self.held) {
+      held.needed.extend(&record.machines);
+    }
+    self.calling = Some((now, takes));
     Some(call)
   }
 
@@ -198,7 +288,7 @@
     if self.doubt {
       return Some(Call::Read);
     }
-    if let Some(held) = self.held {
+    if let Some(held) = &self.held {
       return self.renewal(now, held, stopping);
     }
     if stopping {
@@ -208,13 +298,16 @@
       return Some(Call::Read);
     };
     if now >= self.free_at(seen) {
-      return Some(self.taking(seen));
+      return Some(match seen.read || seen.record.is_none() {
+        true => self.taking(seen),
+        false => Call::Read,
+      });
     }
     let silent = now >= self.heard.max(seen.since) + SILENT_MS;
     silent.then_some(Call::Read)
   }
 
-  fn renewal(&self, now: u64, held: Held, stopping: bool) -> Option<Call> {
+  fn renewal(&self, now: u64, held: &Held, stopping: bool) -> Option<Call> {
     if !stopping && now < held.renewed + self.length / RENEWALS {
       return None;
     }
@@ -222,6 +315,7 @@
     let mut record = seen.record.clone()?;
     record.renewal += 1;
     record.released = stopping;
+    record.machines = self.others();
     Some(Call::Write {
       record,
       revision: seen.revision,
@@ -230,17 +324,38 @@
 
   /// When the lease may be taken, ms.
   fn free_at(&self, seen: &Seen) -> u64 {
-    match &seen.record {
+    let spread = self.jitter + self.reluctance;
+    let free = match &seen.record {
       None => seen.since + self.reluctance,
       // This machine's own earlier process has ended.
       Some(record) if record.machine == self.machine => 0,
-      Some(record) if record.released => seen.since + self.gap + self.jitter + self.reluctance,
-      Some(_) => seen.since + self.length + self.gap + self.jitter + self.reluctance,
-    }
+      Some(record) if record.released => seen.since + self.gap + spread,
+      Some(record) => {
+        let listed = !seen.read || record.machines.contains(&short(&self.machine));
+        let extension = if listed { 0 } else { EXTENSION_MS };
+        // An earlier process on this machine may have promised until it ended.
+        seen.since.max(self.started) + extension + self.length + self.gap + spread
+      }
+    };
+    free.max(self.promised_until)
+  }
+
+  /// Machines heard of, but this one.
+  fn others(&self) -> BTreeSet<u32> {
+    let mut others = self.machines.clone();
+    others.remove(&short(&self.machine));
+    others
   }
 
   fn taking(&self, seen: &Seen) -> Call {
     let term = seen.record.as_ref().map_or(0, |record| record.term) + 1;
+    // Those that the last holder knew of are likely to be there.
+    let mut machines = self.others();
+    if let Some(record) = &seen.record {
+      machines.extend(&record.machines);
+      machines.insert(short(&record.machine));
+      machines.remove(&short(&self.machine));
+    }
     Call::Write {
       record: Record {
         machine: self.machine.clone(),
@@ -248,6 +363,7 @@
         term,
         renewal: 0,
         released: false,
+        machines,
       },
       revision: seen.revision,
     }
@@ -255,6 +371,18 @@
 
   /// When to look for a call again, ms.
   pub fn due(&self, now: u64) -> u64 {
+    let asked = self.held.as_ref().map_or(u64::MAX, |held| {
+      let late = held.renewed + self.length / RENEWALS + ASK_MS;
+      match now < held.renewed + EXTENSION_MS {
+        true => late.max(held.rounds.due()),
+        false => u64::MAX,
+      }
+    });
+    let called = self.call_due(now);
+    called.min(asked).max(now)
+  }
+
+  fn call_due(&self, now: u64) -> u64 {
     if self.calling.is_some() {
       return now + READ_MS;
     }
@@ -273,14 +401,17 @@
 
   /// Takes up the outcome of a call; true: this machine has just taken the lease.
   pub fn answered(&mut self, now: u64, call: &Call, result: Result<Object>) -> bool {
-    let sent = self.calling.take().unwrap_or(now);
+    let (sent, takes) = self.calling.take().unwrap_or((now, false));
     match (call, result) {
       (Call::Read, result) => {
         self.read(now, result);
         false
       }
       (Call::Write { record, .. }, Ok(object)) => self.written(now, sent, record, &object),
-      (Call::Write { .. }, Err(_)) => {
+      (Call::Write { .. }, Err(error)) => {
+        if takes && error.may_have_run() {
+          self.taking_until = now + LATE_WRITE_MS;
+        }
         self.doubt = true;
         self.rest_until = now + RETRY_MS;
         false
@@ -301,16 +432,20 @@
       record: Some(record.clone()),
       revision: object.revision,
       since: now,
+      read: true,
     });
     if record.released {
       self.held = None;
       return false;
     }
-    let new = self.held.is_none();
+    let before = self.held.take();
+    let new = before.is_none();
     self.held = Some(Held {
       term: record.term,
       until: sent + self.length,
       renewed: sent,
+      needed: record.machines.clone(),
+      rounds: before.map(|held| held.rounds).unwrap_or_default(),
     });
     new
   }
@@ -329,6 +464,7 @@
           record: None,
           revision: 0,
           since: now,
+          read: true,
         });
         self.rest_until = now;
       }
@@ -338,8 +474,9 @@
   }
 
   fn learn(&mut self, now: u64, object: Object) {
-    let known = self.seen.as_ref().map(|seen| seen.revision);
-    if known.is_some_and(|known| known >= object.revision) {
+    let known = self.seen.as_ref().map(|seen| (seen.revision, seen.read));
+    let newer = (object.revision, true);
+    if known.is_some_and(|known| known >= newer) {
       return;
     }
     let Ok(record) = serde_json::from_value::<Record>(object.spec) else {
@@ -347,10 +484,13 @@
       return;
     };
     self.compare(&record);
+    let known = self.seen.take();
+    let since = known.filter(|seen| seen.revision == object.revision);
     self.seen = Some(Seen {
       record: Some(record),
       revision: object.revision,
-      since: now,
+      since: since.map_or(now, |seen| seen.since),
+      read: true,
     });
     self.rest_until = now;
   }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod platform;
 pub mod policy;
 pub mod pool;
+pub mod promise;
 pub mod record;
 pub mod reduce;
 pub mod refusal;
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,7 +1,13 @@
 //! Datagrams between routing instances, encoded by `postcard`. All are soft state:
 //! one that is lost is told again.
 
-use crate::{backend::Holding, feed, lease::Word, plan::Report};
+use crate::{
+  backend::Holding,
+  feed,
+  lease::Word,
+  plan::Report,
+  promise::{Promise, Question},
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -10,6 +16,9 @@
 pub enum Message {
   Report(Report),
   Told(Told),
+  /// A group's holder asks for a promise, and gets one.
+  Question(u32, Question),
+  Promise(u32, Promise),
 }
 
 /// What the holder of a group's lease tells other instances.
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
   pub instance: String,
+  /// Its machine's short name.
+  pub machine: u32,
   pub demand: Vec<Demand>,
   /// Requests sent and not ended, by server and model.
   pub running: Vec<(String, Model, u32)>,
@@ -337,6 +339,13 @@
     live.map(|member| member.address).collect()
   }
 
+  /// Short names of the machines whose instances report.
+  pub fn machines(&self, now: u64) -> BTreeSet<u32> {
+    let members = self.members.values();
+    let live = members.filter(|member| now <= member.heard + MEMBER_MS);
+    live.map(|member| member.report.machine).collect()
+  }
+
   /// Whether orders may go out: otherwise what is under way is followed to its end.
   pub fn order(&mut self, may: bool) {
     self.ordering = may;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -14,6 +14,7 @@
   plan::{Effect, Other, Plan, Report},
   policy::Policy,
   pool::Pool,
+  promise,
   settings::{Routing, Settings},
   socket::{Bell, Want, wait},
   store,
@@ -106,6 +107,8 @@
   pub(crate) socket: UdpSocket,
   pub(crate) own: SocketAddr,
   pub(crate) instance: String,
+  /// This machine's short name.
+  pub(crate) machine: u32,
   pub(crate) groups: Vec<Group>,
   calls: Pool,
   orders: Pool,
@@ -141,6 +144,7 @@
     socket,
     own: address,
     instance: settings.instance.clone(),
+    machine: promise::short(&routing.machine),
     groups: (0..routing.groups)
       .map(|number| group(number, &routing, address))
       .collect(),
@@ -177,7 +181,7 @@
   Group {
     number,
     name: format!("orders-{number}"),
-    lease: Lease::open(&routing.machine, address, routing.lease_ms, jitter),
+    lease: Lease::open(&routing.machine, address, routing.lease_ms, jitter, 0),
     plan: Plan::open(
       &routing.machine,
       number,
@@ -259,6 +263,12 @@
           }
         }
         Ok(Message::Told(told)) => self.hear(now, told, from),
+        Ok(Message::Question(index, question)) => self.promise(now, index, question, from),
+        Ok(Message::Promise(index, promise)) => {
+          if let Some(group) = self.groups.get_mut(index as usize) {
+            group.lease.promised(&promise);
+          }
+        }
         Err(error) => {
           warn!(self.hub.log, "datagram not understood"; "from" => %from, "error" => %error);
         }
@@ -328,9 +338,13 @@
         info!(self.hub.log, "orders"; "lease" => &group.name, "given_here" => holding);
       }
       group.lease.defer(self.reluctance + count * RELUCTANCE_MS);
+      if group.leads(now) {
+        group.lease.hear(group.plan.machines(now));
+      }
       if let Some(call) = group.lease.call(now, stopping) {
         self.call(index, call);
       }
+      self.ask_promises(now, index);
     }
     let leads = self.groups.iter().any(|group| group.holding);
     self.hub.gates.deployments.lead(leads);
--- a/src/store.rs
+++ b/src/store.rs
@@ -52,6 +52,13 @@
   Malformed(String),
 }
 
+impl Error {
+  /// Whether a write may have been done, or may be done yet.
+  pub fn may_have_run(&self) -> bool {
+    matches!(self, Self::NoAnswer | Self::Malformed(_))
+  }
+}
+
 impl std::fmt::Display for Error {
   fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
     match self {
--- a/src/word.rs
+++ b/src/word.rs
@@ -7,14 +7,17 @@
   message::{Message, Told},
   plan::{News, Report},
   planner::Planner,
+  promise::Question,
 };
-use slog::warn;
+use slog::{info, warn};
 use std::net::SocketAddr;
 
 /// Holdings in one datagram.
 const HOLDINGS: usize = 6;
 /// The holder tells others of all instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
+/// One of so many rounds of questions for promises is logged.
+const ROUNDS_LOGGED: u32 = 10;
 /// Part of its link that a holder takes to tell others, as a divisor.
 const TELL_PART: f64 = 5.0;
 /// Bits of a byte, and bits that a link of 1 Mbit/s carries in a millisecond.
@@ -62,6 +65,41 @@
     self.hub.apply(event, None);
   }
 
+  /// A holder whose renewal is late asks the others not to take its lease.
+  pub(crate) fn ask_promises(&mut self, now: u64, index: usize) {
+    let group = &mut self.groups[index];
+    let Some(question) = group.lease.question(now) else {
+      return;
+    };
+    if question.round % ROUNDS_LOGGED == 1 {
+      info!(self.hub.log, "promises asked for"; "lease" => &group.name, "term" => question.term,
+        "round" => question.round, "orders_until_ms" => group.lease.until(), "now_ms" => now);
+    }
+    let members = self.addresses(now, index);
+    self.send(&Message::Question(index as u32, question), &members);
+  }
+
+  pub(crate) fn promise(&mut self, now: u64, index: u32, question: Question, from: SocketAddr) {
+    let Some(group) = self.groups.get_mut(index as usize) else {
+      return;
+    };
+    if let Some(promise) = group.lease.promise(now, question) {
+      self.send(&Message::Promise(index, promise), &[from]);
+    }
+  }
+
+  /// Where the other instances hear of a group.
+  fn addresses(&self, now: u64, index: usize) -> Vec<SocketAddr> {
+    let mut members = self.groups[index].plan.members(now);
+    for member in &self.members {
+      if !members.contains(member) {
+        members.push(*member);
+      }
+    }
+    members.retain(|member| *member != self.own);
+    members
+  }
+
   /// Tells the holders what is wanted and running here.
   pub(crate) fn report(&mut self, wanted: bool) {
     let now = self.hub.now();
@@ -96,6 +134,7 @@
     });
     Report {
       instance: self.instance.clone(),
+      machine: self.machine,
       demand: state.demand(now),
       running: running.collect(),
       missing: state.missing(now),
@@ -128,7 +167,7 @@
     let Some(word) = group.lease.word(now) else {
       return;
     };
-    let age_ms = word.age_ms;
+    let age_ms = group.lease.renewal_age(now);
     let mut members = group.plan.members(now);
     for member in &self.members {
       if !members.contains(member) {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -3,10 +3,12 @@
 
 use bendsaddle::{
   lease::{Call, Lease, Record, Word},
+  promise::{Promise, Question, short},
   store::{Error, Object},
 };
 use quickcheck::{TestResult, quickcheck};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::BTreeSet;
 
 const GAP: u64 = 3_000;
 
@@ -42,7 +44,15 @@
 }
 
 fn lease(name: &str) -> Lease {
-  Lease::open(name, "127.0.0.1:1".parse().unwrap(), GAP, 0)
+  started(name, 0)
+}
+
+fn started(name: &str, now: u64) -> Lease {
+  Lease::open(name, "127.0.0.1:1".parse().unwrap(), GAP, 0, now)
+}
+
+fn machines(names: &[&str]) -> BTreeSet<u32> {
+  names.iter().map(|name| short(name)).collect()
 }
 
 /// Lets an instance make its calls; the store answers at once.
@@ -141,20 +151,48 @@
   answers: bool,
 }
 
-/// Plays three machines over a bad store; tells the orders each could give.
+/// A datagram between machines.
+#[derive(Clone)]
+enum Datagram {
+  Word(Word),
+  Question(usize, Question),
+  Promise(Promise),
+}
+
+const MACHINES: usize = 4;
+
+/// Plays some machines over a bad store, the last of which comes late and is not heard
+/// of at first; tells the orders each could give.
 fn play(seed: u64) -> Vec<(u64, usize, u64)> {
   let mut rng = SmallRng::seed_from_u64(seed);
   let mut store = Store::default();
-  let names = ["one", "two", "three"];
+  let names = ["one", "two", "three", "four"];
   let mut leases: Vec<Lease> = names.iter().map(|name| lease(name)).collect();
-  let mut frozen = [0u64; 3];
+  // The first ones have been there for long.
+  let joins = rng.random_range(15_000..50_000);
+  let heard_at = joins + rng.random_range(0..20_000);
+  leases[3] = started(names[3], joins);
+  let mut cut = [0u64; MACHINES];
+  let mut frozen = [0u64; MACHINES];
   let mut flights: Vec<Flight> = Vec::new();
-  let mut words: Vec<(u64, usize, Word)> = Vec::new();
+  let mut words: Vec<(u64, usize, Datagram)> = Vec::new();
   let mut orders = Vec::new();
   let address = "127.0.0.1:1".parse().unwrap();
   for now in (0..90_000u64).step_by(50) {
-    for (_, who, word) in words.extract_if(.., |(at, who, _)| *at <= now && now >= frozen[*who]) {
-      leases[who].told(now, word, address);
+    let due: Vec<(u64, usize, Datagram)> = words
+      .extract_if(.., |(at, who, _)| *at <= now && now >= frozen[*who])
+      .collect();
+    for (_, who, datagram) in due {
+      match datagram {
+        Datagram::Word(word) => leases[who].told(now, word, address),
+        Datagram::Question(from, question) => {
+          if let Some(promise) = leases[who].promise(now, question) {
+            let at = now + rng.random_range(1..100);
+            words.push((at, from, Datagram::Promise(promise)));
+          }
+        }
+        Datagram::Promise(promise) => leases[who].promised(&promise),
+      }
     }
     let (due, later): (Vec<Flight>, Vec<Flight>) =
       flights.into_iter().partition(|flight| flight.at <= now);
@@ -171,12 +209,24 @@
       let result = if heard { result } else { Err(Error::NoAnswer) };
       leases[who].answered(now, &flight.call, result);
     }
-    for who in 0..3 {
+    for who in 0..MACHINES {
+      if who == 3 && now < joins {
+        continue;
+      }
+      let known = if now < heard_at {
+        &names[..3]
+      } else {
+        &names[..]
+      };
+      leases[who].hear(machines(known));
+      if rng.random_range(0..300) == 0 {
+        cut[who] = now + rng.random_range(500..12_000);
+      }
       if rng.random_range(0..400) == 0 {
         frozen[who] = now + rng.random_range(200..9_000);
       }
       if rng.random_range(0..1_500) == 0 {
-        leases[who] = lease(names[who]);
+        leases[who] = started(names[who], now);
         flights.retain(|flight| flight.who != Some(who));
       }
       if now < frozen[who] {
@@ -188,12 +238,24 @@
       if rng.random_range(0..6) == 0
         && let Some(word) = leases[who].word(now)
       {
-        let other = (who + rng.random_range(1..3)) % 3;
-        words.push((now + rng.random_range(1..300), other, word));
+        let other = (who + rng.random_range(1..MACHINES)) % MACHINES;
+        words.push((now + rng.random_range(1..300), other, Datagram::Word(word)));
+      }
+      if let Some(question) = leases[who].question(now) {
+        for other in (0..MACHINES).filter(|other| *other != who) {
+          let reached = (other < 3 || now >= heard_at) && rng.random_range(0..8) > 0;
+          if reached {
+            let at = now + rng.random_range(1..150);
+            words.push((at, other, Datagram::Question(who, question)));
+          }
+        }
       }
       if let Some(call) = leases[who].call(now, false) {
         let at = now + rng.random_range(1..400);
-        let kind = rng.random_range(0..10);
+        let kind = match now < cut[who] {
+          true => 2,
+          false => rng.random_range(0..10),
+        };
         let late = kind == 0;
         flights.push(Flight {
           at,
@@ -234,6 +296,7 @@
 fn a_holder_that_hears_of_another_one_does_not_renew_its_lease() {
   let mut store = Store::default();
   let (mut one, mut two) = (lease("one"), lease("two"));
+  one.hear(machines(&["two"]));
   run(&mut one, &mut store, 0);
   run(&mut two, &mut store, 0);
   for now in (0..8_000).step_by(50) {
@@ -256,6 +319,105 @@
   }
 }
 
+/// Plays a holder that the store turns away from 5 s to 12 s, and what the others do.
+fn turned_away(promises: bool) -> Vec<(u64, usize)> {
+  let names = ["one", "two", "three"];
+  let mut store = Store::default();
+  let mut leases: Vec<Lease> = names.iter().map(|name| lease(name)).collect();
+  let address = "127.0.0.1:1".parse().unwrap();
+  let mut orders = Vec::new();
+  for now in (0..25_000).step_by(50) {
+    for who in 0..3 {
+      leases[who].hear(machines(&names));
+      if let Some(word) = leases[who].word(now) {
+        let others = (0..3).filter(|other| *other != who);
+        others.for_each(|other| leases[other].told(now, word.clone(), address));
+      }
+      if leases[who].term(now).is_some() {
+        orders.push((now, who));
+      }
+      if let Some(call) = leases[who].call(now, false) {
+        let result = match who == 0 && (5_000..12_000).contains(&now) {
+          true => Err(Error::Refused(503)),
+          false => store.apply(&call),
+        };
+        leases[who].answered(now, &call, result);
+      }
+      let Some(question) = leases[who].question(now).filter(|_| promises) else {
+        continue;
+      };
+      for other in (0..3).filter(|other| *other != who) {
+        if let Some(promise) = leases[other].promise(now, question) {
+          leases[who].promised(&promise);
+        }
+      }
+    }
+  }
+  orders
+}
+
+#[test]
+fn a_holder_that_the_store_turns_away_goes_on_while_all_others_promise() {
+  let gap = |orders: &[(u64, usize)]| {
+    let pairs = orders.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    pairs.max().unwrap()
+  };
+  let (without, with) = (turned_away(false), turned_away(true));
+  assert!(gap(&without) >= GAP, "{}", gap(&without));
+  // A machine that started a short time ago promises nothing: its earlier process may
+  // still take the lease.
+  let later: Vec<(u64, usize)> = with
+    .iter()
+    .copied()
+    .filter(|(now, _)| *now >= 10_000)
+    .collect();
+  assert!(gap(&later) <= 100, "{}", gap(&later));
+}
+
+#[test]
+fn a_machine_that_is_not_listed_waits_until_no_extension_can_be_in_force() {
+  let mut store = Store::default();
+  let (mut one, mut two) = (lease("one"), lease("two"));
+  run(&mut one, &mut store, 0);
+  let taken = (0..60_000).step_by(50).find(|now| {
+    run(&mut two, &mut store, *now);
+    two.term(*now).is_some()
+  });
+  let taken = taken.expect("it is taken");
+  assert!((24_000..27_000).contains(&taken), "{taken}");
+}
+
+#[test]
+fn a_machine_whose_taking_may_be_on_its_way_promises_nothing() {
+  let mut store = Store::default();
+  let (mut one, mut two) = (lease("one"), lease("two"));
+  one.hear(machines(&["two"]));
+  run(&mut one, &mut store, 0);
+  run(&mut two, &mut store, 0);
+  let taking = (0..9_000).step_by(50).find_map(|now| {
+    let call = two.call(now, false)?;
+    if let Call::Write { .. } = call {
+      return Some((now, call));
+    }
+    two.answered(now, &call, store.apply(&call));
+    None
+  });
+  let (now, call) = taking.expect("the holder is silent");
+  let question = |now: u64| Question {
+    term: 1,
+    round: now as u32,
+  };
+  assert_eq!(two.promise(now + 10, question(now)), None, "under way");
+  two.answered(now + 1_000, &call, Err(Error::NoAnswer));
+  assert_eq!(two.promise(now + 1_100, question(now)), None, "no answer");
+  assert_eq!(
+    two.promise(now + 9_000, question(now)),
+    None,
+    "may come late"
+  );
+  assert!(two.promise(now + 12_000, question(now)).is_some());
+}
+
 #[test]
 fn the_histories_have_several_holders() {
   let holders = |seed| {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -137,6 +137,7 @@
     let running = self.running.iter();
     let report = Report {
       instance: "one".into(),
+      machine: 1,
       demand: demand.collect(),
       running: running
         .map(|(id, model, count)| (id.clone(), Model::parse(model), *count))
@@ -511,6 +512,7 @@
     for number in 0..20u16 {
       let report = Report {
         instance: format!("late-{number}"),
+        machine: number,
         demand: Vec::new(),
         running: Vec::new(),
         missing: Vec::new(),
