servers without requests are told as such

Cause: loads are told only of servers that have requests, and an instance kept the last one that it had heard: a server that had become empty looked as loaded as before. Change: a server that is not named has no requests; what this instance added since the last telling counts on top.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -80,8 +80,9 @@
   pub holding: Option<Holding>,
   /// Requests of all instances there, as told.
   pub load: u32,
-  /// This instance's requests there.
+  /// This instance's requests there, now and when the others' were last told.
   pub running: u32,
+  pub running_then: u32,
   /// Failures in a row.
   pub failures: u32,
   /// Gets nothing before this time, ms.
@@ -102,6 +103,7 @@
       holding: None,
       load: 0,
       running: 0,
+      running_then: 0,
       failures: 0,
       avoid_until: 0,
       missing: BTreeMap::new(),
@@ -139,9 +141,12 @@
     found && !leaves && !missing
   }
 
-  /// Requests of other instances there, as far as told.
-  pub fn others(&self) -> u32 {
-    self.load.saturating_sub(self.running)
+  /// Requests of all instances there, as far as known: what was told, and since then
+  /// what this instance added, as likely for each of the others.
+  pub fn estimate(&self, instances: usize) -> u32 {
+    let added = i64::from(self.running) - i64::from(self.running_then);
+    let load = i64::from(self.load) + added * (instances as i64).min(1);
+    u32::try_from(load).unwrap_or_default().max(self.running)
   }
 
   /// Whether new work may go there.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -650,7 +650,7 @@
       if fits {
         let near = backend.spec.zone == self.zone;
         let far = if near { 0 } else { ZONE_LOAD };
-        let load = backend.running + backend.others() + far;
+        let load = backend.estimate(self.instances) + far;
         found.push((key, load));
       }
     }
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -138,9 +138,10 @@
   pub(crate) fn loads(&mut self, loads: &[(u32, u16)]) {
     for backend in self.backends.values_mut() {
       let short = backend::short(&backend.spec.id);
-      if let Some((_, load)) = loads.iter().find(|(id, _)| *id == short) {
-        backend.load = u32::from(*load);
-      }
+      // A server that is not named has none.
+      let told = loads.iter().find(|(id, _)| *id == short);
+      backend.load = told.map_or(0, |(_, load)| u32::from(*load));
+      backend.running_then = backend.running;
     }
   }
 }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -314,7 +314,7 @@
   fn orders_of_two_machines_lie_the_gap_apart(seed: u64) -> TestResult {
     match too_close(&play(seed)) {
       None => TestResult::passed(),
-      Some(fault) => TestResult::error(fault),
+      Some(fault) => TestResult::error(format!("seed {seed}: {fault}")),
     }
   }
 }
