rooms: placement and lease

Cause: over a hundred modules lay flat in src; those that decide what servers hold depend on each other and on little else. Change: plan, held, choose, ahead, adapters, replicas, obstacle, work and urgency move to placement/, promise to lease/, mechanically; each room's first lines say what it may touch. No behaviour changes. Left: routing, http, store, cluster and telemetry are still flat, and placement takes Demand and Model from dispatch.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -7,8 +7,8 @@
 use crate::{
   backend::{Backend, Stage},
   dispatch::{Ask, Demand, Model, Request, State},
-  held::load_ms,
-  urgency::Wait,
+  placement::held::load_ms,
+  placement::urgency::Wait,
   verdict::Verdict,
 };
 use std::collections::BTreeMap;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,11 +9,11 @@
   backend::{self, Backend, Holding, Spec, Stage, missing_name},
   cold::{Wants, give_up_at},
   deployment::{Deployment, Engine},
+  placement::urgency::Wait,
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::Route,
   strain::Book,
-  urgency::Wait,
   verdict::Verdict,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
--- a/src/lease.rs
+++ b/src/lease/mod.rs
@@ -6,8 +6,10 @@
 //! however slow either is. All times are on the steady clock, which goes on while
 //! a process is frozen: a holder that wakes up finds its time over.
 
+pub mod promise;
+
 use crate::{
-  promise::{EXTENSION_MS, LATE_WRITE_MS, Promise, Question, Rounds, short},
+  lease::promise::{EXTENSION_MS, LATE_WRITE_MS, Promise, Question, Rounds, short},
   store::{Error, Object, Result},
 };
 use serde::{Deserialize, Serialize};
--- a/src/message.rs
+++ b/src/message.rs
@@ -5,8 +5,8 @@
   backend::Holding,
   feed,
   lease::Word,
-  plan::Report,
-  promise::{Promise, Question},
+  lease::promise::{Promise, Question},
+  placement::plan::Report,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/src/adapters.rs
+++ b/src/placement/adapters.rs
@@ -4,8 +4,8 @@
   command::{Act, Command},
   deployment::Engine,
   dispatch::{Demand, Model},
-  held::Server,
-  plan::{Effect, Plan},
+  placement::held::Server,
+  placement::plan::{Effect, Plan},
 };
 
 /// Requests by which a server must be below the one that has an adapter to get a
--- a/src/ahead.rs
+++ b/src/placement/ahead.rs
@@ -3,8 +3,8 @@
 use crate::{
   deployment::Engine,
   dispatch::Demand,
-  held::{load_ms, whole},
-  plan::{HEAVY_USE, LOAD_COST, Plan},
+  placement::held::{load_ms, whole},
+  placement::plan::{HEAVY_USE, LOAD_COST, Plan},
   report::Tier,
 };
 use std::{collections::BTreeMap, sync::Arc};
--- a/src/choose.rs
+++ b/src/placement/choose.rs
@@ -4,11 +4,11 @@
   backend::{Stage, missing_name},
   deployment::Engine,
   dispatch::{Demand, Model},
-  held::{Job, Server, Step, load_ms, whole},
-  plan::{LOAD_COST, Plan},
+  placement::held::{Job, Server, Step, load_ms, whole},
+  placement::plan::{LOAD_COST, Plan},
+  placement::urgency::gain,
   policy::Evict,
   report::Tier,
-  urgency::gain,
 };
 use std::{collections::BTreeSet, sync::Arc};
 
--- a/src/held.rs
+++ b/src/placement/held.rs
@@ -6,10 +6,10 @@
   command::{Act, Command, Taken},
   deployment::{Checkpoint, Engine},
   dispatch::{Demand, Model},
-  plan::{ASK_MS, LAG_MS},
+  placement::plan::{ASK_MS, LAG_MS},
+  placement::urgency::gain,
   report::Tier,
   selector::Labels,
-  urgency::gain,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,16 @@
+//! Which models and adapters backend servers hold: demand, cost of a load, replicas, what
+//! gives way, and the orders that follow.
+//!
+//! Pure decisions of the one instance that holds the lease. Time, reports and the outcome
+//! of orders come in, effects go out; nothing here calls a server, the store or another
+//! instance.
+
+pub mod adapters;
+pub mod ahead;
+pub mod choose;
+pub mod held;
+pub mod obstacle;
+pub mod plan;
+pub mod replicas;
+pub mod urgency;
+pub mod work;
--- a/src/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -3,8 +3,8 @@
 
 use crate::{
   deployment::Engine,
-  held::Server,
-  plan::{DEMAND_MS, Plan},
+  placement::held::Server,
+  placement::plan::{DEMAND_MS, Plan},
   report::Tier,
 };
 use std::collections::BTreeMap;
--- a/src/plan.rs
+++ b/src/placement/plan.rs
@@ -7,17 +7,17 @@
 
 use crate::{
   backend::{Holding, Spec, short},
-  choose::Cause,
   command::Command,
   deployment::Deployment,
   dispatch::{Demand, Model},
-  held::{Job, Server, Step, whole},
-  obstacle::Delay,
+  placement::choose::Cause,
+  placement::held::{Job, Server, Step, whole},
+  placement::obstacle::Delay,
+  placement::urgency::gain,
+  placement::work::UNLOAD_MS,
   policy::Policy,
   selector::Labels,
   strain::{Seen, Strain},
-  urgency::gain,
-  work::UNLOAD_MS,
 };
 use std::{
   collections::{BTreeMap, BTreeSet, VecDeque},
--- a/src/replicas.rs
+++ b/src/placement/replicas.rs
@@ -3,11 +3,11 @@
 
 use crate::{
   backend::Stage,
-  choose::Cause,
   deployment::Engine,
   dispatch::{Demand, Model},
-  held::whole,
-  plan::{HEAVY_USE, Plan},
+  placement::choose::Cause,
+  placement::held::whole,
+  placement::plan::{HEAVY_USE, Plan},
 };
 use std::collections::BTreeMap;
 
--- a/src/work.rs
+++ b/src/placement/work.rs
@@ -3,8 +3,8 @@
 
 use crate::{
   command::{Act, Command, Inventory, Taken},
-  held::{Step, whole},
-  plan::{ASK_MS, Effect, LAG_MS, Plan},
+  placement::held::{Step, whole},
+  placement::plan::{ASK_MS, Effect, LAG_MS, Plan},
 };
 
 /// Pause between an unload and the order that follows before one was seen, ms; and its
--- a/src/word.rs
+++ b/src/word.rs
@@ -4,10 +4,10 @@
 use crate::{
   backend::Holding,
   dispatch::Event,
+  lease::promise::Question,
   message::{Message, Told},
-  plan::{News, Report},
+  placement::plan::{News, Report},
   planner::Planner,
-  promise::Question,
 };
 use slog::{info, warn};
 use std::net::SocketAddr;
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -2,8 +2,8 @@
 //! store answers, loses or delays, and however long a machine stands still.
 
 use bendsaddle::{
+  lease::promise::{Promise, Question, short},
   lease::{Call, Lease, Record, Word},
-  promise::{Promise, Question, short},
   store::{Error, Object},
 };
 use quickcheck::{TestResult, quickcheck};
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -6,8 +6,8 @@
   command::{Act, Command, Inventory, Taken},
   deployment::{Checkpoint, Deployment, Engine, Pool},
   dispatch::{Demand, Model},
-  plan::{Effect, Plan, Report},
-  urgency::Wait,
+  placement::plan::{Effect, Plan, Report},
+  placement::urgency::Wait,
 };
 use std::{
   collections::{BTreeMap, BTreeSet},
