demand and models in a module below routing and placement; loads ahead of all demand are gone

Cause: placement took Demand and Model from the routed requests' reducer, a circle between rooms. Change: demand.rs holds both types. fill_room only adds replicas of models in heavy use where a server is empty.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -6,7 +6,8 @@
 
 use crate::{
   backend::{Backend, Stage},
-  dispatch::{Ask, Demand, Model, Request, State},
+  demand::{Demand, Model},
+  dispatch::{Ask, Request, State},
   placement::held::load_ms,
   placement::urgency::Wait,
   verdict::Verdict,
--- a/src/command.rs
+++ b/src/command.rs
@@ -1,6 +1,6 @@
 //! Orders to the model engines of backend servers, and what they answer.
 
-use crate::dispatch::Model;
+use crate::demand::Model;
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// What an engine is told to do.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,8 +8,8 @@
   ask::Ticket,
   backend::{self, Backend, Holding, Spec, Stage, missing_name},
   cold::{Wants, give_up_at},
+  demand::Model,
   deployment::{Deployment, Engine},
-  placement::urgency::Wait,
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::Route,
@@ -53,31 +53,6 @@
 /// Load in slots that a request between availability zones is worth.
 const ZONE_LOAD: u32 = 1;
 
-/// A model with the adapter that a request names.
-#[derive(
-  Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct Model {
-  pub name: String,
-  pub adapter: Option<String>,
-}
-
-impl Model {
-  /// The model named by `MODEL` or `MODEL/ADAPTER`.
-  pub fn parse(text: &str) -> Self {
-    match text.split_once('/') {
-      Some((name, adapter)) => Self {
-        name: name.into(),
-        adapter: Some(adapter.into()),
-      },
-      None => Self {
-        name: text.into(),
-        adapter: None,
-      },
-    }
-  }
-}
-
 /// A request, as far as decisions need it.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -232,46 +207,6 @@
   pub(crate) sent: u64,
 }
 
-/// Requests that wait for a model, told to the planner.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct Demand {
-  pub pool: String,
-  pub model: Model,
-  pub waiting: u32,
-  /// Most urgent priority among them.
-  pub priority: u8,
-  /// How long the oldest waits, ms.
-  pub age_ms: u64,
-  /// How much time they have left; requests that have about as much stand together.
-  pub waits: Vec<Wait>,
-}
-
-impl Demand {
-  /// Demand of nobody, for a load ahead of it.
-  pub fn ahead(pool: &str, model: Model) -> Self {
-    Self {
-      pool: pool.into(),
-      model,
-      waiting: 0,
-      priority: u8::MAX,
-      age_ms: 0,
-      waits: Vec::new(),
-    }
-  }
-
-  /// Adds requests with this much time left.
-  pub(crate) fn add(&mut self, wait: Wait) {
-    self.waiting += wait.requests;
-    let like = |known: &&mut Wait| {
-      known.objective_ms == wait.objective_ms && known.patience_ms == wait.patience_ms
-    };
-    match self.waits.iter_mut().find(like) {
-      Some(known) => known.requests += wait.requests,
-      None => self.waits.push(wait),
-    }
-  }
-}
-
 /// Everything that routed requests are decided by.
 pub struct State {
   pub zone: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod compare;
 pub mod completions;
 pub mod decide;
+pub mod demand;
 pub mod deployment;
 pub mod dialect;
 pub mod dispatch;
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -2,8 +2,8 @@
 
 use crate::{
   command::{Act, Command},
+  demand::{Demand, Model},
   deployment::Engine,
-  dispatch::{Demand, Model},
   placement::held::Server,
   placement::plan::{Effect, Plan},
 };
--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -1,8 +1,8 @@
 //! What is loaded, copied and let go without a request that waits for it.
 
 use crate::{
+  demand::Demand,
   deployment::Engine,
-  dispatch::Demand,
   placement::held::{load_ms, whole},
   placement::plan::{HEAVY_USE, LOAD_COST, Plan},
   report::Tier,
@@ -46,20 +46,18 @@
     }
   }
 
-  /// Loads models in use where there is room without anything giving way: on
-  /// servers that came empty, while those that leave still serve. A model counts
-  /// when each of its replicas carries `least` requests or more.
-  pub(crate) fn fill_room(&mut self, least: f64) {
+  /// Loads further replicas of models in heavy use where there is room without anything
+  /// giving way: on servers that came empty, while those that leave still serve.
+  pub(crate) fn fill_room(&mut self) {
     let mut wanted: Vec<(f64, (String, String))> = Vec::new();
     for (key, used) in &self.used {
       let (pool, model) = key;
       let holders = self.holders(pool, model).len() + usize::from(self.loading(model));
-      let served = holders > 0 || self.elsewhere(pool, &whole(model));
-      if served && (least < HEAVY_USE || holders == 0) {
+      if holders == 0 && self.elsewhere(pool, &whole(model)) {
         continue;
       }
       let each = used / holders.max(1) as f64;
-      if each >= least {
+      if each >= HEAVY_USE {
         wanted.push((each, key.clone()));
       }
     }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -2,8 +2,8 @@
 
 use crate::{
   backend::{Stage, missing_name},
+  demand::{Demand, Model},
   deployment::Engine,
-  dispatch::{Demand, Model},
   placement::held::{Job, Server, Step, load_ms, whole},
   placement::plan::{LOAD_COST, Plan},
   placement::urgency::gain,
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -4,8 +4,8 @@
 use crate::{
   backend::{Holding, Spec, Stage},
   command::{Act, Command, Taken},
+  demand::{Demand, Model},
   deployment::{Checkpoint, Engine},
-  dispatch::{Demand, Model},
   placement::plan::{ASK_MS, LAG_MS},
   placement::urgency::gain,
   report::Tier,
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -8,8 +8,8 @@
 use crate::{
   backend::{Holding, Spec, short},
   command::Command,
+  demand::{Demand, Model},
   deployment::Deployment,
-  dispatch::{Demand, Model},
   placement::choose::Cause,
   placement::held::{Job, Server, Step, whole},
   placement::obstacle::Delay,
@@ -53,8 +53,6 @@
 /// Use of each replica, in requests at once, from which a model gets a further one
 /// where there is room.
 pub(crate) const HEAVY_USE: f64 = 1.5;
-/// Use, in requests at once, below which a model is not loaded ahead of demand.
-const USE_LEAST: f64 = 0.05;
 
 /// What an instance tells the planner.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -366,12 +364,11 @@
       let sweep = now >= self.swept + SWEEP_MS;
       if sweep {
         self.swept = now;
-        self.fill_room(HEAVY_USE);
+        self.fill_room();
         self.replicate();
       }
       self.serve_demand();
       if sweep {
-        self.fill_room(USE_LEAST);
         self.free_places();
       }
     }
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -3,8 +3,8 @@
 
 use crate::{
   backend::Stage,
+  demand::{Demand, Model},
   deployment::Engine,
-  dispatch::{Demand, Model},
   placement::choose::Cause,
   placement::held::whole,
   placement::plan::{HEAVY_USE, Plan},
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -2,7 +2,8 @@
 
 use crate::{
   ask::Ticket,
-  dispatch::{Ask, Attempt, End, Event, Model},
+  demand::Model,
+  dispatch::{Ask, Attempt, End, Event},
   http::{Body, Framing, LAST_CHUNK, Request, Response, chunk},
   hub::{Directive, Hub, Mailbox},
   measures,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -3,8 +3,9 @@
 use bendsaddle::{
   ask::Ticket,
   backend::{Holding, Spec, Stage},
+  demand::Model,
   deployment::{Checkpoint, Deployment, Engine, Pool},
-  dispatch::{Ask, Change, Effect, Event, Model, State},
+  dispatch::{Ask, Change, Effect, Event, State},
   refusal::{Reason, Refusal},
   retry::Bound,
   route::{Part, Repeat, Route, Stream},
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -3,8 +3,9 @@
 use bendsaddle::{
   ask::Ticket,
   backend::{Holding, Spec, Stage},
+  demand::Model,
   deployment::{Deployment, Engine, Pool},
-  dispatch::{Ask, Change, Effect, End, Event, Model, State},
+  dispatch::{Ask, Change, Effect, End, Event, State},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::{Part, Repeat, Route, Stream},
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -4,8 +4,8 @@
 use bendsaddle::{
   backend::{Spec, Stage},
   command::{Act, Command, Inventory, Taken},
+  demand::{Demand, Model},
   deployment::{Checkpoint, Deployment, Engine, Pool},
-  dispatch::{Demand, Model},
   placement::plan::{Effect, Plan, Report},
   placement::urgency::Wait,
 };
@@ -512,7 +512,7 @@
     for number in 0..20u16 {
       let report = Report {
         instance: format!("late-{number}"),
-        machine: number,
+        machine: u32::from(number),
         demand: Vec::new(),
         running: Vec::new(),
         missing: Vec::new(),
