--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -596,13 +596,37 @@
   assert_eq!(world.loads()[1], ("one".to_string(), "e".to_string()));
 }
 
+#[test]
+fn an_order_that_is_due_does_not_go_out_without_the_lease() {
+  let full: &[&str] = &["a", "b", "c"];
+  let mut world = World::open(&["a", "b", "c", "d"], &[("one", full, &["d"])]);
+  world.run(600);
+  world.waiting = vec![("d".into(), 1)];
+  let mut planned = false;
+  while !planned {
+    world.now += 1;
+    world.report();
+    let effects = world.plan.step(world.now);
+    let load = |effect: &Effect| matches!(effect, Effect::Note { what: "load", .. });
+    planned = effects.iter().any(load);
+  }
+  world.plan.order(false);
+  world.run(600);
+  assert!(world.orders.is_empty(), "{:?}", world.orders);
+  world.plan.order(true);
+  world.run(200);
+  assert_eq!(world.loads(), [("one".to_string(), "d".to_string())]);
+}
+
 #[test]
 fn a_burst_has_several_loads_at_once() {
+  let full: &[&str] = &["a", "b", "c"];
   let loads = |waiting: u32| {
     let mut world = World::open(
-      &["a", "d"],
-      &[("one", &["a"], &["d"]), ("two", &["a"], &["d"])],
+      &["a", "b", "c", "d"],
+      &[("one", full, &["d"]), ("two", full, &["d"])],
     );
+    world.run(600);
     world.waiting = vec![("d".into(), waiting)];
     world.run(400);
     world.loads().len()
@@ -614,8 +638,8 @@
 #[test]
 fn a_model_in_heavy_use_has_two_replicas() {
   let mut world = World::open(
-    &["a", "b"],
-    &[("one", &["a"], &[]), ("two", &["b"], &["a"])],
+    &["a", "b", "c", "e"],
+    &[("one", &["a"], &[]), ("two", &["b", "c", "e"], &["a"])],
   );
   world.running = vec![("one".into(), "a".into(), 4)];
   world.strain = vec![seen("a", 0.05)];
