--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -172,7 +172,11 @@
     let crossed = sent.reused && self.runs_of(sent) == 0;
     match sent.end {
       End::Success { own: false } => {
-        let text = format!("`{}` got what is not its own whole answer", sent.id);
+        let text = format!(
+          "`{}` got what is not its own whole answer: {:?}",
+          sent.id,
+          sent.foreign.as_deref().unwrap_or_default()
+        );
         self.found("answer", sent.at, text);
       }
       End::Cut if !excused && !self.any_server_troubled(sent.at, sent.ended) => {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -84,6 +84,8 @@
   pub at: u64,
   pub ended: u64,
   pub end: End,
+  /// The body of a success that is not the whole answer to this very request.
+  pub foreign: Option<String>,
 }
 
 /// A request as a backend server saw it.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -61,7 +61,11 @@
     let reused = kept.is_some();
     let at = traffic.book.now();
     let stated = kind.deadline_ms() * traffic.patience;
-    let (end, stream) = send(kept.take(), *address, kind, &id, &model, (stated, leaves));
+    let Outcome {
+      end,
+      foreign,
+      kept: stream,
+    } = send(kept.take(), *address, kind, &id, &model, (stated, leaves));
     kept = stream.filter(|(_, requests)| *requests < REQUESTS);
     let ended = traffic.book.now();
     let sent = Sent {
@@ -72,6 +76,7 @@
       at,
       ended,
       end,
+      foreign,
     };
     traffic.book.note(|history| history.sent.push(sent));
   }
@@ -104,6 +109,22 @@
 
 type Kept = Option<(TcpStream, u32)>;
 
+/// What came of a request.
+struct Outcome {
+  end: End,
+  foreign: Option<String>,
+  kept: Kept,
+}
+
+/// A request that got no answer to read.
+fn unanswered(end: End) -> Outcome {
+  Outcome {
+    end,
+    foreign: None,
+    kept: None,
+  }
+}
+
 fn send(
   kept: Kept,
   address: SocketAddr,
@@ -111,12 +132,12 @@
   id: &str,
   model: &Option<String>,
   (deadline_ms, leaves): (u64, bool),
-) -> (End, Kept) {
+) -> Outcome {
   let (stream, requests) = match kept {
     Some(kept) => kept,
     None => match TcpStream::connect(address) {
       Ok(stream) => (stream, 0),
-      Err(_) => return (End::Unreached, None),
+      Err(_) => return unanswered(End::Unreached),
     },
   };
   let mut stream = stream;
@@ -133,16 +154,19 @@
   // A connection that has ended is noticed when the answer is read.
   let _ = client::write(&mut stream, &ask);
   if leaves {
-    return (End::Left, None);
+    return unanswered(End::Left);
   }
   let Some(answer) = client::read(&mut stream, "POST") else {
-    return (End::Closed, None);
+    return unanswered(End::Closed);
   };
   let keeps = answer.whole && answer.keeps();
-  (
-    end(kind, id, &answer),
-    keeps.then_some((stream, requests + 1)),
-  )
+  let end = end(kind, id, &answer);
+  let foreign = (end == End::Success { own: false }).then(|| answer.text());
+  Outcome {
+    end,
+    foreign,
+    kept: keeps.then_some((stream, requests + 1)),
+  }
 }
 
 fn end(kind: Kind, id: &str, answer: &Answer) -> End {
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -28,6 +28,7 @@
     at: 1_000,
     ended: 1_100,
     end,
+    foreign: None,
   }
 }
 
