--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -35,8 +35,9 @@
 pub(crate) const ASK_MS: u64 = 100;
 /// Instances cannot use what they were not told: told again this often, ms.
 const TELL_MS: u64 = 500;
-/// A report that arrives within this time after a change was published may have crossed
-/// it, ms: datagrams take some, and an instance handles them a few later.
+/// A report that arrives within this time after a change was published, or after what its
+/// instance lacked was sent, may have crossed it, ms: datagrams take some, and an instance
+/// handles them a few later.
 const CROSSING_MS: u64 = 100;
 /// Holdings sent in one step to instances that lack changes: 300 instances sent all of
 /// 3,000 servers at once took their holder 515 MB.
@@ -317,7 +318,8 @@
       resynced: known.map_or(0, |member| member.resynced),
       report,
     };
-    member.behind = member.report.behind || member.knows(self.group) < self.arrived(now);
+    let lacks = member.report.behind || member.knows(self.group) < self.arrived(now);
+    member.behind = lacks && now >= member.resynced + CROSSING_MS;
     let new = self.members.insert(instance, member).is_none();
     self.news |= new;
     self.count();
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -586,7 +586,9 @@
         Effect::Ask { id, .. } => world.ask(&id),
         Effect::Tell(news) => {
           let held = news.holdings.iter();
-          told |= held.clone().any(|(_, holding)| holding.models.contains_key("d"));
+          told |= held
+            .clone()
+            .any(|(_, holding)| holding.models.contains_key("d"));
         }
         Effect::Note { .. } => {}
       }
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -9,7 +9,7 @@
   replication::{Fit, Known, parts},
 };
 use std::{
-  collections::{BTreeMap, BTreeSet},
+  collections::{BTreeMap, BTreeSet, VecDeque},
   net::SocketAddr,
   sync::Arc,
 };
@@ -20,6 +20,8 @@
 const STEP_MS: u64 = 10;
 /// Time between two reports of an instance, ms.
 const REPORT_MS: u64 = 300;
+/// Steps that a report takes to the holder: changes cross it.
+const CROSSED: u64 = 3;
 
 /// An instance that hears of holdings.
 #[derive(Default)]
@@ -178,8 +180,13 @@
 /// Plays changes at every step; `lost` says which updates to all do not arrive.
 fn play(steps: u64, lost: impl Fn(u64, usize) -> bool) -> (Holder, Instance) {
   let (mut holder, mut instance) = (Holder::open(), Instance::default());
+  let mut reports: VecDeque<(u64, Report)> = VecDeque::new();
   for step in 0..steps {
-    let model = ["m0", "m1", "m2"][step as usize % 3];
+    while let Some((_, report)) = reports.pop_front_if(|(at, _)| *at <= step) {
+      holder.plan.report(holder.now, address(), report);
+    }
+    // Each server another one than the last time.
+    let model = ["m0", "m1", "m2"][step as usize / SERVERS % 3];
     holder.change(step as usize % SERVERS, model);
     let (all, own) = holder.step();
     all
@@ -188,7 +195,7 @@
     own.iter().for_each(|news| instance.hear(news, |_| false));
     let due = step * STEP_MS % REPORT_MS == 0;
     if due || instance.behind {
-      holder.plan.report(holder.now, address(), instance.report());
+      reports.push_back((step + CROSSED, instance.report()));
     }
   }
   (holder, instance)
