--- a/src/backend.rs
+++ b/src/backend.rs
@@ -46,7 +46,7 @@
 }
 
 /// The holdings of a server as the planner last knew them; newer than what the
-/// server itself has told.
+/// server itself has stated.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Holding {
   pub id: String,
@@ -57,16 +57,16 @@
   pub coming: Option<String>,
 }
 
-/// A load under way, as far as an instance was told.
+/// A load under way, as far as it was published.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loading {
   pub model: String,
   pub tier: Tier,
-  /// When it was first told of, ms.
+  /// When it was first published, ms.
   pub since: u64,
 }
 
-/// A server's id, short enough to be told often.
+/// A server's id, short enough to be sent often.
 pub fn short(id: &str) -> u32 {
   xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
@@ -78,9 +78,9 @@
   /// When the server's own statement was last heard, ms.
   pub heard: u64,
   pub holding: Option<Holding>,
-  /// Requests of all instances there, as told.
+  /// Requests of all instances there, as published.
   pub load: u32,
-  /// This instance's requests there, now and when the others' were last told.
+  /// This instance's requests there, now and when the others' were last published.
   pub running: u32,
   pub running_then: u32,
   /// Failures in a row.
@@ -113,7 +113,7 @@
   }
 
   /// Takes up the planner's word on what is held.
-  pub fn told(&mut self, holding: Holding, now: u64) {
+  pub fn update(&mut self, holding: Holding, now: u64) {
     let same = |loading: &Loading| Some(&loading.model) == holding.coming.as_ref();
     if !self.loading.as_ref().is_some_and(same) {
       self.loading = holding.coming.as_ref().map(|model| Loading {
@@ -126,10 +126,10 @@
   }
 
   /// Whether a request for a model, and an adapter of it, can run there. The
-  /// planner's word counts before `told`, ms, and after it until the server says
+  /// planner's word counts before `until`, ms, and after it until the server says
   /// otherwise: without a planner nothing changes.
-  pub fn holds(&self, model: &str, adapter: Option<&str>, told: u64, now: u64) -> bool {
-    let word = self.holding.as_ref().filter(|_| self.heard < told);
+  pub fn holds(&self, model: &str, adapter: Option<&str>, until: u64, now: u64) -> bool {
+    let word = self.holding.as_ref().filter(|_| self.heard < until);
     let models = word.map_or(&self.spec.models, |holding| &holding.models);
     let leaves = word.is_some_and(|holding| holding.leaving.iter().any(|name| name == model));
     let found = models.get(model).is_some_and(|adapters| match adapter {
@@ -141,7 +141,7 @@
     found && !leaves && !missing
   }
 
-  /// Requests of all instances there, as far as known: what was told, and since then
+  /// Requests of all instances there, as far as known: what was published, and since then
   /// what this instance added, as likely for each of the others.
   pub fn estimate(&self, instances: usize) -> u32 {
     let added = i64::from(self.running) - i64::from(self.running_then);
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -1,7 +1,7 @@
 //! Requests for models that no server holds: when such a model will be ready, and
-//! whether a caller waits for it or is told when to come back.
+//! whether a caller waits for it or gets a Retry-After.
 //!
-//! A caller that would leave before the load ends is told so at once, and comes back to
+//! A caller that would leave before the load ends is refused at once with a Retry-After, and comes back to
 //! a loaded model. What it wants counts as demand until then.
 
 use crate::{
@@ -38,11 +38,11 @@
 const STREAM_OBJECTIVES: u64 = 4;
 const STREAM_GAPS: u64 = 8;
 
-/// Time left is told in steps of this many ms: requests that arrive together stand
+/// Time left is reported in steps of this many ms: requests that arrive together stand
 /// together, and a report stays small.
 const STEP_MS: u64 = 50;
 
-/// What callers want that were told to come back.
+/// What callers want that were sent away with a Retry-After.
 #[derive(Clone, Debug)]
 pub(crate) struct Want {
   /// When the first of them asked, and until when it counts, ms.
@@ -82,7 +82,7 @@
 impl State {
   /// For a request that finds no server: after how long its caller should come back,
   /// ms; none: it waits.
-  pub(crate) fn come_back(&self, request: &Request) -> Option<u64> {
+  pub(crate) fn retry_after_ms(&self, request: &Request) -> Option<u64> {
     let model = request.ask.model.as_ref()?;
     if request.verdict != Verdict::NotRun || self.held(&request.ask.pool, &model.name) {
       return None;
@@ -93,8 +93,8 @@
 
   /// Whether a server that takes work holds a model.
   fn held(&self, pool: &str, model: &str) -> bool {
-    let told = self.told_until();
-    let holds = |backend: &&Backend| backend.holds(model, None, told, self.now);
+    let until = self.current_until();
+    let holds = |backend: &&Backend| backend.holds(model, None, until, self.now);
     self.working(pool).any(|backend| holds(&backend))
   }
 
@@ -122,7 +122,7 @@
           .working(&ask.pool)
           .map(|backend| backend.spec.tier(&model.name));
         let load = load_ms(checkpoint, tiers.min()?);
-        let silent = self.now > self.told_until();
+        let silent = self.now > self.current_until();
         let takeover = if silent { TAKEOVER_MS } else { 0 };
         self.wanted_since(request, model) + takeover + DECISION_MS + LEAD_MS + load
       }
@@ -155,7 +155,7 @@
     want.priority = want.priority.min(ask.route.priority);
   }
 
-  /// Adds to the demand what callers want that were told to come back.
+  /// Adds to the demand what callers want that were sent away with a Retry-After.
   pub(crate) fn add_wants(&self, now: u64, demand: &mut BTreeMap<(String, Model), Demand>) {
     for ((pool, model), want) in self.wants.iter().filter(|(_, want)| now < want.until) {
       let entry = demand
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -33,7 +33,7 @@
 const FULL_MS: u64 = 60;
 /// Time for which a server is believed not to hold what it said it lacked, ms.
 const MISSING_MS: u64 = 400;
-/// Pause before a waiting request is looked at again without news, ms.
+/// Pause before a waiting request is looked at again without a change, ms.
 const LOOK_MS: u64 = 100;
 /// Sends beyond a route's attempts, for sends that were declined.
 const DECLINED_MOST: u32 = 4;
@@ -41,15 +41,15 @@
 /// ahead of the least loaded one, in hundredths. Reading 200 shared tokens again
 /// takes some 7 ms; a request more in a batch delays all others.
 const AHEAD_PERCENT: u32 = 2;
-/// Time for which the planner's word on holdings counts, ms: it speaks every half
+/// Time for which published holdings count, ms: the planner publishes every half
 /// second, and a server's own entry takes about two seconds to show a change.
-const TOLD_MS: u64 = 2_500;
+const CURRENT_MS: u64 = 2_500;
 /// An instance without the store that has heard of no planner for this long cannot
-/// have models loaded, ms: a planner speaks every half second, also while it may not order.
+/// have models loaded, ms: a planner publishes every half second, also while it may not order.
 const ISOLATED_MS: u64 = 1_800;
 /// Time after which a refused caller may come back, ms: a load from a server's disk
 /// takes about as long.
-const COME_BACK_MS: u64 = 500;
+const RETRY_AFTER_MS: u64 = 500;
 /// Load in slots that a request between availability zones is worth.
 const ZONE_LOAD: u32 = 1;
 
@@ -146,12 +146,12 @@
 pub enum Event {
   Deployed(Arc<Deployment>),
   Servers(Vec<Change>),
-  /// The planner told what servers hold, and how many instances there are.
-  Told {
+  /// The planner published what servers hold, and how many instances there are.
+  Updated {
     holdings: Vec<Holding>,
     /// These are all holdings of a group, of so many, not only those that changed.
     all: Option<(u32, u32)>,
-    /// Requests at servers, by short id; none: not told this time.
+    /// Requests at servers, by short id; none: not sent this time.
     loads: Option<Vec<(u32, u16)>>,
     instances: usize,
   },
@@ -181,7 +181,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
   Send(Attempt),
-  /// Wait for news, at most until then, ms.
+  /// Wait for a change, at most until then, ms.
   Wait(Ticket, u64),
   Refuse(Ticket, Refusal),
   /// The planner should load a model.
@@ -232,22 +232,22 @@
   /// Requests that wait at this time are refused: the process is to end, ms.
   stop_at: u64,
   /// When a planner was last heard of, ms.
-  pub told_at: u64,
+  pub updated_at: u64,
   pub(crate) store_lost: bool,
-  /// What callers want that were told to come back.
+  /// What callers want that were sent away with a Retry-After.
   pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
   pub(crate) lapse_until: u64,
   /// How slow servers were for each model since the last report.
   pub(crate) strain: Book,
-  /// Counts changes of holdings that were told.
-  pub tellings: u64,
+  /// Counts changes of holdings that were published.
+  pub updates: u64,
   rng: SmallRng,
   pub(crate) now: u64,
   pub(crate) out: Vec<Effect>,
 }
 
-/// Instances assumed until the planner has told how many there are.
+/// Instances assumed until the planner has published how many there are.
 const INSTANCES: usize = 8;
 
 impl State {
@@ -268,12 +268,12 @@
       instances: INSTANCES,
       new_until: u64::MAX,
       stop_at: u64::MAX,
-      told_at: 0,
+      updated_at: 0,
       store_lost: false,
       wants: Wants::new(),
       lapse_until: 0,
       strain: Book::new(),
-      tellings: 0,
+      updates: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -292,18 +292,18 @@
     match event {
       Event::Deployed(deployment) => self.deployed(deployment),
       Event::Servers(changes) => self.servers(changes),
-      Event::Told {
+      Event::Updated {
         holdings,
         all,
         loads,
         instances,
       } => {
         self.instances = instances.max(1);
-        self.told_at = now;
+        self.updated_at = now;
         if let Some(loads) = loads {
           self.loads(&loads);
         }
-        self.told(holdings, all);
+        self.take_holdings(holdings, all);
       }
       Event::Arrived(ask) => self.arrived(ask),
       Event::Ended { ticket, end } => self.ended(ticket, end),
@@ -358,7 +358,7 @@
   }
 
   fn refuse(&mut self, ticket: Ticket, reason: Reason) {
-    self.send_back(ticket, reason, COME_BACK_MS);
+    self.send_back(ticket, reason, RETRY_AFTER_MS);
   }
 
   /// Refuses a request; its caller may come back after some time, ms.
@@ -407,7 +407,7 @@
 
   fn hold(&mut self, ticket: Ticket) {
     let now = self.now;
-    let silent = self.told_at > 0 && now > self.told_at + ISOLATED_MS;
+    let silent = self.updated_at > 0 && now > self.updated_at + ISOLATED_MS;
     let isolated = silent && self.store_lost;
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
@@ -424,7 +424,7 @@
       Verdict::MayHaveRun => request.ask.until,
     };
     let request = request.clone();
-    if let Some(retry_after) = self.come_back(&request) {
+    if let Some(retry_after) = self.retry_after_ms(&request) {
       self.want(&request.ask, retry_after);
       self.out.push(Effect::Want);
       return self.send_back(ticket, Reason::Loading, retry_after);
@@ -561,9 +561,9 @@
     }
   }
 
-  /// Until when the planner's last word on holdings counts, ms.
-  pub(crate) fn told_until(&self) -> u64 {
-    self.told_at + TOLD_MS
+  /// Until when the holdings published last count, ms.
+  pub(crate) fn current_until(&self) -> u64 {
+    self.updated_at + CURRENT_MS
   }
 
   pub(crate) fn engine(&self, pool: &str) -> Option<&Engine> {
@@ -608,8 +608,8 @@
   fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
     match &ask.model {
       Some(model) => {
-        let told = self.told_until();
-        backend.holds(&model.name, model.adapter.as_deref(), told, self.now)
+        let until = self.current_until();
+        backend.holds(&model.name, model.adapter.as_deref(), until, self.now)
       }
       None => true,
     }
--- a/src/word.rs
+++ b/src/exchange.rs
@@ -1,58 +1,58 @@
-//! What an instance tells others, and hears: reports of demand to the holders of leases,
+//! What instances exchange: reports of demand to the holders of leases,
 //! and the holders' word on what servers hold.
 
 use crate::{
   dispatch::Event,
   feed::Gate,
   lease::promise::Question,
-  message::{Kind, Message, Told},
-  placement::plan::{News, Report},
+  message::{Kind, Message, Update},
+  placement::plan::{Holdings, Report},
   planner::Planner,
   replication::{Fit, Known, parts},
 };
 use slog::{info, warn};
 use std::net::SocketAddr;
 
-/// The holder tells others of all instances this often, ms.
+/// The holder publishes the list of instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
 /// One of so many rounds of questions for promises is logged.
 const ROUNDS_LOGGED: u32 = 10;
-/// Part of its link that a holder takes to tell others, as a divisor.
-const TELL_PART: f64 = 5.0;
+/// Part of its link that a holder takes to publish, as a divisor.
+const PUBLISH_PART: f64 = 5.0;
 /// Bits of a byte, and bits that a link of 1 Mbit/s carries in a millisecond.
 const BITS: f64 = 8.0;
 const BITS_MS: f64 = 1_000.0;
 
 impl Planner {
   /// Takes up a holder's word.
-  pub(crate) fn hear(&mut self, now: u64, told: Told, from: SocketAddr) {
+  pub(crate) fn hear(&mut self, now: u64, update: Update, from: SocketAddr) {
     let groups = self.groups.len() as u32;
-    let Some(group) = self.groups.get_mut(told.group as usize) else {
+    let Some(group) = self.groups.get_mut(update.group as usize) else {
       warn!(self.hub.log, "instances differ in their groups"; "from" => %from,
-        "group" => told.group, "groups" => groups);
+        "group" => update.group, "groups" => groups);
       return;
     };
-    let term = told.word.term;
-    group.lease.told(now, told.word, from);
-    if !told.members.is_empty() {
-      self.members = told.members;
+    let term = update.heartbeat.term;
+    group.lease.receive(now, update.heartbeat, from);
+    if !update.members.is_empty() {
+      self.members = update.members;
     }
     if group.holding {
       return;
     }
-    self.hub.gates.deployments.told(told.deployments);
-    self.hub.gates.servers.told(told.servers);
-    let fit = group.known.take(term, told.since, told.latest);
+    self.hub.gates.deployments.follow(update.deployments);
+    self.hub.gates.servers.follow(update.servers);
+    let fit = group.known.take(term, update.since, update.latest);
     // The next report asks for what is lacking.
     self.behind |= fit == Fit::Gap;
-    let event = Event::Told {
+    let event = Event::Updated {
       holdings: match fit {
         Fit::Gap => Vec::new(),
-        Fit::Snapshot | Fit::Follows => told.holdings,
+        Fit::Snapshot | Fit::Follows => update.holdings,
       },
-      all: (fit == Fit::Snapshot).then_some((told.group, groups)),
-      loads: (!told.loads.is_empty()).then_some(told.loads),
-      instances: told.instances as usize,
+      all: (fit == Fit::Snapshot).then_some((update.group, groups)),
+      loads: (!update.loads.is_empty()).then_some(update.loads),
+      instances: update.instances as usize,
     };
     self.hub.apply(event, None);
   }
@@ -80,14 +80,20 @@
     }
   }
 
-  /// Where the other instances hear of a group.
-  fn addresses(&self, now: u64, index: usize) -> Vec<SocketAddr> {
+  /// Where the instances hear of a group, this one among them.
+  fn members(&self, now: u64, index: usize) -> Vec<SocketAddr> {
     let mut members = self.groups[index].plan.members(now);
     for member in &self.members {
       if !members.contains(member) {
         members.push(*member);
       }
     }
+    members
+  }
+
+  /// Where the other instances hear of a group.
+  fn addresses(&self, now: u64, index: usize) -> Vec<SocketAddr> {
+    let mut members = self.members(now, index);
     members.retain(|member| *member != self.own);
     members
   }
@@ -125,7 +131,7 @@
     }
   }
 
-  /// Tells the holders what is wanted and running here.
+  /// Reports to the holders what is wanted and running here.
   pub(crate) fn report(&mut self, wanted: bool) {
     let now = self.hub.now();
     let due = self.reported + self.pause();
@@ -175,7 +181,7 @@
     match postcard::to_stdvec(message) {
       Ok(bytes) => {
         for address in to {
-          // A datagram that is lost is told again.
+          // A datagram that is lost is sent again.
           let _ = self.socket.send_to(&bytes, address);
         }
         bytes.len() * to.len()
@@ -187,79 +193,92 @@
     }
   }
 
-  pub(crate) fn tell(&mut self, index: usize, news: &News) {
-    // The word of a change should not come before the change.
+  /// Publishes an update of a group's holdings, to one instance or to all.
+  pub(crate) fn publish(&mut self, index: usize, update: &Holdings) {
+    // A change should reach the others before the progress that names it.
     self.publish_changes();
     let now = self.hub.now();
-    let groups = self.groups.len() as u32;
-    let group = &mut self.groups[index];
-    let Some(word) = group.lease.word(now) else {
+    let Some(heartbeat) = self.groups[index].lease.heartbeat(now) else {
       return;
     };
-    let age_ms = group.lease.renewal_age(now);
-    let mut members = group.plan.members(now);
-    for member in &self.members {
-      if !members.contains(member) {
-        members.push(*member);
-      }
-    }
+    let members = self.members(now, index);
     let instances = members.len().max(1);
-    let tell_members = news.to.is_none() && now >= group.told_members + MEMBERS_MS;
-    if tell_members {
-      group.told_members = now;
-      self.members = group.plan.members(now);
-    }
-    let parts = parts(news);
     let own = self.own;
-    let to: Vec<SocketAddr> = match news.to {
+    let others = match update.to {
       Some(address) => vec![address],
       None => members.clone(),
     };
-    let mine = news.to.is_none() || news.to == Some(own);
+    let (mine, others): (Vec<_>, Vec<_>) = others.into_iter().partition(|one| *one == own);
+    let mine = update.to.is_none() || !mine.is_empty();
+    let listed = self.list_members(now, index, update, members);
+    let age_ms = self.groups[index].lease.renewal_age(now);
+    let head = Update {
+      group: index as u32,
+      heartbeat: heartbeat.clone(),
+      deployments: self.hub.gates.deployments.progress(age_ms),
+      servers: self.hub.gates.servers.progress(age_ms),
+      instances: instances as u32,
+      members: listed,
+      since: update.since,
+      latest: update.latest,
+      holdings: Vec::new(),
+      loads: update.loads.clone(),
+    };
+    let bytes = self.send_parts(head, update, &others);
+    let pause = bytes as f64 * BITS * PUBLISH_PART / (self.link_mbps * BITS_MS);
+    self.groups[index].plan.pace(pause as u64);
     if mine {
-      group.known = Known {
-        term: word.term,
-        count: news.latest,
-      };
+      self.take_own(index, heartbeat.term, update, instances);
     }
-    let others: Vec<SocketAddr> = to.into_iter().filter(|member| *member != own).collect();
-    let mut bytes = 0;
-    for (number, part) in parts.into_iter().enumerate() {
-      let message = Message::Told(Told {
-        group: index as u32,
-        word: word.clone(),
-        deployments: self.hub.gates.deployments.word(age_ms),
-        servers: self.hub.gates.servers.word(age_ms),
-        instances: instances as u32,
-        members: match tell_members && number == 0 {
-          true => members.clone(),
-          false => Vec::new(),
-        },
-        since: part.since,
-        latest: part.latest,
-        holdings: part.holdings,
-        loads: if number == 0 {
-          news.loads.clone()
-        } else {
-          Vec::new()
-        },
-      });
-      bytes += self.send(&message, &others);
+  }
+
+  /// The list of instances, where it is due to be published.
+  fn list_members(
+    &mut self,
+    now: u64,
+    index: usize,
+    update: &Holdings,
+    members: Vec<SocketAddr>,
+  ) -> Vec<SocketAddr> {
+    let group = &mut self.groups[index];
+    if update.to.is_some() || now < group.members_sent + MEMBERS_MS {
+      return Vec::new();
     }
-    let pause = bytes as f64 * BITS * TELL_PART / (self.link_mbps * BITS_MS);
-    self.groups[index].plan.pace(pause as u64);
-    if mine {
-      let event = Event::Told {
-        holdings: news
-          .holdings
-          .iter()
-          .map(|(_, holding)| holding.clone())
-          .collect(),
-        all: (news.since == 0).then_some((index as u32, groups)),
-        loads: (!news.loads.is_empty()).then(|| news.loads.clone()),
-        instances,
-      };
-      self.hub.apply(event, None);
+    group.members_sent = now;
+    self.members = group.plan.members(now);
+    members
+  }
+
+  /// Sends an update in parts; only the first one carries members and loads. Gives the
+  /// bytes sent.
+  fn send_parts(&self, mut head: Update, update: &Holdings, to: &[SocketAddr]) -> usize {
+    let mut bytes = 0;
+    for part in parts(update) {
+      head.since = part.since;
+      head.latest = part.latest;
+      head.holdings = part.holdings;
+      let message = Message::Update(head.clone());
+      bytes += self.send(&message, to);
+      head.members.clear();
+      head.loads.clear();
     }
+    bytes
+  }
+
+  /// Takes up an update of this instance's own.
+  fn take_own(&mut self, index: usize, term: u64, update: &Holdings, instances: usize) {
+    let groups = self.groups.len() as u32;
+    self.groups[index].known = Known {
+      term,
+      count: update.latest,
+    };
+    let holdings = update.holdings.iter();
+    let event = Event::Updated {
+      holdings: holdings.map(|(_, holding)| holding.clone()).collect(),
+      all: (update.since == 0).then_some((index as u32, groups)),
+      loads: (!update.loads.is_empty()).then(|| update.loads.clone()),
+      instances,
+    };
+    self.hub.apply(event, None);
   }
 }
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,16 +15,16 @@
 };
 
 /// Longest wait of one watch. A waiting watch counts as a call; but one that was
-/// begun while the store was silent is never answered, and hides all news until
+/// begun while the store was silent is never answered, and hides all event until
 /// its time is over.
 const WATCH: Duration = Duration::from_millis(2_500);
 /// Wait of the first watch after a failure: it only shows that the store answers.
 const FIRST: Duration = Duration::from_millis(1);
 /// The store was silent when nothing was heard of it for this long: longer than a
-/// watch without news and the pause before it, shorter than the three heartbeats, of a
+/// watch without event and the pause before it, shorter than the three heartbeats, of a
 /// bit more than a second each, after which entries of servers lapse.
 pub const SILENT: Duration = Duration::from_millis(3_100);
-/// Pause after news, so that changes made together come in one answer.
+/// Pause after event, so that changes made together come in one answer.
 const GATHER: Duration = Duration::from_millis(250);
 /// Pause after a failure, doubled for each further one, and its most.
 const RETRY: Duration = Duration::from_millis(100);
@@ -32,7 +32,7 @@
 
 /// Another instance's word counts for this long after the store last answered that
 /// instance; then this one watches by itself. The holder of a lease hears from the
-/// store every 750 ms; with the watch that follows, news that the holder is cut off
+/// store every 750 ms; with the watch that follows, event that the holder is cut off
 /// from arrives within 1.5 s, and deployments give two.
 const STALE: Duration = Duration::from_millis(1_300);
 
@@ -103,9 +103,9 @@
   }
 }
 
-/// How far an instance has followed a kind, told to others.
+/// How far an instance has followed a kind, for the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Progress {
   /// The store's revision up to which everything is known.
   pub revision: u64,
   /// Revision of the last change that matters to others.
@@ -119,7 +119,7 @@
   revision: u64,
   changed: u64,
   /// Another instance's word, and when the store last answered that instance.
-  word: Option<(Word, Instant)>,
+  holder: Option<(Progress, Instant)>,
   /// This instance must watch by itself: others go by its word.
   leads: bool,
   /// Changes that did not matter were passed over: all is to be read.
@@ -168,10 +168,10 @@
 }
 
 impl Gate {
-  /// What this instance tells others; `age_ms`: since the store last answered it.
-  pub fn word(&self, age_ms: u64) -> Word {
+  /// What other instances go by; `age_ms`: since the store last answered it.
+  pub fn progress(&self, age_ms: u64) -> Progress {
     let state = lock(&self.state);
-    Word {
+    Progress {
       revision: state.revision,
       changed: state.changed,
       // Before the first answer nothing is known.
@@ -184,18 +184,18 @@
   }
 
   /// Takes up another instance's word.
-  pub fn told(&self, word: Word) {
+  pub fn follow(&self, progress: Progress) {
     let mut state = lock(&self.state);
-    let age = Duration::from_millis(word.age_ms);
+    let age = Duration::from_millis(progress.age_ms);
     let Some(answered) = Instant::now().checked_sub(age).filter(|_| age < STALE) else {
       return;
     };
-    if word.changed <= state.revision {
+    if progress.changed <= state.revision {
       // Nothing between that matters here.
-      state.skipped |= word.revision > state.revision;
-      state.revision = state.revision.max(word.revision);
+      state.skipped |= progress.revision > state.revision;
+      state.revision = state.revision.max(progress.revision);
     }
-    state.word = Some((word, answered));
+    state.holder = Some((progress, answered));
     state.hear(answered);
     self.changed.notify_all();
   }
@@ -239,7 +239,7 @@
         revision: state.revision,
         there: false,
       };
-      let (false, Some((word, answered))) = (state.leads, state.word) else {
+      let (false, Some((progress, answered))) = (state.leads, state.holder) else {
         return watch;
       };
       if let Some(batch) = state.next_batch() {
@@ -249,7 +249,7 @@
       let Some(mut left) = STALE.checked_sub(answered.elapsed()) else {
         return watch;
       };
-      if word.changed > state.revision {
+      if progress.changed > state.revision {
         let lacking = state.lacking.get_or_insert_with(Instant::now).elapsed();
         let Some(patience) = BATCH.checked_sub(lacking) else {
           state.lacking = None;
@@ -305,9 +305,9 @@
   Take(Batch),
 }
 
-/// News of a kind.
+/// What has happened to a kind.
 #[derive(Clone, Debug, PartialEq)]
-pub enum News {
+pub enum Event {
   /// All objects there are.
   All(Vec<Object>),
   /// Objects that changed, and whether each was removed.
@@ -318,13 +318,13 @@
   Back(Duration),
 }
 
-/// Follows a kind for ever; `take` says whether the news matters to others.
+/// Follows a kind for ever; `take` says whether the event matters to others.
 pub fn follow(
   store: &Store,
   kind: &str,
   gate: &Gate,
   log: &Logger,
-  mut take: impl FnMut(News) -> bool,
+  mut take: impl FnMut(Event) -> bool,
 ) -> ! {
   let mut from: Option<u64> = None;
   let mut failures = 0;
@@ -336,7 +336,7 @@
     let result = match next {
       Next::Take(batch) => {
         if let Some(objects) = batch.after(from.unwrap_or_default()) {
-          let matters = !objects.is_empty() && take(News::Some(objects));
+          let matters = !objects.is_empty() && take(Event::Some(objects));
           from = Some(batch.revision);
           gate.answered(batch.revision, matters);
         } else {
@@ -344,7 +344,7 @@
         }
         continue;
       }
-      Next::All => all(store, kind).map(|(objects, revision)| (News::All(objects), revision)),
+      Next::All => all(store, kind).map(|(objects, revision)| (Event::All(objects), revision)),
       Next::Watch { revision, there } => {
         from = Some(revision);
         let wait = if failures > 0 || there { FIRST } else { WATCH };
@@ -352,21 +352,21 @@
       }
     };
     match result {
-      Ok((news, revision)) => {
+      Ok((event, revision)) => {
         let silence = gate.heard();
         if failures > 0 || silence >= SILENT {
           info!(log, "store is back"; "kind" => kind, "failures" => failures,
             "revision" => revision, "silent_ms" => silence.as_millis() as u64);
-          take(News::Back(silence));
+          take(Event::Back(silence));
         }
         failures = 0;
         from = Some(revision);
-        let empty = matches!(&news, News::Some(objects) if objects.is_empty());
-        let read = match &news {
-          News::Some(objects) if !empty => Some(objects.clone()),
+        let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
+        let read = match &event {
+          Event::Some(objects) if !empty => Some(objects.clone()),
           _ => None,
         };
-        let matters = !empty && take(news);
+        let matters = !empty && take(event);
         if let (true, Some(objects)) = (matters, read) {
           gate.publish(revision, &objects);
         }
@@ -382,7 +382,7 @@
       Err(error) => {
         if failures == 0 {
           warn!(log, "store is lost"; "kind" => kind, "error" => %error, "revision" => from);
-          take(News::Lost);
+          take(Event::Lost);
         }
         thread::sleep((RETRY * (1 << failures.min(3))).min(RETRY_MOST));
         failures += 1;
@@ -391,13 +391,13 @@
   }
 }
 
-fn some(changes: Changes) -> (News, u64) {
-  (News::Some(changes.objects), changes.revision)
+fn some(changes: Changes) -> (Event, u64) {
+  (Event::Some(changes.objects), changes.revision)
 }
 
 fn all(store: &Store, kind: &str) -> Result<(Vec<Object>, u64)> {
   let mut objects: Vec<Object> = Vec::new();
-  // Changes after the first page are told again by the watch.
+  // Changes after the first page come again with the watch.
   let mut revision = None;
   loop {
     let after = objects.last().map(|object| object.name.clone());
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -78,7 +78,7 @@
   pub stopping: AtomicBool,
   /// Rings at a planned stop.
   pub stop_bell: Bell,
-  /// Rings when the planner should be told of demand.
+  /// Rings when demand should be reported to the planner.
   pub want_bell: Bell,
   /// Requests under way.
   pub active: AtomicUsize,
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -52,9 +52,9 @@
   pub machines: BTreeSet<u32>,
 }
 
-/// The holder's word of its renewal, told to other instances.
+/// The holder's heartbeat: its last renewal, for other instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Heartbeat {
   pub machine: String,
   pub revision: u64,
   /// Since the renewal was begun, or promises were asked for that all gave, ms.
@@ -108,8 +108,8 @@
   heard: u64,
   /// A call is under way since, ms, and whether it takes the lease.
   calling: Option<(u64, bool)>,
-  /// A write failed: only a read tells what the store holds.
-  doubt: bool,
+  /// A write failed: only a read shows what the store holds.
+  uncertain: bool,
   /// No call before this time, ms.
   rest_until: u64,
   /// Spreads takers apart, ms.
@@ -144,7 +144,7 @@
       held: None,
       heard: 0,
       calling: None,
-      doubt: false,
+      uncertain: false,
       rest_until: 0,
       jitter,
       reluctance: 0,
@@ -175,10 +175,10 @@
     (!record.released).then_some(record.address)
   }
 
-  /// What the holder tells other instances.
-  pub fn word(&self, now: u64) -> Option<Word> {
+  /// The heartbeat for other instances; none: this one is not the last holder.
+  pub fn heartbeat(&self, now: u64) -> Option<Heartbeat> {
     let held = self.held.as_ref()?;
-    Some(Word {
+    Some(Heartbeat {
       machine: self.machine.clone(),
       revision: self.seen.as_ref()?.revision,
       age_ms: now.saturating_sub(held.until.saturating_sub(self.length)),
@@ -193,20 +193,20 @@
   }
 
   /// Takes up the holder's word, heard from `address`.
-  pub fn told(&mut self, now: u64, word: Word, address: SocketAddr) {
+  pub fn receive(&mut self, now: u64, heartbeat: Heartbeat, address: SocketAddr) {
     let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
-    if word.revision < known {
+    if heartbeat.revision < known {
       return;
     }
     self.heard = now;
-    let since = now.saturating_sub(word.age_ms);
-    if word.revision == known {
+    let since = now.saturating_sub(heartbeat.age_ms);
+    if heartbeat.revision == known {
       return;
     }
     let record = Record {
-      machine: word.machine,
+      machine: heartbeat.machine,
       address,
-      term: word.term,
+      term: heartbeat.term,
       renewal: 0,
       released: false,
       machines: BTreeSet::new(),
@@ -214,7 +214,7 @@
     self.compare(&record);
     self.seen = Some(Seen {
       record: Some(record),
-      revision: word.revision,
+      revision: heartbeat.revision,
       since,
       read: false,
     });
@@ -298,7 +298,7 @@
   }
 
   fn wanted(&self, now: u64, stopping: bool) -> Option<Call> {
-    if self.doubt || !self.clear && now >= self.taking_until && self.held.is_none() {
+    if self.uncertain || !self.clear && now >= self.taking_until && self.held.is_none() {
       return Some(Call::Read);
     }
     if let Some(held) = &self.held {
@@ -405,7 +405,7 @@
     if self.calling.is_some() {
       return now + READ_MS;
     }
-    if self.doubt {
+    if self.uncertain {
       return self.rest_until.max(now);
     }
     let due = match (&self.held, &self.seen) {
@@ -432,7 +432,7 @@
           self.taking_until = now + LATE_WRITE_MS;
           self.clear = false;
         }
-        self.doubt = true;
+        self.uncertain = true;
         self.rest_until = now + RETRY_MS;
         false
       }
@@ -474,11 +474,11 @@
     self.rest_until = now + READ_MS;
     match result {
       Ok(object) => {
-        self.doubt = false;
+        self.uncertain = false;
         self.learn(now, object);
       }
       Err(Error::Absent) => {
-        self.doubt = false;
+        self.uncertain = false;
         self.held = None;
         self.seen = Some(Seen {
           record: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod engine;
 pub mod entry;
 pub mod event;
+pub mod exchange;
 pub mod explain;
 pub mod fact;
 pub mod facts;
@@ -102,4 +103,3 @@
 pub mod web;
 #[allow(missing_docs, clippy::all)]
 pub mod wire;
-pub mod word;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -1,5 +1,5 @@
 //! Backend servers of a routing instance: as the store lists them, and as the planner
-//! tells of them.
+//! publishes them.
 
 use crate::{
   backend::{self, Backend, Holding, Spec, Stage},
@@ -114,7 +114,7 @@
     }
   }
 
-  pub(crate) fn told(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
+  pub(crate) fn take_holdings(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
     if let Some((group, groups)) = all {
       for backend in self.backends.values_mut() {
         if backend::group(&backend.spec.id, groups) == group {
@@ -123,14 +123,14 @@
         }
       }
     }
-    let news = !holdings.is_empty();
-    self.tellings += u64::from(news || all.is_some());
+    let changed = !holdings.is_empty();
+    self.updates += u64::from(changed || all.is_some());
     for holding in holdings {
       if let Some(key) = self.ids.get(&holding.id) {
-        self.backends[*key].told(holding, self.now);
+        self.backends[*key].update(holding, self.now);
       }
     }
-    if news {
+    if changed {
       self.place_waiting();
     }
   }
@@ -139,8 +139,8 @@
     for backend in self.backends.values_mut() {
       let short = backend::short(&backend.spec.id);
       // A server that is not named has none.
-      let told = loads.iter().find(|(id, _)| *id == short);
-      backend.load = told.map_or(0, |(_, load)| u32::from(*load));
+      let load = loads.iter().find(|(id, _)| *id == short);
+      backend.load = load.map_or(0, |(_, load)| u32::from(*load));
       backend.running_then = backend.running;
     }
   }
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,10 +1,10 @@
 //! Datagrams between routing instances, encoded by `postcard`. All are soft state:
-//! one that is lost is told again.
+//! one that is lost is sent again.
 
 use crate::{
   backend::Holding,
   feed,
-  lease::Word,
+  lease::Heartbeat,
   lease::promise::{Promise, Question},
   placement::plan::Report,
 };
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
   Report(Report),
-  Told(Told),
+  Update(Update),
   /// A group's holder asks for a promise, and gets one.
   Question(u32, Question),
   Promise(u32, Promise),
@@ -30,22 +30,22 @@
   Servers,
 }
 
-/// What the holder of a group's lease tells other instances.
+/// What the holder of a group's lease publishes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
+pub struct Update {
   pub group: u32,
-  pub word: Word,
+  pub heartbeat: Heartbeat,
   /// How far the holder has followed the deployment and the servers.
-  pub deployments: feed::Word,
-  pub servers: feed::Word,
+  pub deployments: feed::Progress,
+  pub servers: feed::Progress,
   pub instances: u32,
   /// Where instances hear each other, so that the next holder knows them; empty
-  /// when not told.
+  /// when not sent.
   pub members: Vec<SocketAddr>,
   /// Changes of holdings between these counts; from 0: all holdings.
   pub since: u64,
   pub latest: u64,
   pub holdings: Vec<Holding>,
-  /// Requests of all instances at servers that have some; empty when not told.
+  /// Requests of all instances at servers that have some; empty when not sent.
   pub loads: Vec<(u32, u16)>,
 }
--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -3,7 +3,7 @@
 use crate::{
   demand::Demand,
   deployment::Engine,
-  placement::held::{load_ms, whole},
+  placement::held::{base, load_ms},
   placement::plan::{HEAVY_USE, LOAD_COST, Plan},
   report::Tier,
 };
@@ -53,7 +53,7 @@
     for (key, used) in &self.used {
       let (pool, model) = key;
       let holders = self.holders(pool, model).len() + usize::from(self.loading(model));
-      if holders == 0 && self.elsewhere(pool, &whole(model)) {
+      if holders == 0 && self.elsewhere(pool, &base(model)) {
         continue;
       }
       let each = used / holders.max(1) as f64;
@@ -100,7 +100,7 @@
     let Some((cost, id)) = best else {
       return;
     };
-    let demand = Demand::ahead(pool, whole(model));
+    let demand = Demand::ahead(pool, base(model));
     self.start(engine, &id, model, Vec::new(), cost, &demand);
     self.note("ahead", &id, model, format!("use {used:.2}"));
   }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -4,7 +4,7 @@
   backend::{Stage, missing_name},
   demand::{Demand, Model},
   deployment::Engine,
-  placement::held::{Job, Server, Step, load_ms, whole},
+  placement::held::{Job, Server, Step, base, load_ms},
   placement::plan::{LOAD_COST, Plan},
   placement::urgency::gain,
   policy::Evict,
@@ -22,7 +22,7 @@
 /// store although some server has a copy: that server seems to be of no use, ms.
 const REMOTE_AGE_MS: u64 = 8_000;
 /// Time that each group has for a model that is waited for before the next one may
-/// load it, ms: an order is told of within some ten.
+/// load it, ms: an order is published within some ten.
 const TURN_MS: u64 = 300;
 
 /// Why a model is loaded.
@@ -140,7 +140,7 @@
       return false;
     };
     server.leaving.remove(model);
-    self.news = true;
+    self.unpublished = true;
     self.index();
     true
   }
@@ -260,7 +260,7 @@
       remote: tier == Tier::Remote,
       until: load_ms(&engine.models[model], tier),
     });
-    self.news = true;
+    self.unpublished = true;
     let delay = self.delays.remove(&(demand.pool.clone(), model.into()));
     let why = format!(
       "{} waiting for {} ms, from {tier:?}, instead of {victims:?}, cost {cost}, delayed by [{}]",
@@ -333,7 +333,7 @@
     }
     let checkpoint = engine.models.get(name);
     let reload = checkpoint.map_or(0, |checkpoint| load_ms(checkpoint, server.spec.tier(name)));
-    let elsewhere = self.elsewhere(&server.spec.pool, &whole(name));
+    let elsewhere = self.elsewhere(&server.spec.pool, &base(name));
     let others = self.holders(&server.spec.pool, name).len() as u64 + u64::from(elsewhere);
     let policy = self.policy(&server.spec.pool, name);
     if others <= u64::from(policy.min_replicas) {
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -15,7 +15,7 @@
 
 /// Pause of a server whose order got no answer, ms: one that is carried out late
 /// finds another count of orders.
-pub(crate) const DOUBT_MS: u64 = 1_000;
+pub(crate) const RECHECK_MS: u64 = 1_000;
 /// Doublings of that pause for a server that does not answer again and again.
 const SILENT_MOST: u32 = 3;
 /// An adapter comes within some milliseconds; time until requests may try it, ms.
@@ -37,7 +37,7 @@
 /// A step of changing what a server holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
-  /// Instances are told that the victim leaves.
+  /// It is published that the victim leaves.
   Leave,
   Unload,
   Load,
@@ -77,7 +77,7 @@
   pub(crate) adapters: Vec<(Model, Act)>,
   pub(crate) rest_until: u64,
   /// When it was last asked because a request did not find a model there, ms.
-  pub(crate) doubted: u64,
+  pub(crate) rechecked: u64,
   /// Questions without an answer, in a row.
   pub(crate) silent: u32,
   /// When models and adapters were last in use, ms.
@@ -94,13 +94,13 @@
   earned_at: u64,
   /// Requests of all instances, by model and adapter.
   pub(crate) running: BTreeMap<Model, u32>,
-  /// The holding as last told, and the count of that change.
-  pub(crate) told: Option<Holding>,
+  /// The holding as last published, and the count of that change.
+  pub(crate) published: Option<Holding>,
   pub(crate) changed: u64,
 }
 
 /// The model itself, without an adapter.
-pub(crate) fn whole(name: &str) -> Model {
+pub(crate) fn base(name: &str) -> Model {
   Model {
     name: name.into(),
     adapter: None,
@@ -128,7 +128,7 @@
       job: None,
       adapters: Vec::new(),
       rest_until: 0,
-      doubted: 0,
+      rechecked: 0,
       silent: 0,
       used: BTreeMap::new(),
       taken_as_done: None,
@@ -137,7 +137,7 @@
       earned: 0.0,
       earned_at: 0,
       running: BTreeMap::new(),
-      told: None,
+      published: None,
       changed: 0,
     }
   }
@@ -166,8 +166,8 @@
       return self.paced(false);
     }
     let believed = self.models.contains_key(model) && !self.leaving.contains(model);
-    if believed && self.free(now) && now >= self.doubted + DOUBT_MS {
-      self.doubted = now;
+    if believed && self.free(now) && now >= self.rechecked + RECHECK_MS {
+      self.rechecked = now;
       self.synced = false;
     }
   }
@@ -208,7 +208,7 @@
 
   /// A question got no answer: the server rests, longer each time.
   pub(crate) fn unanswered(&mut self, now: u64) {
-    self.rest_until = now + (DOUBT_MS << self.silent.min(SILENT_MOST));
+    self.rest_until = now + (RECHECK_MS << self.silent.min(SILENT_MOST));
     self.silent += 1;
     if let Some(job) = &mut self.job {
       job.waiting = false;
@@ -216,11 +216,11 @@
     }
   }
 
-  pub(crate) fn doubt(&mut self, now: u64, taken: Taken) {
+  pub(crate) fn recheck(&mut self, now: u64, taken: Taken) {
     self.synced = false;
     self.leaving.clear();
     self.rest_until = match taken {
-      Taken::Unknown | Taken::NotSent => now + DOUBT_MS,
+      Taken::Unknown | Taken::NotSent => now + RECHECK_MS,
       _ => now + LAG_MS + ASK_MS,
     };
   }
@@ -234,7 +234,7 @@
       // It is in use, and keeps its place until the server says otherwise.
       (Taken::Accepted, Act::Unload) => {
         self.orders = self.orders.max(command.orders + 1);
-        self.doubt(now, taken);
+        self.recheck(now, taken);
       }
       (Taken::Accepted | Taken::Done, _) => {
         self.orders = self.orders.max(command.orders + 1);
@@ -248,7 +248,7 @@
           self.used.insert(command.model.clone(), now);
         }
       }
-      _ => self.doubt(now, taken),
+      _ => self.recheck(now, taken),
     }
   }
 
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -11,7 +11,7 @@
   demand::{Demand, Model},
   deployment::Deployment,
   placement::choose::Cause,
-  placement::held::{Job, Server, Step, whole},
+  placement::held::{Job, Server, Step, base},
   placement::obstacle::Delay,
   placement::urgency::gain,
   placement::work::UNLOAD_MS,
@@ -27,14 +27,14 @@
 
 /// An instance not heard of for this long does not count, ms.
 const MEMBER_MS: u64 = 3_000;
-/// Demand told longer ago does not count, ms.
+/// Demand reported longer ago does not count, ms.
 pub(crate) const DEMAND_MS: u64 = 600;
-/// A server tells its holdings with this lag, ms.
+/// A server reports its holdings with this lag, ms.
 pub(crate) const LAG_MS: u64 = 200;
 /// Pause between two questions whether a load is done, ms.
 pub(crate) const ASK_MS: u64 = 100;
-/// Instances cannot use what they were not told: told again this often, ms.
-const TELL_MS: u64 = 500;
+/// Loads, and that there is a holder, are published this often, ms.
+const PUBLISH_MS: u64 = 500;
 /// A report that arrives within this time after a change was published, or after what its
 /// instance lacked was sent, may have crossed it, ms: datagrams take some, and an instance
 /// handles them a few later.
@@ -44,8 +44,8 @@
 const RESYNC_HOLDINGS: usize = 8_000;
 /// What needs no request to wait is looked after this often, ms.
 const SWEEP_MS: u64 = 40;
-/// Changes are told together when they come this close, ms.
-const TELL_LEAST_MS: u64 = 10;
+/// Changes are published together when they come this close, ms.
+const PUBLISH_LEAST_MS: u64 = 10;
 /// What a request running on a server adds to the cost of a load there, ms: its
 /// adapters cannot be changed meanwhile.
 pub(crate) const LOAD_COST: u64 = 15;
@@ -55,7 +55,7 @@
 /// where there is room.
 pub(crate) const HEAVY_USE: f64 = 1.5;
 
-/// What an instance tells the planner.
+/// What an instance reports to the planner.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
   pub instance: String,
@@ -64,7 +64,7 @@
   pub demand: Vec<Demand>,
   /// Requests sent and not ended, by server and model.
   pub running: Vec<(String, Model, u32)>,
-  /// Models that servers were found not to hold, against what was told.
+  /// Models that servers were found not to hold, against what was published.
   pub missing: Vec<(String, String)>,
   /// How slow servers were for each model since the last report.
   pub strain: Vec<Seen>,
@@ -92,9 +92,9 @@
   }
 }
 
-/// What instances are told.
+/// An update of holdings for other instances.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct News {
+pub struct Holdings {
   /// None: all instances.
   pub to: Option<SocketAddr>,
   /// Holdings that changed between these counts; from 0: all holdings.
@@ -114,7 +114,7 @@
     id: String,
     address: SocketAddr,
   },
-  Tell(News),
+  Publish(Holdings),
   /// A decision, for the log: what, about which server and model, and why.
   Note {
     what: &'static str,
@@ -124,7 +124,7 @@
   },
 }
 
-/// A server of another group, as far as it is told.
+/// A server of another group, as far as it is published.
 #[derive(Clone, Debug)]
 pub struct Other {
   pub group: u32,
@@ -171,10 +171,10 @@
   pub(crate) loads_at_once: usize,
   /// Policies by name, as operators wrote them.
   policies: BTreeMap<String, Policy>,
-  pub(crate) told: u64,
+  pub(crate) published_at: u64,
   /// Time from one telling of changes to the next, ms.
   pause: u64,
-  pub(crate) news: bool,
+  pub(crate) unpublished: bool,
   /// Counts changes of holdings in this term.
   pub(crate) changes: u64,
   /// When changes were lately published, ms, and up to which count.
@@ -215,9 +215,9 @@
       load_overage,
       loads_at_once,
       policies: BTreeMap::new(),
-      told: 0,
-      pause: TELL_LEAST_MS,
-      news: false,
+      published_at: 0,
+      pause: PUBLISH_LEAST_MS,
+      unpublished: false,
       changes: 0,
       published: VecDeque::new(),
       now: 0,
@@ -238,7 +238,7 @@
       server.job = None;
       server.adapters.clear();
       server.leaving.clear();
-      server.told = None;
+      server.published = None;
       server.changed = 0;
     }
   }
@@ -281,14 +281,14 @@
     chosen.map_or_else(Policy::default_routed, |(_, policy)| policy.clone())
   }
 
-  /// Changes are told no closer than this, ms: what telling costs decides.
+  /// Changes are published no closer than this, ms: what it costs decides.
   pub fn pace(&mut self, pause: u64) {
-    self.pause = pause.clamp(TELL_LEAST_MS, TELL_MS);
+    self.pause = pause.clamp(PUBLISH_LEAST_MS, PUBLISH_MS);
   }
 
-  /// Tells instances at the next step, news or not.
-  pub fn speak(&mut self) {
-    self.news = true;
+  /// Publishes at the next step, changed or not.
+  pub fn publish_soon(&mut self) {
+    self.unpublished = true;
   }
 
   /// Takes up what servers of other groups hold.
@@ -321,7 +321,7 @@
     let lacks = member.report.behind || member.knows(self.group) < self.arrived(now);
     member.behind = lacks && now >= member.resynced + CROSSING_MS;
     let new = self.members.insert(instance, member).is_none();
-    self.news |= new;
+    self.unpublished |= new;
     self.count();
   }
 
@@ -398,7 +398,7 @@
     for id in &ids {
       self.work(id);
     }
-    self.tell();
+    self.publish();
     std::mem::take(&mut self.out)
   }
 
@@ -408,12 +408,12 @@
     let jobs = servers.filter_map(|server| server.job.as_ref());
     let goes_on = |job: &&Job| !job.waiting && (self.ordering || job.step == Step::Await);
     let open = jobs.filter(goes_on).map(|job| job.due).min();
-    let wait = self.told + TELL_MS;
-    let tell = match self.news {
-      true => self.told + self.pause,
+    let wait = self.published_at + PUBLISH_MS;
+    let publish = match self.unpublished {
+      true => self.published_at + self.pause,
       false => wait,
     };
-    open.unwrap_or(wait).min(tell).max(now + 1)
+    open.unwrap_or(wait).min(publish).max(now + 1)
   }
 
   pub(crate) fn note(&mut self, what: &'static str, server: &str, model: &str, why: String) {
@@ -425,22 +425,22 @@
     });
   }
 
-  pub(crate) fn tell(&mut self) {
-    let since = self.now.saturating_sub(self.told);
-    let due = since >= TELL_MS || self.news && since >= self.pause;
+  pub(crate) fn publish(&mut self) {
+    let since = self.now.saturating_sub(self.published_at);
+    let due = since >= PUBLISH_MS || self.unpublished && since >= self.pause;
     if !due {
       return;
     }
-    let due_loads = since >= TELL_MS;
-    self.told = self.now;
-    self.news = false;
+    let due_loads = since >= PUBLISH_MS;
+    self.published_at = self.now;
+    self.unpublished = false;
     let since = self.changes;
     for server in self.servers.values_mut().filter(|server| server.synced) {
       let holding = server.holding();
-      if server.told.as_ref() != Some(&holding) {
+      if server.published.as_ref() != Some(&holding) {
         self.changes += 1;
         server.changed = self.changes;
-        server.told = Some(holding);
+        server.published = Some(holding);
       }
     }
     let loads = match due_loads {
@@ -450,7 +450,7 @@
     if self.changes > since {
       self.published.push_back((self.now, self.changes));
     }
-    self.tell_since(None, since, loads);
+    self.publish_since(None, since, loads);
     self.resync();
   }
 
@@ -485,25 +485,30 @@
       left = left.saturating_sub(lacking);
       member.behind = false;
       member.resynced = now;
-      self.tell_since(Some(address), since, Vec::new());
+      self.publish_since(Some(address), since, Vec::new());
     }
   }
 
-  pub(crate) fn tell_since(&mut self, to: Option<SocketAddr>, since: u64, loads: Vec<(u32, u16)>) {
+  pub(crate) fn publish_since(
+    &mut self,
+    to: Option<SocketAddr>,
+    since: u64,
+    loads: Vec<(u32, u16)>,
+  ) {
     let changed = self.servers.values();
     let changed = changed.filter(|server| server.changed > since);
     let mut holdings: Vec<(u64, Holding)> = changed
-      .filter_map(|server| Some((server.changed, server.told.clone()?)))
+      .filter_map(|server| Some((server.changed, server.published.clone()?)))
       .collect();
     holdings.sort_by_key(|(count, _)| *count);
-    let news = News {
+    let holdings = Holdings {
       to,
       since,
       latest: self.changes,
       holdings,
       loads,
     };
-    self.out.push(Effect::Tell(news));
+    self.out.push(Effect::Publish(holdings));
   }
 
   pub(crate) fn loads(&self) -> Vec<(u32, u16)> {
@@ -575,12 +580,12 @@
     let mut models: BTreeMap<(&str, &str), Demand> = BTreeMap::new();
     for demand in demand {
       let (pool, name) = (demand.pool.as_str(), demand.model.name.as_str());
-      if !self.holders(pool, name).is_empty() || self.elsewhere(pool, &whole(name)) {
+      if !self.holders(pool, name).is_empty() || self.elsewhere(pool, &base(name)) {
         continue;
       }
       let sum = models.entry((pool, name)).or_insert_with(|| Demand {
         priority: demand.priority,
-        ..Demand::ahead(pool, whole(name))
+        ..Demand::ahead(pool, base(name))
       });
       let waits = demand.waits.iter();
       waits.for_each(|wait| sum.add(*wait));
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -6,7 +6,7 @@
   demand::{Demand, Model},
   deployment::Engine,
   placement::choose::Cause,
-  placement::held::whole,
+  placement::held::base,
   placement::plan::{HEAVY_USE, Plan},
 };
 use std::collections::BTreeMap;
@@ -40,7 +40,7 @@
       };
       let coming = self.loads_of(&pool, &model);
       for _ in holders + coming..wanted {
-        let demand = Demand::ahead(&pool, whole(&model));
+        let demand = Demand::ahead(&pool, base(&model));
         self.load(&engine, &demand, Cause::Strained);
       }
     }
@@ -77,7 +77,7 @@
       for (model, count) in &server.running {
         *running.entry(model.clone()).or_default() += count;
         if model.adapter.is_some() {
-          *running.entry(whole(&model.name)).or_default() += count;
+          *running.entry(base(&model.name)).or_default() += count;
         }
       }
     }
@@ -116,7 +116,7 @@
     };
     if let Some(server) = self.servers.get_mut(&id) {
       server.leaving.insert(name.clone());
-      self.news = true;
+      self.unpublished = true;
       self.index();
       let why = format!("{running} requests there, others carry them");
       self.note("leave", &id, &name, why);
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -3,7 +3,7 @@
 
 use crate::{
   command::{Act, Command, Inventory, Taken},
-  placement::held::{Step, whole},
+  placement::held::{Step, base},
   placement::plan::{ASK_MS, Effect, LAG_MS, Plan},
 };
 
@@ -32,7 +32,7 @@
     };
     if command.model.adapter.is_some() {
       server.adapter_ordered(now, command, taken);
-      self.news = true;
+      self.unpublished = true;
       return;
     }
     if taken == Taken::Accepted {
@@ -42,7 +42,7 @@
     if command.act == Act::Unload && matches!(taken, Taken::Accepted | Taken::Done) {
       server.models.remove(&command.model.name);
       server.leaving.remove(&command.model.name);
-      self.news = true;
+      self.unpublished = true;
     }
     let Some(mut job) = server.job.take() else {
       return;
@@ -86,7 +86,7 @@
           server.synced = false;
         }
       }
-      _ => server.doubt(now, taken),
+      _ => server.recheck(now, taken),
     }
   }
 
@@ -116,7 +116,7 @@
     server.orders = inventory.orders;
     let Some(mut job) = server.job.take() else {
       if first || !inventory.busy {
-        self.news |= server.models != inventory.models;
+        self.unpublished |= server.models != inventory.models;
         server.models = inventory.models;
       }
       if inventory.busy {
@@ -145,13 +145,13 @@
     let done = inventory.models.contains_key(&job.model);
     if done && !inventory.busy {
       server.models = inventory.models;
-      server.used.insert(whole(&job.model), now);
-      self.news = true;
+      server.used.insert(base(&job.model), now);
+      self.unpublished = true;
       return;
     }
     if now >= job.until || !inventory.busy && now >= job.due + LAG_MS * 2 {
       server.models = inventory.models;
-      self.news = true;
+      self.unpublished = true;
       return;
     }
     job.due = now + ASK_MS;
@@ -169,9 +169,9 @@
       return;
     };
     server.models.insert(job.model.clone(), Vec::new());
-    server.used.insert(whole(&job.model), now);
+    server.used.insert(base(&job.model), now);
     server.taken_as_done = Some((job.model, now + CHECK_MS));
-    self.news = true;
+    self.unpublished = true;
     self.index();
   }
 
@@ -218,7 +218,7 @@
     }
     server.job = None;
     server.leaving.clear();
-    self.news = true;
+    self.unpublished = true;
     let why = format!("{left} MB left for {need:?} MB, or it is there");
     self.note("load given up", id, &job.model, why);
   }
@@ -286,7 +286,7 @@
       id: id.into(),
       address: server.spec.address,
       act,
-      model: whole(&model),
+      model: base(&model),
       orders: server.orders,
       holder: self.machine.clone(),
       term: self.term,
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -1,8 +1,8 @@
 //! The planner's thread: the lease, the plan, and word between instances.
 //!
-//! Instances tell the lease's holder what they wait for and what they have
-//! running; it tells them what servers hold. Both go as datagrams that may be
-//! lost: each is told again while it counts.
+//! Instances report to the lease's holder what they wait for and what they have
+//! running; it publishes what servers hold. Both go as datagrams that may be
+//! lost: each is update again while it counts.
 
 use crate::{
   backend::{self, Backend, Spec, Stage},
@@ -39,9 +39,9 @@
 const ORDER_THREADS: usize = 8;
 /// Threads for questions: apart, for servers that are cut off are asked again and again.
 const ASK_THREADS: usize = 6;
-/// Waiting requests are told again this often, ms.
+/// Waiting requests are update again this often, ms.
 const DEMAND_MS: u64 = 150;
-/// Running requests are told this often, ms.
+/// Running requests are update this often, ms.
 const RUNNING_MS: u64 = 300;
 /// Changes that are lacking are asked for this often, ms: what is asked for comes within
 /// some.
@@ -58,7 +58,7 @@
 const RELUCTANCE_MS: u64 = 400;
 /// An instance smaller than this leaves the lease to others for a while: orders of a
 /// holder with 0.12 cores and 10 Mbit/s took 0.5 s where 90 servers and 69 instances
-/// were to be told (7 ms on a larger one).
+/// were to be update (7 ms on a larger one).
 const HOLDER_CORES: f64 = 0.2;
 const HOLDER_LINK_MBPS: f64 = 50.0;
 /// For this long, ms: longer than takers are spread.
@@ -92,15 +92,15 @@
   pub(crate) seen: (u64, u64),
   /// Up to which change the holdings are known.
   pub(crate) known: Known,
-  /// When instances were last told of each other, ms.
-  pub(crate) told_members: u64,
+  /// When instances were last update of each other, ms.
+  pub(crate) members_sent: u64,
 }
 
 impl Group {
   /// Whether this instance is the last holder as far as it knows. While the store is
-  /// down its time may be over; what it ordered before goes on, and others are told.
+  /// down its time may be over; what it ordered before goes on, and others are update.
   pub(crate) fn leads(&self, now: u64) -> bool {
-    self.lease.word(now).is_some()
+    self.lease.heartbeat(now).is_some()
   }
 }
 
@@ -129,7 +129,7 @@
   pub(crate) link_mbps: f64,
   /// A holder lacks this instance's report, or it lacks changes.
   pub(crate) behind: bool,
-  /// Instances that holders told of.
+  /// Instances that holders update of.
   pub(crate) members: Vec<SocketAddr>,
   /// Where datagrams are taken.
   buffer: Vec<u8>,
@@ -197,7 +197,7 @@
     rest_until: 0,
     seen: (0, 0),
     known: Known::default(),
-    told_members: 0,
+    members_sent: 0,
   }
 }
 
@@ -268,7 +268,7 @@
             group.plan.report(now, from, report.clone());
           }
         }
-        Ok(Message::Told(told)) => self.hear(now, told, from),
+        Ok(Message::Update(update)) => self.hear(now, update, from),
         Ok(Message::Question(index, question)) => self.promise(now, index, question, from),
         Ok(Message::Changes(kind, batch)) => self.gate(kind).offer(batch),
         Ok(Message::Promise(index, promise)) => {
@@ -319,7 +319,7 @@
     }
     if result.is_ok() {
       // Others go by the time of the last renewal.
-      group.plan.speak();
+      group.plan.publish_soon();
     }
     if group.lease.answered(now, call, result) {
       let term = group.lease.term(now).unwrap_or_default();
@@ -327,7 +327,7 @@
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
       group.plan.begin(now, term);
       group.seen = (0, 0);
-      group.told_members = 0;
+      group.members_sent = 0;
       self.behind = true;
     }
   }
@@ -436,7 +436,7 @@
       match effect {
         Effect::Order(command) => self.order(index, command),
         Effect::Ask { id, address } => self.ask(index, id, address),
-        Effect::Tell(news) => self.tell(index, &news),
+        Effect::Publish(update) => self.publish(index, &update),
         Effect::Note {
           what,
           server,
@@ -452,7 +452,7 @@
     let groups = self.groups.len() as u32;
     let group = &mut self.groups[index];
     let state = self.hub.state();
-    let counts = (state.changes, state.tellings);
+    let counts = (state.changes, state.updates);
     if counts == group.seen {
       return;
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -170,7 +170,7 @@
           }
           directive = mailbox.take();
         }
-        Some(Directive::Wait(until)) => match self.await_news(mailbox, until) {
+        Some(Directive::Wait(until)) => match self.await_change(mailbox, until) {
           Ok(true) => directive = mailbox.take().or(Some(Directive::Wait(until))),
           Ok(false) => {
             self.hub.apply(Event::Look(ticket), Some(ticket));
@@ -199,12 +199,12 @@
   }
 
   /// Waits as `rest` does; the first wait of a request is recorded.
-  fn await_news(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
+  fn await_change(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
     if !std::mem::replace(&mut self.waited, true) {
       info!(self.hub.log, "waiting"; "request" => &self.id,
         "route" => &self.incoming.route.name, "model" => self.model(),
         "why" => "no server can take it now",
-        "planner_age_ms" => self.hub.now().saturating_sub(self.hub.state().told_at));
+        "planner_age_ms" => self.hub.now().saturating_sub(self.hub.state().updated_at));
     }
     self.rest(mailbox, until)
   }
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -2,7 +2,7 @@
 //! where the one before ends, so that a lost one is noticed and only what it carried is
 //! sent again.
 
-use crate::{backend::Holding, placement::plan::News};
+use crate::{backend::Holding, placement::plan::Holdings};
 
 /// Holdings in one datagram.
 const HOLDINGS: usize = 6;
@@ -17,10 +17,10 @@
 }
 
 /// The parts of an update, one at least.
-pub fn parts(news: &News) -> Vec<Part> {
+pub fn parts(update: &Holdings) -> Vec<Part> {
   let mut parts: Vec<Part> = Vec::new();
-  let mut since = news.since;
-  for chunk in news.holdings.chunks(HOLDINGS) {
+  let mut since = update.since;
+  for chunk in update.holdings.chunks(HOLDINGS) {
     let latest = chunk.last().map_or(since, |(count, _)| *count);
     parts.push(Part {
       since,
@@ -30,10 +30,10 @@
     since = latest;
   }
   match parts.last_mut() {
-    Some(last) => last.latest = news.latest,
+    Some(last) => last.latest = update.latest,
     None => parts.push(Part {
       since,
-      latest: news.latest,
+      latest: update.latest,
       holdings: Vec::new(),
     }),
   }
--- a/src/router.rs
+++ b/src/router.rs
@@ -4,9 +4,7 @@
   backend::Spec,
   dispatch::{Change, Event, State},
   edge::Edge,
-  entry,
-  feed::{self, News},
-  health,
+  entry, feed, health,
   hub::Hub,
   planner,
   settings::{self, Settings},
@@ -115,19 +113,19 @@
       edge.kinds.deployments,
       gate,
       &hub.log,
-      |news| {
-        let objects = match news {
-          News::All(objects) => objects,
-          News::Some(objects) => objects
+      |change| {
+        let objects = match change {
+          feed::Event::All(objects) => objects,
+          feed::Event::Some(objects) => objects
             .into_iter()
             .filter_map(|(object, removed)| (!removed).then_some(object))
             .collect(),
-          News::Lost => {
+          feed::Event::Lost => {
             hub.measures.lost(edge.kinds.deployments);
             return false;
           }
           // The feed of the servers tells of the store.
-          News::Back(_) => return false,
+          feed::Event::Back(_) => return false,
         };
         for object in &objects {
           deploy(&hub, &edge, object);
@@ -161,7 +159,7 @@
     .stack_size(STACK);
   builder.spawn(move || {
     let gate = &hub.gates.servers;
-    feed::follow(&edge.store, edge.kinds.servers, gate, &hub.log, |news| {
+    feed::follow(&edge.store, edge.kinds.servers, gate, &hub.log, |change| {
       let decode = |object: &Object| {
         (edge.server)(object)
           .map_err(|fault| {
@@ -169,21 +167,21 @@
           })
           .ok()
       };
-      let changes = match news {
-        News::All(objects) => vec![Change::All(objects.iter().filter_map(decode).collect())],
-        News::Some(objects) => objects
+      let changes = match change {
+        feed::Event::All(objects) => vec![Change::All(objects.iter().filter_map(decode).collect())],
+        feed::Event::Some(objects) => objects
           .iter()
           .filter_map(|(object, removed)| match removed {
             true => Some(Change::Gone(object.name.clone())),
             false => decode(object).map(Change::Set),
           })
           .collect(),
-        News::Lost => {
+        feed::Event::Lost => {
           hub.measures.lost(edge.kinds.servers);
           hub.apply(Event::StoreLost, None);
           return false;
         }
-        News::Back(silence) => {
+        feed::Event::Back(silence) => {
           hub.apply(Event::StoreBack { silence }, None);
           return false;
         }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -92,7 +92,7 @@
     leaving: Vec::new(),
     coming: coming.map(str::to_string),
   };
-  let told = Event::Told {
+  let told = Event::Updated {
     holdings: vec![holding],
     all: None,
     loads: None,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -187,7 +187,7 @@
     leaving: Vec::new(),
     coming: None,
   };
-  let told = Event::Told {
+  let told = Event::Updated {
     holdings: vec![holding],
     all: None,
     loads: None,
@@ -201,7 +201,7 @@
 fn an_instance_cut_off_sends_callers_elsewhere_at_once() {
   let route = route(Repeat::Never, None, 1);
   let mut state = state(vec![spec("one", &["warm"])]);
-  let told = Event::Told {
+  let told = Event::Updated {
     holdings: Vec::new(),
     all: None,
     loads: None,
@@ -245,7 +245,7 @@
     leaving: vec!["m".into()],
     coming: None,
   };
-  let told = Event::Told {
+  let told = Event::Updated {
     holdings: vec![holding],
     all: None,
     loads: None,
@@ -451,7 +451,7 @@
   let told = |one: u16, two: u16| {
     let loads = [("one", one), ("two", two)];
     let some = loads.into_iter().filter(|(_, load)| *load > 0);
-    Event::Told {
+    Event::Updated {
       holdings: Vec::new(),
       all: None,
       loads: Some(some.map(|(id, load)| (short(id), load)).collect()),
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -2,7 +2,7 @@
 //! its word is old or names a change that they lack.
 
 use bendsaddle::{
-  feed::{Batch, Change, Gate, News, SILENT, Word, follow},
+  feed::{Batch, Change, Event, Gate, Progress, SILENT, follow},
   store::{Changes, Error, Object, Page, Store},
 };
 use slog::{Discard, Logger, o};
@@ -74,9 +74,9 @@
   let (sender, receiver) = channel();
   follow_news(numbers, gate, move |news| {
     let revision = match news {
-      News::All(objects) => objects[0].revision,
-      News::Some(objects) => objects[0].0.revision,
-      News::Lost | News::Back(_) => return false,
+      Event::All(objects) => objects[0].revision,
+      Event::Some(objects) => objects[0].0.revision,
+      Event::Lost | Event::Back(_) => return false,
     };
     let _ = sender.send(revision);
     true
@@ -88,15 +88,15 @@
 fn follow_news(
   numbers: &Arc<Numbers>,
   gate: &Arc<Gate>,
-  take: impl FnMut(News) -> bool + Send + 'static,
+  take: impl FnMut(Event) -> bool + Send + 'static,
 ) {
   let (store, gate) = (store(numbers), gate.clone());
   let log = Logger::root(Discard, o!());
   thread::spawn(move || follow(&store, "kind", &gate, &log, take));
 }
 
-fn word(revision: u64, changed: u64, age_ms: u64) -> Word {
-  Word {
+fn word(revision: u64, changed: u64, age_ms: u64) -> Progress {
+  Progress {
     revision,
     changed,
     age_ms,
@@ -107,12 +107,12 @@
 
 /// Speaks for a holder every few milliseconds until `done`; gives the longest
 /// silence, which a busy machine may make long.
-fn speak(gate: &Gate, word: Word, mut done: impl FnMut() -> bool) -> Duration {
+fn speak(gate: &Gate, word: Progress, mut done: impl FnMut() -> bool) -> Duration {
   let began = Instant::now();
   let (mut last, mut longest) = (began, Duration::ZERO);
   while !done() {
     assert!(began.elapsed() < LONG, "not in time");
-    gate.told(word);
+    gate.follow(word);
     longest = longest.max(last.elapsed());
     last = Instant::now();
     thread::sleep(Duration::from_millis(20));
@@ -125,12 +125,12 @@
   let numbers = Arc::new(Numbers::default());
   numbers.revision.store(5, Ordering::Relaxed);
   let gate = Arc::new(Gate::default());
-  gate.told(word(5, 5, 0));
+  gate.follow(word(5, 5, 0));
   let news = spawn(&numbers, &gate);
   assert_eq!(news.recv_timeout(LONG), Ok(5));
-  // News is taken up before the gate knows of it.
+  // Event is taken up before the gate knows of it.
   let began = Instant::now();
-  while gate.word(0).revision < 5 {
+  while gate.progress(0).revision < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
@@ -138,7 +138,7 @@
 }
 
 /// Speaks for a holder until there is news.
-fn heard(gate: &Gate, word: Word, news: &Receiver<u64>) -> Option<u64> {
+fn heard(gate: &Gate, word: Progress, news: &Receiver<u64>) -> Option<u64> {
   let mut heard = None;
   speak(gate, word, || {
     heard = heard.or(news.try_recv().ok());
@@ -178,7 +178,7 @@
 fn who_leads_reads_all_that_it_passed_over() {
   let (numbers, gate, news) = followed();
   numbers.revision.store(9, Ordering::Relaxed);
-  gate.told(word(9, 5, 0));
+  gate.follow(word(9, 5, 0));
   gate.lead(true);
   assert_eq!(news.recv_timeout(LONG), Ok(9));
   assert_eq!(numbers.lists.load(Ordering::Relaxed), 2);
@@ -191,9 +191,9 @@
   let gate = Arc::new(Gate::default());
   let (sender, silences) = channel();
   let asked = Instant::now();
-  gate.told(word(5, 5, 0));
+  gate.follow(word(5, 5, 0));
   follow_news(&numbers, &gate, move |news| {
-    if let News::Back(silence) = news {
+    if let Event::Back(silence) = news {
       let _ = sender.send(silence);
     }
     true
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -3,7 +3,7 @@
 
 use bendsaddle::{
   lease::promise::{Promise, Question, short},
-  lease::{Call, Lease, Record, Word},
+  lease::{Call, Heartbeat, Lease, Record},
   store::{Error, Object},
 };
 use quickcheck::{TestResult, quickcheck};
@@ -134,7 +134,7 @@
   let address = "127.0.0.1:1".parse().unwrap();
   for now in (0..15_000).step_by(250) {
     run(&mut one, &mut store, now);
-    two.told(now, one.word(now).unwrap(), address);
+    two.receive(now, one.heartbeat(now).unwrap(), address);
     // One read shows that no taking of an earlier process is left; others would tell the
     // same as the word.
     let called = two.call(now, false);
@@ -159,7 +159,7 @@
 /// A datagram between machines.
 #[derive(Clone)]
 enum Datagram {
-  Word(Word),
+  Heartbeat(Heartbeat),
   Question(usize, Question),
   Promise(Promise),
 }
@@ -189,7 +189,7 @@
       .collect();
     for (_, who, datagram) in due {
       match datagram {
-        Datagram::Word(word) => leases[who].told(now, word, address),
+        Datagram::Heartbeat(word) => leases[who].receive(now, word, address),
         Datagram::Question(from, question) => {
           if let Some(promise) = leases[who].promise(now, question) {
             let at = now + rng.random_range(1..100);
@@ -241,10 +241,14 @@
         orders.push((now, who, term));
       }
       if rng.random_range(0..6) == 0
-        && let Some(word) = leases[who].word(now)
+        && let Some(word) = leases[who].heartbeat(now)
       {
         let other = (who + rng.random_range(1..MACHINES)) % MACHINES;
-        words.push((now + rng.random_range(1..300), other, Datagram::Word(word)));
+        words.push((
+          now + rng.random_range(1..300),
+          other,
+          Datagram::Heartbeat(word),
+        ));
       }
       if let Some(question) = leases[who].question(now) {
         for other in (0..MACHINES).filter(|other| *other != who) {
@@ -309,7 +313,7 @@
   }
   assert_eq!(two.term(7_950), Some(2));
   let address = "127.0.0.1:1".parse().unwrap();
-  one.told(7_960, two.word(7_960).unwrap(), address);
+  one.receive(7_960, two.heartbeat(7_960).unwrap(), address);
   run(&mut one, &mut store, 8_000);
   assert_eq!(one.term(8_000), None);
   assert_eq!(store.record().machine, "two");
@@ -334,9 +338,9 @@
   for now in (0..25_000).step_by(50) {
     for who in 0..3 {
       leases[who].hear(machines(&names));
-      if let Some(word) = leases[who].word(now) {
+      if let Some(word) = leases[who].heartbeat(now) {
         let others = (0..3).filter(|other| *other != who);
-        others.for_each(|other| leases[other].told(now, word.clone(), address));
+        others.for_each(|other| leases[other].receive(now, word.clone(), address));
       }
       if leases[who].term(now).is_some() {
         orders.push((now, who));
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -165,7 +165,7 @@
         match effect {
           Effect::Order(command) => self.order(command),
           Effect::Ask { id, .. } => self.ask(&id),
-          Effect::Tell(_) | Effect::Note { .. } => {}
+          Effect::Publish(_) | Effect::Note { .. } => {}
         }
       }
     }
@@ -528,16 +528,16 @@
       let address = format!("127.0.0.1:{}", 2_000 + number).parse().unwrap();
       world.plan.report(world.now, address, report);
     }
-    world.plan.speak();
+    world.plan.publish_soon();
     let effects = world.plan.step(world.now);
-    let news = effects.iter().filter_map(|effect| match effect {
-      Effect::Tell(news) if news.to.is_some() => Some(news),
+    let update = effects.iter().filter_map(|effect| match effect {
+      Effect::Publish(update) if update.to.is_some() => Some(update),
       _ => None,
     });
-    let news: Vec<_> = news.collect();
-    let holdings: usize = news.iter().map(|news| news.holdings.len()).sum();
+    let update: Vec<_> = update.collect();
+    let holdings: usize = update.iter().map(|update| update.holdings.len()).sum();
     assert!(holdings <= 8_000, "{holdings} at once");
-    told.extend(news.iter().filter_map(|news| news.to));
+    told.extend(update.iter().filter_map(|update| update.to));
   }
   assert!(told.len() >= 20, "{} instances were told", told.len());
 }
@@ -584,8 +584,8 @@
       match effect {
         Effect::Order(command) => panic!("ordered {command:?}"),
         Effect::Ask { id, .. } => world.ask(&id),
-        Effect::Tell(news) => {
-          let held = news.holdings.iter();
+        Effect::Publish(update) => {
+          let held = update.holdings.iter();
           told |= held
             .clone()
             .any(|(_, holding)| holding.models.contains_key("d"));
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -5,7 +5,7 @@
   backend::{Holding, Spec, Stage},
   command::Inventory,
   deployment::{Checkpoint, Deployment, Engine, Pool},
-  placement::plan::{Effect, News, Plan, Report},
+  placement::plan::{Effect, Holdings, Plan, Report},
   replication::{Fit, Known, parts},
 };
 use std::{
@@ -33,8 +33,8 @@
 
 impl Instance {
   /// Takes an update up, but for the datagrams that are lost.
-  fn hear(&mut self, news: &News, lost: impl Fn(usize) -> bool) {
-    for (number, part) in parts(news).into_iter().enumerate() {
+  fn hear(&mut self, update: &Holdings, lost: impl Fn(usize) -> bool) {
+    for (number, part) in parts(update).into_iter().enumerate() {
       if lost(number) {
         continue;
       }
@@ -159,17 +159,17 @@
   }
 
   /// A step; gives what is published to all, and what to the instance alone.
-  fn step(&mut self) -> (Vec<News>, Vec<News>) {
+  fn step(&mut self) -> (Vec<Holdings>, Vec<Holdings>) {
     self.now += STEP_MS;
     let mut published = (Vec::new(), Vec::new());
     for effect in self.plan.step(self.now) {
       match effect {
         Effect::Ask { id, .. } => self.answer(&id),
-        Effect::Tell(news) if news.to.is_some() => {
-          self.resent += news.holdings.len();
-          published.1.push(news);
+        Effect::Publish(update) if update.to.is_some() => {
+          self.resent += update.holdings.len();
+          published.1.push(update);
         }
-        Effect::Tell(news) => published.0.push(news),
+        Effect::Publish(update) => published.0.push(update),
         Effect::Order(_) | Effect::Note { .. } => {}
       }
     }
@@ -191,9 +191,11 @@
     let (all, own) = holder.step();
     all
       .iter()
-      .for_each(|news| instance.hear(news, |part| lost(step, part)));
-    own.iter().for_each(|news| instance.hear(news, |_| false));
-    let due = step * STEP_MS % REPORT_MS == 0;
+      .for_each(|update| instance.hear(update, |part| lost(step, part)));
+    own
+      .iter()
+      .for_each(|update| instance.hear(update, |_| false));
+    let due = (step * STEP_MS).is_multiple_of(REPORT_MS);
     if due || instance.behind {
       reports.push_back((step + CROSSED, instance.report()));
     }
@@ -216,7 +218,9 @@
   assert!(before <= SERVERS, "{before} holdings were sent again");
   for _ in 0..100 {
     let (all, _) = holder.step();
-    all.iter().for_each(|news| instance.hear(news, |_| false));
+    all
+      .iter()
+      .for_each(|update| instance.hear(update, |_| false));
   }
   agrees(&holder, &instance);
 }
@@ -231,7 +235,7 @@
     all
       .iter()
       .chain(&own)
-      .for_each(|news| instance.hear(news, |_| false));
+      .for_each(|update| instance.hear(update, |_| false));
     holder.plan.report(holder.now, address(), instance.report());
   }
   agrees(&holder, &instance);
@@ -243,7 +247,7 @@
     id: format!("s{number}"),
     ..Holding::default()
   };
-  let news = News {
+  let update = Holdings {
     to: None,
     since: 0,
     latest: 20,
@@ -252,17 +256,17 @@
       .collect(),
     loads: Vec::new(),
   };
-  let count = parts(&news).len();
+  let count = parts(&update).len();
   assert!(count > 2);
   for missing in 0..count {
     let mut instance = Instance::default();
-    instance.hear(&news, |part| part == missing);
+    instance.hear(&update, |part| part == missing);
     let last = missing == count - 1;
     assert!(instance.behind || last, "part {missing} was not missed");
-    assert!(instance.known.count < news.latest);
+    assert!(instance.known.count < update.latest);
   }
   let mut instance = Instance::default();
-  instance.hear(&news, |_| false);
+  instance.hear(&update, |_| false);
   let ids: BTreeSet<&String> = instance.holdings.keys().collect();
   assert_eq!((ids.len(), instance.known.count), (20, 20));
 }
