loads: a request saved from refusal counts as much as one in time

Cause: what a late request counts beside one in time (0.25) had no derivation, and a late request that gets no load is refused in the end, which its caller feels most. Change: the weight is gone; what has less time to spare still goes first.

--- a/src/placement/urgency.rs
+++ b/src/placement/urgency.rs
@@ -1,14 +1,11 @@
 //! How much the requests that wait for a model gain when it is loaded next.
 //!
-//! A load that still meets an objective counts most, one that meets a caller's patience
-//! counts less, one that meets neither counts nothing. Within each, what has less time
-//! to spare goes first, so that what can wait does.
+//! A load that still meets an objective counts, and as much one that still comes before a
+//! caller leaves: that request would be refused otherwise. One that meets neither counts
+//! nothing. What has less time to spare goes first, so that what can wait does.
 
 use serde::{Deserialize, Serialize};
 
-/// What a request served after its objective counts, beside one served within it.
-const LATE: f64 = 0.25;
-
 /// Requests for one model that have about the same time left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wait {
@@ -36,7 +33,7 @@
     let requests = f64::from(self.requests);
     match ready_ms {
       ready if ready <= u64::from(self.objective_ms) => requests * pressed(self.objective_ms),
-      ready if ready <= u64::from(self.patience_ms) => requests * LATE * pressed(self.patience_ms),
+      ready if ready <= u64::from(self.patience_ms) => requests * pressed(self.patience_ms),
       _ => 0.0,
     }
   }
