--- a/src/explain.rs
+++ b/src/explain.rs
@@ -41,11 +41,13 @@
     })
   }
 
-  fn text(&self, field: &str) -> Option<&str> {
+  /// A field that is text.
+  pub fn text(&self, field: &str) -> Option<&str> {
     self.fields.get(field)?.as_str()
   }
 
-  fn what(&self) -> &str {
+  /// What the line is about.
+  pub fn what(&self) -> &str {
     self.text("msg").unwrap_or_default()
   }
 }
@@ -139,13 +141,8 @@
   println!("{text}");
 }
 
-/// Explains a request from log files.
-pub fn explain(rest: &[String]) -> Result<ExitCode, Report<Error>> {
-  let [request, files @ ..] = rest else {
-    return Err(Report::new(Error(
-      "explain: name a request and files".into(),
-    )));
-  };
+/// The lines of log files, and how many are none of ours.
+pub fn read(files: &[String]) -> Result<(Vec<Line>, usize), Report<Error>> {
   let mut all = Vec::new();
   let mut other = 0;
   for file in files {
@@ -158,6 +155,17 @@
       }
     }
   }
+  Ok((all, other))
+}
+
+/// Explains a request from log files.
+pub fn explain(rest: &[String]) -> Result<ExitCode, Report<Error>> {
+  let [request, files @ ..] = rest else {
+    return Err(Report::new(Error(
+      "explain: name a request and files".into(),
+    )));
+  };
+  let (all, other) = read(files)?;
   let lines = lines(request, all);
   lines.iter().for_each(print);
   if other > 0 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod listing;
+pub mod losses;
 pub mod measures;
 pub mod members;
 pub mod message;
--- a/src/run.rs
+++ b/src/run.rs
@@ -5,6 +5,7 @@
   edge::Edge,
   explain,
   instance::Instance,
+  losses,
   router::Router,
   settings::{Error, Settings},
   signals::{Signal, Signals},
@@ -26,7 +27,8 @@
        bendsaddle status --instance IP:PORT
        bendsaddle timeline --instance IP:PORT [--trace]
        bendsaddle compare POLICY POLICY --instance IP:PORT [--plot FILE.svg]
-       bendsaddle explain REQUEST FILE...";
+       bendsaddle explain REQUEST FILE...
+       bendsaddle losses FILE...";
 
 type Outcome = Result<ExitCode, Report<Error>>;
 
@@ -68,6 +70,7 @@
       options.plot.as_deref(),
     ),
     "explain" => explain::explain(&options.rest),
+    "losses" => losses::losses(&options.rest),
     "help" | "" => {
       println!("{USAGE}");
       Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/tests/losses.rs
@@ -0,0 +1,114 @@
+//! Requests that were not served in time, by cause, over the logs of several instances.
+
+use bendsaddle::{
+  explain::Line,
+  losses::{Cause, table},
+};
+
+/// A line at some seconds, with more fields.
+fn line(at: f64, msg: &str, fields: &str) -> Line {
+  let text =
+    format!(r#"{{"msg":"{msg}","ts":"2026-01-01T00:00:{at:06.3}Z","instance":"one",{fields}}}"#);
+  Line::parse(&text).expect("a line")
+}
+
+fn waiting(at: f64, request: &str) -> Line {
+  let fields = format!(r#""request":"{request}","route":"notes","model":"m/a1""#);
+  line(at, "waiting", &fields)
+}
+
+fn sent(at: f64, request: &str, end: &str, late: &str) -> Line {
+  let fields = format!(
+    r#""request":"{request}","route":"notes","model":"m/a1","end":"{end}","why":"stalled","late":"{late}","took_ms":100"#
+  );
+  line(at, "sent", &fields)
+}
+
+fn planned(at: f64) -> Line {
+  line(at, "planned", r#""what":"load","model":"m","server":"s""#)
+}
+
+fn ordered(at: f64) -> Line {
+  line(
+    at,
+    "ordered",
+    r#""act":"Load","model":"m","adapter":null,"taken":"Accepted""#,
+  )
+}
+
+/// The one cause in a table of one request.
+fn cause(lines: Vec<Line>) -> Option<Cause> {
+  let table = table(lines);
+  assert_eq!(table.requests, 1);
+  table.lost.into_keys().next()
+}
+
+#[test]
+fn a_request_in_time_is_not_lost() {
+  assert_eq!(cause(vec![sent(1.0, "r", "Whole", "no")]), None);
+  // Nor one whose first send failed.
+  let lines = vec![
+    sent(1.0, "r", "Broken", "no"),
+    sent(2.0, "r", "Whole", "no"),
+  ];
+  assert_eq!(cause(lines), None);
+}
+
+#[test]
+fn a_late_request_is_counted_under_what_it_waited_for_most() {
+  let late = |decided: f64, order: f64, end: f64| {
+    let end = sent(end, "r", "Whole", "first");
+    cause(vec![
+      waiting(1.0, "r"),
+      planned(decided),
+      ordered(order),
+      end,
+    ])
+  };
+  assert_eq!(late(4.0, 4.1, 5.0), Some(Cause::Decision));
+  assert_eq!(late(1.1, 4.0, 5.0), Some(Cause::Order));
+  assert_eq!(late(1.1, 1.2, 5.0), Some(Cause::Load));
+}
+
+#[test]
+fn a_load_before_the_wait_or_after_it_is_none_of_the_request() {
+  let end = sent(5.0, "r", "Whole", "first");
+  let lines = vec![planned(0.5), waiting(1.0, "r"), end, planned(6.0)];
+  assert_eq!(cause(lines), Some(Cause::Unplanned));
+}
+
+#[test]
+fn other_ends_name_their_reason() {
+  let refused = |reason: &str| {
+    let fields = format!(r#""request":"r","route":"notes","reason":"{reason}","waited_ms":9"#);
+    cause(vec![waiting(1.0, "r"), line(2.0, "refused", &fields)])
+  };
+  assert_eq!(refused("loading"), Some(Cause::Refused("loading".into())));
+  let astray = cause(vec![line(1.0, "no route", r#""request":"r","path":"/x""#)]);
+  assert_eq!(astray, Some(Cause::Refused("no-route".into())));
+  let failed = cause(vec![sent(1.0, "r", "Broken", "no")]);
+  assert_eq!(failed, Some(Cause::Failed("stalled".into())));
+  assert_eq!(
+    cause(vec![sent(1.0, "r", "Whole", "pause")]),
+    Some(Cause::Pause)
+  );
+  assert_eq!(
+    cause(vec![sent(1.0, "r", "Whole", "first")]),
+    Some(Cause::Server)
+  );
+  assert_eq!(cause(vec![waiting(1.0, "r")]), Some(Cause::Unfinished));
+}
+
+#[test]
+fn requests_are_counted_by_route_and_the_rows_sum_to_the_loss() {
+  let mut lines = Vec::new();
+  for number in 0..5 {
+    lines.push(sent(1.0, &format!("late-{number}"), "Whole", "first"));
+    lines.push(sent(1.0, &format!("good-{number}"), "Whole", "no"));
+  }
+  lines.push(line(2.0, "configured", r#""version":1"#));
+  let table = table(lines);
+  let lost: usize = table.lost.values().flat_map(|routes| routes.values()).sum();
+  assert_eq!((table.requests, lost), (10, 5));
+  assert_eq!(table.lost[&Cause::Server]["notes"], 5);
+}
