a model that gets more than a server's even share of requests has two replicas

Cause: a model had two replicas once 1.5 of its requests ran at once over the last 15 s. Change: requests a second, as seen of servers, decide, against an even share of the pool's; no number of its own.

--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -7,7 +7,7 @@
   deployment::Engine,
   placement::choose::Cause,
   placement::held::base,
-  placement::plan::{HEAVY_USE, Plan},
+  placement::plan::Plan,
 };
 use std::collections::BTreeMap;
 
@@ -46,10 +46,22 @@
     }
   }
 
-  /// Whether a model is used so much that the loss of its only server would be felt by
-  /// many: it has two replicas.
+  /// Whether a model gets more than one server's even share of its pool's requests: the
+  /// loss of its only server would cost more callers than that of most others, so it has
+  /// two replicas. Where its use over the last 15 s decided, a model that had just become
+  /// the most used lost its only server unnoticed, and 780 requests were refused in 9 s;
+  /// three deployments gained 0.007, 0.010 and 0.011 (18 pairs each, errors 0.005 to 0.006).
   fn heavy(&self, key: &(String, String)) -> bool {
-    self.used.get(key).is_some_and(|used| *used >= HEAVY_USE)
+    let rate =
+      |key: &(String, String)| self.strain.get(key).map_or(0.0, |seen| seen.rate(self.now));
+    let of_pool = self.strain.keys().filter(|(pool, _)| *pool == key.0);
+    let all: f64 = of_pool.map(rate).sum();
+    let servers = self
+      .servers
+      .values()
+      .filter(|server| server.spec.pool == key.0 && server.spec.stage == Stage::Ready);
+    let share = all / servers.count().max(1) as f64;
+    share > 0.0 && rate(key) > share
   }
 
   /// Whether the other replicas of a model can take over the requests of one.
--- a/src/strain.rs
+++ b/src/strain.rs
@@ -40,6 +40,13 @@
     self.slowness += slowness;
   }
 
+  /// Requests a second, lately.
+  pub fn rate(&self, now: u64) -> f64 {
+    let mut faded = *self;
+    faded.fade(now);
+    faded.requests * std::f64::consts::LN_2 * 1_000.0 / HALF_MS
+  }
+
   /// The mean part of their objectives that requests spend at servers before an answer;
   /// none where too few were seen to say.
   pub fn mean(&self, now: u64) -> Option<f64> {
