apply reads an object again that was not answered

Cause: `apply` read each object once, with a second for the answer; one slow answer of the platform ended it with "platform unavailable; nothing written". Ruled out: a write without effect; nothing was written then. Change: up to four reads, 200 ms apart, each failure on standard error; a read changes nothing. Test: apply_reads_again_what_was_not_answered loses two answers; before, it ends with the message above.

--- a/src/apply.rs
+++ b/src/apply.rs
@@ -7,7 +7,7 @@
 
 use crate::{
   catalog::Catalog,
-  object::{Kind, Name},
+  object::{Kind, Name, Object},
   platform::{self, Client},
   settings::{Error, Settings, jsonc},
 };
@@ -17,8 +17,16 @@
 use std::{
   path::{Path, PathBuf},
   process::ExitCode,
+  thread,
+  time::Duration,
 };
 
+/// Reads of an object before it counts as not to be had: a busy platform may leave one
+/// without an answer.
+const READS: u32 = 4;
+/// Pause between two of them.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
 /// An object, as a file holds it.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -130,11 +138,23 @@
   Ok(code)
 }
 
+/// Reads an object; a read without answer changes nothing and is repeated.
+fn read_held(client: &Client, name: &Name) -> Result<Object, platform::Error> {
+  for _ in 1..READS {
+    match client.read(name) {
+      Ok(held) => return Ok(held),
+      Err(error) => {
+        eprintln!("{name}: not read, read again: {error:?}");
+        thread::sleep(READ_PAUSE);
+      }
+    }
+  }
+  client.read(name)
+}
+
 /// Writes one object against the version just read.
 pub fn put(client: &Client, name: &Name, spec: &Value) -> Result<String, String> {
-  let held = client
-    .read(name)
-    .map_err(|_| "platform unavailable; nothing written")?;
+  let held = read_held(client, name).map_err(|_| "platform unavailable; nothing written")?;
   let same = |held: &Option<String>| {
     let value = held
       .as_deref()
@@ -151,7 +171,7 @@
     }
     Err(platform::Error::Declined) => Err("the platform declines the value".into()),
     // The answer was lost: what stands there now tells.
-    Err(platform::Error::Unavailable) => match client.read(name) {
+    Err(platform::Error::Unavailable) => match read_held(client, name) {
       Ok(now) if same(&now.value) => Ok(format!("written as version {}", now.version)),
       Ok(now) if now.version == held.version => Err("platform unavailable; not written".into()),
       Ok(_) => Err("another edit came first; read it and apply again".into()),
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -26,10 +26,24 @@
   pub slow: Duration,
   /// Writes that take effect and whose answer is lost, still to come.
   pub lose_answers: u32,
+  /// Reads of this object whose answer is lost, still to come.
+  pub lose_reads: Option<(Kind, String, u32)>,
   /// Reads, watches and lists answer from an old copy.
   pub stale: bool,
 }
 
+impl Faults {
+  /// Whether the answer to a read of this object is lost.
+  fn loses_read(&mut self, kind: &str, name: &str) -> bool {
+    let Some((of, named, left)) = &mut self.lose_reads else {
+      return false;
+    };
+    let lost = *left > 0 && of.word() == kind && named == name;
+    *left -= u32::from(lost);
+    lost
+  }
+}
+
 /// Calls counted.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Calls {
@@ -253,7 +267,11 @@
       held.calls.reads += 1;
       let key = (kind.to_string(), name.to_string());
       let found = held.objects().held.get(&key).cloned();
+      let lost = held.faults.loses_read(kind, name);
       drop(held);
+      if lost {
+        return drop(request.into_writer());
+      }
       match found {
         Some(Held {
           version,
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -165,6 +165,22 @@
   std::fs::remove_dir_all(folder).unwrap();
 }
 
+#[test]
+fn apply_reads_again_what_was_not_answered() {
+  let fleet = plan().start().unwrap();
+  let object = json!({ "kind": "policy", "name": "all", "spec": policy(1) });
+  let folder = folder("unanswered", &[("all.jsonc", object)]);
+  let path = folder.to_str().unwrap();
+  let lose = (Kind::Policy, "all".to_string(), 2);
+  fleet
+    .platform
+    .fault(|faults| faults.lose_reads = Some(lose));
+  let said = bendsaddle(&fleet, &["apply", path]);
+  assert!(said.contains("policy/all: written as version"), "{said}");
+  assert_eq!(fleet.platform.get(Kind::Policy, "all"), Some(policy(1)));
+  std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn apply_writes_nothing_when_one_file_is_invalid() {
   let fleet = plan().start().unwrap();
