a batch of the store's changes is taken whole or not at all

Cause, by reading the diff: an instance took from a batch only objects whose revision was newer than what it knew. A removal may name the revision of its object's last change, so a removed server could stay in the list of an instance that then counted the removal as known. Change: a batch names the revision after which its changes came. It is taken whole by an instance that knows nothing past that, and not at all by one that has read a part of it by itself, which asks the store as before. Tests: tests/feed.rs, a removal whose object is older (before, it was never taken up) and a batch of which a part is known.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,5 +1,5 @@
 //! What instances exchange: reports of demand to the holders of leases,
-//! and the holders' word on what servers hold.
+//! and their updates of what servers hold.
 
 use crate::{
   dispatch::Event,
@@ -24,7 +24,7 @@
 const BITS_MS: f64 = 1_000.0;
 
 impl Planner {
-  /// Takes up a holder's word.
+  /// Takes up a holder's update.
   pub(crate) fn hear(&mut self, now: u64, update: Update, from: SocketAddr) {
     let groups = self.groups.len() as u32;
     let Some(group) = self.groups.get_mut(update.group as usize) else {
@@ -71,6 +71,7 @@
     self.send(&Message::Question(index as u32, question), &members);
   }
 
+  /// Answers a holder that asks for a promise.
   pub(crate) fn promise(&mut self, now: u64, index: u32, question: Question, from: SocketAddr) {
     let Some(group) = self.groups.get_mut(index as usize) else {
       return;
@@ -98,6 +99,7 @@
     members
   }
 
+  /// The gate of a kind's changes.
   pub(crate) fn gate(&self, kind: Kind) -> &Gate {
     match kind {
       Kind::Deployments => &self.hub.gates.deployments,
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,16 +15,16 @@
 };
 
 /// Longest wait of one watch. A waiting watch counts as a call; but one that was
-/// begun while the store was silent is never answered, and hides all event until
+/// begun while the store was silent is never answered, and hides all changes until
 /// its time is over.
 const WATCH: Duration = Duration::from_millis(2_500);
 /// Wait of the first watch after a failure: it only shows that the store answers.
 const FIRST: Duration = Duration::from_millis(1);
 /// The store was silent when nothing was heard of it for this long: longer than a
-/// watch without event and the pause before it, shorter than the three heartbeats, of a
+/// watch without changes and the pause before it, shorter than the three heartbeats, of a
 /// bit more than a second each, after which entries of servers lapse.
 pub const SILENT: Duration = Duration::from_millis(3_100);
-/// Pause after event, so that changes made together come in one answer.
+/// Pause after changes, so that changes made together come in one answer.
 const GATHER: Duration = Duration::from_millis(250);
 /// Pause after a failure, doubled for each further one, and its most.
 const RETRY: Duration = Duration::from_millis(100);
@@ -32,7 +32,7 @@
 
 /// Another instance's word counts for this long after the store last answered that
 /// instance; then this one watches by itself. The holder of a lease hears from the
-/// store every 750 ms; with the watch that follows, event that the holder is cut off
+/// store every 750 ms; with the watch that follows, a change that the holder is cut off
 /// from arrives within 1.5 s, and deployments give two.
 const STALE: Duration = Duration::from_millis(1_300);
 
@@ -48,8 +48,10 @@
 /// Changes of a kind as the instance that watches for others read them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
-  /// The change that matters before these, and the revision up to which they go.
+  /// The last change that mattered before these.
   pub since: u64,
+  /// All of these came after this revision, and up to the next one.
+  pub after: u64,
   pub revision: u64,
   pub changes: Vec<Change>,
 }
@@ -66,7 +68,7 @@
 
 impl Batch {
   /// The changes as a batch; none when they are too large for a datagram.
-  fn open(since: u64, revision: u64, objects: &[(Object, bool)]) -> Option<Self> {
+  fn open(since: u64, (after, revision): (u64, u64), objects: &[(Object, bool)]) -> Option<Self> {
     let change = |(object, removed): &(Object, bool)| Change {
       name: object.name.clone(),
       revision: object.revision,
@@ -80,17 +82,21 @@
       .sum();
     (bytes <= BATCH_BYTES).then_some(Self {
       since,
+      after,
       revision,
       changes,
     })
   }
 
-  /// The objects that changed after a revision; none when the batch is not understood.
-  fn after(&self, revision: u64) -> Option<Vec<(Object, bool)>> {
-    let newer = self
-      .changes
-      .iter()
-      .filter(|change| change.revision > revision);
+  /// Whether it goes on from what is known up to a revision. Where a part of it is known
+  /// already it does not: a removal names its object's last change, so the parts cannot be
+  /// told from each other.
+  fn follows(&self, revision: u64) -> bool {
+    (self.since..=self.after).contains(&revision)
+  }
+
+  /// The changed objects; none when the batch is not understood.
+  fn objects(&self) -> Option<Vec<(Object, bool)>> {
     let object = |change: &Change| {
       let object = Object {
         name: change.name.clone(),
@@ -99,7 +105,7 @@
       };
       Some((object, change.removed))
     };
-    newer.map(object).collect()
+    self.changes.iter().map(object).collect()
   }
 }
 
@@ -144,7 +150,7 @@
     let next = self
       .offered
       .iter()
-      .position(|batch| batch.since <= revision)?;
+      .position(|batch| batch.follows(revision))?;
     // What did not matter to its reader may be missing before it.
     self.skipped = true;
     self.offered.remove(next)
@@ -275,13 +281,13 @@
   }
 
   /// Keeps what was read here for the other instances, where they go by it.
-  fn publish(&self, revision: u64, objects: &[(Object, bool)]) {
+  fn publish(&self, range: (u64, u64), objects: &[(Object, bool)]) {
     let mut state = lock(&self.state);
     if !state.leads {
       return;
     }
     let since = state.changed;
-    let batch = Batch::open(since, revision, objects);
+    let batch = Batch::open(since, range, objects);
     state.published.extend(batch);
   }
 
@@ -335,7 +341,7 @@
     };
     let result = match next {
       Next::Take(batch) => {
-        if let Some(objects) = batch.after(from.unwrap_or_default()) {
+        if let Some(objects) = batch.objects() {
           let matters = !objects.is_empty() && take(Event::Some(objects));
           from = Some(batch.revision);
           gate.answered(batch.revision, matters);
@@ -360,7 +366,7 @@
           take(Event::Back(silence));
         }
         failures = 0;
-        from = Some(revision);
+        let after = from.replace(revision).unwrap_or_default();
         let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
         let read = match &event {
           Event::Some(objects) if !empty => Some(objects.clone()),
@@ -368,7 +374,7 @@
         };
         let matters = !empty && take(event);
         if let (true, Some(objects)) = (matters, read) {
-          gate.publish(revision, &objects);
+          gate.publish((after, revision), &objects);
         }
         gate.answered(revision, matters);
         if !empty {
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -72,8 +72,8 @@
 /// Follows the store in a thread; gives the revisions of its news.
 fn spawn(numbers: &Arc<Numbers>, gate: &Arc<Gate>) -> Receiver<u64> {
   let (sender, receiver) = channel();
-  follow_news(numbers, gate, move |news| {
-    let revision = match news {
+  follow_events(numbers, gate, move |event| {
+    let revision = match event {
       Event::All(objects) => objects[0].revision,
       Event::Some(objects) => objects[0].0.revision,
       Event::Lost | Event::Back(_) => return false,
@@ -85,7 +85,7 @@
 }
 
 /// Follows the store in a thread.
-fn follow_news(
+fn follow_events(
   numbers: &Arc<Numbers>,
   gate: &Arc<Gate>,
   take: impl FnMut(Event) -> bool + Send + 'static,
@@ -95,7 +95,7 @@
   thread::spawn(move || follow(&store, "kind", &gate, &log, take));
 }
 
-fn word(revision: u64, changed: u64, age_ms: u64) -> Progress {
+fn progress(revision: u64, changed: u64, age_ms: u64) -> Progress {
   Progress {
     revision,
     changed,
@@ -107,7 +107,7 @@
 
 /// Speaks for a holder every few milliseconds until `done`; gives the longest
 /// silence, which a busy machine may make long.
-fn speak(gate: &Gate, word: Progress, mut done: impl FnMut() -> bool) -> Duration {
+fn keep_following(gate: &Gate, word: Progress, mut done: impl FnMut() -> bool) -> Duration {
   let began = Instant::now();
   let (mut last, mut longest) = (began, Duration::ZERO);
   while !done() {
@@ -125,7 +125,7 @@
   let numbers = Arc::new(Numbers::default());
   numbers.revision.store(5, Ordering::Relaxed);
   let gate = Arc::new(Gate::default());
-  gate.follow(word(5, 5, 0));
+  gate.follow(progress(5, 5, 0));
   let news = spawn(&numbers, &gate);
   assert_eq!(news.recv_timeout(LONG), Ok(5));
   // Event is taken up before the gate knows of it.
@@ -140,7 +140,7 @@
 /// Speaks for a holder until there is news.
 fn heard(gate: &Gate, word: Progress, news: &Receiver<u64>) -> Option<u64> {
   let mut heard = None;
-  speak(gate, word, || {
+  keep_following(gate, word, || {
     heard = heard.or(news.try_recv().ok());
     heard.is_some()
   });
@@ -153,7 +153,7 @@
   // Further changes do not matter: nothing is fetched while the word is fresh.
   numbers.revision.store(9, Ordering::Relaxed);
   let mut spoken = 0;
-  let silence = speak(&gate, word(9, 5, 0), || {
+  let silence = keep_following(&gate, progress(9, 5, 0), || {
     spoken += 1;
     spoken > 100
   });
@@ -163,7 +163,7 @@
     "{watches}"
   );
   numbers.revision.store(12, Ordering::Relaxed);
-  assert_eq!(heard(&gate, word(12, 12, 0), &news), Some(12));
+  assert_eq!(heard(&gate, progress(12, 12, 0), &news), Some(12));
 }
 
 #[test]
@@ -171,14 +171,14 @@
   let (numbers, gate, news) = followed();
   // The holder speaks on, but the store has not answered it for long.
   numbers.revision.store(7, Ordering::Relaxed);
-  assert_eq!(heard(&gate, word(5, 5, 1_400), &news), Some(7));
+  assert_eq!(heard(&gate, progress(5, 5, 1_400), &news), Some(7));
 }
 
 #[test]
 fn who_leads_reads_all_that_it_passed_over() {
   let (numbers, gate, news) = followed();
   numbers.revision.store(9, Ordering::Relaxed);
-  gate.follow(word(9, 5, 0));
+  gate.follow(progress(9, 5, 0));
   gate.lead(true);
   assert_eq!(news.recv_timeout(LONG), Ok(9));
   assert_eq!(numbers.lists.load(Ordering::Relaxed), 2);
@@ -191,9 +191,9 @@
   let gate = Arc::new(Gate::default());
   let (sender, silences) = channel();
   let asked = Instant::now();
-  gate.follow(word(5, 5, 0));
-  follow_news(&numbers, &gate, move |news| {
-    if let Event::Back(silence) = news {
+  gate.follow(progress(5, 5, 0));
+  follow_events(&numbers, &gate, move |event| {
+    if let Event::Back(silence) = event {
       let _ = sender.send(silence);
     }
     true
@@ -213,6 +213,7 @@
 fn batch(since: u64, revision: u64) -> Batch {
   Batch {
     since,
+    after: since,
     revision,
     changes: vec![Change {
       name: "one".into(),
@@ -228,14 +229,14 @@
   let (numbers, gate, news) = followed();
   numbers.revision.store(8, Ordering::Relaxed);
   gate.offer(batch(5, 8));
-  assert_eq!(heard(&gate, word(8, 8, 0), &news), Some(8));
+  assert_eq!(heard(&gate, progress(8, 8, 0), &news), Some(8));
   // Sent twice, or late: it is known.
   gate.offer(batch(5, 8));
   gate.offer(batch(8, 10));
   numbers.revision.store(10, Ordering::Relaxed);
-  assert_eq!(heard(&gate, word(10, 10, 0), &news), Some(10));
+  assert_eq!(heard(&gate, progress(10, 10, 0), &news), Some(10));
   let mut spoken = 0;
-  let silence = speak(&gate, word(10, 10, 0), || {
+  let silence = keep_following(&gate, progress(10, 10, 0), || {
     spoken += 1;
     spoken > 20
   });
@@ -253,7 +254,7 @@
   numbers.revision.store(12, Ordering::Relaxed);
   // The one up to 8 was lost.
   gate.offer(batch(8, 11));
-  assert_eq!(heard(&gate, word(11, 11, 0), &news), Some(12));
+  assert_eq!(heard(&gate, progress(11, 11, 0), &news), Some(12));
   assert!(numbers.watches.load(Ordering::Relaxed) > 0);
 }
 
@@ -264,7 +265,7 @@
   let mut broken = batch(5, 8);
   broken.changes[0].spec = "{".into();
   gate.offer(broken);
-  assert_eq!(heard(&gate, word(8, 8, 0), &news), Some(8));
+  assert_eq!(heard(&gate, progress(8, 8, 0), &news), Some(8));
   assert!(numbers.watches.load(Ordering::Relaxed) > 0);
 }
 
@@ -286,3 +287,41 @@
   };
   assert_eq!(published, [batch(5, 7)]);
 }
+
+#[test]
+fn a_removal_in_a_batch_counts_though_its_object_is_older() {
+  let numbers = Arc::new(Numbers::default());
+  numbers.revision.store(5, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5, 5, 0));
+  let (sender, removals) = channel();
+  follow_events(&numbers, &gate, move |event| {
+    if let Event::Some(objects) = &event {
+      let _ = sender.send(objects.clone());
+    }
+    true
+  });
+  let began = Instant::now();
+  while gate.progress(0).revision < 5 {
+    assert!(began.elapsed() < LONG, "not in time");
+    thread::sleep(Duration::from_millis(1));
+  }
+  let mut removal = batch(5, 8);
+  removal.changes[0].revision = 3;
+  removal.changes[0].removed = true;
+  gate.offer(removal);
+  gate.follow(progress(8, 8, 0));
+  let objects = removals.recv_timeout(LONG).unwrap();
+  assert!(objects[0].1, "{objects:?}");
+}
+
+#[test]
+fn a_batch_of_which_a_part_is_known_is_not_taken() {
+  let (numbers, gate, news) = followed();
+  // Changes at 6 and 8 were read together; this instance has read up to 7 by itself.
+  numbers.revision.store(7, Ordering::Relaxed);
+  assert_eq!(heard(&gate, progress(7, 7, 0), &news), Some(7));
+  numbers.revision.store(9, Ordering::Relaxed);
+  gate.offer(batch(5, 8));
+  assert_eq!(heard(&gate, progress(8, 8, 0), &news), Some(9));
+}
