a policy's bound counts loads under way and servers that a model is about to leave

The bound was compared with the servers that hold a model and keep it; a burst has several loads at once, and loads under way did not count, nor a model that is about to leave. On a busy machine eight requests wait at once for the bounded model, which is three loads. By a test: 200 waiting requests loaded it on four servers. Ruled out: the change of replicas by an even share, which counts loads under way itself; orders carried out late, which the check excuses. Change: the bound counts every server that holds the model or loads it.

Test: a_bound_counts_loads_that_are_under_way, which finds four servers before.

--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -74,7 +74,7 @@
       return;
     };
     let policy = self.policy(pool, model);
-    if self.holders(pool, model).len() as u32 >= policy.max_replicas {
+    if self.replicas(pool, model) >= policy.max_replicas {
       return;
     }
     let remote = self.remote_jobs();
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -162,6 +162,21 @@
     jobs.filter(|job| job.model == model).count()
   }
 
+  /// Servers that hold a model, also where it is about to leave or they are, and those that
+  /// load it: what a policy's bound counts. While only those counted that keep it, a burst
+  /// of 200 requests loaded a model on four servers of which two were allowed.
+  pub(crate) fn replicas(&self, pool: &str, model: &str) -> u32 {
+    let servers = self.servers.values();
+    let servers = servers.filter(|server| server.spec.pool == pool);
+    let own = servers.filter(|server| {
+      let job = server.job.as_ref();
+      server.models.contains_key(model) || job.is_some_and(|job| job.model == model)
+    });
+    let others = self.others.iter().filter(|other| other.pool == pool);
+    let others = others.filter(|other| other.models.contains_key(model));
+    (own.count() + others.count()) as u32
+  }
+
   /// Loads a model where it costs least, if some server can take it.
   pub(crate) fn load(&mut self, engine: &Engine, demand: &Demand, cause: Cause) {
     let model = demand.model.name.clone();
@@ -174,8 +189,7 @@
     }
     let mut best: Option<(u64, String, Vec<String>)> = None;
     let policy = self.policy(&demand.pool, &model);
-    let held = self.holders(&demand.pool, &model).len() as u32;
-    if held >= policy.max_replicas {
+    if self.replicas(&demand.pool, &model) >= policy.max_replicas {
       return;
     }
     let near = self.copied(&demand.pool, &model);
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -665,3 +665,34 @@
   world.run(2_000);
   assert!(world.holds("two", "a"));
 }
+
+/// Servers that hold model `d` or load it, at the most so far.
+fn most_of_d(world: &mut World, ms: u64) -> usize {
+  let mut most = 0;
+  for _ in 0..ms / 10 {
+    world.run(10);
+    let holds =
+      |server: &&Server| server.held.contains_key("d") || server.loading.as_deref() == Some("d");
+    most = most.max(world.servers.values().filter(holds).count());
+  }
+  most
+}
+
+#[test]
+fn a_bound_counts_loads_that_are_under_way() {
+  let mut world = World::open(
+    &["a", "d"],
+    &[
+      ("one", &["a"], &["d"]),
+      ("two", &["a"], &["d"]),
+      ("three", &["a"], &["d"]),
+      ("four", &["a"], &["d"]),
+    ],
+  );
+  let two = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 2 }"#;
+  let policies = [("two".to_string(), serde_json::from_str(two).unwrap())];
+  world.plan.policies(policies.into_iter().collect());
+  // So many that several loads at once would be begun.
+  world.waiting = vec![("d".into(), 200)];
+  assert_eq!(most_of_d(&mut world, 3_000), 2);
+}
