feed: log where changes come from, how old what was known is, and calls that fail again

Cause: the record does not tell a holder whose watch is held up from a follower that catches up too slowly; of a row of failed calls only the first was logged. Ruled out: nothing yet; no logic is changed. Change: one line for changes that matter (source, revision, count, age of the knowledge before), one for every fourth failed call in a row.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -42,6 +42,9 @@
 /// Bytes of objects that one batch carries at the most: it goes as a datagram.
 const BATCH_BYTES: usize = 48 << 10;
 
+/// One of so many failures in a row is logged.
+const FAILURES_LOGGED: u32 = 4;
+
 /// Batches kept that do not fit yet.
 const OFFERED: usize = 16;
 
@@ -291,6 +294,13 @@
     state.published.extend(batch);
   }
 
+  /// Since the store last answered, as far as known here; none: it never has.
+  fn age(&self) -> Option<Duration> {
+    lock(&self.state)
+      .answered
+      .map(|answered| answered.elapsed())
+  }
+
   /// The store has answered: the longest time without an answer since this was last
   /// asked, as far as known here.
   fn heard(&self) -> Duration {
@@ -324,6 +334,29 @@
   Back(Duration),
 }
 
+impl Event {
+  /// Objects that it brings.
+  fn count(&self) -> usize {
+    match self {
+      Self::All(objects) => objects.len(),
+      Self::Some(objects) => objects.len(),
+      Self::Lost | Self::Back(_) => 0,
+    }
+  }
+}
+
+/// Logs where changes that matter came from, and how old what was known before was.
+fn note(
+  log: &Logger,
+  kind: &str,
+  source: &str,
+  (revision, count): (u64, usize),
+  age: Option<Duration>,
+) {
+  info!(log, "changes taken"; "kind" => kind, "source" => source, "revision" => revision,
+    "count" => count, "age_ms" => age.map(|age| age.as_millis() as u64));
+}
+
 /// Follows a kind for ever; `take` says whether the event matters to others.
 pub fn follow(
   store: &Store,
@@ -339,10 +372,16 @@
       None => Next::All,
       Some(_) => gate.wait(),
     };
+    let (began, age) = (Instant::now(), gate.age());
+    let source = if next == Next::All { "list" } else { "watch" };
     let result = match next {
       Next::Take(batch) => {
         if let Some(objects) = batch.objects() {
+          let (count, age) = (objects.len(), gate.age());
           let matters = !objects.is_empty() && take(Event::Some(objects));
+          if matters {
+            note(log, kind, "batch", (batch.revision, count), age);
+          }
           from = Some(batch.revision);
           gate.answered(batch.revision, matters);
         } else {
@@ -372,7 +411,11 @@
           Event::Some(objects) if !empty => Some(objects.clone()),
           _ => None,
         };
+        let count = event.count();
         let matters = !empty && take(event);
+        if matters {
+          note(log, kind, source, (revision, count), age);
+        }
         if let (true, Some(objects)) = (matters, read) {
           gate.publish((after, revision), &objects);
         }
@@ -390,6 +433,11 @@
           warn!(log, "store is lost"; "kind" => kind, "error" => %error, "revision" => from);
           take(Event::Lost);
         }
+        if failures % FAILURES_LOGGED == 0 {
+          info!(log, "call failed"; "kind" => kind, "call" => source, "error" => %error,
+            "failures" => failures, "revision" => from,
+            "took_ms" => began.elapsed().as_millis() as u64);
+        }
         thread::sleep((RETRY * (1 << failures.min(3))).min(RETRY_MOST));
         failures += 1;
       }
