what a holder knows is as old as its own watch, and a wait is no silence of the store

Cause: two beliefs were dated by something else than what they rest on. A holder's progress in the store named the age of its last lease renewal: while its watch was held up by lost packets, renewals over another connection made it look fresh, and all followers were as late as the holder. And the time between two answers counted as silence of the store, also where no call had failed: 1.3 s until a holder's progress is old and the 2.5 s of the watch that follows. After a silence a server whose entry is missing is kept for 2.0 s. Ruled out: lost datagrams alone (a follower asks by itself 1.3 s after the progress was confirmed); a follower's own calls (none failed where a server was kept). Change: each feed carries the moment as of which its own calls confirm it; the holder's watches wait 300 ms, so that each answer confirms it anew, other instances' 1 s; a silence counts only where calls failed, and renewals count as answers. A follower whose call failed believes the store back as soon as the holder is answered. What is read is published at once, not when the planner next wakes. A deployment that is known already is no change.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -213,12 +213,11 @@
     let (mine, others): (Vec<_>, Vec<_>) = others.into_iter().partition(|one| *one == own);
     let mine = update.to.is_none() || !mine.is_empty();
     let listed = self.list_members(now, index, update, members);
-    let age_ms = self.groups[index].lease.renewal_age(now);
     let head = Update {
       group: index as u32,
       heartbeat: heartbeat.clone(),
-      deployments: self.hub.gates.deployments.progress(age_ms),
-      servers: self.hub.gates.servers.progress(age_ms),
+      deployments: self.hub.gates.deployments.progress(),
+      servers: self.hub.gates.servers.progress(),
       instances: instances as u32,
       members: listed,
       since: update.since,
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -1,18 +1,19 @@
 //! Who asks the store for a kind's changes: one instance watches for many, and each of the
 //! others asks by itself when that one's updates are old or name a change that it lacks.
 
-use crate::{feed::Batch, hub::lock, store::Object};
+use crate::{feed::Batch, hub::lock, socket::Bell, store::Object};
 use serde::{Deserialize, Serialize};
 use std::{
   collections::VecDeque,
-  sync::{Condvar, Mutex},
+  sync::{Arc, Condvar, Mutex, OnceLock},
   time::{Duration, Instant},
 };
 
-/// Another instance's word counts for this long after the store last answered that
-/// instance; then this one watches by itself. The holder of a lease hears from the
-/// store every 750 ms; with the watch that follows, a change that the holder is cut off
-/// from arrives within 1.5 s, and deployments give two.
+/// What another instance knows counts for this long after the moment as of which it is
+/// confirmed; then this one watches by itself. With the holder's watches of 300 ms, its pause
+/// after changes and its updates every 500 ms it is renewed within 1.2 s; with the watch that
+/// follows, a change that the holder does not hear of arrives within 1.5 s, and deployments
+/// give two.
 const STALE: Duration = Duration::from_millis(1_300);
 
 /// A change that the holder named is waited for this long, ms; then this instance watches
@@ -31,6 +32,8 @@
   Watch { revision: u64, there: bool },
   /// Take up what another instance read.
   Take(Batch),
+  /// The store answers the instance that watches for this one, and nothing is lacking.
+  Reached,
 }
 
 /// How far an instance has followed a kind, for the others.
@@ -40,17 +43,32 @@
   pub revision: u64,
   /// Revision of the last change that matters to others.
   pub changed: u64,
-  /// Since the store's last answer, ms.
+  /// Since the moment as of which all changes are known to be known, ms.
   pub age_ms: u64,
 }
 
+/// What an answer of the store shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Answer {
+  /// All changes up to this revision are known.
+  pub(super) revision: u64,
+  /// Some of them matter to others.
+  pub(super) matters: bool,
+  /// All changes that the store had acknowledged by then are among them.
+  pub(super) confirmed: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
   revision: u64,
   changed: u64,
-  /// Another instance's word, and when the store last answered that instance.
+  /// The moment as of which all changes are known here. It comes of the calls that read
+  /// them and of nothing else: while a holder's watch was held up, the renewals of its
+  /// lease made what it knew look 750 ms old, and all others were 1.74 s late with it.
+  confirmed: Option<Instant>,
+  /// Another instance's progress, and as of when it is confirmed.
   holder: Option<(Progress, Instant)>,
-  /// This instance must watch by itself: others go by its word.
+  /// This instance must watch by itself: others go by its progress.
   leads: bool,
   /// Changes that did not matter were passed over: all is to be read.
   skipped: bool,
@@ -60,13 +78,21 @@
   offered: VecDeque<Batch>,
   /// Since when a change is known to be lacking.
   lacking: Option<Instant>,
-  /// When the store last answered this instance, or one whose word it goes by.
+  /// When the store last answered this instance, or one whose progress it goes by.
   answered: Option<Instant>,
-  /// The longest time between two such answers since it was last looked at.
+  /// The longest time between two such answers since it was last asked for.
   silence: Duration,
 }
 
 impl State {
+  /// Everything up to a revision is known.
+  fn take(&mut self, revision: u64, matters: bool) {
+    self.revision = self.revision.max(revision);
+    if matters {
+      self.changed = self.changed.max(revision);
+    }
+  }
+
   /// The next batch that goes on from what is known here.
   fn next_batch(&mut self) -> Option<Batch> {
     let revision = self.revision;
@@ -80,6 +106,7 @@
     self.offered.remove(next)
   }
 
+  /// The store has answered somebody at a moment.
   fn hear(&mut self, answered: Instant) {
     if let Some(before) = self.answered {
       let silence = answered.saturating_duration_since(before);
@@ -87,50 +114,80 @@
     }
     self.answered = self.answered.max(Some(answered));
   }
+
+  /// Takes up as of when the holder's progress is confirmed, where nothing of it is lacking.
+  fn confirm_holder(&mut self) {
+    let Some((progress, confirmed)) = self.holder else {
+      return;
+    };
+    if progress.changed <= self.revision {
+      self.confirmed = self.confirmed.max(Some(confirmed));
+    }
+  }
+
+  /// Whether another instance's progress still counts, and for how long.
+  fn fresh(&self) -> Option<(Progress, Duration)> {
+    let (progress, confirmed) = self.holder?;
+    let left = STALE.checked_sub(confirmed.elapsed())?;
+    Some((progress, left))
+  }
 }
 
 /// Lets one instance watch a kind for many: the others watch by themselves only
-/// when its word names a change that they do not know of, or falls silent.
+/// when its progress names a change that they do not know of, or is not confirmed any more.
 #[derive(Debug, Default)]
 pub struct Gate {
   state: Mutex<State>,
   changed: Condvar,
+  /// Rings when there is something to publish.
+  bell: OnceLock<Arc<Bell>>,
 }
 
 impl Gate {
-  /// What other instances go by; `age_ms`: since the store last answered it.
-  pub fn progress(&self, age_ms: u64) -> Progress {
+  /// Rings `bell` when there is something to publish.
+  pub fn ring(&self, bell: Arc<Bell>) {
+    // The first one stays.
+    let _ = self.bell.set(bell);
+  }
+
+  /// What other instances go by.
+  pub fn progress(&self) -> Progress {
     let state = lock(&self.state);
+    let age = state.confirmed.map(|confirmed| confirmed.elapsed());
     Progress {
       revision: state.revision,
       changed: state.changed,
       // Before the first answer nothing is known.
-      age_ms: if state.revision == 0 {
-        u64::MAX
-      } else {
-        age_ms
-      },
+      age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
     }
   }
 
-  /// Takes up another instance's word.
+  /// Takes up another instance's progress.
   pub fn follow(&self, progress: Progress) {
     let mut state = lock(&self.state);
     let age = Duration::from_millis(progress.age_ms);
-    let Some(answered) = Instant::now().checked_sub(age).filter(|_| age < STALE) else {
+    let Some(confirmed) = Instant::now().checked_sub(age).filter(|_| age < STALE) else {
       return;
     };
+    // Of two instances the one counts that knows more, or knows it as of a later moment.
+    let counts = |(known, since): &(Progress, Instant)| {
+      confirmed >= *since || progress.changed > known.changed
+    };
+    if !state.holder.as_ref().is_none_or(counts) {
+      return;
+    }
     if progress.changed <= state.revision {
       // Nothing between that matters here.
       state.skipped |= progress.revision > state.revision;
       state.revision = state.revision.max(progress.revision);
     }
-    state.holder = Some((progress, answered));
-    state.hear(answered);
+    state.holder = Some((progress, confirmed));
+    state.confirm_holder();
+    state.hear(confirmed);
     self.changed.notify_all();
   }
 
-  /// Whether others go by this instance's word.
+  /// Whether others go by this instance's progress.
   pub fn lead(&self, leads: bool) {
     let mut state = lock(&self.state);
     if state.leads != leads {
@@ -139,6 +196,16 @@
     }
   }
 
+  /// Whether others go by this instance's progress now.
+  pub(super) fn leads(&self) -> bool {
+    lock(&self.state).leads
+  }
+
+  /// The store has answered this instance about something else.
+  pub fn hear(&self, answered: Instant) {
+    lock(&self.state).hear(answered);
+  }
+
   /// Takes up changes that the instance that watches for this one has read.
   pub fn offer(&self, batch: Batch) {
     let mut state = lock(&self.state);
@@ -157,8 +224,9 @@
     std::mem::take(&mut lock(&self.state).published)
   }
 
-  /// Waits until a call is needed, or changes were offered, and says which.
-  pub(super) fn wait(&self) -> Next {
+  /// Waits until a call is needed, or changes were offered, and says which; `failed`: when
+  /// the last call was begun, if it failed.
+  pub(super) fn wait(&self, failed: Option<Instant>) -> Next {
     let mut state = lock(&self.state);
     loop {
       if state.leads && state.skipped {
@@ -169,16 +237,16 @@
         revision: state.revision,
         there: false,
       };
-      let (false, Some((progress, answered))) = (state.leads, state.holder) else {
+      if state.leads {
+        return watch;
+      }
+      let Some((progress, mut left)) = state.fresh() else {
         return watch;
       };
       if let Some(batch) = state.next_batch() {
         state.lacking = None;
         return Next::Take(batch);
       }
-      let Some(mut left) = STALE.checked_sub(answered.elapsed()) else {
-        return watch;
-      };
       if progress.changed > state.revision {
         let lacking = state.lacking.get_or_insert_with(Instant::now).elapsed();
         let Some(patience) = BATCH.checked_sub(lacking) else {
@@ -189,19 +257,26 @@
           };
         };
         left = left.min(patience);
+      } else if failed.is_some_and(|failed| state.answered > Some(failed)) {
+        return Next::Reached;
       }
       let waited = self.changed.wait_timeout(state, left);
       state = waited.map_or_else(|poisoned| poisoned.into_inner().0, |waited| waited.0);
     }
   }
 
-  /// What came of a call, or of changes that were offered.
-  pub(super) fn answered(&self, revision: u64, matters: bool) {
+  /// What came of a call.
+  pub(super) fn answered(&self, answer: Answer) {
     let mut state = lock(&self.state);
-    state.revision = state.revision.max(revision);
-    if matters {
-      state.changed = state.changed.max(revision);
-    }
+    state.take(answer.revision, answer.matters);
+    state.confirmed = state.confirmed.max(Some(answer.confirmed));
+  }
+
+  /// Changes that were offered are known now.
+  pub(super) fn taken(&self, revision: u64, matters: bool) {
+    let mut state = lock(&self.state);
+    state.take(revision, matters);
+    state.confirm_holder();
   }
 
   /// Keeps what was read here for the other instances, where they go by it.
@@ -215,14 +290,21 @@
     state.published.extend(batch);
   }
 
-  /// Since the store last answered, as far as known here; none: it never has.
+  /// Rings for what there is to publish, once it is known here.
+  pub(super) fn announce(&self) {
+    if let (true, Some(bell)) = (self.leads(), self.bell.get()) {
+      bell.ring();
+    }
+  }
+
+  /// Since the moment as of which everything is known here; none: nothing is.
   pub(super) fn age(&self) -> Option<Duration> {
     lock(&self.state)
-      .answered
-      .map(|answered| answered.elapsed())
+      .confirmed
+      .map(|confirmed| confirmed.elapsed())
   }
 
-  /// The store has answered: the longest time without an answer since this was last
+  /// The store has answered a call: the longest time without an answer since this was last
   /// asked, as far as known here.
   pub(super) fn heard(&self) -> Duration {
     let mut state = lock(&self.state);
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,7 +7,7 @@
 pub use batch::{Batch, Change};
 pub use gate::{Gate, Progress};
 
-use crate::store::{Changes, Error, Object, Result, Store};
+use crate::store::{Error, Object, Result, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -15,18 +15,20 @@
   time::{Duration, Instant},
 };
 
-/// Longest wait of one watch. A waiting watch counts as a call; but one that was
-/// begun while the store was silent is never answered, and hides all changes until
-/// its time is over.
-const WATCH: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch. A waiting watch counts as a call; but one whose connection or
+/// store has fallen silent is never answered, and hides all changes until its time is over.
+const WATCH: Duration = Duration::from_millis(1_000);
+/// The same where others go by what is read here: each answer, also one without changes,
+/// confirms what they know (`gate::STALE`).
+const LEADING_WATCH: Duration = Duration::from_millis(300);
 /// Wait of the first watch after a failure: it only shows that the store answers.
 const FIRST: Duration = Duration::from_millis(1);
-/// The store was silent when nothing was heard of it for this long: longer than a
-/// watch without changes and the pause before it, shorter than the three heartbeats, of a
-/// bit more than a second each, after which entries of servers lapse.
+/// The store was silent when calls failed and nothing was heard of it for this long: shorter
+/// than the three heartbeats, of a bit more than a second each, after which entries of
+/// servers lapse.
 pub const SILENT: Duration = Duration::from_millis(3_100);
 /// Pause after changes, so that changes made together come in one answer.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(150);
 /// Pause after a failure, doubled for each further one, and its most.
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_millis(800);
@@ -76,90 +78,191 @@
   kind: &str,
   gate: &Gate,
   log: &Logger,
-  mut take: impl FnMut(Event) -> bool,
+  take: impl FnMut(Event) -> bool,
 ) -> ! {
-  let mut from: Option<u64> = None;
-  let mut failures = 0;
+  let mut feed = Feed {
+    store,
+    kind,
+    gate,
+    log,
+    take,
+    from: None,
+    failures: 0,
+    failed: None,
+  };
   loop {
-    let next = match from {
+    feed.step();
+  }
+}
+
+/// A kind that is followed.
+struct Feed<'a, T> {
+  store: &'a Store,
+  kind: &'a str,
+  gate: &'a Gate,
+  log: &'a Logger,
+  take: T,
+  /// Up to which revision changes are known; none: all is to be read.
+  from: Option<u64>,
+  /// Failed calls in a row, and when the last one was begun.
+  failures: u32,
+  failed: Option<Instant>,
+}
+
+/// What a call brought.
+struct Answered {
+  event: Event,
+  revision: u64,
+  /// As of when all changes are known by it.
+  confirmed: Instant,
+  source: &'static str,
+  /// Since what was known before was confirmed.
+  age: Option<Duration>,
+}
+
+impl<T: FnMut(Event) -> bool> Feed<'_, T> {
+  fn step(&mut self) {
+    let next = match self.from {
       None => Next::All,
-      Some(_) => gate.wait(),
+      Some(_) => self.gate.wait(self.failed),
     };
-    let (began, age) = (Instant::now(), gate.age());
-    let source = if next == Next::All { "list" } else { "watch" };
-    let result = match next {
-      Next::Take(batch) => {
-        if let Some(objects) = batch.objects() {
-          let (count, age) = (objects.len(), gate.age());
-          let matters = !objects.is_empty() && take(Event::Some(objects));
-          if matters {
-            note(log, kind, "batch", (batch.revision, count), age);
-          }
-          from = Some(batch.revision);
-          gate.answered(batch.revision, matters);
-        } else {
-          warn!(log, "batch not understood"; "kind" => kind, "revision" => batch.revision);
-        }
-        continue;
-      }
-      Next::All => all(store, kind).map(|(objects, revision)| (Event::All(objects), revision)),
-      Next::Watch { revision, there } => {
-        from = Some(revision);
-        let wait = if failures > 0 || there { FIRST } else { WATCH };
-        (store.watch)(kind, revision, wait).map(some)
-      }
+    match next {
+      Next::Take(batch) => self.take_batch(batch),
+      Next::Reached => self.back(),
+      Next::All => self.read(),
+      Next::Watch { revision, there } => self.watch(revision, there),
+    }
+  }
+
+  fn take_batch(&mut self, batch: Batch) {
+    let Some(objects) = batch.objects() else {
+      warn!(self.log, "batch not understood"; "kind" => self.kind, "revision" => batch.revision);
+      return;
     };
-    match result {
-      Ok((event, revision)) => {
-        let silence = gate.heard();
-        if failures > 0 || silence >= SILENT {
-          info!(log, "store is back"; "kind" => kind, "failures" => failures,
-            "revision" => revision, "silent_ms" => silence.as_millis() as u64);
-          take(Event::Back(silence));
-        }
-        failures = 0;
-        let after = from.replace(revision).unwrap_or_default();
-        let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
-        let read = match &event {
-          Event::Some(objects) if !empty => Some(objects.clone()),
-          _ => None,
+    let (count, age) = (objects.len(), self.gate.age());
+    let matters = !objects.is_empty() && (self.take)(Event::Some(objects));
+    if matters {
+      note(self.log, self.kind, "batch", (batch.revision, count), age);
+    }
+    self.from = Some(batch.revision);
+    self.gate.taken(batch.revision, matters);
+  }
+
+  fn read(&mut self) {
+    let (began, age) = (Instant::now(), self.gate.age());
+    match all(self.store, self.kind) {
+      Ok((objects, revision)) => self.answered(Answered {
+        event: Event::All(objects),
+        revision,
+        confirmed: began,
+        source: "list",
+        age,
+      }),
+      Err(error) => self.fail("list", began, &error),
+    }
+  }
+
+  fn watch(&mut self, revision: u64, there: bool) {
+    let (began, age) = (Instant::now(), self.gate.age());
+    let wait = match self.gate.leads() {
+      _ if self.failures > 0 || there => FIRST,
+      true => LEADING_WATCH,
+      false => WATCH,
+    };
+    self.from = Some(revision);
+    match (self.store.watch)(self.kind, revision, wait) {
+      Ok(changes) => {
+        // Without changes the store waited all the time before it answered.
+        let waited = if changes.objects.is_empty() {
+          wait
+        } else {
+          Duration::ZERO
         };
-        let count = event.count();
-        let matters = !empty && take(event);
-        if matters {
-          note(log, kind, source, (revision, count), age);
-        }
-        if let (true, Some(objects)) = (matters, read) {
-          gate.publish((after, revision), &objects);
-        }
-        gate.answered(revision, matters);
-        if !empty {
-          thread::sleep(GATHER);
-        }
-      }
-      Err(Error::HistoryGone) => {
-        info!(log, "history is gone"; "kind" => kind, "revision" => from);
-        from = None;
-      }
-      Err(error) => {
-        if failures == 0 {
-          warn!(log, "store is lost"; "kind" => kind, "error" => %error, "revision" => from);
-          take(Event::Lost);
-        }
-        if failures % FAILURES_LOGGED == 0 {
-          info!(log, "call failed"; "kind" => kind, "call" => source, "error" => %error,
-            "failures" => failures, "revision" => from,
-            "took_ms" => began.elapsed().as_millis() as u64);
-        }
-        thread::sleep((RETRY * (1 << failures.min(3))).min(RETRY_MOST));
-        failures += 1;
+        self.answered(Answered {
+          event: Event::Some(changes.objects),
+          revision: changes.revision,
+          confirmed: Instant::now().min(began + waited),
+          source: "watch",
+          age,
+        });
       }
+      Err(error) => self.fail("watch", began, &error),
     }
   }
-}
 
-fn some(changes: Changes) -> (Event, u64) {
-  (Event::Some(changes.objects), changes.revision)
+  fn answered(&mut self, answered: Answered) {
+    let Answered {
+      event, revision, ..
+    } = answered;
+    self.back();
+    let after = self.from.replace(revision).unwrap_or_default();
+    let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
+    let read = match &event {
+      Event::Some(objects) if !empty => Some(objects.clone()),
+      _ => None,
+    };
+    let count = event.count();
+    let matters = !empty && (self.take)(event);
+    if matters {
+      note(
+        self.log,
+        self.kind,
+        answered.source,
+        (revision, count),
+        answered.age,
+      );
+    }
+    if let (true, Some(objects)) = (matters, read) {
+      self.gate.publish((after, revision), &objects);
+    }
+    self.gate.answered(gate::Answer {
+      revision,
+      matters,
+      confirmed: answered.confirmed,
+    });
+    if matters {
+      self.gate.announce();
+    }
+    if !empty {
+      thread::sleep(GATHER);
+    }
+  }
+
+  /// The store answers; where calls had failed it was silent until now. A wait without
+  /// changes is no silence: a holder that fell silent and the watch that followed made 3.5 s
+  /// of it, and a server that had left meanwhile got requests for 2 s more.
+  fn back(&mut self) {
+    let silence = self.gate.heard();
+    if self.failures == 0 {
+      return;
+    }
+    info!(self.log, "store is back"; "kind" => self.kind, "failures" => self.failures,
+      "revision" => self.from, "silent_ms" => silence.as_millis() as u64);
+    (self.take)(Event::Back(silence));
+    self.failures = 0;
+    self.failed = None;
+  }
+
+  fn fail(&mut self, call: &str, began: Instant, error: &Error) {
+    if *error == Error::HistoryGone {
+      info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from);
+      self.from = None;
+      return;
+    }
+    if self.failures == 0 {
+      warn!(self.log, "store is lost"; "kind" => self.kind, "error" => %error,
+        "revision" => self.from);
+      (self.take)(Event::Lost);
+    }
+    if self.failures.is_multiple_of(FAILURES_LOGGED) {
+      info!(self.log, "call failed"; "kind" => self.kind, "call" => call, "error" => %error,
+        "failures" => self.failures, "revision" => self.from,
+        "took_ms" => began.elapsed().as_millis() as u64);
+    }
+    self.failed = Some(began);
+    thread::sleep((RETRY * (1 << self.failures.min(3))).min(RETRY_MOST));
+    self.failures += 1;
+  }
 }
 
 fn all(store: &Store, kind: &str) -> Result<(Vec<Object>, u64)> {
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -186,12 +186,6 @@
     })
   }
 
-  /// Since the last renewal was begun, ms: the store has answered since.
-  pub fn renewal_age(&self, now: u64) -> u64 {
-    let held = self.held.as_ref();
-    held.map_or(u64::MAX, |held| now.saturating_sub(held.renewed))
-  }
-
   /// Takes up the holder's word, heard from `address`.
   pub fn receive(&mut self, now: u64, heartbeat: Heartbeat, address: SocketAddr) {
     let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -167,6 +167,8 @@
     members: Vec::new(),
     buffer: vec![0; DATAGRAM],
   };
+  hub.gates.deployments.ring(planner.bell.clone());
+  hub.gates.servers.ring(planner.bell.clone());
   let builder = thread::Builder::new().name("planner".into());
   builder.spawn(move || planner.run())?;
   Ok(address)
@@ -318,6 +320,9 @@
         "term" => record.term, "revision" => revision);
     }
     if result.is_ok() {
+      let answered = Instant::now();
+      self.hub.gates.deployments.hear(answered);
+      self.hub.gates.servers.hear(answered);
       // Others go by the time of the last renewal.
       group.plan.publish_soon();
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -127,27 +127,35 @@
           // The feed of the servers tells of the store.
           feed::Event::Back(_) => return false,
         };
-        for object in &objects {
-          deploy(&hub, &edge, object);
-        }
-        true
+        objects
+          .iter()
+          .filter(|object| deploy(&hub, &edge, object))
+          .count()
+          > 0
       },
     )
   })?;
   Ok(())
 }
 
-fn deploy(hub: &Hub, edge: &Edge, object: &Object) {
+/// Takes up the deployment in an object; whether it is newer than the one in force.
+fn deploy(hub: &Hub, edge: &Edge, object: &Object) -> bool {
   match (edge.deployment)(object) {
     Ok(Some(deployment)) => {
+      let version = hub.state().deployment.as_ref().map(|known| known.version);
+      if version >= Some(deployment.version) {
+        return false;
+      }
       info!(hub.log, "configured"; "version" => deployment.version,
         "revision" => object.revision, "routes" => deployment.routes.len());
       hub.apply(Event::Deployed(Arc::new(deployment)), None);
+      true
     }
-    Ok(None) => {}
+    Ok(None) => false,
     Err(fault) => {
       warn!(hub.log, "configuration is faulty, the last good one stays in force";
         "object" => &object.name, "revision" => object.revision, "fault" => fault);
+      false
     }
   }
 }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -130,7 +130,7 @@
   assert_eq!(news.recv_timeout(LONG), Ok(5));
   // Event is taken up before the gate knows of it.
   let began = Instant::now();
-  while gate.progress(0).revision < 5 {
+  while gate.progress().revision < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
@@ -302,7 +302,7 @@
     true
   });
   let began = Instant::now();
-  while gate.progress(0).revision < 5 {
+  while gate.progress().revision < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
