a send is looked at again once its connection is up

Cause: a server is chosen, then a connection is looked for, up to 400 ms; a leaving that became known meanwhile was not heeded, so the request went to a server known to leave. Ruled out: waiting and repeated requests, resumed streams: each is chosen anew. Change: right before the bytes go out the reducer is asked whether the send stands. If not it ends as `leaving`: not run, nothing arrived, so it goes on to another server and is no repeat.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -96,6 +96,8 @@
   Unreached,
   /// Its time was over before anything went out.
   Unsent,
+  /// The server was found to leave before anything went out.
+  Leaving,
   /// The request may have run; nothing of an answer counts.
   Broken,
   /// The caller has gone.
@@ -115,6 +117,7 @@
       Self::Replaced => "replaced",
       Self::Unreached => "unreached",
       Self::Unsent => "unsent",
+      Self::Leaving => "leaving",
       Self::Broken => "broken",
       Self::Left => "left",
       Self::Late => "late",
@@ -124,9 +127,12 @@
   /// Whether the server may have run the request.
   pub fn verdict(self) -> Verdict {
     match self {
-      Self::Full | Self::Missing | Self::Replaced | Self::Unreached | Self::Unsent => {
-        Verdict::NotRun
-      }
+      Self::Full
+      | Self::Missing
+      | Self::Replaced
+      | Self::Unreached
+      | Self::Unsent
+      | Self::Leaving => Verdict::NotRun,
       _ => Verdict::MayHaveRun,
     }
   }
@@ -489,6 +495,8 @@
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
       End::Broken => self.broken(ticket),
+      // Nothing arrived anywhere: the next send is no repeat.
+      End::Leaving => self.place(ticket),
     }
     self.place_waiting();
   }
@@ -531,7 +539,7 @@
     backend.running = backend.running.saturating_sub(1);
     match end {
       End::Whole => backend.failures = 0,
-      End::Failed | End::Left | End::Late | End::Unsent => {}
+      End::Failed | End::Left | End::Late | End::Unsent | End::Leaving => {}
       End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
       End::Missing => {
         if let Some(model) = &model {
@@ -561,6 +569,12 @@
     }
   }
 
+  /// Whether a send that was decided may still be made.
+  pub fn stands(&self, attempt: &Attempt) -> bool {
+    let backend = self.backends.get(attempt.backend);
+    backend.is_some_and(|backend| backend.spec.stage == Stage::Ready)
+  }
+
   /// Until when the holdings published last count, ms.
   pub(crate) fn current_until(&self) -> u64 {
     self.updated_at + CURRENT_MS
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -281,6 +281,10 @@
     if !used {
       self.hub.measures.connection();
     }
+    // Its leaving may have become known while the connection came up.
+    if !self.hub.state().stands(attempt) {
+      return outcome(End::Leaving, "server leaves");
+    }
     self.events.cut();
     let result = self.exchange(&mut socket, attempt);
     match result {
