decisions are handed out in the order in which they were made

Cause: effects were put into mailboxes after the state's lock was released. A thread that decided that its request waits could be overtaken by one that decided to send it: the older directive came last, the newest one counts, and the send was dropped. Or a look at a request found it decided and its mailbox still empty. The caller got 502 for a request that never ran, and the server and the model counted one running request more for as long as the process lived. Ruled out: the reducer, which sees one event at a time. Change: the mailboxes are locked before the decision. No other code takes the two locks.

--- a/src/hub.rs
+++ b/src/hub.rs
@@ -138,11 +138,9 @@
 
   /// Takes up an event and hands its effects out; `own` needs no bell.
   pub fn apply(&self, event: Event, own: Option<Ticket>) {
-    let effects = self.state().reduce(self.now(), event);
-    if effects.is_empty() {
-      return;
-    }
+    // Locked before the decision: what is decided later must not be handed out earlier.
     let mailboxes = lock(&self.mailboxes);
+    let effects = self.state().reduce(self.now(), event);
     for effect in effects {
       let (ticket, directive) = match effect {
         Effect::Send(attempt) => (attempt.ticket, Directive::Send(attempt)),
