--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -465,3 +465,14 @@
   let effects = state.reduce(4, ask(2, &route, Some("m")));
   assert_eq!(sent(&effects).as_deref(), Some("one"));
 }
+
+#[test]
+fn a_caller_that_leaves_as_its_request_is_sent_counts_nowhere() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("s", &["m"])]);
+  assert!(sent(&state.reduce(1, ask(1, &route, Some("m")))).is_some());
+  // Its thread has not seen the decision, and nothing went out.
+  state.reduce(2, Event::Left(Ticket(1)));
+  assert!(state.running.is_empty(), "{:?}", state.running);
+  assert_eq!(state.backends[state.ids["s"]].running, 0);
+}
