a caller that leaves as its request is sent gives its place back

Cause: a request that waits is decided by any thread; its own thread may notice that the caller has gone before it sees the decision. The request was then forgotten while the server, and the model there, went on counting it: the load estimate stayed too high, the model could not give way, and a removed server was never dropped. Ruled out: a caller that leaves during the send, which ends by `End::Left`. Change: leaving settles a send that was decided.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -315,7 +315,7 @@
       Event::Ended { ticket, end } => self.ended(ticket, end),
       Event::Began(ticket) => self.began(ticket),
       Event::Look(ticket) => self.place(ticket),
-      Event::Left(ticket) => self.forget(ticket),
+      Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.store_lost = true,
       Event::StoreBack { silence } => self.store_back(silence),
       Event::Stopping(new_until, wait_until) => {
@@ -357,6 +357,18 @@
     self.place(ticket);
   }
 
+  /// The caller has gone; a send that its thread has not seen yet is not made.
+  fn left(&mut self, ticket: Ticket) {
+    let decided = self
+      .requests
+      .get_mut(&ticket)
+      .and_then(|request| Some((request.at.take()?, request.ask.model.clone())));
+    if let Some((key, model)) = decided {
+      self.settle(key, model, End::Left);
+    }
+    self.forget(ticket);
+  }
+
   fn forget(&mut self, ticket: Ticket) {
     if let Some(request) = self.requests.remove(&ticket) {
       self.waiting.remove(&order(&request.ask));
