test: a holding that comes before its server's entry is lost

Cause: src/listing.rs drops a holding of a server that it has no entry of, while the count of changes goes on.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -476,3 +476,41 @@
   assert!(state.running.is_empty(), "{:?}", state.running);
   assert_eq!(state.backends[state.ids["s"]].running, 0);
 }
+
+/// The planner's word that server "s" holds a model.
+fn word_of(model: &str, all: bool) -> Event {
+  Event::Updated {
+    holdings: vec![Holding {
+      id: "s".into(),
+      models: BTreeMap::from([(model.into(), Vec::new())]),
+      leaving: Vec::new(),
+      coming: None,
+    }],
+    all: all.then_some((0, 1)),
+    loads: None,
+    instances: 3,
+  }
+}
+
+#[test]
+fn the_planners_word_counts_for_a_server_whose_entry_comes_after_it() {
+  let route = route(Repeat::Always, None, 2);
+  for all in [false, true] {
+    let mut state = state(Vec::new());
+    state.reduce(1, word_of("m", all));
+    state.reduce(2, Event::Servers(vec![Change::Set(spec("s", &[]))]));
+    let effects = state.reduce(3, ask(1, &route, Some("m")));
+    assert_eq!(sent(&effects).as_deref(), Some("s"), "all: {all}");
+  }
+}
+
+#[test]
+fn of_two_words_for_a_server_without_an_entry_the_newer_counts() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(Vec::new());
+  state.reduce(1, word_of("old", false));
+  state.reduce(2, word_of("new", true));
+  state.reduce(3, Event::Servers(vec![Change::Set(spec("s", &[]))]));
+  assert_eq!(sent(&state.reduce(4, ask(1, &route, Some("old")))), None);
+  assert!(sent(&state.reduce(5, ask(2, &route, Some("new")))).is_some());
+}
