a holding that comes before its server's entry is kept until the entry is read

Cause: holdings and entries reach an instance by different ways: updates are taken up by the planner's thread, batches and lists by the feed's. A holding of a server without an entry was dropped, but the count of changes went on, so it was not asked for again. Until that server's next change the instance went by the entry's own statement, which lags by a heartbeat and whose later changes are not passed on: it let requests wait, and refused them, for a model that was there. Ruled out: lost datagrams, which the count shows.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -246,6 +246,8 @@
   pub(crate) lapse_until: u64,
   /// How slow servers were for each model since the last report.
   pub(crate) strain: Book,
+  /// Holdings of servers whose entries were not read yet, and when they came, ms.
+  pub(crate) early: BTreeMap<String, (Holding, u64)>,
   /// Counts changes of holdings that were published.
   pub updates: u64,
   rng: SmallRng,
@@ -279,6 +281,7 @@
       wants: Wants::new(),
       lapse_until: 0,
       strain: Book::new(),
+      early: BTreeMap::new(),
       updates: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -12,6 +12,9 @@
 /// answers again, ms: the platform says about two seconds, and what is missing then
 /// is gone.
 const LAPSE_MS: u64 = 2_000;
+/// A holding published for a server without an entry is kept for this long, ms: its entry
+/// comes by another path, where it must be read again some seconds later at the most.
+const EARLY_MS: u64 = 10_000;
 
 impl State {
   pub(crate) fn servers(&mut self, changes: Vec<Change>) {
@@ -46,7 +49,11 @@
       }
       None => {
         let id = spec.id.clone();
-        let key = self.backends.insert(Backend::open(spec, self.now));
+        let mut backend = Backend::open(spec, self.now);
+        if let Some((holding, _)) = self.early.remove(&id) {
+          backend.update(holding, self.now);
+        }
+        let key = self.backends.insert(backend);
         self.ids.insert(id, key);
       }
     }
@@ -115,7 +122,12 @@
   }
 
   pub(crate) fn take_holdings(&mut self, holdings: Vec<Holding>, all: Option<(u32, u32)>) {
+    let now = self.now;
+    self.early.retain(|_, (_, came)| now < *came + EARLY_MS);
     if let Some((group, groups)) = all {
+      self
+        .early
+        .retain(|id, _| backend::group(id, groups) != group);
       for backend in self.backends.values_mut() {
         if backend::group(&backend.spec.id, groups) == group {
           backend.holding = None;
@@ -126,8 +138,11 @@
     let changed = !holdings.is_empty();
     self.updates += u64::from(changed || all.is_some());
     for holding in holdings {
-      if let Some(key) = self.ids.get(&holding.id) {
-        self.backends[*key].update(holding, self.now);
+      match self.ids.get(&holding.id) {
+        Some(key) => self.backends[*key].update(holding, now),
+        None => {
+          self.early.insert(holding.id.clone(), (holding, now));
+        }
       }
     }
     if changed {
