--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -514,3 +514,14 @@
   assert_eq!(sent(&state.reduce(4, ask(1, &route, Some("old")))), None);
   assert!(sent(&state.reduce(5, ask(2, &route, Some("new")))).is_some());
 }
+
+#[test]
+fn a_call_that_fails_once_gives_missing_entries_no_time_anew() {
+  let (mut state, _) = lapsed(4_000);
+  state.reduce(1_900, Event::StoreLost);
+  let silence = Duration::from_millis(100);
+  state.reduce(2_000, Event::StoreBack { silence });
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_200, ask(1, &route, None));
+  assert_eq!(sent(&effects), None, "gone for two seconds");
+}
