a call that fails once gives missing entries no time anew

Cause: entries that vanish right after a silence of the store are used for two seconds, for they may come back. While one was missing, each answer after a failed call, also after a single watch that was cut, began these two seconds anew: a server that had really gone could be used without end, and longer than two seconds after its leaving was acknowledged. Ruled out: entries that say that they leave; they are gone at once. Change: the time begins anew where calls failed for a second or more, so that servers may have missed a heartbeat; otherwise it grows by the time of the failure. A store that is lost for two seconds gives entries time anew as before.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -240,6 +240,8 @@
   /// When a planner was last heard of, ms.
   pub updated_at: u64,
   pub(crate) store_lost: bool,
+  /// When it last stopped answering this instance, ms.
+  pub(crate) lost_at: u64,
   /// What callers want that were sent away with a Retry-After.
   pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
@@ -278,6 +280,7 @@
       stop_at: u64::MAX,
       updated_at: 0,
       store_lost: false,
+      lost_at: 0,
       wants: Wants::new(),
       lapse_until: 0,
       strain: Book::new(),
@@ -319,7 +322,7 @@
       Event::Began(ticket) => self.began(ticket),
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.left(ticket),
-      Event::StoreLost => self.store_lost = true,
+      Event::StoreLost => self.store_lost(),
       Event::StoreBack { silence } => self.store_back(silence),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -12,6 +12,9 @@
 /// answers again, ms: the platform says about two seconds, and what is missing then
 /// is gone.
 const LAPSE_MS: u64 = 2_000;
+/// Servers may have missed a heartbeat while the store did not answer for this long, ms; a
+/// single call that fails says nothing of them.
+const MISSED_MS: u64 = 1_000;
 /// A holding published for a server without an entry is kept for this long, ms: its entry
 /// comes by another path, where it must be read again some seconds later at the most.
 const EARLY_MS: u64 = 10_000;
@@ -59,12 +62,20 @@
     }
   }
 
+  pub(crate) fn store_lost(&mut self) {
+    self.store_lost = true;
+    self.lost_at = self.now;
+  }
+
   pub(crate) fn store_back(&mut self, silence: Duration) {
     self.store_lost = false;
-    // Entries still missing from an earlier silence had no time to come back.
+    let lost = self.now.saturating_sub(self.lost_at);
     let missing = self.backends.values().any(|backend| backend.lapsed);
-    if silence >= SILENT || missing {
+    // Entries still missing from an earlier silence had no time to come back.
+    if silence >= SILENT || missing && lost >= MISSED_MS {
       self.lapse_until = self.now + LAPSE_MS;
+    } else if missing {
+      self.lapse_until += lost;
     }
   }
 
