--- /dev/null
+++ b/tests/entry.rs
@@ -0,0 +1,92 @@
+//! What callers may send is what the deployment in force says when they send it.
+
+use bendsaddle::{
+  deployment::{Bounds, Deployment},
+  dialect::Dialect,
+  dispatch::{Event, State},
+  entry,
+  hub::Hub,
+  retry::Bound,
+};
+use slog::{Discard, Logger, o};
+use std::{
+  io::{Read, Write},
+  net::TcpStream,
+  sync::Arc,
+  time::Duration,
+};
+
+const LONG: Duration = Duration::from_secs(20);
+/// A connection may rest for so long under the first version.
+const REST: Duration = Duration::from_millis(200);
+
+fn hub() -> Arc<Hub> {
+  let bound = Bound {
+    ratio: 0.2,
+    slack: 80.0,
+    window_ms: 10_000,
+  };
+  let state = State::open("a", bound, 1);
+  Hub::open(state, Dialect::OWN, Logger::root(Discard, o!())).unwrap()
+}
+
+fn deploy(hub: &Hub, version: u64, body_bytes: usize, idle_time: Duration) {
+  let bounds = Bounds {
+    body_bytes,
+    idle_time,
+    ..Bounds::default()
+  };
+  let deployment = Deployment {
+    version,
+    bounds,
+    ..Deployment::default()
+  };
+  hub.apply(Event::Deployed(Arc::new(deployment)), None);
+}
+
+fn connect(hub: &Arc<Hub>) -> TcpStream {
+  let address = entry::bind(hub, "127.0.0.1:0", 8).unwrap();
+  let stream = TcpStream::connect(address).unwrap();
+  stream.set_read_timeout(Some(LONG)).unwrap();
+  stream
+}
+
+/// Sends a request with a body; gives the status of the answer.
+fn status(stream: &mut TcpStream, bytes: usize) -> u16 {
+  let head = format!("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {bytes}\r\n\r\n");
+  stream.write_all(head.as_bytes()).unwrap();
+  stream.write_all(&vec![b'x'; bytes]).unwrap();
+  let mut answer = Vec::new();
+  let mut piece = [0; 1024];
+  while !answer.ends_with(b"}}") {
+    let length = stream.read(&mut piece).unwrap();
+    assert!(length > 0, "closed without an answer");
+    answer.extend_from_slice(&piece[..length]);
+  }
+  let text = String::from_utf8(answer).unwrap();
+  text[9..12].parse().unwrap()
+}
+
+#[test]
+fn a_connection_at_rest_goes_by_the_newest_bounds() {
+  let hub = hub();
+  deploy(&hub, 1, 10, LONG);
+  let mut stream = connect(&hub);
+  assert_eq!(status(&mut stream, 5), 404);
+  deploy(&hub, 2, 1_000, LONG);
+  assert_eq!(status(&mut stream, 500), 404, "the first version's bound");
+}
+
+#[test]
+fn a_connection_rests_for_as_long_as_the_newest_bounds_say() {
+  let hub = hub();
+  deploy(&hub, 1, 10, REST);
+  let mut stream = connect(&hub);
+  assert_eq!(status(&mut stream, 5), 404);
+  deploy(&hub, 2, 10, LONG);
+  stream.set_read_timeout(Some(REST * 3)).unwrap();
+  let rested = stream.read(&mut [0; 1]);
+  assert!(rested.is_err(), "closed after the first version's time");
+  stream.set_read_timeout(Some(LONG)).unwrap();
+  assert_eq!(status(&mut stream, 5), 404);
+}
