a connection at rest goes by the newest deployment's bounds

Cause: the bounds of heads, bodies and rests were taken before a connection waited for its next request, which may take as long as the rest allowed. A request that came after a new version was held to the old one's bounds: 413 or 431 for what the new version allows, or a connection closed that the new version keeps. Ruled out: routes, which are looked up once the request has been read. Change: bounds are taken when a request begins, and the rest is looked at again when it is over.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -110,9 +110,8 @@
   let mailbox = Arc::new(mailbox);
   let mut first = true;
   loop {
-    let bounds = bounds(hub);
-    let begun = begin(hub, &mut socket, &bounds, std::mem::take(&mut first));
-    match begun.and_then(|begun| begun.then(|| read(hub, &mut socket, &bounds)).transpose()) {
+    let begun = begin(hub, &mut socket, std::mem::take(&mut first));
+    match begun.and_then(|begun| begun.then(|| read(hub, &mut socket)).transpose()) {
       Ok(Some((head, body, arrived))) => {
         hub.active.fetch_add(1, Ordering::Relaxed);
         let keep = answer(hub, &mailbox, &mut socket, head, body, arrived);
@@ -155,8 +154,9 @@
 /// Waits for the next request's first byte; false when the connection is to end. A
 /// planned stop ends connections at rest, but a balancer that does not know of it
 /// yet still sends new ones.
-fn begin(hub: &Hub, socket: &mut Socket, bounds: &Bounds, first: bool) -> Result<bool, Stop> {
-  let idle = Instant::now() + bounds.idle_time;
+fn begin(hub: &Hub, socket: &mut Socket, first: bool) -> Result<bool, Stop> {
+  let rests = Instant::now();
+  let mut idle = rests + bounds(hub).idle_time;
   while socket.input.is_empty() {
     let stopping = hub.stopping.load(Ordering::Relaxed);
     if stopping && !first {
@@ -173,17 +173,23 @@
         return Ok(false);
       }
     } else if !stopped {
-      return Ok(false);
+      // A deployment that came meanwhile may allow a longer rest.
+      let newest = rests + bounds(hub).idle_time;
+      if stopping || newest <= idle {
+        return Ok(false);
+      }
+      idle = newest;
     }
   }
   Ok(true)
 }
 
-/// Reads a request that has begun.
-fn read(hub: &Hub, socket: &mut Socket, bounds: &Bounds) -> Result<(Request, Vec<u8>, u64), Stop> {
+/// Reads a request that has begun, within the bounds that are in force by now.
+fn read(hub: &Hub, socket: &mut Socket) -> Result<(Request, Vec<u8>, u64), Stop> {
   let arrived = hub.now();
-  let head = read_head(socket, bounds)?;
-  let body = read_body(socket, &head, bounds)?;
+  let bounds = bounds(hub);
+  let head = read_head(socket, &bounds)?;
+  let body = read_body(socket, &head, &bounds)?;
   Ok((head, body, arrived))
 }
 
