--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -96,6 +96,8 @@
   Unreached,
   /// Its time was over before anything went out.
   Unsent,
+  /// The server was found to leave before anything went out.
+  Leaving,
   /// The request may have run; nothing of an answer counts.
   Broken,
   /// The caller has gone.
@@ -115,6 +117,7 @@
       Self::Replaced => "replaced",
       Self::Unreached => "unreached",
       Self::Unsent => "unsent",
+      Self::Leaving => "leaving",
       Self::Broken => "broken",
       Self::Left => "left",
       Self::Late => "late",
@@ -124,9 +127,12 @@
   /// Whether the server may have run the request.
   pub fn verdict(self) -> Verdict {
     match self {
-      Self::Full | Self::Missing | Self::Replaced | Self::Unreached | Self::Unsent => {
-        Verdict::NotRun
-      }
+      Self::Full
+      | Self::Missing
+      | Self::Replaced
+      | Self::Unreached
+      | Self::Unsent
+      | Self::Leaving => Verdict::NotRun,
       _ => Verdict::MayHaveRun,
     }
   }
@@ -234,12 +240,16 @@
   /// When a planner was last heard of, ms.
   pub updated_at: u64,
   pub(crate) store_lost: bool,
+  /// When it last stopped answering this instance, ms.
+  pub(crate) lost_at: u64,
   /// What callers want that were sent away with a Retry-After.
   pub(crate) wants: Wants,
   /// Until when missing entries may come back, ms.
   pub(crate) lapse_until: u64,
   /// How slow servers were for each model since the last report.
   pub(crate) strain: Book,
+  /// Holdings of servers whose entries were not read yet, and when they came, ms.
+  pub(crate) early: BTreeMap<String, (Holding, u64)>,
   /// Counts changes of holdings that were published.
   pub updates: u64,
   rng: SmallRng,
@@ -270,9 +280,11 @@
       stop_at: u64::MAX,
       updated_at: 0,
       store_lost: false,
+      lost_at: 0,
       wants: Wants::new(),
       lapse_until: 0,
       strain: Book::new(),
+      early: BTreeMap::new(),
       updates: 0,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
@@ -309,8 +321,8 @@
       Event::Ended { ticket, end } => self.ended(ticket, end),
       Event::Began(ticket) => self.began(ticket),
       Event::Look(ticket) => self.place(ticket),
-      Event::Left(ticket) => self.forget(ticket),
-      Event::StoreLost => self.store_lost = true,
+      Event::Left(ticket) => self.left(ticket),
+      Event::StoreLost => self.store_lost(),
       Event::StoreBack { silence } => self.store_back(silence),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
@@ -351,6 +363,18 @@
     self.place(ticket);
   }
 
+  /// The caller has gone; a send that its thread has not seen yet is not made.
+  fn left(&mut self, ticket: Ticket) {
+    let decided = self
+      .requests
+      .get_mut(&ticket)
+      .and_then(|request| Some((request.at.take()?, request.ask.model.clone())));
+    if let Some((key, model)) = decided {
+      self.settle(key, model, End::Left);
+    }
+    self.forget(ticket);
+  }
+
   fn forget(&mut self, ticket: Ticket) {
     if let Some(request) = self.requests.remove(&ticket) {
       self.waiting.remove(&order(&request.ask));
@@ -489,6 +513,8 @@
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
       End::Broken => self.broken(ticket),
+      // Nothing arrived anywhere: the next send is no repeat.
+      End::Leaving => self.place(ticket),
     }
     self.place_waiting();
   }
@@ -531,7 +557,7 @@
     backend.running = backend.running.saturating_sub(1);
     match end {
       End::Whole => backend.failures = 0,
-      End::Failed | End::Left | End::Late | End::Unsent => {}
+      End::Failed | End::Left | End::Late | End::Unsent | End::Leaving => {}
       End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
       End::Missing => {
         if let Some(model) = &model {
@@ -561,6 +587,12 @@
     }
   }
 
+  /// Whether a send that was decided may still be made.
+  pub fn stands(&self, attempt: &Attempt) -> bool {
+    let backend = self.backends.get(attempt.backend);
+    backend.is_some_and(|backend| backend.spec.stage == Stage::Ready)
+  }
+
   /// Until when the holdings published last count, ms.
   pub(crate) fn current_until(&self) -> u64 {
     self.updated_at + CURRENT_MS
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -465,3 +465,63 @@
   let effects = state.reduce(4, ask(2, &route, Some("m")));
   assert_eq!(sent(&effects).as_deref(), Some("one"));
 }
+
+#[test]
+fn a_caller_that_leaves_as_its_request_is_sent_counts_nowhere() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("s", &["m"])]);
+  assert!(sent(&state.reduce(1, ask(1, &route, Some("m")))).is_some());
+  // Its thread has not seen the decision, and nothing went out.
+  state.reduce(2, Event::Left(Ticket(1)));
+  assert!(state.running.is_empty(), "{:?}", state.running);
+  assert_eq!(state.backends[state.ids["s"]].running, 0);
+}
+
+/// The planner's word that server "s" holds a model.
+fn word_of(model: &str, all: bool) -> Event {
+  Event::Updated {
+    holdings: vec![Holding {
+      id: "s".into(),
+      models: BTreeMap::from([(model.into(), Vec::new())]),
+      leaving: Vec::new(),
+      coming: None,
+    }],
+    all: all.then_some((0, 1)),
+    loads: None,
+    instances: 3,
+  }
+}
+
+#[test]
+fn the_planners_word_counts_for_a_server_whose_entry_comes_after_it() {
+  let route = route(Repeat::Always, None, 2);
+  for all in [false, true] {
+    let mut state = state(Vec::new());
+    state.reduce(1, word_of("m", all));
+    state.reduce(2, Event::Servers(vec![Change::Set(spec("s", &[]))]));
+    let effects = state.reduce(3, ask(1, &route, Some("m")));
+    assert_eq!(sent(&effects).as_deref(), Some("s"), "all: {all}");
+  }
+}
+
+#[test]
+fn of_two_words_for_a_server_without_an_entry_the_newer_counts() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(Vec::new());
+  state.reduce(1, word_of("old", false));
+  state.reduce(2, word_of("new", true));
+  state.reduce(3, Event::Servers(vec![Change::Set(spec("s", &[]))]));
+  assert_eq!(sent(&state.reduce(4, ask(1, &route, Some("old")))), None);
+  assert!(sent(&state.reduce(5, ask(2, &route, Some("new")))).is_some());
+}
+
+#[test]
+fn a_call_that_fails_once_gives_missing_entries_no_time_anew() {
+  let (mut state, _) = lapsed(4_000);
+  state.reduce(1_900, Event::StoreLost);
+  let silence = Duration::from_millis(100);
+  state.reduce(2_000, Event::StoreBack { silence });
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_200, ask(1, &route, None));
+  assert_eq!(sent(&effects), None, "gone for two seconds");
+}
