test that fails: what a holder read, while the store does not answer this instance

Cause: once all is to be read, after forgotten history or a call without an answer, batches of the holder are not looked at until a list succeeds. Ruled out: nothing else is tried in that state.

--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -26,6 +26,8 @@
   mute: AtomicBool,
   /// An answer that brings more changes than these never arrives in time; 0: all do.
   most: AtomicU64,
+  /// Lists are not answered.
+  unlisted: AtomicBool,
 }
 
 fn object(revision: u64) -> Object {
@@ -41,6 +43,9 @@
   Store {
     list: Box::new(move |_, _| {
       listed.lists.fetch_add(1, Ordering::Relaxed);
+      if listed.unlisted.load(Ordering::Relaxed) {
+        return Err(Error::NoAnswer);
+      }
       let revision = listed.revision.load(Ordering::Relaxed);
       Ok(Page {
         objects: vec![object(revision)],
@@ -343,3 +348,20 @@
   numbers.revision.store(20, Ordering::Relaxed);
   assert_eq!(news.recv_timeout(LONG), Ok(20));
 }
+
+// An instance that the store does not answer, but that hears the holder, is no worse off for
+// a call that failed: what the holder read is taken while all is still to be read here.
+#[test]
+fn what_a_holder_read_is_taken_while_the_store_does_not_answer() {
+  let (numbers, gate, news) = followed();
+  numbers.most.store(1, Ordering::Relaxed);
+  numbers.unlisted.store(true, Ordering::Relaxed);
+  numbers.revision.store(8, Ordering::Relaxed);
+  let began = Instant::now();
+  while numbers.lists.load(Ordering::Relaxed) < 2 {
+    assert!(began.elapsed() < LONG, "not in time");
+    thread::sleep(Duration::from_millis(1));
+  }
+  gate.offer(batch(5, 8));
+  assert_eq!(heard(&gate, progress(8, 8, 0), &news), Some(8));
+}
