test that fails: a server found replaced, and what it states

Cause: an answer of another server at its address is kept as the stage that the server stated. A holder that found so before the statement came would take the statement for known, and not publish it. Ruled out: a departure that a holder learns of from the store first.

--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -525,3 +525,17 @@
   let effects = state.reduce(2_200, ask(1, &route, None));
   assert_eq!(sent(&effects), None, "gone for two seconds");
 }
+
+// Another server answered at its address. What it states itself stays apart from that: the
+// holder publishes a statement only where it differs from the one before.
+#[test]
+fn a_server_that_was_found_replaced_gets_nothing_and_states_what_it_stated() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("s", &["m"])]);
+  assert!(sent(&state.reduce(1, ask(1, &route, Some("m")))).is_some());
+  let end = End::Replaced;
+  let ticket = Ticket(1);
+  state.reduce(2, Event::Ended { ticket, end });
+  assert_eq!(state.backends[state.ids["s"]].spec.stage, Stage::Ready);
+  assert_eq!(sent(&state.reduce(3, ask(2, &route, Some("m")))), None);
+}
