what a holder read is taken while all is to be read; a finding is no statement

Change: a feed remembers that the next call reads all, and still takes what the holder read; a server found replaced has a flag of its own, and leaves by it.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -91,6 +91,9 @@
   pub missing: BTreeMap<String, u64>,
   /// Its entry is missing since the store was silent; it may come back.
   pub lapsed: bool,
+  /// Another server answered at its address. Not the stage that it stated: a holder that took
+  /// its own finding for that would not publish the statement when it comes.
+  pub replaced: bool,
   pub loading: Option<Loading>,
 }
 
@@ -108,6 +111,7 @@
       avoid_until: 0,
       missing: BTreeMap::new(),
       lapsed: false,
+      replaced: false,
       loading: None,
     }
   }
@@ -149,9 +153,26 @@
     u32::try_from(load).unwrap_or_default().max(self.running)
   }
 
+  /// Whether it leaves, as it stated or as was found.
+  pub fn leaves(&self) -> bool {
+    self.replaced || self.spec.stage == Stage::Draining
+  }
+
+  /// What it stated, but for its stage, which is as found.
+  pub fn found(&self) -> Spec {
+    let stage = match self.leaves() {
+      true => Stage::Draining,
+      false => Stage::Ready,
+    };
+    Spec {
+      stage,
+      ..self.spec.clone()
+    }
+  }
+
   /// Whether new work may go there.
   pub fn usable(&self, now: u64) -> bool {
-    self.spec.stage == Stage::Ready && now >= self.avoid_until
+    !self.leaves() && now >= self.avoid_until
   }
 }
 
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -5,7 +5,7 @@
 //! a loaded model. What it wants counts as demand until then.
 
 use crate::{
-  backend::{Backend, Stage},
+  backend::Backend,
   demand::{Demand, Model},
   dispatch::{Ask, Request, State},
   placement::held::load_ms,
@@ -100,7 +100,7 @@
 
   fn working<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a Backend> {
     let backends = self.backends.values();
-    backends.filter(move |backend| backend.spec.pool == pool && backend.spec.stage == Stage::Ready)
+    backends.filter(move |backend| backend.spec.pool == pool && !backend.leaves())
   }
 
   /// When a model that nobody holds can be used, as far as known, ms.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use crate::{
   ask::Ticket,
-  backend::{self, Backend, Holding, Spec, Stage, missing_name},
+  backend::{self, Backend, Holding, Spec, missing_name},
   cold::{Wants, give_up_at},
   demand::Model,
   deployment::{Deployment, Engine},
@@ -565,7 +565,7 @@
           backend.missing.insert(name, now + MISSING_MS);
         }
       }
-      End::Replaced => backend.spec.stage = Stage::Draining,
+      End::Replaced => backend.replaced = true,
       End::Unreached | End::Broken => {
         let pause = AVOID_MS << backend.failures.min(4);
         backend.failures += 1;
@@ -590,7 +590,7 @@
   /// Whether a send that was decided may still be made.
   pub fn stands(&self, attempt: &Attempt) -> bool {
     let backend = self.backends.get(attempt.backend);
-    backend.is_some_and(|backend| backend.spec.stage == Stage::Ready)
+    backend.is_some_and(|backend| !backend.leaves())
   }
 
   /// Until when the holdings published last count, ms.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -87,6 +87,7 @@
     log,
     take,
     from: None,
+    unread: false,
     failures: 0,
     failed: None,
   };
@@ -102,8 +103,10 @@
   gate: &'a Gate,
   log: &'a Logger,
   take: T,
-  /// Up to which revision changes are known; none: all is to be read.
+  /// Up to which revision changes are known; none: nothing was read yet.
   from: Option<u64>,
+  /// The next call reads everything: a watch is of no use.
+  unread: bool,
   /// Failed calls in a row, and when the last one was begun.
   failures: u32,
   failed: Option<Instant>,
@@ -130,6 +133,7 @@
       Next::Take(batch) => self.take_batch(batch),
       Next::Reached => self.back(),
       Next::All => self.read(),
+      Next::Watch { .. } if self.unread => self.read(),
       Next::Watch { revision, there } => self.watch(revision, there),
     }
   }
@@ -145,6 +149,7 @@
       note(self.log, self.kind, "batch", (batch.revision, count), age);
     }
     self.from = Some(batch.revision);
+    self.unread = false;
     self.gate.taken(batch.revision, matters);
   }
 
@@ -195,6 +200,7 @@
       event, revision, ..
     } = answered;
     self.back();
+    self.unread = false;
     let after = self.from.replace(revision).unwrap_or_default();
     let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
     let read = match &event {
@@ -246,7 +252,7 @@
   fn fail(&mut self, call: &str, began: Instant, error: &Error) {
     if *error == Error::HistoryGone {
       info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from);
-      self.from = None;
+      self.unread = true;
       return;
     }
     if self.failures == 0 {
@@ -262,7 +268,7 @@
     if error.may_have_run() {
       // A watch that is repeated brings more each time and may never arrive: behind a link
       // that lost 15% of its packets an instance was 20 s late. All is read instead.
-      self.from = None;
+      self.unread = true;
     }
     self.failed = Some(began);
     thread::sleep((RETRY * (1 << self.failures.min(3))).min(RETRY_MOST));
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -49,6 +49,7 @@
         backend.spec = spec;
         backend.heard = self.now;
         backend.lapsed = false;
+        backend.replaced = false;
       }
       None => {
         let id = spec.id.clone();
@@ -106,7 +107,7 @@
       return;
     };
     let backend = &mut self.backends[key];
-    if self.now < self.lapse_until && backend.spec.stage == Stage::Ready {
+    if self.now < self.lapse_until && !backend.leaves() {
       backend.lapsed = true;
     } else {
       self.remove(id);
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -5,7 +5,7 @@
 //! lost: each is update again while it counts.
 
 use crate::{
-  backend::{self, Backend, Spec, Stage},
+  backend::{self, Backend, Spec},
   command::{Command, Inventory, Taken},
   edge::Edge,
   hub::Hub,
@@ -470,7 +470,7 @@
         .ids
         .iter()
         .filter(|(id, _)| mine(id))
-        .map(|(_, key)| state.backends[*key].spec.clone())
+        .map(|(_, key)| state.backends[*key].found())
         .collect();
       group.plan.servers(deployment, specs);
     }
@@ -510,7 +510,7 @@
   if let Some(holding) = &backend.holding {
     models.retain(|name, _| !holding.leaving.contains(name));
   }
-  let ready = spec.stage == Stage::Ready;
+  let ready = !backend.leaves();
   if !ready {
     models.clear();
   }
