soak: one module for each job of the world

Cause: soak/src/world.rs had grown to 690 lines with seven jobs: switches, wiring, configuration, watchers, faults, instances, servers.

Ruled out: sibling modules of soak/src, as the parts share the world's private fields; a trait for faults, as each is one function called from one place.

Change: world/ has a module each for the configuration, the watchers, the plan's faults, instances, servers, the store's faults and what servers have seen; the switches that break a mechanism are `switch`. Code moved; `open`, `fault` and `server` are shorter by functions of their own. `just soak-size` counts modules in folders too. Behaviour is unchanged.

--- a/justfile
+++ b/justfile
@@ -68,5 +68,5 @@
 
 # Lines of the soak beside all lines.
 soak-size:
-  cat soak/src/*.rs | wc -l
+  git ls-files 'soak/src/*.rs' | xargs cat | wc -l
   git ls-files '*.rs' | xargs cat | wc -l
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod history;
 pub mod load;
 pub mod plan;
+pub mod switch;
 pub mod world;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,7 +5,8 @@
   check::{Bounds, Violation, check},
   history::{End, History},
   plan::{self, Size, Step},
-  world::{Break, LEASE_MS, Options, play},
+  switch::Break,
+  world::{LEASE_MS, Options, play},
 };
 use std::{
   collections::BTreeMap,
--- /dev/null
+++ b/soak/src/world/store.rs
@@ -0,0 +1,45 @@
+//! Faults of the platform's store.
+
+use super::{World, lock, place::LAPSE};
+use crate::{history::Target, plan::Store as StoreFault};
+use platform_stand_in::{runner::Runner, store::Fate};
+use std::{sync::MutexGuard, thread, time::Duration};
+
+impl World {
+  pub(super) fn store(&self, fault: StoreFault, lasts: Duration) {
+    let trouble = self.book.begin(Target::Store, "store");
+    match fault {
+      StoreFault::Forgets => self.store.forget(),
+      StoreFault::Down => self.fate(Fate::Refuses, lasts),
+      StoreFault::Silent => self.fate(Fate::Mute, lasts),
+      StoreFault::Slow => self.fate(Fate::Slow(Duration::from_millis(250)), lasts),
+      StoreFault::LosesAnswers => self.fate(Fate::Loses, lasts),
+      StoreFault::WritesLate => self.fate(Fate::Late(Duration::from_millis(1_200)), lasts),
+      StoreFault::Lapse => self.lapse(lasts),
+    }
+    self.book.end(trouble);
+  }
+
+  fn fate(&self, fate: Fate, lasts: Duration) {
+    self.store.fate(fate);
+    thread::sleep(lasts);
+    self.store.fate(Fate::Answers);
+  }
+
+  /// The store is down, and entries of servers are back a little after it.
+  fn lapse(&self, lasts: Duration) {
+    self.store.fate(Fate::Refuses);
+    thread::sleep(lasts);
+    let held: Vec<MutexGuard<Runner>> = self
+      .places
+      .iter()
+      .map(|place| lock(&place.runner))
+      .collect();
+    held
+      .iter()
+      .for_each(|runner| self.store.remove("servers", &runner.id));
+    self.store.fate(Fate::Answers);
+    thread::sleep(LAPSE);
+    held.iter().for_each(|runner| runner.beat("ready"));
+  }
+}
