placement: reports, publication and wanted loads in modules of their own

Cause: src/placement/plan.rs had 615 lines and four jobs: the plan's state and step, what instances report, what they are sent, what requests wait for.

Ruled out: a type of its own for each job, as all four work on the same servers.

`plan` re-exports `Report` and `Holdings`, so that users of it stay as they are. Behaviour is unchanged.

--- a/src/placement/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -4,7 +4,7 @@
 use crate::{
   deployment::Engine,
   placement::held::Server,
-  placement::plan::{DEMAND_MS, Plan},
+  placement::{plan::Plan, wanted::DEMAND_MS},
   report::Tier,
 };
 use std::collections::BTreeMap;
