publish, report and notify: the field's names in place of telling

Cause: names and comments said told, tell and news where the field has words.

Change: `Shared::tell` is `notify`, `tell_demand` is `report_demand`, `Group::told` is `reported`, `State::news` is `updates`, `RESTATE_MS` is `REPORT_MS`; comments say publish, report or notify. Behaviour is unchanged.

--- a/src/apply.rs
+++ b/src/apply.rs
@@ -170,7 +170,7 @@
       Err("another edit came first; read it and apply again".into())
     }
     Err(platform::Error::Declined) => Err("the platform declines the value".into()),
-    // The answer was lost: what stands there now tells.
+    // The answer was lost: what stands there now shows it.
     Err(platform::Error::Unavailable) => match read_held(client, name) {
       Ok(now) if same(&now.value) => Ok(format!("written as version {}", now.version)),
       Ok(now) if now.version == held.version => Err("platform unavailable; not written".into()),
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -240,7 +240,7 @@
     }
   }
 
-  /// Takes up a status report: what changed on the engine is told to all.
+  /// Takes up a status report: what changed on the engine is published to all.
   pub fn on_reported(&mut self, status: Status) {
     let key = self.server(&status.server);
     let Some(report) = &status.report else {
@@ -289,7 +289,7 @@
 
   fn publish_changed(&mut self, key: Key, version: Version, body: Body) {
     let held = self.facts.get(&key);
-    // A new boot starts a new order of versions, so it is told even when alike.
+    // A new boot starts a new order of versions, so it is published even when alike.
     let same = held.is_some_and(|(held, at)| *held == body && at.0 == version.0);
     if !same {
       self.publish(key, version, body);
--- a/src/call.rs
+++ b/src/call.rs
@@ -1,7 +1,7 @@
 //! One HTTP call, made once, with a verdict on whether it may have run.
 //!
 //! Each call has a connection of its own: a reused connection that breaks could
-//! not tell whether the server saw the request. Nothing is repeated and no
+//! not show whether the server saw the request. Nothing is repeated and no
 //! redirect is followed.
 
 use crate::verdict::Verdict;
--- a/src/command.rs
+++ b/src/command.rs
@@ -3,7 +3,7 @@
 use crate::demand::Model;
 use std::{collections::BTreeMap, net::SocketAddr};
 
-/// What an engine is told to do.
+/// What an engine is ordered to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
   Load,
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -116,7 +116,7 @@
     priority,
     resume: Vec::new(),
   };
-  shared.tell(Event::Asked(ask));
+  shared.notify(Event::Asked(ask));
   loop {
     let attempt = match await_turn(shared, directives, ticket, deadline, reply) {
       Some(Directive::Send(attempt)) => attempt,
@@ -159,14 +159,14 @@
   reply: &Reply,
 ) -> Option<Directive> {
   let until = deadline + GRACE.as_millis() as u64;
-  let mut told = false;
+  let mut notified = false;
   while shared.now() < until {
     match directives.recv_timeout(LOOK) {
       Ok(directive) => return Some(directive),
       Err(RecvTimeoutError::Disconnected) => return None,
-      Err(RecvTimeoutError::Timeout) if !told && reply.gone() => {
-        told = true;
-        shared.tell(Event::CallerLeft { ticket });
+      Err(RecvTimeoutError::Timeout) if !notified && reply.gone() => {
+        notified = true;
+        shared.notify(Event::CallerLeft { ticket });
       }
       Err(RecvTimeoutError::Timeout) => {}
     }
--- a/src/demand.rs
+++ b/src/demand.rs
@@ -27,7 +27,7 @@
   }
 }
 
-/// Requests that wait for a model, told to the planner.
+/// Requests that wait for a model, reported to the planner.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Demand {
   pub pool: String,
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -18,9 +18,9 @@
 pub enum Effect {
   /// Send a request to a backend server.
   Send(Attempt),
-  /// Tell a caller that the request is not served.
+  /// Notify a caller that the request is not served.
   Refuse { ticket: Ticket, refusal: Refusal },
-  /// Tell a caller the recorded answer of an earlier call.
+  /// Send a caller the recorded answer of an earlier call.
   Replay {
     ticket: Ticket,
     status: u16,
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -231,7 +231,7 @@
   }
 }
 
-/// Tells an engine that nobody waits for an attempt any more.
+/// Notifies an engine that nobody waits for an attempt any more.
 pub fn cancel(address: &str, attempt: &str, limits: &Limits) {
   let body = serde_json::json!({ "attempt": attempt }).to_string();
   if let Ok(request) = call::post(address, "/control/cancel", body.into_bytes()) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -15,7 +15,7 @@
 /// Says whose update or read an outcome belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Tag {
-  /// A step of a replica's job; the number tells a late answer from a current
+  /// A step of a replica's job; the number distinguishes a late answer from a current
   /// one.
   Job { replica: Id, step: u64 },
   /// A read of the model's record.
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -1,4 +1,4 @@
-//! What instances tell each other: versioned facts, newest wins.
+//! What instances publish to each other: versioned facts, newest wins.
 
 use crate::{
   object::Name,
@@ -26,7 +26,7 @@
   Residence(String),
   /// Checkpoints cached near a backend server.
   Cache(String),
-  /// Load of a backend server; told only where dispatch goes by it.
+  /// Load of a backend server; published only where dispatch goes by it.
   Load(String),
   /// A batch, for whoever runs it.
   Batch(String),
--- a/src/facts.rs
+++ b/src/facts.rs
@@ -160,7 +160,7 @@
 
   /// Encoded facts changed after `seen`, but those that `peer` is known to hold, up
   /// to `most` bytes, with the sequence they reach. Without `forward` only facts
-  /// made here: where all instances are neighbours, each tells its own.
+  /// made here: where all instances are neighbours, each publishes its own.
   pub fn since(&self, seen: u64, peer: &str, most: usize, forward: bool) -> (Vec<Vec<u8>>, u64) {
     let peer = self.origins.get(peer).map_or(0, |bit| 1 << bit);
     let mut facts = Vec::new();
@@ -170,12 +170,12 @@
       let Some(entry) = self.entries.get(*slot) else {
         continue;
       };
-      let told = if forward {
+      let known = if forward {
         entry.known & peer
       } else {
         entry.known
       };
-      if told == 0 {
+      if known == 0 {
         let encoded = encode(entry);
         if bytes > 0 && bytes + encoded.len() > most {
           return (facts, upto);
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -15,7 +15,7 @@
 const REPAIR_EVERY: u32 = 20;
 /// Delay that lets changes made together travel together, ms.
 const GATHER_MS: u64 = 5;
-/// Time after an exchange for which even news waits, ms.
+/// Time after an exchange for which even an urgent update waits, ms.
 const CALM_MS: u64 = 25;
 /// Instances for which the pause between exchanges is as set; it grows in
 /// proportion from there, up to `SLOWEST` times, so that a node's cost does not.
@@ -37,7 +37,7 @@
   asked_at: Option<u64>,
   /// Time of the next exchange, ms.
   next_at: u64,
-  /// Time before which even news waits, ms.
+  /// Time before which even an urgent update waits, ms.
   calm_until: u64,
   failures: u32,
   /// Exchanges until hashes are compared.
@@ -126,11 +126,11 @@
 
   fn exchange(&mut self, peer: &str, address: &str) {
     let pause = self.pause();
-    let news = self.gossip.urgent;
+    let urgent = self.gossip.urgent;
     let gathered = self.now >= self.gossip.urgent_at + GATHER_MS;
     let link = self.gossip.links.entry(peer.into()).or_default();
     let calm = self.now < link.calm_until;
-    let hasty = gathered && !calm && link.sent < news && link.failures == 0;
+    let hasty = gathered && !calm && link.sent < urgent && link.failures == 0;
     let lost = link
       .asked_at
       .is_some_and(|at| at + 4 * pause + 2_000 < self.now);
@@ -195,7 +195,7 @@
     }
     let link = self.gossip.links.entry(delta.from.clone()).or_default();
     if link.boot != delta.boot {
-      // A new process knows nothing of ours: the hashes tell what it lacks.
+      // A new process knows nothing of ours: the hashes show what it lacks.
       *link = Link {
         boot: delta.boot,
         sent: self.facts.newest(),
@@ -239,7 +239,7 @@
     self.merge(delta);
     self.gossip.suspects.remove(&delta.from);
     if delta.from != peer {
-      // A seed has told its name.
+      // A seed has reported its name.
       self.gossip.links.remove(peer);
     }
   }
--- a/src/group.rs
+++ b/src/group.rs
@@ -12,12 +12,12 @@
   pub struct Key;
 }
 
-/// What an instance says it has of a group.
+/// What an instance reports that it has of a group.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
   pub waiting: u32,
   pub running: u32,
-  /// When it said so, ms.
+  /// When it was reported, ms.
   pub at: u64,
 }
 
@@ -29,10 +29,10 @@
   pub until: u64,
 }
 
-/// How long a share or a statement of demand holds, ms.
+/// How long a share or a report of demand holds, ms.
 pub const SOFT_STATE_MS: u64 = 1_500;
-/// Pause between two statements of unchanged demand, ms.
-pub const RESTATE_MS: u64 = 400;
+/// Pause between two reports of unchanged demand, ms.
+pub const REPORT_MS: u64 = 400;
 
 /// A model under a policy.
 #[derive(Clone, Debug, Default)]
@@ -43,10 +43,10 @@
   pub queue: BTreeSet<(Class, u64, Ticket)>,
   /// Requests of this instance at replicas.
   pub running: u32,
-  /// Arrivals not yet told to the owner.
+  /// Arrivals not yet reported to the owner.
   pub arrived: u32,
-  /// Demand last told to the owner.
-  pub told: Demand,
+  /// Demand last reported to the owner.
+  pub reported: Demand,
   /// Shares given to this instance.
   pub shares: BTreeMap<Id, Share>,
   /// Recent wait for a load, ms.
@@ -69,7 +69,7 @@
 }
 
 impl Group {
-  /// Requests waiting anywhere, as far as told within the last moments.
+  /// Requests waiting anywhere, as far as reported within the last moments.
   pub fn waiting(&self, now: u64) -> u32 {
     let fresh = |demand: &&Demand| demand.at + SOFT_STATE_MS > now;
     let fresh = self.demand.values().filter(fresh);
@@ -83,7 +83,7 @@
     fresh.any(|demand| demand.waiting + demand.running > 0)
   }
 
-  /// Takes up a statement of demand.
+  /// Takes up a report of demand.
   pub fn state(&mut self, from: &str, demand: Demand, arrived: u32) {
     let idle = !self.in_use(demand.at);
     if arrived > 0 && idle && self.last_use > 0 {
--- a/src/http.rs
+++ b/src/http.rs
@@ -160,7 +160,7 @@
     Ok(Some((request, length)))
   }
 
-  /// How the body ends; a request that leaves doubt is a fault.
+  /// How the body ends; an ambiguous request is a fault.
   pub fn framing(&self) -> Result<Framing, Fault> {
     let lengths: Vec<&[u8]> = self.headers.all("content-length").collect();
     let codings: Vec<&[u8]> = self.headers.all("transfer-encoding").collect();
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -79,7 +79,7 @@
       &shared.settings.instance,
       boot,
       shared.traffic.clone(),
-      Arc::new(move |event| sink.tell(event)),
+      Arc::new(move |event| sink.notify(event)),
     )?;
     let operators = operators::bind(&shared)?;
     let callers = callers::bind(&shared)?;
@@ -103,7 +103,7 @@
   /// Begins a planned stop.
   pub fn stop(&self) {
     self.shared.stopping.store(true, Ordering::Relaxed);
-    self.shared.tell(Event::Stop);
+    self.shared.notify(Event::Stop);
   }
 
   /// Waits until a planned stop is done.
@@ -185,7 +185,7 @@
         urgent,
       } => self.platform.run(move || {
         let outcome = shared.platform.update(&name, change.as_ref(), urgent);
-        shared.tell(Event::Updated { tag, name, outcome });
+        shared.notify(Event::Updated { tag, name, outcome });
       }),
       Effect::Remove { name, version } => self.platform.run(move || {
         // One that fails is listed again, and tried again by its owner then.
@@ -198,7 +198,7 @@
           true => engine::order(&order, &shared.settings.limits),
           false => order::Outcome::NotSent,
         };
-        shared.tell(Event::Ordered {
+        shared.notify(Event::Ordered {
           replica,
           step,
           outcome,
@@ -207,7 +207,7 @@
       Effect::Poll { server, address } => self.polls.run(move || {
         let asked_at = shared.now();
         let report = engine::status(&address, &shared.settings.limits);
-        shared.tell(Event::Reported(order::Status {
+        shared.notify(Event::Reported(order::Status {
           server,
           asked_at,
           report,
@@ -263,11 +263,11 @@
         };
         let item = completions::run_item(&shared, ask, &directives, prompt, max_tokens);
         shared.close_ticket(ticket);
-        shared.tell(Event::ItemEnded { id, at, item });
+        shared.notify(Event::ItemEnded { id, at, item });
       }
     };
     if builder.spawn(run).is_err() {
-      shared.tell(Event::ItemEnded {
+      shared.notify(Event::ItemEnded {
         id,
         at,
         item: Item::Waiting,
--- a/src/job.rs
+++ b/src/job.rs
@@ -43,7 +43,7 @@
   pub model: String,
   pub replica: Replica,
   pub step: Step,
-  /// Rises with every action, so that late answers are told apart.
+  /// Rises with every action, so that late answers are distinguished.
   pub number: u64,
   /// Time of the next action, ms.
   pub due: u64,
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -72,8 +72,8 @@
       return;
     }
     self.configured = true;
-    self.news.0 += 1;
-    self.news.1 = self.news.1.max(version.0);
+    self.updates.0 += 1;
+    self.updates.1 = self.updates.1.max(version.0);
     if name.kind == Kind::Model {
       self.refresh_owner(&name.name);
     }
@@ -85,8 +85,8 @@
   }
 
   /// Records what came into force since the last round.
-  pub fn note_news(&mut self) {
-    let (objects, version) = std::mem::take(&mut self.news);
+  pub fn note_updates(&mut self) {
+    let (objects, version) = std::mem::take(&mut self.updates);
     if objects > 0 {
       self.note(Entry::Configured { objects, version });
     }
--- a/src/order.rs
+++ b/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::{replica::Id, report::Report};
 
-/// What an engine is told to do.
+/// What an engine is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Act {
   Load {
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -305,7 +305,7 @@
     self.decide(key);
   }
 
-  /// Takes up a model record: what is decided is told to all.
+  /// Takes up a model record: what is decided is published to all.
   pub fn see_record(&mut self, model: &str, version: u64, record: &record::Record) {
     let key = Key::Placement(model.into());
     if self.facts.version(&key).0 > version {
@@ -316,7 +316,7 @@
       owned.gaps = record.gaps.clone();
     }
     if record.replicas.is_empty() && self.facts.get(&key).is_none() {
-      // Most models are never placed: nothing needs telling.
+      // Most models are never placed: nothing is to be published.
       return;
     }
     let body = Body::Placement(record.replicas.clone());
--- a/src/reduce.rs
+++ b/src/reduce.rs
@@ -38,7 +38,7 @@
     Event::Asked(ask) => {
       let ticket = ask.ticket;
       state.on_asked(ask);
-      tell(state, ticket);
+      report_demand(state, ticket);
     }
     Event::CallerLeft { ticket } => state.on_caller_left(ticket),
     Event::Ended {
@@ -76,11 +76,11 @@
   }
 }
 
-/// Demand for a model that has just begun is told at once.
-fn tell(state: &mut State, ticket: crate::ask::Ticket) {
+/// Demand for a model that has just begun is reported at once.
+fn report_demand(state: &mut State, ticket: crate::ask::Ticket) {
   let request = state.requests.get(&ticket);
   if let Some(key) = request.and_then(|request| request.group) {
-    state.tell_demand(key);
+    state.report_demand(key);
     state.decide_own(key);
   }
 }
@@ -108,7 +108,7 @@
 }
 
 fn chores(state: &mut State) {
-  state.note_news();
+  state.note_updates();
   state.choose_watchers();
   state.refresh_owned();
   state.poll_servers();
@@ -124,7 +124,7 @@
   for key in groups {
     state.expire(key);
     state.pump(key);
-    state.tell_demand(key);
+    state.report_demand(key);
     state.decide_own(key);
     state.share(key);
     state.count_idle(key);
@@ -149,8 +149,8 @@
   /// Takes a group out of housekeeping when nothing of it is left.
   fn rest(&mut self, key: crate::group::Key) {
     let group = &self.groups[key];
-    let told = group.told.waiting + group.told.running + group.arrived > 0;
-    let busy = !group.queue.is_empty() || group.running > 0 || told;
+    let reported = group.reported.waiting + group.reported.running + group.arrived > 0;
+    let busy = !group.queue.is_empty() || group.running > 0 || reported;
     let policy = &group.policy;
     let owned = self.owned.contains_key(&group.model);
     let mut replicas = self.placement(&group.model).iter();
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -365,7 +365,7 @@
     }
   }
 
-  /// Writes the request; an early answer ends the writing. Tells whether all of it
+  /// Writes the request; an early answer ends the writing. Returns whether all of it
   /// went out.
   fn write(&mut self, socket: &mut Socket, bytes: &[u8]) -> Result<bool, Outcome> {
     let mut left = bytes;
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -161,7 +161,7 @@
     self.write(&event)
   }
 
-  /// Whether the caller has gone; told without sending anything.
+  /// Whether the caller has gone; found without sending anything.
   pub fn gone(&self) -> bool {
     match &self.output {
       Output::Untouched(request) => request.gone(),
--- a/src/run.rs
+++ b/src/run.rs
@@ -169,7 +169,7 @@
 /// A log of JSON lines on standard output. Writing never blocks a request: a thread
 /// writes, from a bounded queue.
 fn logger(instance: &str) -> Logger {
-  // Nobody could be told that standard output is closed.
+  // Nobody could be notified that standard output is closed.
   let drain = slog_json::Json::default(std::io::stdout()).ignore_res();
   let drain = slog_async::Async::new(drain)
     .chan_size(LOG_LINES)
--- a/src/share.rs
+++ b/src/share.rs
@@ -1,4 +1,4 @@
-//! Demand told to the owner of a model, and shares of slots handed out by it.
+//! Demand reported to the owner of a model, and shares of slots handed out by it.
 //!
 //! The owner alone knows who has work, so it gives each instance a bound on its
 //! requests at a replica. Shares are soft state: without one an instance falls
@@ -6,7 +6,7 @@
 
 use crate::{
   effect::Effect,
-  group::{self, Demand, RESTATE_MS, SOFT_STATE_MS, Share},
+  group::{self, Demand, REPORT_MS, SOFT_STATE_MS, Share},
   notice::Notice,
   replica::{Id, Target},
   settings::Dispatch,
@@ -15,25 +15,25 @@
 use std::collections::BTreeMap;
 
 impl State {
-  /// Tells the owner of a group's model what this instance has of it.
-  pub fn tell_demand(&mut self, key: group::Key) {
+  /// Reports to the owner of a group's model what this instance has of it.
+  pub fn report_demand(&mut self, key: group::Key) {
     let group = &self.groups[key];
     let demand = Demand {
       waiting: group.queue.len() as u32,
       running: group.running,
       at: self.now,
     };
-    let told = group.told;
-    let same = told.waiting == demand.waiting && told.running == demand.running;
+    let reported = group.reported;
+    let same = reported.waiting == demand.waiting && reported.running == demand.running;
     let idle = demand.waiting + demand.running + group.arrived == 0;
-    let first = (told.waiting == 0) != (demand.waiting == 0);
-    let due = self.now >= told.at + RESTATE_MS / 4;
-    let restate = self.now >= told.at + RESTATE_MS;
-    if (idle && same) || !(first || (due && !same) || (restate && !idle)) {
+    let first = (reported.waiting == 0) != (demand.waiting == 0);
+    let due = self.now >= reported.at + REPORT_MS / 4;
+    let repeat = self.now >= reported.at + REPORT_MS;
+    if (idle && same) || !(first || (due && !same) || (repeat && !idle)) {
       return;
     }
     let arrived = std::mem::take(&mut self.groups[key].arrived);
-    self.groups[key].told = demand;
+    self.groups[key].reported = demand;
     let group = &self.groups[key];
     let (model, policy) = (group.model.clone(), group.policy.clone());
     let owner = self.members.owner(&model).map(str::to_string);
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -28,7 +28,7 @@
 /// Longest wait for a look at the state.
 const LOOK: Duration = Duration::from_secs(2);
 
-/// What a request's thread is told.
+/// How a request's thread is to go on.
 pub enum Directive {
   Send(Attempt),
   Refuse(Refusal),
@@ -75,8 +75,8 @@
     self.boot + self.started.elapsed().as_millis() as u64
   }
 
-  /// Gives the reducer an event.
-  pub fn tell(&self, event: Event) {
+  /// Notifies the reducer of an event.
+  pub fn notify(&self, event: Event) {
     // Fails only after the reducer has ended, with the process.
     let _ = self.input.send(Input::Event(event));
   }
@@ -94,10 +94,10 @@
     lock(&self.directives).remove(&ticket);
   }
 
-  /// Tells a request's thread how it goes on.
+  /// Notifies a request's thread how it goes on.
   pub fn direct(&self, ticket: Ticket, directive: Directive) {
     if let Some(sender) = lock(&self.directives).get(&ticket) {
-      // The request's thread has ended: nobody is left to tell.
+      // The request's thread has ended: nobody is left to notify.
       let _ = sender.send(directive);
     }
   }
@@ -145,9 +145,9 @@
   }
 }
 
-/// How an attempt's end is told to the reducer.
+/// Notifies the reducer of an attempt's end.
 pub fn ended(shared: &Shared, attempt: &Attempt, end: End, answer: Option<(u16, Option<String>)>) {
-  shared.tell(Event::Ended {
+  shared.notify(Event::Ended {
     ticket: attempt.ticket,
     number: attempt.number,
     end,
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -56,7 +56,7 @@
   Write,
 }
 
-/// Waits until one is ready or the time has come; tells which are ready.
+/// Waits until one is ready or the time has come; returns which are ready.
 pub fn wait<const N: usize>(
   waits: [Option<(&dyn AsFd, Want)>; N],
   until: Instant,
@@ -157,7 +157,7 @@
     }
   }
 
-  /// Writes what the system takes now; tells how much.
+  /// Writes what the system takes now; returns how much.
   pub fn push(&mut self, bytes: &[u8]) -> io::Result<usize> {
     loop {
       match self.stream.write(bytes) {
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,4 +1,4 @@
-//! Streams of events: whole events are told apart from broken ones, so that a
+//! Streams of events: whole events are distinguished from broken ones, so that a
 //! stream can go on at another backend server after its last whole event.
 
 /// Takes a stream apart as its bytes arrive.
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,7 +85,7 @@
   pub configured: bool,
   /// Objects that came into force and are not yet recorded, and the newest
   /// version among them.
-  pub news: (usize, u64),
+  pub updates: (usize, u64),
   pub facts: Table,
   pub members: Members,
   pub gossip: Gossip,
@@ -137,7 +137,7 @@
       rng: SmallRng::seed_from_u64(seed),
       catalog: Catalog::default(),
       configured: false,
-      news: (0, 0),
+      updates: (0, 0),
       facts: Table::default(),
       members: Members::default(),
       gossip: Gossip::default(),
@@ -303,7 +303,7 @@
     !leaving && self.listed(name) == Listed::Live && self.catalog.servers.contains_key(name)
   }
 
-  /// Decided replicas of a model, as last told.
+  /// Decided replicas of a model, as last published.
   pub fn placement(&self, model: &str) -> &[Replica] {
     match self.facts.get(&Key::Placement(model.into())) {
       Some((Body::Placement(replicas), _)) => replicas,
--- a/src/watchers.rs
+++ b/src/watchers.rs
@@ -51,7 +51,7 @@
     match answer {
       Ok((revision, objects)) => {
         after = after.max(revision);
-        shared.tell(Event::Watched(objects));
+        shared.notify(Event::Watched(objects));
       }
       Err(_) => pause(WATCH_PAUSE * 2),
     }
@@ -66,12 +66,12 @@
     count_calls(shared, &mut counted);
     if shared.watching.load(Ordering::Relaxed) {
       if let Ok((revision, entries)) = shared.platform.list() {
-        shared.tell(Event::Listed { revision, entries });
+        shared.notify(Event::Listed { revision, entries });
       }
       if round % BATCH_LIST_EVERY == 0
         && let Ok(names) = shared.platform.names(Kind::Batch)
       {
-        shared.tell(Event::BatchesListed(names));
+        shared.notify(Event::BatchesListed(names));
       }
       round += 1;
     }
