relay: one module for each side of a routed request

Cause: src/relay.rs had 711 lines: the request's course, the caller's side, the send, the answer passed on, and the refusal's bytes.

Ruled out: types of their own for the caller's side and the server's, as both write the same state of one request.

Change: relay/ has `caller`, `send`, `answer` and `refusal` beside the course. 26 functions are the same but for white space and paths; `run` and `stream` are shorter by `attempt`, `leave`, `apply` and `clock_event`, in the same order of effects. Behaviour is unchanged.

--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,223 @@
+//! One routed request: from its arrival over its sends to its final answer.
+
+mod answer;
+mod caller;
+mod refusal;
+mod send;
+
+pub use refusal::refusal_answer;
+
+use crate::{
+  ask::Ticket,
+  demand::Model,
+  dispatch::{Ask, Attempt, End, Event},
+  http::{Framing, Request, Response},
+  hub::{Directive, Hub, Mailbox},
+  measures,
+  refusal::{Reason, Refusal},
+  route::Route,
+  socket::Socket,
+  sse::Events,
+  verdict::Verdict,
+};
+use slog::info;
+use std::sync::{Arc, atomic::Ordering};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time kept for the final answer when a request's time is over, ms.
+const ANSWER_MS: u64 = 30;
+/// The final answer where the reducer has none.
+const UNANSWERED: Refusal = Refusal {
+  reason: Reason::NoServer,
+  verdict: Verdict::MayHaveRun,
+  retry_after: None,
+};
+
+/// A caller's request in whole.
+pub struct Incoming {
+  pub head: Request,
+  pub body: Vec<u8>,
+  pub route: Arc<Route>,
+  /// When its first byte was read, ms.
+  pub arrived: u64,
+}
+
+/// A request being answered.
+pub struct Relay<'a> {
+  hub: &'a Hub,
+  caller: &'a mut Socket,
+  incoming: &'a Incoming,
+  id: String,
+  until: u64,
+  ticket: Ticket,
+  /// The answer's head has gone to the caller.
+  begun: Option<Framing>,
+  events: Events,
+  first_ms: Option<u64>,
+  /// It has waited for a server.
+  waited: bool,
+  /// When events last came, and the longest pause between them, ms.
+  event_ms: u64,
+  pause_ms: u64,
+  /// A server's failure, given to the caller when nothing better comes.
+  held: Option<(Response, Vec<u8>)>,
+  /// The connection to the caller can carry another request.
+  keep: bool,
+}
+
+/// What came of a send, with why.
+struct Outcome {
+  end: End,
+  why: &'static str,
+}
+
+fn outcome(end: End, why: &'static str) -> Outcome {
+  Outcome { end, why }
+}
+
+/// Answers a request; false when the caller's connection is to be closed.
+pub fn serve(hub: &Hub, mailbox: &Arc<Mailbox>, caller: &mut Socket, incoming: &Incoming) -> bool {
+  let dialect = &hub.dialect;
+  let header = |name: &str| incoming.head.headers.get(name);
+  let id = header(dialect.request_id).unwrap_or_default().to_string();
+  let asked = header(dialect.deadline_ms).and_then(|text| text.parse::<f64>().ok());
+  let timeout = incoming.route.timeout_ms;
+  let allowed = asked.map_or(timeout, |ms| (ms.max(0.0) as u64).min(timeout));
+  let until = incoming.arrived + allowed.saturating_sub(ANSWER_MS);
+  let model = header(dialect.model).map(Model::parse);
+  let ticket = hub.ticket(mailbox);
+  let pool = incoming.route.pool(xxh3_64(id.as_bytes()));
+  let ask = Ask {
+    ticket,
+    id: id.clone(),
+    route: incoming.route.clone(),
+    pool: pool.unwrap_or_default().to_string(),
+    model: model.clone(),
+    affinity: affinity(header(dialect.prompt_parts), model.as_ref()),
+    until,
+  };
+  let keep = incoming.head.keeps() && !hub.stopping.load(Ordering::Relaxed);
+  let mut relay = Relay {
+    hub,
+    caller,
+    incoming,
+    id,
+    until,
+    ticket,
+    begun: None,
+    events: Events::default(),
+    first_ms: None,
+    waited: false,
+    event_ms: 0,
+    pause_ms: 0,
+    held: None,
+    keep,
+  };
+  hub.measures.request();
+  mailbox.bell.clear();
+  mailbox.take();
+  hub.apply(Event::Arrived(ask), Some(ticket));
+  relay.run(mailbox);
+  hub.close(ticket);
+  relay.keep
+}
+
+/// Equal for requests whose prompts start alike: all parts but the last, which is
+/// the request's own.
+fn affinity(parts: Option<&str>, model: Option<&Model>) -> u64 {
+  let shared = parts
+    .and_then(|parts| parts.rsplit_once(','))
+    .map(|(shared, _)| shared);
+  let name = model.map(|model| model.name.as_str());
+  xxh3_64(
+    format!(
+      "{}\n{}",
+      name.unwrap_or_default(),
+      shared.unwrap_or_default()
+    )
+    .as_bytes(),
+  )
+}
+
+impl Relay<'_> {
+  fn run(&mut self, mailbox: &Mailbox) {
+    let mut directive = mailbox.take();
+    loop {
+      directive = match directive {
+        Some(Directive::Send(attempt)) => {
+          if self.attempt(&attempt) {
+            return;
+          }
+          mailbox.take()
+        }
+        Some(Directive::Wait(until)) => match self.await_change(mailbox, until) {
+          Ok(true) => mailbox.take().or(Some(Directive::Wait(until))),
+          Ok(false) => {
+            self.apply(Event::Look(self.ticket));
+            mailbox.take()
+          }
+          Err(_) => return self.leave(),
+        },
+        Some(Directive::Refuse(refusal)) => return self.refuse(refusal),
+        // The reducer answers every event of a ticket it knows.
+        None => return self.refuse(UNANSWERED),
+      }
+    }
+  }
+
+  fn apply(&self, event: Event) {
+    self.hub.apply(event, Some(self.ticket));
+  }
+
+  /// Sends the request once; true when that ends it.
+  fn attempt(&mut self, attempt: &Attempt) -> bool {
+    let sent = self.hub.now();
+    let result = self.send(attempt);
+    self.note(attempt, &result, sent);
+    let (ticket, end) = (self.ticket, result.end);
+    self.apply(Event::Ended { ticket, end });
+    matches!(end, End::Whole | End::Failed | End::Left)
+  }
+
+  /// The caller has gone while its request waited.
+  fn leave(&mut self) {
+    self.hub.measures.left();
+    info!(self.hub.log, "caller left"; "request" => &self.id, "phase" => "waiting",
+      "waited_ms" => self.hub.now() - self.incoming.arrived);
+    self.keep = false;
+    self.apply(Event::Left(self.ticket));
+  }
+
+  fn model(&self) -> Option<&str> {
+    self.incoming.head.headers.get(self.hub.dialect.model)
+  }
+
+  /// What of an answer came later than its route allows, for the log.
+  fn late(&self) -> &'static str {
+    let route = &self.incoming.route;
+    let first_ms = self.first_ms.map_or(0, |at| at - self.incoming.arrived);
+    match route.stream {
+      _ if first_ms > route.objective_ms => "first",
+      Some(stream) if self.pause_ms > stream.gap_ms => "pause",
+      _ => "no",
+    }
+  }
+
+  fn note(&self, attempt: &Attempt, result: &Outcome, sent: u64) {
+    let now = self.hub.now();
+    self.hub.measures.send(&measures::Send {
+      number: attempt.number,
+      end: result.end,
+      waited_ms: sent.saturating_sub(self.incoming.arrived),
+      first_ms: self.first_ms.map(|at| at - self.incoming.arrived),
+      pause_ms: self.pause_ms,
+    });
+    info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
+      "model" => self.model(), "late" => self.late(),
+      "server" => &attempt.id, "send" => attempt.number, "end" => format!("{:?}", result.end),
+      "why" => result.why, "verdict" => result.end.verdict().word(),
+      "waited_ms" => sent.saturating_sub(self.incoming.arrived), "took_ms" => now - sent,
+      "first_ms" => self.first_ms.map(|at| at - self.incoming.arrived),
+      "events" => self.events.count, "pause_ms" => self.pause_ms);
+  }
+}
--- /dev/null
+++ b/src/relay/refusal.rs
@@ -0,0 +1,37 @@
+//! The final answer to a request that is not served.
+
+use crate::{
+  http::{Framing, Headers, Response},
+  refusal::{Reason, Refusal},
+  reply,
+  verdict::Verdict,
+};
+
+/// The status of a refusal: only what has not run may be called so.
+fn status(refusal: &Refusal) -> u16 {
+  match (refusal.verdict, refusal.reason) {
+    (Verdict::NotRun, _) => 503,
+    (Verdict::MayHaveRun, Reason::TooLate) => 504,
+    (Verdict::MayHaveRun, _) => 502,
+  }
+}
+
+/// A refusal's bytes.
+pub fn refusal_answer(refusal: &Refusal, keep: bool) -> Vec<u8> {
+  let status = status(refusal);
+  let body = reply::refusal_body(*refusal).to_string();
+  let mut head = Response {
+    status,
+    reason: "Refused".into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  head.headers.set("Content-Type", "application/json");
+  if let (503, Some(ms)) = (status, refusal.retry_after) {
+    let seconds = format!("{:.1}", ms as f64 / 1_000.0);
+    head.headers.set("Retry-After", &seconds);
+  }
+  let mut bytes = head.encode(Framing::Length(body.len() as u64), keep);
+  bytes.extend_from_slice(body.as_bytes());
+  bytes
+}
--- /dev/null
+++ b/src/relay/send.rs
@@ -0,0 +1,239 @@
+//! One send: the request to a server, and the head of its answer.
+
+use super::{Outcome, Relay, outcome};
+use crate::{
+  dispatch::{Attempt, End},
+  http::{Body, Framing, Response},
+  socket::{Fill, Socket, Want, wait},
+};
+use std::time::{Duration, Instant};
+
+/// A repeatable request moves on when its server has not answered within this
+/// many objectives.
+const STALL_OBJECTIVES: u64 = 4;
+/// But not before this time, ms.
+const STALL_LEAST_MS: u64 = 900;
+/// A resumable stream moves on after this many of the pauses allowed.
+const STALL_GAPS: u64 = 4;
+
+/// Whether a connection to a server carries another request.
+#[derive(Clone, Copy)]
+enum Reuse {
+  No,
+  /// Yes; with the time for which the server keeps it at rest, where it says so.
+  Within(Option<Duration>),
+}
+
+impl Relay<'_> {
+  /// Sends the request once and passes on what comes.
+  pub(super) fn send(&mut self, attempt: &Attempt) -> Outcome {
+    let once = !self.incoming.route.repeatable();
+    let now = self.hub.now();
+    if now >= self.until {
+      return outcome(End::Unsent, "time over before it was sent");
+    }
+    let Ok((mut socket, used)) = self.hub.pool.connect(&attempt.id, attempt.address, once) else {
+      return outcome(End::Unreached, "no connection");
+    };
+    if !used {
+      self.hub.measures.connection();
+    }
+    self.events.cut();
+    let result = self.exchange(&mut socket, attempt);
+    match result {
+      Ok((result, reuse)) => {
+        if let Reuse::Within(rest) = reuse
+          && socket.input.is_empty()
+        {
+          self.hub.pool.keep(&attempt.id, socket, rest);
+        }
+        result
+      }
+      Err(result) => result,
+    }
+  }
+
+  fn outgoing(&self, attempt: &Attempt) -> Vec<u8> {
+    let dialect = &self.hub.dialect;
+    let mut head = self.incoming.head.clone();
+    head.headers.remove_hop();
+    head.headers.remove("expect");
+    for name in dialect.reserved {
+      head.headers.remove(name);
+    }
+    let left = self.until.saturating_sub(self.hub.now()).max(1);
+    head.headers.set(dialect.deadline_ms, &left.to_string());
+    head.headers.set(dialect.expected_server, &attempt.id);
+    let priority = self.incoming.route.priority.min(9);
+    head.headers.set(dialect.priority, &priority.to_string());
+    if let Some(last) = &self.events.last_id {
+      head.headers.set("Last-Event-Id", last);
+    }
+    let framing = match self.incoming.head.framing() {
+      Ok(Framing::Empty) | Err(_) => Framing::Empty,
+      Ok(_) => Framing::Length(self.incoming.body.len() as u64),
+    };
+    let mut bytes = head.encode(framing);
+    bytes.extend_from_slice(&self.incoming.body);
+    bytes
+  }
+
+  /// Longest wait for the next byte of an answer; none for a request that may not
+  /// be sent again.
+  pub(super) fn stall(&self, events: bool) -> u64 {
+    let route = &self.incoming.route;
+    let now = self.hub.now();
+    if !route.repeatable() {
+      return self.until;
+    }
+    let stall = match (route.stream, events) {
+      (Some(stream), true) => stream.gap_ms * STALL_GAPS,
+      _ => (route.objective_ms * STALL_OBJECTIVES).max(STALL_LEAST_MS),
+    };
+    (now + stall).min(self.until)
+  }
+
+  /// Waits for the server; an outcome says why the send ends here.
+  pub(super) fn hear(&mut self, socket: &mut Socket, until: u64) -> Result<Fill, Outcome> {
+    let moment = self.hub.instant(until);
+    loop {
+      let listen = self.caller.input.is_empty();
+      let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Want::Read));
+      let server = Some((&socket.stream as &dyn rustix::fd::AsFd, Want::Read));
+      let waited = wait([caller, server], moment);
+      let Ok([called, served]) = waited else {
+        return Err(outcome(End::Broken, "wait failed"));
+      };
+      if served {
+        return socket
+          .fill()
+          .map_err(|_| outcome(End::Broken, "connection reset by server"));
+      }
+      if called {
+        if self.hear_caller().is_err() {
+          self.keep = false;
+          return Err(outcome(End::Left, "caller left"));
+        }
+      } else if self.hub.now() >= self.until {
+        return Err(outcome(End::Late, "time over"));
+      } else if Instant::now() >= moment {
+        return Err(outcome(End::Broken, "server stalled"));
+      }
+    }
+  }
+
+  /// Writes the request; an early answer ends the writing. Returns whether all of it
+  /// went out.
+  fn write(&mut self, socket: &mut Socket, bytes: &[u8]) -> Result<bool, Outcome> {
+    let mut left = bytes;
+    let until = self.hub.instant(self.stall(false));
+    loop {
+      match socket.push(left) {
+        Ok(length) => left = &left[length..],
+        // What came before the break may be an answer.
+        Err(_) => return Ok(false),
+      }
+      if left.is_empty() {
+        return Ok(true);
+      }
+      let server = Some((&socket.stream as &dyn rustix::fd::AsFd, Want::Write));
+      let answer = Some((&socket.stream as &dyn rustix::fd::AsFd, Want::Read));
+      let Ok([writable, readable]) = wait([server, answer], until) else {
+        return Err(outcome(End::Broken, "wait failed"));
+      };
+      if readable && !writable {
+        return Ok(false);
+      }
+      if !writable {
+        return Err(outcome(End::Broken, "server takes no bytes"));
+      }
+    }
+  }
+
+  /// The answer's head; answers to other requests are passed over.
+  fn head(&mut self, socket: &mut Socket) -> Result<(Response, Framing), Outcome> {
+    let until = self.stall(false);
+    let method = self.incoming.head.method.clone();
+    loop {
+      let parsed = Response::parse(&socket.input);
+      let Ok(parsed) = parsed else {
+        return Err(outcome(End::Broken, "not an answer"));
+      };
+      let Some((head, length)) = parsed else {
+        if self.hear(socket, until)? == Fill::End {
+          return Err(outcome(End::Broken, "connection closed by server"));
+        }
+        continue;
+      };
+      socket.input.drain(..length);
+      if head.status < 200 {
+        continue;
+      }
+      let Ok(framing) = head.framing(&method) else {
+        return Err(outcome(End::Broken, "not an answer"));
+      };
+      let echoed = head.headers.get(self.hub.dialect.request_id);
+      match echoed {
+        Some(echoed) if echoed != self.id => self.skip(socket, framing, until)?,
+        _ => return Ok((head, framing)),
+      }
+    }
+  }
+
+  fn skip(&mut self, socket: &mut Socket, framing: Framing, until: u64) -> Result<(), Outcome> {
+    let mut body = Body::open(framing);
+    let mut out = Vec::new();
+    loop {
+      if body.take(&mut socket.input, &mut out).is_err() {
+        return Err(outcome(End::Broken, "not an answer"));
+      }
+      out.clear();
+      if body.done() {
+        return Ok(());
+      }
+      if self.hear(socket, until)? == Fill::End {
+        return Err(outcome(End::Broken, "connection closed by server"));
+      }
+    }
+  }
+
+  fn exchange(
+    &mut self,
+    socket: &mut Socket,
+    attempt: &Attempt,
+  ) -> Result<(Outcome, Reuse), Outcome> {
+    let bytes = self.outgoing(attempt);
+    let written = self.write(socket, &bytes)?;
+    let (head, framing) = self.head(socket)?;
+    let dialect = &self.hub.dialect;
+    let echoed = head.headers.get(dialect.request_id).is_some();
+    let signed = head.headers.get(dialect.signature).is_some();
+    let success = (200..300).contains(&head.status);
+    if success && !(echoed && signed) {
+      return Err(outcome(End::Broken, "answer without signature"));
+    }
+    if success && head.headers.get("content-encoding").is_some() {
+      return Err(outcome(End::Broken, "answer in an encoding not asked for"));
+    }
+    let reuse = match written && head.keeps() && framing != Framing::Close {
+      true => Reuse::Within(rest_allowed(&head)),
+      false => Reuse::No,
+    };
+    let streams = success && self.incoming.route.stream.is_some();
+    let result = if streams {
+      self.stream(socket, &head, framing)?
+    } else {
+      self.whole(socket, head, framing, attempt)?
+    };
+    Ok((result, reuse))
+  }
+}
+
+/// Time for which a server keeps a connection at rest, where it says so.
+fn rest_allowed(head: &Response) -> Option<Duration> {
+  let header = head.headers.get("keep-alive")?;
+  let timeout = header
+    .split(',')
+    .find_map(|item| item.trim().strip_prefix("timeout="))?;
+  timeout.parse().ok().map(Duration::from_secs)
+}
