tests that fail: an instance without the store hears its holder, a freeze is no silence

Cause: (1) after a call without an answer `from` is None, and a feed without `from` never looks at its gate: what the holder sends is passed over until a list arrives. (2) `silence` is the longest time between two answers since it was last asked for; only a failed call asks with effect, so a gap of one's own, of any time before, counts as silence of the store at the next call that is refused, and servers that left are kept for 2.0 s.

--- /dev/null
+++ b/tests/feed_review.rs
@@ -0,0 +1,247 @@
+//! What is believed of the store's silence, and what an instance that the store does not
+//! answer goes by.
+
+use bendsaddle::{
+  feed::{Batch, Change, Event, Gate, Progress, SILENT, follow},
+  store::{Changes, Error, Object, Page, Store},
+};
+use slog::{Discard, Logger, o};
+use std::{
+  sync::{
+    Arc, Mutex,
+    mpsc::{Receiver, channel},
+  },
+  thread,
+  time::{Duration, Instant},
+};
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// What the store does with a call that is not answered.
+#[derive(Clone, Copy)]
+enum Mood {
+  Answers,
+  Refuses,
+  /// Nothing comes back, and each call waits this long for it.
+  Silent(Duration),
+}
+
+struct Shared {
+  revision: u64,
+  mood: Mood,
+}
+
+type Server = Arc<Mutex<Shared>>;
+
+fn fault(server: &Server) -> Option<Error> {
+  let mood = server.lock().unwrap().mood;
+  match mood {
+    Mood::Answers => None,
+    Mood::Refuses => Some(Error::Refused(503)),
+    Mood::Silent(wait) => {
+      thread::sleep(wait);
+      Some(Error::NoAnswer)
+    }
+  }
+}
+
+fn object(revision: u64) -> Object {
+  Object {
+    name: "one".into(),
+    revision,
+    spec: revision.into(),
+  }
+}
+
+fn store(server: &Server) -> Store {
+  let (listed, watched) = (server.clone(), server.clone());
+  Store {
+    list: Box::new(move |_, _| match fault(&listed) {
+      Some(error) => Err(error),
+      None => {
+        let revision = listed.lock().unwrap().revision;
+        Ok(Page {
+          objects: vec![object(revision)],
+          more: false,
+          revision,
+        })
+      }
+    }),
+    watch: Box::new(move |_, from, wait| {
+      let until = Instant::now() + wait;
+      loop {
+        if let Some(error) = fault(&watched) {
+          return Err(error);
+        }
+        let revision = watched.lock().unwrap().revision;
+        if revision > from || Instant::now() >= until {
+          let objects = (revision > from).then(|| (object(revision), false));
+          return Ok(Changes {
+            objects: objects.into_iter().collect(),
+            revision,
+          });
+        }
+        thread::sleep(Duration::from_millis(5));
+      }
+    }),
+    read: Box::new(|_, _| Err(Error::Absent)),
+    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+  }
+}
+
+/// A store at revision 5, followed in a thread whose news are given; `first` is called with
+/// the first of them, in that thread.
+fn followed(gate: &Arc<Gate>, first: impl Fn() + Send + 'static) -> (Server, Receiver<Event>) {
+  let server = Arc::new(Mutex::new(Shared {
+    revision: 5,
+    mood: Mood::Answers,
+  }));
+  let (sender, news) = channel();
+  let (store, gate) = (store(&server), gate.clone());
+  let mut seen = false;
+  thread::spawn(move || {
+    let log = Logger::root(Discard, o!());
+    follow(&store, "kind", &gate, &log, move |event| {
+      let matters = matches!(event, Event::All(_) | Event::Some(_));
+      let _ = sender.send(event);
+      if !std::mem::replace(&mut seen, true) {
+        first();
+      }
+      matters
+    })
+  });
+  (server, news)
+}
+
+fn progress(revision: u64) -> Progress {
+  Progress {
+    revision,
+    changed: revision,
+    age_ms: 0,
+  }
+}
+
+/// The next event of a sort, while a holder's progress goes on coming.
+fn next<T>(
+  news: &Receiver<Event>,
+  mut every: impl FnMut(),
+  sort: impl Fn(&Event) -> Option<T>,
+) -> Option<T> {
+  let began = Instant::now();
+  while began.elapsed() < LONG {
+    every();
+    if let Ok(event) = news.recv_timeout(Duration::from_millis(20))
+      && let Some(found) = sort(&event)
+    {
+      return Some(found);
+    }
+  }
+  None
+}
+
+fn known(gate: &Gate) {
+  let began = Instant::now();
+  while gate.progress().revision < 5 {
+    assert!(began.elapsed() < LONG, "not in time");
+    thread::sleep(Duration::from_millis(1));
+  }
+}
+
+fn batch() -> Batch {
+  Batch {
+    since: 5,
+    after: 5,
+    revision: 8,
+    changes: vec![Change {
+      name: "one".into(),
+      revision: 8,
+      removed: false,
+      spec: "8".into(),
+    }],
+  }
+}
+
+// Its watch got no answer, so it reads all; the store does not answer this either. The holder
+// reads the store and sends the change, which was taken before.
+#[test]
+fn an_instance_without_the_store_takes_what_the_holder_sends() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, news) = followed(&gate, || {});
+  known(&gate);
+  server.lock().unwrap().mood = Mood::Silent(Duration::from_millis(50));
+  // A change that it lacks makes it ask the store.
+  let lost = next(
+    &news,
+    || gate.follow(progress(7)),
+    |event| (*event == Event::Lost).then_some(()),
+  );
+  assert_eq!(lost, Some(()));
+  let taken = next(
+    &news,
+    || {
+      gate.offer(batch());
+      gate.follow(progress(8));
+    },
+    |event| matches!(event, Event::Some(_)).then_some(()),
+  );
+  assert_eq!(taken, Some(()), "not in 20 s");
+}
+
+// The process stood still for a while; the store answered the holder all the time. Much later
+// one call is refused: that is no silence of the store.
+#[test]
+fn a_freeze_of_ones_own_is_no_silence_of_the_store_at_a_later_failure() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, news) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
+  thread::sleep(SILENT + Duration::from_millis(200));
+  // What came meanwhile is read before the feed's thread runs again.
+  gate.follow(progress(5));
+  let began = Instant::now();
+  while began.elapsed() < Duration::from_secs(1) {
+    gate.follow(progress(5));
+    thread::sleep(Duration::from_millis(20));
+  }
+  server.lock().unwrap().mood = Mood::Refuses;
+  server.lock().unwrap().revision = 8;
+  let failed = Instant::now();
+  let lost = next(
+    &news,
+    || gate.follow(progress(8)),
+    |event| (*event == Event::Lost).then_some(()),
+  );
+  assert_eq!(lost, Some(()));
+  server.lock().unwrap().mood = Mood::Answers;
+  let back = next(
+    &news,
+    || gate.follow(progress(8)),
+    |event| match event {
+      Event::Back(silence) => Some(*silence),
+      _ => None,
+    },
+  );
+  let (silence, most) = (back.expect("the store back"), failed.elapsed());
+  assert!(silence < SILENT.max(most), "{silence:?}, {most:?}");
+}
+
+// The same, and no call fails: nothing says that the store was silent at all.
+#[test]
+fn a_freeze_of_ones_own_without_a_failed_call_is_no_silence() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, news) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
+  thread::sleep(SILENT + Duration::from_millis(200));
+  gate.follow(progress(5));
+  server.lock().unwrap().revision = 8;
+  let first = next(
+    &news,
+    || gate.follow(progress(8)),
+    |event| match event {
+      Event::Back(silence) => Some(Some(*silence)),
+      Event::Some(_) => Some(None),
+      _ => None,
+    },
+  );
+  assert_eq!(first, Some(None));
+}
