tests that fail: what counts as silence of the store; a departure while the holder's watch is held up

Cause: found by a review: a gap between answers is kept until the next failed call, however long ago it was; one failed call makes a silence of the wait before it; what the holder read after a silence is taken before the silence is known.

--- a/tests/feed_review.rs
+++ b/tests/silence.rs
@@ -188,6 +188,71 @@
   assert_eq!(taken, Some(()), "not in 20 s");
 }
 
+// An entry that lapsed while the store was silent may come back; its removal must not be
+// taken up before the silence is known.
+#[test]
+fn the_silence_is_known_before_a_removal_that_the_holder_read_after_it() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, news) = followed(&gate, || {});
+  known(&gate);
+  server.lock().unwrap().mood = Mood::Refuses;
+  thread::sleep(SILENT + Duration::from_millis(900));
+  // The holder is answered again, this one not yet.
+  let mut removal = batch();
+  removal.changes[0].revision = 5;
+  removal.changes[0].removed = true;
+  let first = next(
+    &news,
+    || {
+      gate.offer(removal.clone());
+      gate.follow(progress(8));
+    },
+    |event| match event {
+      Event::Back(silence) => Some(Some(*silence)),
+      Event::Some(_) => Some(None),
+      _ => None,
+    },
+  );
+  let silence = first.expect("an event").expect("the silence first");
+  assert!(silence >= SILENT, "{silence:?}");
+}
+
+// The holder falls silent, and after a while this instance asks by itself; that one call is
+// lost. Nobody had asked before, so nothing shows that the store was silent then.
+#[test]
+fn the_wait_for_a_lost_holder_is_no_silence_of_the_store() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, news) = followed(&gate, || {});
+  known(&gate);
+  gate.follow(progress(5));
+  // The watch's own time and that for its answer.
+  let call = Duration::from_millis(2_000);
+  server.lock().unwrap().mood = Mood::Silent(call);
+  let lost = next(
+    &news,
+    || {},
+    |event| (*event == Event::Lost).then_some(Instant::now()),
+  );
+  let failed = lost.expect("a failed call");
+  server.lock().unwrap().mood = Mood::Answers;
+  let back = next(
+    &news,
+    || {},
+    |event| match event {
+      Event::Back(silence) => Some(*silence),
+      _ => None,
+    },
+  );
+  let asked = call + failed.elapsed();
+  let silence = back.expect("the store back");
+  assert!(
+    silence < SILENT.max(asked),
+    "{silence:?}, asked for {asked:?}"
+  );
+}
+
 // The process stood still for a while; the store answered the holder all the time. Much later
 // one call is refused: that is no silence of the store.
 #[test]
