tests that fail: a server whose entry has gone for a moment counts for no bound

A server without an entry leaves the plan at once, and what it holds no longer counts.

Ruled out: two holders (one term gives all orders), orders without answer (all accepted), a load of an earlier holder. Two tests are red; the third, that a server which has ended does not count, passes before and must go on to.

--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -21,6 +21,7 @@
 /// Servers that carry orders out, with the plan that gives them.
 struct World {
   plan: Plan,
+  deployment: Arc<Deployment>,
   now: u64,
   servers: BTreeMap<String, Server>,
   /// Models that are waited for, and what runs where.
@@ -36,6 +37,8 @@
   strain: Vec<Seen>,
   /// What becomes of orders from now on, instead of being carried out.
   fate: Option<Taken>,
+  /// Servers that answer no more.
+  ended: BTreeSet<String>,
 }
 
 struct Server {
@@ -109,9 +112,11 @@
       .collect();
     plan.begin(0, 1);
     let specs = servers.values().map(|server| server.spec.clone()).collect();
-    plan.servers(Arc::new(deployment), specs);
+    let deployment = Arc::new(deployment);
+    plan.servers(deployment.clone(), specs);
     Self {
       plan,
+      deployment,
       now: 10_000,
       servers,
       waiting: Vec::new(),
@@ -122,9 +127,22 @@
       missing: Vec::new(),
       strain: Vec::new(),
       fate: None,
+      ended: BTreeSet::new(),
     }
   }
 
+  /// The store has entries of these servers, and of no others.
+  fn list(&mut self, ids: &[&str]) {
+    let deployment = self.deployment.clone();
+    let listed = self.servers.iter_mut();
+    let listed = listed.filter(|(id, _)| ids.contains(&id.as_str()));
+    let specs = listed.map(|(_, server)| {
+      server.spec.models = server.held.clone();
+      server.spec.clone()
+    });
+    self.plan.servers(deployment, specs.collect());
+  }
+
   fn report(&mut self) {
     let demand = self.waiting.iter().map(|(model, waiting)| Demand {
       pool: "pool".into(),
@@ -223,6 +241,9 @@
   fn ask(&mut self, id: &str) {
     self.asked += 1;
     let now = self.now;
+    if self.ended.contains(id) {
+      return self.plan.inventory(now, id, None);
+    }
     let server = self.servers.get_mut(id).unwrap();
     server.finish(now);
     let inventory = Inventory {
@@ -696,3 +717,53 @@
   world.waiting = vec![("d".into(), 200)];
   assert_eq!(most_of_d(&mut world, 3_000), 2);
 }
+
+/// Four servers, two of which hold `d`, which two may hold; their entries go without a word
+/// and come back later.
+fn bounded_world() -> World {
+  let mut world = World::open(
+    &["a", "d"],
+    &[
+      ("one", &["a"], &["d"]),
+      ("two", &["a"], &["d"]),
+      ("three", &["a", "d"], &["d"]),
+      ("four", &["a", "d"], &["d"]),
+    ],
+  );
+  let two = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 2 }"#;
+  let policies = [("two".to_string(), serde_json::from_str(two).unwrap())];
+  world.plan.policies(policies.into_iter().collect());
+  world.run(500);
+  world.waiting = vec![("d".into(), 6)];
+  world
+}
+
+#[test]
+fn a_server_whose_entry_may_come_back_counts_for_the_bound() {
+  let mut world = bounded_world();
+  world.list(&[]);
+  world.run(800);
+  world.list(&["one", "two"]);
+  assert_eq!(most_of_d(&mut world, 200), 2);
+  world.list(&["one", "two", "three", "four"]);
+  assert_eq!(most_of_d(&mut world, 3_000), 2);
+}
+
+#[test]
+fn a_server_that_does_not_answer_after_its_entry_has_gone_does_not_count() {
+  let mut world = bounded_world();
+  world.ended = ["three", "four"].map(String::from).into();
+  world.list(&["one", "two"]);
+  world.run(300);
+  assert!(!world.loads().is_empty(), "d is loaded again at once");
+}
+
+#[test]
+fn a_server_whose_entry_does_not_come_back_counts_no_longer() {
+  let mut world = bounded_world();
+  world.list(&["one", "two"]);
+  world.run(1_900);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.run(600);
+  assert!(!world.loads().is_empty());
+}
