a server whose entry has gone counts for bounds until it ends or 2 s are over

Cause: a server without an entry left the plan at once, and what it held counted for no policy's bound; back 0.8 s later, it held a model that had been loaded elsewhere meanwhile.

Ruled out: counting it for 2 s whatever it does. A model whose server crashed would be loaded 2 s later. Keeping it in the plan: it would get orders without an entry.

Change: a server that goes without having said that it leaves is asked what it holds, where a policy bounds one of its models. No answer: it counts no longer. Else its models count until its entry is back or 2 s (the platform's word for entries that lapse) are over. Without policies nothing is asked and nothing changes.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -162,8 +162,8 @@
     jobs.filter(|job| job.model == model).count()
   }
 
-  /// Servers that hold a model, also where it is about to leave or they are, and those that
-  /// load it: what a policy's bound counts. While only those counted that keep it, a burst
+  /// Servers that hold a model, also where it is about to leave or they are, those that load
+  /// it, and those whose entry may come back: what a policy's bound counts. While only those counted that keep it, a burst
   /// of 200 requests loaded a model on four servers of which two were allowed.
   pub(crate) fn replicas(&self, pool: &str, model: &str) -> u32 {
     let servers = self.servers.values();
@@ -174,7 +174,7 @@
     });
     let others = self.others.iter().filter(|other| other.pool == pool);
     let others = others.filter(|other| other.models.contains_key(model));
-    (own.count() + others.count()) as u32
+    (own.count() + others.count() + self.gone_with(pool, model)) as u32
   }
 
   /// Loads a model where it costs least, if some server can take it.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,6 +8,7 @@
 pub mod adapters;
 pub mod ahead;
 pub mod choose;
+pub mod gone;
 pub mod held;
 pub mod obstacle;
 pub mod plan;
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -11,6 +11,7 @@
   demand::{Demand, Model},
   deployment::Deployment,
   placement::choose::Cause,
+  placement::gone::Gone,
   placement::held::{Job, Server, Step, base},
   placement::obstacle::Delay,
   placement::urgency::gain,
@@ -156,6 +157,8 @@
   pub(crate) ordering: bool,
   pub(crate) deployment: Arc<Deployment>,
   pub(crate) servers: BTreeMap<String, Server>,
+  /// Servers whose entries may come back.
+  pub(crate) gone: BTreeMap<String, Gone>,
   pub(crate) members: BTreeMap<String, Member>,
   /// How much each pool's models are used: requests at once, fading.
   pub(crate) used: BTreeMap<(String, String), f64>,
@@ -205,6 +208,7 @@
       ordering: true,
       deployment: Arc::default(),
       servers: BTreeMap::new(),
+      gone: BTreeMap::new(),
       members: BTreeMap::new(),
       used: BTreeMap::new(),
       faded: 0,
@@ -227,6 +231,7 @@
 
   /// The lease was taken: nothing that was known of the servers counts.
   pub fn begin(&mut self, now: u64, term: u64) {
+    self.now = now;
     self.settled_at = now + SETTLE_MS;
     self.term = term;
     self.changes = 0;
@@ -247,8 +252,11 @@
   pub fn servers(&mut self, deployment: Arc<Deployment>, specs: Vec<Spec>) {
     self.deployment = deployment;
     let known = |id: &String| specs.iter().any(|spec| spec.id == *id);
-    self.servers.retain(|id, _| known(id));
+    let gone = self.servers.extract_if(.., |id, _| !known(id));
+    let gone: Vec<(String, Server)> = gone.collect();
+    self.leave_out(gone);
     for spec in specs {
+      self.gone.remove(&spec.id);
       match self.servers.get_mut(&spec.id) {
         Some(server) => server.spec = spec,
         None => {
@@ -377,6 +385,7 @@
     self.now = now;
     self.count();
     self.index();
+    self.forget_gone();
     let ids: Vec<String> = self.servers.keys().cloned().collect();
     for id in &ids {
       self.sync(id);
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -94,7 +94,7 @@
   pub fn inventory(&mut self, now: u64, id: &str, inventory: Option<Inventory>) {
     self.now = now;
     let Some(server) = self.servers.get_mut(id) else {
-      return;
+      return self.answered_gone(id, inventory);
     };
     server.asking = false;
     let Some(inventory) = inventory else {
