soak: replicas are counted by when servers held the model

What happened during a fault at a server was not seen at all.

Ruled out: reading again until the count is stable; it sees nothing during faults either.

Change: servers write down when they came to hold a model and when they dropped it, and the check counts those that held it at the same moment, faults included. A server counts until it crashes or its entry goes for good. As strict as before where the old count was right, and stricter during faults; the check's test has a history for either side of the bound.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -253,17 +253,27 @@
       let text = format!("server `{server}` was given {loads} loads beyond its memory");
       self.found("memory", 0, text);
     }
+    if !self.history.late_orders {
+      self.replicas();
+    }
+  }
+
+  /// The first moment at which more servers held the bounded model than may.
+  fn replicas(&mut self) {
     let most = self.bounds.replicas;
-    let over = self
-      .history
-      .replicas
-      .iter()
-      .find(|(_, count)| *count > most);
-    if let Some((at, count)) = over
-      && !self.history.late_orders
-    {
-      let text = format!("{count} servers hold the model that {most} may hold");
-      self.found("replicas", *at, text);
+    let holds = &self.history.holds;
+    let at_once = |at: u64| {
+      holds
+        .iter()
+        .filter(move |hold| hold.from <= at && at < hold.to)
+    };
+    let over = holds.iter().map(|hold| hold.from);
+    let over = over.filter(|at| at_once(*at).count() > most).min();
+    if let Some(at) = over {
+      let names: Vec<&str> = at_once(at).map(|hold| hold.server.as_str()).collect();
+      let count = names.len();
+      let text = format!("{count} servers hold the model that {most} may hold: {names:?}");
+      self.found("replicas", at, text);
     }
   }
 
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -139,6 +139,14 @@
   pub version: u64,
 }
 
+/// A server held the bounded model from a moment on, and to another one no more.
+#[derive(Clone, Debug)]
+pub struct Hold {
+  pub server: String,
+  pub from: u64,
+  pub to: u64,
+}
+
 /// Everything a run has seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -153,10 +161,11 @@
   pub drained: Vec<(String, u64)>,
   /// Loads beyond a server's memory.
   pub overfull: Vec<(String, u64)>,
-  /// Most servers that held the bounded model at once, when, and whether an order was
-  /// carried out late before.
-  pub replicas: Vec<(u64, usize)>,
+  /// When servers held the bounded model, and whether an order was carried out late.
+  pub holds: Vec<Hold>,
   pub late_orders: bool,
+  /// Servers that crashed, or whose entries went for good, and when.
+  pub gone: Vec<(String, u64)>,
   /// When the last fault had ended.
   pub calm_from: u64,
   /// Longest delay of this process's own threads, ms.
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! A deployment of real instances before stand-ins, and the faults done to it.
 
 use crate::{
-  history::{Book, FROZEN, History, Order, Probe, Run, STOPPED, Target},
+  history::{Book, FROZEN, History, Hold, Order, Probe, Run, STOPPED, Target},
   load::{self, Traffic},
   plan::{Cut, Fault, Server, Size, Step, Store as StoreFault},
 };
@@ -345,26 +345,16 @@
     }
   }
 
-  /// Counts replicas of the bounded model and this process's own delays.
+  /// Measures this process's own delays.
   fn look(&self) {
     let pause = Duration::from_millis(20);
     while !self.over() {
       let began = Instant::now();
       thread::sleep(pause);
       let lag = began.elapsed().saturating_sub(pause).as_millis() as u64;
-      let holds = |place: &&Place| {
-        let models = lock(&place.runner).models();
-        models.iter().any(|model| model == BOUNDED)
-      };
-      let count = self.places.iter().filter(holds).count();
-      let at = self.book.now();
-      self.book.note(|history| {
-        history.lag_ms = history.lag_ms.max(lag);
-        let most = history.replicas.last().map_or(0, |(_, most)| *most);
-        if count > most {
-          history.replicas.push((at, count));
-        }
-      });
+      self
+        .book
+        .note(|history| history.lag_ms = history.lag_ms.max(lag));
     }
   }
 
@@ -541,6 +531,7 @@
   /// The server crashes, and another one comes at its address.
   fn crash(&self, place: &Place, runner: &mut Runner, lasts: Duration) {
     runner.end();
+    self.gone(&runner.id);
     place.proxy.fault(ProxyFault::Refuse);
     thread::sleep(LAPSE);
     self.store.remove("servers", &runner.id);
@@ -556,17 +547,30 @@
     if self.broken != Some(Break::Leave) {
       match word {
         true => runner.beat("draining"),
-        false => self.store.remove("servers", &id),
+        false => self.remove(&id),
       }
     }
     self.book.note(|history| history.drained.push((id, at)));
     thread::sleep(SERVES_ON * 2);
-    self.store.remove("servers", &runner.id);
+    self.remove(&runner.id);
     runner.end();
     place.proxy.cut();
     self.replace(place, runner);
   }
 
+  /// Its entry goes for good.
+  fn remove(&self, id: &str) {
+    self.store.remove("servers", id);
+    self.gone(id);
+  }
+
+  fn gone(&self, id: &str) {
+    let at = self.book.now();
+    self
+      .book
+      .note(|history| history.gone.push((id.to_string(), at)));
+  }
+
   fn replace(&self, place: &Place, runner: &mut Runner) {
     let start = place.starts.fetch_add(1, Ordering::Relaxed);
     let name = runner.id.split('.').next().unwrap_or_default();
@@ -576,6 +580,27 @@
     lock(&self.runners).push(runner.clone());
   }
 
+  /// When a server held the bounded model, as it wrote down itself, while it was there.
+  fn holds(&self, runner: &Runner, gone: &[(String, u64)]) -> Vec<Hold> {
+    let gone = gone.iter().find(|(id, _)| *id == runner.id);
+    let last = gone.map_or(u64::MAX, |(_, at)| *at);
+    let mut holds: Vec<Hold> = Vec::new();
+    let changes = runner.changes().into_iter();
+    for change in changes.filter(|change| change.model == BOUNDED) {
+      let at = self.book.at(change.at).min(last);
+      match (change.held, holds.last_mut()) {
+        (false, Some(hold)) => hold.to = at,
+        (false, None) => {}
+        (true, _) => holds.push(Hold {
+          server: runner.id.clone(),
+          from: at,
+          to: last,
+        }),
+      }
+    }
+    holds
+  }
+
   /// Adds what servers have seen to the history.
   fn gather(&self) -> History {
     let mut history = self.book.note(std::mem::take);
@@ -595,6 +620,8 @@
           at: self.book.at(order.at),
         });
       }
+      let holds = self.holds(runner, &history.gone);
+      history.holds.extend(holds);
       let overfull = runner.overfull();
       if overfull > 0 {
         history.overfull.push((runner.id.clone(), overfull));
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -2,7 +2,7 @@
 
 use soak::{
   check::{Bounds, check},
-  history::{End, FROZEN, History, Kind, Order, Probe, Run, STOPPED, Sent, Target, Trouble},
+  history::{End, FROZEN, History, Hold, Kind, Order, Probe, Run, STOPPED, Sent, Target, Trouble},
 };
 
 /// A history in which everything is served after the last fault.
@@ -171,15 +171,23 @@
   assert!(broken(&thawed).is_empty(), "it was on its way");
 }
 
+fn hold(server: &str, from: u64, to: u64) -> Hold {
+  Hold {
+    server: server.into(),
+    from,
+    to,
+  }
+}
+
 #[test]
 fn memory_and_replicas_stay_within_their_bounds() {
   let mut history = calm();
   history.overfull.push(("a".into(), 1));
   assert_eq!(broken(&history), ["memory"]);
   let mut history = calm();
-  history.replicas = vec![(500, 2)];
-  assert!(broken(&history).is_empty());
-  history.replicas.push((600, 3));
+  history.holds = vec![hold("a", 0, 500), hold("b", 0, 900), hold("c", 500, 800)];
+  assert!(broken(&history).is_empty(), "never three at once");
+  history.holds.push(hold("d", 799, 801));
   assert_eq!(broken(&history), ["replicas"]);
   history.late_orders = true;
   assert!(broken(&history).is_empty(), "an order was carried out late");
