a holder orders nothing before it has read policies, and reads all pages

Cause: the next read of policies was set 10 s ahead before the first had succeeded; orders went out by the default policy meanwhile. Only the first page was read.

Ruled out: waiting without end. A store that does not give policies at all would keep all models from being loaded; after 3 s orders go out.

Change: policies are read at once when the lease is taken, again 0.3 s after a read that failed, and page by page; a process that never read any orders nothing for 3 s at the most.

--- a/src/planner.rs
+++ b/src/planner.rs
@@ -65,6 +65,11 @@
 const SMALL_MS: u64 = 600;
 /// Policies are read this often, ms: operators change them some times a day.
 const POLICIES_MS: u64 = 10_000;
+/// And again this long after a read that failed, ms.
+const POLICIES_AGAIN_MS: u64 = 300;
+/// A holder that never read policies orders nothing for this long, ms: it would load more
+/// replicas than they allow. Then it serves without: the store may not give them at all.
+const POLICIES_WAIT_MS: u64 = 3_000;
 /// A step is followed by a rest of this many times its length: the holder serves
 /// requests too.
 const PACE: u32 = 6;
@@ -74,7 +79,7 @@
   Lease(usize, lease::Call, store::Result<store::Object>),
   Ordered(usize, Command, Taken),
   Asked(usize, String, Option<Inventory>),
-  Policies(store::Result<store::Page>),
+  Policies(store::Result<Vec<store::Object>>),
 }
 
 /// A group of servers: its lease, and the plan that counts while this machine
@@ -124,6 +129,8 @@
   pub(crate) last: Option<Report>,
   /// When policies are read next, ms.
   policies_at: u64,
+  /// Until when orders wait for the first policies, ms.
+  policies_until: u64,
   /// How long this instance leaves a free lease to others, ms.
   reluctance: u64,
   pub(crate) link_mbps: f64,
@@ -161,6 +168,7 @@
     reported: 0,
     last: None,
     policies_at: 0,
+    policies_until: u64::MAX,
     reluctance: reluctance(&routing),
     link_mbps: routing.link_mbps,
     behind: false,
@@ -246,6 +254,9 @@
       if group.leads(now) {
         due = due.min(group.plan.due(now).max(group.rest_until));
       }
+      if group.holding {
+        due = due.min(self.policies_at);
+      }
     }
     due.max(now)
   }
@@ -299,7 +310,7 @@
           self.hub.measures.order(command.act, taken);
           self.groups[index].plan.ordered(now, &command, taken);
         }
-        Done::Policies(page) => self.take_policies(page),
+        Done::Policies(objects) => self.take_policies(now, objects),
         Done::Asked(index, id, inventory) => {
           self.groups[index].plan.inventory(now, &id, inventory);
         }
@@ -331,6 +342,11 @@
       self.hub.measures.lease();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
       group.plan.begin(now, term);
+      // Those of an earlier holding may be old.
+      self.policies_at = now;
+      if self.policies_until == u64::MAX {
+        self.policies_until = now + POLICIES_WAIT_MS;
+      }
       group.seen = (0, 0);
       group.members_sent = 0;
       self.behind = true;
@@ -373,21 +389,22 @@
     self.policies_at = now + POLICIES_MS;
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     self.calls.run(move || {
-      let page = (edge.store.list)(edge.kinds.policies, None);
-      let _ = done.send(Done::Policies(page));
+      let _ = done.send(Done::Policies(policies(&edge)));
       bell.ring();
     });
   }
 
-  fn take_policies(&mut self, page: store::Result<store::Page>) {
-    let objects = match page {
-      Ok(page) => page.objects,
+  fn take_policies(&mut self, now: u64, objects: store::Result<Vec<store::Object>>) {
+    let objects = match objects {
+      Ok(objects) => objects,
       Err(store::Error::Absent) => Vec::new(),
       Err(error) => {
+        self.policies_at = now + POLICIES_AGAIN_MS;
         info!(self.hub.log, "policies not read, the last ones stay in force"; "error" => %error);
         return;
       }
     };
+    self.policies_until = 0;
     let mut policies = BTreeMap::new();
     for object in objects {
       let policy = serde_json::from_value::<Policy>(object.spec).map_err(|error| error.to_string());
@@ -431,7 +448,9 @@
     if !group.leads(now) || now < group.rest_until {
       return;
     }
-    group.plan.order(group.holding);
+    group
+      .plan
+      .order(group.holding && now >= self.policies_until);
     self.feed_plan(index);
     let began = Instant::now();
     let effects = self.groups[index].plan.step(now);
@@ -501,6 +520,21 @@
   }
 }
 
+/// All policies that the store has, page by page.
+fn policies(edge: &Edge) -> store::Result<Vec<store::Object>> {
+  let mut objects: Vec<store::Object> = Vec::new();
+  loop {
+    let after = objects.last().map(|object| object.name.clone());
+    let page = (edge.store.list)(edge.kinds.policies, after.as_deref())?;
+    // A page without objects would be asked for again and again.
+    let more = page.more && !page.objects.is_empty();
+    objects.extend(page.objects);
+    if !more {
+      return Ok(objects);
+    }
+  }
+}
+
 /// A server of another group, as this instance knows it.
 fn other(group: u32, backend: &Backend) -> Other {
   let (mut models, spec) = match &backend.holding {
