--- a/soak/src/world/gather.rs
+++ b/soak/src/world/gather.rs
@@ -1,10 +1,32 @@
 //! What servers have seen, for the history.
 
-use super::{World, lock};
-use crate::history::{History, Order, Run};
+use super::{World, configuration::BOUNDED, lock};
+use crate::history::{History, Hold, Order, Run};
+use platform_stand_in::runner::Runner;
 use std::sync::atomic::Ordering;
 
 impl World {
+  /// When a server held the bounded model, as it wrote down itself, while it was there.
+  fn holds(&self, runner: &Runner, gone: &[(String, u64)]) -> Vec<Hold> {
+    let gone = gone.iter().find(|(id, _)| *id == runner.id);
+    let last = gone.map_or(u64::MAX, |(_, at)| *at);
+    let mut holds: Vec<Hold> = Vec::new();
+    let changes = runner.changes().into_iter();
+    for change in changes.filter(|change| change.model == BOUNDED) {
+      let at = self.book.at(change.at).min(last);
+      match (change.held, holds.last_mut()) {
+        (false, Some(hold)) => hold.to = at,
+        (false, None) => {}
+        (true, _) => holds.push(Hold {
+          server: runner.id.clone(),
+          from: at,
+          to: last,
+        }),
+      }
+    }
+    holds
+  }
+
   /// Adds what servers have seen to the history.
   pub(super) fn gather(&self) -> History {
     let mut history = self.book.note(std::mem::take);
@@ -24,6 +46,8 @@
           at: self.book.at(order.at),
         });
       }
+      let holds = self.holds(runner, &history.gone);
+      history.holds.extend(holds);
       let overfull = runner.overfull();
       if overfull > 0 {
         history.overfull.push((runner.id.clone(), overfull));
--- a/soak/src/world/place.rs
+++ b/soak/src/world/place.rs
@@ -92,6 +92,7 @@
   /// The server crashes, and another one comes at its address.
   fn crash(&self, place: &Place, runner: &mut Runner, lasts: Duration) {
     runner.end();
+    self.gone(&runner.id);
     place.proxy.fault(ProxyFault::Refuse);
     thread::sleep(LAPSE);
     self.store.remove("servers", &runner.id);
@@ -107,17 +108,30 @@
     if self.broken != Some(Break::Leave) {
       match word {
         true => runner.beat("draining"),
-        false => self.store.remove("servers", &id),
+        false => self.remove(&id),
       }
     }
     self.book.note(|history| history.drained.push((id, at)));
     thread::sleep(SERVES_ON * 2);
-    self.store.remove("servers", &runner.id);
+    self.remove(&runner.id);
     runner.end();
     place.proxy.cut();
     self.replace(place, runner);
   }
 
+  /// Its entry goes for good.
+  fn remove(&self, id: &str) {
+    self.store.remove("servers", id);
+    self.gone(id);
+  }
+
+  fn gone(&self, id: &str) {
+    let at = self.book.now();
+    self
+      .book
+      .note(|history| history.gone.push((id.to_string(), at)));
+  }
+
   fn replace(&self, place: &Place, runner: &mut Runner) {
     let start = place.starts.fetch_add(1, Ordering::Relaxed);
     let name = runner.id.split('.').next().unwrap_or_default();
--- a/soak/src/world/watchers.rs
+++ b/soak/src/world/watchers.rs
@@ -1,6 +1,6 @@
 //! Callers, and what looks on while they send: probes, the balancer, the replicas.
 
-use super::{Options, World, configuration::BOUNDED, lock, place::Place};
+use super::{Options, World, lock};
 use crate::{history::Probe, load};
 use platform_stand_in::client::{self, Ask, DEADLINE_MS};
 use std::{
@@ -97,26 +97,16 @@
     }
   }
 
-  /// Counts replicas of the bounded model and this process's own delays.
+  /// Measures this process's own delays.
   fn look(&self) {
     let pause = Duration::from_millis(20);
     while !self.over() {
       let began = Instant::now();
       thread::sleep(pause);
       let lag = began.elapsed().saturating_sub(pause).as_millis() as u64;
-      let holds = |place: &&Place| {
-        let models = lock(&place.runner).models();
-        models.iter().any(|model| model == BOUNDED)
-      };
-      let count = self.places.iter().filter(holds).count();
-      let at = self.book.now();
-      self.book.note(|history| {
-        history.lag_ms = history.lag_ms.max(lag);
-        let most = history.replicas.last().map_or(0, |(_, most)| *most);
-        if count > most {
-          history.replicas.push((at, count));
-        }
-      });
+      self
+        .book
+        .note(|history| history.lag_ms = history.lag_ms.max(lag));
     }
   }
 }
