feed: instances that watch by themselves pause 400 ms after changes; comments say publish, report and send

While the holder is turned away each change answered the watches of all others, paced by the pause of 150 ms. Ruled out: the wait of these watches (1 s or 1.8 s: no fewer calls). Change: 400 ms for instances that watch by themselves, 150 ms for the holder.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -29,8 +29,11 @@
 /// than the three heartbeats, of a bit more than a second each, after which entries of
 /// servers lapse.
 pub const SILENT: Duration = Duration::from_millis(3_100);
-/// Pause after changes, so that changes made together come in one answer.
-const GATHER: Duration = Duration::from_millis(150);
+/// Pause after changes, so that changes made together come in one answer: 69 instances that
+/// watch by themselves made 6,390 calls in a day with 150 ms, 4,359 with 250 ms.
+const GATHER: Duration = Duration::from_millis(400);
+/// The same where others go by what is read here: part of the time in which it is confirmed.
+const LEADING_GATHER: Duration = Duration::from_millis(150);
 /// Pause after a failure, doubled for each further one, and its most.
 const RETRY: Duration = Duration::from_millis(100);
 const RETRY_MOST: Duration = Duration::from_millis(800);
@@ -235,7 +238,11 @@
       self.gate.announce();
     }
     if !empty {
-      thread::sleep(GATHER);
+      thread::sleep(if self.gate.leads() {
+        LEADING_GATHER
+      } else {
+        GATHER
+      });
     }
   }
 
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -186,7 +186,7 @@
     })
   }
 
-  /// Takes up the holder's word, heard from `address`.
+  /// Takes up the holder's heartbeat, received from `address`.
   pub fn receive(&mut self, now: u64, heartbeat: Heartbeat, address: SocketAddr) {
     let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
     if heartbeat.revision < known {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -1,8 +1,8 @@
-//! The planner's thread: the lease, the plan, and word between instances.
+//! The planner's thread: the lease, the plan, and datagrams between instances.
 //!
 //! Instances report to the lease's holder what they wait for and what they have
 //! running; it publishes what servers hold. Both go as datagrams that may be
-//! lost: each is update again while it counts.
+//! lost: each is sent again while it counts.
 
 use crate::{
   backend::{self, Backend, Spec},
@@ -39,9 +39,9 @@
 const ORDER_THREADS: usize = 8;
 /// Threads for questions: apart, for servers that are cut off are asked again and again.
 const ASK_THREADS: usize = 6;
-/// Waiting requests are update again this often, ms.
+/// Waiting requests are reported again this often, ms.
 const DEMAND_MS: u64 = 150;
-/// Running requests are update this often, ms.
+/// Running requests are reported this often, ms.
 const RUNNING_MS: u64 = 300;
 /// Changes that are lacking are asked for this often, ms: what is asked for comes within
 /// some.
@@ -58,7 +58,7 @@
 const RELUCTANCE_MS: u64 = 400;
 /// An instance smaller than this leaves the lease to others for a while: orders of a
 /// holder with 0.12 cores and 10 Mbit/s took 0.5 s where 90 servers and 69 instances
-/// were to be update (7 ms on a larger one).
+/// were to be updated (7 ms on a larger one).
 const HOLDER_CORES: f64 = 0.2;
 const HOLDER_LINK_MBPS: f64 = 50.0;
 /// For this long, ms: longer than takers are spread.
@@ -97,13 +97,13 @@
   pub(crate) seen: (u64, u64),
   /// Up to which change the holdings are known.
   pub(crate) known: Known,
-  /// When instances were last update of each other, ms.
+  /// When the list of instances was last published, ms.
   pub(crate) members_sent: u64,
 }
 
 impl Group {
   /// Whether this instance is the last holder as far as it knows. While the store is
-  /// down its time may be over; what it ordered before goes on, and others are update.
+  /// down its time may be over; what it ordered before goes on, and is published.
   pub(crate) fn leads(&self, now: u64) -> bool {
     self.lease.heartbeat(now).is_some()
   }
@@ -136,7 +136,7 @@
   pub(crate) link_mbps: f64,
   /// A holder lacks this instance's report, or it lacks changes.
   pub(crate) behind: bool,
-  /// Instances that holders update of.
+  /// Instances that holders published.
   pub(crate) members: Vec<SocketAddr>,
   /// Where datagrams are taken.
   buffer: Vec<u8>,
--- a/src/router.rs
+++ b/src/router.rs
@@ -124,7 +124,7 @@
             hub.measures.lost(edge.kinds.deployments);
             return false;
           }
-          // The feed of the servers tells of the store.
+          // The feed of the servers reports the store.
           feed::Event::Back(_) => return false,
         };
         objects
@@ -204,7 +204,7 @@
   Ok(())
 }
 
-/// Records what is news about a server besides its holdings; whether it is.
+/// Logs what has changed of a server besides its holdings; whether anything has.
 fn note(hub: &Hub, change: &Change) -> bool {
   let state = hub.state();
   match change {
@@ -237,7 +237,7 @@
     return false;
   };
   let backend = &state.backends[*key];
-  // An entry that is back is news to instances that miss it too.
+  // An entry that is back is a change for instances that miss it too.
   let same = backend.spec.stage == spec.stage && backend.spec.address == spec.address;
   same && !backend.lapsed
 }
