--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -39,6 +39,8 @@
   fate: Option<Taken>,
   /// Servers that answer no more.
   ended: BTreeSet<String>,
+  /// Servers whose answers are not there yet.
+  unheard: BTreeSet<String>,
 }
 
 struct Server {
@@ -128,6 +130,7 @@
       strain: Vec::new(),
       fate: None,
       ended: BTreeSet::new(),
+      unheard: BTreeSet::new(),
     }
   }
 
@@ -241,6 +244,9 @@
   fn ask(&mut self, id: &str) {
     self.asked += 1;
     let now = self.now;
+    if self.unheard.contains(id) {
+      return;
+    }
     if self.ended.contains(id) {
       return self.plan.inventory(now, id, None);
     }
@@ -767,3 +773,39 @@
   world.run(600);
   assert!(!world.loads().is_empty());
 }
+
+#[test]
+fn a_load_under_way_counts_for_the_bound_when_its_servers_entry_is_back() {
+  let mut world = bounded_world();
+  world.servers.get_mut("four").unwrap().held.remove("d");
+  world.plan.begin(world.now, 2);
+  while world.loads().is_empty() {
+    world.run(10);
+  }
+  // The entry states what is held, not what is being loaded.
+  world.list(&[]);
+  world.run(100);
+  world.list(&["one", "two", "three", "four"]);
+  assert_eq!(most_of_d(&mut world, 3_000), 2);
+}
+
+#[test]
+fn a_new_holder_counts_servers_that_it_has_not_asked() {
+  let mut world = bounded_world();
+  // Their entries are older than their loads of the model, and answers take long.
+  for id in ["three", "four"] {
+    world.servers.get_mut(id).unwrap().spec.models.remove("d");
+  }
+  world.plan = Plan::open("10.0.0.2", 0, 5_000, 1.0, 4);
+  let two = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 2 }"#;
+  let policies = [("two".to_string(), serde_json::from_str(two).unwrap())];
+  world.plan.policies(policies.into_iter().collect());
+  world.plan.begin(world.now, 2);
+  let specs = world.servers.values().map(|server| server.spec.clone());
+  world
+    .plan
+    .servers(world.deployment.clone(), specs.collect());
+  world.unheard = ["three", "four"].map(String::from).into();
+  world.run(400);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+}
