servers that have not been asked count for a policy's bound

Cause: an entry states neither a load under way nor, where it is old, what its server holds now; a new holder, and one that saw an entry come back, went by it until the server answered.

Ruled out: counting every server that is to be asked again. In a large pool some always are, and a bounded model would never be loaded.

Change: a server counts from the lease's taking, or its entry's coming, to its first answer without an order under way, or its first question without an answer. Without a bound nothing changes.

The whole workspace's tests were run before this change only.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -163,15 +163,12 @@
   }
 
   /// Servers that hold a model, also where it is about to leave or they are, those that load
-  /// it, and those whose entry may come back: what a policy's bound counts. While only those counted that keep it, a burst
+  /// it, those that were not asked yet, and those whose entry may come back: what a policy's bound counts. While only those counted that keep it, a burst
   /// of 200 requests loaded a model on four servers of which two were allowed.
   pub(crate) fn replicas(&self, pool: &str, model: &str) -> u32 {
     let servers = self.servers.values();
     let servers = servers.filter(|server| server.spec.pool == pool);
-    let own = servers.filter(|server| {
-      let job = server.job.as_ref();
-      server.models.contains_key(model) || job.is_some_and(|job| job.model == model)
-    });
+    let own = servers.filter(|server| server.may_hold(model));
     let others = self.others.iter().filter(|other| other.pool == pool);
     let others = others.filter(|other| other.models.contains_key(model));
     (own.count() + others.count() + self.gone_with(pool, model)) as u32
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -70,6 +70,8 @@
   pub(crate) orders: u64,
   /// The server was asked since this machine took the lease.
   pub(crate) synced: bool,
+  /// It answered since then, or did not answer a question.
+  pub(crate) heard: bool,
   pub(crate) asking: bool,
   pub(crate) leaving: BTreeSet<String>,
   pub(crate) job: Option<Job>,
@@ -123,6 +125,7 @@
       orders: 0,
       spec,
       synced: false,
+      heard: false,
       asking: false,
       leaving: BTreeSet::new(),
       job: None,
@@ -208,6 +211,7 @@
 
   /// A question got no answer: the server rests, longer each time.
   pub(crate) fn unanswered(&mut self, now: u64) {
+    self.heard = true;
     self.rest_until = now + (RECHECK_MS << self.silent.min(SILENT_MOST));
     self.silent += 1;
     if let Some(job) = &mut self.job {
@@ -270,6 +274,13 @@
     running.map(|(_, count)| count).sum()
   }
 
+  /// Whether it counts for a model's bound: it holds the model, loads it, or may do so.
+  pub(crate) fn may_hold(&self, model: &str) -> bool {
+    let coming = self.job.as_ref().is_some_and(|job| job.model == model);
+    // Its entry may be older than what it holds.
+    self.models.contains_key(model) || coming || !self.heard
+  }
+
   pub(crate) fn busy_with(&self, name: &str) -> bool {
     self.running_of(name) > 0
   }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -238,6 +238,7 @@
     self.published.clear();
     for server in self.servers.values_mut() {
       server.synced = false;
+      server.heard = false;
       server.asking = false;
       server.silent = 0;
       server.job = None;
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -113,6 +113,8 @@
       return;
     }
     server.synced = true;
+    // A load of an earlier holder, or from before its entry went, is not named.
+    server.heard |= !inventory.busy;
     server.orders = inventory.orders;
     let Some(mut job) = server.job.take() else {
       if first || !inventory.busy {
