--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -43,7 +43,7 @@
   pub revision: u64,
   /// Revision of the last change that matters to others.
   pub changed: u64,
-  /// Since the moment as of which all changes are known to be known, ms.
+  /// Since the moment as of which all changes are known, ms.
   pub age_ms: u64,
 }
 
