--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -89,14 +89,14 @@
   }
 }
 
-/// A store at revision 5, followed in a thread whose news are given; `first` is called with
+/// A store at revision 5, followed in a thread whose events are given; `first` is called with
 /// the first of them, in that thread.
 fn followed(gate: &Arc<Gate>, first: impl Fn() + Send + 'static) -> (Server, Receiver<Event>) {
   let server = Arc::new(Mutex::new(Shared {
     revision: 5,
     mood: Mood::Answers,
   }));
-  let (sender, news) = channel();
+  let (sender, events) = channel();
   let (store, gate) = (store(&server), gate.clone());
   let mut seen = false;
   thread::spawn(move || {
@@ -110,7 +110,7 @@
       matters
     })
   });
-  (server, news)
+  (server, events)
 }
 
 fn progress(revision: u64) -> Progress {
@@ -123,14 +123,14 @@
 
 /// The next event of a sort, while a holder's progress goes on coming.
 fn next<T>(
-  news: &Receiver<Event>,
+  events: &Receiver<Event>,
   mut every: impl FnMut(),
   sort: impl Fn(&Event) -> Option<T>,
 ) -> Option<T> {
   let began = Instant::now();
   while began.elapsed() < LONG {
     every();
-    if let Ok(event) = news.recv_timeout(Duration::from_millis(20))
+    if let Ok(event) = events.recv_timeout(Duration::from_millis(20))
       && let Some(found) = sort(&event)
     {
       return Some(found);
@@ -167,18 +167,18 @@
 fn an_instance_without_the_store_takes_what_the_holder_sends() {
   let gate = Arc::new(Gate::default());
   gate.follow(progress(5));
-  let (server, news) = followed(&gate, || {});
+  let (server, events) = followed(&gate, || {});
   known(&gate);
   server.lock().unwrap().mood = Mood::Silent(Duration::from_millis(50));
   // A change that it lacks makes it ask the store.
   let lost = next(
-    &news,
+    &events,
     || gate.follow(progress(7)),
     |event| (*event == Event::Lost).then_some(()),
   );
   assert_eq!(lost, Some(()));
   let taken = next(
-    &news,
+    &events,
     || {
       gate.offer(batch());
       gate.follow(progress(8));
@@ -194,7 +194,7 @@
 fn the_silence_is_known_before_a_removal_that_the_holder_read_after_it() {
   let gate = Arc::new(Gate::default());
   gate.follow(progress(5));
-  let (server, news) = followed(&gate, || {});
+  let (server, events) = followed(&gate, || {});
   known(&gate);
   server.lock().unwrap().mood = Mood::Refuses;
   thread::sleep(SILENT + Duration::from_millis(900));
@@ -203,7 +203,7 @@
   removal.changes[0].revision = 5;
   removal.changes[0].removed = true;
   let first = next(
-    &news,
+    &events,
     || {
       gate.offer(removal.clone());
       gate.follow(progress(8));
@@ -224,21 +224,21 @@
 fn the_wait_for_a_lost_holder_is_no_silence_of_the_store() {
   let gate = Arc::new(Gate::default());
   gate.follow(progress(5));
-  let (server, news) = followed(&gate, || {});
+  let (server, events) = followed(&gate, || {});
   known(&gate);
   gate.follow(progress(5));
   // The watch's own time and that for its answer.
   let call = Duration::from_millis(2_000);
   server.lock().unwrap().mood = Mood::Silent(call);
   let lost = next(
-    &news,
+    &events,
     || {},
     |event| (*event == Event::Lost).then_some(Instant::now()),
   );
   let failed = lost.expect("a failed call");
   server.lock().unwrap().mood = Mood::Answers;
   let back = next(
-    &news,
+    &events,
     || {},
     |event| match event {
       Event::Back(silence) => Some(*silence),
@@ -259,7 +259,7 @@
 fn a_freeze_of_ones_own_is_no_silence_of_the_store_at_a_later_failure() {
   let gate = Arc::new(Gate::default());
   gate.follow(progress(5));
-  let (server, news) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
+  let (server, events) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
   thread::sleep(SILENT + Duration::from_millis(200));
   // What came meanwhile is read before the feed's thread runs again.
   gate.follow(progress(5));
@@ -272,14 +272,14 @@
   server.lock().unwrap().revision = 8;
   let failed = Instant::now();
   let lost = next(
-    &news,
+    &events,
     || gate.follow(progress(8)),
     |event| (*event == Event::Lost).then_some(()),
   );
   assert_eq!(lost, Some(()));
   server.lock().unwrap().mood = Mood::Answers;
   let back = next(
-    &news,
+    &events,
     || gate.follow(progress(8)),
     |event| match event {
       Event::Back(silence) => Some(*silence),
@@ -295,12 +295,12 @@
 fn a_freeze_of_ones_own_without_a_failed_call_is_no_silence() {
   let gate = Arc::new(Gate::default());
   gate.follow(progress(5));
-  let (server, news) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
+  let (server, events) = followed(&gate, || thread::sleep(SILENT + Duration::from_millis(400)));
   thread::sleep(SILENT + Duration::from_millis(200));
   gate.follow(progress(5));
   server.lock().unwrap().revision = 8;
   let first = next(
-    &news,
+    &events,
     || gate.follow(progress(8)),
     |event| match event {
       Event::Back(silence) => Some(Some(*silence)),
