store: one way to read all objects of a kind

Cause: the page by page loop stood in the feed, and again in the planner for policies. Ruled out: a change of behaviour: both loops ended on the same condition; policies drop the revision. Change: Store::all.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,7 +7,7 @@
 pub use batch::{Batch, Change};
 pub use gate::{Gate, Progress};
 
-use crate::store::{Error, Object, Result, Store};
+use crate::store::{Error, Object, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -162,7 +162,7 @@
 
   fn read(&mut self) {
     let (began, age) = (Instant::now(), self.gate.age());
-    match all(self.store, self.kind) {
+    match self.store.all(self.kind) {
       Ok((objects, revision)) => self.answered(Answered {
         event: Event::All(objects),
         revision,
@@ -294,19 +294,3 @@
     self.failures += 1;
   }
 }
-
-fn all(store: &Store, kind: &str) -> Result<(Vec<Object>, u64)> {
-  let mut objects: Vec<Object> = Vec::new();
-  // Changes after the first page come again with the watch.
-  let mut revision = None;
-  loop {
-    let after = objects.last().map(|object| object.name.clone());
-    let page = (store.list)(kind, after.as_deref())?;
-    revision.get_or_insert(page.revision);
-    let more = page.more && !page.objects.is_empty();
-    objects.extend(page.objects);
-    if !more {
-      return Ok((objects, revision.unwrap_or_default()));
-    }
-  }
-}
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -389,7 +389,8 @@
     self.policies_at = now + POLICIES_MS;
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     self.calls.run(move || {
-      let _ = done.send(Done::Policies(policies(&edge)));
+      let policies = edge.store.all(edge.kinds.policies);
+      let _ = done.send(Done::Policies(policies.map(|(objects, _)| objects)));
       bell.ring();
     });
   }
@@ -520,21 +521,6 @@
   }
 }
 
-/// All policies that the store has, page by page.
-fn policies(edge: &Edge) -> store::Result<Vec<store::Object>> {
-  let mut objects: Vec<store::Object> = Vec::new();
-  loop {
-    let after = objects.last().map(|object| object.name.clone());
-    let page = (edge.store.list)(edge.kinds.policies, after.as_deref())?;
-    // A page without objects would be asked for again and again.
-    let more = page.more && !page.objects.is_empty();
-    objects.extend(page.objects);
-    if !more {
-      return Ok(objects);
-    }
-  }
-}
-
 /// A server of another group, as this instance knows it.
 fn other(group: u32, backend: &Backend) -> Other {
   let (mut models, spec) = match &backend.holding {
--- a/src/store.rs
+++ b/src/store.rs
@@ -91,3 +91,23 @@
   /// Writes an object that has a revision; 0: that does not exist.
   pub write: Box<Write>,
 }
+
+impl Store {
+  /// All objects of a kind, page by page, and the store's revision at the first page:
+  /// changes after it come again with a watch from there.
+  pub fn all(&self, kind: &str) -> Result<(Vec<Object>, u64)> {
+    let mut objects: Vec<Object> = Vec::new();
+    let mut revision = None;
+    loop {
+      let after = objects.last().map(|object| object.name.clone());
+      let page = (self.list)(kind, after.as_deref())?;
+      revision.get_or_insert(page.revision);
+      // A page without objects would be asked for again and again.
+      let more = page.more && !page.objects.is_empty();
+      objects.extend(page.objects);
+      if !more {
+        return Ok((objects, revision.unwrap_or_default()));
+      }
+    }
+  }
+}
