requests that crash servers are found out and go to no server

Cause: a request was known by its id alone, and forgotten with it. The same content under new ids began at zero at each instance, so servers ended under it as often as it came. Ruled out: repeats within one try (two sends at the most in the log, as routes allow); the crowd of waiting tries released together makes a crash larger, but alone would end with the third. Change: a run whose server cut it off and whose port refuses then has crashed it (End::Crashed; a broken connection alone says nothing). Each instance reports content, life and run to the holders and two judges beside them, three times over; who knows three crashes of a content that no other content explains keeps it from servers and publishes that to all, holders with each update.

--- /dev/null
+++ b/src/crash/mod.rs
@@ -0,0 +1,31 @@
+//! Requests that crash the servers that run them: what is known of crashes, and which
+//! requests are kept from all servers for it.
+//!
+//! Load pattern: one request comes again under new ids at all instances at once, and each
+//! server that begins to run it ends, with all that runs there. Pure: no I/O, no clock.
+
+mod registry;
+mod repeated;
+
+pub use registry::{Registry, Sentence};
+pub use repeated::Repeated;
+
+use crate::{content, life::Life};
+use serde::{Deserialize, Serialize};
+
+/// A run that ended with the process of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Crash {
+  pub content: content::Key,
+  pub server: Life,
+  /// Short name of the request's id.
+  pub run: u32,
+}
+
+/// A request that goes to no server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantined {
+  pub content: content::Key,
+  /// For so much longer, ms.
+  pub left_ms: u32,
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,6 +8,8 @@
   ask::Ticket,
   backend::{self, Backend, Holding, Spec, missing_name},
   cold::{Wants, give_up_at},
+  content,
+  crash::{Crash, Quarantined},
   demand::Model,
   deployment::{Deployment, Engine},
   refusal::{Reason, Refusal},
@@ -64,6 +66,8 @@
   pub affinity: u64,
   /// When it is given up, ms.
   pub until: u64,
+  /// The same for requests that ask for the same thing.
+  pub content: content::Key,
 }
 
 /// One send of a request to a backend server.
@@ -98,6 +102,8 @@
   Leaving,
   /// The request may have run; nothing of an answer counts.
   Broken,
+  /// As `Broken`, and the server's process has ended.
+  Crashed,
   /// The caller has gone.
   Left,
   /// The request's time is over.
@@ -117,6 +123,7 @@
       Self::Unsent => "unsent",
       Self::Leaving => "leaving",
       Self::Broken => "broken",
+      Self::Crashed => "crashed",
       Self::Left => "left",
       Self::Late => "late",
     }
@@ -178,6 +185,8 @@
   StoreBack {
     silence: Duration,
   },
+  /// Requests that go to no server from now on: they crash those that run them.
+  Quarantined(Vec<Quarantined>),
   /// A planned stop: nothing new is taken from the first time on, and what waits is
   /// refused at the second, ms.
   Stopping(u64, u64),
@@ -192,6 +201,8 @@
   Refuse(Ticket, Refusal),
   /// The planner should load a model.
   Want,
+  /// Crashes wait to be reported.
+  Crashed,
   /// A server whose entry was missing did not come back.
   Gone(String),
 }
@@ -252,6 +263,10 @@
   pub(crate) early: BTreeMap<String, (Holding, u64)>,
   /// Counts changes of holdings that were published.
   pub updates: u64,
+  /// Runs that ended with their servers and are not reported yet.
+  crashes: Vec<Crash>,
+  /// Until when contents go to no server, ms.
+  quarantined: HashMap<content::Key, u64>,
   rng: SmallRng,
   pub(crate) now: u64,
   pub(crate) out: Vec<Effect>,
@@ -286,6 +301,8 @@
       strain: Book::new(),
       early: BTreeMap::new(),
       updates: 0,
+      crashes: Vec::new(),
+      quarantined: HashMap::new(),
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -324,6 +341,7 @@
       Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.store_lost(),
       Event::StoreBack { silence } => self.store_back(silence),
+      Event::Quarantined(entries) => self.quarantine(&entries),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
         self.stop_at = wait_until;
@@ -414,6 +432,9 @@
     if request.at.is_some() {
       return;
     }
+    if self.is_quarantined(request.ask.content) {
+      return self.refuse_quarantined(ticket);
+    }
     if self.now >= request.ask.until {
       return self.refuse(ticket, Reason::TooLate);
     }
@@ -507,12 +528,15 @@
     if end == End::Full {
       self.declined(ticket);
     }
+    if end == End::Crashed {
+      self.crashed(ticket, key);
+    }
     self.settle(key, model, end);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
-      End::Broken => self.broken(ticket),
+      End::Broken | End::Crashed => self.broken(ticket),
       // Nothing arrived anywhere: the next send is no repeat.
       End::Leaving => self.place(ticket),
     }
@@ -574,7 +598,7 @@
         }
       }
       End::Replaced => backend.replaced = true,
-      End::Unreached | End::Broken => {
+      End::Unreached | End::Broken | End::Crashed => {
         let pause = AVOID_MS << backend.failures.min(4);
         backend.failures += 1;
         backend.avoid_until = now + pause.min(AVOID_MOST_MS);
@@ -598,7 +622,55 @@
   /// Whether a send that was decided may still be made.
   pub fn stands(&self, attempt: &Attempt) -> bool {
     let backend = self.backends.get(attempt.backend);
-    backend.is_some_and(|backend| !backend.leaves())
+    let request = self.requests.get(&attempt.ticket);
+    let kept = request.is_some_and(|request| self.is_quarantined(request.ask.content));
+    !kept && backend.is_some_and(|backend| !backend.leaves())
+  }
+
+  /// A run has ended with its server.
+  fn crashed(&mut self, ticket: Ticket, key: backend::Key) {
+    let (Some(request), Some(backend)) = (self.requests.get(&ticket), self.backends.get(key))
+    else {
+      return;
+    };
+    self.crashes.push(Crash {
+      content: request.ask.content,
+      server: backend.spec.life(),
+      run: backend::short(&request.ask.id),
+    });
+    self.out.push(Effect::Crashed);
+  }
+
+  /// Runs that ended with their servers since this was last asked.
+  pub fn take_crashes(&mut self) -> Vec<Crash> {
+    std::mem::take(&mut self.crashes)
+  }
+
+  fn quarantine(&mut self, entries: &[Quarantined]) {
+    let now = self.now;
+    self.quarantined.retain(|_, until| now < *until);
+    let new = entries
+      .iter()
+      .map(|entry| (entry.content, now + u64::from(entry.left_ms)));
+    self.quarantined.extend(new);
+    self.place_waiting();
+  }
+
+  fn is_quarantined(&self, content: content::Key) -> bool {
+    let until = self.quarantined.get(&content);
+    until.is_some_and(|until| self.now < *until)
+  }
+
+  /// Refuses a request that crashes servers: at once, and nothing invites its caller back.
+  fn refuse_quarantined(&mut self, ticket: Ticket) {
+    let refusal = Refusal {
+      reason: Reason::Quarantined,
+      // Under another id it has run.
+      verdict: Verdict::MayHaveRun,
+      retry_after: None,
+    };
+    self.out.push(Effect::Refuse(ticket, refusal));
+    self.forget(ticket);
   }
 
   /// Until when the holdings published last count, ms.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -37,9 +37,12 @@
     if !update.members.is_empty() {
       self.members = update.members;
     }
-    if group.holding {
+    let holding = group.holding;
+    self.hear_quarantine(now, &update.quarantined, from);
+    if holding {
       return;
     }
+    let group = &mut self.groups[update.group as usize];
     self.hub.gates.deployments.follow(update.deployments);
     self.hub.gates.servers.follow(update.servers);
     let fit = group.known.take(term, update.since, update.latest);
@@ -89,7 +92,7 @@
   }
 
   /// Where the other instances hear of a group.
-  fn addresses(&self, now: u64, index: usize) -> Vec<SocketAddr> {
+  pub(crate) fn addresses(&self, now: u64, index: usize) -> Vec<SocketAddr> {
     let mut members = self.members(now, index);
     members.retain(|member| *member != self.own);
     members
@@ -169,7 +172,7 @@
   }
 
   /// Sends a datagram to some instances at once.
-  fn send(&self, message: &Message, to: &[SocketAddr]) {
+  pub(crate) fn send(&self, message: &Message, to: &[SocketAddr]) {
     match postcard::to_stdvec(message) {
       Ok(bytes) => {
         for address in to {
@@ -182,7 +185,7 @@
   }
 
   /// Sends a datagram to some instances as the link allows.
-  fn spread(&mut self, message: &Message, to: &[SocketAddr]) {
+  pub(crate) fn spread(&mut self, message: &Message, to: &[SocketAddr]) {
     match postcard::to_stdvec(message) {
       Ok(bytes) => {
         // Each time another one is the last.
@@ -232,6 +235,7 @@
       latest: update.latest,
       holdings: Vec::new(),
       loads: update.loads.clone(),
+      quarantined: self.registry.quarantined(now),
     };
     self.send_parts(head, update, &others);
     let pause = self.outbox.drained_ms();
@@ -258,7 +262,7 @@
     members
   }
 
-  /// Sends an update in parts; only the first one carries members and loads.
+  /// Sends an update in parts; only the first one carries members, loads and quarantine.
   fn send_parts(&mut self, mut head: Update, update: &Holdings, to: &[SocketAddr]) {
     for part in parts(update) {
       head.since = part.since;
@@ -268,6 +272,7 @@
       self.spread(&message, to);
       head.members.clear();
       head.loads.clear();
+      head.quarantined.clear();
     }
   }
 
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -146,7 +146,7 @@
         Effect::Send(attempt) => (attempt.ticket, Directive::Send(attempt)),
         Effect::Wait(ticket, until) => (ticket, Directive::Wait(until)),
         Effect::Refuse(ticket, refusal) => (ticket, Directive::Refuse(refusal)),
-        Effect::Want => {
+        Effect::Want | Effect::Crashed => {
           self.want_bell.ring();
           continue;
         }
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -41,6 +41,8 @@
   lost: Counter<u64>,
   /// Entries of the store that are faulty, by kind.
   faulty: Counter<u64>,
+  /// Requests that crash servers, found here or published by others.
+  quarantined: Counter<u64>,
   first: Histogram<f64>,
   wait: Histogram<f64>,
   pause: Histogram<f64>,
@@ -66,6 +68,11 @@
         "Losses of the platform's store by kind",
       ),
       faulty: count(&meter, "entries_faulty", "Faulty entries by kind"),
+      quarantined: count(
+        &meter,
+        "requests_quarantined",
+        "Requests kept from servers that they crash",
+      ),
       first: seconds(&meter, "routed_first_byte", "From arrival to first byte"),
       wait: seconds(&meter, "routed_wait", "From arrival to the first send"),
       pause: seconds(&meter, "routed_pause", "Longest pause of a stream"),
@@ -101,6 +108,11 @@
     self.refusals.add(1, &[reason, verdict]);
   }
 
+  /// Requests are kept from servers from now on.
+  pub fn quarantined(&self, requests: usize) {
+    self.quarantined.add(requests as u64, &[]);
+  }
+
   /// A caller left while its request waited.
   pub fn left(&self) {
     self.left.add(1, &[]);
--- a/src/message.rs
+++ b/src/message.rs
@@ -3,6 +3,7 @@
 
 use crate::{
   backend::Holding,
+  crash::{Crash, Quarantined},
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Question},
@@ -21,6 +22,10 @@
   Promise(u32, Promise),
   /// Changes that a holder read from the store.
   Changes(Kind, feed::Batch),
+  /// Runs that ended with their servers, for those who find out why.
+  Crashes(Vec<Crash>),
+  /// Requests that go to no server from now on.
+  Quarantine(Vec<Quarantined>),
 }
 
 /// What the store's changes are about.
@@ -48,4 +53,6 @@
   pub holdings: Vec<Holding>,
   /// Requests of all instances at servers that have some; empty when not sent.
   pub loads: Vec<(u32, u16)>,
+  /// Requests that go to no server, for instances that do not know of them yet.
+  pub quarantined: Vec<Quarantined>,
 }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -7,6 +7,7 @@
 use crate::{
   backend::{self, Backend, Spec},
   command::{Command, Inventory, Taken},
+  crash::{Crash, Quarantined, Registry, Repeated},
   edge::Edge,
   exchange::{BITS, BITS_MS, PUBLISH_PART},
   hub::Hub,
@@ -157,6 +158,11 @@
   pub(crate) lacked: u32,
   /// Instances that holders published.
   pub(crate) members: Vec<SocketAddr>,
+  /// What is known of requests that crash servers.
+  pub(crate) registry: Registry,
+  /// Crashes to report, and what is kept from servers to publish.
+  pub(crate) reported_crashes: Repeated<Crash>,
+  pub(crate) published_quarantine: Repeated<Quarantined>,
   /// Where datagrams are taken.
   buffer: Vec<u8>,
 }
@@ -193,6 +199,9 @@
     behind: false,
     lacked: 0,
     members: Vec::new(),
+    registry: Registry::default(),
+    reported_crashes: Repeated::default(),
+    published_quarantine: Repeated::default(),
     buffer: vec![0; DATAGRAM],
   };
   hub.gates.deployments.ring(planner.bell.clone());
@@ -254,6 +263,7 @@
         self.bell.clear();
       }
       self.receive();
+      self.crashes();
       self.flush();
       self.finish();
       self.lease();
@@ -277,6 +287,9 @@
         due = due.min(self.policies_at);
       }
     }
+    for repeated in [self.reported_crashes.due(), self.published_quarantine.due()] {
+      due = due.min(repeated.unwrap_or(due));
+    }
     if self.outbox.waits() {
       due = due.min(now + outbox::SLOT_MS);
     }
@@ -306,6 +319,8 @@
         Ok(Message::Update(update)) => self.hear(now, update, from),
         Ok(Message::Question(index, question)) => self.promise(now, index, question, from),
         Ok(Message::Changes(kind, batch)) => self.gate(kind).offer(batch),
+        Ok(Message::Crashes(crashes)) => self.hear_crashes(now, &crashes),
+        Ok(Message::Quarantine(entries)) => self.hear_quarantine(now, &entries, from),
         Ok(Message::Promise(index, promise)) => {
           if let Some(group) = self.groups.get_mut(index as usize) {
             group.lease.promised(&promise);
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,117 @@
+//! How crashes and what follows from them reach all instances.
+//!
+//! Each instance reports the runs that crashes ended to the holders and to two judges beside
+//! them, for a holder may be lost at that moment; whoever finds a request to blame publishes
+//! that at once, and holders publish all that is kept from servers with each update, for
+//! instances that start. So a fleet with many crashes sends three datagrams each, not one to
+//! each instance.
+
+use crate::{
+  crash::{Crash, Quarantined},
+  dispatch::Event,
+  message::Message,
+  planner::Planner,
+};
+use slog::info;
+use std::{collections::BTreeSet, net::SocketAddr};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Instances besides the holders that crashes are reported to.
+const JUDGES: usize = 2;
+/// Entries of one datagram: 40 bytes each.
+const ENTRIES: usize = 100;
+
+impl Planner {
+  /// Reports crashes, finds who is to blame and publishes it.
+  pub(crate) fn crashes(&mut self) {
+    let now = self.hub.now();
+    let crashes = self.hub.state().take_crashes();
+    self.registry.add(now, &crashes);
+    for crash in crashes {
+      self.reported_crashes.add(now, crash);
+    }
+    self.judge(now);
+    let due = self.reported_crashes.take(now);
+    if !due.is_empty() {
+      let judges = self.judges(now);
+      for part in due.chunks(ENTRIES) {
+        self.send(&Message::Crashes(part.to_vec()), &judges);
+      }
+    }
+    let due = self.published_quarantine.take(now);
+    if !due.is_empty() {
+      let others = self.others(now);
+      for part in due.chunks(ENTRIES) {
+        self.spread(&Message::Quarantine(part.to_vec()), &others);
+      }
+    }
+  }
+
+  fn judge(&mut self, now: u64) {
+    let found = self.registry.judge(now);
+    if found.is_empty() {
+      return;
+    }
+    for sentence in &found {
+      info!(self.hub.log, "request quarantined"; "content" => sentence.content.to_string(),
+        "crashes" => sentence.crashes, "runs" => sentence.runs, "by" => "crashes known here");
+    }
+    let all = self.registry.quarantined(now);
+    let is_new = |entry: &&Quarantined| found.iter().any(|one| one.content == entry.content);
+    let new: Vec<Quarantined> = all.iter().filter(is_new).copied().collect();
+    for entry in &new {
+      self.published_quarantine.add(now, *entry);
+    }
+    self.enforce(new);
+  }
+
+  /// Takes up crashes that another instance reports.
+  pub(crate) fn hear_crashes(&mut self, now: u64, crashes: &[Crash]) {
+    self.registry.add(now, crashes);
+  }
+
+  /// Takes up what another instance keeps from servers.
+  pub(crate) fn hear_quarantine(&mut self, now: u64, entries: &[Quarantined], from: SocketAddr) {
+    let mut new = Vec::new();
+    for entry in entries {
+      if self.registry.quarantine(now, *entry) {
+        info!(self.hub.log, "request quarantined"; "content" => entry.content.to_string(),
+          "left_ms" => entry.left_ms, "by" => %from);
+        new.push(*entry);
+      }
+    }
+    if !new.is_empty() {
+      self.enforce(new);
+    }
+  }
+
+  fn enforce(&self, entries: Vec<Quarantined>) {
+    self.hub.measures.quarantined(entries.len());
+    self.hub.apply(Event::Quarantined(entries), None);
+  }
+
+  /// All other instances known here.
+  fn others(&self, now: u64) -> Vec<SocketAddr> {
+    let groups = 0..self.groups.len();
+    let others: BTreeSet<SocketAddr> = groups
+      .flat_map(|index| self.addresses(now, index))
+      .collect();
+    others.into_iter().collect()
+  }
+
+  /// Who finds out whom crashes are due to.
+  fn judges(&self, now: u64) -> Vec<SocketAddr> {
+    let mut members = self.others(now);
+    members.sort_by_key(|address| xxh3_64(address.to_string().as_bytes()));
+    members.truncate(JUDGES);
+    for group in &self.groups {
+      if let Some(holder) = group.lease.holder()
+        && holder != self.own
+        && !members.contains(&holder)
+      {
+        members.push(holder);
+      }
+    }
+    members
+  }
+}
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -19,6 +19,8 @@
   Claimed,
   ClaimsFull,
   CallerGone,
+  /// It crashes the servers that run it.
+  Quarantined,
 }
 
 impl Reason {
@@ -36,6 +38,7 @@
       Self::Claimed => "claimed",
       Self::ClaimsFull => "claims-full",
       Self::CallerGone => "caller-gone",
+      Self::Quarantined => "quarantined",
     }
   }
 
@@ -44,7 +47,7 @@
     match self {
       Self::UnknownModel => 404,
       Self::QueueFull => 429,
-      Self::ServerFailed => 502,
+      Self::ServerFailed | Self::Quarantined => 502,
       Self::Claimed => 409,
       _ => 503,
     }
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,6 +1,6 @@
 //! A server's answer, passed on to the caller.
 
-use super::{Outcome, Relay, outcome};
+use super::{Outcome, Relay, outcome, severed};
 use crate::{
   dispatch::{Attempt, End, Event},
   http::{Body, Framing, Response},
@@ -43,7 +43,7 @@
       }
       let until = self.stall(any);
       if self.hear(socket, until)? == Fill::End && !body.end() {
-        return Err(outcome(End::Broken, "stream broken off"));
+        return Err(severed("stream broken off"));
       }
     }
   }
@@ -83,7 +83,7 @@
         self.deliver(&head, framing, &std::mem::take(&mut bytes), false)?;
       }
       if self.hear(socket, until)? == Fill::End && !body.end() {
-        return Err(outcome(End::Broken, "answer broken off"));
+        return Err(severed("answer broken off"));
       }
     }
     if let Some(result) = self.declined(&head, attempt) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -71,10 +71,24 @@
 struct Outcome {
   end: End,
   why: &'static str,
+  /// The server's side closed the connection while the request may have been running.
+  severed: bool,
 }
 
 fn outcome(end: End, why: &'static str) -> Outcome {
-  Outcome { end, why }
+  Outcome {
+    end,
+    why,
+    severed: false,
+  }
+}
+
+/// A run whose connection the server's side closed.
+fn severed(why: &'static str) -> Outcome {
+  Outcome {
+    severed: true,
+    ..outcome(End::Broken, why)
+  }
 }
 
 /// Answers a request; false when the caller's connection is to be closed.
@@ -88,6 +102,7 @@
   let until = incoming.arrived + allowed.saturating_sub(ANSWER_MS);
   let model = header(dialect.model).map(Model::parse);
   let ticket = hub.ticket(mailbox);
+  let content = content::Key::of(&incoming.head, &incoming.body);
   let pool = incoming.route.pool(xxh3_64(id.as_bytes()));
   let ask = Ask {
     ticket,
@@ -97,6 +112,7 @@
     model: model.clone(),
     affinity: affinity(header(dialect.prompt_parts), model.as_ref()),
     until,
+    content,
   };
   let keep = incoming.head.keeps() && !hub.stopping.load(Ordering::Relaxed);
   let mut relay = Relay {
@@ -104,7 +120,7 @@
     caller,
     incoming,
     id,
-    content: content::Key::of(&incoming.head, &incoming.body),
+    content,
     until,
     ticket,
     begun: None,
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -1,12 +1,15 @@
 //! One send: the request to a server, and the head of its answer.
 
-use super::{Outcome, Relay, outcome};
+use super::{Outcome, Relay, outcome, severed};
 use crate::{
   dispatch::{Attempt, End},
   http::{Body, Framing, Response},
   socket::{Fill, Socket, Want, wait},
 };
-use std::time::{Duration, Instant};
+use std::{
+  io,
+  time::{Duration, Instant},
+};
 
 /// A repeatable request moves on when its server has not answered within this
 /// many objectives.
@@ -16,6 +19,13 @@
 /// A resumable stream moves on after this many of the pauses allowed.
 const STALL_GAPS: u64 = 4;
 
+/// A request that broke off sooner than this after its send went to a connection whose server
+/// had ended before, ms: between availability zones bytes take some, and a first token more.
+const REACHED_MS: u64 = 10;
+/// Time for a connection that shows whether a server lives: a refusal takes a few ms, and a
+/// machine that says nothing accuses nobody.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Whether a connection to a server carries another request.
 #[derive(Clone, Copy)]
 enum Reuse {
@@ -47,7 +57,9 @@
       return outcome(End::Leaving, "server leaves");
     }
     self.events.cut();
+    let sent = self.hub.now();
     let result = self.exchange(&mut socket, attempt);
+    let result = result.map_err(|result| self.look_for_crash(result, sent, attempt));
     match result {
       Ok((result, reuse)) => {
         if let Reuse::Within(rest) = reuse
@@ -61,6 +73,28 @@
     }
   }
 
+  /// A run that its server cut off: whether the server's process has ended.
+  fn look_for_crash(&self, result: Outcome, sent: u64, attempt: &Attempt) -> Outcome {
+    let ran = self.hub.now() >= sent + REACHED_MS;
+    if !result.severed || !ran || !self.refuses(attempt) {
+      return result;
+    }
+    outcome(End::Crashed, "server ended")
+  }
+
+  /// Whether a server's port refuses a connection. One that comes up is kept: the next send
+  /// needs it.
+  fn refuses(&self, attempt: &Attempt) -> bool {
+    match Socket::connect(attempt.address, LOOK) {
+      Ok(socket) => {
+        self.hub.measures.connection();
+        self.hub.pool.keep(attempt.backend, socket, None);
+        false
+      }
+      Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    }
+  }
+
   fn outgoing(&self, attempt: &Attempt) -> Vec<u8> {
     let dialect = &self.hub.dialect;
     let mut head = self.incoming.head.clone();
@@ -115,7 +149,7 @@
       if served {
         return socket
           .fill()
-          .map_err(|_| outcome(End::Broken, "connection reset by server"));
+          .map_err(|_| severed("connection reset by server"));
       }
       if called {
         if self.hear_caller().is_err() {
@@ -169,7 +203,7 @@
       };
       let Some((head, length)) = parsed else {
         if self.hear(socket, until)? == Fill::End {
-          return Err(outcome(End::Broken, "connection closed by server"));
+          return Err(severed("connection closed by server"));
         }
         continue;
       };
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -83,6 +83,7 @@
     model: Some(Model::parse(model)),
     affinity: 0,
     until: now + 15_000,
+    content: Default::default(),
   };
   state.reduce(now, Event::Arrived(ask))
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -47,6 +47,7 @@
     model: model.map(Model::parse),
     affinity: 0,
     until: 5_000,
+    content: Default::default(),
   })
 }
 
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -128,6 +128,7 @@
     model: Some(Model::parse("m")),
     affinity: 0,
     until: PATIENCE_MS,
+    content: Default::default(),
   };
   hub.apply(Event::Arrived(ask), Some(ticket));
   assert!(decided(hub, mailbox, ticket), "its decision is lost");
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -228,6 +228,7 @@
     model: Some(Model::parse(model)),
     affinity: 0,
     until: now + 5_000,
+    content: Default::default(),
   };
   let effects = state.reduce(now, Event::Arrived(ask));
   effects
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,278 @@
+//! Which of the requests that were on crashed servers is to blame, and what follows for it.
+
+mod requests;
+
+use bendsaddle::{
+  ask::Ticket,
+  content,
+  crash::{Crash, Quarantined, Registry, Repeated},
+  deployment::Engine,
+  dispatch::{Ask, Change, Effect, End, Event, State},
+  life::Life,
+  refusal::Reason,
+  route::Repeat,
+  verdict::Verdict,
+};
+use quickcheck::quickcheck;
+use requests::refused;
+use std::{collections::BTreeSet, sync::Arc};
+
+const GUILTY: u128 = 1;
+const BESIDE: u128 = 2;
+
+/// A run of a content at a server that crashed.
+fn crash(content: u128, server: u64, run: u32) -> Crash {
+  Crash {
+    content: content::Key(content),
+    server: Life::of(&server.to_string(), 1),
+    run,
+  }
+}
+
+fn judged(registry: &mut Registry, now: u64) -> Vec<u128> {
+  let found = registry.judge(now);
+  found.iter().map(|sentence| sentence.content.0).collect()
+}
+
+#[test]
+fn two_crashes_speak_against_nobody() {
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(GUILTY, 1, 1), crash(GUILTY, 2, 2)]);
+  assert_eq!(judged(&mut registry, 10_000), Vec::<u128>::new());
+}
+
+#[test]
+fn many_runs_at_one_server_are_one_crash() {
+  let mut registry = Registry::default();
+  let runs: Vec<Crash> = (0..20).map(|run| crash(GUILTY, 1, run)).collect();
+  registry.add(0, &runs);
+  assert_eq!(judged(&mut registry, 10_000), Vec::<u128>::new());
+}
+
+#[test]
+fn a_crash_that_is_reported_again_counts_once() {
+  let mut registry = Registry::default();
+  for _ in 0..5 {
+    registry.add(0, &[crash(GUILTY, 1, 1), crash(GUILTY, 2, 1)]);
+  }
+  assert_eq!(judged(&mut registry, 10_000), Vec::<u128>::new());
+}
+
+#[test]
+fn the_third_crash_is_enough() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    registry.add(server, &[crash(GUILTY, server, server as u32)]);
+  }
+  assert_eq!(judged(&mut registry, 4), vec![GUILTY]);
+  assert_eq!(judged(&mut registry, 5), Vec::<u128>::new(), "once");
+  let kept = registry.quarantined(5);
+  assert_eq!(kept.len(), 1);
+  assert_eq!(kept[0].content, content::Key(GUILTY));
+}
+
+#[test]
+fn who_stood_beside_three_crashes_with_fewer_runs_is_cleared() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    let run = server as u32;
+    registry.add(
+      0,
+      &[
+        crash(GUILTY, server, run),
+        crash(GUILTY, server, run + 10),
+        crash(BESIDE, server, run),
+      ],
+    );
+  }
+  assert_eq!(judged(&mut registry, 10_000), vec![GUILTY]);
+}
+
+#[test]
+fn of_two_alike_neither_is_blamed_until_time_would_have_told() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    let run = server as u32;
+    registry.add(0, &[crash(GUILTY, server, run), crash(BESIDE, server, run)]);
+  }
+  assert_eq!(judged(&mut registry, 100), Vec::<u128>::new());
+  registry.add(200, &[crash(GUILTY, 4, 4)]);
+  assert_eq!(judged(&mut registry, 200), vec![GUILTY]);
+  assert_eq!(judged(&mut registry, 60_000), Vec::<u128>::new());
+}
+
+#[test]
+fn of_two_alike_both_are_kept_from_servers_within_three_seconds() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    let run = server as u32;
+    registry.add(0, &[crash(GUILTY, server, run), crash(BESIDE, server, run)]);
+  }
+  assert_eq!(judged(&mut registry, 2_900), vec![GUILTY, BESIDE]);
+}
+
+#[test]
+fn what_is_kept_from_servers_comes_to_an_end() {
+  let mut registry = Registry::default();
+  let content = content::Key(GUILTY);
+  let entry = |left_ms| Quarantined { content, left_ms };
+  assert!(registry.quarantine(0, entry(1_000)));
+  assert!(!registry.quarantine(500, entry(1_000)), "known already");
+  assert!(registry.quarantined(1_000).is_empty());
+  assert!(registry.quarantine(1_000, entry(1_000)), "new again");
+}
+
+quickcheck! {
+  /// Whatever is reported, in whatever order, a content with fewer than three crashes is
+  /// never kept from servers, and the registry stays bounded.
+  fn nobody_is_blamed_for_fewer_than_three_crashes(reports: Vec<(u8, u8, u8)>) -> bool {
+    let mut registry = Registry::default();
+    let mut known: BTreeSet<(u8, u8)> = BTreeSet::new();
+    for (now, (content, server, run)) in reports.into_iter().enumerate() {
+      let (content, server) = (content % 8, server % 16);
+      registry.add(now as u64, &[crash(content.into(), server.into(), run.into())]);
+      known.insert((content, server));
+      for found in judged(&mut registry, now as u64) {
+        let crashes = known.iter().filter(|(content, _)| u128::from(*content) == found);
+        if crashes.count() < 3 {
+          return false;
+        }
+      }
+    }
+    true
+  }
+}
+
+#[test]
+fn suspects_are_bounded() {
+  let mut registry = Registry::default();
+  for number in 0..5_000_u64 {
+    registry.add(number, &[crash(number.into(), number, 1)]);
+  }
+  assert_eq!(registry.sizes(), (1_024, 0));
+}
+
+#[test]
+fn what_may_be_lost_is_sent_three_times() {
+  let mut repeated = Repeated::default();
+  repeated.add(1_000, 7);
+  let mut sent = Vec::new();
+  for now in (1_000..3_000).step_by(10) {
+    for value in repeated.take(now) {
+      sent.push((now, value));
+    }
+  }
+  assert_eq!(sent, vec![(1_000, 7), (1_100, 7), (1_400, 7)]);
+  assert_eq!(repeated.due(), None);
+}
+
+fn state() -> State {
+  let engine = Engine {
+    slots: 8,
+    ..Engine::default()
+  };
+  let mut state = requests::deployed(engine);
+  let specs = ["one", "two", "three"].map(requests::spec);
+  state.reduce(0, Event::Servers(vec![Change::All(specs.to_vec())]));
+  state
+}
+
+fn ask(ticket: u64, content: u128, repeat: Repeat) -> Event {
+  Event::Arrived(Ask {
+    ticket: Ticket(ticket),
+    id: ticket.to_string(),
+    route: Arc::new(requests::route(repeat, None, 3)),
+    pool: "pool".into(),
+    model: None,
+    affinity: 0,
+    until: 20_000,
+    content: content::Key(content),
+  })
+}
+
+fn quarantine(content: u128) -> Event {
+  Event::Quarantined(vec![Quarantined {
+    content: content::Key(content),
+    left_ms: 10_000,
+  }])
+}
+
+fn sends(effects: &[Effect]) -> bool {
+  effects
+    .iter()
+    .any(|effect| matches!(effect, Effect::Send(_)))
+}
+
+#[test]
+fn what_is_kept_from_servers_is_refused_at_once_and_not_called_not_run() {
+  for repeat in [Repeat::Always, Repeat::Never] {
+    let mut state = state();
+    state.reduce(1, quarantine(GUILTY));
+    let effects = state.reduce(2, ask(1, GUILTY, repeat));
+    let refusal = refused(&effects).expect("a refusal");
+    assert_eq!(refusal.reason, Reason::Quarantined);
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    assert_eq!(refusal.retry_after, None);
+    assert!(sends(&state.reduce(3, ask(2, BESIDE, repeat))));
+    // Its time is over.
+    assert!(sends(&state.reduce(10_001, ask(3, GUILTY, repeat))));
+  }
+}
+
+#[test]
+fn a_run_that_ended_with_its_server_is_reported_and_begun_again_elsewhere() {
+  let mut state = state();
+  state.reduce(1, ask(1, GUILTY, Repeat::Always));
+  let ticket = Ticket(1);
+  let end = End::Crashed;
+  let effects = state.reduce(2, Event::Ended { ticket, end });
+  assert!(effects.contains(&Effect::Crashed));
+  assert!(sends(&effects));
+  let crashes = state.take_crashes();
+  assert_eq!(crashes.len(), 1);
+  assert_eq!(crashes[0].content, content::Key(GUILTY));
+  assert!(state.take_crashes().is_empty());
+}
+
+#[test]
+fn a_repeat_that_was_decided_is_not_sent_once_it_is_kept_from_servers() {
+  let mut state = state();
+  let effects = state.reduce(1, ask(1, GUILTY, Repeat::Always));
+  let Some(Effect::Send(attempt)) = effects.first().cloned() else {
+    panic!("a send: {effects:?}");
+  };
+  assert!(state.stands(&attempt));
+  state.reduce(2, quarantine(GUILTY));
+  assert!(!state.stands(&attempt));
+  let ticket = attempt.ticket;
+  let end = End::Leaving;
+  let effects = state.reduce(3, Event::Ended { ticket, end });
+  let refusal = refused(&effects).expect("a refusal");
+  assert_eq!(refusal.reason, Reason::Quarantined);
+}
+
+#[test]
+fn contents_differ_by_method_host_target_and_body() {
+  let head = |method: &str, host: &str, target: &str| {
+    let mut head = bendsaddle::http::Request {
+      method: method.into(),
+      target: target.into(),
+      minor: 1,
+      headers: Default::default(),
+    };
+    head.headers.set("Host", host);
+    head.headers.set("X-Request-Id", "any");
+    head
+  };
+  let base = content::Key::of(&head("POST", "host", "/a"), b"body");
+  assert_eq!(base, content::Key::of(&head("POST", "HOST", "/a"), b"body"));
+  for other in [
+    content::Key::of(&head("PUT", "host", "/a"), b"body"),
+    content::Key::of(&head("POST", "other", "/a"), b"body"),
+    content::Key::of(&head("POST", "host", "/a?b"), b"body"),
+    content::Key::of(&head("POST", "host", "/a"), b"bodies"),
+    content::Key::of(&head("POST", "host", "/abody"), b""),
+  ] {
+    assert_ne!(base, other);
+  }
+}
