an answer without a length that broke off ends with a reset

Cause: the caller's connection was closed in order after an answer that ends with its connection, also when the answer had broken off and nobody went on with it. Ruled out: chunked answers (their last chunk is missing then), plain answers up to 256 KB (held until whole).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,7 +5,7 @@
   http::{Body, Fault, Framing, Headers, Request, Response},
   hub::{Hub, Mailbox},
   refusal::{Reason, Refusal},
-  relay::{self, Incoming},
+  relay::{self, Incoming, Then},
   route,
   socket::{Fill, Socket, Want, wait},
   verdict::Verdict,
@@ -114,10 +114,12 @@
     match begun.and_then(|begun| begun.then(|| read(hub, &mut socket)).transpose()) {
       Ok(Some((head, body, arrived))) => {
         hub.active.fetch_add(1, Ordering::Relaxed);
-        let keep = answer(hub, &mailbox, &mut socket, head, body, arrived);
+        let then = answer(hub, &mailbox, &mut socket, head, body, arrived);
         hub.active.fetch_sub(1, Ordering::Relaxed);
-        if !keep {
-          return close(socket);
+        match then {
+          Then::Keep => {}
+          Then::Close => return close(socket),
+          Then::Reset => return reset(hub, socket),
         }
       }
       Ok(None) | Err(Stop::Closed) => return,
@@ -142,6 +144,13 @@
   }
 }
 
+/// Ends a connection so that its last answer does not look whole.
+fn reset(hub: &Hub, socket: Socket) {
+  if let Err(error) = socket.reset() {
+    warn!(hub.log, "connection not reset"; "error" => %error);
+  }
+}
+
 fn bounds(hub: &Hub) -> Bounds {
   let state = hub.state();
   state
@@ -259,7 +268,7 @@
   }
 }
 
-/// Answers a request; false when the connection is to be closed.
+/// Answers a request.
 fn answer(
   hub: &Hub,
   mailbox: &Arc<Mailbox>,
@@ -267,7 +276,7 @@
   head: Request,
   body: Vec<u8>,
   arrived: u64,
-) -> bool {
+) -> Then {
   let deployment: Option<Arc<Deployment>> = hub.state().deployment.clone();
   let keep = head.keeps();
   let Some(deployment) = deployment else {
@@ -285,7 +294,7 @@
     info!(hub.log, "no route"; "request" => head.headers.get(hub.dialect.request_id),
       "host" => host, "path" => head.path(), "version" => deployment.version);
     let text = format!("route: none for `{host}{}`", head.path());
-    return own(socket, &error_answer(404, &text), keep) && keep;
+    return own(socket, &error_answer(404, &text), keep);
   };
   let incoming = Incoming {
     route: route.clone(),
@@ -296,9 +305,12 @@
   relay::serve(hub, mailbox, socket, &incoming)
 }
 
-fn own(socket: &mut Socket, answer: &[u8], keep: bool) -> bool {
+fn own(socket: &mut Socket, answer: &[u8], keep: bool) -> Then {
   let written = socket.write_all(answer, Instant::now() + ANSWER_TIME);
-  keep && written.is_ok()
+  match keep && written.is_ok() {
+    true => Then::Keep,
+    false => Then::Close,
+  }
 }
 
 fn error_answer(status: u16, text: &str) -> Vec<u8> {
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -1,6 +1,6 @@
 //! The caller's side: waiting beside it, and writing an answer to it.
 
-use super::{Outcome, Relay, outcome, refusal_answer};
+use super::{Outcome, Relay, Then, outcome, refusal_answer};
 use crate::{
   dispatch::End,
   http::{Framing, LAST_CHUNK, Response, chunk},
@@ -55,6 +55,10 @@
     }
   }
 
+  fn keeps(&self) -> bool {
+    self.then == Then::Keep
+  }
+
   pub(super) fn give(&mut self, head: &Response, bytes: Vec<u8>) -> Result<(), Outcome> {
     if self.begun.is_some() {
       self.deliver(head, Framing::Close, &bytes, true)?;
@@ -66,7 +70,7 @@
     };
     let mut head = head.clone();
     head.headers.remove_hop();
-    let mut answer = head.encode(framing, self.keep);
+    let mut answer = head.encode(framing, self.keeps());
     answer.extend_from_slice(&bytes);
     self.first_ms.get_or_insert(self.hub.now());
     self.begun = Some(framing);
@@ -90,9 +94,11 @@
       };
       let mut head = head.clone();
       head.headers.remove_hop();
-      answer = head.encode(framing, self.keep);
+      answer = head.encode(framing, self.keeps());
       self.begun = Some(framing);
-      self.keep &= framing != Framing::Close;
+      if framing == Framing::Close {
+        self.then = Then::Close;
+      }
     }
     match self.begun {
       Some(Framing::Chunked) if !bytes.is_empty() => answer.extend_from_slice(&chunk(bytes)),
@@ -120,7 +126,7 @@
   fn write_caller(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
     let until = Instant::now() + CALLER_STALL;
     self.caller.write_all(bytes, until).map_err(|_| {
-      self.keep = false;
+      self.then = Then::Close;
       outcome(End::Left, "caller does not read")
     })
   }
@@ -134,18 +140,21 @@
       "waited_ms" => self.hub.now() - self.incoming.arrived);
     if self.begun.is_some() {
       // An answer that ends early must not look whole.
-      self.keep = false;
+      self.then = match self.begun {
+        Some(Framing::Close) => Then::Reset,
+        _ => Then::Close,
+      };
       return;
     }
     let written = match self.held.take() {
       Some((head, bytes)) => self.give(&head, bytes),
       None => {
-        let answer = refusal_answer(&refusal, self.keep);
+        let answer = refusal_answer(&refusal, self.keeps());
         self.write_caller(&answer)
       }
     };
     if written.is_err() {
-      self.keep = false;
+      self.then = Then::Close;
     }
   }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -63,8 +63,7 @@
   pause_ms: u64,
   /// A server's failure, given to the caller when nothing better comes.
   held: Option<(Response, Vec<u8>)>,
-  /// The connection to the caller can carry another request.
-  keep: bool,
+  then: Then,
 }
 
 /// What came of a send, with why.
@@ -91,8 +90,18 @@
   }
 }
 
-/// Answers a request; false when the caller's connection is to be closed.
-pub fn serve(hub: &Hub, mailbox: &Arc<Mailbox>, caller: &mut Socket, incoming: &Incoming) -> bool {
+/// What becomes of a caller's connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+  /// It can carry another request.
+  Keep,
+  Close,
+  /// The answer broke off, and would look whole at an orderly end.
+  Reset,
+}
+
+/// Answers a request.
+pub fn serve(hub: &Hub, mailbox: &Arc<Mailbox>, caller: &mut Socket, incoming: &Incoming) -> Then {
   let dialect = &hub.dialect;
   let header = |name: &str| incoming.head.headers.get(name);
   let id = header(dialect.request_id).unwrap_or_default().to_string();
@@ -130,7 +139,7 @@
     event_ms: 0,
     pause_ms: 0,
     held: None,
-    keep,
+    then: if keep { Then::Keep } else { Then::Close },
   };
   hub.measures.request();
   mailbox.bell.clear();
@@ -138,7 +147,7 @@
   hub.apply(Event::Arrived(ask), Some(ticket));
   relay.run(mailbox);
   hub.close(ticket);
-  relay.keep
+  relay.then
 }
 
 /// Equal for requests whose prompts start alike: all parts but the last, which is
@@ -203,7 +212,7 @@
     self.hub.measures.left();
     info!(self.hub.log, "caller left"; "request" => &self.id, "phase" => "waiting",
       "waited_ms" => self.hub.now() - self.incoming.arrived);
-    self.keep = false;
+    self.then = Then::Close;
     self.apply(Event::Left(self.ticket));
   }
 
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -1,6 +1,6 @@
 //! One send: the request to a server, and the head of its answer.
 
-use super::{Outcome, Relay, outcome, severed};
+use super::{Outcome, Relay, Then, outcome, severed};
 use crate::{
   dispatch::{Attempt, End},
   http::{Body, Framing, Response},
@@ -153,7 +153,7 @@
       }
       if called {
         if self.hear_caller().is_err() {
-          self.keep = false;
+          self.then = Then::Close;
           return Err(outcome(End::Left, "caller left"));
         }
       } else if self.hub.now() >= self.until {
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -140,6 +140,12 @@
     })
   }
 
+  /// The connection ends with a reset when it is dropped: an answer whose end is that of its
+  /// connection must not look whole when it broke off.
+  pub fn reset(self) -> io::Result<()> {
+    SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+  }
+
   /// Takes what has arrived.
   pub fn fill(&mut self) -> io::Result<Fill> {
     let mut bytes = [0; READ];
