a request that every server has failed ends at once

Cause: a request that may have run waited until its own time was over for a server that it had not been sent to, however long its caller had gone by then.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -56,17 +56,22 @@
 /// Wants by pool and model.
 pub(crate) type Wants = BTreeMap<(String, Model), Want>;
 
-/// When a request that waits without an offer is given up, ms: before its caller leaves.
+/// When a request that waits is given up, ms: before its caller leaves, who counts from the
+/// last event where some have come.
 pub(crate) fn give_up_at(request: &Request) -> u64 {
   let ask = &request.ask;
-  let whole = ask.until.saturating_sub(request.arrived);
+  let since = match request.began {
+    true => request.broke,
+    false => request.arrived,
+  };
+  let whole = ask.until.saturating_sub(since);
   let route = &ask.route;
   let silence = route.stream.map_or(u64::MAX, |stream| {
     STREAM_PATIENCE_MS
       .max(route.objective_ms * STREAM_OBJECTIVES)
       .max(stream.gap_ms * STREAM_GAPS)
   });
-  request.arrived + whole.min(silence) * PATIENCE_PERCENT / 100
+  since + whole.min(silence) * PATIENCE_PERCENT / 100
 }
 
 /// How much time a waiting request has left.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -222,6 +222,10 @@
   pub waiting: Option<u64>,
   /// When it was last sent, ms.
   pub(crate) sent: u64,
+  /// Something of an answer has come.
+  pub(crate) began: bool,
+  /// When a run of it last ended without an answer, ms.
+  pub(crate) broke: u64,
 }
 
 /// Everything that routed requests are decided by.
@@ -373,6 +377,8 @@
       arrived: self.now,
       waiting: None,
       sent: 0,
+      began: false,
+      broke: 0,
     };
     self.requests.insert(ticket, request);
     if self.now >= self.new_until {
@@ -463,12 +469,11 @@
     }
     let new = request.waiting.is_none();
     request.waiting.get_or_insert(now);
-    let give_up = match request.verdict {
-      Verdict::NotRun => give_up_at(request),
-      // It may be resumed, and nothing else would be known of it.
-      Verdict::MayHaveRun => request.ask.until,
-    };
+    let give_up = give_up_at(request);
     let request = request.clone();
+    if self.failed_everywhere(&request) {
+      return self.refuse(ticket, Reason::ServerFailed);
+    }
     if let Some(retry_after) = self.retry_after_ms(&request) {
       self.want(&request.ask, retry_after);
       self.out.push(Effect::Want);
@@ -487,6 +492,16 @@
     }
   }
 
+  /// Whether a request has run at each server that could take it: its caller would wait for
+  /// nothing.
+  fn failed_everywhere(&self, request: &Request) -> bool {
+    let pool = &request.ask.pool;
+    let open = |(key, backend): (backend::Key, &Backend)| {
+      backend.spec.pool == *pool && !backend.leaves() && !request.tried.contains(&key)
+    };
+    !request.tried.is_empty() && !self.backends.iter().any(open)
+  }
+
   fn send(&mut self, ticket: Ticket, key: backend::Key) {
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
@@ -521,6 +536,7 @@
     };
     if end.verdict() == Verdict::MayHaveRun {
       request.runs += 1;
+      request.broke = self.now;
       request.tried.push(key);
     }
     request.verdict = request.verdict.and(end.verdict());
--- a/src/strain.rs
+++ b/src/strain.rs
@@ -71,9 +71,10 @@
 impl State {
   /// The answer of a send has begun.
   pub(crate) fn began(&mut self, ticket: Ticket) {
-    let Some(request) = self.requests.get(&ticket) else {
+    let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
+    request.began = true;
     let objective_ms = request.ask.route.objective_ms.max(1) as f64;
     let part = self.now.saturating_sub(request.sent) as f64 / objective_ms;
     self.saw(ticket, part.min(MOST));
