one clock that counts the time of a suspension

Cause: every lease, age, deadline and window was measured by the steady clock, which leaves out the time for which a machine is suspended: an instance that wakes takes a lapsed lease for its own and an old view for a fresh one. Ruled out: a jump of the time of day, by which nothing is measured here.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -1,6 +1,7 @@
 //! A token bucket in which urgent calls go before others.
 
-use std::time::{Duration, Instant};
+use crate::clock::Moment;
+use std::time::Duration;
 
 /// Part of the bucket that is kept for urgent calls.
 const RESERVE: f64 = 0.25;
@@ -10,12 +11,12 @@
 pub struct Bucket {
   rate: f64,
   tokens: f64,
-  filled: Instant,
+  filled: Moment,
 }
 
 impl Bucket {
   /// A full bucket for `rate` calls a second.
-  pub fn open(rate: u32, now: Instant) -> Self {
+  pub fn open(rate: u32, now: Moment) -> Self {
     let rate = f64::from(rate);
     Self {
       rate,
@@ -31,8 +32,8 @@
   }
 
   /// Takes a token, or says how long to wait for one.
-  pub fn take(&mut self, urgent: bool, now: Instant) -> Result<(), Duration> {
-    let gained = now.duration_since(self.filled).as_secs_f64() * self.rate;
+  pub fn take(&mut self, urgent: bool, now: Moment) -> Result<(), Duration> {
+    let gained = (now - self.filled).as_secs_f64() * self.rate;
     self.tokens = (self.tokens + gained).min(self.rate);
     self.filled = now;
     let floor = if urgent { 0.0 } else { self.rate * RESERVE };
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -2,14 +2,15 @@
 
 use crate::{
   backend::Spec,
+  clock::Moment,
   command::{Command, Inventory, Taken},
   deployment::Deployment,
   dialect::Dialect,
   store::{Object, Store},
 };
-use std::{net::SocketAddr, time::Instant};
+use std::net::SocketAddr;
 
-type Order = dyn Fn(&Command, Instant) -> Taken + Send + Sync;
+type Order = dyn Fn(&Command, Moment) -> Taken + Send + Sync;
 type Report = dyn Fn(SocketAddr, &str) -> Option<Inventory> + Send + Sync;
 
 /// The kinds of objects that routing reads and writes.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! The callers' port of a routing instance: connections, heads, bodies, routes.
 
 use crate::{
+  clock::Moment,
   deployment::{Bounds, Deployment},
   http::{Body, Fault, Framing, Headers, Request, Response},
   hub::{Hub, Mailbox},
@@ -20,7 +21,7 @@
     atomic::{AtomicUsize, Ordering},
   },
   thread,
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Stack of a connection's thread, bytes.
@@ -127,7 +128,7 @@
         info!(hub.log, "request declined"; "status" => status, "why" => &text);
         let answer = error_answer(status, &text);
         // Whoever sent what cannot be read may not read this either.
-        let _ = socket.write_all(&answer, Instant::now() + ANSWER_TIME);
+        let _ = socket.write_all(&answer, Moment::now() + ANSWER_TIME);
         return close(socket);
       }
     }
@@ -164,7 +165,7 @@
 /// planned stop ends connections at rest, but a balancer that does not know of it
 /// yet still sends new ones.
 fn begin(hub: &Hub, socket: &mut Socket, first: bool) -> Result<bool, Stop> {
-  let rests = Instant::now();
+  let rests = Moment::now();
   let mut idle = rests + bounds(hub).idle_time;
   while socket.input.is_empty() {
     let stopping = hub.stopping.load(Ordering::Relaxed);
@@ -172,7 +173,7 @@
       return Ok(false);
     }
     let until = match stopping {
-      true => idle.min(Instant::now() + LATE_CALLER),
+      true => idle.min(Moment::now() + LATE_CALLER),
       false => idle,
     };
     let stop = (!stopping).then_some((&hub.stop_bell as _, Want::Read));
@@ -214,7 +215,7 @@
 }
 
 fn read_head(socket: &mut Socket, bounds: &Bounds) -> Result<Request, Stop> {
-  let until = Instant::now() + bounds.head_time;
+  let until = Moment::now() + bounds.head_time;
   loop {
     // An empty line before a request is allowed.
     while socket.input.starts_with(b"\r\n") {
@@ -249,7 +250,7 @@
   }
   let mut body = Body::open(framing);
   let mut bytes = Vec::new();
-  let until = Instant::now() + BODY_TIME;
+  let until = Moment::now() + BODY_TIME;
   if head.headers.names("expect", "100-continue") && !body.done() && socket.input.is_empty() {
     socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", until)?;
   }
@@ -306,7 +307,7 @@
 }
 
 fn own(socket: &mut Socket, answer: &[u8], keep: bool) -> Then {
-  let written = socket.write_all(answer, Instant::now() + ANSWER_TIME);
+  let written = socket.write_all(answer, Moment::now() + ANSWER_TIME);
   match keep && written.is_ok() {
     true => Then::Keep,
     false => Then::Close,
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -1,12 +1,13 @@
 //! Who asks the store for a kind's changes: one instance watches for many, and each of the
 //! others asks by itself when that one's updates are old or name a change that it lacks.
 
+use crate::clock::Moment;
 use crate::{feed::Batch, hub::lock, socket::Bell, store::Object};
 use serde::{Deserialize, Serialize};
 use std::{
   collections::VecDeque,
   sync::{Arc, Condvar, Mutex, OnceLock},
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// What another instance knows counts for this long after the moment as of which it is
@@ -55,7 +56,7 @@
   /// Some of them matter to others.
   pub(super) matters: bool,
   /// All changes that the store had acknowledged by then are among them.
-  pub(super) confirmed: Instant,
+  pub(super) confirmed: Moment,
 }
 
 #[derive(Debug, Default)]
@@ -65,9 +66,9 @@
   /// The moment as of which all changes are known here. It comes of the calls that read
   /// them and of nothing else: while a holder's watch was held up, the renewals of its
   /// lease made what it knew look 750 ms old, and all others were 1.74 s late with it.
-  confirmed: Option<Instant>,
+  confirmed: Option<Moment>,
   /// Another instance's progress, and as of when it is confirmed.
-  holder: Option<(Progress, Instant)>,
+  holder: Option<(Progress, Moment)>,
   /// This instance must watch by itself: others go by its progress.
   leads: bool,
   /// Changes that did not matter were passed over: all is to be read.
@@ -77,9 +78,9 @@
   /// Read by the instance that watches for this one.
   offered: VecDeque<Batch>,
   /// Since when a change is known to be lacking.
-  lacking: Option<Instant>,
+  lacking: Option<Moment>,
   /// When the store last answered this instance, or one whose progress it goes by.
-  answered: Option<Instant>,
+  answered: Option<Moment>,
   /// The longest time between two such answers since it was last asked for.
   silence: Duration,
 }
@@ -107,7 +108,7 @@
   }
 
   /// The store has answered somebody at a moment.
-  fn hear(&mut self, answered: Instant) {
+  fn hear(&mut self, answered: Moment) {
     if let Some(before) = self.answered {
       let silence = answered.saturating_duration_since(before);
       self.silence = self.silence.max(silence);
@@ -166,13 +167,12 @@
   pub fn follow(&self, progress: Progress) {
     let mut state = lock(&self.state);
     let age = Duration::from_millis(progress.age_ms);
-    let Some(confirmed) = Instant::now().checked_sub(age).filter(|_| age < STALE) else {
+    let Some(confirmed) = Moment::now().checked_sub(age).filter(|_| age < STALE) else {
       return;
     };
     // Of two instances the one counts that knows more, or knows it as of a later moment.
-    let counts = |(known, since): &(Progress, Instant)| {
-      confirmed >= *since || progress.changed > known.changed
-    };
+    let counts =
+      |(known, since): &(Progress, Moment)| confirmed >= *since || progress.changed > known.changed;
     if !state.holder.as_ref().is_none_or(counts) {
       return;
     }
@@ -202,7 +202,7 @@
   }
 
   /// The store has answered this instance about something else.
-  pub fn hear(&self, answered: Instant) {
+  pub fn hear(&self, answered: Moment) {
     lock(&self.state).hear(answered);
   }
 
@@ -226,7 +226,7 @@
 
   /// Waits until a call is needed, or changes were offered, and says which; `failed`: when
   /// the last call was begun, if it failed.
-  pub(super) fn wait(&self, failed: Option<Instant>) -> Next {
+  pub(super) fn wait(&self, failed: Option<Moment>) -> Next {
     let mut state = lock(&self.state);
     loop {
       if state.leads && state.skipped {
@@ -252,7 +252,7 @@
         return Next::Take(batch);
       }
       if progress.changed > state.revision {
-        let lacking = state.lacking.get_or_insert_with(Instant::now).elapsed();
+        let lacking = state.lacking.get_or_insert_with(Moment::now).elapsed();
         let Some(patience) = BATCH.checked_sub(lacking) else {
           state.lacking = None;
           return Next::Watch {
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -7,13 +7,11 @@
 pub use batch::{Batch, Change};
 pub use gate::{Gate, Progress};
 
+use crate::clock::Moment;
 use crate::store::{Error, Object, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
-use std::{
-  thread,
-  time::{Duration, Instant},
-};
+use std::{thread, time::Duration};
 
 /// Longest wait of one watch. A waiting watch counts as a call: while a holder is turned away
 /// 69 instances watch by themselves. But one whose connection or store has fallen silent is
@@ -119,7 +117,7 @@
   unread: bool,
   /// Failed calls in a row, and when the last one was begun.
   failures: u32,
-  failed: Option<Instant>,
+  failed: Option<Moment>,
 }
 
 /// What a call brought.
@@ -127,7 +125,7 @@
   event: Event,
   revision: u64,
   /// As of when all changes are known by it.
-  confirmed: Instant,
+  confirmed: Moment,
   source: &'static str,
   /// Since what was known before was confirmed.
   age: Option<Duration>,
@@ -164,7 +162,7 @@
   }
 
   fn read(&mut self) {
-    let (began, age) = (Instant::now(), self.gate.age());
+    let (began, age) = (Moment::now(), self.gate.age());
     match self.store.all(self.kind) {
       Ok((objects, revision)) => self.answered(Answered {
         event: Event::All(objects),
@@ -178,7 +176,7 @@
   }
 
   fn watch(&mut self, revision: u64, there: bool) {
-    let (began, age) = (Instant::now(), self.gate.age());
+    let (began, age) = (Moment::now(), self.gate.age());
     let wait = match self.gate.leads() {
       _ if self.failures > 0 || there => FIRST,
       true => LEADING_WATCH,
@@ -196,7 +194,7 @@
         self.answered(Answered {
           event: Event::Some(changes.objects),
           revision: changes.revision,
-          confirmed: Instant::now().min(began + waited),
+          confirmed: Moment::now().min(began + waited),
           source: "watch",
           age,
         });
@@ -209,7 +207,7 @@
     let Answered {
       event, revision, ..
     } = answered;
-    self.gate.hear(Instant::now());
+    self.gate.hear(Moment::now());
     self.back();
     self.unread = false;
     let after = self.from.replace(revision).unwrap_or_default();
@@ -267,14 +265,14 @@
     self.failures = 0;
   }
 
-  fn fail(&mut self, call: &str, began: Instant, error: &Error) {
+  fn fail(&mut self, call: &str, began: Moment, error: &Error) {
     if *error == Error::HistoryGone {
       info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from);
       self.unread = true;
       return;
     }
     if *error == Error::Refused(TOO_MANY) {
-      self.gate.hear(Instant::now());
+      self.gate.hear(Moment::now());
     }
     if self.failures == 0 {
       self.gate.lost();
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -2,6 +2,7 @@
 
 use crate::{
   ask::Ticket,
+  clock::Moment,
   dialect::Dialect,
   dispatch::{Attempt, Effect, Event, State},
   feed::Gate,
@@ -18,7 +19,7 @@
     Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
   },
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// What a request's thread is to do next.
@@ -82,7 +83,7 @@
   pub want_bell: Bell,
   /// Requests under way.
   pub active: AtomicUsize,
-  started: Instant,
+  started: Moment,
   tickets: AtomicU64,
   state: Mutex<State>,
   mailboxes: Mutex<HashMap<Ticket, Arc<Mailbox>>>,
@@ -102,7 +103,7 @@
       stop_bell: Bell::open()?,
       want_bell: Bell::open()?,
       active: AtomicUsize::new(0),
-      started: Instant::now(),
+      started: Moment::now(),
       tickets: AtomicU64::new(0),
       state: Mutex::new(state),
       mailboxes: Mutex::default(),
@@ -115,7 +116,7 @@
   }
 
   /// The moment of a time on the hub's clock.
-  pub fn instant(&self, ms: u64) -> Instant {
+  pub fn instant(&self, ms: u64) -> Moment {
     self.started + Duration::from_millis(ms)
   }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -3,7 +3,9 @@
 use crate::{
   ask::{Ask, Work},
   batch::Item,
-  callers, completions,
+  callers,
+  clock::Moment,
+  completions,
   effect::Effect,
   engine,
   event::Event,
@@ -28,7 +30,7 @@
     mpsc::{Receiver, RecvTimeoutError, Sender, channel},
   },
   thread,
-  time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+  time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// Longest pause between two events of the reducer.
@@ -69,7 +71,7 @@
       input,
       directives: Mutex::default(),
       tickets: AtomicU64::new(0),
-      started: Instant::now(),
+      started: Moment::now(),
       watching: AtomicBool::new(false),
       settings,
     });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod claims;
+pub mod clock;
 pub mod cold;
 pub mod command;
 pub mod compare;
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -2,6 +2,7 @@
 //! orders and reports.
 
 use crate::{
+  clock::Moment,
   http::{Body, Framing, Headers, Request, Response},
   socket::{Fill, Socket},
 };
@@ -10,7 +11,7 @@
   io,
   net::SocketAddr,
   sync::{Mutex, PoisonError},
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Largest answer taken, bytes: a page of the store holds 1 MB.
@@ -53,13 +54,13 @@
   pub whole: Duration,
   /// The call goes out before this moment or not at all, however long the process
   /// stood still while it connected.
-  pub before: Option<Instant>,
+  pub before: Option<Moment>,
 }
 
 /// Makes calls; connections are kept for the next one.
 #[derive(Debug, Default)]
 pub struct Client {
-  kept: Mutex<HashMap<SocketAddr, Vec<(Socket, Instant)>>>,
+  kept: Mutex<HashMap<SocketAddr, Vec<(Socket, Moment)>>>,
 }
 
 impl Client {
@@ -78,7 +79,7 @@
     let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
     let sockets = kept.entry(address).or_default();
     if sockets.len() < KEPT {
-      sockets.push((socket, Instant::now()));
+      sockets.push((socket, Moment::now()));
     }
   }
 
@@ -88,7 +89,7 @@
       Some(socket) => socket,
       None => Socket::connect(address, call.connect).map_err(|_| Failure::NotSent)?,
     };
-    if call.before.is_some_and(|before| Instant::now() >= before) {
+    if call.before.is_some_and(|before| Moment::now() >= before) {
       return Err(Failure::NotSent);
     }
     let (answer, keep) = exchange(&mut socket, address, call).map_err(|_| Failure::NoAnswer)?;
@@ -100,8 +101,8 @@
 }
 
 fn exchange(socket: &mut Socket, address: SocketAddr, call: &Call) -> io::Result<(Answer, bool)> {
-  let last = Instant::now() + call.whole;
-  let until = || last.min(Instant::now() + call.answer);
+  let last = Moment::now() + call.whole;
+  let until = || last.min(Moment::now() + call.answer);
   let mut request = Request {
     method: call.method.into(),
     target: call.target.into(),
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -6,6 +6,7 @@
 
 use crate::{
   backend::{self, Backend, Spec},
+  clock::{Moment, Suspension},
   command::{Command, Inventory, Taken},
   crash::{Crash, Quarantined, Registry, Repeated},
   edge::Edge,
@@ -34,7 +35,7 @@
     mpsc::{Receiver, Sender, channel},
   },
   thread,
-  time::Instant,
+  time::Duration,
 };
 
 /// Threads for orders at the most; one order a server is under way. One to a server that is
@@ -240,6 +241,7 @@
 
 impl Planner {
   fn run(mut self) {
+    let mut suspension = Suspension::watch();
     loop {
       let now = self.hub.now();
       let due = self.due(now);
@@ -262,6 +264,9 @@
       if finished {
         self.bell.clear();
       }
+      if let Some(away) = suspension.take() {
+        self.woke(away);
+      }
       self.receive();
       self.crashes();
       self.flush();
@@ -276,6 +281,17 @@
     }
   }
 
+  /// The machine was suspended: what was published meanwhile is lost.
+  fn woke(&mut self, away: Duration) {
+    let now = self.hub.now();
+    let held = self.groups.iter().filter(|group| group.holding);
+    info!(self.hub.log, "machine was suspended"; "away_ms" => away.as_millis() as u64,
+      "leases_held" => held.count(),
+      "leases_lapsed" => self.groups.iter()
+        .filter(|group| group.holding && group.lease.term(now).is_none()).count());
+    self.behind = true;
+  }
+
   fn due(&self, now: u64) -> u64 {
     let mut due = (now + SLEEP_MS).min(self.reported + self.pause());
     for group in &self.groups {
@@ -368,7 +384,7 @@
         "term" => record.term, "revision" => revision);
     }
     if result.is_ok() {
-      let answered = Instant::now();
+      let answered = Moment::now();
       self.hub.gates.deployments.hear(answered);
       self.hub.gates.servers.hear(answered);
       // Others learn of the renewal at once.
@@ -491,7 +507,7 @@
       .plan
       .order(group.holding && now >= self.policies_until);
     self.feed_plan(index);
-    let began = Instant::now();
+    let began = Moment::now();
     let effects = self.groups[index].plan.step(now);
     let took = began.elapsed() * PACE;
     self.groups[index].rest_until = now + took.as_millis() as u64;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 
 use crate::{
   bucket::Bucket,
+  clock::Moment,
   event::Listing,
   fact::Listed,
   object::{Kind, Name, Object},
@@ -23,7 +24,7 @@
     Mutex, PoisonError,
     atomic::{AtomicU64, Ordering},
   },
-  time::{Duration, Instant},
+  time::Duration,
 };
 use ureq::Agent;
 
@@ -115,7 +116,7 @@
     Self {
       address: settings.platform.clone(),
       agent: config.new_agent(),
-      bucket: Mutex::new(Bucket::open(settings.limits.platform_rate, Instant::now())),
+      bucket: Mutex::new(Bucket::open(settings.limits.platform_rate, Moment::now())),
       cache: Mutex::default(),
       longest: Duration::from_millis(settings.limits.platform_ms),
       calls: AtomicU64::new(0),
@@ -130,9 +131,9 @@
   }
 
   /// Waits for leave to make a call; false: not before `until`.
-  fn permit(&self, urgent: bool, until: Instant) -> bool {
+  fn permit(&self, urgent: bool, until: Moment) -> bool {
     loop {
-      let now = Instant::now();
+      let now = Moment::now();
       let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
       let wait = match bucket.take(urgent, now) {
         Ok(()) => return true,
@@ -218,7 +219,7 @@
 
   /// Configuration changed after revision `after`, with the revision reached.
   pub fn watch(&self, after: u64, wait: Duration) -> Result<(u64, Vec<Object>), Error> {
-    let until = Instant::now() + CALL;
+    let until = Moment::now() + CALL;
     if !self.permit(false, until) {
       return Err(Error::Unavailable);
     }
@@ -233,7 +234,7 @@
 
   /// The platform's list of machines.
   pub fn list(&self) -> Result<(u64, Vec<Listing>), Error> {
-    if !self.permit(false, Instant::now() + CALL) {
+    if !self.permit(false, Moment::now() + CALL) {
       return Err(Error::Unavailable);
     }
     let machines: Option<Machines> = self.get("/instances", CALL)?;
@@ -248,7 +249,7 @@
 
   /// Names and versions of the objects of a kind.
   pub fn names(&self, kind: Kind) -> Result<Vec<(String, u64)>, Error> {
-    if !self.permit(false, Instant::now() + CALL) {
+    if !self.permit(false, Moment::now() + CALL) {
       return Err(Error::Unavailable);
     }
     let names = self.get(&format!("/names/{}", kind.word()), CALL)?;
@@ -259,7 +260,7 @@
   /// update. A lost answer is resolved by reading back: changes are idempotent,
   /// so one that took effect already counts as applied.
   pub fn update(&self, name: &Name, change: Option<&Change>, urgent: bool) -> Outcome {
-    let until = Instant::now() + self.longest;
+    let until = Moment::now() + self.longest;
     let mut failures = 0;
     let mut base = change.and_then(|_| self.cached(name));
     loop {
@@ -281,7 +282,7 @@
       }
       let most = RETRY_MOST.min(RETRY * (1 << failures.min(5)));
       let wait = most.mul_f64(rand::random_range(0.5..1.0));
-      if Instant::now() + wait > until {
+      if Moment::now() + wait > until {
         return Outcome::Unavailable;
       }
       if failures > 0 {
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -2,6 +2,7 @@
 
 use super::{Outcome, Relay, Then, outcome, refusal_answer};
 use crate::{
+  clock::Moment,
   dispatch::End,
   http::{Framing, LAST_CHUNK, Response, chunk},
   hub::Mailbox,
@@ -9,10 +10,7 @@
   socket::{Fill, Want, wait},
 };
 use slog::info;
-use std::{
-  io,
-  time::{Duration, Instant},
-};
+use std::{io, time::Duration};
 
 /// Longest wait on a caller that does not read.
 const CALLER_STALL: Duration = Duration::from_millis(5_000);
@@ -124,7 +122,7 @@
   }
 
   fn write_caller(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
-    let until = Instant::now() + CALLER_STALL;
+    let until = Moment::now() + CALLER_STALL;
     self.caller.write_all(bytes, until).map_err(|_| {
       self.then = Then::Close;
       outcome(End::Left, "caller does not read")
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -2,14 +2,12 @@
 
 use super::{Outcome, Relay, Then, outcome, severed};
 use crate::{
+  clock::Moment,
   dispatch::{Attempt, End},
   http::{Body, Framing, Response},
   socket::{Fill, Socket, Want, wait},
 };
-use std::{
-  io,
-  time::{Duration, Instant},
-};
+use std::{io, time::Duration};
 
 /// A repeatable request moves on when its server has not answered within this
 /// many objectives.
@@ -52,6 +50,9 @@
     if !used {
       self.hub.measures.connection();
     }
+    if self.hub.now() >= self.until {
+      return outcome(End::Unsent, "time over while the connection came up");
+    }
     // Its leaving may have become known while the connection came up.
     if !self.hub.state().stands(attempt) {
       return outcome(End::Leaving, "server leaves");
@@ -158,7 +159,7 @@
         }
       } else if self.hub.now() >= self.until {
         return Err(outcome(End::Late, "time over"));
-      } else if Instant::now() >= moment {
+      } else if Moment::now() >= moment {
         return Err(outcome(End::Broken, "server stalled"));
       }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
   backend::{self, Spec},
+  clock::Moment,
   dispatch::{Change, Event, State},
   edge::Edge,
   entry, feed, health,
@@ -17,7 +18,7 @@
   net::SocketAddr,
   sync::{Arc, atomic::Ordering},
   thread,
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// A balancer takes an instance out after two missed questions, asked each
@@ -89,7 +90,7 @@
 
   /// Stops as planned: no new callers, then the end of those that are here.
   pub fn stop(&self) {
-    let began = Instant::now();
+    let began = Moment::now();
     let active = || self.hub.active.load(Ordering::Relaxed);
     info!(self.hub.log, "stopping"; "active" => active());
     self.hub.stop();
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::{
   ask::Ticket,
   attempt::{Attempt, End},
+  clock::Moment,
   event::Event,
   journal::{self, Entry, Journal, Line},
   metrics::Metrics,
@@ -22,7 +23,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
     mpsc::{Receiver, Sender, channel},
   },
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Longest wait for a look at the state.
@@ -60,7 +61,7 @@
   pub(crate) input: Sender<Input>,
   pub(crate) directives: Mutex<HashMap<Ticket, Sender<Directive>>>,
   pub(crate) tickets: AtomicU64,
-  pub(crate) started: Instant,
+  pub(crate) started: Moment,
   pub(crate) watching: AtomicBool,
 }
 
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,5 +1,6 @@
 //! Signals that ask for a planned stop or for the settings to be read again.
 
+use crate::clock::Moment;
 use crate::socket::{Want, wait};
 use signal_hook::{
   consts::{SIGHUP, SIGINT, SIGTERM},
@@ -7,7 +8,7 @@
 };
 use std::{
   io::{self, PipeReader, Read},
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Longest wait at once.
@@ -40,7 +41,7 @@
   /// Waits for the next signal.
   pub fn wait(&mut self) -> io::Result<Signal> {
     loop {
-      let until = Instant::now() + WAIT;
+      let until = Moment::now() + WAIT;
       let waits = [
         Some((&self.stop as _, Want::Read)),
         Some((&self.reload as _, Want::Read)),
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -1,5 +1,6 @@
 //! Sockets that never block: reads, writes and waits with a bound on each.
 
+use crate::clock::Moment;
 use rustix::{
   event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll},
   fd::{AsFd, OwnedFd},
@@ -8,7 +9,7 @@
 use std::{
   io::{self, Read, Write},
   net::{SocketAddr, TcpStream},
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Bytes taken from the system at once.
@@ -59,7 +60,7 @@
 /// Waits until one is ready or the time has come; returns which are ready.
 pub fn wait<const N: usize>(
   waits: [Option<(&dyn AsFd, Want)>; N],
-  until: Instant,
+  until: Moment,
 ) -> io::Result<[bool; N]> {
   let mut ready = [false; N];
   let mut fds = Vec::with_capacity(N);
@@ -75,7 +76,7 @@
     }
   }
   loop {
-    let left = until.saturating_duration_since(Instant::now());
+    let left = until.saturating_duration_since(Moment::now());
     let timeout = Timespec {
       tv_sec: left.as_secs() as i64,
       tv_nsec: left.subsec_nanos().into(),
@@ -177,7 +178,7 @@
   }
 
   /// Writes everything by a moment.
-  pub fn write_all(&mut self, mut bytes: &[u8], until: Instant) -> io::Result<()> {
+  pub fn write_all(&mut self, mut bytes: &[u8], until: Moment) -> io::Result<()> {
     loop {
       let length = self.push(bytes)?;
       bytes = &bytes[length..];
@@ -192,7 +193,7 @@
   }
 
   /// Waits for bytes by a moment and takes them.
-  pub fn fill_by(&mut self, until: Instant) -> io::Result<Fill> {
+  pub fn fill_by(&mut self, until: Moment) -> io::Result<Fill> {
     let [ready] = wait([Some((&self.stream, Want::Read))], until)?;
     match ready {
       true => self.fill(),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,13 +1,9 @@
 //! Connections to backend servers, kept for the next request.
 
+use crate::clock::Moment;
 use crate::{backend, hub::lock, socket::Socket};
 use slotmap::SecondaryMap;
-use std::{
-  io,
-  net::SocketAddr,
-  sync::Mutex,
-  time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, sync::Mutex, time::Duration};
 
 /// Time for a connection to come up: a server that is there answers within a few
 /// milliseconds, and a dropped opening packet goes again only after a second.
@@ -22,7 +18,7 @@
 
 struct Kept {
   socket: Socket,
-  since: Instant,
+  since: Moment,
   /// Idle time the server allows.
   rest: Duration,
 }
@@ -68,7 +64,7 @@
     if kept.len() < KEPT {
       // Leave before the server does: half of what it allows.
       let rest = rest.map_or(REST_MOST, |rest| rest / 2);
-      let since = Instant::now();
+      let since = Moment::now();
       kept.push(Kept {
         socket,
         since,
--- a/src/web.rs
+++ b/src/web.rs
@@ -6,6 +6,7 @@
 //! the head is parsed by `httparse`, bodies by `chunked_transfer`, and what lies
 //! between is here. docs/DESIGN.md has the measurements.
 
+use crate::clock::Moment;
 use chunked_transfer::{Decoder, Encoder};
 use socket2::{Domain, Socket, Type};
 use std::{
@@ -16,7 +17,7 @@
     atomic::{AtomicUsize, Ordering},
   },
   thread,
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Headers of one request, at most.
@@ -61,12 +62,12 @@
 /// Reads until a moment, however the bytes are spread.
 struct Timed {
   stream: TcpStream,
-  until: Instant,
+  until: Moment,
 }
 
 impl Read for Timed {
   fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
-    let left = self.until.saturating_duration_since(Instant::now());
+    let left = self.until.saturating_duration_since(Moment::now());
     if left.is_zero() {
       return Err(io::ErrorKind::TimedOut.into());
     }
@@ -276,16 +277,16 @@
   }
   let timed = Timed {
     stream: reading,
-    until: Instant::now() + bounds.idle,
+    until: Moment::now() + bounds.idle,
   };
   let mut reader = BufReader::new(timed);
   let mut stream = stream;
   loop {
-    reader.get_mut().until = Instant::now() + bounds.idle;
+    reader.get_mut().until = Moment::now() + bounds.idle;
     if !matches!(reader.fill_buf(), Ok(bytes) if !bytes.is_empty()) {
       return;
     }
-    reader.get_mut().until = Instant::now() + bounds.arrive;
+    reader.get_mut().until = Moment::now() + bounds.arrive;
     let mut request = match read(&mut reader, &stream, peer, bounds) {
       Ok(request) => request,
       Err(fault) => return refuse(stream, &fault),
--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -5,7 +5,7 @@
   io::{Read, Write},
   net::TcpListener,
   thread,
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// A connection that comes up counts for nothing once the moment has passed: a
@@ -22,7 +22,7 @@
     connect: Duration::from_secs(5),
     answer: Duration::from_secs(5),
     whole: Duration::from_secs(5),
-    before: Some(Instant::now()),
+    before: Some(bendsaddle::clock::Moment::now()),
   };
   let heard = thread::spawn(move || {
     let (mut stream, _) = listener.accept().unwrap();
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -282,7 +282,7 @@
 #[test]
 fn urgent_calls_have_a_part_of_the_budget_to_themselves() {
   use bendsaddle::bucket::Bucket;
-  let start = std::time::Instant::now();
+  let start = bendsaddle::clock::Moment::now();
   let mut bucket = Bucket::open(8, start);
   let taken = |bucket: &mut Bucket, urgent| {
     (0..20)
