what is kept from servers outlasts all instances

Cause: instances keep nothing; after a loss of power of all, a request that crashes servers was sent to them anew until three more had ended. Change: the holder writes what is kept from servers into an object of its own kind when something is added, each instance reads it once at its start: a call a start and one a request that crashes servers (crash::stored, without I/O).

--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -6,6 +6,7 @@
 
 mod registry;
 mod repeated;
+pub mod stored;
 
 pub use registry::{Registry, Sentence};
 pub use repeated::Repeated;
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -20,6 +20,8 @@
   pub servers: &'static str,
   pub leases: &'static str,
   pub policies: &'static str,
+  /// Requests that crash servers.
+  pub quarantine: &'static str,
 }
 
 /// The edges of a routing instance.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -8,7 +8,7 @@
   backend::{self, Backend, Spec},
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken},
-  crash::{Crash, Quarantined, Registry, Repeated},
+  crash::{Crash, Quarantined, Registry, Repeated, stored},
   edge::Edge,
   exchange::{BITS, BITS_MS, PUBLISH_PART},
   hub::Hub,
@@ -96,6 +96,7 @@
   Ordered(usize, Command, Taken),
   Asked(usize, String, Option<Inventory>),
   Policies(store::Result<Vec<store::Object>>),
+  Quarantine(stored::Call, store::Result<store::Object>),
 }
 
 /// A group of servers: its lease, and the plan that counts while this machine
@@ -161,6 +162,7 @@
   pub(crate) members: Vec<SocketAddr>,
   /// What is known of requests that crash servers.
   pub(crate) registry: Registry,
+  pub(crate) stored_quarantine: stored::Stored,
   /// Crashes to report, and what is kept from servers to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
@@ -201,6 +203,7 @@
     lacked: 0,
     members: Vec::new(),
     registry: Registry::default(),
+    stored_quarantine: stored::Stored::default(),
     reported_crashes: Repeated::default(),
     published_quarantine: Repeated::default(),
     buffer: vec![0; DATAGRAM],
@@ -273,6 +276,7 @@
       self.finish();
       self.lease();
       self.read_policies();
+      self.store_quarantine();
       self.report(wanted);
       self.publish_changes();
       for index in 0..self.groups.len() {
@@ -364,6 +368,7 @@
           self.groups[index].plan.ordered(now, &command, taken);
         }
         Done::Policies(objects) => self.take_policies(now, objects),
+        Done::Quarantine(call, result) => self.take_quarantine(now, &call, result),
         Done::Asked(index, id, inventory) => {
           self.groups[index].plan.inventory(now, &id, inventory);
         }
@@ -477,6 +482,22 @@
     }
   }
 
+  /// Reads or writes what is kept from servers, where that is due.
+  pub(crate) fn call_quarantine(&self, call: stored::Call) {
+    let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
+    self.calls.run(move || {
+      let kind = edge.kinds.quarantine;
+      let result = match &call {
+        stored::Call::Read => (edge.store.read)(kind, stored::NAME),
+        stored::Call::Write { record, revision } => stored::encode(record)
+          .and_then(|spec| (edge.store.write)(kind, stored::NAME, *revision, &spec)),
+      };
+      // The planner's thread lives as long as the process.
+      let _ = done.send(Done::Quarantine(call, result));
+      bell.ring();
+    });
+  }
+
   fn call(&self, index: usize, call: lease::Call) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     let name = self.groups[index].name.clone();
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -7,13 +7,18 @@
 //! each instance.
 
 use crate::{
-  crash::{Crash, Quarantined},
+  crash::{Crash, Quarantined, stored::Call},
   dispatch::Event,
   message::Message,
   planner::Planner,
+  store,
 };
 use slog::info;
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+  collections::BTreeSet,
+  net::SocketAddr,
+  time::{SystemTime, UNIX_EPOCH},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Instances besides the holders that crashes are reported to.
@@ -85,6 +90,48 @@
     }
   }
 
+  /// Reads what was kept from servers before this instance started; writes what has come,
+  /// where it holds a lease.
+  pub(crate) fn store_quarantine(&mut self) {
+    let now = self.hub.now();
+    let holding = self.groups.first().is_some_and(|group| group.holding);
+    let entries = self.registry.quarantined(now);
+    if let Some(call) = self
+      .stored_quarantine
+      .call(now, unix_ms(), holding, &entries)
+    {
+      self.call_quarantine(call);
+    }
+  }
+
+  /// Takes up what became of such a call.
+  pub(crate) fn take_quarantine(
+    &mut self,
+    now: u64,
+    call: &Call,
+    result: store::Result<store::Object>,
+  ) {
+    if let Err(error) = &result
+      && *error != store::Error::Absent
+    {
+      info!(self.hub.log, "quarantine not read or written"; "error" => %error);
+    }
+    let Some(record) = self.stored_quarantine.answered(now, call, result) else {
+      return;
+    };
+    let mut new = Vec::new();
+    for entry in record.quarantined(unix_ms()) {
+      if self.registry.quarantine(now, entry) {
+        info!(self.hub.log, "request quarantined"; "content" => entry.content.to_string(),
+          "left_ms" => entry.left_ms, "by" => "the store");
+        new.push(entry);
+      }
+    }
+    if !new.is_empty() {
+      self.enforce(new);
+    }
+  }
+
   fn enforce(&self, entries: Vec<Quarantined>) {
     self.hub.measures.quarantined(entries.len());
     self.hub.apply(Event::Quarantined(entries), None);
@@ -115,3 +162,8 @@
     members
   }
 }
+
+fn unix_ms() -> u64 {
+  let since = SystemTime::now().duration_since(UNIX_EPOCH);
+  since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -5,12 +5,16 @@
 use bendsaddle::{
   ask::Ticket,
   content,
-  crash::{Crash, Quarantined, Registry, Repeated},
+  crash::{
+    Crash, Quarantined, Registry, Repeated,
+    stored::{Call, Stored, encode},
+  },
   deployment::Engine,
   dispatch::{Ask, Change, Effect, End, Event, State},
   life::Life,
   refusal::Reason,
   route::Repeat,
+  store::Error,
   verdict::Verdict,
 };
 use quickcheck::quickcheck;
@@ -276,3 +280,85 @@
     assert_ne!(base, other);
   }
 }
+
+fn object(revision: u64, spec: serde_json::Value) -> bendsaddle::store::Object {
+  bendsaddle::store::Object {
+    name: "main".into(),
+    revision,
+    spec,
+  }
+}
+
+#[test]
+fn what_is_kept_from_servers_outlasts_all_instances() {
+  let entry = Quarantined {
+    content: content::Key(GUILTY),
+    left_ms: 60_000,
+  };
+  let mut holder = Stored::default();
+  let read = holder.call(0, 1_000, true, &[]).expect("a read first");
+  assert_eq!(read, Call::Read);
+  assert_eq!(holder.call(0, 1_000, true, &[entry]), None, "one at a time");
+  assert_eq!(holder.answered(1, &read, Err(Error::Absent)), None);
+  assert_eq!(
+    holder.call(2, 1_000, false, &[entry]),
+    None,
+    "others write nothing"
+  );
+  let write = holder.call(2, 1_000, true, &[entry]).expect("a write");
+  let Call::Write { record, revision } = write.clone() else {
+    panic!("{write:?}");
+  };
+  assert_eq!(revision, 0);
+  let spec = encode(&record).unwrap();
+  holder.answered(3, &write, Ok(object(7, spec.clone())));
+  assert_eq!(holder.call(4, 1_000, true, &[entry]), None, "written once");
+
+  let mut later = Stored::default();
+  let read = later.call(0, 21_000, false, &[]).expect("a read");
+  let found = later
+    .answered(1, &read, Ok(object(7, spec)))
+    .expect("a record");
+  let found = found.quarantined(21_000);
+  assert_eq!(found.len(), 1);
+  assert_eq!(
+    (found[0].content, found[0].left_ms),
+    (entry.content, 40_000)
+  );
+  assert!(record.quarantined(61_001).is_empty(), "its time is over");
+}
+
+#[test]
+fn a_write_without_answer_is_looked_at_before_the_next() {
+  let entry = Quarantined {
+    content: content::Key(GUILTY),
+    left_ms: 60_000,
+  };
+  for error in [Error::NoAnswer, Error::Conflict, Error::Refused(503)] {
+    let mut stored = Stored::default();
+    let read = stored.call(0, 0, true, &[]).unwrap();
+    stored.answered(0, &read, Err(Error::Absent));
+    let write = stored.call(0, 0, true, &[entry]).unwrap();
+    stored.answered(0, &write, Err(error));
+    assert_eq!(stored.call(1, 0, true, &[entry]), None, "a pause");
+    assert_eq!(stored.call(1_000, 0, true, &[entry]), Some(Call::Read));
+  }
+}
+
+quickcheck! {
+  /// Whatever another writer put there, nothing breaks, and nobody is kept from servers by it.
+  fn a_record_of_another_writer_keeps_nothing_from_servers(text: String, until_ms: u64) -> bool {
+    let specs = [
+      serde_json::json!(text),
+      serde_json::json!({ "entries": text }),
+      serde_json::json!({ "entries": [{ "content": format!("no {text}"), "untilMs": until_ms }] }),
+      serde_json::Value::Null,
+    ];
+    specs.into_iter().all(|spec| {
+      let mut stored = Stored::default();
+      let read = stored.call(0, 0, true, &[]).unwrap();
+      let record = stored.answered(0, &read, Ok(object(3, spec)));
+      record.is_some_and(|record| record.quarantined(0).is_empty())
+    })
+  }
+}
