a replica that requests need gives way for no single one

Cause: what gives way was chosen by how long it had rested, and a replica of a model that has others counted an eighth. One that had just been loaded rested until instances knew of it (some hundred ms at size), gave way for a single request, and was loaded again. Further replicas were counted by what requests had seen before the last ones came, so a model that needs 15 servers got 58. Ruled out: the pause after a load (it guards 400 ms; updates take longer at size). Change: one measure, requests a second that a replica serves and that its other replicas could not take over; it gives way only for as many requests as it would serve until it is loaded again. Replicas are counted by the load that requests put on the servers in use when they were seen, which stays as it is when servers come. A model that requests have stopped coming for gives its places back.

--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -141,7 +141,7 @@
       let mut models = server.models.keys();
       !server.leaving.is_empty()
         || server.memory(&self.models) < engine.memory_mb / 2
-        || models.any(|model| self.loss(server, *model).is_some())
+        || models.any(|model| self.loss(server, *model, 1.0).is_some())
     });
     of_pool.take(FREEABLE).count()
   }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -135,7 +135,7 @@
       return;
     }
     let near = self.copied(model);
-    if let Some(choice) = self.choose(&need, !near, |_, _| true) {
+    if let Some(choice) = self.choose(&need, self.strained_gain(model), !near, |_, _| true) {
       self.start(choice.server, choice.victims, choice.cost, &need);
     }
   }
@@ -163,7 +163,7 @@
     let pays = |server: &Server, tier: Tier| {
       tier != Tier::Remote || server.pays(now, &need.waits, size.load_ms(tier))
     };
-    match self.choose(need, remote, pays) {
+    match self.choose(need, f64::from(need.waiting.max(1)), remote, pays) {
       Some(choice) => self.start(choice.server, choice.victims, choice.cost, need),
       None => {
         *remote_looks -= usize::from(remote);
@@ -172,22 +172,31 @@
     }
   }
 
-  /// The server on which a load costs least; `remote`: also one without a copy.
+  /// Requests that gain from a further replica of a model while another one, which gives way
+  /// for it, is loaded again.
+  fn strained_gain(&self, model: models::Key) -> f64 {
+    let load_ms = self.path_ms(model).unwrap_or_default();
+    self.earning(model) * load_ms as f64 / 1_000.0
+  }
+
+  /// The server on which a load costs least, for so many requests; `remote`: also one without
+  /// a copy.
   fn choose(
     &self,
     need: &Need,
+    requests: f64,
     remote: bool,
     pays: impl Fn(&Server, Tier) -> bool,
   ) -> Option<Choice> {
     let entry = &self.models[need.model];
     let mut best: Option<Choice> = None;
     for (key, tier) in &entry.copies {
-      self.consider(need.model, *key, *tier, &pays, &mut best);
+      self.consider((need.model, requests), *key, *tier, &pays, &mut best);
     }
     if remote && self.may_load(need.model) {
       for (key, server) in self.of_pool(entry.pool) {
         if !server.copies.contains_key(&need.model) {
-          self.consider(need.model, key, Tier::Remote, &pays, &mut best);
+          self.consider((need.model, requests), key, Tier::Remote, &pays, &mut best);
         }
       }
     }
@@ -196,7 +205,7 @@
 
   fn consider(
     &self,
-    model: models::Key,
+    (model, requests): (models::Key, f64),
     key: held::Key,
     tier: Tier,
     pays: &impl Fn(&Server, Tier) -> bool,
@@ -210,7 +219,7 @@
     let Some(size) = self.models[model].size else {
       return;
     };
-    let Some((cost, victims)) = self.room(server, model) else {
+    let Some((cost, victims)) = self.room(server, model, requests) else {
       return;
     };
     if !pays(server, tier) {
@@ -301,9 +310,14 @@
       .allows(self.now, self.remote_jobs, engine.loads_per_s)
   }
 
-  /// What has to give way on a server for a model, and what that costs; none when
-  /// there is no room.
-  fn room(&self, server: &Server, model: models::Key) -> Option<(u64, Vec<models::Key>)> {
+  /// What has to give way on a server for so many requests for a model, and what that costs;
+  /// none when there is no room.
+  fn room(
+    &self,
+    server: &Server,
+    model: models::Key,
+    requests: f64,
+  ) -> Option<(u64, Vec<models::Key>)> {
     let need = self.models[model].size?.memory_mb;
     let memory_mb = self.models.engine(server.pool)?.memory_mb;
     let mut free = memory_mb.saturating_sub(server.memory(&self.models));
@@ -313,7 +327,7 @@
       return Some((cost, victims));
     }
     let held = server.models.keys();
-    let losses = held.filter_map(|model| Some((self.loss(server, *model)?, *model)));
+    let losses = held.filter_map(|model| Some((self.loss(server, *model, requests)?, *model)));
     let mut candidates: Vec<(u64, models::Key)> = losses.collect();
     candidates.sort();
     for (loss, model) in candidates {
@@ -332,8 +346,12 @@
     self.models[model].wanted == self.served
   }
 
-  /// What it costs when a model gives way; none: it may not.
-  pub(crate) fn loss(&self, server: &Server, model: models::Key) -> Option<u64> {
+  /// What it costs when a model gives way for so many requests; none: it may not.
+  ///
+  /// A replica that requests need is as much a loss as the requests that it would serve until
+  /// it is loaded again. While only its rest counted, one that instances did not know of yet
+  /// gave way for a single request, and was loaded again a moment later.
+  pub(crate) fn loss(&self, server: &Server, model: models::Key, requests: f64) -> Option<u64> {
     if self.wanted(model) || server.busy_with(model, &self.models) {
       return None;
     }
@@ -358,6 +376,14 @@
       Evict::Oldest => 1_000_000 / (idle + 1),
       Evict::Cheapest => reload * 1_000 / (idle + 500),
     };
-    Some(if others > 1 { worth / SPARE } else { worth })
+    let earning = self.earning(model);
+    if earning * reload as f64 / 1_000.0 > requests {
+      return None;
+    }
+    let needed = (reload as f64 * earning) as u64;
+    match others > 1 && earning == 0.0 {
+      true => Some(worth / SPARE),
+      false => Some(worth.max(needed)),
+    }
   }
 }
--- a/src/placement/obstacle.rs
+++ b/src/placement/obstacle.rs
@@ -122,7 +122,7 @@
       return Obstacle::Resting;
     }
     let models = || server.models.keys().copied();
-    if models().any(|model| self.loss(server, model).is_some()) {
+    if models().any(|model| self.loss(server, model, 1.0).is_some()) {
       return Obstacle::WeightStore;
     }
     let idle =
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -113,6 +113,8 @@
   pub(crate) remote_jobs: usize,
   /// Time that an unload without runs takes, as learnt from orders, ms.
   pub(crate) unload_ms: f64,
+  /// One server's even share of each pool's requests, requests a second, as of the last sweep.
+  pub(crate) even: BTreeMap<PoolKey, f64>,
   /// Policies by name, as operators wrote them, and that of models that none selects.
   policies: BTreeMap<String, Policy>,
   default_policy: Policy,
@@ -156,6 +158,7 @@
       remote: Remote::open(load_window_ms, load_overage),
       remote_jobs: 0,
       unload_ms: UNLOAD_MS,
+      even: BTreeMap::new(),
       policies: BTreeMap::new(),
       default_policy: Policy::default_routed(),
       published_at: 0,
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -26,14 +26,14 @@
   /// Loads further replicas of models whose servers are too slow for them, and further
   /// copies of adapters in use.
   pub(crate) fn replicate(&mut self) {
-    let rates = self.rates();
+    self.even = self.rates();
     let mut seen: Vec<(models::Key, f64)> = Vec::new();
     for key in self.models.keys() {
       let strain = self.models[key].strain.as_ref();
       let Some(mean) = strain.and_then(|strain| strain.mean(self.now)) else {
         continue;
       };
-      if mean >= STRAINED || self.heavy(key, &rates) {
+      if mean >= STRAINED || self.heavy(key) {
         seen.push((key, mean));
       }
     }
@@ -46,7 +46,8 @@
     for (model, mean) in seen {
       let entry = &self.models[model];
       let holders = entry.holders.len();
-      let needed = (holders as f64 * (mean / STRAINED).min(2.0)).ceil() as usize;
+      let load = strain_of(entry, self.now);
+      let needed = (load / STRAINED).ceil() as usize;
       let wanted = match mean >= STRAINED {
         true => needed,
         false => 2,
@@ -84,21 +85,45 @@
   /// two replicas. Where its use over the last 15 s decided, a model that had just become
   /// the most used lost its only server unnoticed, and 780 requests were refused in 9 s;
   /// three deployments gained 0.007, 0.010 and 0.011 (18 pairs each, errors 0.005 to 0.006).
-  fn heavy(&self, model: models::Key, rates: &BTreeMap<PoolKey, f64>) -> bool {
+  fn heavy(&self, model: models::Key) -> bool {
     let entry = &self.models[model];
     let rate = entry.strain.map_or(0.0, |strain| strain.rate(self.now));
-    let share = rates.get(&entry.pool).copied().unwrap_or_default();
+    let share = self.even.get(&entry.pool).copied().unwrap_or_default();
     share > 0.0 && rate > share
   }
 
+  /// Replicas of a model at which requests run: what they see is due to these, and not to
+  /// those that came a moment ago and that instances do not know of yet. While all were
+  /// counted, a model that needs 15 servers got 58.
+  pub(crate) fn in_use(&self, model: models::Key) -> usize {
+    let holders = self.models[model].holders.iter();
+    let used = holders.filter(|key| self.servers[**key].busy_with(model, &self.models));
+    used.count().max(1)
+  }
+
+  /// Requests a second that a replica of a model serves and that its other replicas could not
+  /// take over.
+  pub(crate) fn earning(&self, model: models::Key) -> f64 {
+    let Some(strain) = &self.models[model].strain else {
+      return 0.0;
+    };
+    match strain.silent(self.now) || self.spare(model) {
+      true => 0.0,
+      false => strain.rate(self.now) / self.in_use(model) as f64,
+    }
+  }
+
   /// Whether the other replicas of a model can take over the requests of one.
-  fn spare(&self, model: models::Key, rates: &BTreeMap<PoolKey, f64>) -> bool {
+  fn spare(&self, model: models::Key) -> bool {
     let entry = &self.models[model];
     let holders = entry.holders.len() as u32;
-    let least = if self.heavy(model, rates) { 2 } else { 1 };
+    let least = if self.heavy(model) { 2 } else { 1 };
     if holders <= self.policy(model).min_replicas.max(least) {
       return false;
     }
+    if entry.strain.is_some_and(|strain| strain.silent(self.now)) {
+      return true;
+    }
     let mean = entry.strain.and_then(|strain| strain.mean(self.now));
     let more = f64::from(holders) / f64::from(holders - 1);
     mean.unwrap_or_default() * more < EASY
@@ -126,7 +151,6 @@
 
   /// Lets the replica go that has the fewest requests, of a model that can do without.
   pub(crate) fn leave_one(&mut self, pool: PoolKey) {
-    let rates = self.rates();
     let mut best: Option<(u32, held::Key, models::Key)> = None;
     for (key, server) in self.of_pool(pool) {
       if !server.synced || server.spec.stage != Stage::Ready {
@@ -135,7 +159,7 @@
       for model in server.models.keys().copied() {
         let here = server.running_of(model, &self.models);
         let less = best.as_ref().is_none_or(|(least, ..)| here < *least);
-        if less && !server.leaving.contains(&model) && self.spare(model, &rates) {
+        if less && !server.leaving.contains(&model) && self.spare(model) {
           best = Some((here, key, model));
         }
       }
@@ -149,3 +173,10 @@
     self.note("leave", key, model, why);
   }
 }
+
+fn strain_of(entry: &models::Entry, now: u64) -> f64 {
+  let strain = entry.strain.as_ref();
+  strain
+    .and_then(|strain| strain.servers(now))
+    .unwrap_or_default()
+}
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -100,8 +100,9 @@
         continue;
       };
       let (requests, slowness) = (f64::from(seen.requests), f64::from(seen.slowness));
+      let servers = self.in_use(model);
       let strain = self.models[model].strain.get_or_insert_default();
-      strain.add(now, requests, slowness);
+      strain.add(now, requests, slowness, servers);
     }
   }
 
--- a/src/strain.rs
+++ b/src/strain.rs
@@ -10,6 +10,11 @@
 const HALF_MS: f64 = 1_000.0;
 /// What a request counts that its server declined because it was full.
 const FULL: f64 = 1.0;
+/// A model that so many requests should have come for since the last one, and none did, is not
+/// asked for any more: by chance that happens once in 20,000 times.
+const OVERDUE: f64 = 10.0;
+/// But not before this time, ms: some reports of its instances.
+const SILENT_LEAST_MS: u64 = 1_000;
 /// What one request counts at the most: a stalled one says little of the others.
 const MOST: f64 = 4.0;
 
@@ -19,6 +24,8 @@
   pub requests: f64,
   /// Sum of the parts of their objectives.
   pub slowness: f64,
+  /// The same, each times the servers at which the model was in use then.
+  pub load: f64,
   /// When this was last brought up to date, ms.
   at: u64,
 }
@@ -30,14 +37,25 @@
     let rest = 0.5f64.powf(elapsed / HALF_MS);
     self.requests *= rest;
     self.slowness *= rest;
+    self.load *= rest;
     self.at = now;
   }
 
   /// Adds what an instance saw since its last report.
-  pub fn add(&mut self, now: u64, requests: f64, slowness: f64) {
+  pub fn add(&mut self, now: u64, requests: f64, slowness: f64, servers: usize) {
     self.fade(now);
     self.requests += requests;
     self.slowness += slowness;
+    self.load += slowness * servers as f64;
+  }
+
+  /// Servers that requests would fill, if each answered as slowly as their objectives allow;
+  /// none where too few were seen to say. It stays as it is when servers come, which the mean
+  /// of what was seen before they came does not.
+  pub fn servers(&self, now: u64) -> Option<f64> {
+    let mut faded = *self;
+    faded.fade(now);
+    (faded.requests >= 1.0).then(|| faded.load / faded.requests)
   }
 
   /// Requests a second, lately.
@@ -47,6 +65,13 @@
     faded.requests * std::f64::consts::LN_2 * 1_000.0 / HALF_MS
   }
 
+  /// Whether requests have stopped coming.
+  pub fn silent(&self, now: u64) -> bool {
+    let elapsed = now.saturating_sub(self.at);
+    let expected = self.rate(self.at) * elapsed as f64 / 1_000.0;
+    elapsed >= SILENT_LEAST_MS && expected > OVERDUE
+  }
+
   /// The mean part of their objectives that requests spend at servers before an answer;
   /// none where too few were seen to say.
   pub fn mean(&self, now: u64) -> Option<f64> {
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -38,6 +38,19 @@
   pub common_places: usize,
   /// Time that is played, ms.
   pub ms: u64,
+  /// One model that many ask for.
+  pub popular: Option<Popular>,
+}
+
+/// A model that needs many servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Popular {
+  /// Requests a second, from and to a time, ms.
+  pub per_s: f64,
+  pub from: u64,
+  pub to: u64,
+  /// Time of an update on its way to all instances, ms: at size it is some hundred.
+  pub update_ms: u64,
 }
 
 impl Size {
@@ -50,10 +63,21 @@
       rare_per_s: servers as f64 * 160.0 / 256.0,
       common_places: servers * 120 / 256,
       ms: 20_000,
+      popular: None,
     }
   }
 }
 
+/// The model that many ask for, copies of it on disks, and servers that hold it at first.
+const POPULAR: &str = "popular";
+const POPULAR_COPIES: usize = 64;
+const POPULAR_HELD: usize = 2;
+/// Requests that a server runs at once.
+const SLOTS: u32 = 12;
+/// Part of their objective that requests spend at a server with free slots, and what full
+/// slots add.
+const QUICK: f32 = 0.05;
+const CROWDED: f32 = 0.4;
 /// Models in common use.
 const COMMON: usize = 8;
 /// Places of a server, and what each holds, MB.
@@ -114,6 +138,16 @@
   pub in_time: u32,
   pub served: u32,
   pub orders: u32,
+  /// Requests for the popular model while it is in steady demand: all, those that ran, those
+  /// that servers declined as full.
+  pub popular: u32,
+  pub popular_served: u32,
+  pub popular_declined: u32,
+  /// Its loads and its unloads while it is in demand.
+  pub popular_loads: u32,
+  pub popular_unloads: u32,
+  /// Servers that hold it, at each second.
+  pub popular_holders: Vec<usize>,
   /// Bytes of holdings published, as encoded, for one instance.
   pub published: usize,
   pub holdings: usize,
@@ -181,6 +215,9 @@
   commands: Vec<Command>,
   updates: Vec<Holdings>,
   next_request: f64,
+  next_popular: f64,
+  /// Parts of their objectives that requests for the popular model spent at servers, by instance.
+  slowness: Vec<(u32, f32)>,
   free_at: u64,
   due: u64,
   decided: HashMap<String, u64>,
@@ -206,8 +243,9 @@
     adapter_mb: 1,
   };
   let names = (0..size.rare).map(rare).chain((0..COMMON).map(common));
+  let names = names.chain([POPULAR.to_string()]);
   let engine = Engine {
-    slots: 12,
+    slots: SLOTS,
     kv_tokens: 69_467,
     memory_mb: MODEL_MB * PLACES as u64 + 20,
     adapter_slots: 8,
@@ -242,6 +280,16 @@
         }
       }
     }
+    if size.popular.is_some() {
+      for number in 0..POPULAR_COPIES.min(size.servers) {
+        let server = &mut servers[number * size.servers / POPULAR_COPIES.min(size.servers)];
+        server.spec.on_disk.push(POPULAR.into());
+        if number < POPULAR_HELD {
+          server.held.pop_last();
+          server.held.insert(POPULAR.into());
+        }
+      }
+    }
     for server in &mut servers {
       let held = server.held.iter();
       server.spec.models = held.map(|name| (name.clone(), Vec::new())).collect();
@@ -266,6 +314,10 @@
       commands: Vec::new(),
       updates: Vec::new(),
       next_request: 0.0,
+      next_popular: size
+        .popular
+        .map_or(f64::INFINITY, |popular| popular.from as f64),
+      slowness: vec![(0, 0.0); size.instances],
       free_at: 0,
       due: 0,
       decided: HashMap::new(),
@@ -357,6 +409,8 @@
     self.now += 1;
     self.strike();
     self.arrive();
+    self.arrive_popular();
+    self.count_holders();
     while let Some(Reverse((at, _, _))) = self.later.peek()
       && *at <= self.now
     {
@@ -404,6 +458,63 @@
     }
   }
 
+  fn arrive_popular(&mut self) {
+    let Some(popular) = self.size.popular else {
+      return;
+    };
+    while self.next_popular <= self.now as f64 && self.now < popular.to {
+      let pause: f64 = self.rng.random_range(0.0..2.0);
+      self.next_popular += pause * 1_000.0 / popular.per_s;
+      let instance = self.rng.random_range(0..self.size.instances);
+      // Replicas take some seconds to come.
+      let steady = self.now >= popular.from + (popular.to - popular.from) / 2;
+      let ran = self.send_popular(instance);
+      if steady {
+        self.outcome.popular += 1;
+        self.outcome.popular_served += u32::from(ran == Some(true));
+        self.outcome.popular_declined += u32::from(ran == Some(false));
+      }
+    }
+  }
+
+  /// Sends a request for the popular model to the less busy of two servers; whether it ran,
+  /// where the server held the model.
+  fn send_popular(&mut self, instance: usize) -> Option<bool> {
+    let holders: Vec<String> = self.known.get(POPULAR)?.iter().cloned().collect();
+    let mut drawn = || holders.get(self.rng.random_range(0..holders.len().max(1)));
+    let (one, other) = (drawn()?, drawn()?);
+    let id = match self.servers[one].busy() <= self.servers[other].busy() {
+      true => one,
+      false => other,
+    };
+    let server = self.servers.get_mut(id).expect("a server");
+    server.finish(self.now);
+    if server.lost || !server.held.contains(POPULAR) {
+      return None;
+    }
+    let (requests, slowness) = &mut self.slowness[instance];
+    *requests += 1;
+    if server.busy() >= SLOTS {
+      *slowness += 1.0;
+      return Some(false);
+    }
+    *slowness += QUICK + CROWDED * server.busy() as f32 / SLOTS as f32;
+    *server.running.entry(POPULAR.into()).or_default() += 1;
+    let run = (id.clone(), POPULAR.to_string());
+    *self.runs[instance].entry(run).or_default() += 1;
+    let ends = Later::RunEnds(id.clone(), POPULAR.into(), instance);
+    self.later(RUN_MS, ends);
+    Some(true)
+  }
+
+  fn count_holders(&mut self) {
+    if self.size.popular.is_some() && self.now.is_multiple_of(1_000) {
+      let held = self.servers.values();
+      let held = held.filter(|server| server.held.contains(POPULAR)).count();
+      self.outcome.popular_holders.push(held);
+    }
+  }
+
   /// Sends a request where its model is known to be; whether it ran.
   fn send(&mut self, instance: usize, waiting: &Waiting) -> bool {
     let holders = self.known.get(&waiting.model);
@@ -517,6 +628,14 @@
       requests: requests as f32,
       slowness: requests as f32 * SLOWNESS,
     });
+    let (requests, slowness) = std::mem::take(&mut self.slowness[instance]);
+    let popular = (requests > 0).then(|| Seen {
+      pool: "pool".into(),
+      model: POPULAR.into(),
+      requests: requests as f32,
+      slowness,
+    });
+    let strain = strain.chain(popular);
     let running = self.runs[instance].iter();
     let report = Report {
       instance: format!("instance-{instance}"),
@@ -557,6 +676,11 @@
     match effect {
       Effect::Order(command) => {
         self.outcome.orders += 1;
+        let popular = self.size.popular;
+        if command.model.name == POPULAR && popular.is_some_and(|popular| self.now < popular.to) {
+          self.outcome.popular_loads += u32::from(command.act == Act::Load);
+          self.outcome.popular_unloads += u32::from(command.act == Act::Unload);
+        }
         if command.act == Act::Load
           && let Some(at) = self.decided.remove(&command.model.name)
         {
@@ -571,7 +695,11 @@
         self.outcome.holdings += update.holdings.len();
         self.updates.push(update);
         let number = self.updates.len() - 1;
-        self.later(UPDATE_MS, Later::Update(number));
+        let update_ms = self
+          .size
+          .popular
+          .map_or(UPDATE_MS, |popular| popular.update_ms);
+        self.later(update_ms, Later::Update(number));
       }
       Effect::Note {
         what: "load",
@@ -644,6 +772,11 @@
     self.spec.born = born;
   }
 
+  /// Requests that it runs.
+  fn busy(&self) -> u32 {
+    self.running.values().sum()
+  }
+
   fn finish(&mut self, now: u64) {
     if now >= self.busy_until
       && let Some(model) = self.loading.take()
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,6 +1,6 @@
 //! The planner's work follows the changes that it takes in, not the size of the fleet.
 
-use stand_ins::replay::{Holder, Outcome, Replay, Size, Trouble, percentile};
+use stand_ins::replay::{Holder, Outcome, Popular, Replay, Size, Trouble, percentile};
 use std::time::Duration;
 
 /// The load of the smallest fleet, on a fleet of so many servers.
@@ -100,3 +100,55 @@
     assert!(part >= least, "{name}: {part:.3} in time");
   }
 }
+
+/// One model that needs some fifteen servers, beside 1,295 that are asked for now and then.
+fn popular(update_ms: u64) -> Outcome {
+  let popular = Popular {
+    per_s: 200.0,
+    from: 500,
+    to: 16_000,
+    update_ms,
+  };
+  let size = Size {
+    popular: Some(popular),
+    ms: 26_000,
+    ..Size::of(256)
+  };
+  Replay::open(size, Holder::Free, 5).play()
+}
+
+/// Its replicas gave way for single requests as long as instances did not know of them, and
+/// were loaded again a moment later: 52 unloads and 101 loads where updates take 1.5 s. What
+/// requests saw before a replica came counted after it, so it got 58 servers.
+#[test]
+fn a_popular_model_keeps_the_servers_that_it_needs() {
+  for (update_ms, least) in [(10, 0.97), (700, 0.97), (1_500, 0.88)] {
+    let outcome = popular(update_ms);
+    let served = f64::from(outcome.popular_served) / f64::from(outcome.popular);
+    let rare = f64::from(outcome.in_time) / f64::from(outcome.requests);
+    let holders = &outcome.popular_holders;
+    println!(
+      "{update_ms}: {served:.3} served, {} declined, {} loads, {} unloads, {holders:?}; rare {rare:.3}",
+      outcome.popular_declined, outcome.popular_loads, outcome.popular_unloads
+    );
+    assert!(served >= least, "{served:.3} served");
+    assert!(
+      outcome.popular_unloads <= 3,
+      "{} unloads",
+      outcome.popular_unloads
+    );
+    assert!(
+      outcome.popular_loads <= 40,
+      "{} loads",
+      outcome.popular_loads
+    );
+    let most = holders.iter().max().copied().unwrap_or_default();
+    assert!(most <= 32, "{most} servers");
+    // Asked for until the 16th second.
+    assert!(
+      holders[20] <= most / 2,
+      "{} of {most} five seconds later",
+      holders[20]
+    );
+  }
+}
