unloads that wait for runs say nothing of those that do not

Cause: the learnt pause between an unload and the order that follows grew with the first order that met an unload, also where it waits for runs. Ruled out: the holder's steps (a decision's unload goes out within 0.1 s). Change: what is learnt is decided when the order goes through: after four meetings or fewer the pause was too short, after more the unload waited for runs.

--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -18,6 +18,10 @@
 pub(crate) const UNLOAD_MS: f64 = 40.0;
 const UNLOAD_UP_MS: f64 = 10.0;
 const UNLOAD_DOWN_MS: f64 = 0.5;
+/// An order that met an unload more often than this met one that waits for its runs, as that of
+/// any server may at any time, and says nothing of others: while the first meeting of each
+/// counted, the pause of a fleet in trouble came to 400 ms, and a load from a disk takes 600.
+const MET_MOST: u32 = 4;
 /// Pause before an order that met another one is sent again, ms.
 const AGAIN_MS: u64 = 20;
 /// Sends of an order that meets another one.
@@ -34,7 +38,7 @@
   Nothing,
   /// The order that followed found it done.
   Over,
-  /// The order that followed found it under way.
+  /// The order that followed found it under way, and soon after done.
   Met,
 }
 
@@ -272,7 +276,7 @@
       return Unload::Nothing;
     };
     job.waiting = false;
-    let first = job.tries == 0;
+    let met = job.tries;
     let follows = job.step == Step::Load && job.unloaded;
     match (taken, job.step) {
       (Taken::Accepted | Taken::Done, Step::Unload) => {
@@ -296,9 +300,11 @@
         job.due = now + took;
         job.until = now + (took + LAG_MS) * LATE;
         self.job = Some(job);
-        match follows && first {
-          true => Unload::Over,
-          false => Unload::Nothing,
+        match met {
+          _ if !follows => Unload::Nothing,
+          0 => Unload::Over,
+          _ if met <= MET_MOST => Unload::Met,
+          _ => Unload::Nothing,
         }
       }
       (Taken::Conflict, _) if job.tries < AGAIN_MOST => {
@@ -310,11 +316,7 @@
           // The count of orders may be another one.
           self.synced = false;
         }
-        // An unload that waits for its runs meets many: it says nothing of others.
-        match follows && first {
-          true => Unload::Met,
-          false => Unload::Nothing,
-        }
+        Unload::Nothing
       }
       _ => {
         self.recheck(now, taken);
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -120,6 +120,8 @@
   pub burst: Option<(u64, u64, f64)>,
   /// When so large a part of the servers is lost, and when they are back, empty.
   pub lost: Option<(u64, u64, f64)>,
+  /// One of so many unloads waits for runs that came while it was decided.
+  pub waits: Option<usize>,
   /// When another holder takes over, and for how long nobody held the lease before.
   pub takeover: Option<(u64, u64)>,
 }
@@ -546,7 +548,9 @@
       Later::Order(number) => {
         let command = self.commands[number].clone();
         let server = self.servers.get_mut(&command.id).expect("a server");
-        let taken = server.carry_out(self.now, &command);
+        let waits = self.trouble.waits;
+        let waits = waits.is_some_and(|waits| number.is_multiple_of(waits));
+        let taken = server.carry_out(self.now, &command, waits);
         self.plan.ordered(self.now, &command, taken);
         self.due = 0;
       }
@@ -785,7 +789,7 @@
     }
   }
 
-  fn carry_out(&mut self, now: u64, command: &Command) -> Taken {
+  fn carry_out(&mut self, now: u64, command: &Command, waits: bool) -> Taken {
     if self.lost {
       return Taken::NotSent;
     }
@@ -802,7 +806,7 @@
         self.loading = Some(name);
       }
       Act::Unload => {
-        let runs = self.running.contains_key(&name);
+        let runs = waits || self.running.contains_key(&name);
         self.held.remove(&name);
         self.busy_until = now + if runs { RUN_MS } else { UNLOAD_MS };
       }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -58,6 +58,25 @@
   assert!(ordered <= 150, "{ordered} ms in half of the cases");
 }
 
+/// In a fleet in trouble one unload in five waits for runs. Its server's next load meets it
+/// some forty times, and the first time counted as if all unloads took longer: the pause of
+/// all servers came to 400 ms, and their order paths carried half of the loads.
+#[test]
+fn unloads_that_wait_for_runs_do_not_delay_those_that_do_not() {
+  let size = Size {
+    ms: 15_000,
+    ..Size::of(64)
+  };
+  let trouble = Trouble {
+    waits: Some(5),
+    ..Trouble::default()
+  };
+  let outcome = Replay::open(size, Holder::Free, 4).with(trouble).play();
+  let ordered = percentile(&outcome.ordered_ms, 50);
+  println!("{ordered} ms, {} orders", outcome.orders);
+  assert!(ordered <= 150, "{ordered} ms in half of the cases");
+}
+
 /// The part of the requests for rare models that meet their objective, of a fleet in trouble.
 fn in_time(trouble: Trouble) -> f64 {
   let size = Size {
@@ -87,6 +106,7 @@
     burst: burst.burst,
     lost: lost.lost,
     takeover: takeover.takeover,
+    ..Trouble::default()
   };
   for (name, trouble, least) in [
     ("none", Trouble::default(), 0.95),
