a server that leaves a question unanswered still counts for a bound

Change: only an answer, or the end of its entry, says what a server holds. A model without a bound is loaded as before. tests/plan.rs: loaded before, not loaded now.

--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -286,7 +286,6 @@
 
   /// A question got no answer: the server rests, longer each time.
   pub(crate) fn unanswered(&mut self, now: u64) {
-    self.heard = true;
     self.rest_until = now + (RECHECK_MS << self.silent.min(SILENT_MOST));
     self.silent += 1;
     if let Some(job) = &mut self.job {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -531,6 +531,33 @@
   assert!(world.loads().is_empty(), "{:?}", world.loads());
 }
 
+// A new holder asked the servers that held the model, under load, and two of them answered
+// nothing: they counted as if they held none, as their entries of before said, and a third
+// server loaded a model that two may hold.
+#[test]
+fn a_server_that_leaves_a_question_unanswered_still_counts_for_the_bound() {
+  let mut world = bounded_world();
+  for id in ["three", "four"] {
+    world.servers.get_mut(id).unwrap().spec.models.remove("d");
+  }
+  world.plan = Plan::open("10.0.0.2", 0, 5_000, 1.0);
+  let two = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 2 }"#;
+  let policies = [("two".to_string(), serde_json::from_str(two).unwrap())];
+  world.plan.policies(policies.into_iter().collect());
+  world.plan.begin(world.now, 2);
+  let specs = world.servers.values().map(|server| server.spec.clone());
+  world
+    .plan
+    .servers(world.deployment.clone(), specs.collect());
+  world.unheard = ["three", "four"].map(String::from).into();
+  world.run(100);
+  for id in ["three", "four"] {
+    world.plan.inventory(world.now, id, None);
+  }
+  world.run(800);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+}
+
 /// Where much is to be published, publications lie apart. An unload that did not wait for its
 /// own met requests of instances that had not heard of it: at 295 instances, 8,272 of 8,340
 /// sends that found no model went where its unload had been ordered.
