orders that go out together teach as much as one

Ruled out: the new holder's link or processor (decision to unload 0.1 s, planner_age_ms 30). Change: an order raises the pause to its own and 10 ms, not by 10 ms.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -282,6 +282,7 @@
         waiting: false,
         tries: 0,
         unloaded: false,
+        paused: 0,
         remote: tier == Tier::Remote,
         began: now,
         until: size.load_ms(tier),
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -65,6 +65,8 @@
   pub(crate) tries: u32,
   /// Its last order was an unload.
   pub(crate) unloaded: bool,
+  /// Pause kept between that and the load's order, ms.
+  pub(crate) paused: u64,
   /// It takes the weight store's time.
   pub(crate) remote: bool,
   /// When its load began, ms.
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -38,8 +38,8 @@
   Nothing,
   /// The order that followed found it done.
   Over,
-  /// The order that followed found it under way, and soon after done.
-  Met,
+  /// The order that followed after this pause, ms, found it under way, and soon after done.
+  Met(u64),
 }
 
 impl Plan {
@@ -67,7 +67,11 @@
     });
     match learnt {
       Some(Unload::Over) => self.unload_ms = (self.unload_ms - UNLOAD_DOWN_MS).max(0.0),
-      Some(Unload::Met) => self.unload_ms += UNLOAD_UP_MS,
+      // Orders that go out together say the same once: each made the pause longer, and a burst
+      // of 222 loads made it 1.3 s.
+      Some(Unload::Met(paused)) => {
+        self.unload_ms = self.unload_ms.max(paused as f64 + UNLOAD_UP_MS);
+      }
       Some(Unload::Nothing) | None => {}
     }
   }
@@ -286,11 +290,13 @@
           job.step = Step::Load;
         }
         job.unloaded = true;
+        job.paused = unload_ms;
         job.due = now + unload_ms;
         self.job = Some(job);
         Unload::Nothing
       }
       (Taken::Accepted, Step::Load) => {
+        let paused = job.paused;
         let took = match job.remote {
           true => job.until,
           false => (job.until as f64 * self.pace) as u64,
@@ -303,7 +309,7 @@
         match met {
           _ if !follows => Unload::Nothing,
           0 => Unload::Over,
-          _ if met <= MET_MOST => Unload::Met,
+          _ if met <= MET_MOST => Unload::Met(paused),
           _ => Unload::Nothing,
         }
       }
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -120,6 +120,8 @@
   pub burst: Option<(u64, u64, f64)>,
   /// When so large a part of the servers is lost, and when they are back, empty.
   pub lost: Option<(u64, u64, f64)>,
+  /// Time of an unload without runs, ms, where it is another one than is believed.
+  pub unload_ms: Option<u64>,
   /// One of so many unloads waits for runs that came while it was decided.
   pub waits: Option<usize>,
   /// When another holder takes over, and for how long nobody held the lease before.
@@ -550,7 +552,11 @@
         let server = self.servers.get_mut(&command.id).expect("a server");
         let waits = self.trouble.waits;
         let waits = waits.is_some_and(|waits| number.is_multiple_of(waits));
-        let taken = server.carry_out(self.now, &command, waits);
+        let unload_ms = match waits {
+          true => RUN_MS,
+          false => self.trouble.unload_ms.unwrap_or(UNLOAD_MS),
+        };
+        let taken = server.carry_out(self.now, &command, unload_ms);
         self.plan.ordered(self.now, &command, taken);
         self.due = 0;
       }
@@ -789,7 +795,7 @@
     }
   }
 
-  fn carry_out(&mut self, now: u64, command: &Command, waits: bool) -> Taken {
+  fn carry_out(&mut self, now: u64, command: &Command, unload_ms: u64) -> Taken {
     if self.lost {
       return Taken::NotSent;
     }
@@ -806,9 +812,9 @@
         self.loading = Some(name);
       }
       Act::Unload => {
-        let runs = waits || self.running.contains_key(&name);
+        let runs = self.running.contains_key(&name);
         self.held.remove(&name);
-        self.busy_until = now + if runs { RUN_MS } else { UNLOAD_MS };
+        self.busy_until = now + if runs { RUN_MS } else { unload_ms };
       }
     }
     Taken::Accepted
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -77,6 +77,26 @@
   assert!(ordered <= 150, "{ordered} ms in half of the cases");
 }
 
+/// After a takeover a holder decides 222 loads in a second. Unloads took somewhat longer than
+/// it believed, and each of these orders met one and made the pause longer for all: 1.28 s in
+/// place of 0.05, and 25 ms less with each second.
+#[test]
+fn orders_that_go_out_together_teach_as_much_as_one() {
+  let size = Size {
+    ms: 12_000,
+    ..Size::of(256)
+  };
+  let trouble = Trouble {
+    takeover: Some((3_000, 3_500)),
+    unload_ms: Some(75),
+    ..Trouble::default()
+  };
+  let outcome = Replay::open(size, Holder::Free, 6).with(trouble).play();
+  let ordered = percentile(&outcome.ordered_ms, 90);
+  println!("{ordered} ms in nine of ten cases");
+  assert!(ordered <= 200, "{ordered} ms in nine of ten cases");
+}
+
 /// The part of the requests for rare models that meet their objective, of a fleet in trouble.
 fn in_time(trouble: Trouble) -> f64 {
   let size = Size {
