a server that loads something unknown counts for a bound

Cause: a load taken as done before it was met its requests; its server was asked, answered while the load was still under way, and held nothing of it then as far as was known, so that a further server loaded what two may hold. Ruled out: policies not read, a lease that changed hands (neither in the logs). Change: a server that is busy with no load of ours counts for all bounds until it is not. Without a bound nothing changes. tests/plan.rs: loaded before, not loaded now.

--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -356,8 +356,9 @@
       return false;
     }
     self.synced = true;
-    // A load of an earlier holder, or from before its entry went, is not named.
-    self.heard |= !inventory.busy;
+    // A load that is under way is not named: where it is none of this job, it is one of an
+    // earlier holder, from before its entry went, or one that was taken as done too early.
+    self.heard = !inventory.busy || self.heard && self.job.is_some();
     self.orders = inventory.orders;
     let Some(mut job) = self.job.take() else {
       let news = (first || !inventory.busy) && self.models != models;
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -4,7 +4,7 @@
 mod holder;
 
 use bendsaddle::{
-  command::Taken,
+  command::{Inventory, Taken},
   placement::plan::{Effect, Plan, Report},
   strain::Seen,
 };
@@ -551,6 +551,32 @@
   assert!(world.loads().is_empty(), "{:?}", world.loads());
 }
 
+// A load was taken as done after 149 ms, and was not: seven requests met its server without the
+// model, the server was asked and answered while the load was still under way. It held nothing
+// then as far as was known, and a third server loaded what two may hold, 100 ms later.
+#[test]
+fn a_server_that_loads_something_unknown_counts_for_the_bound() {
+  let mut world = bounded_world();
+  world.unheard = ["three", "four"].map(String::from).into();
+  for id in ["three", "four"] {
+    let server = &world.servers[id];
+    let busy = Inventory {
+      born: server.spec.born,
+      models: Default::default(),
+      busy: true,
+      orders: u64::MAX / 2,
+      queued: 0,
+      running: 0,
+    };
+    // The second answer is to a question of whose answer nothing was known.
+    for _ in 0..2 {
+      world.plan.inventory(world.now, id, Some(busy.clone()));
+    }
+  }
+  world.run(800);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+}
+
 /// Where much is to be published, publications lie apart. An unload that did not wait for its
 /// own met requests of instances that had not heard of it: at 295 instances, 8,272 of 8,340
 /// sends that found no model went where its unload had been ordered.
