requests that may crash servers part, and verdicts settle before they are given

Cause: every instance judged with each report of a crash, by the part it knew; companions that went on to the same next server were blamed, and the crashes counted as explained. Ruled out: crashes unnoticed, reports lost.

Along with it: an instance takes no callers before it has read what is kept from servers (503, not ready); the first read is repeated after 250 ms. The two tests that drive a hub without a planner say so themselves.

--- a/src/content.rs
+++ b/src/content.rs
@@ -4,7 +4,7 @@
 use crate::http::Request;
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// Names the content of requests: a hash of method, host, target and body.
 ///
@@ -32,6 +32,11 @@
     hash.update(body);
     Self(hash.digest128())
   }
+
+  /// A number drawn from the key, another one for each turn.
+  pub fn draw(self, turn: u32) -> u64 {
+    xxh3_64_with_seed(&self.0.to_le_bytes(), turn.into())
+  }
 }
 
 impl Display for Key {
--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -4,10 +4,12 @@
 //! Load pattern: one request comes again under new ids at all instances at once, and each
 //! server that begins to run it ends, with all that runs there. Pure: no I/O, no clock.
 
+mod door;
 mod registry;
 mod repeated;
 pub mod stored;
 
+pub use door::{Door, Pass};
 pub use registry::{Registry, Sentence};
 pub use repeated::Repeated;
 
@@ -21,12 +23,24 @@
   pub server: Life,
   /// Short name of the request's id.
   pub run: u32,
+  /// From the run's first event to its end, ms; 0: there was none.
+  pub progress_ms: u32,
 }
 
 /// A request that goes to no server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
   pub content: content::Key,
-  /// For so much longer, ms.
+  /// For so much longer, ms; 0: it is released.
   pub left_ms: u32,
 }
+
+/// A request that may be to blame for crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspected {
+  pub content: content::Key,
+  /// Crashes that nothing else explains.
+  pub crashes: u32,
+  /// Its place among those that may be to blame.
+  pub turn: u32,
+}
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -1,17 +1,23 @@
 //! Who is to blame for crashes.
 //!
 //! A crash ends every run of its server, and one of them brought it about. Most of the others
-//! are served at their next server; the one to blame is there at every crash, mostly in
-//! several runs at once. So contents are judged in the order of the crashes that nothing else
-//! explains, and those beside a content that is to blame are cleared of them.
+//! are served at their next server; the one to blame is there at every crash. Crashes are
+//! explained by as few contents as can be, the heaviest first, anew with each crash that
+//! becomes known: whoever was blamed for crashes that another content explains better is
+//! released.
 
-use super::{Crash, Quarantined};
+use super::{Crash, Quarantined, Suspected};
 use crate::{content, life::Life};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+  cmp::Reverse,
+  collections::{BTreeMap, BTreeSet},
+};
 
 /// Crashes after which a request is to blame: two may befall a request that only stands
 /// beside one, for a route mostly allows two sends.
-const CRASHES: usize = 3;
+pub const CRASHES: usize = 3;
+/// Crashes after which a request is held for its turn.
+pub const SUSPICIOUS: usize = 2;
 /// Where two were in the same crashes, both are kept from servers after this time, ms: within
 /// it the one that is not to blame is mostly served. Half of the least time, 3 s, in which
 /// deployments want a request kept from servers.
@@ -26,34 +32,61 @@
 /// Contents remembered at the most, 200 bytes each: all runs of eighty servers that crash
 /// together. The ones least lately seen go first.
 const SUSPECTS: usize = 1_024;
+/// A verdict that is published thrice is over after this time, ms: what is released stays free.
+const RELEASED_MS: u64 = 2_000;
 /// Contents kept from servers at the most; the ones whose time ends first go first.
 const QUARANTINED: usize = 256;
+/// Runs that are ended by their own request differ by less in how far they came, ms: the
+/// requests seen so far ended their servers before their first event, and companions were
+/// 60 to 4,000 ms apart.
+pub const ALIKE_MS: u32 = 50;
+/// Reports of one crash arrive within this time, ms: those of seven instances took 14.
+const SETTLE_MS: u64 = 20;
 
 /// What is known of a content whose runs ended in crashes.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
   /// Runs at each server that crashed.
   servers: BTreeMap<Life, BTreeSet<u32>>,
+  /// How far its runs had come, least and most, ms.
+  progress: Option<(u32, u32)>,
   /// When the last crash became known, ms.
   seen: u64,
   /// When there were enough to be to blame, ms.
   enough: Option<u64>,
 }
 
-/// How much speaks against a content: crashes first, then runs in them.
-type Weight = (usize, usize);
+/// How much speaks against a content: crashes first, then runs that came equally far, then
+/// runs.
+type Weight = (usize, bool, usize);
 
 impl Suspect {
+  /// Whether its runs came equally far before their servers ended.
+  fn alike(&self) -> bool {
+    self.spread() <= ALIKE_MS
+  }
+
+  fn spread(&self) -> u32 {
+    self.progress.map_or(0, |(least, most)| most - least)
+  }
+
   fn weight(&self, explained: &BTreeSet<Life>) -> Weight {
     let open = self.servers.iter();
     let open = open.filter(|(server, _)| !explained.contains(server));
-    open.fold((0, 0), |(crashes, runs), (_, of)| {
-      (crashes + 1, runs + of.len())
+    open.fold((0, self.alike(), 0), |(crashes, alike, runs), (_, of)| {
+      (crashes + 1, alike, runs + of.len())
     })
   }
+
+  fn shares(&self, other: &Self) -> bool {
+    self
+      .servers
+      .keys()
+      .any(|server| other.servers.contains_key(server))
+  }
 }
 
-/// A content found to blame.
+/// A content found to blame, or released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sentence {
   pub content: content::Key,
@@ -62,12 +95,36 @@
   pub runs: usize,
 }
 
+/// Contents that explain the crashes.
+#[derive(Debug, Default)]
+struct Cover {
+  blamed: Vec<Sentence>,
+  explained: BTreeSet<Life>,
+  /// Until when the heaviest contents are left alone because nothing tells them apart, ms.
+  tied_until: Option<u64>,
+}
+
+impl Cover {
+  fn blames(&self, content: &content::Key) -> bool {
+    self.blamed.iter().any(|one| one.content == *content)
+  }
+}
+
 /// Crashes, suspects and what is kept from servers, as one instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
   suspects: BTreeMap<content::Key, Suspect>,
   /// Until when contents are kept from servers, ms.
   quarantined: BTreeMap<content::Key, u64>,
+  /// When something new became known of crashes, ms, until it is judged.
+  unsettled: Option<u64>,
+  /// Until when contents that nothing tells apart are left alone, ms.
+  tied_until: Option<u64>,
+  /// Contents that were released, and until when what others still publish against them does
+  /// not count, ms.
+  released: BTreeMap<content::Key, u64>,
+  /// Suspects that were published, with their crashes.
+  published: BTreeMap<content::Key, usize>,
 }
 
 impl Registry {
@@ -76,9 +133,15 @@
     for crash in crashes {
       let suspect = self.suspects.entry(crash.content).or_default();
       suspect.seen = now;
+      let known = suspect.servers.len();
       let runs = suspect.servers.entry(crash.server).or_default();
-      if runs.len() < RUNS {
-        runs.insert(crash.run);
+      if runs.len() < RUNS && runs.insert(crash.run) {
+        let (least, most) = suspect.progress.unwrap_or((u32::MAX, 0));
+        let progress = crash.progress_ms;
+        suspect.progress = Some((least.min(progress), most.max(progress)));
+      }
+      if suspect.servers.len() > known {
+        self.unsettled.get_or_insert(now);
       }
       if suspect.servers.len() >= CRASHES {
         suspect.enough.get_or_insert(now);
@@ -100,69 +163,161 @@
     }
   }
 
+  /// When what became known of crashes is to be judged, ms: all instances report a crash
+  /// within some milliseconds, and a part of the reports blames a companion.
+  pub fn settled_at(&self) -> Option<u64> {
+    let settled = self.unsettled.map(|since| since + SETTLE_MS);
+    settled.into_iter().chain(self.tied_until).min()
+  }
+
   /// Finds contents to blame; from now on they are kept from servers.
   pub fn judge(&mut self, now: u64) -> Vec<Sentence> {
+    self.unsettled = None;
+    let cover = self.cover(now);
+    self.tied_until = cover.tied_until;
     let mut found = Vec::new();
+    for sentence in cover.blamed {
+      let content = sentence.content;
+      self.released.remove(&content);
+      let left_ms = QUARANTINE_MS as u32;
+      if self.quarantine(now, Quarantined { content, left_ms }) {
+        found.push(sentence);
+      }
+    }
+    found
+  }
+
+  /// Contents kept from servers that were at some of the crashes that a content to blame was
+  /// at, and at no other: companions that were blamed on less knowledge. They are released.
+  pub fn release(&mut self, now: u64) -> Vec<content::Key> {
+    let cover = self.cover(now);
+    let kept = self.quarantined.keys();
+    let innocent = kept.filter(|content| self.accompanies(content, &cover));
+    let innocent: Vec<content::Key> = innocent.copied().collect();
+    for content in &innocent {
+      self.quarantine(
+        now,
+        Quarantined {
+          content: *content,
+          left_ms: 0,
+        },
+      );
+    }
+    innocent
+  }
+
+  fn accompanies(&self, content: &content::Key, cover: &Cover) -> bool {
+    let Some(suspect) = self.suspects.get(content) else {
+      return false;
+    };
+    let blamed = cover.blamed.iter();
+    let mut blamed = blamed.filter_map(|sentence| self.suspects.get(&sentence.content));
+    !cover.blames(content)
+      && blamed.any(|blamed| {
+        let mut servers = suspect.servers.keys();
+        let within = servers.all(|server| blamed.servers.contains_key(server));
+        within && blamed.servers.len() > suspect.servers.len()
+      })
+  }
+
+  /// As few contents as explain the crashes, the heaviest first.
+  fn cover(&self, now: u64) -> Cover {
+    let mut cover = Cover::default();
     loop {
-      let heaviest = self.heaviest(now);
+      let heaviest = self.heaviest(now, &mut cover);
       if heaviest.is_empty() {
-        return found;
+        return cover;
       }
       for sentence in heaviest {
-        let content = sentence.content;
-        let left_ms = QUARANTINE_MS as u32;
-        self.quarantine(now, Quarantined { content, left_ms });
-        found.push(sentence);
+        let servers = self.suspects[&sentence.content].servers.keys();
+        cover.explained.extend(servers.copied());
+        cover.blamed.push(sentence);
       }
     }
   }
 
   /// The content that most speaks against, where that is enough; all of them where several
   /// were in the same crashes, and time has not told them apart.
-  fn heaviest(&self, now: u64) -> Vec<Sentence> {
-    let explained = self.explained();
+  fn heaviest(&self, now: u64, cover: &mut Cover) -> Vec<Sentence> {
     let suspects = self.suspects.iter();
     let weighed: Vec<(Weight, &content::Key, &Suspect)> = suspects
-      .filter(|(content, _)| !self.quarantined.contains_key(content))
-      .filter(|(_, suspect)| suspect.servers.len() >= CRASHES)
-      .map(|(content, suspect)| (suspect.weight(&explained), content, suspect))
-      .filter(|((crashes, _), ..)| *crashes >= CRASHES)
+      .filter(|(content, _)| !cover.blames(content))
+      .map(|(content, suspect)| (suspect.weight(&cover.explained), content, suspect))
+      .filter(|((crashes, ..), ..)| *crashes >= CRASHES)
       .collect();
     let Some((most, _, first)) = weighed.iter().max_by_key(|(weight, ..)| *weight) else {
       return Vec::new();
     };
-    let tied = weighed
+    let mut tied: Vec<Sentence> = weighed
       .iter()
-      .filter(|(weight, _, suspect)| weight == most && shares(first, suspect));
-    let tied: Vec<Sentence> = tied
-      .map(|((crashes, runs), content, _)| Sentence {
+      .filter(|(weight, _, suspect)| weight == most && first.shares(suspect))
+      .map(|((crashes, _, runs), content, _)| Sentence {
         content: **content,
         crashes: *crashes,
         runs: *runs,
       })
       .collect();
+    let kept = |sentence: &Sentence| self.quarantined.contains_key(&sentence.content);
+    if tied.iter().any(kept) {
+      // Another instance could tell them apart.
+      tied.retain(kept);
+      return tied;
+    }
     let since = first.enough.unwrap_or(now);
     if tied.len() > 1 && now < since + TIED_MS {
+      cover.tied_until = Some(since + TIED_MS);
       return Vec::new();
     }
     tied
   }
 
-  /// Crashes that a content kept from servers was in.
-  fn explained(&self) -> BTreeSet<Life> {
-    let blamed = self.quarantined.keys();
-    let blamed = blamed.filter_map(|content| self.suspects.get(content));
-    blamed
-      .flat_map(|suspect| suspect.servers.keys().copied())
-      .collect()
+  /// Contents in two crashes or more that nothing explains and that may be to blame, in the
+  /// order of their turns; none where they were published before.
+  pub fn suspected(&mut self, now: u64) -> Vec<Suspected> {
+    let cover = self.cover(now);
+    let suspects = self.suspects.iter();
+    let mut open: Vec<(u32, content::Key, usize)> = suspects
+      .filter(|(content, suspect)| suspect.alike() && !self.quarantined.contains_key(content))
+      .map(|(content, suspect)| {
+        let (crashes, ..) = suspect.weight(&cover.explained);
+        (suspect.spread(), *content, crashes)
+      })
+      .filter(|(.., crashes)| *crashes >= SUSPICIOUS)
+      .collect();
+    open.sort_by_key(|(spread, content, crashes)| (Reverse(*crashes), *spread, *content));
+    let new = |entry: &(u32, content::Key, usize)| {
+      let (_, content, crashes) = entry;
+      self.published.get(content) != Some(crashes)
+    };
+    if !open.iter().any(new) {
+      return Vec::new();
+    }
+    let crashes = open
+      .iter()
+      .map(|(_, content, crashes)| (*content, *crashes));
+    self.published = crashes.collect();
+    let turns = open.into_iter().enumerate();
+    let turns = turns.map(|(turn, (_, content, crashes))| Suspected {
+      content,
+      crashes: crashes as u32,
+      turn: turn as u32,
+    });
+    turns.collect()
   }
 
   /// Keeps a content from servers; whether that is new.
   pub fn quarantine(&mut self, now: u64, entry: Quarantined) -> bool {
     self.quarantined.retain(|_, until| now < *until);
     let until = now + u64::from(entry.left_ms);
-    let known = self.quarantined.get(&entry.content).copied();
-    if known.is_some() || until <= now {
+    if until <= now {
+      self.released.insert(entry.content, now + RELEASED_MS);
+      return self.quarantined.remove(&entry.content).is_some();
+    }
+    self.released.retain(|_, until| now < *until);
+    if self.released.contains_key(&entry.content) {
+      return false;
+    }
+    if self.quarantined.contains_key(&entry.content) {
       return false;
     }
     self.quarantined.insert(entry.content, until);
@@ -186,15 +341,15 @@
       .collect()
   }
 
+  /// Another instance that knows more has found who is to blame for what is known here.
+  pub fn explained(&mut self) {
+    self.suspects.clear();
+    self.unsettled = None;
+    self.tied_until = None;
+  }
+
   /// Contents that crashes speak against, and contents kept from servers.
   pub fn sizes(&self) -> (usize, usize) {
     (self.suspects.len(), self.quarantined.len())
   }
 }
-
-fn shares(one: &Suspect, other: &Suspect) -> bool {
-  one
-    .servers
-    .keys()
-    .any(|server| other.servers.contains_key(server))
-}
--- a/src/crash/stored.rs
+++ b/src/crash/stored.rs
@@ -47,6 +47,10 @@
   },
 }
 
+/// The first read that failed is made again after this time, ms: until it has come an instance
+/// takes no callers.
+const FIRST_AGAIN_MS: u64 = 250;
+
 /// What an instance knows of the stored record.
 #[derive(Clone, Debug, Default)]
 pub struct Stored {
@@ -56,6 +60,8 @@
   contents: BTreeSet<content::Key>,
   calling: bool,
   again_at: u64,
+  /// It was read once.
+  read: bool,
 }
 
 impl Record {
@@ -110,9 +116,15 @@
     Some(call)
   }
 
+  /// Whether the record was read: before that nothing says what is kept from servers.
+  pub fn is_read(&self) -> bool {
+    self.read
+  }
+
   /// Takes up what became of a call; a record that was read.
   pub fn answered(&mut self, now: u64, call: &Call, result: Result<Object>) -> Option<Record> {
     self.calling = false;
+    self.read |= matches!((call, &result), (Call::Read, Ok(_) | Err(Error::Absent)));
     match (call, result) {
       (Call::Read, Err(Error::Absent)) => {
         self.revision = Some(0);
@@ -133,7 +145,7 @@
       (_, Err(_)) => {
         // A write may have been done, or be done yet.
         self.revision = None;
-        self.again_at = now + AGAIN_MS;
+        self.again_at = now + if self.read { AGAIN_MS } else { FIRST_AGAIN_MS };
         None
       }
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,7 +9,7 @@
   backend::{self, Backend, Holding, Spec, missing_name},
   cold::{Wants, give_up_at},
   content,
-  crash::{Crash, Quarantined},
+  crash::{Crash, Door, Pass, Quarantined, Suspected},
   demand::Model,
   deployment::{Deployment, Engine},
   refusal::{Reason, Refusal},
@@ -173,8 +173,10 @@
     ticket: Ticket,
     end: End,
   },
-  /// The answer of a request's send has begun.
+  /// The answer of a request's first send has begun.
   Began(Ticket),
+  /// A later send has brought its first event.
+  Resumed(Ticket),
   /// A waiting request's time has come to be looked at again.
   Look(Ticket),
   /// The caller of a waiting request has gone.
@@ -187,6 +189,10 @@
   },
   /// Requests that go to no server from now on: they crash those that run them.
   Quarantined(Vec<Quarantined>),
+  /// What is kept from servers was read from the store.
+  RecordsRead,
+  /// Requests that may be to blame for crashes, with their turns.
+  Suspected(Vec<Suspected>),
   /// A planned stop: nothing new is taken from the first time on, and what waits is
   /// refused at the second, ms.
   Stopping(u64, u64),
@@ -224,6 +230,8 @@
   pub(crate) sent: u64,
   /// Something of an answer has come.
   pub(crate) began: bool,
+  /// When the send under way brought its first event, ms.
+  pub(crate) answering: Option<u64>,
   /// When a run of it last ended without an answer, ms.
   pub(crate) broke: u64,
 }
@@ -237,6 +245,8 @@
   pub ids: HashMap<String, backend::Key>,
   /// The servers were read at least once.
   pub listed: bool,
+  /// What is kept from servers was read from the store.
+  pub records_read: bool,
   /// Counts changes of the deployment and of servers.
   pub changes: u64,
   pub requests: HashMap<Ticket, Request>,
@@ -267,10 +277,8 @@
   pub(crate) early: BTreeMap<String, (Holding, u64)>,
   /// Counts changes of holdings that were published.
   pub updates: u64,
-  /// Runs that ended with their servers and are not reported yet.
-  crashes: Vec<Crash>,
-  /// Until when contents go to no server, ms.
-  quarantined: HashMap<content::Key, u64>,
+  /// Which requests pass to servers that they may crash.
+  door: Door,
   rng: SmallRng,
   pub(crate) now: u64,
   pub(crate) out: Vec<Effect>,
@@ -289,6 +297,7 @@
       backends: SlotMap::with_key(),
       ids: HashMap::new(),
       listed: false,
+      records_read: false,
       changes: 0,
       requests: HashMap::new(),
       waiting: BTreeSet::new(),
@@ -305,8 +314,7 @@
       strain: Book::new(),
       early: BTreeMap::new(),
       updates: 0,
-      crashes: Vec::new(),
-      quarantined: HashMap::new(),
+      door: Door::default(),
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -315,7 +323,7 @@
 
   /// Whether requests can be served.
   pub fn ready(&self) -> bool {
-    self.deployment.is_some() && self.listed
+    self.deployment.is_some() && self.listed && self.records_read
   }
 
   /// Takes up an event; gives what is to be done.
@@ -340,12 +348,21 @@
       }
       Event::Arrived(ask) => self.arrived(ask),
       Event::Ended { ticket, end } => self.ended(ticket, end),
-      Event::Began(ticket) => self.began(ticket),
+      Event::Began(ticket) => {
+        self.answering(ticket);
+        self.began(ticket);
+      }
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.store_lost(),
       Event::StoreBack { silence } => self.store_back(silence),
-      Event::Quarantined(entries) => self.quarantine(&entries),
+      Event::Resumed(ticket) => self.answering(ticket),
+      Event::Quarantined(entries) => {
+        self.door.quarantine(now, &entries);
+        self.place_waiting();
+      }
+      Event::RecordsRead => self.records_read = true,
+      Event::Suspected(entries) => self.door.suspect(now, &entries),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
         self.stop_at = wait_until;
@@ -378,6 +395,7 @@
       waiting: None,
       sent: 0,
       began: false,
+      answering: None,
       broke: 0,
     };
     self.requests.insert(ticket, request);
@@ -438,7 +456,8 @@
     if request.at.is_some() {
       return;
     }
-    if self.is_quarantined(request.ask.content) {
+    let pass = self.door.pass(self.now, request.ask.content);
+    if pass == Pass::Never {
       return self.refuse_quarantined(ticket);
     }
     if self.now >= request.ask.until {
@@ -450,9 +469,37 @@
     if request.sends >= request.ask.route.attempts + DECLINED_MOST {
       return self.refuse(ticket, Reason::NoServer);
     }
-    match self.choose(ticket) {
-      Some(key) => self.send(ticket, key),
-      None => self.hold(ticket),
+    let chosen = match pass {
+      Pass::Wait(_) => None,
+      Pass::Apart(crashes) => self.choose(ticket, Some(crashes)),
+      Pass::Free | Pass::Never => self.choose(ticket, None),
+    };
+    match (chosen, pass) {
+      (Some(key), _) => self.send(ticket, key),
+      (None, Pass::Wait(until)) => self.hold_suspect(ticket, until),
+      (None, _) => self.hold(ticket),
+    }
+  }
+
+  /// Lets a request that may be to blame for crashes wait for its turn.
+  fn hold_suspect(&mut self, ticket: Ticket, turn: u64) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let give_up = give_up_at(request);
+    if self.now >= give_up {
+      return self.refuse(ticket, Reason::NoServer);
+    }
+    let until = request.ask.until.min(give_up).min(turn);
+    self.waiting.insert(order(&request.ask));
+    self.out.push(Effect::Wait(ticket, until));
+  }
+
+  /// A send has brought its first event.
+  fn answering(&mut self, ticket: Ticket) {
+    let now = self.now;
+    if let Some(request) = self.requests.get_mut(&ticket) {
+      request.answering.get_or_insert(now);
     }
   }
 
@@ -510,6 +557,7 @@
     request.at = Some(key);
     request.waiting = None;
     request.sent = self.now;
+    request.answering = None;
     let entry = order(&request.ask);
     let backend = &mut self.backends[key];
     backend.running += 1;
@@ -547,6 +595,9 @@
     if end == End::Crashed {
       self.crashed(ticket, key);
     }
+    if end == End::Whole {
+      self.served(ticket);
+    }
     self.settle(key, model, end);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
@@ -559,6 +610,12 @@
     self.place_waiting();
   }
 
+  fn served(&mut self, ticket: Ticket) {
+    if let Some(request) = self.requests.get(&ticket) {
+      self.door.served(request.ask.content);
+    }
+  }
+
   fn broken(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get(&ticket) else {
       return;
@@ -639,7 +696,8 @@
   pub fn stands(&self, attempt: &Attempt) -> bool {
     let backend = self.backends.get(attempt.backend);
     let request = self.requests.get(&attempt.ticket);
-    let kept = request.is_some_and(|request| self.is_quarantined(request.ask.content));
+    let kept = |request: &Request| self.door.is_quarantined(self.now, request.ask.content);
+    let kept = request.is_some_and(kept);
     !kept && backend.is_some_and(|backend| !backend.leaves())
   }
 
@@ -649,32 +707,20 @@
     else {
       return;
     };
-    self.crashes.push(Crash {
+    let since = request.answering.unwrap_or(self.now);
+    let crash = Crash {
       content: request.ask.content,
       server: backend.spec.life(),
       run: backend::short(&request.ask.id),
-    });
+      progress_ms: (self.now - since) as u32,
+    };
+    self.door.crashed(self.now, crash);
     self.out.push(Effect::Crashed);
   }
 
   /// Runs that ended with their servers since this was last asked.
   pub fn take_crashes(&mut self) -> Vec<Crash> {
-    std::mem::take(&mut self.crashes)
-  }
-
-  fn quarantine(&mut self, entries: &[Quarantined]) {
-    let now = self.now;
-    self.quarantined.retain(|_, until| now < *until);
-    let new = entries
-      .iter()
-      .map(|entry| (entry.content, now + u64::from(entry.left_ms)));
-    self.quarantined.extend(new);
-    self.place_waiting();
-  }
-
-  fn is_quarantined(&self, content: content::Key) -> bool {
-    let until = self.quarantined.get(&content);
-    until.is_some_and(|until| self.now < *until)
+    self.door.take_crashes()
   }
 
   /// Refuses a request that crashes servers: at once, and nothing invites its caller back.
@@ -699,8 +745,8 @@
     pool.engine.as_deref()
   }
 
-  /// The server for a request's next send.
-  fn choose(&mut self, ticket: Ticket) -> Option<backend::Key> {
+  /// The server for a request's next send; one that was in so many crashes parts from others.
+  fn choose(&mut self, ticket: Ticket, crashes: Option<u32>) -> Option<backend::Key> {
     let request = self.requests.get(&ticket)?;
     let ask = &request.ask;
     let slots = self.engine(&ask.pool).map(|engine| engine.slots);
@@ -717,22 +763,29 @@
         found.push((key, load));
       }
     }
+    if let Some(crashes) = crashes {
+      let seed = ask.content.draw(crashes);
+      return self.nearest_hash(&found, seed);
+    }
     let least = found.iter().map(|(_, load)| *load).min()?;
     let ahead = slots.map_or(0, |slots| slots * AHEAD_PERCENT / 100);
     found.retain(|(_, load)| *load <= least + ahead);
     if slots.is_some() {
-      let affinity = ask.affinity;
-      let backends = &self.backends;
-      let best = found.iter().max_by_key(|(key, _)| {
-        let id = backends[*key].spec.id.as_bytes();
-        xxhash_rust::xxh3::xxh3_64_with_seed(id, affinity)
-      });
-      return best.map(|(key, _)| *key);
+      return self.nearest_hash(&found, ask.affinity);
     }
     let pick = self.rng.random_range(0..found.len());
     Some(found[pick].0)
   }
 
+  /// The server that a seed names among some, the same one at all instances.
+  fn nearest_hash(&self, found: &[(backend::Key, u32)], seed: u64) -> Option<backend::Key> {
+    let best = found.iter().max_by_key(|(key, _)| {
+      let id = self.backends[*key].spec.id.as_bytes();
+      xxhash_rust::xxh3::xxh3_64_with_seed(id, seed)
+    });
+    best.map(|(key, _)| *key)
+  }
+
   fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
     match &ask.model {
       Some(model) => {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -269,6 +269,14 @@
   }
 }
 
+/// The deployment in force, once what is kept from servers was read too: a request that crashes
+/// them would reach one before.
+fn known_deployment(hub: &Hub) -> Option<Arc<Deployment>> {
+  let state = hub.state();
+  let read = state.records_read;
+  state.deployment.clone().filter(|_| read)
+}
+
 /// Answers a request.
 fn answer(
   hub: &Hub,
@@ -278,7 +286,7 @@
   body: Vec<u8>,
   arrived: u64,
 ) -> Then {
-  let deployment: Option<Arc<Deployment>> = hub.state().deployment.clone();
+  let deployment = known_deployment(hub);
   let keep = head.keeps();
   let Some(deployment) = deployment else {
     let refusal = Refusal {
--- a/src/message.rs
+++ b/src/message.rs
@@ -3,7 +3,7 @@
 
 use crate::{
   backend::Holding,
-  crash::{Crash, Quarantined},
+  crash::{Crash, Quarantined, Suspected},
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Question},
@@ -26,6 +26,8 @@
   Crashes(Vec<Crash>),
   /// Requests that go to no server from now on.
   Quarantine(Vec<Quarantined>),
+  /// Requests that may be to blame for crashes.
+  Suspects(Vec<Suspected>),
 }
 
 /// What the store's changes are about.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -9,6 +9,7 @@
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken},
   crash::{Crash, Quarantined, Registry, Repeated, stored},
+  dispatch::Event,
   edge::Edge,
   exchange::{BITS, BITS_MS, PUBLISH_PART},
   hub::Hub,
@@ -307,7 +308,12 @@
         due = due.min(self.policies_at);
       }
     }
-    for repeated in [self.reported_crashes.due(), self.published_quarantine.due()] {
+    let crashes = [
+      self.registry.settled_at(),
+      self.reported_crashes.due(),
+      self.published_quarantine.due(),
+    ];
+    for repeated in crashes {
       due = due.min(repeated.unwrap_or(due));
     }
     if self.outbox.waits() {
@@ -341,6 +347,7 @@
         Ok(Message::Changes(kind, batch)) => self.gate(kind).offer(batch),
         Ok(Message::Crashes(crashes)) => self.hear_crashes(now, &crashes),
         Ok(Message::Quarantine(entries)) => self.hear_quarantine(now, &entries, from),
+        Ok(Message::Suspects(entries)) => self.hub.apply(Event::Suspected(entries), None),
         Ok(Message::Promise(index, promise)) => {
           if let Some(group) = self.groups.get_mut(index as usize) {
             group.lease.promised(&promise);
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -7,7 +7,8 @@
 //! each instance.
 
 use crate::{
-  crash::{Crash, Quarantined, stored::Call},
+  content,
+  crash::{Crash, Quarantined, Sentence, Suspected, stored::Call},
   dispatch::Event,
   message::Message,
   planner::Planner,
@@ -23,6 +24,9 @@
 
 /// Instances besides the holders that crashes are reported to.
 const JUDGES: usize = 2;
+/// An instance that is no judge knows its own crashes alone, and judges by them only where
+/// nothing was heard of judges for this long, ms.
+const LONE_MS: u64 = 1_000;
 /// Entries of one datagram: 40 bytes each.
 const ENTRIES: usize = 100;
 
@@ -52,12 +56,58 @@
     }
   }
 
+  /// Judges once all reports of a crash are there, and publishes what follows.
   fn judge(&mut self, now: u64) {
-    let found = self.registry.judge(now);
-    if found.is_empty() {
+    let patience = if self.is_judge(now) { 0 } else { LONE_MS };
+    let settled = self.registry.settled_at();
+    if settled.is_none_or(|at| now < at + patience) {
       return;
     }
-    for sentence in &found {
+    let found = self.registry.judge(now);
+    if !found.is_empty() {
+      self.blame(now, &found);
+    }
+    let innocent = self.registry.release(now);
+    if !innocent.is_empty() {
+      self.release(now, &innocent);
+    }
+    let suspected = self.registry.suspected(now);
+    if !suspected.is_empty() {
+      self.suspect(now, suspected);
+    }
+  }
+
+  /// Publishes requests that may be to blame, with their turns, at once: the next crash comes
+  /// within some hundred milliseconds, and one that is not heard costs a wait.
+  fn suspect(&mut self, now: u64, suspected: Vec<Suspected>) {
+    for entry in &suspected {
+      info!(self.hub.log, "request suspected"; "content" => entry.content.to_string(),
+        "crashes" => entry.crashes, "turn" => entry.turn);
+    }
+    let others = self.others(now);
+    for part in suspected.chunks(ENTRIES) {
+      self.spread(&Message::Suspects(part.to_vec()), &others);
+    }
+    self.hub.apply(Event::Suspected(suspected), None);
+  }
+
+  /// Publishes that requests were blamed for what others explain.
+  fn release(&mut self, now: u64, innocent: &[content::Key]) {
+    let entries = innocent.iter().map(|content| Quarantined {
+      content: *content,
+      left_ms: 0,
+    });
+    let entries: Vec<Quarantined> = entries.collect();
+    for entry in &entries {
+      info!(self.hub.log, "request released"; "content" => entry.content.to_string(),
+        "why" => "another one explains its crashes");
+      self.published_quarantine.add(now, *entry);
+    }
+    self.enforce(entries);
+  }
+
+  fn blame(&mut self, now: u64, found: &[Sentence]) {
+    for sentence in found {
       info!(self.hub.log, "request quarantined"; "content" => sentence.content.to_string(),
         "crashes" => sentence.crashes, "runs" => sentence.runs, "by" => "crashes known here");
     }
@@ -80,14 +130,22 @@
     let mut new = Vec::new();
     for entry in entries {
       if self.registry.quarantine(now, *entry) {
-        info!(self.hub.log, "request quarantined"; "content" => entry.content.to_string(),
+        let what = match entry.left_ms {
+          0 => "request released",
+          _ => "request quarantined",
+        };
+        info!(self.hub.log, "{}", what; "content" => entry.content.to_string(),
           "left_ms" => entry.left_ms, "by" => %from);
         new.push(*entry);
       }
     }
-    if !new.is_empty() {
-      self.enforce(new);
+    if new.is_empty() {
+      return;
+    }
+    if !self.is_judge(now) {
+      self.registry.explained();
     }
+    self.enforce(new);
   }
 
   /// Reads what was kept from servers before this instance started; writes what has come,
@@ -116,7 +174,11 @@
     {
       info!(self.hub.log, "quarantine not read or written"; "error" => %error);
     }
-    let Some(record) = self.stored_quarantine.answered(now, call, result) else {
+    let record = self.stored_quarantine.answered(now, call, result);
+    if self.stored_quarantine.is_read() {
+      self.hub.apply(Event::RecordsRead, None);
+    }
+    let Some(record) = record else {
       return;
     };
     let mut new = Vec::new();
@@ -146,21 +208,31 @@
     others.into_iter().collect()
   }
 
-  /// Who finds out whom crashes are due to.
-  fn judges(&self, now: u64) -> Vec<SocketAddr> {
+  /// Who finds out whom crashes are due to: two that all choose alike, and the holders.
+  fn all_judges(&self, now: u64) -> Vec<SocketAddr> {
     let mut members = self.others(now);
+    members.push(self.own);
     members.sort_by_key(|address| xxh3_64(address.to_string().as_bytes()));
     members.truncate(JUDGES);
-    for group in &self.groups {
-      if let Some(holder) = group.lease.holder()
-        && holder != self.own
-        && !members.contains(&holder)
-      {
+    let holders = self.groups.iter().filter_map(|group| group.lease.holder());
+    for holder in holders {
+      if !members.contains(&holder) {
         members.push(holder);
       }
     }
     members
   }
+
+  fn is_judge(&self, now: u64) -> bool {
+    self.groups.iter().any(|group| group.holding) || self.all_judges(now).contains(&self.own)
+  }
+
+  /// The judges besides this instance.
+  fn judges(&self, now: u64) -> Vec<SocketAddr> {
+    let mut judges = self.all_judges(now);
+    judges.retain(|judge| *judge != self.own);
+    judges
+  }
 }
 
 fn unix_ms() -> u64 {
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -28,7 +28,9 @@
       let whole = self.events.take(&bytes);
       bytes.clear();
       if !whole.is_empty() {
-        any = true;
+        if !std::mem::replace(&mut any, true) && self.first_ms.is_some() {
+          self.apply(Event::Resumed(self.ticket));
+        }
         self.clock_event();
         // A part of an event that follows shows that the stream is not complete.
         let last = body.done() && self.events.partial().is_empty();
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -42,6 +42,7 @@
     ..Deployment::default()
   };
   hub.apply(Event::Deployed(Arc::new(deployment)), None);
+  hub.apply(Event::RecordsRead, None);
 }
 
 fn connect(hub: &Arc<Hub>) -> TcpStream {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -30,6 +30,7 @@
     content: content::Key(content),
     server: Life::of(&server.to_string(), 1),
     run,
+    progress_ms: 0,
   }
 }
 
--- a/tests/sends.rs
+++ b/tests/sends.rs
@@ -100,6 +100,7 @@
     ..Deployment::default()
   };
   hub.apply(Event::Deployed(Arc::new(deployment)), None);
+  hub.apply(Event::RecordsRead, None);
   hub
 }
 
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -7,7 +7,7 @@
 
 use bendsaddle::{
   content,
-  crash::{Crash, Registry},
+  crash::{Crash, Door, Pass, Quarantined, Registry, Suspected},
   life::Life,
 };
 use std::collections::BTreeSet;
@@ -29,7 +29,7 @@
     .split(' ')
     .map(|field| field.parse().unwrap())
     .collect();
-  let [at, instance, content, server, run, _progress] = fields[..] else {
+  let [at, instance, content, server, run, progress] = fields[..] else {
     panic!("{line}");
   };
   Found {
@@ -39,6 +39,7 @@
       content: content::Key(content.into()),
       server: Life::of(&server.to_string(), 1),
       run: run as u32,
+      progress_ms: progress as u32,
     },
   }
 }
@@ -85,6 +86,9 @@
     while let Some((_, crash)) = reports.next_if(|(at, _)| *at <= now) {
       registry.add(now, &[*crash]);
     }
+    if registry.settled_at().is_none_or(|at| now < at) {
+      continue;
+    }
     let found = registry.judge(now);
     blamed.extend(found.iter().map(|sentence| sentence.content.0));
   }
@@ -109,3 +113,125 @@
 fn the_culprit_of_a_day_at_prevod_hq_is_blamed_and_nobody_else() {
   only_the_culprit_is_blamed(include_str!("histories/crashes-two.txt"), 4);
 }
+
+/// A run of a content at a server, which came so far.
+fn crash(content: u128, server: u64, run: u32, progress_ms: u32) -> Crash {
+  Crash {
+    content: content::Key(content),
+    server: Life::of(&server.to_string(), 1),
+    run,
+    progress_ms,
+  }
+}
+
+#[test]
+fn an_instance_that_hears_the_verdict_blames_nobody_for_the_part_it_knows() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    registry.add(0, &[crash(8, server, 1, 0), crash(9, server, 2, 0)]);
+  }
+  registry.explained();
+  assert_eq!(registry.settled_at(), None);
+  assert!(registry.judge(10_000).is_empty());
+}
+
+#[test]
+fn a_companion_blamed_on_less_knowledge_is_released_when_the_culprit_strikes_again() {
+  let (guilty, beside) = (content::Key(8), content::Key(9));
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    registry.add(0, &[crash(9, server, 2, 0)]);
+  }
+  assert_eq!(registry.judge(30)[0].content, beside);
+  for server in 1..=4 {
+    registry.add(40, &[crash(8, server, 1, 0)]);
+  }
+  assert_eq!(registry.judge(60)[0].content, guilty);
+  assert_eq!(registry.release(60), vec![beside]);
+  let again = Quarantined {
+    content: beside,
+    left_ms: 1_000,
+  };
+  assert!(
+    !registry.quarantine(70, again),
+    "published before the release"
+  );
+  assert_eq!(registry.quarantined(70).len(), 1);
+}
+
+#[test]
+fn a_content_that_was_in_a_crash_goes_to_the_server_that_its_hash_names() {
+  let mut door = Door::default();
+  let key = content::Key(8);
+  assert_eq!(door.pass(0, key), Pass::Free);
+  door.crashed(0, crash(8, 1, 1, 0));
+  assert_eq!(door.pass(0, key), Pass::Apart(1));
+  door.served(key);
+  assert_eq!(door.pass(1, key), Pass::Free);
+}
+
+#[test]
+fn after_two_crashes_a_content_waits_for_its_turn_and_no_longer_than_300_ms() {
+  let mut door = Door::default();
+  let key = content::Key(8);
+  door.crashed(0, crash(8, 1, 1, 0));
+  door.crashed(200, crash(8, 2, 1, 10));
+  assert!(matches!(door.pass(200, key), Pass::Wait(until) if until <= 500));
+  let turn = |turn| Suspected {
+    content: key,
+    crashes: 2,
+    turn,
+  };
+  door.suspect(230, &[turn(0)]);
+  assert_eq!(door.pass(230, key), Pass::Apart(2));
+  door.suspect(230, &[turn(40)]);
+  assert!(matches!(door.pass(230, key), Pass::Wait(until) if until <= 500));
+}
+
+#[test]
+fn a_companion_that_came_further_than_before_waits_for_nothing() {
+  let mut door = Door::default();
+  door.crashed(0, crash(9, 1, 2, 3_000));
+  door.crashed(200, crash(9, 2, 2, 30));
+  assert_eq!(door.pass(200, content::Key(9)), Pass::Apart(2));
+}
+
+#[test]
+fn a_verdict_ends_all_suspicion() {
+  let mut door = Door::default();
+  for server in 1..=3 {
+    door.crashed(0, crash(8, server, 1, 0));
+    door.crashed(0, crash(9, server, 2, 0));
+  }
+  assert!(matches!(door.pass(1, content::Key(9)), Pass::Wait(_)));
+  let verdict = Quarantined {
+    content: content::Key(8),
+    left_ms: 1_000,
+  };
+  door.quarantine(2, &[verdict]);
+  assert_eq!(door.pass(2, content::Key(8)), Pass::Never);
+  assert_eq!(door.pass(2, content::Key(9)), Pass::Free);
+}
+
+#[test]
+fn of_two_culprits_at_once_both_are_blamed() {
+  let mut registry = Registry::default();
+  for server in 1..=3 {
+    registry.add(0, &[crash(1, server, 1, 0), crash(7, server, 3, 900)]);
+    registry.add(
+      0,
+      &[crash(2, server + 10, 2, 0), crash(7, server + 10, 4, 30)],
+    );
+  }
+  let blamed = registry.judge(30);
+  let blamed: BTreeSet<u128> = blamed.iter().map(|one| one.content.0).collect();
+  assert!(blamed.contains(&1) || blamed.contains(&7));
+  // The one that stood beside both is released once they have struck once more.
+  registry.add(100, &[crash(1, 4, 5, 0), crash(2, 14, 6, 0)]);
+  registry.add(100, &[crash(1, 5, 7, 0), crash(2, 15, 8, 0)]);
+  registry.add(100, &[crash(1, 6, 9, 0), crash(2, 16, 10, 0)]);
+  registry.judge(130);
+  let kept = registry.quarantined(130);
+  assert!(kept.iter().any(|entry| entry.content.0 == 1));
+  assert!(kept.iter().any(|entry| entry.content.0 == 2));
+}
