a customer beyond its quota is told when it fits

Cause: the time after which a caller may come back was cut at 300 ms, for the mark that spares the holder further questions lasts no longer; callers came back up to fifteen times to the same answer. Change: the time until enough of the window has passed, ten seconds at the most.

--- a/src/customer/purse.rs
+++ b/src/customer/purse.rs
@@ -30,8 +30,8 @@
 const IDLE_MS: u64 = 8_000;
 /// Uses of one report at the most: 20 bytes each.
 const USES: usize = 200;
-/// Longest time after which a caller is told to come back, ms.
-const RETRY_MOST_MS: u64 = 5_000;
+/// Longest time after which a caller is told to come back, ms: a window, and some.
+const RETRY_MOST_MS: u64 = 10_000;
 /// Spread of the times after which callers come back, ms: those refused together must not
 /// return together.
 const RETRY_SPREAD_MS: u64 = 100;
@@ -53,8 +53,10 @@
   /// May go up to this, before this time, ms.
   limit: i64,
   until: u64,
-  /// Beyond its quota until then, ms.
+  /// Taken for beyond its quota until then, ms.
   over_until: u64,
+  /// When what it needs will fit, ms.
+  fits_at: u64,
   /// When a request last counted, ms.
   active: u64,
   /// Units used without a grant.
@@ -68,6 +70,7 @@
       limit: 0,
       until: 0,
       over_until: 0,
+      fits_at: 0,
       active: 0,
       apart: Window::open(window_ms),
     }
@@ -197,7 +200,7 @@
     let until = self
       .wallets
       .get(&customer)
-      .map_or(now, |wallet| wallet.over_until);
+      .map_or(now, |wallet| wallet.fits_at);
     let spread = self.rng.random_range(0..RETRY_SPREAD_MS);
     (until.saturating_sub(now) + spread).clamp(RETRY_SPREAD_MS, RETRY_MOST_MS)
   }
@@ -220,10 +223,9 @@
       let wallet = wallet(&mut self.wallets, grant.customer, &self.bound);
       wallet.limit = grant.limit;
       wallet.until = sent + GRANT_MS;
-      wallet.over_until = match grant.over_ms {
-        0 => 0,
-        over => now + u64::from(over).min(OVER_MS),
-      };
+      let over = u64::from(grant.over_ms);
+      wallet.over_until = now + over.min(OVER_MS);
+      wallet.fits_at = now + over;
     }
   }
 
