--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -37,10 +37,11 @@
 /// Contents kept from servers at the most; the ones whose time ends first go first.
 const QUARANTINED: usize = 256;
 /// Runs that are ended by their own request differ by less in how far they came, ms: the
-/// requests seen so far ended their servers before their first event, and companions were
-/// 60 to 4,000 ms apart.
+/// requests seen so far ended their servers before their first event. Of 139 companions in two
+/// crashes or more on two days, 101 differed by more.
 pub const ALIKE_MS: u32 = 50;
-/// Reports of one crash arrive within this time, ms: those of seven instances took 14.
+/// Most reports of one crash arrive within this time, ms: at six and seven instances those of
+/// 178 of 184 crashes did, the slowest took 40.
 const SETTLE_MS: u64 = 20;
 
 /// What is known of a content whose runs ended in crashes.
