logs: which limit a server's answer named

Cause: of two hypotheses on a server that got more than its limit (nobody takes it up; each instance keeps it alone) the logs fit both, for no line says what an answer named.

Change: the line `sent` carries `limit`, the text as the server named it. The header's name is one of the dialect (`x-server-limit` between the product's own parts). Nothing is decided by it.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -23,6 +23,9 @@
   pub server: &'static str,
   /// Present when the server did not run the request and will not.
   pub not_run: &'static str,
+  /// Requests a second that the server takes from all instances together, in the answers of one
+  /// in need.
+  pub limit: &'static str,
   /// 0 is the most urgent.
   pub priority: &'static str,
   /// Headers that only this system may set.
@@ -42,6 +45,7 @@
     expected_server: "x-expected-server",
     server: "x-server",
     not_run: "x-not-run",
+    limit: "x-server-limit",
     priority: "x-priority",
     reserved: &["x-expected-server", "x-priority"],
   };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -64,6 +64,8 @@
   /// When events last came, and the longest pause between them, ms.
   event_ms: u64,
   pause_ms: u64,
+  /// The limit that the last answer named.
+  limit: Option<String>,
   /// A server's failure, given to the caller when nothing better comes.
   held: Option<(Response, Vec<u8>)>,
   then: Then,
@@ -142,6 +144,7 @@
     waited: false,
     event_ms: 0,
     pause_ms: 0,
+    limit: None,
     held: None,
     then: if keep { Then::Keep } else { Then::Close },
   };
@@ -249,7 +252,7 @@
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
       "content" => content,
       "model" => self.model(), "late" => self.late(),
-      "server" => &attempt.id, "send" => attempt.number, "end" => format!("{:?}", result.end),
+      "server" => &attempt.id, "limit" => &self.limit, "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().word(),
       "waited_ms" => sent.saturating_sub(self.incoming.arrived), "took_ms" => now - sent,
       "first_ms" => self.first_ms.map(|at| at - self.incoming.arrived),
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -61,6 +61,7 @@
       return outcome(end, "key taken away, or not surely known");
     }
     self.events.cut();
+    self.limit = None;
     let sent = self.hub.now();
     let result = self.exchange(&mut socket, attempt);
     let result = result.map_err(|result| self.look_for_crash(result, sent, attempt));
@@ -269,6 +270,7 @@
     let written = self.write(socket, &bytes)?;
     let (head, framing) = self.head(socket)?;
     let dialect = &self.hub.dialect;
+    self.limit = head.headers.get(dialect.limit).map(str::to_string);
     let echoed = head.headers.get(dialect.request_id).is_some();
     let signed = head.headers.get(dialect.signature).is_some();
     let success = (200..300).contains(&head.status);
