quota: what all instances keep together stands apart from customers

Cause: accounts, purses and windows knew whose quota it is (a customer's book, one bound for all), so nothing else could be shared over the fleet without a second copy of them.

Ruled out: a copy of them for servers; a second purse and second messages beside the first.

Change: a module of their own; a quota is named by an id and comes with what must be kept of it (`Allowance`), asked for where it is needed.

--- a/src/customer/credential.rs
+++ b/src/customer/credential.rs
@@ -1,7 +1,8 @@
 //! Reads who sends a request from its head.
 
-use super::{Book, Caller, Digest, Id, Unit};
+use super::{Book, Caller, Digest, Unit};
 use crate::http::Headers;
+use crate::quota::Id;
 
 /// The header that carries a key.
 const AUTHORIZATION: &str = "authorization";
--- a/src/customer/mod.rs
+++ b/src/customer/mod.rs
@@ -4,37 +4,16 @@
 //! asks for many times its usual at once, and keys are taken away while requests wait. Pure:
 //! no I/O, no clock. A key is known by its digest alone; nothing here could show one.
 
-mod account;
 mod credential;
 mod digest;
-mod purse;
 mod turn;
-mod window;
 
-pub use account::{Accounts, Quarters, Standing, Sums};
 pub use credential::{Lack, caller};
 pub use digest::Digest;
-pub use purse::{AGAIN_MS, Purse, Spending};
 pub use turn::Turns;
-pub use window::Window;
 
-use serde::{Deserialize, Serialize};
+use crate::quota::{self, Id, Quota};
 use std::collections::{BTreeSet, HashMap};
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Names a customer over all versions of a deployment: a hash of its name. Of ten thousand
-/// customers two share one with a probability of 3 in 10^12.
-#[derive(
-  Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-pub struct Id(pub u64);
-
-impl Id {
-  /// The customer of a name.
-  pub fn of(name: &str) -> Self {
-    Self(xxh3_64(name.as_bytes()))
-  }
-}
 
 /// What a quota counts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,15 +25,6 @@
   Tokens { plain: u32 },
 }
 
-/// What a customer may use, over all instances together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Quota {
-  /// Units a second.
-  pub rate: f64,
-  /// Units on top, at once.
-  pub burst: f64,
-}
-
 /// A customer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
@@ -155,53 +125,10 @@
   pub cost: u32,
 }
 
-/// What all instances together must keep of a quota.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bound {
-  /// Length of the window, ms.
-  pub window_ms: u64,
-  /// Part of a window's quota that may be used on top.
-  pub overage: f64,
-  /// Units on top besides.
-  pub slack: f64,
-}
-
-/// What is kept where the settings state nothing else.
-pub const BOUND: Bound = Bound {
-  window_ms: 8_000,
-  overage: 0.1,
-  slack: 0.0,
-};
-
-impl Bound {
-  /// Units that a quota allows in one window.
-  pub fn window(&self, quota: &Quota) -> f64 {
-    quota.rate * self.window_ms as f64 / 1_000.0 + quota.burst
-  }
-
-  /// Units that may be used in one window beyond the quota itself.
-  pub fn reserve(&self, quota: &Quota) -> f64 {
-    self.window(quota) * self.overage + self.slack
-  }
-}
-
-/// What an instance has used of a customer's quota since it started, and needs now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Use {
-  pub customer: Id,
-  pub used: i64,
-  /// Units of requests that wait for a grant.
-  pub need: u32,
-  /// Units used without a grant within the last window, for a holder that has taken over.
-  pub apart: u32,
-}
-
-/// How far an instance may go.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-  pub customer: Id,
-  /// It may use until what it has used since its start reaches this.
-  pub limit: i64,
-  /// What it needs is beyond the quota for so much longer, ms; 0: it is not.
-  pub over_ms: u32,
+/// A customer's standing over the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+  pub name: String,
+  pub over_fleet: quota::Standing,
+  pub quota: Option<Quota>,
 }
--- a/src/customer/turn.rs
+++ b/src/customer/turn.rs
@@ -5,7 +5,7 @@
 //! virtual time and the end of its customer's last one; the least tag goes first, and the
 //! virtual time follows the tags of those that went.
 
-use super::Id;
+use crate::quota::Id;
 use std::collections::HashMap;
 
 /// Customers remembered at the most, 24 bytes each.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,9 +10,10 @@
   cold::{Wants, give_up_at},
   content,
   crash::{Crash, Door, Pass, Quarantined, Suspected},
-  customer::{self, Caller, Grant, Purse, Spending, Sums, Turns, Use},
+  customer::{Caller, Turns},
   demand::Model,
   deployment::{Deployment, Engine},
+  quota::{self, Allowance, Grant, Purse, Spending, Sums, Use},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
   route::Route,
@@ -314,8 +315,10 @@
   pub updates: u64,
   /// Which requests pass to servers that they may crash.
   door: Door,
-  /// What this instance may use of customers' quotas.
+  /// What this instance may use of quotas.
   purse: Purse,
+  /// What all instances keep of customers' quotas.
+  quota_bound: quota::Bound,
   turns: Turns,
   rng: SmallRng,
   pub(crate) now: u64,
@@ -353,7 +356,8 @@
       early: BTreeMap::new(),
       updates: 0,
       door: Door::default(),
-      purse: Purse::open(customer::BOUND, seed),
+      purse: Purse::open(seed),
+      quota_bound: quota::BOUND,
       turns: Turns::default(),
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
@@ -402,7 +406,7 @@
         self.place_waiting();
       }
       Event::RecordsRead => self.records_read = true,
-      Event::Used(sums) => self.purse.hear(now, now, &sums),
+      Event::Used(sums) => self.purse.hear(now, &sums),
       Event::Granted { sent, grants } => {
         self.purse.grant(now, sent, &grants);
         self.place_waiting();
@@ -496,7 +500,11 @@
       request.paid = true;
       return true;
     };
-    let customer = (caller.customer, &quota);
+    let allowance = Allowance {
+      quota,
+      bound: self.quota_bound,
+    };
+    let customer = (caller.customer, &allowance);
     let asked = request.asked;
     match self
       .purse
@@ -509,7 +517,7 @@
       Spending::Ask(until) => {
         let new = request.asked.is_none();
         request.asked.get_or_insert(now);
-        let until = until.min(request.ask.until).min(now + customer::AGAIN_MS);
+        let until = until.min(request.ask.until).min(now + quota::AGAIN_MS);
         self.wait(ticket, until);
         if new {
           self.out.push(Effect::Need);
@@ -537,7 +545,7 @@
 
   /// What is used of customers' quotas here, and needed, for the holder of the lease.
   pub fn uses(&mut self, now: u64) -> Vec<Use> {
-    let mut needs: HashMap<customer::Id, u32> = HashMap::new();
+    let mut needs: HashMap<quota::Id, u32> = HashMap::new();
     for (.., ticket) in &self.waiting {
       let request = &self.requests[ticket];
       if let (false, Some(caller)) = (request.paid, request.ask.caller) {
@@ -548,8 +556,8 @@
   }
 
   /// Bounds what all instances keep of customers' quotas.
-  pub fn bound_quotas(&mut self, bound: customer::Bound) {
-    self.purse.bound(bound);
+  pub fn bound_quotas(&mut self, bound: quota::Bound) {
+    self.quota_bound = bound;
   }
 
   /// What this instance knows of its customers' quotas.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -2,13 +2,13 @@
 //! and their updates of what servers hold.
 
 use crate::{
-  customer::Sums,
   dispatch::Event,
   feed::Gate,
   lease::promise::Question,
   message::{Kind, Message, Update},
   placement::plan::{Holdings, Report},
   planner::Planner,
+  quota::Sums,
   replication::{Fit, Known, parts},
 };
 use slog::{info, warn};
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,9 +1,9 @@
 //! The health port: whether an instance takes requests, and its metrics.
 
 use crate::{
-  customer,
   http::Request,
   hub::{Hub, lock},
+  quota::Id,
   web,
 };
 use serde_json::{Value, json};
@@ -86,9 +86,7 @@
   let book = book.and_then(|deployment| deployment.customers.clone());
   let customers = book.iter().flat_map(|book| book.all());
   let customers = customers.map(|customer| {
-    let (used, left) = state
-      .purse()
-      .standing(now, customer::Id::of(&customer.name));
+    let (used, left) = state.purse().standing(now, Id::of(&customer.name));
     json!({
       "name": customer.name, "keys": customer.keys.len(), "priority": customer.priority,
       "rate": customer.quota.map(|quota| quota.rate),
@@ -97,9 +95,10 @@
   });
   let customers: Vec<Value> = customers.collect();
   let standings = lock(&hub.standings);
-  let fleet = standings.iter().map(
-    |one| json!({ "name": one.name, "used": one.used, "granted": one.ahead, "rate": one.rate }),
-  );
+  let fleet = standings.iter().map(|one| {
+    json!({ "name": one.name, "used": one.over_fleet.used,
+      "granted": one.over_fleet.ahead, "rate": one.over_fleet.rate })
+  });
   let fleet: Vec<Value> = fleet.collect();
   let keys_age = hub.gates.deployments.sure_age();
   json!({
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod policy;
 pub mod pool;
 pub mod quarantine;
+pub mod quota;
 pub mod quotas;
 pub mod record;
 pub mod reduce;
--- a/src/life.rs
+++ b/src/life.rs
@@ -42,6 +42,11 @@
     self.server == current.server && !current.ends(self)
   }
 
+  /// As bytes, for hashes.
+  pub fn bytes(self) -> [u8; 16] {
+    (u128::from(self.server) << 64 | u128::from(self.born)).to_le_bytes()
+  }
+
   /// Short enough to be sent often.
   pub fn short(self) -> u32 {
     (self.server ^ self.born.wrapping_mul(SPREAD)) as u32
--- a/src/message.rs
+++ b/src/message.rs
@@ -4,11 +4,11 @@
 use crate::{
   backend::Holding,
   crash::{Crash, Quarantined, Suspected},
-  customer::{Grant, Sums, Use},
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Question},
   placement::plan::Report,
+  quota::{Grant, Sums, Use},
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/src/customer/account.rs
+++ b/src/quota/account.rs
@@ -1,12 +1,12 @@
-//! What all instances together use of customers' quotas, as the holder of the lease counts it.
+//! What all instances together use of quotas, as the holder of the lease counts it.
 //!
-//! For each customer the holder keeps the sum of the last window. What an instance may use
+//! Of each quota the holder keeps the sum of the last window. What an instance may use
 //! counts when it is granted, not when it is used: so in any window all use at most the quota
 //! and what was granted before, which is kept below the reserve. An instance that falls silent
 //! may go on by an equal share, so that part is not granted to others; what it used beyond its
 //! grant counts when it is heard of again.
 
-use super::{Book, Bound, Customer, Grant, Id, Quota, Use, purse, window::Window};
+use super::{Allowance, Grant, Id, Use, purse, window::Window};
 use std::collections::HashMap;
 
 /// An instance that was not heard of for so long goes by its own share, ms: its grants count
@@ -28,7 +28,7 @@
 /// Weight of a new request in what one mostly needs.
 const NEW: f64 = 0.1;
 
-/// A customer's use over the fleet.
+/// The use of a quota over the fleet.
 #[derive(Clone, Debug)]
 struct Account {
   /// Units granted, or used without a grant.
@@ -41,7 +41,7 @@
   granted: f64,
 }
 
-/// What one instance uses of one customer.
+/// What one instance uses of one quota.
 #[derive(Clone, Debug, Default)]
 struct Line {
   used: i64,
@@ -61,29 +61,29 @@
   lines: HashMap<Id, Line>,
 }
 
-/// A customer's standing over the fleet.
-#[derive(Clone, Debug, PartialEq)]
+/// How much of a quota is used over the fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Standing {
-  pub name: String,
   /// Units used or granted within the window.
   pub used: f64,
   /// Units granted to instances and not used.
   pub ahead: f64,
   /// Units a second, lately.
   pub rate: f64,
-  pub quota: Option<Quota>,
 }
 
-/// All customers' accounts, and what instances said.
+/// All accounts, and what instances said.
 #[derive(Clone, Debug, Default)]
 pub struct Accounts {
   accounts: HashMap<Id, Account>,
   instances: HashMap<u64, Instance>,
   /// When this holder took over, ms, and whether it knows what was used before.
   took_over: Option<(u64, bool)>,
+  /// The longest window of a quota that was reported, ms.
+  longest_ms: u64,
 }
 
-/// What customers used within the last window, for the next holder.
+/// What was used of quotas within the last window, for the next holder.
 pub type Sums = Vec<(Id, Quarters)>;
 
 /// Units used in each quarter of a window, the latest first.
@@ -92,7 +92,11 @@
 impl Accounts {
   /// The accounts of a holder that begins now, with what was used before some time, ms; none:
   /// it is not known. The first holder ever has the default ones.
-  pub fn open(now: u64, sums: Option<(u64, &Sums)>, bound: &Bound) -> Self {
+  pub fn open(
+    now: u64,
+    sums: Option<(u64, &Sums)>,
+    allow: impl Fn(Id) -> Option<Allowance>,
+  ) -> Self {
     let mut accounts = Self {
       took_over: Some((now, sums.is_some())),
       ..Self::default()
@@ -100,33 +104,35 @@
     let Some((then, sums)) = sums else {
       return accounts;
     };
-    for (customer, quarters) in sums {
-      let mut account = Account::open(bound);
+    for (id, quarters) in sums {
+      // Of one that has no quota any more nothing counts.
+      let Some(allowance) = allow(*id) else {
+        continue;
+      };
+      let mut account = Account::open(&allowance);
       account.window.add_quarters(now, then, quarters);
-      accounts.accounts.insert(*customer, account);
+      accounts.accounts.insert(*id, account);
     }
     accounts
   }
 
   /// What was used within the last window, for the next holder.
-  pub fn sums(&mut self, now: u64, book: &Book, bound: &Bound) -> Sums {
+  pub fn sums(&mut self, now: u64, allow: impl Fn(Id) -> Option<Allowance>) -> Sums {
     let accounts = self.accounts.iter_mut();
     let mut sums: Vec<(f64, Id, Quarters)> = accounts
-      .filter_map(|(customer, account)| {
-        let quota = book.get(*customer)?.quota?;
+      .filter_map(|(id, account)| {
+        let allowance = allow(*id)?;
         let sum = account.window.sum(now);
-        let part = sum / bound.window(&quota).max(1.0);
+        let part = sum / allowance.window().max(1.0);
         let quarters = account.window.quarters(now);
         let quarters = quarters.map(|units| units.max(0.0) as u32);
-        (sum >= 1.0).then_some((part, *customer, quarters))
+        (sum >= 1.0).then_some((part, *id, quarters))
       })
       .collect();
     sums.sort_by(|one, two| two.0.total_cmp(&one.0));
     sums.truncate(SUMS);
     let sums = sums.into_iter();
-    sums
-      .map(|(_, customer, quarters)| (customer, quarters))
-      .collect()
+    sums.map(|(_, id, quarters)| (id, quarters)).collect()
   }
 
   /// Takes up what an instance, named by a number of its own, has used; gives how far it may
@@ -136,18 +142,17 @@
     now: u64,
     instance: u64,
     uses: &[Use],
-    book: &Book,
-    bound: &Bound,
+    allow: impl Fn(Id) -> Option<Allowance>,
   ) -> Vec<Grant> {
-    self.lapse(now, bound);
+    self.lapse(now);
     let heard = self.instances.entry(instance).or_default();
     heard.heard = now;
     heard.lapsed = false;
     let share = self.share(now);
     let grants = uses.iter().filter_map(|one| {
-      let quota = book.get(one.customer)?.quota?;
-      let allowed = bound.window(&quota) * share;
-      Some(self.settle(now, instance, one, (&quota, allowed), bound))
+      let allowance = allow(one.id)?;
+      let allowed = allowance.window() * share;
+      Some(self.settle(now, instance, one, (&allowance, allowed)))
     });
     grants.collect()
   }
@@ -159,22 +164,23 @@
     1.0 - silent as f64 / self.instances.len().max(1) as f64
   }
 
-  /// Counts what an instance has used of a customer and grants it more, up to the units allowed
+  /// Counts what an instance has used of a quota and grants it more, up to the units allowed
   /// in a window.
   fn settle(
     &mut self,
     now: u64,
     instance: u64,
     one: &Use,
-    (quota, allowed): (&Quota, f64),
-    bound: &Bound,
+    (allowance, allowed): (&Allowance, f64),
   ) -> Grant {
+    let rate = allowance.quota.rate;
+    self.longest_ms = self.longest_ms.max(allowance.bound.window_ms);
     let account = self
       .accounts
-      .entry(one.customer)
-      .or_insert_with(|| Account::open(bound));
+      .entry(one.id)
+      .or_insert_with(|| Account::open(allowance));
     let instance = self.instances.entry(instance).or_default();
-    let known = instance.lines.contains_key(&one.customer);
+    let known = instance.lines.contains_key(&one.id);
     if !known {
       account.window.add(now, one.apart.into());
     }
@@ -185,29 +191,29 @@
       rate: 0.0,
       at: now,
     };
-    let line = instance.lines.entry(one.customer).or_insert(new);
+    let line = instance.lines.entry(one.id).or_insert(new);
     line.count(now, one.used);
     account.take_back(now, line);
     let need = f64::from(one.need);
     account.learn(need);
     // What is granted ahead is bounded by the reserve, and refuses nobody; nor do requests whose
     // units count twice while they are taken back and granted anew.
-    let spread = bound.reserve(quota) * SPREAD;
+    let spread = allowance.reserve() * SPREAD;
     let mut level = allowed + account.ahead + spread - account.window.sum(now);
-    let lately = |(since, _): &(u64, bool)| now < since + bound.window_ms;
+    let lately = |(since, _): &(u64, bool)| now < since + allowance.bound.window_ms;
     if let Some((since, known)) = self.took_over.filter(lately) {
       // What was used in the half second after the last word of the one before.
-      level -= quota.rate * purse::UNKNOWN_S;
+      level -= rate * purse::UNKNOWN_S;
       let elapsed = (now - since) as f64 / 1_000.0;
       if !known {
-        level = level.min(quota.rate * elapsed - account.granted);
+        level = level.min(rate * elapsed - account.granted);
       }
     }
     let wanted = match level < allowed * SCARCE {
       true => need,
       false => need + account.ahead_for(now, line),
     };
-    let room = (purse::ahead(bound, quota) - account.ahead).max(need);
+    let room = (purse::ahead(allowance) - account.ahead).max(need);
     let granted = wanted.min(room).min(level).max(0.0).floor();
     account.grant(now, granted);
     line.granted = granted;
@@ -219,7 +225,7 @@
       false => 0,
     };
     Grant {
-      customer: one.customer,
+      id: one.id,
       limit: line.limit,
       over_ms: if granted < need {
         over_ms.max(1) as u32
@@ -231,36 +237,29 @@
 
   /// What was granted to instances that are not heard of any more does not count, and goes
   /// back; those that were not heard of for a window are gone.
-  fn lapse(&mut self, now: u64, bound: &Bound) {
+  fn lapse(&mut self, now: u64) {
     let accounts = &mut self.accounts;
     for instance in self.instances.values_mut() {
       if instance.lapsed || now <= instance.heard + SILENT_MS {
         continue;
       }
       instance.lapsed = true;
-      for (customer, line) in &mut instance.lines {
-        if let Some(account) = accounts.get_mut(customer) {
+      for (id, line) in &mut instance.lines {
+        if let Some(account) = accounts.get_mut(id) {
           account.take_back(now, line);
         }
         line.limit = line.used;
         line.granted = 0.0;
       }
     }
+    let kept_ms = self.longest_ms;
     self
       .instances
-      .retain(|_, instance| now < instance.heard + bound.window_ms);
+      .retain(|_, instance| now < instance.heard + kept_ms.max(SILENT_MS));
   }
 
-  /// Each customer's standing.
-  pub fn standings(&mut self, now: u64, book: &Book) -> Vec<Standing> {
-    let customers = book.all().iter();
-    customers
-      .map(|customer| self.standing(now, customer))
-      .collect()
-  }
-
-  fn standing(&mut self, now: u64, customer: &Customer) -> Standing {
-    let id = Id::of(&customer.name);
+  /// How much of a quota is used.
+  pub fn standing(&mut self, now: u64, id: Id) -> Standing {
     let lines = self.instances.values();
     let lines = lines.filter_map(|instance| instance.lines.get(&id));
     let rate = lines.map(|line| line.faded(now)).sum();
@@ -268,20 +267,14 @@
     let (used, ahead) = account.map_or((0.0, 0.0), |account| {
       (account.window.sum(now), account.ahead)
     });
-    Standing {
-      name: customer.name.clone(),
-      used,
-      ahead,
-      rate,
-      quota: customer.quota,
-    }
+    Standing { used, ahead, rate }
   }
 }
 
 impl Account {
-  fn open(bound: &Bound) -> Self {
+  fn open(allowance: &Allowance) -> Self {
     Self {
-      window: Window::open(bound.window_ms),
+      window: Window::open(allowance.bound.window_ms),
       ahead: 0.0,
       typical: 0.0,
       granted: 0.0,
--- a/src/customer/purse.rs
+++ b/src/quota/purse.rs
@@ -1,11 +1,11 @@
-//! What one instance may use of customers' quotas.
+//! What one instance may use of quotas.
 //!
 //! The holder of the lease grants each instance how far it may go, ahead by what it used
 //! lately. A request beyond that is asked for and waits some milliseconds. Where the holder
 //! says nothing, an instance goes by an equal share of what was left by the holder's last word,
 //! in whole requests by chance: all together they keep the quota.
 
-use super::{Bound, Grant, Id, Quota, Sums, Use, Window};
+use super::{Allowance, Grant, Id, Quarters, Sums, Use, Window};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
 
@@ -46,7 +46,7 @@
   Over(u64),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Wallet {
   /// Units used since this instance started.
   used: i64,
@@ -59,21 +59,14 @@
   fits_at: u64,
   /// When a request last counted, ms.
   active: u64,
-  /// Units used without a grant.
-  apart: Window,
+  /// Units used without a grant; none: nothing was spent yet.
+  apart: Option<Window>,
 }
 
 impl Wallet {
-  fn open(window_ms: u64) -> Self {
-    Self {
-      used: 0,
-      limit: 0,
-      until: 0,
-      over_until: 0,
-      fits_at: 0,
-      active: 0,
-      apart: Window::open(window_ms),
-    }
+  /// Units used without a grant, in windows of a length, ms.
+  fn apart(&mut self, length_ms: u64) -> &mut Window {
+    self.apart.get_or_insert_with(|| Window::open(length_ms))
   }
 
   fn left(&self, now: u64) -> i64 {
@@ -84,14 +77,32 @@
   }
 }
 
-/// What one instance knows of its customers' quotas.
+/// What all instances used within the last window, by the holder's word.
+#[derive(Clone, Debug)]
+struct Fleet {
+  /// As of this time, ms.
+  then: u64,
+  sums: HashMap<Id, Quarters>,
+}
+
+impl Fleet {
+  fn used(&self, now: u64, id: Id, length_ms: u64) -> f64 {
+    let Some(quarters) = self.sums.get(&id) else {
+      return 0.0;
+    };
+    let mut window = Window::open(length_ms);
+    window.add_quarters(now, self.then, quarters);
+    window.sum(now)
+  }
+}
+
+/// What one instance knows of quotas.
 #[derive(Clone, Debug)]
 pub struct Purse {
-  bound: Bound,
   wallets: HashMap<Id, Wallet>,
-  /// What all instances used of each customer by the holder's last word; none: nothing was
-  /// heard since this instance started, at that time, ms.
-  fleet: Option<HashMap<Id, Window>>,
+  /// None: nothing was heard of a holder since this instance started.
+  fleet: Option<Fleet>,
+  /// When this instance first spent something, ms; 0: it has not.
   started: u64,
   /// When the report was sent that the holder last answered, and when the answer came, ms.
   answered: Option<(u64, u64)>,
@@ -102,9 +113,8 @@
 
 impl Purse {
   /// A purse of an instance that has started now.
-  pub fn open(bound: Bound, seed: u64) -> Self {
+  pub fn open(seed: u64) -> Self {
     Self {
-      bound,
       wallets: HashMap::new(),
       fleet: None,
       started: 0,
@@ -114,17 +124,12 @@
     }
   }
 
-  /// Changes what all instances keep.
-  pub fn bound(&mut self, bound: Bound) {
-    self.bound = bound;
-  }
-
-  /// Takes units of a customer for a request that waits for them since `asked`, ms, where
-  /// that is allowed; `instances` share the quota.
+  /// Takes units of a quota for a request that waits for them since `asked`, ms, where that is
+  /// allowed; `instances` share the quota.
   pub fn spend(
     &mut self,
     now: u64,
-    (customer, quota): (Id, &Quota),
+    (id, allowance): (Id, &Allowance),
     cost: u32,
     asked: Option<u64>,
     instances: usize,
@@ -133,15 +138,16 @@
     if self.started == 0 {
       self.started = now;
     }
-    let left = self.left_apart(now, (customer, quota), instances);
-    let wallet = wallet(&mut self.wallets, customer, &self.bound);
+    let left = self.left_apart(now, (id, allowance), instances);
+    let length_ms = allowance.bound.window_ms;
+    let wallet = self.wallets.entry(id).or_default();
     wallet.active = now;
     if wallet.left(now) >= i64::from(cost) {
       wallet.used += i64::from(cost);
       return Spending::Spent;
     }
     if now < wallet.over_until {
-      return Spending::Over(self.retry_after(now, customer));
+      return Spending::Over(self.retry_after(now, id));
     }
     let patience = asked.unwrap_or(now) + ASK_MS;
     if answers && now < patience {
@@ -152,42 +158,36 @@
     let units = f64::from(cost);
     if left >= units || self.rng.random_range(0.0..units.max(1.0)) < left {
       wallet.used += i64::from(cost);
-      wallet.apart.add(now, units.min(left));
+      wallet.apart(length_ms).add(now, units.min(left));
       return Spending::Spent;
     }
-    wallet.apart.add(now, left);
-    let share = quota.rate / instances.max(1) as f64;
+    wallet.apart(length_ms).add(now, left);
+    let share = allowance.quota.rate / instances.max(1) as f64;
     let after = (units / share.max(f64::MIN_POSITIVE) * 1_000.0) as u64;
     Spending::Over(after.clamp(RETRY_SPREAD_MS, RETRY_MOST_MS))
   }
 
   /// Units that this instance may use without a grant: its part of what was left.
-  fn left_apart(&mut self, now: u64, (customer, quota): (Id, &Quota), instances: usize) -> f64 {
-    let apart = wallet(&mut self.wallets, customer, &self.bound)
-      .apart
-      .sum(now);
-    let all = match &mut self.fleet {
+  fn left_apart(&mut self, now: u64, (id, allowance): (Id, &Allowance), instances: usize) -> f64 {
+    let wallet = self.wallets.entry(id).or_default();
+    let apart = wallet.apart(allowance.bound.window_ms).sum(now);
+    let rate = allowance.quota.rate;
+    let all = match &self.fleet {
       Some(fleet) => {
-        let used = fleet
-          .get_mut(&customer)
-          .map_or(0.0, |window| window.sum(now));
-        let reserve = self.bound.reserve(quota) * APART;
-        self.bound.window(quota) + reserve - used - quota.rate * UNKNOWN_S
+        let used = fleet.used(now, id, allowance.bound.window_ms);
+        let reserve = allowance.reserve() * APART;
+        allowance.window() + reserve - used - rate * UNKNOWN_S
       }
       // What was used before it started is not known to it.
-      None => quota.rate * (now - self.started) as f64 / 1_000.0,
+      None => rate * (now - self.started) as f64 / 1_000.0,
     };
     (all / instances.max(1) as f64 - apart).max(0.0)
   }
 
   /// Takes up what all instances used within the last window, as of a time, ms.
-  pub fn hear(&mut self, now: u64, then: u64, sums: &Sums) {
-    let windows = sums.iter().map(|(customer, quarters)| {
-      let mut window = Window::open(self.bound.window_ms);
-      window.add_quarters(now, then, quarters);
-      (*customer, window)
-    });
-    self.fleet = Some(windows.collect());
+  pub fn hear(&mut self, then: u64, sums: &Sums) {
+    let sums = sums.iter().copied().collect();
+    self.fleet = Some(Fleet { then, sums });
   }
 
   /// Whether the holder is heard of, or may soon be: this instance has just started.
@@ -196,18 +196,15 @@
     came.is_none_or(|came| now < came + GRANT_MS)
   }
 
-  fn retry_after(&mut self, now: u64, customer: Id) -> u64 {
-    let until = self
-      .wallets
-      .get(&customer)
-      .map_or(now, |wallet| wallet.fits_at);
+  fn retry_after(&mut self, now: u64, id: Id) -> u64 {
+    let until = self.wallets.get(&id).map_or(now, |wallet| wallet.fits_at);
     let spread = self.rng.random_range(0..RETRY_SPREAD_MS);
     (until.saturating_sub(now) + spread).clamp(RETRY_SPREAD_MS, RETRY_MOST_MS)
   }
 
   /// A request that counted was surely not run.
-  pub fn give_back(&mut self, customer: Id, cost: u32) {
-    if let Some(wallet) = self.wallets.get_mut(&customer) {
+  pub fn give_back(&mut self, id: Id, cost: u32) {
+    if let Some(wallet) = self.wallets.get_mut(&id) {
       wallet.used -= i64::from(cost);
     }
   }
@@ -220,7 +217,7 @@
     }
     self.answered = Some((sent, now));
     for grant in grants {
-      let wallet = wallet(&mut self.wallets, grant.customer, &self.bound);
+      let wallet = self.wallets.entry(grant.id).or_default();
       wallet.limit = grant.limit;
       wallet.until = sent + GRANT_MS;
       let over = u64::from(grant.over_ms);
@@ -237,14 +234,18 @@
       .wallets
       .iter_mut()
       .filter(|(_, wallet)| kept(wallet))
-      .map(|(customer, wallet)| Use {
-        customer: *customer,
+      .map(|(id, wallet)| Use {
+        id: *id,
         used: wallet.used,
-        need: needs.get(customer).copied().unwrap_or_default(),
-        apart: wallet.apart.sum(now).max(0.0) as u32,
+        need: needs.get(id).copied().unwrap_or_default(),
+        apart: wallet
+          .apart
+          .as_mut()
+          .map_or(0.0, |apart| apart.sum(now))
+          .max(0.0) as u32,
       })
       .collect();
-    uses.sort_by_key(|one| (one.need == 0, one.customer));
+    uses.sort_by_key(|one| (one.need == 0, one.id));
     uses.truncate(USES);
     if !needs.is_empty() {
       self.asked = now;
@@ -257,9 +258,9 @@
     self.asked + AGAIN_MS
   }
 
-  /// Units used since the start, and what is left of the grant, by customer.
-  pub fn standing(&self, now: u64, customer: Id) -> (i64, i64) {
-    let wallet = self.wallets.get(&customer);
+  /// Units used since the start, and what is left of the grant.
+  pub fn standing(&self, now: u64, id: Id) -> (i64, i64) {
+    let wallet = self.wallets.get(&id);
     wallet.map_or((0, 0), |wallet| (wallet.used, wallet.left(now).max(0)))
   }
 
@@ -269,16 +270,11 @@
   }
 }
 
-fn wallet<'a>(wallets: &'a mut HashMap<Id, Wallet>, customer: Id, bound: &Bound) -> &'a mut Wallet {
-  let wallet = wallets.entry(customer);
-  wallet.or_insert_with(|| Wallet::open(bound.window_ms))
-}
-
 /// The part of the reserve that may be granted ahead: the rest is for what instances use that
 /// are not heard of.
 const AHEAD: f64 = 0.5;
 
 /// Units that may be granted ahead to all instances together.
-pub(super) fn ahead(bound: &Bound, quota: &Quota) -> f64 {
-  bound.reserve(quota) * AHEAD
+pub(super) fn ahead(allowance: &Allowance) -> f64 {
+  allowance.reserve() * AHEAD
 }
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -6,11 +6,12 @@
 //! process that stood still makes no key look known.
 
 use crate::{
-  customer::{Accounts, Book, Grant, Sums, Use},
+  customer::{Book, Standing},
   dispatch::Event,
   hub::lock,
   message::{Grants, Message, Uses},
   planner::Planner,
+  quota::{Accounts, Allowance, Bound, Grant, Id, Sums, Use},
 };
 use serde_json::{Value, json};
 use slog::info;
@@ -39,6 +40,12 @@
 /// The field of the lease's record that keeps it.
 const SUMS_FIELD: &str = "sums";
 
+/// What a customer may use.
+fn allowance(book: &Book, bound: Bound, id: Id) -> Option<Allowance> {
+  let quota = book.get(id)?.quota?;
+  Some(Allowance { quota, bound })
+}
+
 impl Planner {
   /// Reports what is used of quotas and needed, where that is due.
   pub(crate) fn report_uses(&mut self, wanted: bool) {
@@ -105,9 +112,9 @@
     book: &Book,
   ) -> Vec<Grant> {
     let instance = xxh3_64_with_seed(from.to_string().as_bytes(), process);
-    self
-      .accounts
-      .report(now, instance, uses, book, &self.quota_bound)
+    let bound = self.quota_bound;
+    let allow = |id| allowance(book, bound, id);
+    self.accounts.report(now, instance, uses, allow)
   }
 
   /// Answers an instance that reports its uses.
@@ -156,13 +163,15 @@
       return Sums::new();
     };
     self.sums_at = now + SUMS_MS;
-    self.accounts.sums(now, &book, &self.quota_bound)
+    let bound = self.quota_bound;
+    self.accounts.sums(now, |id| allowance(&book, bound, id))
   }
 
   /// Adds them to a record of the lease: after a loss of all instances nobody else knows them.
   pub(crate) fn with_sums(&mut self, now: u64, mut record: Value) -> Value {
     let book = self.book();
-    let sums = book.map(|book| self.accounts.sums(now, &book, &self.quota_bound));
+    let bound = self.quota_bound;
+    let sums = book.map(|book| self.accounts.sums(now, |id| allowance(&book, bound, id)));
     if let (Some(sums), Some(fields)) = (sums, record.as_object_mut()) {
       fields.insert(SUMS_FIELD.into(), json!(sums));
     }
@@ -197,7 +206,9 @@
     info!(self.hub.log, "accounts opened"; "term" => term,
       "customers" => sums.map(|(_, sums)| sums.len()),
       "age_ms" => sums.map(|(heard, _)| now.saturating_sub(heard)));
-    self.accounts = Accounts::open(now, sums, &self.quota_bound);
+    let (book, bound) = (self.book(), self.quota_bound);
+    let allow = |id| allowance(book.as_ref()?, bound, id);
+    self.accounts = Accounts::open(now, sums, allow);
   }
 
   fn book(&self) -> Option<Arc<Book>> {
@@ -210,14 +221,24 @@
       return;
     }
     self.standings_at = now + STANDINGS_MS;
-    let standings = self.accounts.standings(now, book);
+    let customers = book.all().iter();
+    let accounts = &mut self.accounts;
+    let standings: Vec<Standing> = customers
+      .map(|customer| Standing {
+        name: customer.name.clone(),
+        over_fleet: accounts.standing(now, Id::of(&customer.name)),
+        quota: customer.quota,
+      })
+      .collect();
     for one in standings.iter().take(NEAR_LINES) {
       let Some(quota) = one.quota else {
         continue;
       };
       let allowed = self.quota_bound.window(&quota);
+      let name = &one.name;
+      let one = one.over_fleet;
       if one.used >= allowed * NEAR {
-        info!(self.hub.log, "customer is near its quota"; "customer" => &one.name,
+        info!(self.hub.log, "customer is near its quota"; "customer" => name,
           "used" => one.used as u64, "allowed" => allowed as u64, "ahead" => one.ahead as u64,
           "rate" => one.rate as u64);
       }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -224,8 +224,8 @@
   }
 
   /// What all instances keep of customers' quotas.
-  pub fn quota_bound(&self) -> crate::customer::Bound {
-    crate::customer::Bound {
+  pub fn quota_bound(&self) -> crate::quota::Bound {
+    crate::quota::Bound {
       window_ms: self.quota_window_ms,
       overage: self.quota_overage,
       slack: self.quota_slack,
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -3,10 +3,9 @@
 mod fleet_quota;
 
 use bendsaddle::{
-  customer::{
-    Book, Caller, Customer, Digest, Id, Lack, Purse, Quota, Spending, Turns, Unit, Window, caller,
-  },
+  customer::{Book, Caller, Customer, Digest, Lack, Turns, Unit, caller},
   http::Headers,
+  quota::{Allowance, Grant, Id, Purse, Quota, Spending, Window},
 };
 use fleet_quota::{Story, Way, play};
 use quickcheck::quickcheck;
@@ -148,19 +147,22 @@
 
 #[test]
 fn what_was_surely_not_run_is_given_back() {
-  let mut purse = Purse::open(fleet_quota::BOUND, 1);
+  let mut purse = Purse::open(1);
   let id = Id::of("one");
-  let grant = bendsaddle::customer::Grant {
-    customer: id,
+  let grant = Grant {
+    id,
     limit: 500,
     over_ms: 0,
   };
   purse.grant(1_010, 1_010, &[grant]);
-  let quota = Quota {
-    rate: 100.0,
-    burst: 100.0,
+  let allowance = Allowance {
+    quota: Quota {
+      rate: 100.0,
+      burst: 100.0,
+    },
+    bound: fleet_quota::BOUND,
   };
-  let spend = |purse: &mut Purse, now| purse.spend(now, (id, &quota), 400, Some(0), 100);
+  let spend = |purse: &mut Purse, now| purse.spend(now, (id, &allowance), 400, Some(0), 100);
   assert_eq!(spend(&mut purse, 1_020), Spending::Spent);
   assert!(matches!(spend(&mut purse, 1_030), Spending::Over(_)));
   purse.give_back(id, 400);
--- a/tests/fleet_quota/mod.rs
+++ b/tests/fleet_quota/mod.rs
@@ -1,7 +1,8 @@
 //! A fleet of instances that keep customers' quotas together, played in virtual time.
 
-use bendsaddle::customer::{
-  Accounts, Book, Bound, Customer, Digest, Grant, Id, Purse, Quota, Spending, Sums, Unit, Use,
+use bendsaddle::{
+  customer::{Book, Customer, Digest, Unit},
+  quota::{Accounts, Allowance, Bound, Grant, Id, Purse, Quota, Spending, Sums, Use},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
@@ -108,6 +109,14 @@
   (customer, quota)
 }
 
+fn allowance(book: &Book, id: Id) -> Option<Allowance> {
+  let quota = book.get(id)?.quota?;
+  Some(Allowance {
+    quota,
+    bound: BOUND,
+  })
+}
+
 /// Plays a story.
 pub fn play(story: &Story, way: Way) -> Outcome {
   let mut rng = SmallRng::seed_from_u64(story.seed);
@@ -144,7 +153,7 @@
 
 fn instance(rng: &mut SmallRng) -> Instance {
   Instance {
-    purse: Purse::open(BOUND, rng.random()),
+    purse: Purse::open(rng.random()),
     process: rng.random(),
     waiting: Vec::new(),
     report_at: rng.random_range(0..REPORT_MS),
@@ -158,11 +167,11 @@
 impl Fleet<'_> {
   fn step(&mut self, now: u64) {
     if now >= self.holder_at && now.is_multiple_of(REPORT_MS) {
-      self.sums = (now, self.accounts.sums(now, &self.book, &BOUND));
+      self.sums = (now, self.accounts.sums(now, |id| allowance(&self.book, id)));
       for index in 0..self.instances.len() {
         let deaf = within(self.story.cut, index, now) || within(self.story.frozen, index, now);
         if self.way != Way::Equal && !deaf {
-          self.instances[index].purse.hear(now, now, &self.sums.1);
+          self.instances[index].purse.hear(now, &self.sums.1);
         }
       }
     }
@@ -189,7 +198,7 @@
       self.instances[index] = instance(&mut self.rng);
       if self.way != Way::Equal {
         // It reads the lease's record when it starts.
-        self.instances[index].purse.hear(now, now, &self.sums.1);
+        self.instances[index].purse.hear(now, &self.sums.1);
       }
     }
     if holder {
@@ -199,7 +208,8 @@
 
   fn deliver(&mut self, now: u64) {
     if self.holder_at == now {
-      self.accounts = Accounts::open(now, Some((self.sums.0, &self.sums.1)), &BOUND);
+      let sums = Some((self.sums.0, &self.sums.1));
+      self.accounts = Accounts::open(now, sums, |id| allowance(&self.book, id));
     }
     let due: Vec<Mail> = {
       let (due, later) = std::mem::take(&mut self.mail)
@@ -214,7 +224,7 @@
         Mail::Uses(index, process, sent, uses) if now >= self.holder_at => {
           let grants = self
             .accounts
-            .report(now, process, &uses, &self.book, &BOUND);
+            .report(now, process, &uses, |id| allowance(&self.book, id));
           self.post(now, index, Mail::Grants(index, process, sent, grants));
         }
         Mail::Uses(..) => {}
@@ -279,6 +289,10 @@
   fn decide(&mut self, now: u64, index: usize, request: (usize, u32, u64), _number: u64) {
     let (customer, cost, since) = request;
     let (id, quota) = self.customers[customer];
+    let allowance = Allowance {
+      quota,
+      bound: BOUND,
+    };
     let count = self.instances.len();
     let instance = &mut self.instances[index];
     let asked = match self.way {
@@ -286,7 +300,10 @@
       // Its patience is over at once.
       Way::Equal | Way::Leases => Some(0),
     };
-    match instance.purse.spend(now, (id, &quota), cost, asked, count) {
+    match instance
+      .purse
+      .spend(now, (id, &allowance), cost, asked, count)
+    {
       Spending::Spent => self.ran[customer].push((since, cost)),
       Spending::Ask(_) => {
         instance.waiting.push(request);
