a server's limit is kept over all instances together

What callers saw: nothing. A backend server in need that names how many requests a second it takes from all instances together got its usual load and more, 28 in 4 s where 18 are allowed.

Cause: nobody took up what an answer names. Its class: a bound that a server states for the whole fleet is no bound of any one instance; what each decides from what it sees itself (slots taken, a refusal, a pause) cannot keep it. So also where loads went: the lease's holder loaded models onto the servers that had just asked for less.

Ruled out: that each instance kept the limit alone (three sent 393 in 4 s, each more than seven times what the limit allows one); retries as the cause. A limit divided by the number of instances: at 295, one a second is none for each. A pause of the server at each instance: nobody would hear that it needs no help any more.

Change: each send to such a server takes a unit of a quota that all instances share, by the purses and accounts that customers' quotas have: first sends, repeats, resumed streams. An instance reports what changes to the holder of the lease, which publishes it to all; a limit belongs to one life of a server, and ends with an answer to a later request that names none. What has no unit goes to another server, or waits for a load of its model at one that needs no help, where that comes in time; the rest is refused at once (503 `server-limit`, not run, with the time after which there is room). Loads go to servers in need last.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -93,7 +93,7 @@
     if request.verdict != Verdict::NotRun || self.held(&request.ask.pool, &model.name) {
       return None;
     }
-    let ready = self.ready_at(request)?;
+    let ready = self.ready_at(request, |_| true)?;
     (ready > give_up_at(request)).then(|| ready.saturating_sub(self.now) + MARGIN_MS)
   }
 
@@ -109,14 +109,15 @@
     backends.filter(move |backend| backend.spec.pool == pool && !backend.leaves())
   }
 
-  /// When a model that nobody holds can be used, as far as known, ms.
-  fn ready_at(&self, request: &Request) -> Option<u64> {
+  /// When a model can be used at one of some servers that do not hold it, as far as known, ms.
+  fn ready_at(&self, request: &Request, open: impl Fn(&&Backend) -> bool) -> Option<u64> {
     let ask = &request.ask;
     let model = ask.model.as_ref()?;
     let engine = self.engine(&ask.pool)?;
     let checkpoint = engine.models.get(&model.name)?;
     let loading = self
       .working(&ask.pool)
+      .filter(&open)
       .filter_map(|backend| backend.loading.as_ref())
       .filter(|loading| loading.model == model.name)
       .map(|loading| loading.since + LEAD_MS + Size::of(checkpoint).load_ms(loading.tier))
@@ -126,6 +127,7 @@
       None => {
         let tiers = self
           .working(&ask.pool)
+          .filter(&open)
           .map(|backend| backend.spec.tier(&model.name));
         let load = Size::of(checkpoint).load_ms(tiers.min()?);
         let silent = self.now > self.current_until();
@@ -136,6 +138,18 @@
     Some(ready.max(self.now + LATE_MS * u64::from(ready < self.now)))
   }
 
+  /// When a model can be used at a server that has named no limit and does not hold it yet, as
+  /// far as known, ms; none: there is no such server.
+  pub(crate) fn ready_elsewhere(&self, request: &Request) -> Option<u64> {
+    let ask = &request.ask;
+    let model = ask.model.as_ref()?;
+    let until = self.current_until();
+    let open = |backend: &&Backend| {
+      !self.in_need(backend) && !backend.holds(&model.name, None, until, self.now)
+    };
+    self.ready_at(request, open)
+  }
+
   /// When the planner first heard of a request's model from here, ms.
   fn wanted_since(&self, request: &Request, model: &Model) -> u64 {
     let want = self.wants.get(&(request.ask.pool.clone(), model.clone()));
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -13,6 +13,8 @@
   customer::{Caller, Turns},
   demand::Model,
   deployment::{Deployment, Engine},
+  life::Life,
+  limit::{Choice, Limits, Statement},
   quota::{self, Allowance, Grant, Purse, Spending, Sums, Use},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
@@ -91,6 +93,8 @@
   pub address: SocketAddr,
   /// Counts the sends of one request, from 1.
   pub number: u32,
+  /// The server had named a limit when this was decided.
+  pub limited: bool,
 }
 
 /// How a send ended.
@@ -147,6 +151,14 @@
     }
   }
 
+  /// Whether the request may have reached a server.
+  pub fn reached(self) -> bool {
+    !matches!(
+      self,
+      Self::Unreached | Self::Unsent | Self::Leaving | Self::Barred | Self::Unsure
+    )
+  }
+
   /// Whether the server may have run the request.
   pub fn verdict(self) -> Verdict {
     match self {
@@ -219,6 +231,14 @@
     sent: u64,
     grants: Vec<Grant>,
   },
+  /// The answer of a request's send has come, and names so many requests a second that its
+  /// server takes, or none.
+  Named {
+    ticket: Ticket,
+    rate: Option<f64>,
+  },
+  /// What other instances heard of servers' limits.
+  Limits(Vec<Statement>),
   /// Requests that may be to blame for crashes, with their turns.
   Suspected(Vec<Suspected>),
   /// A planned stop: nothing new is taken from the first time on, and what waits is
@@ -227,7 +247,7 @@
 }
 
 /// Something to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
   Send(Attempt),
   /// Wait for a change, at most until then, ms.
@@ -241,6 +261,11 @@
   Need,
   /// A server whose entry was missing did not come back.
   Gone(String),
+  /// What is known of a server's limit has changed: requests a second, or none.
+  Limited {
+    id: String,
+    rate: Option<f64>,
+  },
 }
 
 /// A request between arrival and its final answer.
@@ -270,6 +295,10 @@
   asked: Option<u64>,
   /// Its place among those that wait.
   tag: Option<u64>,
+  /// The unit of a server's limit that its send under way took.
+  pub(crate) room: Option<quota::Id>,
+  /// The unit that it asked for, and since when, ms.
+  pub(crate) wants: Option<(quota::Id, u64)>,
 }
 
 /// Everything that routed requests are decided by.
@@ -315,8 +344,10 @@
   pub updates: u64,
   /// Which requests pass to servers that they may crash.
   door: Door,
+  /// What servers in need said.
+  pub(crate) limits: Limits,
   /// What this instance may use of quotas.
-  purse: Purse,
+  pub(crate) purse: Purse,
   /// What all instances keep of customers' quotas.
   quota_bound: quota::Bound,
   turns: Turns,
@@ -356,6 +387,7 @@
       early: BTreeMap::new(),
       updates: 0,
       door: Door::default(),
+      limits: Limits::default(),
       purse: Purse::open(seed),
       quota_bound: quota::BOUND,
       turns: Turns::default(),
@@ -411,6 +443,8 @@
         self.purse.grant(now, sent, &grants);
         self.place_waiting();
       }
+      Event::Named { ticket, rate } => self.named(ticket, rate),
+      Event::Limits(statements) => self.hear_limits(&statements),
       Event::Suspected(entries) => self.door.suspect(now, &entries),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
@@ -449,6 +483,8 @@
       paid: false,
       asked: None,
       tag: None,
+      room: None,
+      wants: None,
     };
     self.requests.insert(ticket, request);
     if self.now >= self.new_until {
@@ -543,7 +579,7 @@
     self.out.push(Effect::Wait(ticket, until));
   }
 
-  /// What is used of customers' quotas here, and needed, for the holder of the lease.
+  /// What is used of quotas here, and needed, for the holder of the lease.
   pub fn uses(&mut self, now: u64) -> Vec<Use> {
     let mut needs: HashMap<quota::Id, u32> = HashMap::new();
     for (.., ticket) in &self.waiting {
@@ -551,16 +587,30 @@
       if let (false, Some(caller)) = (request.paid, request.ask.caller) {
         *needs.entry(caller.customer).or_default() += caller.cost;
       }
+      if let Some((id, _)) = request.wants {
+        *needs.entry(id).or_default() += 1;
+      }
     }
     self.purse.uses(now, &needs)
   }
 
+  /// What servers in need said, as this instance knows it.
+  pub fn limits(&self) -> &Limits {
+    &self.limits
+  }
+
+  /// Servers whose limits have changed since this was last asked, and whether this instance heard
+  /// that of the server.
+  pub fn take_limits(&mut self) -> Vec<(Life, bool)> {
+    self.limits.take_changed()
+  }
+
   /// Bounds what all instances keep of customers' quotas.
   pub fn bound_quotas(&mut self, bound: quota::Bound) {
     self.quota_bound = bound;
   }
 
-  /// What this instance knows of its customers' quotas.
+  /// What this instance knows of quotas.
   pub fn purse(&self) -> &Purse {
     &self.purse
   }
@@ -570,7 +620,7 @@
   }
 
   /// Refuses a request; its caller may come back after some time, ms.
-  fn send_back(&mut self, ticket: Ticket, reason: Reason, retry_after: u64) {
+  pub(crate) fn send_back(&mut self, ticket: Ticket, reason: Reason, retry_after: u64) {
     let Some(request) = self.requests.get(&ticket) else {
       return;
     };
@@ -614,18 +664,28 @@
     if !self.pay(ticket) {
       return;
     }
-    let chosen = match pass {
-      Pass::Wait(_) => None,
+    let choice = match pass {
+      Pass::Wait(until) => return self.hold_suspect(ticket, until),
       Pass::Apart(crashes) => self.choose(ticket, Some(crashes)),
       Pass::Free | Pass::Never => self.choose(ticket, None),
     };
-    match (chosen, pass) {
-      (Some(key), _) => self.send(ticket, key),
-      (None, Pass::Wait(until)) => self.hold_suspect(ticket, until),
-      (None, _) => self.hold(ticket),
+    match choice {
+      Choice::Server(key) => self.send(ticket, key),
+      Choice::Ask(until) => self.ask_for_room(ticket, until),
+      Choice::Full(after) => self.hold_full(ticket, after),
+      Choice::Nobody => self.hold(ticket),
     }
   }
 
+  /// Lets a request wait for a unit of a server's limit, which was asked for.
+  fn ask_for_room(&mut self, ticket: Ticket, until: u64) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let until = until.min(request.ask.until).min(self.now + quota::AGAIN_MS);
+    self.wait(ticket, until);
+  }
+
   /// Lets a request that may be to blame for crashes wait for its turn.
   fn hold_suspect(&mut self, ticket: Ticket, turn: u64) {
     let Some(request) = self.requests.get(&ticket) else {
@@ -647,7 +707,7 @@
     }
   }
 
-  fn hold(&mut self, ticket: Ticket) {
+  pub(crate) fn hold(&mut self, ticket: Ticket) {
     let now = self.now;
     let silent = self.updated_at > 0 && now > self.updated_at + ISOLATED_MS;
     let isolated = silent && self.store_lost;
@@ -709,8 +769,10 @@
     if let Some(model) = &request.ask.model {
       *self.running.entry((key, model.clone())).or_default() += 1;
     }
+    let limited = self.limits.rate(backend.spec.life()).is_some();
     let attempt = Attempt {
       ticket,
+      limited,
       backend: key,
       id: backend.spec.id.clone(),
       address: backend.spec.address,
@@ -733,6 +795,10 @@
       request.tried.push(key);
     }
     request.verdict = request.verdict.and(end.verdict());
+    self.free_room(ticket, end.reached());
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
     let model = request.ask.model.clone();
     if end == End::Full {
       self.declined(ticket);
@@ -898,12 +964,13 @@
     pool.engine.as_deref()
   }
 
-  /// The server for a request's next send; one that was in so many crashes parts from others.
-  fn choose(&mut self, ticket: Ticket, crashes: Option<u32>) -> Option<backend::Key> {
-    let request = self.requests.get(&ticket)?;
-    let ask = &request.ask;
-    let slots = self.engine(&ask.pool).map(|engine| engine.slots);
+  /// Servers that could take a request now, with their load.
+  pub(crate) fn fitting(&self, ticket: Ticket) -> Vec<(backend::Key, u32)> {
     let mut found: Vec<(backend::Key, u32)> = Vec::new();
+    let Some(request) = self.requests.get(&ticket) else {
+      return found;
+    };
+    let ask = &request.ask;
     for (key, backend) in &self.backends {
       let fits = backend.spec.pool == ask.pool
         && backend.usable(self.now)
@@ -916,18 +983,31 @@
         found.push((key, load));
       }
     }
+    found
+  }
+
+  /// The server among some that a request goes to; one that was in so many crashes parts from
+  /// others.
+  pub(crate) fn pick(
+    &mut self,
+    ticket: Ticket,
+    found: &[(backend::Key, u32)],
+    crashes: Option<u32>,
+  ) -> Option<backend::Key> {
+    let ask = &self.requests.get(&ticket)?.ask;
     if let Some(crashes) = crashes {
-      let seed = ask.content.draw(crashes);
-      return self.nearest_hash(&found, seed);
+      return self.nearest_hash(found, ask.content.draw(crashes));
     }
+    let slots = self.engine(&ask.pool).map(|engine| engine.slots);
     let least = found.iter().map(|(_, load)| *load).min()?;
     let ahead = slots.map_or(0, |slots| slots * AHEAD_PERCENT / 100);
-    found.retain(|(_, load)| *load <= least + ahead);
+    let near = found.iter().filter(|(_, load)| *load <= least + ahead);
+    let near: Vec<(backend::Key, u32)> = near.copied().collect();
     if slots.is_some() {
-      return self.nearest_hash(&found, ask.affinity);
+      return self.nearest_hash(&near, ask.affinity);
     }
-    let pick = self.rng.random_range(0..found.len());
-    Some(found[pick].0)
+    let pick = self.rng.random_range(0..near.len());
+    Some(near[pick].0)
   }
 
   /// The server that a seed names among some, the same one at all instances.
@@ -939,7 +1019,7 @@
     best.map(|(key, _)| *key)
   }
 
-  fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
+  pub(crate) fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
     match &ask.model {
       Some(model) => {
         let until = self.current_until();
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -254,6 +254,10 @@
       },
     };
     self.send_parts(head, update, &others);
+    if new {
+      let limits = self.hub.state().limits.all(now);
+      self.publish_limits(limits, &others);
+    }
     let pause = self.outbox.drained_ms();
     self.groups[index].plan.pace(pause);
     if mine {
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -191,6 +191,11 @@
           self.want_bell.ring();
           continue;
         }
+        Effect::Limited { id, rate } => {
+          info!(self.log, "server limit"; "server" => id, "rate" => rate);
+          self.want_bell.ring();
+          continue;
+        }
         Effect::Gone(id) => {
           info!(self.log, "server is gone"; "server" => id,
             "why" => "its entry did not come back with the store");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod life;
+pub mod limit;
 pub mod listing;
 pub mod losses;
 pub mod measures;
--- /dev/null
+++ b/src/limit/room.rs
@@ -0,0 +1,185 @@
+//! Which server a request goes to, where some are in need.
+
+use super::{Statement, allowance};
+use crate::{
+  ask::Ticket,
+  backend::{self, Backend},
+  cold::give_up_at,
+  dispatch::{Effect, Request, State},
+  life::Life,
+  quota::{AGAIN_MS, Id, Spending},
+  refusal::Reason,
+  verdict::Verdict,
+};
+
+/// The server for a request's next send.
+pub(crate) enum Choice {
+  Server(backend::Key),
+  /// A server's unit is asked for; it is looked at again at this time, ms.
+  Ask(u64),
+  /// Those that could take it are in need and have no room; some after so long, ms.
+  Full(u64),
+  /// There is none.
+  Nobody,
+}
+
+/// What a server's limit leaves for a request.
+enum Room {
+  Free,
+  Ask(u64),
+  Full(u64),
+}
+
+impl State {
+  /// Chooses the server for a request's next send; one that was in so many crashes parts from
+  /// others.
+  pub(crate) fn choose(&mut self, ticket: Ticket, crashes: Option<u32>) -> Choice {
+    let mut found = self.fitting(ticket);
+    let mut full: Option<u64> = None;
+    while let Some(key) = self.pick(ticket, &found, crashes) {
+      found.retain(|(other, _)| *other != key);
+      match self.room(ticket, key, found.is_empty()) {
+        Room::Free => return Choice::Server(key),
+        Room::Ask(until) => return Choice::Ask(until),
+        Room::Full(after) => full = Some(full.map_or(after, |least| least.min(after))),
+      }
+    }
+    full.map_or(Choice::Nobody, Choice::Full)
+  }
+
+  /// Takes a unit of a server in need for a request, where there is one; `last`: no other server
+  /// can take it.
+  fn room(&mut self, ticket: Ticket, key: backend::Key, last: bool) -> Room {
+    let now = self.now;
+    let server = self.backends[key].spec.life();
+    let (Some(rate), Some(request)) = (self.limits.rate(server), self.requests.get_mut(&ticket))
+    else {
+      return Room::Free;
+    };
+    let id = Id::of_life(server);
+    let asked = request.wants.filter(|(wanted, _)| *wanted == id);
+    let asked = asked.map(|(_, since)| since);
+    let patience = asked.unwrap_or(now) + AGAIN_MS;
+    if !last && now >= patience {
+      // Another one can take it now.
+      return Room::Full(AGAIN_MS);
+    }
+    let own = (id, &allowance(rate));
+    match self.purse.spend(now, own, 1, asked, self.instances) {
+      Spending::Spent => {
+        request.room = Some(id);
+        request.wants = None;
+        Room::Free
+      }
+      Spending::Ask(until) => {
+        if asked.is_none() {
+          request.wants = Some((id, now));
+          self.out.push(Effect::Need);
+        }
+        Room::Ask(if last { until } else { patience })
+      }
+      Spending::Over(after) => {
+        request.wants = None;
+        Room::Full(after)
+      }
+    }
+  }
+
+  /// A send has ended that surely did not reach its server: its unit is free again.
+  pub(crate) fn free_room(&mut self, ticket: Ticket, reached: bool) {
+    let request = self.requests.get_mut(&ticket);
+    let room = request.and_then(|request| request.room.take());
+    if let (Some(id), false) = (room, reached) {
+      self.purse.give_back(id, 1);
+    }
+  }
+
+  /// Goes on with a request whose servers have no room, as their limits say: their model may be
+  /// loaded elsewhere in time; otherwise it is refused at once. One that has begun waits for room
+  /// as long as its caller does: nothing else could go on with it.
+  pub(crate) fn hold_full(&mut self, ticket: Ticket, after: u64) {
+    let Some(request) = self.requests.get(&ticket).cloned() else {
+      return;
+    };
+    let sound = self
+      .servers_of(&request)
+      .any(|backend| !self.in_need(backend));
+    if sound || request.verdict != Verdict::NotRun {
+      return self.hold(ticket);
+    }
+    let after = after.max(1);
+    match self.ready_elsewhere(&request) {
+      Some(ready) if ready <= give_up_at(&request) => self.hold(ticket),
+      Some(_) => {
+        // The next one finds it loaded.
+        self.want(&request.ask, after);
+        self.out.push(Effect::Want);
+        self.send_back(ticket, Reason::ServerLimit, after);
+      }
+      None => self.send_back(ticket, Reason::ServerLimit, after),
+    }
+  }
+
+  /// Servers that take work and could run a request.
+  fn servers_of<'a>(&'a self, request: &'a Request) -> impl Iterator<Item = &'a Backend> {
+    let backends = self.backends.iter();
+    backends
+      .filter(|(key, backend)| {
+        let ask = &request.ask;
+        backend.spec.pool == ask.pool
+          && !backend.leaves()
+          && !request.tried.contains(key)
+          && self.fits(backend, ask)
+      })
+      .map(|(_, backend)| backend)
+  }
+
+  /// Whether a server named a limit.
+  pub(crate) fn in_need(&self, backend: &Backend) -> bool {
+    self.limits.rate(backend.spec.life()).is_some()
+  }
+
+  /// The answer of a send has come, and names a limit or none.
+  pub(crate) fn named(&mut self, ticket: Ticket, rate: Option<f64>) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let Some(backend) = request.at.and_then(|key| self.backends.get(key)) else {
+      return;
+    };
+    let server = backend.spec.life();
+    // Whether it needs help still was known to it when the request arrived, or later.
+    let at = if rate.is_some() {
+      self.now
+    } else {
+      request.sent
+    };
+    if self.limits.hear(server, rate, at, true) {
+      self.limit_changed(server, rate);
+    }
+  }
+
+  /// Takes up what other instances heard of servers' limits.
+  pub(crate) fn hear_limits(&mut self, statements: &[Statement]) {
+    for statement in statements {
+      let at = self.now.saturating_sub(statement.age_ms.into());
+      let (server, rate) = (statement.server, statement.rate);
+      if self.limits.hear(server, rate, at, false) {
+        self.limit_changed(server, rate);
+      }
+    }
+  }
+
+  fn limit_changed(&mut self, server: Life, rate: Option<f64>) {
+    let there: Vec<_> = self.backends.values().map(|one| one.spec.life()).collect();
+    self.limits.forget(self.now, |life| there.contains(&life));
+    self.updates += 1;
+    let ids = self.backends.values();
+    let id = ids
+      .map(|backend| &backend.spec)
+      .find(|spec| spec.life() == server);
+    let id = id.map(|spec| spec.id.clone()).unwrap_or_default();
+    self.out.push(Effect::Limited { id, rate });
+    self.place_waiting();
+  }
+}
--- a/src/message.rs
+++ b/src/message.rs
@@ -7,6 +7,7 @@
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Question},
+  limit::Statement,
   placement::plan::Report,
   quota::{Grant, Sums, Use},
 };
@@ -29,21 +30,25 @@
   Quarantine(Vec<Quarantined>),
   /// Requests that may be to blame for crashes.
   Suspects(Vec<Suspected>),
-  /// What an instance has used of customers' quotas.
+  /// What an instance has used of quotas.
   Uses(Uses),
   /// The holder's answer.
   Grants(Grants),
+  /// What backend servers in need say.
+  Limits(Vec<Statement>),
 }
 
-/// What an instance has used of customers' quotas; also without any use it asks how far the
-/// holder has followed the deployment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What an instance has used of quotas; also without any use it asks how far the holder has
+/// followed the deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Uses {
   /// Names the instance's process.
   pub process: u64,
   /// When it was sent, ms on the sender's clock.
   pub sent: u64,
   pub uses: Vec<Use>,
+  /// What servers in need said to it.
+  pub limits: Vec<Statement>,
 }
 
 /// The holder's answer to an instance's uses.
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -29,6 +29,10 @@
 /// load it, ms: an order is published within some ten.
 const TURN_MS: u64 = 300;
 
+/// What a load costs more at a server that needs help, ms: more than any other, for it could not
+/// serve the requests that the load is for.
+const LIMITED_COST: u64 = 60_000;
+
 /// A server that can take a load.
 struct Choice {
   cost: u64,
@@ -79,6 +83,12 @@
     &self.models[model].holders
   }
 
+  /// How many of them need no help.
+  pub(crate) fn sound_holders(&self, model: models::Key) -> usize {
+    let holders = self.holders(model).iter();
+    holders.filter(|key| !self.servers[**key].limited).count()
+  }
+
   /// Whether a server that takes work, and does not hold the model, has a copy of its
   /// checkpoint.
   fn copied(&self, model: models::Key) -> bool {
@@ -228,6 +238,7 @@
     let load = size.load_ms(tier);
     let others = load as f64 * server.occupied;
     let cost = cost + load + others as u64 + LOAD_COST * u64::from(server.load());
+    let cost = cost + LIMITED_COST * u64::from(server.limited);
     if best.as_ref().is_none_or(|best| cost < best.cost) {
       *best = Some(Choice {
         cost,
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -98,6 +98,8 @@
   /// Adapter orders under way.
   pub(crate) adapters: Vec<(models::Key, Act)>,
   pub(crate) rest_until: u64,
+  /// It needs help: it takes less than its requests.
+  pub(crate) limited: bool,
   /// When it was last asked because a request did not find a model there, ms.
   pub(crate) rechecked: u64,
   /// Questions without an answer, in a row.
@@ -140,6 +142,7 @@
       job: None,
       adapters: Vec::new(),
       rest_until: 0,
+      limited: false,
       rechecked: 0,
       silent: 0,
       used: BTreeMap::new(),
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -242,6 +242,13 @@
     true
   }
 
+  /// Takes up which servers need help.
+  pub fn limited(&mut self, lives: &BTreeSet<Life>) {
+    for server in self.servers.values_mut() {
+      server.limited = lives.contains(&server.spec.life());
+    }
+  }
+
   /// Takes a server out, with all that is looked up by it.
   fn take_out(&mut self, key: held::Key) -> Option<Server> {
     self.leave(key);
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -45,7 +45,7 @@
     seen.sort_by(|one, two| loss(two).total_cmp(&loss(one)));
     for (model, mean) in seen {
       let entry = &self.models[model];
-      let holders = entry.holders.len();
+      let holders = self.sound_holders(model);
       let load = strain_of(entry, self.now);
       let needed = (load / STRAINED).ceil() as usize;
       let wanted = match mean >= STRAINED {
@@ -116,7 +116,7 @@
   /// Whether the other replicas of a model can take over the requests of one.
   fn spare(&self, model: models::Key) -> bool {
     let entry = &self.models[model];
-    let holders = entry.holders.len() as u32;
+    let holders = self.sound_holders(model) as u32;
     let least = if self.heavy(model) { 2 } else { 1 };
     if holders <= self.policy(model).min_replicas.max(least) {
       return false;
--- a/src/placement/wanted.rs
+++ b/src/placement/wanted.rs
@@ -95,14 +95,14 @@
     self.needs = needs;
   }
 
-  /// Demand for models that no server holds, adapters taken together: what gains most
-  /// from being loaded now goes first.
+  /// Demand for models that no server holds but such as need help, adapters taken together: what
+  /// gains most from being loaded now goes first.
   fn without_holder(&self, needs: &[Need]) -> Vec<Need> {
     let mut sums: BTreeMap<models::Key, Need> = BTreeMap::new();
     for need in needs {
       let base = self.models[need.model].base;
       let entry = &self.models[base];
-      if !entry.holders.is_empty() || entry.elsewhere > 0 {
+      if self.sound_holders(base) > 0 || entry.elsewhere > 0 {
         continue;
       }
       let sum = sums.entry(base).or_insert_with(|| Need::nobody(base));
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -15,6 +15,7 @@
   hub::Hub,
   lease::promise,
   lease::{self, Lease},
+  life::Life,
   message::Message,
   outbox::{self, Outbox},
   placement::plan::{Effect, Other, Plan, Report},
@@ -88,6 +89,9 @@
 /// A holder that never read policies orders nothing for this long, ms: it would load more
 /// replicas than they allow. Then it serves without: the store may not give them at all.
 const POLICIES_WAIT_MS: u64 = 3_000;
+/// A wait that ends so much later than it should shows that this process stood still, ms: at a
+/// tenth of a processor its thread waits for some ten at the most.
+const STALLED_MS: u64 = 500;
 /// A step is followed by a rest of this many times its length: the holder serves
 /// requests too.
 const PACE: u32 = 6;
@@ -158,6 +162,8 @@
   pub(crate) outbox: Outbox,
   /// A holder lacks this instance's report, or it lacks changes.
   pub(crate) behind: bool,
+  /// This process stood still: what its socket holds now may be old.
+  pub(crate) woken: bool,
   /// Reports in a row that asked for changes.
   pub(crate) lacked: u32,
   /// Instances that holders published.
@@ -168,7 +174,10 @@
   /// Crashes to report, and what is kept from servers to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
-  /// What all instances use of customers' quotas, while this one holds the lease.
+  /// What servers in need said: to report, and to publish.
+  pub(crate) reported_limits: Repeated<Life>,
+  pub(crate) published_limits: Repeated<Life>,
+  /// What all instances use of quotas, while this one holds the lease.
   pub(crate) accounts: Accounts,
   pub(crate) quota_bound: Bound,
   /// Names this process among those that report uses.
@@ -214,12 +223,15 @@
     reluctance: reluctance(&routing),
     outbox: Outbox::open((routing.link_mbps * BITS_MS / BITS / PUBLISH_PART) as u64),
     behind: false,
+    woken: false,
     lacked: 0,
     members: Vec::new(),
     registry: Registry::default(),
     stored_quarantine: stored::Stored::default(),
     reported_crashes: Repeated::default(),
     published_quarantine: Repeated::default(),
+    reported_limits: Repeated::default(),
+    published_limits: Repeated::default(),
     accounts: Accounts::default(),
     quota_bound: routing.quota_bound(),
     process: rand::random(),
@@ -282,6 +294,7 @@
         warn!(self.hub.log, "planner cannot wait"; "until_ms" => due);
         return;
       };
+      self.woken = self.hub.now() > due + STALLED_MS;
       if wanted {
         self.hub.want_bell.clear();
       }
@@ -298,6 +311,7 @@
       self.lease();
       self.read_policies();
       self.store_quarantine();
+      self.limits();
       self.report_uses(wanted);
       self.report(wanted);
       self.publish_changes();
@@ -316,6 +330,7 @@
       "leases_lapsed" => self.groups.iter()
         .filter(|group| group.holding && group.lease.term(now).is_none()).count());
     self.behind = true;
+    self.woken = true;
   }
 
   fn due(&self, now: u64) -> u64 {
@@ -330,13 +345,15 @@
         due = due.min(self.policies_at);
       }
     }
-    let crashes = [
+    let repeated = [
       self.registry.settled_at(),
       self.reported_crashes.due(),
       self.published_quarantine.due(),
+      self.reported_limits.due(),
+      self.published_limits.due(),
     ];
-    for repeated in crashes {
-      due = due.min(repeated.unwrap_or(due));
+    for next in repeated {
+      due = due.min(next.unwrap_or(due));
     }
     if self.outbox.waits() {
       due = due.min(now + outbox::SLOT_MS);
@@ -372,6 +389,7 @@
         Ok(Message::Suspects(entries)) => self.hub.apply(Event::Suspected(entries), None),
         Ok(Message::Uses(uses)) => self.hear_uses(now, &uses, from),
         Ok(Message::Grants(answer)) => self.hear_grants(answer),
+        Ok(Message::Limits(statements)) => self.hear_limits(statements),
         Ok(Message::Promise(index, promise)) => {
           if let Some(group) = self.groups.get_mut(index as usize) {
             group.lease.promised(&promise);
@@ -619,6 +637,7 @@
       let others = others.map(|(id, key)| other(backend::group(id, groups), &state.backends[*key]));
       group.plan.others(others.collect());
     }
+    group.plan.limited(&state.limits.servers().collect());
     group.seen = counts;
   }
 
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -199,7 +199,10 @@
     // What is granted ahead is bounded by the reserve, and refuses nobody; nor do requests whose
     // units count twice while they are taken back and granted anew.
     let spread = allowance.reserve() * SPREAD;
-    let mut level = allowed + account.ahead + spread - account.window.sum(now);
+    // What was granted for requests is mostly used by now: 13 requests in 40 ms went to a server
+    // that takes one in two seconds while all that is granted counted as unused.
+    let ahead = purse::ahead(allowance);
+    let mut level = allowed + account.ahead.min(ahead) + spread - account.window.sum(now);
     let lately = |(since, _): &(u64, bool)| now < since + allowance.bound.window_ms;
     if let Some((since, known)) = self.took_over.filter(lately) {
       // What was used in the half second after the last word of the one before.
@@ -213,7 +216,7 @@
       true => need,
       false => need + account.ahead_for(now, line),
     };
-    let room = (purse::ahead(allowance) - account.ahead).max(need);
+    let room = (ahead - account.ahead).max(need);
     let granted = wanted.min(room).min(level).max(0.0).floor();
     account.grant(now, granted);
     line.granted = granted;
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -179,7 +179,9 @@
         allowance.window() + reserve - used - rate * UNKNOWN_S
       }
       // What was used before it started is not known to it.
-      None => rate * (now - self.started) as f64 / 1_000.0,
+      None => allowance
+        .window()
+        .min(rate * (now - self.started) as f64 / 1_000.0),
     };
     (all / instances.max(1) as f64 - apart).max(0.0)
   }
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -1,5 +1,5 @@
-//! How customers' quotas are kept over all instances: each reports to the holder of the lease
-//! what it has used and needs, and gets back how far it may go.
+//! How quotas of customers and limits of servers are kept over all instances: each reports to the
+//! holder of the lease what it has used and needs, and gets back how far it may go.
 //!
 //! The same answer confirms what an instance knows of keys: it names how far the holder has
 //! followed the deployment, as of the question. So a datagram that waited in the socket of a
@@ -9,6 +9,7 @@
   customer::{Book, Standing},
   dispatch::Event,
   hub::lock,
+  limit::Limits,
   message::{Grants, Message, Uses},
   planner::Planner,
   quota::{Accounts, Allowance, Bound, Grant, Id, Sums, Use},
@@ -40,10 +41,22 @@
 /// The field of the lease's record that keeps it.
 const SUMS_FIELD: &str = "sums";
 
-/// What a customer may use.
-fn allowance(book: &Book, bound: Bound, id: Id) -> Option<Allowance> {
-  let quota = book.get(id)?.quota?;
-  Some(Allowance { quota, bound })
+/// What customers may use, and servers in need may be sent.
+struct Allowances {
+  book: Option<Arc<Book>>,
+  bound: Bound,
+  limits: Limits,
+}
+
+impl Allowances {
+  fn get(&self, id: Id) -> Option<Allowance> {
+    let customer = self.book.as_ref().and_then(|book| book.get(id));
+    let own = customer.map(|customer| {
+      let bound = self.bound;
+      customer.quota.map(|quota| Allowance { quota, bound })
+    });
+    own.unwrap_or_else(|| self.limits.allow(id))
+  }
 }
 
 impl Planner {
@@ -53,19 +66,23 @@
     if !wanted && now < self.uses_at {
       return;
     }
-    let Some(book) = self.book() else {
-      self.uses_at = now + REPORT_MOST_MS;
-      return;
-    };
-    let (uses, ask_at) = {
+    let (uses, ask_at, limited) = {
       let mut state = self.hub.state();
-      (state.uses(now), state.purse().ask_at())
+      let keyed = state.deployment.as_ref();
+      let keyed = keyed.is_some_and(|deployment| deployment.customers.is_some());
+      let limited = state.limits.any();
+      if !keyed && !limited && self.reported_limits.due().is_none() {
+        self.uses_at = now + REPORT_MOST_MS;
+        return;
+      }
+      (state.uses(now), state.purse().ask_at(), limited)
     };
     let needed = uses.iter().any(|one| one.need > 0);
-    if now < self.uses_at && !needed {
+    let said = self.reported_limits.due().is_some_and(|due| now >= due);
+    if now < self.uses_at && !needed && !said {
       return;
     }
-    let pause = match uses.is_empty() {
+    let pause = match uses.is_empty() && !limited {
       true => REPORT_MOST_MS,
       false => self.report_pause(),
     };
@@ -73,7 +90,7 @@
       true => ask_at.max(now + 1),
       false => now + pause,
     };
-    self.send_uses(now, uses, &book);
+    self.send_uses(now, uses);
   }
 
   fn report_pause(&self) -> u64 {
@@ -81,15 +98,18 @@
     (instances * REPORT_INSTANCE_MS).clamp(REPORT_MS, REPORT_MOST_MS)
   }
 
-  fn send_uses(&mut self, now: u64, uses: Vec<Use>, book: &Book) {
+  fn send_uses(&mut self, now: u64, uses: Vec<Use>) {
+    let limits = self.limits_for(now, &uses);
     let Some(group) = self.groups.first() else {
       return;
     };
     if group.holding {
-      let grants = self.account(now, self.own, self.process, &uses, book);
+      let grants = self.account(now, self.own, self.process, &uses);
       let sent = now;
       self.hub.apply(Event::Granted { sent, grants }, None);
-      self.note_standings(now, book);
+      if let Some(book) = self.book() {
+        self.note_standings(now, &book);
+      }
       return;
     }
     let Some(holder) = group.lease.holder().filter(|holder| *holder != self.own) else {
@@ -99,31 +119,27 @@
       process: self.process,
       sent: now,
       uses,
+      limits,
     };
     self.send(&Message::Uses(uses), &[holder]);
   }
 
-  fn account(
-    &mut self,
-    now: u64,
-    from: SocketAddr,
-    process: u64,
-    uses: &[Use],
-    book: &Book,
-  ) -> Vec<Grant> {
+  fn account(&mut self, now: u64, from: SocketAddr, process: u64, uses: &[Use]) -> Vec<Grant> {
     let instance = xxh3_64_with_seed(from.to_string().as_bytes(), process);
-    let bound = self.quota_bound;
-    let allow = |id| allowance(book, bound, id);
+    let allowances = self.allowances();
+    let allow = |id| allowances.get(id);
     self.accounts.report(now, instance, uses, allow)
   }
 
   /// Answers an instance that reports its uses.
   pub(crate) fn hear_uses(&mut self, now: u64, uses: &Uses, from: SocketAddr) {
     let holding = self.groups.first().is_some_and(|group| group.holding);
-    let (true, Some(book)) = (holding, self.book()) else {
+    if !holding {
       return;
-    };
-    let grants = self.account(now, from, uses.process, &uses.uses, &book);
+    }
+    // The units of a server that only this instance knows of are granted too.
+    self.hear_limits(uses.limits.clone());
+    let grants = self.account(now, from, uses.process, &uses.uses);
     let gate = &self.hub.gates.deployments;
     let Some(sure) = gate.sure_age() else {
       return;
@@ -159,20 +175,20 @@
     if now < self.sums_at {
       return Sums::new();
     }
-    let Some(book) = self.book() else {
-      return Sums::new();
-    };
     self.sums_at = now + SUMS_MS;
-    let bound = self.quota_bound;
-    self.accounts.sums(now, |id| allowance(&book, bound, id))
+    let allowances = self.allowances();
+    self.accounts.sums(now, |id| allowances.get(id))
   }
 
   /// Adds them to a record of the lease: after a loss of all instances nobody else knows them.
   pub(crate) fn with_sums(&mut self, now: u64, mut record: Value) -> Value {
-    let book = self.book();
-    let bound = self.quota_bound;
-    let sums = book.map(|book| self.accounts.sums(now, |id| allowance(&book, bound, id)));
-    if let (Some(sums), Some(fields)) = (sums, record.as_object_mut()) {
+    let allowances = self.allowances();
+    if allowances.book.is_none() {
+      // After a loss of all instances nobody knows of a server's limit, and it is named anew.
+      return record;
+    }
+    let sums = self.accounts.sums(now, |id| allowances.get(id));
+    if let Some(fields) = record.as_object_mut() {
       fields.insert(SUMS_FIELD.into(), json!(sums));
     }
     record
@@ -206,9 +222,8 @@
     info!(self.hub.log, "accounts opened"; "term" => term,
       "customers" => sums.map(|(_, sums)| sums.len()),
       "age_ms" => sums.map(|(heard, _)| now.saturating_sub(heard)));
-    let (book, bound) = (self.book(), self.quota_bound);
-    let allow = |id| allowance(book.as_ref()?, bound, id);
-    self.accounts = Accounts::open(now, sums, allow);
+    let allowances = self.allowances();
+    self.accounts = Accounts::open(now, sums, |id| allowances.get(id));
   }
 
   fn book(&self) -> Option<Arc<Book>> {
@@ -216,6 +231,16 @@
     state.deployment.as_ref()?.customers.clone()
   }
 
+  fn allowances(&self) -> Allowances {
+    let state = self.hub.state();
+    let deployment = state.deployment.as_ref();
+    Allowances {
+      book: deployment.and_then(|deployment| deployment.customers.clone()),
+      bound: self.quota_bound,
+      limits: state.limits.clone(),
+    }
+  }
+
   fn note_standings(&mut self, now: u64, book: &Book) {
     if now < self.standings_at {
       return;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -27,6 +27,8 @@
   KeysUnsure,
   /// Its customer is beyond its quota.
   QuotaExceeded,
+  /// The servers that could run it are in need, and their limits are reached.
+  ServerLimit,
 }
 
 impl Reason {
@@ -48,6 +50,7 @@
       Self::KeyUnknown => "key-unknown",
       Self::KeysUnsure => "keys-unsure",
       Self::QuotaExceeded => "quota-exceeded",
+      Self::ServerLimit => "server-limit",
     }
   }
 
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -3,10 +3,12 @@
 use super::{Outcome, Relay, Then, outcome, severed};
 use crate::{
   clock::Moment,
-  dispatch::{Attempt, End},
+  dispatch::{Attempt, End, Event},
   http::{Body, Framing, Request, Response},
+  limit,
   socket::{Fill, Socket, Want, wait},
 };
+use slog::warn;
 use std::{io, time::Duration};
 
 /// A repeatable request moves on when its server has not answered within this
@@ -24,6 +26,9 @@
 /// machine that says nothing accuses nobody.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Status of an answer of a server that is not the one meant, or lacks the model.
+const REPLACED: u16 = 421;
+
 /// Whether a connection to a server carries another request.
 #[derive(Clone, Copy)]
 enum Reuse {
@@ -261,6 +266,22 @@
     }
   }
 
+  /// Takes up which limit an answer names; one of another server at the address says nothing.
+  fn hear_limit(&self, status: u16, attempt: &Attempt) {
+    if status == REPLACED || self.limit.is_none() && !attempt.limited {
+      return;
+    }
+    let rate = match self.limit.as_deref().map(limit::parse).transpose() {
+      Ok(rate) => rate,
+      Err(error) => {
+        warn!(self.hub.log, "limit not understood"; "server" => &attempt.id, "error" => error);
+        return;
+      }
+    };
+    let ticket = self.ticket;
+    self.apply(Event::Named { ticket, rate });
+  }
+
   fn exchange(
     &mut self,
     socket: &mut Socket,
@@ -271,6 +292,8 @@
     let (head, framing) = self.head(socket)?;
     let dialect = &self.hub.dialect;
     self.limit = head.headers.get(dialect.limit).map(str::to_string);
+    self.hear_limit(head.status, attempt);
+    let dialect = &self.hub.dialect;
     let echoed = head.headers.get(dialect.request_id).is_some();
     let signed = head.headers.get(dialect.signature).is_some();
     let success = (200..300).contains(&head.status);
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,283 @@
+//! Limits of backend servers in need, kept over a fleet.
+
+mod fleet_limit;
+
+use bendsaddle::{
+  life::Life,
+  limit::{Limits, allowance, parse},
+};
+use fleet_limit::{Outcome, Story, WINDOW_MS, play};
+use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// A refused request waits for a unit of a server's limit at the most so long, ms: until the holder
+/// has answered, or is taken not to.
+const REFUSED_MS: u64 = 200;
+
+/// Three servers, one of which needs help from 4 s on.
+fn story(seed: u64, instances: usize, rate: f64) -> Story {
+  Story {
+    seed,
+    instances,
+    servers: 3,
+    load: 60.0,
+    named: vec![(4_000, Some(rate))],
+    restart: None,
+    herd: None,
+    cut: None,
+    frozen: None,
+    declined: 0.0,
+    broken: 0.0,
+    loss: 0.01,
+    length_ms: 20_000,
+  }
+}
+
+fn stories(instances: usize, rate: f64) -> Vec<(&'static str, Story)> {
+  let story = |seed| story(seed, instances, rate);
+  let half = instances / 2;
+  vec![
+    ("quiet", story(1)),
+    (
+      "the holder dies",
+      Story {
+        herd: Some((1, 9_000, true)),
+        ..story(2)
+      },
+    ),
+    (
+      "half of all and the holder die",
+      Story {
+        herd: Some((half, 9_000, true)),
+        ..story(3)
+      },
+    ),
+    (
+      "half of all start again",
+      Story {
+        herd: Some((half, 9_000, false)),
+        ..story(4)
+      },
+    ),
+    (
+      "three are cut off",
+      Story {
+        cut: Some((3, 3_000, 12_000)),
+        ..story(5)
+      },
+    ),
+    (
+      "three stand still",
+      Story {
+        frozen: Some((3, 7_000, 11_000)),
+        ..story(6)
+      },
+    ),
+    (
+      "declined, broken off and repeated",
+      Story {
+        declined: 0.3,
+        broken: 0.2,
+        ..story(7)
+      },
+    ),
+    (
+      "datagrams are lost",
+      Story {
+        loss: 0.15,
+        ..story(8)
+      },
+    ),
+    (
+      "the server starts again",
+      Story {
+        restart: Some(10_000),
+        ..story(9)
+      },
+    ),
+    (
+      "it stops saying so and begins again",
+      Story {
+        named: vec![(4_000, Some(rate)), (9_000, None), (13_000, Some(rate))],
+        ..story(10)
+      },
+    ),
+    (
+      "the limit changes",
+      Story {
+        named: vec![(4_000, Some(rate)), (9_000, Some(rate / 2.0))],
+        ..story(11)
+      },
+    ),
+    (
+      "all servers but it are gone",
+      Story {
+        servers: 1,
+        ..story(12)
+      },
+    ),
+  ]
+}
+
+fn kept(name: &str, outcome: &Outcome) {
+  println!("{name}: {outcome:?}");
+  assert!(outcome.beyond <= 0.0, "{name}: {outcome:?}");
+  assert!(
+    outcome.slowest_refusal_ms <= REFUSED_MS,
+    "{name}: {outcome:?}"
+  );
+}
+
+#[test]
+fn a_limit_holds_at_seven_instances() {
+  for rate in [1.0, 2.3, 0.3, 8.0] {
+    for (name, story) in stories(7, rate) {
+      kept(&format!("{name}, {rate} a second"), &play(&story));
+    }
+  }
+}
+
+#[test]
+fn a_limit_of_one_a_second_holds_at_295_instances() {
+  for (name, story) in stories(295, 1.0) {
+    kept(
+      name,
+      &play(&Story {
+        load: 600.0,
+        ..story
+      }),
+    );
+  }
+}
+
+#[test]
+fn what_a_lone_server_takes_is_used_and_the_rest_is_refused_at_once() {
+  for (instances, load) in [(7, 60.0), (295, 600.0)] {
+    for rate in [1.0, 2.3] {
+      let alone = Story {
+        servers: 1,
+        load,
+        ..story(20, instances, rate)
+      };
+      let outcome = play(&alone);
+      println!("{instances} instances, {rate} a second: {outcome:?}");
+      let used = outcome.got as f64 / outcome.allowed;
+      assert!(
+        used > 0.6,
+        "{instances}, {rate}: {used:.2} of the limit is used"
+      );
+      assert!(outcome.slowest_refusal_ms <= REFUSED_MS, "{outcome:?}");
+    }
+  }
+}
+
+#[test]
+fn where_others_have_room_nothing_is_refused() {
+  for instances in [7, 295] {
+    let outcome = play(&story(30, instances, 1.0));
+    assert_eq!(outcome.refused, 0, "{instances}: {outcome:?}");
+  }
+}
+
+#[test]
+fn a_server_that_names_no_limit_any_more_gets_its_share_again() {
+  for (instances, load) in [(7, 60.0), (295, 600.0)] {
+    let ends = Story {
+      load,
+      named: vec![(4_000, Some(1.0)), (9_000, None)],
+      ..story(40, instances, 1.0)
+    };
+    let outcome = play(&ends);
+    let share = load / 3.0;
+    assert!(
+      outcome.at_last as f64 > share / 2.0,
+      "{instances}: {outcome:?}"
+    );
+  }
+}
+
+/// Histories of deaths, suspensions, partitions, restarts and lost datagrams, all drawn.
+fn drawn(rng: &mut SmallRng) -> Story {
+  let rate = [0.5, 1.0, 2.3, 5.0][rng.random_range(0..4)];
+  let at = rng.random_range(4_500..12_000);
+  let mut story = Story {
+    instances: rng.random_range(2..30),
+    servers: rng.random_range(1..4),
+    load: rng.random_range(10.0..120.0),
+    loss: rng.random_range(0.0..0.2),
+    declined: rng.random_range(0.0..0.3),
+    broken: rng.random_range(0.0..0.3),
+    ..story(rng.random(), 7, rate)
+  };
+  let some = rng.random_range(1..=story.instances.div_ceil(2));
+  let what: u32 = rng.random();
+  if what & 1 > 0 {
+    story.herd = Some((some, at, what & 2 > 0));
+  }
+  if what & 4 > 0 {
+    story.cut = Some((some, at, at + 4_000));
+  }
+  if what & 8 > 0 {
+    story.frozen = Some((some, at, at + 3_000));
+  }
+  if what & 16 > 0 {
+    story.restart = Some(at + 1_500);
+  }
+  if what & 32 > 0 {
+    story.named.push((at, None));
+    story.named.push((at + 2_000, Some(rate)));
+  }
+  story
+}
+
+#[test]
+fn a_limit_holds_in_any_history() {
+  let mut rng = SmallRng::seed_from_u64(4_000);
+  for number in 0..150 {
+    let story = drawn(&mut rng);
+    let outcome = play(&story);
+    assert!(outcome.beyond <= 0.0, "{number}: {outcome:?} of {story:?}");
+  }
+}
+
+#[test]
+fn what_names_no_rate_is_said_with_its_value() {
+  assert_eq!(parse("2.3"), Ok(2.3));
+  assert_eq!(parse(" 1 "), Ok(1.0));
+  assert_eq!(parse("0"), Ok(0.0));
+  for text in ["", "-1", "NaN", "inf", "1/s", "1\r\n2"] {
+    let error = parse(text).unwrap_err();
+    assert_eq!(
+      error,
+      format!("limit: `{}` is not a rate", text.escape_debug())
+    );
+  }
+}
+
+#[test]
+fn a_later_word_counts_and_an_answer_from_before_ends_nothing() {
+  let server = Life::of("s", 1);
+  let mut limits = Limits::default();
+  assert!(limits.hear(server, Some(2.0), 100, true));
+  // Its request was sent before the limit was named.
+  assert!(!limits.hear(server, None, 100, true));
+  assert!(!limits.hear(server, Some(3.0), 90, false));
+  assert_eq!(limits.rate(server), Some(2.0));
+  assert!(limits.hear(server, None, 101, true));
+  assert_eq!(limits.rate(server), None);
+  assert_eq!(
+    limits.rate(Life::of("s", 2)),
+    None,
+    "its next life has said nothing"
+  );
+  assert_eq!(limits.take_changed(), [(server, true), (server, true)]);
+}
+
+quickcheck! {
+  /// Whatever rate is named, at least one request fits into a window.
+  fn a_window_holds_a_request(rate: f64) -> bool {
+    let rate = rate.abs();
+    let allowed = allowance(if rate.is_finite() { rate } else { 0.0 });
+    allowed.window() >= 1.0 && allowed.bound.window_ms == WINDOW_MS
+  }
+}
