soak: servers that name limits

Cause: neither the stand-in nor the soak could show a server in need, so no run could notice that its limit was not kept.

Change: a fault by which a server names half a request to six a second for 5 to 9 s, and a check that it gets no more than one and a half times that and five in any 4 s, counted from 0.5 s after an instance had an answer of it, but for instances that a fault struck. A switch by which servers do not name what they take must be noticed.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,6 +1,6 @@
 //! The promises, checked against a history.
 
-use crate::history::{End, FROZEN, History, Kind, Order, STOPPED, Sent, Target};
+use crate::history::{End, FROZEN, History, Kind, Limit, Order, STOPPED, Sent, Target};
 use std::collections::{BTreeMap, HashMap};
 
 /// Bounds that hold on top of the machine's own delays, ms.
@@ -20,6 +20,13 @@
   pub thaw_ms: u64,
   /// From the end of all faults to full service.
   pub recover_ms: u64,
+  /// From an answer that names a limit to the last request beyond it.
+  pub heard_ms: u64,
+  /// Window in which a limit is judged, and what it allows there on top: a part of it, and
+  /// requests besides.
+  pub limit_window_ms: u64,
+  pub limit_overage: f64,
+  pub limit_slack: f64,
   /// Replicas that the policy allows for the bounded model.
   pub replicas: usize,
   /// Whether bounds of time are checked: they depend on the machine's speed.
@@ -38,6 +45,10 @@
       lease_ms: 1_000,
       thaw_ms: 400,
       recover_ms: 6_000,
+      heard_ms: 500,
+      limit_window_ms: 4_000,
+      limit_overage: 0.5,
+      limit_slack: 5.0,
       replicas: 2,
       timed: true,
     }
@@ -84,6 +95,7 @@
   check.configurations();
   if bounds.timed {
     check.drained();
+    check.limits();
   }
   check.recovery();
   let mut found = check.found;
@@ -331,6 +343,69 @@
     }
   }
 
+  /// A server in need gets no more than it names, of the instances that it has told.
+  fn limits(&mut self) {
+    for limit in &self.history.limits {
+      let counted = self.told(limit);
+      let window_s = self.bounds.limit_window_ms as f64 / 1_000.0;
+      let allowed = limit.rate * window_s * (1.0 + self.bounds.limit_overage);
+      let allowed = (allowed + self.bounds.limit_slack) as usize;
+      let mut first = 0;
+      for (last, at) in counted.iter().enumerate() {
+        while counted[first] + self.bounds.limit_window_ms <= *at {
+          first += 1;
+        }
+        let got = last + 1 - first;
+        if got > allowed {
+          let (server, rate) = (&limit.server, limit.rate);
+          let text = format!(
+            "server `{server}` took {rate} requests a second and got {got} in {} ms, {allowed} are allowed",
+            self.bounds.limit_window_ms
+          );
+          self.found("limit", *at, text);
+          break;
+        }
+      }
+    }
+  }
+
+  /// When requests came to a server from instances that had heard its limit, but for those that
+  /// a fault struck meanwhile.
+  fn told(&self, limit: &Limit) -> Vec<u64> {
+    let sent: HashMap<&str, &Sent> = self
+      .history
+      .sent
+      .iter()
+      .map(|one| (&*one.id, one))
+      .collect();
+    let arrivals = self.history.arrivals.iter();
+    let arrivals: Vec<(u64, &Sent)> = arrivals
+      .filter(|one| one.server == limit.server && (limit.from..limit.to).contains(&one.at))
+      .filter_map(|one| Some((one.at, *sent.get(one.id.as_str())?)))
+      .collect();
+    let mut heard: BTreeMap<usize, u64> = BTreeMap::new();
+    for (_, sent) in &arrivals {
+      if matches!(sent.end, End::Success { .. }) {
+        let first = heard.entry(sent.instance).or_insert(u64::MAX);
+        *first = (*first).min(sent.ended);
+      }
+    }
+    let bound = self.bounds.heard_ms + self.slack();
+    let counts = |(at, sent): &(u64, &Sent)| {
+      let told = heard.get(&sent.instance);
+      let from = at.saturating_sub(self.bounds.contact_ms);
+      told.is_some_and(|told| *at >= told + bound)
+        && !self.troubled(&Target::Instance(sent.instance), from, *at)
+    };
+    let mut counted: Vec<u64> = arrivals
+      .iter()
+      .filter(|one| counts(one))
+      .map(|(at, _)| *at)
+      .collect();
+    counted.sort_unstable();
+    counted
+  }
+
   /// After all faults everything is served again.
   fn recovery(&mut self) {
     let from = self.history.calm_from + self.bounds.recover_ms;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -96,6 +96,23 @@
   pub at: u64,
 }
 
+/// A request that came to a backend server, run or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+  pub id: String,
+  pub server: String,
+  pub at: u64,
+}
+
+/// A server named a limit, requests a second, from a moment to another one.
+#[derive(Clone, Debug)]
+pub struct Limit {
+  pub server: String,
+  pub rate: f64,
+  pub from: u64,
+  pub to: u64,
+}
+
 /// An order as a backend server saw it.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -152,6 +169,9 @@
 pub struct History {
   pub sent: Vec<Sent>,
   pub runs: Vec<Run>,
+  /// Requests that came to servers which named limits.
+  pub arrivals: Vec<Arrival>,
+  pub limits: Vec<Limit>,
   pub orders: Vec<Order>,
   pub troubles: Vec<Trouble>,
   pub probes: Vec<Probe>,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -46,6 +46,8 @@
   OrdersLate,
   Cut(Cut),
   Delay,
+  /// It needs help, and names so many requests in ten seconds that it takes.
+  Limit(u32),
 }
 
 /// A fault; instances and servers by number.
@@ -121,12 +123,40 @@
 /// Mean pause between two of the faults that only later seeds have, ms.
 const EXTENDED_PAUSE_MS: u64 = 3_000;
 
+/// Seeds from this one on have servers that need help.
+const NEEDY: u64 = 10_000;
+/// Mean pause between two of them, ms; each needs help for longer than it takes to be told.
+const NEEDY_PAUSE_MS: u64 = 5_000;
+const NEEDY_MS: std::ops::Range<u64> = 5_000..9_000;
+/// Requests in ten seconds that one names.
+const NEEDY_RATE: std::ops::Range<u32> = 5..60;
+
 /// Draws a plan; the same seed and size give the same.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
   let mut steps = first(seed, size);
   if seed >= EXTENDED {
     steps.extend(further(seed, size));
-    steps.sort_by_key(|step| step.at);
+  }
+  if seed >= NEEDY {
+    steps.extend(needy(seed, size));
+  }
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
+/// Servers that name limits.
+fn needy(seed: u64, size: &Size) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..NEEDY_PAUSE_MS).min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let server = rng.random_range(0..size.servers * 2);
+    steps.push(Step {
+      at,
+      lasts: rng.random_range(NEEDY_MS),
+      fault: Fault::Server(server, Server::Limit(rng.random_range(NEEDY_RATE))),
+    });
+    at += rng.random_range(NEEDY_PAUSE_MS / 3..NEEDY_PAUSE_MS * 5 / 3);
   }
   steps
 }
--- a/soak/src/switch.rs
+++ b/soak/src/switch.rs
@@ -25,11 +25,13 @@
   Patience,
   /// No policy bounds the replicas.
   Policy,
+  /// Servers in need do not name their limits.
+  Limit,
 }
 
 impl Break {
   /// All switches, by name, with the promise whose check must notice.
-  pub const ALL: [(&'static str, Self, &'static str); 10] = [
+  pub const ALL: [(&'static str, Self, &'static str); 11] = [
     ("repeat", Self::Repeat, "once"),
     ("lie", Self::Lie, "refusal"),
     ("mix", Self::Mix, "answer"),
@@ -40,6 +42,7 @@
     ("memory", Self::Memory, "memory"),
     ("patience", Self::Patience, "in time"),
     ("policy", Self::Policy, "replicas"),
+    ("limit", Self::Limit, "limit"),
   ];
 
   /// The faults in which the broken mechanism shows.
@@ -59,6 +62,7 @@
         .map(|engine| step(300, 7_000, Fault::Server(engine, Server::Slow)))
         .chain([step(300, 7_000, Fault::Burst)])
         .collect(),
+      Self::Limit => vec![step(500, 7_000, Fault::Server(5, Server::Limit(10)))],
       // What only this server held is loaded where there is no room.
       Self::Memory => vec![step(500, 500, Fault::Server(0, Server::Crash))],
       Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Patience => {
--- a/soak/src/world/gather.rs
+++ b/soak/src/world/gather.rs
@@ -1,7 +1,7 @@
 //! What servers have seen, for the history.
 
 use super::{World, configuration::BOUNDED, lock};
-use crate::history::{History, Hold, Order, Run};
+use crate::history::{Arrival, History, Hold, Limit, Order, Run};
 use platform_stand_in::runner::Runner;
 use std::sync::atomic::Ordering;
 
@@ -27,6 +27,33 @@
     holds
   }
 
+  /// What a server named, and what came to it.
+  fn limits(&self, runner: &Runner, history: &mut History) {
+    let named = runner.limits();
+    if named.is_empty() {
+      return;
+    }
+    for (number, (from, rate)) in named.iter().enumerate() {
+      let Some(rate) = rate else {
+        continue;
+      };
+      let next = named.get(number + 1);
+      history.limits.push(Limit {
+        server: runner.id.clone(),
+        rate: *rate,
+        from: self.book.at(*from),
+        to: next.map_or(u64::MAX, |(to, _)| self.book.at(*to)),
+      });
+    }
+    for arrival in runner.arrivals() {
+      history.arrivals.push(Arrival {
+        id: arrival.id,
+        server: runner.id.clone(),
+        at: self.book.at(arrival.at),
+      });
+    }
+  }
+
   /// Adds what servers have seen to the history.
   pub(super) fn gather(&self) -> History {
     let mut history = self.book.note(std::mem::take);
@@ -46,6 +73,7 @@
           at: self.book.at(order.at),
         });
       }
+      self.limits(runner, &mut history);
       let holds = self.holds(runner, &history.gone);
       history.holds.extend(holds);
       let overfull = runner.overfull();
--- a/soak/src/world/place.rs
+++ b/soak/src/world/place.rs
@@ -82,6 +82,11 @@
       ),
       Server::LosesAnswers => feel(&runner, Mood { lose: 20, ..mood }, mood, lasts),
       Server::BreaksStreams => feel(&runner, Mood { cut: 30, ..mood }, mood, lasts),
+      Server::Limit(in_ten_seconds) => {
+        runner.limit(Some(f64::from(in_ten_seconds) / 10.0));
+        thread::sleep(lasts);
+        runner.limit(None);
+      }
       Server::OrdersLate => {
         self.late.store(true, Ordering::Relaxed);
         feel(&runner, Mood { late: 50, ..mood }, mood, lasts);
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -2,7 +2,10 @@
 
 use soak::{
   check::{Bounds, check},
-  history::{End, FROZEN, History, Hold, Kind, Order, Probe, Run, STOPPED, Sent, Target, Trouble},
+  history::{
+    Arrival, End, FROZEN, History, Hold, Kind, Limit, Order, Probe, Run, STOPPED, Sent, Target,
+    Trouble,
+  },
 };
 
 /// A history in which everything is served after the last fault.
@@ -261,3 +264,48 @@
   };
   assert!(check(&history, &bounds).is_empty());
 }
+
+/// A server that takes one request a second from 1 s on, and gets one every so many milliseconds
+/// from two instances.
+fn needy(pause_ms: u64) -> History {
+  let mut history = calm();
+  history.limits.push(Limit {
+    server: "a".into(),
+    rate: 1.0,
+    from: 1_000,
+    to: 10_000,
+  });
+  for (number, at) in (1_000..10_000).step_by(pause_ms as usize).enumerate() {
+    let id = format!("n{number}");
+    history.arrivals.push(Arrival {
+      id: id.clone(),
+      server: "a".into(),
+      at,
+    });
+    history.sent.push(Sent {
+      instance: number % 2,
+      at,
+      ended: at + 50,
+      ..sent(&id, Kind::Again, SERVED)
+    });
+  }
+  history
+}
+
+#[test]
+fn a_server_in_need_gets_what_it_takes() {
+  assert!(broken(&needy(400)).is_empty(), "ten in four seconds");
+  assert_eq!(broken(&needy(300)), ["limit"], "thirteen in four seconds");
+  let mut untold = needy(300);
+  untold.sent.iter_mut().for_each(|sent| {
+    if matches!(sent.end, End::Success { .. }) && sent.id.starts_with('n') {
+      sent.end = End::Left;
+    }
+  });
+  assert!(broken(&untold).is_empty(), "nobody had heard of it");
+  let mut frozen = needy(300);
+  frozen
+    .troubles
+    .push(trouble(Target::Instance(0), FROZEN, 2_000, 9_000));
+  assert!(broken(&frozen).is_empty(), "one of the two is excused");
+}
