--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,14 +1,25 @@
 //! Limits of backend servers in need, kept over a fleet.
 
 mod fleet_limit;
+#[allow(dead_code)]
+mod requests;
 
 use bendsaddle::{
+  ask::Ticket,
+  backend::Spec,
+  deployment::Engine,
+  dispatch::{Ask, Change, Effect, End, Event, State},
   life::Life,
   limit::{Limits, allowance, parse},
+  refusal::Reason,
+  route::{Repeat, Stream},
+  verdict::Verdict,
 };
 use fleet_limit::{Outcome, Story, WINDOW_MS, play};
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use requests::refused;
+use std::{collections::BTreeMap, sync::Arc};
 
 /// A refused request waits for a unit of a server's limit at the most so long, ms: until the holder
 /// has answered, or is taken not to.
@@ -281,3 +292,121 @@
     allowed.window() >= 1.0 && allowed.bound.window_ms == WINDOW_MS
   }
 }
+
+/// An instance without a holder, before some servers that hold one model.
+fn alone(ids: &[&str]) -> State {
+  let mut state = requests::deployed(Engine::default());
+  let specs = ids.iter().map(|id| Spec {
+    models: BTreeMap::from([("m".to_string(), Vec::new())]),
+    ..requests::spec(id)
+  });
+  state.reduce(0, Event::Servers(vec![Change::All(specs.collect())]));
+  state
+}
+
+fn arrived(ticket: u64) -> Event {
+  let stream = Stream {
+    resumable: true,
+    gap_ms: 300,
+  };
+  Event::Arrived(Ask {
+    ticket: Ticket(ticket),
+    id: ticket.to_string(),
+    route: Arc::new(requests::route(Repeat::Never, Some(stream), 3)),
+    pool: "pool".into(),
+    model: Some(bendsaddle::demand::Model::parse("m")),
+    affinity: 0,
+    until: 5_000,
+    content: Default::default(),
+    caller: None,
+  })
+}
+
+fn sent(effects: &[Effect]) -> Option<(String, bool)> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Send(attempt) => Some((attempt.id.clone(), attempt.limited)),
+    _ => None,
+  })
+}
+
+fn named(ticket: u64, rate: Option<f64>) -> Event {
+  let ticket = Ticket(ticket);
+  Event::Named { ticket, rate }
+}
+
+fn ended(ticket: u64, end: End) -> Event {
+  let ticket = Ticket(ticket);
+  Event::Ended { ticket, end }
+}
+
+/// Sends that one instance makes in two seconds to a server that takes one a second, while nobody
+/// grants it anything: its part of what an eighth of a fleet may send.
+#[test]
+fn an_instance_that_hears_of_no_holder_goes_by_its_share() {
+  let mut state = alone(&["s"]);
+  assert!(sent(&state.reduce(10, arrived(1))).is_some());
+  let effects = state.reduce(20, named(1, Some(1.0)));
+  assert!(matches!(
+    effects[..],
+    [Effect::Limited {
+      rate: Some(1.0),
+      ..
+    }]
+  ));
+  state.reduce(30, ended(1, End::Whole));
+  let mut sends = 0;
+  for ticket in 2..200 {
+    let now = 30 + ticket * 10;
+    let mut effects = state.reduce(now, arrived(ticket));
+    if sent(&effects).is_none() && refused(&effects).is_none() {
+      // Its patience is over.
+      effects = state.reduce(now + 160, Event::Look(Ticket(ticket)));
+    }
+    if sent(&effects).is_some() {
+      sends += 1;
+      state.reduce(now + 165, ended(ticket, End::Whole));
+    } else if let Some(refusal) = refused(&effects) {
+      assert_eq!(refusal.reason, Reason::ServerLimit);
+      assert_eq!(refusal.verdict, Verdict::NotRun);
+      assert!(refusal.retry_after.is_some_and(|after| after > 0));
+    }
+  }
+  assert!(sends <= 2, "{sends} requests");
+}
+
+#[test]
+fn a_stream_that_goes_on_elsewhere_takes_a_unit_there_too() {
+  let mut state = alone(&["one", "two"]);
+  // Both are in need.
+  let mut at = BTreeMap::new();
+  for ticket in 1..=20 {
+    let (id, _) = sent(&state.reduce(10, arrived(ticket))).unwrap();
+    state.reduce(11, named(ticket, Some(1.0)));
+    at.insert(id, ticket);
+    if at.len() == 2 {
+      break;
+    }
+  }
+  let broken = at["one"];
+  let effects = state.reduce(20, ended(broken, End::Broken));
+  assert_eq!(sent(&effects), None, "a unit of the other one is asked for");
+  assert!(effects.contains(&Effect::Need));
+  let uses = state.uses(20);
+  let needed: Vec<u32> = uses.iter().map(|one| one.need).collect();
+  assert!(needed.contains(&1), "{needed:?}");
+  let two = bendsaddle::quota::Id::of_life(Life::of("two", 0));
+  let grant = bendsaddle::quota::Grant {
+    id: two,
+    limit: 1,
+    over_ms: 0,
+  };
+  let granted = Event::Granted {
+    sent: 20,
+    grants: vec![grant],
+  };
+  let effects = state.reduce(25, granted);
+  assert_eq!(sent(&effects), Some(("two".to_string(), true)));
+  // It did not get there: the unit is free for the next one.
+  let effects = state.reduce(30, ended(broken, End::Unreached));
+  assert_eq!(state.purse().standing(30, two).1, 1, "{effects:?}");
+}
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -648,3 +648,35 @@
   let apart = |pair: &[u64]| pair[1] - pair[0] >= 1_500;
   assert!(published[1..].windows(2).all(apart), "{published:?}");
 }
+
+/// The holder loaded models onto servers that had just asked for less, and a model that only such
+/// a server held was loaded nowhere, however many requests waited for it.
+#[test]
+fn what_waits_for_a_model_of_a_server_in_need_has_it_loaded_elsewhere() {
+  let servers: &[(&str, &[&str], &[&str])] = &[
+    ("needy", &["a", "d"], &["a", "d", "e"]),
+    ("sound", &["a"], &["d", "e"]),
+  ];
+  let mut world = World::open(&["a", "d", "e"], servers);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(300);
+  assert!(world.orders.is_empty(), "its server takes what waits");
+  let needy = world.servers["needy"].spec.life();
+  world.plan.limited(&BTreeSet::from([needy]));
+  for (until, model) in [(1_500, "d"), (2_700, "e")] {
+    world.waiting = vec![(model.into(), 1)];
+    world.run(until);
+  }
+  let expected = ["d", "e"].map(|model| ("sound".to_string(), model.to_string()));
+  assert_eq!(world.loads(), expected);
+}
+
+#[test]
+fn a_server_in_need_takes_a_load_that_no_other_can_take() {
+  let mut world = World::open(&["a", "d"], &[("needy", &["a"], &["d"])]);
+  let needy = world.servers["needy"].spec.life();
+  world.plan.limited(&BTreeSet::from([needy]));
+  world.waiting = vec![("d".into(), 1)];
+  world.run(1_500);
+  assert_eq!(world.loads(), [("needy".to_string(), "d".to_string())]);
+}
