of a request that may crash servers one copy runs over all instances at a time

What callers saw: answers that broke off with a server that ended under copies of one request, those of others beside it.

Cause: what parts suspects names a server for a content, the same one at all instances; copies of it that wait at several instances are released together when a server comes back, and where one is left, the hash parts nothing. Instances that start had heard of no suspect.

Ruled out: that instances did not know (all seven did, two crashes); shorter or longer turns (they part contents in time, and are over when nobody can take any of them for seconds).

Change: from the second crash on each send of a suspect takes a leave, the one unit of a quota that all instances share for that content and that count of crashes, by the same purses and accounts as customers' quotas and servers' limits. It is given back when the run has ended without a crash, and counts for ten seconds where its instance died. After a crash nothing is given back: the next stage has a unit of its own for those who know of the crash. Suspects are published again each 2 s and to instances that start. Copies that wait longer than their callers are refused, not run. That nothing was used of quotas is published too, so a new holder knows it; a holder counts as silent when it leaves a need unanswered for a second, not when there was nothing to ask; of a quota of which silent instances have a part a whole unit can be granted still.

--- a/src/crash/door.rs
+++ b/src/crash/door.rs
@@ -7,7 +7,7 @@
 //! the third for the verdict. Pure: no I/O, no clock.
 
 use super::{
-  Crash, Quarantined, Suspected,
+  Crash, LISTED, Quarantined, Suspected,
   registry::{ALIKE_MS, CRASHES, SUSPICIOUS},
 };
 use crate::{content, life::Life};
@@ -26,7 +26,7 @@
 /// apart are both kept from servers after 1,500.
 const VERDICT_WAIT_MS: u64 = 1_700;
 /// Suspects are forgotten after this time, ms: each instance hears of later crashes anew.
-const SUSPECT_MS: u64 = 30_000;
+pub(super) const SUSPECT_MS: u64 = 30_000;
 /// Suspects remembered at the most, 100 bytes each; the ones least lately seen go first.
 const SUSPECTS: usize = 1_024;
 
@@ -134,6 +134,10 @@
       if entry.crashes < suspect.crashes {
         continue;
       }
+      if entry.turn == LISTED {
+        suspect.crashes = entry.crashes;
+        continue;
+      }
       let wait = match entry.crashes as usize {
         0..CRASHES => TURN_MS * u64::from(entry.turn.min(TURNS - 1)),
         _ => VERDICT_WAIT_MS,
--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -5,11 +5,14 @@
 //! server that begins to run it ends, with all that runs there. Pure: no I/O, no clock.
 
 mod door;
+pub mod leave;
 mod registry;
 mod repeated;
 pub mod stored;
 
 pub use door::{Door, Pass};
+pub(crate) use leave::Turn;
+pub(crate) use registry::SUSPICIOUS;
 pub use registry::{Registry, Sentence};
 pub use repeated::Repeated;
 
@@ -41,6 +44,9 @@
   pub content: content::Key,
   /// Crashes that nothing else explains.
   pub crashes: u32,
-  /// Its place among those that may be to blame.
+  /// Its place among those that may be to blame; `LISTED`: it was published with that before.
   pub turn: u32,
 }
+
+/// The turn of a suspect that is published again, for instances that start.
+pub const LISTED: u32 = u32::MAX;
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -6,7 +6,7 @@
 //! becomes known: whoever was blamed for crashes that another content explains better is
 //! released.
 
-use super::{Crash, Quarantined, Suspected};
+use super::{Crash, LISTED, Quarantined, Suspected, door::SUSPECT_MS};
 use crate::{content, life::Life};
 use std::{
   cmp::Reverse,
@@ -275,16 +275,7 @@
   /// Contents in two crashes or more that nothing explains and that may be to blame, in the
   /// order of their turns; none where they were published before.
   pub fn suspected(&mut self, now: u64) -> Vec<Suspected> {
-    let cover = self.cover(now);
-    let suspects = self.suspects.iter();
-    let mut open: Vec<(u32, content::Key, usize)> = suspects
-      .filter(|(content, suspect)| suspect.alike() && !self.quarantined.contains_key(content))
-      .map(|(content, suspect)| {
-        let (crashes, ..) = suspect.weight(&cover.explained);
-        (suspect.spread(), *content, crashes)
-      })
-      .filter(|(.., crashes)| *crashes >= SUSPICIOUS)
-      .collect();
+    let mut open = self.open(now);
     open.sort_by_key(|(spread, content, crashes)| (Reverse(*crashes), *spread, *content));
     let new = |entry: &(u32, content::Key, usize)| {
       let (_, content, crashes) = entry;
@@ -306,6 +297,36 @@
     turns.collect()
   }
 
+  /// Contents in two crashes or more that nothing explains and that may be to blame: how much
+  /// their runs differ, ms, and their crashes.
+  fn open(&self, now: u64) -> Vec<(u32, content::Key, usize)> {
+    let cover = self.cover(now);
+    let suspects = self.suspects.iter();
+    suspects
+      .filter(|(content, suspect)| suspect.alike() && !self.quarantined.contains_key(content))
+      .map(|(content, suspect)| {
+        let (crashes, ..) = suspect.weight(&cover.explained);
+        (suspect.spread(), *content, crashes)
+      })
+      .filter(|(.., crashes)| *crashes >= SUSPICIOUS)
+      .collect()
+  }
+
+  /// The same for instances that start and have heard of no crash, as long as the others
+  /// remember them.
+  pub fn listed(&self, now: u64) -> Vec<Suspected> {
+    let open = self.open(now).into_iter();
+    let lately = |content: &content::Key| now < self.suspects[content].seen + SUSPECT_MS;
+    open
+      .filter(|(_, content, _)| lately(content))
+      .map(|(_, content, crashes)| Suspected {
+        content,
+        crashes: crashes as u32,
+        turn: LISTED,
+      })
+      .collect()
+  }
+
   /// Keeps a content from servers; whether that is new.
   pub fn quarantine(&mut self, now: u64, entry: Quarantined) -> bool {
     self.quarantined.retain(|_, until| now < *until);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,7 +9,7 @@
   backend::{self, Backend, Holding, Spec, missing_name},
   cold::{Wants, give_up_at},
   content,
-  crash::{Crash, Door, Pass, Quarantined, Suspected},
+  crash::{Crash, Door, Pass, Quarantined, Suspected, Turn},
   customer::{Caller, Turns},
   demand::Model,
   deployment::{Deployment, Engine},
@@ -297,6 +297,8 @@
   tag: Option<u64>,
   /// The unit of a server's limit that its send under way took.
   pub(crate) room: Option<quota::Id>,
+  /// The leave that it has: it may crash servers.
+  pub(crate) leave: Option<quota::Id>,
   /// The unit that it asked for, and since when, ms.
   pub(crate) wants: Option<(quota::Id, u64)>,
 }
@@ -351,6 +353,8 @@
   /// What all instances keep of customers' quotas.
   quota_bound: quota::Bound,
   turns: Turns,
+  /// Leaves were given back.
+  pub(crate) freed: bool,
   rng: SmallRng,
   pub(crate) now: u64,
   pub(crate) out: Vec<Effect>,
@@ -391,6 +395,7 @@
       purse: Purse::open(seed),
       quota_bound: quota::BOUND,
       turns: Turns::default(),
+      freed: false,
       rng: SmallRng::seed_from_u64(seed),
       now: 0,
       out: Vec::new(),
@@ -484,6 +489,7 @@
       asked: None,
       tag: None,
       room: None,
+      leave: None,
       wants: None,
     };
     self.requests.insert(ticket, request);
@@ -506,6 +512,7 @@
   }
 
   fn forget(&mut self, ticket: Ticket) {
+    self.leave_ended(ticket, None);
     let Some(request) = self.requests.remove(&ticket) else {
       return;
     };
@@ -579,6 +586,12 @@
     self.out.push(Effect::Wait(ticket, until));
   }
 
+  /// Whether requests wait for a unit of a limit, or for a leave.
+  pub fn needs_units(&self) -> bool {
+    let mut waiting = self.waiting.iter();
+    waiting.any(|(.., ticket)| self.requests[ticket].wants.is_some())
+  }
+
   /// What is used of quotas here, and needed, for the holder of the lease.
   pub fn uses(&mut self, now: u64) -> Vec<Use> {
     let mut needs: HashMap<quota::Id, u32> = HashMap::new();
@@ -666,7 +679,12 @@
     }
     let choice = match pass {
       Pass::Wait(until) => return self.hold_suspect(ticket, until),
-      Pass::Apart(crashes) => self.choose(ticket, Some(crashes)),
+      // Nobody asks for a leave that could not be used.
+      Pass::Apart(_) if self.fitting(ticket).is_empty() => Choice::Nobody,
+      Pass::Apart(crashes) => match self.turn(ticket, crashes) {
+        Turn::Now => self.choose(ticket, Some(crashes)),
+        Turn::At(until) => return self.hold_suspect(ticket, until),
+      },
       Pass::Free | Pass::Never => self.choose(ticket, None),
     };
     match choice {
@@ -796,6 +814,7 @@
     }
     request.verdict = request.verdict.and(end.verdict());
     self.free_room(ticket, end.reached());
+    self.leave_ended(ticket, Some(end));
     let Some(request) = self.requests.get(&ticket) else {
       return;
     };
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,7 +8,6 @@
   message::{Kind, Message, Update},
   placement::plan::{Holdings, Report},
   planner::Planner,
-  quota::Sums,
   replication::{Fit, Known, parts},
 };
 use slog::{info, warn};
@@ -40,8 +39,7 @@
     }
     let holding = group.holding;
     self.hear_quarantine(now, &update.quarantined, from);
-    if !update.sums.is_empty() {
-      let sums = std::mem::take(&mut update.sums);
+    if let Some(sums) = update.sums.take() {
       self.hub.apply(Event::Used(sums.clone()), None);
       self.known_sums = Some((now, sums));
     }
@@ -249,7 +247,7 @@
       },
       // One that goes to a single instance must not take the others' turn.
       sums: match update.to {
-        Some(_) => Sums::new(),
+        Some(_) => None,
         None => self.sums(now),
       },
     };
@@ -257,6 +255,7 @@
     if new {
       let limits = self.hub.state().limits.all(now);
       self.publish_limits(limits, &others);
+      self.list_suspects(now, &others);
     }
     let pause = self.outbox.drained_ms();
     self.groups[index].plan.pace(pause);
@@ -293,7 +292,7 @@
       head.members.clear();
       head.loads.clear();
       head.quarantined.clear();
-      head.sums.clear();
+      head.sums = None;
     }
   }
 
--- a/src/message.rs
+++ b/src/message.rs
@@ -89,6 +89,6 @@
   pub loads: Vec<(u32, u16)>,
   /// Requests that go to no server, for instances that do not know of them yet.
   pub quarantined: Vec<Quarantined>,
-  /// What customers used within the last window; empty when not sent.
-  pub sums: Sums,
+  /// What was used of quotas within their last windows; none when not sent.
+  pub sums: Option<Sums>,
 }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -92,6 +92,14 @@
     self.hub.apply(Event::Suspected(suspected), None);
   }
 
+  /// Publishes suspects again, for instances that start: one that knows of none sends copies of
+  /// them as it likes.
+  pub(crate) fn list_suspects(&mut self, now: u64, to: &[SocketAddr]) {
+    for part in self.registry.listed(now).chunks(ENTRIES) {
+      self.spread(&Message::Suspects(part.to_vec()), to);
+    }
+  }
+
   /// Publishes that requests were blamed for what others explain.
   fn release(&mut self, now: u64, innocent: &[content::Key]) {
     let entries = innocent.iter().map(|content| Quarantined {
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -25,6 +25,10 @@
 /// Part of the reserve that may be granted at any time: a window's slots count a thirty-second
 /// part longer than they must.
 const SPREAD: f64 = 0.1;
+/// What instances said of a leave is forgotten after so long, ms: longer than it counts.
+const LEAVE_KEPT_MS: u64 = 15_000;
+/// Leaves that nobody uses are looked for this often, ms.
+const FORGET_MS: u64 = 1_000;
 /// Weight of a new request in what one mostly needs.
 const NEW: f64 = 0.1;
 
@@ -81,6 +85,8 @@
   took_over: Option<(u64, bool)>,
   /// The longest window of a quota that was reported, ms.
   longest_ms: u64,
+  /// When leaves that nobody uses were last forgotten, ms.
+  forgot: u64,
 }
 
 /// What was used of quotas within the last window, for the next holder.
@@ -129,7 +135,11 @@
         (sum >= 1.0).then_some((part, *id, quarters))
       })
       .collect();
-    sums.sort_by(|one, two| two.0.total_cmp(&one.0));
+    // A leave that is not passed on costs a copy more, a quota all that it bounds.
+    sums.sort_by(|one, two| {
+      let leaves = one.1.is_leave().cmp(&two.1.is_leave());
+      leaves.then(two.0.total_cmp(&one.0))
+    });
     sums.truncate(SUMS);
     let sums = sums.into_iter();
     sums.map(|(_, id, quarters)| (id, quarters)).collect()
@@ -151,7 +161,8 @@
     let share = self.share(now);
     let grants = uses.iter().filter_map(|one| {
       let allowance = allow(one.id)?;
-      let allowed = allowance.window() * share;
+      // A part of a unit is none.
+      let allowed = (allowance.window() * share).max(1.0);
       Some(self.settle(now, instance, one, (&allowance, allowed)))
     });
     grants.collect()
@@ -255,12 +266,27 @@
         line.granted = 0.0;
       }
     }
+    if now >= self.forgot + FORGET_MS {
+      self.forgot = now;
+      self.forget_leaves(now);
+    }
     let kept_ms = self.longest_ms;
     self
       .instances
       .retain(|_, instance| now < instance.heard + kept_ms.max(SILENT_MS));
   }
 
+  /// Forgets leaves: there is one for each request that was in a crash.
+  fn forget_leaves(&mut self, now: u64) {
+    self
+      .accounts
+      .retain(|id, account| !id.is_leave() || account.window.sum(now) > 0.0);
+    for instance in self.instances.values_mut() {
+      let lines = &mut instance.lines;
+      lines.retain(|id, line| !id.is_leave() || now < line.at + LEAVE_KEPT_MS);
+    }
+  }
+
   /// How much of a quota is used.
   pub fn standing(&mut self, now: u64, id: Id) -> Standing {
     let lines = self.instances.values();
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -28,15 +28,28 @@
 impl Id {
   /// The customer of a name.
   pub fn of(name: &str) -> Self {
-    Self(xxh3_64(name.as_bytes()))
+    Self(xxh3_64(name.as_bytes()) & !LEAVES)
   }
 
   /// One life of a backend server: the next one has named no limit yet.
   pub fn of_life(life: Life) -> Self {
-    Self(xxh3_64_with_seed(&life.bytes(), SERVERS))
+    Self(xxh3_64_with_seed(&life.bytes(), SERVERS) & !LEAVES)
+  }
+
+  /// The leave of a content at a stage.
+  pub fn of_leave(content: u128, stage: u32) -> Self {
+    Self(xxh3_64_with_seed(&content.to_le_bytes(), stage.into()) | LEAVES)
+  }
+
+  /// Whether it names a leave: whoever grants it needs to know nothing of it.
+  pub fn is_leave(self) -> bool {
+    self.0 & LEAVES > 0
   }
 }
 
+/// Set in the names of leaves only.
+const LEAVES: u64 = 1 << 63;
+
 /// Keeps servers' names apart from customers'.
 const SERVERS: u64 = 1;
 
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -12,6 +12,12 @@
 /// A grant counts for so long after the report that it answers, ms: longer than three reports
 /// that are lost in a row, and what it leaves unused is granted to others later.
 pub(super) const GRANT_MS: u64 = 2_000;
+/// A holder that has not answered for so long what is needed is not there, ms: it is asked again
+/// each 40, and a small one may be busy for half a second.
+const UNANSWERED_MS: u64 = 1_000;
+/// What is known of a leave is forgotten after so long without use, ms: later than the holder
+/// forgets it, which could take what was used for given back.
+const LEAVE_IDLE_MS: u64 = 30_000;
 /// What is used between a holder's last word and its end is not known to anybody, and counts as
 /// the rate's use in so many seconds: half a second of a customer that sends 7.5 times its usual,
 /// where quotas are 1.8 times that.
@@ -106,6 +112,9 @@
   started: u64,
   /// When the report was sent that the holder last answered, and when the answer came, ms.
   answered: Option<(u64, u64)>,
+  /// When what is needed was first asked for that the holder has not answered, ms; none: it has
+  /// answered all.
+  unanswered: Option<u64>,
   /// When the holder was last asked for what waits, ms.
   asked: u64,
   rng: SmallRng,
@@ -119,6 +128,7 @@
       fleet: None,
       started: 0,
       answered: None,
+      unanswered: None,
       asked: 0,
       rng: SmallRng::seed_from_u64(seed),
     }
@@ -192,10 +202,12 @@
     self.fleet = Some(Fleet { then, sums });
   }
 
-  /// Whether the holder is heard of, or may soon be: this instance has just started.
+  /// Whether the holder answers, as far as known: where there was nothing to report for a while
+  /// it was not asked.
   fn answers(&self, now: u64) -> bool {
-    let came = self.answered.map(|(_, came)| came);
-    came.is_none_or(|came| now < came + GRANT_MS)
+    self
+      .unanswered
+      .is_none_or(|since| now < since + UNANSWERED_MS)
   }
 
   fn retry_after(&mut self, now: u64, id: Id) -> u64 {
@@ -218,6 +230,7 @@
       return;
     }
     self.answered = Some((sent, now));
+    self.unanswered = self.unanswered.filter(|since| *since > sent);
     for grant in grants {
       let wallet = self.wallets.entry(grant.id).or_default();
       wallet.limit = grant.limit;
@@ -251,10 +264,17 @@
     uses.truncate(USES);
     if !needs.is_empty() {
       self.asked = now;
+      self.unanswered.get_or_insert(now);
     }
+    self.forget_leaves(now);
     uses
   }
 
+  fn forget_leaves(&mut self, now: u64) {
+    let kept = |id: &Id, wallet: &Wallet| !id.is_leave() || now < wallet.active + LEAVE_IDLE_MS;
+    self.wallets.retain(|id, wallet| kept(id, wallet));
+  }
+
   /// When what is needed is to be asked for again, ms.
   pub fn ask_at(&self) -> u64 {
     self.asked + AGAIN_MS
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -6,6 +6,7 @@
 //! process that stood still makes no key look known.
 
 use crate::{
+  crash::leave,
   customer::{Book, Standing},
   dispatch::Event,
   hub::lock,
@@ -55,7 +56,7 @@
       let bound = self.bound;
       customer.quota.map(|quota| Allowance { quota, bound })
     });
-    own.unwrap_or_else(|| self.limits.allow(id))
+    own.unwrap_or_else(|| leave::allow(id).or_else(|| self.limits.allow(id)))
   }
 }
 
@@ -66,20 +67,22 @@
     if !wanted && now < self.uses_at {
       return;
     }
-    let (uses, ask_at, limited) = {
+    let (uses, ask_at, limited, freed) = {
       let mut state = self.hub.state();
+      let freed = state.take_freed();
       let keyed = state.deployment.as_ref();
       let keyed = keyed.is_some_and(|deployment| deployment.customers.is_some());
       let limited = state.limits.any();
-      if !keyed && !limited && self.reported_limits.due().is_none() {
+      let waits = freed || state.needs_units();
+      if !keyed && !limited && !waits && self.reported_limits.due().is_none() {
         self.uses_at = now + REPORT_MOST_MS;
         return;
       }
-      (state.uses(now), state.purse().ask_at(), limited)
+      (state.uses(now), state.purse().ask_at(), limited, freed)
     };
     let needed = uses.iter().any(|one| one.need > 0);
     let said = self.reported_limits.due().is_some_and(|due| now >= due);
-    if now < self.uses_at && !needed && !said {
+    if now < self.uses_at && !needed && !said && !freed {
       return;
     }
     let pause = match uses.is_empty() && !limited {
@@ -169,15 +172,15 @@
     self.hub.apply(event, None);
   }
 
-  /// What customers used within the last window, as this holder counted it; empty: it is not
-  /// due to be published.
-  pub(crate) fn sums(&mut self, now: u64) -> Sums {
+  /// What was used of quotas within their last windows, as this holder counted it; none: it is
+  /// not due to be published. That nothing was used is published too: the next holder knows it.
+  pub(crate) fn sums(&mut self, now: u64) -> Option<Sums> {
     if now < self.sums_at {
-      return Sums::new();
+      return None;
     }
     self.sums_at = now + SUMS_MS;
     let allowances = self.allowances();
-    self.accounts.sums(now, |id| allowances.get(id))
+    Some(self.accounts.sums(now, |id| allowances.get(id)))
   }
 
   /// Adds them to a record of the lease: after a loss of all instances nobody else knows them.
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -13,9 +13,9 @@
 use bendsaddle::{
   ask::Ticket,
   content,
-  crash::Suspected,
+  crash::{Suspected, leave},
   deployment::Engine,
-  dispatch::{Ask, Change, Effect, Event, State},
+  dispatch::{Ask, Change, Effect, End, Event, State},
   quota::Accounts,
   route::Repeat,
   verdict::Verdict,
@@ -52,11 +52,11 @@
 }
 
 impl Fleet {
-  fn open(instances: usize) -> Self {
+  fn open(instances: usize, seed: u64) -> Self {
     let mut fleet = Self {
       now: 0,
       states: (0..instances)
-        .map(|_| requests::deployed(Engine::default()))
+        .map(|index| requests::seeded(Engine::default(), seed * 100 + index as u64))
         .collect(),
       accounts: Accounts::default(),
       answers: true,
@@ -155,14 +155,19 @@
     let uses = self.states[index].uses(self.now);
     let grants = self
       .accounts
-      .report(self.now, index as u64, &uses, |_| None);
+      .report(self.now, index as u64, &uses, leave::allow);
     let sent = self.now;
     self.apply(index, Event::Granted { sent, grants });
   }
 
+  fn end(&mut self, index: usize, ticket: u64, end: End) {
+    let ticket = Ticket(ticket);
+    self.apply(index, Event::Ended { ticket, end });
+  }
+
   /// The copies of the day wait at four of its instances until a server is back.
   fn play() -> Self {
-    let mut fleet = Self::open(7);
+    let mut fleet = Self::open(7, 1);
     let mut copies = COPIES;
     copies.sort_by_key(|(_, at)| *at);
     for (ticket, (index, at)) in copies.into_iter().enumerate() {
@@ -181,3 +186,113 @@
   fleet.run(BACK_MS + RUN_MS);
   assert_eq!(fleet.sends.len(), 1, "{:?}", fleet.sends);
 }
+
+#[test]
+fn the_next_copy_goes_when_the_last_one_has_ended_without_a_crash() {
+  let mut fleet = Fleet::play();
+  for number in 1..=COPIES.len() {
+    fleet.run(BACK_MS + RUN_MS * number as u64);
+    assert_eq!(fleet.sends.len(), number, "{:?}", fleet.sends);
+    let (_, index, ticket) = fleet.sends[number - 1];
+    // Its server declined it, so it says nothing of the content.
+    fleet.end(index, ticket, End::Left);
+  }
+  assert!(fleet.refused.is_empty(), "{:?}", fleet.refused);
+}
+
+#[test]
+fn after_a_crash_no_copy_goes_before_all_could_know() {
+  let mut fleet = Fleet::play();
+  fleet.run(BACK_MS + RUN_MS);
+  let (_, index, ticket) = fleet.sends[0];
+  fleet.end(index, ticket, End::Crashed);
+  fleet.back("i-next");
+  // Nobody says to the others that a third server has ended.
+  fleet.run(BACK_MS + RUN_MS + 3_000);
+  let others = fleet.sends.iter().filter(|(_, one, _)| *one != index);
+  assert_eq!(others.count(), 0, "{:?}", fleet.sends);
+}
+
+#[test]
+fn copies_that_wait_longer_than_they_can_are_refused_and_have_not_run() {
+  let mut fleet = Fleet::play();
+  let (_, _, first) = fleet.sends.first().copied().unwrap_or_default();
+  fleet.run(14_000);
+  assert_eq!(fleet.refused.len(), COPIES.len() - fleet.sends.len());
+  for (ticket, verdict) in &fleet.refused {
+    assert_ne!(*ticket, first);
+    assert_eq!(*verdict, Verdict::NotRun);
+  }
+}
+
+/// The instance that runs a copy is gone without a word: what it took is not taken for ever.
+#[test]
+fn a_leave_whose_instance_died_counts_for_ten_seconds() {
+  let mut fleet = Fleet::play();
+  fleet.run(BACK_MS + RUN_MS);
+  let (_, died, _) = fleet.sends[0];
+  fleet.cut.push(died);
+  let other = (died + 1) % 4;
+  fleet.run(BACK_MS + 9_000);
+  assert_eq!(fleet.sends.len(), 1);
+  fleet.arrive(other, 99, SUSPECT);
+  fleet.run(BACK_MS + 11_000);
+  assert_eq!(fleet.sends.len(), 2, "{:?}", fleet.sends);
+}
+
+/// A holder that takes over knows from the one before which leaves are taken.
+#[test]
+fn a_new_holder_gives_no_leave_that_is_taken() {
+  let mut fleet = Fleet::play();
+  fleet.run(BACK_MS + 50);
+  assert_eq!(fleet.sends.len(), 1);
+  let sums = fleet.accounts.sums(fleet.now, leave::allow);
+  fleet.accounts = Accounts::open(fleet.now, Some((fleet.now, &sums)), leave::allow);
+  fleet.run(BACK_MS + 3_000);
+  assert_eq!(fleet.sends.len(), 1, "{:?}", fleet.sends);
+}
+
+#[test]
+fn without_a_holder_at_most_one_copy_goes_in_the_mean() {
+  let mut sent = 0;
+  for seed in 0..40 {
+    let mut fleet = Fleet::open(7, seed);
+    fleet.answers = false;
+    for index in 0..7 {
+      // The holder's last word before it went: no leave is taken.
+      fleet.apply(index, Event::Used(Vec::new()));
+    }
+    fleet.back("i-0164a1c60a");
+    let before = fleet.sends.len();
+    for index in 0..7 {
+      fleet.arrive(index, index as u64, SUSPECT);
+    }
+    fleet.run(3_000);
+    let copies = fleet.sends[before..]
+      .iter()
+      .filter(|(_, _, ticket)| *ticket < 7);
+    sent += copies.count();
+  }
+  println!("{sent} copies in 40 plays");
+  assert!(sent > 0, "somebody goes on");
+  // One a play in the mean, and three standard deviations of 280 draws of one in seven.
+  let chance = 3.0 * (40.0f64 * 6.0 / 7.0).sqrt();
+  assert!(
+    f64::from(sent as u32) <= 40.0 + chance,
+    "{sent} copies in 40 plays"
+  );
+}
+
+#[test]
+fn other_requests_wait_for_nothing() {
+  let mut fleet = Fleet::play();
+  let before = fleet.sends.len();
+  for ticket in 100..120 {
+    fleet.arrive(
+      ticket as usize % 7,
+      ticket,
+      content::Key(u128::from(ticket)),
+    );
+  }
+  assert_eq!(fleet.sends.len(), before + 20);
+}
--- a/tests/requests/mod.rs
+++ b/tests/requests/mod.rs
@@ -55,7 +55,12 @@
 
 /// An instance with the one pool deployed and no servers.
 pub fn deployed(engine: Engine) -> State {
-  let mut state = State::open("a", BOUND, 1);
+  seeded(engine, 1)
+}
+
+/// The same, with a seed for what it draws.
+pub fn seeded(engine: Engine, seed: u64) -> State {
+  let mut state = State::open("a", BOUND, seed);
   let pool = Pool {
     engine: Some(Arc::new(engine)),
   };
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -188,6 +188,33 @@
   assert!(matches!(door.pass(230, key), Pass::Wait(until) if until <= 500));
 }
 
+#[test]
+fn an_instance_that_starts_hears_of_suspects_and_others_keep_their_turns() {
+  let key = content::Key(8);
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(8, 1, 1, 0), crash(8, 2, 2, 0)]);
+  let listed = registry.listed(1_000);
+  assert_eq!(listed.len(), 1);
+  let mut new = Door::default();
+  new.suspect(1_000, &listed);
+  assert_eq!(new.pass(1_000, key), Pass::Apart(2));
+  let mut known = Door::default();
+  let turn = Suspected {
+    content: key,
+    crashes: 2,
+    turn: 2,
+  };
+  known.suspect(1_000, &[turn]);
+  let waits = known.pass(1_000, key);
+  assert!(matches!(waits, Pass::Wait(_)));
+  known.suspect(1_001, &listed);
+  assert_eq!(known.pass(1_001, key), waits);
+  assert!(
+    registry.listed(60_000).is_empty(),
+    "all others have forgotten it"
+  );
+}
+
 #[test]
 fn a_companion_that_came_further_than_before_waits_for_nothing() {
   let mut door = Door::default();
