a server takes one request at a time of those that may crash it

What callers saw: requests beside a suspect were blamed for the crash that it brought about.

Cause: one copy of each suspect runs at a time, but two suspects could stand at one server, and where that ends nothing tells them apart; a server that comes back first and alone got all of them.

Ruled out: turns alone, which are over when no server is there for seconds.

Change: a suspect takes the place of suspects at its server in the same way as its own leave, and goes to another server where that is taken; without a holder it goes without. A word of the holder on a quota of which nothing was needed no longer ends what it said before, that nothing fits: two servers were asked for in turn, and none was ever used.

Figures: by reducers, two suspects and one server: one goes, and the other when it has ended; three servers: two go.

--- a/src/crash/leave.rs
+++ b/src/crash/leave.rs
@@ -3,15 +3,18 @@
 //!
 //! Load pattern: callers repeat such a request at all instances, and its copies wait together for
 //! the one server that is left. So from the second crash on each send takes the one unit of a quota
-//! that all instances share, and gives it back when its run has ended without a crash. After a crash nothing is given
-//! back: the next stage has a unit of its own, for those who know of the crash.
+//! that all instances share, and gives it back when its run has ended without a crash. After a
+//! crash nothing is given back: the next stage has a unit of its own, for those who know of the
+//! crash. A server takes one suspect at a time in the same way, whichever it is: nothing tells two
+//! apart that end it together.
 
 use super::SUSPICIOUS;
 use crate::{
   ask::Ticket,
   content,
   dispatch::{Effect, End, State},
-  quota::{AGAIN_MS, Allowance, Bound, Id, Quota, Spending},
+  life::Life,
+  quota::{Allowance, Bound, Id, Quota, Spending},
 };
 
 /// A leave that nobody gave back counts for so long, ms: a run takes a few seconds, and the
@@ -36,6 +39,14 @@
   Id::of_leave(content.0, crashes)
 }
 
+/// Names the place of suspects at a server.
+fn place(server: Life) -> Id {
+  Id::of_leave(u128::from_le_bytes(server.bytes()), PLACES)
+}
+
+/// No stage: after so many crashes nobody is a suspect.
+const PLACES: u32 = 0;
+
 /// The allowance of an id, where it names a leave.
 pub fn allow(id: Id) -> Option<Allowance> {
   id.is_leave().then_some(LEAVE)
@@ -44,20 +55,34 @@
 /// Whether a copy may go now.
 pub(crate) enum Turn {
   Now,
-  /// It is looked at again at this time, ms.
-  At(u64),
+  /// The leave is asked for; it is looked at again at this time, ms.
+  Asked(u64),
+  /// Another one has the leave.
+  Taken,
 }
 
 impl State {
   /// Takes the leave of a suspect for one of its copies.
   pub(crate) fn turn(&mut self, ticket: Ticket, crashes: u32) -> Turn {
+    let request = self.requests.get(&ticket);
+    let id = request.map(|request| id(request.ask.content, crashes));
+    self.take_leave(ticket, id.filter(|_| crashes as usize >= SUSPICIOUS))
+  }
+
+  /// Takes the place of suspects at a server for a copy of one.
+  pub(crate) fn turn_at(&mut self, ticket: Ticket, server: Life, crashes: u32) -> Turn {
+    // Without a holder a leave is had by chance, and two of them hardly ever.
+    let wanted = crashes as usize >= SUSPICIOUS && self.purse.answers(self.now);
+    self.take_leave(ticket, wanted.then(|| place(server)))
+  }
+
+  /// Takes a leave, where one is wanted and the copy does not have it.
+  fn take_leave(&mut self, ticket: Ticket, id: Option<Id>) -> Turn {
     let now = self.now;
-    let suspicious = crashes as usize >= SUSPICIOUS;
-    let Some(request) = self.requests.get_mut(&ticket).filter(|_| suspicious) else {
+    let (Some(id), Some(request)) = (id, self.requests.get_mut(&ticket)) else {
       return Turn::Now;
     };
-    let id = id(request.ask.content, crashes);
-    if request.leave == Some(id) {
+    if request.leaves.contains(&id) {
       return Turn::Now;
     }
     let asked = request.wants.filter(|(wanted, _)| *wanted == id);
@@ -67,7 +92,7 @@
       .spend(now, (id, &LEAVE), 1, asked, self.instances)
     {
       Spending::Spent => {
-        request.leave = Some(id);
+        request.leaves.push(id);
         request.wants = None;
         Turn::Now
       }
@@ -76,26 +101,28 @@
           request.wants = Some((id, now));
           self.out.push(Effect::Need);
         }
-        Turn::At(until)
+        Turn::Asked(until)
       }
       Spending::Over(_) => {
         request.wants = None;
-        Turn::At(now + AGAIN_MS)
+        Turn::Taken
       }
     }
   }
 
-  /// Gives the leave of a copy back whose run has ended, or that goes nowhere; `end` of the run.
+  /// Gives the leaves of a copy back whose run has ended, or that goes nowhere; `end` of the run.
   pub(crate) fn leave_ended(&mut self, ticket: Ticket, end: Option<End>) {
     let request = self.requests.get_mut(&ticket);
-    let Some(id) = request.and_then(|request| request.leave.take()) else {
+    let leaves = request.map(|request| std::mem::take(&mut request.leaves));
+    let leaves = leaves.unwrap_or_default();
+    if end == Some(End::Crashed) || leaves.is_empty() {
       return;
-    };
-    if end != Some(End::Crashed) {
+    }
+    for id in leaves {
       self.purse.give_back(id, 1);
-      self.freed = true;
-      self.out.push(Effect::Need);
     }
+    self.freed = true;
+    self.out.push(Effect::Need);
   }
 
   /// Whether leaves were given back since this was last asked: others wait for them.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -297,8 +297,8 @@
   tag: Option<u64>,
   /// The unit of a server's limit that its send under way took.
   pub(crate) room: Option<quota::Id>,
-  /// The leave that it has: it may crash servers.
-  pub(crate) leave: Option<quota::Id>,
+  /// The leaves that it has, for itself and at a server: it may crash servers.
+  pub(crate) leaves: Vec<quota::Id>,
   /// The unit that it asked for, and since when, ms.
   pub(crate) wants: Option<(quota::Id, u64)>,
 }
@@ -489,7 +489,7 @@
       asked: None,
       tag: None,
       room: None,
-      leave: None,
+      leaves: Vec::new(),
       wants: None,
     };
     self.requests.insert(ticket, request);
@@ -683,7 +683,8 @@
       Pass::Apart(_) if self.fitting(ticket).is_empty() => Choice::Nobody,
       Pass::Apart(crashes) => match self.turn(ticket, crashes) {
         Turn::Now => self.choose(ticket, Some(crashes)),
-        Turn::At(until) => return self.hold_suspect(ticket, until),
+        Turn::Asked(until) => return self.hold_suspect(ticket, until),
+        Turn::Taken => return self.hold_suspect(ticket, self.now + quota::AGAIN_MS),
       },
       Pass::Free | Pass::Never => self.choose(ticket, None),
     };
--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -5,6 +5,7 @@
   ask::Ticket,
   backend::{self, Backend},
   cold::give_up_at,
+  crash::Turn,
   dispatch::{Effect, Request, State},
   life::Life,
   quota::{AGAIN_MS, Id, Spending},
@@ -38,6 +39,13 @@
     let mut full: Option<u64> = None;
     while let Some(key) = self.pick(ticket, &found, crashes) {
       found.retain(|(other, _)| *other != key);
+      let server = self.backends[key].spec.life();
+      match self.turn_at(ticket, server, crashes.unwrap_or_default()) {
+        Turn::Now => {}
+        Turn::Asked(until) => return Choice::Ask(until),
+        // Another suspect is there.
+        Turn::Taken => continue,
+      }
       match self.room(ticket, key, found.is_empty()) {
         Room::Free => return Choice::Server(key),
         Room::Ask(until) => return Choice::Ask(until),
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -204,7 +204,7 @@
 
   /// Whether the holder answers, as far as known: where there was nothing to report for a while
   /// it was not asked.
-  fn answers(&self, now: u64) -> bool {
+  pub fn answers(&self, now: u64) -> bool {
     self
       .unanswered
       .is_none_or(|since| now < since + UNANSWERED_MS)
@@ -235,6 +235,10 @@
       let wallet = self.wallets.entry(grant.id).or_default();
       wallet.limit = grant.limit;
       wallet.until = sent + GRANT_MS;
+      if grant.over_ms == 0 && grant.limit <= wallet.used {
+        // Nothing was needed: that says nothing of what fits.
+        continue;
+      }
       let over = u64::from(grant.over_ms);
       wallet.over_until = now + over.min(OVER_MS);
       wallet.fits_at = now + over;
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -296,3 +296,42 @@
   }
   assert_eq!(fleet.sends.len(), before + 20);
 }
+
+/// Two suspects wait at three instances while no server is there.
+fn two_suspects(servers: &[&str]) -> Fleet {
+  let mut fleet = Fleet::open(7, 1);
+  let other = content::Key(8);
+  let entry = Suspected {
+    content: other,
+    crashes: 2,
+    turn: 0,
+  };
+  for index in 0..7 {
+    fleet.apply(index, Event::Suspected(vec![entry]));
+  }
+  fleet.run(50);
+  for (ticket, content) in [SUSPECT, other, SUSPECT, other].into_iter().enumerate() {
+    fleet.arrive(ticket, ticket as u64, content);
+  }
+  for server in servers {
+    fleet.back(server);
+  }
+  fleet.run(300);
+  fleet
+}
+
+#[test]
+fn a_server_that_comes_back_alone_takes_one_suspect_and_then_the_next() {
+  let mut fleet = two_suspects(&["one"]);
+  assert_eq!(fleet.sends.len(), 1, "{:?}", fleet.sends);
+  let (_, index, ticket) = fleet.sends[0];
+  fleet.end(index, ticket, End::Whole);
+  fleet.run(600);
+  assert_eq!(fleet.sends.len(), 2, "{:?}", fleet.sends);
+}
+
+#[test]
+fn two_suspects_go_to_two_servers() {
+  let fleet = two_suspects(&["one", "two", "three"]);
+  assert_eq!(fleet.sends.len(), 2, "{:?}", fleet.sends);
+}
