limits: what is due to be reported again goes out when it is due

Cause: by reading. A limit that an instance heard itself is reported at once and twice more; the planner's thread woke for the second and third report, and did not send them before its next report of uses was due, up to 0.9 s later. Until then it woke again and again without a pause.

Ruled out: the holder's publications, which are looked at with each wake-up.

Change: a report that is due goes out.

--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -64,7 +64,8 @@
   /// Reports what is used of quotas and needed, where that is due.
   pub(crate) fn report_uses(&mut self, wanted: bool) {
     let now = self.hub.now();
-    if !wanted && now < self.uses_at {
+    let said = self.reported_limits.due().is_some_and(|due| now >= due);
+    if !wanted && !said && now < self.uses_at {
       return;
     }
     let (uses, ask_at, limited, freed) = {
@@ -74,14 +75,13 @@
       let keyed = keyed.is_some_and(|deployment| deployment.customers.is_some());
       let limited = state.limits.any();
       let waits = freed || state.needs_units();
-      if !keyed && !limited && !waits && self.reported_limits.due().is_none() {
+      if !keyed && !limited && !waits && !said {
         self.uses_at = now + REPORT_MOST_MS;
         return;
       }
       (state.uses(now), state.purse().ask_at(), limited, freed)
     };
     let needed = uses.iter().any(|one| one.need > 0);
-    let said = self.reported_limits.due().is_some_and(|due| now >= due);
     if now < self.uses_at && !needed && !said && !freed {
       return;
     }
