placement: where no server needs help, holders are counted as before

Each loss that a load may cost counted the holders that need no help one by one, since servers in need exist; the length of a list was read before.

Ruled out: nothing yet.

Change: they are looked at one by one only while some server needs help. No decision changes.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -83,8 +83,12 @@
     &self.models[model].holders
   }
 
-  /// How many of them need no help.
+  /// How many of them need no help. Each loss that a load may cost asks for it, and mostly no
+  /// server needs any.
   pub(crate) fn sound_holders(&self, model: models::Key) -> usize {
+    if !self.any_limited {
+      return self.holders(model).len();
+    }
     let holders = self.holders(model).iter();
     holders.filter(|key| !self.servers[**key].limited).count()
   }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -83,6 +83,8 @@
   pub(crate) servers: SlotMap<held::Key, Server>,
   /// Servers by what names them in reports, whichever of their lives it is.
   pub(crate) ids: HashMap<u64, held::Key>,
+  /// Some server needs help.
+  pub(crate) any_limited: bool,
   /// Servers that models leave.
   pub(crate) leaving: BTreeSet<held::Key>,
   /// Groups of other servers, as far as they are published.
@@ -140,6 +142,7 @@
       models: Models::default(),
       servers: SlotMap::with_key(),
       ids: HashMap::new(),
+      any_limited: false,
       leaving: BTreeSet::new(),
       groups: BTreeSet::new(),
       timers: BTreeSet::new(),
@@ -244,6 +247,7 @@
 
   /// Takes up which servers need help.
   pub fn limited(&mut self, lives: &BTreeSet<Life>) {
+    self.any_limited = !lives.is_empty();
     for server in self.servers.values_mut() {
       server.limited = lives.contains(&server.spec.life());
     }
