test: datagrams of a fleet go by numbers

Cause: a name of the replay of limits said nothing of the field. Ruled out: a change of what is played; names only.

--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -111,8 +111,8 @@
   accounts: Accounts,
   sums: (u64, Sums),
   mail: BinaryHeap<Reverse<(u64, u64, usize)>>,
-  letters: BTreeMap<usize, Mail>,
-  letter: usize,
+  posted: BTreeMap<usize, Mail>,
+  number: usize,
   tickets: u64,
   arrived: BTreeMap<u64, u64>,
   /// Requests that were sent somewhere.
@@ -180,8 +180,8 @@
     accounts: Accounts::default(),
     sums: (0, Sums::new()),
     mail: BinaryHeap::new(),
-    letters: BTreeMap::new(),
-    letter: 0,
+    posted: BTreeMap::new(),
+    number: 0,
     tickets: 0,
     arrived: BTreeMap::new(),
     sent: BTreeSet::new(),
@@ -252,11 +252,11 @@
   }
 
   fn post(&mut self, at: u64, mail: Mail) {
-    self.letter += 1;
-    self.letters.insert(self.letter, mail);
+    self.number += 1;
+    self.posted.insert(self.number, mail);
     self
       .mail
-      .push(Reverse((at, self.letter as u64, self.letter)));
+      .push(Reverse((at, self.number as u64, self.number)));
   }
 
   /// A datagram between an instance and the holder, or the other way.
@@ -274,8 +274,8 @@
     while let Some(Reverse((at, ..))) = self.mail.peek()
       && *at <= now
     {
-      let Reverse((.., letter)) = self.mail.pop().unwrap();
-      let mail = self.letters.remove(&letter).unwrap();
+      let Reverse((.., number)) = self.mail.pop().unwrap();
+      let mail = self.posted.remove(&number).unwrap();
       self.deliver(now, mail);
     }
     self.arrive(now);
