logs: which entries are missing, and as of when a send's server was known

Cause: a list's missing entries left no line, so a departure taken for a lapse could not be told from one that was not known. Change: the reducer names missing, removed and lost servers, from lists too; a sent line carries the age of what is known of the servers, and for how long the server's entry was missing; `departures` measures over all instances' logs how long each went on sending to servers that left. No decision is changed. Ruled out: that the router's own guess could serve as this line (it called entries missing that the reducer had dropped).

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -120,8 +120,8 @@
   pub avoid_until: u64,
   /// Models it was found not to hold.
   pub missing: BTreeMap<String, Missing>,
-  /// Its entry is missing since the store was silent; it may come back.
-  pub lapsed: bool,
+  /// Its entry is missing since then, ms; it may come back.
+  pub lapsed: Option<u64>,
   /// Another server answered at its address. Not the stage that it stated: a holder that took
   /// its own finding for that would not publish the statement when it comes.
   pub replaced: bool,
@@ -141,7 +141,7 @@
       failures: 0,
       avoid_until: 0,
       missing: BTreeMap::new(),
-      lapsed: false,
+      lapsed: None,
       replaced: false,
       loading: None,
     }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -259,6 +259,13 @@
   Crashed,
   /// Units of a quota are needed.
   Need,
+  /// A server's entry is missing, and may come back for so long, ms.
+  Missing {
+    id: String,
+    kept_ms: u64,
+  },
+  /// A server's entry was removed.
+  Removed(String),
   /// A server whose entry was missing did not come back.
   Gone(String),
   /// What is known of a server's limit has changed: requests a second, or none.
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -324,7 +324,7 @@
   }
 
   /// Since the moment as of which everything is known here; none: nothing is.
-  pub(super) fn age(&self) -> Option<Duration> {
+  pub fn age(&self) -> Option<Duration> {
     lock(&self.state)
       .confirmed
       .map(|confirmed| confirmed.elapsed())
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -196,6 +196,14 @@
           self.want_bell.ring();
           continue;
         }
+        Effect::Missing { id, kept_ms } => {
+          info!(self.log, "server's entry is missing"; "server" => id, "kept_ms" => kept_ms);
+          continue;
+        }
+        Effect::Removed(id) => {
+          info!(self.log, "server is gone"; "server" => id, "why" => "its entry was removed");
+          continue;
+        }
         Effect::Gone(id) => {
           info!(self.log, "server is gone"; "server" => id,
             "why" => "its entry did not come back with the store");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod customer;
 pub mod decide;
 pub mod demand;
+pub mod departures;
 pub mod deployment;
 pub mod dialect;
 pub mod dispatch;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -58,7 +58,7 @@
         let backend = &mut self.backends[*key];
         backend.spec = spec;
         backend.heard = self.now;
-        backend.lapsed = false;
+        backend.lapsed = None;
         backend.replaced = false;
       }
       None => {
@@ -83,7 +83,10 @@
   pub(crate) fn store_back(&mut self, silence: Duration) {
     self.store_lost = false;
     let lost = self.now.saturating_sub(self.lost_at);
-    let missing = self.backends.values().any(|backend| backend.lapsed);
+    let missing = self
+      .backends
+      .values()
+      .any(|backend| backend.lapsed.is_some());
     // Entries still missing from an earlier silence had no time to come back.
     if silence >= SILENT || missing && lost >= MISSED_MS {
       self.lapse_until = self.now + LAPSE_MS;
@@ -92,18 +95,21 @@
     }
   }
 
-  /// Whether an entry that is missing now may come back.
-  pub fn lapsing(&self, now: u64) -> bool {
-    now < self.lapse_until
+  /// Since when a server's entry is missing, ms.
+  pub fn missing_since(&self, server: backend::Key) -> Option<u64> {
+    self.backends.get(server)?.lapsed
   }
 
   /// Gives up the servers whose entries did not come back in time.
   pub(crate) fn drop_lapsed(&mut self) {
-    if self.lapse_until == 0 || self.store_lost || self.lapsing(self.now) {
+    if self.lapse_until == 0 || self.store_lost || self.now < self.lapse_until {
       return;
     }
     self.lapse_until = 0;
-    let lapsed = self.backends.values().filter(|backend| backend.lapsed);
+    let lapsed = self
+      .backends
+      .values()
+      .filter(|backend| backend.lapsed.is_some());
     let ids: Vec<String> = lapsed.map(|backend| backend.spec.id.clone()).collect();
     self.changes += u64::from(!ids.is_empty());
     for id in ids {
@@ -119,10 +125,14 @@
       return;
     };
     let backend = &mut self.backends[key];
-    if self.now < self.lapse_until && !backend.leaves() {
-      backend.lapsed = true;
-    } else {
-      self.remove(id);
+    let id = id.to_string();
+    if self.now >= self.lapse_until || backend.leaves() {
+      self.remove(&id);
+      self.out.push(Effect::Removed(id));
+    } else if backend.lapsed.is_none() {
+      backend.lapsed = Some(self.now);
+      let kept_ms = self.lapse_until - self.now;
+      self.out.push(Effect::Missing { id, kept_ms });
     }
   }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -289,14 +289,7 @@
         "stage" => format!("{:?}", spec.stage), "address" => %spec.address);
       true
     }
-    Change::Gone(id) => {
-      match state.lapsing(hub.now()) {
-        true => info!(hub.log, "server's entry is missing after the store's silence";
-          "server" => id),
-        false => info!(hub.log, "server is gone"; "server" => id),
-      }
-      true
-    }
+    Change::Gone(_) => true,
     Change::Faulty(id) => state.ids.contains_key(id),
   }
 }
@@ -309,5 +302,5 @@
   let backend = &state.backends[*key];
   // An entry that is back is a change for instances that miss it too.
   let same = backend.spec.stage == spec.stage && backend.spec.address == spec.address;
-  same && !backend.lapsed
+  same && backend.lapsed.is_none()
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::{
-  apply, compare,
+  apply, compare, departures,
   edge::Edge,
   explain,
   instance::Instance,
@@ -28,7 +28,8 @@
        bendsaddle timeline --instance IP:PORT [--trace]
        bendsaddle compare POLICY POLICY --instance IP:PORT [--plot FILE.svg]
        bendsaddle explain REQUEST FILE...
-       bendsaddle losses FILE...";
+       bendsaddle losses FILE...
+       bendsaddle departures FILE...";
 
 type Outcome = Result<ExitCode, Report<Error>>;
 
@@ -71,6 +72,7 @@
     ),
     "explain" => explain::explain(&options.rest),
     "losses" => losses::losses(&options.rest),
+    "departures" => departures::departures(&options.rest),
     "help" | "" => {
       println!("{USAGE}");
       Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,71 @@
+//! How long instances go on sending to servers that have left, from their logs.
+
+use bendsaddle::{
+  departures::{Last, histogram, last_sends},
+  explain::Line,
+};
+
+/// A line of an instance at some seconds, with more fields.
+fn line(at: f64, instance: &str, msg: &str, fields: &str) -> Line {
+  let text = format!(
+    r#"{{"msg":"{msg}","ts":"2026-01-01T00:00:{at:06.3}Z","instance":"{instance}","server":"s",{fields}}}"#
+  );
+  Line::parse(&text).expect("a line")
+}
+
+fn sent(at: f64, instance: &str) -> Line {
+  line(at, instance, "sent", r#""request":"r","took_ms":100"#)
+}
+
+fn missing(at: f64, instance: &str) -> Line {
+  line(
+    at,
+    instance,
+    "server's entry is missing",
+    r#""kept_ms":2000"#,
+  )
+}
+
+fn ready(at: f64, instance: &str) -> Line {
+  line(at, instance, "server", r#""stage":"Ready""#)
+}
+
+/// What each instance's last send comes to, by its name.
+fn after(last: &[Last]) -> Vec<(&str, u64)> {
+  let mut after: Vec<(&str, u64)> = last
+    .iter()
+    .map(|one| (one.instance.as_str(), one.after_ms))
+    .collect();
+  after.sort();
+  after
+}
+
+#[test]
+fn a_last_send_is_measured_from_the_first_line_that_names_the_departure() {
+  let gone = line(2.0, "two", "server is gone", r#""why":"removed""#);
+  let lines = vec![
+    sent(4.1, "one"),
+    missing(2.5, "one"),
+    sent(3.0, "one"),
+    sent(1.9, "two"),
+    gone,
+  ];
+  let last = last_sends(lines);
+  assert_eq!(after(&last), [("one", 2_000), ("two", 0)]);
+  assert_eq!(last[0].instance, "one", "the latest first");
+  let rows: Vec<(u64, usize)> = histogram(&last).into_iter().collect();
+  assert_eq!(rows, [(0, 1), (2_000, 1)]);
+}
+
+#[test]
+fn a_server_whose_entry_came_back_has_not_left() {
+  let lines = vec![missing(1.0, "one"), ready(2.0, "one"), sent(5.0, "one")];
+  assert_eq!(last_sends(lines), []);
+}
+
+#[test]
+fn a_server_that_says_that_it_leaves_is_not_back_with_an_older_line() {
+  let draining = line(1.0, "one", "server", r#""stage":"Draining""#);
+  let lines = vec![draining, ready(1.2, "two"), sent(1.6, "two")];
+  assert_eq!(after(&last_sends(lines)), [("two", 500)]);
+}
