--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -410,3 +410,44 @@
   assert_eq!(revisions.collect::<Vec<u64>>(), [7]);
   assert_eq!((published[0].after, published[0].revision), (5, 8));
 }
+
+// A server's entry was removed and was back with the same answer of the store: the holder took
+// the entry for a known one, its followers were sent the removal alone, and gave the server up.
+#[test]
+fn a_holder_publishes_an_entry_that_is_back_with_the_answer_that_removes_it() {
+  let answered = AtomicBool::new(false);
+  let store = Store {
+    list: Box::new(|_, _| {
+      Ok(Page {
+        objects: vec![object(5)],
+        more: false,
+        revision: 5,
+      })
+    }),
+    watch: Box::new(move |_, _, wait| {
+      let first = !answered.swap(true, Ordering::Relaxed);
+      if !first {
+        thread::sleep(wait);
+      }
+      let changes = [(object(5), true), (object(7), false)];
+      Ok(Changes {
+        objects: changes.into_iter().filter(|_| first).collect(),
+        revision: 7,
+      })
+    }),
+    read: Box::new(|_, _| Err(Error::Absent)),
+    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+  };
+  let gate = Arc::new(Gate::default());
+  gate.lead(true);
+  let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
+  // An entry that is known changes nothing for others.
+  let matters = |_: &Object, removed: bool| removed;
+  thread::spawn(move || follow(&store, "kind", &followed, &log, matters, |_| true));
+  let published = published(&gate);
+  let changes = published[0].changes.iter();
+  let changes: Vec<(u64, bool)> = changes
+    .map(|change| (change.revision, change.removed))
+    .collect();
+  assert_eq!(changes, [(5, true), (7, false)]);
+}
