feed: an entry that is back with the answer that removes it is published with it

What callers saw: after the store had been down, followers of a holder gave servers up that were there, for 7.6 s and longer. Cause: what a holder publishes of an answer is chosen against what was known before that answer; an entry that the answer removes and brings back was known then, so only its removal went out. Ruled out: a lost batch (its count is 12 at the followers, 17 at the holder). Change: what is removed and comes back in one answer is published whole.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -11,7 +11,7 @@
 use crate::store::{Error, Object, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
-use std::{thread, time::Duration};
+use std::{collections::BTreeSet, thread, time::Duration};
 
 /// Longest wait of one watch. A waiting watch counts as a call: while a holder is turned away
 /// 69 instances watch by themselves. But one whose connection or store has fallen silent is
@@ -262,9 +262,15 @@
     if !self.gate.leads() {
       return Vec::new();
     }
-    let needed = objects
-      .iter()
-      .filter(|(object, removed)| (self.matters)(object, *removed));
+    let mut gone = BTreeSet::new();
+    let needed = objects.iter().filter(|(object, removed)| {
+      // What comes back with its removal is known here, and no more to those who take that up.
+      let back = gone.contains(&object.name);
+      if *removed {
+        gone.insert(&object.name);
+      }
+      back || (self.matters)(object, *removed)
+    });
     needed.cloned().collect()
   }
 
