feed: others read for themselves what a holder reads whole

What callers saw: servers given up after the store was down though their entries were back. Cause: a holder judges by its own knowledge what matters to others. A list that it reads after an entry is back holds nothing new for it, and says so to followers that had read the removal: they pass the return over. Ruled out: a lost batch (none was published). Change: a list that a holder reads counts as a change, so each follower that is behind it asks the store once.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -224,7 +224,9 @@
       _ => None,
     };
     let count = event.count();
-    let matters = !empty && (self.take)(event);
+    // A list does not show what has changed and changed back since others read.
+    let listed = matches!(&event, Event::All(_)) && self.gate.leads();
+    let matters = !empty && (self.take)(event) || listed;
     if matters {
       note(
         self.log,
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -451,3 +451,28 @@
     .collect();
   assert_eq!(changes, [(5, true), (7, false)]);
 }
+
+// A follower had read by itself that a server's entry was removed. The holder's list came after
+// the entry was back and held nothing new for the holder: the follower passed the return over.
+#[test]
+fn what_a_holder_reads_whole_others_read_for_themselves() {
+  let numbers = Arc::new(Numbers::default());
+  numbers.revision.store(5, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  gate.lead(true);
+  follow_events(&numbers, &gate, |_| false);
+  wait_for("the first list", || gate.progress().revision == 5);
+  // No watch arrives any more, so all is read.
+  numbers.most.store(1, Ordering::Relaxed);
+  numbers.revision.store(8, Ordering::Relaxed);
+  wait_for("the second list", || gate.progress().revision == 8);
+  assert_eq!(gate.progress().changed, 8);
+}
+
+fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+  let began = Instant::now();
+  while !holds() {
+    assert!(began.elapsed() < LONG, "{what}");
+    thread::sleep(Duration::from_millis(5));
+  }
+}
