a lapse is dated by when the store answered anybody, and a later removal is a departure

What callers saw: a request reached a server 2,018 ms after its departure was acknowledged (2,000 are allowed). Cause: a belief dated by when an instance noticed it. An instance that the store had not answered took that for a silence of the store, dated the return of lapsed entries by its own first answer, up to 1.2 s late, and kept every server whose entry was missing from then on for 2.0 s.

The store is silent only where it answers nobody: answers of all calls of an instance, of the holder it goes by, and now of the other instances (with a holder's updates, and in answer to its questions when its renewal is late) are put together in one place; an instance that loses its holder asks the store at once. Lapsed entries may come back until two seconds after the first answer to anybody, and not beyond 2.8 s after the begin of the last call that failed. What is removed after all was read that the store had acknowledged when it was back is a departure. A failed call lengthens nothing by itself. A pause after a failure ends with an answer to another call, and a call that took long needs less of one.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,6 +8,7 @@
   ask::Ticket,
   backend::{self, Backend, Holding, Spec, missing_name},
   cold::{Wants, give_up_at},
+  contact::Silence,
   content,
   crash::{Crash, Door, Pass, Quarantined, Suspected, Turn},
   customer::{Caller, Turns},
@@ -28,7 +29,6 @@
   collections::{BTreeMap, BTreeSet, HashMap},
   net::SocketAddr,
   sync::Arc,
-  time::Duration,
 };
 
 /// Pause of a server after its first failure, ms; doubled for each further one.
@@ -215,10 +215,10 @@
   Left(Ticket),
   /// The platform's store does not answer this instance.
   StoreLost,
-  /// It does again, after this long without an answer, ms.
-  StoreBack {
-    silence: Duration,
-  },
+  /// It does again.
+  StoreBack(Silence),
+  /// All that it had acknowledged by then is known.
+  StoreCurrent,
   /// Requests that go to no server from now on: they crash those that run them.
   Quarantined(Vec<Quarantined>),
   /// What is kept from servers was read from the store.
@@ -343,6 +343,8 @@
   pub(crate) lost_at: u64,
   /// What callers want that were sent away with a Retry-After.
   pub(crate) wants: Wants,
+  /// Entries that are found missing may have lapsed with the store.
+  pub(crate) lapses: bool,
   /// Until when missing entries may come back, ms.
   pub(crate) lapse_until: u64,
   /// How slow servers were for each model since the last report.
@@ -393,6 +395,7 @@
       store_lost: false,
       lost_at: 0,
       wants: Wants::new(),
+      lapses: false,
       lapse_until: 0,
       strain: Book::new(),
       early: BTreeMap::new(),
@@ -417,7 +420,10 @@
   /// Takes up an event; gives what is to be done.
   pub fn reduce(&mut self, now: u64, event: Event) -> Vec<Effect> {
     self.now = now;
-    self.drop_lapsed();
+    // An entry that a change brings back must not be dropped before it.
+    if !matches!(event, Event::Servers(_)) {
+      self.drop_lapsed();
+    }
     match event {
       Event::Deployed(deployment) => self.deployed(deployment),
       Event::Servers(changes) => self.servers(changes),
@@ -443,7 +449,8 @@
       Event::Look(ticket) => self.place(ticket),
       Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.store_lost(),
-      Event::StoreBack { silence } => self.store_back(silence),
+      Event::StoreBack(silence) => self.store_back(&silence),
+      Event::StoreCurrent => self.lapses = false,
       Event::Resumed(ticket) => self.answering(ticket),
       Event::Quarantined(entries) => {
         self.door.quarantine(now, &entries);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -2,16 +2,17 @@
 //! and their updates of what servers hold.
 
 use crate::{
+  clock::Moment,
   dispatch::Event,
   feed::Gate,
   lease::promise::Question,
-  message::{Kind, Message, Update},
+  message::{Kind, Message, StoreAge, Update},
   placement::plan::{Holdings, Report},
   planner::Planner,
   replication::{Fit, Known, parts},
 };
 use slog::{info, warn};
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 /// The holder publishes the list of instances this often, ms.
 const MEMBERS_MS: u64 = 2_000;
@@ -38,6 +39,7 @@
       self.members = update.members;
     }
     let holding = group.holding;
+    self.hear_store(update.store);
     self.hear_quarantine(now, &update.quarantined, from);
     if let Some(sums) = update.sums.take() {
       self.hub.apply(Event::Used(sums.clone()), None);
@@ -83,8 +85,22 @@
     let Some(group) = self.groups.get_mut(index as usize) else {
       return;
     };
-    if let Some(promise) = group.lease.promise(now, question) {
-      self.send(&Message::Promise(index, promise), &[from]);
+    let promise = group.lease.promise(now, question);
+    let message = Message::Promise(index, promise, self.store_age());
+    self.send(&message, &[from]);
+  }
+
+  fn store_age(&self) -> StoreAge {
+    let age = self.hub.gates.contact.age();
+    age.map(|age| age.as_millis() as u64)
+  }
+
+  /// Takes up when the store answered another instance.
+  pub(crate) fn hear_store(&self, age: StoreAge) {
+    // What waited in the socket while this process stood still would look fresh.
+    let age = age.filter(|_| !self.woken).map(Duration::from_millis);
+    if let Some(at) = age.and_then(|age| Moment::now().checked_sub(age)) {
+      self.hub.gates.contact.hear(at);
     }
   }
 
@@ -234,6 +250,7 @@
       heartbeat: heartbeat.clone(),
       deployments: self.hub.gates.deployments.progress(),
       servers: self.hub.gates.servers.progress(),
+      store: self.store_age(),
       instances: instances as u32,
       members: listed,
       since: update.since,
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -1,8 +1,7 @@
 //! Who asks the store for a kind's changes: one instance watches for many, and each of the
 //! others asks by itself when that one's updates are old or name a change that it lacks.
 
-use crate::clock::Moment;
-use crate::{feed::Batch, hub::lock, socket::Bell, store::Object};
+use crate::{clock::Moment, contact::Contact, feed::Batch, hub::lock, socket::Bell, store::Object};
 use serde::{Deserialize, Serialize};
 use std::{
   collections::VecDeque,
@@ -29,8 +28,8 @@
 pub(super) enum Next {
   /// Read everything.
   All,
-  /// Watch from a revision; `there`: a change is known to be there.
-  Watch { revision: u64, there: bool },
+  /// Watch from a revision; `soon`: an answer is needed at once.
+  Watch { revision: u64, soon: bool },
   /// Take up what another instance read.
   Take(Batch),
   /// The store answers the instance that watches for this one again.
@@ -85,10 +84,8 @@
   offered: VecDeque<Batch>,
   /// Since when a change is known to be lacking.
   lacking: Option<Moment>,
-  /// When the store last answered this instance, or one whose progress it goes by.
-  answered: Option<Moment>,
-  /// The longest time between two such answers since it was last asked for.
-  silence: Duration,
+  /// This instance went by another one's progress until its last call.
+  followed: bool,
 }
 
 impl State {
@@ -113,15 +110,6 @@
     self.offered.remove(next)
   }
 
-  /// The store has answered somebody at a moment.
-  fn hear(&mut self, answered: Moment) {
-    if let Some(before) = self.answered {
-      let silence = answered.saturating_duration_since(before);
-      self.silence = self.silence.max(silence);
-    }
-    self.answered = self.answered.max(Some(answered));
-  }
-
   /// Takes up as of when the holder's progress is confirmed, where nothing of it is lacking.
   fn confirm_holder(&mut self) {
     let Some((progress, confirmed)) = self.holder else {
@@ -148,9 +136,18 @@
   changed: Condvar,
   /// Rings when there is something to publish.
   bell: OnceLock<Arc<Bell>>,
+  contact: Arc<Contact>,
 }
 
 impl Gate {
+  /// A gate of an instance that hears of the store's answers also otherwise.
+  pub fn open(contact: Arc<Contact>) -> Self {
+    Self {
+      contact,
+      ..Self::default()
+    }
+  }
+
   /// Rings `bell` when there is something to publish.
   pub fn ring(&self, bell: Arc<Bell>) {
     // The first one stays.
@@ -189,7 +186,7 @@
     }
     state.holder = Some((progress, confirmed));
     state.confirm_holder();
-    state.hear(confirmed);
+    self.contact.reach(confirmed);
     self.changed.notify_all();
   }
 
@@ -224,9 +221,9 @@
     lock(&self.state).leads
   }
 
-  /// The store has answered this instance about something else.
-  pub fn hear(&self, answered: Moment) {
-    lock(&self.state).hear(answered);
+  /// When the store answered anybody.
+  pub(super) fn contact(&self) -> &Contact {
+    &self.contact
   }
 
   /// Takes up changes that the instance that watches for this one has read.
@@ -256,18 +253,21 @@
         state.skipped = false;
         return Next::All;
       }
-      let watch = Next::Watch {
-        revision: state.revision,
-        there: false,
-      };
+      let revision = state.revision;
       if state.leads {
-        return watch;
+        return Next::Watch {
+          revision,
+          soon: false,
+        };
       }
       let Some((progress, mut left)) = state.fresh() else {
-        return watch;
+        // Others learn from the answer that it is not the store that has fallen silent.
+        let soon = std::mem::take(&mut state.followed);
+        return Next::Watch { revision, soon };
       };
+      state.followed = true;
       // Before what was read after a silence, for that says which removals count.
-      if failed.is_some_and(|failed| state.answered > Some(failed)) {
+      if failed.is_some_and(|failed| self.contact.reached_since(failed)) {
         return Next::Reached;
       }
       if let Some(batch) = state.next_batch() {
@@ -279,8 +279,8 @@
         let Some(patience) = BATCH.checked_sub(lacking) else {
           state.lacking = None;
           return Next::Watch {
-            revision: state.revision,
-            there: true,
+            revision,
+            soon: true,
           };
         };
         left = left.min(patience);
@@ -329,17 +329,4 @@
       .confirmed
       .map(|confirmed| confirmed.elapsed())
   }
-
-  /// The longest time without an answer since the first failed call of a row, as far as known
-  /// here, with the time before it.
-  pub(super) fn silence(&self) -> Duration {
-    std::mem::take(&mut lock(&self.state).silence)
-  }
-
-  /// The first call of a row has failed: what was without an answer before does not count. A
-  /// process that stood still for 3.3 s named that as the store's silence when a call failed
-  /// much later.
-  pub(super) fn lost(&self) {
-    lock(&self.state).silence = Duration::ZERO;
-  }
 }
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -8,6 +8,7 @@
 pub use gate::{Gate, Progress};
 
 use crate::clock::Moment;
+use crate::contact::Silence;
 use crate::store::{Error, Object, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
@@ -53,8 +54,10 @@
   Some(Vec<(Object, bool)>),
   /// The store does not answer; what is known may be old.
   Lost,
-  /// It answers again, after this long without an answer.
-  Back(Duration),
+  /// It answers again.
+  Back(Silence),
+  /// All that the store had acknowledged when it was back has been given.
+  Current,
 }
 
 impl Event {
@@ -63,7 +66,7 @@
     match self {
       Self::All(objects) => objects.len(),
       Self::Some(objects) => objects.len(),
-      Self::Lost | Self::Back(_) => 0,
+      Self::Lost | Self::Back(_) | Self::Current => 0,
     }
   }
 }
@@ -101,6 +104,8 @@
     unread: false,
     failures: 0,
     failed: None,
+    lost: None,
+    back: None,
   };
   loop {
     feed.step();
@@ -122,6 +127,10 @@
   /// Failed calls in a row, and when the last one was begun.
   failures: u32,
   failed: Option<Moment>,
+  /// When the first of them was begun.
+  lost: Option<Moment>,
+  /// When the store was back, while something that it had acknowledged before may be lacking.
+  back: Option<Moment>,
 }
 
 /// What a call brought.
@@ -147,7 +156,7 @@
       Next::Reached => self.back(),
       Next::All => self.read(),
       Next::Watch { .. } if self.unread => self.read(),
-      Next::Watch { revision, there } => self.watch(revision, there),
+      Next::Watch { revision, soon } => self.watch(revision, soon),
     }
   }
 
@@ -157,6 +166,10 @@
       return;
     };
     let (count, age) = (objects.len(), self.gate.age());
+    let known = |back: &Moment| age.is_some_and(|age| age <= back.elapsed());
+    if self.back.take_if(|back| known(back)).is_some() {
+      (self.take)(Event::Current);
+    }
     let matters = !objects.is_empty() && (self.take)(Event::Some(objects));
     if matters {
       note(self.log, self.kind, "batch", (batch.revision, count), age);
@@ -181,10 +194,10 @@
     }
   }
 
-  fn watch(&mut self, revision: u64, there: bool) {
+  fn watch(&mut self, revision: u64, soon: bool) {
     let (began, age) = (Moment::now(), self.gate.age());
     let wait = match self.gate.leads() {
-      _ if self.failures > 0 || there => FIRST,
+      _ if self.failures > 0 || soon => FIRST,
       true => LEADING_WATCH,
       false => WATCH,
     };
@@ -214,7 +227,7 @@
     let Answered {
       event, revision, ..
     } = answered;
-    self.gate.hear(Moment::now());
+    self.gate.contact().reach(Moment::now());
     self.back();
     self.unread = false;
     let after = self.from.replace(revision).unwrap_or_default();
@@ -227,6 +240,9 @@
     // A list does not show what has changed and changed back since others read.
     let listed = matches!(&event, Event::All(_)) && self.gate.leads();
     let matters = !empty && (self.take)(event) || listed;
+    if self.back.take().is_some() {
+      (self.take)(Event::Current);
+    }
     if matters {
       note(
         self.log,
@@ -276,35 +292,36 @@
     needed.cloned().collect()
   }
 
-  /// The store answers; where calls had failed it was silent until now. A wait without
-  /// changes is no silence: a holder that fell silent and the watch that followed made 3.5 s
-  /// of it, and a server that had left meanwhile got requests for 2 s more.
+  /// The store answers after calls had failed. A wait without changes is no silence: a holder
+  /// that fell silent and the watch that followed made 3.5 s of it.
   fn back(&mut self) {
-    let Some(failed) = self.failed.take() else {
+    self.failed = None;
+    let Some(lost) = self.lost.take() else {
       return;
     };
-    // A single call may be lost on its way, and says nothing of the time before it.
-    let silence = match self.failures {
-      1 => failed.elapsed().min(self.gate.silence()),
-      _ => self.gate.silence(),
-    };
+    let silence = self.gate.contact().silence(lost);
     info!(self.log, "store is back"; "kind" => self.kind, "failures" => self.failures,
-      "revision" => self.from, "silent_ms" => silence.as_millis() as u64);
+      "revision" => self.from, "silent_ms" => silence.length.as_millis() as u64,
+      "over_ms" => silence.over.as_millis() as u64,
+      "failed_ms" => silence.failed.as_millis() as u64);
     (self.take)(Event::Back(silence));
+    self.back = Some(Moment::now());
     self.failures = 0;
   }
 
   fn fail(&mut self, call: &str, began: Moment, error: &Error) {
+    if matches!(error, Error::HistoryGone | Error::Refused(TOO_MANY)) {
+      self.gate.contact().reach(Moment::now());
+    } else {
+      self.gate.contact().fail(began);
+    }
     if *error == Error::HistoryGone {
       info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from);
       self.unread = true;
       return;
     }
-    if *error == Error::Refused(TOO_MANY) {
-      self.gate.hear(Moment::now());
-    }
     if self.failures == 0 {
-      self.gate.lost();
+      self.lost = Some(began);
       warn!(self.log, "store is lost"; "kind" => self.kind, "error" => %error,
         "revision" => self.from);
       (self.take)(Event::Lost);
@@ -321,9 +338,11 @@
     }
     self.failed = Some(began);
     let pause = (RETRY * (1 << self.failures.min(3))).min(RETRY_MOST);
+    let pause = pause.saturating_sub(began.elapsed()).max(RETRY);
     // All instances that start together, or lost the store together, must not return together:
     // 295 that had lost power read the configuration at once, and 1,924 reads got no answer.
-    thread::sleep(pause.mul_f64(rand::random_range(SPREAD)));
+    let pause = pause.mul_f64(rand::random_range(SPREAD));
+    self.gate.contact().wait(Moment::now(), pause);
     self.failures += 1;
   }
 }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -3,6 +3,7 @@
 use crate::{
   ask::Ticket,
   clock::Moment,
+  contact::Contact,
   customer::{Caller, Standing},
   deployment::Deployment,
   dialect::Dialect,
@@ -64,10 +65,23 @@
 }
 
 /// Who watches what of the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Gates {
   pub deployments: Gate,
   pub servers: Gate,
+  /// When the store answered anybody.
+  pub contact: Arc<Contact>,
+}
+
+impl Gates {
+  fn open() -> Self {
+    let contact = Arc::new(Contact::default());
+    Self {
+      deployments: Gate::open(contact.clone()),
+      servers: Gate::open(contact.clone()),
+      contact,
+    }
+  }
 }
 
 /// What the threads of a routing instance share.
@@ -104,7 +118,7 @@
       dialect,
       pool: Pool::default(),
       measures,
-      gates: Gates::default(),
+      gates: Gates::open(),
       stopping: AtomicBool::new(false),
       stop_bell: Bell::open()?,
       want_bell: Bell::open()?,
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -3,15 +3,19 @@
 
 use crate::{
   backend::{self, Backend, Holding, Spec, Stage},
+  contact::Silence,
   dispatch::{Change, Effect, State},
   feed::SILENT,
 };
 use std::time::Duration;
 
 /// Time for which entries that lapsed while the store was silent may come back once it
-/// answers again, ms: the platform says about two seconds, and what is missing then
+/// answers anybody again, ms: the platform says about two seconds, and what is missing then
 /// is gone.
 const LAPSE_MS: u64 = 2_000;
+/// A departure must not be taken for a lapse any more once an instance counts as in touch with
+/// the store again, 3 s after its calls cease to fail: ms from the begin of the last one.
+const CONTACT_MS: u64 = 2_800;
 /// Servers may have missed a heartbeat while the store did not answer for this long, ms; a
 /// single call that fails says nothing of them.
 const MISSED_MS: u64 = 1_000;
@@ -40,6 +44,7 @@
         Change::Faulty(id) => self.remove(&id),
       }
     }
+    self.drop_lapsed();
     self.place_waiting();
   }
 
@@ -80,21 +85,27 @@
     self.lost_at = self.now;
   }
 
-  pub(crate) fn store_back(&mut self, silence: Duration) {
+  pub(crate) fn store_back(&mut self, silence: &Silence) {
     self.store_lost = false;
     let lost = self.now.saturating_sub(self.lost_at);
     let missing = self
       .backends
       .values()
       .any(|backend| backend.lapsed.is_some());
+    let long = silence.length >= SILENT;
+    self.lapses |= long;
     // Entries still missing from an earlier silence had no time to come back.
-    if silence >= SILENT || missing && lost >= MISSED_MS {
-      self.lapse_until = self.now + LAPSE_MS;
-    } else if missing {
-      self.lapse_until += lost;
+    if long || missing && lost >= MISSED_MS {
+      self.lapse_until = self.lapse_until.max(self.return_until(silence));
     }
   }
 
+  /// Until when entries that lapsed in a silence of the store may come back, ms.
+  fn return_until(&self, silence: &Silence) -> u64 {
+    let from = |ms: u64, since: Duration| (self.now + ms).saturating_sub(since.as_millis() as u64);
+    from(LAPSE_MS, silence.over).min(from(CONTACT_MS, silence.failed))
+  }
+
   /// Since when a server's entry is missing, ms.
   pub fn missing_since(&self, server: backend::Key) -> Option<u64> {
     self.backends.get(server)?.lapsed
@@ -125,11 +136,14 @@
       return;
     };
     let backend = &mut self.backends[key];
+    if backend.lapsed.is_some() {
+      return;
+    }
     let id = id.to_string();
-    if self.now >= self.lapse_until || backend.leaves() {
+    if !self.lapses || self.now >= self.lapse_until || backend.leaves() {
       self.remove(&id);
       self.out.push(Effect::Removed(id));
-    } else if backend.lapsed.is_none() {
+    } else {
       backend.lapsed = Some(self.now);
       let kept_ms = self.lapse_until - self.now;
       self.out.push(Effect::Missing { id, kept_ms });
--- a/src/message.rs
+++ b/src/message.rs
@@ -14,14 +14,20 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Since the platform's store last answered anybody that the sender has heard of, ms; none:
+/// never.
+pub type StoreAge = Option<u64>;
+
 /// A datagram between instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
   Report(Report),
   Update(Update),
-  /// A group's holder asks for a promise, and gets one.
+  /// A group's holder asks for a promise.
   Question(u32, Question),
-  Promise(u32, Promise),
+  /// What the holder of a group asked for, if the sender gives it, and what its asking shows
+  /// that it lacks: when the store answered others.
+  Promise(u32, Option<Promise>, StoreAge),
   /// Changes that a holder read from the store.
   Changes(Kind, feed::Batch),
   /// Runs that ended with their servers, for those who find out why.
@@ -77,6 +83,7 @@
   /// How far the holder has followed the deployment and the servers.
   pub deployments: feed::Progress,
   pub servers: feed::Progress,
+  pub store: StoreAge,
   pub instances: u32,
   /// Where instances hear each other, so that the next holder knows them; empty
   /// when not sent.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -390,8 +390,10 @@
         Ok(Message::Uses(uses)) => self.hear_uses(now, &uses, from),
         Ok(Message::Grants(answer)) => self.hear_grants(answer),
         Ok(Message::Limits(statements)) => self.hear_limits(statements),
-        Ok(Message::Promise(index, promise)) => {
-          if let Some(group) = self.groups.get_mut(index as usize) {
+        Ok(Message::Promise(index, promise, store_ms)) => {
+          self.hear_store(store_ms);
+          let group = self.groups.get_mut(index as usize);
+          if let (Some(group), Some(promise)) = (group, promise) {
             group.lease.promised(&promise);
           }
         }
@@ -441,9 +443,7 @@
         "term" => record.term, "revision" => revision);
     }
     if result.is_ok() {
-      let answered = Moment::now();
-      self.hub.gates.deployments.hear(answered);
-      self.hub.gates.servers.hear(answered);
+      self.hub.gates.contact.reach(Moment::now());
       // Others learn of the renewal at once.
       group.plan.publish_soon();
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -5,6 +5,7 @@
 use bendsaddle::{
   ask::Ticket,
   backend::{Holding, Spec, Stage, short},
+  contact::Silence,
   demand::Model,
   deployment::{Deployment, Engine},
   dispatch::{Ask, Change, Effect, End, Event, State},
@@ -182,12 +183,7 @@
     Some("one"),
     "what is held is served"
   );
-  state.reduce(
-    4_000,
-    Event::StoreBack {
-      silence: Duration::from_millis(3_000),
-    },
-  );
+  state.reduce(4_000, back(3_000));
   let effects = state.reduce(4_100, ask(4, &route, Some("cold")));
   assert_eq!(
     refused(&effects),
@@ -314,16 +310,19 @@
   );
 }
 
+/// The store is back just now, after so long without an answer to anybody, ms.
+fn back(silent_ms: u64) -> Event {
+  Event::StoreBack(Silence {
+    length: Duration::from_millis(silent_ms),
+    ..Silence::default()
+  })
+}
+
 /// A state whose server "s" lost its entry when the store was back after a silence.
 fn lapsed(silent_ms: u64) -> (State, Vec<Effect>) {
   let mut state = state(vec![spec("s", &[])]);
   state.reduce(50, Event::StoreLost);
-  state.reduce(
-    100,
-    Event::StoreBack {
-      silence: Duration::from_millis(silent_ms),
-    },
-  );
+  state.reduce(100, back(silent_ms));
   let effects = state.reduce(100, Event::Servers(vec![Change::Gone("s".into())]));
   (state, effects)
 }
@@ -366,12 +365,7 @@
   leaving.stage = Stage::Draining;
   let mut state = state(vec![leaving]);
   state.reduce(50, Event::StoreLost);
-  state.reduce(
-    100,
-    Event::StoreBack {
-      silence: Duration::from_millis(4_000),
-    },
-  );
+  state.reduce(100, back(4_000));
   state.reduce(100, Event::Servers(vec![Change::Gone("s".into())]));
   assert!(state.ids.is_empty());
 }
@@ -383,12 +377,7 @@
   let route = route(Repeat::Always, None, 2);
   let effects = state.reduce(2_500, ask(1, &route, None));
   assert_eq!(sent(&effects), Some("s".into()));
-  state.reduce(
-    2_600,
-    Event::StoreBack {
-      silence: Duration::from_millis(900),
-    },
-  );
+  state.reduce(2_600, back(900));
   let effects = state.reduce(4_500, ask(2, &route, None));
   assert_eq!(sent(&effects), Some("s".into()));
   let effects = state.reduce(4_600, ask(3, &route, None));
@@ -482,8 +471,7 @@
 fn a_call_that_fails_once_gives_missing_entries_no_time_anew() {
   let (mut state, _) = lapsed(4_000);
   state.reduce(1_900, Event::StoreLost);
-  let silence = Duration::from_millis(100);
-  state.reduce(2_000, Event::StoreBack { silence });
+  state.reduce(2_000, back(100));
   let route = route(Repeat::Always, None, 2);
   let effects = state.reduce(2_200, ask(1, &route, None));
   assert_eq!(sent(&effects), None, "gone for two seconds");
@@ -502,3 +490,82 @@
   assert_eq!(state.backends[state.ids["s"]].spec.stage, Stage::Ready);
   assert_eq!(sent(&state.reduce(3, ask(2, &route, Some("m")))), None);
 }
+
+// Calls of this instance failed until 900 ms before the store was back, and another one was
+// answered 300 ms before: entries that lapsed are back two seconds after that.
+#[test]
+fn the_time_of_missing_entries_begins_with_the_first_answer_to_anybody() {
+  let mut state = state(vec![spec("s", &[])]);
+  state.reduce(50, Event::StoreLost);
+  let silence = Silence {
+    length: Duration::from_millis(4_000),
+    over: Duration::from_millis(300),
+    failed: Duration::from_millis(900),
+  };
+  state.reduce(1_000, Event::StoreBack(silence));
+  state.reduce(1_000, Event::Servers(vec![Change::Gone("s".into())]));
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_600, ask(1, &route, None));
+  assert_eq!(sent(&effects), Some("s".into()));
+  let effects = state.reduce(2_700, ask(2, &route, None));
+  assert_eq!(sent(&effects), None);
+}
+
+// The store may have been back for long when this instance notices: a call into silence takes
+// seconds. A departure must not pass for a lapse once the instance counts as in touch.
+#[test]
+fn missing_entries_are_not_kept_once_calls_have_passed_for_long() {
+  let mut state = state(vec![spec("s", &[])]);
+  state.reduce(50, Event::StoreLost);
+  let silence = Silence {
+    length: Duration::from_millis(4_000),
+    over: Duration::ZERO,
+    failed: Duration::from_millis(2_500),
+  };
+  state.reduce(2_000, Event::StoreBack(silence));
+  state.reduce(2_000, Event::Servers(vec![Change::Gone("s".into())]));
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_200, ask(1, &route, None));
+  assert_eq!(sent(&effects), Some("s".into()));
+  let effects = state.reduce(2_500, ask(2, &route, None));
+  assert_eq!(sent(&effects), None);
+}
+
+#[test]
+fn an_entry_that_is_removed_after_the_store_was_back_is_a_departure() {
+  let mut state = state(vec![spec("s", &[]), spec("t", &[])]);
+  state.reduce(50, Event::StoreLost);
+  state.reduce(100, back(4_000));
+  state.reduce(100, Event::Servers(vec![Change::Gone("s".into())]));
+  state.reduce(100, Event::StoreCurrent);
+  assert!(state.ids.contains_key("s"), "it may come back");
+  let effects = state.reduce(300, Event::Servers(vec![Change::Gone("t".into())]));
+  assert!(
+    effects.contains(&Effect::Removed("t".into())),
+    "{effects:?}"
+  );
+  assert!(!state.ids.contains_key("t"));
+}
+
+// A list that is read again while the entry is still missing.
+#[test]
+fn an_entry_that_is_still_missing_keeps_its_time() {
+  let (mut state, _) = lapsed(4_000);
+  state.reduce(100, Event::StoreCurrent);
+  state.reduce(500, Event::Servers(vec![Change::All(Vec::new())]));
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_000, ask(1, &route, None));
+  assert_eq!(sent(&effects), Some("s".into()));
+  let effects = state.reduce(2_100, ask(2, &route, None));
+  assert_eq!(sent(&effects), None);
+}
+
+#[test]
+fn an_entry_that_is_back_as_its_time_ends_is_kept() {
+  let (mut state, _) = lapsed(4_000);
+  let effects = state.reduce(2_200, Event::Servers(vec![Change::Set(spec("s", &[]))]));
+  assert!(!effects.contains(&Effect::Gone("s".into())), "{effects:?}");
+  let route = route(Repeat::Always, None, 2);
+  let effects = state.reduce(2_300, ask(1, &route, None));
+  assert_eq!(sent(&effects), Some("s".into()));
+}
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -87,7 +87,7 @@
     let revision = match event {
       Event::All(objects) => objects[0].revision,
       Event::Some(objects) => objects[0].0.revision,
-      Event::Lost | Event::Back(_) => return false,
+      Event::Lost | Event::Back(_) | Event::Current => return false,
     };
     let _ = sender.send(revision);
     true
@@ -207,7 +207,7 @@
   gate.follow(progress(5, 5, 0));
   follow_events(&numbers, &gate, move |event| {
     if let Event::Back(silence) = event {
-      let _ = sender.send(silence);
+      let _ = sender.send(silence.length);
     }
     true
   });
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -216,7 +216,7 @@
       gate.follow(progress(8));
     },
     |event| match event {
-      Event::Back(silence) => Some(Some(*silence)),
+      Event::Back(silence) => Some(Some(silence.length)),
       Event::Some(_) => Some(None),
       _ => None,
     },
@@ -248,7 +248,7 @@
     &events,
     || {},
     |event| match event {
-      Event::Back(silence) => Some(*silence),
+      Event::Back(silence) => Some(silence.length),
       _ => None,
     },
   );
@@ -289,7 +289,7 @@
     &events,
     || gate.follow(progress(8)),
     |event| match event {
-      Event::Back(silence) => Some(*silence),
+      Event::Back(silence) => Some(silence.length),
       _ => None,
     },
   );
@@ -310,10 +310,47 @@
     &events,
     || gate.follow(progress(8)),
     |event| match event {
-      Event::Back(silence) => Some(Some(*silence)),
+      Event::Back(silence) => Some(Some(silence.length)),
       Event::Some(_) => Some(None),
       _ => None,
     },
   );
   assert_eq!(first, Some(None));
 }
+
+// The holder reads a removal well after the store was back: it is no lapse.
+#[test]
+fn what_was_known_when_the_store_was_back_comes_before_a_later_removal() {
+  let gate = Arc::new(Gate::default());
+  gate.follow(progress(5));
+  let (server, events) = followed(&gate, || {});
+  known(&gate);
+  server.lock().unwrap().mood = Mood::Refuses;
+  thread::sleep(SILENT + Duration::from_millis(900));
+  let back = next(
+    &events,
+    || gate.follow(progress(5)),
+    |event| matches!(event, Event::Back(_)).then_some(Instant::now()),
+  );
+  let back = back.expect("the store back");
+  while back.elapsed() < Duration::from_millis(300) {
+    gate.follow(progress(5));
+    thread::sleep(Duration::from_millis(20));
+  }
+  let mut removal = batch();
+  removal.changes[0].revision = 5;
+  removal.changes[0].removed = true;
+  let first = next(
+    &events,
+    || {
+      gate.offer(removal.clone());
+      gate.follow(progress(8));
+    },
+    |event| match event {
+      Event::Current => Some(true),
+      Event::Some(_) => Some(false),
+      _ => None,
+    },
+  );
+  assert_eq!(first, Some(true), "the removal came as one of before");
+}
