feed: a removal that comes with the answer that brings its entry is published

What callers saw: requests went to a server for as long as it answered, 4.6 to 5.0 s after its departure was acknowledged. Cause: the same judgement as with entries that are back: a server that entered itself and left within one answer of the store was not known to the holder before it, so its removal mattered to nobody, and followers were sent the entry alone. Ruled out: a lost batch (followers took count 1 where the holder had 2). Change: an object that is published as there is also published as removed, and the other way round; each removal of a server matters, also one whose content cannot be read.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -12,7 +12,7 @@
 use crate::store::{Error, Object, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
-use std::{collections::BTreeSet, thread, time::Duration};
+use std::{collections::BTreeMap, thread, time::Duration};
 
 /// Longest wait of one watch. A waiting watch counts as a call: while a holder is turned away
 /// 69 instances watch by themselves. But one whose connection or store has fallen silent is
@@ -280,14 +280,17 @@
     if !self.gate.leads() {
       return Vec::new();
     }
-    let mut gone = BTreeSet::new();
+    let mut published: BTreeMap<&str, bool> = BTreeMap::new();
     let needed = objects.iter().filter(|(object, removed)| {
-      // What comes back with its removal is known here, and no more to those who take that up.
-      let back = gone.contains(&object.name);
-      if *removed {
-        gone.insert(&object.name);
+      // What matters is judged by what was known before this answer: an object that is
+      // published as there or as removed is also published when it ceases to be.
+      let before = published.get(object.name.as_str());
+      let turns = before.is_some_and(|before| before != removed);
+      let needed = turns || (self.matters)(object, *removed);
+      if needed {
+        published.insert(&object.name, *removed);
       }
-      back || (self.matters)(object, *removed)
+      needed
     });
     needed.cloned().collect()
   }
--- a/src/router.rs
+++ b/src/router.rs
@@ -238,9 +238,12 @@
 
 /// Whether others need a server's entry that has changed: what it holds they learn otherwise.
 fn matters(hub: &Hub, edge: &Edge, object: &Object, removed: bool) -> bool {
+  if removed {
+    return true;
+  }
   let state = hub.state();
   match (edge.server)(object) {
-    Ok(spec) => removed || !known(&state, &spec),
+    Ok(spec) => !known(&state, &spec),
     Err(_) => state.ids.contains_key(&object.name),
   }
 }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -411,10 +411,12 @@
   assert_eq!((published[0].after, published[0].revision), (5, 8));
 }
 
-// A server's entry was removed and was back with the same answer of the store: the holder took
-// the entry for a known one, its followers were sent the removal alone, and gave the server up.
-#[test]
-fn a_holder_publishes_an_entry_that_is_back_with_the_answer_that_removes_it() {
+/// What a holder publishes of one answer of the store, as revisions and whether each was removed.
+fn published_of(
+  changes: [(Object, bool); 2],
+  matters: impl Fn(&Object, bool) -> bool + Send + 'static,
+) -> Vec<(u64, bool)> {
+  let revision = changes[1].0.revision;
   let answered = AtomicBool::new(false);
   let store = Store {
     list: Box::new(|_, _| {
@@ -429,11 +431,8 @@
       if !first {
         thread::sleep(wait);
       }
-      let changes = [(object(5), true), (object(7), false)];
-      Ok(Changes {
-        objects: changes.into_iter().filter(|_| first).collect(),
-        revision: 7,
-      })
+      let objects = changes.iter().filter(|_| first).cloned().collect();
+      Ok(Changes { objects, revision })
     }),
     read: Box::new(|_, _| Err(Error::Absent)),
     write: Box::new(|_, _, _, _| Err(Error::Absent)),
@@ -441,15 +440,32 @@
   let gate = Arc::new(Gate::default());
   gate.lead(true);
   let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
-  // An entry that is known changes nothing for others.
-  let matters = |_: &Object, removed: bool| removed;
   thread::spawn(move || follow(&store, "kind", &followed, &log, matters, |_| true));
   let published = published(&gate);
   let changes = published[0].changes.iter();
-  let changes: Vec<(u64, bool)> = changes
+  changes
     .map(|change| (change.revision, change.removed))
-    .collect();
-  assert_eq!(changes, [(5, true), (7, false)]);
+    .collect()
+}
+
+// A server's entry was removed and was back with the same answer of the store: the holder took
+// the entry for a known one, its followers were sent the removal alone, and gave the server up.
+#[test]
+fn a_holder_publishes_an_entry_that_is_back_with_the_answer_that_removes_it() {
+  let changes = [(object(6), true), (object(7), false)];
+  // An entry that is known changes nothing for others.
+  let published = published_of(changes, |_, removed| removed);
+  assert_eq!(published, [(6, true), (7, false)]);
+}
+
+// A server entered itself and left within one answer of the store: its followers were sent the
+// entry alone, and sent requests there for as long as the server answered.
+#[test]
+fn a_holder_publishes_a_removal_that_comes_with_the_answer_that_brings_the_entry() {
+  let changes = [(object(6), false), (object(7), true)];
+  // The removal of an entry that is not known changes nothing for others.
+  let published = published_of(changes, |_, removed| !removed);
+  assert_eq!(published, [(6, false), (7, true)]);
 }
 
 // A follower had read by itself that a server's entry was removed. The holder's list came after
