soak: requests to servers that leave count by who was in touch when they were sent

Cause: a late request was excused by any fault of its instance from three seconds before the departure on, which hid just the departures soon after an instance had the store again. In touch is who was not disturbed for three seconds before the request. Ruled out: excusing by the store as before is kept, for a departure counts only when the store is sound.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,6 +1,7 @@
 //! The promises, checked against a history.
 
 use crate::history::{End, FROZEN, History, Kind, Limit, Order, STOPPED, Sent, Target};
+use crate::leaving::{self, Last};
 use std::collections::{BTreeMap, HashMap};
 
 /// Bounds that hold on top of the machine's own delays, ms.
@@ -108,10 +109,8 @@
     self.found.push(Violation { promise, at, text });
   }
 
-  /// Whether a fault at a target lasted at some time between two.
   fn troubled(&self, target: &Target, from: u64, to: u64) -> bool {
-    let mut troubles = self.history.troubles.iter();
-    troubles.any(|trouble| trouble.target == *target && trouble.from <= to && trouble.to >= from)
+    self.history.troubled(target, from, to)
   }
 
   /// Whether a fault at its instance excuses how a request ended; a planned stop does
@@ -321,25 +320,12 @@
 
   /// A server that leaves gets no new work.
   fn drained(&mut self) {
-    for (server, at) in &self.history.drained {
-      let bound = at + self.bounds.drain_ms + self.slack();
-      let from = at.saturating_sub(self.bounds.contact_ms);
-      let runs = self.history.runs.iter();
-      let late = runs.filter(|run| run.server == *server && run.at > bound);
-      let unexcused = late.filter(|run| {
-        // Probes are nobody's requests.
-        let sent = self.history.sent.iter().find(|sent| sent.id == run.id);
-        sent.is_some_and(|sent| {
-          let instance = Target::Instance(sent.instance);
-          !self.troubled(&Target::Store, from, run.at) && !self.troubled(&instance, from, run.at)
-        })
-      });
-      let first = unexcused.min_by_key(|run| run.at);
-      if let Some(run) = first {
-        let (id, late) = (&run.id, run.at - at);
-        let text = format!("server `{server}` got `{id}` {late} ms after it began to leave");
-        self.found("leaving", run.at, text);
-      }
+    let bound = self.bounds.drain_ms + self.slack();
+    let last = leaving::last(self.history, &self.bounds);
+    for Last { run, after_ms } in last.iter().filter(|last| last.after_ms > bound) {
+      let (server, id) = (&run.server, &run.id);
+      let text = format!("server `{server}` got `{id}` {after_ms} ms after it began to leave");
+      self.found("leaving", run.at, text);
     }
   }
 
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -192,6 +192,14 @@
   pub lag_ms: u64,
 }
 
+impl History {
+  /// Whether a fault at a target lasted at some time between two, ms.
+  pub fn troubled(&self, target: &Target, from: u64, to: u64) -> bool {
+    let mut troubles = self.troubles.iter();
+    troubles.any(|trouble| trouble.target == *target && trouble.from <= to && trouble.to >= from)
+  }
+}
+
 /// A history that threads write.
 pub struct Book {
   start: Instant,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 pub mod history;
+pub mod leaving;
 pub mod load;
 pub mod plan;
 pub mod switch;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 use soak::{
   check::{Bounds, Violation, check},
   history::{End, History},
+  leaving,
   plan::{self, Size, Step},
   switch::Break,
   world::{LEASE_MS, Options, play},
@@ -145,6 +146,7 @@
     return false;
   };
   report(&history);
+  report_leaving(&history);
   if let Some((name, _, promise)) = arguments.broken {
     let noticed = found.iter().any(|violation| violation.promise == promise);
     println!(
@@ -229,6 +231,19 @@
   }
 }
 
+/// The latest requests to servers that leave, of instances in touch.
+fn report_leaving(history: &History) {
+  let mut after: Vec<u64> = leaving::last(history, &Bounds::default())
+    .iter()
+    .map(|last| last.after_ms)
+    .collect();
+  after.sort_unstable_by_key(|after| std::cmp::Reverse(*after));
+  println!(
+    "  {} servers left, last requests after {after:?} ms",
+    history.drained.len()
+  );
+}
+
 fn report(history: &History) {
   let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
   for sent in &history.sent {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -131,8 +131,23 @@
 /// Requests in ten seconds that one names.
 const NEEDY_RATE: std::ops::Range<u32> = 5..60;
 
+/// Seeds from this one on have nothing but servers that leave beside instances without the
+/// store: other faults would excuse late requests.
+const LEAVING: u64 = 30_000;
+/// Seeds from this one on have such servers among all other faults.
+const LEAVING_TOO: u64 = 20_000;
+/// Mean pause between two of them, ms.
+const LEAVING_PAUSE_MS: u64 = 4_000;
+/// How long the store does not answer the instance, ms: longer than three heartbeats of servers.
+const UNANSWERED_MS: std::ops::Range<u64> = 3_300..5_000;
+/// From the end of that to the departure, ms: while the instance has not noticed it yet.
+const LEAVES_AFTER_MS: std::ops::Range<u64> = 0..1_500;
+
 /// Draws a plan; the same seed and size give the same.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
+  if seed >= LEAVING {
+    return leaving(seed, size);
+  }
   let mut steps = first(seed, size);
   if seed >= EXTENDED {
     steps.extend(further(seed, size));
@@ -140,6 +155,34 @@
   if seed >= NEEDY {
     steps.extend(needy(seed, size));
   }
+  if seed >= LEAVING_TOO {
+    steps.extend(leaving(seed, size));
+  }
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
+/// Servers that leave without a word when the store answers an instance again.
+fn leaving(seed: u64, size: &Size) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(500..LEAVING_PAUSE_MS / 2);
+  while at < size.faults_ms {
+    let instance = rng.random_range(0..size.instances);
+    let lasts = rng.random_range(UNANSWERED_MS);
+    steps.push(Step {
+      at,
+      lasts,
+      fault: Fault::StoreCut(instance, cut(&mut rng)),
+    });
+    let server = size.servers + rng.random_range(0..size.servers);
+    steps.push(Step {
+      at: at + lasts + rng.random_range(LEAVES_AFTER_MS),
+      lasts: 1,
+      fault: Fault::Server(server, Server::Vanish),
+    });
+    at += rng.random_range(LEAVING_PAUSE_MS / 3..LEAVING_PAUSE_MS * 5 / 3);
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -239,6 +239,22 @@
   assert_eq!(broken(&history(4_000)), ["leaving"]);
 }
 
+// An instance is in touch three seconds after its last fault, also where that came shortly
+// before the departure, or after it.
+#[test]
+fn a_fault_excuses_a_late_request_to_a_leaving_server_while_it_is_recent() {
+  let history = |from, to| {
+    let mut history = calm();
+    history.drained.push(("a".into(), 9_000));
+    history.runs.push(run("calm", "a", 12_000));
+    let target = Target::Instance(0);
+    history.troubles.push(trouble(target, "cut", from, to));
+    history
+  };
+  assert_eq!(broken(&history(5_000, 8_900)), ["leaving"]);
+  assert!(broken(&history(5_000, 9_100)).is_empty());
+}
+
 #[test]
 fn after_all_faults_every_kind_is_served() {
   let mut history = calm();
