--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -166,7 +166,7 @@
 fn leaving(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16));
   let mut steps = Vec::new();
-  let mut at = rng.random_range(500..LEAVING_PAUSE_MS / 2);
+  let mut at = rng.random_range(0..LEAVING_PAUSE_MS / 2);
   while at < size.faults_ms {
     let instance = rng.random_range(0..size.instances);
     let lasts = rng.random_range(UNANSWERED_MS);
@@ -181,6 +181,7 @@
       lasts: 1,
       fault: Fault::Server(server, Server::Vanish),
     });
+    steps.retain(|step| step.at < size.faults_ms);
     at += rng.random_range(LEAVING_PAUSE_MS / 3..LEAVING_PAUSE_MS * 5 / 3);
   }
   steps.sort_by_key(|step| step.at);
