lapses of entries in a module of their own; events of the reducer apart from it

Ruled out: a change of what is decided, the tests are as they were; three tests of what a holder publishes share one set-up, with the same assertions.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod job;
 pub mod jobs;
 pub mod journal;
+mod lapse;
 pub mod learn;
 pub mod lease;
 pub mod ledger;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -5,20 +5,8 @@
   backend::{self, Backend, Holding, Spec, Stage},
   contact::Silence,
   dispatch::{Change, Effect, State},
-  feed::SILENT,
 };
-use std::time::Duration;
 
-/// Time for which entries that lapsed while the store was silent may come back once it
-/// answers anybody again, ms: the platform says about two seconds, and what is missing then
-/// is gone.
-const LAPSE_MS: u64 = 2_000;
-/// A departure must not be taken for a lapse any more once an instance counts as in touch with
-/// the store again, 3 s after its calls cease to fail: ms from the begin of the last one.
-const CONTACT_MS: u64 = 2_800;
-/// Servers may have missed a heartbeat while the store did not answer for this long, ms; a
-/// single call that fails says nothing of them.
-const MISSED_MS: u64 = 1_000;
 /// A holding published for a server without an entry is kept for this long, ms: its entry
 /// comes by another path, where it must be read again some seconds later at the most.
 const EARLY_MS: u64 = 10_000;
@@ -80,30 +68,18 @@
     }
   }
 
-  pub(crate) fn store_lost(&mut self) {
-    self.store_lost = true;
-    self.lost_at = self.now;
+  /// The store answers again.
+  pub(crate) fn store_back(&mut self, silence: &Silence) {
+    let missing = self.lapsed().next().is_some();
+    self.lapses.back(self.now, silence, missing);
   }
 
-  pub(crate) fn store_back(&mut self, silence: &Silence) {
-    self.store_lost = false;
-    let lost = self.now.saturating_sub(self.lost_at);
-    let missing = self
+  /// Servers whose entries are missing and may come back.
+  fn lapsed(&self) -> impl Iterator<Item = &Backend> {
+    self
       .backends
       .values()
-      .any(|backend| backend.lapsed.is_some());
-    let long = silence.length >= SILENT;
-    self.lapses |= long;
-    // Entries still missing from an earlier silence had no time to come back.
-    if long || missing && lost >= MISSED_MS {
-      self.lapse_until = self.lapse_until.max(self.return_until(silence));
-    }
-  }
-
-  /// Until when entries that lapsed in a silence of the store may come back, ms.
-  fn return_until(&self, silence: &Silence) -> u64 {
-    let from = |ms: u64, since: Duration| (self.now + ms).saturating_sub(since.as_millis() as u64);
-    from(LAPSE_MS, silence.over).min(from(CONTACT_MS, silence.failed))
+      .filter(|backend| backend.lapsed.is_some())
   }
 
   /// Since when a server's entry is missing, ms.
@@ -113,15 +89,13 @@
 
   /// Gives up the servers whose entries did not come back in time.
   pub(crate) fn drop_lapsed(&mut self) {
-    if self.lapse_until == 0 || self.store_lost || self.now < self.lapse_until {
+    if !self.lapses.take_over(self.now) {
       return;
     }
-    self.lapse_until = 0;
-    let lapsed = self
-      .backends
-      .values()
-      .filter(|backend| backend.lapsed.is_some());
-    let ids: Vec<String> = lapsed.map(|backend| backend.spec.id.clone()).collect();
+    let ids: Vec<String> = self
+      .lapsed()
+      .map(|backend| backend.spec.id.clone())
+      .collect();
     self.changes += u64::from(!ids.is_empty());
     for id in ids {
       self.remove(&id);
@@ -140,13 +114,15 @@
       return;
     }
     let id = id.to_string();
-    if !self.lapses || self.now >= self.lapse_until || backend.leaves() {
-      self.remove(&id);
-      self.out.push(Effect::Removed(id));
-    } else {
-      backend.lapsed = Some(self.now);
-      let kept_ms = self.lapse_until - self.now;
-      self.out.push(Effect::Missing { id, kept_ms });
+    match self.lapses.wait_ms(self.now) {
+      Some(kept_ms) if !backend.leaves() => {
+        backend.lapsed = Some(self.now);
+        self.out.push(Effect::Missing { id, kept_ms });
+      }
+      _ => {
+        self.remove(&id);
+        self.out.push(Effect::Removed(id));
+      }
     }
   }
 
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -373,50 +373,12 @@
   assert_eq!(heard(&gate, progress(8, 8, 0), &news), Some(8));
 }
 
-// Entries of servers change with each load, a hundred times a second at 256 servers; others
-// need what says where a server is and whether it takes work.
-#[test]
-fn a_holder_publishes_of_an_answer_what_others_need() {
-  let answered = AtomicBool::new(false);
-  let store = Store {
-    list: Box::new(|_, _| {
-      Ok(Page {
-        objects: vec![object(5)],
-        more: false,
-        revision: 5,
-      })
-    }),
-    watch: Box::new(move |_, _, wait| {
-      let first = !answered.swap(true, Ordering::Relaxed);
-      if !first {
-        thread::sleep(wait);
-      }
-      let objects = (6..=8).map(|revision| (object(revision), false));
-      Ok(Changes {
-        objects: objects.filter(|_| first).collect(),
-        revision: 8,
-      })
-    }),
-    read: Box::new(|_, _| Err(Error::Absent)),
-    write: Box::new(|_, _, _, _| Err(Error::Absent)),
-  };
-  let gate = Arc::new(Gate::default());
-  gate.lead(true);
-  let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
-  let odd = |object: &Object, _| object.revision % 2 == 1;
-  thread::spawn(move || follow(&store, "kind", &followed, &log, odd, |_| true));
-  let published = published(&gate);
-  let revisions = published[0].changes.iter().map(|change| change.revision);
-  assert_eq!(revisions.collect::<Vec<u64>>(), [7]);
-  assert_eq!((published[0].after, published[0].revision), (5, 8));
-}
-
-/// What a holder publishes of one answer of the store, as revisions and whether each was removed.
+/// What a holder publishes of one answer of the store that brings changes after revision 5.
 fn published_of(
-  changes: [(Object, bool); 2],
+  changes: Vec<(Object, bool)>,
   matters: impl Fn(&Object, bool) -> bool + Send + 'static,
-) -> Vec<(u64, bool)> {
-  let revision = changes[1].0.revision;
+) -> Batch {
+  let revision = changes.last().expect("a change").0.revision;
   let answered = AtomicBool::new(false);
   let store = Store {
     list: Box::new(|_, _| {
@@ -441,31 +403,46 @@
   gate.lead(true);
   let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
   thread::spawn(move || follow(&store, "kind", &followed, &log, matters, |_| true));
-  let published = published(&gate);
-  let changes = published[0].changes.iter();
+  published(&gate).swap_remove(0)
+}
+
+/// Revisions in a batch, and whether each was removed.
+fn revisions(batch: &Batch) -> Vec<(u64, bool)> {
+  let changes = batch.changes.iter();
   changes
     .map(|change| (change.revision, change.removed))
     .collect()
 }
 
+// Entries of servers change with each load, a hundred times a second at 256 servers; others
+// need what says where a server is and whether it takes work.
+#[test]
+fn a_holder_publishes_of_an_answer_what_others_need() {
+  let changes = (6..=8).map(|revision| (object(revision), false));
+  let odd = |object: &Object, _| object.revision % 2 == 1;
+  let published = published_of(changes.collect(), odd);
+  assert_eq!(revisions(&published), [(7, false)]);
+  assert_eq!((published.after, published.revision), (5, 8));
+}
+
 // A server's entry was removed and was back with the same answer of the store: the holder took
 // the entry for a known one, its followers were sent the removal alone, and gave the server up.
 #[test]
 fn a_holder_publishes_an_entry_that_is_back_with_the_answer_that_removes_it() {
-  let changes = [(object(6), true), (object(7), false)];
+  let changes = vec![(object(6), true), (object(7), false)];
   // An entry that is known changes nothing for others.
   let published = published_of(changes, |_, removed| removed);
-  assert_eq!(published, [(6, true), (7, false)]);
+  assert_eq!(revisions(&published), [(6, true), (7, false)]);
 }
 
 // A server entered itself and left within one answer of the store: its followers were sent the
 // entry alone, and sent requests there for as long as the server answered.
 #[test]
 fn a_holder_publishes_a_removal_that_comes_with_the_answer_that_brings_the_entry() {
-  let changes = [(object(6), false), (object(7), true)];
+  let changes = vec![(object(6), false), (object(7), true)];
   // The removal of an entry that is not known changes nothing for others.
   let published = published_of(changes, |_, removed| !removed);
-  assert_eq!(published, [(6, false), (7, true)]);
+  assert_eq!(revisions(&published), [(6, false), (7, true)]);
 }
 
 // A follower had read by itself that a server's entry was removed. The holder's list came after
