a server that was not heard counts for a bound when its entry goes

What a server may hold was taken from its entry, though its entry had said nothing of it. The same class once more: an answer that is missing, also to a question from before, was taken for the end of the server, for crashes and cuts look alike to `None`.

Change: a server without an entry may hold anything until it was heard itself; a question ends as a report, `Ended` (connection refused, or another id answers there) or `Silent`; only the first two say what it holds, and a silent one is asked three times at most. A log line names who did not say. Where no policy bounds a model nothing changes.

Tests, both failing before: tests/plan.rs `a_server_that_was_not_heard_counts_when_its_entry_goes`, `a_server_without_an_entry_counts_while_it_only_leaves_questions_unanswered`. The stand-in of the holder's tests ends as `Ended`, as what it stands for does: a process that is gone; the test that its models are loaded at once holds as before.

--- a/src/command.rs
+++ b/src/command.rs
@@ -77,6 +77,15 @@
   }
 }
 
+/// Why an engine did not say what it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unheard {
+  /// Nothing listens at its address, or another server does.
+  Ended,
+  /// It may be there and hold anything.
+  Silent,
+}
+
 /// What an engine holds, as it says when asked.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Inventory {
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -3,7 +3,7 @@
 use crate::{
   backend::Spec,
   clock::Moment,
-  command::{Command, Inventory, Taken},
+  command::{Command, Inventory, Taken, Unheard},
   deployment::Deployment,
   dialect::Dialect,
   store::{Object, Store},
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 type Order = dyn Fn(&Command, Moment) -> Taken + Send + Sync;
-type Report = dyn Fn(SocketAddr, &str) -> Option<Inventory> + Send + Sync;
+type Report = dyn Fn(SocketAddr, &str) -> Result<Inventory, Unheard> + Send + Sync;
 
 /// The kinds of objects that routing reads and writes.
 #[derive(Clone, Copy, Debug)]
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -24,7 +24,9 @@
 /// Why a call got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-  /// No connection came up: the call was not made.
+  /// Nothing listens there: the call was not made.
+  Refused,
+  /// No connection came up in time: the call was not made.
   NotSent,
   /// The call went out and may have been carried out, now or later.
   NoAnswer,
@@ -87,7 +89,7 @@
   pub fn send(&self, address: SocketAddr, call: &Call) -> Result<Answer, Failure> {
     let mut socket = match self.kept(address) {
       Some(socket) => socket,
-      None => Socket::connect(address, call.connect).map_err(|_| Failure::NotSent)?,
+      None => Socket::connect(address, call.connect).map_err(|error| not_sent(&error))?,
     };
     if call.before.is_some_and(|before| Moment::now() >= before) {
       return Err(Failure::NotSent);
@@ -100,6 +102,13 @@
   }
 }
 
+fn not_sent(error: &io::Error) -> Failure {
+  match error.kind() {
+    io::ErrorKind::ConnectionRefused => Failure::Refused,
+    _ => Failure::NotSent,
+  }
+}
+
 fn exchange(socket: &mut Socket, address: SocketAddr, call: &Call) -> io::Result<(Answer, bool)> {
   let last = Moment::now() + call.whole;
   let until = || last.min(Moment::now() + call.answer);
--- a/src/placement/gone.rs
+++ b/src/placement/gone.rs
@@ -2,70 +2,130 @@
 
 use crate::{
   backend::Stage,
-  command::Inventory,
+  command::{Inventory, Unheard},
   life::Life,
   placement::{
     held::Server,
-    models::{self, PoolKey},
+    models::{self, Models, PoolKey},
     plan::{Effect, Plan},
   },
 };
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// An entry that lapsed comes back within this time, ms: the platform says about two
 /// seconds. What its server holds counts for policies' bounds until then: otherwise a model
 /// that two servers may hold was loaded on two more.
 const BACK_MS: u64 = 2_000;
+/// Questions to a server without an entry: the first may go over a connection that ended with
+/// the server, and each takes a thread from those to others.
+const QUESTIONS_MOST: u32 = 3;
 
 /// A server without an entry.
 pub(crate) struct Gone {
   life: Life,
   pool: PoolKey,
+  address: SocketAddr,
   /// What it may still hold.
   models: BTreeSet<models::Key>,
+  /// It may hold others as well: what it holds was not heard from itself.
+  others: bool,
+  questions: u32,
   until: u64,
 }
 
+impl Gone {
+  fn open(server: Server, until: u64) -> Self {
+    let coming = server.job.map(|job| job.model);
+    Self {
+      life: server.spec.life(),
+      pool: server.pool,
+      address: server.spec.address,
+      models: server.models.into_keys().chain(coming).collect(),
+      others: server.engine && !server.heard,
+      questions: 0,
+      until,
+    }
+  }
+
+  fn may_hold(&self, pool: PoolKey, model: models::Key) -> bool {
+    self.models.contains(&model) || self.others && self.pool == pool
+  }
+
+  /// Takes up what the server says that it holds.
+  fn hear(&mut self, inventory: &Inventory, models: &mut Models) {
+    for name in inventory.models.keys() {
+      self.models.insert(models.insert(self.pool, name, None));
+    }
+    // A load that is under way is not named.
+    self.others &= inventory.busy;
+  }
+}
+
 impl Plan {
   /// Takes up that servers have no entry any more. One that did not say that it leaves is
   /// asked: where it has ended, its models are to be loaded elsewhere at once.
   pub(crate) fn leave_out(&mut self, servers: Vec<Server>) {
+    if servers.is_empty() {
+      return;
+    }
+    let bounded = self.bounded();
     for server in servers {
-      let (stage, id, address) = (
-        server.spec.stage,
-        server.spec.id.clone(),
-        server.spec.address,
-      );
-      let gone = gone(server, self.now + BACK_MS);
-      // Questions to servers that are not there take threads from those to others.
-      if stage != Stage::Ready || !gone.models.iter().any(|model| self.bounds(*model)) {
+      let (stage, id) = (server.spec.stage, server.spec.id.clone());
+      let gone = Gone::open(server, self.now + BACK_MS);
+      let counts = bounded
+        .iter()
+        .any(|(pool, model)| gone.may_hold(*pool, *model));
+      if stage != Stage::Ready || !counts {
         continue;
       }
-      self.out.push(Effect::Ask { id, address });
-      self.gone.insert(gone.life.server(), gone);
+      let server = gone.life.server();
+      self.gone.insert(server, gone);
+      self.ask_gone(server, id);
     }
   }
 
-  fn bounds(&self, model: models::Key) -> bool {
-    self.policy(model).max_replicas < u32::MAX
+  /// Models whose replicas a policy bounds.
+  fn bounded(&self) -> Vec<(PoolKey, models::Key)> {
+    let keys = self.models.keys();
+    let keys = keys.filter(|model| self.policy(*model).max_replicas < u32::MAX);
+    keys.map(|model| (self.models[model].pool, model)).collect()
   }
 
-  /// Takes up the answer of a server without an entry.
-  pub(crate) fn answered_gone(&mut self, life: Life, inventory: Option<Inventory>) {
-    let Some(gone) = self.gone.get_mut(&life.server()) else {
+  fn ask_gone(&mut self, server: u64, id: String) {
+    let Some(gone) = self.gone.get_mut(&server) else {
       return;
     };
-    let Some(inventory) = inventory else {
-      self.gone.remove(&life.server());
+    // Questions to servers that are not there take threads from those to others.
+    if gone.questions < QUESTIONS_MOST {
+      gone.questions += 1;
+      let address = gone.address;
+      self.out.push(Effect::Ask { id, address });
+    }
+  }
+
+  /// Takes up the answer of a server without an entry.
+  pub(crate) fn answered_gone(
+    &mut self,
+    id: &str,
+    life: Life,
+    inventory: Result<Inventory, Unheard>,
+  ) {
+    let server = life.server();
+    let Some(gone) = self.gone.get_mut(&server) else {
       return;
     };
-    if life.ends(gone.life) {
-      gone.life = life;
-      gone.models.clear();
-    }
-    for name in inventory.models.keys() {
-      let model = self.models.insert(gone.pool, name, None);
-      gone.models.insert(model);
+    match inventory {
+      Ok(inventory) => {
+        if life.ends(gone.life) {
+          gone.life = life;
+          gone.models.clear();
+        }
+        gone.hear(&inventory, &mut self.models);
+      }
+      Err(Unheard::Silent) => self.ask_gone(server, id.into()),
+      Err(Unheard::Ended) => {
+        self.gone.remove(&server);
+      }
     }
   }
 
@@ -77,17 +137,8 @@
 
   /// Servers without an entry that may hold a model.
   pub(crate) fn gone_with(&self, model: models::Key) -> usize {
+    let pool = self.models[model].pool;
     let gone = self.gone.values();
-    gone.filter(|gone| gone.models.contains(&model)).count()
-  }
-}
-
-fn gone(server: Server, until: u64) -> Gone {
-  let coming = server.job.map(|job| job.model);
-  Gone {
-    life: server.spec.life(),
-    pool: server.pool,
-    models: server.models.into_keys().chain(coming).collect(),
-    until,
+    gone.filter(|gone| gone.may_hold(pool, model)).count()
   }
 }
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -2,7 +2,7 @@
 //! to the server in between.
 
 use crate::{
-  command::{Act, Command, Inventory, Taken},
+  command::{Act, Command, Inventory, Taken, Unheard},
   life::Life,
   placement::{
     held::{self, Held, Server, Step, by_key},
@@ -77,12 +77,12 @@
   }
 
   /// Takes up a server's answer to a question.
-  pub fn inventory(&mut self, now: u64, id: &str, inventory: Option<Inventory>) {
+  pub fn inventory(&mut self, now: u64, id: &str, inventory: Result<Inventory, Unheard>) {
     self.now = now;
     let born = inventory.as_ref().map_or(0, |inventory| inventory.born);
     let life = Life::of(id, born);
     let Some(key) = self.ids.get(&life.server()).copied() else {
-      return self.answered_gone(life, inventory);
+      return self.answered_gone(id, life, inventory);
     };
     let known = self.servers[key].spec.life();
     if known.ends(life) {
@@ -93,7 +93,7 @@
       self.change(key, |server, models| server.restart(born, models));
       self.unpublished = true;
     }
-    let Some(inventory) = inventory else {
+    let Ok(inventory) = inventory else {
       self.change(key, |server, _| {
         server.asking = false;
         server.unanswered(now);
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -7,7 +7,7 @@
 use crate::{
   backend::{self, Backend, Spec},
   clock::{Moment, Suspension},
-  command::{Command, Inventory, Taken},
+  command::{Command, Inventory, Taken, Unheard},
   crash::{Crash, Quarantined, Registry, Repeated, stored},
   dispatch::Event,
   edge::Edge,
@@ -100,7 +100,7 @@
 enum Done {
   Lease(usize, lease::Call, store::Result<store::Object>),
   Ordered(usize, Command, Taken),
-  Asked(usize, String, Option<Inventory>),
+  Asked(usize, String, Result<Inventory, Unheard>),
   Policies(store::Result<Vec<store::Object>>),
   Quarantine(stored::Call, store::Result<store::Object>),
 }
@@ -421,6 +421,10 @@
         Done::Policies(objects) => self.take_policies(now, objects),
         Done::Quarantine(call, result) => self.take_quarantine(now, &call, result),
         Done::Asked(index, id, inventory) => {
+          if let Err(unheard) = &inventory {
+            info!(self.hub.log, "server did not say what it holds"; "server" => &id,
+              "why" => format!("{unheard:?}"));
+          }
           self.groups[index].plan.inventory(now, &id, inventory);
         }
       }
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -6,7 +6,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
-  command::{Act, Command, Inventory, Taken},
+  command::{Act, Command, Inventory, Taken, Unheard},
   demand::{Demand, Model},
   deployment::{Checkpoint, Deployment, Engine, Pool},
   life::Life,
@@ -562,7 +562,10 @@
       }
       Later::Ask(id) => {
         let server = self.servers.get_mut(&id).expect("a server");
-        let inventory = (!server.lost).then(|| server.report(self.now));
+        let inventory = match server.lost {
+          true => Err(Unheard::Ended),
+          false => Ok(server.report(self.now)),
+        };
         self.plan.inventory(self.now, &id, inventory);
         self.due = 0;
       }
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -3,7 +3,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
-  command::{Act, Command, Inventory, Taken},
+  command::{Act, Command, Inventory, Taken, Unheard},
   demand::{Demand, Model},
   deployment::{Checkpoint, Deployment, Engine, Pool},
   life::Life,
@@ -38,7 +38,7 @@
   pub strain: Vec<Seen>,
   /// What becomes of orders from now on, instead of being carried out.
   pub fate: Option<Taken>,
-  /// Servers that answer no more.
+  /// Servers whose processes have ended.
   pub ended: BTreeSet<String>,
   /// Servers whose answers are not there yet.
   pub unheard: BTreeSet<String>,
@@ -254,7 +254,7 @@
       return;
     }
     if self.ended.contains(id) {
-      return self.plan.inventory(now, id, None);
+      return self.plan.inventory(now, id, Err(Unheard::Ended));
     }
     let server = self.servers.get_mut(id).unwrap();
     server.finish(now);
@@ -266,7 +266,7 @@
       queued: 0,
       running: 0,
     };
-    self.plan.inventory(now, id, Some(inventory));
+    self.plan.inventory(now, id, Ok(inventory));
   }
 
   /// The life in which an instance knows a server: the current one.
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -119,7 +119,7 @@
   world.list(&["one"]);
   world.run(500);
   let late = inventory(FIRST, &["a"], 5);
-  world.plan.inventory(world.now, "one", Some(late));
+  world.plan.inventory(world.now, "one", Ok(late));
   world.waiting = vec![("d".into(), 1)];
   world.run(2_000);
   assert!(world.holds("one", "d"), "{:?}", world.orders);
@@ -178,7 +178,7 @@
   world.list(&["one"]);
   world.plan.ordered(world.now, &order, Taken::Accepted);
   let late = inventory(FIRST, &["a"], 9);
-  world.plan.inventory(world.now, "one", Some(late));
+  world.plan.inventory(world.now, "one", Ok(late));
   world.run(3_000);
   assert!(world.holds("one", "d"), "{:?}", world.orders);
 }
--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -96,3 +96,22 @@
   let sent = Client::default().send(address, &call);
   assert_eq!(sent.err(), Some(Failure::NoAnswer));
 }
+
+#[test]
+fn a_call_to_an_address_where_nothing_listens_is_refused() {
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  drop(listener);
+  let call = Call {
+    method: "GET",
+    target: "/",
+    headers: &[],
+    body: &[],
+    connect: Duration::from_secs(5),
+    answer: Duration::from_secs(5),
+    whole: Duration::from_secs(5),
+    before: None,
+  };
+  let sent = Client::default().send(address, &call);
+  assert_eq!(sent.err(), Some(Failure::Refused));
+}
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -4,7 +4,7 @@
 mod holder;
 
 use bendsaddle::{
-  command::{Inventory, Taken},
+  command::{Inventory, Taken, Unheard},
   placement::plan::{Effect, Plan, Report},
   strain::Seen,
 };
@@ -545,12 +545,39 @@
   let mut world = taken_over();
   world.run(100);
   for id in ["three", "four"] {
-    world.plan.inventory(world.now, id, None);
+    world.plan.inventory(world.now, id, Err(Unheard::Silent));
   }
   world.run(800);
   assert!(world.loads().is_empty(), "{:?}", world.loads());
 }
 
+#[test]
+fn a_server_that_was_not_heard_counts_when_its_entry_goes() {
+  let mut world = taken_over();
+  world.run(100);
+  world.list(&["one", "two"]);
+  world.run(1_800);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.run(700);
+  assert!(!world.loads().is_empty(), "its entry did not come back");
+}
+
+#[test]
+fn a_server_without_an_entry_counts_while_it_only_leaves_questions_unanswered() {
+  let mut world = bounded_world();
+  world.unheard = ["three", "four"].map(String::from).into();
+  world.list(&["one", "two"]);
+  for _ in 0..4 {
+    world.run(300);
+    for id in ["three", "four"] {
+      world.plan.inventory(world.now, id, Err(Unheard::Silent));
+    }
+  }
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.run(1_200);
+  assert!(!world.loads().is_empty(), "its entry did not come back");
+}
+
 // A load was taken as done after 149 ms, and was not: seven requests met its server without the
 // model, the server was asked and answered while the load was still under way. It held nothing
 // then as far as was known, and a third server loaded what two may hold, 100 ms later.
@@ -570,7 +597,7 @@
     };
     // The second answer is to a question of whose answer nothing was known.
     for _ in 0..2 {
-      world.plan.inventory(world.now, id, Some(busy.clone()));
+      world.plan.inventory(world.now, id, Ok(busy.clone()));
     }
   }
   world.run(800);
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -157,7 +157,7 @@
       queued: 0,
       running: 0,
     };
-    self.plan.inventory(self.now, id, Some(inventory));
+    self.plan.inventory(self.now, id, Ok(inventory));
   }
 
   /// A step; gives what is published to all, and what to the instance alone.
