an instance that leaves the judgement of a crash to others rests until it is due

Change: when a crash is judged here is one question with one answer, for the wait and for the judgement (`Registry::judged_at`).

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -43,6 +43,9 @@
 /// Most reports of one crash arrive within this time, ms: at six and seven instances those of
 /// 178 of 184 crashes did, the slowest took 40.
 const SETTLE_MS: u64 = 20;
+/// An instance that is no judge knows its own crashes alone, and judges by them only where
+/// nothing was heard of judges for this long, ms.
+const LONE_MS: u64 = 1_000;
 
 /// What is known of a content whose runs ended in crashes.
 #[derive(Clone, Debug, Default)]
@@ -164,11 +167,16 @@
     }
   }
 
-  /// When what became known of crashes is to be judged, ms: all instances report a crash
-  /// within some milliseconds, and a part of the reports blames a companion.
-  pub fn settled_at(&self) -> Option<u64> {
+  /// When what became known of crashes is to be judged here, ms: all instances report a crash
+  /// within some milliseconds, and a part of the reports blames a companion. `judge`: whether
+  /// crashes are reported to this instance; asked only once they are settled.
+  pub fn judged_at(&self, now: u64, judge: impl FnOnce() -> bool) -> Option<u64> {
     let settled = self.unsettled.map(|since| since + SETTLE_MS);
-    settled.into_iter().chain(self.tied_until).min()
+    let settled = settled.into_iter().chain(self.tied_until).min()?;
+    match now < settled || judge() {
+      true => Some(settled),
+      false => Some(settled + LONE_MS),
+    }
   }
 
   /// Finds contents to blame; from now on they are kept from servers.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -346,7 +346,7 @@
       }
     }
     let repeated = [
-      self.registry.settled_at(),
+      self.judged_at(now),
       self.reported_crashes.due(),
       self.published_quarantine.due(),
       self.reported_limits.due(),
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -24,9 +24,6 @@
 
 /// Instances besides the holders that crashes are reported to.
 const JUDGES: usize = 2;
-/// An instance that is no judge knows its own crashes alone, and judges by them only where
-/// nothing was heard of judges for this long, ms.
-const LONE_MS: u64 = 1_000;
 /// Entries of one datagram: 40 bytes each.
 const ENTRIES: usize = 100;
 
@@ -56,12 +53,14 @@
     }
   }
 
+  /// When this instance judges what became known of crashes, ms.
+  pub(crate) fn judged_at(&self, now: u64) -> Option<u64> {
+    self.registry.judged_at(now, || self.is_judge(now))
+  }
+
   /// Judges once all reports of a crash are there, and publishes what follows.
   fn judge(&mut self, now: u64) {
-    let Some(settled) = self.registry.settled_at().filter(|at| now >= *at) else {
-      return;
-    };
-    if now < settled + LONE_MS && !self.is_judge(now) {
+    if self.judged_at(now).is_none_or(|at| now < at) {
       return;
     }
     let found = self.registry.judge(now);
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -86,7 +86,7 @@
     while let Some((_, crash)) = reports.next_if(|(at, _)| *at <= now) {
       registry.add(now, &[*crash]);
     }
-    if registry.settled_at().is_none_or(|at| now < at) {
+    if registry.judged_at(now, || true).is_none_or(|at| now < at) {
       continue;
     }
     let found = registry.judge(now);
@@ -131,10 +131,24 @@
     registry.add(0, &[crash(8, server, 1, 0), crash(9, server, 2, 0)]);
   }
   registry.explained();
-  assert_eq!(registry.settled_at(), None);
+  assert_eq!(registry.judged_at(10_000, || true), None);
   assert!(registry.judge(10_000).is_empty());
 }
 
+/// An instance that is no judge was due at a moment that had passed, again and again until it
+/// judged alone, 1 s later.
+#[test]
+fn an_instance_that_is_no_judge_is_due_when_it_judges_alone() {
+  let mut registry = Registry::default();
+  registry.add(100, &[crash(8, 1, 1, 0)]);
+  let settled = registry.judged_at(100, || false).expect("a crash");
+  assert_eq!(registry.judged_at(settled, || true), Some(settled));
+  let alone = registry.judged_at(settled, || false).expect("a crash");
+  assert!(alone >= settled + 1_000, "{settled} {alone}");
+  registry.judge(alone);
+  assert_eq!(registry.judged_at(alone, || false), None);
+}
+
 #[test]
 fn a_companion_blamed_on_less_knowledge_is_released_when_the_culprit_strikes_again() {
   let (guilty, beside) = (content::Key(8), content::Key(9));
