replay: a step's time is the processor time of its thread

Cause: tests/scale.rs failed beside busy processes: the replay read a wall clock around each step and took it for processor time, which its own page says it is, so what other processes took from the machine counted as the planner's work, twice and seven times over for a holder on half a core that rests.

Ruled out: larger bounds, plays until one holds: the bounds come from the aim, and stay.

Change: the thread's processor time is read.

--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -17,12 +17,13 @@
   strain::Seen,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rustix::time::{ClockId, clock_gettime};
 use std::{
   cmp::Reverse,
   collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap},
   net::SocketAddr,
   sync::Arc,
-  time::{Duration, Instant},
+  time::Duration,
 };
 
 /// Sizes of a fleet and its load.
@@ -671,9 +672,9 @@
   }
 
   fn step(&mut self) {
-    let began = Instant::now();
+    let began = processor_time();
     let effects = self.plan.step(self.now);
-    let took = began.elapsed();
+    let took = processor_time().saturating_sub(began);
     self.outcome.steps.push(took);
     if let Holder::Paced { cores, rest } = self.holder {
       let ms = took.as_secs_f64() * 1_000.0 / cores * (1.0 + rest);
@@ -729,6 +730,12 @@
   }
 }
 
+/// Processor time of this thread: a wall clock counts what other processes take.
+fn processor_time() -> Duration {
+  let time = clock_gettime(ClockId::ThreadCPUTime);
+  Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 fn nothing() -> Holdings {
   Holdings {
     to: None,
