logs: what each answer says of its server, and how close sends come to it

No line told whether an answer said that its server leaves, or asked for rest: a statement that is not read, one that is overruled and a send decided before it look alike. A send's line now gives both headers as they stood and when the answer's head came; `bendsaddle departures` measures from these lines, by instance and server, the last send after an answer that said that it leaves, and the most sends in a rest. No decision changes.

--- a/src/departures.rs
+++ b/src/departures.rs
@@ -5,6 +5,7 @@
 use crate::{
   explain::{self, Line},
   settings::Error,
+  statement::margin,
 };
 use error_stack::Report;
 use serde_json::Value;
@@ -101,12 +102,32 @@
   rows
 }
 
+/// Prints how close sends came to what servers said in their answers.
+fn report_said(lines: &[explain::Line]) {
+  let mut leaving = margin::after_leaving(lines);
+  leaving.sort_by_key(|(.., after)| std::cmp::Reverse(*after));
+  println!(
+    "{} servers said that they leave, by instance",
+    leaving.len()
+  );
+  for (instance, server, after) in leaving.iter().take(NAMED) {
+    println!("{after:7} ms  last send of {instance} to {server} after that");
+  }
+  let mut rests = margin::in_rests(lines);
+  rests.sort_by_key(|(.., most)| std::cmp::Reverse(*most));
+  println!("{} servers asked for rest, by instance", rests.len());
+  for (instance, server, most) in rests.iter().take(NAMED) {
+    println!("{most:7}     sends of {instance} to {server} in a rest");
+  }
+}
+
 /// Prints how long instances went on sending to servers that had left.
 pub fn departures(files: &[String]) -> Result<ExitCode, Report<Error>> {
   if files.is_empty() {
     return Err(Report::new(Error("departures: name log files".into())));
   }
   let (lines, other) = explain::read(files)?;
+  report_said(&lines);
   let last = last_sends(lines);
   println!("{} last sends to servers that left", last.len());
   for (from, count) in histogram(&last) {
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -26,6 +26,8 @@
   /// Requests a second that the server takes from all instances together, in the answers of one
   /// in need.
   pub limit: &'static str,
+  /// `1` in all answers of a server that leaves.
+  pub leaving: &'static str,
   /// 0 is the most urgent.
   pub priority: &'static str,
   /// Headers that only this system may set.
@@ -46,6 +48,7 @@
     server: "x-server",
     not_run: "x-not-run",
     limit: "x-server-limit",
+    leaving: "x-server-leaving",
     priority: "x-priority",
     reserved: &["x-expected-server", "x-priority"],
   };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod socket;
 pub mod sse;
 pub mod state;
+pub mod statement;
 pub mod status;
 pub mod store;
 pub mod strain;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -20,6 +20,7 @@
   route::Route,
   socket::Socket,
   sse::Events,
+  statement::Said,
   verdict::Verdict,
 };
 use slog::info;
@@ -67,8 +68,9 @@
   /// When events last came, and the longest pause between them, ms.
   event_ms: u64,
   pause_ms: u64,
-  /// The limit that the last answer named.
-  limit: Option<String>,
+  /// What the last answer said of its server, and when its head came, ms.
+  said: Said,
+  head_ms: Option<u64>,
   /// A server's failure, given to the caller when nothing better comes.
   held: Option<(Response, Vec<u8>)>,
   then: Then,
@@ -147,7 +149,8 @@
     waited: false,
     event_ms: 0,
     pause_ms: 0,
-    limit: None,
+    said: Said::default(),
+    head_ms: None,
     held: None,
     then: if keep { Then::Keep } else { Then::Close },
   };
@@ -256,7 +259,9 @@
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
       "content" => content,
       "model" => self.model(), "late" => self.late(),
-      "server" => &attempt.id, "limit" => &self.limit, "send" => attempt.number, "end" => format!("{:?}", result.end),
+      "server" => &attempt.id, "limit" => &self.said.limit,
+      "leaving" => &self.said.leaving, "retry_after" => &self.said.retry_after,
+      "head_ms" => self.head_ms.map(|at| at.saturating_sub(sent)), "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().word(),
       "waited_ms" => sent.saturating_sub(self.incoming.arrived), "took_ms" => now - sent,
       "first_ms" => self.first_ms.map(|at| at - self.incoming.arrived),
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -7,6 +7,7 @@
   http::{Body, Framing, Request, Response},
   limit,
   socket::{Fill, Socket, Want, wait},
+  statement::{REPLACED, Said},
 };
 use slog::warn;
 use std::{io, time::Duration};
@@ -26,9 +27,6 @@
 /// machine that says nothing accuses nobody.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Status of an answer of a server that is not the one meant, or lacks the model.
-const REPLACED: u16 = 421;
-
 /// Whether a connection to a server carries another request.
 #[derive(Clone, Copy)]
 enum Reuse {
@@ -42,6 +40,8 @@
   pub(super) fn send(&mut self, attempt: &Attempt) -> Outcome {
     let once = !self.incoming.route.repeatable();
     let now = self.hub.now();
+    self.said = Said::default();
+    self.head_ms = None;
     if now >= self.until {
       return outcome(End::Unsent, "time over before it was sent");
     }
@@ -66,7 +66,6 @@
       return outcome(end, "key taken away, or not surely known");
     }
     self.events.cut();
-    self.limit = None;
     let sent = self.hub.now();
     let result = self.exchange(&mut socket, attempt);
     let result = result.map_err(|result| self.look_for_crash(result, sent, attempt));
@@ -268,10 +267,10 @@
 
   /// Takes up which limit an answer names; one of another server at the address says nothing.
   fn hear_limit(&self, status: u16, attempt: &Attempt) {
-    if status == REPLACED || self.limit.is_none() && !attempt.limited {
+    if status == REPLACED || self.said.limit.is_none() && !attempt.limited {
       return;
     }
-    let rate = match self.limit.as_deref().map(limit::parse).transpose() {
+    let rate = match self.said.limit.as_deref().map(limit::parse).transpose() {
       Ok(rate) => rate,
       Err(error) => {
         warn!(self.hub.log, "limit not understood"; "server" => &attempt.id, "error" => error);
@@ -290,8 +289,8 @@
     let bytes = self.outgoing(attempt);
     let written = self.write(socket, &bytes)?;
     let (head, framing) = self.head(socket)?;
-    let dialect = &self.hub.dialect;
-    self.limit = head.headers.get(dialect.limit).map(str::to_string);
+    self.said = Said::of(&head, &self.hub.dialect);
+    self.head_ms = Some(self.hub.now());
     self.hear_limit(head.status, attempt);
     let dialect = &self.hub.dialect;
     let echoed = head.headers.get(dialect.request_id).is_some();
--- /dev/null
+++ b/src/statement/said.rs
@@ -0,0 +1,35 @@
+//! What the head of one answer says.
+
+use crate::{dialect::Dialect, http::Response};
+
+/// Status of an answer of a server that is not the one meant, or lacks the model.
+pub const REPLACED: u16 = 421;
+/// Status of an answer of a server that takes no more now.
+const UNAVAILABLE: u16 = 503;
+
+/// What the head of an answer says of the server that gave it, as it stands there.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Said {
+  /// Requests a second that it takes from all instances together.
+  pub limit: Option<String>,
+  /// It takes no new work.
+  pub leaving: Option<String>,
+  /// Seconds for which it wants nothing from this instance.
+  pub retry_after: Option<String>,
+}
+
+impl Said {
+  /// What an answer says. One of another server at the address says nothing of the one meant.
+  pub fn of(head: &Response, dialect: &Dialect) -> Self {
+    if head.status == REPLACED {
+      return Self::default();
+    }
+    let value = |name: &str| head.headers.get(name).map(str::to_string);
+    let rests = head.status == UNAVAILABLE;
+    Self {
+      limit: value(dialect.limit),
+      leaving: value(dialect.leaving),
+      retry_after: value("retry-after").filter(|_| rests),
+    }
+  }
+}
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -3,6 +3,7 @@
 use bendsaddle::{
   departures::{Last, histogram, last_sends},
   explain::Line,
+  statement::margin::{after_leaving, in_rests},
 };
 
 /// A line of an instance at some seconds, with more fields.
@@ -69,3 +70,41 @@
   let lines = vec![draining, ready(1.2, "two"), sent(1.6, "two")];
   assert_eq!(after(&last_sends(lines)), [("two", 500)]);
 }
+
+/// A send whose answer came 20 ms later, and said more.
+fn answered(at: f64, instance: &str, said: &str) -> Line {
+  let fields = format!(r#""request":"r","took_ms":100,"head_ms":20,{said}"#);
+  line(at, instance, "sent", &fields)
+}
+
+#[test]
+fn a_last_send_is_measured_from_the_answer_that_said_that_its_server_leaves() {
+  let leaving = r#""leaving":"1""#;
+  let lines = vec![
+    answered(2.1, "one", leaving),
+    answered(1.1, "one", leaving),
+    answered(9.0, "two", r#""leaving":null"#),
+    answered(4.1, "three", leaving),
+  ];
+  // Sent at 1.0, told at 1.02; sent again at 2.0.
+  let one = ("one".to_string(), "s".to_string(), 980);
+  let three = ("three".to_string(), "s".to_string(), 0);
+  assert_eq!(after_leaving(&lines), [one, three]);
+}
+
+#[test]
+fn sends_in_a_rest_count_from_half_a_second_after_its_begin() {
+  let rest = r#""retry_after":"3""#;
+  let none = r#""retry_after":null"#;
+  let lines = vec![
+    answered(1.1, "one", rest),
+    answered(1.6, "one", none),
+    answered(1.63, "one", none),
+    answered(3.0, "one", none),
+    answered(4.1, "one", none),
+    answered(4.2, "one", none),
+    answered(3.0, "two", none),
+  ];
+  // Told at 1.02: from 1.52 to 4.02 those sent at 1.53, 2.9 and 4.0.
+  assert_eq!(in_rests(&lines), [("one".to_string(), "s".to_string(), 3)]);
+}
