what a server says of its leaving in any answer holds, before and without the store

Callers' requests reached servers that had said in an answer, up to 11.6 s before the store could, that they leave (DRAIN). Cause: the header was not read; the only source of a departure was the store. Ruled out by the tests that failed: sends decided before (the sends went on as long as the test did).

A statement is about one life of a server, not about its entry: it holds while entries, lists, a holder's batches or a copy of the store say ready, and ends with the life. It is taken up at the head of each answer to a request, a report or an order, whatever its status. Every send asks for it, also one that was decided before; the planner counts the server's models as gone, so that they are loaded elsewhere. The room that limits had for what reaches other instances is one for statements now: what is new goes to the holder and from it to all, with its age; instances that start, and a holder that takes over, get it too.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -122,6 +122,8 @@
   pub missing: BTreeMap<String, Missing>,
   /// Its entry is missing since then, ms; it may come back.
   pub lapsed: Option<u64>,
+  /// It said in an answer that it leaves.
+  pub leaving: bool,
   /// Another server answered at its address. Not the stage that it stated: a holder that took
   /// its own finding for that would not publish the statement when it comes.
   pub replaced: bool,
@@ -142,6 +144,7 @@
       avoid_until: 0,
       missing: BTreeMap::new(),
       lapsed: None,
+      leaving: false,
       replaced: false,
       loading: None,
     }
@@ -214,9 +217,9 @@
     u32::try_from(load).unwrap_or_default().max(self.running)
   }
 
-  /// Whether it leaves, as it stated or as was found.
+  /// Whether it leaves, as its entry states, as it said or as was found.
   pub fn leaves(&self) -> bool {
-    self.replaced || self.spec.stage == Stage::Draining
+    self.leaving || self.replaced || self.spec.stage == Stage::Draining
   }
 
   /// What it stated, but for its stage, which is as found.
--- a/src/departures.rs
+++ b/src/departures.rs
@@ -78,6 +78,9 @@
     let draining = line.text("stage") == Some("Draining");
     let departure = |said| Departure { named: line, said };
     match line.what() {
+      "server says that it leaves" => {
+        departures.entry(server).or_insert(departure(true));
+      }
       "server" if draining => {
         departures.entry(server).or_insert(departure(true));
       }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -17,11 +17,11 @@
   demand::Model,
   deployment::{Deployment, Engine},
   lapse::Lapses,
-  life::Life,
   limit::{Choice, Limits},
   quota::{self, Allowance, Purse, Spending, Use},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
+  statement::Leaving,
   strain::Book,
   verdict::Verdict,
 };
@@ -132,8 +132,9 @@
   pub updates: u64,
   /// Which requests pass to servers that they may crash.
   door: Door,
-  /// What servers in need said.
+  /// What servers said of themselves in their answers.
   pub(crate) limits: Limits,
+  pub(crate) leaving: Leaving,
   /// What this instance may use of quotas.
   pub(crate) purse: Purse,
   /// What all instances keep of customers' quotas.
@@ -176,6 +177,7 @@
       updates: 0,
       door: Door::default(),
       limits: Limits::default(),
+      leaving: Leaving::default(),
       purse: Purse::open(seed),
       quota_bound: quota::BOUND,
       turns: Turns::default(),
@@ -237,7 +239,8 @@
         self.place_waiting();
       }
       Event::Named { ticket, rate } => self.named(ticket, rate),
-      Event::Limits(statements) => self.hear_limits(&statements),
+      Event::Statements(statements) => self.hear_statements(&statements),
+      Event::Leaving(server) => self.hear_leaving(server, now, true),
       Event::Suspected(entries) => self.door.suspect(now, &entries),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
@@ -400,12 +403,6 @@
     &self.limits
   }
 
-  /// Servers whose limits have changed since this was last asked, and whether this instance heard
-  /// that of the server.
-  pub fn take_limits(&mut self) -> Vec<(Life, bool)> {
-    self.limits.take_changed()
-  }
-
   /// Bounds what all instances keep of customers' quotas.
   pub fn bound_quotas(&mut self, bound: quota::Bound) {
     self.quota_bound = bound;
@@ -584,6 +581,7 @@
       missing_ms: missing.map(|since| self.now.saturating_sub(since)),
       backend: key,
       id: backend.spec.id.clone(),
+      life: backend.spec.life(),
       address: backend.spec.address,
       number: request.sends,
     };
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -9,10 +9,11 @@
   customer::Caller,
   demand::Model,
   deployment::Deployment,
-  limit::Statement,
+  life::Life,
   quota::{Grant, Sums},
   refusal::Refusal,
   route::Route,
+  statement::Statement,
   verdict::Verdict,
 };
 use std::{net::SocketAddr, sync::Arc};
@@ -50,6 +51,7 @@
   pub ticket: Ticket,
   pub backend: backend::Key,
   pub id: String,
+  pub life: Life,
   pub address: SocketAddr,
   /// Counts the sends of one request, from 1.
   pub number: u32,
@@ -199,8 +201,10 @@
     ticket: Ticket,
     rate: Option<f64>,
   },
-  /// What other instances heard of servers' limits.
-  Limits(Vec<Statement>),
+  /// What other instances heard of servers.
+  Statements(Vec<Statement>),
+  /// A server said to this instance that it leaves.
+  Leaving(Life),
   /// Requests that may be to blame for crashes, with their turns.
   Suspected(Vec<Suspected>),
   /// A planned stop: nothing new is taken from the first time on, and what waits is
@@ -230,6 +234,11 @@
   Removed(String),
   /// A server whose entry was missing did not come back.
   Gone(String),
+  /// A server says that it leaves; `own`: to this instance.
+  Leaving {
+    id: String,
+    own: bool,
+  },
   /// What is known of a server's limit has changed: requests a second, or none.
   Limited {
     id: String,
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -6,12 +6,13 @@
   command::{Command, Inventory, Taken, Unheard},
   deployment::Deployment,
   dialect::Dialect,
+  statement::Reply,
   store::{Object, Store},
 };
 use std::net::SocketAddr;
 
-type Order = dyn Fn(&Command, Moment) -> Taken + Send + Sync;
-type Report = dyn Fn(SocketAddr, &str) -> Result<Inventory, Unheard> + Send + Sync;
+type Order = dyn Fn(&Command, Moment) -> Reply<Taken> + Send + Sync;
+type Report = dyn Fn(SocketAddr, &str) -> Reply<Result<Inventory, Unheard>> + Send + Sync;
 
 /// The kinds of objects that routing reads and writes.
 #[derive(Clone, Copy, Debug)]
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -39,6 +39,7 @@
       self.members = update.members;
     }
     let holding = group.holding;
+    let successor = !holding && term != group.known.term;
     self.hear_store(update.store);
     self.hear_quarantine(now, &update.quarantined, from);
     if let Some(sums) = update.sums.take() {
@@ -48,6 +49,9 @@
     if holding {
       return;
     }
+    if successor {
+      self.report_leaving(now);
+    }
     let group = &mut self.groups[update.group as usize];
     self.hub.gates.deployments.follow(update.deployments);
     self.hub.gates.servers.follow(update.servers);
@@ -270,8 +274,8 @@
     };
     self.send_parts(head, update, &others);
     if new {
-      let limits = self.hub.state().limits.all(now);
-      self.publish_limits(limits, &others);
+      let statements = self.hub.state().statements(now);
+      self.publish_statements(statements, &others);
       self.list_suspects(now, &others);
     }
     let pause = self.outbox.drained_ms();
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -210,6 +210,11 @@
           self.want_bell.ring();
           continue;
         }
+        Effect::Leaving { id, own } => {
+          info!(self.log, "server says that it leaves"; "server" => id, "to_this_instance" => own);
+          self.want_bell.ring();
+          continue;
+        }
         Effect::Missing { id, kept_ms } => {
           info!(self.log, "server's entry is missing"; "server" => id, "kept_ms" => kept_ms);
           continue;
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -11,7 +11,6 @@
 //! its request was sent after the limit was last heard of. Instances report what changes to the
 //! holder of the lease, which publishes it to all.
 
-mod exchange;
 mod room;
 
 pub(crate) use room::Choice;
@@ -19,8 +18,8 @@
 use crate::{
   life::Life,
   quota::{Allowance, Bound, Id, Quota},
+  statement::{Content, KEPT_MS, Statement, age_ms},
 };
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Window in which a limit is kept, ms: whole requests fit into it also where one a second is
@@ -34,31 +33,10 @@
 /// A server that takes less than this, requests a second, gets one request in a window: one that
 /// gets nothing answers nothing, and could never say that it needs no help any more.
 const LEAST: f64 = 0.25;
-/// What a server named counts for so long after it was last heard of while its entry is missing,
-/// ms: entries that lapse with the store come back within seconds, some after a minute.
-const KEPT_MS: u64 = 120_000;
 /// That a limit has ended is published for so long, ms: some rounds of the list that instances
 /// get which start.
 const ENDED_MS: u64 = 10_000;
 
-/// What a server says of its limit, as instances exchange it.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Statement {
-  pub server: Life,
-  /// Requests a second; none: it names no limit any more.
-  pub rate: Option<f64>,
-  /// How long ago it was said, ms.
-  pub age_ms: u32,
-}
-
-impl Statement {
-  /// Whether it counts also where it was read late, after this process stood still: that a limit
-  /// ended may have been overtaken by a new one, and is published again.
-  pub fn counts_late(&self) -> bool {
-    self.rate.is_some()
-  }
-}
-
 /// What one server last said.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Limit {
@@ -184,11 +162,10 @@
 
 impl Limit {
   fn statement(&self, server: Life, now: u64) -> Statement {
-    let age = now.saturating_sub(self.at);
     Statement {
       server,
-      rate: self.rate,
-      age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+      content: Content::Limit(self.rate),
+      age_ms: age_ms(now, self.at),
     }
   }
 }
--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -1,6 +1,6 @@
 //! Which server a request goes to, where some are in need.
 
-use super::{Statement, allowance};
+use super::allowance;
 use crate::{
   ask::Ticket,
   backend::{self, Backend},
@@ -167,14 +167,10 @@
     }
   }
 
-  /// Takes up what other instances heard of servers' limits.
-  pub(crate) fn hear_limits(&mut self, statements: &[Statement]) {
-    for statement in statements {
-      let at = self.now.saturating_sub(statement.age_ms.into());
-      let (server, rate) = (statement.server, statement.rate);
-      if self.limits.hear(server, rate, at, false) {
-        self.limit_changed(server, rate);
-      }
+  /// Takes up what another instance heard at a time, ms, of a server's limit.
+  pub(crate) fn hear_limit(&mut self, server: Life, rate: Option<f64>, at: u64) {
+    if self.limits.hear(server, rate, at, false) {
+      self.limit_changed(server, rate);
     }
   }
 
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -53,6 +53,7 @@
         backend.heard = self.now;
         backend.lapsed = None;
         backend.replaced = false;
+        backend.leaving = self.leaving.contains(backend.spec.life());
       }
       None => {
         let id = spec.id.clone();
@@ -62,6 +63,8 @@
         {
           backend.update(holding, self.now);
         }
+        // An entry that comes back may be older than what the server said.
+        backend.leaving = self.leaving.contains(backend.spec.life());
         let key = self.backends.insert(backend);
         self.ids.insert(id, key);
       }
--- a/src/message.rs
+++ b/src/message.rs
@@ -7,9 +7,9 @@
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Question},
-  limit::Statement,
   placement::plan::Report,
   quota::{Grant, Sums, Use},
+  statement::Statement,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -40,8 +40,8 @@
   Uses(Uses),
   /// The holder's answer.
   Grants(Grants),
-  /// What backend servers in need say.
-  Limits(Vec<Statement>),
+  /// What backend servers say of themselves.
+  Statements(Vec<Statement>),
 }
 
 /// What an instance has used of quotas; also without any use it asks how far the holder has
@@ -53,8 +53,8 @@
   /// When it was sent, ms on the sender's clock.
   pub sent: u64,
   pub uses: Vec<Use>,
-  /// What servers in need said to it.
-  pub limits: Vec<Statement>,
+  /// What servers said to it.
+  pub statements: Vec<Statement>,
 }
 
 /// The holder's answer to an instance's uses.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -25,6 +25,7 @@
   replication::Known,
   settings::{Routing, Settings},
   socket::{Bell, Want, wait},
+  statement::Reply,
   store,
 };
 use slog::{info, warn};
@@ -99,8 +100,8 @@
 /// What other threads bring back.
 enum Done {
   Lease(usize, lease::Call, store::Result<store::Object>),
-  Ordered(usize, Command, Taken),
-  Asked(usize, String, Result<Inventory, Unheard>),
+  Ordered(usize, Command, Reply<Taken>),
+  Asked(usize, String, Reply<Result<Inventory, Unheard>>),
   Policies(store::Result<Vec<store::Object>>),
   Quarantine(stored::Call, store::Result<store::Object>),
 }
@@ -174,9 +175,9 @@
   /// Crashes to report, and what is kept from servers to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
-  /// What servers in need said: to report, and to publish.
-  pub(crate) reported_limits: Repeated<Life>,
-  pub(crate) published_limits: Repeated<Life>,
+  /// What servers said: to report, and to publish.
+  pub(crate) reported_statements: Repeated<Life>,
+  pub(crate) published_statements: Repeated<Life>,
   /// What all instances use of quotas, while this one holds the lease.
   pub(crate) accounts: Accounts,
   pub(crate) quota_bound: Bound,
@@ -230,8 +231,8 @@
     stored_quarantine: stored::Stored::default(),
     reported_crashes: Repeated::default(),
     published_quarantine: Repeated::default(),
-    reported_limits: Repeated::default(),
-    published_limits: Repeated::default(),
+    reported_statements: Repeated::default(),
+    published_statements: Repeated::default(),
     accounts: Accounts::default(),
     quota_bound: routing.quota_bound(),
     process: rand::random(),
@@ -311,7 +312,7 @@
       self.lease();
       self.read_policies();
       self.store_quarantine();
-      self.limits();
+      self.statements();
       self.report_uses(wanted);
       self.report(wanted);
       self.publish_changes();
@@ -349,8 +350,8 @@
       self.judged_at(now),
       self.reported_crashes.due(),
       self.published_quarantine.due(),
-      self.reported_limits.due(),
-      self.published_limits.due(),
+      self.reported_statements.due(),
+      self.published_statements.due(),
     ];
     for next in repeated {
       due = due.min(next.unwrap_or(due));
@@ -389,7 +390,7 @@
         Ok(Message::Suspects(entries)) => self.hub.apply(Event::Suspected(entries), None),
         Ok(Message::Uses(uses)) => self.hear_uses(now, &uses, from),
         Ok(Message::Grants(answer)) => self.hear_grants(answer),
-        Ok(Message::Limits(statements)) => self.hear_limits(statements),
+        Ok(Message::Statements(statements)) => self.hear_statements(statements),
         Ok(Message::Promise(index, promise, store_ms)) => {
           self.hear_store(store_ms);
           let group = self.groups.get_mut(index as usize);
@@ -410,7 +411,9 @@
       let now = self.hub.now();
       match done {
         Done::Lease(index, call, result) => self.leased(now, index, &call, result),
-        Done::Ordered(index, command, taken) => {
+        Done::Ordered(index, command, reply) => {
+          self.hub.hear(command.life(), &command.id, &reply.said);
+          let taken = reply.outcome;
           info!(self.hub.log, "ordered"; "server" => &command.id,
             "act" => format!("{:?}", command.act), "model" => &command.model.name,
             "adapter" => &command.model.adapter, "orders" => command.orders,
@@ -420,7 +423,10 @@
         }
         Done::Policies(objects) => self.take_policies(now, objects),
         Done::Quarantine(call, result) => self.take_quarantine(now, &call, result),
-        Done::Asked(index, id, inventory) => {
+        Done::Asked(index, id, reply) => {
+          let inventory = reply.outcome;
+          let life = self.life_of(&id, &inventory);
+          self.hub.hear(life, &id, &reply.said);
           if let Err(unheard) = &inventory {
             info!(self.hub.log, "server did not say what it holds"; "server" => &id,
               "why" => format!("{unheard:?}"));
@@ -431,6 +437,16 @@
     }
   }
 
+  /// The life of a server that was asked, as it says itself or as it is known.
+  fn life_of(&self, id: &str, inventory: &Result<Inventory, Unheard>) -> Life {
+    if let Ok(inventory) = inventory {
+      return Life::of(id, inventory.born);
+    }
+    let state = self.hub.state();
+    let known = state.ids.get(id);
+    known.map_or(Life::of(id, 0), |key| state.backends[*key].spec.life())
+  }
+
   fn leased(
     &mut self,
     now: u64,
@@ -650,8 +666,8 @@
     let (hub, until) = (self.hub.clone(), self.groups[index].lease.until());
     self.orders.run(move || {
       // A pause between decision and sending must not let an order out late.
-      let taken = (edge.order)(&command, hub.instant(until));
-      let _ = done.send(Done::Ordered(index, command, taken));
+      let reply = (edge.order)(&command, hub.instant(until));
+      let _ = done.send(Done::Ordered(index, command, reply));
       bell.ring();
     });
   }
@@ -659,8 +675,8 @@
   fn ask(&self, index: usize, id: String, address: SocketAddr) {
     let (edge, done, bell) = (self.edge.clone(), self.done.clone(), self.bell.clone());
     self.asks.run(move || {
-      let inventory = (edge.report)(address, &id);
-      let _ = done.send(Done::Asked(index, id, inventory));
+      let reply = (edge.report)(address, &id);
+      let _ = done.send(Done::Asked(index, id, reply));
       bell.ring();
     });
   }
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -64,7 +64,7 @@
   /// Reports what is used of quotas and needed, where that is due.
   pub(crate) fn report_uses(&mut self, wanted: bool) {
     let now = self.hub.now();
-    let said = self.reported_limits.due().is_some_and(|due| now >= due);
+    let said = self.reported_statements.due().is_some_and(|due| now >= due);
     if !wanted && !said && now < self.uses_at {
       return;
     }
@@ -102,7 +102,7 @@
   }
 
   fn send_uses(&mut self, now: u64, uses: Vec<Use>) {
-    let limits = self.limits_for(now, &uses);
+    let statements = self.statements_for(now, &uses);
     let Some(group) = self.groups.first() else {
       return;
     };
@@ -122,7 +122,7 @@
       process: self.process,
       sent: now,
       uses,
-      limits,
+      statements,
     };
     self.send(&Message::Uses(uses), &[holder]);
   }
@@ -141,7 +141,7 @@
       return;
     }
     // The units of a server that only this instance knows of are granted too.
-    self.hear_limits(uses.limits.clone());
+    self.hear_statements(uses.statements.clone());
     let grants = self.account(now, from, uses.process, &uses.uses);
     let gate = &self.hub.gates.deployments;
     let Some(sure) = gate.sure_age() else {
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -289,8 +289,9 @@
     let bytes = self.outgoing(attempt);
     let written = self.write(socket, &bytes)?;
     let (head, framing) = self.head(socket)?;
-    self.said = Said::of(&head, &self.hub.dialect);
+    self.said = Said::of(head.status, &head.headers, &self.hub.dialect);
     self.head_ms = Some(self.hub.now());
+    self.hub.hear(attempt.life, &attempt.id, &self.said);
     self.hear_limit(head.status, attempt);
     let dialect = &self.hub.dialect;
     let echoed = head.headers.get(dialect.request_id).is_some();
--- a/src/statement/said.rs
+++ b/src/statement/said.rs
@@ -1,6 +1,6 @@
 //! What the head of one answer says.
 
-use crate::{dialect::Dialect, http::Response};
+use crate::{dialect::Dialect, http::Headers};
 
 /// Status of an answer of a server that is not the one meant, or lacks the model.
 pub const REPLACED: u16 = 421;
@@ -20,12 +20,12 @@
 
 impl Said {
   /// What an answer says. One of another server at the address says nothing of the one meant.
-  pub fn of(head: &Response, dialect: &Dialect) -> Self {
-    if head.status == REPLACED {
+  pub fn of(status: u16, headers: &Headers, dialect: &Dialect) -> Self {
+    if status == REPLACED {
       return Self::default();
     }
-    let value = |name: &str| head.headers.get(name).map(str::to_string);
-    let rests = head.status == UNAVAILABLE;
+    let value = |name: &str| headers.get(name).map(str::to_string);
+    let rests = status == UNAVAILABLE;
     Self {
       limit: value(dialect.limit),
       leaving: value(dialect.leaving),
@@ -33,3 +33,25 @@
     }
   }
 }
+
+/// What became of a call, and what the answer's head said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply<T> {
+  pub outcome: T,
+  pub said: Said,
+}
+
+impl Said {
+  /// Whether the server leaves.
+  ///
+  /// # Errors
+  ///
+  /// A value other than `1`.
+  pub fn leaves(&self) -> Result<bool, String> {
+    match self.leaving.as_deref() {
+      None => Ok(false),
+      Some("1") => Ok(true),
+      Some(other) => Err(format!("leaving: `{}` is not 1", other.escape_debug())),
+    }
+  }
+}
--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -7,11 +7,11 @@
   deployment::{Deployment, Pool},
   dispatch::{Ask, Attempt, Change, Effect, End, Event, State},
   life::Life,
-  limit::Statement,
   quota::{Accounts, Grant, Sums, Use},
   refusal::{Reason, Refusal},
   retry::Bound,
   route::{Repeat, Route},
+  statement::Statement,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::{
@@ -341,7 +341,7 @@
         _ => {}
       }
     }
-    for (server, own) in self.instances[index].state.take_limits() {
+    for (server, own) in self.instances[index].state.take_statements() {
       if own || index == self.holder {
         let due = SENDS_MS.iter().map(|after| (server, now + after));
         self.instances[index].due.extend(due);
@@ -384,7 +384,7 @@
           self.apply(now, index, Event::Granted { sent, grants });
         }
       }
-      Mail::Limits(index, limits) => self.apply(now, index, Event::Limits(limits)),
+      Mail::Limits(index, limits) => self.apply(now, index, Event::Statements(limits)),
       Mail::Sums(index, sums) => self.apply(now, index, Event::Used(sums)),
       Mail::Reaches(index, process, attempt) => self.reaches(now, index, process, attempt),
       Mail::Named(index, process, ticket, rate) => {
@@ -421,7 +421,7 @@
     if now < self.holder_at || self.frozen(now, self.holder) {
       return;
     }
-    self.apply(now, self.holder, Event::Limits(limits));
+    self.apply(now, self.holder, Event::Statements(limits));
     let state = &self.instances[self.holder].state;
     let allow = |id| state.limits().allow(id);
     let grants = self.accounts.report(now, process, uses, allow);
