a load that was decided is not ordered of a server that leaves

Cause: whether a server takes work was asked when a load was decided, and not when its order was due. Found by the question which paths ask; a departure known some hundred ms earlier does not mend it. The load is given up instead, and decided anew elsewhere; one that was ordered is followed to its end. The test had two loads before, at the server that leaves and elsewhere, and has the second only.

--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -2,6 +2,7 @@
 //! to the server in between.
 
 use crate::{
+  backend::Stage,
   command::{Act, Command, Inventory, Taken, Unheard},
   life::Life,
   placement::{
@@ -157,14 +158,20 @@
     if !here && need.is_some_and(|need| need <= left) {
       return;
     }
-    let model = job.model;
-    self.change(key, |server, _| {
-      server.job = None;
+    let why = format!("{left} MB left for {need:?} MB, or it is there");
+    self.give_up(key, why);
+  }
+
+  /// Gives up a load that was not ordered yet.
+  fn give_up(&mut self, key: held::Key, why: String) {
+    let job = self.change(key, |server, _| {
       server.leaving.clear();
+      server.job.take()
     });
     self.unpublished = true;
-    let why = format!("{left} MB left for {need:?} MB, or it is there");
-    self.note("load given up", key, model, why);
+    if let Some(job) = job.flatten() {
+      self.note("load given up", key, job.model, why);
+    }
   }
 
   /// Asks a server what it holds, where that is due.
@@ -213,6 +220,9 @@
     if job.waiting || now < job.due || !known || !may {
       return;
     }
+    if job.step != Step::Await && server.spec.stage != Stage::Ready {
+      return self.give_up(key, "server leaves".into());
+    }
     if job.step == Step::Await && !job.remote {
       return self.take_as_done(key);
     }
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -4,6 +4,7 @@
 mod holder;
 
 use bendsaddle::{
+  backend::Stage,
   command::{Inventory, Taken, Unheard},
   placement::plan::{Effect, Plan, Report},
   strain::Seen,
@@ -707,3 +708,31 @@
   world.run(1_500);
   assert_eq!(world.loads(), [("needy".to_string(), "d".to_string())]);
 }
+
+/// A holder that had decided a load ordered it of a server that had begun to leave meanwhile, and
+/// what waited for the model waited for that load.
+#[test]
+fn a_load_that_was_decided_is_not_ordered_of_a_server_that_leaves() {
+  let full: &[&str] = &["a", "b", "c"];
+  let servers: &[(&str, &[&str], &[&str])] = &[("one", full, &["d"]), ("two", full, &[])];
+  let mut world = World::open(&["a", "b", "c", "d"], servers);
+  world.run(600);
+  world.waiting = vec![("d".into(), 1)];
+  let mut planned = false;
+  while !planned {
+    world.now += 1;
+    world.report();
+    let effects = world.plan.step(world.now);
+    let load = |effect: &Effect| matches!(effect, Effect::Note { what: "load", server, .. } if server == "one");
+    planned = effects.iter().any(load);
+  }
+  world.servers.get_mut("one").unwrap().spec.stage = Stage::Draining;
+  world.list(&["one", "two"]);
+  world.run(3_000);
+  assert_eq!(world.loads(), [("two".to_string(), "d".to_string())]);
+  assert!(
+    world.orders.iter().all(|order| order.id == "two"),
+    "{:?}",
+    world.orders
+  );
+}
