a server that asks an instance for rest gets nothing from it until then, and few at once after

Callers waited while their requests were turned away by servers that had asked for rest: one came back to the same server six times in 426 ms, and up to six of an instance reached one in a rest of 3 s where two are allowed (BUDGET). Cause: `Retry-After` of a server was not read; any 503 gave a pause of 60 ms. Ruled out: only sends that cross the answer (26 came in a rest of 1.5 s).

A rest is between one instance and one life of a server. No first send, retry or resumption goes there while it lasts, also none that was decided before; a rest that is named again only lengthens it. After it two requests try the server out, and the others go once one is taken or nobody was turned away for 300 ms. When all servers that could take a request rest, it waits if that leaves time, and is refused at once with the earliest end otherwise. Instances report their rests: the model is loaded elsewhere where requests wait for it. What is no number of seconds is logged and is no rest; of two ends the later counts; the next life of a server wants none.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -145,7 +145,9 @@
     let model = ask.model.as_ref()?;
     let until = self.current_until();
     let open = |backend: &&Backend| {
-      !self.in_need(backend) && !backend.holds(&model.name, None, until, self.now)
+      !self.in_need(backend)
+        && !self.rests(backend)
+        && !backend.holds(&model.name, None, until, self.now)
     };
     self.ready_at(request, open)
   }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -21,7 +21,7 @@
   quota::{self, Allowance, Purse, Spending, Use},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
-  statement::Leaving,
+  statement::{Leaving, Rests},
   strain::Book,
   verdict::Verdict,
 };
@@ -39,7 +39,7 @@
 /// Pause of a server that declined because it was full, ms.
 const FULL_MS: u64 = 60;
 /// Pause before a waiting request is looked at again without a change, ms.
-const LOOK_MS: u64 = 100;
+pub(crate) const LOOK_MS: u64 = 100;
 /// Sends beyond a route's attempts, for sends that were declined.
 const DECLINED_MOST: u32 = 4;
 /// Part of its slots by which a server that may have the prompt's start may be
@@ -135,6 +135,7 @@
   /// What servers said of themselves in their answers.
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
+  pub(crate) rests: Rests,
   /// What this instance may use of quotas.
   pub(crate) purse: Purse,
   /// What all instances keep of customers' quotas.
@@ -178,6 +179,7 @@
       door: Door::default(),
       limits: Limits::default(),
       leaving: Leaving::default(),
+      rests: Rests::default(),
       purse: Purse::open(seed),
       quota_bound: quota::BOUND,
       turns: Turns::default(),
@@ -241,6 +243,8 @@
       Event::Named { ticket, rate } => self.named(ticket, rate),
       Event::Statements(statements) => self.hear_statements(&statements),
       Event::Leaving(server) => self.hear_leaving(server, now, true),
+      Event::Rest { server, rest_ms } => self.hear_rest(server, rest_ms),
+      Event::Took(server) => self.took(server),
       Event::Suspected(entries) => self.door.suspect(now, &entries),
       Event::Stopping(new_until, wait_until) => {
         self.new_until = new_until;
@@ -529,6 +533,11 @@
     if self.failed_everywhere(&request) {
       return self.refuse(ticket, Reason::ServerFailed);
     }
+    if let Some(retry_after) = self.after_rest_ms(&request) {
+      self.want(&request.ask, retry_after);
+      self.out.push(Effect::Want);
+      return self.send_back(ticket, Reason::ServerRest, retry_after);
+    }
     if let Some(retry_after) = self.retry_after_ms(&request) {
       self.want(&request.ask, retry_after);
       self.out.push(Effect::Want);
@@ -574,10 +583,12 @@
       *self.running.entry((key, model.clone())).or_default() += 1;
     }
     let limited = self.limits.rate(backend.spec.life()).is_some();
+    let trial = self.rests.send(backend.spec.life(), self.now);
     let missing = backend.lapsed;
     let attempt = Attempt {
       ticket,
       limited,
+      trial,
       missing_ms: missing.map(|since| self.now.saturating_sub(since)),
       backend: key,
       id: backend.spec.id.clone(),
@@ -626,7 +637,7 @@
       End::Barred => self.refuse(ticket, Reason::KeyUnknown),
       End::Unsure => self.refuse(ticket, Reason::KeysUnsure),
       // Nothing arrived anywhere: the next send is no repeat.
-      End::Leaving => self.place(ticket),
+      End::Leaving | End::Resting => self.place(ticket),
     }
     self.place_waiting();
   }
@@ -686,6 +697,7 @@
       | End::Late
       | End::Unsent
       | End::Leaving
+      | End::Resting
       | End::Barred
       | End::Unsure => {}
       End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
@@ -719,13 +731,16 @@
     }
   }
 
-  /// Whether a send that was decided may still be made.
-  pub fn stands(&self, attempt: &Attempt) -> bool {
+  /// Why a send that was decided is not made: what has become known since; none: it is.
+  pub fn overtaken(&self, attempt: &Attempt) -> Option<End> {
     let backend = self.backends.get(attempt.backend);
     let request = self.requests.get(&attempt.ticket);
     let kept = |request: &Request| self.door.is_quarantined(self.now, request.ask.content);
-    let kept = request.is_some_and(kept);
-    !kept && backend.is_some_and(|backend| !backend.leaves())
+    if request.is_some_and(kept) || backend.is_none_or(Backend::leaves) {
+      return Some(End::Leaving);
+    }
+    let rests = backend.is_some_and(|backend| self.rests(backend));
+    rests.then_some(End::Resting)
   }
 
   /// A run has ended with its server.
@@ -782,6 +797,7 @@
     for (key, backend) in &self.backends {
       let fits = backend.spec.pool == ask.pool
         && backend.usable(self.now)
+        && self.rested(backend)
         && !request.tried.contains(&key)
         && self.fits(backend, ask);
       if fits {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -57,6 +57,8 @@
   pub number: u32,
   /// The server had named a limit when this was decided.
   pub limited: bool,
+  /// It tries the server out after its rest.
+  pub trial: bool,
   /// Since the server's own entry was missing when this was decided, ms.
   pub missing_ms: Option<u64>,
 }
@@ -80,6 +82,8 @@
   Unsent,
   /// The server was found to leave before anything went out.
   Leaving,
+  /// The server was found to want rest before anything went out.
+  Resting,
   /// Its key was taken away before anything went out.
   Barred,
   /// Whether its key still counts was not known when it was to go out.
@@ -106,6 +110,7 @@
       Self::Unreached => "unreached",
       Self::Unsent => "unsent",
       Self::Leaving => "leaving",
+      Self::Resting => "resting",
       Self::Barred => "barred",
       Self::Unsure => "unsure",
       Self::Broken => "broken",
@@ -119,7 +124,7 @@
   pub fn reached(self) -> bool {
     !matches!(
       self,
-      Self::Unreached | Self::Unsent | Self::Leaving | Self::Barred | Self::Unsure
+      Self::Unreached | Self::Unsent | Self::Leaving | Self::Resting | Self::Barred | Self::Unsure
     )
   }
 
@@ -132,6 +137,7 @@
       | Self::Unreached
       | Self::Unsent
       | Self::Leaving
+      | Self::Resting
       | Self::Barred
       | Self::Unsure => Verdict::NotRun,
       _ => Verdict::MayHaveRun,
@@ -205,6 +211,13 @@
   Statements(Vec<Statement>),
   /// A server said to this instance that it leaves.
   Leaving(Life),
+  /// A server turned this instance away, and asks it for so much rest, ms.
+  Rest {
+    server: Life,
+    rest_ms: u64,
+  },
+  /// A server took a request that tried it out after its rest.
+  Took(Life),
   /// Requests that may be to blame for crashes, with their turns.
   Suspected(Vec<Suspected>),
   /// A planned stop: nothing new is taken from the first time on, and what waits is
@@ -239,6 +252,11 @@
     id: String,
     own: bool,
   },
+  /// A server asks this instance for so much rest, ms.
+  Rest {
+    id: String,
+    rest_ms: u64,
+  },
   /// What is known of a server's limit has changed: requests a second, or none.
   Limited {
     id: String,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -189,6 +189,7 @@
       demand: state.demand(now),
       running: running.collect(),
       missing: state.missing(now),
+      resting: state.resting(now),
       strain,
       known: self.groups.iter().map(|group| group.known.count).collect(),
       behind: self.behind,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -215,6 +215,10 @@
           self.want_bell.ring();
           continue;
         }
+        Effect::Rest { id, rest_ms } => {
+          info!(self.log, "server asks for rest"; "server" => id, "rest_ms" => rest_ms);
+          continue;
+        }
         Effect::Missing { id, kept_ms } => {
           info!(self.log, "server's entry is missing"; "server" => id, "kept_ms" => kept_ms);
           continue;
--- a/src/limit/room.rs
+++ b/src/limit/room.rs
@@ -129,7 +129,10 @@
   }
 
   /// Servers that take work and could run a request.
-  fn servers_of<'a>(&'a self, request: &'a Request) -> impl Iterator<Item = &'a Backend> {
+  pub(crate) fn servers_of<'a>(
+    &'a self,
+    request: &'a Request,
+  ) -> impl Iterator<Item = &'a Backend> {
     let backends = self.backends.iter();
     backends
       .filter(|(key, backend)| {
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -86,11 +86,13 @@
   /// How many of them need no help. Each loss that a load may cost asks for it, and mostly no
   /// server needs any.
   pub(crate) fn sound_holders(&self, model: models::Key) -> usize {
-    if !self.any_limited {
+    if !self.any_limited && self.now >= self.turned_away_until {
       return self.holders(model).len();
     }
     let holders = self.holders(model).iter();
-    holders.filter(|key| !self.servers[**key].limited).count()
+    holders
+      .filter(|key| !self.servers[**key].in_need(self.now))
+      .count()
   }
 
   /// Whether a server that takes work, and does not hold the model, has a copy of its
@@ -242,7 +244,7 @@
     let load = size.load_ms(tier);
     let others = load as f64 * server.occupied;
     let cost = cost + load + others as u64 + LOAD_COST * u64::from(server.load());
-    let cost = cost + LIMITED_COST * u64::from(server.limited);
+    let cost = cost + LIMITED_COST * u64::from(server.in_need(self.now));
     if best.as_ref().is_none_or(|best| cost < best.cost) {
       *best = Some(Choice {
         cost,
--- a/src/placement/held.rs
+++ b/src/placement/held.rs
@@ -100,6 +100,8 @@
   pub(crate) rest_until: u64,
   /// It needs help: it takes less than its requests.
   pub(crate) limited: bool,
+  /// It turns requests away, as far as instances say, until then, ms.
+  pub(crate) turns_away_until: u64,
   /// When it was last asked because a request did not find a model there, ms.
   pub(crate) rechecked: u64,
   /// Questions without an answer, in a row.
@@ -143,6 +145,7 @@
       adapters: Vec::new(),
       rest_until: 0,
       limited: false,
+      turns_away_until: 0,
       rechecked: 0,
       silent: 0,
       used: BTreeMap::new(),
@@ -233,6 +236,11 @@
       .collect()
   }
 
+  /// Whether it takes less than its requests.
+  pub(crate) fn in_need(&self, now: u64) -> bool {
+    self.limited || now < self.turns_away_until
+  }
+
   pub(crate) fn free(&self, now: u64) -> bool {
     self.spec.stage == Stage::Ready
       && self.synced
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -85,6 +85,8 @@
   pub(crate) ids: HashMap<u64, held::Key>,
   /// Some server needs help.
   pub(crate) any_limited: bool,
+  /// Some server turns requests away until then, ms.
+  pub(crate) turned_away_until: u64,
   /// Servers that models leave.
   pub(crate) leaving: BTreeSet<held::Key>,
   /// Groups of other servers, as far as they are published.
@@ -143,6 +145,7 @@
       servers: SlotMap::with_key(),
       ids: HashMap::new(),
       any_limited: false,
+      turned_away_until: 0,
       leaving: BTreeSet::new(),
       groups: BTreeSet::new(),
       timers: BTreeSet::new(),
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -10,6 +10,9 @@
 
 /// An instance not heard of for this long does not count, ms.
 const MEMBER_MS: u64 = 3_000;
+/// A server counts as resting for this long after a report that names it, ms: instances report
+/// every second at least.
+const RESTING_MS: u64 = 1_500;
 /// A report that arrives within this time after a change was published, or after what its
 /// instance lacked was sent, may have crossed it, ms: datagrams take some, and an instance
 /// handles them a few later.
@@ -26,6 +29,8 @@
   pub running: Vec<(Life, Model, u32)>,
   /// Models that servers were found not to hold, against what was published.
   pub missing: Vec<(Life, String)>,
+  /// Servers that asked it for rest.
+  pub resting: Vec<Life>,
   /// How slow servers were for each model since the last report.
   pub strain: Vec<Seen>,
   /// For each group, the count up to which it knows the changes of holdings.
@@ -56,6 +61,7 @@
   /// Takes up an instance's report.
   pub fn report(&mut self, now: u64, address: SocketAddr, report: Report) {
     self.take_missing(now, &report.missing);
+    self.take_resting(now, &report.resting);
     self.take_strain(now, &report.strain);
     let needs = report.demand.iter().filter_map(|demand| self.need(demand));
     let needs: Vec<Need> = needs.collect();
@@ -93,6 +99,16 @@
     }
   }
 
+  /// A server that asks some instance for rest takes less than its requests.
+  fn take_resting(&mut self, now: u64, resting: &[Life]) {
+    for life in resting {
+      if let Some(key) = self.living(*life) {
+        self.servers[key].turns_away_until = now + RESTING_MS;
+        self.turned_away_until = now + RESTING_MS;
+      }
+    }
+  }
+
   fn take_strain(&mut self, now: u64, strain: &[Seen]) {
     for seen in strain {
       let pool = self.models.find_pool(&seen.pool);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -29,6 +29,8 @@
   QuotaExceeded,
   /// The servers that could run it are in need, and their limits are reached.
   ServerLimit,
+  /// The servers that could run it want rest.
+  ServerRest,
 }
 
 impl Reason {
@@ -51,6 +53,7 @@
       Self::KeysUnsure => "keys-unsure",
       Self::QuotaExceeded => "quota-exceeded",
       Self::ServerLimit => "server-limit",
+      Self::ServerRest => "server-rest",
     }
   }
 
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -58,9 +58,9 @@
     if self.hub.now() >= self.until {
       return outcome(End::Unsent, "time over while the connection came up");
     }
-    // Its leaving may have become known while the connection came up.
-    if !self.hub.state().stands(attempt) {
-      return outcome(End::Leaving, "server leaves");
+    // More may have become known of the server while the connection came up.
+    if let Some(end) = self.hub.state().overtaken(attempt) {
+      return outcome(end, "overtaken by what became known of the server");
     }
     if let Some(end) = self.hub.bars(self.incoming.caller.as_ref()) {
       return outcome(end, "key taken away, or not surely known");
@@ -292,6 +292,9 @@
     self.said = Said::of(head.status, &head.headers, &self.hub.dialect);
     self.head_ms = Some(self.hub.now());
     self.hub.hear(attempt.life, &attempt.id, &self.said);
+    if attempt.trial && self.said.retry_after.is_none() {
+      self.apply(Event::Took(attempt.life));
+    }
     self.hear_limit(head.status, attempt);
     let dialect = &self.hub.dialect;
     let echoed = head.headers.get(dialect.request_id).is_some();
--- a/src/statement/exchange.rs
+++ b/src/statement/exchange.rs
@@ -134,5 +134,10 @@
       Ok(false) => {}
       Err(error) => warn!(self.log, "statement not understood"; "server" => id, "error" => error),
     }
+    match said.rest_ms() {
+      Ok(Some(rest_ms)) => self.apply(Event::Rest { server, rest_ms }, None),
+      Ok(None) => {}
+      Err(error) => warn!(self.log, "statement not understood"; "server" => id, "error" => error),
+    }
   }
 }
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! A statement is about one life of a server, whatever its entry in the store says, and whichever
 //! answer brings it: to a request, a report or an order. That a server leaves holds as long as
-//! its life. Limits are kept by `limit`, and what all instances may send there by `quota`.
+//! its life. A rest that it asks
+//! for is between it and this instance. Limits are kept by `limit`, and what all instances may send there by `quota`.
 
 mod exchange;
 mod leaving;
 pub mod margin;
+mod rest;
 mod said;
 
 pub use leaving::Leaving;
+pub(crate) use rest::Rests;
 pub use said::{REPLACED, Reply, Said};
 
 use crate::life::Life;
--- a/src/statement/said.rs
+++ b/src/statement/said.rs
@@ -54,4 +54,22 @@
       Some(other) => Err(format!("leaving: `{}` is not 1", other.escape_debug())),
     }
   }
+
+  /// For how long the server wants nothing from this instance, ms.
+  ///
+  /// # Errors
+  ///
+  /// A value that is no number of seconds: a date is not understood.
+  pub fn rest_ms(&self) -> Result<Option<u64>, String> {
+    let Some(text) = self.retry_after.as_deref() else {
+      return Ok(None);
+    };
+    let seconds = text.parse::<f64>().ok();
+    let seconds = seconds.filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+    let seconds =
+      seconds.ok_or_else(|| format!("retry-after: `{}` is not seconds", text.escape_debug()))?;
+    // What is too large for a number is the largest.
+    let rest_ms = (seconds * 1_000.0).ceil() as u64;
+    Ok((rest_ms > 0).then_some(rest_ms))
+  }
 }
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -665,6 +665,7 @@
       strain: strain.collect(),
       known: vec![u64::MAX],
       behind: false,
+      resting: Vec::new(),
     };
     let address = SocketAddr::from(([10, 1, (instance >> 8) as u8, instance as u8], 7_000));
     self.plan.report(now, address, report);
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -34,6 +34,8 @@
   pub adapters_in_use: bool,
   /// Models that requests did not find.
   pub missing: Vec<(String, String)>,
+  /// Servers that asked for rest.
+  pub resting: Vec<String>,
   /// What requests see of the servers that hold their models.
   pub strain: Vec<Seen>,
   /// What becomes of orders from now on, instead of being carried out.
@@ -129,6 +131,7 @@
       asked: 0,
       adapters_in_use: false,
       missing: Vec::new(),
+      resting: Vec::new(),
       strain: Vec::new(),
       fate: None,
       ended: BTreeSet::new(),
@@ -176,6 +179,7 @@
         .collect(),
       known: Vec::new(),
       behind: false,
+      resting: self.resting.iter().map(|id| self.life(id)).collect(),
       strain: self.strain.clone(),
     };
     let address = "127.0.0.1:1".parse().unwrap();
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -272,6 +272,7 @@
         missing: Vec::new(),
         known: Vec::new(),
         behind: false,
+        resting: Vec::new(),
         strain: Vec::new(),
       };
       let address = format!("127.0.0.1:{}", 2_000 + number).parse().unwrap();
@@ -736,3 +737,16 @@
     world.orders
   );
 }
+
+#[test]
+fn what_waits_for_a_model_of_a_server_that_rests_has_it_loaded_elsewhere() {
+  let servers: &[(&str, &[&str], &[&str])] =
+    &[("tired", &["a", "d"], &[]), ("sound", &["a"], &["d"])];
+  let mut world = World::open(&["a", "d"], servers);
+  world.waiting = vec![("d".into(), 1)];
+  world.run(300);
+  assert!(world.orders.is_empty(), "its server takes what waits");
+  world.resting = vec!["tired".into()];
+  world.run(1_500);
+  assert_eq!(world.loads(), [("sound".to_string(), "d".to_string())]);
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -247,9 +247,9 @@
   let Some(Effect::Send(attempt)) = effects.first().cloned() else {
     panic!("a send: {effects:?}");
   };
-  assert!(state.stands(&attempt));
+  assert_eq!(state.overtaken(&attempt), None);
   state.reduce(2, quarantine(GUILTY));
-  assert!(!state.stands(&attempt));
+  assert_eq!(state.overtaken(&attempt), Some(End::Leaving));
   let ticket = attempt.ticket;
   let end = End::Leaving;
   let effects = state.reduce(3, Event::Ended { ticket, end });
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -59,6 +59,7 @@
       demand: Vec::new(),
       running: Vec::new(),
       missing: Vec::new(),
+      resting: Vec::new(),
       strain: Vec::new(),
       known: vec![self.known.count],
       behind: std::mem::take(&mut self.behind),
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -10,8 +10,10 @@
   dispatch::{Ask, Attempt, Change, Effect, End, Event, State},
   http::Headers,
   life::Life,
+  refusal::Reason,
   route::Repeat,
   statement::{Content, Said, Statement},
+  verdict::Verdict,
 };
 use quickcheck::quickcheck;
 use std::sync::Arc;
@@ -24,6 +26,11 @@
 }
 
 fn arrived(ticket: u64) -> Event {
+  until(ticket, 5_000)
+}
+
+/// A request whose caller waits until then, ms.
+fn until(ticket: u64, until: u64) -> Event {
   Event::Arrived(Ask {
     ticket: Ticket(ticket),
     id: ticket.to_string(),
@@ -31,7 +38,7 @@
     pool: "pool".into(),
     model: None,
     affinity: 0,
-    until: 5_000,
+    until,
     content: Default::default(),
     caller: None,
   })
@@ -51,7 +58,7 @@
 /// Whether the next request goes to the one server there is.
 fn used(state: &mut State, now: u64) -> bool {
   let ticket = now + 1;
-  let attempt = sent(&state.reduce(now, arrived(ticket)));
+  let attempt = sent(&state.reduce(now, until(ticket, now + 5_000)));
   state.reduce(now, Event::Left(Ticket(ticket)));
   attempt.is_some()
 }
@@ -120,9 +127,9 @@
 fn a_request_that_was_decided_before_is_not_sent() {
   let mut state = servers(&["s"]);
   let attempt = sent(&state.reduce(10, arrived(1))).expect("a send");
-  assert!(state.stands(&attempt));
+  assert_eq!(state.overtaken(&attempt), None);
   state.reduce(11, Event::Leaving(life("s")));
-  assert!(!state.stands(&attempt));
+  assert_eq!(state.overtaken(&attempt), Some(End::Leaving));
   let ticket = Ticket(1);
   let end = End::Leaving;
   state.reduce(12, Event::Ended { ticket, end });
@@ -188,3 +195,165 @@
     })
   }
 }
+
+fn rest(id: &str, rest_ms: u64) -> Event {
+  let server = life(id);
+  Event::Rest { server, rest_ms }
+}
+
+fn ended(ticket: u64, end: End) -> Event {
+  let ticket = Ticket(ticket);
+  Event::Ended { ticket, end }
+}
+
+#[test]
+fn a_server_that_rests_gets_nothing_until_the_rest_is_over() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, rest("s", 3_000));
+  // One that is repeated, or shorter, does not end it sooner.
+  state.reduce(20, rest("s", 100));
+  for now in [11, 1_000, 3_009] {
+    assert!(!used(&mut state, now), "at {now} ms");
+  }
+  assert!(used(&mut state, 3_010));
+}
+
+#[test]
+fn one_that_was_decided_before_the_rest_goes_elsewhere_and_is_no_repeat() {
+  let mut state = servers(&["s", "t"]);
+  let attempt = sent(&state.reduce(10, arrived(1))).expect("a send");
+  state.reduce(11, rest(&attempt.id, 3_000));
+  assert_eq!(state.overtaken(&attempt), Some(End::Resting));
+  assert!(!End::Resting.reached());
+  let other = sent(&state.reduce(12, ended(1, End::Resting))).expect("a send");
+  assert_ne!(other.id, attempt.id);
+}
+
+#[test]
+fn a_request_that_was_turned_away_does_not_come_back_in_the_rest() {
+  let mut state = servers(&["s", "t"]);
+  let first = sent(&state.reduce(10, arrived(1))).expect("a send");
+  state.reduce(11, rest(&first.id, 6_000));
+  let second = sent(&state.reduce(11, ended(1, End::Full))).expect("a send");
+  assert_ne!(second.id, first.id);
+  state.reduce(12, rest(&second.id, 5_500));
+  let refused = requests::refused(&state.reduce(12, ended(1, End::Full)));
+  let refused = refused.expect("a refusal");
+  assert_eq!(refused.reason, Reason::ServerRest);
+  assert_eq!(refused.verdict, Verdict::NotRun);
+  // When the first of them is over.
+  let after = refused.retry_after.expect("a time");
+  assert!((5_500..=5_700).contains(&after), "{after} ms");
+}
+
+#[test]
+fn where_the_rest_ends_in_time_a_request_waits_for_it() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, rest("s", 1_000));
+  let effects = state.reduce(20, arrived(1));
+  assert!(matches!(effects[..], [Effect::Wait(..)]), "{effects:?}");
+  assert_eq!(sent(&state.reduce(1_000, Event::Look(Ticket(1)))), None);
+  assert!(sent(&state.reduce(1_010, Event::Look(Ticket(1)))).is_some());
+}
+
+#[test]
+fn after_a_rest_two_requests_try_the_server_out_before_the_others() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, rest("s", 1_000));
+  for ticket in 1..=20 {
+    state.reduce(20, arrived(ticket));
+  }
+  let tried = |state: &mut State, now| -> Vec<Attempt> {
+    let looks = (1..=20).map(|ticket| state.reduce(now, Event::Look(Ticket(ticket))));
+    looks.filter_map(|effects| sent(&effects)).collect()
+  };
+  let first = tried(&mut state, 1_010);
+  assert_eq!(first.len(), 2);
+  assert!(first.iter().all(|attempt| attempt.trial));
+  assert_eq!(tried(&mut state, 1_100).len(), 0);
+  // Both are turned away: nobody else goes there.
+  state.reduce(1_110, rest("s", 500));
+  assert_eq!(tried(&mut state, 1_600).len(), 0);
+  assert_eq!(tried(&mut state, 1_610).len(), 2);
+  // One of the next two is taken: all others go.
+  let effects = state.reduce(1_650, Event::Took(life("s")));
+  let sends = effects.iter();
+  let sends = sends.filter(|effect| matches!(effect, Effect::Send(attempt) if !attempt.trial));
+  assert_eq!(sends.count(), 16);
+}
+
+#[test]
+fn a_server_that_turns_nobody_away_for_a_while_is_used_again() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, rest("s", 500));
+  for ticket in 1..=4 {
+    state.reduce(600, arrived(ticket));
+  }
+  let attempt = sent(&state.reduce(901, arrived(5))).expect("a send");
+  assert!(!attempt.trial);
+}
+
+#[test]
+fn the_next_life_of_a_server_wants_no_rest() {
+  let born = |born| Spec {
+    born,
+    ..requests::spec("s")
+  };
+  let mut state = requests::deployed(Engine::default());
+  state.reduce(0, Event::Servers(vec![Change::All(vec![born(5)])]));
+  let server = Life::of("s", 5);
+  let rest_ms = u64::MAX;
+  state.reduce(10, Event::Rest { server, rest_ms });
+  assert!(!used(&mut state, 1_000_000));
+  assert_eq!(state.resting(1_000_000), [server]);
+  state.reduce(1_000_010, set(born(6)));
+  assert!(used(&mut state, 1_000_020));
+}
+
+#[test]
+fn how_long_a_server_rests_is_read_as_seconds() {
+  let rest = |text: &str, status| said("retry-after", text, status).rest_ms();
+  assert_eq!(rest("3", 503), Ok(Some(3_000)));
+  assert_eq!(rest(" 0.25 ", 503), Ok(Some(250)));
+  assert_eq!(rest("0", 503), Ok(None));
+  assert_eq!(rest("1e300", 503), Ok(Some(u64::MAX)));
+  assert_eq!(rest("3", 200), Ok(None));
+  assert_eq!(rest("3", 421), Ok(None));
+  assert_eq!(said("x-other", "3", 503).rest_ms(), Ok(None));
+  for text in [
+    "",
+    "-1",
+    "NaN",
+    "inf",
+    "3 s",
+    "Wed, 21 Oct 2026 07:28:00 GMT",
+  ] {
+    let error = format!("retry-after: `{text}` is not seconds");
+    assert_eq!(rest(text, 503), Err(error));
+  }
+}
+
+quickcheck! {
+  /// Whatever answers come, no request is sent while a rest lasts.
+  fn no_request_is_sent_in_a_rest(steps: Vec<(u8, u16)>) -> bool {
+    let mut state = servers(&["s"]);
+    let (mut now, mut until) = (0, 0);
+    steps.into_iter().all(|(what, ms)| {
+      now += u64::from(ms % 400);
+      match what % 4 {
+        0 => {
+          until = until.max(now + u64::from(ms));
+          state.reduce(now, rest("s", ms.into()));
+        }
+        1 => {
+          state.reduce(now, Event::Took(life("s")));
+        }
+        2 => {
+          state.reduce(now, set(requests::spec("s")));
+        }
+        _ => return !used(&mut state, now) || now >= until,
+      }
+      true
+    })
+  }
+}
