soak: servers that say in their answers that they leave or want rest

Two checks go by what servers and callers saw: no request later than the bound after an answer that the instance had passed on, excused by a restart or a freeze since alone; two requests of one instance in a rest. Both checks notice a switch that leaves the headers out, and have tests of what they allow and find.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::history::{End, FROZEN, History, Kind, Limit, Order, STOPPED, Sent, Target};
 use crate::leaving::{self, Last};
+use crate::said::{self, After};
 use std::collections::{BTreeMap, HashMap};
 
 /// Bounds that hold on top of the machine's own delays, ms.
@@ -28,6 +29,10 @@
   pub limit_window_ms: u64,
   pub limit_overage: f64,
   pub limit_slack: f64,
+  /// From an answer that asks for rest to the last request that may have crossed it, and requests
+  /// of one instance after that, in the rest.
+  pub crossing_ms: u64,
+  pub in_rest: usize,
   /// Replicas that the policy allows for the bounded model.
   pub replicas: usize,
   /// Whether bounds of time are checked: they depend on the machine's speed.
@@ -50,6 +55,8 @@
       limit_window_ms: 4_000,
       limit_overage: 0.5,
       limit_slack: 5.0,
+      crossing_ms: 500,
+      in_rest: 2,
       replicas: 2,
       timed: true,
     }
@@ -97,6 +104,7 @@
   if bounds.timed {
     check.drained();
     check.limits();
+    check.said();
   }
   check.recovery();
   let mut found = check.found;
@@ -392,6 +400,30 @@
     counted
   }
 
+  /// What servers say in their answers holds.
+  fn said(&mut self) {
+    let bound = self.bounds.drain_ms + self.slack();
+    let late = said::after_leaving(self.history);
+    for After { arrival, after_ms } in late.iter().filter(|last| last.after_ms > bound) {
+      let (server, id) = (&arrival.server, &arrival.id);
+      let text = format!(
+        "server `{server}` got `{id}` {after_ms} ms after its instance had passed on that it leaves"
+      );
+      self.found("said leaving", arrival.at, text);
+    }
+    let crossing = self.bounds.crossing_ms + self.slack();
+    for (rest, got) in said::in_rests(self.history, crossing) {
+      if got > self.bounds.in_rest {
+        let text = format!(
+          "server `{}` got {got} requests of one instance in a rest of {} ms",
+          rest.server,
+          rest.to - rest.from
+        );
+        self.found("rest", rest.from, text);
+      }
+    }
+  }
+
   /// After all faults everything is served again.
   fn recovery(&mut self) {
     let from = self.history.calm_from + self.bounds.recover_ms;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -84,6 +84,8 @@
   pub at: u64,
   pub ended: u64,
   pub end: End,
+  /// The server whose answer it got.
+  pub server: Option<String>,
   /// The body of a success that is not the whole answer to this very request.
   pub foreign: Option<String>,
 }
@@ -104,6 +106,23 @@
   pub at: u64,
 }
 
+/// A server said in its answers from a moment on that it leaves.
+#[derive(Clone, Debug)]
+pub struct Leaver {
+  pub server: String,
+  pub from: u64,
+}
+
+/// A server turned a request away, and asked for rest until a moment.
+#[derive(Clone, Debug)]
+pub struct Rest {
+  pub server: String,
+  /// The request.
+  pub id: String,
+  pub from: u64,
+  pub to: u64,
+}
+
 /// A server named a limit, requests a second, from a moment to another one.
 #[derive(Clone, Debug)]
 pub struct Limit {
@@ -169,8 +188,10 @@
 pub struct History {
   pub sent: Vec<Sent>,
   pub runs: Vec<Run>,
-  /// Requests that came to servers which named limits.
+  /// Requests that came to servers which said something in their answers.
   pub arrivals: Vec<Arrival>,
+  pub leavers: Vec<Leaver>,
+  pub rests: Vec<Rest>,
   pub limits: Vec<Limit>,
   pub orders: Vec<Order>,
   pub troubles: Vec<Trouble>,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod leaving;
 pub mod load;
 pub mod plan;
+pub mod said;
 pub mod switch;
 pub mod world;
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -64,6 +64,7 @@
     let Outcome {
       end,
       foreign,
+      server,
       kept: stream,
     } = send(kept.take(), *address, kind, &id, &model, (stated, leaves));
     kept = stream.filter(|(_, requests)| *requests < REQUESTS);
@@ -77,6 +78,7 @@
       ended,
       end,
       foreign,
+      server,
     };
     traffic.book.note(|history| history.sent.push(sent));
   }
@@ -113,6 +115,7 @@
 struct Outcome {
   end: End,
   foreign: Option<String>,
+  server: Option<String>,
   kept: Kept,
 }
 
@@ -121,6 +124,7 @@
   Outcome {
     end,
     foreign: None,
+    server: None,
     kept: None,
   }
 }
@@ -165,6 +169,7 @@
   Outcome {
     end,
     foreign,
+    server: answer.server(),
     kept: keeps.then_some((stream, requests + 1)),
   }
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -46,6 +46,10 @@
   OrdersLate,
   Cut(Cut),
   Delay,
+  /// Its answers say that it leaves, while its entry says otherwise.
+  Says,
+  /// It turns all requests away, and asks for so many tenths of a second of rest.
+  Rest(u32),
   /// It needs help, and names so many requests in ten seconds that it takes.
   Limit(u32),
 }
@@ -143,11 +147,24 @@
 /// From the end of that to the departure, ms: while the instance has not noticed it yet.
 const LEAVES_AFTER_MS: std::ops::Range<u64> = 0..1_500;
 
+/// Seeds from this one on have everything, and servers that say more in their answers; those whose
+/// remainder by four is nothing have only these, beside a store that is down, kills and cuts.
+const SAYING: u64 = 40_000;
+const SAYING_ALONE: u64 = 4;
+/// Mean pause between two of them, ms.
+const SAYING_PAUSE_MS: u64 = 2_500;
+/// Tenths of a second of rest, and how long requests are turned away, ms.
+const REST: std::ops::Range<u32> = 10..40;
+const TURNS_AWAY_MS: std::ops::Range<u64> = 1_000..6_000;
+
 /// Draws a plan; the same seed and size give the same.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
-  if seed >= LEAVING {
+  if (LEAVING..SAYING).contains(&seed) {
     return leaving(seed, size);
   }
+  if seed >= SAYING && seed.is_multiple_of(SAYING_ALONE) {
+    return saying(seed, size, true);
+  }
   let mut steps = first(seed, size);
   if seed >= EXTENDED {
     steps.extend(further(seed, size));
@@ -158,6 +175,9 @@
   if seed >= LEAVING_TOO {
     steps.extend(leaving(seed, size));
   }
+  if seed >= SAYING {
+    steps.extend(saying(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -188,6 +208,38 @@
   steps
 }
 
+/// Servers that say in their answers that they leave, or ask for rest; `alone`: with faults that
+/// hide it from other instances.
+fn saying(seed: u64, size: &Size, alone: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..SAYING_PAUSE_MS).min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let server = rng.random_range(0..size.servers * 2);
+    let says = match rng.random_bool(0.5) {
+      true => Server::Says,
+      false => Server::Rest(rng.random_range(REST)),
+    };
+    steps.push(Step {
+      at,
+      lasts: rng.random_range(TURNS_AWAY_MS),
+      fault: Fault::Server(server, says),
+    });
+    if alone {
+      let instance = rng.random_range(0..size.instances);
+      let fault = match rng.random_range(0..4) {
+        0 => Fault::Kill(instance),
+        1 => Fault::StoreCut(instance, cut(&mut rng)),
+        _ => Fault::Store(Store::Down),
+      };
+      let lasts = rng.random_range(500..4_500);
+      steps.push(Step { at, lasts, fault });
+    }
+    at += rng.random_range(SAYING_PAUSE_MS / 3..SAYING_PAUSE_MS * 5 / 3);
+  }
+  steps
+}
+
 /// Servers that name limits.
 fn needy(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/switch.rs
+++ b/soak/src/switch.rs
@@ -27,11 +27,15 @@
   Policy,
   /// Servers in need do not name their limits.
   Limit,
+  /// Servers that leave do not say so in their answers.
+  Say,
+  /// Servers that turn requests away do not ask for rest.
+  Rest,
 }
 
 impl Break {
   /// All switches, by name, with the promise whose check must notice.
-  pub const ALL: [(&'static str, Self, &'static str); 11] = [
+  pub const ALL: [(&'static str, Self, &'static str); 13] = [
     ("repeat", Self::Repeat, "once"),
     ("lie", Self::Lie, "refusal"),
     ("mix", Self::Mix, "answer"),
@@ -43,6 +47,8 @@
     ("patience", Self::Patience, "in time"),
     ("policy", Self::Policy, "replicas"),
     ("limit", Self::Limit, "limit"),
+    ("say", Self::Say, "said leaving"),
+    ("rest", Self::Rest, "rest"),
   ];
 
   /// The faults in which the broken mechanism shows.
@@ -63,6 +69,8 @@
         .chain([step(300, 7_000, Fault::Burst)])
         .collect(),
       Self::Limit => vec![step(500, 7_000, Fault::Server(5, Server::Limit(10)))],
+      Self::Say => vec![step(500, 5_000, Fault::Server(5, Server::Says))],
+      Self::Rest => vec![step(500, 5_000, Fault::Server(5, Server::Rest(20)))],
       // What only this server held is loaded where there is no room.
       Self::Memory => vec![step(500, 500, Fault::Server(0, Server::Crash))],
       Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Patience => {
--- a/soak/src/world/configuration.rs
+++ b/soak/src/world/configuration.rs
@@ -30,7 +30,7 @@
       ..Mood::default()
     };
     match self.broken {
-      Some(Break::Limit) => mood.unnamed = true,
+      Some(Break::Limit | Break::Say | Break::Rest) => mood.unnamed = true,
       Some(Break::Lie) => mood.lie = 5,
       Some(Break::Mix) => mood.mix = 5,
       Some(Break::Repeat) => mood.lose = 10,
--- a/soak/src/world/gather.rs
+++ b/soak/src/world/gather.rs
@@ -1,7 +1,7 @@
 //! What servers have seen, for the history.
 
 use super::{World, configuration::BOUNDED, lock};
-use crate::history::{Arrival, History, Hold, Limit, Order, Run};
+use crate::history::{Arrival, History, Hold, Leaver, Limit, Order, Rest, Run};
 use platform_stand_in::runner::Runner;
 use std::sync::atomic::Ordering;
 
@@ -27,12 +27,26 @@
     holds
   }
 
-  /// What a server named, and what came to it.
-  fn limits(&self, runner: &Runner, history: &mut History) {
-    let named = runner.limits();
-    if named.is_empty() {
+  /// What a server said in its answers, and what came to it.
+  fn said(&self, runner: &Runner, history: &mut History) {
+    let (named, rests, leaving) = (runner.limits(), runner.rests(), runner.leaving());
+    if named.is_empty() && rests.is_empty() && leaving.is_none() {
       return;
     }
+    history.leavers.extend(leaving.map(|from| Leaver {
+      server: runner.id.clone(),
+      from: self.book.at(from),
+    }));
+    history.rests.extend(rests.into_iter().map(|rest| {
+      let seconds: f64 = rest.seconds.parse().unwrap_or_default();
+      let from = self.book.at(rest.at);
+      Rest {
+        server: runner.id.clone(),
+        id: rest.id,
+        from,
+        to: from + (seconds * 1_000.0) as u64,
+      }
+    }));
     for (number, (from, rate)) in named.iter().enumerate() {
       let Some(rate) = rate else {
         continue;
@@ -73,7 +87,7 @@
           at: self.book.at(order.at),
         });
       }
-      self.limits(runner, &mut history);
+      self.said(runner, &mut history);
       let holds = self.holds(runner, &history.gone);
       history.holds.extend(holds);
       let overfull = runner.overfull();
--- a/soak/src/world/place.rs
+++ b/soak/src/world/place.rs
@@ -82,6 +82,17 @@
       ),
       Server::LosesAnswers => feel(&runner, Mood { lose: 20, ..mood }, mood, lasts),
       Server::BreaksStreams => feel(&runner, Mood { cut: 30, ..mood }, mood, lasts),
+      Server::Says => {
+        runner.leave();
+        thread::sleep(lasts);
+        self.drain(place, &mut runner, true);
+      }
+      Server::Rest(tenths) => {
+        let seconds = f64::from(tenths) / 10.0;
+        runner.rest(Some(&seconds.to_string()));
+        thread::sleep(lasts);
+        runner.rest(None);
+      }
       Server::Limit(in_ten_seconds) => {
         runner.limit(Some(f64::from(in_ten_seconds) / 10.0));
         thread::sleep(lasts);
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -3,8 +3,8 @@
 use soak::{
   check::{Bounds, check},
   history::{
-    Arrival, End, FROZEN, History, Hold, Kind, Limit, Order, Probe, Run, STOPPED, Sent, Target,
-    Trouble,
+    Arrival, End, FROZEN, History, Hold, Kind, Leaver, Limit, Order, Probe, Rest, Run, STOPPED,
+    Sent, Target, Trouble,
   },
 };
 
@@ -31,6 +31,7 @@
     at: 1_000,
     ended: 1_100,
     end,
+    server: None,
     foreign: None,
   }
 }
@@ -325,3 +326,95 @@
     .push(trouble(Target::Instance(0), FROZEN, 2_000, 9_000));
   assert!(broken(&frozen).is_empty(), "one of the two is excused");
 }
+
+/// A server said at 2,000 ms that it leaves; its instance passed that on at 2,200 ms, and sent it
+/// one more request so much later, ms.
+fn said(later_ms: u64) -> History {
+  let mut history = calm();
+  history.leavers.push(Leaver {
+    server: "a".into(),
+    from: 2_000,
+  });
+  for (id, at) in [("told", 2_100), ("late", 2_200 + later_ms)] {
+    history.arrivals.push(Arrival {
+      id: id.into(),
+      server: "a".into(),
+      at,
+    });
+    history.sent.push(Sent {
+      at,
+      ended: at + 100,
+      server: Some("a".into()),
+      ..sent(id, Kind::Again, SERVED)
+    });
+  }
+  history
+}
+
+#[test]
+fn a_server_that_says_that_it_leaves_gets_nothing_of_who_was_told() {
+  assert!(broken(&said(2_400)).is_empty());
+  assert_eq!(broken(&said(2_600)), ["said leaving"]);
+  let mut other = said(2_600);
+  let late = other.sent.iter_mut().find(|sent| sent.id == "late");
+  late.expect("a request").instance = 1;
+  assert!(broken(&other).is_empty(), "its instance was not told");
+  for (what, excuses) in [
+    ("kill", true),
+    (FROZEN, true),
+    ("cut from the store", false),
+  ] {
+    let mut struck = said(2_600);
+    let target = Target::Instance(0);
+    struck.troubles.push(trouble(target, what, 3_000, 3_100));
+    assert_eq!(broken(&struck).is_empty(), excuses, "{what}");
+  }
+}
+
+/// A server asked for rest from 2,000 to 5,000 ms, and got so many requests after half a second.
+fn rested(requests: u64) -> History {
+  let mut history = calm();
+  history.rests.push(Rest {
+    server: "a".into(),
+    id: "asked".into(),
+    from: 2_000,
+    to: 5_000,
+  });
+  let declined = End::Failure {
+    status: 503,
+    signed: false,
+  };
+  let ids = (0..requests).map(|number| (format!("n{number}"), 2_600 + number * 100));
+  for (id, at) in ids.chain([("asked".to_string(), 2_000), ("crossed".to_string(), 2_400)]) {
+    history.arrivals.push(Arrival {
+      id: id.clone(),
+      server: "a".into(),
+      at,
+    });
+    history.sent.push(Sent {
+      at,
+      ended: at + 10,
+      ..sent(&id, Kind::Again, declined)
+    });
+  }
+  history
+}
+
+#[test]
+fn a_server_gets_two_requests_in_its_rest() {
+  assert!(broken(&rested(2)).is_empty());
+  assert_eq!(broken(&rested(3)), ["rest"]);
+  let mut others = rested(3);
+  let of = |sent: &&mut Sent| sent.id == "n1";
+  others.sent.iter_mut().find(of).expect("one").instance = 1;
+  assert!(
+    broken(&others).is_empty(),
+    "it is between it and one instance"
+  );
+  for what in ["kill", FROZEN, "cut from the store"] {
+    let mut struck = rested(3);
+    let target = Target::Instance(0);
+    struck.troubles.push(trouble(target, what, 3_000, 3_100));
+    assert!(broken(&struck).is_empty(), "{what}");
+  }
+}
