a point in the store's history is an era and a number, and feeds go by both

After the store had come back from an older copy, callers were served by versions of the configuration that had been replaced more than 2 s before, and requests reached servers that had left. Cause: revisions were bare numbers that were taken to rise for ever. The highest number survived all that was read; watches from it were refused, thirteen times a second at the holder, and its followers, which go by that number, read nothing; or, once the numbers had risen past it, a watch brought nothing of what had been given out again below it, and nothing showed that. Ruled out: that older contents overrule newer ones (the versions stood still, they did not go back).

`store::Revision` is the era, as all answers name it, and the number, ordered by both. It takes the place of each number: in objects, pages, watches, batches, progress, heartbeats, the lease and conditional writes. What a watch of another era brings is no answer, and all is read; a holder's progress of a later era makes its followers read, one of an earlier era is dropped, and no batch is a bridge between two. All of a new era matters to others. A list whose pages are of two eras is read again. Lines name the era with the number.

--- a/src/crash/stored.rs
+++ b/src/crash/stored.rs
@@ -7,7 +7,7 @@
 use super::Quarantined;
 use crate::{
   content,
-  store::{Error, Object, Result},
+  store::{Error, Object, Result, Revision},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -40,10 +40,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
   Read,
-  /// Writes a record over the one of a revision; 0: there is none.
+  /// Writes a record over the one of a revision; number 0: there is none.
   Write {
     record: Record,
-    revision: u64,
+    revision: Revision,
   },
 }
 
@@ -55,7 +55,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Stored {
   /// Revision of the record as it was read or written; none: it is to be read.
-  revision: Option<u64>,
+  revision: Option<Revision>,
   /// Contents that it holds.
   contents: BTreeSet<content::Key>,
   calling: bool,
@@ -124,10 +124,13 @@
   /// Takes up what became of a call; a record that was read.
   pub fn answered(&mut self, now: u64, call: &Call, result: Result<Object>) -> Option<Record> {
     self.calling = false;
-    self.read |= matches!((call, &result), (Call::Read, Ok(_) | Err(Error::Absent)));
+    self.read |= matches!(
+      (call, &result),
+      (Call::Read, Ok(_) | Err(Error::Absent { .. }))
+    );
     match (call, result) {
-      (Call::Read, Err(Error::Absent)) => {
-        self.revision = Some(0);
+      (Call::Read, Err(Error::Absent { era })) => {
+        self.revision = Some(Revision::first(era));
         None
       }
       (Call::Read, Ok(object)) => {
--- a/src/feed/batch.rs
+++ b/src/feed/batch.rs
@@ -1,6 +1,6 @@
 //! Changes that one instance has read of the store, for the others.
 
-use crate::store::Object;
+use crate::store::{Object, Revision};
 use serde::{Deserialize, Serialize};
 
 /// Bytes of objects that one batch carries at the most: it goes as a datagram.
@@ -10,10 +10,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
   /// The last change that mattered before these.
-  pub since: u64,
+  pub since: Revision,
   /// All of these came after this revision, and up to the next one.
-  pub after: u64,
-  pub revision: u64,
+  pub after: Revision,
+  pub revision: Revision,
   pub changes: Vec<Change>,
 }
 
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
   pub name: String,
-  pub revision: u64,
+  pub revision: Revision,
   pub removed: bool,
   /// Its content, JSON.
   pub spec: String,
@@ -30,8 +30,8 @@
 impl Batch {
   /// The changes as a batch; none when they are too large for a datagram.
   pub(super) fn open(
-    since: u64,
-    (after, revision): (u64, u64),
+    since: Revision,
+    (after, revision): (Revision, Revision),
     objects: &[(Object, bool)],
   ) -> Option<Self> {
     let change = |(object, removed): &(Object, bool)| Change {
@@ -56,7 +56,7 @@
   /// Whether it goes on from what is known up to a revision. Where a part of it is known
   /// already it does not: a removal names its object's last change, so the parts cannot be
   /// told from each other.
-  pub(super) fn follows(&self, revision: u64) -> bool {
+  pub(super) fn follows(&self, revision: Revision) -> bool {
     (self.since..=self.after).contains(&revision)
   }
 
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -1,7 +1,10 @@
 //! Who asks the store for a kind's changes: one instance watches for many, and each of the
 //! others asks by itself when that one's updates are old or name a change that it lacks.
 
-use crate::{clock::Moment, contact::Contact, feed::Batch, hub::lock, socket::Bell, store::Object};
+use crate::{
+  clock::Moment, contact::Contact, feed::Batch, hub::lock, socket::Bell, store::Object,
+  store::Revision,
+};
 use serde::{Deserialize, Serialize};
 use std::{
   collections::VecDeque,
@@ -29,7 +32,7 @@
   /// Read everything.
   All,
   /// Watch from a revision; `soon`: an answer is needed at once.
-  Watch { revision: u64, soon: bool },
+  Watch { revision: Revision, soon: bool },
   /// Take up what another instance read.
   Take(Batch),
   /// The store answers the instance that watches for this one again.
@@ -40,9 +43,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
   /// The store's revision up to which everything is known.
-  pub revision: u64,
+  pub revision: Revision,
   /// Revision of the last change that matters to others.
-  pub changed: u64,
+  pub changed: Revision,
   /// Since the moment as of which all changes are known, ms.
   pub age_ms: u64,
 }
@@ -51,7 +54,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Answer {
   /// All changes up to this revision are known.
-  pub(super) revision: u64,
+  pub(super) revision: Revision,
   /// Some of them matter to others.
   pub(super) matters: bool,
   /// All changes that the store had acknowledged by then are among them.
@@ -62,8 +65,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-  revision: u64,
-  changed: u64,
+  revision: Revision,
+  changed: Revision,
   /// The moment as of which all changes are known here. It comes of the calls that read
   /// them and of nothing else: while a holder's watch was held up, the renewals of its
   /// lease made what it knew look 750 ms old, and all others were 1.74 s late with it.
@@ -89,10 +92,12 @@
 }
 
 impl State {
-  /// Everything up to a revision is known.
-  fn take(&mut self, revision: u64, matters: bool) {
+  /// Everything up to a revision is known. All of a new era matters: others that know an earlier
+  /// one know nothing of it.
+  fn take(&mut self, revision: Revision, matters: bool) {
+    let new = revision.era > self.revision.era;
     self.revision = self.revision.max(revision);
-    if matters {
+    if matters || new {
       self.changed = self.changed.max(revision);
     }
   }
@@ -169,6 +174,10 @@
   /// Takes up another instance's progress.
   pub fn follow(&self, progress: Progress) {
     let mut state = lock(&self.state);
+    if progress.revision.era < state.revision.era {
+      // It does not know yet that the store came back from a copy.
+      return;
+    }
     let age = Duration::from_millis(progress.age_ms);
     let Some(confirmed) = Moment::now().checked_sub(age).filter(|_| age < STALE) else {
       return;
@@ -299,19 +308,20 @@
   }
 
   /// Changes that were offered are known now.
-  pub(super) fn taken(&self, revision: u64, matters: bool) {
+  pub(super) fn taken(&self, revision: Revision, matters: bool) {
     let mut state = lock(&self.state);
     state.take(revision, matters);
     state.confirm_holder();
   }
 
   /// Keeps what was read here for the other instances, where they go by it.
-  pub(super) fn publish(&self, range: (u64, u64), objects: &[(Object, bool)]) {
+  pub(super) fn publish(&self, range: (Revision, Revision), objects: &[(Object, bool)]) {
     let mut state = lock(&self.state);
     if !state.leads {
       return;
     }
-    let since = state.changed;
+    // One that knows an earlier era lacks more than these.
+    let since = state.changed.max(Revision::first(range.0.era));
     let batch = Batch::open(since, range, objects);
     state.published.extend(batch);
   }
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Moment;
 use crate::contact::Silence;
-use crate::store::{Error, Object, Store};
+use crate::store::{Error, Object, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{collections::BTreeMap, thread, time::Duration};
@@ -76,10 +76,10 @@
   log: &Logger,
   kind: &str,
   source: &str,
-  (revision, count): (u64, usize),
+  (revision, count): (Revision, usize),
   age: Option<Duration>,
 ) {
-  info!(log, "changes taken"; "kind" => kind, "source" => source, "revision" => revision,
+  info!(log, "changes taken"; "kind" => kind, "source" => source, "revision" => %revision,
     "count" => count, "age_ms" => age.map(|age| age.as_millis() as u64));
 }
 
@@ -121,7 +121,7 @@
   matters: M,
   take: T,
   /// Up to which revision changes are known; none: nothing was read yet.
-  from: Option<u64>,
+  from: Option<Revision>,
   /// The next call reads everything: a watch is of no use.
   unread: bool,
   /// Failed calls in a row, and when the last one was begun.
@@ -136,7 +136,7 @@
 /// What a call brought.
 struct Answered {
   event: Event,
-  revision: u64,
+  revision: Revision,
   /// As of when all changes are known by it.
   confirmed: Moment,
   began: Moment,
@@ -162,7 +162,7 @@
 
   fn take_batch(&mut self, batch: Batch) {
     let Some(objects) = batch.objects() else {
-      warn!(self.log, "batch not understood"; "kind" => self.kind, "revision" => batch.revision);
+      warn!(self.log, "batch not understood"; "kind" => self.kind, "revision" => %batch.revision);
       return;
     };
     let (count, age) = (objects.len(), self.gate.age());
@@ -182,6 +182,10 @@
   fn read(&mut self) {
     let (began, age) = (Moment::now(), self.gate.age());
     match self.store.all(self.kind) {
+      Ok((_, revision)) if self.from.is_some_and(|from| revision.era < from.era) => {
+        let error = Error::Malformed(format!("era: `{}` is over", revision.era));
+        self.fail("list", began, &error);
+      }
       Ok((objects, revision)) => self.answered(Answered {
         event: Event::All(objects),
         revision,
@@ -194,7 +198,7 @@
     }
   }
 
-  fn watch(&mut self, revision: u64, soon: bool) {
+  fn watch(&mut self, revision: Revision, soon: bool) {
     let (began, age) = (Moment::now(), self.gate.age());
     let wait = match self.gate.leads() {
       _ if self.failures > 0 || soon => FIRST,
@@ -203,6 +207,10 @@
     };
     self.from = Some(revision);
     match (self.store.watch)(self.kind, revision, wait) {
+      // Numbers were given out again: what it brings is not all that came since.
+      Ok(changes) if changes.revision.era != revision.era => {
+        self.fail("watch", began, &Error::HistoryGone);
+      }
       Ok(changes) => {
         // Without changes the store waited all the time before it answered.
         let waited = if changes.objects.is_empty() {
@@ -303,7 +311,7 @@
     };
     let silence = self.gate.contact().silence(lost);
     info!(self.log, "store is back"; "kind" => self.kind, "failures" => self.failures,
-      "revision" => self.from, "silent_ms" => silence.length.as_millis() as u64,
+      "revision" => self.from.map(|from| from.to_string()), "silent_ms" => silence.length.as_millis() as u64,
       "over_ms" => silence.over.as_millis() as u64,
       "failed_ms" => silence.failed.as_millis() as u64);
     (self.take)(Event::Back(silence));
@@ -318,19 +326,19 @@
       self.gate.contact().fail(began);
     }
     if *error == Error::HistoryGone {
-      info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from);
+      info!(self.log, "history is gone"; "kind" => self.kind, "revision" => self.from.map(|from| from.to_string()));
       self.unread = true;
       return;
     }
     if self.failures == 0 {
       self.lost = Some(began);
       warn!(self.log, "store is lost"; "kind" => self.kind, "error" => %error,
-        "revision" => self.from);
+        "revision" => self.from.map(|from| from.to_string()));
       (self.take)(Event::Lost);
     }
     if self.failures.is_multiple_of(FAILURES_LOGGED) {
       info!(self.log, "call failed"; "kind" => self.kind, "call" => call, "error" => %error,
-        "failures" => self.failures, "revision" => self.from,
+        "failures" => self.failures, "revision" => self.from.map(|from| from.to_string()),
         "took_ms" => began.elapsed().as_millis() as u64);
     }
     if error.may_have_run() {
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
   lease::promise::{EXTENSION_MS, LATE_WRITE_MS, Promise, Question, Rounds, short},
-  store::{Error, Object, Result},
+  store::{Error, Object, Result, Revision},
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
   pub machine: String,
-  pub revision: u64,
+  pub revision: Revision,
   /// Since the renewal was begun, or promises were asked for that all gave, ms.
   pub age_ms: u64,
   pub term: u64,
@@ -67,7 +67,7 @@
 struct Seen {
   /// None: there is no lease.
   record: Option<Record>,
-  revision: u64,
+  revision: Revision,
   /// When this revision was first known of, ms.
   since: u64,
   /// The record was read, or written here: its machines are known.
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
   Read,
-  Write { record: Record, revision: u64 },
+  Write { record: Record, revision: Revision },
 }
 
 /// One instance's view of a lease.
@@ -188,7 +188,8 @@
 
   /// Takes up the holder's heartbeat, received from `address`.
   pub fn receive(&mut self, now: u64, heartbeat: Heartbeat, address: SocketAddr) {
-    let known = self.seen.as_ref().map_or(0, |seen| seen.revision);
+    let known = self.seen.as_ref();
+    let known = known.map_or(Revision::default(), |seen| seen.revision);
     if heartbeat.revision < known {
       return;
     }
@@ -471,12 +472,12 @@
         self.uncertain = false;
         self.learn(now, object);
       }
-      Err(Error::Absent) => {
+      Err(Error::Absent { era }) => {
         self.uncertain = false;
         self.held = None;
         self.seen = Some(Seen {
           record: None,
-          revision: 0,
+          revision: Revision::first(era),
           since: now,
           read: true,
         });
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -460,7 +460,7 @@
     let group = &mut self.groups[index];
     if let (Err(error), lease::Call::Write { record, revision }) = (&result, call) {
       info!(self.hub.log, "lease not written"; "lease" => &group.name, "error" => %error,
-        "term" => record.term, "revision" => revision);
+        "term" => record.term, "revision" => %revision);
     }
     if result.is_ok() {
       self.hub.gates.contact.reach(Moment::now());
@@ -532,7 +532,7 @@
   fn take_policies(&mut self, now: u64, objects: store::Result<Vec<store::Object>>) {
     let objects = match objects {
       Ok(objects) => objects,
-      Err(store::Error::Absent) => Vec::new(),
+      Err(store::Error::Absent { .. }) => Vec::new(),
       Err(error) => {
         self.policies_at = now + POLICIES_AGAIN_MS;
         info!(self.hub.log, "policies not read, the last ones stay in force"; "error" => %error);
@@ -549,7 +549,7 @@
           policies.insert(object.name, policy);
         }
         Err(fault) => warn!(self.hub.log, "policy is faulty and left out";
-          "policy" => &object.name, "revision" => object.revision, "fault" => fault),
+          "policy" => &object.name, "revision" => %object.revision, "fault" => fault),
       }
     }
     for group in &mut self.groups {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -178,7 +178,7 @@
     result: store::Result<store::Object>,
   ) {
     if let Err(error) = &result
-      && *error != store::Error::Absent
+      && !matches!(error, store::Error::Absent { .. })
     {
       info!(self.hub.log, "quarantine not read or written"; "error" => %error);
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -9,7 +9,7 @@
   hub::Hub,
   planner,
   settings::{self, Settings},
-  store::Object,
+  store::{Object, Revision},
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -162,14 +162,14 @@
         return false;
       }
       info!(hub.log, "configured"; "version" => deployment.version,
-        "revision" => object.revision, "routes" => deployment.routes.len());
+        "revision" => %object.revision, "routes" => deployment.routes.len());
       hub.apply(Event::Deployed(Arc::new(deployment)), None);
       true
     }
     Ok(None) => false,
     Err(fault) => {
       warn!(hub.log, "configuration is faulty, the last good one stays in force";
-        "object" => &object.name, "revision" => object.revision, "fault" => fault);
+        "object" => &object.name, "revision" => %object.revision, "fault" => fault);
       false
     }
   }
@@ -197,7 +197,7 @@
             if faulty.insert(object) {
               hub.measures.faulty(edge.kinds.servers);
               warn!(hub.log, "entry is faulty and names no server"; "server" => &object.name,
-              "revision" => object.revision, "fault" => fault);
+              "revision" => %object.revision, "fault" => fault);
             }
             Change::Faulty(object.name.clone())
           }
@@ -266,7 +266,7 @@
 /// list.
 #[derive(Default)]
 struct Faulty {
-  revisions: HashMap<String, u64>,
+  revisions: HashMap<String, Revision>,
 }
 
 impl Faulty {
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -106,12 +106,12 @@
       continue;
     };
     let result = match &call {
-      lease::Call::Read => Err(store::Error::Absent),
+      lease::Call::Read => Err(store::Error::Absent { era: 0 }),
       lease::Call::Write { record, revision } => {
         written = serde_json::to_string(record).unwrap();
         Ok(store::Object {
           name: "lease".into(),
-          revision: revision + 1,
+          revision: (revision.number + 1).into(),
           spec: serde_json::to_value(record).unwrap(),
         })
       }
--- /dev/null
+++ b/tests/era.rs
@@ -0,0 +1,233 @@
+//! Eras of the store: it comes back from an older copy, and its revisions are given out again.
+
+use bendsaddle::{
+  feed::{Batch, Change, Event, Gate, Progress, follow},
+  store::{Changes, Error, Object, Page, Revision, Store},
+};
+use quickcheck::quickcheck;
+use slog::{Discard, Logger, o};
+use std::{
+  sync::{
+    Arc, Mutex,
+    mpsc::{Receiver, channel},
+  },
+  thread,
+  time::{Duration, Instant},
+};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn at(era: u64, number: u64) -> Revision {
+  Revision { era, number }
+}
+
+/// A store of one object, at a revision and with a content.
+#[derive(Clone, Copy)]
+struct Shared {
+  revision: Revision,
+  /// Changed last at this number.
+  content: u64,
+  /// A watch from a number that it does not have is refused.
+  refuses: bool,
+}
+
+type Server = Arc<Mutex<Shared>>;
+
+fn object(shared: &Shared) -> Object {
+  Object {
+    name: "one".into(),
+    revision: at(shared.revision.era, shared.content),
+    spec: format!("{}/{}", shared.revision.era, shared.content).into(),
+  }
+}
+
+fn store(server: &Server) -> Store {
+  let (listed, watched) = (server.clone(), server.clone());
+  Store {
+    list: Box::new(move |_, _| {
+      let shared = *listed.lock().unwrap();
+      Ok(Page {
+        objects: vec![object(&shared)],
+        more: false,
+        revision: shared.revision,
+      })
+    }),
+    watch: Box::new(move |_, from, wait| {
+      let until = Instant::now() + wait;
+      loop {
+        let shared = *watched.lock().unwrap();
+        if shared.refuses && from.number > shared.revision.number {
+          return Err(Error::HistoryGone);
+        }
+        let changed = shared.content > from.number;
+        if changed || Instant::now() >= until {
+          let object = changed.then(|| (object(&shared), false));
+          return Ok(Changes {
+            objects: object.into_iter().collect(),
+            revision: shared.revision,
+          });
+        }
+        thread::sleep(Duration::from_millis(5));
+      }
+    }),
+    read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+    write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
+  }
+}
+
+/// A store in its first era that is followed, and the contents that are taken up.
+fn followed(gate: &Arc<Gate>, refuses: bool) -> (Server, Receiver<String>) {
+  let server = Arc::new(Mutex::new(Shared {
+    revision: at(1, 50),
+    content: 40,
+    refuses,
+  }));
+  let (sender, contents) = channel();
+  let (store, gate) = (store(&server), gate.clone());
+  thread::spawn(move || {
+    let log = Logger::root(Discard, o!());
+    follow(
+      &store,
+      "kind",
+      &gate,
+      &log,
+      |_, _| true,
+      |event| {
+        let objects: Vec<Object> = match event {
+          Event::All(objects) => objects,
+          Event::Some(objects) => objects.into_iter().map(|(object, _)| object).collect(),
+          _ => return false,
+        };
+        for object in &objects {
+          let _ = sender.send(object.spec.as_str().unwrap().to_string());
+        }
+        !objects.is_empty()
+      },
+    )
+  });
+  (server, contents)
+}
+
+/// Waits for a content, while `every` goes on.
+fn wait_for(contents: &Receiver<String>, content: &str, mut every: impl FnMut()) {
+  let began = Instant::now();
+  while contents.recv_timeout(Duration::from_millis(20)).as_deref() != Ok(content) {
+    assert!(began.elapsed() < LONG, "`{content}` was not taken up");
+    every();
+  }
+}
+
+/// The store comes back from a copy: to a revision below, and then up to another one.
+fn come_back(server: &Server, content: u64, number: u64) {
+  let mut shared = server.lock().unwrap();
+  shared.revision = at(shared.revision.era + 1, number);
+  shared.content = content;
+}
+
+#[test]
+fn a_watch_that_is_refused_after_the_return_goes_on_from_what_is_there() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, true);
+  wait_for(&contents, "1/40", || {});
+  come_back(&server, 20, 20);
+  wait_for(&contents, "2/20", || {});
+  let mut shared = server.lock().unwrap();
+  (shared.revision, shared.content) = (at(2, 22), 22);
+  drop(shared);
+  wait_for(&contents, "2/22", || {});
+  assert_eq!(gate.progress().revision, at(2, 22));
+}
+
+#[test]
+fn what_was_given_out_again_below_the_known_number_is_read() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, true);
+  wait_for(&contents, "1/40", || {});
+  // Nothing refuses a watch from 50, and nothing after it names the change at 30.
+  come_back(&server, 30, 90);
+  wait_for(&contents, "2/30", || {});
+  assert_eq!(gate.progress().revision, at(2, 90));
+}
+
+#[test]
+fn twice_in_a_row_each_return_is_noticed() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, false);
+  wait_for(&contents, "1/40", || {});
+  come_back(&server, 30, 90);
+  come_back(&server, 30, 90);
+  wait_for(&contents, "3/30", || {});
+  come_back(&server, 30, 90);
+  wait_for(&contents, "4/30", || {});
+}
+
+fn progress(revision: Revision, changed: Revision) -> Progress {
+  Progress {
+    revision,
+    changed,
+    age_ms: 0,
+  }
+}
+
+#[test]
+fn a_holder_of_a_later_era_makes_a_follower_read_all() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, false);
+  wait_for(&contents, "1/40", || {});
+  come_back(&server, 30, 90);
+  let word = progress(at(2, 90), at(2, 30));
+  wait_for(&contents, "2/30", || gate.follow(word));
+}
+
+#[test]
+fn a_holder_that_does_not_know_of_the_return_is_not_followed() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, false);
+  wait_for(&contents, "1/40", || {});
+  come_back(&server, 30, 45);
+  wait_for(&contents, "2/30", || {});
+  let mut shared = server.lock().unwrap();
+  (shared.revision, shared.content) = (at(2, 46), 46);
+  drop(shared);
+  let word = progress(at(1, 60), at(1, 40));
+  wait_for(&contents, "2/46", || gate.follow(word));
+}
+
+#[test]
+fn a_batch_of_a_later_era_is_no_bridge_to_it() {
+  let gate = Arc::new(Gate::default());
+  let (server, contents) = followed(&gate, false);
+  wait_for(&contents, "1/40", || {});
+  let word = progress(at(2, 95), at(2, 95));
+  let batch = Batch {
+    since: Revision::first(2),
+    after: at(2, 90),
+    revision: at(2, 95),
+    changes: vec![Change {
+      name: "one".into(),
+      revision: at(2, 95),
+      removed: false,
+      spec: "\"batch\"".into(),
+    }],
+  };
+  come_back(&server, 30, 95);
+  gate.follow(word);
+  gate.offer(batch);
+  let began = Instant::now();
+  let first = loop {
+    assert!(began.elapsed() < LONG);
+    gate.follow(word);
+    if let Ok(first) = contents.recv_timeout(Duration::from_millis(20)) {
+      break first;
+    }
+  };
+  assert_eq!(first, "2/30", "all is read");
+}
+
+quickcheck! {
+  /// A later era is later, whatever its numbers are.
+  fn revisions_are_ordered_by_their_eras_first(one: (u32, u32), two: (u32, u32)) -> bool {
+    let of = |(era, number): (u32, u32)| at(era.into(), number.into());
+    of(one).cmp(&of(two)) == one.cmp(&two)
+  }
+}
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -33,7 +33,7 @@
 fn object(revision: u64) -> Object {
   Object {
     name: "one".into(),
-    revision,
+    revision: revision.into(),
     spec: revision.into(),
   }
 }
@@ -50,10 +50,11 @@
       Ok(Page {
         objects: vec![object(revision)],
         more: false,
-        revision,
+        revision: revision.into(),
       })
     }),
     watch: Box::new(move |_, from, wait| {
+      let from = from.number;
       watched.watches.fetch_add(1, Ordering::Relaxed);
       if watched.mute.load(Ordering::Relaxed) {
         return Err(Error::Refused(503));
@@ -69,14 +70,14 @@
           let objects = (revision > from).then(|| (object(revision), false));
           return Ok(Changes {
             objects: objects.into_iter().collect(),
-            revision,
+            revision: revision.into(),
           });
         }
         thread::sleep(Duration::from_millis(5));
       }
     }),
-    read: Box::new(|_, _| Err(Error::Absent)),
-    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+    read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+    write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
   }
 }
 
@@ -85,8 +86,8 @@
   let (sender, receiver) = channel();
   follow_events(numbers, gate, move |event| {
     let revision = match event {
-      Event::All(objects) => objects[0].revision,
-      Event::Some(objects) => objects[0].0.revision,
+      Event::All(objects) => objects[0].revision.number,
+      Event::Some(objects) => objects[0].0.revision.number,
       Event::Lost | Event::Back(_) | Event::Current => return false,
     };
     let _ = sender.send(revision);
@@ -104,14 +105,14 @@
   let (store, gate) = (store(numbers), gate.clone());
   let log = Logger::root(Discard, o!());
   // Objects with an odd revision matter to others.
-  let odd = |object: &Object, _| object.revision % 2 == 1;
+  let odd = |object: &Object, _| object.revision.number % 2 == 1;
   thread::spawn(move || follow(&store, "kind", &gate, &log, odd, take));
 }
 
 fn progress(revision: u64, changed: u64, age_ms: u64) -> Progress {
   Progress {
-    revision,
-    changed,
+    revision: revision.into(),
+    changed: changed.into(),
     age_ms,
   }
 }
@@ -143,7 +144,7 @@
   assert_eq!(news.recv_timeout(LONG), Ok(5));
   // Event is taken up before the gate knows of it.
   let began = Instant::now();
-  while gate.progress().revision < 5 {
+  while gate.progress().revision.number < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
@@ -225,12 +226,12 @@
 /// What a holder read: object `one` at a revision, after the change at `since`.
 fn batch(since: u64, revision: u64) -> Batch {
   Batch {
-    since,
-    after: since,
-    revision,
+    since: since.into(),
+    after: since.into(),
+    revision: revision.into(),
     changes: vec![Change {
       name: "one".into(),
-      revision,
+      revision: revision.into(),
       removed: false,
       spec: revision.to_string(),
     }],
@@ -320,12 +321,12 @@
     true
   });
   let began = Instant::now();
-  while gate.progress().revision < 5 {
+  while gate.progress().revision.number < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
   let mut removal = batch(5, 8);
-  removal.changes[0].revision = 3;
+  removal.changes[0].revision = 3.into();
   removal.changes[0].removed = true;
   gate.offer(removal);
   gate.follow(progress(8, 8, 0));
@@ -385,7 +386,7 @@
       Ok(Page {
         objects: vec![object(5)],
         more: false,
-        revision: 5,
+        revision: 5.into(),
       })
     }),
     watch: Box::new(move |_, _, wait| {
@@ -396,8 +397,8 @@
       let objects = changes.iter().filter(|_| first).cloned().collect();
       Ok(Changes { objects, revision })
     }),
-    read: Box::new(|_, _| Err(Error::Absent)),
-    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+    read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+    write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
   };
   let gate = Arc::new(Gate::default());
   gate.lead(true);
@@ -410,7 +411,7 @@
 fn revisions(batch: &Batch) -> Vec<(u64, bool)> {
   let changes = batch.changes.iter();
   changes
-    .map(|change| (change.revision, change.removed))
+    .map(|change| (change.revision.number, change.removed))
     .collect()
 }
 
@@ -419,10 +420,10 @@
 #[test]
 fn a_holder_publishes_of_an_answer_what_others_need() {
   let changes = (6..=8).map(|revision| (object(revision), false));
-  let odd = |object: &Object, _| object.revision % 2 == 1;
+  let odd = |object: &Object, _| object.revision.number % 2 == 1;
   let published = published_of(changes.collect(), odd);
   assert_eq!(revisions(&published), [(7, false)]);
-  assert_eq!((published.after, published.revision), (5, 8));
+  assert_eq!((published.after, published.revision), (5.into(), 8.into()));
 }
 
 // A server's entry was removed and was back with the same answer of the store: the holder took
@@ -454,12 +455,12 @@
   let gate = Arc::new(Gate::default());
   gate.lead(true);
   follow_events(&numbers, &gate, |_| false);
-  wait_for("the first list", || gate.progress().revision == 5);
+  wait_for("the first list", || gate.progress().revision.number == 5);
   // No watch arrives any more, so all is read.
   numbers.most.store(1, Ordering::Relaxed);
   numbers.revision.store(8, Ordering::Relaxed);
-  wait_for("the second list", || gate.progress().revision == 8);
-  assert_eq!(gate.progress().changed, 8);
+  wait_for("the second list", || gate.progress().revision.number == 8);
+  assert_eq!(gate.progress().changed.number, 8);
 }
 
 fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -4,7 +4,7 @@
 use bendsaddle::{
   lease::promise::{Promise, Question, short},
   lease::{Call, Heartbeat, Lease, Record},
-  store::{Error, Object},
+  store::{Error, Object, Revision},
 };
 use quickcheck::{TestResult, quickcheck};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -22,16 +22,17 @@
 impl Store {
   fn apply(&mut self, call: &Call) -> Result<Object, Error> {
     let Call::Write { record, revision } = call else {
-      return self.object.clone().ok_or(Error::Absent);
+      return self.object.clone().ok_or(Error::Absent { era: 0 });
     };
-    let current = self.object.as_ref().map_or(0, |object| object.revision);
+    let current = self.object.as_ref();
+    let current = current.map_or(Revision::default(), |object| object.revision);
     if current != *revision {
       return Err(Error::Conflict);
     }
     self.revision += 1;
     let object = Object {
       name: "orders".into(),
-      revision: self.revision,
+      revision: self.revision.into(),
       spec: serde_json::to_value(record).unwrap(),
     };
     self.object = Some(object.clone());
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -286,7 +286,7 @@
 fn object(revision: u64, spec: serde_json::Value) -> bendsaddle::store::Object {
   bendsaddle::store::Object {
     name: "main".into(),
-    revision,
+    revision: revision.into(),
     spec,
   }
 }
@@ -301,7 +301,10 @@
   let read = holder.call(0, 1_000, true, &[]).expect("a read first");
   assert_eq!(read, Call::Read);
   assert_eq!(holder.call(0, 1_000, true, &[entry]), None, "one at a time");
-  assert_eq!(holder.answered(1, &read, Err(Error::Absent)), None);
+  assert_eq!(
+    holder.answered(1, &read, Err(Error::Absent { era: 0 })),
+    None
+  );
   assert_eq!(
     holder.call(2, 1_000, false, &[entry]),
     None,
@@ -311,7 +314,7 @@
   let Call::Write { record, revision } = write.clone() else {
     panic!("{write:?}");
   };
-  assert_eq!(revision, 0);
+  assert_eq!(revision.number, 0);
   let spec = encode(&record).unwrap();
   holder.answered(3, &write, Ok(object(7, spec.clone())));
   assert_eq!(holder.call(4, 1_000, true, &[entry]), None, "written once");
@@ -339,7 +342,7 @@
   for error in [Error::NoAnswer, Error::Conflict, Error::Refused(503)] {
     let mut stored = Stored::default();
     let read = stored.call(0, 0, true, &[]).unwrap();
-    stored.answered(0, &read, Err(Error::Absent));
+    stored.answered(0, &read, Err(Error::Absent { era: 0 }));
     let write = stored.call(0, 0, true, &[entry]).unwrap();
     stored.answered(0, &write, Err(error));
     assert_eq!(stored.call(1, 0, true, &[entry]), None, "a pause");
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -48,7 +48,7 @@
 fn object(revision: u64) -> Object {
   Object {
     name: "one".into(),
-    revision,
+    revision: revision.into(),
     spec: revision.into(),
   }
 }
@@ -63,11 +63,12 @@
         Ok(Page {
           objects: vec![object(revision)],
           more: false,
-          revision,
+          revision: revision.into(),
         })
       }
     }),
     watch: Box::new(move |_, from, wait| {
+      let from = from.number;
       let until = Instant::now() + wait;
       loop {
         if let Some(error) = fault(&watched) {
@@ -78,14 +79,14 @@
           let objects = (revision > from).then(|| (object(revision), false));
           return Ok(Changes {
             objects: objects.into_iter().collect(),
-            revision,
+            revision: revision.into(),
           });
         }
         thread::sleep(Duration::from_millis(5));
       }
     }),
-    read: Box::new(|_, _| Err(Error::Absent)),
-    write: Box::new(|_, _, _, _| Err(Error::Absent)),
+    read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+    write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
   }
 }
 
@@ -122,8 +123,8 @@
 
 fn progress(revision: u64) -> Progress {
   Progress {
-    revision,
-    changed: revision,
+    revision: revision.into(),
+    changed: revision.into(),
     age_ms: 0,
   }
 }
@@ -148,7 +149,7 @@
 
 fn known(gate: &Gate) {
   let began = Instant::now();
-  while gate.progress().revision < 5 {
+  while gate.progress().revision.number < 5 {
     assert!(began.elapsed() < LONG, "not in time");
     thread::sleep(Duration::from_millis(1));
   }
@@ -156,12 +157,12 @@
 
 fn batch() -> Batch {
   Batch {
-    since: 5,
-    after: 5,
-    revision: 8,
+    since: 5.into(),
+    after: 5.into(),
+    revision: 8.into(),
     changes: vec![Change {
       name: "one".into(),
-      revision: 8,
+      revision: 8.into(),
       removed: false,
       spec: "8".into(),
     }],
@@ -171,7 +172,7 @@
 /// The same for a removal, which names the object as it was.
 fn removal() -> Batch {
   let mut removal = batch();
-  removal.changes[0].revision = 5;
+  removal.changes[0].revision = 5.into();
   removal.changes[0].removed = true;
   removal
 }
