a server that left is not back with an older copy of the store

After the store's return from a copy, requests reached servers that had left: 622 in three seconds to one whose entry had said draining before. Cause: an entry is taken for what its server states now, whatever is known of the server; the copy's entry says ready. Ruled out: revisions (all had read the new era in time).

That a server leaves holds as long as its life, whether an answer or its entry said so, and goes to instances that start with what all servers said: they have the copy and their peers. An entry that had been removed and is listed again after the return does not count until it is written again, or until the time has passed in which entries of servers that are not there are removed. Feeds say when the store came back from a copy, with a line.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -122,8 +122,10 @@
   pub missing: BTreeMap<String, Missing>,
   /// Its entry is missing since then, ms; it may come back.
   pub lapsed: Option<u64>,
-  /// It said in an answer that it leaves.
+  /// It said that it leaves.
   pub leaving: bool,
+  /// Its entry may be that of an older copy of the store until then, ms.
+  pub unsure_until: u64,
   /// Another server answered at its address. Not the stage that it stated: a holder that took
   /// its own finding for that would not publish the statement when it comes.
   pub replaced: bool,
@@ -145,6 +147,7 @@
       missing: BTreeMap::new(),
       lapsed: None,
       leaving: false,
+      unsure_until: 0,
       replaced: false,
       loading: None,
     }
@@ -236,7 +239,7 @@
 
   /// Whether new work may go there.
   pub fn usable(&self, now: u64) -> bool {
-    !self.leaves() && now >= self.avoid_until
+    !self.leaves() && now >= self.avoid_until && now >= self.unsure_until
   }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -21,6 +21,7 @@
   quota::{self, Allowance, Purse, Spending, Use},
   refusal::{Reason, Refusal},
   retry::{Bound, Budget},
+  returned::Returned,
   statement::{Leaving, Rests},
   strain::Book,
   verdict::Verdict,
@@ -122,6 +123,7 @@
   /// When a planner was last heard of, ms.
   pub updated_at: u64,
   pub(crate) lapses: Lapses,
+  pub(crate) returned: Returned,
   /// What callers want that were sent away with a Retry-After.
   pub(crate) wants: Wants,
   /// How slow servers were for each model since the last report.
@@ -172,6 +174,7 @@
       stop_at: u64::MAX,
       updated_at: 0,
       lapses: Lapses::default(),
+      returned: Returned::default(),
       wants: Wants::new(),
       strain: Book::new(),
       early: BTreeMap::new(),
@@ -228,6 +231,7 @@
       Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.lapses.lose(now),
       Event::StoreBack(silence) => self.store_back(&silence),
+      Event::StoreReturned => self.returned.begin(now),
       Event::StoreCurrent => self.lapses.close(),
       Event::Resumed(ticket) => self.answering(ticket),
       Event::Quarantined(entries) => {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -187,6 +187,8 @@
   StoreLost,
   /// It does again.
   StoreBack(Silence),
+  /// It came back from an older copy: what it holds may be older than what is known.
+  StoreReturned,
   /// All that it had acknowledged by then is known.
   StoreCurrent,
   /// Requests that go to no server from now on: they crash those that run them.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -56,6 +56,8 @@
   Lost,
   /// It answers again.
   Back(Silence),
+  /// It came back from an older copy: all objects that follow may be older than those known.
+  Returned,
   /// All that the store had acknowledged when it was back has been given.
   Current,
 }
@@ -66,7 +68,7 @@
     match self {
       Self::All(objects) => objects.len(),
       Self::Some(objects) => objects.len(),
-      Self::Lost | Self::Back(_) | Self::Current => 0,
+      Self::Lost | Self::Back(_) | Self::Returned | Self::Current => 0,
     }
   }
 }
@@ -238,7 +240,13 @@
     self.gate.contact().reach(Moment::now());
     self.back();
     self.unread = false;
-    let after = self.from.replace(revision).unwrap_or_default();
+    let after = self.from.replace(revision).unwrap_or(revision);
+    let returned = revision.era > after.era;
+    if returned {
+      info!(self.log, "store is back from a copy"; "kind" => self.kind,
+        "known" => %after, "revision" => %revision);
+      (self.take)(Event::Returned);
+    }
     let empty = matches!(&event, Event::Some(objects) if objects.is_empty());
     let read = match &event {
       Event::Some(objects) if !empty => Some(self.needed(objects)),
@@ -248,7 +256,7 @@
     // A list does not show what has changed and changed back since others read.
     let listed = matches!(&event, Event::All(_)) && self.gate.leads();
     let matters = !empty && (self.take)(event) || listed;
-    if self.back.take().is_some() {
+    if self.back.take().is_some() || returned {
       (self.take)(Event::Current);
     }
     if matters {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod reply;
 pub mod report;
 pub mod retry;
+mod returned;
 pub mod route;
 pub mod router;
 pub mod run;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -24,7 +24,7 @@
             .cloned()
             .collect();
           gone.iter().for_each(|id| self.gone(id));
-          specs.into_iter().for_each(|spec| self.set(spec));
+          specs.into_iter().for_each(|spec| self.set_listed(spec));
           self.listed = true;
         }
         Change::Set(spec) => self.set(spec),
@@ -36,7 +36,25 @@
     self.place_waiting();
   }
 
+  /// Takes up an entry of a whole list, which the store may have from an older copy.
+  fn set_listed(&mut self, spec: Spec) {
+    let (id, life) = (spec.id.clone(), spec.life());
+    let known = self.ids.get(&id);
+    let before = known.map_or(0, |key| self.backends[*key].unsure_until);
+    let unsure_until = match known {
+      Some(_) => before,
+      None => self.returned.unsure_until(life, self.now),
+    };
+    self.set(spec);
+    if let Some(key) = self.ids.get(&id) {
+      self.backends[*key].unsure_until = unsure_until;
+    }
+  }
+
   fn set(&mut self, spec: Spec) {
+    if spec.stage == Stage::Draining {
+      self.read_leaving(spec.life());
+    }
     let known = self.ids.get(&spec.id);
     let known = known.map(|key| self.backends[*key].spec.life());
     if known.is_some_and(|known| known.ends(spec.life())) {
@@ -53,6 +71,7 @@
         backend.heard = self.now;
         backend.lapsed = None;
         backend.replaced = false;
+        backend.unsure_until = 0;
         backend.leaving = self.leaving.contains(backend.spec.life());
       }
       None => {
@@ -96,6 +115,8 @@
       .collect();
     self.changes += u64::from(!ids.is_empty());
     for id in ids {
+      let life = self.backends[self.ids[&id]].spec.life();
+      self.returned.remove(life, self.now);
       self.remove(&id);
       self.out.push(Effect::Gone(id));
     }
@@ -118,6 +139,8 @@
         self.out.push(Effect::Missing { id, kept_ms });
       }
       _ => {
+        let life = backend.spec.life();
+        self.returned.remove(life, self.now);
         self.remove(&id);
         self.out.push(Effect::Removed(id));
       }
--- a/src/router.rs
+++ b/src/router.rs
@@ -140,7 +140,7 @@
             return false;
           }
           // The feed of the servers reports the store.
-          feed::Event::Back(_) | feed::Event::Current => return false,
+          feed::Event::Back(_) | feed::Event::Returned | feed::Event::Current => return false,
         };
         objects
           .iter()
@@ -220,6 +220,10 @@
             hub.apply(Event::StoreBack(silence), None);
             return false;
           }
+          feed::Event::Returned => {
+            hub.apply(Event::StoreReturned, None);
+            return false;
+          }
           feed::Event::Current => {
             hub.apply(Event::StoreCurrent, None);
             return false;
--- a/src/statement/leaving.rs
+++ b/src/statement/leaving.rs
@@ -1,4 +1,4 @@
-//! Servers that say that they leave.
+//! Servers that say that they leave, in their answers or entries.
 
 use super::{Content, KEPT_MS, Statement, age_ms};
 use crate::{
@@ -33,6 +33,11 @@
     new
   }
 
+  /// Takes up that a server's entry says so, which all instances read.
+  pub fn read(&mut self, server: Life, at: u64) {
+    self.said.entry(server).or_insert(at);
+  }
+
   /// Servers that said so.
   pub fn servers(&self) -> impl Iterator<Item = Life> {
     self.said.keys().copied()
@@ -67,8 +72,7 @@
     if !self.leaving.hear(server, at, own) {
       return;
     }
-    let there: Vec<Life> = self.backends.values().map(|one| one.spec.life()).collect();
-    self.leaving.forget(self.now, |life| there.contains(&life));
+    self.forget_leaving();
     for backend in self.backends.values_mut() {
       if backend.spec.life() == server {
         backend.leaving = true;
@@ -80,4 +84,17 @@
     self.changes += 1;
     self.place_waiting();
   }
+
+  /// A server's entry says that it leaves.
+  pub(crate) fn read_leaving(&mut self, server: Life) {
+    if !self.leaving.contains(server) {
+      self.leaving.read(server, self.now);
+      self.forget_leaving();
+    }
+  }
+
+  fn forget_leaving(&mut self) {
+    let there: Vec<Life> = self.backends.values().map(|one| one.spec.life()).collect();
+    self.leaving.forget(self.now, |life| there.contains(&life));
+  }
 }
--- /dev/null
+++ b/tests/returned.rs
@@ -0,0 +1,115 @@
+//! Servers when the store has come back from an older copy.
+
+#[allow(dead_code)]
+mod requests;
+
+use bendsaddle::{
+  ask::Ticket,
+  backend::{Spec, Stage},
+  deployment::Engine,
+  dispatch::{Ask, Change, Effect, Event, State},
+  route::Repeat,
+};
+use std::sync::Arc;
+
+/// Time in which the entries of servers that are not there are removed from a copy, ms.
+const REMOVED_MS: u64 = 5_000;
+
+fn servers(ids: &[&str]) -> State {
+  let mut state = requests::deployed(Engine::default());
+  state.reduce(0, all(ids));
+  state
+}
+
+fn all(ids: &[&str]) -> Event {
+  let specs = ids.iter().map(|id| requests::spec(id));
+  Event::Servers(vec![Change::All(specs.collect())])
+}
+
+fn set(spec: Spec) -> Event {
+  Event::Servers(vec![Change::Set(spec)])
+}
+
+fn draining(id: &str) -> Spec {
+  Spec {
+    stage: Stage::Draining,
+    ..requests::spec(id)
+  }
+}
+
+/// Where the next request goes.
+fn used(state: &mut State, now: u64) -> Option<String> {
+  let ticket = Ticket(now + 1);
+  let arrived = Event::Arrived(Ask {
+    ticket,
+    id: now.to_string(),
+    route: Arc::new(requests::route(Repeat::Always, None, 3)),
+    pool: "pool".into(),
+    model: None,
+    affinity: 0,
+    until: now + 5_000,
+    content: Default::default(),
+    caller: None,
+  });
+  let effects = state.reduce(now, arrived);
+  state.reduce(now, Event::Left(ticket));
+  effects.iter().find_map(|effect| match effect {
+    Effect::Send(attempt) => Some(attempt.id.clone()),
+    _ => None,
+  })
+}
+
+/// The store has come back, and its copy holds entries of these servers.
+fn come_back(state: &mut State, now: u64, ids: &[&str]) {
+  state.reduce(now, Event::StoreReturned);
+  state.reduce(now, all(ids));
+  state.reduce(now, Event::StoreCurrent);
+}
+
+#[test]
+fn a_server_that_had_said_that_it_leaves_is_not_ready_again_with_the_copy() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, set(draining("s")));
+  come_back(&mut state, 1_000, &["s"]);
+  assert_eq!(used(&mut state, 1_010), None);
+  assert_eq!(used(&mut state, 60_000), None);
+}
+
+#[test]
+fn a_server_that_was_gone_is_not_back_with_the_copy_alone() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, Event::Servers(vec![Change::Gone("s".into())]));
+  come_back(&mut state, 1_000, &["s"]);
+  assert_eq!(used(&mut state, 1_010), None);
+  // Another list shows no more.
+  state.reduce(2_000, all(&["s"]));
+  assert_eq!(used(&mut state, 2_010), None);
+  // By then its entry would have been removed.
+  assert!(used(&mut state, 1_000 + REMOVED_MS).is_some());
+}
+
+#[test]
+fn it_is_back_once_it_writes_its_entry_again() {
+  let mut state = servers(&["s"]);
+  state.reduce(10, Event::Servers(vec![Change::Gone("s".into())]));
+  come_back(&mut state, 1_000, &["s"]);
+  state.reduce(1_500, set(requests::spec("s")));
+  assert!(used(&mut state, 1_510).is_some());
+}
+
+#[test]
+fn what_is_removed_after_the_return_has_left() {
+  let mut state = servers(&["s"]);
+  come_back(&mut state, 1_000, &["s"]);
+  state.reduce(1_100, Event::Servers(vec![Change::Gone("s".into())]));
+  assert_eq!(used(&mut state, 1_110), None);
+}
+
+#[test]
+fn an_instance_that_starts_hears_of_the_others_who_left() {
+  let mut old = servers(&["s"]);
+  old.reduce(10, set(draining("s")));
+  let mut new = servers(&["s"]);
+  new.reduce(20, Event::Statements(old.statements(15)));
+  assert_eq!(used(&mut new, 30), None);
+}
