a server that an older copy of the store lacks serves on until it should be back

Servers that had come within the lost seconds got nothing after the store's return, until they had written their entries again. Cause: what a whole list lacks counts as removed unless the store was silent for three heartbeats; the copy lacks it at once. It is kept as one whose entry lapsed: it is used for the two seconds in which entries are written again, and gone after that; what is removed after the first list of the new era has left.

After: used on, and a removal after the return still counts at once.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -231,7 +231,10 @@
       Event::Left(ticket) => self.left(ticket),
       Event::StoreLost => self.lapses.lose(now),
       Event::StoreBack(silence) => self.store_back(&silence),
-      Event::StoreReturned => self.returned.begin(now),
+      Event::StoreReturned => {
+        self.returned.begin(now);
+        self.lapses.lack(now);
+      }
       Event::StoreCurrent => self.lapses.close(),
       Event::Resumed(ticket) => self.answering(ticket),
       Event::Quarantined(entries) => {
--- a/src/lapse.rs
+++ b/src/lapse.rs
@@ -51,6 +51,13 @@
     }
   }
 
+  /// The store came back from a copy, which may lack entries: they are written again as those are
+  /// that lapsed.
+  pub(crate) fn lack(&mut self, now: u64) {
+    self.possible = true;
+    self.until = self.until.max(now + LAPSE_MS);
+  }
+
   /// All that the store had acknowledged when it was back is known: what is removed from now
   /// on has left.
   pub(crate) fn close(&mut self) {
--- a/tests/returned.rs
+++ b/tests/returned.rs
@@ -12,6 +12,8 @@
 };
 use std::sync::Arc;
 
+/// Time in which entries that lapsed come back, ms.
+const LAPSE_MS: u64 = 2_000;
 /// Time in which the entries of servers that are not there are removed from a copy, ms.
 const REMOVED_MS: u64 = 5_000;
 
@@ -97,6 +99,19 @@
   assert!(used(&mut state, 1_510).is_some());
 }
 
+#[test]
+fn a_server_that_the_copy_lacks_is_used_on_until_it_should_be_back() {
+  let mut state = servers(&["s"]);
+  come_back(&mut state, 1_000, &[]);
+  assert!(used(&mut state, 1_010).is_some());
+  assert!(used(&mut state, 1_000 + LAPSE_MS - 10).is_some());
+  assert_eq!(used(&mut state, 1_000 + LAPSE_MS), None);
+  let mut state = servers(&["s"]);
+  come_back(&mut state, 1_000, &[]);
+  state.reduce(2_000, set(requests::spec("s")));
+  assert!(used(&mut state, 10_000).is_some());
+}
+
 #[test]
 fn what_is_removed_after_the_return_has_left() {
   let mut state = servers(&["s"]);
