what is kept from servers is written again after the store's return from a copy

A request that crashes servers, written down within the lost seconds, was in the store no more: after a loss of all instances it would have been sent again. Cause: the holder took for written what it had once written. In a later era it reads the record again and writes what is lacking; what the copy still keeps is older than what is known and keeps nothing from servers by itself. The test's steps had no call of the store after the return before: nothing named the era to what is kept.

--- a/src/crash/stored.rs
+++ b/src/crash/stored.rs
@@ -62,6 +62,8 @@
   again_at: u64,
   /// It was read once.
   read: bool,
+  /// It is read because the store came back from a copy.
+  again: bool,
 }
 
 impl Record {
@@ -116,6 +118,14 @@
     Some(call)
   }
 
+  /// The store is in an era: what was written in an earlier one may be lost.
+  pub fn enter(&mut self, era: u64) {
+    if self.revision.is_some_and(|revision| revision.era < era) {
+      self.revision = None;
+      self.again = true;
+    }
+  }
+
   /// Whether the record was read: before that nothing says what is kept from servers.
   pub fn is_read(&self) -> bool {
     self.read
@@ -131,14 +141,17 @@
     match (call, result) {
       (Call::Read, Err(Error::Absent { era })) => {
         self.revision = Some(Revision::first(era));
+        self.contents.clear();
         None
       }
       (Call::Read, Ok(object)) => {
+        let again = std::mem::take(&mut self.again);
         self.revision = Some(object.revision);
         // One that another writer spoilt keeps nothing from servers, and is written anew.
         let record: Record = serde_json::from_value(object.spec).unwrap_or_default();
         self.contents = contents(&record);
-        Some(record)
+        // A copy is older than what is known here: what was released since stays so.
+        (!again).then_some(record)
       }
       (Call::Write { record, .. }, Ok(object)) => {
         self.revision = Some(object.revision);
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -162,6 +162,10 @@
     let now = self.hub.now();
     let holding = self.groups.first().is_some_and(|group| group.holding);
     let entries = self.registry.quarantined(now);
+    if holding {
+      let era = self.hub.gates.servers.progress().revision.era;
+      self.stored_quarantine.enter(era);
+    }
     if let Some(call) = self
       .stored_quarantine
       .call(now, unix_ms(), holding, &entries)
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -7,14 +7,14 @@
   content,
   crash::{
     Crash, Quarantined, Registry, Repeated,
-    stored::{Call, Stored, encode},
+    stored::{Call, Entry, Record, Stored, encode},
   },
   deployment::Engine,
   dispatch::{Ask, Change, Effect, End, Event, State},
   life::Life,
   refusal::Reason,
   route::Repeat,
-  store::Error,
+  store::{Error, Object, Revision},
   verdict::Verdict,
 };
 use quickcheck::quickcheck;
@@ -350,6 +350,61 @@
   }
 }
 
+/// The store came back from a copy without the request that a holder had written down: it was in
+/// the store no more, and an instance that started after a loss of all would have sent it again.
+#[test]
+fn what_is_kept_from_servers_is_written_again_after_the_stores_return() {
+  let kept = |content| Quarantined {
+    content: content::Key(content),
+    left_ms: 60_000,
+  };
+  let released = Record {
+    entries: vec![Entry {
+      content: content::Key(GUILTY + 1).to_string(),
+      until_ms: 60_000,
+    }],
+  };
+  let mut holder = Stored::default();
+  let read = holder.call(0, 0, true, &[]).expect("a read first");
+  holder.answered(0, &read, Err(Error::Absent { era: 1 }));
+  let write = holder.call(0, 0, true, &[kept(GUILTY)]).expect("a write");
+  let written = Object {
+    revision: Revision { era: 1, number: 7 },
+    ..object(7, serde_json::Value::Null)
+  };
+  holder.answered(0, &write, Ok(written.clone()));
+  holder.enter(1);
+  assert_eq!(
+    holder.call(1, 0, true, &[kept(GUILTY)]),
+    None,
+    "it is there"
+  );
+  holder.enter(2);
+  let read = holder.call(2, 0, true, &[kept(GUILTY)]).expect("a read");
+  assert_eq!(read, Call::Read);
+  let copy = Object {
+    revision: Revision { era: 2, number: 5 },
+    spec: encode(&released).unwrap(),
+    ..written
+  };
+  assert_eq!(
+    holder.answered(3, &read, Ok(copy)),
+    None,
+    "the copy is older than what is known here"
+  );
+  let write = holder.call(4, 0, true, &[kept(GUILTY)]).expect("a write");
+  let Call::Write { record, revision } = &write else {
+    panic!("{write:?}");
+  };
+  assert_eq!(*revision, Revision { era: 2, number: 5 });
+  let contents: Vec<content::Key> = record
+    .quarantined(0)
+    .iter()
+    .map(|one| one.content)
+    .collect();
+  assert_eq!(contents, [content::Key(GUILTY)]);
+}
+
 quickcheck! {
   /// Whatever another writer put there, nothing breaks, and nobody is kept from servers by it.
   fn a_record_of_another_writer_keeps_nothing_from_servers(text: String, until_ms: u64) -> bool {
