--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -335,6 +335,14 @@
       let text = format!("server `{server}` got `{id}` {after_ms} ms after it began to leave");
       self.found("leaving", run.at, text);
     }
+    for Last { run, after_ms } in leaving::back(self.history, &self.bounds) {
+      if after_ms > bound {
+        let (server, id) = (&run.server, &run.id);
+        let text =
+          format!("server `{server}` got `{id}` {after_ms} ms after it was known to leave");
+        self.found("back", run.at, text);
+      }
+    }
   }
 
   /// A server in need gets no more than it names, of the instances that it has told.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -25,6 +25,8 @@
   LosesAnswers,
   WritesLate,
   Forgets,
+  /// It comes back from a copy that is so many tenths of a second older than its absence.
+  Returns(u32),
   /// Entries of another writer stand among those of servers.
   Foreign,
 }
@@ -157,11 +159,24 @@
 const REST: std::ops::Range<u32> = 10..40;
 const TURNS_AWAY_MS: std::ops::Range<u64> = 1_000..6_000;
 
+/// Seeds from this one on have a store that comes back from copies besides; those whose remainder by
+/// four is one have only this, beside changes of the configuration, departures and kills.
+const RETURNING: u64 = 50_000;
+/// Mean pause between two returns, ms; a part of them comes twice in a row, in hundredths.
+const RETURNING_PAUSE_MS: u64 = 5_000;
+const RETURNING_TWICE: u32 = 30;
+/// Age of a copy, tenths of a second, and how long the store is away, ms.
+const COPY_AGE: std::ops::Range<u32> = 3..40;
+const AWAY_MS: std::ops::Range<u64> = 200..2_600;
+
 /// Draws a plan; the same seed and size give the same.
 pub fn draw(seed: u64, size: &Size) -> Vec<Step> {
   if (LEAVING..SAYING).contains(&seed) {
     return leaving(seed, size);
   }
+  if seed >= RETURNING && seed % SAYING_ALONE == 1 {
+    return returning(seed, size, true);
+  }
   if seed >= SAYING && seed.is_multiple_of(SAYING_ALONE) {
     return saying(seed, size, true);
   }
@@ -178,6 +193,9 @@
   if seed >= SAYING {
     steps.extend(saying(seed, size, false));
   }
+  if seed >= RETURNING {
+    steps.extend(returning(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -208,6 +226,46 @@
   steps
 }
 
+/// A store that comes back from copies; `alone`: with what it may bring back or lose.
+fn returning(seed: u64, size: &Size, alone: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(24));
+  let mut steps = Vec::new();
+  let mut at = rng
+    .random_range(0..RETURNING_PAUSE_MS)
+    .min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let age = rng.random_range(COPY_AGE);
+    let lasts = rng.random_range(AWAY_MS);
+    let fault = Fault::Store(Store::Returns(age));
+    steps.push(Step { at, lasts, fault });
+    let back = at + u64::from(age) * 100 + lasts;
+    if rng.random_ratio(RETURNING_TWICE, 100) {
+      let at = back + rng.random_range(0..500);
+      let lasts = rng.random_range(AWAY_MS);
+      let fault = Fault::Store(Store::Returns(rng.random_range(COPY_AGE)));
+      steps.push(Step { at, lasts, fault });
+    }
+    if alone {
+      let within = at..back + 1_000;
+      let other = match rng.random_range(0..4) {
+        0 => Fault::Kill(rng.random_range(0..size.instances)),
+        1 => Fault::Configure(rng.random_range(1..4)),
+        2 => Fault::Server(rng.random_range(0..size.servers * 2), Server::Drain),
+        _ => Fault::Server(rng.random_range(0..size.servers * 2), Server::Vanish),
+      };
+      steps.push(Step {
+        at: rng.random_range(within),
+        lasts: rng.random_range(200..2_000),
+        fault: other,
+      });
+    }
+    steps.retain(|step| step.at < size.faults_ms);
+    at = back + rng.random_range(RETURNING_PAUSE_MS / 3..RETURNING_PAUSE_MS * 5 / 3);
+  }
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
 /// Servers that say in their answers that they leave, or ask for rest; `alone`: with faults that
 /// hide it from other instances.
 fn saying(seed: u64, size: &Size, alone: bool) -> Vec<Step> {
--- a/soak/src/world/configuration.rs
+++ b/soak/src/world/configuration.rs
@@ -41,6 +41,13 @@
     mood
   }
 
+  /// Writes the version in force once more.
+  pub(super) fn configure_again(&self) {
+    let version = lock(&self.version);
+    let spec = configuration(*version, self.broken);
+    self.store.put("config", "main", spec);
+  }
+
   /// Writes the next version of the configuration: each has one route of its own.
   pub(super) fn configure(&self) {
     let mut version = lock(&self.version);
--- a/soak/src/world/store.rs
+++ b/soak/src/world/store.rs
@@ -5,6 +5,10 @@
 use platform_stand_in::{runner::Runner, store::Fate};
 use std::{sync::MutexGuard, thread, time::Duration};
 
+/// After the store's return the operator writes again after this time, and servers one after the
+/// other with this pause.
+const OPERATOR: Duration = Duration::from_millis(400);
+const BEAT: Duration = Duration::from_millis(60);
 /// Contents of entries that name no server.
 const FOREIGN: [&[u8]; 4] = [
   b"null",
@@ -25,6 +29,7 @@
       StoreFault::WritesLate => self.fate(Fate::Late(Duration::from_millis(1_200)), lasts),
       StoreFault::Lapse => self.lapse(lasts),
       StoreFault::Foreign => self.foreign(lasts),
+      StoreFault::Returns(tenths) => self.come_back(u64::from(tenths) * 100, lasts),
     }
     self.book.end(trouble);
   }
@@ -43,6 +48,33 @@
       .for_each(|name| self.store.remove("servers", name));
   }
 
+  /// The store goes away and comes back from a copy; the operator and servers write again what is
+  /// theirs, each after a while.
+  fn come_back(&self, age_ms: u64, lasts: Duration) {
+    let copy = self.store.copy();
+    thread::sleep(Duration::from_millis(age_ms));
+    self.store.fate(Fate::Refuses);
+    thread::sleep(lasts);
+    self.store.restore(&copy);
+    self.store.fate(Fate::Answers);
+    thread::sleep(OPERATOR);
+    self.configure_again();
+    let runners = lock(&self.runners).clone();
+    let gone = |id: &str| {
+      self
+        .book
+        .note(|history| history.gone.iter().any(|(gone, _)| gone == id))
+    };
+    for runner in runners.iter().filter(|runner| !gone(&runner.id)) {
+      thread::sleep(BEAT);
+      runner.beat_again();
+    }
+    thread::sleep(LAPSE * 3);
+    for runner in runners.iter().filter(|runner| gone(&runner.id)) {
+      self.store.remove("servers", &runner.id);
+    }
+  }
+
   fn fate(&self, fate: Fate, lasts: Duration) {
     self.store.fate(fate);
     thread::sleep(lasts);
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -418,3 +418,32 @@
     assert!(broken(&struck).is_empty(), "{what}");
   }
 }
+
+/// A server left at 5,000 ms while all was sound; its instance sent a request there 8 s later, after
+/// the store had come back from a copy.
+fn back() -> History {
+  let mut history = calm();
+  history.drained.push(("a".into(), 5_000));
+  history.runs.push(run("late", "a", 13_000));
+  history.sent.push(Sent {
+    at: 12_990,
+    ended: 13_050,
+    ..sent("late", Kind::Again, SERVED)
+  });
+  let returned = trouble(Target::Store, "store", 9_000, 12_000);
+  history.troubles.push(returned);
+  history
+}
+
+#[test]
+fn a_server_that_was_known_to_leave_stays_so_over_the_stores_return() {
+  assert_eq!(broken(&back()), ["back"]);
+  let mut restarted = back();
+  let killed = trouble(Target::Instance(0), "kill", 9_000, 10_000);
+  restarted.troubles.push(killed);
+  assert!(broken(&restarted).is_empty(), "it had to learn it anew");
+  let mut unknown = back();
+  let store = trouble(Target::Store, "store", 5_500, 6_000);
+  unknown.troubles.push(store);
+  assert!(broken(&unknown).is_empty(), "it may not have known it");
+}
