the lease is taken soon after the store's return, also where its holder has ended

Cause: a copy may not name a holder that goes on by promises, so all waited as long as promises reach. And a write of an earlier era that met the number of a later one hid a taking, whose term was given out again (a history of the lease's test, kept).

A taking that a copy may lack is not extended by promises, and a holder asks all machines that its records listed within that time, so whoever a copy lists may take the lease after its length and gap. Terms follow the revision that a taking replaces, with a step for each era: no two are alike, whatever is lost. Ruled out: shortening the wait alone (nothing bounds the extension of a holder that the copy lacks).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -13,7 +13,9 @@
 pub mod promise;
 
 use crate::{
-  lease::promise::{EXTENSION_MS, LATE_WRITE_MS, Promise, Question, Rounds, short},
+  lease::promise::{
+    COPY_MS, EXTENSION_MS, LATE_WRITE_MS, Needed, Promise, Question, Rounds, short,
+  },
   store::{Error, Object, Result, Revision},
 };
 use serde::{Deserialize, Serialize};
@@ -34,9 +36,9 @@
 /// A renewal that is so late makes the holder ask for promises, ms: the store answers
 /// within some milliseconds.
 const ASK_MS: u64 = 250;
-/// Takings that a copy of the store may lack at the most, for each time that it came back: a taking
-/// waits for seconds, and copies are some seconds old.
-const TERMS_LOST: u64 = 1_000;
+/// Revisions that a copy of the store may lack at the most: copies are some seconds old, and the store
+/// takes some hundred changes a second.
+const REVISIONS_LOST: u64 = 1_000_000;
 /// Word of the holder that is older makes an instance read the lease, ms.
 const SILENT_MS: u64 = 1_200;
 
@@ -91,14 +93,12 @@
     record.is_some_and(|record| record.era < self.revision.era)
   }
 
-  /// The term of the next taking, after all that may have been.
-  fn next_term(&self, highest: u64) -> u64 {
-    let (term, era) = self
-      .record
-      .as_ref()
-      .map_or((0, 0), |record| (record.term, record.era));
-    let lost = TERMS_LOST * self.revision.era.saturating_sub(era);
-    highest.max(term + lost) + 1
+  /// The term of the next taking: it follows the revision that the taking replaces, which no other
+  /// one does, also where takings are lost.
+  fn next_term(&self) -> u64 {
+    let Revision { era, number } = self.revision;
+    let term = self.record.as_ref().map_or(0, |record| record.term);
+    term.max(era * REVISIONS_LOST + number) + 1
   }
 }
 
@@ -110,12 +110,20 @@
   until: u64,
   /// When the last renewal was begun, ms.
   renewed: u64,
-  /// Machines whose promise is needed: those of the last record that was written, and of
-  /// every write since that may have taken effect.
-  needed: BTreeSet<u32>,
+  /// When it was taken, ms.
+  taken: u64,
+  needed: Needed,
   rounds: Rounds,
 }
 
+impl Held {
+  /// From when others are asked for promises, ms.
+  fn asks_from(&self, length: u64) -> u64 {
+    let late = self.renewed + length / RENEWALS + ASK_MS;
+    late.max(self.taken + COPY_MS)
+  }
+}
+
 /// A call to make.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
@@ -255,7 +263,7 @@
   /// A question to all other machines, where a renewal is late.
   pub fn question(&mut self, now: u64) -> Option<Question> {
     let (length, held) = (self.length, self.held.as_mut()?);
-    let late = held.renewed + length / RENEWALS + ASK_MS;
+    let late = held.asks_from(length);
     let extends = now >= late && now < held.renewed + EXTENSION_MS;
     if !extends || now < held.rounds.due() {
       return None;
@@ -326,7 +334,7 @@
     let call = self.wanted(now, stopping)?;
     let takes = self.held.is_none() && matches!(call, Call::Write { .. });
     if let (Call::Write { record, .. }, Some(held)) = (&call, &mut self.held) {
-      held.needed.extend(&record.machines);
+      held.needed.list(now, &record.machines);
     }
     self.calling = Some((now, takes));
     Some(call)
@@ -386,15 +394,12 @@
       None if seen.revision.era == 0 => seen.since + self.reluctance,
       // The first taking may be lost.
       None => seen.since.max(self.started) + self.length + self.gap + spread,
-      Some(_) if seen.stale() => {
-        // Whoever holds it may not know of this machine.
-        seen.since.max(self.started) + EXTENSION_MS + self.length + self.gap + spread
-      }
-      // This machine's own earlier process has ended.
-      Some(record) if record.machine == self.machine => 0,
-      Some(record) if record.released => seen.since + self.gap + spread,
+      // This machine's own earlier process has ended; takings since may be lost with a copy.
+      Some(record) if record.machine == self.machine && !seen.stale() => 0,
+      Some(record) if record.released && !seen.stale() => seen.since + self.gap + spread,
       Some(record) => {
-        let listed = !seen.read || record.machines.contains(&short(&self.machine));
+        let own = short(&self.machine);
+        let listed = !seen.read || short(&record.machine) == own || record.machines.contains(&own);
         let extension = if listed { 0 } else { EXTENSION_MS };
         // An earlier process on this machine may have promised until it ended.
         seen.since.max(self.started) + extension + self.length + self.gap + spread
@@ -418,7 +423,7 @@
       machines.insert(short(&record.machine));
       machines.remove(&short(&self.machine));
     }
-    let term = seen.next_term(self.highest);
+    let term = seen.next_term();
     Call::Write {
       record: Record {
         machines,
@@ -444,7 +449,7 @@
   /// When to look for a call again, ms.
   pub fn due(&self, now: u64) -> u64 {
     let asked = self.held.as_ref().map_or(u64::MAX, |held| {
-      let late = held.renewed + self.length / RENEWALS + ASK_MS;
+      let late = held.asks_from(self.length);
       match now < held.renewed + EXTENSION_MS {
         true => late.max(held.rounds.due()),
         false => u64::MAX,
@@ -520,12 +525,19 @@
     }
     let before = self.held.take();
     let new = before.is_none();
+    let (taken, mut needed, rounds) = match before {
+      Some(held) => (held.taken, held.needed, held.rounds),
+      None => (now, Needed::default(), Rounds::default()),
+    };
+    needed.list(sent, &record.machines);
+    needed.written(sent);
     self.held = Some(Held {
       term: record.term,
       until: sent + self.length,
       renewed: sent,
-      needed: record.machines.clone(),
-      rounds: before.map(|held| held.rounds).unwrap_or_default(),
+      taken,
+      needed,
+      rounds,
     });
     new
   }
--- a/src/lease/promise.rs
+++ b/src/lease/promise.rs
@@ -15,6 +15,10 @@
 /// A write without answer, or one whose sender has ended, takes effect within this time
 /// or never, ms (docs/DESIGN.md, timing assumptions).
 pub(crate) const LATE_WRITE_MS: u64 = 10_000;
+/// A copy from which the store comes back is younger than this, ms. It shows every taking and every
+/// list of machines that is older; so a younger taking is not extended, and machines that a younger
+/// record listed are asked too.
+pub(crate) const COPY_MS: u64 = 10_000;
 /// Pause between two rounds of questions, ms: an extension lasts several.
 const ROUND_MS: u64 = 200;
 /// Rounds whose answers still count.
@@ -40,6 +44,27 @@
   pub round: u32,
 }
 
+/// Machines whose promise a holder needs: those of each record that it wrote, or may have written,
+/// within the time that a copy may lack.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Needed {
+  /// When each was last listed, ms.
+  machines: BTreeMap<u32, u64>,
+}
+
+impl Needed {
+  /// A record that lists some machines is written.
+  pub(crate) fn list(&mut self, now: u64, machines: &BTreeSet<u32>) {
+    let listed = machines.iter().map(|machine| (*machine, now));
+    self.machines.extend(listed);
+  }
+
+  /// A record has surely been written after those that were long before.
+  pub(crate) fn written(&mut self, sent: u64) {
+    self.machines.retain(|_, at| sent < *at + COPY_MS);
+  }
+}
+
 /// The holder's rounds of questions.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Rounds {
@@ -67,10 +92,11 @@
   }
 
   /// Takes up an answer; gives when the last round began that all of `needed` answered.
-  pub(crate) fn answer(&mut self, promise: &Promise, needed: &BTreeSet<u32>) -> Option<u64> {
+  pub(crate) fn answer(&mut self, promise: &Promise, needed: &Needed) -> Option<u64> {
     let last = self.answered.entry(promise.machine).or_default();
     *last = promise.round.max(*last);
-    let answers = needed.iter().map(|machine| self.answered.get(machine));
+    let answers = needed.machines.keys();
+    let answers = answers.map(|machine| self.answered.get(machine));
     let all = answers.min().flatten().copied()?;
     let whole = self.sent.iter().rev().find(|(round, _)| *round <= all);
     whole.map(|(_, sent)| *sent)
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -386,8 +386,14 @@
 #[test]
 fn orders_lie_the_gap_apart_where_the_store_came_back_and_they_once_did_not() {
   // A holder that had been followed was promised an extension by those that had read the copy; the
-  // first taking was lost; a holder went on beside the next one.
-  for seed in [13_477_489_758_470_426_805, 523_618_388_040_073_492, 12] {
+  // first taking was lost; a holder went on beside the next one; a write of an earlier era hid a
+  // taking, whose term was given out again.
+  for seed in [
+    13_477_489_758_470_426_805,
+    7_638_941_219_290_358_921,
+    523_618_388_040_073_492,
+    12,
+  ] {
     assert_eq!(too_close(&play_over(seed, true)), None, "seed {seed}");
   }
 }
@@ -439,7 +445,8 @@
     let orders = returned(steps, true);
     let next = orders.iter().find(|(now, _)| *now >= 12_000);
     let (now, _) = next.expect("it is taken");
-    assert!(*now <= 40_000, "{steps} steps: at {now} ms");
+    // As after any other end of a holder that the store shows.
+    assert!(*now <= 18_000, "{steps} steps: at {now} ms");
   }
 }
 
