a holder whose time ended while the store was away goes on with its return

After a drill nobody gave orders for 4.5 s where the store was away for longer than the lease: a model that was asked for waited so long. Cause: a holder gave its lease up with its time when the store came back from a copy; after any other absence it renews. Others wait the lease's length and gap from its renewal, wherever they read it, so until then nobody else can have taken it, with the lost seconds or after them: it writes the lease again. Ruled out: keeping it longer (others may order then).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -117,6 +117,11 @@
 }
 
 impl Held {
+  /// Whether nobody else can have taken the lease yet: others wait for so long after a renewal, ms.
+  fn alone(&self, now: u64, kept: u64) -> bool {
+    now < self.until.max(self.renewed + kept)
+  }
+
   /// From when others are asked for promises, ms.
   fn asks_from(&self, length: u64) -> u64 {
     let late = self.renewed + length / RENEWALS + ASK_MS;
@@ -312,8 +317,9 @@
   /// return may have lost is kept while its time lasts: nobody else can have taken it since.
   fn compare(&mut self, now: u64, record: &Record, stale: bool) {
     self.highest = self.highest.max(record.term);
+    let kept = self.length + self.gap;
     let mine = |held: &Held| match stale {
-      true => now < held.until && record.term <= held.term,
+      true => held.alone(now, kept) && record.term <= held.term,
       false => record.machine == self.machine && record.term == held.term,
     };
     if !self.held.as_ref().is_some_and(mine) {
@@ -516,7 +522,8 @@
     if record.era < object.revision.era {
       // Formed before the store's return, it met another object under the same number.
       self.uncertain = true;
-      self.held.take_if(|held| now >= held.until);
+      let kept = self.length + self.gap;
+      self.held.take_if(|held| !held.alone(now, kept));
       return false;
     }
     if record.released {
@@ -564,10 +571,10 @@
     let revision = Revision::first(era);
     let known = self.seen.take();
     let lost = known.filter(|seen| seen.record.is_some() && seen.revision.era < era);
-    self.held = self
+    let kept = self.length + self.gap;
+    self
       .held
-      .take()
-      .filter(|held| lost.is_some() && now < held.until);
+      .take_if(|held| lost.is_none() || !held.alone(now, kept));
     self.seen = Some(Seen {
       record: lost.and_then(|seen| seen.record),
       revision,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -398,9 +398,9 @@
   }
 }
 
-/// Lets some machines play over a store that returns from a copy of so many steps before at 10 s;
-/// `dies`: the first one ends then. Tells the orders.
-fn returned(steps: usize, dies: bool) -> Vec<(u64, usize)> {
+/// Lets some machines play over a store that is away and returns from a copy of so many steps before
+/// at 10 s; `dies`: the first one ends then. Tells the orders.
+fn returned(steps: usize, away_ms: u64, dies: bool) -> Vec<(u64, usize)> {
   let names = ["one", "two", "three"];
   let mut store = Store::default();
   let mut leases: Vec<Lease> = names.iter().map(|name| lease(name)).collect();
@@ -423,16 +423,37 @@
       if leases[who].term(now).is_some() {
         orders.push((now, who));
       }
-      run(&mut leases[who], &mut store, now);
+      let away = (10_000 - away_ms..10_000).contains(&now);
+      match away {
+        false => run(&mut leases[who], &mut store, now),
+        true => {
+          if let Some(call) = leases[who].call(now, false) {
+            leases[who].answered(now, &call, Err(Error::Refused(503)));
+          }
+        }
+      }
     }
   }
   orders
 }
 
+#[test]
+fn a_holder_whose_time_ended_while_the_store_was_away_goes_on_with_its_return() {
+  for steps in [0, 10, 100] {
+    let orders = returned(steps, 2_500, false);
+    let next = orders.iter().find(|(now, _)| *now >= 10_000);
+    let (now, who) = next.expect("it goes on");
+    assert!(
+      *who == 0 && *now <= 11_000,
+      "{steps} steps: {who} at {now} ms"
+    );
+  }
+}
+
 #[test]
 fn a_holder_goes_on_when_the_store_comes_back_from_a_copy() {
   for steps in [0, 10, 100] {
-    let orders = returned(steps, false);
+    let orders = returned(steps, 0, false);
     let gaps = orders.windows(2).map(|pair| pair[1].0 - pair[0].0);
     assert!(gaps.max().unwrap() <= 100, "{steps} steps");
     assert!(orders.iter().all(|(_, who)| *who == 0), "{steps} steps");
@@ -442,7 +463,7 @@
 #[test]
 fn a_lease_whose_holder_ends_with_the_return_is_taken() {
   for steps in [0, 10, 100] {
-    let orders = returned(steps, true);
+    let orders = returned(steps, 0, true);
     let next = orders.iter().find(|(now, _)| *now >= 12_000);
     let (now, _) = next.expect("it is taken");
     // As after any other end of a holder that the store shows.
