--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -4,15 +4,17 @@
 //! Events go in with their time, effects come out; threads around it carry
 //! effects out and hold no decision of their own.
 
+mod choice;
+mod ending;
 mod event;
 
 pub use event::{Ask, Attempt, Change, Effect, End, Event};
 
 use crate::{
   ask::Ticket,
-  backend::{self, Backend, Holding, missing_name},
+  backend::{self, Backend, Holding},
   cold::{Wants, give_up_at},
-  crash::{Crash, Door, Pass, Turn},
+  crash::{Door, Pass, Turn},
   customer::Turns,
   demand::Model,
   deployment::{Deployment, Engine},
@@ -26,27 +28,17 @@
   strain::Book,
   verdict::Verdict,
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 use std::{
   collections::{BTreeMap, BTreeSet, HashMap},
   sync::Arc,
 };
 
-/// Pause of a server after its first failure, ms; doubled for each further one.
-const AVOID_MS: u64 = 500;
-/// Longest pause of a server that fails, ms.
-const AVOID_MOST_MS: u64 = 4_000;
-/// Pause of a server that declined because it was full, ms.
-const FULL_MS: u64 = 60;
 /// Pause before a waiting request is looked at again without a change, ms.
 pub(crate) const LOOK_MS: u64 = 100;
 /// Sends beyond a route's attempts, for sends that were declined.
 const DECLINED_MOST: u32 = 4;
-/// Part of its slots by which a server that may have the prompt's start may be
-/// ahead of the least loaded one, in hundredths. Reading 200 shared tokens again
-/// takes some 7 ms; a request more in a batch delays all others.
-const AHEAD_PERCENT: u32 = 2;
 /// Time for which published holdings count, ms: the planner publishes every half
 /// second, and a server's own entry takes about two seconds to show a change.
 const CURRENT_MS: u64 = 2_500;
@@ -56,8 +48,6 @@
 /// Time after which a refused caller may come back, ms: a load from a server's disk
 /// takes about as long.
 const RETRY_AFTER_MS: u64 = 500;
-/// Load in slots that a request between availability zones is worth.
-const ZONE_LOAD: u32 = 1;
 
 /// A request between arrival and its final answer.
 #[derive(Clone, Debug)]
@@ -607,171 +597,6 @@
     self.out.push(Effect::Send(attempt));
   }
 
-  fn ended(&mut self, ticket: Ticket, end: End) {
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return;
-    };
-    let Some(key) = request.at.take() else {
-      return;
-    };
-    if end.verdict() == Verdict::MayHaveRun {
-      request.runs += 1;
-      request.broke = self.now;
-      request.tried.push(key);
-    }
-    request.verdict = request.verdict.and(end.verdict());
-    self.free_room(ticket, end.reached());
-    self.leave_ended(ticket, Some(end));
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let model = request.ask.model.clone();
-    if end == End::Full {
-      self.declined(ticket);
-    }
-    if end == End::Crashed {
-      self.crashed(ticket, key);
-    }
-    if end == End::Whole {
-      self.served(ticket);
-    }
-    self.settle(key, model, end);
-    match end {
-      End::Whole | End::Failed | End::Left => self.forget(ticket),
-      End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
-      End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
-      End::Broken | End::Crashed => self.broken(ticket),
-      End::Barred => self.refuse(ticket, Reason::KeyUnknown),
-      End::Unsure => self.refuse(ticket, Reason::KeysUnsure),
-      // Nothing arrived anywhere: the next send is no repeat.
-      End::Leaving | End::Resting => self.place(ticket),
-    }
-    self.place_waiting();
-  }
-
-  fn served(&mut self, ticket: Ticket) {
-    if let Some(request) = self.requests.get(&ticket) {
-      self.door.served(request.ask.content);
-    }
-  }
-
-  fn broken(&mut self, ticket: Ticket) {
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let route = &request.ask.route;
-    if route.repeatable() && request.runs < route.attempts {
-      self.again(ticket);
-    } else {
-      self.refuse(ticket, Reason::ServerFailed);
-    }
-  }
-
-  fn again(&mut self, ticket: Ticket) {
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let now = self.now;
-    let budget = self.budgets.entry(request.ask.pool.clone()).or_default();
-    if budget.repeat(now, &self.bound, self.instances) {
-      self.place(ticket);
-    } else {
-      let reason = match request.verdict {
-        Verdict::NotRun => Reason::NoServer,
-        Verdict::MayHaveRun => Reason::ServerFailed,
-      };
-      self.refuse(ticket, reason);
-    }
-  }
-
-  /// Takes up what a send's end says of the server.
-  fn settle(&mut self, key: backend::Key, model: Option<Model>, end: End) {
-    let now = self.now;
-    let Some(backend) = self.backends.get_mut(key) else {
-      return;
-    };
-    backend.running = backend.running.saturating_sub(1);
-    match end {
-      End::Whole => {
-        backend.failures = 0;
-        if let Some(model) = &model {
-          let name = missing_name(&model.name, model.adapter.as_deref());
-          backend.missing.remove(&name);
-        }
-      }
-      End::Failed
-      | End::Left
-      | End::Late
-      | End::Unsent
-      | End::Leaving
-      | End::Resting
-      | End::Barred
-      | End::Unsure => {}
-      End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
-      End::Missing => {
-        if let Some(model) = &model {
-          let name = missing_name(&model.name, model.adapter.as_deref());
-          if backend.miss(name, now) {
-            self.out.push(Effect::Want);
-          }
-        }
-      }
-      End::Replaced => backend.replaced = true,
-      End::Unreached | End::Broken | End::Crashed => {
-        let pause = AVOID_MS << backend.failures.min(4);
-        backend.failures += 1;
-        backend.avoid_until = now + pause.min(AVOID_MOST_MS);
-      }
-    }
-    if let Some(model) = model {
-      let entry = (key, model);
-      if let Some(count) = self.running.get_mut(&entry) {
-        *count -= 1;
-        if *count == 0 {
-          self.running.remove(&entry);
-        }
-      }
-    }
-    let backend = &self.backends[key];
-    if backend.running == 0 && self.ids.get(&backend.spec.id) != Some(&key) {
-      self.backends.remove(key);
-    }
-  }
-
-  /// Why a send that was decided is not made: what has become known since; none: it is.
-  pub fn overtaken(&self, attempt: &Attempt) -> Option<End> {
-    let backend = self.backends.get(attempt.backend);
-    let request = self.requests.get(&attempt.ticket);
-    let kept = |request: &Request| self.door.is_quarantined(self.now, request.ask.content);
-    if request.is_some_and(kept) || backend.is_none_or(Backend::leaves) {
-      return Some(End::Leaving);
-    }
-    let rests = backend.is_some_and(|backend| self.rests(backend));
-    rests.then_some(End::Resting)
-  }
-
-  /// A run has ended with its server.
-  fn crashed(&mut self, ticket: Ticket, key: backend::Key) {
-    let (Some(request), Some(backend)) = (self.requests.get(&ticket), self.backends.get(key))
-    else {
-      return;
-    };
-    let since = request.answering.unwrap_or(self.now);
-    let crash = Crash {
-      content: request.ask.content,
-      server: backend.spec.life(),
-      run: backend::short(&request.ask.id),
-      progress_ms: (self.now - since) as u32,
-    };
-    self.door.crashed(self.now, crash);
-    self.out.push(Effect::Crashed);
-  }
-
-  /// Runs that ended with their servers since this was last asked.
-  pub fn take_crashes(&mut self) -> Vec<Crash> {
-    self.door.take_crashes()
-  }
-
   /// Refuses a request that crashes servers: at once, and nothing invites its caller back.
   fn refuse_quarantined(&mut self, ticket: Ticket) {
     let refusal = Refusal {
@@ -793,72 +618,6 @@
     let pool = self.deployment.as_ref()?.pools.get(pool)?;
     pool.engine.as_deref()
   }
-
-  /// Servers that could take a request now, with their load.
-  pub(crate) fn fitting(&self, ticket: Ticket) -> Vec<(backend::Key, u32)> {
-    let mut found: Vec<(backend::Key, u32)> = Vec::new();
-    let Some(request) = self.requests.get(&ticket) else {
-      return found;
-    };
-    let ask = &request.ask;
-    for (key, backend) in &self.backends {
-      let fits = backend.spec.pool == ask.pool
-        && backend.usable(self.now)
-        && self.rested(backend)
-        && !request.tried.contains(&key)
-        && self.fits(backend, ask);
-      if fits {
-        let near = backend.spec.zone == self.zone;
-        let far = if near { 0 } else { ZONE_LOAD };
-        let load = backend.estimate(self.instances) + far;
-        found.push((key, load));
-      }
-    }
-    found
-  }
-
-  /// The server among some that a request goes to; one that was in so many crashes parts from
-  /// others.
-  pub(crate) fn pick(
-    &mut self,
-    ticket: Ticket,
-    found: &[(backend::Key, u32)],
-    crashes: Option<u32>,
-  ) -> Option<backend::Key> {
-    let ask = &self.requests.get(&ticket)?.ask;
-    if let Some(crashes) = crashes {
-      return self.nearest_hash(found, ask.content.draw(crashes));
-    }
-    let slots = self.engine(&ask.pool).map(|engine| engine.slots);
-    let least = found.iter().map(|(_, load)| *load).min()?;
-    let ahead = slots.map_or(0, |slots| slots * AHEAD_PERCENT / 100);
-    let near = found.iter().filter(|(_, load)| *load <= least + ahead);
-    let near: Vec<(backend::Key, u32)> = near.copied().collect();
-    if slots.is_some() {
-      return self.nearest_hash(&near, ask.affinity);
-    }
-    let pick = self.rng.random_range(0..near.len());
-    Some(near[pick].0)
-  }
-
-  /// The server that a seed names among some, the same one at all instances.
-  fn nearest_hash(&self, found: &[(backend::Key, u32)], seed: u64) -> Option<backend::Key> {
-    let best = found.iter().max_by_key(|(key, _)| {
-      let id = self.backends[*key].spec.id.as_bytes();
-      xxhash_rust::xxh3::xxh3_64_with_seed(id, seed)
-    });
-    best.map(|(key, _)| *key)
-  }
-
-  pub(crate) fn fits(&self, backend: &Backend, ask: &Ask) -> bool {
-    match &ask.model {
-      Some(model) => {
-        let until = self.current_until();
-        backend.holds(&model.name, model.adapter.as_deref(), until, self.now)
-      }
-      None => true,
-    }
-  }
 }
 
 /// The order of those that wait: by rank, then by turns of customers; without customers by who
--- /dev/null
+++ b/src/dispatch/ending.rs
@@ -0,0 +1,189 @@
+//! The end of a send: what it says of the server, and how its request goes on.
+
+use super::{
+  State,
+  event::{Attempt, Effect, End},
+};
+use crate::{
+  ask::Ticket,
+  backend::{self, Backend, missing_name},
+  crash::Crash,
+  demand::Model,
+  dispatch::Request,
+  refusal::Reason,
+  verdict::Verdict,
+};
+
+/// Pause of a server after its first failure, ms; doubled for each further one.
+const AVOID_MS: u64 = 500;
+/// Longest pause of a server that fails, ms.
+const AVOID_MOST_MS: u64 = 4_000;
+/// Pause of a server that declined because it was full, ms.
+const FULL_MS: u64 = 60;
+
+impl State {
+  pub(super) fn ended(&mut self, ticket: Ticket, end: End) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let Some(key) = request.at.take() else {
+      return;
+    };
+    if end.verdict() == Verdict::MayHaveRun {
+      request.runs += 1;
+      request.broke = self.now;
+      request.tried.push(key);
+    }
+    request.verdict = request.verdict.and(end.verdict());
+    self.free_room(ticket, end.reached());
+    self.leave_ended(ticket, Some(end));
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let model = request.ask.model.clone();
+    if end == End::Full {
+      self.declined(ticket);
+    }
+    if end == End::Crashed {
+      self.crashed(ticket, key);
+    }
+    if end == End::Whole {
+      self.served(ticket);
+    }
+    self.settle(key, model, end);
+    match end {
+      End::Whole | End::Failed | End::Left => self.forget(ticket),
+      End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
+      End::Full | End::Missing | End::Replaced | End::Unreached => self.again(ticket),
+      End::Broken | End::Crashed => self.broken(ticket),
+      End::Barred => self.refuse(ticket, Reason::KeyUnknown),
+      End::Unsure => self.refuse(ticket, Reason::KeysUnsure),
+      // Nothing arrived anywhere: the next send is no repeat.
+      End::Leaving | End::Resting => self.place(ticket),
+    }
+    self.place_waiting();
+  }
+
+  fn served(&mut self, ticket: Ticket) {
+    if let Some(request) = self.requests.get(&ticket) {
+      self.door.served(request.ask.content);
+    }
+  }
+
+  fn broken(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let route = &request.ask.route;
+    if route.repeatable() && request.runs < route.attempts {
+      self.again(ticket);
+    } else {
+      self.refuse(ticket, Reason::ServerFailed);
+    }
+  }
+
+  fn again(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let now = self.now;
+    let budget = self.budgets.entry(request.ask.pool.clone()).or_default();
+    if budget.repeat(now, &self.bound, self.instances) {
+      self.place(ticket);
+    } else {
+      let reason = match request.verdict {
+        Verdict::NotRun => Reason::NoServer,
+        Verdict::MayHaveRun => Reason::ServerFailed,
+      };
+      self.refuse(ticket, reason);
+    }
+  }
+
+  /// Takes up what a send's end says of the server.
+  pub(super) fn settle(&mut self, key: backend::Key, model: Option<Model>, end: End) {
+    let now = self.now;
+    let Some(backend) = self.backends.get_mut(key) else {
+      return;
+    };
+    backend.running = backend.running.saturating_sub(1);
+    match end {
+      End::Whole => {
+        backend.failures = 0;
+        if let Some(model) = &model {
+          let name = missing_name(&model.name, model.adapter.as_deref());
+          backend.missing.remove(&name);
+        }
+      }
+      End::Failed
+      | End::Left
+      | End::Late
+      | End::Unsent
+      | End::Leaving
+      | End::Resting
+      | End::Barred
+      | End::Unsure => {}
+      End::Full => backend.avoid_until = backend.avoid_until.max(now + FULL_MS),
+      End::Missing => {
+        if let Some(model) = &model {
+          let name = missing_name(&model.name, model.adapter.as_deref());
+          if backend.miss(name, now) {
+            self.out.push(Effect::Want);
+          }
+        }
+      }
+      End::Replaced => backend.replaced = true,
+      End::Unreached | End::Broken | End::Crashed => {
+        let pause = AVOID_MS << backend.failures.min(4);
+        backend.failures += 1;
+        backend.avoid_until = now + pause.min(AVOID_MOST_MS);
+      }
+    }
+    if let Some(model) = model {
+      let entry = (key, model);
+      if let Some(count) = self.running.get_mut(&entry) {
+        *count -= 1;
+        if *count == 0 {
+          self.running.remove(&entry);
+        }
+      }
+    }
+    let backend = &self.backends[key];
+    if backend.running == 0 && self.ids.get(&backend.spec.id) != Some(&key) {
+      self.backends.remove(key);
+    }
+  }
+
+  /// Why a send that was decided is not made: what has become known since; none: it is.
+  pub fn overtaken(&self, attempt: &Attempt) -> Option<End> {
+    let backend = self.backends.get(attempt.backend);
+    let request = self.requests.get(&attempt.ticket);
+    let kept = |request: &Request| self.door.is_quarantined(self.now, request.ask.content);
+    if request.is_some_and(kept) || backend.is_none_or(Backend::leaves) {
+      return Some(End::Leaving);
+    }
+    let rests = backend.is_some_and(|backend| self.rests(backend));
+    rests.then_some(End::Resting)
+  }
+
+  /// A run has ended with its server.
+  fn crashed(&mut self, ticket: Ticket, key: backend::Key) {
+    let (Some(request), Some(backend)) = (self.requests.get(&ticket), self.backends.get(key))
+    else {
+      return;
+    };
+    let since = request.answering.unwrap_or(self.now);
+    let crash = Crash {
+      content: request.ask.content,
+      server: backend.spec.life(),
+      run: backend::short(&request.ask.id),
+      progress_ms: (self.now - since) as u32,
+    };
+    self.door.crashed(self.now, crash);
+    self.out.push(Effect::Crashed);
+  }
+
+  /// Runs that ended with their servers since this was last asked.
+  pub fn take_crashes(&mut self) -> Vec<Crash> {
+    self.door.take_crashes()
+  }
+}
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -88,7 +88,7 @@
     let revision = match event {
       Event::All(objects) => objects[0].revision.number,
       Event::Some(objects) => objects[0].0.revision.number,
-      Event::Lost | Event::Back(_) | Event::Current => return false,
+      Event::Lost | Event::Back(_) | Event::Returned | Event::Current => return false,
     };
     let _ = sender.send(revision);
     true
