a holder that may not be extended asks still when the store answered others

Cause: a holder that took the lease within the last 10 s asked the others nothing, and their answers also say when the store answered them, which tells its own silence from the store's. It asks as before, and says that it wants no promise: one that is given for nothing would keep others from the lease.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -182,12 +182,13 @@
   pub fn question(&mut self, now: u64) -> Option<Question> {
     let (length, held) = (self.length, self.held.as_mut()?);
     let late = held.asks_from(length);
-    let extends = now >= late && now < held.renewed + EXTENSION_MS;
-    if !extends || now < held.rounds.due() {
+    let asks = now >= late && now < held.renewed + EXTENSION_MS;
+    if !asks || now < held.rounds.due() {
       return None;
     }
     Some(Question {
       term: held.term,
+      extends: held.extends(now),
       round: held.rounds.begin(now),
     })
   }
@@ -201,7 +202,7 @@
     let last = !seen.stale() && question.term >= self.highest;
     let theirs = last && record.term == question.term && record.machine != self.machine;
     let taking = !self.clear || matches!(self.calling, Some((_, true)));
-    if !theirs || record.released || taking || self.held.is_some() {
+    if !(question.extends && theirs) || record.released || taking || self.held.is_some() {
       return None;
     }
     self.promised_until = now + self.length + self.gap;
--- a/src/lease/promise.rs
+++ b/src/lease/promise.rs
@@ -34,6 +34,8 @@
 pub struct Question {
   pub term: u64,
   pub round: u32,
+  /// A promise is asked for; otherwise only when the store answered others.
+  pub extends: bool,
 }
 
 /// A machine's promise not to take the lease from the holder of a term.
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -92,9 +92,13 @@
     now < self.until.max(self.renewed + kept)
   }
 
-  /// From when others are asked for promises, ms.
+  /// From when others are asked, ms.
   pub(super) fn asks_from(&self, length: u64) -> u64 {
-    let late = self.renewed + length / RENEWALS + ASK_MS;
-    late.max(self.taken + COPY_MS)
+    self.renewed + length / RENEWALS + ASK_MS
+  }
+
+  /// Whether promises may extend it: any copy of the store shows its taking.
+  pub(super) fn extends(&self, now: u64) -> bool {
+    now >= self.taken + COPY_MS
   }
 }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -557,6 +557,7 @@
   let (now, call) = taking.expect("the holder is silent");
   let question = |now: u64| Question {
     term: 1,
+    extends: true,
     round: now as u32,
   };
   assert_eq!(two.promise(now + 10, question(now)), None, "under way");
