--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -25,7 +25,7 @@
     for (key, backend) in &self.backends {
       let fits = backend.spec.pool == ask.pool
         && backend.usable(self.now)
-        && self.rested(backend)
+        && self.is_open(backend)
         && !request.tried.contains(&key)
         && self.fits(backend, ask);
       if fits {
--- a/src/statement/rest.rs
+++ b/src/statement/rest.rs
@@ -142,13 +142,13 @@
     self.rests.resting(now).collect()
   }
 
-  /// Whether a server may be sent something, as far as it wants rest.
-  pub(crate) fn rested(&self, backend: &Backend) -> bool {
-    let rested = |life| self.rests.closed_until(life, self.now).is_none();
-    self.rests.is_empty() || rested(backend.spec.life())
+  /// Whether a server takes requests, as far as it asked for rest.
+  pub(crate) fn is_open(&self, backend: &Backend) -> bool {
+    let open = |life| self.rests.closed_until(life, self.now).is_none();
+    self.rests.is_empty() || open(backend.spec.life())
   }
 
-  /// Whether a server wants rest.
+  /// Whether a server's rest lasts.
   pub(crate) fn rests(&self, backend: &Backend) -> bool {
     self.rests.lasts(backend.spec.life(), self.now)
   }
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -385,9 +385,6 @@
 
 #[test]
 fn orders_lie_the_gap_apart_where_the_store_came_back_and_they_once_did_not() {
-  // A holder that had been followed was promised an extension by those that had read the copy; the
-  // first taking was lost; a holder went on beside the next one; a write of an earlier era hid a
-  // taking, whose term was given out again.
   for seed in [
     13_477_489_758_470_426_805,
     7_638_941_219_290_358_921,
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -710,8 +710,6 @@
   assert_eq!(world.loads(), [("needy".to_string(), "d".to_string())]);
 }
 
-/// A holder that had decided a load ordered it of a server that had begun to leave meanwhile, and
-/// what waited for the model waited for that load.
 #[test]
 fn a_load_that_was_decided_is_not_ordered_of_a_server_that_leaves() {
   let full: &[&str] = &["a", "b", "c"];
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -350,8 +350,6 @@
   }
 }
 
-/// The store came back from a copy without the request that a holder had written down: it was in
-/// the store no more, and an instance that started after a loss of all would have sent it again.
 #[test]
 fn what_is_kept_from_servers_is_written_again_after_the_stores_return() {
   let kept = |content| Quarantined {
