an answer that comes as its caller leaves is read for what it says of its server

Cause: the caller left within a millisecond of the send, and the instance closed the connection without reading the 503 that asked for rest. Ruled out in its logs: a restart, another life, a rest that was heard and not kept. The answer is waited for 10 ms longer and its head taken up like any other; nothing else of it is.

--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -27,6 +27,10 @@
 /// machine that says nothing accuses nobody.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// An answer is waited for so long after its caller has left: a server that turns requests away does
+/// so within some ms, and its wish for rest counts whoever reads it.
+const HEAR_ON: Duration = Duration::from_millis(10);
+
 /// Whether a connection to a server carries another request.
 #[derive(Clone, Copy)]
 enum Reuse {
@@ -281,6 +285,30 @@
     self.apply(Event::Named { ticket, rate });
   }
 
+  /// Takes up what the head of an answer says of its server.
+  fn hear_head(&mut self, head: &Response, attempt: &Attempt) {
+    self.said = Said::of(head.status, &head.headers, &self.hub.dialect);
+    self.head_ms = Some(self.hub.now());
+    self.hub.hear(attempt.life, &attempt.id, &self.said);
+  }
+
+  /// Reads an answer that comes as its caller leaves for what it says of the server.
+  fn hear_on(&mut self, socket: &mut Socket, attempt: &Attempt) {
+    let until = Moment::now() + HEAR_ON;
+    loop {
+      match Response::parse(&socket.input) {
+        Ok(Some((head, _))) => return self.hear_head(&head, attempt),
+        Ok(None) => {}
+        Err(_) => return,
+      }
+      let server = Some((&socket.stream as &dyn rustix::fd::AsFd, Want::Read));
+      let served = matches!(wait([None, server], until), Ok([_, true]));
+      if !served || !matches!(socket.fill(), Ok(Fill::Some)) {
+        return;
+      }
+    }
+  }
+
   fn exchange(
     &mut self,
     socket: &mut Socket,
@@ -288,10 +316,14 @@
   ) -> Result<(Outcome, Reuse), Outcome> {
     let bytes = self.outgoing(attempt);
     let written = self.write(socket, &bytes)?;
-    let (head, framing) = self.head(socket)?;
-    self.said = Said::of(head.status, &head.headers, &self.hub.dialect);
-    self.head_ms = Some(self.hub.now());
-    self.hub.hear(attempt.life, &attempt.id, &self.said);
+    let (head, framing) = match self.head(socket) {
+      Err(result) if result.end == End::Left => {
+        self.hear_on(socket, attempt);
+        return Err(result);
+      }
+      head => head?,
+    };
+    self.hear_head(&head, attempt);
     if attempt.trial && self.said.retry_after.is_none() {
       self.apply(Event::Took(attempt.life));
     }
