--- a/soak/src/world/store.rs
+++ b/soak/src/world/store.rs
@@ -29,7 +29,7 @@
       StoreFault::WritesLate => self.fate(Fate::Late(Duration::from_millis(1_200)), lasts),
       StoreFault::Lapse => self.lapse(lasts),
       StoreFault::Foreign => self.foreign(lasts),
-      StoreFault::Returns(tenths) => self.come_back(u64::from(tenths) * 100, lasts),
+      StoreFault::Returns(tenths) => self.restore(u64::from(tenths) * 100, lasts),
     }
     self.book.end(trouble);
   }
@@ -50,7 +50,7 @@
 
   /// The store goes away and comes back from a copy; the operator and servers write again what is
   /// theirs, each after a while.
-  fn come_back(&self, age_ms: u64, lasts: Duration) {
+  fn restore(&self, age_ms: u64, lasts: Duration) {
     let copy = self.store.copy();
     thread::sleep(Duration::from_millis(age_ms));
     self.store.fate(Fate::Refuses);
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -205,7 +205,7 @@
     if !(question.extends && theirs) || record.released || taking || self.held.is_some() {
       return None;
     }
-    self.promised_until = now + self.length + self.gap;
+    self.promised_until = now + self.kept();
     self.heard = now;
     Some(Promise {
       machine: short(&self.machine),
@@ -231,7 +231,7 @@
   /// return may have lost is kept while its time lasts: nobody else can have taken it since.
   fn compare(&mut self, now: u64, record: &Record, stale: bool) {
     self.highest = self.highest.max(record.term);
-    let kept = self.length + self.gap;
+    let kept = self.kept();
     let mine = |held: &Held| match stale {
       true => held.alone(now, kept) && record.term <= held.term,
       false => record.machine == self.machine && record.term == held.term,
@@ -241,6 +241,11 @@
     }
   }
 
+  /// For how long after a renewal nobody else takes the lease, ms.
+  fn kept(&self) -> u64 {
+    self.length + self.gap
+  }
+
   /// Holds an instance that has other leases back from taking this one, ms.
   pub fn defer(&mut self, reluctance: u64) {
     self.reluctance = reluctance;
@@ -313,7 +318,7 @@
     let free = match &seen.record {
       None if seen.revision.era == 0 => seen.since + self.reluctance,
       // The first taking may be lost.
-      None => seen.since.max(self.started) + self.length + self.gap + spread,
+      None => seen.since.max(self.started) + self.kept() + spread,
       // This machine's own earlier process has ended; takings since may be lost with a copy.
       Some(record) if record.machine == self.machine && !seen.stale() => 0,
       Some(record) if record.released && !seen.stale() => seen.since + self.gap + spread,
@@ -436,7 +441,7 @@
     if record.era < object.revision.era {
       // Formed before the store's return, it met another object under the same number.
       self.uncertain = true;
-      let kept = self.length + self.gap;
+      let kept = self.kept();
       self.held.take_if(|held| !held.alone(now, kept));
       return false;
     }
@@ -485,7 +490,7 @@
     let revision = Revision::first(era);
     let known = self.seen.take();
     let lost = known.filter(|seen| seen.record.is_some() && seen.revision.era < era);
-    let kept = self.length + self.gap;
+    let kept = self.kept();
     self
       .held
       .take_if(|held| lost.is_none() || !held.alone(now, kept));
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -118,7 +118,7 @@
 }
 
 /// The store comes back from a copy: to a revision below, and then up to another one.
-fn come_back(server: &Server, content: u64, number: u64) {
+fn restore(server: &Server, content: u64, number: u64) {
   let mut shared = server.lock().unwrap();
   shared.revision = at(shared.revision.era + 1, number);
   shared.content = content;
@@ -129,7 +129,7 @@
   let gate = Arc::new(Gate::default());
   let (server, contents) = followed(&gate, true);
   wait_for(&contents, "1/40", || {});
-  come_back(&server, 20, 20);
+  restore(&server, 20, 20);
   wait_for(&contents, "2/20", || {});
   let mut shared = server.lock().unwrap();
   (shared.revision, shared.content) = (at(2, 22), 22);
@@ -144,7 +144,7 @@
   let (server, contents) = followed(&gate, true);
   wait_for(&contents, "1/40", || {});
   // Nothing refuses a watch from 50, and nothing after it names the change at 30.
-  come_back(&server, 30, 90);
+  restore(&server, 30, 90);
   wait_for(&contents, "2/30", || {});
   assert_eq!(gate.progress().revision, at(2, 90));
 }
@@ -154,10 +154,10 @@
   let gate = Arc::new(Gate::default());
   let (server, contents) = followed(&gate, false);
   wait_for(&contents, "1/40", || {});
-  come_back(&server, 30, 90);
-  come_back(&server, 30, 90);
+  restore(&server, 30, 90);
+  restore(&server, 30, 90);
   wait_for(&contents, "3/30", || {});
-  come_back(&server, 30, 90);
+  restore(&server, 30, 90);
   wait_for(&contents, "4/30", || {});
 }
 
@@ -174,7 +174,7 @@
   let gate = Arc::new(Gate::default());
   let (server, contents) = followed(&gate, false);
   wait_for(&contents, "1/40", || {});
-  come_back(&server, 30, 90);
+  restore(&server, 30, 90);
   let word = progress(at(2, 90), at(2, 30));
   wait_for(&contents, "2/30", || gate.follow(word));
 }
@@ -184,7 +184,7 @@
   let gate = Arc::new(Gate::default());
   let (server, contents) = followed(&gate, false);
   wait_for(&contents, "1/40", || {});
-  come_back(&server, 30, 45);
+  restore(&server, 30, 45);
   wait_for(&contents, "2/30", || {});
   let mut shared = server.lock().unwrap();
   (shared.revision, shared.content) = (at(2, 46), 46);
@@ -210,7 +210,7 @@
       spec: "\"batch\"".into(),
     }],
   };
-  come_back(&server, 30, 95);
+  restore(&server, 30, 95);
   gate.follow(word);
   gate.offer(batch);
   let began = Instant::now();
--- a/tests/returned.rs
+++ b/tests/returned.rs
@@ -62,7 +62,7 @@
 }
 
 /// The store has come back, and its copy holds entries of these servers.
-fn come_back(state: &mut State, now: u64, ids: &[&str]) {
+fn restore(state: &mut State, now: u64, ids: &[&str]) {
   state.reduce(now, Event::StoreReturned);
   state.reduce(now, all(ids));
   state.reduce(now, Event::StoreCurrent);
@@ -72,7 +72,7 @@
 fn a_server_that_had_said_that_it_leaves_is_not_ready_again_with_the_copy() {
   let mut state = servers(&["s"]);
   state.reduce(10, set(draining("s")));
-  come_back(&mut state, 1_000, &["s"]);
+  restore(&mut state, 1_000, &["s"]);
   assert_eq!(used(&mut state, 1_010), None);
   assert_eq!(used(&mut state, 60_000), None);
 }
@@ -81,7 +81,7 @@
 fn a_server_that_was_gone_is_not_back_with_the_copy_alone() {
   let mut state = servers(&["s"]);
   state.reduce(10, Event::Servers(vec![Change::Gone("s".into())]));
-  come_back(&mut state, 1_000, &["s"]);
+  restore(&mut state, 1_000, &["s"]);
   assert_eq!(used(&mut state, 1_010), None);
   // Another list shows no more.
   state.reduce(2_000, all(&["s"]));
@@ -94,7 +94,7 @@
 fn it_is_back_once_it_writes_its_entry_again() {
   let mut state = servers(&["s"]);
   state.reduce(10, Event::Servers(vec![Change::Gone("s".into())]));
-  come_back(&mut state, 1_000, &["s"]);
+  restore(&mut state, 1_000, &["s"]);
   state.reduce(1_500, set(requests::spec("s")));
   assert!(used(&mut state, 1_510).is_some());
 }
@@ -102,12 +102,12 @@
 #[test]
 fn a_server_that_the_copy_lacks_is_used_on_until_it_should_be_back() {
   let mut state = servers(&["s"]);
-  come_back(&mut state, 1_000, &[]);
+  restore(&mut state, 1_000, &[]);
   assert!(used(&mut state, 1_010).is_some());
   assert!(used(&mut state, 1_000 + LAPSE_MS - 10).is_some());
   assert_eq!(used(&mut state, 1_000 + LAPSE_MS), None);
   let mut state = servers(&["s"]);
-  come_back(&mut state, 1_000, &[]);
+  restore(&mut state, 1_000, &[]);
   state.reduce(2_000, set(requests::spec("s")));
   assert!(used(&mut state, 10_000).is_some());
 }
@@ -115,7 +115,7 @@
 #[test]
 fn what_is_removed_after_the_return_has_left() {
   let mut state = servers(&["s"]);
-  come_back(&mut state, 1_000, &["s"]);
+  restore(&mut state, 1_000, &["s"]);
   state.reduce(1_100, Event::Servers(vec![Change::Gone("s".into())]));
   assert_eq!(used(&mut state, 1_110), None);
 }
