--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -89,6 +89,8 @@
   /// Models whose checkpoints have a copy on this server.
   pub(crate) copies: BTreeMap<models::Key, Tier>,
   pub(crate) orders: u64,
+  /// When it last stated what it holds, ms; 0 if it has not.
+  pub(crate) stated_at: u64,
   /// It has been queried since this machine acquired the lease.
   pub(crate) synced: bool,
   /// It has stated everything that it holds since then.
@@ -137,6 +139,7 @@
       models: Loaded::new(),
       copies: BTreeMap::new(),
       orders: 0,
+      stated_at: 0,
       spec,
       synced: false,
       answered: false,
