placement: a load that exceeds its time keeps its memory until the server is idle

Callers saw: a server falls with all its runs, because it is ordered to load more than it holds. Cause: the planner gives a load up after four times its estimate. The inventory at that moment says `busy`, and names no load in progress, so the memory counted as free; the next load was sent until the first one had ended, and then exceeded the memory. Change: a load that is given up while its server is busy leaves the server unsynced until it is idle. The three places that wait for an idle server share one function.

--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -439,8 +439,7 @@
         self.models = models;
       }
       if inventory.busy {
-        self.paused_until = now + QUERY_INTERVAL_MS;
-        self.synced = false;
+        self.wait_until_idle(now);
       }
       return changed;
     };
@@ -457,13 +456,11 @@
         self.job = Some(job);
         return true;
       }
-      // The load in progress takes memory that is not known yet.
       match job.attempts < MAX_ATTEMPTS {
         true => self.job = Some(job),
         false => self.leaving.clear(),
       }
-      self.synced = false;
-      self.paused_until = now + QUERY_INTERVAL_MS;
+      self.wait_until_idle(now);
       return true;
     }
     let done = models.contains_key(&job.model);
@@ -474,10 +471,21 @@
     }
     if now >= job.until || !inventory.busy && now >= job.due + REPORT_LAG_MS * 2 {
       self.models = models;
+      if inventory.busy {
+        self.wait_until_idle(now);
+      }
       return true;
     }
     job.due = now + QUERY_INTERVAL_MS;
     self.job = Some(job);
     false
   }
+
+  /// Queries the server until no order is in progress: a load in progress takes memory that the
+  /// inventory does not name. When a load that exceeded its time was dropped as if it had failed,
+  /// its memory counted as free, and the next load brought the server down.
+  fn wait_until_idle(&mut self, now: u64) {
+    self.synced = false;
+    self.paused_until = now + QUERY_INTERVAL_MS;
+  }
 }
--- /dev/null
+++ b/tests/overcommit.rs
@@ -0,0 +1,46 @@
+//! Orders must not exceed a server's memory or its adapter slots when their results are late, when
+//! loads take longer than expected, and when adapters are still on their way.
+
+mod holder;
+
+use holder::World;
+
+/// A server whose two models are in use and cannot be evicted, with room for one more.
+fn world_with_room_for_one() -> World {
+  let servers: [(&str, &[&str], &[&str]); 1] = [("one", &["a", "b"], &["e"])];
+  let mut world = World::new(&["a", "b", "d", "e"], &servers);
+  world.running = vec![("one".into(), "a".into(), 1), ("one".into(), "b".into(), 1)];
+  world.run(100);
+  world
+}
+
+/// Guards against a load that counts as failed while it is still in progress: the next one then
+/// exceeds the server's memory.
+#[test]
+fn the_memory_of_a_load_that_exceeds_its_time_is_not_free() {
+  let mut world = world_with_room_for_one();
+  // A load from the weight store, which is slow.
+  world.waiting = vec![("d".into(), 1)];
+  world.run(500);
+  assert_eq!(world.loads(), [("one".to_string(), "d".to_string())]);
+  world.waiting.clear();
+  let ends_at = world.now + 40_000;
+  world.servers.get_mut("one").unwrap().busy_until = ends_at;
+  while world.now < ends_at - 400 {
+    world.run(10);
+  }
+  world.waiting = vec![("e".into(), 1)];
+  // The load ends between two attempts of the next one.
+  for _ in 0..200 {
+    world.run(10);
+    let server = world.servers.get_mut("one").unwrap();
+    if world.orders.iter().any(|order| order.model.name == "e") {
+      server.busy_until = server.busy_until.min(world.now);
+    }
+  }
+  // The world panics if an order exceeds the memory of the server.
+  assert!(
+    world.holds("one", "e"),
+    "loaded in place of a model that is not requested"
+  );
+}
