placement: the result of an order whose job is gone makes the server be queried

Cause: a holder that acquires the lease again, or whose server's entry disappears and returns, forgets its jobs but not the orders in transit. The result of such a load raised the count of orders, while the inventory known was from before it: a wrong belief under the right count, which the server cannot notice. Change: a result belongs to the order that the job waits for; an accepted order of another job makes the planner query the server. Ruled out: dropping such results, since an inventory may not include the order yet.

--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -64,8 +64,9 @@
       return;
     }
     let unload_ms = self.unload_ms as u64;
-    let observed = self.change(key, |server, _| {
-      server.record_model_result(now, (command, base), taken, unload_ms)
+    let observed = self.change(key, |server, _| match server.awaits_result(command, base) {
+      true => server.record_model_result(now, (command, base), taken, unload_ms),
+      false => server.record_late_result(command, taken),
     });
     match observed {
       Some(Unload::Finished) => self.unload_ms = (self.unload_ms - UNLOAD_DECREASE_MS).max(0.0),
@@ -332,6 +333,30 @@
     (job.remote && job.step == Step::Await).then_some((job.model, job.started_at))
   }
 
+  /// Whether a result is that of the order that the job waits for, not of an order from before this
+  /// machine acquired the lease again or the server's entry returned.
+  fn awaits_result(&self, command: &Command, model: models::Key) -> bool {
+    let Some(job) = &self.job else {
+      return false;
+    };
+    let ordered = match job.step {
+      Step::Load => Some((Act::Load, job.model)),
+      Step::Unload => job.victims.first().map(|victim| (Act::Unload, *victim)),
+      Step::Leave | Step::Await => None,
+    };
+    job.awaiting_reply && ordered == Some((command.act, model))
+  }
+
+  /// Records the result of an order whose job is gone. Only an accepted order changes the server,
+  /// and the inventories known so far may not include it.
+  fn record_late_result(&mut self, command: &Command, taken: Taken) -> Unload {
+    if taken == Taken::Accepted && command.orders >= self.orders {
+      self.orders = command.orders + 1;
+      self.synced = false;
+    }
+    Unload::Unobserved
+  }
+
   /// Records the result of an order for a model.
   fn record_model_result(
     &mut self,
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -3,8 +3,34 @@
 
 mod holder;
 
+use bendsaddle::{
+  command::{Command, Taken},
+  demand::Model,
+  placement::plan::Effect,
+};
 use holder::World;
 
+/// Requests a model or an adapter, and returns the order for it without executing it.
+fn next_order_for(world: &mut World, name: &str) -> Command {
+  world.waiting = vec![(name.into(), 1)];
+  for _ in 0..200 {
+    world.now += 10;
+    world.report();
+    for effect in world.plan.step(world.now) {
+      match effect {
+        Effect::Order(command) if command.model == Model::parse(name) => {
+          world.waiting.clear();
+          return command;
+        }
+        Effect::Order(command) => world.order(command),
+        Effect::Query { id, .. } => world.respond_to_query(&id),
+        Effect::Publish(_) | Effect::Log { .. } => {}
+      }
+    }
+  }
+  panic!("no order for {name} within 2 s");
+}
+
 /// A server whose two models are in use and cannot be evicted, with room for one more.
 fn world_with_room_for_one() -> World {
   let servers: [(&str, &[&str], &[&str]); 1] = [("one", &["a", "b"], &["e"])];
@@ -44,3 +70,24 @@
     "loaded in place of a model that is not requested"
   );
 }
+
+/// Guards against the loss of a load whose result arrives after this machine has acquired the lease
+/// again: the inventory from before the load then counts as including it.
+#[test]
+fn a_load_whose_result_arrives_in_the_next_term_takes_memory() {
+  let mut world = world_with_room_for_one();
+  let load = next_order_for(&mut world, "d");
+  world.plan.start_term(world.now, 2);
+  world.run(200);
+  let taken = world.carry_out(&load);
+  assert_eq!(taken, Taken::Accepted);
+  world.plan.record_order_result(world.now, &load, taken);
+  world.run(7_000);
+  world.waiting = vec![("e".into(), 1)];
+  // The world panics if an order exceeds the memory of the server.
+  world.run(2_000);
+  assert!(
+    world.holds("one", "e"),
+    "loaded in place of a model that is not requested"
+  );
+}
