placement: the result of an adapter order applies to its own count of orders only

Callers could see: a server falls, because an adapter is loaded into a slot that is in use. Cause: results were applied to whatever was known when they came. After an inventory that already includes the order, and later ones for the same adapter, an unload took the adapter out a second time; after an inventory from before it, the count skipped the orders in between. Ruled out: lagging inventories alone; they name their count, and a server refuses another one. Change: a result that is older than the inventory changes nothing; one that is newer by more than itself makes the planner query the server. Figures: the test fails without the change ("one has more adapters than slots"), passes with it.

--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -338,6 +338,14 @@
     taken: Taken,
   ) {
     self.adapter_orders.retain(|(other, _)| *other != adapter);
+    if command.orders < self.orders {
+      // The last inventory includes the order, and perhaps later ones for the same adapter.
+      return;
+    }
+    if command.orders > self.orders {
+      // The last inventory lacks orders before this one.
+      return self.schedule_recheck(now, taken);
+    }
     match (taken, command.act) {
       // The adapter is in use and keeps its slot until the server states otherwise.
       (Taken::Accepted, Act::Unload) => {
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -4,7 +4,7 @@
 mod holder;
 
 use bendsaddle::{
-  command::{Command, Taken},
+  command::{Act, Command, Taken},
   demand::Model,
   placement::plan::Effect,
 };
@@ -91,3 +91,31 @@
     "loaded in place of a model that is not requested"
   );
 }
+
+/// Guards against a result that is applied again to a later inventory: an adapter that was loaded
+/// anew would count as unloaded.
+#[test]
+fn a_result_older_than_the_last_inventory_changes_nothing() {
+  let mut world = World::new(&["a"], &[("one", &["a"], &[])]);
+  world.run(100);
+  let unload = Command {
+    act: Act::Unload,
+    ..next_order_for(&mut world, "a/a1")
+  };
+  // The adapter is loaded after the unload whose result is late.
+  let server = world.servers.get_mut("one").unwrap();
+  server
+    .held
+    .insert("a".into(), vec!["a1".into(), "a2".into()]);
+  server.orders = unload.orders + 3;
+  world.plan.start_term(world.now, 2);
+  world.run(200);
+  world
+    .plan
+    .record_order_result(world.now, &unload, Taken::Done);
+  world.waiting = vec![("a/a3".into(), 1)];
+  // The world panics if a third adapter is ordered.
+  world.run(1_000);
+  let held = &world.servers["one"].held["a"];
+  assert!(held.contains(&"a3".to_string()), "{held:?}");
+}
