placement: an adapter that is still on its way is not unloaded

Callers could see: a server falls, because an adapter is loaded into a slot that is in use. Cause: a server answers the unload of an adapter that has not arrived as done, and the adapter takes its slot afterwards. The planner counted the slot as free. Change: inventories name the adapters on their way; an adapter that was ordered is not unloaded before an inventory states that it has arrived, and the server is queried where only such are idle.

--- a/src/command.rs
+++ b/src/command.rs
@@ -92,8 +92,11 @@
 pub struct Inventory {
   /// Start time of the engine in Unix milliseconds; 0 if the engine does not state it.
   pub born: u64,
-  /// Loaded models, each with its adapters.
+  /// Loaded models, each with its adapters. Adapters on their way are included, since they already
+  /// occupy slots.
   pub models: BTreeMap<String, Vec<String>>,
+  /// Adapters on their way, by model.
+  pub incoming: BTreeMap<String, Vec<String>>,
   /// Whether an order is in progress.
   pub busy: bool,
   /// Number of orders accepted so far.
--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -57,18 +57,30 @@
     self.log_decision("load adapter", key, adapter, why);
   }
 
-  /// Unloads the least recently used idle adapter of a server.
+  /// Unloads the least recently used idle adapter of a server. A server that is ordered to unload
+  /// an adapter that is still on its way does nothing, and the adapter takes its slot later. So if
+  /// only such adapters are idle, the server is queried first.
   fn unload_idle_adapter(&mut self, key: server::Key) {
     let server = &self.servers[key];
     let adapters = server.models.values().flatten();
     let idle = adapters.filter(|adapter| !server.running.contains_key(adapter));
-    let oldest =
-      idle.min_by_key(|adapter| server.used_at.get(adapter).copied().unwrap_or_default());
-    if let Some(adapter) = oldest.copied() {
-      self.order_adapter(key, adapter, Act::Unload);
+    let (arriving, arrived): (Vec<models::Key>, Vec<models::Key>) =
+      idle.partition(|adapter| server.arriving.contains(adapter));
+    let last_used = |adapter: &models::Key| server.used_at.get(adapter).copied();
+    let oldest = arrived.into_iter().min_by_key(last_used);
+    match oldest {
+      Some(adapter) => self.order_adapter(key, adapter, Act::Unload),
+      None if !arriving.is_empty() => self.recheck(key),
+      None => {}
     }
   }
 
+  /// Queries a server, unless it was queried a moment ago.
+  fn recheck(&mut self, key: server::Key) {
+    let now = self.now;
+    self.change(key, |server, _| server.recheck(now));
+  }
+
   fn order_adapter(&mut self, key: server::Key, adapter: models::Key, act: Act) {
     let server = &self.servers[key];
     // A server carries out one order at a time.
--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -12,6 +12,7 @@
   },
   report::Tier,
 };
+use std::collections::BTreeSet;
 
 /// Pause between an unload and the next order before any unload was observed, ms. It changes by the
 /// next two after an order that found the unload in progress, and after one that did not, so that
@@ -107,8 +108,10 @@
     let in_progress = self.remote_jobs;
     let loading = self.servers[key].remote_load_in_progress();
     let changed = self.change(key, |server, models| {
-      let models = intern_models(server.pool, &inventory.models, models);
-      server.apply_inventory(now, &inventory, models)
+      let stated = intern_models(server.pool, &inventory.models, models);
+      let incoming = intern_models(server.pool, &inventory.incoming, models);
+      let arriving = incoming.into_values().flatten().collect();
+      server.apply_inventory(now, &inventory, (stated, arriving))
     });
     self.publish_pending |= changed == Some(true);
     if let Some((model, started_at)) = loading
@@ -434,11 +437,18 @@
     self.used_at.remove(&model);
     for adapter in adapters {
       self.used_at.remove(&adapter);
+      self.arriving.remove(&adapter);
     }
   }
 
-  /// Updates the state from the models that the server states; returns whether to publish it.
-  fn apply_inventory(&mut self, now: u64, inventory: &Inventory, models: Loaded) -> bool {
+  /// Updates the state from the models and the arriving adapters that the server states; returns
+  /// whether to publish it.
+  fn apply_inventory(
+    &mut self,
+    now: u64,
+    inventory: &Inventory,
+    (models, arriving): (Loaded, BTreeSet<models::Key>),
+  ) -> bool {
     self.querying = false;
     self.unanswered_queries = 0;
     let was_unsynced = !self.synced;
@@ -453,6 +463,7 @@
     }
     self.synced = true;
     self.stated_at = now;
+    self.arriving = arriving;
     // An inventory does not name a load in progress. If that is not the load of this job, it was
     // started by an earlier lease holder or before the server's entry disappeared, or it was
     // assumed to be done too early.
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -12,7 +12,7 @@
   report::Tier,
   selector::Labels,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 slotmap::new_key_type! {
   /// Identifies a server of the group from one start of it to the next.
@@ -98,6 +98,8 @@
   pub(crate) querying: bool,
   pub(crate) leaving: Vec<models::Key>,
   pub(crate) job: Option<Job>,
+  /// Adapters that were ordered and that the server has not stated to have arrived.
+  pub(crate) arriving: BTreeSet<models::Key>,
   /// Adapter orders in progress.
   pub(crate) adapter_orders: Vec<(models::Key, Act)>,
   pub(crate) paused_until: u64,
@@ -105,7 +107,7 @@
   pub(crate) limited: bool,
   /// Until when it counts as rejecting requests, according to reports of instances, ms.
   pub(crate) rejecting_until: u64,
-  /// When it was last queried because a request did not find a model there, ms.
+  /// When it was last queried because what it holds was in question, ms.
   pub(crate) rechecked_at: u64,
   /// Consecutive queries without an answer.
   pub(crate) unanswered_queries: u32,
@@ -146,6 +148,7 @@
       querying: false,
       leaving: Vec::new(),
       job: None,
+      arriving: BTreeSet::new(),
       adapter_orders: Vec::new(),
       paused_until: 0,
       limited: false,
@@ -266,7 +269,14 @@
       return self.adjust_load_factor(false);
     }
     let expected = self.models.contains_key(&model) && !self.leaving.contains(&model);
-    if expected && self.can_take_order(now) && now >= self.rechecked_at + RECHECK_MS {
+    if expected && self.can_take_order(now) {
+      self.recheck(now);
+    }
+  }
+
+  /// Has the server queried, unless it was queried a moment ago.
+  pub(crate) fn recheck(&mut self, now: u64) {
+    if now >= self.rechecked_at + RECHECK_MS {
       self.rechecked_at = now;
       self.synced = false;
     }
@@ -359,8 +369,10 @@
           return;
         };
         adapters.retain(|known| *known != adapter);
+        self.arriving.remove(&adapter);
         if command.act == Act::Load {
           adapters.push(adapter);
+          self.arriving.insert(adapter);
           self.used_at.insert(adapter, now);
         }
       }
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -845,6 +845,7 @@
     Inventory {
       born: self.spec.born,
       models: held.map(|name| (name.clone(), Vec::new())).collect(),
+      incoming: BTreeMap::new(),
       busy: now < self.busy_until,
       orders: self.orders,
       queued: 0,
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -30,6 +30,8 @@
   pub running: Vec<(String, String, u32)>,
   pub orders: Vec<Command>,
   pub query_count: u32,
+  /// Time that adapters take to arrive, ms.
+  pub adapters_arrive_after_ms: u64,
   /// Whether adapters are in use; such adapters are unloaded only once their requests have ended.
   pub adapters_in_use: bool,
   /// Servers and models that requests did not find there.
@@ -52,6 +54,8 @@
   pub orders: u64,
   pub busy_until: u64,
   pub loading: Option<String>,
+  /// Adapters on their way: when they arrive, ms, the model and the adapter.
+  pub incoming: Vec<(u64, String, String)>,
 }
 
 pub fn engine(models: &[&str]) -> Engine {
@@ -112,6 +116,7 @@
           orders: 0,
           busy_until: 0,
           loading: None,
+          incoming: Vec::new(),
         };
         (id.to_string(), server)
       })
@@ -129,6 +134,7 @@
       running: Vec::new(),
       orders: Vec::new(),
       query_count: 0,
+      adapters_arrive_after_ms: 0,
       adapters_in_use: false,
       missing: Vec::new(),
       backing_off: Vec::new(),
@@ -222,7 +228,9 @@
     let name = command.model.name.clone();
     match (command.act, &command.model.adapter) {
       (Act::Load, Some(adapter)) => {
-        server.held.get_mut(&name).unwrap().push(adapter.clone());
+        let arrives_at = now + self.adapters_arrive_after_ms;
+        server.incoming.push((arrives_at, name, adapter.clone()));
+        server.finish(now);
       }
       (Act::Unload, Some(_)) if self.adapters_in_use => return Taken::Accepted,
       (Act::Unload, Some(adapter)) => {
@@ -247,6 +255,7 @@
       }
     }
     let adapters: usize = server.held.values().map(Vec::len).sum();
+    let adapters = adapters + server.incoming.len();
     assert!(adapters <= 2, "{} has more adapters than slots", command.id);
     Taken::Accepted
   }
@@ -262,9 +271,20 @@
     }
     let server = self.servers.get_mut(id).unwrap();
     server.finish(now);
+    let mut models = server.held.clone();
+    let mut incoming: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (_, model, adapter) in &server.incoming {
+      for adapters in [&mut models, &mut incoming] {
+        adapters
+          .entry(model.clone())
+          .or_default()
+          .push(adapter.clone());
+      }
+    }
     let inventory = Inventory {
       born: server.spec.born,
-      models: server.held.clone(),
+      models,
+      incoming,
       busy: now < server.busy_until,
       orders: server.orders,
       queued: 0,
@@ -317,5 +337,8 @@
     {
       self.held.insert(model, Vec::new());
     }
+    for (_, model, adapter) in self.incoming.extract_if(.., |(at, ..)| *at <= now) {
+      self.held.get_mut(&model).unwrap().push(adapter);
+    }
   }
 }
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -53,6 +53,7 @@
   Inventory {
     born,
     models: models.collect(),
+    incoming: BTreeMap::new(),
     busy: false,
     orders,
     queued: 0,
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -92,6 +92,23 @@
   );
 }
 
+/// Guards against an unload that is taken for done while the adapter is still on its way: the
+/// adapter takes its slot afterwards.
+#[test]
+fn an_adapter_on_its_way_keeps_its_slot() {
+  let mut world = World::new(&["a"], &[("one", &["a"], &[])]);
+  world.adapters_arrive_after_ms = 5_000;
+  for adapter in ["a/a1", "a/a2", "a/a3"] {
+    world.waiting = vec![(adapter.into(), 1)];
+    // The world panics if a third adapter is ordered.
+    world.run(500);
+  }
+  world.run(14_000);
+  assert!(world.holds("one", "a"));
+  let held = &world.servers["one"].held["a"];
+  assert!(held.contains(&"a3".to_string()), "{held:?}");
+}
+
 /// Guards against a result that is applied again to a later inventory: an adapter that was loaded
 /// anew would count as unloaded.
 #[test]
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -608,6 +608,7 @@
     let busy = Inventory {
       born: server.spec.born,
       models: Default::default(),
+      incoming: BTreeMap::new(),
       busy: true,
       orders: u64::MAX / 2,
       queued: 0,
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -153,6 +153,7 @@
     let inventory = Inventory {
       born: 0,
       models: [(model, Vec::new())].into_iter().collect(),
+      incoming: BTreeMap::new(),
       busy: false,
       orders: 0,
       queued: 0,
