placement: a new holder loads no bounded model while entries may be missing

Cause: an instance that starts while the store is away, or just after its return, reads a list that lacks the entries that lapsed meanwhile. What it knew before counts for the bound; what it never knew counted as not there. Ruled out: the time for which entries that this process knew may return, which is the same as before; a wait for all instances, as evidence of others that the store answered ends it. Change: the time before the first known answer of the store counts as an outage. Until two seconds after the end of the last outage before the first list, models with a bound are not loaded; a line says when that begins and ends. Answers to other instances date the end, as for lapsed entries.

--- a/src/expiry.rs
+++ b/src/expiry.rs
@@ -7,7 +7,7 @@
 /// How long entries that expired in an outage may take to reappear once the store responds to any
 /// instance again. The platform states about two seconds; servers whose entries are still missing
 /// then are gone.
-const REAPPEAR_MS: u64 = 2_000;
+pub(crate) const REAPPEAR_MS: u64 = 2_000;
 /// How long after the start of the last failed call missing entries may still reappear. 3 s after
 /// its calls stop failing, an instance counts as connected to the store again; from then on, a
 /// removed entry must not be mistaken for an expired one.
--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -71,6 +71,8 @@
   /// renewals set it too, a holder with a delayed watch appeared 750 ms old, and all other
   /// instances were 1.74 s late.
   confirmed_at: Option<Moment>,
+  /// When the first response was processed here.
+  first_known_at: Option<Moment>,
   /// Conservative form of `confirmed_at`: a call confirms changes as of its start, and another
   /// instance's answer confirms them as of the question. A datagram that waited in a socket while
   /// this process was suspended, or an interrupted watch, does not make the state look fresh.
@@ -322,6 +324,7 @@
   pub(super) fn record_response(&self, confirmation: Confirmation) {
     let mut state = lock(&self.state);
     state.advance(confirmation.revision, confirmation.relevant);
+    state.first_known_at.get_or_insert_with(Moment::now);
     state.confirmed_at = state.confirmed_at.max(Some(confirmation.confirmed_at));
     state.guaranteed_at = state.guaranteed_at.max(Some(confirmation.started_at));
   }
@@ -352,6 +355,11 @@
     }
   }
 
+  /// When the first response was processed here; `None` before.
+  pub fn first_known_at(&self) -> Option<Moment> {
+    lock(&self.state).first_known_at
+  }
+
   /// Age of the moment as of which all changes are known; `None` before the first response.
   pub fn age(&self) -> Option<Duration> {
     lock(&self.state)
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -6,7 +6,8 @@
   deployment::Deployment,
   dialect::Dialect,
   dispatch::{Attempt, Effect, End, Event, State},
-  feed::Gate,
+  expiry::REAPPEAR_MS,
+  feed::{Gate, OUTAGE_THRESHOLD},
   measures::Measures,
   reachability::Reachability,
   refusal::Refusal,
@@ -82,6 +83,16 @@
       reachability,
     }
   }
+
+  /// How long entries of servers may still be missing that expired before this instance read the
+  /// entries for the first time. It cannot tell such servers from servers that do not exist.
+  pub(crate) fn unknown_servers_for(&self) -> Duration {
+    let first_known_at = self.servers.first_known_at();
+    let outage_end =
+      first_known_at.and_then(|at| self.reachability.last_outage_end(at, OUTAGE_THRESHOLD));
+    let since = outage_end.map_or(Duration::ZERO, Moment::elapsed);
+    Duration::from_millis(REAPPEAR_MS).saturating_sub(since)
+  }
 }
 
 /// State shared by the threads of a routing instance.
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -135,10 +135,10 @@
     (own.count() + entry.holders_elsewhere + self.unlisted_holders(model)) as u32
   }
 
-  /// Whether a model's policy allows a further replica.
+  /// Whether a model's policy allows a further replica. Any number of unknown servers may hold it.
   pub(crate) fn below_max_replicas(&self, model: models::Key) -> bool {
     let max = self.policy(model).max_replicas;
-    max == u32::MAX || self.replica_count(model) < max
+    max == u32::MAX || !self.unknown_servers && self.replica_count(model) < max
   }
 
   /// Loads a further replica of a model whose replicas are too slow for its requests, if some
--- a/src/placement/gone.rs
+++ b/src/placement/gone.rs
@@ -1,8 +1,10 @@
-//! Servers whose store entries disappeared without notice and may return.
+//! Servers whose store entries disappeared without notice and may return. Until then what they hold
+//! counts towards `max_replicas`: otherwise a model allowed on two servers was loaded on two more.
 
 use crate::{
   backend::Stage,
   command::{Inventory, Unheard},
+  expiry::REAPPEAR_MS,
   life::Life,
   placement::{
     models::{self, Models, PoolKey},
@@ -12,10 +14,6 @@
 };
 use std::{collections::BTreeSet, net::SocketAddr};
 
-/// Time within which an entry that expired returns, ms: the platform states about two seconds.
-/// Until then what its server holds counts towards `max_replicas`: otherwise a model allowed on two
-/// servers was loaded on two more.
-const RELIST_TIMEOUT_MS: u64 = 2_000;
 /// Queries to a server without an entry: the first may use a connection that ended with the server,
 /// and each occupies a thread that queries to other servers need.
 const MAX_QUERIES: u32 = 3;
@@ -71,7 +69,7 @@
     let limited_models = self.models_with_max_replicas();
     for server in servers {
       let (stage, id) = (server.spec.stage, server.spec.id.clone());
-      let unlisted = Unlisted::new(server, self.now + RELIST_TIMEOUT_MS);
+      let unlisted = Unlisted::new(server, self.now + REAPPEAR_MS);
       let may_hold_limited_model = limited_models
         .iter()
         .any(|(pool, model)| unlisted.may_hold(*pool, *model));
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -108,6 +108,8 @@
   /// Orders may be sent.
   pub(crate) ordering: bool,
   pub(crate) deployment: Arc<Deployment>,
+  /// Entries of servers that this machine never knew may be missing.
+  pub(crate) unknown_servers: bool,
   /// Servers whose entries may return.
   pub(crate) unlisted: BTreeMap<u64, Unlisted>,
   pub(crate) members: BTreeMap<SocketAddr, Member>,
@@ -158,6 +160,7 @@
       term: 0,
       ordering: true,
       deployment: Arc::default(),
+      unknown_servers: false,
       unlisted: BTreeMap::new(),
       members: BTreeMap::new(),
       usage_updated_at: 0,
@@ -413,6 +416,11 @@
     self.ordering = allowed;
   }
 
+  /// Sets whether entries of servers that this machine never knew may be missing.
+  pub fn set_unknown_servers(&mut self, unknown: bool) {
+    self.unknown_servers = unknown;
+  }
+
   /// Carries out everything that is due; returns the resulting effects.
   pub fn step(&mut self, now: u64) -> Vec<Effect> {
     self.now = now;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -157,6 +157,8 @@
   next_policies_read_at: u64,
   /// Time until which orders wait for the first read of the policies.
   policies_wait_until: u64,
+  /// Whether entries of servers may be missing that expired before this instance started.
+  unknown_servers: bool,
   /// How long this instance leaves a free lease to others, in milliseconds.
   acquire_delay_ms: u64,
   /// Datagrams waiting to be sent to many instances.
@@ -222,6 +224,7 @@
     last_report: None,
     next_policies_read_at: 0,
     policies_wait_until: u64::MAX,
+    unknown_servers: false,
     acquire_delay_ms: acquire_delay_ms(&routing),
     outbox: Outbox::new(
       (routing.link_mbps * MBPS_BITS_PER_MS / BITS_PER_BYTE / PUBLISH_LINK_DIVISOR) as u64,
@@ -639,6 +642,7 @@
     group
       .plan
       .set_ordering(group.holds_lease && now >= self.policies_wait_until);
+    self.update_unknown_servers(index);
     self.update_plan(index);
     let started_at = Moment::now();
     let effects = self.groups[index].plan.step(now);
@@ -660,6 +664,18 @@
     }
   }
 
+  /// Updates whether entries of servers may be missing that expired before this instance started.
+  fn update_unknown_servers(&mut self, index: usize) {
+    let remaining = self.hub.gates.unknown_servers_for();
+    let unknown = !remaining.is_zero();
+    if unknown != self.unknown_servers {
+      self.unknown_servers = unknown;
+      info!(self.hub.log, "limited models wait for entries that may be missing"; "wait" => unknown,
+        "remaining_ms" => remaining.as_millis() as u64);
+    }
+    self.groups[index].plan.set_unknown_servers(unknown);
+  }
+
   fn update_plan(&mut self, index: usize) {
     let groups = self.groups.len() as u32;
     let group = &mut self.groups[index];
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -35,6 +35,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+  /// The first known response to any instance. Before it, the store may have been unavailable.
+  first_response: Option<Moment>,
   /// The last response to any instance.
   last_response: Option<Moment>,
   /// The last response to this instance, or to the instance whose progress it follows.
@@ -54,12 +56,29 @@
 impl State {
   fn record(&mut self, at: Moment) {
     match self.last_response {
-      Some(last) if at <= last => self.split_gap(at),
+      Some(last) if at <= last => self.record_earlier(at),
       Some(last) => {
         self.push_gap(Gap { from: last, to: at });
         self.last_response = Some(at);
       }
-      None => self.last_response = Some(at),
+      None => {
+        self.first_response = Some(at);
+        self.last_response = Some(at);
+      }
+    }
+  }
+
+  /// Records a response that becomes known after later ones.
+  fn record_earlier(&mut self, at: Moment) {
+    match self.first_response {
+      Some(first) if at < first => {
+        self.push_gap(Gap {
+          from: at,
+          to: first,
+        });
+        self.first_response = Some(at);
+      }
+      _ => self.split_gap(at),
     }
   }
 
@@ -146,6 +165,15 @@
     let _ = self.changed.wait_timeout_while(state, timeout, waiting);
   }
 
+  /// End of the last outage of at least `min` that ended by `moment`. The time before the first
+  /// known response counts as one. `None` if no response by that moment is known.
+  pub fn last_outage_end(&self, moment: Moment, min: Duration) -> Option<Moment> {
+    let state = lock(&self.state);
+    let gaps = state.gaps.iter().filter(|gap| gap.to - gap.from >= min);
+    let ends = gaps.map(|gap| gap.to).chain(state.first_response);
+    ends.filter(|end| *end <= moment).max()
+  }
+
   /// The longest period without a response to any instance that had not ended before a moment.
   pub fn longest_outage(&self, since: Moment) -> Outage {
     let state = lock(&self.state);
--- a/tests/contact.rs
+++ b/tests/contact.rs
@@ -98,3 +98,36 @@
   assert!(reachability.responded_since(start));
   assert!(start.elapsed() < ms(10_000));
 }
+
+const OUTAGE: Duration = Duration::from_millis(3_000);
+
+/// Guards against a new instance that assumes that the store was available before it started.
+#[test]
+fn the_time_before_the_first_answer_counts_as_an_outage() {
+  let (reachability, start) = responded();
+  reachability.record_response(start + ms(1_000));
+  let end = reachability.last_outage_end(start + ms(1_000), OUTAGE);
+  assert_eq!(end, Some(start));
+  assert_eq!(Reachability::default().last_outage_end(start, OUTAGE), None);
+}
+
+/// Guards against a wait of a new instance beside others that the store answered all the time.
+#[test]
+fn an_earlier_answer_to_another_instance_ends_the_time_before_the_first() {
+  let (reachability, start) = responded();
+  let earlier = start.checked_sub(ms(2_500)).unwrap();
+  reachability.record_peer_response(earlier);
+  assert_eq!(reachability.last_outage_end(start, OUTAGE), Some(earlier));
+}
+
+/// Guards against a new instance that overlooks an outage because another one was answered before.
+#[test]
+fn an_answer_before_an_outage_does_not_hide_it() {
+  let (reachability, start) = responded();
+  let earlier = start.checked_sub(ms(6_000)).unwrap();
+  reachability.record_peer_response(earlier);
+  reachability.record_response(start + ms(4_000));
+  let by = |at| reachability.last_outage_end(at, OUTAGE);
+  assert_eq!(by(start + ms(1_000)), Some(start));
+  assert_eq!(by(start + ms(4_000)), Some(start + ms(4_000)));
+}
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -773,3 +773,33 @@
   world.run(1_500);
   assert_eq!(world.loads(), [("sound".to_string(), "d".to_string())]);
 }
+
+/// Guards against a replica beyond a bound while a new holder cannot know of all servers.
+#[test]
+fn a_bounded_model_is_not_loaded_while_servers_may_be_unknown() {
+  let servers: [(&str, &[&str], &[&str]); 1] = [("one", &["a"], &["d", "e"])];
+  let mut world = World::new(&["a", "d", "e"], &servers);
+  let policy = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 1 }"#;
+  let policies = [("one".to_string(), serde_json::from_str(policy).unwrap())];
+  world.plan.update_policies(policies.into_iter().collect());
+  world.plan.set_unknown_servers(true);
+  world.waiting = vec![("d".into(), 1), ("e".into(), 1)];
+  world.run(2_000);
+  assert!(
+    !world.loads().iter().any(|(_, model)| model == "d"),
+    "{:?}",
+    world.loads()
+  );
+  assert!(
+    world.loads().iter().any(|(_, model)| model == "e"),
+    "{:?}",
+    world.loads()
+  );
+  world.plan.set_unknown_servers(false);
+  world.run(2_000);
+  assert!(
+    world.loads().iter().any(|(_, model)| model == "d"),
+    "{:?}",
+    world.loads()
+  );
+}
