stand-ins: a proxy that refuses closes connections that it had accepted before

What was seen: `with_the_platform_down_nothing_runs_and_the_refusal_says_so` served a call just after the proxy had been set to refuse, once. Cause: a connection that was accepted before the fault, and registered by its thread after it, was not among those that the fault closes, and forwarded. The platform was reachable for that call and recorded it: at most once was kept, the refusal was not due. Ruled out: a record claimed before; the key of the test is used once. The product: its claim went through the connection and was acknowledged by the platform. Change: registration and the fault are checked under one lock; whichever comes later closes the connection. Other tests with the same call had the same window: crashes and cuts of the soak, tests/leaving.rs, and the platform tests with a proxy.

--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -57,6 +57,25 @@
   pub address: SocketAddr,
 }
 
+impl Inner {
+  /// Registers an open connection. A connection that was accepted before `Refuse` was set and
+  /// registers after it is closed: otherwise it would forward in spite of the fault.
+  fn register(&self, number: u64, streams: [TcpStream; 2]) {
+    let mut open = lock(&self.open);
+    if *lock(&self.fault) == Fault::Refuse {
+      close(&streams);
+    }
+    open.insert(number, streams);
+  }
+}
+
+fn close(streams: &[TcpStream; 2]) {
+  for stream in streams {
+    // A connection that has already ended needs no shutdown.
+    let _ = stream.shutdown(Shutdown::Both);
+  }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
   mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -109,9 +128,7 @@
 
   /// Closes every open connection.
   pub fn close_connections(&self) {
-    for stream in lock(&self.inner.open).values().flatten() {
-      let _ = stream.shutdown(Shutdown::Both);
-    }
+    lock(&self.inner.open).values().for_each(close);
   }
 
   /// Changes the target of new connections.
@@ -184,7 +201,7 @@
     return;
   };
   if let (Ok(client), Ok(server)) = (client.try_clone(), server.try_clone()) {
-    lock(&inner.open).insert(number, [client, server]);
+    inner.register(number, [client, server]);
   }
   let upstream_inner = inner.clone();
   let upstream = thread::spawn(move || copy(client_read, server, up, &upstream_inner.paused[0]));
