tests: the feed's progress is waited for, and is never ahead of its events

Cause: the feed applies an event, then records its progress; the tests read the progress as soon as the event arrived. Ruled out: a reader of the progress that this misleads. Other instances compare it with what they know, and an older one makes them ask sooner; the quarantine and the quotas take its era, in each step of the planner. The other order would mislead them: an instance would name a change as known and answer without it. Change: the tests wait until the progress reaches the expected revision, fail where it passes it, and check at every event that the progress does not name the event yet. The product is unchanged.

--- a/tests/era.rs
+++ b/tests/era.rs
@@ -75,8 +75,27 @@
   }
 }
 
-/// A followed store in its first era, and a channel of the contents that the follower receives.
-fn followed(gate: &Arc<Gate>, refuses_future: bool) -> (Server, Receiver<String>) {
+/// An object that the follower receives, and up to where the gate names everything as known then.
+struct Received {
+  object: Object,
+  known: Revision,
+}
+
+impl Received {
+  /// The object's content. Other instances that hear of a change before it is applied here would
+  /// take this instance for one that knows it.
+  fn content(&self) -> &str {
+    assert!(
+      self.known < self.object.revision,
+      "{} is named before it is applied",
+      self.known
+    );
+    self.object.spec.as_str().unwrap()
+  }
+}
+
+/// A followed store in its first era, and a channel of what the follower receives.
+fn followed(gate: &Arc<Gate>, refuses_future: bool) -> (Server, Receiver<Received>) {
   let server = Arc::new(Mutex::new(Shared {
     revision: at(1, 50),
     content: 40,
@@ -98,10 +117,13 @@
           Event::Changed(objects) => objects.into_iter().map(|(object, _)| object).collect(),
           _ => return false,
         };
-        for object in &objects {
-          let _ = sender.send(object.spec.as_str().unwrap().to_string());
+        let relevant = !objects.is_empty();
+        for object in objects {
+          let known = gate.progress().revision;
+          // A test that has ended receives nothing more.
+          let _ = sender.send(Received { object, known });
         }
-        !objects.is_empty()
+        relevant
       },
     )
   });
@@ -109,14 +131,38 @@
 }
 
 /// Waits for a content and calls `every` between checks.
-fn wait_for(contents: &Receiver<String>, content: &str, mut every: impl FnMut()) {
+fn wait_for(contents: &Receiver<Received>, content: &str, mut every: impl FnMut()) {
   let start = Instant::now();
-  while contents.recv_timeout(Duration::from_millis(20)).as_deref() != Ok(content) {
+  let poll = Duration::from_millis(20);
+  while !contents
+    .recv_timeout(poll)
+    .is_ok_and(|received| received.content() == content)
+  {
     assert!(start.elapsed() < TIMEOUT, "`{content}` was not received");
     every();
   }
 }
 
+/// Waits until the gate names everything up to a revision as known; it must not pass it.
+fn wait_for_progress(gate: &Gate, revision: Revision) {
+  let start = Instant::now();
+  loop {
+    let known = gate.progress().revision;
+    assert!(
+      known <= revision,
+      "{known} is known, {revision} is the last"
+    );
+    if known == revision {
+      return;
+    }
+    assert!(
+      start.elapsed() < TIMEOUT,
+      "{known} is known, not {revision}"
+    );
+    thread::sleep(Duration::from_millis(1));
+  }
+}
+
 /// Restores the store from a copy, in the next era: at a revision number, with an object changed at
 /// `content`.
 fn restore(server: &Server, content: u64, number: u64) {
@@ -136,7 +182,7 @@
   (shared.revision, shared.content) = (at(2, 22), 22);
   drop(shared);
   wait_for(&contents, "2/22", || {});
-  assert_eq!(gate.progress().revision, at(2, 22));
+  wait_for_progress(&gate, at(2, 22));
 }
 
 #[test]
@@ -147,7 +193,7 @@
   // No watch from 50 is refused, and no later change shows the change at 30.
   restore(&server, 30, 90);
   wait_for(&contents, "2/30", || {});
-  assert_eq!(gate.progress().revision, at(2, 90));
+  wait_for_progress(&gate, at(2, 90));
 }
 
 #[test]
@@ -222,7 +268,7 @@
       break first;
     }
   };
-  assert_eq!(first, "2/30", "the full list is read");
+  assert_eq!(first.content(), "2/30", "the full list is read");
 }
 
 quickcheck! {
