stand-ins: ports of instances and proxies stay reserved while nobody listens on them

An instance of `a_configuration_is_taken_up_and_survives_the_stores_faults` was not ready within 20 s, once. Cause: a free port was taken and let go, and taken again by the process later. In between, and while the process is down, the kernel may give it to any connection. At a first start the health port is bound before the callers' port: somebody else's listener on the latter made the instance look as if it listened, and it ended a moment later. Evidence: a test binds the ports of an instance that is down as a connection does: the restart fails with "address in use" in each of five attempts. By hand on this kernel: a connection that may only use one port gets one that was let go, and a listener then fails with "address in use"; it does not get a port that is bound without listening, and neither does a socket that asks for a free one. Ruled out: connections in their closing state, as listeners reuse addresses. Change: a reservation holds a bound socket that never listens; instances and proxies keep theirs as long as they exist. Starts at other ports and repeated restarts are gone; an instance that ends at its start is an error that names it.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod replay;
+pub mod reservation;
 pub mod service;
 pub mod store;
 pub mod trace;
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -1,5 +1,6 @@
 //! A TCP proxy that injects faults.
 
+use crate::reservation::{self, Reservation};
 use bendsaddle::web::listen;
 use std::{
   collections::HashMap,
@@ -54,6 +55,8 @@
 #[derive(Clone)]
 pub struct Proxy {
   inner: Arc<Inner>,
+  /// Keeps the port while the listener is closed.
+  _reservation: Arc<Reservation>,
   pub address: SocketAddr,
 }
 
@@ -83,8 +86,9 @@
 impl Proxy {
   /// Binds a proxy that forwards to `target`.
   pub fn bind(target: SocketAddr) -> io::Result<Self> {
-    let listener = listen("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
+    let reservation = reservation::bind()?;
+    let address = reservation.address;
+    let listener = listen(&address.to_string())?;
     let inner = Arc::new(Inner {
       target: Mutex::new(target),
       fault: Mutex::default(),
@@ -96,7 +100,11 @@
     });
     let served = inner.clone();
     thread::spawn(move || accept(&served, listener, address));
-    Ok(Self { inner, address })
+    Ok(Self {
+      inner,
+      _reservation: Arc::new(reservation),
+      address,
+    })
   }
 
   /// Injects a fault into all new connections until the next call. `Refuse` also closes the open
