--- a/stand-ins/tests/proxy.rs
+++ b/stand-ins/tests/proxy.rs
@@ -61,8 +61,7 @@
       stop.store(true, Ordering::SeqCst);
       openers
         .into_iter()
-        .map(|opener| opener.join().unwrap())
-        .flatten()
+        .flat_map(|opener| opener.join().unwrap())
         .collect::<Vec<_>>()
     });
     for mut stream in streams {
