placement: a model that the deployment does not name takes its server's memory

Callers could see: a server falls with all its runs, because it is ordered to load more than it holds. Cause: the size of a model comes from the deployment. A model that a server holds and that a new deployment no longer names had none and counted 0 MB. Evidence: a test whose deployment drops a model that its server holds: the next load exceeds the memory ("one is overcommitted"). Ruled out: keeping the last known size, as a holder may start after the deployment has changed. Change: a model of unknown size counts as the whole memory of its server, so it is evicted before anything is loaded there; room is computed from what is left, not added up from what is freed.

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -355,10 +355,12 @@
   ) -> Option<(u64, Vec<models::Key>)> {
     let needed_mb = self.models[model].size?.memory_mb;
     let memory_mb = self.models.engine(server.pool)?.memory_mb;
-    let mut free_mb = memory_mb.saturating_sub(server.memory_used(&self.models));
+    // What is held may add up to more than the memory where the size of a model is unknown.
+    let mut used_mb = server.memory_used(&self.models);
+    let has_room = |used_mb: u64| used_mb + needed_mb <= memory_mb;
     let mut cost = 0;
     let mut victims = Vec::new();
-    if free_mb >= needed_mb {
+    if has_room(used_mb) {
       return Some((cost, victims));
     }
     let models = server.models.keys();
@@ -367,14 +369,14 @@
     let mut candidates: Vec<(u64, models::Key)> = costs.collect();
     candidates.sort();
     for (model_cost, model) in candidates {
-      if free_mb >= needed_mb {
+      if has_room(used_mb) {
         break;
       }
-      free_mb += server.memory_of(model, &self.models);
+      used_mb -= server.memory_of(model, &self.models);
       cost += model_cost;
       victims.push(model);
     }
-    (free_mb >= needed_mb).then_some((cost, victims))
+    has_room(used_mb).then_some((cost, victims))
   }
 
   /// Whether requests wait for a model, or callers are expected to return for it.
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -452,11 +452,16 @@
     self.models.values().map(Vec::len).sum()
   }
 
-  /// Memory of a model and its adapters, MB.
+  /// Memory of a model and its adapters, MB. A model that the deployment does not name may take all
+  /// of the server's.
   pub(crate) fn memory_of(&self, model: models::Key, models: &Models) -> u64 {
     let adapters = self.models.get(&model).map_or(0, Vec::len) as u64;
-    let size = models[model].size;
-    size.map_or(0, |size| size.memory_mb + adapters * size.adapter_mb)
+    match models[model].size {
+      Some(size) => size.memory_mb + adapters * size.adapter_mb,
+      None => models
+        .engine(self.pool)
+        .map_or(0, |engine| engine.memory_mb),
+    }
   }
 
   pub(crate) fn memory_used(&self, models: &Models) -> u64 {
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -6,9 +6,11 @@
 use bendsaddle::{
   command::{Act, Command, Taken},
   demand::Model,
+  deployment::{Deployment, Engine, Pool},
   placement::plan::Effect,
 };
-use holder::World;
+use holder::{World, engine};
+use std::sync::Arc;
 
 /// Requests a model or an adapter, and returns the order for it without executing it.
 fn next_order_for(world: &mut World, name: &str) -> Command {
@@ -136,3 +138,32 @@
   let held = &world.servers["one"].held["a"];
   assert!(held.contains(&"a3".to_string()), "{held:?}");
 }
+
+/// Changes the engine of the deployment that the planner knows.
+fn change_engine(world: &mut World, change: impl FnOnce(&mut Engine)) {
+  let mut deployment = Deployment::clone(&world.deployment);
+  let mut engine = engine(&["a", "b", "c", "d"]);
+  change(&mut engine);
+  let pool = Pool {
+    engine: Some(Arc::new(engine)),
+  };
+  deployment.pools.insert("pool".into(), pool);
+  world.deployment = Arc::new(deployment);
+  world.list_servers(&["one"]);
+}
+
+/// Guards against a model that the deployment no longer names and that takes no memory therefore,
+/// although servers still hold it.
+#[test]
+fn a_model_that_the_deployment_does_not_name_takes_memory() {
+  let full: &[&str] = &["a", "b", "c"];
+  let mut world = World::new(&["a", "b", "c", "d"], &[("one", full, &["d"])]);
+  world.run(600);
+  change_engine(&mut world, |engine| {
+    engine.models.remove("c");
+  });
+  world.waiting = vec![("d".into(), 1)];
+  // The world panics if an order exceeds the memory of the server.
+  world.run(2_000);
+  assert!(world.holds("one", "d"));
+}
