placement: adapters are loaded within the memory of their servers

Callers could see: a server falls, because adapters exceed its memory although slots are free. Cause: the planner compared adapters with the slots of a server only. Evidence: a test with adapters of 15 MB beside three models of 70 MB on 230 MB: two are loaded, one fits. Ruled out: a rule for models to leave room for adapters; memory would lie idle. Change: one function says whether a server has a slot and memory for an adapter; loads, preloads and copies use it, and an idle adapter gives way where either is missing.

--- a/src/placement/adapters.rs
+++ b/src/placement/adapters.rs
@@ -15,10 +15,14 @@
 const COPY_MIN_DIFFERENCE: u32 = 2;
 
 impl Plan {
-  /// Number of adapters that each server of a model's pool can hold.
-  fn adapter_slots(&self, model: models::Key) -> usize {
-    let engine = self.models.engine(self.models[model].pool);
-    engine.map_or(0, |engine| engine.adapter_slots as usize)
+  /// Whether a server has a slot and memory for another adapter of a model.
+  fn has_adapter_room(&self, server: &Server, model: models::Key) -> bool {
+    let base = &self.models[self.models[model].base];
+    let (Some(engine), Some(size)) = (self.models.engine(base.pool), base.size) else {
+      return false;
+    };
+    server.adapter_count() < engine.adapter_slots as usize
+      && server.memory_used(&self.models) + size.adapter_mb <= engine.memory_mb
   }
 
   /// Whether a server has an adapter or is loading it.
@@ -45,8 +49,8 @@
     let Some(key) = best.copied() else {
       return;
     };
-    if self.servers[key].adapter_count() >= self.adapter_slots(adapter) {
-      // A later step loads the adapter, once the slot is known to be free.
+    if !self.has_adapter_room(&self.servers[key], adapter) {
+      // A later step loads the adapter, once its room is known to be free.
       return self.unload_idle_adapter(key);
     }
     let why = format!(
@@ -93,11 +97,10 @@
 
   /// Loads an adapter that no server has, ahead of demand, for a model in use.
   pub(crate) fn preload_adapter(&mut self, model: models::Key) {
-    let max_adapters = self.adapter_slots(model);
     let holders = self.holders(model).iter().copied();
     let candidates = holders.filter(|key| {
       let server = &self.servers[*key];
-      server.can_take_order(self.now) && server.adapter_count() < max_adapters
+      server.can_take_order(self.now) && self.has_adapter_room(server, model)
     });
     let Some(key) = candidates.min_by_key(|key| self.servers[*key].adapter_count()) else {
       return;
@@ -129,7 +132,6 @@
 
   /// Loads a further copy of an adapter on a holder of its model that runs fewer requests.
   pub(crate) fn copy_adapter(&mut self, adapter: models::Key) {
-    let max_adapters = self.adapter_slots(adapter);
     let holders = self.holders(self.models[adapter].base);
     let servers = holders.iter().map(|key| (*key, &self.servers[*key]));
     let has_adapter = |server: &Server| server.holds(adapter, &self.models);
@@ -138,7 +140,7 @@
     let candidates = servers.filter(|(_, server)| {
       !has_adapter(server)
         && server.can_take_order(self.now)
-        && server.adapter_count() < max_adapters
+        && self.has_adapter_room(server, adapter)
     });
     let best = candidates.min_by_key(|(_, server)| server.running_total());
     let (Some(lowest_load), Some((key, server))) = (lowest_load, best) else {
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -167,3 +167,29 @@
   world.run(2_000);
   assert!(world.holds("one", "d"));
 }
+
+/// Guards against adapters that exceed the memory of a server although its slots are free.
+#[test]
+fn adapters_are_loaded_within_the_memory() {
+  let full: &[&str] = &["a", "b", "c"];
+  let mut world = World::new(&["a", "b", "c", "d"], &[("one", full, &[])]);
+  world.run(100);
+  // One adapter fits beside the three models.
+  change_engine(&mut world, |engine| {
+    for checkpoint in engine.models.values_mut() {
+      checkpoint.adapter_mb = 15;
+    }
+  });
+  world.running = vec![("one".into(), "a".into(), 2)];
+  world.waiting = vec![("a/a1".into(), 1)];
+  world.run(500);
+  world.waiting = vec![("a/a2".into(), 1)];
+  world.run(1_000);
+  let adapters: usize = world.servers["one"].held.values().map(Vec::len).sum();
+  assert_eq!(adapters, 1, "{:?}", world.servers["one"].held);
+  assert_eq!(
+    world.servers["one"].held["a"],
+    ["a2"],
+    "in place of an idle one"
+  );
+}
