placement: a count of orders that the server does not confirm is dropped

Callers could see: requests for a model wait until they are refused, because a server gets no more orders. Cause: an order that is answered as done counted as accepted. Evidence: a test with a server that does not count such an order: the next adapter is never loaded. An answer to an earlier query stays an old one, also after a suspension.

--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -32,6 +32,10 @@
 /// Time after which a server is queried about a load that was assumed to be done, ms: by then its
 /// reports show what it held at that moment.
 const ASSUMED_CHECK_MS: u64 = REPORT_LAG_MS * 2;
+/// Age that no inventory reaches when it is queried, ms. One that still names fewer orders than were
+/// counted is right: a server need not count an order for what it holds already. When the count was
+/// kept, such a server got no more orders.
+const MAX_REPORT_AGE_MS: u64 = REPORT_LAG_MS * 5;
 /// A load may take this multiple of its estimated time.
 const LOAD_TIMEOUT_FACTOR: u64 = 4;
 
@@ -67,7 +71,7 @@
     let unload_ms = self.unload_ms as u64;
     let observed = self.change(key, |server, _| match server.awaits_result(command, base) {
       true => server.record_model_result(now, (command, base), taken, unload_ms),
-      false => server.record_late_result(command, taken),
+      false => server.record_late_result(now, command, taken),
     });
     match observed {
       Some(Unload::Finished) => self.unload_ms = (self.unload_ms - UNLOAD_DECREASE_MS).max(0.0),
@@ -211,7 +215,11 @@
   }
 
   fn query(&mut self, key: server::Key) {
-    self.change(key, |server, _| server.querying = true);
+    let now = self.now;
+    self.change(key, |server, _| {
+      server.querying = true;
+      server.queried_at = now;
+    });
     let spec = &self.servers[key].spec;
     let effect = Effect::Query {
       id: spec.id.clone(),
@@ -352,9 +360,9 @@
 
   /// Records the result of an order whose job is gone. Only an accepted order changes the server,
   /// and the inventories known so far may not include it.
-  fn record_late_result(&mut self, command: &Command, taken: Taken) -> Unload {
+  fn record_late_result(&mut self, now: u64, command: &Command, taken: Taken) -> Unload {
     if taken == Taken::Accepted && command.orders >= self.orders {
-      self.orders = command.orders + 1;
+      self.count_order(now, command);
       self.synced = false;
     }
     Unload::Unobserved
@@ -369,7 +377,7 @@
     unload_ms: u64,
   ) -> Unload {
     if taken == Taken::Accepted {
-      self.orders = self.orders.max(command.orders + 1);
+      self.count_order(now, command);
       self.adjust_load_factor(true);
     }
     if command.act == Act::Unload && matches!(taken, Taken::Accepted | Taken::Done) {
@@ -452,7 +460,7 @@
     self.querying = false;
     self.unanswered_queries = 0;
     let was_unsynced = !self.synced;
-    if inventory.orders < self.orders {
+    if inventory.orders < self.orders && self.queried_at < self.counted_at + MAX_REPORT_AGE_MS {
       // The answer is older than the last order.
       self.paused_until = self.paused_until.max(now + QUERY_INTERVAL_MS);
       if let Some(job) = &mut self.job {
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -89,6 +89,10 @@
   /// Models whose checkpoints have a copy on this server.
   pub(crate) copies: BTreeMap<models::Key, Tier>,
   pub(crate) orders: u64,
+  /// When the result of an order last raised that count, ms.
+  pub(crate) counted_at: u64,
+  /// When it was last queried, ms.
+  pub(crate) queried_at: u64,
   /// When it last stated what it holds, ms; 0 if it has not.
   pub(crate) stated_at: u64,
   /// It has been queried since this machine acquired the lease.
@@ -141,6 +145,8 @@
       models: Loaded::new(),
       copies: BTreeMap::new(),
       orders: 0,
+      counted_at: 0,
+      queried_at: 0,
       stated_at: 0,
       spec,
       synced: false,
@@ -339,6 +345,14 @@
     };
   }
 
+  /// Counts an order that the server has accepted.
+  pub(crate) fn count_order(&mut self, now: u64, command: &Command) {
+    if command.orders >= self.orders {
+      self.orders = command.orders + 1;
+      self.counted_at = now;
+    }
+  }
+
   /// Records the result of an order for an adapter of a model.
   pub(crate) fn record_adapter_result(
     &mut self,
@@ -359,11 +373,11 @@
     match (taken, command.act) {
       // The adapter is in use and keeps its slot until the server states otherwise.
       (Taken::Accepted, Act::Unload) => {
-        self.orders = self.orders.max(command.orders + 1);
+        self.count_order(now, command);
         self.schedule_recheck(now, taken);
       }
       (Taken::Accepted | Taken::Done, _) => {
-        self.orders = self.orders.max(command.orders + 1);
+        self.count_order(now, command);
         self.paused_until = self.paused_until.max(now + ADAPTER_LOAD_MS);
         let Some(adapters) = self.models.get_mut(&base) else {
           return;
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -193,3 +193,21 @@
     "in place of an idle one"
   );
 }
+
+/// Guards against a server that gets no more orders because it does not count an order for what it
+/// holds already.
+#[test]
+fn a_count_that_the_server_does_not_confirm_is_dropped() {
+  let mut world = World::new(&["a"], &[("one", &["a"], &[])]);
+  world.run(100);
+  let load = next_order_for(&mut world, "a/a1");
+  let server = world.servers.get_mut("one").unwrap();
+  server.held.insert("a".into(), vec!["a1".into()]);
+  world
+    .plan
+    .record_order_result(world.now, &load, Taken::Done);
+  world.waiting = vec![("a/a2".into(), 1)];
+  world.run(4_000);
+  let held = &world.servers["one"].held["a"];
+  assert!(held.contains(&"a2".to_string()), "{held:?}");
+}
