logs: a start that fails names the address, and a start names when it has read the quarantine

Cause: an instance that cannot listen said "could not start the instance" and no more; the line of an instance that is not ready did not tell which of its three conditions was missing. Ruled out: a line for the deployment and the servers; `configured` and `server list read` exist. Change: errors are printed with their causes, listeners name their address, and the first read of the stored quarantine has a line. Figures: the test of the error fails before ("could not start the instance") and passes.

--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -190,8 +190,12 @@
     {
       info!(self.hub.log, "failed to read or write the stored quarantine"; "error" => %error);
     }
+    let was_read = self.stored_quarantine.is_read();
     let record = self.stored_quarantine.answered(now, call, result);
     if self.stored_quarantine.is_read() {
+      if !was_read {
+        info!(self.hub.log, "stored quarantine read"; "at_ms" => now);
+      }
       self.hub.apply(Event::RecordsRead, None);
     }
     let Some(record) = record else {
--- a/src/run.rs
+++ b/src/run.rs
@@ -49,7 +49,7 @@
   match run_command() {
     Ok(code) => code,
     Err(report) => {
-      eprintln!("error: {report}");
+      eprintln!("error: {report:#}");
       ExitCode::FAILURE
     }
   }
@@ -145,7 +145,7 @@
   match try_run_router(edge) {
     Ok(code) => code,
     Err(report) => {
-      eprintln!("error: {report}");
+      eprintln!("error: {report:#}");
       ExitCode::FAILURE
     }
   }
--- a/src/web.rs
+++ b/src/web.rs
@@ -207,8 +207,16 @@
 /// second.
 const BACKLOG: i32 = 1024;
 
-/// Opens a listening socket with a backlog that is large enough for bursts.
+/// Opens a listening socket with a backlog that is large enough for bursts. The error names the
+/// address.
 pub fn listen(address: &str) -> io::Result<TcpListener> {
+  open_listener(address).map_err(|error| {
+    let text = format!("cannot listen on `{address}`: {error}");
+    io::Error::new(error.kind(), text)
+  })
+}
+
+fn open_listener(address: &str) -> io::Result<TcpListener> {
   let address: SocketAddr = address.parse().map_err(io::Error::other)?;
   let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
   socket.set_reuse_address(true)?;
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -6,7 +6,10 @@
   engine::answer,
   fleet::{Fleet, Plan, wait_for},
 };
-use std::process::{Command, Output};
+use std::{
+  net::TcpListener,
+  process::{Command, Output},
+};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_bendsaddle");
 
@@ -162,3 +165,22 @@
     assert!(stderr.contains(text), "{args:?}: {stderr}");
   }
 }
+
+/// Guards against an instance that ends at its start without the address that it could not use.
+#[test]
+fn an_address_in_use_is_named() {
+  let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = taken.local_addr().unwrap().to_string();
+  let settings = json!({ "instance": "a", "zone": "z", "callers": address,
+    "peers": "127.0.0.1:0", "operators": "127.0.0.1:0", "platform": "127.0.0.1:1" });
+  let path = std::env::temp_dir().join(format!("bendsaddle-in-use-{}.json", std::process::id()));
+  std::fs::write(&path, settings.to_string()).unwrap();
+  let output = run(&["serve", "--settings", path.to_str().unwrap()]);
+  std::fs::remove_file(&path).unwrap();
+  let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
+  assert!(!output.status.success());
+  assert!(
+    stderr.contains(&format!("cannot listen on `{address}`")),
+    "{stderr}"
+  );
+}
