placement: the log lines of orders and inventories in a module of their own

Cause: orders.rs had two blocks of the same type, and one of them decided nothing. Ruled out: a change of the lines.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod adapters;
 pub mod ahead;
+pub mod basis;
 pub mod choose;
 pub mod gone;
 pub mod models;
