--- a/tests/order_faults.rs
+++ b/tests/order_faults.rs
@@ -482,7 +482,7 @@
         inventory,
       } => {
         if let Ok(stated) = &inventory {
-          let line = format!("{now} {holder} is told {stated:?}");
+          let line = format!("{now} {holder} receives {stated:?}");
           self.servers.get_mut(&id).unwrap().note(line);
         }
         self.plans[holder].receive_inventory(now, &id, inventory);
