settings: features, off by default; messages: extensions that earlier versions ignore

Cause: pace, expected time, token memory, strain by callers, bounded sends, fair shares, returns and bounds on slow readers each need a setting, a place in the datagrams and a field of the request, and are built side by side.

Ruled out: new fields in reports and updates (postcard does not name fields, so an earlier holder could not read a later instance's report), and a datagram of their own (one more wake-up a report).

Change: routing.features with a switch for each; an extension behind the message in the same datagram; tokens of a request and its length hint in its descriptor; a server's pace, 1 until it is measured.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers: what they state about themselves, and what is learned from using them.
 
-use crate::{life::Life, report::Tier};
+use crate::{life::Life, pace::Pace, report::Tier};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Time for which a model is considered missing after its server has reported that it lacks it:
@@ -131,6 +131,7 @@
   /// stored its own finding there would not publish the server's statement when it arrives.
   pub replaced: bool,
   pub loading: Option<Loading>,
+  pub pace: Pace,
 }
 
 impl Backend {
@@ -151,6 +152,7 @@
       unconfirmed_until: 0,
       replaced: false,
       loading: None,
+      pace: Pace::default(),
     }
   }
 
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -13,6 +13,8 @@
   pub prompt_parts: &'static str,
   /// Tokens of the prompt and maximum tokens of the output, `IN,OUT`.
   pub token_usage: &'static str,
+  /// The caller's estimate of the tokens of the output.
+  pub length_hint: &'static str,
   /// The customer; sent to backend servers.
   pub customer: &'static str,
   /// Proves that a response comes from a backend server.
@@ -42,6 +44,7 @@
     model: "x-model",
     prompt_parts: "x-prompt-parts",
     token_usage: "x-token-usage",
+    length_hint: "x-length-hint",
     customer: "x-customer",
     signature: "x-signature",
     expected_server: "x-expected-server",
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -17,6 +17,7 @@
   demand::Model,
   deployment::{Deployment, Engine},
   expiry::Expiry,
+  feature::Features,
   limit::{Choice, Limits},
   quota::{self, Allowance, Balances, Decision, Use},
   refusal::{Reason, Refusal},
@@ -85,6 +86,7 @@
 /// The state on which decisions about routed requests are based. Times are in milliseconds.
 pub struct State {
   pub zone: String,
+  pub features: Features,
   pub retry_bound: Bound,
   pub deployment: Option<Arc<Deployment>>,
   pub backends: SlotMap<backend::Key, Backend>,
@@ -145,6 +147,7 @@
   pub fn new(zone: &str, bound: Bound, seed: u64) -> Self {
     Self {
       zone: zone.into(),
+      features: Features::default(),
       retry_bound: bound,
       deployment: None,
       backends: SlotMap::with_key(),
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -14,6 +14,7 @@
   request::Ticket,
   route::Route,
   statement::Statement,
+  tokens::Tokens,
   verdict::Verdict,
 };
 use std::{net::SocketAddr, sync::Arc};
@@ -35,6 +36,8 @@
   pub content: content::Key,
   /// The authenticated caller, if customers are configured.
   pub caller: Option<Caller>,
+  /// `None` if the caller does not state them.
+  pub tokens: Option<Tokens>,
 }
 
 impl Descriptor {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -6,7 +6,7 @@
   dispatch::Event,
   feed::Gate,
   lease::promise::Request,
-  message::{Kind, Message, StoreAge, Update},
+  message::{self, Extension, Kind, Message, StoreAge, Update},
   placement::plan::{Publication, Report},
   planner::Planner,
   replication::{Fit, Position, parts},
@@ -26,7 +26,13 @@
 
 impl Planner {
   /// Applies a holder's update.
-  pub(crate) fn receive_update(&mut self, now: u64, mut update: Update, from: SocketAddr) {
+  pub(crate) fn receive_update(
+    &mut self,
+    now: u64,
+    mut update: Update,
+    _extension: Extension,
+    from: SocketAddr,
+  ) {
     let groups = self.groups.len() as u32;
     let Some(group) = self.groups.get_mut(update.group as usize) else {
       warn!(self.hub.log,
@@ -170,6 +176,7 @@
     }
     self.last_report_at = now;
     let report = self.build_report(now);
+    let extension = self.build_extension(now);
     self.resync_attempts = if self.needs_resync {
       self.resync_attempts + 1
     } else {
@@ -182,6 +189,9 @@
         group
           .plan
           .receive_report(now, self.own_address, report.clone());
+        group
+          .plan
+          .receive_extension(now, self.own_address, &extension);
       } else if let Some(holder) = group.lease.holder()
         && holder != self.own_address
         && !holders.contains(&holder)
@@ -190,7 +200,7 @@
       }
     }
     let message = Message::Report(report.clone());
-    self.send(&message, &holders);
+    self.send_extended(&message, &extension, &holders);
     self.last_report = Some(report);
   }
 
@@ -218,9 +228,18 @@
     }
   }
 
+  /// The extension of a report.
+  fn build_extension(&self, _now: u64) -> Extension {
+    Extension::default()
+  }
+
   /// Sends a datagram to several instances immediately.
   pub(crate) fn send(&self, message: &Message, to: &[SocketAddr]) {
-    match postcard::to_stdvec(message) {
+    self.send_extended(message, &Extension::default(), to);
+  }
+
+  fn send_extended(&self, message: &Message, extension: &Extension, to: &[SocketAddr]) {
+    match message::encode(message, extension) {
       Ok(bytes) => {
         for address in to {
           // Errors are ignored because lost datagrams are sent again.
@@ -233,7 +252,11 @@
 
   /// Queues a datagram for several instances, to be sent at the rate that the link allows.
   pub(crate) fn send_paced(&mut self, message: &Message, to: &[SocketAddr]) {
-    match postcard::to_stdvec(message) {
+    self.send_paced_extended(message, &Extension::default(), to);
+  }
+
+  fn send_paced_extended(&mut self, message: &Message, extension: &Extension, to: &[SocketAddr]) {
+    match message::encode(message, extension) {
       Ok(bytes) => {
         // Start at a random instance so that the last position varies.
         let first = rand::random_range(0..to.len().max(1));
@@ -329,12 +352,14 @@
 
   /// Sends an update in parts; only the first part carries members, loads, quarantine and sums.
   fn send_parts(&mut self, mut header: Update, update: &Publication, to: &[SocketAddr]) {
+    let mut extension = Extension::default();
     for part in parts(update) {
       header.since = part.since;
       header.latest = part.latest;
       header.holdings = part.holdings;
       let message = Message::Update(header.clone());
-      self.send_paced(&message, to);
+      self.send_paced_extended(&message, &extension, to);
+      extension = Extension::default();
       header.members.clear();
       header.loads.clear();
       header.quarantined.clear();
--- /dev/null
+++ b/src/feature.rs
@@ -0,0 +1,25 @@
+//! Decisions that a deployment's settings switch on; all are off by default.
+
+use serde::{Deserialize, Serialize};
+
+/// The decisions that are switched on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default, rename_all = "camelCase")]
+pub struct Features {
+  /// Servers' pace is measured and shared.
+  pub pace: bool,
+  /// Servers are chosen by the expected time to the first event and between events.
+  pub expected_time: bool,
+  /// Sends fit into the token memory of engines.
+  pub token_memory: bool,
+  /// Replicas follow what callers see: waits, departures and pauses.
+  pub caller_strain: bool,
+  /// What is sent beyond a server's slots is bounded; the rest waits at its instance.
+  pub bounded_sends: bool,
+  /// Customers' shares in a shortage hold over all instances.
+  pub fair_shares: bool,
+  /// A refusal reserves room for the caller's return.
+  pub returns: bool,
+  /// Bytes held for slow readers are bounded.
+  pub reader_bounds: bool,
+}
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,5 +1,7 @@
 //! Datagrams between routing instances, encoded with `postcard`. All carry soft state that is sent
 //! again if a datagram is lost.
+//!
+//! A message may be followed by an extension in the same datagram, which earlier versions ignore.
 
 use crate::{
   backend::Holding,
@@ -45,6 +47,28 @@
   Statements(Vec<Statement>),
 }
 
+/// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
+/// name them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Extension {}
+
+/// Encodes a datagram.
+pub fn encode(message: &Message, extension: &Extension) -> postcard::Result<Vec<u8>> {
+  let bytes = postcard::to_stdvec(message)?;
+  match *extension == Extension::default() {
+    true => Ok(bytes),
+    false => postcard::to_extend(extension, bytes),
+  }
+}
+
+/// Decodes a datagram. An extension that is missing, or that an earlier version sent with fewer
+/// fields, is empty.
+pub fn decode(bytes: &[u8]) -> postcard::Result<(Message, Extension)> {
+  let (message, rest) = postcard::take_from_bytes(bytes)?;
+  let extension = postcard::from_bytes(rest).unwrap_or_default();
+  Ok((message, extension))
+}
+
 /// Quota usage of an instance. It is sent even without any usage, to learn how far the holder has
 /// followed the deployment.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -19,6 +19,7 @@
   backend::{Spec, Stage},
   command::Command,
   deployment::Deployment,
+  feature::Features,
   life::Life,
   policy::Policy,
   selector::Labels,
@@ -134,6 +135,7 @@
   pub(super) changed_servers: BTreeMap<u64, server::Key>,
   /// Recent publications of changes: when, ms, and the number of the last change published.
   pub(super) publications: VecDeque<(u64, u64)>,
+  pub features: Features,
   pub(crate) now: u64,
   pub(crate) effects: Vec<Effect>,
 }
@@ -176,6 +178,7 @@
       changes: 0,
       changed_servers: BTreeMap::new(),
       publications: VecDeque::new(),
+      features: Features::default(),
       now: 0,
       effects: Vec::new(),
     }
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -4,6 +4,7 @@
 use crate::{
   demand::{Demand, Model},
   life::Life,
+  message::Extension,
   strain::Sample,
 };
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -91,6 +92,9 @@
     self.members.insert(address, member);
   }
 
+  /// Handles the extension of an instance's report.
+  pub fn receive_extension(&mut self, _now: u64, _address: SocketAddr, _extension: &Extension) {}
+
   fn apply_missing(&mut self, now: u64, missing: &[(Life, String)]) {
     for (life, name) in missing {
       let Some(key) = self.find_server(*life) else {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -16,7 +16,7 @@
   lease::promise,
   lease::{self, Lease},
   life::Life,
-  message::Message,
+  message::{self, Message},
   outbox::{self, Outbox},
   placement::plan::{Effect, OtherServer, Plan, Report},
   policy::Policy,
@@ -268,11 +268,13 @@
   let jitter = rand::random::<u64>() % MAX_JITTER_MS;
   let groups = routing.groups.max(1);
   let overage = routing.load_overage.min(1.0) / f64::from(groups);
+  let mut plan = Plan::new(&routing.machine, number, routing.load_window_ms, overage);
+  plan.features = routing.features;
   Group {
     number,
     name: format!("orders-{number}"),
     lease: Lease::new(&routing.machine, address, routing.lease_ms, jitter, 0),
-    plan: Plan::new(&routing.machine, number, routing.load_window_ms, overage),
+    plan,
     holds_lease: false,
     paused_until: 0,
     planned_counts: (0, 0),
@@ -382,24 +384,27 @@
     let mut buffer = std::mem::take(&mut self.buffer);
     while let Ok((length, from)) = self.socket.recv_from(&mut buffer) {
       let now = self.hub.now();
-      match postcard::from_bytes::<Message>(&buffer[..length]) {
-        Ok(Message::Report(report)) => {
+      match message::decode(&buffer[..length]) {
+        Ok((Message::Report(report), extension)) => {
           for group in self.groups.iter_mut().filter(|group| group.leads(now)) {
             group.plan.receive_report(now, from, report.clone());
+            group.plan.receive_extension(now, from, &extension);
           }
         }
-        Ok(Message::Update(update)) => self.receive_update(now, update, from),
-        Ok(Message::PromiseRequest(index, request)) => {
+        Ok((Message::Update(update), extension)) => {
+          self.receive_update(now, update, extension, from)
+        }
+        Ok((Message::PromiseRequest(index, request), _)) => {
           self.answer_promise_request(now, index, request, from)
         }
-        Ok(Message::Changes(kind, batch)) => self.gate(kind).receive_batch(batch),
-        Ok(Message::Crashes(crashes)) => self.receive_crashes(now, &crashes),
-        Ok(Message::Quarantine(entries)) => self.receive_quarantine(now, &entries, from),
-        Ok(Message::Suspects(entries)) => self.hub.apply(Event::Suspected(entries), None),
-        Ok(Message::Uses(uses)) => self.receive_uses(now, &uses, from),
-        Ok(Message::Grants(answer)) => self.receive_grants(answer),
-        Ok(Message::Statements(statements)) => self.receive_statements(statements),
-        Ok(Message::Promise(index, promise, store_ms)) => {
+        Ok((Message::Changes(kind, batch), _)) => self.gate(kind).receive_batch(batch),
+        Ok((Message::Crashes(crashes), _)) => self.receive_crashes(now, &crashes),
+        Ok((Message::Quarantine(entries), _)) => self.receive_quarantine(now, &entries, from),
+        Ok((Message::Suspects(entries), _)) => self.hub.apply(Event::Suspected(entries), None),
+        Ok((Message::Uses(uses), _)) => self.receive_uses(now, &uses, from),
+        Ok((Message::Grants(answer), _)) => self.receive_grants(answer),
+        Ok((Message::Statements(statements), _)) => self.receive_statements(statements),
+        Ok((Message::Promise(index, promise, store_ms), _)) => {
           self.receive_store_age(store_ms);
           let group = self.groups.get_mut(index as usize);
           if let (Some(group), Some(promise)) = (group, promise) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
   socket::Socket,
   sse::Parser,
   statement::Hints,
+  tokens::Tokens,
   verdict::Verdict,
 };
 use slog::info;
@@ -138,6 +139,7 @@
     deadline,
     content,
     caller: incoming.caller,
+    tokens: Tokens::parse(header(dialect.token_usage), header(dialect.length_hint)),
   };
   let keep_alive = incoming.head.keep_alive() && !hub.stopping.load(Ordering::Relaxed);
   let mut relay = Relay {
--- a/src/router.rs
+++ b/src/router.rs
@@ -54,7 +54,8 @@
   /// Binds the ports and starts the feeds.
   pub fn spawn(settings: &Settings, edge: Edge, log: Logger) -> io::Result<Self> {
     let routing = settings.routing.clone().unwrap_or_default();
-    let state = State::new(&settings.zone, routing.retry_bound(), rand::random());
+    let mut state = State::new(&settings.zone, routing.retry_bound(), rand::random());
+    state.features = routing.features;
     let hub = Hub::new(state, edge.dialect, log)?;
     hub.state().set_quota_bound(routing.quota_bound());
     if routing.revoke_ms > 0 {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of one instance, read from JSON with comments and validated before startup.
 
+use crate::feature::Features;
 use error_stack::{Report, ResultExt};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, path::Path};
@@ -188,6 +189,8 @@
   pub quota_window_ms: u64,
   pub quota_overage: f64,
   pub quota_slack: f64,
+  /// Decisions that the deployment calls for.
+  pub features: Features,
 }
 
 impl Default for Routing {
@@ -209,6 +212,7 @@
       quota_window_ms: 8_000,
       quota_overage: 0.1,
       quota_slack: 0.0,
+      features: Features::default(),
     }
   }
 }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -90,6 +90,7 @@
     deadline: now + 15_000,
     content: Default::default(),
     caller: None,
+    tokens: None,
   };
   state.reduce(now, Event::Arrived(descriptor))
 }
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -119,6 +119,7 @@
       deadline,
       content,
       caller: None,
+      tokens: None,
     };
     self.apply(index, Event::Arrived(descriptor));
   }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -50,6 +50,7 @@
     deadline: 5_000,
     content: Default::default(),
     caller: None,
+    tokens: None,
   })
 }
 
--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -497,6 +497,7 @@
         deadline: now + 5_000,
         content: Default::default(),
         caller: None,
+        tokens: None,
       };
       self.apply(now, index, Event::Arrived(descriptor));
     }
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -131,6 +131,7 @@
     deadline: PATIENCE_MS,
     content: Default::default(),
     caller: None,
+    tokens: None,
   };
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   assert!(
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -325,6 +325,7 @@
     deadline: 5_000,
     content: Default::default(),
     caller: None,
+    tokens: None,
   })
 }
 
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -235,6 +235,7 @@
     deadline: now + 5_000,
     content: Default::default(),
     caller: None,
+    tokens: None,
   };
   let effects = state.reduce(now, Event::Arrived(descriptor));
   effects
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -209,6 +209,7 @@
     deadline: 20_000,
     content: content::Key(content),
     caller: None,
+    tokens: None,
   })
 }
 
--- a/tests/returned.rs
+++ b/tests/returned.rs
@@ -52,6 +52,7 @@
     deadline: now + 5_000,
     content: Default::default(),
     caller: None,
+    tokens: None,
   });
   let effects = state.reduce(now, arrived);
   state.reduce(now, Event::CallerGone(ticket));
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -41,6 +41,7 @@
     deadline: deadline_ms,
     content: Default::default(),
     caller: None,
+    tokens: None,
   })
 }
 
