statements: what a server states before the entry of its life belongs to that life

Callers saw: after a server was restarted under its id while the store was away, an instance sent all requests that waited for the end of its backoff at once, 8 where at most two trial requests may be.

Cause: statements are kept by life, and the entry names the new life late. What the new process states until then was recorded for the earlier life and ended with it: backoffs, announcements of leaving, limits.

Ruled out: requests decided before the rejection (the test leaves 500 ms), a second instance (there is one). Weighed: carrying everything over to the next life (the_next_life_of_a_server_wants_no_rest forbids it), and the age of connections (an instance that did not use the server has none).

Change: a life tells when it began; wall::Clock relates the reducer's clock to Unix time and knows when the machine's clock was set; statements that arrived after a life began are assigned to it when its entry comes.

Six new tests in tests/statements.rs: four of them fail when nothing is assigned to the next life, the others and the_next_life_of_a_server_wants_no_rest when everything is (both run).

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -9,7 +9,7 @@
 use std::{
   ops::{Add, Sub},
   sync::atomic::{AtomicU64, Ordering},
-  time::{Duration, Instant},
+  time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// The two clocks are read one after the other, and differ by less than this while the machine
@@ -88,6 +88,12 @@
   }
 }
 
+/// Milliseconds since the Unix epoch by the machine's clock, which may be set at any time.
+pub fn unix_ms() -> u64 {
+  let since = SystemTime::now().duration_since(UNIX_EPOCH);
+  since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// For tests: advances the clock of this process as if the machine had been suspended.
 pub fn skip(time: Duration) {
   SKIPPED_NS.fetch_add(time.as_nanos() as u64, Ordering::Relaxed);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -27,6 +27,7 @@
   statement::{Backoffs, Leaving},
   strain::Totals,
   verdict::Verdict,
+  wall,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
@@ -127,6 +128,8 @@
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
   pub(crate) backoffs: Backoffs,
+  /// Relates the clock of events to the time in which servers state their start.
+  pub wall: wall::Clock,
   /// Quota units that this instance may use.
   pub(crate) quotas: Balances,
   /// The bound on customers' quotas that all instances together keep.
@@ -173,6 +176,7 @@
       limits: Limits::default(),
       leaving: Leaving::default(),
       backoffs: Backoffs::default(),
+      wall: wall::Clock::default(),
       quotas: Balances::new(seed),
       quota_bound: quota::DEFAULT_BOUND,
       fair_queue: Scheduler::default(),
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -234,6 +234,20 @@
   Stopping(u64, u64),
 }
 
+impl Event {
+  /// Whether the event states which lives servers have, or is a server's statement about its life.
+  pub fn concerns_lives(&self) -> bool {
+    matches!(
+      self,
+      Self::Servers(_)
+        | Self::LimitAnnounced { .. }
+        | Self::Statements(_)
+        | Self::Leaving(_)
+        | Self::Backoff { .. }
+    )
+  }
+}
+
 /// An output of the reducer. Times are in milliseconds.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -1,7 +1,7 @@
 //! Connects the reducer for routed requests with the threads that wait for its decisions.
 
 use crate::{
-  clock::Moment,
+  clock::{self, Moment},
   customer::{Caller, Standing},
   deployment::Deployment,
   dialect::Dialect,
@@ -202,11 +202,20 @@
     lock(&self.state)
   }
 
+  fn reduce(&self, event: Event) -> Vec<Effect> {
+    let mut state = self.state();
+    let now = self.now();
+    if event.concerns_lives() {
+      state.wall.observe(now, clock::unix_ms());
+    }
+    state.reduce(now, event)
+  }
+
   /// Applies an event and distributes its effects. The thread of ticket `own` is not woken.
   pub fn apply(&self, event: Event, own: Option<Ticket>) {
     // Locked before the decision, so that later decisions are not distributed earlier.
     let mailboxes = lock(&self.mailboxes);
-    let effects = self.state().reduce(self.now(), event);
+    let effects = self.reduce(event);
     for effect in effects {
       let (ticket, directive) = match effect {
         Effect::Send(attempt) => (attempt.ticket, Directive::Send(attempt)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -118,6 +118,7 @@
 pub mod update;
 pub mod upstream;
 pub mod verdict;
+pub mod wall;
 pub mod watchers;
 pub mod web;
 #[allow(missing_docs, clippy::all)]
--- a/src/life.rs
+++ b/src/life.rs
@@ -32,6 +32,11 @@
     self.server
   }
 
+  /// When this life began, in Unix milliseconds; 0 if the server does not state it.
+  pub fn born(self) -> u64 {
+    self.born
+  }
+
   /// Whether this life started after `earlier`, a life of the same server, had ended. A server that
   /// does not state its start time has only one life.
   pub fn supersedes(self, earlier: Self) -> bool {
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! each of them, not one to each instance.
 
 use crate::{
-  content,
+  clock, content,
   crash::{Crash, Culprit, Quarantined, Suspected, stored::Call},
   dispatch::Event,
   message::Message,
@@ -15,11 +15,7 @@
   store,
 };
 use slog::info;
-use std::{
-  collections::BTreeSet,
-  net::SocketAddr,
-  time::{SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeSet, net::SocketAddr};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Instances besides the lease holders to which crashes are reported.
@@ -172,7 +168,7 @@
     }
     if let Some(call) = self
       .stored_quarantine
-      .call(now, unix_ms(), holding, &entries)
+      .call(now, clock::unix_ms(), holding, &entries)
     {
       self.start_quarantine_call(call);
     }
@@ -202,7 +198,7 @@
       return;
     };
     let mut new = Vec::new();
-    for entry in record.quarantined(unix_ms()) {
+    for entry in record.quarantined(clock::unix_ms()) {
       if self.registry.quarantine(now, entry) {
         info!(self.hub.log, "request quarantined"; "content" => entry.content.to_string(),
           "left_ms" => entry.left_ms, "by" => "the store");
@@ -256,8 +252,3 @@
     other_analyzers
   }
 }
-
-fn unix_ms() -> u64 {
-  let since = SystemTime::now().duration_since(UNIX_EPOCH);
-  since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/src/statement/leaving.rs
+++ b/src/statement/leaving.rs
@@ -39,6 +39,15 @@
     self.announced_at.entry(server).or_insert(at);
   }
 
+  /// Assigns to a life an announcement that was recorded for the earlier life of its server but made
+  /// after the life began, as `is_own` tells of a time in ms.
+  pub(super) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
+    let announced_at = self.announced_at.get(&earlier).copied();
+    if let Some(at) = announced_at.filter(|at| is_own(*at)) {
+      self.record(life, at, false);
+    }
+  }
+
   /// The leaving servers.
   pub fn servers(&self) -> impl Iterator<Item = Life> {
     self.announced_at.keys().copied()
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -2,7 +2,9 @@
 //! instances.
 //!
 //! A statement applies to one life of a server, whatever the server's entry in the store says, and
-//! whether it comes with the response to a request, a report or an order. An announcement that a
+//! whether it comes with the response to a request, a report or an order. A server that was
+//! restarted under its id may make one before its entry names the new life; such a statement is
+//! recorded for the earlier life, and assigned to the new one when its entry arrives. An announcement that a
 //! server is leaving holds until that life ends. A backoff applies only between the server and the
 //! instance that it asked. Limits are kept by `limit`, and `quota` keeps what all instances
 //! together may send under them.
@@ -17,7 +19,7 @@
 pub use leaving::Leaving;
 pub(crate) use rest::Backoffs;
 
-use crate::life::Life;
+use crate::{dispatch::State, life::Life};
 use serde::{Deserialize, Serialize};
 
 /// Time for which a statement is kept while its server's entry is missing: entries that expire
@@ -50,6 +52,18 @@
   }
 }
 
+impl State {
+  /// Assigns to a life the statements that its server made after the life had begun, and before its
+  /// entry named it.
+  pub(crate) fn inherit_statements(&mut self, earlier: Life, life: Life) {
+    let wall = self.wall;
+    let is_own = |at| wall.is_after(at, life.born());
+    self.backoffs.inherit(earlier, life, is_own);
+    self.leaving.inherit(earlier, life, is_own);
+    self.limits.inherit(earlier, life, is_own);
+  }
+}
+
 /// Age in ms, as carried by statements.
 pub(crate) fn age_ms(now: u64, at: u64) -> u32 {
   u32::try_from(now.saturating_sub(at)).unwrap_or(u32::MAX)
--- a/src/statement/rest.rs
+++ b/src/statement/rest.rs
@@ -23,17 +23,40 @@
 /// would compete with the trial requests.
 const RETRY_MARGIN_MS: u64 = 100;
 
+/// Requests for a backoff that are remembered for each server. More only come from requests that
+/// were under way at the same time.
+const MAX_REQUESTS: usize = 8;
+
+/// When a server requested a backoff, and the end that it requested, in ms.
+#[derive(Clone, Copy, Debug)]
+struct Requested {
+  at: u64,
+  until: u64,
+}
+
 /// A backoff that one server requested.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Backoff {
   /// End of the backoff in ms.
   until: u64,
+  /// The latest requests.
+  requests: Vec<Requested>,
   /// Requests sent since the backoff ended, and when the first was sent, in ms.
   trials: u32,
   first_trial_at: u64,
 }
 
 impl Backoff {
+  /// The backoff that follows from some requests.
+  fn of(requests: Vec<Requested>) -> Self {
+    let ends = requests.iter().map(|request| request.until);
+    Self {
+      until: ends.max().unwrap_or_default(),
+      requests,
+      ..Self::default()
+    }
+  }
+
   /// Time in ms until which nothing is sent to the server; `None` if requests may be sent.
   fn blocked_until(&self, now: u64) -> Option<u64> {
     let until = match self.trials >= MAX_TRIALS {
@@ -67,11 +90,30 @@
       .backoffs
       .retain(|_, backoff| now < backoff.until.saturating_add(RETENTION_MS));
     let backoff = self.backoffs.entry(server).or_default();
-    *backoff = Backoff {
-      until: backoff.until.max(now.saturating_add(backoff_ms)),
-      trials: 0,
-      first_trial_at: 0,
+    let earlier_end = backoff.until;
+    let mut requests = std::mem::take(&mut backoff.requests);
+    if requests.len() >= MAX_REQUESTS {
+      requests.remove(0);
+    }
+    requests.push(Requested {
+      at: now,
+      until: now.saturating_add(backoff_ms),
+    });
+    *backoff = Backoff::of(requests);
+    backoff.until = backoff.until.max(earlier_end);
+  }
+
+  /// Assigns to a life what was recorded for the earlier life of its server but requested after the
+  /// life began, as `is_own` tells of a time in ms.
+  pub(super) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
+    let Some(backoff) = self.backoffs.get(&earlier) else {
+      return;
     };
+    let requests = backoff.requests.iter().copied();
+    let own: Vec<Requested> = requests.filter(|request| is_own(request.at)).collect();
+    if !own.is_empty() {
+      self.backoffs.insert(life, Backoff::of(own));
+    }
   }
 
   /// Time in ms until which a server receives nothing; `None` if it may receive requests.
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -323,6 +323,101 @@
   assert!(receives_request(&mut state, 1_000_020));
 }
 
+/// Unix time of the tests' clock at 0, ms.
+const UNIX_MS: u64 = 1_700_000_000_000;
+
+/// A server whose entry still names the life that began at 5 ms, of which nothing was stated.
+fn server_with_a_late_entry() -> State {
+  let mut state = requests::deployed(Engine::default());
+  state.wall.observe(0, UNIX_MS);
+  let spec = Spec {
+    born: UNIX_MS + 5,
+    ..requests::spec("s")
+  };
+  state.reduce(10, Event::Servers(vec![Change::All(vec![spec])]));
+  state
+}
+
+/// The entry of the life that began at `at`, ms, arrives.
+fn restarted(state: &mut State, now: u64, at: u64) {
+  state.wall.observe(now, UNIX_MS + now);
+  let spec = Spec {
+    born: UNIX_MS + at,
+    ..requests::spec("s")
+  };
+  state.reduce(now, set(spec));
+}
+
+fn requests_backoff(state: &mut State, now: u64, backoff_ms: u64) {
+  let server = Life::of("s", UNIX_MS + 5);
+  state.reduce(now, Event::Backoff { server, backoff_ms });
+}
+
+// Guards against a backoff that ends when the entry of the life that requested it arrives late.
+#[test]
+fn a_backoff_that_was_requested_before_the_entry_of_its_life_stands() {
+  let mut state = server_with_a_late_entry();
+  requests_backoff(&mut state, 1_100, 2_000);
+  restarted(&mut state, 1_500, 1_000);
+  assert!(!receives_request(&mut state, 3_000));
+  assert!(receives_request(&mut state, 3_200));
+}
+
+// Guards against a new life that inherits the backoff of the earlier life, beside one of its own.
+#[test]
+fn of_two_backoffs_a_new_life_keeps_the_one_that_it_requested_itself() {
+  let mut state = server_with_a_late_entry();
+  requests_backoff(&mut state, 900, 60_000);
+  requests_backoff(&mut state, 1_100, 2_000);
+  restarted(&mut state, 1_500, 1_000);
+  assert!(!receives_request(&mut state, 3_000));
+  assert!(receives_request(&mut state, 3_200));
+}
+
+// Guards against a server that leaves and gets requests because its entry arrives after it said so.
+#[test]
+fn a_server_that_leaves_before_the_entry_of_its_life_gets_nothing_more() {
+  let mut state = server_with_a_late_entry();
+  state.reduce(1_100, Event::Leaving(Life::of("s", UNIX_MS + 5)));
+  restarted(&mut state, 1_500, 1_000);
+  assert!(!receives_request(&mut state, 2_000));
+}
+
+// Guards against a new life that is taken for leaving because the earlier life left.
+#[test]
+fn the_next_life_of_a_server_that_left_is_used() {
+  let mut state = server_with_a_late_entry();
+  state.reduce(900, Event::Leaving(Life::of("s", UNIX_MS + 5)));
+  restarted(&mut state, 1_500, 1_000);
+  assert!(receives_request(&mut state, 2_000));
+}
+
+// Guards against a limit that ends when the entry of the life that stated it arrives late.
+#[test]
+fn a_limit_that_was_stated_before_the_entry_of_its_life_stands() {
+  let mut state = server_with_a_late_entry();
+  let statement = |age_ms| Statement {
+    server: Life::of("s", UNIX_MS + 5),
+    content: Content::Limit(Some(1.0)),
+    age_ms,
+  };
+  state.reduce(1_200, Event::Statements(vec![statement(100)]));
+  restarted(&mut state, 1_500, 1_000);
+  let life = Life::of("s", UNIX_MS + 1_000);
+  assert_eq!(state.limits().rate(life), Some(1.0));
+}
+
+// Guards against statements of the earlier life that a machine with a clock that was set wrong takes
+// for those of the next one.
+#[test]
+fn a_machine_whose_clock_was_set_assigns_nothing_to_the_next_life() {
+  let mut state = server_with_a_late_entry();
+  state.wall.observe(900, UNIX_MS + 900 + 3_000);
+  state.reduce(900, Event::Leaving(Life::of("s", UNIX_MS + 5)));
+  restarted(&mut state, 1_500, 1_000);
+  assert!(receives_request(&mut state, 2_000));
+}
+
 #[test]
 fn how_long_a_server_rests_is_read_as_seconds() {
   let backoff = |text: &str, status| hints("retry-after", text, status).backoff_ms();
