readers: bytes held for slow callers are bounded, and servers are read on meanwhile

Cause: for a caller that did not read, write_caller waited up to 5 s while nothing was read from the server, and nothing bounded the bytes that an instance held over all callers (bodies of 4 MB each, plain answers of 256 KB each, partial events without limit).

Ruled out: a bound on each caller alone (1,024 connections at 256 KB are 256 MB); buffers of each thread's own (24 stalled readers grew the process by 64 MB for 14 MB held, a run of the new test on the way); dropping a sender for another's body (both lose); filling the whole with answers (45 of 255 other requests were refused, a run of the new test on the way, so an eighth is kept for arrivals).

Log line 'reader dropped', counter readers_dropped_total, a row of losses. The encoded copy of a request is freed once it is written.

Without the setting write_caller and the reads of bodies go the way they went.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,10 +6,11 @@
   deployment::{Bounds, Deployment},
   http::{Decoder, Error, Framing, Headers, Request, Response},
   hub::{Hub, Mailbox},
+  reader::{self, Account, Book, Scope},
   refusal::{Reason, Refusal},
   relay::{self, Disposition, Incoming},
   route::{self, Route},
-  socket::{Fill, Interest, Socket, wait},
+  socket::{Fill, Interest, READ_BYTES, Socket, wait},
   verdict::Verdict,
   web,
 };
@@ -49,6 +50,26 @@
   Closed,
   /// Status and message of the response.
   Rejected(u16, String),
+  /// Too many bytes are held for callers.
+  Full(Box<Full>),
+}
+
+/// A request that does not fit into the bounds on bytes held.
+struct Full {
+  /// Its id.
+  request: Option<String>,
+  scope: Scope,
+  /// Whether its body has not arrived in full.
+  partial: bool,
+}
+
+/// A request as it was received.
+struct Received {
+  head: Request,
+  body: Vec<u8>,
+  /// When its first byte was read, in ms.
+  arrived: u64,
+  account: Option<Account>,
 }
 
 impl From<io::Error> for ReadError {
@@ -120,9 +141,9 @@
   loop {
     let ready = wait_for_request(hub, &mut socket, std::mem::take(&mut first));
     match ready.and_then(|ready| ready.then(|| read_request(hub, &mut socket)).transpose()) {
-      Ok(Some((head, body, arrived))) => {
+      Ok(Some(received)) => {
         hub.active.fetch_add(1, Ordering::Relaxed);
-        let next = respond(hub, &mailbox, &mut socket, head, body, arrived);
+        let next = respond(hub, &mailbox, &mut socket, received);
         hub.active.fetch_sub(1, Ordering::Relaxed);
         match next {
           Disposition::Keep => {}
@@ -131,6 +152,14 @@
         }
       }
       Ok(None) | Err(ReadError::Closed) => return,
+      Err(ReadError::Full(full)) => {
+        let keep_alive = !full.partial;
+        let written = refuse_full(hub, &mut socket, &full, keep_alive);
+        if written != Disposition::Keep {
+          discard_input(&mut socket);
+          return close(socket);
+        }
+      }
       Err(ReadError::Rejected(status, text)) => {
         info!(hub.log, "request rejected"; "status" => status, "why" => &text);
         let response = error_response(status, &text);
@@ -205,12 +234,62 @@
 }
 
 /// Reads a request whose first byte has arrived, within the limits of the current deployment.
-fn read_request(hub: &Hub, socket: &mut Socket) -> Result<(Request, Vec<u8>, u64), ReadError> {
+fn read_request(hub: &Hub, socket: &mut Socket) -> Result<Received, ReadError> {
   let arrived = hub.now();
   let limits = limits(hub);
   let head = read_head(socket, &limits)?;
-  let body = read_body(socket, &head, &limits)?;
-  Ok((head, body, arrived))
+  let id = head.headers.get(hub.dialect.request_id);
+  let full = |scope, partial| {
+    ReadError::Full(Box::new(Full {
+      request: id.map(str::to_string),
+      scope,
+      partial,
+    }))
+  };
+  let account = match hub.readers.get().map(Book::open).transpose() {
+    Ok(account) => account,
+    Err(scope) => return Err(full(scope, head.framing() != Ok(Framing::Empty))),
+  };
+  let body = read_body(socket, &head, &limits, account.as_ref(), |scope| {
+    full(scope, true)
+  })?;
+  if let Some(account) = &account {
+    account.settle();
+  }
+  Ok(Received {
+    head,
+    body,
+    arrived,
+    account,
+  })
+}
+
+/// Refuses a request that does not fit into the bounds on bytes held.
+fn refuse_full(hub: &Hub, socket: &mut Socket, full: &Full, keep_alive: bool) -> Disposition {
+  let refusal = Refusal {
+    reason: Reason::MemoryFull,
+    verdict: Verdict::NotRun,
+    retry_after: Some(reader::RETRY_MS),
+  };
+  hub.measures.record_refusal(&refusal);
+  info!(hub.log, "refused"; "request" => &full.request, "reason" => refusal.reason.as_str(),
+    "verdict" => refusal.verdict.as_str(), "bound" => full.scope.as_str(),
+    "held_bytes" => hub.readers.get().map(Book::total), "partial" => full.partial);
+  let response = relay::encode_refusal(&refusal, keep_alive);
+  write_response(socket, &response, keep_alive)
+}
+
+/// Reads and discards the rest of a body, for a short time: closing a connection with unread input
+/// would reset it, and its caller might not see the response.
+fn discard_input(socket: &mut Socket) {
+  let deadline = Moment::now() + RESPONSE_TIMEOUT;
+  socket.input = Vec::new();
+  while let Ok(Fill::Data | Fill::Empty) = socket.fill_by(deadline) {
+    socket.input.clear();
+    if Moment::now() >= deadline {
+      return;
+    }
+  }
 }
 
 fn invalid(error: Error) -> ReadError {
@@ -252,7 +331,13 @@
   ReadError::Rejected(431, format!("head: more than {} bytes", limits.head_bytes))
 }
 
-fn read_body(socket: &mut Socket, head: &Request, limits: &Bounds) -> Result<Vec<u8>, ReadError> {
+fn read_body(
+  socket: &mut Socket,
+  head: &Request,
+  limits: &Bounds,
+  account: Option<&Account>,
+  full: impl Fn(Scope) -> ReadError,
+) -> Result<Vec<u8>, ReadError> {
   let framing = head.framing().map_err(invalid)?;
   let body_too_large =
     || ReadError::Rejected(413, format!("body: more than {} bytes", limits.body_bytes));
@@ -278,13 +363,40 @@
     if decoder.is_complete() {
       return Ok(bytes);
     }
-    let fill = socket.fill_by(deadline);
+    let held = (bytes.len() + READ_BYTES) as u64;
+    let bounded = account.filter(|_| held > reader::BASE_BYTES);
+    if let Some(account) = bounded {
+      account.receive(held).map_err(&full)?;
+    }
+    let fill = match bounded {
+      Some(account) => fill_bounded(socket, deadline, account).map_err(&full)?,
+      None => socket.fill_by(deadline),
+    };
     if fill.map_err(|error| incomplete(error, "body"))? == Fill::Eof {
       return Err(ReadError::Closed);
     }
   }
 }
 
+/// Like `Socket::fill_by`; an error means that the sender was chosen to be dropped.
+fn fill_bounded(
+  socket: &mut Socket,
+  deadline: Moment,
+  account: &Account,
+) -> Result<io::Result<Fill>, Scope> {
+  loop {
+    let check_at = Moment::now() + reader::CHECK_INTERVAL;
+    let fill = socket.fill_by(check_at.min(deadline));
+    let timed_out = matches!(&fill, Err(error) if error.kind() == io::ErrorKind::TimedOut);
+    if account.is_dropped() {
+      return Err(Scope::Whole);
+    }
+    if !timed_out || Moment::now() >= deadline {
+      return Ok(fill);
+    }
+  }
+}
+
 /// Returns the current deployment; `None` until the records of requests that crash servers have
 /// been read, since without them such a request would be sent to a server.
 fn known_deployment(hub: &Hub) -> Option<Arc<Deployment>> {
@@ -298,10 +410,14 @@
   hub: &Hub,
   mailbox: &Arc<Mailbox>,
   socket: &mut Socket,
-  head: Request,
-  body: Vec<u8>,
-  arrived: u64,
+  received: Received,
 ) -> Disposition {
+  let Received {
+    head,
+    body,
+    arrived,
+    account,
+  } = received;
   let deployment = known_deployment(hub);
   let keep_alive = head.keep_alive();
   let Some(deployment) = deployment else {
@@ -346,7 +462,20 @@
     body,
     arrived_at: arrived,
     caller,
+    account,
   };
+  let customer = incoming.caller.map(|caller| caller.customer);
+  if let (Some(account), Some(customer)) = (&incoming.account, customer)
+    && let Err(scope) = account.assign(customer)
+  {
+    let request = incoming.head.headers.get(hub.dialect.request_id);
+    let full = Full {
+      request: request.map(str::to_string),
+      scope,
+      partial: false,
+    };
+    return refuse_full(hub, socket, &full, keep_alive);
+  }
   relay::serve(hub, mailbox, socket, &incoming)
 }
 
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -10,6 +10,7 @@
   feed::{Gate, OUTAGE_THRESHOLD},
   measures::Measures,
   reachability::Reachability,
+  reader::Book,
   refusal::Refusal,
   request::Ticket,
   socket::Waker,
@@ -20,7 +21,7 @@
   collections::{HashMap, VecDeque},
   io,
   sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
   },
   time::Duration,
@@ -110,6 +111,8 @@
   pub report_waker: Waker,
   /// Number of requests in progress.
   pub active: AtomicUsize,
+  /// Bytes held for callers, if they are bounded.
+  pub readers: OnceLock<Book>,
   /// Customers' quota usage, if this instance holds the lease.
   pub standings: Mutex<Vec<Standing>>,
   /// How long known keys are trusted after they were last confirmed.
@@ -134,6 +137,7 @@
       stop_waker: Waker::new()?,
       report_waker: Waker::new()?,
       active: AtomicUsize::new(0),
+      readers: OnceLock::new(),
       standings: Mutex::default(),
       max_key_age_ms: AtomicU64::new(u64::MAX),
       started: Moment::now(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod quota;
 pub mod quotas;
 pub mod reachability;
+pub mod reader;
 pub mod record;
 pub mod reduce;
 pub mod refusal;
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -34,6 +34,8 @@
   Failed(String),
   /// The caller disconnected.
   CallerGone,
+  /// The caller was dropped because it did not read, with the reason.
+  ReaderDropped(String),
   /// The log has no end of the request: the instance or its log ended earlier.
   Unfinished,
 }
@@ -50,6 +52,7 @@
       Self::Refused(reason) => write!(f, "refused: {reason}"),
       Self::Failed(why) => write!(f, "failed: {why}"),
       Self::CallerGone => f.write_str("caller left"),
+      Self::ReaderDropped(why) => write!(f, "caller did not read, and was dropped: {why}"),
       Self::Unfinished => f.write_str("unfinished"),
     }
   }
@@ -111,6 +114,13 @@
 /// Why a request was lost, from its lines ordered by time; `None` if it was served in time.
 fn loss_cause(request_lines: &[&Line], planned: &Times, ordered: &Times) -> Option<Cause> {
   let last = request_lines.last()?;
+  let dropped = request_lines
+    .iter()
+    .find(|line| line.message() == "reader dropped");
+  if let Some(dropped) = dropped {
+    let why = dropped.text("cause").unwrap_or_default();
+    return Some(Cause::ReaderDropped(why.into()));
+  }
   let text = |field: &str| last.text(field).unwrap_or_default().to_string();
   match (last.message(), text("end").as_str(), text("late").as_str()) {
     ("sent", "Whole", "no") => None,
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -7,6 +7,7 @@
   command::{Act, Taken},
   dispatch::End,
   exporter::{Exporter, counter, label, ms_to_s, time_histogram},
+  reader,
   refusal::Refusal,
 };
 use opentelemetry::metrics::{Counter, Histogram};
@@ -43,6 +44,8 @@
   invalid_entries: Counter<u64>,
   /// Requests that crash servers, detected here or published by other instances.
   quarantined: Counter<u64>,
+  /// Callers that were dropped because they did not read, by cause.
+  readers_dropped: Counter<u64>,
   first_byte: Histogram<f64>,
   wait: Histogram<f64>,
   pause: Histogram<f64>,
@@ -73,6 +76,11 @@
         "requests_quarantined",
         "Requests kept from servers that they crash",
       ),
+      readers_dropped: counter(
+        &meter,
+        "readers_dropped",
+        "Callers dropped because they did not read, by cause",
+      ),
       first_byte: time_histogram(&meter, "routed_first_byte", "From arrival to first byte"),
       wait: time_histogram(&meter, "routed_wait", "From arrival to the first send"),
       pause: time_histogram(&meter, "routed_pause", "Longest pause of a stream"),
@@ -118,6 +126,13 @@
     self.callers_gone.add(1, &[]);
   }
 
+  /// Records a caller that was dropped because it did not read.
+  pub fn record_reader_dropped(&self, cause: reader::Cause) {
+    self
+      .readers_dropped
+      .add(1, &[label("cause", cause.as_str())]);
+  }
+
   /// Records a new connection to a server.
   pub fn record_connection(&self) {
     self.connections.add(1, &[]);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -31,6 +31,8 @@
   ServerLimit,
   /// The servers that could run the request have requested a backoff.
   ServerRest,
+  /// This instance holds as many bytes for callers as its memory allows.
+  MemoryFull,
 }
 
 impl Reason {
@@ -54,6 +56,7 @@
       Self::QuotaExceeded => "quota-exceeded",
       Self::ServerLimit => "server-limit",
       Self::ServerRest => "server-rest",
+      Self::MemoryFull => "memory-full",
     }
   }
 
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -85,6 +85,9 @@
       if bytes.len() > MAX_HELD_BYTES {
         self.forward(&head, framing, &std::mem::take(&mut bytes), false)?;
       }
+      self
+        .backlog
+        .gathered(self.incoming.account.as_ref(), bytes.len());
       if self.read_server(socket, until)? == Fill::Eof && !body.finish() {
         return Err(disconnected("answer broken off"));
       }
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -34,15 +34,25 @@
       // Data that the caller pipelines stays in its socket.
       let listen = self.caller.input.is_empty();
       let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Interest::Read));
-      let [caller_ready, woken] = wait([caller, Some((&mailbox.waker, Interest::Read))], until)?;
+      let waker = Some((&mailbox.waker as &dyn rustix::fd::AsFd, Interest::Read));
+      let check_at = self.backlog.check_at(until);
+      let [caller_ready, woken, writable] = wait([caller, waker, self.write_source()], check_at)?;
+      if writable {
+        self.write_backlog()?;
+      }
+      if let Some(cause) = self.drop_cause() {
+        self.drop_reader(cause);
+        return Err(io::ErrorKind::TimedOut.into());
+      }
       if woken {
         mailbox.waker.clear();
         return Ok(true);
       }
-      if !caller_ready {
+      if caller_ready {
+        self.read_caller()?;
+      } else if !writable && Moment::now() >= until {
         return Ok(false);
       }
-      self.read_caller()?;
     }
   }
 
@@ -125,6 +135,9 @@
   }
 
   fn write_caller(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
+    if self.incoming.account.is_some() {
+      return self.write_or_queue(bytes);
+    }
     let until = Moment::now() + CALLER_WRITE_TIMEOUT;
     self.caller.write_all(bytes, until).map_err(|_| {
       self.disposition = Disposition::Close;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,12 +1,15 @@
 //! One routed request, from its arrival through its sends to its final response.
 
 mod answer;
+mod backlog;
 mod caller;
 mod refusal;
 mod send;
 
 pub use refusal::encode_refusal;
 
+use backlog::Backlog;
+
 use crate::{
   content,
   customer::Caller,
@@ -15,6 +18,7 @@
   http::{Framing, Request, Response},
   hub::{Directive, Hub, Mailbox},
   measures,
+  reader::Account,
   refusal::{Reason, Refusal},
   request::Ticket,
   route::Route,
@@ -49,6 +53,8 @@
   pub arrived_at: u64,
   /// The caller, if customers are configured.
   pub caller: Option<Caller>,
+  /// Bytes held for it, if they are bounded.
+  pub account: Option<Account>,
 }
 
 /// A request in progress.
@@ -75,6 +81,7 @@
   /// A server's error response, sent to the caller if no better response follows.
   held_failure: Option<(Response, Vec<u8>)>,
   disposition: Disposition,
+  backlog: Backlog,
 }
 
 /// Result of a send, and the reason for it.
@@ -164,6 +171,7 @@
     } else {
       Disposition::Close
     },
+    backlog: Backlog::default(),
   };
   hub.measures.record_request();
   mailbox.waker.clear();
@@ -171,6 +179,7 @@
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   relay.run(mailbox);
   hub.close(ticket);
+  relay.flush();
   relay.disposition
 }
 
@@ -226,6 +235,7 @@
     let sent_at = self.hub.now();
     let age = self.hub.gates.servers.age();
     let result = self.send(attempt);
+    self.backlog.leave_server();
     self.log_send(attempt, &result, sent_at, age);
     let (ticket, end) = (self.ticket, result.end);
     self.apply(Event::Ended { ticket, end });
@@ -237,7 +247,9 @@
     self.hub.measures.record_caller_gone();
     info!(self.hub.log, "caller left"; "request" => &self.id, "phase" => "waiting",
       "waited_ms" => self.hub.now() - self.incoming.arrived_at);
-    self.disposition = Disposition::Close;
+    if self.disposition != Disposition::Reset {
+      self.disposition = Disposition::Close;
+    }
     self.apply(Event::CallerGone(self.ticket));
   }
 
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -168,15 +168,29 @@
 
   /// Waits for data from the server; an error is the outcome that ends the send.
   pub(super) fn read_server(&mut self, socket: &mut Socket, until: u64) -> Result<Fill, Outcome> {
-    let timeout_at = self.hub.instant(until);
+    let mut timeout_at = self.hub.instant(until);
     loop {
+      let has_room = self.has_room()?;
       let listen = self.caller.input.is_empty();
       let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Interest::Read));
-      let server = Some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Read));
-      let waited = wait([caller, server], timeout_at);
-      let Ok([caller_ready, server_ready]) = waited else {
+      let server = has_room.then_some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Read));
+      let waiting_since = Moment::now();
+      let check_at = self.backlog.check_at(timeout_at);
+      let waited = wait([caller, server, self.write_source()], check_at);
+      let Ok([caller_ready, server_ready, writable]) = waited else {
         return Err(outcome(End::Broken, "wait failed"));
       };
+      if writable && self.write_backlog().is_err() {
+        self.disposition = Disposition::Close;
+        return Err(outcome(End::Left, "caller left"));
+      }
+      if let Some(cause) = self.drop_cause() {
+        return Err(self.drop_reader(cause));
+      }
+      if !has_room {
+        // The server is not to blame for the time in which it was not read.
+        timeout_at = timeout_at + waiting_since.elapsed();
+      }
       if server_ready {
         return socket
           .fill()
@@ -324,6 +338,7 @@
   ) -> Result<(Outcome, Reuse), Outcome> {
     let bytes = self.encode_request(attempt);
     let written = self.write_request(socket, &bytes)?;
+    drop(bytes);
     let (head, framing) = match self.read_head(socket) {
       Err(result) if result.end == End::Left => {
         self.read_late_head(socket, attempt);
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,7 +7,7 @@
   edge::Edge,
   entry, feed, health,
   hub::Hub,
-  planner,
+  planner, reader,
   settings::{self, Settings},
   store::{Object, Revision},
 };
@@ -57,6 +57,9 @@
     let mut state = State::new(&settings.zone, routing.retry_bound(), rand::random());
     state.features = routing.features;
     let hub = Hub::new(state, edge.dialect, log)?;
+    if let Some(bounds) = routing.reader_bounds() {
+      hub.readers.get_or_init(|| reader::Book::new(bounds));
+    }
     hub.state().set_quota_bound(routing.quota_bound());
     if routing.revoke_ms > 0 {
       hub.set_max_key_age(Duration::from_millis(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -182,6 +182,9 @@
   /// orders to others.
   pub cores: f64,
   pub link_mbps: f64,
+  /// Memory of the instance in MiB, from which the bounds on bytes held for callers follow; `None`
+  /// for no bounds.
+  pub memory_mb: Option<u64>,
   /// A request sent this long after the revocation of its key does not run; 0 for no bound.
   pub revoke_ms: u64,
   /// Window in which customers' quotas are counted, the usage allowed beyond a window's
@@ -208,6 +211,7 @@
       grace_ms: 7_000,
       cores: 1.0,
       link_mbps: 1_000.0,
+      memory_mb: None,
       revoke_ms: 0,
       quota_window_ms: 8_000,
       quota_overage: 0.1,
@@ -236,6 +240,12 @@
     }
   }
 
+  /// The bounds on bytes held for callers, if they are switched on.
+  pub fn reader_bounds(&self) -> Option<crate::reader::Bounds> {
+    let memory_mb = self.memory_mb.filter(|_| self.features.reader_bounds);
+    memory_mb.map(crate::reader::Bounds::of_memory)
+  }
+
   fn validation_error(&self) -> Option<String> {
     let quotas = [
       ("quotaOverage", self.quota_overage),
@@ -246,6 +256,7 @@
       return Some(format!("routing.{field}: `{value}` is negative"));
     }
     let positive = [
+      ("memoryMb", self.memory_mb.unwrap_or(1)),
       ("quotaWindowMs", self.quota_window_ms),
       ("retryWindowMs", self.retry_window_ms),
       ("leaseMs", self.lease_ms),
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -13,7 +13,7 @@
 };
 
 /// Size of the buffer for a single read.
-const READ_BYTES: usize = 16 << 10;
+pub const READ_BYTES: usize = 16 << 10;
 /// Idle time before the first TCP keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// TCP user timeout: the connection is closed if sent data is not acknowledged for this long, since
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -54,6 +54,14 @@
   assert_eq!(cause(lines), None);
 }
 
+// The send of a request whose rest was held is whole, although its caller never got it.
+#[test]
+fn a_reader_that_was_dropped_is_lost_although_its_send_is_whole() {
+  let dropped = line(2.0, "reader dropped", r#""request":"r","cause":"pressure""#);
+  let lines = vec![sent(1.0, "r", "Whole", "no"), dropped];
+  assert_eq!(cause(lines), Some(Cause::ReaderDropped("pressure".into())));
+}
+
 #[test]
 fn a_late_request_is_counted_under_what_it_waited_for_most() {
   let late = |decided: f64, order: f64, end: f64| {
