placement: Plan::pace, the median until servers are measured

Cause: replicas read the holder's pace while it is being built beside them. Change: the method, which gives the median. Ruled out: a stub in each part.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
 pub mod need;
 pub mod obstacle;
 pub mod orders;
+pub mod pace;
 pub mod plan;
 pub mod publish;
 pub mod remote;
