pace: measured by relays, separated from models at the holder, published to all instances

Cause: nothing knew how fast a server is; every server counted as 1, while they differ by a factor of 2.7 and models by three. An instance sees 0.03 streams a second of one server, too few to judge alone.

Change: the middle half of the gaps of a window of events, or the duration of a plain response, summed by server's life and model; 10 bytes a pair in the extension of a report. The holder finds server and model by alternating weighted means, lasting and current, normalised to the pool's median, and publishes 6 bytes a server: what changed twice a second, all within 10 s. Instances keep the table; the next holder starts from it. `sent` states the pace, `planned` changes of its class.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -19,6 +19,7 @@
   expiry::Expiry,
   feature::Features,
   limit::{Choice, Limits},
+  pace::{samples::Samples, table::Table},
   quota::{self, Allowance, Balances, Decision, Use},
   refusal::{Reason, Refusal},
   request::Ticket,
@@ -118,6 +119,9 @@
   pub(crate) deferrals: Deferrals,
   /// How slow servers were for each model since the last report.
   pub(crate) strain: Totals,
+  /// Measures of servers' pace since the last report, and published paces.
+  pub(crate) pace_samples: Samples,
+  pub(crate) paces: Table,
   /// Holdings of servers whose entries have not been read yet, with the time of their arrival.
   pub(crate) early_holdings: BTreeMap<String, (Holding, u64)>,
   /// Number of changes of published holdings.
@@ -170,6 +174,8 @@
       restored: Restored::default(),
       deferrals: Deferrals::new(),
       strain: Totals::new(),
+      pace_samples: Samples::default(),
+      paces: Table::default(),
       early_holdings: BTreeMap::new(),
       updates: 0,
       crash_filter: Filter::default(),
@@ -231,6 +237,8 @@
       }
       Event::StoreCurrent => self.expiry.store_current(),
       Event::Resumed(ticket) => self.record_first_event(ticket),
+      Event::Measured(ticket, ms) => self.record_pace(ticket, ms),
+      Event::Paces(paces) => self.receive_paces(&paces),
       Event::Quarantined(entries) => {
         self.crash_filter.update_quarantine(now, &entries);
         self.dispatch_waiting();
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -8,6 +8,7 @@
   demand::Model,
   deployment::Deployment,
   life::Life,
+  pace::Published,
   quota::{Grant, Sums},
   reachability::Outage,
   refusal::Refusal,
@@ -185,6 +186,10 @@
   ResponseStarted(Ticket),
   /// A later send has delivered its first event.
   Resumed(Ticket),
+  /// A unit of work at a request's server took this long, in ms: see [`crate::pace::unit`].
+  Measured(Ticket, f32),
+  /// The planner published the paces of servers.
+  Paces(Vec<Published>),
   /// A waiting request is due to be checked again.
   Recheck(Ticket),
   /// The caller of a waiting request disconnected.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -7,6 +7,7 @@
   feed::Gate,
   lease::promise::Request,
   message::{self, Extension, Kind, Message, StoreAge, Update},
+  pace,
   placement::plan::{Publication, Report},
   planner::Planner,
   replication::{Fit, Position, parts},
@@ -30,7 +31,7 @@
     &mut self,
     now: u64,
     mut update: Update,
-    _extension: Extension,
+    extension: Extension,
     from: SocketAddr,
   ) {
     let groups = self.groups.len() as u32;
@@ -56,6 +57,7 @@
     if holds_lease {
       return;
     }
+    self.receive_paces(extension.paces);
     if successor {
       self.resend_leaving(now);
     }
@@ -81,6 +83,12 @@
     self.hub.apply(event, None);
   }
 
+  fn receive_paces(&self, paces: Vec<pace::Published>) {
+    if !paces.is_empty() {
+      self.hub.apply(Event::Paces(paces), None);
+    }
+  }
+
   /// Requests promises from the other instances if this holder's renewal is late.
   pub(crate) fn request_promises(&mut self, now: u64, index: usize) {
     let group = &mut self.groups[index];
@@ -229,8 +237,13 @@
   }
 
   /// The extension of a report.
-  fn build_extension(&self, _now: u64) -> Extension {
-    Extension::default()
+  fn build_extension(&self, now: u64) -> Extension {
+    let mut state = self.hub.state();
+    state.refresh_paces(now);
+    Extension {
+      pace_samples: state.take_pace_samples(),
+      ..Extension::default()
+    }
   }
 
   /// Sends a datagram to several instances immediately.
@@ -352,7 +365,10 @@
 
   /// Sends an update in parts; only the first part carries members, loads, quarantine and sums.
   fn send_parts(&mut self, mut header: Update, update: &Publication, to: &[SocketAddr]) {
-    let mut extension = Extension::default();
+    let mut extension = Extension {
+      paces: update.paces.clone(),
+      ..Extension::default()
+    };
     for part in parts(update) {
       header.since = part.since;
       header.latest = part.latest;
@@ -382,5 +398,6 @@
       instances,
     };
     self.hub.apply(event, None);
+    self.receive_paces(update.paces.clone());
   }
 }
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -88,6 +88,7 @@
         }
         // A restored entry may be older than the server's own statement that it is leaving.
         backend.leaving = self.leaving.contains(backend.spec.life());
+        backend.pace = self.paces.pace(backend.spec.life(), self.now);
         let key = self.backends.insert(backend);
         self.by_id.insert(id, key);
       }
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -7,6 +7,7 @@
   command::{Act, Taken},
   dispatch::End,
   exporter::{Exporter, counter, label, ms_to_s, time_histogram},
+  pace::Class,
   reader,
   refusal::Refusal,
 };
@@ -24,6 +25,8 @@
   pub first_ms: Option<u64>,
   /// Longest pause between events of the response.
   pub pause_ms: u64,
+  /// Class of the server's pace; `None` if it is not measured.
+  pub pace: Option<Class>,
 }
 
 /// The instruments of a routing instance.
@@ -95,7 +98,14 @@
 
   /// Records the end of a send.
   pub fn record_send(&self, send: &Send) {
-    self.sends.add(1, &[label("end", send.end.as_str())]);
+    let end = label("end", send.end.as_str());
+    match send.pace {
+      Some(class) => {
+        let pace = label("pace", class.as_str());
+        self.sends.add(1, &[end, pace]);
+      }
+      None => self.sends.add(1, &[end]),
+    }
     match send.number {
       1 => self.wait.record(ms_to_s(send.waited_ms), &[]),
       _ => self.retries.add(1, &[]),
--- a/src/message.rs
+++ b/src/message.rs
@@ -9,6 +9,7 @@
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Request},
+  pace,
   placement::plan::Report,
   quota::{Grant, Sums, Use},
   statement::Statement,
@@ -50,7 +51,12 @@
 /// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
 /// name them.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Extension {}
+pub struct Extension {
+  /// Report: measures of servers' pace since the last one.
+  pub pace_samples: Vec<pace::Sample>,
+  /// Update: paces of servers.
+  pub paces: Vec<pace::Published>,
+}
 
 /// Encodes a datagram.
 pub fn encode(message: &Message, extension: &Extension) -> postcard::Result<Vec<u8>> {
--- a/src/placement/models.rs
+++ b/src/placement/models.rs
@@ -25,6 +25,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct PoolKey(u16);
 
+impl PoolKey {
+  pub(crate) fn number(self) -> u16 {
+    self.0
+  }
+}
+
 /// Memory that a model takes on a server, and its load times.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Size {
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -9,6 +9,7 @@
   models::{self, Models, PoolKey},
   need::Need,
   orders::INITIAL_UNLOAD_MS,
+  pace::Paces,
   publish::{MIN_PUBLISH_INTERVAL_MS, PUBLISH_INTERVAL_MS},
   remote::Remote,
   report::Member,
@@ -135,6 +136,8 @@
   pub(super) changed_servers: BTreeMap<u64, server::Key>,
   /// Recent publications of changes: when, ms, and the number of the last change published.
   pub(super) publications: VecDeque<(u64, u64)>,
+  /// How slow servers are, as measured by instances.
+  pub(crate) paces: Paces,
   pub features: Features,
   pub(crate) now: u64,
   pub(crate) effects: Vec<Effect>,
@@ -178,6 +181,7 @@
       changes: 0,
       changed_servers: BTreeMap::new(),
       publications: VecDeque::new(),
+      paces: Paces::default(),
       features: Features::default(),
       now: 0,
       effects: Vec::new(),
@@ -221,6 +225,7 @@
     if any_new {
       self.recount_running();
     }
+    self.update_pace_servers();
   }
 
   /// Updates a server from its entry; returns whether the server is new or has restarted.
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -4,7 +4,7 @@
   plan::{Effect, Plan},
   server,
 };
-use crate::backend::Holding;
+use crate::{backend::Holding, pace::Published};
 use std::net::SocketAddr;
 
 /// Interval of publications that state the loads and show that there is a lease holder, ms.
@@ -28,6 +28,8 @@
   pub holdings: Vec<(u64, Holding)>,
   /// Running requests of servers that have any, by the short hash of the server's life.
   pub loads: Vec<(u32, u16)>,
+  /// Paces of servers that have changed, and of some others in turn.
+  pub paces: Vec<Published>,
 }
 
 impl Plan {
@@ -58,10 +60,11 @@
       true => self.server_loads(),
       false => Vec::new(),
     };
+    let paces = self.due_paces();
     if self.changes > since {
       self.publications.push_back((self.now, self.changes));
     }
-    self.publish_since(None, since, loads);
+    self.publish_since(None, since, loads, paces);
     self.resync();
   }
 
@@ -116,11 +119,21 @@
       remaining = remaining.saturating_sub(lacking);
       member.lacks_changes = false;
       member.resynced_at = now;
-      self.publish_since(Some(address), since, Vec::new());
+      let paces = match since {
+        0 => self.known_paces(),
+        _ => Vec::new(),
+      };
+      self.publish_since(Some(address), since, Vec::new(), paces);
     }
   }
 
-  fn publish_since(&mut self, to: Option<SocketAddr>, since: u64, loads: Vec<(u32, u16)>) {
+  fn publish_since(
+    &mut self,
+    to: Option<SocketAddr>,
+    since: u64,
+    loads: Vec<(u32, u16)>,
+    paces: Vec<Published>,
+  ) {
     let changed = self.changed_servers.range(since + 1..);
     let holdings = changed.filter_map(|(number, key)| {
       let published = self.servers.get(*key)?.published.clone()?;
@@ -132,6 +145,7 @@
       latest: self.changes,
       holdings: holdings.collect(),
       loads,
+      paces,
     };
     self.effects.push(Effect::Publish(publication));
   }
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -93,7 +93,9 @@
   }
 
   /// Handles the extension of an instance's report.
-  pub fn receive_extension(&mut self, _now: u64, _address: SocketAddr, _extension: &Extension) {}
+  pub fn receive_extension(&mut self, now: u64, _address: SocketAddr, extension: &Extension) {
+    self.receive_pace_samples(now, &extension.pace_samples);
+  }
 
   fn apply_missing(&mut self, now: u64, missing: &[(Life, String)]) {
     for (life, name) in missing {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -491,6 +491,7 @@
       self.hub.measures.record_lease();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
       group.plan.start_term(now, term);
+      group.plan.start_paces(self.hub.state().known_paces());
       // Policies read under an earlier term may be outdated.
       self.next_policies_read_at = now;
       if self.policies_wait_until == u64::MAX {
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -29,6 +29,7 @@
       bytes.clear();
       if !complete.is_empty() {
         if !std::mem::replace(&mut started, true) && self.first_event_at.is_some() {
+          self.resumed = true;
           self.apply(Event::Resumed(self.ticket));
         }
         self.record_event();
@@ -54,7 +55,9 @@
   fn record_event(&mut self) {
     let now = self.hub.now();
     if self.first_event_at.is_some() {
-      self.max_gap_ms = self.max_gap_ms.max(now - self.last_event_at);
+      let gap_ms = now - self.last_event_at;
+      self.max_gap_ms = self.max_gap_ms.max(gap_ms);
+      self.record_gap(gap_ms);
     }
     self.last_event_at = now;
     if self.first_event_at.is_none() {
@@ -63,6 +66,39 @@
     }
   }
 
+  /// Measures the server's pace by the gaps between its events. The first gap of a later send is the
+  /// wait for its first event.
+  fn record_gap(&mut self, gap_ms: u64) {
+    if !self.measures_pace {
+      return;
+    }
+    if std::mem::replace(&mut self.resumed, false) {
+      return self.gaps.clear();
+    }
+    let middle_ms = self.gaps.add(gap_ms);
+    self.record_measure(middle_ms);
+  }
+
+  fn record_measure(&self, ms: Option<f32>) {
+    if let Some(ms) = ms {
+      self.apply(Event::Measured(self.ticket, ms));
+    }
+  }
+
+  /// Measures the server's pace by a completed response.
+  pub(super) fn record_completed(&mut self, end: End, sent_at: u64) {
+    if !self.measures_pace {
+      return;
+    }
+    let plain = self.incoming.route.stream.is_none() && self.model().is_none();
+    let took_ms = self.hub.now().saturating_sub(sent_at).max(1) as f32;
+    let measure = match self.gaps.finish() {
+      None if plain && end == End::Whole => Some(took_ms),
+      middle_ms => middle_ms,
+    };
+    self.record_measure(measure);
+  }
+
   /// Reads a complete plain response before the caller receives any of it, unless it is too large
   /// to hold.
   pub(super) fn relay_plain(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
   http::{Framing, Request, Response},
   hub::{Directive, Hub, Mailbox},
   measures,
+  pace::{Class, Pace, gaps::Gaps},
   reader::Account,
   refusal::{Reason, Refusal},
   request::Ticket,
@@ -75,6 +76,11 @@
   /// When events last arrived, and the longest gap between them, both in ms.
   last_event_at: u64,
   max_gap_ms: u64,
+  /// Whether servers' pace is measured, and the gaps that are not measured yet.
+  measures_pace: bool,
+  gaps: Gaps,
+  /// The next gap spans two sends.
+  resumed: bool,
   /// Hints from the last response about its server, and when its head arrived, in ms.
   hints: Hints,
   head_at: Option<u64>,
@@ -163,6 +169,9 @@
     has_waited: false,
     last_event_at: 0,
     max_gap_ms: 0,
+    measures_pace: hub.state().features.pace,
+    gaps: Gaps::default(),
+    resumed: false,
     hints: Hints::default(),
     head_at: None,
     held_failure: None,
@@ -234,14 +243,28 @@
   fn attempt(&mut self, attempt: &Attempt) -> bool {
     let sent_at = self.hub.now();
     let age = self.hub.gates.servers.age();
+    let pace = self.server_pace(attempt);
     let result = self.send(attempt);
     self.backlog.leave_server();
-    self.log_send(attempt, &result, sent_at, age);
+    self.log_send(attempt, &result, sent_at, age, pace);
     let (ticket, end) = (self.ticket, result.end);
+    self.record_completed(end, sent_at);
     self.apply(Event::Ended { ticket, end });
     matches!(end, End::Whole | End::Failed | End::Left)
   }
 
+  /// The known pace of the server of a send; `None` if pace is not measured.
+  fn server_pace(&self, attempt: &Attempt) -> Option<Pace> {
+    if !self.measures_pace {
+      return None;
+    }
+    let state = self.hub.state();
+    state
+      .backends
+      .get(attempt.backend)
+      .map(|backend| backend.pace)
+  }
+
   /// Records that the caller disconnected while its request waited.
   fn record_caller_gone(&mut self) {
     self.hub.measures.record_caller_gone();
@@ -270,7 +293,14 @@
     }
   }
 
-  fn log_send(&self, attempt: &Attempt, result: &Outcome, sent_at: u64, age: Option<Duration>) {
+  fn log_send(
+    &self,
+    attempt: &Attempt,
+    result: &Outcome,
+    sent_at: u64,
+    age: Option<Duration>,
+    pace: Option<Pace>,
+  ) {
     let now = self.hub.now();
     self.hub.measures.record_send(&measures::Send {
       number: attempt.number,
@@ -278,6 +308,7 @@
       waited_ms: sent_at.saturating_sub(self.incoming.arrived_at),
       first_ms: self.first_event_at.map(|at| at - self.incoming.arrived_at),
       pause_ms: self.max_gap_ms,
+      pace: pace.map(|pace| Class::of(pace.lasting)),
     });
     // The content key identifies failed requests with the same content.
     let content = (result.end != End::Whole).then(|| self.content.to_string());
@@ -292,6 +323,13 @@
       "first_ms" => self.first_event_at.map(|at| at - self.incoming.arrived_at),
       "events" => self.events.count, "pause_ms" => self.max_gap_ms,
       "servers_age_ms" => age.map(|age| age.as_millis() as u64),
-      "missing_ms" => attempt.missing_ms);
+      "missing_ms" => attempt.missing_ms,
+      "pace" => pace.map(|pace| rounded(pace.lasting)),
+      "pace_now" => pace.map(|pace| rounded(pace.current)));
   }
 }
+
+/// A pace with two decimals, for the log.
+fn rounded(pace: f32) -> f64 {
+  (f64::from(pace) * 100.0).round() / 100.0
+}
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -752,6 +752,7 @@
     latest: 0,
     holdings: Vec::new(),
     loads: Vec::new(),
+    paces: Vec::new(),
   }
 }
 
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -261,6 +261,7 @@
     holdings: (0..20)
       .map(|number| (number as u64 + 1, holding(number)))
       .collect(),
+    paces: Vec::new(),
     loads: Vec::new(),
   };
   let count = parts(&update).len();
