losses, explain: pauses of slow servers are counted apart, changes of pace explain a request

Cause: a pause at a server of 0.6 of the middle speed looked like any other, so an operator could not see that 2 of 10 streams of slow servers pause against 2 of 100 of fast ones.

Ruled out: a column of paces by server in the table of losses (140 rows of which few matter).

Change: a pause at a server that was sent to as slow (lasting or current pace of 1.25 and more) is a cause of its own; lines of a changed pace belong to the requests that their server got. Logs without a pace give the same table as before.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -83,6 +83,9 @@
     values_of("instance"),
   );
   let is_related = |line: &Line| match line.message() {
+    "planned" if line.text("what") == Some("pace") => line
+      .text("server")
+      .is_some_and(|server| servers.contains(server)),
     "planned" | "ordered" => {
       let model = line.text("model").and_then(|model| model.split('/').next());
       model.is_some_and(|model| models.contains(model))
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -3,6 +3,7 @@
 
 use crate::{
   explain::{self, Line},
+  pace::Class,
   settings::Error,
 };
 use error_stack::Report;
@@ -28,6 +29,8 @@
   Server,
   /// A pause between two events of its response was too long.
   Pause,
+  /// Such a pause at a server of slow pace.
+  SlowServerPause,
   /// Refused, with the reason.
   Refused(String),
   /// Its last send failed, with the reason.
@@ -49,6 +52,7 @@
       Self::Unplanned => f.write_str("waited, but no load was planned"),
       Self::Server => f.write_str("late first bytes from the server"),
       Self::Pause => f.write_str("pause between events"),
+      Self::SlowServerPause => f.write_str("pause between events of a slow server"),
       Self::Refused(reason) => write!(f, "refused: {reason}"),
       Self::Failed(why) => write!(f, "failed: {why}"),
       Self::CallerGone => f.write_str("caller left"),
@@ -124,6 +128,7 @@
   let text = |field: &str| last.text(field).unwrap_or_default().to_string();
   match (last.message(), text("end").as_str(), text("late").as_str()) {
     ("sent", "Whole", "no") => None,
+    ("sent", "Whole", "pause") if is_server_slow(last) => Some(Cause::SlowServerPause),
     ("sent", "Whole", "pause") => Some(Cause::Pause),
     ("sent", "Whole", _) => Some(late_cause(request_lines, last, planned, ordered)),
     ("sent", "Left", _) | ("caller left", ..) => Some(Cause::CallerGone),
@@ -134,6 +139,13 @@
   }
 }
 
+/// Whether the server of a send was known to be slow at that time.
+fn is_server_slow(sent: &Line) -> bool {
+  let paces = ["pace", "pace_now"].map(|field| sent.fields.get(field).and_then(Value::as_f64));
+  let slowest = paces.into_iter().flatten().fold(0.0, f64::max);
+  Class::of(slowest as f32) == Class::Slow
+}
+
 /// The phase on which a late request spent most of its wait.
 fn late_cause(request_lines: &[&Line], last: &Line, planned: &Times, ordered: &Times) -> Cause {
   let Some(waiting) = request_lines
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -28,6 +28,22 @@
   assert_eq!(text, "refused after 2500 ms: too-late, verdict not-run");
 }
 
+/// Guards against a slow server that an explanation does not name.
+#[test]
+fn a_change_of_its_servers_pace_explains_a_request() {
+  let texts = [
+    r#"{"msg":"planned","ts":"2026-01-01T00:00:03.0Z","instance":"two","what":"pace","model":"","server":"s","why":"slow"}"#,
+    r#"{"msg":"planned","ts":"2026-01-01T00:00:03.0Z","instance":"two","what":"pace","model":"","server":"t","why":"slow"}"#,
+    r#"{"msg":"sent","ts":"2026-01-01T00:00:05.0Z","instance":"one","request":"r1","server":"s","model":"m","pace":1.7}"#,
+  ];
+  let log = texts.iter().filter_map(|text| Line::parse(text)).collect();
+  let servers: Vec<String> = lines("r1", log)
+    .iter()
+    .filter_map(|line| line.text("server").map(String::from))
+    .collect();
+  assert_eq!(servers, ["s", "s"]);
+}
+
 #[test]
 fn a_request_that_is_nowhere_is_said_to_be() {
   assert!(lines("r9", log()).is_empty());
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -107,6 +107,21 @@
   assert_eq!(cause(vec![waiting(1.0, "r")]), Some(Cause::Unfinished));
 }
 
+/// Guards against pauses of slow servers that look like those of any other.
+#[test]
+fn pauses_of_slow_servers_are_counted_apart() {
+  let pause = |pace: &str| {
+    let fields =
+      format!(r#""request":"r","route":"notes","end":"Whole","why":"","late":"pause",{pace}"#);
+    cause(vec![line(1.0, "sent", &fields)])
+  };
+  let slow = Some(Cause::SlowServerPause);
+  assert_eq!(pause(r#""pace":1.6,"pace_now":1.6"#), slow);
+  assert_eq!(pause(r#""pace":1.0,"pace_now":2.4"#), slow);
+  assert_eq!(pause(r#""pace":1.1,"pace_now":1.1"#), Some(Cause::Pause));
+  assert_eq!(pause(r#""pace":null,"pace_now":null"#), Some(Cause::Pause));
+}
+
 #[test]
 fn requests_are_counted_by_route_and_the_rows_sum_to_the_loss() {
   let mut lines = Vec::new();
