choice: servers by expected time; token memory; sends bounded

Cause: the choice compared loads in slots, which are published every 500 ms. Between two publications all instances sent to the same least loaded server, a server's pace, unread prompts and its token memory counted nowhere, and what exceeded the slots waited in the server's own queue, out of reach of priorities, other servers and a refusal in time.

Change, behind expectedTime, tokenMemory and boundedSends: src/dispatch/choice/. A weighted draw among the servers that keep objective and gap; tokens held by own requests exactly, of others by the mean; sends up to the slots and what ends within 250 ms, the room divided by the number that waits, which the holder publishes behind the loads. `sent` states what was expected, `losses` tells expected lateness from unexpected.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -11,6 +11,9 @@
 /// A missing model is forgotten this long after it is no longer considered missing.
 const MISSING_TTL_MS: u64 = 5_000;
 
+/// Lowest pace that estimates use.
+const MIN_PACE: f32 = 0.1;
+
 slotmap::new_key_type! {
   /// Identifies a backend server within one instance.
   pub struct Key;
@@ -132,6 +135,14 @@
   pub replaced: bool,
   pub loading: Option<Loading>,
   pub pace: Pace,
+  /// Prompt tokens of this instance's requests that have no event yet, and the tokens that its
+  /// requests are expected to hold.
+  pub unread_tokens: u64,
+  pub held_tokens: u64,
+  /// Requests of all instances that wait for the server's models, as published, and how many of this
+  /// instance's may be sent until the next publication.
+  pub waiting: u32,
+  pub allotment: u32,
 }
 
 impl Backend {
@@ -153,9 +164,18 @@
       replaced: false,
       loading: None,
       pace: Pace::default(),
+      unread_tokens: 0,
+      held_tokens: 0,
+      waiting: 0,
+      allotment: 0,
     }
   }
 
+  /// How slow the server is now, in relation to its pool.
+  pub fn slowness(&self) -> f32 {
+    self.pace.lasting.max(self.pace.current).max(MIN_PACE)
+  }
+
   /// Applies the models held by the server as published by the planner.
   pub fn update(&mut self, holding: Holding, now: u64) {
     let is_same_model = |loading: &Loading| Some(&loading.model) == holding.coming.as_ref();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! It takes events with timestamps and returns effects. The surrounding threads execute the
 //! effects and make no decisions of their own.
 
-mod choice;
+pub mod choice;
 mod ending;
 mod event;
 
@@ -83,6 +83,8 @@
   pub(crate) permits: Vec<quota::Id>,
   /// The quota unit that was requested, and when.
   pub(crate) pending_unit: Option<(quota::Id, u64)>,
+  /// Tokens that the request holds at its server.
+  pub(crate) held: Option<choice::memory::Held>,
 }
 
 /// The state on which decisions about routed requests are based. Times are in milliseconds.
@@ -142,6 +144,10 @@
   /// Whether permits were released since the last report.
   pub(crate) permits_released: bool,
   rng: SmallRng,
+  /// What was learned from own requests, by pool.
+  pub(crate) learned: BTreeMap<String, choice::learned::Learned>,
+  /// Published numbers of requests that wait for the models of a server, by its short hash.
+  pub(crate) published_waiting: BTreeMap<u32, u16>,
   pub(crate) now: u64,
   pub(crate) out: Vec<Effect>,
 }
@@ -188,6 +194,8 @@
       fair_queue: Scheduler::default(),
       permits_released: false,
       rng: SmallRng::seed_from_u64(seed),
+      learned: BTreeMap::new(),
+      published_waiting: BTreeMap::new(),
       now: 0,
       out: Vec::new(),
     }
@@ -218,6 +226,7 @@
         self.planner_seen_at = now;
         if let Some(loads) = loads {
           self.update_loads(&loads);
+          self.divide_room();
         }
         self.receive_holdings(holdings, group);
       }
@@ -239,6 +248,8 @@
       Event::Resumed(ticket) => self.record_first_event(ticket),
       Event::Measured(ticket, ms) => self.record_pace(ticket, ms),
       Event::Paces(paces) => self.receive_paces(&paces),
+      Event::Waiting(waiting) => self.published_waiting = waiting.into_iter().collect(),
+      Event::Streamed { ticket, gap_ms } => self.learn_gap(ticket, gap_ms),
       Event::Quarantined(entries) => {
         self.crash_filter.update_quarantine(now, &entries);
         self.dispatch_waiting();
@@ -295,11 +306,16 @@
       limit_unit: None,
       permits: Vec::new(),
       pending_unit: None,
+      held: None,
     };
+    self.learn_arrival(&request.descriptor);
     self.requests.insert(ticket, request);
     if self.now >= self.accept_until {
       return self.refuse(ticket, Reason::Stopping);
     }
+    if self.goes_after_waiting(ticket) {
+      self.dispatch_waiting();
+    }
     self.dispatch(ticket);
   }
 
@@ -309,6 +325,7 @@
       .requests
       .get_mut(&ticket)
       .and_then(|request| Some((request.backend.take()?, request.descriptor.model.clone())));
+    self.release_tokens(ticket);
     if let Some((key, model)) = decided {
       self.finish_send(key, model, End::Left);
     }
@@ -532,9 +549,14 @@
   /// Records the first event of the current send.
   fn record_first_event(&mut self, ticket: Ticket) {
     let now = self.now;
-    if let Some(request) = self.requests.get_mut(&ticket) {
-      request.first_event_at.get_or_insert(now);
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    if request.first_event_at.replace(now).is_some() {
+      return;
     }
+    self.learn_first(ticket);
+    self.prompt_was_read(ticket);
   }
 
   pub(crate) fn wait_for_server(&mut self, ticket: Ticket) {
@@ -568,6 +590,13 @@
     if now >= give_up {
       return self.refuse(ticket, Reason::NoServer);
     }
+    if let Some(retry_after) = self.retry_after_room_ms(&request) {
+      // A deferral would count as a waiting request, and have others refused.
+      if new {
+        self.record_declined(ticket);
+      }
+      return self.refuse_with_retry_after(ticket, Reason::NoServer, retry_after);
+    }
     let until = request
       .descriptor
       .deadline
@@ -575,6 +604,9 @@
       .min(now + RECHECK_MS);
     let needs_model = request.descriptor.model.is_some();
     self.enqueue(ticket, until);
+    if new && self.waits_for_room(&request) {
+      self.record_declined(ticket);
+    }
     if new && needs_model {
       self.out.push(Effect::ReportDemand);
     }
@@ -591,6 +623,8 @@
   }
 
   fn send(&mut self, ticket: Ticket, key: backend::Key) {
+    let expected = self.expected(ticket, key);
+    let tokens = self.stated_tokens(ticket);
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
@@ -613,6 +647,10 @@
     let missing_since = backend.missing_since;
     let attempt = Attempt {
       ticket,
+      expected_first_ms: expected.map(|(expected, _)| expected.first_ms as u32),
+      expected_pause_ms: expected.map(|(expected, _)| expected.pause_ms as u32),
+      expected_late: expected.map(|(_, lateness)| lateness),
+      tokens,
       limited,
       trial,
       missing_ms: missing_since.map(|since| self.now.saturating_sub(since)),
@@ -623,6 +661,7 @@
       number: request.sends,
     };
     self.waiting.remove(&waiting_key);
+    self.hold_tokens(ticket, key);
     self.out.push(Effect::Send(attempt));
   }
 
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -50,7 +50,9 @@
     }
     if end == End::Whole {
       self.record_served(ticket);
+      self.learn_whole(ticket, key);
     }
+    self.release_tokens(ticket);
     self.finish_send(key, model, end);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -1,5 +1,6 @@
 //! Events and effects of the reducer for routed requests.
 
+use super::choice::expect::Lateness;
 use crate::{
   backend::{self, Holding, Spec},
   content,
@@ -66,6 +67,15 @@
   /// How long the server's entry had been missing when the send was decided; `None` if it was
   /// present.
   pub missing_ms: Option<u64>,
+  /// Expected time to the first event, and expected pause of the streams that run on the server, in
+  /// ms; `None` if they did not decide.
+  pub expected_first_ms: Option<u32>,
+  pub expected_pause_ms: Option<u32>,
+  /// Whether the first event or a pause is expected to exceed the route's limits; `None` if that did
+  /// not decide.
+  pub expected_late: Option<Lateness>,
+  /// Prompt and expected response in tokens.
+  pub tokens: Option<u32>,
 }
 
 /// How a send ended.
@@ -190,6 +200,14 @@
   Measured(Ticket, f32),
   /// The planner published the paces of servers.
   Paces(Vec<Published>),
+  /// A stream has ended; the mean gap between its events, in ms.
+  Streamed {
+    ticket: Ticket,
+    gap_ms: f32,
+  },
+  /// The planner published how many requests of all instances wait for the models of a server, by
+  /// the short hash of the server's id and start time. Precedes the loads of the same publication.
+  Waiting(Vec<(u32, u16)>),
   /// A waiting request is due to be checked again.
   Recheck(Ticket),
   /// The caller of a waiting request disconnected.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -71,15 +71,19 @@
     let fit = group.position.advance(term, update.since, update.latest);
     // The next report requests the missing changes.
     self.needs_resync |= fit == Fit::Gap;
+    let has_loads = !update.loads.is_empty();
     let event = Event::Updated {
       holdings: match fit {
         Fit::Gap => Vec::new(),
         Fit::Snapshot | Fit::Consecutive => update.holdings,
       },
       group: (fit == Fit::Snapshot).then_some((update.group, groups)),
-      loads: (!update.loads.is_empty()).then_some(update.loads),
+      loads: has_loads.then_some(update.loads),
       instances: update.instances as usize,
     };
+    if has_loads {
+      self.hub.apply(Event::Waiting(extension.waiting), None);
+    }
     self.hub.apply(event, None);
   }
 
@@ -367,6 +371,7 @@
   fn send_parts(&mut self, mut header: Update, update: &Publication, to: &[SocketAddr]) {
     let mut extension = Extension {
       paces: update.paces.clone(),
+      waiting: update.waiting.clone(),
       ..Extension::default()
     };
     for part in parts(update) {
@@ -390,6 +395,9 @@
       term,
       count: update.latest,
     };
+    if !update.loads.is_empty() {
+      self.hub.apply(Event::Waiting(update.waiting.clone()), None);
+    }
     let holdings = update.holdings.iter();
     let event = Event::Updated {
       holdings: holdings.map(|(_, holding)| holding.clone()).collect(),
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -27,10 +27,14 @@
   Unplanned,
   /// The first bytes came late from a server that had the model.
   Server,
+  /// The same, as expected when it was sent: no server was better.
+  ServerExpected,
   /// A pause between two events of its response was too long.
   Pause,
   /// Such a pause at a server of slow pace.
   SlowServerPause,
+  /// The same, as expected when it was sent.
+  PauseExpected,
   /// Refused, with the reason.
   Refused(String),
   /// Its last send failed, with the reason.
@@ -51,6 +55,8 @@
       Self::Load => f.write_str("cold: waited for the load"),
       Self::Unplanned => f.write_str("waited, but no load was planned"),
       Self::Server => f.write_str("late first bytes from the server"),
+      Self::ServerExpected => f.write_str("late first bytes, expected when sent"),
+      Self::PauseExpected => f.write_str("pause between events, expected when sent"),
       Self::Pause => f.write_str("pause between events"),
       Self::SlowServerPause => f.write_str("pause between events of a slow server"),
       Self::Refused(reason) => write!(f, "refused: {reason}"),
@@ -129,6 +135,7 @@
   match (last.message(), text("end").as_str(), text("late").as_str()) {
     ("sent", "Whole", "no") => None,
     ("sent", "Whole", "pause") if is_server_slow(last) => Some(Cause::SlowServerPause),
+    ("sent", "Whole", "pause") if expected_late(last) => Some(Cause::PauseExpected),
     ("sent", "Whole", "pause") => Some(Cause::Pause),
     ("sent", "Whole", _) => Some(late_cause(request_lines, last, planned, ordered)),
     ("sent", "Left", _) | ("caller left", ..) => Some(Cause::CallerGone),
@@ -146,13 +153,21 @@
   Class::of(slowest as f32) == Class::Slow
 }
 
+/// Whether a request was sent although it was expected to be late, for lack of a better server.
+fn expected_late(sent: &Line) -> bool {
+  matches!(sent.text("expected_late"), Some("first" | "pause"))
+}
+
 /// The phase on which a late request spent most of its wait.
 fn late_cause(request_lines: &[&Line], last: &Line, planned: &Times, ordered: &Times) -> Cause {
   let Some(waiting) = request_lines
     .iter()
     .find(|line| line.message() == "waiting")
   else {
-    return Cause::Server;
+    return match expected_late(last) {
+      true => Cause::ServerExpected,
+      false => Cause::Server,
+    };
   };
   let took_ms = last.fields.get("took_ms").and_then(Value::as_f64);
   let sent_at = last.at - took_ms.unwrap_or_default() / 1_000.0;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -27,6 +27,8 @@
   pub pause_ms: u64,
   /// Class of the server's pace; `None` if it is not measured.
   pub pace: Option<Class>,
+  /// Whether it was expected to exceed its route's limits.
+  pub expected_late: bool,
 }
 
 /// The instruments of a routing instance.
@@ -35,6 +37,8 @@
   requests: Counter<u64>,
   sends: Counter<u64>,
   retries: Counter<u64>,
+  /// Sends that were expected to exceed their route's limits, for lack of a better server.
+  expected_late: Counter<u64>,
   refusals: Counter<u64>,
   /// Callers that disconnected while their request waited.
   callers_gone: Counter<u64>,
@@ -63,6 +67,7 @@
       requests: counter(&meter, "routed_requests", "Requests taken"),
       sends: counter(&meter, "routed_sends", "Sends to backend servers by end"),
       retries: counter(&meter, "routed_repeats", "Sends after the first"),
+      expected_late: counter(&meter, "routed_expected_late", "Sends expected to be late"),
       refusals: counter(&meter, "routed_refusals", "Refusals by reason and verdict"),
       callers_gone: counter(&meter, "routed_left", "Callers that left while they waited"),
       connections: counter(&meter, "routed_connections", "New connections to servers"),
@@ -106,6 +111,7 @@
       }
       None => self.sends.add(1, &[end]),
     }
+    self.expected_late.add(u64::from(send.expected_late), &[]);
     match send.number {
       1 => self.wait.record(ms_to_s(send.waited_ms), &[]),
       _ => self.retries.add(1, &[]),
--- a/src/message.rs
+++ b/src/message.rs
@@ -56,6 +56,9 @@
   pub pace_samples: Vec<pace::Sample>,
   /// Update: paces of servers.
   pub paces: Vec<pace::Published>,
+  /// In an update: number of requests from all instances that wait for the models of a server, by the
+  /// short hash of the server's id and start time.
+  pub waiting: Vec<(u32, u16)>,
 }
 
 /// Encodes a datagram.
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -5,7 +5,7 @@
   server,
 };
 use crate::{backend::Holding, pace::Published};
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Interval of publications that state the loads and show that there is a lease holder, ms.
 pub(crate) const PUBLISH_INTERVAL_MS: u64 = 500;
@@ -30,6 +30,8 @@
   pub loads: Vec<(u32, u16)>,
   /// Paces of servers that have changed, and of some others in turn.
   pub paces: Vec<Published>,
+  /// Number of requests that wait for the models of a server, published with the loads.
+  pub waiting: Vec<(u32, u16)>,
 }
 
 impl Plan {
@@ -139,8 +141,13 @@
       let published = self.servers.get(*key)?.published.clone()?;
       Some((*number, published))
     });
+    let waiting = match loads.is_empty() {
+      true => Vec::new(),
+      false => self.server_waiting(),
+    };
     let publication = Publication {
       to,
+      waiting,
       since,
       latest: self.changes,
       holdings: holdings.collect(),
@@ -150,6 +157,26 @@
     self.effects.push(Effect::Publish(publication));
   }
 
+  /// Requests of all instances that wait although a server holds their model, by server.
+  fn server_waiting(&self) -> Vec<(u32, u16)> {
+    let mut waiting: BTreeMap<u32, u32> = BTreeMap::new();
+    if !self.features.bounded_sends {
+      return Vec::new();
+    }
+    for need in &self.needs {
+      let base = self.models[need.model].base;
+      for server in &self.models[base].holders {
+        let id = self.servers[*server].spec.life().short_hash();
+        *waiting.entry(id).or_default() += need.waiting;
+      }
+    }
+    let bounded = |count: u32| count.min(u32::from(u16::MAX)) as u16;
+    waiting
+      .into_iter()
+      .map(|(id, count)| (id, bounded(count)))
+      .collect()
+  }
+
   fn server_loads(&self) -> Vec<(u32, u16)> {
     let servers = self.servers.values();
     let loads = servers.map(|server| (server.spec.life(), server.running_total()));
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -42,6 +42,7 @@
           return Err(outcome(End::Broken, "stream ends within an event"));
         }
         self.finish_body(head, framing)?;
+        self.report_gap();
         return Ok(outcome(End::Whole, "whole stream"));
       }
       let until = self.read_deadline(started);
@@ -99,6 +100,18 @@
     self.record_measure(measure);
   }
 
+  /// Reports the mean gap between the events of a complete stream.
+  fn report_gap(&self) {
+    let gaps = self.events.count.saturating_sub(1);
+    if let (Some(first), true) = (self.first_event_at, gaps > 0) {
+      let gap_ms = (self.last_event_at - first) as f32 / gaps as f32;
+      self.apply(Event::Streamed {
+        ticket: self.ticket,
+        gap_ms,
+      });
+    }
+  }
+
   /// Reads a complete plain response before the caller receives any of it, unless it is too large
   /// to hold.
   pub(super) fn relay_plain(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,7 +14,7 @@
   content,
   customer::Caller,
   demand::Model,
-  dispatch::{Attempt, Descriptor, End, Event},
+  dispatch::{Attempt, Descriptor, End, Event, choice::expect::Lateness},
   http::{Framing, Request, Response},
   hub::{Directive, Hub, Mailbox},
   measures,
@@ -309,6 +309,9 @@
       first_ms: self.first_event_at.map(|at| at - self.incoming.arrived_at),
       pause_ms: self.max_gap_ms,
       pace: pace.map(|pace| Class::of(pace.lasting)),
+      expected_late: attempt
+        .expected_late
+        .is_some_and(|late| late != Lateness::No),
     });
     // The content key identifies failed requests with the same content.
     let content = (result.end != End::Whole).then(|| self.content.to_string());
@@ -325,7 +328,10 @@
       "servers_age_ms" => age.map(|age| age.as_millis() as u64),
       "missing_ms" => attempt.missing_ms,
       "pace" => pace.map(|pace| rounded(pace.lasting)),
-      "pace_now" => pace.map(|pace| rounded(pace.current)));
+      "pace_now" => pace.map(|pace| rounded(pace.current)),
+      "expected_first_ms" => attempt.expected_first_ms,
+      "expected_pause_ms" => attempt.expected_pause_ms,
+      "expected_late" => attempt.expected_late.map(|late| late.as_str()), "tokens" => attempt.tokens);
   }
 }
 
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -751,6 +751,7 @@
     since: 0,
     latest: 0,
     holdings: Vec::new(),
+    waiting: Vec::new(),
     loads: Vec::new(),
     paces: Vec::new(),
   }
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -122,6 +122,21 @@
   assert_eq!(pause(r#""pace":null,"pace_now":null"#), Some(Cause::Pause));
 }
 
+/// A choice that had nothing better looked like one that was wrong.
+#[test]
+fn what_was_expected_late_when_sent_is_told_from_what_was_not() {
+  let expecting = |late: &str, expected: &str| {
+    let fields = format!(
+      r#""request":"r","route":"notes","end":"Whole","late":"{late}","expected_late":"{expected}""#
+    );
+    cause(vec![line(1.0, "sent", &fields)])
+  };
+  assert_eq!(expecting("first", "first"), Some(Cause::ServerExpected));
+  assert_eq!(expecting("first", "no"), Some(Cause::Server));
+  assert_eq!(expecting("pause", "pause"), Some(Cause::PauseExpected));
+  assert_eq!(expecting("pause", "no"), Some(Cause::Pause));
+}
+
 #[test]
 fn requests_are_counted_by_route_and_the_rows_sum_to_the_loss() {
   let mut lines = Vec::new();
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -263,6 +263,7 @@
       .collect(),
     paces: Vec::new(),
     loads: Vec::new(),
+    waiting: Vec::new(),
   };
   let count = parts(&update).len();
   assert!(count > 2);
