choice: whether a request is urgent is decided once a choice

Cause: it was looked up for each candidate, over all routes of the deployment. And a second first event of one send would have moved its time.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -552,9 +552,10 @@
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
-    if request.first_event_at.replace(now).is_some() {
+    if request.first_event_at.is_some() {
       return;
     }
+    request.first_event_at = Some(now);
     self.learn_first(ticket);
     self.prompt_was_read(ticket);
   }
--- a/src/dispatch/choice/mod.rs
+++ b/src/dispatch/choice/mod.rs
@@ -29,13 +29,14 @@
       return candidates;
     };
     let descriptor = &request.descriptor;
+    let urgent = self.may_exceed_bound(descriptor);
     for (key, backend) in &self.backends {
       let fits = backend.spec.pool == descriptor.pool
         && backend.is_usable(self.now)
         && self.accepts_requests(backend)
         && !request.tried.contains(&key)
         && self.holds_model(backend, descriptor)
-        && self.has_room(backend, descriptor)
+        && self.has_room(backend, urgent)
         && self.fits_memory(backend, request);
       if fits {
         let same_zone = backend.spec.zone == self.zone;
@@ -148,6 +149,9 @@
 
   /// Expected times of a request at a server, for the log; `None` if they decide nothing.
   pub(crate) fn expected(&self, ticket: Ticket, key: backend::Key) -> Option<(Expected, Lateness)> {
+    if !self.features.expected_time {
+      return None;
+    }
     let request = self.requests.get(&ticket)?;
     let slots = self.engine(&request.descriptor.pool)?.slots;
     let rates = self.rates(&request.descriptor.pool);
--- a/src/dispatch/choice/room.rs
+++ b/src/dispatch/choice/room.rs
@@ -71,14 +71,19 @@
     others.any(|route| route.priority > descriptor.priority())
   }
 
+  /// Whether a request may be sent beyond the bound of others.
+  pub(super) fn may_exceed_bound(&self, descriptor: &Descriptor) -> bool {
+    self.bounds_sends(&descriptor.pool) && self.is_urgent(descriptor)
+  }
+
   /// Whether another request may be sent to a server now.
-  pub(super) fn has_room(&self, backend: &Backend, descriptor: &Descriptor) -> bool {
+  pub(super) fn has_room(&self, backend: &Backend, urgent: bool) -> bool {
     if !self.bounds_sends(&backend.spec.pool) {
       return true;
     }
     let bound = self.send_bound(backend);
     let load = backend.estimated_load(self.instances);
-    if self.is_urgent(descriptor) {
+    if urgent {
       return load < bound + self.slots(backend) / URGENT_DIVISOR;
     }
     // While more requests wait than fit, each instance uses its share of the room.
