--- a/tests/bounded_sends.rs
+++ b/tests/bounded_sends.rs
@@ -1,5 +1,6 @@
 //! Sends beyond a server's slots are bounded; the rest waits at its instance.
 
+mod holder;
 #[allow(dead_code)]
 mod requests;
 
@@ -9,10 +10,13 @@
   deployment::{Deployment, Engine},
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   life::Life,
+  message::{self, Extension, Message},
+  placement::plan,
   request::Ticket,
   route::{Repeat, Route, Stream},
   verdict::Verdict,
 };
+use holder::World;
 use requests::refused;
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -265,3 +269,48 @@
     assert_eq!(sends(&state.reduce(10, arrived(ticket, &route))).len(), 1);
   }
 }
+
+fn published_waiting(enabled: bool) -> Vec<(u32, u16)> {
+  let mut world = World::new(&["a", "d"], &[("one", &["a"], &[]), ("two", &[], &[])]);
+  world.plan.features.bounded_sends = enabled;
+  world.running = vec![("one".into(), "a".into(), 12)];
+  world.run(1_000);
+  world.waiting = vec![("a".into(), 7)];
+  world.run(100);
+  let mut published = Vec::new();
+  for _ in 0..100 {
+    world.now += 10;
+    world.report();
+    for effect in world.plan.step(world.now) {
+      if let plan::Effect::Publish(publication) = effect
+        && !publication.loads.is_empty()
+      {
+        published = publication.waiting;
+      }
+    }
+  }
+  published
+}
+
+/// No instance knew how many requests of others wait for the same room.
+#[test]
+fn the_holder_publishes_what_waits_for_a_held_model() {
+  assert_eq!(
+    published_waiting(true),
+    [(Life::of("one", 0).short_hash(), 7)]
+  );
+  assert_eq!(published_waiting(false), []);
+}
+
+/// A holder of an earlier version sends no extension.
+#[test]
+fn an_update_without_the_extension_states_nothing_that_waits() {
+  let message = Message::Statements(Vec::new());
+  let bytes = message::encode(&message, &Extension::default()).unwrap();
+  assert_eq!(message::decode(&bytes).unwrap().1.waiting, []);
+  let extension = Extension {
+    waiting: vec![(1, 2), (3, 4)],
+  };
+  let bytes = message::encode(&message, &extension).unwrap();
+  assert_eq!(message::decode(&bytes).unwrap().1, extension);
+}
