replication: datagrams that overtake each other

Cause: between availability zones a later datagram of the holder may arrive before an earlier one. An instance dropped the later one as a gap, asked for its changes and got several datagrams again, which overtook each other again; and a datagram that arrived after its changes had been sent again was applied as if it were new, so the older holding of a server stayed until its next change.

Change: an instance applies what overtakes, remembers it (64 datagrams at most), closes the gap when the earlier datagram arrives, and drops holdings older than those known. The request to send changes again is withdrawn if the gap closes before the next report.

Test: datagrams_that_overtake_each_other_leave_no_gap_and_no_older_holding failed on the code as found (the later holding was not applied). The test's instance uses the new receiver, in place of the position alone.

No switch: it corrects a fault.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -68,15 +68,19 @@
       .deployments
       .receive_progress(update.deployments);
     self.hub.gates.servers.receive_progress(update.servers);
-    let fit = group.position.advance(term, update.since, update.latest);
-    // The next report requests the missing changes.
+    let was_behind = group.ahead.is_behind();
+    let range = (term, update.since, update.latest);
+    let (fit, holdings) = group
+      .ahead
+      .receive(&mut group.position, range, update.holdings);
+    // The next report requests the missing changes, unless they arrive before it.
     self.needs_resync |= fit == Fit::Gap;
     let has_loads = !update.loads.is_empty();
+    if was_behind && fit == Fit::Consecutive && !group.ahead.is_behind() {
+      self.needs_resync = false;
+    }
     let event = Event::Updated {
-      holdings: match fit {
-        Fit::Gap => Vec::new(),
-        Fit::Snapshot | Fit::Consecutive => update.holdings,
-      },
+      holdings,
       group: (fit == Fit::Snapshot).then_some((update.group, groups)),
       loads: has_loads.then_some(update.loads),
       instances: update.instances as usize,
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -22,7 +22,7 @@
   policy::Policy,
   pool::Pool,
   quota::{Accounts, Bound, Sums},
-  replication::Position,
+  replication::{Ahead, Position},
   settings::{Routing, Settings},
   socket::{Interest, Waker, wait},
   statement::Reply,
@@ -121,6 +121,7 @@
   pub(crate) planned_counts: (u64, u64),
   /// Position in the sequence of holding changes up to which changes are known.
   pub(crate) position: Position,
+  pub(crate) ahead: Ahead,
   /// Time at which the lease last got the list of reporting machines.
   pub(crate) machines_updated_at: u64,
   /// Time at which the list of instances was last published.
@@ -279,6 +280,7 @@
     paused_until: 0,
     planned_counts: (0, 0),
     position: Position::default(),
+    ahead: Ahead::default(),
     machines_updated_at: 0,
     members_published_at: 0,
   }
--- a/src/replication.rs
+++ b/src/replication.rs
@@ -77,3 +77,82 @@
     Fit::Consecutive
   }
 }
+
+/// Bound of the datagrams remembered as received before those that precede them.
+const MAX_AHEAD: usize = 64;
+
+/// A datagram that was received before the one that precedes it.
+#[derive(Clone, Debug)]
+struct Range {
+  since: u64,
+  latest: u64,
+  servers: Vec<String>,
+}
+
+/// Datagrams received before those that precede them: datagrams overtake each other between
+/// availability zones. Without this an instance would ask for changes that it has, and later take
+/// an older holding for the newest.
+#[derive(Clone, Debug, Default)]
+pub struct Ahead {
+  term: u64,
+  ranges: Vec<Range>,
+}
+
+impl Ahead {
+  /// Advances `position` past an update. Returns how the update fits, and the holdings in it that
+  /// are newer than those known.
+  pub fn receive(
+    &mut self,
+    position: &mut Position,
+    (term, since, latest): (u64, u64, u64),
+    mut holdings: Vec<Holding>,
+  ) -> (Fit, Vec<Holding>) {
+    if self.term != term {
+      *self = Self {
+        term,
+        ranges: Vec::new(),
+      };
+    }
+    let known = if position.term == term {
+      position.count
+    } else {
+      0
+    };
+    if known > 0 && latest <= known && since < latest {
+      return (Fit::Consecutive, Vec::new());
+    }
+    let fit = position.advance(term, since, latest);
+    let newer = |range: &Range, id: &str| {
+      range.latest > latest && range.servers.iter().any(|server| server == id)
+    };
+    holdings.retain(|holding| !self.ranges.iter().any(|range| newer(range, &holding.id)));
+    match fit {
+      Fit::Snapshot => self.ranges.clear(),
+      Fit::Consecutive => self.close_gaps(position),
+      Fit::Gap if self.ranges.len() < MAX_AHEAD => self.ranges.push(Range {
+        since,
+        latest,
+        servers: holdings.iter().map(|holding| holding.id.clone()).collect(),
+      }),
+      Fit::Gap => return (fit, Vec::new()),
+    }
+    (fit, holdings)
+  }
+
+  /// Advances past the datagrams that follow `position` by now.
+  fn close_gaps(&mut self, position: &mut Position) {
+    self.ranges.sort_by_key(|range| range.since);
+    self.ranges.retain(|range| {
+      let follows = range.since <= position.count;
+      if follows {
+        position.count = position.count.max(range.latest);
+      }
+      !follows
+    });
+  }
+
+  /// Whether changes are missing.
+  pub fn is_behind(&self) -> bool {
+    !self.ranges.is_empty()
+  }
+}
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -6,7 +6,7 @@
   command::Inventory,
   deployment::{Checkpoint, Deployment, Engine, Pool},
   placement::plan::{Effect, Plan, Publication, Report},
-  replication::{Fit, Position, parts},
+  replication::{Ahead, Fit, Position, parts},
 };
 use std::{
   collections::{BTreeMap, BTreeSet, VecDeque},
@@ -27,6 +27,7 @@
 #[derive(Default)]
 struct Instance {
   known: Position,
+  ahead: Ahead,
   holdings: BTreeMap<String, Holding>,
   behind: bool,
 }
@@ -38,15 +39,14 @@
       if lost(number) {
         continue;
       }
-      match self.known.advance(TERM, part.since, part.latest) {
-        Fit::Gap => {
-          self.behind = true;
-          continue;
-        }
+      let range = (TERM, part.since, part.latest);
+      let (fit, holdings) = self.ahead.receive(&mut self.known, range, part.holdings);
+      match fit {
+        Fit::Gap => self.behind = true,
         Fit::Snapshot => self.holdings.clear(),
         Fit::Consecutive => {}
       }
-      for holding in part.holdings {
+      for holding in holdings {
         self.holdings.insert(holding.id.clone(), holding);
       }
     }
@@ -293,3 +293,33 @@
   assert_eq!(known.advance(2, 13, 14), Fit::Gap);
   assert_eq!(known.count, 12);
 }
+
+#[test]
+fn datagrams_that_overtake_each_other_leave_no_gap_and_no_older_holding() {
+  // Two datagrams of one publication, and of two, arrive in the other order: the instance asked
+  // for changes that it had received, and then took an older holding of a server for its newest.
+  let holding = |model: &str| Holding {
+    id: "s".into(),
+    models: BTreeMap::from([(model.to_string(), Vec::new())]),
+    ..Holding::default()
+  };
+  let publication = |since, latest, model: &str| Publication {
+    to: None,
+    since,
+    latest,
+    holdings: vec![(latest, holding(model))],
+    loads: Vec::new(),
+  };
+  let mut instance = Instance::default();
+  instance.receive(&publication(0, 5, "first"), |_| false);
+  instance.receive(&publication(6, 7, "third"), |_| false);
+  assert!(instance.holdings["s"].models.contains_key("third"));
+  instance.receive(&publication(5, 6, "second"), |_| false);
+  assert_eq!(instance.known.count, 7);
+  assert!(instance.holdings["s"].models.contains_key("third"));
+  instance.receive(&publication(5, 6, "second"), |_| false);
+  assert!(
+    instance.holdings["s"].models.contains_key("third"),
+    "a datagram that arrives late"
+  );
+}
