replicas by what callers see: prompts, waits, departures and pauses

Cause: strain counted answered and declined requests only. Callers that left without a byte, those that still waited and pauses were no samples, so the slowest server had the fewest, and the rate of a model whose callers all left was 0.

Ruled out: a count of holders that callers could not use (the draining servers were known as such to the planner).

Change, behind features.callerStrain and a route with an allowed gap: samples by model and server in the extension of a report; the room of replicas from the prompts that a server may get within an allowed gap; servers' filling in the cost of a load; a server is kept for the replica that waits for its order path. Counter routed_left_silent, losses by model and server, inputs in the line planned, age of the holding in the line sent.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -113,6 +113,8 @@
   /// When the server's own statement was last received, in ms.
   pub spec_received_at: u64,
   pub holding: Option<Holding>,
+  /// When that was last published as changed, in ms.
+  pub holding_received_at: u64,
   /// Requests of all instances on the server, as published.
   pub load: u32,
   /// This instance's requests on the server, now and when `load` was last published.
@@ -152,6 +154,7 @@
       spec,
       spec_received_at: now,
       holding: None,
+      holding_received_at: 0,
       load: 0,
       running: 0,
       running_at_publish: 0,
@@ -200,6 +203,7 @@
       !arrived && now < missing.until + MISSING_TTL_MS
     });
     self.holding = Some(holding);
+    self.holding_received_at = now;
   }
 
   /// Records that the server lacks a model or adapter; returns whether that is new.
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -98,7 +98,7 @@
   }
 
   /// Returns whether a server that accepts work holds a model.
-  fn is_held(&self, pool: &str, model: &str) -> bool {
+  pub(crate) fn is_held(&self, pool: &str, model: &str) -> bool {
     let until = self.holdings_valid_until();
     let holds = |backend: &&Backend| backend.holds(model, None, until, self.now);
     self.accepting_backends(pool).any(|backend| holds(&backend))
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -25,6 +25,7 @@
   request::Ticket,
   restored::Restored,
   retry::{Bound, Budget},
+  samples::{self, Counted},
   statement::{Backoffs, Leaving},
   strain::Totals,
   verdict::Verdict,
@@ -85,6 +86,7 @@
   pub(crate) pending_unit: Option<(quota::Id, u64)>,
   /// Tokens that the request holds at its server.
   pub(crate) held: Option<choice::memory::Held>,
+  pub(crate) counted: Counted,
 }
 
 /// The state on which decisions about routed requests are based. Times are in milliseconds.
@@ -124,6 +126,8 @@
   /// Measures of servers' pace since the last report, and published paces.
   pub(crate) pace_samples: Samples,
   pub(crate) paces: Table,
+  /// What callers saw since the last report.
+  pub(crate) samples: samples::Totals,
   /// Holdings of servers whose entries have not been read yet, with the time of their arrival.
   pub(crate) early_holdings: BTreeMap<String, (Holding, u64)>,
   /// Number of changes of published holdings.
@@ -182,6 +186,7 @@
       strain: Totals::new(),
       pace_samples: Samples::default(),
       paces: Table::default(),
+      samples: samples::Totals::default(),
       early_holdings: BTreeMap::new(),
       updates: 0,
       crash_filter: Filter::default(),
@@ -245,6 +250,7 @@
         self.expiry.store_restored(now);
       }
       Event::StoreCurrent => self.expiry.store_current(),
+      Event::StreamEnded { ticket, pause_ms } => self.observe_stream(ticket, pause_ms),
       Event::Resumed(ticket) => self.record_first_event(ticket),
       Event::Measured(ticket, ms) => self.record_pace(ticket, ms),
       Event::Paces(paces) => self.receive_paces(&paces),
@@ -307,6 +313,7 @@
       permits: Vec::new(),
       pending_unit: None,
       held: None,
+      counted: Counted::default(),
     };
     self.learn_arrival(&request.descriptor);
     self.requests.insert(ticket, request);
@@ -321,6 +328,7 @@
 
   /// Handles a caller that disconnected. A send that its thread has not picked up yet is cancelled.
   fn on_caller_gone(&mut self, ticket: Ticket) {
+    self.observe_departure(ticket);
     let decided = self
       .requests
       .get_mut(&ticket)
@@ -561,6 +569,7 @@
   }
 
   pub(crate) fn wait_for_server(&mut self, ticket: Ticket) {
+    self.count_arrival(ticket);
     let now = self.now;
     let planner_silent = self.planner_seen_at > 0 && now > self.planner_seen_at + ISOLATED_MS;
     let isolated = planner_silent && self.expiry.is_store_lost();
@@ -594,7 +603,7 @@
     if let Some(retry_after) = self.retry_after_room_ms(&request) {
       // A deferral would count as a waiting request, and have others refused.
       if new {
-        self.record_declined(ticket);
+        self.record_no_room(ticket);
       }
       return self.refuse_with_retry_after(ticket, Reason::NoServer, retry_after);
     }
@@ -606,7 +615,7 @@
     let needs_model = request.descriptor.model.is_some();
     self.enqueue(ticket, until);
     if new && self.waits_for_room(&request) {
-      self.record_declined(ticket);
+      self.record_no_room(ticket);
     }
     if new && needs_model {
       self.out.push(Effect::ReportDemand);
@@ -626,6 +635,7 @@
   fn send(&mut self, ticket: Ticket, key: backend::Key) {
     let expected = self.expected(ticket, key);
     let tokens = self.stated_tokens(ticket);
+    self.observe_send(ticket, key);
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
@@ -646,6 +656,10 @@
     let limited = self.limits.rate(backend.spec.life()).is_some();
     let trial = self.backoffs.record_send(backend.spec.life(), self.now);
     let missing_since = backend.missing_since;
+    let published_at = backend
+      .holding
+      .as_ref()
+      .map(|_| backend.holding_received_at);
     let attempt = Attempt {
       ticket,
       expected_first_ms: expected.map(|(expected, _)| expected.first_ms as u32),
@@ -655,6 +669,7 @@
       limited,
       trial,
       missing_ms: missing_since.map(|since| self.now.saturating_sub(since)),
+      holding_ms: published_at.map(|at| self.now.saturating_sub(at)),
       backend: key,
       id: backend.spec.id.clone(),
       life: backend.spec.life(),
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -24,6 +24,9 @@
 
 impl State {
   pub(super) fn on_ended(&mut self, ticket: Ticket, end: End) {
+    if matches!(end, End::Left | End::Late) {
+      self.observe_departure(ticket);
+    }
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
@@ -43,7 +46,7 @@
     };
     let model = request.descriptor.model.clone();
     if end == End::Full {
-      self.record_declined(ticket);
+      self.record_declined(ticket, key);
     }
     if end == End::Crashed {
       self.record_crash(ticket, key);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -76,6 +76,9 @@
   pub expected_late: Option<Lateness>,
   /// Prompt and expected response in tokens.
   pub tokens: Option<u32>,
+  /// Age of the published holding that the choice rested on; `None` if it rested on the server's
+  /// own entry.
+  pub holding_ms: Option<u64>,
 }
 
 /// How a send ended.
@@ -194,6 +197,11 @@
   },
   /// The first response to a request has started.
   ResponseStarted(Ticket),
+  /// The stream of a send has ended; its longest pause between two events was `pause_ms`.
+  StreamEnded {
+    ticket: Ticket,
+    pause_ms: u64,
+  },
   /// A later send has delivered its first event.
   Resumed(Ticket),
   /// A unit of work at a request's server took this long, in ms: see [`crate::pace::unit`].
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -191,8 +191,8 @@
       return;
     }
     self.last_report_at = now;
-    let report = self.build_report(now);
     let extension = self.build_extension(now);
+    let report = self.build_report(now);
     self.resync_attempts = if self.needs_resync {
       self.resync_attempts + 1
     } else {
@@ -250,6 +250,7 @@
     state.refresh_paces(now);
     Extension {
       pace_samples: state.take_pace_samples(),
+      samples: state.take_samples(now),
       ..Extension::default()
     }
   }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod route;
 pub mod router;
 pub mod run;
+pub mod samples;
 pub mod selector;
 pub mod server;
 pub mod services;
--- a/src/losses.rs
+++ b/src/losses.rs
@@ -14,6 +14,9 @@
   process::ExitCode,
 };
 
+/// Models and servers that are printed at most.
+const MAX_PLACES: usize = 10;
+
 /// Why a request was not served in time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -73,6 +76,8 @@
 pub struct Table {
   pub requests: usize,
   pub lost: BTreeMap<Cause, BTreeMap<String, usize>>,
+  /// Callers that left a server before the first event, by model and server.
+  pub left_silent: BTreeMap<(String, String), usize>,
 }
 
 /// Times of an event by model, in seconds since midnight.
@@ -104,6 +109,9 @@
     let Some(cause) = loss_cause(request_lines, &planned, &ordered) else {
       continue;
     };
+    if let Some(place) = left_silent(request_lines) {
+      *table.left_silent.entry(place).or_default() += 1;
+    }
     let route = request_lines.iter().find_map(|line| line.text("route"));
     let routes = table.lost.entry(cause).or_default();
     *routes.entry(route.unwrap_or("-").into()).or_default() += 1;
@@ -158,6 +166,15 @@
   matches!(sent.text("expected_late"), Some("first" | "pause"))
 }
 
+/// The model and server of a request whose caller left before the first event.
+fn left_silent(request_lines: &[&Line]) -> Option<(String, String)> {
+  let last = request_lines.last()?;
+  let left = last.message() == "sent" && last.text("end") == Some("Left");
+  let silent = last.fields.get("first_ms").is_none_or(Value::is_null);
+  let name = |field: &str| last.text(field).unwrap_or("-").to_string();
+  (left && silent).then(|| (name("model"), name("server")))
+}
+
 /// The phase on which a late request spent most of its wait.
 fn late_cause(request_lines: &[&Line], last: &Line, planned: &Times, ordered: &Times) -> Cause {
   let Some(waiting) = request_lines
@@ -211,6 +228,11 @@
       .collect();
     println!("{count:7}  {share:.4}  {cause}  ({})", routes.join(", "));
   }
+  let mut places: Vec<(&(String, String), &usize)> = table.left_silent.iter().collect();
+  places.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+  for ((model, server), count) in places.into_iter().take(MAX_PLACES) {
+    println!("{count:7}  left before the first event: model {model} on {server}");
+  }
 }
 
 /// Prints the table of losses of log files.
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -40,6 +40,8 @@
   /// Sends that were expected to exceed their route's limits, for lack of a better server.
   expected_late: Counter<u64>,
   refusals: Counter<u64>,
+  /// Callers that left a server before the first event.
+  left_silent: Counter<u64>,
   /// Callers that disconnected while their request waited.
   callers_gone: Counter<u64>,
   connections: Counter<u64>,
@@ -70,6 +72,11 @@
       expected_late: counter(&meter, "routed_expected_late", "Sends expected to be late"),
       refusals: counter(&meter, "routed_refusals", "Refusals by reason and verdict"),
       callers_gone: counter(&meter, "routed_left", "Callers that left while they waited"),
+      left_silent: counter(
+        &meter,
+        "routed_left_silent",
+        "Callers that left a server before the first event",
+      ),
       connections: counter(&meter, "routed_connections", "New connections to servers"),
       orders: counter(&meter, "orders", "Orders to servers by act and outcome"),
       leases: counter(&meter, "leases_taken", "Leases of orders taken here"),
@@ -112,6 +119,9 @@
       None => self.sends.add(1, &[end]),
     }
     self.expected_late.add(u64::from(send.expected_late), &[]);
+    if send.end == End::Left && send.first_ms.is_none() {
+      self.left_silent.add(1, &[]);
+    }
     match send.number {
       1 => self.wait.record(ms_to_s(send.waited_ms), &[]),
       _ => self.retries.add(1, &[]),
--- a/src/message.rs
+++ b/src/message.rs
@@ -12,6 +12,7 @@
   pace,
   placement::plan::Report,
   quota::{Grant, Sums, Use},
+  samples::Samples,
   statement::Statement,
 };
 use serde::{Deserialize, Serialize};
@@ -59,6 +60,8 @@
   /// In an update: number of requests from all instances that wait for the models of a server, by the
   /// short hash of the server's id and start time.
   pub waiting: Vec<(u32, u16)>,
+  /// Of a report: what callers saw.
+  pub samples: Samples,
 }
 
 /// Encodes a datagram.
--- a/src/placement/ahead.rs
+++ b/src/placement/ahead.rs
@@ -111,6 +111,7 @@
         continue;
       }
       let cost = size.load_ms(tier) + REQUEST_COST_MS * u64::from(server.running_total());
+      let cost = cost + self.work_cost_ms(server, model);
       if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
         best = Some((cost, key));
       }
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -142,21 +142,23 @@
   }
 
   /// Loads a further replica of a model whose replicas are too slow for its requests, if some
-  /// server can take it.
-  pub(crate) fn load_further_replica(&mut self, model: models::Key) {
+  /// server can take it that the model would not fill beyond `max_filling`.
+  pub(crate) fn load_further_replica(&mut self, model: models::Key, max_filling: f64) -> bool {
     let need = Need::empty(model);
     if !self.below_max_replicas(model) {
-      return;
+      return false;
     }
     let copy_exists = self.has_copy(model);
-    if let Some(choice) = self.choose(
-      &need,
-      self.further_replica_gain(model),
-      !copy_exists,
-      |_, _| true,
-    ) {
-      self.start_load(choice.server, choice.victims, choice.cost, &need);
-    }
+    let gain = self.further_replica_gain(model);
+    let has_room = |server: &Server, _: Tier| self.filling(server, model) <= max_filling;
+    let Some(choice) = self.choose(&need, gain, !copy_exists, has_room) else {
+      if self.follows_callers() {
+        self.reserve_server(model, gain);
+      }
+      return false;
+    };
+    self.start_load(choice.server, choice.victims, choice.cost, &need);
+    true
   }
 
   /// Loads a model that requests wait for on the server where it costs least, if some server can
@@ -248,6 +250,9 @@
     if loaded || !server.can_take_order(self.now) || !self.allows(self.policy(model), server) {
       return;
     }
+    if self.is_reserved(server, model, requests) {
+      return;
+    }
     let Some(size) = self.models[model].size else {
       return;
     };
@@ -261,6 +266,7 @@
     let delay_ms = load_ms as f64 * server.occupancy;
     let cost =
       cost + load_ms + delay_ms as u64 + REQUEST_COST_MS * u64::from(server.running_total());
+    let cost = cost + self.work_cost_ms(server, model);
     let cost = cost + LIMITED_COST_MS * u64::from(server.is_limited(self.now));
     if best.as_ref().is_none_or(|best| cost < best.cost) {
       *best = Some(Choice {
@@ -325,13 +331,16 @@
     });
     self.publish_pending = true;
     let delay = std::mem::take(&mut self.models[model].delay);
-    let why = format!(
+    let mut why = format!(
       "{} waiting for up to {} ms, from {tier:?}, evicting {:?}, cost {cost}, delayed by [{}]",
       need.waiting,
       need.age_ms,
       evicted.unwrap_or_default(),
       delay.summary()
     );
+    if self.follows_callers() && need.waiting == 0 {
+      why = format!("{why}; {}", self.work_summary(model));
+    }
     self.log_decision("load", key, model, why);
   }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -21,3 +21,4 @@
 pub mod report;
 pub mod server;
 pub mod urgency;
+pub mod work;
--- a/src/placement/models.rs
+++ b/src/placement/models.rs
@@ -7,8 +7,9 @@
 use crate::{
   demand::Model,
   deployment::{Checkpoint, Deployment, Engine},
-  placement::{obstacle::Delay, server},
+  placement::{obstacle::Delay, server, work::Work},
   report::Tier,
+  samples::model_hash,
   strain::Strain,
 };
 use std::{
@@ -87,6 +88,8 @@
   pub(crate) usage: f64,
   /// How slow servers are for it.
   pub(crate) strain: Option<Strain>,
+  /// Its requests and their prompts.
+  pub(crate) work: Option<Work>,
   /// What has delayed its load.
   pub(crate) delay: Delay,
   /// The last demand step at which requests waited for it, or callers were expected to return for
@@ -108,6 +111,8 @@
 pub(crate) struct Models {
   entries: Vec<Entry>,
   pools: Vec<Pool>,
+  /// Models by their hash in samples.
+  by_hash: HashMap<u32, Key>,
 }
 
 impl Index<Key> for Models {
@@ -197,6 +202,11 @@
     }
   }
 
+  /// Returns the key of the model with this hash in samples.
+  pub(crate) fn find_hash(&self, hash: u32) -> Option<Key> {
+    self.by_hash.get(&hash).copied()
+  }
+
   /// Returns the key of a model that a caller names. Only names in the deployment are added,
   /// because callers may send any name.
   pub(crate) fn intern_deployed(&mut self, pool: &str, model: &Model) -> Option<Key> {
@@ -220,6 +230,8 @@
     }
     let Some(adapter) = adapter else {
       let key = self.push(pool, model, None, None);
+      let hash = model_hash(&self.pool(pool).name, model);
+      self.by_hash.insert(hash, key);
       let entry = (key, HashMap::new());
       self.pools[usize::from(pool.0)]
         .keys
@@ -252,6 +264,7 @@
       holder_groups: Vec::new(),
       usage: 0.0,
       strain: None,
+      work: None,
       delay: Delay::default(),
       last_demand_step: 0,
     });
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -14,6 +14,7 @@
   remote::Remote,
   report::Member,
   server::{self, Job, Server, Step},
+  work::Reading,
 };
 pub use super::{publish::Publication, report::Report};
 use crate::{
@@ -123,6 +124,8 @@
   pub(crate) unload_ms: f64,
   /// One server's even share of each pool's requests, requests a second, as of the last sweep.
   pub(crate) even_share: BTreeMap<PoolKey, f64>,
+  /// Time that quiet servers of each pool took to read prompts.
+  pub(crate) readings: BTreeMap<PoolKey, Reading>,
   /// Policies by name, as operators wrote them, and the policy of models that none of them selects.
   policies: BTreeMap<String, Policy>,
   default_policy: Policy,
@@ -173,6 +176,7 @@
       remote_jobs: 0,
       unload_ms: INITIAL_UNLOAD_MS,
       even_share: BTreeMap::new(),
+      readings: BTreeMap::new(),
       policies: BTreeMap::new(),
       default_policy: Policy::default_routed(),
       published_at: 0,
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -17,6 +17,10 @@
 /// Mean fraction below which the other replicas can take over the requests of one.
 const SPARE_STRAIN: f64 = MAX_STRAIN / 2.0;
 
+/// How far a server may be filled by a replica that is added for its room, as a multiple of what it
+/// may be filled: a fuller one has no room.
+const MAX_FILLING: f64 = 1.5;
+
 /// The strain of a model with fewer requests than this, requests a second, is dropped: it no longer
 /// describes its servers.
 const MIN_RATE_PER_S: f64 = 0.01;
@@ -26,6 +30,10 @@
   /// models that get more than one server's even share.
   pub(crate) fn add_replicas(&mut self) {
     self.even_share = self.even_shares();
+    if self.follows_callers() {
+      self.measure_work();
+      self.add_replicas_for_work();
+    }
     let mut candidates: Vec<(models::Key, f64)> = Vec::new();
     for key in self.models.keys() {
       let strain = self.models[key].strain.as_ref();
@@ -52,23 +60,53 @@
         false => 2,
       };
       for _ in holders + entry.loads..target {
-        self.load_further_replica(model);
+        self.load_further_replica(model, f64::INFINITY);
       }
     }
   }
 
+  /// Loads further replicas of models whose prompts exceed the room of their replicas, those that
+  /// lack most first.
+  fn add_replicas_for_work(&mut self) {
+    let mut lacking: Vec<(f64, models::Key)> = Vec::new();
+    for key in self.models.keys() {
+      let entry = &self.models[key];
+      let work = entry.work.filter(|work| work.lacks_room());
+      if let Some(work) = work.filter(|_| !entry.holders.is_empty() && !self.is_idle(key)) {
+        lacking.push((work.filled - work.room, key));
+      }
+    }
+    lacking.sort_by(|one, two| two.0.total_cmp(&one.0));
+    for (mut lack, model) in lacking {
+      while lack > 0.0 && self.load_further_replica(model, MAX_FILLING) {
+        lack -= self.mean_capacity(model);
+      }
+    }
+  }
+
+  /// Mean capacity of a model's replicas.
+  fn mean_capacity(&self, model: models::Key) -> f64 {
+    let holders = &self.models[model].holders;
+    let sum: f64 = holders.iter().map(|key| self.servers[*key].capacity).sum();
+    sum / holders.len().max(1) as f64
+  }
+
   /// One server's even share of each pool's requests, requests a second.
   fn even_shares(&mut self) -> BTreeMap<PoolKey, f64> {
     let mut even_shares: BTreeMap<PoolKey, f64> = BTreeMap::new();
     let now = self.now;
+    let follows_callers = self.follows_callers();
     for entry in self.models.entries_mut() {
-      let Some(strain) = &entry.strain else {
-        continue;
+      let work = entry.work.filter(|_| follows_callers);
+      let rate = match (work, &entry.strain) {
+        (Some(work), _) => work.rate(now),
+        (None, Some(strain)) => strain.rate(now),
+        (None, None) => continue,
       };
-      let rate = strain.rate(now);
       *even_shares.entry(entry.pool).or_default() += rate;
       if rate < MIN_RATE_PER_S {
         entry.strain = None;
+        entry.work = None;
       }
     }
     for (pool, rate) in &mut even_shares {
@@ -88,7 +126,7 @@
   /// 0.007, 0.010 and 0.011 (18 pairs each, errors 0.005 to 0.006).
   fn exceeds_even_share(&self, model: models::Key) -> bool {
     let entry = &self.models[model];
-    let rate = entry.strain.map_or(0.0, |strain| strain.rate(self.now));
+    let rate = self.request_rate(model);
     let share = self
       .even_share
       .get(&entry.pool)
@@ -109,12 +147,9 @@
   /// Requests a second that a replica of a model serves and that its other replicas could not take
   /// over.
   pub(crate) fn needed_rate(&self, model: models::Key) -> f64 {
-    let Some(strain) = &self.models[model].strain else {
-      return 0.0;
-    };
-    match strain.is_idle(self.now) || self.has_spare_replica(model) {
+    match self.is_idle(model) || self.has_spare_replica(model) {
       true => 0.0,
-      false => strain.rate(self.now) / self.replicas_in_use(model) as f64,
+      false => self.request_rate(model) / self.replicas_in_use(model) as f64,
     }
   }
 
@@ -126,9 +161,13 @@
     if holders <= self.policy(model).min_replicas.max(min_holders) {
       return false;
     }
-    if entry.strain.is_some_and(|strain| strain.is_idle(self.now)) {
+    if self.is_idle(model) {
       return true;
     }
+    let work = entry.work.filter(|_| self.follows_callers());
+    if work.is_some_and(|work| work.filled > 0.0 && !work.has_spare_room()) {
+      return false;
+    }
     let mean = entry.strain.and_then(|strain| strain.mean(self.now));
     let growth = f64::from(holders) / f64::from(holders - 1);
     mean.unwrap_or_default() * growth < SPARE_STRAIN
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -95,6 +95,7 @@
   /// Handles the extension of an instance's report.
   pub fn receive_extension(&mut self, now: u64, _address: SocketAddr, extension: &Extension) {
     self.receive_pace_samples(now, &extension.pace_samples);
+    self.apply_samples(now, &extension.samples);
   }
 
   fn apply_missing(&mut self, now: u64, missing: &[(Life, String)]) {
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -8,6 +8,7 @@
     models::{self, Models, PoolKey},
     plan::{QUERY_INTERVAL_MS, REPORT_LAG_MS},
     urgency::{Wait, gain},
+    work::Seen,
   },
   report::Tier,
   selector::Labels,
@@ -129,6 +130,13 @@
   gained_at: u64,
   /// Running requests of all instances, by model and adapter.
   pub(crate) running: BTreeMap<models::Key, u32>,
+  /// Part of a median server's time that its prompts may fill and do fill, as of the last sweep.
+  pub(crate) capacity: f64,
+  pub(crate) filled: f64,
+  /// What callers saw of it.
+  pub(crate) seen: Seen,
+  /// Kept for a replica of this model that serves this many requests, until then, ms.
+  pub(crate) reserved: Option<(models::Key, f64, u64)>,
   /// The holding as last published, and the number of that change.
   pub(crate) published: Option<Holding>,
   pub(crate) change_number: u64,
@@ -168,6 +176,10 @@
       gained: 0.0,
       gained_at: 0,
       running: BTreeMap::new(),
+      capacity: 0.0,
+      filled: 0.0,
+      seen: Seen::default(),
+      reserved: None,
       published: None,
       change_number: 0,
       timer: None,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -249,6 +249,15 @@
     self.log_send(attempt, &result, sent_at, age, pace);
     let (ticket, end) = (self.ticket, result.end);
     self.record_completed(end, sent_at);
+    if self.first_event_at.is_some() && self.hub.state().features.caller_strain {
+      // A stream that broke off was silent until now.
+      let silent_ms = self.hub.now().saturating_sub(self.last_event_at);
+      let pause_ms = match end {
+        End::Whole => self.max_gap_ms,
+        _ => self.max_gap_ms.max(silent_ms),
+      };
+      self.apply(Event::StreamEnded { ticket, pause_ms });
+    }
     self.apply(Event::Ended { ticket, end });
     matches!(end, End::Whole | End::Failed | End::Left)
   }
@@ -331,7 +340,8 @@
       "pace_now" => pace.map(|pace| rounded(pace.current)),
       "expected_first_ms" => attempt.expected_first_ms,
       "expected_pause_ms" => attempt.expected_pause_ms,
-      "expected_late" => attempt.expected_late.map(|late| late.as_str()), "tokens" => attempt.tokens);
+      "expected_late" => attempt.expected_late.map(|late| late.as_str()), "tokens" => attempt.tokens,
+      "holding_ms" => attempt.holding_ms);
   }
 }
 
--- a/src/strain.rs
+++ b/src/strain.rs
@@ -1,7 +1,7 @@
 //! How slow servers are for the models that they hold, as measured by requests: the part of
 //! their latency objective that passes between a send and the first byte of its answer.
 
-use crate::{dispatch::State, request::Ticket};
+use crate::{backend, dispatch::State, request::Ticket};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -15,7 +15,7 @@
 /// A model is not idle before this time, in which several reports of its instances arrive.
 const MIN_IDLE_MS: u64 = 1_000;
 /// Highest slowness of one request: a stalled request says little about the others.
-const MAX_SLOWNESS: f64 = 4.0;
+pub(crate) const MAX_SLOWNESS: f64 = 4.0;
 
 /// Requests for a model that were answered or declined, and their slowness.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -102,14 +102,28 @@
     let objective_ms = request.descriptor.route.objective_ms.max(1) as f64;
     let part_of_objective = self.now.saturating_sub(request.sent) as f64 / objective_ms;
     self.record_slowness(ticket, part_of_objective.min(MAX_SLOWNESS));
+    self.observe_answer(ticket, part_of_objective.min(MAX_SLOWNESS));
   }
 
   /// Records that a full server declined a send.
-  pub(crate) fn record_declined(&mut self, ticket: Ticket) {
+  pub(crate) fn record_declined(&mut self, ticket: Ticket, key: backend::Key) {
     self.record_slowness(ticket, FULL_SLOWNESS);
+    self.count_at_server(key, FULL_SLOWNESS);
   }
 
+  /// Records that the servers that hold a request's model have no room for it.
+  pub(crate) fn record_no_room(&mut self, ticket: Ticket) {
+    self.record_slowness(ticket, FULL_SLOWNESS);
+  }
+
+  /// Records a request, less what was counted of it while it waited.
   fn record_slowness(&mut self, ticket: Ticket, part_of_objective: f64) {
+    let counted = self.counted_objectives(ticket);
+    let more = part_of_objective - f64::from(counted);
+    self.add_strain(ticket, u32::from(counted == 0), more.max(0.0));
+  }
+
+  pub(crate) fn add_strain(&mut self, ticket: Ticket, requests: u32, part_of_objective: f64) {
     let Some(descriptor) = self
       .requests
       .get(&ticket)
@@ -121,8 +135,8 @@
       return;
     };
     let key = (descriptor.pool.clone(), model.name.clone());
-    let (requests, slowness) = self.strain.entry(key).or_default();
-    *requests += 1.0;
+    let (total, slowness) = self.strain.entry(key).or_default();
+    *total += requests as f32;
     *slowness += part_of_objective as f32;
   }
 
--- a/tests/bounded_sends.rs
+++ b/tests/bounded_sends.rs
@@ -310,6 +310,7 @@
   assert_eq!(message::decode(&bytes).unwrap().1.waiting, []);
   let extension = Extension {
     waiting: vec![(1, 2), (3, 4)],
+    ..Extension::default()
   };
   let bytes = message::encode(&message, &extension).unwrap();
   assert_eq!(message::decode(&bytes).unwrap().1, extension);
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -150,3 +150,21 @@
   assert_eq!((table.requests, lost), (10, 5));
   assert_eq!(table.lost[&Cause::Server]["notes"], 5);
 }
+
+#[test]
+fn callers_that_left_before_the_first_event_are_counted_by_model_and_server() {
+  // Sends of such callers have no time to the first byte, so no table of times shows them.
+  let left = |request: &str, first_ms: &str| {
+    let fields = format!(
+      r#""request":"{request}","route":"notes","model":"m","server":"s","end":"Left","late":"no","first_ms":{first_ms}"#
+    );
+    line(1.0, "sent", &fields)
+  };
+  let table = table(vec![
+    left("one", "null"),
+    left("two", "null"),
+    left("three", "40"),
+  ]);
+  let place = ("m".to_string(), "s".to_string());
+  assert_eq!(table.left_silent.get(&place), Some(&2));
+}
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -308,6 +308,8 @@
     since,
     latest,
     holdings: vec![(latest, holding(model))],
+    paces: Vec::new(),
+    waiting: Vec::new(),
     loads: Vec::new(),
   };
   let mut instance = Instance::default();
