placement: loads are published every half second, also while holdings change

Cause: loads were due when nothing had been published for half a second. Changes of holdings are published every 10 ms while models move, so instances never learned the loads of servers then, and each chose by its own sends alone.

Ruled out: loads with every publication (140 servers take 1 KB each time).

Change: the time of the last publication of loads is kept apart. Test: loads_are_published_although_holdings_change_at_every_step.

--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -130,6 +130,8 @@
   policies: BTreeMap<String, Policy>,
   default_policy: Policy,
   pub(crate) published_at: u64,
+  /// When loads were last published, ms. Changes of holdings may be published all the time.
+  pub(crate) loads_published_at: u64,
   /// Minimum time between two publications of changes, ms.
   pub(super) publish_interval_ms: u64,
   pub(crate) publish_pending: bool,
@@ -180,6 +182,7 @@
       policies: BTreeMap::new(),
       default_policy: Policy::default_routed(),
       published_at: 0,
+      loads_published_at: 0,
       publish_interval_ms: MIN_PUBLISH_INTERVAL_MS,
       publish_pending: false,
       changes: 0,
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -52,14 +52,17 @@
     if !due || elapsed < self.publish_interval_ms {
       return;
     }
-    let loads_due = elapsed >= PUBLISH_INTERVAL_MS;
+    let loads_due = self.now >= self.loads_published_at + PUBLISH_INTERVAL_MS;
     self.published_at = self.now;
     self.publish_pending = false;
     let since = self.changes;
     let dirty = std::mem::take(&mut self.dirty);
     dirty.into_iter().for_each(|key| self.record_change(key));
     let loads = match loads_due {
-      true => self.server_loads(),
+      true => {
+        self.loads_published_at = self.now;
+        self.server_loads()
+      }
       false => Vec::new(),
     };
     let paces = self.due_paces();
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -4,7 +4,9 @@
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
   command::Inventory,
+  demand::Model,
   deployment::{Checkpoint, Deployment, Engine, Pool},
+  life::Life,
   placement::plan::{Effect, Plan, Publication, Report},
   replication::{Ahead, Fit, Position, parts},
 };
@@ -325,3 +327,24 @@
     "a datagram that arrives late"
   );
 }
+
+// Guards against instances that never learn the loads of servers while holdings change all the time.
+#[test]
+fn loads_are_published_although_holdings_change_at_every_step() {
+  let mut holder = Holder::open();
+  let model = Model::parse("m0");
+  let running = vec![(Life::of("s00", 0), model, 3)];
+  let mut published = 0;
+  for step in 0..200 {
+    holder.set_model(step % SERVERS, ["m0", "m1", "m2"][step / SERVERS % 3]);
+    let report = Report {
+      running: running.clone(),
+      ..Instance::default().report()
+    };
+    holder.plan.receive_report(holder.now, address(), report);
+    let (all, _) = holder.step();
+    published += all.iter().filter(|update| !update.loads.is_empty()).count();
+  }
+  // Every 500 ms of 2 s.
+  assert!((3..=5).contains(&published), "published {published} times");
+}
