refusals: the log line states customer, units, quota and who decided

Cause: a refusal for quota could not be checked: its line named neither the customer nor what was left. Change: `refused` lines state customer, units, Retry-After, and for quotas who decided (the holder, the own share, no answer in time), what is allowed in a window, what is left of the grant and of the share, and the fleet's use with its age; `sent` lines state customer and units. Names, never keys. Ruled out: the holder's sum in its answer; 20 bytes more an answer for a figure that the sums give.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -412,6 +412,7 @@
       reason,
       verdict: request.verdict,
       retry_after: (retry_after > 0).then_some(retry_after),
+      shortage: None,
     };
     self.log(Entry::Refused {
       policy,
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -58,6 +58,7 @@
     reason: Reason::QueueFull,
     verdict: Verdict::NotRun,
     retry_after: Some(1_000),
+    shortage: None,
   }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -400,8 +400,15 @@
         }
         false
       }
-      Decision::Exceeded(retry_after) => {
-        self.refuse_with_retry_after(ticket, Reason::QuotaExceeded, retry_after);
+      Decision::Exceeded(shortage) => {
+        let refusal = Refusal {
+          reason: Reason::QuotaExceeded,
+          verdict: request.verdict,
+          retry_after: Some(shortage.retry_after),
+          shortage: Some(shortage),
+        };
+        self.out.push(Effect::Refuse(ticket, refusal));
+        self.forget(ticket);
         false
       }
     }
@@ -473,6 +480,7 @@
       reason,
       verdict: request.verdict,
       retry_after: Some(retry_after),
+      shortage: None,
     };
     self.out.push(Effect::Refuse(ticket, refusal));
     self.forget(ticket);
@@ -689,6 +697,7 @@
       // The same content has run under another request id.
       verdict: Verdict::MayHaveRun,
       retry_after: None,
+      shortage: None,
     };
     self.out.push(Effect::Refuse(ticket, refusal));
     self.forget(ticket);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -125,6 +125,7 @@
     reason: Reason::QueueFull,
     verdict: Verdict::NotRun,
     retry_after: Some(UNCONFIGURED_RETRY_MS),
+    shortage: None,
   };
   if let Ok(mut socket) = Socket::accept(stream) {
     // Best effort: the connection is closed even if the caller does not accept this response.
@@ -270,6 +271,7 @@
     reason: Reason::MemoryFull,
     verdict: Verdict::NotRun,
     retry_after: Some(reader::RETRY_MS),
+    shortage: None,
   };
   hub.measures.record_refusal(&refusal);
   info!(hub.log, "refused"; "request" => &full.request, "reason" => refusal.reason.as_str(),
@@ -425,6 +427,7 @@
       reason: Reason::PlatformUnavailable,
       verdict: Verdict::NotRun,
       retry_after: Some(UNCONFIGURED_RETRY_MS),
+      shortage: None,
     };
     info!(hub.log, "refused"; "request" => head.headers.get(hub.dialect.request_id),
       "reason" => refusal.reason.as_str(), "why" => "no configuration is known");
@@ -500,12 +503,14 @@
       reason: Reason::KeysUnsure,
       verdict: Verdict::NotRun,
       retry_after: Some(UNVERIFIED_KEY_RETRY_MS),
+      shortage: None,
     });
   }
   caller.map(Some).map_err(|_| Refusal {
     reason: Reason::KeyUnknown,
     verdict: Verdict::NotRun,
     retry_after: None,
+    shortage: None,
   })
 }
 
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -124,6 +124,15 @@
 }
 
 impl Hub {
+  /// The name of a request's customer, for the log.
+  pub fn customer_name(&self, caller: Option<&Caller>) -> Option<String> {
+    let caller = caller?;
+    let state = self.state();
+    let customers = state.deployment.as_ref()?.customers.as_ref()?;
+    let customer = customers.get(caller.customer)?;
+    Some(customer.name.clone())
+  }
+
   /// Creates a hub around a state.
   pub fn new(state: State, dialect: Dialect, log: Logger) -> io::Result<Arc<Self>> {
     let measures = Measures::new().map_err(|error| io::Error::other(error.to_string()))?;
--- a/src/limit/selection.rs
+++ b/src/limit/selection.rs
@@ -91,9 +91,9 @@
         }
         Outcome::Pending(if is_last { until } else { grant_deadline })
       }
-      Decision::Exceeded(after) => {
+      Decision::Exceeded(shortage) => {
         request.pending_unit = None;
-        Outcome::AtLimit(after)
+        Outcome::AtLimit(shortage.retry_after)
       }
     }
   }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -6,10 +6,12 @@
 
 mod account;
 mod purse;
+mod shortage;
 mod window;
 
 pub use account::{Accounts, Quarters, Standing, Sums};
 pub use purse::{Balances, Decision, GRANT_RETRY_MS};
+pub use shortage::{Basis, Shortage};
 pub use window::Window;
 
 use crate::life::Life;
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -6,7 +6,7 @@
 //! the holder's last sums. It admits whole requests at random, so that all instances together keep
 //! the quota.
 
-use super::{Allowance, Grant, Id, Quarters, Sums, Use, Window};
+use super::{Allowance, Basis, Grant, Id, Quarters, Shortage, Sums, Use, Window};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
 
@@ -48,8 +48,7 @@
   Granted,
   /// Requested from the holder; the request waits until this time at most, in ms.
   Pending(u64),
-  /// The quota is exceeded; retry after this time, in ms.
-  Exceeded(u64),
+  Exceeded(Shortage),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -157,7 +156,13 @@
       return Decision::Granted;
     }
     if now < balance.exceeded_until {
-      return Decision::Exceeded(self.retry_after(now, id));
+      let retry_after = self.retry_after(now, id);
+      return self.exceeded(
+        now,
+        (id, allowance),
+        (Basis::Holder, cost, share),
+        retry_after,
+      );
     }
     let grant_deadline = requested.unwrap_or(now) + GRANT_TIMEOUT_MS;
     if holder_responds && now < grant_deadline {
@@ -175,7 +180,34 @@
     balance.ungranted(length_ms).add(now, share);
     let rate = allowance.quota.rate / instances.max(1) as f64;
     let after = (units / rate.max(f64::MIN_POSITIVE) * 1_000.0) as u64;
-    Decision::Exceeded(after.clamp(RETRY_JITTER_MS, MAX_RETRY_MS))
+    let basis = match holder_responds {
+      true => Basis::Timeout,
+      false => Basis::OwnShare,
+    };
+    let retry_after = after.clamp(RETRY_JITTER_MS, MAX_RETRY_MS);
+    self.exceeded(now, (id, allowance), (basis, cost, share), retry_after)
+  }
+
+  fn exceeded(
+    &self,
+    now: u64,
+    (id, allowance): (Id, &Allowance),
+    (basis, cost, share): (Basis, u32, f64),
+    retry_after: u64,
+  ) -> Decision {
+    let usage = |fleet: &Fleet| {
+      let used = fleet.used(now, id, allowance.bound.window_ms);
+      (used.max(0.0) as u64, now.saturating_sub(fleet.as_of))
+    };
+    Decision::Exceeded(Shortage {
+      basis,
+      cost,
+      granted: self.usage(now, id).1,
+      share: share as u64,
+      allowed: allowance.window_units() as u64,
+      fleet_usage: self.fleet.as_ref().map(usage),
+      retry_after,
+    })
   }
 
   /// Units that this instance may use without a grant: its share of the remaining quota.
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Refusals: final responses to callers whose requests were not served.
 
-use crate::verdict::Verdict;
+use crate::{quota::Shortage, verdict::Verdict};
 use serde::{Deserialize, Serialize};
 
 /// Why a request was not served.
@@ -80,4 +80,7 @@
   pub verdict: Verdict,
   /// Time after which a retry may be served, ms; `None` if the request should not be retried.
   pub retry_after: Option<u64>,
+  /// The exceeded quota, for the log.
+  #[serde(skip)]
+  pub shortage: Option<Shortage>,
 }
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -148,10 +148,20 @@
   /// Sends the final response to a request that is not served.
   pub(super) fn refuse(&mut self, refusal: Refusal) {
     self.hub.measures.record_refusal(&refusal);
+    let caller = self.incoming.caller.as_ref();
+    let shortage = refusal.shortage;
+    let fleet_usage = shortage.and_then(|shortage| shortage.fleet_usage);
     info!(self.hub.log, "refused"; "request" => &self.id, "route" => &self.incoming.route.name,
       "reason" => refusal.reason.as_str(), "verdict" => refusal.verdict.as_str(),
       "model" => self.model(), "begun" => self.response_framing.is_some(),
-      "waited_ms" => self.hub.now() - self.incoming.arrived_at);
+      "waited_ms" => self.hub.now() - self.incoming.arrived_at, "customer" => self.hub.customer_name(caller),
+      "units" => caller.map(|caller| caller.cost), "retry_after_ms" => refusal.retry_after,
+      "why" => shortage.map(|shortage| shortage.basis.to_string()),
+      "allowed" => shortage.map(|shortage| shortage.allowed),
+      "granted" => shortage.map(|shortage| shortage.granted),
+      "share" => shortage.map(|shortage| shortage.share),
+      "fleet_used" => fleet_usage.map(|(used, _)| used),
+      "fleet_age_ms" => fleet_usage.map(|(_, age)| age));
     if self.response_framing.is_some() {
       // A truncated response must not look complete.
       self.disposition = match self.response_framing {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -43,6 +43,7 @@
   reason: Reason::NoServer,
   verdict: Verdict::MayHaveRun,
   retry_after: None,
+  shortage: None,
 };
 
 /// A complete request from a caller.
@@ -324,7 +325,9 @@
     });
     // The content key identifies failed requests with the same content.
     let content = (result.end != End::Whole).then(|| self.content.to_string());
+    let caller = self.incoming.caller.as_ref();
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
+      "customer" => self.hub.customer_name(caller), "units" => caller.map(|caller| caller.cost),
       "content" => content,
       "model" => self.model(), "late" => self.lateness(),
       "server" => &attempt.id, "limit" => &self.hints.limit,
--- a/src/submissions.rs
+++ b/src/submissions.rs
@@ -129,6 +129,7 @@
       false => Verdict::NotRun,
     },
     retry_after: Some(1_000),
+    shortage: None,
   }
 }
 
