quota: count use once and at its time; invite no more callers than fit

Units used and units granted are kept apart. With features.returns the holder keeps what it told refused callers, and tells the next a later time; no Retry-After where it would come too late. The accounting has no switch; server limits use the same accounts. The harness fleet_quota gains holder losses and times of early refusals; no check of it changes.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -401,10 +401,18 @@
         false
       }
       Decision::Exceeded(shortage) => {
+        let returns = self.features.returns;
+        if returns {
+          let (id, cost) = (caller.customer, caller.cost);
+          self.quotas.promise(id, cost, quota.rate, self.instances);
+        }
+        // A caller that would come back too late is not invited.
+        let in_time = now + shortage.retry_after < request.descriptor.deadline;
+        let retry_after = (!returns || in_time).then_some(shortage.retry_after);
         let refusal = Refusal {
           reason: Reason::QuotaExceeded,
           verdict: request.verdict,
-          retry_after: Some(shortage.retry_after),
+          retry_after,
           shortage: Some(shortage),
         };
         self.out.push(Effect::Refuse(ticket, refusal));
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -1,12 +1,13 @@
 //! Fleet-wide usage of quotas, counted by the lease holder.
 //!
-//! For each quota the holder keeps the sum over the last window. Units count when they are granted,
-//! not when they are used. So in any window all instances together use at most the quota plus the
-//! units granted earlier, which stay below the reserve. An instance that stops reporting may
-//! continue with an equal share, so this share is not granted to others; units that it used beyond
-//! its grants count once it reports again.
+//! For each quota the holder keeps the units used within the last window, as reported, and the units
+//! granted and not used yet. Units count as used from the report that states them, which is later
+//! than their use. So in any window all instances together use at most the sum of both, which stays
+//! below the quota plus a part of the reserve. An instance that stops reporting may continue with an
+//! equal share, so this share is not granted to others; units that it used beyond its grants count
+//! once it reports again.
 
-use super::{Allowance, Grant, Id, Use, purse, window::Window};
+use super::{Allowance, Grant, Id, Use, promise::Promises, purse, window::Window};
 use std::collections::HashMap;
 
 /// Time without a report after which an instance counts as silent and uses its own share. Its
@@ -23,20 +24,30 @@
 /// Fraction of a window's quota below which nothing is granted ahead: the remaining units go to
 /// instances where requests wait.
 const SCARCE_FRACTION: f64 = 0.25;
-/// Fraction of the reserve that may always be granted, because units count for up to a
-/// thirty-second part of the window longer than necessary.
-const SLOT_MARGIN: f64 = 0.1;
+/// Fraction of the reserve that may be used in addition to the quota: units count for longer than
+/// necessary, and requests count while they wait for a server. Without it a customer is refused
+/// before it has used its quota. The rest is for units that nobody reports.
+const USED_FRACTION: f64 = 0.6;
 /// How long an instance's use of a permit is kept: longer than a permit lasts.
 const PERMIT_KEPT_MS: u64 = 15_000;
 /// Interval at which unused permits are dropped.
 const PERMIT_CLEANUP_MS: u64 = 1_000;
+/// Time after a takeover by which each instance has reported.
+const ALL_REPORTED_MS: u64 = 1_200;
+/// Fraction of the unknown use that counts from then on: for instances that ended together with the
+/// previous holder, or are cut off.
+const UNREPORTED_FRACTION: f64 = 0.25;
+/// Units used over a period count in this number of equal parts of it.
+const SPREAD_PARTS: u64 = 8;
+/// Longest time in ms until units fit that is stated.
+const MAX_TIME_MS: u64 = 60_000;
 /// Weight of a new request in the moving average of units that requests need.
 const NEED_WEIGHT: f64 = 0.1;
 
 /// Fleet-wide usage of a quota.
 #[derive(Clone, Debug)]
 struct Account {
-  /// Units granted, and units used without a grant.
+  /// Units used.
   window: Window,
   /// Units granted and not used yet, over all instances.
   ahead: f64,
@@ -44,13 +55,16 @@
   typical_need: f64,
   /// Units granted since this holder took over.
   granted: f64,
+  /// Units that may have been used after the previous holder last published its sums.
+  unknown: f64,
+  /// Units promised to callers that were refused.
+  promises: Promises,
 }
 
 /// Usage of one quota by one instance.
 #[derive(Clone, Debug, Default)]
 struct Usage {
   used: i64,
-  limit: i64,
   /// Units granted in response to the last report.
   granted: f64,
   /// Moving average in units per second, as of `updated_at`.
@@ -82,8 +96,12 @@
 pub struct Accounts {
   accounts: HashMap<Id, Account>,
   instances: HashMap<u64, Instance>,
+  /// The process that last reported from each address.
+  processes: HashMap<u64, u64>,
   /// When this holder took over, in ms, and whether it knows the usage before that.
   takeover: Option<(u64, bool)>,
+  /// Time up to which this holder knew the usage when it took over, in ms.
+  known_until: Option<u64>,
   /// Longest window of all reported quotas.
   longest_window_ms: u64,
   /// When unused permits were last dropped, in ms.
@@ -106,6 +124,7 @@
   ) -> Self {
     let mut accounts = Self {
       takeover: Some((now, sums.is_some())),
+      known_until: sums.map(|(as_of, _)| as_of),
       ..Self::default()
     };
     let Some((as_of, sums)) = sums else {
@@ -118,6 +137,9 @@
       };
       let mut account = Account::open(&allowance);
       account.window.add_quarters(now, as_of, quarters);
+      // The previous holder granted no more than this.
+      let left = most(&allowance, allowance.window_units()) - account.window.sum(now);
+      account.unknown = account.unknown.min(left.max(0.0));
       accounts.accounts.insert(*id, account);
     }
     accounts
@@ -129,9 +151,10 @@
     let mut sums: Vec<(f64, Id, Quarters)> = accounts
       .filter_map(|(id, account)| {
         let allowance = allow(*id)?;
-        let sum = account.window.sum(now);
+        let sum = account.window.sum(now) + account.ahead;
         let fraction = sum / allowance.window_units().max(1.0);
-        let quarters = account.window.quarters(now);
+        let mut quarters = account.window.quarters(now);
+        quarters[0] += account.ahead;
         let quarters = quarters.map(|units| units.max(0.0) as u32);
         (sum >= 1.0).then_some((fraction, *id, quarters))
       })
@@ -154,6 +177,19 @@
     instance: u64,
     uses: &[Use],
     allow: impl Fn(Id) -> Option<Allowance>,
+  ) -> Vec<Grant> {
+    self.report_with_promises(now, instance, uses, allow, |_| false)
+  }
+
+  /// Like `report`. The units that were refused are promised for the time in the answer if
+  /// `promise` returns true for the quota.
+  pub fn report_with_promises(
+    &mut self,
+    now: u64,
+    instance: u64,
+    uses: &[Use],
+    allow: impl Fn(Id) -> Option<Allowance>,
+    promise: impl Fn(Id) -> bool,
   ) -> Vec<Grant> {
     self.expire(now);
     let reporter = self.instances.entry(instance).or_default();
@@ -164,11 +200,30 @@
       let allowance = allow(reported.id)?;
       // Grants are whole units, so at least one unit is allowed.
       let allowed = (allowance.window_units() * share).max(1.0);
-      Some(self.process_use(now, instance, reported, (&allowance, allowed)))
+      let promise = promise(reported.id);
+      Some(self.process_use(now, instance, reported, (&allowance, allowed), promise))
     });
     grants.collect()
   }
 
+  /// Records the process at an address. The one before it at the same address has ended: it uses no
+  /// share of its own, and the units granted to it count as used.
+  pub fn record_process(&mut self, now: u64, address: u64, instance: u64) {
+    let previous = self.processes.insert(address, instance);
+    let Some(previous) = previous.filter(|previous| *previous != instance) else {
+      return;
+    };
+    let Some(ended) = self.instances.remove(&previous) else {
+      return;
+    };
+    for (id, usage) in &ended.usages {
+      if let Some(account) = self.accounts.get_mut(id) {
+        account.reclaim(usage);
+        account.window.add(now, usage.granted);
+      }
+    }
+  }
+
   /// Fraction of a quota that may be granted, without the shares of silent instances.
   fn share(&self, now: u64) -> f64 {
     let silent = |instance: &&Instance| now > instance.last_report_at + SILENT_MS;
@@ -184,6 +239,7 @@
     instance: u64,
     reported: &Use,
     (allowance, allowed): (&Allowance, f64),
+    promise: bool,
   ) -> Grant {
     let rate = allowance.quota.rate;
     self.longest_window_ms = self.longest_window_ms.max(allowance.bound.window_ms);
@@ -194,31 +250,33 @@
     let instance = self.instances.entry(instance).or_default();
     let is_known = instance.usages.contains_key(&reported.id);
     if !is_known {
-      account.window.add(now, reported.ungranted.into());
+      let from = self.known_until.unwrap_or(now);
+      account.add_spread(now, from, reported.unreported.into());
     }
     let initial = Usage {
       used: reported.used,
-      limit: reported.used,
       granted: 0.0,
       rate: 0.0,
       updated_at: now,
     };
     let usage = instance.usages.entry(reported.id).or_insert(initial);
+    account.window.add(now, (reported.used - usage.used) as f64);
+    account.reclaim(usage);
     usage.record(now, reported.used);
-    account.reclaim(now, usage);
     let need = f64::from(reported.need);
     account.record_need(need);
-    // Units granted ahead are bounded by the reserve and must not cause refusals. Neither must
-    // requests whose units count twice while they are reclaimed and granted again.
-    let margin = allowance.reserve() * SLOT_MARGIN;
-    // Units granted for waiting requests are mostly used by now. Counting them as unused let 13
-    // requests in 40 ms go to a server that accepts one in two seconds.
+    // Units granted for waiting requests are mostly used by now, and all units granted ahead may
+    // be. Counting them as unused let 13 requests in 40 ms go to a server that accepts one in two
+    // seconds. Those granted ahead stay below the used part of the reserve and cause no refusals.
     let max_ahead = purse::max_ahead(allowance);
-    let mut available = allowed + account.ahead.min(max_ahead) + margin - account.window.sum(now);
+    let mut available = most(allowance, allowed) - account.window.sum(now) - account.ahead;
     let is_recent = |(since, _): &(u64, bool)| now < since + allowance.bound.window_ms;
     if let Some((since, has_sums)) = self.takeover.filter(is_recent) {
-      // Allows for units used in the half second after the previous holder last published its sums.
-      available -= rate * purse::UNKNOWN_USE_S;
+      // By now each instance that still runs has reported what it used.
+      available -= match now < since + ALL_REPORTED_MS {
+        true => account.unknown,
+        false => account.unknown * UNREPORTED_FRACTION,
+      };
       let elapsed = (now - since) as f64 / 1_000.0;
       if !has_sums {
         available = available.min(rate * elapsed - account.granted);
@@ -230,23 +288,23 @@
     };
     let headroom = (max_ahead - account.ahead).max(need);
     let granted = wanted.min(headroom).min(available).max(0.0).floor();
-    account.grant(now, granted);
+    account.grant(granted);
     usage.granted = granted;
-    usage.limit = usage.used + granted as i64;
     let over_ms = match granted < need {
-      true => account
-        .window
-        .time_until_reduced(now, need - granted - available.max(0.0) + granted),
+      true => {
+        let missing = need - available;
+        let over_ms = account.time_until_free(now, rate, missing, promise);
+        if promise {
+          account.promises.add(now + over_ms, need - granted);
+        }
+        over_ms.max(1) as u32
+      }
       false => 0,
     };
     Grant {
       id: reported.id,
-      limit: usage.limit,
-      over_ms: if granted < need {
-        over_ms.max(1) as u32
-      } else {
-        0
-      },
+      limit: usage.used + granted as i64,
+      over_ms,
     }
   }
 
@@ -261,9 +319,8 @@
       instance.expired = true;
       for (id, usage) in &mut instance.usages {
         if let Some(account) = accounts.get_mut(id) {
-          account.reclaim(now, usage);
+          account.reclaim(usage);
         }
-        usage.limit = usage.used;
         usage.granted = 0.0;
       }
     }
@@ -281,7 +338,7 @@
   fn drop_unused_permits(&mut self, now: u64) {
     self
       .accounts
-      .retain(|id, account| !id.is_permit() || account.window.sum(now) > 0.0);
+      .retain(|id, account| !id.is_permit() || account.window.sum(now) + account.ahead > 0.0);
     for instance in self.instances.values_mut() {
       let usages = &mut instance.usages;
       usages.retain(|id, usage| !id.is_permit() || now < usage.updated_at + PERMIT_KEPT_MS);
@@ -295,12 +352,17 @@
     let rate = usages.map(|usage| usage.decayed_rate(now)).sum();
     let account = self.accounts.get_mut(&id);
     let (used, ahead) = account.map_or((0.0, 0.0), |account| {
-      (account.window.sum(now), account.ahead)
+      (account.window.sum(now) + account.ahead, account.ahead)
     });
     Standing { used, ahead, rate }
   }
 }
 
+/// Units that may be used within a window and granted ahead, where the quota allows `allowed`.
+fn most(allowance: &Allowance, allowed: f64) -> f64 {
+  allowed + allowance.reserve() * USED_FRACTION
+}
+
 impl Account {
   fn open(allowance: &Allowance) -> Self {
     Self {
@@ -308,19 +370,38 @@
       ahead: 0.0,
       typical_need: 0.0,
       granted: 0.0,
+      unknown: allowance.quota.rate * purse::UNKNOWN_USE_S,
+      promises: Promises::default(),
+    }
+  }
+
+  /// Adds units that were used since a time, in ms, evenly up to now.
+  fn add_spread(&mut self, now: u64, from: u64, units: f64) {
+    let span = now.saturating_sub(from);
+    for part in 0..SPREAD_PARTS {
+      let at = now - span * part / SPREAD_PARTS;
+      self.window.add_at(now, at, units / SPREAD_PARTS as f64);
     }
   }
 
-  /// Returns granted units that an instance did not use, and counts those that it used without a
-  /// grant.
-  fn reclaim(&mut self, now: u64, usage: &Usage) {
-    let unused = (usage.limit - usage.used) as f64;
-    self.window.add(now, -unused);
+  /// Time in ms until this number of units fits that is missing now, after those promised before.
+  fn time_until_free(&mut self, now: u64, rate: f64, missing: f64, promise: bool) -> u64 {
+    let promised = match promise {
+      true => self.promises.outstanding(now),
+      false => 0.0,
+    };
+    let used = self.window.sum(now);
+    let later = (missing + promised - used).max(0.0) / rate.max(f64::MIN_POSITIVE);
+    let later_ms = (later * 1_000.0).min(MAX_TIME_MS as f64) as u64;
+    self.window.time_until_reduced(now, missing + promised) + later_ms
+  }
+
+  /// Takes back the units granted to an instance: those that it used count as such.
+  fn reclaim(&mut self, usage: &Usage) {
     self.ahead = (self.ahead - usage.granted).max(0.0);
   }
 
-  fn grant(&mut self, now: u64, units: f64) {
-    self.window.add(now, units);
+  fn grant(&mut self, units: f64) {
     self.ahead += units;
     self.granted += units;
   }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -5,6 +5,7 @@
 //! have quotas, and so do backend servers that announce a limit. Pure: no I/O, no clock.
 
 mod account;
+mod promise;
 mod purse;
 mod shortage;
 mod window;
@@ -119,9 +120,9 @@
   pub used: i64,
   /// Units needed by requests that wait for a grant.
   pub need: u32,
-  /// Units used without a grant within the last window, for a holder that has just taken over.
+  /// Units used within the last window that a holder which has just taken over does not know.
   #[serde(rename = "apart")]
-  pub ungranted: u32,
+  pub unreported: u32,
 }
 
 /// Units of a quota granted to an instance.
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -23,6 +23,8 @@
 /// this many seconds of use at the quota's rate: half a second of a customer that sends 7.5 times
 /// its usual load, with a quota of 1.8 times that load.
 pub(super) const UNKNOWN_USE_S: f64 = 2.0;
+/// Published sums are taken as older by this, since they take some time to arrive.
+const PUBLISHED_LATER_MS: u64 = 300;
 /// Fraction of the reserve that instances share while no holder responds.
 const UNGRANTED_FRACTION: f64 = 0.5;
 /// How long a request waits for a grant: an answer takes a few ms, a lost one is requested again,
@@ -65,14 +67,39 @@
   fits_at: u64,
   /// When a request last tried to acquire units, in ms.
   last_used_at: u64,
-  /// Units used without a grant; `None` if no request has tried to acquire units yet.
-  ungranted: Option<Window>,
+  /// `None` if no request has tried to acquire units yet.
+  history: Option<History>,
+}
+
+/// What happened to a quota at this instance within the last window.
+#[derive(Clone, Debug)]
+struct History {
+  /// Units used.
+  used: Window,
+  /// Units of the share that were used up, also by requests that were refused.
+  share: Window,
 }
 
 impl Balance {
-  /// Units used without a grant, in a window of this length in ms.
-  fn ungranted(&mut self, length_ms: u64) -> &mut Window {
-    self.ungranted.get_or_insert_with(|| Window::new(length_ms))
+  fn history(&mut self, length_ms: u64) -> &mut History {
+    self.history.get_or_insert_with(|| History {
+      used: Window::new(length_ms),
+      share: Window::new(length_ms),
+    })
+  }
+
+  /// Uses units; those without a grant also use up the share.
+  fn spend(&mut self, now: u64, units: u32, of_share: f64, length_ms: u64) {
+    self.used += i64::from(units);
+    let history = self.history(length_ms);
+    history.used.add(now, units.into());
+    history.share.add(now, of_share);
+  }
+
+  /// Units used since a time, in ms.
+  fn used_since(&mut self, now: u64, from: u64) -> f64 {
+    let history = self.history.as_mut();
+    history.map_or(0.0, |history| history.used.sum_since(now, from))
   }
 
   fn remaining(&self, now: u64) -> i64 {
@@ -152,7 +179,7 @@
     let balance = self.balances.entry(id).or_default();
     balance.last_used_at = now;
     if balance.remaining(now) >= i64::from(cost) {
-      balance.used += i64::from(cost);
+      balance.spend(now, cost, 0.0, length_ms);
       return Decision::Granted;
     }
     if now < balance.exceeded_until {
@@ -173,11 +200,10 @@
     // one is admitted.
     let units = f64::from(cost);
     if share >= units || self.rng.random_range(0.0..units.max(1.0)) < share {
-      balance.used += i64::from(cost);
-      balance.ungranted(length_ms).add(now, units.min(share));
+      balance.spend(now, cost, units.min(share), length_ms);
       return Decision::Granted;
     }
-    balance.ungranted(length_ms).add(now, share);
+    balance.history(length_ms).share.add(now, share);
     let rate = allowance.quota.rate / instances.max(1) as f64;
     let after = (units / rate.max(f64::MIN_POSITIVE) * 1_000.0) as u64;
     let basis = match holder_responds {
@@ -218,7 +244,7 @@
     instances: usize,
   ) -> f64 {
     let balance = self.balances.entry(id).or_default();
-    let ungranted = balance.ungranted(allowance.bound.window_ms).sum(now);
+    let used_up = balance.history(allowance.bound.window_ms).share.sum(now);
     let rate = allowance.quota.rate;
     let remaining = match &self.fleet {
       Some(fleet) => {
@@ -231,7 +257,7 @@
         .window_units()
         .min(rate * (now - self.first_used_at) as f64 / 1_000.0),
     };
-    (remaining / instances.max(1) as f64 - ungranted).max(0.0)
+    (remaining / instances.max(1) as f64 - used_up).max(0.0)
   }
 
   /// Stores the units used by all instances within the last window, as of a time in ms.
@@ -257,10 +283,23 @@
     (fits_at.saturating_sub(now) + jitter).clamp(RETRY_JITTER_MS, MAX_RETRY_MS)
   }
 
+  /// Counts the units of a refused request until the quota has room, so that the next caller which
+  /// this instance refuses without asking the holder is told a later time.
+  pub fn promise(&mut self, id: Id, cost: u32, rate: f64, instances: usize) {
+    let rate = rate / instances.max(1) as f64;
+    let after_ms = f64::from(cost) / rate.max(f64::MIN_POSITIVE) * 1_000.0;
+    if let Some(balance) = self.balances.get_mut(&id) {
+      balance.fits_at += after_ms.min(MAX_RETRY_MS as f64) as u64;
+    }
+  }
+
   /// Refunds the units of a request that certainly did not run.
   pub fn refund(&mut self, id: Id, cost: u32) {
     if let Some(balance) = self.balances.get_mut(&id) {
       balance.used -= i64::from(cost);
+      if let Some(history) = &mut balance.history {
+        history.used.add(balance.last_used_at, -f64::from(cost));
+      }
     }
   }
 
@@ -290,6 +329,7 @@
   pub fn uses(&mut self, now: u64, needs: &HashMap<Id, u32>) -> Vec<Use> {
     let is_active =
       |balance: &Balance| now < balance.last_used_at + IDLE_MS || now < balance.expires_at;
+    let reported_until = self.reported_until();
     // The usage of an idle quota was reported long ago and is included in its limit.
     let mut uses: Vec<Use> = self
       .balances
@@ -299,11 +339,7 @@
         id: *id,
         used: balance.used,
         need: needs.get(id).copied().unwrap_or_default(),
-        ungranted: balance
-          .ungranted
-          .as_mut()
-          .map_or(0.0, |ungranted| ungranted.sum(now))
-          .max(0.0) as u32,
+        unreported: balance.used_since(now, reported_until).max(0.0) as u32,
       })
       .collect();
     uses.sort_by_key(|usage| (usage.need == 0, usage.id));
@@ -316,6 +352,14 @@
     uses
   }
 
+  /// Time until which a holder that takes over knows the usage of this instance, in ms: a report
+  /// was answered, and sums were published after it.
+  fn reported_until(&self) -> u64 {
+    let answered = self.last_answer.map_or(0, |(sent, _)| sent);
+    let published = self.fleet.as_ref().map_or(0, |fleet| fleet.as_of);
+    answered.min(published.saturating_sub(PUBLISHED_LATER_MS))
+  }
+
   fn drop_idle_permits(&mut self, now: u64) {
     let is_kept =
       |id: &Id, balance: &Balance| !id.is_permit() || now < balance.last_used_at + PERMIT_IDLE_MS;
--- a/src/quota/window.rs
+++ b/src/quota/window.rs
@@ -74,6 +74,15 @@
     quarters
   }
 
+  /// Units used from this time on, in ms, and in the rest of its slot.
+  pub fn sum_since(&mut self, now: u64, from: u64) -> f64 {
+    self.trim(now);
+    let slot_ms = self.slot_ms();
+    let slots = self.slots.iter().rev();
+    let recent = slots.take_while(|(slot, _)| (slot + 1) * slot_ms > from);
+    recent.map(|(_, used)| used).sum()
+  }
+
   /// Units used within the window.
   pub fn sum(&mut self, now: u64) -> f64 {
     self.trim(now);
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -47,9 +47,19 @@
   directory: Option<Arc<Directory>>,
   bound: Bound,
   limits: Limits,
+  returns: bool,
 }
 
 impl Allowances {
+  /// Whether callers that are refused for this quota are told a time with room for them.
+  fn promises_returns(&self, id: Id) -> bool {
+    let customer = self
+      .directory
+      .as_ref()
+      .and_then(|directory| directory.get(id));
+    self.returns && customer.is_some()
+  }
+
   fn get(&self, id: Id) -> Option<Allowance> {
     let customer = self
       .directory
@@ -142,10 +152,17 @@
   }
 
   fn record_uses(&mut self, now: u64, from: SocketAddr, process: u64, uses: &[Use]) -> Vec<Grant> {
-    let instance = xxh3_64_with_seed(from.to_string().as_bytes(), process);
+    let address = from.to_string();
+    let instance = xxh3_64_with_seed(address.as_bytes(), process);
+    self
+      .accounts
+      .record_process(now, xxh3_64_with_seed(address.as_bytes(), 0), instance);
     let allowances = self.allowances();
     let allow = |id| allowances.get(id);
-    self.accounts.report(now, instance, uses, allow)
+    let promise = |id| allowances.promises_returns(id);
+    self
+      .accounts
+      .report_with_promises(now, instance, uses, allow, promise)
   }
 
   /// Answers an instance's report with grants.
@@ -258,6 +275,7 @@
       directory: deployment.and_then(|deployment| deployment.customers.clone()),
       bound: self.quota_bound,
       limits: state.limits.clone(),
+      returns: state.features.returns,
     }
   }
 
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -206,6 +206,7 @@
     hot_customer: None,
     pinned_customer: None,
     kill: None,
+    holder_losses: &[],
     partitioned: None,
     suspended: None,
     loss: 0.01,
--- a/tests/fleet_quota/mod.rs
+++ b/tests/fleet_quota/mod.rs
@@ -43,6 +43,8 @@
   pub pinned_customer: Option<(usize, u64)>,
   /// Fraction of the instances that are killed, at which time, ms, and whether the holder is too.
   pub kill: Option<(f64, u64, bool)>,
+  /// When the holder fails and another instance follows, ms, in ascending order.
+  pub holder_losses: &'static [u64],
   /// Number of instances whose messages are lost, with start and end, ms.
   pub partitioned: Option<(usize, u64, u64)>,
   /// Number of instances that are suspended, with start and end, ms.
@@ -59,6 +61,9 @@
   /// Number of requests within their customer's quota, and how many of those were refused.
   pub within: usize,
   pub refused: usize,
+  /// When requests were refused although their customer had not used its quota, with them, in the
+  /// window that ended then, in ms.
+  pub refused_early: Vec<u64>,
   pub messages: usize,
 }
 
@@ -179,6 +184,9 @@
       }
     }
     self.kill(now);
+    if self.scenario.holder_losses.contains(&now) {
+      self.holder_at = now + TAKEOVER_MS;
+    }
     self.deliver(now);
     self.arrive(now);
     for index in 0..self.instances.len() {
@@ -367,6 +375,8 @@
       let (within, refused) = count_within_quota(&self.sent[customer], BOUND.window_units(quota));
       outcome.within += within;
       outcome.refused += refused;
+      let early = refused_early(&self.sent[customer], ran, BOUND.window_units(quota));
+      outcome.refused_early.extend(early);
     }
     outcome
   }
@@ -403,3 +413,23 @@
   }
   (within, refused)
 }
+
+/// Times of refused requests that would have fit into the quota together with those that ran
+/// within the window before them.
+fn refused_early(sent: &[(u64, u32, bool)], ran: &[(u64, u32)], allowed: f64) -> Vec<u64> {
+  let (mut early, mut sum, mut first, mut next) = (Vec::new(), 0.0, 0, 0);
+  for (at, cost, was_refused) in sent {
+    while next < ran.len() && ran[next].0 <= *at {
+      sum += f64::from(ran[next].1);
+      next += 1;
+    }
+    while first < next && ran[first].0 + BOUND.window_ms <= *at {
+      sum -= f64::from(ran[first].1);
+      first += 1;
+    }
+    if *was_refused && sum + f64::from(*cost) <= allowed {
+      early.push(*at);
+    }
+  }
+  early
+}
--- /dev/null
+++ b/tests/quota_refusals.rs
@@ -0,0 +1,123 @@
+//! Refusals for quota are right: a customer is refused when it has used its quota, also while holders
+//! fail and after.
+
+#[allow(
+  dead_code,
+  reason = "the other strategies are compared in tests/customers.rs"
+)]
+mod fleet_quota;
+
+use bendsaddle::quota::{Accounts, Allowance, Balances, Bound, Decision, Id, Quota, Use};
+use fleet_quota::{BOUND, Scenario, Strategy, simulate};
+
+/// A fleet of 66 instances with customers of different sizes, and one at six times its usual rate.
+fn scenario(seed: u64, hot: usize) -> Scenario {
+  Scenario {
+    seed,
+    instances: 66,
+    usual: vec![
+      150_000.0, 65_000.0, 38_000.0, 20_000.0, 10_000.0, 7_000.0, 5_000.0,
+    ],
+    hot_customer: Some((hot, 6.0, 7_300, 13_100)),
+    pinned_customer: None,
+    kill: None,
+    holder_losses: &[],
+    partitioned: None,
+    suspended: None,
+    loss: 0.01,
+    length_ms: 34_000,
+  }
+}
+
+/// A customer that asks for more than its quota uses it before it is refused.
+#[test]
+fn a_customer_at_six_times_its_usual_uses_its_quota_before_it_is_refused() {
+  for (seed, hot) in [(1, 0), (2, 1), (3, 4)] {
+    let outcome = simulate(&scenario(seed, hot), Strategy::Requested);
+    let early = outcome.refused_early.len();
+    println!("{seed}: {early} early, worst {:.3}", outcome.worst);
+    assert!(outcome.worst <= 1.0, "{seed}: {:.3}", outcome.worst);
+    assert!(early < 20, "{seed}: {early}");
+  }
+}
+
+fn allowance() -> Allowance {
+  let quota = Quota {
+    rate: 1_000.0,
+    burst: 1_000.0,
+  };
+  Allowance {
+    quota,
+    bound: BOUND,
+  }
+}
+
+/// Refused requests used up the share of their instance, and were reported as its usage.
+#[test]
+fn a_refused_request_is_not_reported_as_used() {
+  let id = Id::for_customer("one");
+  let mut quotas = Balances::new(1);
+  quotas.receive_sums(1_000, &vec![(id, [0, 0, 0, 0])]);
+  let mut refused = 0;
+  let mut used = 0;
+  for request in 0..200 {
+    let now = 1_000 + request * 10;
+    match quotas.acquire(now, (id, &allowance()), 5_000, Some(0), 66) {
+      Decision::Granted => used += 5_000,
+      _ => refused += 1,
+    }
+  }
+  assert!(refused > 150, "{refused}");
+  let uses = quotas.uses(3_000, &Default::default());
+  assert_eq!(uses[0].used, used);
+  let Use { unreported, .. } = uses[0];
+  assert_eq!(i64::from(unreported), used);
+}
+
+/// The previous process of a restarted instance counted as silent for a window, and its part of each
+/// quota was withheld from all.
+#[test]
+fn a_restarted_instance_does_not_count_as_silent() {
+  let id = Id::for_customer("one");
+  let mut accounts = Accounts::default();
+  let need = |need| {
+    [Use {
+      id,
+      used: 0,
+      need,
+      unreported: 0,
+    }]
+  };
+  accounts.record_process(1_000, 7, 70);
+  accounts.report(1_000, 70, &need(10), |_| Some(allowance()));
+  accounts.record_process(4_000, 7, 71);
+  let grants = accounts.report(4_000, 71, &need(8_500), |_| Some(allowance()));
+  assert_eq!(grants[0].over_ms, 0, "{grants:?}");
+}
+
+/// What was used while no holder answered counted as used at the takeover, and two seconds of the
+/// rate were kept back for a whole window: a customer was refused for seconds with its quota unused.
+#[test]
+fn what_was_used_during_an_outage_counts_from_its_time() {
+  let id = Id::for_customer("one");
+  let allowance = Allowance {
+    quota: allowance().quota,
+    bound: Bound {
+      slack: 0.0,
+      ..BOUND
+    },
+  };
+  let sums = vec![(id, [0, 0, 0, 0])];
+  let mut accounts = Accounts::new(7_000, Some((3_000, &sums)), |_| Some(allowance));
+  let uses = |used, need, unreported| {
+    [Use {
+      id,
+      used,
+      need,
+      unreported,
+    }]
+  };
+  accounts.report(7_000, 70, &uses(6_000, 0, 6_000), |_| Some(allowance));
+  let grants = accounts.report(12_500, 70, &uses(6_000, 4_000, 0), |_| Some(allowance));
+  assert_eq!(grants[0].over_ms, 0, "{grants:?}");
+}
