features: replicas by the work of prompts get a switch of their own, and stay off

A bound by places of the pool was weighed: no ratio of places to models tells the pools apart in which it helps.

Change: promptWork, off; callerStrain counts those who leave or wait.

--- a/src/feature.rs
+++ b/src/feature.rs
@@ -12,8 +12,10 @@
   pub expected_time: bool,
   /// Sends fit into the token memory of engines.
   pub token_memory: bool,
-  /// Replicas follow what callers see: waits, departures and pauses.
+  /// Callers that leave or still wait count for replicas, beside those that were answered.
   pub caller_strain: bool,
+  /// Replicas follow the work of prompts and the pauses that callers see; with `caller_strain`.
+  pub prompt_work: bool,
   /// What is sent beyond a server's slots is bounded; the rest waits at its instance.
   pub bounded_sends: bool,
   /// Customers' shares in a shortage hold over all instances.
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -152,7 +152,7 @@
     let gain = self.further_replica_gain(model);
     let has_room = |server: &Server, _: Tier| self.filling(server, model) <= max_filling;
     let Some(choice) = self.choose(&need, gain, !copy_exists, has_room) else {
-      if self.follows_callers() {
+      if self.follows_work() {
         self.reserve_server(model, gain);
       }
       return false;
@@ -338,7 +338,7 @@
       evicted.unwrap_or_default(),
       delay.summary()
     );
-    if self.follows_callers() && need.waiting == 0 {
+    if self.follows_work() && need.waiting == 0 {
       why = format!("{why}; {}", self.work_summary(model));
     }
     self.log_decision("load", key, model, why);
--- a/src/placement/replicas.rs
+++ b/src/placement/replicas.rs
@@ -30,7 +30,7 @@
   /// models that get more than one server's even share.
   pub(crate) fn add_replicas(&mut self) {
     self.even_share = self.even_shares();
-    if self.follows_callers() {
+    if self.follows_work() {
       self.measure_work();
       self.add_replicas_for_work();
     }
@@ -95,9 +95,9 @@
   fn even_shares(&mut self) -> BTreeMap<PoolKey, f64> {
     let mut even_shares: BTreeMap<PoolKey, f64> = BTreeMap::new();
     let now = self.now;
-    let follows_callers = self.follows_callers();
+    let follows_work = self.follows_work();
     for entry in self.models.entries_mut() {
-      let work = entry.work.filter(|_| follows_callers);
+      let work = entry.work.filter(|_| follows_work);
       let rate = match (work, &entry.strain) {
         (Some(work), _) => work.rate(now),
         (None, Some(strain)) => strain.rate(now),
@@ -164,7 +164,7 @@
     if self.is_idle(model) {
       return true;
     }
-    let work = entry.work.filter(|_| self.follows_callers());
+    let work = entry.work.filter(|_| self.follows_work());
     if work.is_some_and(|work| work.filled > 0.0 && !work.has_spare_room()) {
       return false;
     }
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -206,12 +206,15 @@
 }
 
 impl Plan {
-  /// Whether replicas follow what callers see.
-  pub(crate) fn follows_callers(&self) -> bool {
-    self.features.caller_strain
+  /// Whether replicas follow the work of prompts.
+  pub(crate) fn follows_work(&self) -> bool {
+    self.features.prompt_work
   }
 
   pub(crate) fn apply_samples(&mut self, now: u64, samples: &Samples) {
+    if !self.follows_work() {
+      return;
+    }
     for sample in &samples.models {
       let Some(model) = self.models.find_hash(sample.model) else {
         continue;
@@ -340,7 +343,7 @@
   /// Recent requests for a model per second.
   pub(crate) fn request_rate(&self, model: models::Key) -> f64 {
     let entry = &self.models[model];
-    match (self.follows_callers(), entry.work) {
+    match (self.follows_work(), entry.work) {
       (true, Some(work)) => work.rate(self.now),
       _ => entry.strain.map_or(0.0, |strain| strain.rate(self.now)),
     }
@@ -349,7 +352,7 @@
   /// Whether requests for a model have stopped arriving.
   pub(crate) fn is_idle(&self, model: models::Key) -> bool {
     let entry = &self.models[model];
-    match (self.follows_callers(), entry.work) {
+    match (self.follows_work(), entry.work) {
       (true, Some(work)) => work.is_idle(self.now),
       _ => entry.strain.is_some_and(|strain| strain.is_idle(self.now)),
     }
@@ -364,7 +367,7 @@
   /// How far a server's models and a further replica of a model would fill it, as a multiple of what
   /// it may be filled.
   pub(crate) fn filling(&self, server: &server::Server, model: models::Key) -> f64 {
-    if !self.follows_callers() || server.capacity <= 0.0 {
+    if !self.follows_work() || server.capacity <= 0.0 {
       return 0.0;
     }
     let entry = &self.models[model];
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -159,6 +159,7 @@
   fn new(servers: &[(Vec<String>, Vec<String>)]) -> Self {
     let features = Features {
       caller_strain: true,
+      prompt_work: true,
       ..Features::default()
     };
     let names = servers
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -37,6 +37,7 @@
   expected_time: false,
   token_memory: false,
   caller_strain: false,
+  prompt_work: false,
   bounded_sends: false,
   fair_shares: false,
   returns: false,
