--- a/src/feature.rs
+++ b/src/feature.rs
@@ -18,9 +18,8 @@
   pub prompt_work: bool,
   /// What is sent beyond a server's slots is bounded; the rest waits at its instance.
   pub bounded_sends: bool,
-  /// Customers' shares in a shortage hold over all instances.
-  pub fair_shares: bool,
-  /// A refusal reserves room for the caller's return.
+  /// Times of return that refusals for quota state are kept, so that no more callers are invited than
+  /// fit.
   pub returns: bool,
   /// Bytes held for slow readers are bounded.
   pub reader_bounds: bool,
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -39,7 +39,6 @@
   caller_strain: false,
   prompt_work: false,
   bounded_sends: false,
-  fair_shares: false,
   returns: false,
   reader_bounds: false,
 };
