readers, choice: usual names

Cause: a bound was named whole, a constant news. Change: instance, propagation; the log field bound says instance.

--- a/src/dispatch/choice/room.rs
+++ b/src/dispatch/choice/room.rs
@@ -16,7 +16,7 @@
 
 /// Time in which the end of a request at a server reaches the other instances: half a report and half
 /// a publication, in ms.
-const NEWS_MS: f32 = 250.0;
+const PROPAGATION_MS: f32 = 250.0;
 /// Largest part of a server's slots by which sends exceed them.
 const MAX_MARGIN: f32 = 0.25;
 /// Part of a server's slots, as a divisor, by which urgent requests exceed the bound of the others.
@@ -28,7 +28,7 @@
 /// before instances learn of it.
 pub fn bound(slots: u32, duration_ms: f32) -> u32 {
   let slots = slots as f32;
-  let ended = slots * NEWS_MS / duration_ms.max(1.0);
+  let ended = slots * PROPAGATION_MS / duration_ms.max(1.0);
   (slots + ended.min(slots * MAX_MARGIN)).ceil() as u32
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -391,7 +391,7 @@
     let fill = socket.fill_by(check_at.min(deadline));
     let timed_out = matches!(&fill, Err(error) if error.kind() == io::ErrorKind::TimedOut);
     if account.is_dropped() {
-      return Err(Scope::Whole);
+      return Err(Scope::Instance);
     }
     if !timed_out || Moment::now() >= deadline {
       return Ok(fill);
--- a/src/reader/ledger.rs
+++ b/src/reader/ledger.rs
@@ -15,7 +15,7 @@
 pub enum Scope {
   Caller,
   Customer,
-  Whole,
+  Instance,
 }
 
 impl Scope {
@@ -24,7 +24,7 @@
     match self {
       Self::Caller => "caller",
       Self::Customer => "customer",
-      Self::Whole => "whole",
+      Self::Instance => "instance",
     }
   }
 }
@@ -94,9 +94,9 @@
   /// The bound that leaves no room. A caller is chosen to be dropped then, so that there is room
   /// for later requests.
   pub fn admit(&mut self) -> Result<Key, Scope> {
-    if self.total + BASE_BYTES > self.bounds.whole {
+    if self.total + BASE_BYTES > self.bounds.instance {
       self.make_room(None, BASE_BYTES);
-      return Err(Scope::Whole);
+      return Err(Scope::Instance);
     }
     self.total += BASE_BYTES;
     Ok(self.entries.insert(Entry::default()))
@@ -143,7 +143,7 @@
     Ok(())
   }
 
-  /// Like `receive`, for an answer. Beyond a customer's bound or the whole, the caller with most
+  /// Like `receive`, for an answer. Beyond a customer's bound or the instance's, the caller with most
   /// loose bytes is chosen to be dropped, which may be this one: a server must not be left unread.
   ///
   /// # Errors
@@ -159,7 +159,7 @@
       .saturating_sub(entry.charge());
     match result {
       Err(Scope::Customer) => self.make_room(entry.customer, more),
-      Err(Scope::Whole) => self.make_room(None, more + self.bounds.arrivals()),
+      Err(Scope::Instance) => self.make_room(None, more + self.bounds.arrivals()),
       Ok(()) | Err(Scope::Caller) => {}
     }
     result
@@ -177,7 +177,7 @@
     if wanted.customer.is_some() && held + more > self.bounds.customer {
       return Some(Scope::Customer);
     }
-    (self.total + more > self.bounds.shared()).then_some(Scope::Whole)
+    (self.total + more > self.bounds.shared()).then_some(Scope::Instance)
   }
 
   /// Like `grow`, for parts of an answer that are in memory already; they always fit.
@@ -186,7 +186,7 @@
       return;
     };
     self.replace(key, Entry { loose, ..entry });
-    if self.total > self.bounds.whole {
+    if self.total > self.bounds.instance {
       self.make_room(None, 0);
     }
   }
@@ -214,7 +214,7 @@
     };
     let fixed = entry.fixed.saturating_sub(before) + now;
     self.replace(key, Entry { fixed, ..entry });
-    if self.total > self.bounds.whole {
+    if self.total > self.bounds.instance {
       self.make_room(None, 0);
     }
   }
@@ -245,7 +245,7 @@
   fn make_room(&mut self, customer: Option<Id>, more: u64) {
     let (held, bound) = match customer {
       Some(customer) => (self.customer_total(customer), self.bounds.customer),
-      None => (self.total, self.bounds.whole),
+      None => (self.total, self.bounds.instance),
     };
     let dropped = self.entries.values().filter(|entry| entry.dropped);
     let in_scope = dropped.filter(|entry| customer.is_none() || entry.customer == customer);
--- a/src/reader/mod.rs
+++ b/src/reader/mod.rs
@@ -32,12 +32,12 @@
 
 /// Part of an instance's memory that may be held for callers. The rest is for threads, sockets, the
 /// fleet's state, and for a body's second copy while it is sent.
-const WHOLE_SHARE: u64 = 4;
-/// Part of the whole that may be held for one customer, so that another one always has room.
+const INSTANCE_SHARE: u64 = 4;
+/// Part of the instance's bound that may be held for one customer, so that another one always has room.
 const CUSTOMER_SHARE: u64 = 2;
-/// Part of the whole that may be held for one caller.
+/// Part of the instance's bound that may be held for one caller.
 const CALLER_SHARE: u64 = 4;
-/// Part of the whole that is kept for new requests: callers that do not read fill the rest, and
+/// Part of the instance's bound that is kept for new requests: callers that do not read fill the rest, and
 /// would otherwise keep new ones out until each is dropped.
 const ARRIVAL_SHARE: u64 = 8;
 
@@ -49,28 +49,28 @@
   /// For all requests of a customer, where customers are configured.
   pub customer: u64,
   /// For all requests of the instance.
-  pub whole: u64,
+  pub instance: u64,
 }
 
 impl Bounds {
   /// The bounds of an instance with this much memory.
   pub fn of_memory(memory_mb: u64) -> Self {
-    let whole = (memory_mb << 20) / WHOLE_SHARE;
+    let instance = (memory_mb << 20) / INSTANCE_SHARE;
     Self {
-      caller: whole / CALLER_SHARE,
-      customer: whole / CUSTOMER_SHARE,
-      whole,
+      caller: instance / CALLER_SHARE,
+      customer: instance / CUSTOMER_SHARE,
+      instance,
     }
   }
 
-  /// Part of the whole that is kept for new requests.
+  /// Part of the instance's bound that is kept for new requests.
   pub(crate) fn arrivals(&self) -> u64 {
-    self.whole / ARRIVAL_SHARE
+    self.instance / ARRIVAL_SHARE
   }
 
-  /// Part of the whole that large bodies and unread answers share.
+  /// Part of the instance's bound that large bodies and unread answers share.
   pub(crate) fn shared(&self) -> u64 {
-    self.whole - self.arrivals()
+    self.instance - self.arrivals()
   }
 }
 
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -10,11 +10,11 @@
 const TWO: Id = Id(2);
 
 /// Bounds in units of what each request is charged.
-fn bounds(caller: u64, customer: u64, whole: u64) -> Bounds {
+fn bounds(caller: u64, customer: u64, instance: u64) -> Bounds {
   Bounds {
     caller: caller * BASE_BYTES,
     customer: customer * BASE_BYTES,
-    whole: whole * BASE_BYTES,
+    instance: instance * BASE_BYTES,
   }
 }
 
@@ -32,7 +32,7 @@
   assert_eq!(ledger.receive(first, 4 * BASE_BYTES), Ok(()));
   assert_eq!(ledger.receive(first, 5 * BASE_BYTES), Err(Scope::Caller));
   // An eighth is kept for new requests.
-  assert_eq!(ledger.receive(second, 4 * BASE_BYTES), Err(Scope::Whole));
+  assert_eq!(ledger.receive(second, 4 * BASE_BYTES), Err(Scope::Instance));
   assert!(!ledger.is_dropped(first));
   assert_eq!(ledger.total(), 5 * BASE_BYTES);
 }
@@ -45,13 +45,13 @@
   ledger.grow(small, 3 * BASE_BYTES).unwrap();
   ledger.grow(large, 4 * BASE_BYTES).unwrap();
   let _last = ledger.admit().unwrap();
-  assert_eq!(ledger.admit(), Err(Scope::Whole));
+  assert_eq!(ledger.admit(), Err(Scope::Instance));
   assert_eq!(
     [small, large].map(|key| ledger.is_dropped(key)),
     [false, true]
   );
   // The room that its drop releases is counted before another one is dropped.
-  assert_eq!(ledger.grow(small, 4 * BASE_BYTES), Err(Scope::Whole));
+  assert_eq!(ledger.grow(small, 4 * BASE_BYTES), Err(Scope::Instance));
   assert!(!ledger.is_dropped(small));
   ledger.release(large);
   assert_eq!(ledger.grow(small, 4 * BASE_BYTES), Ok(()));
@@ -82,7 +82,7 @@
   let key = ledger.admit().unwrap();
   ledger.grow(key, 4 * BASE_BYTES).unwrap();
   let _last = ledger.admit().unwrap();
-  assert_eq!(ledger.admit(), Err(Scope::Whole));
+  assert_eq!(ledger.admit(), Err(Scope::Instance));
   assert!(ledger.is_dropped(key));
   ledger.grow(key, 0).unwrap();
   ledger.grow(key, 2 * BASE_BYTES).unwrap();
@@ -97,7 +97,7 @@
   ledger.receive(key, 4 * BASE_BYTES).unwrap();
   ledger.settle(key);
   ledger.hold(key, 0, BASE_BYTES);
-  assert_eq!(ledger.admit(), Err(Scope::Whole));
+  assert_eq!(ledger.admit(), Err(Scope::Instance));
   assert!(!ledger.is_dropped(key));
   assert_eq!(ledger.victim(None), None);
 }
@@ -105,8 +105,8 @@
 #[test]
 fn bounds_follow_from_memory() {
   let bounds = Bounds::of_memory(120);
-  assert_eq!(bounds.whole, 30 << 20);
-  assert!(bounds.caller < bounds.customer && bounds.customer < bounds.whole);
+  assert_eq!(bounds.instance, 30 << 20);
+  assert!(bounds.caller < bounds.customer && bounds.customer < bounds.instance);
 }
 
 /// A step of a history: what is done, to which request, with how many bytes.
@@ -161,7 +161,7 @@
         let assigned = ledger.assign(keys[known], customer);
         assert!(assigned.is_ok() || held + BASE_BYTES > bounds.customer);
       }
-      let within = ledger.total() <= bounds.whole.max(before);
+      let within = ledger.total() <= bounds.instance.max(before);
       if !(within || forced) {
         return false;
       }
