retry: log what a budget rests on

The logs cannot tell why: no line names the share of the slack, the number of instances behind it or the age of the process.

Change: one line a pool and second in which a retry was requested, with requests, retries, what was allowed, the share, the instances and the age of the process. No decision changes.

Hypotheses: (1) each life has the whole share anew; (2) a holder counts too few instances, so shares are too large; (3) retries wait and arrive in a later window. The line tells 1 and 2 apart; 3 shows in the waits of `sent` lines with send 2 and up.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -93,11 +93,14 @@
       return;
     };
     let now = self.now;
-    let budget = self
-      .budgets
-      .entry(request.descriptor.pool.clone())
-      .or_default();
-    if budget.try_retry(now, &self.retry_bound, self.instances) {
+    let pool = &request.descriptor.pool;
+    let budget = self.budgets.entry(pool.clone()).or_default();
+    let fits = budget.try_retry(now, &self.retry_bound, self.instances);
+    if let Some(standing) = budget.report(now, &self.retry_bound, self.instances, fits) {
+      let pool = pool.clone();
+      self.out.push(Effect::RetryBudget { pool, standing });
+    }
+    if fits {
       self.dispatch(ticket);
     } else {
       let reason = match request.verdict {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -14,6 +14,7 @@
   reachability::Outage,
   refusal::Refusal,
   request::Ticket,
+  retry::Standing,
   route::Route,
   statement::Statement,
   tokens::Tokens,
@@ -292,6 +293,11 @@
   ReportCrashes,
   /// Report quota use and needs to the lease holder.
   RequestQuota,
+  /// A pool's retry budget, at most once per second.
+  RetryBudget {
+    pool: String,
+    standing: Standing,
+  },
   /// A server's entry is missing; the server is kept for `kept_ms` in case the entry reappears.
   Missing {
     id: String,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -238,6 +238,13 @@
           self.report_waker.wake();
           continue;
         }
+        Effect::RetryBudget { pool, standing } => {
+          info!(self.log, "retry budget"; "pool" => pool, "allowed" => standing.fits,
+            "retries" => standing.retries, "retries_allowed" => standing.allowed,
+            "share" => standing.share, "requests" => standing.requests,
+            "instances" => standing.instances, "life_ms" => self.now());
+          continue;
+        }
         Effect::LimitChanged { id, rate } => {
           info!(self.log, "server limit changed"; "server" => id, "rate" => rate);
           self.report_waker.wake();
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -18,11 +18,30 @@
   pub window_ms: u64,
 }
 
+/// Minimum time between two reports of a budget.
+const REPORT_INTERVAL_MS: u64 = 1_000;
+
 /// One instance's part of a pool's retry budget.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
   requests: VecDeque<u64>,
   retries: VecDeque<u64>,
+  reported_at: Option<u64>,
+}
+
+/// A budget within the last window, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+  pub requests: usize,
+  pub retries: usize,
+  /// Retries allowed for these requests.
+  pub allowed: f64,
+  /// The part of `allowed` that does not depend on the requests.
+  pub share: f64,
+  /// Number of instances that share the slack.
+  pub instances: usize,
+  /// Whether the latest retry was allowed.
+  pub fits: bool,
 }
 
 impl Budget {
@@ -35,16 +54,43 @@
   /// Whether a retry is allowed now. An allowed retry is counted.
   pub fn try_retry(&mut self, now: u64, bound: &Bound, instances: usize) -> bool {
     self.trim(now, bound);
-    let own = bound.ratio * self.requests.len() as f64;
-    let shared = bound.slack / instances.max(1) as f64;
-    let allowed = (own + shared) * USABLE_SHARE;
-    let fits = ((self.retries.len() + 1) as f64) <= allowed;
+    let fits = ((self.retries.len() + 1) as f64) <= self.allowed(bound, instances);
     if fits {
       self.retries.push_back(now);
     }
     fits
   }
 
+  /// The budget after a retry was requested; `None` if it was returned a short time ago.
+  pub fn report(
+    &mut self,
+    now: u64,
+    bound: &Bound,
+    instances: usize,
+    fits: bool,
+  ) -> Option<Standing> {
+    if self
+      .reported_at
+      .is_some_and(|at| now < at + REPORT_INTERVAL_MS)
+    {
+      return None;
+    }
+    self.reported_at = Some(now);
+    Some(Standing {
+      requests: self.requests.len(),
+      retries: self.retries.len(),
+      allowed: self.allowed(bound, instances),
+      share: shared(bound, instances) * USABLE_SHARE,
+      instances,
+      fits,
+    })
+  }
+
+  fn allowed(&self, bound: &Bound, instances: usize) -> f64 {
+    let own = bound.ratio * self.requests.len() as f64;
+    (own + shared(bound, instances)) * USABLE_SHARE
+  }
+
   fn trim(&mut self, now: u64, bound: &Bound) {
     let oldest = now.saturating_sub(bound.window_ms);
     for times in [&mut self.requests, &mut self.retries] {
@@ -54,3 +100,8 @@
     }
   }
 }
+
+/// One instance's share of the slack.
+fn shared(bound: &Bound, instances: usize) -> f64 {
+  bound.slack / instances.max(1) as f64
+}
