retries: a refusal without budget names the end of the server's backoff

What callers saw: a request whose only server had asked for a pause of 4 s was refused with a Retry-After of 0.5 s when the instance had no retry left, so its caller came back into the pause. Cause: the budget was asked before the backoffs; only requests that may retry learnt of them. Change: a request without budget gets the soonest end of its servers' backoffs, as one that gives up. The new test failed on the code before (reason no-server instead of server-rest).

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -101,14 +101,19 @@
       self.out.push(Effect::RetryBudget { pool, standing });
     }
     if fits {
-      self.dispatch(ticket);
-    } else {
-      let reason = match request.verdict {
-        Verdict::NotRun => Reason::NoServer,
-        Verdict::MayHaveRun => Reason::ServerFailed,
-      };
-      self.refuse(ticket, reason);
+      return self.dispatch(ticket);
     }
+    let Some(request) = self.requests.get(&ticket).cloned() else {
+      return;
+    };
+    if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
+      return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
+    }
+    let reason = match request.verdict {
+      Verdict::NotRun => Reason::NoServer,
+      Verdict::MayHaveRun => Reason::ServerFailed,
+    };
+    self.refuse(ticket, reason);
   }
 
   /// Updates the state of a send's server after the send has ended.
--- a/src/statement/rest.rs
+++ b/src/statement/rest.rs
@@ -199,6 +199,26 @@
   /// waits; `None` if the request should wait. A request that may have started on a server waits,
   /// because nothing else could continue it.
   pub(crate) fn retry_after_backoff_ms(&self, request: &Request) -> Option<u64> {
+    let soonest = self.backoffs_end(request)?;
+    // Other requests may become the trial requests first; a request that already waits was found to
+    // have enough time.
+    let new = request.waiting_since == Some(self.now);
+    let margin = if new { TRIAL_MS + RECHECK_MS } else { 0 };
+    let in_time = soonest.saturating_add(margin) <= give_up_at(request);
+    (!in_time).then_some(self.retry_after_at(soonest))
+  }
+
+  /// The retry-after of a request that is not sent again although a server may accept it sooner
+  /// than it gives up; `None` unless all its servers are in a backoff.
+  pub(crate) fn retry_after_last_send_ms(&self, request: &Request) -> Option<u64> {
+    self
+      .backoffs_end(request)
+      .map(|soonest| self.retry_after_at(soonest))
+  }
+
+  /// When the first of a request's servers may accept it, in ms; `None` unless all of them are in a
+  /// backoff.
+  fn backoffs_end(&self, request: &Request) -> Option<u64> {
     if self.backoffs.is_empty() || request.verdict != Verdict::NotRun {
       return None;
     }
@@ -208,15 +228,10 @@
     let ends: Option<Vec<u64>> = ends.collect();
     let end = ends?.into_iter().min()?;
     let ready = self.ready_elsewhere(request);
-    let soonest = ready.map_or(end, |ready| ready.min(end));
-    // Other requests may become the trial requests first; a request that already waits was found to
-    // have enough time.
-    let new = request.waiting_since == Some(self.now);
-    let margin = if new { TRIAL_MS + RECHECK_MS } else { 0 };
-    let in_time = soonest.saturating_add(margin) <= give_up_at(request);
-    let after = soonest
-      .saturating_sub(self.now)
-      .saturating_add(RETRY_MARGIN_MS);
-    (!in_time).then_some(after)
+    Some(ready.map_or(end, |ready| ready.min(end)))
+  }
+
+  fn retry_after_at(&self, at: u64) -> u64 {
+    at.saturating_sub(self.now).saturating_add(RETRY_MARGIN_MS)
   }
 }
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -253,6 +253,21 @@
   assert!((5_500..=5_700).contains(&after), "{after} ms");
 }
 
+/// Guards against callers invited back into a server's backoff.
+#[test]
+fn a_refusal_without_retry_budget_names_the_end_of_the_backoff() {
+  let mut state = servers(&["s"]);
+  state.retry_bound.ratio = 0.0;
+  state.retry_bound.slack = 0.0;
+  state.reduce(10, arrived(1));
+  state.reduce(11, backoff("s", 4_000));
+  let refused = requests::refused(&state.reduce(11, ended(1, End::Full)));
+  let refused = refused.expect("a refusal");
+  assert_eq!(refused.reason, Reason::ServerRest);
+  let after = refused.retry_after.expect("a time");
+  assert!((4_000..=4_200).contains(&after), "{after} ms");
+}
+
 #[test]
 fn where_the_rest_ends_in_time_a_request_waits_for_it() {
   let mut state = servers(&["s"]);
