retries: a restarted instance starts without a share of the slack

Cause: the window of retries is in memory. A process that starts again had its whole share of the slack anew, while the retries of its earlier life still stand in the servers' window. Change: no share in the first window of a process, only the part that its own requests allow, unless the whole system starts for the first time (settings: firstStart). The window of an earlier life has passed by then, so each place holds one share a window, whatever was killed when. Weighed: an account of the fleet's retries, published by the holder, from which a young instance gets its share in calm times. Test: restarts_in_series_add_no_retries_to_the_shared_slack failed before (282 retries for 900 requests, 260 allowed). Tests: fixtures start as on a first start; the one check that calls the budget passes the share itself (slack / instances), the same number as before.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -24,7 +24,7 @@
   refusal::{Reason, Refusal},
   request::Ticket,
   restored::Restored,
-  retry::{Bound, Budget},
+  retry::{Bound, Budget, Share},
   samples::{self, Counted},
   statement::{Backoffs, Leaving},
   strain::Totals,
@@ -109,7 +109,9 @@
   /// Number of requests at servers, by server and model.
   pub running: BTreeMap<(backend::Key, Model), u32>,
   pub budgets: BTreeMap<String, Budget>,
-  /// Number of instances that share the budgets.
+  /// This instance's share of the budgets' slack.
+  pub retry_share: Share,
+  /// Number of instances.
   pub instances: usize,
   /// Requests that arrive from this time on are refused because their responses might be cut off.
   accept_until: u64,
@@ -176,6 +178,7 @@
       waiting: BTreeSet::new(),
       running: BTreeMap::new(),
       budgets: BTreeMap::new(),
+      retry_share: Share::default(),
       instances: DEFAULT_INSTANCES,
       accept_until: u64::MAX,
       refuse_waiting_at: u64::MAX,
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -95,8 +95,11 @@
     let now = self.now;
     let pool = &request.descriptor.pool;
     let budget = self.budgets.entry(pool.clone()).or_default();
-    let fits = budget.try_retry(now, &self.retry_bound, self.instances);
-    if let Some(standing) = budget.report(now, &self.retry_bound, self.instances, fits) {
+    let slack = self
+      .retry_share
+      .slack(now, &self.retry_bound, self.instances);
+    let fits = budget.try_retry(now, &self.retry_bound, slack);
+    if let Some(standing) = budget.report(now, &self.retry_bound, slack, fits) {
       let pool = pool.clone();
       self.out.push(Effect::RetryBudget { pool, standing });
     }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -241,8 +241,8 @@
         Effect::RetryBudget { pool, standing } => {
           info!(self.log, "retry budget"; "pool" => pool, "allowed" => standing.fits,
             "retries" => standing.retries, "retries_allowed" => standing.allowed,
-            "share" => standing.share, "requests" => standing.requests,
-            "instances" => standing.instances, "life_ms" => self.now());
+            "slack" => standing.slack, "requests" => standing.requests,
+            "instances" => self.state().instances, "life_ms" => self.now());
           continue;
         }
         Effect::LimitChanged { id, rate } => {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -18,6 +18,29 @@
   pub window_ms: u64,
 }
 
+/// One instance's share of the slack. Retries of the last window remain in servers' counts when
+/// their instance restarts, so its next process starts without a share.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+  /// Whether no earlier process of the instance can have sent retries.
+  first: bool,
+}
+
+impl Share {
+  /// The share of an instance that starts together with the whole system for the first time.
+  pub fn first() -> Self {
+    Self { first: true }
+  }
+
+  /// The part of the bound's slack that this instance may use, `now` ms after its process started.
+  pub fn slack(&self, now: u64, bound: &Bound, instances: usize) -> f64 {
+    match !self.first && now < bound.window_ms {
+      true => 0.0,
+      false => bound.slack / instances.max(1) as f64,
+    }
+  }
+}
+
 /// Minimum time between two reports of a budget.
 const REPORT_INTERVAL_MS: u64 = 1_000;
 
@@ -36,10 +59,8 @@
   pub retries: usize,
   /// Retries allowed for these requests.
   pub allowed: f64,
-  /// The part of `allowed` that does not depend on the requests.
-  pub share: f64,
-  /// Number of instances that share the slack.
-  pub instances: usize,
+  /// The part of the bound's slack that `allowed` includes.
+  pub slack: f64,
   /// Whether the latest retry was allowed.
   pub fits: bool,
 }
@@ -51,10 +72,10 @@
     self.requests.push_back(now);
   }
 
-  /// Whether a retry is allowed now. An allowed retry is counted.
-  pub fn try_retry(&mut self, now: u64, bound: &Bound, instances: usize) -> bool {
+  /// Whether a retry is allowed now, with this part of the slack. An allowed retry is counted.
+  pub fn try_retry(&mut self, now: u64, bound: &Bound, slack: f64) -> bool {
     self.trim(now, bound);
-    let fits = ((self.retries.len() + 1) as f64) <= self.allowed(bound, instances);
+    let fits = ((self.retries.len() + 1) as f64) <= self.allowed(bound, slack);
     if fits {
       self.retries.push_back(now);
     }
@@ -62,13 +83,7 @@
   }
 
   /// The budget after a retry was requested; `None` if it was returned a short time ago.
-  pub fn report(
-    &mut self,
-    now: u64,
-    bound: &Bound,
-    instances: usize,
-    fits: bool,
-  ) -> Option<Standing> {
+  pub fn report(&mut self, now: u64, bound: &Bound, slack: f64, fits: bool) -> Option<Standing> {
     if self
       .reported_at
       .is_some_and(|at| now < at + REPORT_INTERVAL_MS)
@@ -79,16 +94,14 @@
     Some(Standing {
       requests: self.requests.len(),
       retries: self.retries.len(),
-      allowed: self.allowed(bound, instances),
-      share: shared(bound, instances) * USABLE_SHARE,
-      instances,
+      allowed: self.allowed(bound, slack),
+      slack,
       fits,
     })
   }
 
-  fn allowed(&self, bound: &Bound, instances: usize) -> f64 {
-    let own = bound.ratio * self.requests.len() as f64;
-    (own + shared(bound, instances)) * USABLE_SHARE
+  fn allowed(&self, bound: &Bound, slack: f64) -> f64 {
+    (bound.ratio * self.requests.len() as f64 + slack) * USABLE_SHARE
   }
 
   fn trim(&mut self, now: u64, bound: &Bound) {
@@ -100,8 +113,3 @@
     }
   }
 }
-
-/// One instance's share of the slack.
-fn shared(bound: &Bound, instances: usize) -> f64 {
-  bound.slack / instances.max(1) as f64
-}
--- a/src/router.rs
+++ b/src/router.rs
@@ -56,6 +56,7 @@
     let routing = settings.routing.clone().unwrap_or_default();
     let mut state = State::new(&settings.zone, routing.retry_bound(), rand::random());
     state.features = routing.features;
+    state.retry_share = routing.retry_share();
     let hub = Hub::new(state, edge.dialect, log)?;
     if let Some(bounds) = routing.reader_bounds() {
       hub.readers.get_or_init(|| reader::Book::new(bounds));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -167,6 +167,9 @@
   /// Additional retries allowed per window.
   pub retry_slack: f64,
   pub retry_window_ms: u64,
+  /// Whether the whole system starts for the first time, so that no earlier process of this
+  /// instance can have sent retries.
+  pub first_start: bool,
   /// Minimum time between the orders of two instances to the same server.
   pub lease_ms: u64,
   /// Number of groups of backend servers, each with its own lease; the same on all
@@ -204,6 +207,7 @@
       retry_ratio: 0.2,
       retry_slack: 50.0,
       retry_window_ms: 10_000,
+      first_start: false,
       lease_ms: 3_000,
       groups: 1,
       load_window_ms: 5_000,
@@ -231,6 +235,14 @@
     }
   }
 
+  /// The share of the retry budget's slack with which a process starts.
+  pub fn retry_share(&self) -> crate::retry::Share {
+    match self.first_start {
+      true => crate::retry::Share::first(),
+      false => crate::retry::Share::default(),
+    }
+  }
+
   /// The bound on customers' quota usage over all instances.
   pub fn quota_bound(&self) -> crate::quota::Bound {
     crate::quota::Bound {
--- a/tests/requests/mod.rs
+++ b/tests/requests/mod.rs
@@ -1,11 +1,12 @@
 //! Fixtures shared by the tests of the reducer for routed requests.
+#![allow(dead_code)] // no test uses all of them
 
 use bendsaddle::{
   backend::{Spec, Stage},
   deployment::{Deployment, Engine, Pool},
   dispatch::{Effect, Event, State},
   refusal::Refusal,
-  retry::Bound,
+  retry::{Bound, Share},
   route::{Part, Repeat, Route, Stream},
 };
 use std::{collections::BTreeMap, sync::Arc};
@@ -60,6 +61,13 @@
 
 /// Same as [`deployed`], with a seed for the random number generator.
 pub fn seeded(engine: Engine, seed: u64) -> State {
+  let mut state = restarted(engine, seed);
+  state.retry_share = Share::first();
+  state
+}
+
+/// An instance whose earlier processes are unknown to it, with a single pool deployed.
+pub fn restarted(engine: Engine, seed: u64) -> State {
   let mut state = State::new("a", BOUND, seed);
   let pool = Pool {
     engine: Some(Arc::new(engine)),
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,131 @@
+//! Retry budgets of instances that start, stop and change in number.
+
+mod requests;
+
+use bendsaddle::{
+  backend::Holding,
+  deployment::Engine,
+  dispatch::{Change, Descriptor, Effect, End, Event, State},
+  request::Ticket,
+  retry::Bound,
+  route::Repeat,
+};
+use requests::{BOUND, restarted, route, spec};
+use std::sync::Arc;
+
+const INSTANCES: usize = 9;
+/// Interval of the requests of each instance.
+const REQUEST_INTERVAL_MS: u64 = 100;
+const RUN_MS: u64 = 40_000;
+
+/// One process of an instance. Its clock starts with the process.
+struct Process {
+  state: State,
+  started: u64,
+}
+
+impl Process {
+  fn start(started: u64) -> Self {
+    let mut state = restarted(Engine::default(), started);
+    let servers = (0..8).map(|index| spec(&format!("server-{index}")));
+    state.reduce(0, Event::Servers(vec![Change::All(servers.collect())]));
+    Self { state, started }
+  }
+
+  fn reduce(&mut self, now: u64, event: Event) -> Vec<Effect> {
+    self.state.reduce(now - self.started, event)
+  }
+
+  /// Receives the number of instances.
+  fn update(&mut self, now: u64, instances: usize) {
+    let event = Event::Updated {
+      holdings: Vec::<Holding>::new(),
+      group: None,
+      loads: None,
+      instances,
+    };
+    self.reduce(now, event);
+  }
+
+  /// Runs a request that every server rejects. Returns the number of its sends.
+  fn reject(&mut self, now: u64) -> u32 {
+    let ticket = Ticket(now);
+    let descriptor = Descriptor {
+      ticket,
+      id: now.to_string(),
+      route: Arc::new(route(Repeat::Always, None, 3)),
+      pool: "pool".into(),
+      model: None,
+      affinity: 0,
+      deadline: now - self.started + 5_000,
+      content: Default::default(),
+      caller: None,
+      tokens: None,
+    };
+    let mut sends = 0;
+    let mut effects = self.reduce(now, Event::Arrived(descriptor));
+    while effects
+      .iter()
+      .any(|effect| matches!(effect, Effect::Send(_)))
+    {
+      sends += 1;
+      let end = End::Full;
+      effects = self.reduce(now, Event::Ended { ticket, end });
+    }
+    self.reduce(now, Event::CallerGone(ticket));
+    sends
+  }
+}
+
+/// Times of the requests and of the retries of a fleet whose servers reject everything.
+#[derive(Default)]
+struct Record {
+  requests: Vec<u64>,
+  retries: Vec<u64>,
+}
+
+impl Record {
+  fn add(&mut self, now: u64, sends: u32) {
+    self.requests.push(now);
+    let retries = sends.saturating_sub(1);
+    self.retries.extend((0..retries).map(|_| now));
+  }
+
+  /// Asserts that no window holds more retries than the bound allows for the requests of that
+  /// window, of the one before it or of the one half a window before it.
+  fn assert_within(&self, bound: &Bound) {
+    let count = |times: &[u64], start: u64| {
+      let window = start..start + bound.window_ms;
+      times.iter().filter(|at| window.contains(at)).count() as f64
+    };
+    for start in (bound.window_ms..RUN_MS).step_by(100) {
+      let starts = [start, start - bound.window_ms / 2, start - bound.window_ms];
+      let requests = starts.map(|start| count(&self.requests, start));
+      let requests = requests.into_iter().fold(0.0, f64::max);
+      let retries = count(&self.retries, start);
+      let allowed = bound.ratio * requests + bound.slack;
+      assert!(
+        retries <= allowed,
+        "{retries} retries for {requests} requests from {start} ms, allowed {allowed}"
+      );
+    }
+  }
+}
+
+/// Guards against restarts that renew the share of the slack which an earlier life has used.
+#[test]
+fn restarts_in_series_add_no_retries_to_the_shared_slack() {
+  let mut processes: Vec<Process> = (0..INSTANCES).map(|_| Process::start(0)).collect();
+  let mut record = Record::default();
+  for now in (0..RUN_MS).step_by(REQUEST_INTERVAL_MS as usize) {
+    let is_kill = now >= 15_000 && now.is_multiple_of(2_500);
+    for (index, process) in processes.iter_mut().enumerate() {
+      if is_kill && index % 3 != 0 {
+        *process = Process::start(now);
+      }
+      process.update(now, INSTANCES);
+      record.add(now, process.reject(now));
+    }
+  }
+  record.assert_within(&BOUND);
+}
