tunnels: an instance that reaches no server serves its callers through another

Cause: an instance had one path to a server, its own connection. Each lost server was found out by the sends of callers, 400 ms each where connections hang, and the shared retries were spent on it. Change: src/tunnel. After a failed connection (a second one, or none answered within 300 ms) the request goes through a CONNECT at another instance's peer address, which passes bytes on. It names the server by id; the other instance connects to the address that it knows itself, and only to servers in service. All decisions stay where the caller is, so retries, quotas and keys count once; a tunnel ends at a server, so it is one hop; it ends with either side and at the deadline; two reads a direction are held; 128 tunnels at most, fewer by a quarter of the instance's own requests. Lost servers are tried directly again each 500 ms with 50 ms. A run that breaks off at a partitioned instance counts as a crash only if others cannot reach the server either. Why it works: what an instance lacks is the path, and the platform still lets instances reach each other. Weighed: passing whole requests to another instance's callers' port: decisions, quotas and keys would be made twice. Orders don't use tunnels: servers tell holders apart by address.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -43,11 +43,11 @@
     };
     let term = update.heartbeat.term;
     group.lease.receive(now, update.heartbeat, from);
-    if !update.members.is_empty() {
-      self.members = update.members;
-    }
     let holds_lease = group.holds_lease;
     let successor = !holds_lease && term != group.position.term;
+    if !update.members.is_empty() {
+      self.set_members(update.members);
+    }
     self.receive_store_age(update.store);
     self.receive_quarantine(now, &update.quarantined, from);
     if let Some(sums) = update.sums.take() {
@@ -368,10 +368,18 @@
       return Vec::new();
     }
     group.members_published_at = now;
-    self.members = group.plan.members(now);
+    let known = group.plan.members(now);
+    self.set_members(known);
     members
   }
 
+  fn set_members(&mut self, members: Vec<SocketAddr>) {
+    let own_address = self.own_address;
+    let others = members.iter().filter(|member| **member != own_address);
+    self.hub.peers.set(others.copied());
+    self.members = members;
+  }
+
   /// Sends an update in parts; only the first part carries members, loads, quarantine and sums.
   fn send_parts(&mut self, mut header: Update, update: &Publication, to: &[SocketAddr]) {
     let mut extension = Extension {
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -1,6 +1,7 @@
 //! Connects the reducer for routed requests with the threads that wait for its decisions.
 
 use crate::{
+  backend,
   clock::{self, Moment},
   customer::{Caller, Standing},
   deployment::Deployment,
@@ -14,6 +15,7 @@
   refusal::Refusal,
   request::Ticket,
   socket::Waker,
+  tunnel::{Paths, Peers},
   upstream::Pool,
 };
 use slog::{Logger, info};
@@ -101,6 +103,9 @@
   pub log: Logger,
   pub dialect: Dialect,
   pub pool: Pool,
+  /// Which servers this instance reaches, and the instances that may carry tunnels to them.
+  pub(crate) paths: Paths,
+  pub(crate) peers: Peers,
   pub measures: Measures,
   pub gates: Gates,
   /// Whether a graceful shutdown has started.
@@ -140,6 +145,8 @@
       log,
       dialect,
       pool: Pool::default(),
+      paths: Paths::default(),
+      peers: Peers::default(),
       measures,
       gates: Gates::new(),
       stopping: AtomicBool::new(false),
@@ -188,6 +195,13 @@
     (!book.is_key_valid(caller)).then_some(End::Barred)
   }
 
+  /// Records an established connection to a server.
+  pub(crate) fn record_path(&self, key: backend::Key, id: &str) {
+    if self.paths.record_connection(key, self.now()) {
+      info!(self.log, "server reached again"; "server" => id);
+    }
+  }
+
   /// Milliseconds since the start on the monotonic clock.
   pub fn now(&self) -> u64 {
     self.started.elapsed().as_millis() as u64
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -117,6 +117,7 @@
 pub mod submissions;
 pub mod timeline;
 pub mod tokens;
+mod tunnel;
 pub mod update;
 pub mod upstream;
 pub mod verdict;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -26,7 +26,7 @@
   settings::{Routing, Settings},
   socket::{Interest, Waker, wait},
   statement::Reply,
-  store,
+  store, tunnel,
 };
 use slog::{info, warn};
 use std::{
@@ -97,6 +97,9 @@
 /// time to serve requests.
 const STEP_PAUSE_FACTOR: u32 = 6;
 
+/// Maximum number of ports tried if any free one will do.
+const MAX_BIND_TRIES: u32 = 16;
+
 /// Result of a call that ran on another thread.
 enum Completion {
   Lease(usize, lease::Call, store::Result<store::Object>),
@@ -200,9 +203,7 @@
 /// Binds the instance's port and starts the planner thread. Returns the bound address, or an error
 /// if the socket or a thread cannot be created.
 pub fn spawn(hub: &Arc<Hub>, edge: &Arc<Edge>, settings: &Settings) -> io::Result<SocketAddr> {
-  let socket = UdpSocket::bind(&settings.peers)?;
-  socket.set_nonblocking(true)?;
-  let address = socket.local_addr()?;
+  let (socket, address) = bind(hub, &settings.peers)?;
   let routing = settings.routing.clone().unwrap_or_default();
   let (completion_sender, completions) = channel();
   let planner = Planner {
@@ -256,6 +257,22 @@
   Ok(address)
 }
 
+/// Binds the peer address, for datagrams and for tunnels.
+fn bind(hub: &Arc<Hub>, address: &str) -> io::Result<(UdpSocket, SocketAddr)> {
+  for _ in 0..MAX_BIND_TRIES {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let bound = socket.local_addr()?;
+    match tunnel::bind(hub, bound) {
+      Ok(()) => return Ok((socket, bound)),
+      // A free port for datagrams may be in use for connections.
+      Err(error) if error.kind() == io::ErrorKind::AddrInUse && address.ends_with(":0") => {}
+      Err(error) => return Err(error),
+    }
+  }
+  Err(io::ErrorKind::AddrInUse.into())
+}
+
 fn acquire_delay_ms(routing: &Routing) -> u64 {
   let small = routing.cores < SMALL_CORES || routing.link_mbps < SMALL_LINK_MBPS;
   match () {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,6 +31,7 @@
 };
 use slog::info;
 use std::{
+  net::SocketAddr,
   sync::{Arc, atomic::Ordering},
   time::Duration,
 };
@@ -85,6 +86,8 @@
   /// Hints from the last response about its server, and when its head arrived, in ms.
   hints: Hints,
   head_at: Option<u64>,
+  /// The instance whose tunnel the current send uses.
+  via: Option<SocketAddr>,
   /// A server's error response, sent to the caller if no better response follows.
   held_failure: Option<(Response, Vec<u8>)>,
   disposition: Disposition,
@@ -175,6 +178,7 @@
     resumed: false,
     hints: Hints::default(),
     head_at: None,
+    via: None,
     held_failure: None,
     disposition: if keep_alive {
       Disposition::Keep
@@ -330,7 +334,7 @@
       "customer" => self.hub.customer_name(caller), "units" => caller.map(|caller| caller.cost),
       "content" => content,
       "model" => self.model(), "late" => self.lateness(),
-      "server" => &attempt.id, "limit" => &self.hints.limit,
+      "server" => &attempt.id, "via" => self.via.map(|peer| peer.to_string()), "limit" => &self.hints.limit,
       "leaving" => &self.hints.leaving, "retry_after" => &self.hints.retry_after,
       "head_ms" => self.head_at.map(|at| at.saturating_sub(sent_at)), "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().as_str(),
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -8,9 +8,10 @@
   limit,
   socket::{Fill, Interest, Socket, wait},
   statement::{Hints, MISDIRECTED_REQUEST},
+  tunnel,
 };
-use slog::warn;
-use std::{io, time::Duration};
+use slog::{info, warn};
+use std::{io, net::SocketAddr, time::Duration};
 
 /// A repeatable request is retried when its server has not responded within this many objectives.
 const STALL_OBJECTIVES: u64 = 4;
@@ -30,6 +31,13 @@
 /// does so within a few ms, and the backoff that it requests applies even without the caller.
 const LATE_HEAD_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// A connection to a server.
+struct Connection {
+  socket: Socket,
+  /// The instance whose tunnel it is; `None` if it is direct.
+  via: Option<SocketAddr>,
+}
+
 /// Whether a connection to a server can carry another request.
 #[derive(Clone, Copy)]
 enum Reuse {
@@ -45,19 +53,15 @@
     let now = self.hub.now();
     self.hints = Hints::default();
     self.head_at = None;
+    self.via = None;
     if now >= self.deadline {
       return outcome(End::Unsent, "time over before it was sent");
     }
-    let Ok((mut socket, reused)) = self
-      .hub
-      .pool
-      .connect(attempt.backend, attempt.address, once)
-    else {
+    let Ok(connection) = self.connect(attempt, once) else {
       return outcome(End::Unreached, "no connection");
     };
-    if !reused {
-      self.hub.measures.record_connection();
-    }
+    let mut socket = connection.socket;
+    self.via = connection.via;
     if self.hub.now() >= self.deadline {
       return outcome(End::Unsent, "time over while the connection came up");
     }
@@ -76,6 +80,7 @@
       Ok((result, reuse)) => {
         if let Reuse::Within(idle) = reuse
           && socket.input.is_empty()
+          && self.via.is_none()
         {
           self.hub.pool.release(attempt.backend, socket, idle);
         }
@@ -85,6 +90,49 @@
     }
   }
 
+  /// Returns a connection to a server: an idle one, a new one, or a tunnel if this instance does not
+  /// reach the server.
+  fn connect(&self, attempt: &Attempt, once: bool) -> Result<Connection, tunnel::Failure> {
+    let hub = self.hub;
+    let direct = |socket| Connection { socket, via: None };
+    if let Some(socket) = hub.pool.take_idle(attempt.backend, once) {
+      return Ok(direct(socket));
+    }
+    if let Some(timeout) = hub.paths.direct_timeout(attempt.backend, hub.now()) {
+      match Socket::connect(attempt.address, timeout) {
+        Ok(socket) => {
+          hub.record_path(attempt.backend, &attempt.id);
+          hub.measures.record_connection();
+          return Ok(direct(socket));
+        }
+        Err(error) => {
+          let use_tunnel = hub.paths.record_failure(attempt.backend, hub.now());
+          info!(hub.log, "server not reached"; "request" => &self.id, "server" => &attempt.id,
+            "tried_ms" => timeout.as_millis() as u64, "partitioned" => hub.paths.is_partitioned(),
+            "tunnel" => use_tunnel, "error" => %error);
+          if !use_tunnel {
+            return Err(tunnel::Failure::NoPeer);
+          }
+        }
+      }
+    }
+    let (socket, peer) = self.open_tunnel(attempt)?;
+    Ok(Connection {
+      socket,
+      via: Some(peer),
+    })
+  }
+
+  fn open_tunnel(&self, attempt: &Attempt) -> Result<(Socket, SocketAddr), tunnel::Failure> {
+    let target = tunnel::Target {
+      server: &attempt.id,
+      address: attempt.address,
+      request: &self.id,
+      deadline: self.deadline,
+    };
+    tunnel::open(self.hub, &target)
+  }
+
   /// Checks whether a server that cut off a run has ended.
   fn check_crash(&self, result: Outcome, sent_at: u64, attempt: &Attempt) -> Outcome {
     let ran = self.hub.now() >= sent_at + MIN_RUN_MS;
@@ -95,15 +143,26 @@
   }
 
   /// Whether a server's port refuses connections. A connection that succeeds is kept for the next
-  /// send.
+  /// send. An instance that is partitioned from the server asks another one.
   fn refuses_connections(&self, attempt: &Attempt) -> bool {
+    if self.via.is_some() || self.hub.paths.is_partitioned() {
+      return self.open_tunnel(attempt).err() == Some(tunnel::Failure::Unreachable);
+    }
     match Socket::connect(attempt.address, PROBE_TIMEOUT) {
       Ok(socket) => {
         self.hub.measures.record_connection();
         self.hub.pool.release(attempt.backend, socket, None);
         false
       }
-      Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+      Err(error) => {
+        let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+        self
+          .hub
+          .paths
+          .record_failure(attempt.backend, self.hub.now());
+        // Another instance that connects shows that the path is lost, not the server.
+        refused && self.open_tunnel(attempt).is_err()
+      }
     }
   }
 
@@ -308,6 +367,9 @@
 
   /// Applies the hints about the server in the head of a response.
   fn apply_head(&mut self, head: &Response, attempt: &Attempt) {
+    if self.via.is_none() {
+      self.hub.paths.record_response(self.hub.now());
+    }
     self.hints = Hints::from_head(head.status, &head.headers, &self.hub.dialect);
     self.head_at = Some(self.hub.now());
     self.hub.apply_hints(attempt.life, &attempt.id, &self.hints);
--- a/src/router.rs
+++ b/src/router.rs
@@ -251,6 +251,7 @@
         hub.apply(Event::Servers(changes), None);
         let known: Vec<backend::Key> = hub.state().by_id.values().copied().collect();
         hub.pool.retain(|key| known.contains(&key));
+        hub.paths.retain(|key| known.contains(&key));
         affects_others
       },
     )
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -111,6 +111,16 @@
   pub input: Vec<u8>,
 }
 
+/// Ends a connection whose peer no longer responds.
+fn detect_silence(raw: &SockRef) -> io::Result<()> {
+  let keepalive = TcpKeepalive::new()
+    .with_time(KEEPALIVE_INTERVAL)
+    .with_interval(KEEPALIVE_INTERVAL)
+    .with_retries(2);
+  raw.set_tcp_keepalive(&keepalive)?;
+  raw.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
 impl Socket {
   /// Configures an accepted connection.
   pub fn accept(stream: TcpStream) -> io::Result<Self> {
@@ -130,18 +140,21 @@
     raw.set_tcp_nodelay(true)?;
     raw.connect_timeout(&address.into(), timeout)?;
     raw.set_nonblocking(true)?;
-    let keepalive = TcpKeepalive::new()
-      .with_time(KEEPALIVE_INTERVAL)
-      .with_interval(KEEPALIVE_INTERVAL)
-      .with_retries(2);
-    raw.set_tcp_keepalive(&keepalive)?;
-    raw.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    detect_silence(&SockRef::from(&raw))?;
     Ok(Self {
       stream: raw.into(),
       input: Vec::new(),
     })
   }
 
+  /// Configures a connection accepted from another instance, which may become unreachable without
+  /// closing it.
+  pub fn accept_peer(stream: TcpStream) -> io::Result<Self> {
+    let socket = Self::accept(stream)?;
+    detect_silence(&SockRef::from(&socket.stream))?;
+    Ok(socket)
+  }
+
   /// Closes the connection with a reset. An incomplete response that ends with its connection must
   /// not look complete.
   pub fn reset(self) -> io::Result<()> {
--- /dev/null
+++ b/src/tunnel/client.rs
@@ -0,0 +1,138 @@
+//! Opens tunnels to backend servers through other instances.
+
+use super::{MAX_HEAD_BYTES, SERVER_CONNECT_TIMEOUT, STATUS_UNREACHABLE};
+use crate::{
+  clock::Moment,
+  http::{Framing, Headers, Request, Response},
+  hub::{Hub, lock},
+  socket::{Fill, Socket},
+};
+use rand::seq::SliceRandom;
+use std::{io, net::SocketAddr, sync::Mutex, time::Duration};
+
+/// Timeout for connecting to another instance, which accepts within a few milliseconds.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for another instance's answer; it includes the connection to the server.
+const ANSWER_TIMEOUT: Duration = SERVER_CONNECT_TIMEOUT.saturating_mul(2);
+/// Maximum number of instances that are tried for one request.
+const MAX_TRIES: usize = 4;
+/// How long an instance that carries no tunnels is not tried again.
+const AVOID: Duration = Duration::from_millis(1_000);
+
+/// Why no tunnel was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+  /// No other instance carries tunnels now.
+  NoPeer,
+  /// Other instances that reach servers cannot connect to this one.
+  Unreachable,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+  address: SocketAddr,
+  /// Not tried before this time.
+  avoid_until: Option<Moment>,
+}
+
+/// The other instances, by the addresses at which they carry tunnels.
+#[derive(Debug, Default)]
+pub(crate) struct Peers(Mutex<Vec<Peer>>);
+
+impl Peers {
+  /// Sets the addresses; what is known of those that remain is kept.
+  pub(crate) fn set(&self, addresses: impl Iterator<Item = SocketAddr>) {
+    let mut peers = lock(&self.0);
+    let known = std::mem::take(&mut *peers);
+    peers.extend(addresses.map(|address| {
+      let peer = known.iter().find(|peer| peer.address == address).copied();
+      peer.unwrap_or(Peer {
+        address,
+        avoid_until: None,
+      })
+    }));
+  }
+
+  /// Addresses to try now, in random order.
+  fn candidates(&self) -> Vec<SocketAddr> {
+    let now = Moment::now();
+    let peers = lock(&self.0);
+    let usable = peers
+      .iter()
+      .filter(|peer| peer.avoid_until.is_none_or(|until| until <= now));
+    let mut addresses: Vec<SocketAddr> = usable.map(|peer| peer.address).collect();
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(MAX_TRIES);
+    addresses
+  }
+
+  fn avoid(&self, address: SocketAddr) {
+    let mut peers = lock(&self.0);
+    let peer = peers.iter_mut().find(|peer| peer.address == address);
+    if let Some(peer) = peer {
+      peer.avoid_until = Some(Moment::now() + AVOID);
+    }
+  }
+}
+
+/// What a tunnel is opened for.
+pub(crate) struct Target<'a> {
+  /// Id of the server.
+  pub(crate) server: &'a str,
+  pub(crate) address: SocketAddr,
+  /// Id of the request.
+  pub(crate) request: &'a str,
+  /// Time at which the request times out, in ms on the hub's clock.
+  pub(crate) deadline: u64,
+}
+
+/// Opens a tunnel to a server. Returns the connection and the instance that carries it.
+pub(crate) fn open(hub: &Hub, target: &Target) -> Result<(Socket, SocketAddr), Failure> {
+  let mut failure = Failure::NoPeer;
+  for peer in hub.peers.candidates() {
+    if hub.now() >= target.deadline {
+      break;
+    }
+    match connect(hub, peer, target) {
+      Ok((socket, 200)) => return Ok((socket, peer)),
+      Ok((_, STATUS_UNREACHABLE)) => failure = Failure::Unreachable,
+      Ok(_) | Err(_) => hub.peers.avoid(peer),
+    }
+  }
+  Err(failure)
+}
+
+/// Asks an instance for a tunnel. Returns the connection and the status of the answer.
+fn connect(hub: &Hub, peer: SocketAddr, target: &Target) -> io::Result<(Socket, u16)> {
+  let mut socket = Socket::connect(peer, PEER_CONNECT_TIMEOUT)?;
+  let until = Moment::now() + ANSWER_TIMEOUT;
+  socket.write_all(&encode(hub, target), until)?;
+  loop {
+    let parsed = Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))?;
+    if let Some((head, length)) = parsed {
+      socket.input.drain(..length);
+      return Ok((socket, head.status));
+    }
+    let closed = socket.fill_by(until)? == Fill::Eof;
+    if closed || socket.input.len() > MAX_HEAD_BYTES {
+      return Err(io::ErrorKind::InvalidData.into());
+    }
+  }
+}
+
+fn encode(hub: &Hub, target: &Target) -> Vec<u8> {
+  let mut head = Request {
+    method: "CONNECT".into(),
+    target: target.address.to_string(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  let dialect = &hub.dialect;
+  let remaining_ms = target.deadline.saturating_sub(hub.now()).max(1);
+  head.headers.set(dialect.expected_server, target.server);
+  head.headers.set(dialect.request_id, target.request);
+  head
+    .headers
+    .set(dialect.deadline_ms, &remaining_ms.to_string());
+  head.encode(Framing::Empty)
+}
--- /dev/null
+++ b/src/tunnel/server.rs
@@ -0,0 +1,200 @@
+//! Carries tunnels of other instances.
+
+use super::{
+  MAX_HEAD_BYTES, SERVER_CONNECT_TIMEOUT, STATUS_UNAVAILABLE, STATUS_UNREACHABLE,
+  pipe::{self, End},
+};
+use crate::{
+  backend::{self, Backend},
+  clock::Moment,
+  http::{Request, Response},
+  hub::Hub,
+  socket::{Fill, Socket},
+};
+use slog::{info, warn};
+use std::{
+  io,
+  net::{SocketAddr, TcpListener, TcpStream},
+  sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+  },
+  thread,
+  time::Duration,
+};
+
+/// Maximum number of tunnels. Each takes a thread, two descriptors and up to 64 KiB.
+const MAX_TUNNELS: usize = 128;
+/// Share of `MAX_TUNNELS` that own requests take away: callers of this instance come first.
+const REQUESTS_PER_TUNNEL: usize = 4;
+const STACK_BYTES: usize = 64 << 10;
+/// Delay after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Time limit for the head that opens a tunnel.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a tunnel outlasts its request's deadline; its opener ends it at the deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+
+/// The head that opens a tunnel.
+struct Opening {
+  server: String,
+  request: String,
+  remaining: Duration,
+}
+
+/// Binds the address at which other instances open tunnels.
+pub(crate) fn bind(hub: &Arc<Hub>, address: SocketAddr) -> io::Result<()> {
+  let listener = crate::web::listen(&address.to_string())?;
+  let hub = hub.clone();
+  let builder = thread::Builder::new()
+    .name("tunnels".into())
+    .stack_size(STACK_BYTES);
+  builder.spawn(move || accept(&hub, &listener))?;
+  Ok(())
+}
+
+fn accept(hub: &Arc<Hub>, listener: &TcpListener) {
+  let open_tunnels = Arc::new(AtomicUsize::new(0));
+  loop {
+    let (stream, from) = match listener.accept() {
+      Ok(accepted) => accepted,
+      Err(error) => {
+        warn!(hub.log, "accept of a tunnel failed"; "error" => %error);
+        thread::sleep(ACCEPT_RETRY_DELAY);
+        continue;
+      }
+    };
+    let (tunnel_hub, count) = (hub.clone(), open_tunnels.clone());
+    let builder = thread::Builder::new()
+      .name("tunnel".into())
+      .stack_size(STACK_BYTES);
+    let spawned = builder.spawn(move || {
+      let others = count.fetch_add(1, Ordering::Relaxed);
+      serve(&tunnel_hub, stream, from, others);
+      count.fetch_sub(1, Ordering::Relaxed);
+    });
+    if let Err(error) = spawned {
+      warn!(hub.log, "no thread for a tunnel"; "from" => %from, "error" => %error);
+    }
+  }
+}
+
+fn serve(hub: &Hub, stream: TcpStream, from: SocketAddr, others: usize) {
+  let started = Moment::now();
+  let Ok(mut peer) = Socket::accept_peer(stream) else {
+    return;
+  };
+  let opening = match read_opening(hub, &mut peer) {
+    Ok(opening) => opening,
+    Err(error) => {
+      warn!(hub.log, "tunnel was not opened"; "from" => %from, "error" => %error);
+      return;
+    }
+  };
+  let mut server = match connect(hub, &opening, others) {
+    Ok(server) => server,
+    Err((status, why)) => {
+      info!(hub.log, "tunnel declined"; "request" => &opening.request, "server" => &opening.server,
+        "from" => %from, "status" => status, "why" => why, "tunnels" => others);
+      return answer(&mut peer, status, why);
+    }
+  };
+  answer(&mut peer, 200, "connected");
+  hub.active.fetch_add(1, Ordering::Relaxed);
+  let until = started + opening.remaining + DEADLINE_MARGIN;
+  let end = pipe::run(&mut peer, &mut server, until);
+  hub.active.fetch_sub(1, Ordering::Relaxed);
+  info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
+    "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
+  if matches!(end, End::Broken | End::TimedOut)
+    && let Err(error) = peer.reset()
+  {
+    warn!(hub.log, "connection reset failed"; "error" => %error);
+  }
+}
+
+fn read_opening(hub: &Hub, peer: &mut Socket) -> Result<Opening, String> {
+  let until = Moment::now() + HEAD_TIMEOUT;
+  let head = loop {
+    if let Some((head, length)) = Request::parse(&peer.input).map_err(|error| error.0)? {
+      peer.input.drain(..length);
+      break head;
+    }
+    let closed = peer.fill_by(until).map_err(|error| error.to_string())? == Fill::Eof;
+    if closed || peer.input.len() > MAX_HEAD_BYTES {
+      return Err(format!("head: {} bytes without an end", peer.input.len()));
+    }
+  };
+  if head.method != "CONNECT" {
+    return Err(format!("method: `{}` opens no tunnel", head.method));
+  }
+  let header = |name: &str| {
+    let value = head.headers.get(name);
+    value.ok_or_else(|| format!("header: `{name}` is missing"))
+  };
+  let dialect = &hub.dialect;
+  let remaining = header(dialect.deadline_ms)?;
+  let remaining_ms: u64 = remaining
+    .parse()
+    .map_err(|_| format!("deadline: `{remaining}` is not a number"))?;
+  Ok(Opening {
+    server: header(dialect.expected_server)?.into(),
+    request: header(dialect.request_id)?.into(),
+    remaining: Duration::from_millis(remaining_ms),
+  })
+}
+
+/// Connects to the server of a tunnel; otherwise returns the status of the answer and its reason.
+fn connect(hub: &Hub, opening: &Opening, others: usize) -> Result<Socket, (u16, &'static str)> {
+  if hub.stopping.load(Ordering::Relaxed) {
+    return Err((STATUS_UNAVAILABLE, "stopping"));
+  }
+  let own_requests = hub.active.load(Ordering::Relaxed).saturating_sub(others);
+  if others + own_requests / REQUESTS_PER_TUNNEL >= MAX_TUNNELS {
+    return Err((STATUS_UNAVAILABLE, "too many tunnels"));
+  }
+  let Some((key, address)) = server_address(hub, &opening.server) else {
+    return Err((STATUS_UNREACHABLE, "server unknown or leaving"));
+  };
+  let Some(timeout) = hub.paths.direct_timeout(key, hub.now()) else {
+    return Err(unreached(hub));
+  };
+  match Socket::connect(address, timeout.min(SERVER_CONNECT_TIMEOUT)) {
+    Ok(socket) => {
+      hub.record_path(key, &opening.server);
+      hub.measures.record_connection();
+      Ok(socket)
+    }
+    Err(_) => {
+      hub.paths.record_failure(key, hub.now());
+      Err(unreached(hub))
+    }
+  }
+}
+
+fn unreached(hub: &Hub) -> (u16, &'static str) {
+  match hub.paths.is_partitioned() {
+    true => (STATUS_UNAVAILABLE, "no server reached"),
+    false => (STATUS_UNREACHABLE, "server not reached"),
+  }
+}
+
+fn server_address(hub: &Hub, id: &str) -> Option<(backend::Key, SocketAddr)> {
+  let state = hub.state();
+  let key = *state.by_id.get(id)?;
+  let backend: &Backend = state.backends.get(key)?;
+  (!backend.is_leaving()).then_some((key, backend.spec.address))
+}
+
+/// Answers the head that opens a tunnel.
+fn answer(peer: &mut Socket, status: u16, reason: &str) {
+  let head = Response {
+    status,
+    reason: reason.into(),
+    minor: 1,
+    headers: Default::default(),
+  };
+  let bytes = head.encode(crate::http::Framing::Empty, true);
+  // Best effort: an opener that gets no answer tries another instance.
+  let _ = peer.write_all(&bytes, Moment::now() + HEAD_TIMEOUT);
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -3,11 +3,8 @@
 use crate::clock::Moment;
 use crate::{backend, hub::lock, socket::Socket};
 use slotmap::SecondaryMap;
-use std::{io, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{sync::Mutex, time::Duration};
 
-/// Timeout for establishing a connection: a running server accepts within a few milliseconds, and a
-/// lost SYN is retransmitted only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum idle time of a connection used for a request that may run only once, because the server
 /// may be closing it.
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(1_000);
@@ -30,21 +27,9 @@
 }
 
 impl Pool {
-  /// Returns a connection to a server, and whether it was used before. `once` selects the shorter
-  /// idle time, for a request that may run only once.
-  pub fn connect(
-    &self,
-    key: backend::Key,
-    address: SocketAddr,
-    once: bool,
-  ) -> io::Result<(Socket, bool)> {
-    if let Some(socket) = self.take_idle(key, once) {
-      return Ok((socket, true));
-    }
-    Ok((Socket::connect(address, CONNECT_TIMEOUT)?, false))
-  }
-
-  fn take_idle(&self, key: backend::Key, once: bool) -> Option<Socket> {
+  /// Takes an idle connection to a server. `once` selects the shorter idle time, for a request that
+  /// may run only once.
+  pub fn take_idle(&self, key: backend::Key, once: bool) -> Option<Socket> {
     let mut pool = lock(&self.idle);
     let idle = pool.get_mut(key)?;
     while let Some(mut last) = idle.pop() {
