lease: a holder that gave its lease up is not due until it may acquire again

What callers saw: nothing traced to it; an instance that stops spends its processor on a planner thread that never sleeps, until the process ends. Cause: a released lease of the own machine may be acquired at any time, so it was always due, while a stopping instance makes no call. Change: while the lease is to stay released, no call is due. Test: a_lease_that_stays_released_is_not_due failed before (due at 12,000 ms, asked at 12,000 ms).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -89,6 +89,8 @@
   /// The lease was read after `acquire_in_flight_until`: no such write has reached the store or
   /// will reach it.
   acquire_settled: bool,
+  /// The lease is given up and not acquired.
+  releasing: bool,
 }
 
 impl Lease {
@@ -114,6 +116,7 @@
       started_at: now,
       acquire_in_flight_until: now + MAX_WRITE_DELAY_MS,
       acquire_settled: false,
+      releasing: false,
       unchanged_reads: 0,
       next_read_at: 0,
     }
@@ -259,12 +262,13 @@
     self.acquire_delay = delay;
   }
 
-  /// The call to make now; `None` if none is due.
-  pub fn next_call(&mut self, now: u64, stopping: bool) -> Option<Call> {
+  /// The call to make now; `None` if none is due. `release` gives the lease up and acquires none.
+  pub fn next_call(&mut self, now: u64, release: bool) -> Option<Call> {
+    self.releasing = release;
     if self.pending_call.is_some() || now < self.backoff_until {
       return None;
     }
-    let call = self.choose_call(now, stopping)?;
+    let call = self.choose_call(now, release)?;
     let acquires = self.held.is_none() && matches!(call, Call::Write { .. });
     if let (Call::Write { record, .. }, Some(held)) = (&call, &mut self.held) {
       held.candidates.add(now, &record.machines);
@@ -273,16 +277,16 @@
     Some(call)
   }
 
-  fn choose_call(&self, now: u64, stopping: bool) -> Option<Call> {
+  fn choose_call(&self, now: u64, release: bool) -> Option<Call> {
     if self.uncertain
       || !self.acquire_settled && now >= self.acquire_in_flight_until && self.held.is_none()
     {
       return Some(Call::Read);
     }
     if let Some(held) = &self.held {
-      return self.renew_call(now, held, stopping);
+      return self.renew_call(now, held, release);
     }
-    if stopping {
+    if release {
       return None;
     }
     let Some(observed) = &self.observed else {
@@ -298,15 +302,15 @@
     timed_out.then_some(Call::Read)
   }
 
-  fn renew_call(&self, now: u64, held: &Held, stopping: bool) -> Option<Call> {
-    if !stopping && now < held.renewed_at + self.duration / RENEWALS_PER_DURATION {
+  fn renew_call(&self, now: u64, held: &Held, release: bool) -> Option<Call> {
+    if !release && now < held.renewed_at + self.duration / RENEWALS_PER_DURATION {
       return None;
     }
     let observed = self.observed.as_ref()?;
     let renewal = observed.record.as_ref().map_or(0, |record| record.renewal);
     let record = Record {
       renewal: renewal + 1,
-      released: stopping,
+      released: release,
       machines: self.other_machines(),
       ..self.record(held.term, observed.revision.era)
     };
@@ -408,6 +412,7 @@
     }
     let due = match (&self.held, &self.observed) {
       (None, _) if !self.acquire_settled && now >= self.acquire_in_flight_until => now,
+      (None, _) if self.releasing => return u64::MAX,
       (Some(held), _) => held.renewed_at + self.duration / RENEWALS_PER_DURATION,
       (None, None) => now,
       (None, Some(observed)) => self
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -145,6 +145,27 @@
   );
 }
 
+/// Guards against a planner thread that spins while its instance stays without the lease.
+#[test]
+fn a_lease_that_stays_released_is_not_due() {
+  let mut store = Store::default();
+  let mut one = new_lease("one");
+  run(&mut one, &mut store, 0);
+  while let Some(call) = one.next_call(10_000, true) {
+    let result = store.apply(&call);
+    one.record_call_result(10_000, &call, result);
+  }
+  assert!(one.next_call(10_001, true).is_none());
+  for now in [10_001, 12_000] {
+    assert!(one.due(now) > now, "due at {} ms", one.due(now));
+  }
+  let acquired = (10_100..20_000).step_by(50).any(|now| {
+    run(&mut one, &mut store, now);
+    one.term(now).is_some()
+  });
+  assert!(acquired, "the lease is not acquired again");
+}
+
 #[test]
 fn a_write_without_answer_is_read_back() {
   let mut store = Store::default();
