lease: a holder that is partitioned from all servers gives it up

What callers would see: no model is loaded for anybody while the lease's holder reaches no server; its orders end unsent, at all instances alike. Cause: holding depends on the store and on other instances only, and both still reach such a holder. Change: an instance that has had no response from any server for 1.5 s, while another one carries tunnels for it, releases the lease and acquires none until a server responds. Without the second sign the servers themselves may be down, and the lease would only move around. Ruled out: orders through tunnels, since servers tell holders apart by address (two would order at once).

--- a/src/hub.rs
+++ b/src/hub.rs
@@ -29,6 +29,9 @@
   time::Duration,
 };
 
+/// A partition from all servers is acted on after this time; lost packets end sooner.
+const PARTITION_CONFIRMED_MS: u64 = 1_500;
+
 /// The next action of a request's thread.
 #[derive(Clone, Debug)]
 pub enum Directive {
@@ -202,6 +205,13 @@
     }
   }
 
+  /// Whether other instances have reached servers for some time in which this one has not.
+  pub(crate) fn is_partitioned_alone(&self) -> bool {
+    let now = self.now();
+    self.paths.is_partitioned_for(now, PARTITION_CONFIRMED_MS)
+      && self.peers.carried_within(now, PARTITION_CONFIRMED_MS)
+  }
+
   /// Milliseconds since the start on the monotonic clock.
   pub fn now(&self) -> u64 {
     self.started.elapsed().as_millis() as u64
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -528,8 +528,9 @@
 
   fn poll_leases(&mut self) {
     let now = self.hub.now();
-    let stopping = self.hub.stopping.load(Ordering::Relaxed);
-    let may_order = |group: &Group| !stopping && group.lease.term(now).is_some();
+    // Orders need this instance's own connections: servers tell holders apart by their address.
+    let release = self.hub.stopping.load(Ordering::Relaxed) || self.hub.is_partitioned_alone();
+    let may_order = |group: &Group| !release && group.lease.term(now).is_some();
     let held_leases = self.groups.iter().filter(|group| may_order(group)).count() as u64;
     for index in 0..self.groups.len() {
       let group = &mut self.groups[index];
@@ -545,7 +546,7 @@
         group.machines_updated_at = now;
         group.lease.set_machines(group.plan.machines(now));
       }
-      if let Some(call) = group.lease.next_call(now, stopping) {
+      if let Some(call) = group.lease.next_call(now, release) {
         self.start_lease_call(index, call);
       }
       self.request_promises(now, index);
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -8,7 +8,15 @@
   socket::{Fill, Socket},
 };
 use rand::seq::SliceRandom;
-use std::{io, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+  io,
+  net::SocketAddr,
+  sync::{
+    Mutex,
+    atomic::{AtomicU64, Ordering},
+  },
+  time::Duration,
+};
 
 /// Timeout for connecting to another instance, which accepts within a few milliseconds.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -37,12 +45,16 @@
 
 /// The other instances, by the addresses at which they carry tunnels.
 #[derive(Debug, Default)]
-pub(crate) struct Peers(Mutex<Vec<Peer>>);
+pub(crate) struct Peers {
+  known: Mutex<Vec<Peer>>,
+  /// When a tunnel was last opened, in ms; 0 if none was.
+  last_opened: AtomicU64,
+}
 
 impl Peers {
   /// Sets the addresses; what is known of those that remain is kept.
   pub(crate) fn set(&self, addresses: impl Iterator<Item = SocketAddr>) {
-    let mut peers = lock(&self.0);
+    let mut peers = lock(&self.known);
     let known = std::mem::take(&mut *peers);
     peers.extend(addresses.map(|address| {
       let peer = known.iter().find(|peer| peer.address == address).copied();
@@ -56,7 +68,7 @@
   /// Addresses to try now, in random order.
   fn candidates(&self) -> Vec<SocketAddr> {
     let now = Moment::now();
-    let peers = lock(&self.0);
+    let peers = lock(&self.known);
     let usable = peers
       .iter()
       .filter(|peer| peer.avoid_until.is_none_or(|until| until <= now));
@@ -66,8 +78,14 @@
     addresses
   }
 
+  /// Whether another instance has carried a tunnel within the last `ms`.
+  pub(crate) fn carried_within(&self, now: u64, ms: u64) -> bool {
+    let opened = self.last_opened.load(Ordering::Relaxed);
+    opened > 0 && now < opened + ms
+  }
+
   fn avoid(&self, address: SocketAddr) {
-    let mut peers = lock(&self.0);
+    let mut peers = lock(&self.known);
     let peer = peers.iter_mut().find(|peer| peer.address == address);
     if let Some(peer) = peer {
       peer.avoid_until = Some(Moment::now() + AVOID);
@@ -94,7 +112,10 @@
       break;
     }
     match connect(hub, peer, target) {
-      Ok((socket, 200)) => return Ok((socket, peer)),
+      Ok((socket, 200)) => {
+        hub.peers.last_opened.store(hub.now(), Ordering::Relaxed);
+        return Ok((socket, peer));
+      }
       Ok((_, STATUS_UNREACHABLE)) => failure = Failure::Unreachable,
       Ok(_) | Err(_) => hub.peers.avoid(peer),
     }
--- a/src/tunnel/path.rs
+++ b/src/tunnel/path.rs
@@ -87,6 +87,13 @@
     failure > self.last_response.load(Ordering::Relaxed) + PARTITIONED_MS
   }
 
+  /// Whether no server has responded for `ms`, and a connection failed within that time.
+  pub(crate) fn is_partitioned_for(&self, now: u64, ms: u64) -> bool {
+    let failure = self.last_failure.load(Ordering::Relaxed);
+    let response = self.last_response.load(Ordering::Relaxed);
+    failure > response && now < failure + ms && now >= response + ms
+  }
+
   /// Drops what is known of other servers.
   pub(crate) fn retain(&self, known: impl Fn(backend::Key) -> bool) {
     lock(&self.lost).retain(|key, _| known(key));
