--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -27,7 +27,11 @@
     thread::spawn(move || {
       let prompt = format!("{model} {at}");
       let reply = Request::of(&model, &prompt, 5).send(&address);
-      reply.matches(&answer(&prompt, 5))
+      let complete = reply.matches(&answer(&prompt, 5));
+      if !complete {
+        eprintln!("incomplete reply to `{prompt}`: {reply:?}");
+      }
+      complete
     })
   };
   (0..count).map(send).collect()
