retries: a retry counts in the window in which it is sent

What callers would see: more retries at a service than the bound allows (BUDGET), where retries wait for a place. Cause: a retry was counted when it was decided. One that waited 4 s was sent in a window in which its count ended 4 s sooner, and a further share was used beside it. Change: an allowed retry is pending until it is sent, counts as used meanwhile and from its sending on; one that is refused or whose caller leaves before it is sent counts no more. Test: a_retry_that_waits_counts_when_it_is_sent failed before (13 retries for 13 requests within 7 s, 12.6 allowed). The check in tests/dispatch.rs records each allowed retry as sent at once; its bound is unchanged.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -70,6 +70,8 @@
   pub(crate) response_started: bool,
   /// When the current send delivered its first event.
   pub(crate) first_event_at: Option<u64>,
+  /// Whether a retry was allowed that has not been sent yet.
+  pub(crate) retry_pending: bool,
   /// When a run of the request last ended without a response.
   pub(crate) failed_at: u64,
   /// Whether the request's units are charged to its customer's quota.
@@ -294,8 +296,8 @@
   }
 
   fn on_arrived(&mut self, descriptor: Descriptor) {
-    let budget = self.budgets.entry(descriptor.pool.clone()).or_default();
-    budget.record_request(self.now, &self.retry_bound);
+    let (now, bound) = (self.now, self.retry_bound);
+    self.budget(&descriptor.pool).record_request(now, &bound);
     let ticket = descriptor.ticket;
     let request = Request {
       descriptor,
@@ -309,6 +311,7 @@
       sent: 0,
       response_started: false,
       first_event_at: None,
+      retry_pending: false,
       failed_at: 0,
       quota_charged: false,
       quota_requested_at: None,
@@ -350,6 +353,9 @@
       return;
     };
     self.waiting.remove(&queue_key(&request));
+    if request.retry_pending {
+      self.budget(&request.descriptor.pool).cancel();
+    }
     if let (true, Verdict::NotRun, Some(caller)) = (
       request.quota_charged,
       request.verdict,
@@ -661,6 +667,7 @@
     };
     request.sends += 1;
     request.backend = Some(key);
+    let retries = std::mem::take(&mut request.retry_pending);
     request.waiting_since = None;
     request.sent = self.now;
     request.first_event_at = None;
@@ -696,6 +703,10 @@
       address: backend.spec.address,
       number: request.sends,
     };
+    let (now, pool) = (self.now, backend.spec.pool.clone());
+    if retries {
+      self.budget(&pool).record_sent(now);
+    }
     self.waiting.remove(&waiting_key);
     self.hold_tokens(ticket, key);
     self.out.push(Effect::Send(attempt));
@@ -720,6 +731,11 @@
     self.planner_seen_at + HOLDINGS_VALID_MS
   }
 
+  /// The retry budget of a pool.
+  fn budget(&mut self, pool: &str) -> &mut Budget {
+    self.budgets.entry(pool.into()).or_default()
+  }
+
   pub(crate) fn engine(&self, pool: &str) -> Option<&Engine> {
     let pool = self.deployment.as_ref()?.pools.get(pool)?;
     pool.engine.as_deref()
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -101,12 +101,14 @@
       let pool = pool.clone();
       self.out.push(Effect::RetryBudget { pool, standing });
     }
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
     if fits {
+      request.retry_pending = true;
       return self.dispatch(ticket);
     }
-    let Some(request) = self.requests.get(&ticket).cloned() else {
-      return;
-    };
+    let request = request.clone();
     if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
       return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
     }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -73,6 +73,8 @@
 pub struct Budget {
   requests: VecDeque<u64>,
   retries: VecDeque<u64>,
+  /// Allowed retries that were neither sent nor cancelled yet.
+  pending: usize,
   reported_at: Option<u64>,
 }
 
@@ -96,16 +98,28 @@
     self.requests.push_back(now);
   }
 
-  /// Whether a retry is allowed now, with this part of the slack. An allowed retry is counted.
+  /// Whether a retry is allowed now, with this part of the slack. An allowed retry must be sent or
+  /// cancelled.
   pub fn try_retry(&mut self, now: u64, bound: &Bound, slack: f64) -> bool {
     self.trim(now, bound);
-    let fits = ((self.retries.len() + 1) as f64) <= self.allowed(bound, slack);
-    if fits {
-      self.retries.push_back(now);
-    }
+    let used = self.retries.len() + self.pending;
+    let fits = ((used + 1) as f64) <= self.allowed(bound, slack);
+    self.pending += usize::from(fits);
     fits
   }
 
+  /// Records that an allowed retry is sent now: servers count it when it arrives, however long it
+  /// has waited.
+  pub fn record_sent(&mut self, now: u64) {
+    self.pending = self.pending.saturating_sub(1);
+    self.retries.push_back(now);
+  }
+
+  /// Cancels an allowed retry that is not sent.
+  pub fn cancel(&mut self) {
+    self.pending = self.pending.saturating_sub(1);
+  }
+
   /// The budget after a retry was requested; `None` if it was returned a short time ago.
   pub fn report(&mut self, now: u64, bound: &Bound, slack: f64, fits: bool) -> Option<Standing> {
     if self
@@ -117,7 +131,7 @@
     self.reported_at = Some(now);
     Some(Standing {
       requests: self.requests.len(),
-      retries: self.retries.len(),
+      retries: self.retries.len() + self.pending,
       allowed: self.allowed(bound, slack),
       slack,
       fits,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -289,7 +289,10 @@
       if now % 10 == 0 {
         budget.record_request(now, &BOUND);
       }
-      retries += u32::from(budget.try_retry(now, &BOUND, BOUND.slack / instances as f64));
+      if budget.try_retry(now, &BOUND, BOUND.slack / instances as f64) {
+        budget.record_sent(now);
+        retries += 1;
+      }
     }
   }
   let allowed = BOUND.ratio * 400.0 + BOUND.slack;
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -4,7 +4,7 @@
 mod requests;
 
 use bendsaddle::{
-  backend::Holding,
+  backend::{Holding, Spec},
   deployment::Engine,
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   request::Ticket,
@@ -19,6 +19,21 @@
 const REQUEST_INTERVAL_MS: u64 = 100;
 const RUN_MS: u64 = 40_000;
 
+fn descriptor(ticket: Ticket, deadline: u64) -> Descriptor {
+  Descriptor {
+    ticket,
+    id: ticket.0.to_string(),
+    route: Arc::new(route(Repeat::Always, None, 3)),
+    pool: "pool".into(),
+    model: None,
+    affinity: 0,
+    deadline,
+    content: Default::default(),
+    caller: None,
+    tokens: None,
+  }
+}
+
 /// One process of an instance. Its clock starts with the process.
 struct Process {
   state: State,
@@ -51,20 +66,9 @@
   /// Runs a request that every server rejects. Returns the number of its sends.
   fn reject(&mut self, now: u64) -> u32 {
     let ticket = Ticket(now);
-    let descriptor = Descriptor {
-      ticket,
-      id: now.to_string(),
-      route: Arc::new(route(Repeat::Always, None, 3)),
-      pool: "pool".into(),
-      model: None,
-      affinity: 0,
-      deadline: now - self.started + 5_000,
-      content: Default::default(),
-      caller: None,
-      tokens: None,
-    };
+    let deadline = now - self.started + 5_000;
     let mut sends = 0;
-    let mut effects = self.reduce(now, Event::Arrived(descriptor));
+    let mut effects = self.reduce(now, Event::Arrived(descriptor(ticket, deadline)));
     while effects
       .iter()
       .any(|effect| matches!(effect, Effect::Send(_)))
@@ -163,3 +167,41 @@
   }
   record.assert_within(&BOUND);
 }
+
+/// Guards against retries that wait, and arrive in a window that does not count them.
+#[test]
+fn a_retry_that_waits_counts_when_it_is_sent() {
+  let instances = 8;
+  let mut process = Process::start(0);
+  process.update(0, instances);
+  let list = |process: &mut Process, now: u64, servers: Vec<Spec>| {
+    process.reduce(now, Event::Servers(vec![Change::All(servers)]))
+  };
+  let sends = |effects: &[Effect]| {
+    let sent = |effect: &&Effect| matches!(effect, Effect::Send(_));
+    effects.iter().filter(sent).count()
+  };
+  let tickets: Vec<Ticket> = (0..7).map(Ticket).collect();
+  for ticket in &tickets {
+    process.reduce(20_000, Event::Arrived(descriptor(*ticket, 25_000)));
+  }
+  list(&mut process, 20_001, Vec::new());
+  for ticket in &tickets {
+    let (ticket, end) = (*ticket, End::Full);
+    let effects = process.reduce(20_002, Event::Ended { ticket, end });
+    assert_eq!(sends(&effects), 0, "the retry waits");
+  }
+  let servers = (0..8).map(|index| spec(&format!("new-{index}")));
+  let mut retries = sends(&list(&mut process, 24_000, servers.collect()));
+  assert_eq!(retries, tickets.len(), "the retries are sent");
+  let mut requests = tickets.len();
+  for now in (30_100..30_700).step_by(100) {
+    requests += 1;
+    retries += process.reject(now).saturating_sub(1) as usize;
+  }
+  let allowed = BOUND.ratio * requests as f64 + BOUND.slack / instances as f64;
+  assert!(
+    retries as f64 <= allowed,
+    "{retries} retries for {requests} requests within 7 s, allowed {allowed}"
+  );
+}
