tunnels: connections and times of openings are bounded

Cause, by reading: the number of tunnels was checked after the head was read, so connections without a head each held a thread for 500 ms without a bound; a deadline near the largest number would overflow the clock and end the thread, with the count of active requests left one too high. Change: at most 256 connections, ten minutes a tunnel. Test: an_opening_that_names_no_server_or_is_malformed_gets_no_tunnel, passes; its part on the largest deadline was not run on the code before.

--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -25,7 +25,11 @@
 
 /// Maximum number of tunnels. Each takes a thread, two descriptors and up to 64 KiB.
 const MAX_TUNNELS: usize = 128;
-/// Share of `MAX_TUNNELS` that own requests take away: callers of this instance come first.
+/// Maximum number of connections, including those that have not opened their tunnel yet.
+const MAX_CONNECTIONS: usize = 2 * MAX_TUNNELS;
+/// Longest time that a tunnel stays open.
+const MAX_REMAINING: Duration = Duration::from_secs(600);
+/// So many own requests take away one tunnel: callers of this instance come first.
 const REQUESTS_PER_TUNNEL: usize = 4;
 const STACK_BYTES: usize = 64 << 10;
 /// Delay after a failed accept, for example when file descriptors run out.
@@ -64,6 +68,11 @@
         continue;
       }
     };
+    if open_tunnels.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+      warn!(hub.log, "connection for a tunnel rejected: limit reached"; "from" => %from,
+        "connections" => MAX_CONNECTIONS);
+      continue;
+    }
     let (tunnel_hub, count) = (hub.clone(), open_tunnels.clone());
     let builder = thread::Builder::new()
       .name("tunnel".into())
@@ -140,7 +149,7 @@
   Ok(Opening {
     server: header(dialect.expected_server)?.into(),
     request: header(dialect.request_id)?.into(),
-    remaining: Duration::from_millis(remaining_ms),
+    remaining: Duration::from_millis(remaining_ms).min(MAX_REMAINING),
   })
 }
 
