--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -233,7 +233,10 @@
         instances,
       } => {
         self.instances = instances.max(1);
-        self.retry_share.record_fleet_size(now, self.instances);
+        let bound = self.retry_bound;
+        self
+          .retry_share
+          .record_fleet_size(now, &bound, self.instances);
         self.planner_seen_at = now;
         if let Some(loads) = loads {
           self.update_loads(&loads);
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -38,7 +38,8 @@
   }
 
   /// Records the published number of instances.
-  pub fn record_fleet_size(&mut self, now: u64, instances: usize) {
+  pub fn record_fleet_size(&mut self, now: u64, bound: &Bound, instances: usize) {
+    self.trim(now, bound);
     let last = self.fleet_sizes.back();
     if last.is_none_or(|(_, last)| *last != instances) {
       self.fleet_sizes.push_back((now, instances));
@@ -47,21 +48,26 @@
 
   /// The part of the bound's slack that this instance may use, `now` ms after its process started.
   pub fn slack(&mut self, now: u64, bound: &Bound) -> f64 {
-    let oldest = now.saturating_sub(bound.window_ms);
+    self.trim(now, bound);
     let restarted = !self.first && now < bound.window_ms;
-    match self.max_fleet_size(oldest) {
+    let largest = self
+      .fleet_sizes
+      .iter()
+      .map(|(_, instances)| *instances)
+      .max();
+    match largest {
       Some(instances) if !restarted => bound.slack / instances.max(1) as f64,
       _ => 0.0,
     }
   }
 
-  /// The largest number of instances since `oldest`; `None` if none has been published.
-  fn max_fleet_size(&mut self, oldest: u64) -> Option<usize> {
+  /// Drops the numbers that were replaced before the last window.
+  fn trim(&mut self, now: u64, bound: &Bound) {
+    let oldest = now.saturating_sub(bound.window_ms);
     let sizes = &mut self.fleet_sizes;
     while sizes.get(1).is_some_and(|(since, _)| *since <= oldest) {
       sizes.pop_front();
     }
-    sizes.iter().map(|(_, instances)| *instances).max()
   }
 }
 
--- a/tests/requests/mod.rs
+++ b/tests/requests/mod.rs
@@ -62,7 +62,7 @@
 pub fn seeded(engine: Engine, seed: u64) -> State {
   let mut state = restarted(engine, seed);
   state.retry_share = Share::first();
-  state.retry_share.record_fleet_size(0, 8);
+  state.retry_share.record_fleet_size(0, &BOUND, 8);
   state
 }
 
