tunnels: a free port for tunnels is none that is kept for another process

Cause: with port 0 for peers, the datagrams' port number was taken for tunnels as well, with SO_REUSEADDR. That binds also to a port which another socket keeps for a process that starts later. Only tests use port 0. Ruled out: a connection's port (docs/incidents/port-taken-by-a-connection.md): those ports are reserved. Change: the listener for tunnels takes a free port without SO_REUSEADDR, and datagrams use its number. Test: the_port_for_tunnels_is_none_that_is_kept_for_another_process starts 20 instances beside 200 kept ports; it passes. It was not run on the code before, where it would fail by chance only (some 1 in 7 by the number of ports).

--- a/src/planner.rs
+++ b/src/planner.rs
@@ -97,9 +97,6 @@
 /// time to serve requests.
 const STEP_PAUSE_FACTOR: u32 = 6;
 
-/// Maximum number of ports tried if any free one will do.
-const MAX_BIND_TRIES: u32 = 16;
-
 /// Result of a call that ran on another thread.
 enum Completion {
   Lease(usize, lease::Call, store::Result<store::Object>),
@@ -257,20 +254,13 @@
   Ok(address)
 }
 
-/// Binds the peer address, for datagrams and for tunnels.
+/// Binds the peer address, for datagrams and for tunnels at the same port.
 fn bind(hub: &Arc<Hub>, address: &str) -> io::Result<(UdpSocket, SocketAddr)> {
-  for _ in 0..MAX_BIND_TRIES {
-    let socket = UdpSocket::bind(address)?;
-    socket.set_nonblocking(true)?;
-    let bound = socket.local_addr()?;
-    match tunnel::bind(hub, bound) {
-      Ok(()) => return Ok((socket, bound)),
-      // A free port for datagrams may be in use for connections.
-      Err(error) if error.kind() == io::ErrorKind::AddrInUse && address.ends_with(":0") => {}
-      Err(error) => return Err(error),
-    }
-  }
-  Err(io::ErrorKind::AddrInUse.into())
+  let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+  let bound = tunnel::bind(hub, address)?;
+  let socket = UdpSocket::bind(bound)?;
+  socket.set_nonblocking(true)?;
+  Ok((socket, bound))
 }
 
 fn acquire_delay_ms(routing: &Routing) -> u64 {
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -12,6 +12,7 @@
   socket::{Fill, Socket},
 };
 use slog::{info, warn};
+use socket2::{Domain, Socket as RawSocket, Type};
 use std::{
   io,
   net::{SocketAddr, TcpListener, TcpStream},
@@ -32,6 +33,8 @@
 /// So many own requests take away one tunnel: callers of this instance come first.
 const REQUESTS_PER_TUNNEL: usize = 4;
 const STACK_BYTES: usize = 64 << 10;
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 128;
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Time limit for the head that opens a tunnel.
@@ -46,15 +49,28 @@
   remaining: Duration,
 }
 
-/// Binds the address at which other instances open tunnels.
-pub(crate) fn bind(hub: &Arc<Hub>, address: SocketAddr) -> io::Result<()> {
-  let listener = crate::web::listen(&address.to_string())?;
+/// Binds the address at which other instances open tunnels. A free port is chosen if its port is 0.
+pub(crate) fn bind(hub: &Arc<Hub>, address: SocketAddr) -> io::Result<SocketAddr> {
+  let listener = match address.port() {
+    0 => listen_on_free_port(address)?,
+    _ => crate::web::listen(&address.to_string())?,
+  };
+  let address = listener.local_addr()?;
   let hub = hub.clone();
   let builder = thread::Builder::new()
     .name("tunnels".into())
     .stack_size(STACK_BYTES);
   builder.spawn(move || accept(&hub, &listener))?;
-  Ok(())
+  Ok(address)
+}
+
+/// Listens without `SO_REUSEADDR`, with which the kernel also gives out ports that another socket
+/// keeps for a process that starts later.
+fn listen_on_free_port(address: SocketAddr) -> io::Result<TcpListener> {
+  let socket = RawSocket::new(Domain::for_address(address), Type::STREAM, None)?;
+  socket.bind(&address.into())?;
+  socket.listen(BACKLOG)?;
+  Ok(socket.into())
 }
 
 fn accept(hub: &Arc<Hub>, listener: &TcpListener) {
