placement: a report from before a takeover does not state all that a server holds

What callers saw: nothing yet; a model that a policy allows on two servers can be loaded on a third after the lease has changed hands.

Cause: servers report values of some hundred ms ago. A new holder took the first report that was not busy for everything that the server holds, whenever it was made. A load that the former holder had ordered just before was counted nowhere. Class: what a new holder does not know counts as nothing.

Ruled out: the wait of the lease alone.

Change: the lease states until when earlier holders may have sent orders: the gap before the takeover, or the takeover itself where an earlier process on this machine held it. A server whose report was queried less than a second after that counts for every limit until it is queried again, which happens once that second is over.

Why it works: a report is less than a second old, so one queried later shows every order that was carried out when it arrived.

Cost: none for a model without a limit (test), and none where another machine takes the lease, since its gap is longer than a report's age (test). A model with a limit waits up to 1 s where a process starts again on the holder's machine (test).

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -133,6 +133,26 @@
     self.held.as_ref().map_or(0, |held| held.valid_until)
   }
 
+  /// Time until which earlier holders may have sent orders; 0 if this machine does not hold the lease.
+  pub fn foreign_orders_until(&self) -> u64 {
+    self
+      .held
+      .as_ref()
+      .map_or(0, |held| held.foreign_orders_until)
+  }
+
+  /// Time until which the holder that `observed` names may send orders, if this machine acquires the
+  /// lease at `now`.
+  fn orders_of_predecessor_until(&self, now: u64, observed: &Observation) -> u64 {
+    match &observed.record {
+      // Only a store without a lease, and which lost none, has had no holder.
+      None if observed.revision.era == 0 => 0,
+      // An earlier process on this machine: no gap separates its orders.
+      Some(record) if record.machine == self.machine => now,
+      _ => now.saturating_sub(self.gap),
+    }
+  }
+
   /// Address to which demand is reported; `None` if there is no known holder.
   pub fn holder(&self) -> Option<SocketAddr> {
     let record = self.observed.as_ref()?.record.as_ref()?;
@@ -454,6 +474,10 @@
       return false;
     }
     self.highest_term = self.highest_term.max(record.term);
+    let predecessor = self.observed.as_ref();
+    let predecessor_until = predecessor.map_or(now, |observed| {
+      self.orders_of_predecessor_until(sent, observed)
+    });
     self.observed = Some(Observation {
       record: Some(record.clone()),
       revision: object.revision,
@@ -476,9 +500,19 @@
     }
     let previous = self.held.take();
     let acquired = previous.is_none();
-    let (acquired_at, mut candidates, rounds) = match previous {
-      Some(held) => (held.acquired_at, held.candidates, held.rounds),
-      None => (now, Candidates::default(), Rounds::default()),
+    let (acquired_at, foreign_orders_until, mut candidates, rounds) = match previous {
+      Some(held) => (
+        held.acquired_at,
+        held.foreign_orders_until,
+        held.candidates,
+        held.rounds,
+      ),
+      None => (
+        now,
+        predecessor_until,
+        Candidates::default(),
+        Rounds::default(),
+      ),
     };
     candidates.add(sent, &record.machines);
     candidates.prune(sent);
@@ -487,6 +521,7 @@
       valid_until: sent + self.duration,
       renewed_at: sent,
       acquired_at,
+      foreign_orders_until,
       candidates,
       rounds,
     });
--- a/src/placement/basis.rs
+++ b/src/placement/basis.rs
@@ -31,14 +31,15 @@
     self.log_decision(what, key, model, why);
   }
 
-  /// Logs what a server states that it holds.
-  pub(super) fn log_inventory(&mut self, key: server::Key, inventory: &Inventory) {
+  /// Logs what a server states that it holds. An inventory that is not `complete` may lack orders of
+  /// an earlier holder.
+  pub(super) fn log_inventory(&mut self, key: server::Key, inventory: &Inventory, complete: bool) {
     let models = inventory.models.iter();
     let models: Vec<String> = models
       .map(|(name, adapters)| format!("{name} {adapters:?}"))
       .collect();
     let why = format!(
-      "holds [{}] after {} orders, busy: {}; known: {} models and {} adapters after {} orders",
+      "holds [{}] after {} orders, busy: {}, complete: {complete}; known: {} models and {} adapters after {} orders",
       models.join(", "),
       inventory.orders,
       inventory.busy,
--- a/src/placement/gone.rs
+++ b/src/placement/gone.rs
@@ -27,6 +27,8 @@
   models: BTreeSet<models::Key>,
   /// It may hold other models as well, because it has not stated its models itself.
   may_hold_more: bool,
+  /// When it was last queried, ms.
+  queried_at: u64,
   queries: u32,
   expires_at: u64,
 }
@@ -40,6 +42,7 @@
       address: server.spec.address,
       models: server.models.into_keys().chain(loading).collect(),
       may_hold_more: server.has_engine && !server.answered,
+      queried_at: 0,
       queries: 0,
       expires_at,
     }
@@ -49,13 +52,14 @@
     self.models.contains(&model) || self.may_hold_more && self.pool == pool
   }
 
-  /// Adds the models that the server states.
-  fn update(&mut self, inventory: &Inventory, models: &mut Models) {
+  /// Adds the models that the server states. An inventory that is not `complete` may lack orders of
+  /// an earlier holder.
+  fn update(&mut self, inventory: &Inventory, complete: bool, models: &mut Models) {
     for name in inventory.models.keys() {
       self.models.insert(models.intern(self.pool, name, None));
     }
     // An inventory does not name a load in progress.
-    self.may_hold_more &= inventory.busy;
+    self.may_hold_more &= inventory.busy || !complete;
   }
 }
 
@@ -82,6 +86,11 @@
     }
   }
 
+  /// Whether a policy limits the number of some model's replicas.
+  pub(crate) fn limits_replicas(&self) -> bool {
+    !self.models_with_max_replicas().is_empty()
+  }
+
   /// Models whose number of replicas a policy limits.
   fn models_with_max_replicas(&self) -> Vec<(PoolKey, models::Key)> {
     let keys = self.models.keys();
@@ -96,6 +105,7 @@
     // Queries to servers that are gone occupy threads that other queries need.
     if unlisted.queries < MAX_QUERIES {
       unlisted.queries += 1;
+      unlisted.queried_at = self.now;
       let address = unlisted.address;
       self.effects.push(Effect::Query { id, address });
     }
@@ -118,7 +128,8 @@
           unlisted.life = life;
           unlisted.models.clear();
         }
-        unlisted.update(&inventory, &mut self.models);
+        let complete = unlisted.queried_at >= self.reports_complete_from;
+        unlisted.update(&inventory, complete, &mut self.models);
       }
       Err(Unheard::Silent) => self.query_unlisted(server, id.into()),
       Err(Unheard::Ended) => {
--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -35,7 +35,7 @@
 /// Age that no inventory reaches when it is queried, ms. One that still names fewer orders than were
 /// counted is right: a server need not count an order for what it holds already. When the count was
 /// kept, such a server got no more orders.
-const MAX_REPORT_AGE_MS: u64 = REPORT_LAG_MS * 5;
+pub(crate) const MAX_REPORT_AGE_MS: u64 = REPORT_LAG_MS * 5;
 /// A load may take this multiple of its estimated time.
 const LOAD_TIMEOUT_FACTOR: u64 = 4;
 
@@ -108,14 +108,19 @@
       });
       return;
     };
-    self.log_inventory(key, &inventory);
+    let complete = self.servers[key].queried_at >= self.reports_complete_from;
+    match complete {
+      true => self.unconfirmed.remove(&key),
+      false => self.unconfirmed.insert(key),
+    };
+    self.log_inventory(key, &inventory, complete);
     let in_progress = self.remote_jobs;
     let loading = self.servers[key].remote_load_in_progress();
     let changed = self.change(key, |server, models| {
       let stated = intern_models(server.pool, &inventory.models, models);
       let incoming = intern_models(server.pool, &inventory.incoming, models);
       let arriving = incoming.into_values().flatten().collect();
-      server.apply_inventory(now, &inventory, (stated, arriving))
+      server.apply_inventory(now, &inventory, (stated, arriving), complete)
     });
     self.publish_pending |= changed == Some(true);
     if let Some((model, started_at)) = loading
@@ -214,6 +219,21 @@
     self.query(key);
   }
 
+  /// Queries servers again whose inventories may lack orders of an earlier holder: until then they
+  /// count towards every `max_replicas`.
+  pub(crate) fn confirm_inventories(&mut self) {
+    let due = self.now >= self.reports_complete_from && !self.unconfirmed.is_empty();
+    if !due || !self.limits_replicas() {
+      return;
+    }
+    let idle = |key: &server::Key| self.servers[*key].job.is_none();
+    let idle: Vec<server::Key> = self.unconfirmed.iter().copied().filter(idle).collect();
+    for key in idle {
+      self.unconfirmed.remove(&key);
+      self.change(key, |server, _| server.synced = false);
+    }
+  }
+
   fn query(&mut self, key: server::Key) {
     let now = self.now;
     self.change(key, |server, _| {
@@ -403,12 +423,13 @@
   }
 
   /// Updates the state from the models and the arriving adapters that the server states; returns
-  /// whether to publish it.
+  /// whether to publish it. An inventory that is not `complete` may lack orders of an earlier holder.
   fn apply_inventory(
     &mut self,
     now: u64,
     inventory: &Inventory,
     (models, arriving): (Loaded, BTreeSet<models::Key>),
+    complete: bool,
   ) -> bool {
     self.querying = false;
     self.unanswered_queries = 0;
@@ -428,7 +449,7 @@
     // An inventory does not name a load in progress. If that is not the load of this job, it was
     // started by an earlier lease holder or before the server's entry disappeared, or it was
     // assumed to be done too early.
-    self.answered = !inventory.busy || self.answered && self.job.is_some();
+    self.answered = complete && !inventory.busy || self.answered && self.job.is_some();
     self.orders = inventory.orders;
     let Some(mut job) = self.job.take() else {
       let changed = (was_unsynced || !inventory.busy) && self.models != models;
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -8,7 +8,7 @@
   gone::Unlisted,
   models::{self, Models, PoolKey},
   need::Need,
-  orders::INITIAL_UNLOAD_MS,
+  orders::{INITIAL_UNLOAD_MS, MAX_REPORT_AGE_MS},
   pace::Paces,
   publish::{MIN_PUBLISH_INTERVAL_MS, PUBLISH_INTERVAL_MS},
   remote::Remote,
@@ -108,6 +108,11 @@
   pub(crate) settled_at: u64,
   pub(crate) machine: String,
   pub(crate) term: u64,
+  /// Queries from this time on show the effect of every order of an earlier holder that its server
+  /// carried out when it arrived, ms.
+  pub(crate) reports_complete_from: u64,
+  /// Servers whose last inventory may lack such an order.
+  pub(crate) unconfirmed: BTreeSet<server::Key>,
   /// Orders may be sent.
   pub(crate) ordering: bool,
   pub(crate) deployment: Arc<Deployment>,
@@ -168,6 +173,8 @@
       settled_at: 0,
       machine: machine.into(),
       term: 0,
+      reports_complete_from: 0,
+      unconfirmed: BTreeSet::new(),
       ordering: true,
       deployment: Arc::default(),
       unknown_servers: false,
@@ -200,6 +207,8 @@
     self.now = now;
     self.settled_at = now + SETTLE_MS;
     self.term = term;
+    self.set_last_foreign_order(now);
+    self.unconfirmed.clear();
     self.changes = 0;
     self.changed_servers.clear();
     self.publications.clear();
@@ -209,6 +218,12 @@
     }
   }
 
+  /// Sets the time until which earlier holders may have sent orders, ms. Servers report with a lag,
+  /// so a query soon after it may return a report that lacks the last ones.
+  pub fn set_last_foreign_order(&mut self, at: u64) {
+    self.reports_complete_from = at + MAX_REPORT_AGE_MS;
+  }
+
   /// Updates the deployment and the servers of the group.
   pub fn update_servers(&mut self, deployment: Arc<Deployment>, mut specs: Vec<Spec>) {
     if !Arc::ptr_eq(&self.deployment, &deployment) {
@@ -278,6 +293,7 @@
   fn remove_server(&mut self, key: server::Key) -> Option<Server> {
     self.remove_from_indexes(key);
     self.dirty.remove(&key);
+    self.unconfirmed.remove(&key);
     let server = self.servers.remove(key)?;
     self.changed_servers.remove(&server.change_number);
     Some(server)
@@ -447,6 +463,7 @@
       let sweep = now >= self.swept_at + SWEEP_INTERVAL_MS;
       if sweep {
         self.swept_at = now;
+        self.confirm_inventories();
         self.preload_models();
         self.add_replicas();
       }
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -498,8 +498,11 @@
     if group.lease.record_call_result(now, call, result) {
       let term = group.lease.term(now).unwrap_or_default();
       self.hub.measures.record_lease();
-      info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term);
+      let foreign_orders_until = group.lease.foreign_orders_until();
+      info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term,
+        "earlier_orders_ms_ago" => now.saturating_sub(foreign_orders_until));
       group.plan.start_term(now, term);
+      group.plan.set_last_foreign_order(foreign_orders_until);
       group.plan.start_paces(self.hub.state().known_paces());
       // Policies read under an earlier term may be outdated.
       self.next_policies_read_at = now;
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -566,6 +566,71 @@
   assert!(world.loads().is_empty(), "{:?}", world.loads());
 }
 
+/// The inventory of a server before the orders that the former holder sent it last.
+fn inventory_without_models(world: &World, id: &str) -> Inventory {
+  Inventory {
+    born: world.servers[id].spec.born,
+    ..Inventory::default()
+  }
+}
+
+// Guards against exceeding the replica limit when a report lags: a server had loaded the model for
+// the former holder a moment before, its report from before that counted as all that it holds, and a
+// third server loaded a model that is limited to two replicas.
+#[test]
+fn a_report_from_before_the_last_order_of_the_former_holder_is_not_complete() {
+  let mut world = world_after_takeover();
+  world.unresponsive.remove("four");
+  world.waiting = vec![("d".into(), 200)];
+  world.run(10);
+  let old = inventory_without_models(&world, "three");
+  world.plan.receive_inventory(world.now, "three", Ok(old));
+  world.run(600);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.unresponsive.clear();
+  world.run(2_000);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+}
+
+#[test]
+fn a_report_from_after_the_last_order_of_the_former_holder_is_complete() {
+  let mut world = world_after_takeover();
+  world.plan.set_last_foreign_order(world.now - 1_000);
+  for id in ["three", "four"] {
+    world.servers.get_mut(id).unwrap().held.remove("d");
+  }
+  world.unresponsive.clear();
+  world.run(300);
+  assert!(!world.loads().is_empty(), "a model without replicas waits");
+}
+
+// A model without a limit must not wait for reports that show the last orders of the former holder.
+#[test]
+fn a_model_without_a_limit_is_loaded_as_soon_as_servers_answer() {
+  let mut world = world_after_takeover();
+  world.plan.update_policies(BTreeMap::new());
+  for id in ["three", "four"] {
+    world.servers.get_mut(id).unwrap().held.remove("d");
+  }
+  world.unresponsive.clear();
+  world.run(300);
+  assert!(!world.loads().is_empty());
+}
+
+// The model waits for no longer than until reports show what the former holder ordered last.
+#[test]
+fn a_model_with_a_limit_is_loaded_once_reports_are_complete() {
+  let mut world = world_after_takeover();
+  for id in ["three", "four"] {
+    world.servers.get_mut(id).unwrap().held.remove("d");
+  }
+  world.unresponsive.clear();
+  world.run(900);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.run(300);
+  assert!(!world.loads().is_empty());
+}
+
 #[test]
 fn a_server_that_was_not_heard_counts_when_its_entry_goes() {
   let mut world = world_after_takeover();
