policies: a holder that has not read them gives each model one replica

What callers saw: nothing yet; a model that a policy allows on one server could be loaded on two.

Cause: a holder that could not read the policies waited for 3 s and then ordered as if there were none. Later terms of the same instance did not wait at all: they ordered by what had been read in an earlier term, however long ago. Class: what a new holder does not know counts as nothing.

Change: while no read has succeeded, a model gets one replica, which every valid policy allows (a `maxReplicas` of 0 is refused); the log line of a failed read says whether policies are known and whether orders wait. A later term waits, up to the same 3 s, if the last read is older than a holder's ever is (10 s). The reads are in a module of their own.

Cost: a model that needs two replicas has one until the policies are read, which is tried every 300 ms. A holder whose first read succeeds waits for nothing more.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod placement;
 pub mod planner;
 pub mod platform;
+pub mod policies;
 pub mod policy;
 pub mod pool;
 pub mod quarantine;
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -137,7 +137,7 @@
 
   /// Whether a model's policy allows a further replica. Any number of unknown servers may hold it.
   pub(crate) fn below_max_replicas(&self, model: models::Key) -> bool {
-    let max = self.policy(model).max_replicas;
+    let max = self.max_replicas(model);
     max == u32::MAX || !self.unknown_servers && self.replica_count(model) < max
   }
 
--- a/src/placement/gone.rs
+++ b/src/placement/gone.rs
@@ -94,7 +94,7 @@
   /// Models whose number of replicas a policy limits.
   fn models_with_max_replicas(&self) -> Vec<(PoolKey, models::Key)> {
     let keys = self.models.keys();
-    let keys = keys.filter(|model| self.policy(*model).max_replicas < u32::MAX);
+    let keys = keys.filter(|model| self.max_replicas(*model) < u32::MAX);
     keys.map(|model| (self.models[model].pool, model)).collect()
   }
 
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -134,6 +134,7 @@
   /// Policies by name, as operators wrote them, and the policy of models that none of them selects.
   policies: BTreeMap<String, Policy>,
   default_policy: Policy,
+  policies_known: bool,
   pub(crate) published_at: u64,
   /// When loads were last published, ms. Changes of holdings may be published all the time.
   pub(crate) loads_published_at: u64,
@@ -188,6 +189,7 @@
       readings: BTreeMap::new(),
       policies: BTreeMap::new(),
       default_policy: Policy::default_routed(),
+      policies_known: true,
       published_at: 0,
       loads_published_at: 0,
       publish_interval_ms: MIN_PUBLISH_INTERVAL_MS,
@@ -417,6 +419,19 @@
     self.policies = policies;
   }
 
+  /// Sets whether the operators' policies were ever read.
+  pub fn set_policies_known(&mut self, known: bool) {
+    self.policies_known = known;
+  }
+
+  /// The most replicas that a model may have. Every policy allows one.
+  pub(crate) fn max_replicas(&self, model: models::Key) -> u32 {
+    match self.policies_known {
+      true => self.policy(model).max_replicas,
+      false => 1,
+    }
+  }
+
   /// The policy of a model: among those that select it by its labels `model` and `pool`, the one of
   /// highest precedence, then of the smallest name.
   pub(crate) fn policy(&self, model: models::Key) -> &Policy {
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -19,6 +19,7 @@
   message::{self, Message},
   outbox::{self, Outbox},
   placement::plan::{Effect, OtherServer, Plan, Report},
+  policies,
   policy::Policy,
   pool::Pool,
   quota::{Accounts, Bound, Sums},
@@ -82,14 +83,6 @@
 /// faster acquires the lease. With 295 instances, ten changes take 170 ms at a fifth of 50 Mbit/s.
 const MEDIUM_LINK_MBPS: f64 = 100.0;
 const MEDIUM_DELAY_MS: u64 = 300;
-/// Interval between reads of the policies; operators change them a few times a day.
-const POLICIES_READ_INTERVAL_MS: u64 = 10_000;
-/// Delay after a failed read of the policies.
-const POLICIES_RETRY_DELAY_MS: u64 = 300;
-/// Maximum time for which a holder that has never read the policies sends no orders: it might load
-/// more replicas than the policies allow. After that it continues without policies, because the
-/// store may not return them at all.
-const MAX_POLICIES_WAIT_MS: u64 = 3_000;
 /// A wait that ends this much too late shows that the process was stalled. With a tenth of a
 /// processor, the thread is delayed by about ten milliseconds at most.
 const STALL_THRESHOLD_MS: u64 = 500;
@@ -154,10 +147,7 @@
   waker: Arc<Waker>,
   pub(crate) last_report_at: u64,
   pub(crate) last_report: Option<Report>,
-  /// Time of the next read of the policies.
-  next_policies_read_at: u64,
-  /// Time until which orders wait for the first read of the policies.
-  policies_wait_until: u64,
+  policy_reads: policies::Reads,
   /// Whether entries of servers may be missing that expired before this instance started.
   unknown_servers: bool,
   /// How long this instance leaves a free lease to others, in milliseconds.
@@ -221,8 +211,7 @@
     waker: Arc::new(Waker::new()?),
     last_report_at: 0,
     last_report: None,
-    next_policies_read_at: 0,
-    policies_wait_until: u64::MAX,
+    policy_reads: policies::Reads::default(),
     unknown_servers: false,
     acquire_delay_ms: acquire_delay_ms(&routing),
     outbox: Outbox::new(
@@ -360,7 +349,7 @@
         due = due.min(group.plan.next_step_at(now).max(group.paused_until));
       }
       if group.holds_lease {
-        due = due.min(self.next_policies_read_at);
+        due = due.min(self.policy_reads.due());
       }
     }
     let repeated = [
@@ -504,11 +493,7 @@
       group.plan.start_term(now, term);
       group.plan.set_last_foreign_order(foreign_orders_until);
       group.plan.start_paces(self.hub.state().known_paces());
-      // Policies read under an earlier term may be outdated.
-      self.next_policies_read_at = now;
-      if self.policies_wait_until == u64::MAX {
-        self.policies_wait_until = now + MAX_POLICIES_WAIT_MS;
-      }
+      self.policy_reads.lease_acquired(now);
       group.planned_counts = (0, 0);
       group.members_published_at = 0;
       self.needs_resync = true;
@@ -553,10 +538,9 @@
   fn read_policies(&mut self) {
     let now = self.hub.now();
     let holds_any = self.groups.iter().any(|group| group.holds_lease);
-    if !holds_any || now < self.next_policies_read_at {
+    if !holds_any || !self.policy_reads.start(now) {
       return;
     }
-    self.next_policies_read_at = now + POLICIES_READ_INTERVAL_MS;
     let (edge, completion_sender, waker) = (
       self.edge.clone(),
       self.completion_sender.clone(),
@@ -574,13 +558,14 @@
       Ok(objects) => objects,
       Err(store::Error::Absent { .. }) => Vec::new(),
       Err(error) => {
-        self.next_policies_read_at = now + POLICIES_RETRY_DELAY_MS;
+        self.policy_reads.failed(now);
         info!(self.hub.log, "failed to read policies; the previous ones stay in effect";
-          "error" => %error);
+          "error" => %error, "known" => self.policy_reads.are_known(),
+          "orders_wait" => !self.policy_reads.allow_orders(now));
         return;
       }
     };
-    self.policies_wait_until = 0;
+    self.policy_reads.succeeded(now);
     let mut policies = BTreeMap::new();
     for object in objects {
       let policy = serde_json::from_value::<Policy>(object.spec).map_err(|error| error.to_string());
@@ -660,7 +645,8 @@
     }
     group
       .plan
-      .set_ordering(group.holds_lease && now >= self.policies_wait_until);
+      .set_ordering(group.holds_lease && self.policy_reads.allow_orders(now));
+    group.plan.set_policies_known(self.policy_reads.are_known());
     self.update_unknown_servers(index);
     self.update_plan(index);
     let started_at = Moment::now();
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -631,6 +631,20 @@
   assert!(!world.loads().is_empty());
 }
 
+// Guards against exceeding a replica limit that was never read: a holder that waited in vain for the
+// policies ordered as if there were none.
+#[test]
+fn a_model_gets_one_replica_while_the_policies_are_not_known() {
+  let held: &[&str] = &["a"];
+  let servers = ["one", "two", "three", "four"].map(|id| (id, held, &["d"][..]));
+  let mut world = World::new(&["a", "d"], &servers);
+  world.plan.set_policies_known(false);
+  world.waiting = vec![("d".into(), 200)];
+  assert_eq!(max_replicas_of_d(&mut world, 3_000), 1);
+  world.plan.set_policies_known(true);
+  assert_eq!(max_replicas_of_d(&mut world, 3_000), 4);
+}
+
 #[test]
 fn a_server_that_was_not_heard_counts_when_its_entry_goes() {
   let mut world = world_after_takeover();
