placement: a load without an answer counts while it may still be carried out

What callers saw: nothing yet; a model that a policy allows on two servers can be on three or four while servers carry out orders late.

A load whose order got no answer was dropped at once and counted for nothing, in its term, in the next term of the same instance, and after the server's entry had been away. Class: what is not known counts as nothing.

Evidence: tests/plan.rs `a_load_without_an_answer_counts_while_it_may_be_carried_out` and two more (`..._in_the_next_term`, `..._while_the_servers_entries_are_away`) set the order of events: two loads without an answer, 0.7 s, then both are carried out. With the rule switched off each ends with three replicas where two may be.

Ruled out: memory. A late load finds another count of orders once any order was accepted there, so it never adds to a load that was ordered after it.

Change: a load without an answer counts towards its model's limit until the server has accepted an order (it declines those that name another count) or 13 s have passed. A model at its limit only because of such a load is ordered again on that same server, where at most one of the two orders is carried out.

Why it works: the server that may load the model is counted until it surely will not.

Cost: none without a limit. With one, the model is loaded where it was ordered first, after the pause of 1 s that such a server had before, rather than elsewhere at once (test `a_load_without_an_answer_is_ordered_again_on_the_same_server`).

--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -33,6 +33,16 @@
 /// server could not serve the requests that the load is for.
 const LIMITED_COST_MS: u64 = 60_000;
 
+/// Servers on which a policy allows a load of a model.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Loads {
+  Anywhere,
+  /// Only where an earlier order got no answer: such a server counts as a replica already, and at most
+  /// one of the two orders is carried out.
+  Again,
+  Nowhere,
+}
+
 /// A server that can load a model, and the models evicted for it.
 struct Choice {
   cost: u64,
@@ -131,14 +141,32 @@
   fn replica_count(&self, model: models::Key) -> u32 {
     let entry = &self.models[model];
     let servers = self.servers_in_pool(entry.pool);
-    let own = servers.filter(|(_, server)| server.may_hold(model));
+    let own = servers.filter(|(_, server)| server.may_hold(self.now, model));
     (own.count() + entry.holders_elsewhere + self.unlisted_holders(model)) as u32
   }
 
-  /// Whether a model's policy allows a further replica. Any number of unknown servers may hold it.
+  /// Whether a model's policy allows a further replica.
   pub(crate) fn below_max_replicas(&self, model: models::Key) -> bool {
+    self.allowed_loads(model) == Loads::Anywhere
+  }
+
+  /// The servers on which a model's policy allows a load. Any number of unknown servers may hold it.
+  fn allowed_loads(&self, model: models::Key) -> Loads {
     let max = self.max_replicas(model);
-    max == u32::MAX || !self.unknown_servers && self.replica_count(model) < max
+    if max == u32::MAX {
+      return Loads::Anywhere;
+    }
+    if self.unknown_servers {
+      return Loads::Nowhere;
+    }
+    let count = self.replica_count(model);
+    let mut servers = self.servers_in_pool(self.models[model].pool);
+    match () {
+      () if count < max => Loads::Anywhere,
+      () if count > max => Loads::Nowhere,
+      () if servers.any(|(_, server)| server.may_load(self.now, model)) => Loads::Again,
+      () => Loads::Nowhere,
+    }
   }
 
   /// Loads a further replica of a model whose replicas are too slow for its requests, if some
@@ -173,7 +201,8 @@
       return;
     };
     let max_loads = 1 + need.waiting / (engine.slots / 2).max(1);
-    if entry.loads >= max_loads as usize || !self.below_max_replicas(model) {
+    let allowed = self.allowed_loads(model);
+    if entry.loads >= max_loads as usize || allowed == Loads::Nowhere {
       return;
     }
     let copy_exists = self.has_copy(model);
@@ -183,7 +212,9 @@
     }
     let now = self.now;
     let worth_loading = |server: &Server, tier: Tier| {
-      tier != Tier::Remote || server.worth_loading(now, &need.waits, size.load_ms(tier))
+      let allowed = allowed == Loads::Anywhere || server.may_load(now, model);
+      let worth = || server.worth_loading(now, &need.waits, size.load_ms(tier));
+      allowed && (tier != Tier::Remote || worth())
     };
     match self.choose(need, f64::from(need.waiting.max(1)), remote, worth_loading) {
       Some(choice) => self.start_load(choice.server, choice.victims, choice.cost, need),
--- a/src/placement/gone.rs
+++ b/src/placement/gone.rs
@@ -9,10 +9,13 @@
   placement::{
     models::{self, Models, PoolKey},
     plan::{Effect, Plan},
-    server::Server,
+    server::{Server, Unanswered},
   },
 };
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+  collections::{BTreeMap, BTreeSet},
+  net::SocketAddr,
+};
 
 /// Queries to a server without an entry: the first may use a connection that ended with the server,
 /// and each occupies a thread that queries to other servers need.
@@ -25,6 +28,8 @@
   address: SocketAddr,
   /// Models that it may still hold.
   models: BTreeSet<models::Key>,
+  /// Loads that may still be carried out.
+  unanswered: BTreeMap<models::Key, Unanswered>,
   /// It may hold other models as well, because it has not stated its models itself.
   may_hold_more: bool,
   /// When it was last queried, ms.
@@ -35,19 +40,34 @@
 
 impl Unlisted {
   fn new(server: Server, expires_at: u64) -> Self {
-    let loading = server.job.map(|job| job.model);
+    let loading = server.job.as_ref().map(|job| job.model);
+    let ordered = server.unanswered.keys().copied();
     Self {
       life: server.spec.life(),
       pool: server.pool,
       address: server.spec.address,
-      models: server.models.into_keys().chain(loading).collect(),
+      models: server
+        .models
+        .into_keys()
+        .chain(loading)
+        .chain(ordered)
+        .collect(),
       may_hold_more: server.has_engine && !server.answered,
+      unanswered: server.unanswered,
       queried_at: 0,
       queries: 0,
       expires_at,
     }
   }
 
+  /// Loads that may still be carried out, if the server is still the one that they were ordered of.
+  pub(crate) fn unanswered_of(self, life: Life) -> BTreeMap<models::Key, Unanswered> {
+    match life == self.life {
+      true => self.unanswered,
+      false => BTreeMap::new(),
+    }
+  }
+
   fn may_hold(&self, pool: PoolKey, model: models::Key) -> bool {
     self.models.contains(&model) || self.may_hold_more && self.pool == pool
   }
--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -71,7 +71,7 @@
     let unload_ms = self.unload_ms as u64;
     let observed = self.change(key, |server, _| match server.awaits_result(command, base) {
       true => server.record_model_result(now, (command, base), taken, unload_ms),
-      false => server.record_late_result(now, command, taken),
+      false => server.record_late_result(now, (command, base), taken),
     });
     match observed {
       Some(Unload::Finished) => self.unload_ms = (self.unload_ms - UNLOAD_DECREASE_MS).max(0.0),
@@ -333,7 +333,15 @@
 
   /// Records the result of an order whose job is gone. Only an accepted order changes the server,
   /// and the inventories known so far may not include it.
-  fn record_late_result(&mut self, now: u64, command: &Command, taken: Taken) -> Unload {
+  fn record_late_result(
+    &mut self,
+    now: u64,
+    (command, model): (&Command, models::Key),
+    taken: Taken,
+  ) -> Unload {
+    if taken != Taken::Unknown && command.act == Act::Load {
+      self.unanswered.remove(&model);
+    }
     if taken == Taken::Accepted && command.orders >= self.orders {
       self.count_order(now, command);
       self.synced = false;
@@ -404,6 +412,11 @@
         }
         Unload::Unobserved
       }
+      (Taken::Unknown, Step::Load) => {
+        self.record_unanswered(now, model, command.orders);
+        self.schedule_recheck(now, taken);
+        Unload::Unobserved
+      }
       _ => {
         self.schedule_recheck(now, taken);
         Unload::Unobserved
@@ -450,7 +463,7 @@
     // started by an earlier lease holder or before the server's entry disappeared, or it was
     // assumed to be done too early.
     self.answered = complete && !inventory.busy || self.answered && self.job.is_some();
-    self.orders = inventory.orders;
+    self.set_orders(inventory.orders);
     let Some(mut job) = self.job.take() else {
       let changed = (was_unsynced || !inventory.busy) && self.models != models;
       if was_unsynced || !inventory.busy {
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -216,7 +216,7 @@
     self.publications.clear();
     let keys: Vec<server::Key> = self.servers.keys().collect();
     for key in keys {
-      self.change(key, |server, _| server.reset());
+      self.change(key, |server, _| server.reset(now));
     }
   }
 
@@ -255,7 +255,7 @@
   /// Updates a server from its entry; returns whether the server is new or has restarted.
   fn update_entry(&mut self, spec: Spec) -> bool {
     let life = spec.life();
-    self.unlisted.remove(&life.server());
+    let unlisted = self.unlisted.remove(&life.server());
     let known = self.by_id.get(&life.server()).copied();
     let current = known.map(|key| self.servers[key].spec.life());
     if let (Some(key), Some(current)) = (known, current) {
@@ -276,7 +276,9 @@
       }
       self.remove_server(key);
     }
-    let server = Server::new(spec, &mut self.models);
+    let mut server = Server::new(spec, &mut self.models);
+    server.unanswered =
+      unlisted.map_or_else(BTreeMap::new, |unlisted| unlisted.unanswered_of(life));
     let key = self.servers.insert(server);
     self.by_id.insert(life.server(), key);
     self.add_to_indexes(key);
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -25,6 +25,8 @@
 pub(crate) const RECHECK_MS: u64 = 1_000;
 /// Time for instances to learn that a model will be unloaded before the unload is ordered, ms.
 pub(crate) const LEAVE_NOTICE_MS: u64 = 25;
+/// An order without an answer is carried out within this time or never, ms: engines take up to 12 s.
+pub(crate) const MAX_ORDER_DELAY_MS: u64 = 13_000;
 /// Doublings of `RECHECK_MS` for a server that repeatedly does not answer.
 const MAX_RECHECK_DOUBLINGS: u32 = 3;
 /// Pause after an adapter order until requests may use the adapter, ms: it loads within a few
@@ -77,6 +79,15 @@
   pub(crate) until: u64,
 }
 
+/// A load whose order got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unanswered {
+  /// The count of orders that it names. A server with a higher count declines it.
+  pub(crate) orders: u64,
+  /// When it will not be carried out any more, ms.
+  pub(crate) until: u64,
+}
+
 /// Loaded models, each with its loaded adapters.
 pub(crate) type Loaded = BTreeMap<models::Key, Vec<models::Key>>;
 
@@ -103,6 +114,8 @@
   pub(crate) querying: bool,
   pub(crate) leaving: Vec<models::Key>,
   pub(crate) job: Option<Job>,
+  /// Loads that may still be carried out.
+  pub(crate) unanswered: BTreeMap<models::Key, Unanswered>,
   /// Adapters that were ordered and that the server has not stated to have arrived.
   pub(crate) arriving: BTreeSet<models::Key>,
   /// Adapter orders in progress.
@@ -162,6 +175,7 @@
       querying: false,
       leaving: Vec::new(),
       job: None,
+      unanswered: BTreeMap::new(),
       arriving: BTreeSet::new(),
       adapter_orders: Vec::new(),
       paused_until: 0,
@@ -219,14 +233,16 @@
     };
   }
 
-  /// Discards the state of orders and queries: a new lease holder does not know what the server
-  /// holds.
-  pub(crate) fn reset(&mut self) {
+  /// Discards the state of orders and queries, but for loads without an answer: a new lease holder
+  /// does not know what the server holds.
+  pub(crate) fn reset(&mut self, now: u64) {
     self.synced = false;
     self.answered = false;
     self.querying = false;
     self.unanswered_queries = 0;
-    self.job = None;
+    if let Some(job) = self.job.take() {
+      self.keep_unanswered_load(now, &job);
+    }
     self.adapter_orders.clear();
     self.leaving.clear();
     self.published = None;
@@ -360,11 +376,38 @@
   /// Counts an order that the server has accepted.
   pub(crate) fn count_order(&mut self, now: u64, command: &Command) {
     if command.orders >= self.orders {
-      self.orders = command.orders + 1;
+      self.set_orders(command.orders + 1);
       self.counted_at = now;
     }
   }
 
+  /// Sets the number of orders that the server has accepted. It declines those that name another.
+  pub(crate) fn set_orders(&mut self, orders: u64) {
+    self.orders = orders;
+    self.unanswered.retain(|_, load| load.orders >= orders);
+  }
+
+  /// Records a load whose order got no answer.
+  pub(crate) fn record_unanswered(&mut self, now: u64, model: models::Key, orders: u64) {
+    let until = now + MAX_ORDER_DELAY_MS;
+    if orders >= self.orders {
+      self.unanswered.insert(model, Unanswered { orders, until });
+    }
+  }
+
+  /// Keeps the load of a job that is dropped while its order has no answer yet.
+  fn keep_unanswered_load(&mut self, now: u64, job: &Job) {
+    if job.step == Step::Load && job.awaiting_reply {
+      self.record_unanswered(now, job.model, self.orders);
+    }
+  }
+
+  /// Whether a load of a model was ordered without an answer and may still be carried out.
+  pub(crate) fn may_load(&self, now: u64, model: models::Key) -> bool {
+    let load = self.unanswered.get(&model);
+    load.is_some_and(|load| now < load.until)
+  }
+
   /// Records the result of an order for an adapter of a model.
   pub(crate) fn record_adapter_result(
     &mut self,
@@ -446,12 +489,13 @@
     }
   }
 
-  /// Whether it counts towards a model's `max_replicas`: it holds the model, is loading it or may
-  /// hold it.
-  pub(crate) fn may_hold(&self, model: models::Key) -> bool {
+  /// Whether it counts towards a model's `max_replicas`: it holds the model, is loading it, may hold
+  /// it or may load it yet.
+  pub(crate) fn may_hold(&self, now: u64, model: models::Key) -> bool {
     let loading = self.job.as_ref().is_some_and(|job| job.model == model);
+    let held = self.models.contains_key(&model);
     // Its entry may be older than what it holds.
-    self.models.contains_key(&model) || loading || !self.answered
+    held || loading || !self.answered || self.may_load(now, model)
   }
 
   pub(crate) fn busy_with(&self, model: models::Key, models: &Models) -> bool {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -5,7 +5,7 @@
 
 use bendsaddle::{
   backend::Stage,
-  command::{Inventory, Taken, Unheard},
+  command::{Act, Inventory, Taken, Unheard},
   placement::plan::{Effect, Plan, Report},
   strain::Sample,
 };
@@ -523,6 +523,78 @@
   assert_eq!(max_replicas_of_d(&mut world, 3_000), 2);
 }
 
+/// Four servers without `d`, of which two may hold it, and requests for more than two replicas.
+fn world_without_replicas() -> World {
+  let mut world = bounded_world();
+  for server in world.servers.values_mut() {
+    server.held.remove("d");
+    server.spec.models.remove("d");
+  }
+  let all = ["one", "two", "three", "four"];
+  world.list_servers(&[]);
+  world.run(2_100);
+  world.list_servers(&all);
+  world.waiting.clear();
+  world.run(1_500);
+  world.waiting = vec![("d".into(), 200)];
+  world
+}
+
+// Guards against exceeding the replica limit when servers carry out orders late: loads without an
+// answer counted for nothing, so two more servers loaded a model that is limited to two replicas, and
+// seconds later the first two loaded it as well.
+fn carries_out_late(happens_meanwhile: impl Fn(&mut World)) {
+  let mut world = world_without_replicas();
+  world.order_result = Some(Taken::Unknown);
+  world.run(30);
+  world.order_result = None;
+  let unanswered = std::mem::take(&mut world.orders);
+  let loads = unanswered.iter().filter(|order| order.act == Act::Load);
+  assert_eq!(loads.count(), 2);
+  happens_meanwhile(&mut world);
+  assert!(max_replicas_of_d(&mut world, 700) <= 2);
+  for command in &unanswered {
+    world.carry_out(command);
+  }
+  assert_eq!(max_replicas_of_d(&mut world, 3_000), 2);
+}
+
+#[test]
+fn a_load_without_an_answer_counts_while_it_may_be_carried_out() {
+  carries_out_late(|_| {});
+}
+
+#[test]
+fn a_load_without_an_answer_counts_in_the_next_term() {
+  carries_out_late(|world| {
+    world.plan.start_term(world.now, 2);
+    world.plan.set_last_foreign_order(0);
+  });
+}
+
+#[test]
+fn a_load_without_an_answer_counts_while_the_servers_entries_are_away() {
+  carries_out_late(|world| {
+    world.list_servers(&[]);
+    world.run(50);
+    world.list_servers(&["one", "two", "three", "four"]);
+  });
+}
+
+// The model is not left without a replica: it is ordered again where the answer is missing.
+#[test]
+fn a_load_without_an_answer_is_ordered_again_on_the_same_server() {
+  let mut world = world_without_replicas();
+  world.order_result = Some(Taken::Unknown);
+  world.run(30);
+  world.order_result = None;
+  let first: BTreeSet<_> = world.loads().into_iter().collect();
+  world.orders.clear();
+  world.run(3_000);
+  let again: BTreeSet<_> = world.loads().into_iter().collect();
+  assert_eq!(again, first);
+}
+
 /// The bounded world with a new holder. The entries of the servers predate the loads of `d`, and
 /// two servers do not answer queries.
 fn world_after_takeover() -> World {
