placement: loads without an answer are handed to the next holder

What callers saw: nothing yet; a model that a policy allows on two servers can be on three or four after its holder was replaced while servers carry out orders late.

Cause: only the holder knew which of its loads had got no answer. Its successor hears servers that hold nothing, orders the model elsewhere, and the loads are carried out afterwards. Fences bind only servers that have seen a newer one, and a report shows no load that was not taken yet. Class: what a new holder does not know counts as nothing.

Ruled out: waiting. Engines carry out such orders up to 12 s later, so a wait that is long enough would keep every model with a limit from being loaded for 12 s after each change of the holder.

Change: the holder publishes its loads without an answer with the loads of servers (each half second; 8 bytes each). When the holder changes, each instance reports the last ones, and the loads that it knew as in progress, to the successor for 2 s.

Left: a load that was ordered within the last moment of a holder that is killed and published to nobody; all instances killed at once.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -2,15 +2,17 @@
 //! models that servers hold.
 
 use crate::{
+  backend,
   clock::Moment,
   dispatch::Event,
   feed::Gate,
   lease::promise::Request,
-  message::{self, Extension, Kind, Message, StoreAge, Update},
+  message::{self, Extension, Kind, Message, StoreAge, Unanswered, Update},
   pace,
   placement::plan::{Publication, Report},
   planner::Planner,
   replication::{Fit, Position, parts},
+  samples::model_hash,
 };
 use slog::{info, warn};
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
@@ -60,6 +62,11 @@
     self.receive_paces(extension.paces);
     if successor {
       self.resend_leaving(now);
+      self.end_term_of_former_holder(now, update.group as usize);
+    }
+    if let Some(unanswered) = extension.unanswered {
+      let group = &mut self.groups[update.group as usize];
+      group.former_loads.publish(unanswered);
     }
     let group = &mut self.groups[update.group as usize];
     self
@@ -91,6 +98,25 @@
     self.hub.apply(event, None);
   }
 
+  /// Prepares to report the loads of the former holder to its successor.
+  pub(crate) fn end_term_of_former_holder(&mut self, now: u64, index: usize) {
+    let groups = self.groups.len() as u32;
+    let state = self.hub.state();
+    let in_progress = state.backends.iter().filter_map(|(_, backend)| {
+      let holding = backend.holding.as_ref()?;
+      let in_group = backend::group(&holding.id, groups) == index as u32;
+      let model = holding.coming.as_ref().filter(|_| in_group)?;
+      Some(Unanswered {
+        server: holding.life().short_hash(),
+        model: model_hash(&backend.spec.pool, model),
+      })
+    });
+    let loads = &mut self.groups[index].former_loads;
+    loads.end_term(now, in_progress);
+    // The successor decides a moment later.
+    self.needs_resync |= !loads.to_report(now).is_empty();
+  }
+
   fn receive_paces(&self, paces: Vec<pace::Published>) {
     if !paces.is_empty() {
       self.hub.apply(Event::Paces(paces), None);
@@ -248,9 +274,13 @@
   fn build_extension(&self, now: u64) -> Extension {
     let mut state = self.hub.state();
     state.refresh_paces(now);
+    let groups = self.groups.iter();
+    let former_loads = groups.flat_map(|group| group.former_loads.to_report(now));
+    let unanswered: Vec<Unanswered> = former_loads.copied().collect();
     Extension {
       pace_samples: state.take_pace_samples(),
       samples: state.take_samples(now),
+      unanswered: (!unanswered.is_empty()).then_some(unanswered),
       ..Extension::default()
     }
   }
@@ -385,6 +415,7 @@
     let mut extension = Extension {
       paces: update.paces.clone(),
       waiting: update.waiting.clone(),
+      unanswered: update.unanswered.clone(),
       ..Extension::default()
     };
     for part in parts(update) {
@@ -408,6 +439,9 @@
       term,
       count: update.latest,
     };
+    if let Some(unanswered) = &update.unanswered {
+      self.groups[index].former_loads.publish(unanswered.clone());
+    }
     if !update.loads.is_empty() {
       self.hub.apply(Event::Waiting(update.waiting.clone()), None);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod facts;
 pub mod feature;
 pub mod feed;
+pub mod former;
 pub mod gossip;
 pub mod group;
 pub mod health;
--- a/src/message.rs
+++ b/src/message.rs
@@ -62,6 +62,18 @@
   pub waiting: Vec<(u32, u16)>,
   /// Of a report: what callers saw.
   pub samples: Samples,
+  /// Of an update: loads that may still be carried out; `None` if not included. Of a report: those
+  /// that an earlier holder published last.
+  pub unanswered: Option<Vec<Unanswered>>,
+}
+
+/// A load that a server may carry out although its order got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Unanswered {
+  /// Short hash of the life of the server.
+  pub server: u32,
+  /// Hash of the model.
+  pub model: u32,
 }
 
 /// Encodes a datagram.
--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -464,6 +464,9 @@
     // assumed to be done too early.
     self.answered = complete && !inventory.busy || self.answered && self.job.is_some();
     self.set_orders(inventory.orders);
+    if complete {
+      self.limit_adopted();
+    }
     let Some(mut job) = self.job.take() else {
       let changed = (was_unsynced || !inventory.busy) && self.models != models;
       if was_unsynced || !inventory.busy {
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -104,6 +104,7 @@
   pub(crate) needs: Vec<Need>,
   /// When the last sweep was, ms.
   swept_at: u64,
+  pub(crate) term_started_at: u64,
   /// No model is loaded or evicted before this time, because instances have not reported yet, ms.
   pub(crate) settled_at: u64,
   pub(crate) machine: String,
@@ -171,6 +172,7 @@
       demand_step: 1,
       needs: Vec::new(),
       swept_at: 0,
+      term_started_at: 0,
       settled_at: 0,
       machine: machine.into(),
       term: 0,
@@ -207,6 +209,7 @@
   /// Starts a term after the lease was acquired: what was known of the servers no longer counts.
   pub fn start_term(&mut self, now: u64, term: u64) {
     self.now = now;
+    self.term_started_at = now;
     self.settled_at = now + SETTLE_MS;
     self.term = term;
     self.set_last_foreign_order(now);
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -4,7 +4,7 @@
   plan::{Effect, Plan},
   server,
 };
-use crate::{backend::Holding, pace::Published};
+use crate::{backend::Holding, message::Unanswered, pace::Published, samples::model_hash};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Interval of publications that state the loads and show that there is a lease holder, ms.
@@ -32,6 +32,8 @@
   pub paces: Vec<Published>,
   /// Number of requests that wait for the models of a server, published with the loads.
   pub waiting: Vec<(u32, u16)>,
+  /// Loads that may still be carried out, published with the loads; `None` if not included.
+  pub unanswered: Option<Vec<Unanswered>>,
 }
 
 impl Plan {
@@ -65,11 +67,15 @@
       }
       false => Vec::new(),
     };
+    let unanswered = loads_due.then(|| self.unanswered_loads());
     let paces = self.due_paces();
     if self.changes > since {
       self.publications.push_back((self.now, self.changes));
     }
     self.publish_since(None, since, loads, paces);
+    if let (true, Some(Effect::Publish(publication))) = (loads_due, self.effects.last_mut()) {
+      publication.unanswered = unanswered;
+    }
     self.resync();
   }
 
@@ -156,6 +162,7 @@
       holdings: holdings.collect(),
       loads,
       paces,
+      unanswered: None,
     };
     self.effects.push(Effect::Publish(publication));
   }
@@ -180,6 +187,23 @@
       .collect()
   }
 
+  /// Loads that servers may still carry out although their orders got no answer.
+  fn unanswered_loads(&self) -> Vec<Unanswered> {
+    let mut loads = Vec::new();
+    for server in self.servers.values() {
+      let models = server.unanswered.keys();
+      let open = models.filter(|model| server.may_load(self.now, **model));
+      loads.extend(open.map(|model| {
+        let entry = &self.models[*model];
+        Unanswered {
+          server: server.spec.life().short_hash(),
+          model: model_hash(&self.models.pool(entry.pool).name, &entry.model.name),
+        }
+      }));
+    }
+    loads
+  }
+
   fn server_loads(&self) -> Vec<(u32, u16)> {
     let servers = self.servers.values();
     let loads = servers.map(|server| (server.spec.life(), server.running_total()));
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -4,7 +4,7 @@
 use crate::{
   demand::{Demand, Model},
   life::Life,
-  message::Extension,
+  message::{Extension, Unanswered},
   strain::Sample,
 };
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -96,6 +96,20 @@
   pub fn receive_extension(&mut self, now: u64, _address: SocketAddr, extension: &Extension) {
     self.receive_pace_samples(now, &extension.pace_samples);
     self.apply_samples(now, &extension.samples);
+    self.adopt_unanswered(now, extension.unanswered.as_deref().unwrap_or_default());
+  }
+
+  /// Counts loads of an earlier holder that servers may still carry out.
+  fn adopt_unanswered(&mut self, now: u64, loads: &[Unanswered]) {
+    let term_started_at = self.term_started_at;
+    for load in loads {
+      let server = self.by_short_hash(load.server);
+      if let (Some(key), Some(model)) = (server, self.models.find_hash(load.model)) {
+        self.change(key, |server, _| {
+          server.adopt_unanswered(now, model, term_started_at)
+        });
+      }
+    }
   }
 
   fn apply_missing(&mut self, now: u64, missing: &[(Life, String)]) {
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -82,8 +82,9 @@
 /// A load whose order got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Unanswered {
-  /// The count of orders that it names. A server with a higher count declines it.
-  pub(crate) orders: u64,
+  /// The count of orders that it names. A server with a higher count declines it. `None` if it was
+  /// ordered by an earlier holder and the server has not stated its count since.
+  pub(crate) orders: Option<u64>,
   /// When it will not be carried out any more, ms.
   pub(crate) until: u64,
 }
@@ -377,6 +378,7 @@
   pub(crate) fn count_order(&mut self, now: u64, command: &Command) {
     if command.orders >= self.orders {
       self.set_orders(command.orders + 1);
+      self.unanswered.retain(|_, load| load.orders.is_some());
       self.counted_at = now;
     }
   }
@@ -384,14 +386,38 @@
   /// Sets the number of orders that the server has accepted. It declines those that name another.
   pub(crate) fn set_orders(&mut self, orders: u64) {
     self.orders = orders;
-    self.unanswered.retain(|_, load| load.orders >= orders);
+    let is_open = |load: &Unanswered| load.orders.is_none_or(|named| named >= orders);
+    self.unanswered.retain(|_, load| is_open(load));
   }
 
   /// Records a load whose order got no answer.
   pub(crate) fn record_unanswered(&mut self, now: u64, model: models::Key, orders: u64) {
-    let until = now + MAX_ORDER_DELAY_MS;
+    let load = Unanswered {
+      orders: Some(orders),
+      until: now + MAX_ORDER_DELAY_MS,
+    };
     if orders >= self.orders {
-      self.unanswered.insert(model, Unanswered { orders, until });
+      self.unanswered.insert(model, load);
+    }
+  }
+
+  /// Records a load that an earlier holder ordered without an answer, unless an order of the term
+  /// that started at `term_started_at` has superseded it.
+  pub(crate) fn adopt_unanswered(&mut self, now: u64, model: models::Key, term_started_at: u64) {
+    let load = Unanswered {
+      orders: None,
+      until: now + MAX_ORDER_DELAY_MS,
+    };
+    if self.counted_at < term_started_at {
+      self.unanswered.entry(model).or_insert(load);
+    }
+  }
+
+  /// Limits loads of an earlier holder to the count of orders that the server states: they name no
+  /// higher one.
+  pub(crate) fn limit_adopted(&mut self) {
+    for load in self.unanswered.values_mut() {
+      load.orders.get_or_insert(self.orders);
     }
   }
 
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -234,7 +234,7 @@
     }
   }
 
-  fn by_short_hash(&self, server: u32) -> Option<server::Key> {
+  pub(super) fn by_short_hash(&self, server: u32) -> Option<server::Key> {
     let mut servers = self.servers.iter();
     let found = servers.find(|(_, known)| known.spec.life().short_hash() == server);
     found.map(|(key, _)| key)
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -12,6 +12,7 @@
   dispatch::Event,
   edge::Edge,
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
+  former,
   hub::Hub,
   lease::promise,
   lease::{self, Lease},
@@ -115,6 +116,8 @@
   /// Position in the sequence of holding changes up to which changes are known.
   pub(crate) position: Position,
   pub(crate) ahead: Ahead,
+  /// Loads of the holders that servers may still carry out.
+  pub(crate) former_loads: former::Loads,
   /// Time at which the lease last got the list of reporting machines.
   pub(crate) machines_updated_at: u64,
   /// Time at which the list of instances was last published.
@@ -277,6 +280,7 @@
     planned_counts: (0, 0),
     position: Position::default(),
     ahead: Ahead::default(),
+    former_loads: former::Loads::default(),
     machines_updated_at: 0,
     members_published_at: 0,
   }
@@ -497,6 +501,7 @@
       group.planned_counts = (0, 0);
       group.members_published_at = 0;
       self.needs_resync = true;
+      self.end_term_of_former_holder(now, index);
       if index == 0 {
         let first = matches!(call, lease::Call::Write { revision, .. } if revision.number == 0);
         self.open_accounts(now, term, first);
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -754,6 +754,7 @@
     waiting: Vec::new(),
     loads: Vec::new(),
     paces: Vec::new(),
+    unanswered: None,
   }
 }
 
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -6,7 +6,8 @@
 use bendsaddle::{
   backend::Stage,
   command::{Act, Inventory, Taken, Unheard},
-  placement::plan::{Effect, Plan, Report},
+  message::{Extension, Unanswered},
+  placement::plan::{Effect, Plan, Publication, Report},
   strain::Sample,
 };
 use holder::{Server, World};
@@ -581,6 +582,46 @@
   });
 }
 
+/// The loads of a plan that it published last.
+fn published_unanswered(world: &mut World) -> Vec<Unanswered> {
+  for _ in 0..60 {
+    world.now += 10;
+    for effect in world.plan.step(world.now) {
+      if let Effect::Publish(Publication {
+        unanswered: Some(unanswered),
+        ..
+      }) = effect
+      {
+        return unanswered;
+      }
+    }
+  }
+  Vec::new()
+}
+
+// Guards against exceeding the replica limit when the holder ends: its successor knew nothing of loads
+// without an answer, ordered two more replicas, and then the first two were loaded as well.
+#[test]
+fn a_load_without_an_answer_counts_for_the_next_holder() {
+  carries_out_late(|world| {
+    let unanswered = published_unanswered(world);
+    assert_eq!(unanswered.len(), 2);
+    world.plan = Plan::new("10.0.0.2", 0, 5_000, 1.0);
+    let policy = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 2 }"#;
+    let policies = [("two".to_string(), serde_json::from_str(policy).unwrap())];
+    world.plan.update_policies(policies.into_iter().collect());
+    world.plan.start_term(world.now, 2);
+    world.plan.set_last_foreign_order(0);
+    world.list_servers(&["one", "two", "three", "four"]);
+    let extension = Extension {
+      unanswered: Some(unanswered),
+      ..Extension::default()
+    };
+    let address = "127.0.0.1:1".parse().unwrap();
+    world.plan.receive_extension(world.now, address, &extension);
+  });
+}
+
 // The model is not left without a replica: it is ordered again where the answer is missing.
 #[test]
 fn a_load_without_an_answer_is_ordered_again_on_the_same_server() {
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -264,6 +264,7 @@
       .map(|number| (number as u64 + 1, holding(number)))
       .collect(),
     paces: Vec::new(),
+    unanswered: None,
     loads: Vec::new(),
     waiting: Vec::new(),
   };
@@ -311,6 +312,7 @@
     latest,
     holdings: vec![(latest, holding(model))],
     paces: Vec::new(),
+    unanswered: None,
     waiting: Vec::new(),
     loads: Vec::new(),
   };
