feed: the first change of an object after a restore counts for other instances

Cause: the holder judges by what it knows itself whether other instances need a change. After the store was restored from a copy it knows more than the copy has. The version that the operator wrote again was nothing new to it, so its progress named no change, and an instance that had read the copy passed over it.

Ruled out: a restore that was not noticed (the logs name the era), a lost batch (the instance would have read the store itself).

Change: after a restore the first change of each object is one that others need.

Why it works: an instance can only differ from the holder in objects that have not changed since the copy was restored; their first change reaches it like any other.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -12,7 +12,11 @@
 use crate::store::{Error, Object, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
-use std::{collections::BTreeMap, thread, time::Duration};
+use std::{
+  collections::{BTreeMap, BTreeSet},
+  thread,
+  time::Duration,
+};
 
 /// Timeout of one watch. It is long because a pending watch counts as a call, and 69 instances
 /// watch on their own while a holder is refused. A watch on a dead connection or store gets no
@@ -111,6 +115,7 @@
     last_failure: None,
     first_failure: None,
     recovered_at: None,
+    changed_since_restore: None,
   };
   loop {
     feed.step();
@@ -137,6 +142,8 @@
   /// When the store became reachable again; reset once all changes that it had acknowledged by then
   /// are known.
   recovered_at: Option<Moment>,
+  /// Objects that changed after the store was restored from a copy; `None` if it was not.
+  changed_since_restore: Option<BTreeSet<String>>,
 }
 
 /// Result of a successful call.
@@ -260,6 +267,7 @@
     if restored {
       info!(self.log, "store was restored from an older copy"; "kind" => self.kind,
         "known" => %after, "revision" => %revision);
+      self.changed_since_restore = Some(BTreeSet::new());
       (self.handle)(Event::Restored);
     }
     let empty = matches!(&event, Event::Changed(objects) if objects.is_empty());
@@ -270,7 +278,8 @@
     let count = event.count();
     // A list does not show objects that changed and changed back since other instances read them.
     let listed = matches!(&event, Event::Listed(_)) && self.gate.is_leading();
-    let relevant = !empty && (self.handle)(event) || listed;
+    let reverts_copy = self.reverts_copy(&event);
+    let relevant = !empty && (self.handle)(event) || listed || reverts_copy;
     if self.recovered_at.take().is_some() || restored {
       (self.handle)(Event::CaughtUp);
     }
@@ -318,7 +327,8 @@
       // present or removed must also be published when that changes again.
       let before = published.get(object.name.as_str());
       let toggled = before.is_some_and(|before| before != removed);
-      let needed = toggled || (self.is_relevant)(object, *removed);
+      let needed =
+        toggled || self.is_first_since_restore(object) || (self.is_relevant)(object, *removed);
       if needed {
         published.insert(&object.name, *removed);
       }
@@ -327,6 +337,28 @@
     needed.cloned().collect()
   }
 
+  /// Whether an object has not changed since the store was restored from a copy. Its next change is
+  /// relevant even if it brings back what is known here: an instance that has read the copy knows
+  /// something else.
+  fn is_first_since_restore(&self, object: &Object) -> bool {
+    let changed = self.changed_since_restore.as_ref();
+    changed.is_some_and(|changed| !changed.contains(&object.name))
+  }
+
+  /// Records the objects that changed since a restore; returns whether any of them changed for the
+  /// first time.
+  fn reverts_copy(&mut self, event: &Event) -> bool {
+    let Event::Changed(objects) = event else {
+      return false;
+    };
+    let Some(changed) = &mut self.changed_since_restore else {
+      return false;
+    };
+    let before = changed.len();
+    changed.extend(objects.iter().map(|(object, _)| object.name.clone()));
+    changed.len() > before
+  }
+
   /// Records that the store responds after failed calls; a watch that ends without changes is no
   /// outage.
   fn record_recovery(&mut self) {
