statements: those of an earlier life count though its entry has gone

Cause: what a server states before the entry of its life is read is assigned to that life when the entry arrives, but only where the entry of the earlier life was still there. If that had gone meanwhile, the statement stayed with a life that had ended.

Ruled out: a backoff dropped with the entry. The instance that knew the new life kept it.

Change: when an entry names a life that is not the known one, statements of all earlier lives of its server are considered. The same for leaving and limits.

--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -315,6 +315,8 @@
   /// A server requested a backoff from this instance.
   Backoff {
     id: String,
+    /// Start time of the server in Unix milliseconds, as known here.
+    born: u64,
     backoff_ms: u64,
   },
   /// A server's limit changed; `rate` is in requests per second, `None` if it has no limit.
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -279,8 +279,13 @@
           self.report_waker.wake();
           continue;
         }
-        Effect::Backoff { id, backoff_ms } => {
-          info!(self.log, "server requested a backoff"; "server" => id, "rest_ms" => backoff_ms);
+        Effect::Backoff {
+          id,
+          born,
+          backoff_ms,
+        } => {
+          info!(self.log, "server requested a backoff"; "server" => id, "born" => born,
+            "rest_ms" => backoff_ms);
           continue;
         }
         Effect::Missing { id, kept_ms } => {
--- a/src/life.rs
+++ b/src/life.rs
@@ -37,6 +37,12 @@
     self.born
   }
 
+  /// All lives of the server that started before this one, as a range of lives.
+  pub fn earlier(self) -> std::ops::Range<Self> {
+    let first = Self { born: 0, ..self };
+    first..self
+  }
+
   /// Whether this life started after `earlier`, a life of the same server, had ended. A server that
   /// does not state its start time has only one life.
   pub fn supersedes(self, earlier: Self) -> bool {
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -21,7 +21,7 @@
   quota::{Allowance, Bound, Id, Quota},
   statement::{Content, RETENTION_MS, Statement, age_ms},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 /// Bound on a server's limit. Whole requests fit into the window even if a server accepts one per
 /// second, and users' rules count in windows of four seconds. There is no overage, so that what the
@@ -121,6 +121,11 @@
     self.statement(*self.ids.get(&id)?, now)
   }
 
+  /// The lives within a range that stated a limit or its end.
+  pub(crate) fn lives(&self, range: Range<Life>) -> impl Iterator<Item = Life> {
+    self.latest.range(range).map(|(life, _)| *life)
+  }
+
   /// Assigns to a life the limit that was recorded for the earlier life of its server but stated
   /// after the life began, by `is_own` of a time in ms.
   pub(crate) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -61,10 +61,10 @@
     if known.is_some_and(|known| known.supersedes(spec.life())) {
       return;
     }
-    if let Some(known) = known
-      && spec.life().supersedes(known)
-    {
-      self.inherit_statements(known, spec.life());
+    if known != Some(spec.life()) {
+      self.inherit_statements(spec.life());
+    }
+    if known.is_some_and(|known| spec.life().supersedes(known)) {
       // Requests that still run on the server remain counted for its previous life.
       self.remove(&spec.id);
     }
--- a/src/statement/leaving.rs
+++ b/src/statement/leaving.rs
@@ -5,7 +5,7 @@
   dispatch::{Effect, State},
   life::Life,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 /// Leaving servers by life, with the time in ms of the announcement. An announcement holds until
 /// the life ends: an entry that contradicts it or reappears is older.
@@ -39,6 +39,11 @@
     self.announced_at.entry(server).or_insert(at);
   }
 
+  /// The lives within a range that announced that they are leaving.
+  pub(super) fn lives(&self, range: Range<Life>) -> impl Iterator<Item = Life> {
+    self.announced_at.range(range).map(|(life, _)| *life)
+  }
+
   /// Assigns to a life an announcement that was recorded for the earlier life of its server but made
   /// after the life began, by `is_own` of a time in ms.
   pub(super) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::{dispatch::State, life::Life};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// Time for which a statement is kept while its server's entry is missing: entries that expire
 /// during a store outage come back within seconds, some after a minute.
@@ -54,13 +55,18 @@
 
 impl State {
   /// Assigns to a life the statements that its server made after the life had begun, and before its
-  /// entry named it.
-  pub(crate) fn inherit_statements(&mut self, earlier: Life, life: Life) {
+  /// entry named it. They were recorded for an earlier life, whose entry may be gone since.
+  pub(crate) fn inherit_statements(&mut self, life: Life) {
     let wall = self.wall;
     let is_own = |at| wall.is_after(at, life.born());
-    self.backoffs.inherit(earlier, life, is_own);
-    self.leaving.inherit(earlier, life, is_own);
-    self.limits.inherit(earlier, life, is_own);
+    let mut earlier: BTreeSet<Life> = self.backoffs.lives(life.earlier()).collect();
+    earlier.extend(self.leaving.lives(life.earlier()));
+    earlier.extend(self.limits.lives(life.earlier()));
+    for earlier in earlier {
+      self.backoffs.inherit(earlier, life, is_own);
+      self.leaving.inherit(earlier, life, is_own);
+      self.limits.inherit(earlier, life, is_own);
+    }
   }
 }
 
--- a/src/statement/rest.rs
+++ b/src/statement/rest.rs
@@ -12,7 +12,7 @@
   life::Life,
   verdict::Verdict,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 /// Maximum number of trial requests after a backoff.
 const MAX_TRIALS: u32 = 2;
@@ -103,6 +103,11 @@
     backoff.until = backoff.until.max(earlier_end);
   }
 
+  /// The lives within a range that requested a backoff.
+  pub(super) fn lives(&self, range: Range<Life>) -> impl Iterator<Item = Life> {
+    self.backoffs.range(range).map(|(life, _)| *life)
+  }
+
   /// Assigns to a life what was recorded for the earlier life of its server but requested after the
   /// life began, by `is_own` of a time in ms.
   pub(super) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
@@ -169,7 +174,11 @@
       .filter(|spec| spec.life() == server)
       .map(|spec| spec.id.clone());
     let id = id.last().unwrap_or_default();
-    self.out.push(Effect::Backoff { id, backoff_ms });
+    self.out.push(Effect::Backoff {
+      id,
+      born: server.born(),
+      backoff_ms,
+    });
     self.dispatch_waiting();
   }
 
