router: a server that starts again under its address is published

Cause: the holder publishes a changed entry if its stage or its address differ from what it knows. The entry of a server that started again under its id and address differs in the start time alone, so it was published to nobody, and the other instances kept the earlier life until they read the entry for another reason.

Evidence: platform/tests/late.rs `a_restart_under_the_same_address_is_published` sets the order of events with two real instances; before, it failed on every play, now both log the new start time.

Ruled out: a lost datagram. The holder's own log had no line of the entry either.

Change: an entry that names another life counts as changed. The log line of an entry names the start time.

--- a/src/router.rs
+++ b/src/router.rs
@@ -315,7 +315,7 @@
         return false;
       }
       info!(hub.log, "server"; "server" => &spec.id, "pool" => &spec.pool,
-        "stage" => format!("{:?}", spec.stage), "address" => %spec.address);
+        "stage" => format!("{:?}", spec.stage), "address" => %spec.address, "born" => spec.born);
       true
     }
     Change::Removed(_) => true,
@@ -323,13 +323,15 @@
   }
 }
 
-/// Whether a server is already known with this stage and address; its holdings are ignored.
+/// Whether a server is already known with this life, stage and address; its holdings are ignored.
 fn is_known(state: &State, spec: &Spec) -> bool {
   let Some(key) = state.by_id.get(&spec.id) else {
     return false;
   };
   let backend = &state.backends[*key];
   // An entry that reappears is also a change for instances that lack it.
-  let same = backend.spec.stage == spec.stage && backend.spec.address == spec.address;
+  let known = &backend.spec;
+  let same_life = known.life() == spec.life();
+  let same = same_life && known.stage == spec.stage && known.address == spec.address;
   same && backend.missing_since.is_none()
 }
