memory: large blocks are returned to the system when they are freed

What callers saw: nothing yet. An instance that may hold 16 MB for its callers grew by 43 to 45 MB (platform/tests/readers.rs, 3 of 11 plays beside busy processes); one that outgrows its memory is ended, with all its requests.

Cause: glibc returns blocks of 128 KB and more when they are freed, but raises that size to the largest block freed so far. From then on bodies come from the part of the heap that belongs to the thread, and stay there. With a thread for each connection, every thread keeps the largest body that it has read.

Ruled out: the ledger (its total in the log never exceeds the bound), buffers of single reads (0.4 MB).

Change: the threshold is fixed at its default at the start of each process.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! around it carry out the effects as calls and report the results as events.
 
 pub mod admit;
+mod allocator;
 pub mod apply;
 pub mod attempt;
 pub mod audit;
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::{
-  apply, compare, departures,
+  allocator, apply, compare, departures,
   edge::Edge,
   explain,
   instance::Instance,
@@ -46,6 +46,7 @@
 
 /// Runs the command named on the command line.
 pub fn run() -> ExitCode {
+  allocator::return_large_blocks();
   match run_command() {
     Ok(code) => code,
     Err(report) => {
@@ -142,6 +143,7 @@
 
 /// Runs a routing instance; `edge` builds its deployment interface from the settings.
 pub fn run_router(edge: fn(&Settings) -> Result<Edge, String>) -> ExitCode {
+  allocator::return_large_blocks();
   match try_run_router(edge) {
     Ok(code) => code,
     Err(report) => {
