lease: no earlier holder is told from one at time zero

What callers saw: nothing; a model with a limit could wait for up to 1 s after the start of the first holder of all, where there is no former holder to wait for.

Cause: "no earlier orders" was 0 ms, and reports counted as complete 1 s after that.

Ruled out: other terms; they name a time.

Change: the time is `None` where the store has had no lease.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -133,23 +133,21 @@
     self.held.as_ref().map_or(0, |held| held.valid_until)
   }
 
-  /// Time until which earlier holders may have sent orders; 0 if this machine does not hold the lease.
-  pub fn foreign_orders_until(&self) -> u64 {
-    self
-      .held
-      .as_ref()
-      .map_or(0, |held| held.foreign_orders_until)
+  /// Time until which earlier holders may have sent orders; `None` if there were none, or if this
+  /// machine does not hold the lease.
+  pub fn foreign_orders_until(&self) -> Option<u64> {
+    self.held.as_ref()?.foreign_orders_until
   }
 
   /// Time until which the holder that `observed` names may send orders, if this machine acquires the
-  /// lease at `now`.
-  fn orders_of_predecessor_until(&self, now: u64, observed: &Observation) -> u64 {
+  /// lease at `now`; `None` if there was no holder.
+  fn orders_of_predecessor_until(&self, now: u64, observed: &Observation) -> Option<u64> {
     match &observed.record {
       // Only a store without a lease, and which lost none, has had no holder.
-      None if observed.revision.era == 0 => 0,
+      None if observed.revision.era == 0 => None,
       // An earlier process on this machine: no gap separates its orders.
-      Some(record) if record.machine == self.machine => now,
-      _ => now.saturating_sub(self.gap),
+      Some(record) if record.machine == self.machine => Some(now),
+      _ => Some(now.saturating_sub(self.gap)),
     }
   }
 
@@ -475,7 +473,7 @@
     }
     self.highest_term = self.highest_term.max(record.term);
     let predecessor = self.observed.as_ref();
-    let predecessor_until = predecessor.map_or(now, |observed| {
+    let predecessor_until = predecessor.map_or(Some(now), |observed| {
       self.orders_of_predecessor_until(sent, observed)
     });
     self.observed = Some(Observation {
--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -84,8 +84,8 @@
   pub(super) renewed_at: u64,
   /// Time at which the lease was acquired.
   pub(super) acquired_at: u64,
-  /// Time until which earlier holders may have sent orders.
-  pub(super) foreign_orders_until: u64,
+  /// Time until which earlier holders may have sent orders; `None` if there were none.
+  pub(super) foreign_orders_until: Option<u64>,
   pub(super) candidates: Candidates,
   pub(super) rounds: Rounds,
 }
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -212,7 +212,7 @@
     self.term_started_at = now;
     self.settled_at = now + SETTLE_MS;
     self.term = term;
-    self.set_last_foreign_order(now);
+    self.set_last_foreign_order(Some(now));
     self.unconfirmed.clear();
     self.changes = 0;
     self.changed_servers.clear();
@@ -223,10 +223,10 @@
     }
   }
 
-  /// Sets the time until which earlier holders may have sent orders, ms. Servers report with a lag,
-  /// so a query soon after it may return a report that lacks the last ones.
-  pub fn set_last_foreign_order(&mut self, at: u64) {
-    self.reports_complete_from = at + MAX_REPORT_AGE_MS;
+  /// Sets the time until which earlier holders may have sent orders, ms; `None` if there were none.
+  /// Servers report with a lag, so a query soon after it may return a report that lacks the last ones.
+  pub fn set_last_foreign_order(&mut self, at: Option<u64>) {
+    self.reports_complete_from = at.map_or(0, |at| at + MAX_REPORT_AGE_MS);
   }
 
   /// Updates the deployment and the servers of the group.
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -493,7 +493,7 @@
       self.hub.measures.record_lease();
       let foreign_orders_until = group.lease.foreign_orders_until();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term,
-        "earlier_orders_ms_ago" => now.saturating_sub(foreign_orders_until));
+        "earlier_orders_ms_ago" => foreign_orders_until.map(|until| now.saturating_sub(until)));
       group.plan.start_term(now, term);
       group.plan.set_last_foreign_order(foreign_orders_until);
       group.plan.start_paces(self.hub.state().known_paces());
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -129,17 +129,17 @@
   let mut store = Store::default();
   let mut one = new_lease("one");
   run(&mut one, &mut store, 0);
-  assert_eq!(one.foreign_orders_until(), 0, "nobody held it before");
+  assert_eq!(one.foreign_orders_until(), None, "nobody held it before");
   let mut again = new_lease("one");
   run(&mut again, &mut store, 100);
-  assert_eq!(again.foreign_orders_until(), 100);
+  assert_eq!(again.foreign_orders_until(), Some(100));
   let mut two = new_lease("two");
   let acquired_at = (200..40_000).step_by(100).find(|now| {
     run(&mut two, &mut store, *now);
     two.term(*now).is_some()
   });
   let acquired_at = acquired_at.expect("not acquired");
-  assert_eq!(two.foreign_orders_until(), acquired_at - GAP_MS);
+  assert_eq!(two.foreign_orders_until(), Some(acquired_at - GAP_MS));
 }
 
 #[test]
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -569,7 +569,7 @@
 fn a_load_without_an_answer_counts_in_the_next_term() {
   carries_out_late(|world| {
     world.plan.start_term(world.now, 2);
-    world.plan.set_last_foreign_order(0);
+    world.plan.set_last_foreign_order(None);
   });
 }
 
@@ -611,7 +611,7 @@
     let policies = [("two".to_string(), serde_json::from_str(policy).unwrap())];
     world.plan.update_policies(policies.into_iter().collect());
     world.plan.start_term(world.now, 2);
-    world.plan.set_last_foreign_order(0);
+    world.plan.set_last_foreign_order(None);
     world.list_servers(&["one", "two", "three", "four"]);
     let extension = Extension {
       unanswered: Some(unanswered),
@@ -708,7 +708,7 @@
 #[test]
 fn a_report_from_after_the_last_order_of_the_former_holder_is_complete() {
   let mut world = world_after_takeover();
-  world.plan.set_last_foreign_order(world.now - 1_000);
+  world.plan.set_last_foreign_order(Some(world.now - 1_000));
   for id in ["three", "four"] {
     world.servers.get_mut(id).unwrap().held.remove("d");
   }
