stand-ins: the caller says how a connection failed

Cause: the test of the frozen decider failed in 1 of 48 plays (sixteen at once, load average 20) with a reply of status 0 after 4.4 s. The caller dropped the error, so that a refused connection, a reset and a timeout look alike.

Change: the answer carries the failure, and tests that print an answer show it.

Ruled out: the deadline of the request (30 s) and the caller's time limit (60 s).

--- a/stand-ins/src/caller.rs
+++ b/stand-ins/src/caller.rs
@@ -12,6 +12,8 @@
 pub struct Answer {
   /// HTTP status, 0 if the connection failed.
   pub status: u16,
+  /// How the connection failed, empty if it did not.
+  pub failure: String,
   pub text: String,
   /// The stream ended with `[DONE]`, or the body was read completely.
   pub is_complete: bool,
@@ -103,13 +105,16 @@
       .header("x-caller", &self.caller)
       .send(body.to_string());
     let mut answer = Answer::default();
-    if let Ok(response) = sent {
-      answer.status = response.status().as_u16();
-      if answer.status == 200 && self.stream {
-        read_stream(response, start, &mut answer);
-      } else {
-        read_body(response, &mut answer);
+    match sent {
+      Ok(response) => {
+        answer.status = response.status().as_u16();
+        if answer.status == 200 && self.stream {
+          read_stream(response, start, &mut answer);
+        } else {
+          read_body(response, &mut answer);
+        }
       }
+      Err(error) => answer.failure = error.to_string(),
     }
     answer.total = start.elapsed();
     answer
