relay: a stall says how long the server was silent and who else could take the request

Cause: a line said that a send ended because its server stalled, but not when the last event had come, whether the caller had got a part of the answer, or whether any other server could take the rest; an answer that had begun and was then given up counted as a refusal like any other. So the hypotheses about an answer that was cut while its instance stopped could not be told from each other.

Change: `server stalled` with the silence, the events delivered and the number of other servers that could take the request; `answers_cut_total` counts answers that ended early, by reason.

--- a/src/dispatch/choice/mod.rs
+++ b/src/dispatch/choice/mod.rs
@@ -5,7 +5,10 @@
 pub(crate) mod memory;
 pub mod room;
 
-use super::{Request, State, event::Descriptor};
+use super::{
+  Request, State,
+  event::{Attempt, Descriptor},
+};
 use crate::{
   backend::{self, Backend},
   request::Ticket,
@@ -48,6 +51,13 @@
     candidates
   }
 
+  /// Number of servers other than that of its current send that could take a request now.
+  pub(crate) fn other_servers(&self, attempt: &Attempt) -> usize {
+    let candidates = self.candidates(attempt.ticket);
+    let others = candidates.iter().filter(|(key, _)| *key != attempt.backend);
+    others.count()
+  }
+
   /// Picks one of the candidates for a request. A request that was involved in crashes is isolated
   /// from other requests: its content and the number of crashes determine its server.
   pub(crate) fn pick_backend(
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -40,6 +40,7 @@
   /// Sends that were expected to exceed their route's limits, for lack of a better server.
   expected_late: Counter<u64>,
   refusals: Counter<u64>,
+  answers_cut: Counter<u64>,
   /// Callers that left a server before the first event.
   left_silent: Counter<u64>,
   /// Callers that disconnected while their request waited.
@@ -71,6 +72,7 @@
       retries: counter(&meter, "routed_repeats", "Sends after the first"),
       expected_late: counter(&meter, "routed_expected_late", "Sends expected to be late"),
       refusals: counter(&meter, "routed_refusals", "Refusals by reason and verdict"),
+      answers_cut: counter(&meter, "answers_cut", "Answers that ended early, by reason"),
       callers_gone: counter(&meter, "routed_left", "Callers that left while they waited"),
       left_silent: counter(
         &meter,
@@ -142,6 +144,12 @@
     self.refusals.add(1, &[reason, verdict]);
   }
 
+  /// Records a refusal of a request whose answer had begun: the caller got an incomplete answer.
+  pub fn record_cut_answer(&self, refusal: &Refusal) {
+    let reason = label("reason", refusal.reason.as_str());
+    self.answers_cut.add(1, &[reason]);
+  }
+
   /// Records newly quarantined requests.
   pub fn record_quarantined(&self, requests: usize) {
     self.quarantined.add(requests as u64, &[]);
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -163,6 +163,7 @@
       "fleet_used" => fleet_usage.map(|(used, _)| used),
       "fleet_age_ms" => fleet_usage.map(|(_, age)| age));
     if self.response_framing.is_some() {
+      self.hub.measures.record_cut_answer(&refusal);
       // A truncated response must not look complete.
       self.disposition = match self.response_framing {
         Some(Framing::Close) => Disposition::Reset,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -39,6 +39,8 @@
 
 /// Time reserved for the final response when a request reaches its deadline.
 const RESPONSE_RESERVE_MS: u64 = 30;
+/// Why a send ended whose server sent nothing for too long.
+const STALLED: &str = "server stalled";
 /// Refusal used if the reducer provides none.
 const FALLBACK_REFUSAL: Refusal = Refusal {
   reason: Reason::NoServer,
@@ -251,6 +253,9 @@
     let pace = self.server_pace(attempt);
     let result = self.send(attempt);
     self.backlog.leave_server();
+    if result.why == STALLED {
+      self.log_stall(attempt);
+    }
     self.log_send(attempt, &result, sent_at, age, pace);
     let (ticket, end) = (self.ticket, result.end);
     self.record_completed(end, sent_at);
@@ -267,6 +272,21 @@
     matches!(end, End::Whole | End::Failed | End::Left)
   }
 
+  /// Logs that a server sends nothing, and how many others could take the request now.
+  fn log_stall(&self, attempt: &Attempt) {
+    let begun = self.response_framing.is_some();
+    let since = if begun {
+      self.last_event_at
+    } else {
+      self.incoming.arrived_at
+    };
+    let others = self.hub.state().other_servers(attempt);
+    info!(self.hub.log, "server stalled"; "request" => &self.id, "server" => &attempt.id,
+      "send" => attempt.number, "begun" => begun, "events" => self.events.count,
+      "silent_ms" => self.hub.now().saturating_sub(since), "other_servers" => others,
+      "stopping" => self.hub.stopping.load(Ordering::Relaxed));
+  }
+
   /// The known pace of the server of a send; `None` if pace is not measured.
   fn server_pace(&self, attempt: &Attempt) -> Option<Pace> {
     if !self.measures_pace {
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -1,6 +1,6 @@
 //! One send of a request to a server, and the head of the response.
 
-use super::{Disposition, Outcome, Relay, disconnected, outcome};
+use super::{Disposition, Outcome, Relay, STALLED, disconnected, outcome};
 use crate::{
   clock::Moment,
   dispatch::{Attempt, End, Event},
@@ -263,7 +263,7 @@
       } else if self.hub.now() >= self.deadline {
         return Err(outcome(End::Late, "time over"));
       } else if Moment::now() >= timeout_at {
-        return Err(outcome(End::Broken, "server stalled"));
+        return Err(outcome(End::Broken, STALLED));
       }
     }
   }
