relay: a silent stream that has begun is given up only when another server continues it

Cause: a stream that may be resumed was broken off after four allowed gaps of silence, without a place for the rest. Where no other server took the rest, the caller lost what it had got of an answer whose server may still have been at work.

Ruled out: a longer limit, which only moves the cut, and leaves callers of a server that hangs waiting; asking the server about the run, which a busy server answers late and a hanging one not at all, and which needs a probe for each.

Change: the run is kept when its stream stalls. Its request waits for another server like any other, and is sent there as a retry that the budget allows; whichever of the two sends the next event first goes on, and the other run is closed at once. Where the other server declines, fails or is silent, the first run still stands. A request that may crash servers is not run twice at a time. A send that is overtaken ends as `superseded`.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -6,6 +6,7 @@
 pub mod choice;
 mod ending;
 mod event;
+mod stalled;
 
 pub use event::{Attempt, Change, Descriptor, Effect, End, Event};
 
@@ -88,6 +89,8 @@
   pub(crate) pending_unit: Option<(quota::Id, u64)>,
   /// Tokens that the request holds at its server.
   pub(crate) held: Option<choice::memory::Held>,
+  /// The run whose stream has stalled and that no other server has continued yet.
+  pub(crate) stalled: Option<stalled::Run>,
   pub(crate) counted: Counted,
 }
 
@@ -260,7 +263,12 @@
       }
       Event::StoreCurrent => self.expiry.store_current(),
       Event::StreamEnded { ticket, pause_ms } => self.observe_stream(ticket, pause_ms),
-      Event::Resumed(ticket) => self.record_first_event(ticket),
+      Event::Resumed(ticket) => {
+        self.record_first_event(ticket);
+        self.end_stalled_run(ticket);
+      }
+      Event::Continued(ticket) => self.on_continued(ticket),
+      Event::StalledRunLost(ticket) => self.end_stalled_run(ticket),
       Event::Measured(ticket, ms) => self.record_pace(ticket, ms),
       Event::Paces(paces) => self.receive_paces(&paces),
       Event::Waiting(waiting) => self.published_waiting = waiting.into_iter().collect(),
@@ -323,6 +331,7 @@
       permits: Vec::new(),
       pending_unit: None,
       held: None,
+      stalled: None,
       counted: Counted::default(),
     };
     self.learn_arrival(&request.descriptor);
@@ -352,6 +361,7 @@
 
   fn forget(&mut self, ticket: Ticket) {
     self.release_permits(ticket, None);
+    self.end_stalled_run(ticket);
     let Some(request) = self.requests.remove(&ticket) else {
       return;
     };
@@ -522,6 +532,9 @@
     if request.backend.is_some() {
       return;
     }
+    if request.stalled.is_some() {
+      return self.dispatch_stalled(ticket);
+    }
     let pass = self
       .crash_filter
       .admission(self.now, request.descriptor.content);
--- a/src/dispatch/choice/memory.rs
+++ b/src/dispatch/choice/memory.rs
@@ -115,7 +115,13 @@
     let Some(held) = request.and_then(|request| request.held.take()) else {
       return;
     };
+    self.release_held(held);
+  }
+
+  /// Releases the tokens that a run has held.
+  pub(crate) fn release_held(&mut self, held: Held) {
     if let Some(backend) = self.backends.get_mut(held.key) {
+      backend.unread_tokens = backend.unread_tokens.saturating_sub(u64::from(held.unread));
       backend.held_tokens = backend.held_tokens.saturating_sub(u64::from(held.tokens));
     }
   }
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -24,6 +24,9 @@
 
 impl State {
   pub(super) fn on_ended(&mut self, ticket: Ticket, end: End) {
+    if end == End::Stalled {
+      return self.on_stalled(ticket);
+    }
     if matches!(end, End::Left | End::Late) {
       self.observe_departure(ticket);
     }
@@ -57,11 +60,14 @@
     }
     self.release_tokens(ticket);
     self.finish_send(key, model, end);
+    let stalled = self.is_stalled(ticket);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
+      End::Superseded => self.continue_run(ticket),
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
+      _ if stalled => self.dispatch(ticket),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.retry(ticket),
-      End::Broken | End::Crashed => self.retry_if_repeatable(ticket),
+      End::Broken | End::Crashed | End::Stalled => self.retry_if_repeatable(ticket),
       End::Barred => self.refuse(ticket, Reason::KeyUnknown),
       End::Unsure => self.refuse(ticket, Reason::KeysUnsure),
       // The request reached no server, so the next send does not count as a retry.
@@ -89,10 +95,28 @@
   }
 
   fn retry(&mut self, ticket: Ticket) {
-    let Some(request) = self.requests.get(&ticket) else {
+    if self.reserve_retry(ticket) {
+      return self.dispatch(ticket);
+    }
+    let Some(request) = self.requests.get(&ticket).cloned() else {
       return;
     };
+    if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
+      return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
+    }
+    let reason = match request.verdict {
+      Verdict::NotRun => Reason::NoServer,
+      Verdict::MayHaveRun => Reason::ServerFailed,
+    };
+    self.refuse(ticket, reason);
+  }
+
+  /// Whether the budget allows a retry of a request, which must then be sent or cancelled.
+  pub(super) fn reserve_retry(&mut self, ticket: Ticket) -> bool {
     let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return false;
+    };
     let pool = &request.descriptor.pool;
     let budget = self.budgets.entry(pool.clone()).or_default();
     let slack = self.retry_share.slack(now, &self.retry_bound);
@@ -101,22 +125,19 @@
       let pool = pool.clone();
       self.out.push(Effect::RetryBudget { pool, standing });
     }
+    request.retry_pending = fits;
+    fits
+  }
+
+  /// Cancels a retry that was allowed and is not sent.
+  pub(super) fn cancel_retry(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
-    if fits {
-      request.retry_pending = true;
-      return self.dispatch(ticket);
-    }
-    let request = request.clone();
-    if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
-      return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
+    if std::mem::take(&mut request.retry_pending) {
+      let pool = request.descriptor.pool.clone();
+      self.budget(&pool).cancel();
     }
-    let reason = match request.verdict {
-      Verdict::NotRun => Reason::NoServer,
-      Verdict::MayHaveRun => Reason::ServerFailed,
-    };
-    self.refuse(ticket, reason);
   }
 
   /// Updates the state of a send's server after the send has ended.
@@ -136,6 +157,8 @@
       }
       End::Failed
       | End::Left
+      | End::Stalled
+      | End::Superseded
       | End::Late
       | End::Unsent
       | End::Leaving
@@ -153,9 +176,7 @@
       }
       End::Replaced => backend.replaced = true,
       End::Unreached | End::Broken | End::Crashed => {
-        let pause = FAILURE_PAUSE_MS << backend.failures.min(4);
-        backend.failures += 1;
-        backend.avoid_until = now + pause.min(MAX_FAILURE_PAUSE_MS);
+        avoid_after_failure(backend, now);
       }
     }
     if let Some(model) = model {
@@ -212,3 +233,10 @@
     self.crash_filter.take_crashes()
   }
 }
+
+/// Lets a server that has failed get no requests for a while.
+pub(super) fn avoid_after_failure(backend: &mut Backend, now: u64) {
+  let pause = FAILURE_PAUSE_MS << backend.failures.min(4);
+  backend.failures += 1;
+  backend.avoid_until = now + pause.min(MAX_FAILURE_PAUSE_MS);
+}
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -111,6 +111,11 @@
   Broken,
   /// Like `Broken`, and the server's process has ended.
   Crashed,
+  /// The server has sent nothing for too long; its run goes on until another server continues the
+  /// stream.
+  Stalled,
+  /// The server of the earlier run continued the stream before this one did.
+  Superseded,
   /// The caller disconnected.
   Left,
   /// The request timed out after it was sent.
@@ -134,6 +139,8 @@
       Self::Unsure => "unsure",
       Self::Broken => "broken",
       Self::Crashed => "crashed",
+      Self::Stalled => "stalled",
+      Self::Superseded => "superseded",
       Self::Left => "left",
       Self::Late => "late",
     }
@@ -205,6 +212,10 @@
   },
   /// A later send has delivered its first event.
   Resumed(Ticket),
+  /// The server of a stalled stream sends again.
+  Continued(Ticket),
+  /// The connection of a stalled stream ended while its request ran at another server.
+  StalledRunLost(Ticket),
   /// A unit of work at a request's server took this long, in ms: see [`crate::pace::unit`].
   Measured(Ticket, f32),
   /// The planner published the paces of servers.
--- /dev/null
+++ b/src/dispatch/stalled.rs
@@ -0,0 +1,156 @@
+//! Streams that have begun and whose server sends nothing for a while.
+//!
+//! Silence does not show that the server has given the run up, and the part that the caller has got
+//! is worth nothing without the rest. So the run goes on, and its request waits for another server,
+//! until either of them sends the next event.
+
+use super::{
+  MAX_DECLINED_SENDS, RECHECK_MS, State,
+  choice::memory::Held,
+  ending::avoid_after_failure,
+  event::{Effect, End},
+  queue_key,
+};
+use crate::{
+  backend, crash::Admission, limit::Choice, refusal::Reason, request::Ticket, verdict::Verdict,
+};
+
+/// A run whose server sends nothing for now. Times are in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+  key: backend::Key,
+  held: Option<Held>,
+  /// When the request was sent to the server, and when its first event arrived.
+  sent: u64,
+  first_event_at: Option<u64>,
+}
+
+impl State {
+  /// Whether a request has a run whose stream has stalled.
+  pub(super) fn is_stalled(&self, ticket: Ticket) -> bool {
+    let request = self.requests.get(&ticket);
+    request.is_some_and(|request| request.stalled.is_some())
+  }
+
+  /// Records that a request's server has sent nothing for too long, and looks for another one.
+  pub(super) fn on_stalled(&mut self, ticket: Ticket) {
+    self.release_limit_unit(ticket, true);
+    let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let Some(key) = request.backend.take() else {
+      return;
+    };
+    request.runs += 1;
+    request.tried.push(key);
+    request.verdict = Verdict::MayHaveRun;
+    request.stalled = Some(Run {
+      key,
+      held: request.held.take(),
+      sent: request.sent,
+      first_event_at: request.first_event_at,
+    });
+    if let Some(backend) = self.backends.get_mut(key) {
+      avoid_after_failure(backend, now);
+    }
+    self.dispatch(ticket);
+    self.dispatch_waiting();
+  }
+
+  /// Sends a request whose stream has stalled to another server if one can take it now.
+  pub(super) fn dispatch_stalled(&mut self, ticket: Ticket) {
+    let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    if now >= request.descriptor.deadline {
+      return self.refuse(ticket, Reason::TooLate);
+    }
+    let new = request.waiting_since.is_none();
+    request.waiting_since.get_or_insert(now);
+    if self.may_run_elsewhere(ticket) && self.reserve_retry(ticket) {
+      match self.choose_server(ticket, None) {
+        Choice::Server(key) => return self.send(ticket, key),
+        Choice::Pending(_) | Choice::AtLimit(_) | Choice::Unavailable => self.cancel_retry(ticket),
+      }
+    }
+    let Some(request) = self.requests.get(&ticket).cloned() else {
+      return;
+    };
+    self.enqueue(ticket, request.descriptor.deadline.min(now + RECHECK_MS));
+    if new && self.waits_for_room(&request) {
+      self.record_no_room(ticket);
+    }
+    if new && request.descriptor.model.is_some() {
+      self.out.push(Effect::ReportDemand);
+    }
+  }
+
+  /// Whether a request whose stream has stalled may be sent to another server, and one can take it.
+  /// A request that may crash servers runs only once at a time.
+  fn may_run_elsewhere(&self, ticket: Ticket) -> bool {
+    let Some(request) = self.requests.get(&ticket) else {
+      return false;
+    };
+    let attempts = request.descriptor.route.attempts;
+    let admission = self
+      .crash_filter
+      .admission(self.now, request.descriptor.content);
+    admission == Admission::Allowed
+      && request.runs < attempts
+      && request.sends < attempts + MAX_DECLINED_SENDS
+      && !self.candidates(ticket).is_empty()
+  }
+
+  /// Records that the server of a stalled stream sends again. A send that was decided meanwhile and
+  /// has not begun is cancelled.
+  pub(super) fn on_continued(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let model = request.descriptor.model.clone();
+    if let Some(key) = request.backend.take() {
+      self.release_limit_unit(ticket, false);
+      self.release_tokens(ticket);
+      self.finish_send(key, model, End::Superseded);
+    }
+    self.continue_run(ticket);
+  }
+
+  /// Makes the stalled run of a request its current one again.
+  pub(super) fn continue_run(&mut self, ticket: Ticket) {
+    self.cancel_retry(ticket);
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    self.waiting.remove(&queue_key(request));
+    request.waiting_since = None;
+    request.pending_unit = None;
+    let Some(run) = request.stalled.take() else {
+      return;
+    };
+    request.backend = Some(run.key);
+    request.held = run.held;
+    request.sent = run.sent;
+    request.first_event_at = run.first_event_at;
+    request.runs -= 1;
+    request.tried.retain(|key| *key != run.key);
+  }
+
+  /// Ends the stalled run of a request: another server continues its stream, or nobody does.
+  pub(super) fn end_stalled_run(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    let model = request.descriptor.model.clone();
+    let Some(run) = request.stalled.take() else {
+      return;
+    };
+    if let Some(held) = run.held {
+      self.release_held(held);
+    }
+    self.count_paused_stream(ticket, run.key);
+    self.finish_send(run.key, model, End::Stalled);
+  }
+}
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,4 +1,4 @@
-//! Forwards a server's response to the caller.
+//! Forwards a server's response to the caller, and measures streams.
 
 use super::{Outcome, Relay, disconnected, outcome};
 use crate::{
@@ -11,49 +11,8 @@
 const MAX_HELD_BYTES: usize = 256 << 10;
 
 impl Relay<'_> {
-  /// Forwards the events of a stream as they arrive.
-  pub(super) fn relay_stream(
-    &mut self,
-    socket: &mut Socket,
-    head: &Response,
-    framing: Framing,
-  ) -> Result<Outcome, Outcome> {
-    let mut body = Decoder::new(framing);
-    let mut bytes = Vec::new();
-    let mut started = false;
-    loop {
-      if body.decode(&mut socket.input, &mut bytes).is_err() {
-        return Err(outcome(End::Broken, "not an answer"));
-      }
-      let complete = self.events.push(&bytes);
-      bytes.clear();
-      if !complete.is_empty() {
-        if !std::mem::replace(&mut started, true) && self.first_event_at.is_some() {
-          self.resumed = true;
-          self.apply(Event::Resumed(self.ticket));
-        }
-        self.record_event();
-        // A partial event after the complete ones shows that the stream is incomplete.
-        let last = body.is_complete() && self.events.partial().is_empty();
-        self.forward(head, framing, &complete, last)?;
-      }
-      if body.is_complete() {
-        if !self.events.partial().is_empty() {
-          return Err(outcome(End::Broken, "stream ends within an event"));
-        }
-        self.finish_body(head, framing)?;
-        self.report_gap();
-        return Ok(outcome(End::Whole, "whole stream"));
-      }
-      let until = self.read_deadline(started);
-      if self.read_server(socket, until)? == Fill::Eof && !body.finish() {
-        return Err(disconnected("stream broken off"));
-      }
-    }
-  }
-
   /// Records when an event arrived; the first one starts the response.
-  fn record_event(&mut self) {
+  pub(super) fn record_event(&mut self) {
     let now = self.hub.now();
     if self.first_event_at.is_some() {
       let gap_ms = now - self.last_event_at;
@@ -101,7 +60,7 @@
   }
 
   /// Reports the mean gap between the events of a complete stream.
-  fn report_gap(&self) {
+  pub(super) fn report_gap(&self) {
     let gaps = self.events.count.saturating_sub(1);
     if let (Some(first), true) = (self.first_event_at, gaps > 0) {
       let gap_ms = (self.last_event_at - first) as f32 / gaps as f32;
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -15,9 +15,18 @@
 /// Maximum time to wait for a caller that does not read.
 const CALLER_WRITE_TIMEOUT: Duration = Duration::from_millis(5_000);
 
+/// What ended a wait.
+pub(super) enum Wake {
+  /// There may be a directive.
+  Directive,
+  Timeout,
+  /// The server of the stalled run sends again, or has closed the connection.
+  Server,
+}
+
 impl Relay<'_> {
   /// Waits like `wait_for_wake`, and logs the first wait of a request.
-  pub(super) fn wait_for_directive(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
+  pub(super) fn wait_for_directive(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<Wake> {
     if !std::mem::replace(&mut self.has_waited, true) {
       info!(self.hub.log, "waiting"; "request" => &self.id,
         "route" => &self.incoming.route.name, "model" => self.model(),
@@ -27,8 +36,9 @@
     self.wait_for_wake(mailbox, until)
   }
 
-  /// Waits for the waker or a deadline; an error means that the caller disconnected.
-  fn wait_for_wake(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<bool> {
+  /// Waits for the waker, the server of the stalled run or a deadline; an error means that the caller
+  /// disconnected.
+  fn wait_for_wake(&mut self, mailbox: &Mailbox, until: u64) -> io::Result<Wake> {
     let until = self.hub.instant(until);
     loop {
       // Data that the caller pipelines stays in its socket.
@@ -36,7 +46,8 @@
       let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Interest::Read));
       let waker = Some((&mailbox.waker as &dyn rustix::fd::AsFd, Interest::Read));
       let check_at = self.backlog.check_at(until);
-      let [caller_ready, woken, writable] = wait([caller, waker, self.write_source()], check_at)?;
+      let sources = [caller, waker, self.write_source(), self.stalled_source()];
+      let [caller_ready, woken, writable, server_ready] = wait(sources, check_at)?;
       if writable {
         self.write_backlog()?;
       }
@@ -44,14 +55,17 @@
         self.drop_reader(cause);
         return Err(io::ErrorKind::TimedOut.into());
       }
+      if server_ready {
+        return Ok(Wake::Server);
+      }
       if woken {
         mailbox.waker.clear();
-        return Ok(true);
+        return Ok(Wake::Directive);
       }
       if caller_ready {
         self.read_caller()?;
       } else if !writable && Moment::now() >= until {
-        return Ok(false);
+        return Ok(Wake::Timeout);
       }
     }
   }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -5,10 +5,14 @@
 mod caller;
 mod refusal;
 mod send;
+mod stalled;
+mod stream;
 
 pub use refusal::encode_refusal;
 
 use backlog::Backlog;
+use caller::Wake;
+use stream::Stream;
 
 use crate::{
   content,
@@ -85,17 +89,30 @@
   gaps: Gaps,
   /// The next gap spans two sends.
   resumed: bool,
-  /// Hints from the last response about its server, and when its head arrived, in ms.
-  hints: Hints,
-  head_at: Option<u64>,
-  /// The instance whose tunnel the current send uses.
-  via: Option<SocketAddr>,
+  sending: Sending,
+  /// The stream of a run whose server sends nothing for now; another server may continue it.
+  stalled: Option<Stream>,
   /// A server's error response, sent to the caller if no better response follows.
   held_failure: Option<(Response, Vec<u8>)>,
   disposition: Disposition,
   backlog: Backlog,
 }
 
+/// What is known of the current send.
+#[derive(Clone, Default)]
+struct Sending {
+  /// When it began, in ms.
+  sent_at: u64,
+  /// Age of the list of servers, and the known pace of the server, at that time.
+  servers_age: Option<Duration>,
+  pace: Option<Pace>,
+  /// Hints from the response about its server, and when its head arrived, in ms.
+  hints: Hints,
+  head_at: Option<u64>,
+  /// The instance whose tunnel it uses.
+  via: Option<SocketAddr>,
+}
+
 /// Result of a send, and the reason for it.
 struct Outcome {
   end: End,
@@ -178,9 +195,8 @@
     measures_pace: hub.state().features.pace,
     gaps: Gaps::default(),
     resumed: false,
-    hints: Hints::default(),
-    head_at: None,
-    via: None,
+    sending: Sending::default(),
+    stalled: None,
     held_failure: None,
     disposition: if keep_alive {
       Disposition::Keep
@@ -195,6 +211,7 @@
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   relay.run(mailbox);
   hub.close(ticket);
+  relay.end_stalled();
   relay.flush();
   relay.disposition
 }
@@ -228,11 +245,18 @@
           mailbox.take()
         }
         Some(Directive::Wait(until)) => match self.wait_for_directive(mailbox, until) {
-          Ok(true) => mailbox.take().or(Some(Directive::Wait(until))),
-          Ok(false) => {
+          Ok(Wake::Directive) => mailbox.take().or(Some(Directive::Wait(until))),
+          Ok(Wake::Timeout) => {
             self.apply(Event::Recheck(self.ticket));
             mailbox.take()
           }
+          Ok(Wake::Server) => {
+            self.apply(Event::Continued(self.ticket));
+            if self.continue_stalled() {
+              return;
+            }
+            mailbox.take()
+          }
           Err(_) => return self.record_caller_gone(),
         },
         Some(Directive::Refuse(refusal)) => return self.refuse(refusal),
@@ -248,18 +272,32 @@
 
   /// Sends the request once; returns true if that finishes it.
   fn attempt(&mut self, attempt: &Attempt) -> bool {
-    let sent_at = self.hub.now();
-    let age = self.hub.gates.servers.age();
-    let pace = self.server_pace(attempt);
+    self.sending = Sending {
+      sent_at: self.hub.now(),
+      servers_age: self.hub.gates.servers.age(),
+      pace: self.server_pace(attempt),
+      ..Sending::default()
+    };
     let result = self.send(attempt);
+    self.end_send(attempt, &result)
+  }
+
+  /// Records the end of a send, or that its stream has stalled; returns true if that finishes the
+  /// request.
+  fn end_send(&mut self, attempt: &Attempt, result: &Outcome) -> bool {
     self.backlog.leave_server();
     if result.why == STALLED {
       self.log_stall(attempt);
     }
-    self.log_send(attempt, &result, sent_at, age, pace);
     let (ticket, end) = (self.ticket, result.end);
-    self.record_completed(end, sent_at);
-    if self.first_event_at.is_some() && self.hub.state().features.caller_strain {
+    if end == End::Stalled {
+      self.apply(Event::Ended { ticket, end });
+      return false;
+    }
+    self.log_send(attempt, result, &self.sending);
+    self.record_completed(end, self.sending.sent_at);
+    let streamed = self.first_event_at.is_some() && end != End::Superseded;
+    if streamed && self.hub.state().features.caller_strain {
       // A stream that broke off was silent until now.
       let silent_ms = self.hub.now().saturating_sub(self.last_event_at);
       let pause_ms = match end {
@@ -269,7 +307,10 @@
       self.apply(Event::StreamEnded { ticket, pause_ms });
     }
     self.apply(Event::Ended { ticket, end });
-    matches!(end, End::Whole | End::Failed | End::Left)
+    match end {
+      End::Superseded => self.continue_stalled(),
+      end => matches!(end, End::Whole | End::Failed | End::Left),
+    }
   }
 
   /// Logs that a server sends nothing, and how many others could take the request now.
@@ -327,15 +368,9 @@
     }
   }
 
-  fn log_send(
-    &self,
-    attempt: &Attempt,
-    result: &Outcome,
-    sent_at: u64,
-    age: Option<Duration>,
-    pace: Option<Pace>,
-  ) {
+  fn log_send(&self, attempt: &Attempt, result: &Outcome, sending: &Sending) {
     let now = self.hub.now();
+    let (sent_at, pace, hints) = (sending.sent_at, sending.pace, &sending.hints);
     self.hub.measures.record_send(&measures::Send {
       number: attempt.number,
       end: result.end,
@@ -354,14 +389,14 @@
       "customer" => self.hub.customer_name(caller), "units" => caller.map(|caller| caller.cost),
       "content" => content,
       "model" => self.model(), "late" => self.lateness(),
-      "server" => &attempt.id, "via" => self.via.map(|peer| peer.to_string()), "limit" => &self.hints.limit,
-      "leaving" => &self.hints.leaving, "retry_after" => &self.hints.retry_after,
-      "head_ms" => self.head_at.map(|at| at.saturating_sub(sent_at)), "send" => attempt.number, "end" => format!("{:?}", result.end),
+      "server" => &attempt.id, "via" => sending.via.map(|peer| peer.to_string()), "limit" => &hints.limit,
+      "leaving" => &hints.leaving, "retry_after" => &hints.retry_after,
+      "head_ms" => sending.head_at.map(|at| at.saturating_sub(sent_at)), "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().as_str(),
       "waited_ms" => sent_at.saturating_sub(self.incoming.arrived_at), "took_ms" => now - sent_at,
       "first_ms" => self.first_event_at.map(|at| at - self.incoming.arrived_at),
       "events" => self.events.count, "pause_ms" => self.max_gap_ms,
-      "servers_age_ms" => age.map(|age| age.as_millis() as u64),
+      "servers_age_ms" => sending.servers_age.map(|age| age.as_millis() as u64),
       "missing_ms" => attempt.missing_ms,
       "pace" => pace.map(|pace| rounded(pace.lasting)),
       "pace_now" => pace.map(|pace| rounded(pace.current)),
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -1,6 +1,6 @@
 //! One send of a request to a server, and the head of the response.
 
-use super::{Disposition, Outcome, Relay, STALLED, disconnected, outcome};
+use super::{Disposition, Outcome, Relay, STALLED, Stream, disconnected, outcome};
 use crate::{
   clock::Moment,
   dispatch::{Attempt, End, Event},
@@ -40,7 +40,7 @@
 
 /// Whether a connection to a server can carry another request.
 #[derive(Clone, Copy)]
-enum Reuse {
+pub(super) enum Reuse {
   No,
   /// Yes, with the time for which the server keeps it idle, if stated.
   Within(Option<Duration>),
@@ -51,17 +51,13 @@
   pub(super) fn send(&mut self, attempt: &Attempt) -> Outcome {
     let once = !self.incoming.route.repeatable();
     let now = self.hub.now();
-    self.hints = Hints::default();
-    self.head_at = None;
-    self.via = None;
     if now >= self.deadline {
       return outcome(End::Unsent, "time over before it was sent");
     }
     let Ok(connection) = self.connect(attempt, once) else {
       return outcome(End::Unreached, "no connection");
     };
-    let mut socket = connection.socket;
-    self.via = connection.via;
+    self.sending.via = connection.via;
     if self.hub.now() >= self.deadline {
       return outcome(End::Unsent, "time over while the connection came up");
     }
@@ -73,20 +69,18 @@
       return outcome(end, "key taken away, or not surely known");
     }
     self.events.discard_partial();
-    let sent_at = self.hub.now();
-    let result = self.exchange(&mut socket, attempt);
-    let result = result.map_err(|result| self.check_crash(result, sent_at, attempt));
-    match result {
-      Ok((result, reuse)) => {
-        if let Reuse::Within(idle) = reuse
-          && socket.input.is_empty()
-          && self.via.is_none()
-        {
-          self.hub.pool.release(attempt.backend, socket, idle);
-        }
-        result
-      }
-      Err(result) => result,
+    self.sending.sent_at = self.hub.now();
+    let result = self.exchange(connection.socket, attempt);
+    result.unwrap_or_else(|result| self.check_crash(result, attempt))
+  }
+
+  /// Keeps a connection for the next send to its server, if it can carry one.
+  pub(super) fn release(&self, socket: Socket, attempt: &Attempt, reuse: Reuse) {
+    if let Reuse::Within(idle) = reuse
+      && socket.input.is_empty()
+      && self.sending.via.is_none()
+    {
+      self.hub.pool.release(attempt.backend, socket, idle);
     }
   }
 
@@ -134,8 +128,8 @@
   }
 
   /// Checks whether a server that cut off a run has ended.
-  fn check_crash(&self, result: Outcome, sent_at: u64, attempt: &Attempt) -> Outcome {
-    let ran = self.hub.now() >= sent_at + MIN_RUN_MS;
+  pub(super) fn check_crash(&self, result: Outcome, attempt: &Attempt) -> Outcome {
+    let ran = self.hub.now() >= self.sending.sent_at + MIN_RUN_MS;
     if !result.disconnected || !ran || !self.refuses_connections(attempt) {
       return result;
     }
@@ -145,7 +139,7 @@
   /// Whether a server's port refuses connections. A connection that succeeds is kept for the next
   /// send. An instance that is partitioned from the server asks another one.
   fn refuses_connections(&self, attempt: &Attempt) -> bool {
-    if self.via.is_some() || self.hub.paths.is_partitioned() {
+    if self.sending.via.is_some() || self.hub.paths.is_partitioned() {
       return self.open_tunnel(attempt).err() == Some(tunnel::Failure::Unreachable);
     }
     match Socket::connect(attempt.address, PROBE_TIMEOUT) {
@@ -235,8 +229,9 @@
       let server = has_room.then_some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Read));
       let waiting_since = Moment::now();
       let check_at = self.backlog.check_at(timeout_at);
-      let waited = wait([caller, server, self.write_source()], check_at);
-      let Ok([caller_ready, server_ready, writable]) = waited else {
+      let sources = [caller, server, self.write_source(), self.stalled_source()];
+      let waited = wait(sources, check_at);
+      let Ok([caller_ready, server_ready, writable, stalled_ready]) = waited else {
         return Err(outcome(End::Broken, "wait failed"));
       };
       if writable && self.write_backlog().is_err() {
@@ -250,6 +245,12 @@
         // The server is not to blame for the time in which it was not read.
         timeout_at = timeout_at + waiting_since.elapsed();
       }
+      if stalled_ready && self.stalled_run_goes_on() {
+        return Err(outcome(
+          End::Superseded,
+          "the earlier server continues the stream",
+        ));
+      }
       if server_ready {
         return socket
           .fill()
@@ -351,10 +352,11 @@
   /// Applies the limit that a response names; a response from another server at the address is
   /// ignored.
   fn apply_limit(&self, status: u16, attempt: &Attempt) {
-    if status == MISDIRECTED_REQUEST || self.hints.limit.is_none() && !attempt.limited {
+    let limit = self.sending.hints.limit.as_deref();
+    if status == MISDIRECTED_REQUEST || limit.is_none() && !attempt.limited {
       return;
     }
-    let rate = match self.hints.limit.as_deref().map(limit::parse).transpose() {
+    let rate = match limit.map(limit::parse).transpose() {
       Ok(rate) => rate,
       Err(error) => {
         warn!(self.hub.log, "server limit could not be parsed"; "server" => &attempt.id, "error" => error);
@@ -367,12 +369,14 @@
 
   /// Applies the hints about the server in the head of a response.
   fn apply_head(&mut self, head: &Response, attempt: &Attempt) {
-    if self.via.is_none() {
+    if self.sending.via.is_none() {
       self.hub.paths.record_response(self.hub.now());
     }
-    self.hints = Hints::from_head(head.status, &head.headers, &self.hub.dialect);
-    self.head_at = Some(self.hub.now());
-    self.hub.apply_hints(attempt.life, &attempt.id, &self.hints);
+    self.sending.hints = Hints::from_head(head.status, &head.headers, &self.hub.dialect);
+    self.sending.head_at = Some(self.hub.now());
+    self
+      .hub
+      .apply_hints(attempt.life, &attempt.id, &self.sending.hints);
   }
 
   /// Reads the head of a response that arrives as its caller disconnects, for its hints about the
@@ -393,23 +397,19 @@
     }
   }
 
-  fn exchange(
-    &mut self,
-    socket: &mut Socket,
-    attempt: &Attempt,
-  ) -> Result<(Outcome, Reuse), Outcome> {
+  fn exchange(&mut self, mut socket: Socket, attempt: &Attempt) -> Result<Outcome, Outcome> {
     let bytes = self.encode_request(attempt);
-    let written = self.write_request(socket, &bytes)?;
+    let written = self.write_request(&mut socket, &bytes)?;
     drop(bytes);
-    let (head, framing) = match self.read_head(socket) {
+    let (head, framing) = match self.read_head(&mut socket) {
       Err(result) if result.end == End::Left => {
-        self.read_late_head(socket, attempt);
+        self.read_late_head(&mut socket, attempt);
         return Err(result);
       }
       head => head?,
     };
     self.apply_head(&head, attempt);
-    if attempt.trial && self.hints.retry_after.is_none() {
+    if attempt.trial && self.sending.hints.retry_after.is_none() {
       self.apply(Event::TrialAccepted(attempt.life));
     }
     self.apply_limit(head.status, attempt);
@@ -427,13 +427,13 @@
       true => Reuse::Within(keep_alive_timeout(&head)),
       false => Reuse::No,
     };
-    let streams = success && self.incoming.route.stream.is_some();
-    let result = if streams {
-      self.relay_stream(socket, &head, framing)?
-    } else {
-      self.relay_plain(socket, head, framing, attempt)?
-    };
-    Ok((result, reuse))
+    if success && self.incoming.route.stream.is_some() {
+      let stream = Stream::new(socket, attempt, head, framing, reuse);
+      return self.follow(stream);
+    }
+    let result = self.relay_plain(&mut socket, head, framing, attempt)?;
+    self.release(socket, attempt, reuse);
+    Ok(result)
   }
 }
 
--- /dev/null
+++ b/src/relay/stalled.rs
@@ -0,0 +1,76 @@
+//! The stream of a run whose server sends nothing for a while. Its connection is kept until another
+//! server continues the stream, and the run is continued if its server sends first.
+
+use super::{Outcome, Relay, STALLED, Stream, outcome};
+use crate::{
+  dispatch::{End, Event},
+  http::Framing,
+  socket::{Fill, Interest},
+};
+use rustix::fd::AsFd;
+use slog::info;
+
+impl Relay<'_> {
+  /// Whether the current run is kept when its stream stalls: the caller has got a part of the
+  /// answer, and no other run is kept already.
+  pub(super) fn may_stall(&self) -> bool {
+    self.first_event_at.is_some() && self.stalled.is_none()
+  }
+
+  /// Keeps a stream whose server sends nothing for now.
+  pub(super) fn keep_stalled(&mut self, mut stream: Stream) {
+    stream.partial = self.events.take_partial();
+    stream.sending = self.sending.clone();
+    self.stalled = Some(stream);
+  }
+
+  /// The connection of the stalled run, if there is one.
+  pub(super) fn stalled_source(&self) -> Option<(&dyn AsFd, Interest)> {
+    let stream = self.stalled.as_ref()?;
+    Some((&stream.socket.stream as &dyn AsFd, Interest::Read))
+  }
+
+  /// Whether the server of the stalled run has sent something. If it has closed the connection
+  /// instead, the run is dropped.
+  pub(super) fn stalled_run_goes_on(&mut self) -> bool {
+    let Some(stream) = &mut self.stalled else {
+      return false;
+    };
+    match stream.socket.fill() {
+      Ok(Fill::Data) => return true,
+      Ok(Fill::Empty) => return false,
+      // The close may be the end of the stream.
+      Ok(Fill::Eof) if stream.framing == Framing::Close => return true,
+      Ok(Fill::Eof) | Err(_) => {}
+    }
+    self.end_stalled();
+    self.apply(Event::StalledRunLost(self.ticket));
+    false
+  }
+
+  /// Forwards the stream of the stalled run, whose server sends again; returns true if that finishes
+  /// the request.
+  pub(super) fn continue_stalled(&mut self) -> bool {
+    let Some(mut stream) = self.stalled.take() else {
+      return false;
+    };
+    info!(self.hub.log, "stalled server continues"; "request" => &self.id,
+      "server" => &stream.attempt.id, "send" => stream.attempt.number,
+      "silent_ms" => self.hub.now().saturating_sub(self.last_event_at));
+    self.sending = std::mem::take(&mut stream.sending);
+    self.events.set_partial(std::mem::take(&mut stream.partial));
+    let attempt = stream.attempt.clone();
+    let result = self.follow(stream);
+    let result: Outcome = result.unwrap_or_else(|result| self.check_crash(result, &attempt));
+    self.end_send(&attempt, &result)
+  }
+
+  /// Closes the connection of the stalled run, if there is one: another server continues its stream,
+  /// or its request has ended.
+  pub(super) fn end_stalled(&mut self) {
+    if let Some(stream) = self.stalled.take() {
+      let result = outcome(End::Broken, STALLED);
+      self.log_send(&stream.attempt, &result, &stream.sending);
+    }
+  }
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,102 @@
+//! Forwards the events of a stream as they arrive.
+
+use super::{Outcome, Relay, STALLED, Sending, disconnected, outcome, send::Reuse};
+use crate::{
+  dispatch::{Attempt, End, Event},
+  http::{Decoder, Framing, Response},
+  socket::{Fill, Socket},
+};
+
+/// A stream that a server sends.
+pub(super) struct Stream {
+  pub(super) socket: Socket,
+  pub(super) attempt: Attempt,
+  pub(super) framing: Framing,
+  head: Response,
+  body: Decoder,
+  reuse: Reuse,
+  /// Whether a complete event has arrived.
+  started: bool,
+  /// While it is stalled: bytes after its last complete event, and what is known of its send.
+  pub(super) partial: Vec<u8>,
+  pub(super) sending: Sending,
+}
+
+impl Stream {
+  /// A stream whose head was read.
+  pub(super) fn new(
+    socket: Socket,
+    attempt: &Attempt,
+    head: Response,
+    framing: Framing,
+    reuse: Reuse,
+  ) -> Self {
+    Self {
+      socket,
+      attempt: attempt.clone(),
+      framing,
+      head,
+      body: Decoder::new(framing),
+      reuse,
+      started: false,
+      partial: Vec::new(),
+      sending: Sending::default(),
+    }
+  }
+}
+
+impl Relay<'_> {
+  /// Forwards a stream until it ends, or until its server has sent nothing for too long.
+  pub(super) fn follow(&mut self, mut stream: Stream) -> Result<Outcome, Outcome> {
+    let mut bytes = Vec::new();
+    loop {
+      if stream
+        .body
+        .decode(&mut stream.socket.input, &mut bytes)
+        .is_err()
+      {
+        return Err(outcome(End::Broken, "not an answer"));
+      }
+      let complete = self.events.push(&bytes);
+      bytes.clear();
+      if !complete.is_empty() {
+        self.forward_events(&mut stream, &complete)?;
+      }
+      if stream.body.is_complete() {
+        return self.finish_stream(stream);
+      }
+      let until = self.read_deadline(stream.started);
+      match self.read_server(&mut stream.socket, until) {
+        Ok(Fill::Eof) if !stream.body.finish() => return Err(disconnected("stream broken off")),
+        Ok(_) => {}
+        Err(result) if result.why == STALLED && self.may_stall() => {
+          self.keep_stalled(stream);
+          return Err(outcome(End::Stalled, STALLED));
+        }
+        Err(result) => return Err(result),
+      }
+    }
+  }
+
+  fn forward_events(&mut self, stream: &mut Stream, complete: &[u8]) -> Result<(), Outcome> {
+    if !std::mem::replace(&mut stream.started, true) && self.first_event_at.is_some() {
+      self.resumed = true;
+      self.end_stalled();
+      self.apply(Event::Resumed(self.ticket));
+    }
+    self.record_event();
+    // A partial event after the complete ones shows that the stream is incomplete.
+    let last = stream.body.is_complete() && self.events.partial().is_empty();
+    self.forward(&stream.head, stream.framing, complete, last)
+  }
+
+  fn finish_stream(&mut self, stream: Stream) -> Result<Outcome, Outcome> {
+    if !self.events.partial().is_empty() {
+      return Err(outcome(End::Broken, "stream ends within an event"));
+    }
+    self.finish_body(&stream.head, stream.framing)?;
+    self.report_gap();
+    self.release(stream.socket, &stream.attempt, stream.reuse);
+    Ok(outcome(End::Whole, "whole stream"))
+  }
+}
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -167,7 +167,17 @@
     let (Some(gap_ms), key) = (gap_ms, request.backend) else {
       return;
     };
-    let paused = u32::from(pause_ms > gap_ms);
+    self.count_stream(ticket, key, u32::from(pause_ms > gap_ms));
+  }
+
+  /// Counts a stream that another server continues, or nobody does, after a pause.
+  pub(crate) fn count_paused_stream(&mut self, ticket: Ticket, key: backend::Key) {
+    if self.features.caller_strain {
+      self.count_stream(ticket, Some(key), 1);
+    }
+  }
+
+  fn count_stream(&mut self, ticket: Ticket, key: Option<backend::Key>, paused: u32) {
     if let Some(sample) = self.model_sample(ticket) {
       sample.streams += 1;
       sample.paused += paused;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -38,6 +38,16 @@
     &self.partial
   }
 
+  /// Takes the bytes after the last complete event.
+  pub fn take_partial(&mut self) -> Vec<u8> {
+    std::mem::take(&mut self.partial)
+  }
+
+  /// Replaces the bytes after the last complete event.
+  pub fn set_partial(&mut self, partial: Vec<u8>) {
+    self.partial = partial;
+  }
+
   /// Discards the bytes after the last complete event.
   pub fn discard_partial(&mut self) {
     self.partial.clear();
