stop: an answer that has begun waits until the exit, not until waiting requests are refused

Cause: one second before its exit a stopping instance refused all requests that wait. One whose answer has begun cannot be refused: its connection was closed in the middle of the answer, with time left in which a server could take the rest.

Ruled out: a shorter reserve for all, since a refusal that is true (not run) is worth a retry elsewhere in time.

Change: requests whose answer has begun, and streams whose server is silent, wait until 200 ms before the exit, so that they still end in order. Reducer tests of silent streams (tests/stalled.rs) guard the states of both changes.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -120,8 +120,10 @@
   pub instances: usize,
   /// Requests that arrive from this time on are refused because their responses might be cut off.
   accept_until: u64,
-  /// Requests that still wait at this time are refused because the process is about to exit.
+  /// Requests that still wait at this time are refused because the process is about to exit: those
+  /// whose answer has not begun, and all.
   refuse_waiting_at: u64,
+  end_at: u64,
   /// When the last planner update arrived; 0 if none has arrived.
   pub planner_seen_at: u64,
   pub(crate) expiry: Expiry,
@@ -187,6 +189,7 @@
       instances: DEFAULT_INSTANCES,
       accept_until: u64::MAX,
       refuse_waiting_at: u64::MAX,
+      end_at: u64::MAX,
       planner_seen_at: 0,
       expiry: Expiry::default(),
       restored: Restored::default(),
@@ -289,9 +292,14 @@
       Event::Backoff { server, backoff_ms } => self.receive_backoff(server, backoff_ms),
       Event::TrialAccepted(server) => self.record_trial_accepted(server),
       Event::Suspected(entries) => self.crash_filter.update_suspects(now, &entries),
-      Event::Stopping(accept_until, refuse_waiting_at) => {
+      Event::Stopping {
+        accept_until,
+        refuse_waiting_at,
+        end_at,
+      } => {
         self.accept_until = accept_until;
         self.refuse_waiting_at = refuse_waiting_at;
+        self.end_at = end_at;
       }
     }
     std::mem::take(&mut self.out)
@@ -544,7 +552,12 @@
     if self.now >= request.descriptor.deadline {
       return self.refuse(ticket, Reason::TooLate);
     }
-    if self.now >= self.refuse_waiting_at {
+    // An answer that has begun cannot be refused, only cut.
+    let give_up_at = match request.response_started {
+      true => self.end_at,
+      false => self.refuse_waiting_at,
+    };
+    if self.now >= give_up_at {
       return self.refuse(ticket, Reason::Stopping);
     }
     if request.sends >= request.descriptor.route.attempts + MAX_DECLINED_SENDS {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -272,9 +272,15 @@
   TrialAccepted(Life),
   /// Requests that may have caused crashes, with the order in which they may run.
   Suspected(Vec<Suspected>),
-  /// Graceful shutdown: new requests are refused from the first time on, waiting requests at the
-  /// second.
-  Stopping(u64, u64),
+  /// Graceful shutdown.
+  Stopping {
+    /// New requests are refused from this time on.
+    accept_until: u64,
+    /// Requests that wait are refused at this time, unless their answer has begun.
+    refuse_waiting_at: u64,
+    /// What still waits or runs ends at this time, because the process exits.
+    end_at: u64,
+  },
 }
 
 impl Event {
--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -67,6 +67,9 @@
     if now >= request.descriptor.deadline {
       return self.refuse(ticket, Reason::TooLate);
     }
+    if now >= self.end_at {
+      return self.refuse(ticket, Reason::Stopping);
+    }
     let new = request.waiting_since.is_none();
     request.waiting_since.get_or_insert(now);
     if self.may_run_elsewhere(ticket) && self.reserve_retry(ticket) {
--- a/src/router.rs
+++ b/src/router.rs
@@ -29,8 +29,11 @@
 const REMOVAL_MARGIN_MS: u64 = 300;
 /// Part of the grace period reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(1_000);
-/// Part of the remaining grace period in which requests that still wait are refused.
+/// Part of the remaining grace period in which requests that still wait are refused, unless their
+/// answer has begun.
 const REFUSAL_RESERVE: Duration = Duration::from_millis(1_000);
+/// Time before the exit at which what still waits or runs is ended, so that it ends in order.
+const END_RESERVE: Duration = Duration::from_millis(200);
 /// Interval at which a graceful shutdown checks whether it is complete.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the time limit for revoking keys during which known keys are trusted, in percent. The
@@ -109,11 +112,14 @@
     info!(self.hub.log, "stopping"; "active" => active());
     self.hub.stop();
     let refuse_after_ms = self.grace.saturating_sub(REFUSAL_RESERVE).as_millis() as u64;
+    let end_after_ms = self.grace.saturating_sub(END_RESERVE).as_millis() as u64;
     let now = self.hub.now();
-    let accept_until = now + BALANCER_REMOVAL.as_millis() as u64 - REMOVAL_MARGIN_MS;
-    self
-      .hub
-      .apply(Event::Stopping(accept_until, now + refuse_after_ms), None);
+    let stopping = Event::Stopping {
+      accept_until: now + BALANCER_REMOVAL.as_millis() as u64 - REMOVAL_MARGIN_MS,
+      refuse_waiting_at: now + refuse_after_ms,
+      end_at: now + end_after_ms,
+    };
+    self.hub.apply(stopping, None);
     while started.elapsed() < BALANCER_REMOVAL || (active() > 0 && started.elapsed() < self.grace) {
       thread::sleep(STOP_CHECK_INTERVAL);
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -61,6 +61,14 @@
   }
 }
 
+fn stopping(accept_until: u64, refuse_waiting_at: u64, end_at: u64) -> Event {
+  Event::Stopping {
+    accept_until,
+    refuse_waiting_at,
+    end_at,
+  }
+}
+
 fn sent(effects: &[Effect]) -> Option<String> {
   effects.iter().find_map(|effect| match effect {
     Effect::Send(attempt) => Some(attempt.id.clone()),
@@ -258,7 +266,7 @@
   let route = route(Repeat::Never, None, 1);
   let mut state = state(Vec::new());
   state.reduce(1, arrived(1, &route, None));
-  state.reduce(2, Event::Stopping(500, 1_000));
+  state.reduce(2, stopping(500, 1_000, 2_000));
   assert_eq!(refused(&state.reduce(999, Event::Recheck(Ticket(1)))), None);
   let refusal = refused(&state.reduce(1_000, Event::Recheck(Ticket(1)))).unwrap();
   assert_eq!(refusal.verdict, Verdict::NotRun);
@@ -269,7 +277,7 @@
 fn nothing_is_taken_long_after_a_planned_stop_began() {
   let route = route(Repeat::Never, None, 1);
   let mut state = state(vec![spec("one", &[])]);
-  state.reduce(1, Event::Stopping(500, 1_000));
+  state.reduce(1, stopping(500, 1_000, 2_000));
   let effects = state.reduce(499, arrived(1, &route, None));
   assert!(sent(&effects).is_some());
   let effects = state.reduce(500, arrived(2, &route, None));
--- /dev/null
+++ b/tests/stalled.rs
@@ -0,0 +1,238 @@
+//! Reducer of routed requests: streams that have begun and whose server sends nothing for a while.
+
+mod requests;
+
+use bendsaddle::{
+  backend::Spec,
+  deployment::Engine,
+  dispatch::{Change, Descriptor, Effect, End, Event, State},
+  refusal::Reason,
+  request::Ticket,
+  retry::Bound,
+  route::{Repeat, Stream},
+};
+use requests::{refused, spec};
+use std::sync::Arc;
+
+/// The only request.
+const TICKET: Ticket = Ticket(1);
+/// Its deadline, in ms.
+const DEADLINE_MS: u64 = 5_000;
+/// When its stream stalls, in ms.
+const STALLED_AT: u64 = 1_300;
+
+/// A stream that runs at server `one` and has begun, beside these further servers.
+fn begun(others: &[&str], attempts: u32) -> State {
+  let mut state = requests::deployed(Engine::default());
+  let servers = vec![Change::All(vec![spec("one")])];
+  state.reduce(0, Event::Servers(servers));
+  let stream = Stream {
+    resumable: true,
+    gap_ms: 300,
+  };
+  let descriptor = Descriptor {
+    ticket: TICKET,
+    id: "1".into(),
+    route: Arc::new(requests::route(Repeat::Never, Some(stream), attempts)),
+    pool: "pool".into(),
+    model: None,
+    affinity: 0,
+    deadline: DEADLINE_MS,
+    content: Default::default(),
+    caller: None,
+    tokens: None,
+  };
+  assert_eq!(
+    sent(&state.reduce(1, Event::Arrived(descriptor))),
+    Some("one".into())
+  );
+  state.reduce(100, Event::ResponseStarted(TICKET));
+  let others: Vec<Change> = others.iter().map(|id| Change::Set(spec(id))).collect();
+  state.reduce(101, Event::Servers(others));
+  state
+}
+
+fn sent(effects: &[Effect]) -> Option<String> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Send(attempt) => Some(attempt.id.clone()),
+    _ => None,
+  })
+}
+
+fn ended(end: End) -> Event {
+  Event::Ended {
+    ticket: TICKET,
+    end,
+  }
+}
+
+fn running(state: &State, id: &str) -> u32 {
+  state.backends[state.by_id[id]].running
+}
+
+// A stream was given up for a place that did not exist.
+#[test]
+fn a_stalled_stream_without_another_server_waits_for_its_own() {
+  let mut state = begun(&[], 3);
+  for (at, event) in [
+    (STALLED_AT, ended(End::Stalled)),
+    (STALLED_AT + 100, Event::Recheck(TICKET)),
+    (DEADLINE_MS - 1, Event::Recheck(TICKET)),
+  ] {
+    let effects = state.reduce(at, event);
+    assert_eq!(refused(&effects), None, "at {at}");
+  }
+  assert_eq!(running(&state, "one"), 1);
+  state.reduce(DEADLINE_MS - 1, Event::Continued(TICKET));
+  state.reduce(DEADLINE_MS - 1, ended(End::Whole));
+  assert_eq!(running(&state, "one"), 0);
+}
+
+// Without a deadline of its own the wait for a silent server would not end.
+#[test]
+fn a_stalled_stream_ends_at_its_deadline() {
+  let mut state = begun(&[], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  let refusal = refused(&state.reduce(DEADLINE_MS, Event::Recheck(TICKET)));
+  assert_eq!(refusal.unwrap().reason, Reason::TooLate);
+  assert_eq!(running(&state, "one"), 0);
+}
+
+// Only the first event of the other server ends the first run, and its place is free again.
+#[test]
+fn a_stalled_run_ends_when_another_server_continues() {
+  let mut state = begun(&["two"], 3);
+  let effects = state.reduce(STALLED_AT, ended(End::Stalled));
+  assert_eq!(sent(&effects), Some("two".into()));
+  assert_eq!(running(&state, "one"), 1);
+  state.reduce(STALLED_AT + 50, Event::Resumed(TICKET));
+  assert_eq!((running(&state, "one"), running(&state, "two")), (0, 1));
+  state.reduce(STALLED_AT + 60, ended(End::Whole));
+  assert_eq!(running(&state, "two"), 0);
+}
+
+// Whatever becomes of the second send, the first run still stands.
+#[test]
+fn a_second_send_that_fails_leaves_the_stalled_run() {
+  for end in [
+    End::Full,
+    End::Missing,
+    End::Unreached,
+    End::Broken,
+    End::Leaving,
+  ] {
+    let mut state = begun(&["two"], 3);
+    state.reduce(STALLED_AT, ended(End::Stalled));
+    let effects = state.reduce(STALLED_AT + 10, ended(end));
+    assert_eq!(refused(&effects), None, "{end:?}");
+    assert_eq!(running(&state, "one"), 1, "{end:?}");
+    state.reduce(STALLED_AT + 20, Event::Continued(TICKET));
+    state.reduce(STALLED_AT + 30, ended(End::Whole));
+    assert_eq!(
+      (running(&state, "one"), running(&state, "two")),
+      (0, 0),
+      "{end:?}"
+    );
+  }
+}
+
+// A send that the first server overtakes must neither count as running nor be decided again.
+#[test]
+fn a_stalled_run_that_continues_first_supersedes_the_second_send() {
+  let mut state = begun(&["two"], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  let effects = state.reduce(STALLED_AT + 10, ended(End::Superseded));
+  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  assert_eq!((running(&state, "one"), running(&state, "two")), (1, 0));
+  state.reduce(STALLED_AT + 20, ended(End::Whole));
+  assert_eq!(running(&state, "one"), 0);
+}
+
+// A send that was decided and that no thread has begun when the first server continues.
+#[test]
+fn a_send_that_has_not_begun_is_cancelled_when_the_stalled_run_continues() {
+  let mut state = begun(&["two"], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  state.reduce(STALLED_AT + 1, Event::Continued(TICKET));
+  assert_eq!((running(&state, "one"), running(&state, "two")), (1, 0));
+}
+
+// A caller that leaves must free both servers.
+#[test]
+fn a_caller_that_leaves_ends_the_stalled_run_too() {
+  let mut state = begun(&["two"], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  state.reduce(STALLED_AT + 10, ended(End::Left));
+  assert_eq!((running(&state, "one"), running(&state, "two")), (0, 0));
+  let mut state = begun(&[], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  state.reduce(STALLED_AT + 10, Event::CallerGone(TICKET));
+  assert_eq!(running(&state, "one"), 0);
+}
+
+// The stalled run counts as one of the route's attempts.
+#[test]
+fn a_stalled_stream_runs_on_no_more_servers_than_its_route_allows() {
+  let mut state = begun(&["two", "three"], 2);
+  let effects = state.reduce(STALLED_AT, ended(End::Stalled));
+  assert!(sent(&effects).is_some());
+  let effects = state.reduce(STALLED_AT + 10, ended(End::Broken));
+  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  let mut state = begun(&["two"], 1);
+  let effects = state.reduce(STALLED_AT, ended(End::Stalled));
+  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+}
+
+// A second run is a retry: without budget the stream waits for its server, and is not cut.
+#[test]
+fn a_stalled_stream_without_retry_budget_waits_for_its_server() {
+  let mut state = begun(&["two"], 3);
+  state.retry_bound = Bound {
+    ratio: 0.0,
+    slack: 0.0,
+    window_ms: 10_000,
+  };
+  let effects = state.reduce(STALLED_AT, ended(End::Stalled));
+  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  state.retry_bound = requests::BOUND;
+  let effects = state.reduce(STALLED_AT + 100, Event::Recheck(TICKET));
+  assert_eq!(sent(&effects), Some("two".into()));
+}
+
+fn stopping() -> Event {
+  Event::Stopping {
+    accept_until: 2_000,
+    refuse_waiting_at: 3_000,
+    end_at: 4_000,
+  }
+}
+
+// At a stop an answer that had begun was cut together with the refusals of what waits.
+#[test]
+fn an_answer_that_has_begun_waits_until_the_exit() {
+  for stalled in [true, false] {
+    let mut state = begun(&[], 3);
+    // A server that cannot take the request yet, so that waiting is worth it.
+    let later = Spec {
+      stage: bendsaddle::backend::Stage::Ready,
+      ..spec("later")
+    };
+    state.reduce(STALLED_AT, stopping());
+    state.reduce(2_800, Event::Servers(vec![Change::Set(later)]));
+    let first = state.reduce(
+      2_900,
+      ended(if stalled { End::Stalled } else { End::Broken }),
+    );
+    assert_eq!(sent(&first), Some("later".into()));
+    state.reduce(2_910, ended(End::Full));
+    for at in [3_000, 3_500, 3_999] {
+      let effects = state.reduce(at, Event::Recheck(TICKET));
+      assert_eq!(refused(&effects), None, "at {at}, stalled {stalled}");
+      if sent(&effects).is_some() {
+        state.reduce(at, ended(End::Full));
+      }
+    }
+    let refusal = refused(&state.reduce(4_000, Event::Recheck(TICKET)));
+    assert_eq!(refusal.unwrap().reason, Reason::Stopping);
+  }
+}
