relay: no other run follows a plain answer that has begun

What callers saw: a plain answer larger than 256 KiB is forwarded in part before it is complete. Where its server broke off, failed or declined after that, a repeatable route retried, and the whole answer of another server was appended and framed as the end: one complete answer of two runs. The same happened to a stream that broke off and whose next server failed with a large body.

Cause: the reducer decides on a retry by the route alone and did not know that the caller had the start of a plain answer; the relay forwarded the body of any status once it was large.

Change: the relay reports the start of a plain answer like that of a stream, and a broken run of it is not retried. A body that declines a request, or that follows a begun stream, is never forwarded; a large failure is passed on to its end.

Evidence: by reading relay_plain, shown by four tests with a set order of events. Not run: the workspace's other tests.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -87,7 +87,9 @@
       return;
     };
     let route = &request.descriptor.route;
-    if route.repeatable() && request.runs < route.attempts {
+    // No other run continues a plain response that the caller has received in part.
+    let can_go_on = route.stream.is_some() || !request.response_started;
+    if route.repeatable() && request.runs < route.attempts && can_go_on {
       self.retry(ticket);
     } else {
       self.refuse(ticket, Reason::ServerFailed);
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -83,6 +83,9 @@
     let mut body = Decoder::new(framing);
     let mut bytes = Vec::new();
     let until = self.read_deadline(false);
+    // The caller already received the start of another response, which this one cannot continue.
+    let astray = self.response_framing.is_some();
+    let mut begun = false;
     loop {
       if body.decode(&mut socket.input, &mut bytes).is_err() {
         return Err(outcome(End::Broken, "not an answer"));
@@ -91,6 +94,16 @@
         break;
       }
       if bytes.len() > MAX_HELD_BYTES {
+        if let Some(result) = self.decline_outcome(&head, attempt) {
+          return Err(result);
+        }
+        if astray {
+          return Err(outcome(End::Broken, "server's own failure"));
+        }
+        if !std::mem::replace(&mut begun, true) {
+          self.begin_plain();
+        }
+        self.last_event_at = self.hub.now();
         self.forward(&head, framing, &std::mem::take(&mut bytes), false)?;
       }
       self
@@ -103,22 +116,26 @@
     if let Some(result) = self.decline_outcome(&head, attempt) {
       return Ok(result);
     }
-    let failed = head.status >= 400;
-    if failed && self.response_framing.is_some() {
-      // The caller already received the start of another response, which this one cannot continue.
+    if astray {
       return Ok(outcome(End::Broken, "server's own failure"));
     }
-    if head.status >= 500 {
+    if head.status >= 500 && !begun {
       self.held_failure = Some((head, bytes));
       return Ok(outcome(End::Broken, "server's own failure"));
     }
     self.send_response(&head, bytes)?;
-    match failed {
+    match head.status >= 400 {
       true => Ok(outcome(End::Failed, "server's own failure")),
       false => Ok(outcome(End::Whole, "whole answer")),
     }
   }
 
+  /// Records that the caller receives the start of a plain response.
+  fn begin_plain(&mut self) {
+    self.first_event_at = Some(self.hub.now());
+    self.apply(Event::ResponseStarted(self.ticket));
+  }
+
   fn decline_outcome(&self, head: &Response, attempt: &Attempt) -> Option<Outcome> {
     let dialect = &self.hub.dialect;
     if head.status == 421 {
