relay: a plain answer that has begun is not cut for a retry

What callers saw: a plain answer larger than 256 KiB on a repeatable route was cut where its whole body took longer than four objectives (900 ms at least) from its head, whether or not its server was still writing.

Cause: the time limit after which a repeatable request is retried also applied to an answer that the caller already had in part, which no other run can continue.

Change: from its first forwarded part on, only the server or the request's deadline ends it. An answer that is still held keeps the limit, since a retry can replace it.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -72,7 +72,8 @@
   }
 
   /// Reads a complete plain response before the caller receives any of it, unless it is too large
-  /// to hold.
+  /// to hold. One that has begun is only ended by its server or the deadline: no other run can
+  /// continue it.
   pub(super) fn relay_plain(
     &mut self,
     socket: &mut Socket,
@@ -82,7 +83,7 @@
   ) -> Result<Outcome, Outcome> {
     let mut body = Decoder::new(framing);
     let mut bytes = Vec::new();
-    let until = self.read_deadline(false);
+    let mut until = self.read_deadline(false);
     // The caller already received the start of another response, which this one cannot continue.
     let astray = self.response_framing.is_some();
     let mut begun = false;
@@ -102,6 +103,7 @@
         }
         if !std::mem::replace(&mut begun, true) {
           self.begin_plain();
+          until = self.deadline;
         }
         self.last_event_at = self.hub.now();
         self.forward(&head, framing, &std::mem::take(&mut bytes), false)?;
