relay: an answer without a length is reset when its process ends early

What callers saw: an answer that its server delimits by the close of the connection is delimited that way for the caller too. At the end of the grace period, or after a crash, the kernel closed that connection as after a complete answer, so the caller took the part for the whole. The same close followed when the caller read nothing for 5 s and read on later.

Cause: only a refusal of such an answer was turned into a reset; every other end was an orderly close.

Change: the connection is set to reset on close (SO_LINGER of zero) when the head of such an answer is forwarded, and back when the answer is complete and written. An answer that is incomplete at its end is reset, whatever ended it.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -9,7 +9,7 @@
   refusal::Refusal,
   socket::{Fill, Interest, wait},
 };
-use slog::info;
+use slog::{info, warn};
 use std::{io, time::Duration};
 
 /// Maximum time to wait for a caller that does not read.
@@ -121,6 +121,7 @@
       self.response_framing = Some(framing);
       if framing == Framing::Close {
         self.disposition = Disposition::Close;
+        self.set_reset_on_close(true);
       }
     }
     match self.response_framing {
@@ -144,10 +145,33 @@
         self.response_framing = Some(Framing::Length(0));
         self.write_caller(LAST_CHUNK)
       }
+      Some(Framing::Close) => {
+        self.unframed_complete = true;
+        Ok(())
+      }
       Some(_) => Ok(()),
     }
   }
 
+  /// Lets a complete response that is delimited by the close of its connection end in an orderly
+  /// way, and one that is incomplete with a reset.
+  pub(super) fn end_unframed(&mut self) {
+    if self.response_framing != Some(Framing::Close) || self.disposition != Disposition::Close {
+      return;
+    }
+    match self.unframed_complete {
+      true => self.set_reset_on_close(false),
+      false => self.disposition = Disposition::Reset,
+    }
+  }
+
+  fn set_reset_on_close(&self, reset: bool) {
+    if let Err(error) = self.caller.set_reset_on_close(reset) {
+      warn!(self.hub.log, "connection option not set"; "request" => &self.id, "reset" => reset,
+        "error" => %error);
+    }
+  }
+
   fn write_caller(&mut self, bytes: &[u8]) -> Result<(), Outcome> {
     if self.incoming.account.is_some() {
       return self.write_or_queue(bytes);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -77,6 +77,8 @@
   ticket: Ticket,
   /// Framing of the response whose head was sent to the caller; `None` before that.
   response_framing: Option<Framing>,
+  /// Whether a response that the close of its connection delimits is complete.
+  unframed_complete: bool,
   events: Parser,
   first_event_at: Option<u64>,
   /// Whether the request has waited for a server.
@@ -187,6 +189,7 @@
     deadline,
     ticket,
     response_framing: None,
+    unframed_complete: false,
     events: Parser::default(),
     first_event_at: None,
     has_waited: false,
@@ -213,6 +216,7 @@
   hub.close(ticket);
   relay.end_stalled();
   relay.flush();
+  relay.end_unframed();
   relay.disposition
 }
 
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -158,7 +158,13 @@
   /// Closes the connection with a reset. An incomplete response that ends with its connection must
   /// not look complete.
   pub fn reset(self) -> io::Result<()> {
-    SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    self.set_reset_on_close(true)
+  }
+
+  /// Sets whether the connection is reset when it is closed, also by the end of the process, or is
+  /// closed in an orderly way.
+  pub fn set_reset_on_close(&self, reset: bool) -> io::Result<()> {
+    SockRef::from(&self.stream).set_linger(reset.then_some(Duration::ZERO))
   }
 
   /// Reads available data into the input buffer.
