tunnel: a response without a length is reset when its tunnel ends early

What callers saw: an instance that reaches a server through another one takes the end of that connection for the end of an answer without a length. Where the other instance exited or crashed, its kernel closed the connection in an orderly way, and the part looked complete.

Cause: only a tunnel whose server broke off or whose time was over was reset.

Change: the connection to the opener resets on close from the start, and ends in an orderly way only once the server's last byte was passed on.

Ruled out by reading, not run: a stop cuts no tunnel before the end of its grace period (tunnels count as active), and takes no new one.

--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -124,6 +124,8 @@
       return answer(&mut peer, status, why);
     }
   };
+  // A response that the close of its connection delimits must not look complete unless it is.
+  set_reset_on_close(hub, &peer, true);
   answer(&mut peer, 200, "connected");
   hub.active.fetch_add(1, Ordering::Relaxed);
   let until = started + opening.remaining + DEADLINE_MARGIN;
@@ -131,10 +133,14 @@
   hub.active.fetch_sub(1, Ordering::Relaxed);
   info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
     "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
-  if matches!(end, End::Broken | End::TimedOut)
-    && let Err(error) = peer.reset()
-  {
-    warn!(hub.log, "connection reset failed"; "error" => %error);
+  if end == End::Finished {
+    set_reset_on_close(hub, &peer, false);
+  }
+}
+
+fn set_reset_on_close(hub: &Hub, peer: &Socket, reset: bool) {
+  if let Err(error) = peer.set_reset_on_close(reset) {
+    warn!(hub.log, "connection option not set"; "reset" => reset, "error" => %error);
   }
 }
 
