stop: a request that still runs before the exit gets a final response

Cause: at the end of the grace period the process exited beside requests that still ran. Their callers saw a closed connection, which promises nothing and says nothing; an answer without a length was only reset because its connection is set to.

Ruled out: a longer grace period, which the platform sets; ending all sends from one thread, which would race with theirs.

Threads that wait for a server are woken when the shutdown starts, and so see the new end.

--- a/src/hub.rs
+++ b/src/hub.rs
@@ -113,6 +113,8 @@
   pub gates: Gates,
   /// Whether a graceful shutdown has started.
   pub stopping: AtomicBool,
+  /// When requests that still run end because the process exits, in ms.
+  end_at: AtomicU64,
   /// Signalled when a graceful shutdown starts.
   pub stop_waker: Waker,
   /// Signalled when demand should be reported to the planner.
@@ -153,6 +155,7 @@
       measures,
       gates: Gates::new(),
       stopping: AtomicBool::new(false),
+      end_at: AtomicU64::new(u64::MAX),
       stop_waker: Waker::new()?,
       report_waker: Waker::new()?,
       active: AtomicUsize::new(0),
@@ -317,8 +320,14 @@
     }
   }
 
-  /// Starts a graceful shutdown.
-  pub fn stop(&self) {
+  /// When requests that still run end because the process exits, in ms.
+  pub fn end_at(&self) -> u64 {
+    self.end_at.load(Ordering::Relaxed)
+  }
+
+  /// Starts a graceful shutdown. Requests that still run end at `end_at`, in ms.
+  pub fn stop(&self, end_at: u64) {
+    self.end_at.store(end_at, Ordering::Relaxed);
     self.stopping.store(true, Ordering::Relaxed);
     self.stop_waker.wake();
   }
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -11,7 +11,7 @@
   tunnel,
 };
 use slog::{info, warn};
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 /// A repeatable request is retried when its server has not responded within this many objectives.
 const STALL_OBJECTIVES: u64 = 4;
@@ -219,19 +219,37 @@
     (now + stall).min(self.deadline)
   }
 
+  /// When the request ends even if its server still runs it: at its deadline, or before the process
+  /// exits.
+  fn end_at(&self) -> u64 {
+    self.deadline.min(self.hub.end_at())
+  }
+
   /// Waits for data from the server; an error is the outcome that ends the send.
   pub(super) fn read_server(&mut self, socket: &mut Socket, until: u64) -> Result<Fill, Outcome> {
     let mut timeout_at = self.hub.instant(until);
     loop {
+      let stopping = self.hub.stopping.load(Ordering::Relaxed);
       let has_room = self.has_room()?;
       let listen = self.caller.input.is_empty();
       let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Interest::Read));
       let server = has_room.then_some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Read));
       let waiting_since = Moment::now();
       let check_at = self.backlog.check_at(timeout_at);
-      let sources = [caller, server, self.write_source(), self.stalled_source()];
-      let waited = wait(sources, check_at);
-      let Ok([caller_ready, server_ready, writable, stalled_ready]) = waited else {
+      let end_at = self.hub.instant(self.end_at());
+      let stop = (!stopping).then_some((
+        &self.hub.stop_waker as &dyn rustix::fd::AsFd,
+        Interest::Read,
+      ));
+      let sources = [
+        caller,
+        server,
+        self.write_source(),
+        self.stalled_source(),
+        stop,
+      ];
+      let waited = wait(sources, check_at.min(end_at));
+      let Ok([caller_ready, server_ready, writable, stalled_ready, _]) = waited else {
         return Err(outcome(End::Broken, "wait failed"));
       };
       if writable && self.write_backlog().is_err() {
@@ -261,8 +279,12 @@
           self.disposition = Disposition::Close;
           return Err(outcome(End::Left, "caller left"));
         }
-      } else if self.hub.now() >= self.deadline {
-        return Err(outcome(End::Late, "time over"));
+      } else if self.hub.now() >= self.end_at() {
+        let why = match self.hub.now() >= self.deadline {
+          true => "time over",
+          false => "instance exits",
+        };
+        return Err(outcome(End::Late, why));
       } else if Moment::now() >= timeout_at {
         return Err(outcome(End::Broken, STALLED));
       }
--- a/src/router.rs
+++ b/src/router.rs
@@ -110,10 +110,10 @@
     let started = Moment::now();
     let active = || self.hub.active.load(Ordering::Relaxed);
     info!(self.hub.log, "stopping"; "active" => active());
-    self.hub.stop();
     let refuse_after_ms = self.grace.saturating_sub(REFUSAL_RESERVE).as_millis() as u64;
     let end_after_ms = self.grace.saturating_sub(END_RESERVE).as_millis() as u64;
     let now = self.hub.now();
+    self.hub.stop(now + end_after_ms);
     let stopping = Event::Stopping {
       accept_until: now + BALANCER_REMOVAL.as_millis() as u64 - REMOVAL_MARGIN_MS,
       refuse_waiting_at: now + refuse_after_ms,
