dispatch: a begun stream that breaks off waits for the retry budget

What callers saw: a stream that had begun and whose server really broke off was closed at once where the retry budget had nothing left, although its deadline was far and a retry would have been allowed a moment later.

Cause: a retry without budget was refused at once, whether the caller could be told that nothing ran or had the start of an answer, which is worth nothing without the rest.

Change: such a request waits and asks the budget again when it is checked, until its caller gives up or no untried server is left. The budget counts as before; nothing is sent beyond it.

Ruled out: a share of the budget for begun streams, which would have to exceed the bound or take from others.

Not run: real processes with an exhausted budget.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -73,6 +73,8 @@
   pub(crate) first_event_at: Option<u64>,
   /// Whether a retry was allowed that has not been sent yet.
   pub(crate) retry_pending: bool,
+  /// Whether the next send is a retry that the budget has not allowed yet.
+  awaits_budget: bool,
   /// When a run of the request last ended without a response.
   pub(crate) failed_at: u64,
   /// Whether the request's units are charged to its customer's quota.
@@ -331,6 +333,7 @@
       response_started: false,
       first_event_at: None,
       retry_pending: false,
+      awaits_budget: false,
       failed_at: 0,
       quota_charged: false,
       quota_requested_at: None,
@@ -563,6 +566,9 @@
     if request.sends >= request.descriptor.route.attempts + MAX_DECLINED_SENDS {
       return self.refuse(ticket, Reason::NoServer);
     }
+    if request.awaits_budget && !self.reserve_retry(ticket) {
+      return self.wait_for_budget(ticket);
+    }
     if !self.charge_quota(ticket) {
       return;
     }
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -2,11 +2,12 @@
 //! request.
 
 use super::{
-  State,
+  RECHECK_MS, State,
   event::{Attempt, Effect, End},
 };
 use crate::{
   backend::{self, Backend, missing_name},
+  cold::give_up_at,
   crash::Crash,
   demand::Model,
   dispatch::Request,
@@ -103,6 +104,9 @@
     let Some(request) = self.requests.get(&ticket).cloned() else {
       return;
     };
+    if request.response_started {
+      return self.wait_for_budget(ticket);
+    }
     if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
       return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
     }
@@ -113,6 +117,23 @@
     self.refuse(ticket, reason);
   }
 
+  /// Lets a request whose response has begun wait until the budget allows a retry: without the rest,
+  /// what the caller has got is worth nothing.
+  pub(super) fn wait_for_budget(&mut self, ticket: Ticket) {
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    request.awaits_budget = true;
+    let request = request.clone();
+    let give_up = give_up_at(&request);
+    if self.now >= give_up || self.failed_everywhere(&request) {
+      return self.refuse(ticket, Reason::ServerFailed);
+    }
+    let deadline = request.descriptor.deadline;
+    let until = deadline.min(give_up).min(self.now + RECHECK_MS);
+    self.enqueue(ticket, until);
+  }
+
   /// Whether the budget allows a retry of a request, which must then be sent or cancelled.
   pub(super) fn reserve_retry(&mut self, ticket: Ticket) -> bool {
     let now = self.now;
@@ -128,6 +149,7 @@
       self.out.push(Effect::RetryBudget { pool, standing });
     }
     request.retry_pending = fits;
+    request.awaits_budget &= !fits;
     fits
   }
 
