tests: a begun stream outlives changes of its route while it waits

The request keeps the route it arrived on, and its retry was allowed at the break. The test guards this. Not run: a change under real processes.

--- a/tests/begun.rs
+++ b/tests/begun.rs
@@ -5,15 +5,16 @@
 
 use bendsaddle::{
   backend::Spec,
-  deployment::Engine,
+  deployment::{Deployment, Engine, Pool},
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   refusal::Reason,
   request::Ticket,
-  route::{Repeat, Route, Stream},
+  retry::Bound,
+  route::{Part, Repeat, Route, Stream},
   verdict::Verdict,
 };
-use requests::{refused, restarted, route, seeded, spec};
-use std::sync::Arc;
+use requests::{BOUND, refused, restarted, route, seeded, spec};
+use std::{collections::BTreeMap, sync::Arc};
 
 const STREAM: Option<Stream> = Some(Stream {
   resumable: true,
@@ -138,3 +139,56 @@
   let refusal = refused(&effects).expect("it waits for a server");
   assert_eq!(refusal.reason, Reason::ServerFailed);
 }
+
+/// A newer deployment in which only `pools` remain and no route leads to the first one.
+fn deployment(pools: &[&str]) -> Event {
+  let moved = Route {
+    parts: vec![Part {
+      pool: "other".into(),
+      weight: 1,
+    }],
+    timeout_ms: 10,
+    ..route(Repeat::Never, STREAM, 3)
+  };
+  let pools = pools.iter().map(|name| {
+    let engine = Some(Arc::new(Engine::default()));
+    (name.to_string(), Pool { engine })
+  });
+  Event::Deployed(Arc::new(Deployment {
+    version: 2,
+    routes: vec![Arc::new(moved)],
+    pools: BTreeMap::from_iter(pools),
+    ..Deployment::default()
+  }))
+}
+
+// Guards against a change of the configuration that ends or redirects a response that has begun.
+#[test]
+fn a_begun_stream_outlives_changes_of_its_route_while_it_waits() {
+  for pools in [&["pool", "other"][..], &["other"]] {
+    let route = stream_route();
+    let mut state = seeded(Engine::default(), 1);
+    // The second server gets the retry and is full.
+    break_off(&mut state, &["one", "two"], &route);
+    let end = End::Full;
+    state.reduce(BROKEN_AT + 1, Event::Ended { ticket: BEGUN, end });
+    let effects = state.reduce(BROKEN_AT + 2, deployment(pools));
+    assert_eq!(refused(&effects), None, "{pools:?}");
+    // A reload of the settings allows no further retries.
+    state.retry_bound = Bound {
+      ratio: 0.0,
+      slack: 0.0,
+      ..BOUND
+    };
+    let other = Spec {
+      pool: "other".into(),
+      ..spec("astray")
+    };
+    let effects = state.reduce(BROKEN_AT + 10, Event::Servers(vec![Change::Set(other)]));
+    assert_eq!(refused(&effects), None);
+    assert_eq!(sent(&effects, BEGUN), None, "a server of another pool");
+    let three = Change::Set(spec("three"));
+    let effects = state.reduce(BROKEN_AT + 20, Event::Servers(vec![three]));
+    assert_eq!(sent(&effects, BEGUN).as_deref(), Some("three"), "{pools:?}");
+  }
+}
