dispatch: the wait of a stream whose stalled run is lost begins at the stall

Cause: the time from which a caller's patience is counted was not set when a stream stalled, so it was that of an earlier break, or the start of the process. Where the stalled run's connection then ended and the second server declined, the answer was cut at once; and the demand of a stalled stream was reported with no time left, so that no replica was loaded for it.

Ruled out: the retry budget and the route's attempts, which both had room.

Change: a stall counts like a break as the start of the wait. The tests' clock starts a minute after the process, as the fault only shows then.

--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -44,6 +44,7 @@
     };
     request.runs += 1;
     request.tried.push(key);
+    request.failed_at = now;
     request.verdict = Verdict::MayHaveRun;
     request.stalled = Some(Run {
       key,
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -16,16 +16,18 @@
 
 /// The only request.
 const TICKET: Ticket = Ticket(1);
+/// When it arrives, in ms: long after the start of the process.
+const ARRIVED_AT: u64 = 60_000;
 /// Its deadline, in ms.
-const DEADLINE_MS: u64 = 5_000;
+const DEADLINE_MS: u64 = ARRIVED_AT + 5_000;
 /// When its stream stalls, in ms.
-const STALLED_AT: u64 = 1_300;
+const STALLED_AT: u64 = ARRIVED_AT + 1_300;
 
 /// A stream that runs at server `one` and has begun, beside these further servers.
 fn begun(others: &[&str], attempts: u32) -> State {
   let mut state = requests::deployed(Engine::default());
   let servers = vec![Change::All(vec![spec("one")])];
-  state.reduce(0, Event::Servers(servers));
+  state.reduce(ARRIVED_AT - 1, Event::Servers(servers));
   let stream = Stream {
     resumable: true,
     gap_ms: 300,
@@ -43,12 +45,12 @@
     tokens: None,
   };
   assert_eq!(
-    sent(&state.reduce(1, Event::Arrived(descriptor))),
+    sent(&state.reduce(ARRIVED_AT, Event::Arrived(descriptor))),
     Some("one".into())
   );
-  state.reduce(100, Event::ResponseStarted(TICKET));
+  state.reduce(ARRIVED_AT + 100, Event::ResponseStarted(TICKET));
   let others: Vec<Change> = others.iter().map(|id| Change::Set(spec(id))).collect();
-  state.reduce(101, Event::Servers(others));
+  state.reduce(ARRIVED_AT + 101, Event::Servers(others));
   state
 }
 
@@ -157,6 +159,20 @@
   assert_eq!((running(&state, "one"), running(&state, "two")), (1, 0));
 }
 
+// The wait of a stream whose stalled run is lost was counted from the start of the process, and over.
+#[test]
+fn a_stream_whose_stalled_run_is_lost_waits_for_another_server() {
+  for end in [End::Full, End::Missing, End::Unreached] {
+    let mut state = begun(&["two"], 3);
+    state.reduce(STALLED_AT, ended(End::Stalled));
+    state.reduce(STALLED_AT + 10, Event::StalledRunLost(TICKET));
+    let effects = state.reduce(STALLED_AT + 20, ended(end));
+    assert_eq!(refused(&effects), None, "{end:?}");
+    let effects = state.reduce(STALLED_AT + 1_000, Event::Recheck(TICKET));
+    assert_eq!(refused(&effects), None, "{end:?}");
+  }
+}
+
 // A caller that leaves must free both servers.
 #[test]
 fn a_caller_that_leaves_ends_the_stalled_run_too() {
@@ -201,9 +217,9 @@
 
 fn stopping() -> Event {
   Event::Stopping {
-    accept_until: 2_000,
-    refuse_waiting_at: 3_000,
-    end_at: 4_000,
+    accept_until: ARRIVED_AT + 2_000,
+    refuse_waiting_at: ARRIVED_AT + 3_000,
+    end_at: ARRIVED_AT + 4_000,
   }
 }
 
@@ -218,21 +234,21 @@
       ..spec("later")
     };
     state.reduce(STALLED_AT, stopping());
-    state.reduce(2_800, Event::Servers(vec![Change::Set(later)]));
+    state.reduce(ARRIVED_AT + 2_800, Event::Servers(vec![Change::Set(later)]));
     let first = state.reduce(
-      2_900,
+      ARRIVED_AT + 2_900,
       ended(if stalled { End::Stalled } else { End::Broken }),
     );
     assert_eq!(sent(&first), Some("later".into()));
-    state.reduce(2_910, ended(End::Full));
-    for at in [3_000, 3_500, 3_999] {
+    state.reduce(ARRIVED_AT + 2_910, ended(End::Full));
+    for at in [3_000, 3_500, 3_999].map(|at| ARRIVED_AT + at) {
       let effects = state.reduce(at, Event::Recheck(TICKET));
       assert_eq!(refused(&effects), None, "at {at}, stalled {stalled}");
       if sent(&effects).is_some() {
         state.reduce(at, ended(End::Full));
       }
     }
-    let refusal = refused(&state.reduce(4_000, Event::Recheck(TICKET)));
+    let refusal = refused(&state.reduce(ARRIVED_AT + 4_000, Event::Recheck(TICKET)));
     assert_eq!(refusal.unwrap().reason, Reason::Stopping);
   }
 }
