dispatch: a begun plain answer is final on a route with streams too

Cause: whether another run can continue what the caller has got was inferred from the route. A server's large failure on a route with streams is a plain answer that is forwarded in part; where it broke off, the next server's whole stream was appended to it.

Ruled out: a stream that a large failure follows, which is held back already.

Change: the relay says that a plain answer has begun, and the reducer does not retry it, whatever the route.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -67,8 +67,10 @@
   pub waiting_since: Option<u64>,
   /// When the request was last sent.
   pub(crate) sent: u64,
-  /// Whether any part of a response has arrived.
+  /// Whether any part of a response has arrived, and whether it is one that no other run can
+  /// continue.
   pub(crate) response_started: bool,
+  plain_started: bool,
   /// When the current send delivered its first event.
   pub(crate) first_event_at: Option<u64>,
   /// Whether a retry was allowed that has not been sent yet.
@@ -258,6 +260,7 @@
         self.record_first_event(ticket);
         self.record_answer_start(ticket);
       }
+      Event::PlainStarted(ticket) => self.on_plain_started(ticket),
       Event::Recheck(ticket) => self.dispatch(ticket),
       Event::CallerGone(ticket) => self.on_caller_gone(ticket),
       Event::StoreLost => self.expiry.store_lost(now),
@@ -331,6 +334,7 @@
       waiting_since: None,
       sent: 0,
       response_started: false,
+      plain_started: false,
       first_event_at: None,
       retry_pending: false,
       awaits_budget: false,
@@ -615,6 +619,15 @@
     self.enqueue(ticket, until);
   }
 
+  /// Records that the caller receives the start of a plain response.
+  fn on_plain_started(&mut self, ticket: Ticket) {
+    self.record_first_event(ticket);
+    self.record_answer_start(ticket);
+    if let Some(request) = self.requests.get_mut(&ticket) {
+      request.plain_started = true;
+    }
+  }
+
   /// Records the first event of the current send.
   fn record_first_event(&mut self, ticket: Ticket) {
     let now = self.now;
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -88,9 +88,7 @@
       return;
     };
     let route = &request.descriptor.route;
-    // No other run continues a plain response that the caller has received in part.
-    let can_go_on = route.stream.is_some() || !request.response_started;
-    if route.repeatable() && request.runs < route.attempts && can_go_on {
+    if route.repeatable() && request.runs < route.attempts && !request.plain_started {
       self.retry(ticket);
     } else {
       self.refuse(ticket, Reason::ServerFailed);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -205,6 +205,8 @@
   },
   /// The first response to a request has started.
   ResponseStarted(Ticket),
+  /// The caller receives the start of a plain response, which no other run can continue.
+  PlainStarted(Ticket),
   /// The stream of a send has ended; its longest pause between two events was `pause_ms`.
   StreamEnded {
     ticket: Ticket,
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -135,7 +135,7 @@
   /// Records that the caller receives the start of a plain response.
   fn begin_plain(&mut self) {
     self.first_event_at = Some(self.hub.now());
-    self.apply(Event::ResponseStarted(self.ticket));
+    self.apply(Event::PlainStarted(self.ticket));
   }
 
   fn decline_outcome(&self, head: &Response, attempt: &Attempt) -> Option<Outcome> {
--- a/tests/begun.rs
+++ b/tests/begun.rs
@@ -53,14 +53,24 @@
   Arc::new(route(Repeat::Never, STREAM, 3))
 }
 
-/// Adds servers, and begins a request at one of them that then breaks off; returns the effects of
+/// Adds servers, and begins a stream at one of them that then breaks off; returns the effects of
 /// the break.
 fn break_off(state: &mut State, servers: &[&str], route: &Arc<Route>) -> Vec<Effect> {
+  break_off_after(state, servers, route, Event::ResponseStarted(BEGUN))
+}
+
+/// Same as `break_off`, for a response that starts like this.
+fn break_off_after(
+  state: &mut State,
+  servers: &[&str],
+  route: &Arc<Route>,
+  start: Event,
+) -> Vec<Effect> {
   let servers: Vec<Spec> = servers.iter().map(|id| spec(id)).collect();
   state.reduce(0, Event::Servers(vec![Change::All(servers)]));
   let effects = state.reduce(1, arrived(BEGUN, route));
   assert!(sent(&effects, BEGUN).is_some());
-  state.reduce(50, Event::ResponseStarted(BEGUN));
+  state.reduce(50, start);
   let end = End::Broken;
   state.reduce(BROKEN_AT, Event::Ended { ticket: BEGUN, end })
 }
@@ -129,15 +139,19 @@
   assert!(retries <= count / REQUESTS_PER_RETRY + 1, "{retries}");
 }
 
-/// A plain response whose start the caller has received.
+// The caller got the start of a plain response, and then all of another server's. On a route with streams
+// a server's failure is a plain response too.
 #[test]
 fn a_begun_plain_response_is_not_retried() {
-  let route = Arc::new(route(Repeat::Always, None, 3));
-  let mut state = seeded(Engine::default(), 1);
-  let effects = break_off(&mut state, &["one", "two"], &route);
-  assert_eq!(sent(&effects, BEGUN), None);
-  let refusal = refused(&effects).expect("it waits for a server");
-  assert_eq!(refusal.reason, Reason::ServerFailed);
+  for stream in [None, STREAM] {
+    let route = Arc::new(route(Repeat::Always, stream, 3));
+    let mut state = seeded(Engine::default(), 1);
+    let start = Event::PlainStarted(BEGUN);
+    let effects = break_off_after(&mut state, &["one", "two"], &route, start);
+    assert_eq!(sent(&effects, BEGUN), None);
+    let refusal = refused(&effects).expect("it waits for a server");
+    assert_eq!(refusal.reason, Reason::ServerFailed);
+  }
 }
 
 /// A newer deployment in which only `pools` remain and no route leads to the first one.
