relay: pace and pauses are counted at the server that caused them

Cause: the gaps between the events of a stalled stream were kept until the next send ended, and were then taken for the pace of the second server; and a second send that delivered nothing counted as a paused stream of that server, beside the first one's.

Ruled out: sends after a real break, whose gaps are taken at the break.

Change: the gaps are measured when the stream stalls, and a send beside a stalled run counts no stream unless it delivers one.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -300,12 +300,14 @@
     }
     let (ticket, end) = (self.ticket, result.end);
     if end == End::Stalled {
+      self.record_completed(end, self.sending.sent_at);
       self.apply(Event::Ended { ticket, end });
       return false;
     }
     self.log_send(attempt, result, &self.sending);
     self.record_completed(end, self.sending.sent_at);
-    let streamed = self.first_event_at.is_some() && end != End::Superseded;
+    // The events so far came from the stalled run.
+    let streamed = self.first_event_at.is_some() && self.stalled.is_none();
     if streamed && self.hub.state().features.caller_strain {
       // A stream that broke off was silent until now.
       let silent_ms = self.hub.now().saturating_sub(self.last_event_at);
