dispatch: sends beside a stalled run are spaced, and leave what a break needs

Cause: a second send of a silent stream was decided like the retry of a broken one, as if silence were the run's failure. Where the other server declined, it was asked again at once, until the number of sends was used up, and nobody was asked later; a slow server that stalled twice had used up the attempts that its end needed; a request that could be sent nowhere else waited among those for which models are loaded and others refused; and a server that went on was avoided longer after each pause.

Ruled out: not counting second runs as attempts, since they may have run.

Change: after a second send without an event the next one follows 100 ms later, sends that no server ran do not count as declined ones, and a revoked key ends them; the route's last attempt is used after two further gaps of silence only; a request that may run nowhere else waits unseen by the others; a server that continues is forgiven its pause.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -57,6 +57,9 @@
 pub struct Request {
   pub descriptor: Descriptor,
   pub sends: u32,
+  /// Sends beside a stalled run that no server has run; they do not count among those that servers
+  /// may decline.
+  pub(crate) uncounted_sends: u32,
   /// Number of sends that servers may have run.
   pub runs: u32,
   pub backend: Option<backend::Key>,
@@ -326,6 +329,7 @@
     let request = Request {
       descriptor,
       sends: 0,
+      uncounted_sends: 0,
       runs: 0,
       backend: None,
       tried: Vec::new(),
@@ -567,7 +571,8 @@
     if self.now >= give_up_at {
       return self.refuse(ticket, Reason::Stopping);
     }
-    if request.sends >= request.descriptor.route.attempts + MAX_DECLINED_SENDS {
+    let sends = request.sends - request.uncounted_sends;
+    if sends >= request.descriptor.route.attempts + MAX_DECLINED_SENDS {
       return self.refuse(ticket, Reason::NoServer);
     }
     if request.awaits_budget && !self.reserve_retry(ticket) {
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -66,7 +66,7 @@
       End::Whole | End::Failed | End::Left => self.forget(ticket),
       End::Superseded => self.continue_run(ticket),
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
-      _ if stalled => self.dispatch(ticket),
+      end if stalled => self.on_second_send_ended(ticket, end),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.retry(ticket),
       End::Broken | End::Crashed | End::Stalled => self.retry_if_repeatable(ticket),
       End::Barred => self.refuse(ticket, Reason::KeyUnknown),
--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -5,7 +5,7 @@
 //! until either of them sends the next event.
 
 use super::{
-  MAX_DECLINED_SENDS, RECHECK_MS, State,
+  RECHECK_MS, State,
   choice::memory::Held,
   ending::avoid_after_failure,
   event::{Effect, End},
@@ -15,6 +15,10 @@
   backend, crash::Admission, limit::Choice, refusal::Reason, request::Ticket, verdict::Verdict,
 };
 
+/// The last of a route's attempts is kept for a break until a stream has been silent for this many
+/// further allowed gaps: a slow server stalls again and again.
+const LAST_ATTEMPT_GAPS: u64 = 2;
+
 /// A run whose server sends nothing for now. Times are in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
@@ -23,6 +27,8 @@
   /// When the request was sent to the server, and when its first event arrived.
   sent: u64,
   first_event_at: Option<u64>,
+  /// When another server may be tried again; `None` if it must not.
+  retry_at: Option<u64>,
 }
 
 impl State {
@@ -51,6 +57,7 @@
       held: request.held.take(),
       sent: request.sent,
       first_event_at: request.first_event_at,
+      retry_at: Some(now),
     });
     if let Some(backend) = self.backends.get_mut(key) {
       avoid_after_failure(backend, now);
@@ -71,9 +78,18 @@
     if now >= self.end_at {
       return self.refuse(ticket, Reason::Stopping);
     }
+    let deadline = request.descriptor.deadline;
+    let until = deadline.min(self.end_at).min(now + RECHECK_MS);
+    let Some(retry_at) = self.retry_at(ticket) else {
+      return self.await_stalled_run(ticket, until);
+    };
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
     let new = request.waiting_since.is_none();
     request.waiting_since.get_or_insert(now);
-    if self.may_run_elsewhere(ticket) && self.reserve_retry(ticket) {
+    let is_due = now >= retry_at && !self.candidates(ticket).is_empty();
+    if is_due && self.reserve_retry(ticket) {
       match self.choose_server(ticket, None) {
         Choice::Server(key) => return self.send(ticket, key),
         Choice::Pending(_) | Choice::AtLimit(_) | Choice::Unavailable => self.cancel_retry(ticket),
@@ -82,7 +98,7 @@
     let Some(request) = self.requests.get(&ticket).cloned() else {
       return;
     };
-    self.enqueue(ticket, request.descriptor.deadline.min(now + RECHECK_MS));
+    self.enqueue(ticket, until);
     if new && self.waits_for_room(&request) {
       self.record_no_room(ticket);
     }
@@ -91,20 +107,49 @@
     }
   }
 
-  /// Whether a request whose stream has stalled may be sent to another server, and one can take it.
-  /// A request that may crash servers runs only once at a time.
-  fn may_run_elsewhere(&self, ticket: Ticket) -> bool {
-    let Some(request) = self.requests.get(&ticket) else {
-      return false;
-    };
-    let attempts = request.descriptor.route.attempts;
+  /// Lets a request that may not be sent to another server wait for its own, unseen by those that
+  /// wait for a server.
+  fn await_stalled_run(&mut self, ticket: Ticket, until: u64) {
+    if let Some(request) = self.requests.get_mut(&ticket) {
+      self.waiting.remove(&queue_key(request));
+      request.waiting_since = None;
+    }
+    self.out.push(Effect::Wait(ticket, until));
+  }
+
+  /// When a request whose stream has stalled may be sent to another server; `None` if it must not. A
+  /// request that may crash servers runs only once at a time.
+  fn retry_at(&self, ticket: Ticket) -> Option<u64> {
+    let request = self.requests.get(&ticket)?;
+    let route = &request.descriptor.route;
+    let retry_at = request.stalled?.retry_at?;
     let admission = self
       .crash_filter
       .admission(self.now, request.descriptor.content);
-    admission == Admission::Allowed
-      && request.runs < attempts
-      && request.sends < attempts + MAX_DECLINED_SENDS
-      && !self.candidates(ticket).is_empty()
+    if admission != Admission::Allowed || request.runs >= route.attempts {
+      return None;
+    }
+    let gap_ms = route.stream.map_or(0, |stream| stream.gap_ms);
+    let reserve_ms = match request.runs + 1 == route.attempts {
+      true => gap_ms * LAST_ATTEMPT_GAPS,
+      false => 0,
+    };
+    Some(retry_at.max(request.failed_at + reserve_ms))
+  }
+
+  /// Records that a send beside a stalled run has ended without an event.
+  pub(super) fn on_second_send_ended(&mut self, ticket: Ticket, end: End) {
+    let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return;
+    };
+    if end.verdict() == Verdict::NotRun {
+      request.uncounted_sends += 1;
+    }
+    if let Some(run) = &mut request.stalled {
+      run.retry_at = (end != End::Barred).then_some(now + RECHECK_MS);
+    }
+    self.dispatch(ticket);
   }
 
   /// Records that the server of a stalled stream sends again. A send that was decided meanwhile and
@@ -140,6 +185,9 @@
     request.first_event_at = run.first_event_at;
     request.runs -= 1;
     request.tried.retain(|key| *key != run.key);
+    if let Some(backend) = self.backends.get_mut(run.key) {
+      backend.failures = backend.failures.saturating_sub(1);
+    }
   }
 
   /// Ends the stalled run of a request: another server continues its stream, or nobody does.
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -126,7 +126,7 @@
     let mut state = begun(&["two"], 3);
     state.reduce(STALLED_AT, ended(End::Stalled));
     let effects = state.reduce(STALLED_AT + 10, ended(end));
-    assert_eq!(refused(&effects), None, "{end:?}");
+    assert_eq!((sent(&effects), refused(&effects)), (None, None), "{end:?}");
     assert_eq!(running(&state, "one"), 1, "{end:?}");
     state.reduce(STALLED_AT + 20, Event::Continued(TICKET));
     state.reduce(STALLED_AT + 30, ended(End::Whole));
@@ -186,17 +186,82 @@
   assert_eq!(running(&state, "one"), 0);
 }
 
+/// Silence after which the last attempt may be used: two further gaps.
+const LAST_ATTEMPT_MS: u64 = 600;
+
 // The stalled run counts as one of the route's attempts.
 #[test]
 fn a_stalled_stream_runs_on_no_more_servers_than_its_route_allows() {
   let mut state = begun(&["two", "three"], 2);
   let effects = state.reduce(STALLED_AT, ended(End::Stalled));
-  assert!(sent(&effects).is_some());
-  let effects = state.reduce(STALLED_AT + 10, ended(End::Broken));
-  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  assert_eq!(sent(&effects), None, "the last attempt is for a break");
+  let at = STALLED_AT + LAST_ATTEMPT_MS;
+  assert!(sent(&state.reduce(at, Event::Recheck(TICKET))).is_some());
+  for (at, event) in [
+    (at + 10, ended(End::Broken)),
+    (at + 1_000, Event::Recheck(TICKET)),
+  ] {
+    let effects = state.reduce(at, event);
+    assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  }
   let mut state = begun(&["two"], 1);
-  let effects = state.reduce(STALLED_AT, ended(End::Stalled));
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  let effects = state.reduce(STALLED_AT + 1_000, Event::Recheck(TICKET));
   assert_eq!((sent(&effects), refused(&effects)), (None, None));
+  // It must not be loaded for, nor have others refused for want of room.
+  assert!(state.waiting.is_empty());
+}
+
+// A slow server whose stream stalls again and again used up the attempts that its end needs.
+#[test]
+fn a_stream_that_has_stalled_twice_is_retried_when_it_breaks_off() {
+  let mut state = begun(&["two", "three"], 3);
+  for at in [STALLED_AT, STALLED_AT + 400] {
+    if sent(&state.reduce(at, ended(End::Stalled))).is_some() {
+      state.reduce(at + 10, ended(End::Superseded));
+    } else {
+      state.reduce(at + 10, Event::Continued(TICKET));
+    }
+  }
+  let effects = state.reduce(STALLED_AT + 500, ended(End::Broken));
+  assert!(sent(&effects).is_some(), "{effects:?}");
+}
+
+// Servers that decline were asked again at once, until no send was left for one that has room later.
+#[test]
+fn servers_that_decline_a_stalled_stream_are_asked_again_later() {
+  let mut state = begun(&["two"], 3);
+  // Each send is a retry that the budget must allow.
+  state.retry_bound.slack *= 10.0;
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  for round in 0..10 {
+    let at = STALLED_AT + 10 + round * 100;
+    let effects = state.reduce(at, ended(End::Full));
+    assert_eq!(sent(&effects), None, "at once in round {round}");
+    let effects = state.reduce(at + 100, Event::Recheck(TICKET));
+    assert_eq!(sent(&effects), Some("two".into()), "round {round}");
+  }
+}
+
+// A key that is revoked leads to no further sends, and ends no run that has begun.
+#[test]
+fn a_stalled_stream_whose_key_is_revoked_is_sent_nowhere_else() {
+  let mut state = begun(&["two"], 3);
+  state.reduce(STALLED_AT, ended(End::Stalled));
+  state.reduce(STALLED_AT + 10, ended(End::Barred));
+  let effects = state.reduce(STALLED_AT + 1_000, Event::Recheck(TICKET));
+  assert_eq!((sent(&effects), refused(&effects)), (None, None));
+}
+
+// Silence is no failure: a server that goes on must not be avoided longer at each pause.
+#[test]
+fn a_server_that_continues_is_not_avoided_longer_each_time() {
+  let mut state = begun(&[], 3);
+  for at in (0..6).map(|round| STALLED_AT + round * 300) {
+    state.reduce(at, ended(End::Stalled));
+    state.reduce(at + 100, Event::Continued(TICKET));
+  }
+  assert_eq!(state.backends[state.by_id["one"]].failures, 0);
 }
 
 // A second run is a retry: without budget the stream waits for its server, and is not cut.
