relay: a second send is withdrawn if the first server continues while it connects

Cause: the connection of a stalled run was not looked at while a connection to another server came up, up to some 700 ms. A stream that had continued meanwhile was sent to the other server all the same, for a run that was then superseded: paid for, counted and one attempt less.

Ruled out: polling during the connection, which is a single blocking call with its own time limit.

Change: after the connection has come up the stalled run is looked at; if its server has sent something, the send ends as `withdrawn`, as not run, and the new connection is kept for later. Not covered: a request whose body the second server takes slowly.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -64,7 +64,7 @@
     let stalled = self.is_stalled(ticket);
     match end {
       End::Whole | End::Failed | End::Left => self.forget(ticket),
-      End::Superseded => self.continue_run(ticket),
+      End::Superseded | End::Withdrawn => self.continue_run(ticket),
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       end if stalled => self.on_second_send_ended(ticket, end),
       End::Full | End::Missing | End::Replaced | End::Unreached => self.retry(ticket),
@@ -181,6 +181,7 @@
       | End::Left
       | End::Stalled
       | End::Superseded
+      | End::Withdrawn
       | End::Late
       | End::Unsent
       | End::Leaving
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -116,6 +116,8 @@
   Stalled,
   /// The server of the earlier run continued the stream before this one did.
   Superseded,
+  /// Like `Superseded`, before anything was sent.
+  Withdrawn,
   /// The caller disconnected.
   Left,
   /// The request timed out after it was sent.
@@ -141,6 +143,7 @@
       Self::Crashed => "crashed",
       Self::Stalled => "stalled",
       Self::Superseded => "superseded",
+      Self::Withdrawn => "withdrawn",
       Self::Left => "left",
       Self::Late => "late",
     }
@@ -150,7 +153,13 @@
   pub fn may_have_reached_server(self) -> bool {
     !matches!(
       self,
-      Self::Unreached | Self::Unsent | Self::Leaving | Self::Resting | Self::Barred | Self::Unsure
+      Self::Unreached
+        | Self::Unsent
+        | Self::Leaving
+        | Self::Resting
+        | Self::Barred
+        | Self::Unsure
+        | Self::Withdrawn
     )
   }
 
@@ -165,7 +174,8 @@
       | Self::Leaving
       | Self::Resting
       | Self::Barred
-      | Self::Unsure => Verdict::NotRun,
+      | Self::Unsure
+      | Self::Withdrawn => Verdict::NotRun,
       _ => Verdict::MayHaveRun,
     }
   }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -319,7 +319,7 @@
     }
     self.apply(Event::Ended { ticket, end });
     match end {
-      End::Superseded => self.continue_stalled(),
+      End::Superseded | End::Withdrawn => self.continue_stalled(),
       end => matches!(end, End::Whole | End::Failed | End::Left),
     }
   }
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -57,6 +57,10 @@
     if self.hub.now() >= self.deadline {
       return outcome(End::Unsent, "time over while the connection came up");
     }
+    if self.stalled_run_goes_on() {
+      self.release(connection.socket, attempt, Reuse::Within(None));
+      return outcome(End::Withdrawn, "the earlier server continues the stream");
+    }
     // New facts about the server may have arrived while the connection was established.
     if let Some(end) = self.hub.state().abort_reason(attempt) {
       return outcome(end, "overtaken by what became known of the server");
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -150,6 +150,21 @@
   assert_eq!(running(&state, "one"), 0);
 }
 
+// A send that is withdrawn before it begins is no attempt of the route.
+#[test]
+fn a_withdrawn_send_counts_as_no_attempt() {
+  let mut state = begun(&["two"], 3);
+  for round in 0..4 {
+    let at = STALLED_AT + round * 200;
+    assert_eq!(
+      sent(&state.reduce(at, ended(End::Stalled))),
+      Some("two".into())
+    );
+    state.reduce(at + 10, ended(End::Withdrawn));
+  }
+  assert_eq!((running(&state, "one"), running(&state, "two")), (1, 0));
+}
+
 // A send that was decided and that no thread has begun when the first server continues.
 #[test]
 fn a_send_that_has_not_begun_is_cancelled_when_the_stalled_run_continues() {
