stop: what still runs ends 100 ms before the process exits, however short the grace period

Cause: the time at which sends end was taken from the grace period alone. A process stays at least 3 s, until load balancers have removed it, so with a grace period under 4 s runs ended up to a second before the exit; and a request that waits for its turn as a suspect was not checked at that time.

Ruled out: exits before that time (the process waits for all that is active).

Change: the time counts from the later of the two exits, and the reserve is 100 ms instead of 200 ms, which leaves a run that ends late more of it. The flag of the shutdown is stored after that time, in an order that other threads see.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -620,7 +620,8 @@
     if self.now >= give_up {
       return self.refuse(ticket, Reason::NoServer);
     }
-    let until = request.descriptor.deadline.min(give_up).min(turn_at);
+    let deadline = request.descriptor.deadline.min(self.end_at);
+    let until = deadline.min(give_up).min(turn_at);
     self.enqueue(ticket, until);
   }
 
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -328,7 +328,8 @@
   /// Starts a graceful shutdown. Requests that still run end at `end_at`, in ms.
   pub fn stop(&self, end_at: u64) {
     self.end_at.store(end_at, Ordering::Relaxed);
-    self.stopping.store(true, Ordering::Relaxed);
+    // Who sees that the shutdown has started also sees when requests end.
+    self.stopping.store(true, Ordering::Release);
     self.stop_waker.wake();
   }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -33,7 +33,7 @@
 /// answer has begun.
 const REFUSAL_RESERVE: Duration = Duration::from_millis(1_000);
 /// Time before the exit at which what still waits or runs is ended, so that it ends in order.
-const END_RESERVE: Duration = Duration::from_millis(200);
+const END_RESERVE: Duration = Duration::from_millis(100);
 /// Interval at which a graceful shutdown checks whether it is complete.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the time limit for revoking keys during which known keys are trusted, in percent. The
@@ -111,7 +111,8 @@
     let active = || self.hub.active.load(Ordering::Relaxed);
     info!(self.hub.log, "stopping"; "active" => active());
     let refuse_after_ms = self.grace.saturating_sub(REFUSAL_RESERVE).as_millis() as u64;
-    let end_after_ms = self.grace.saturating_sub(END_RESERVE).as_millis() as u64;
+    let exit_after = self.grace.max(BALANCER_REMOVAL);
+    let end_after_ms = (exit_after - END_RESERVE).as_millis() as u64;
     let now = self.hub.now();
     self.hub.stop(now + end_after_ms);
     let stopping = Event::Stopping {
