relay: a stalled run is charged for its bytes, and its line says how it ended

Cause: the partial event and the unread bytes of a stalled stream counted for no caller's account; a stalled run whose server closed its connection was logged as silent, and the line of a stall counted the silence of a second send from the first one's last event.

Change: the bytes count with the caller's; the lines say which. The function that reads from the stalled run no longer reads like a question.

--- a/src/relay/backlog.rs
+++ b/src/relay/backlog.rs
@@ -170,7 +170,7 @@
     let Some(account) = &self.incoming.account else {
       return Ok(true);
     };
-    let held = self.backlog.held + self.events.partial().len();
+    let held = self.backlog.held + self.events.partial().len() + self.stalled_bytes();
     // The charge of each request covers this much.
     let covered = held + READ_BYTES <= reader::BASE_BYTES as usize;
     let wanted = if covered { 0 } else { held + READ_BYTES };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -218,7 +218,7 @@
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   relay.run(mailbox);
   hub.close(ticket);
-  relay.end_stalled();
+  relay.end_stalled(STALLED);
   relay.flush();
   relay.end_unframed();
   relay.await_abandoned();
@@ -327,11 +327,7 @@
   /// Logs that a server sends nothing, and how many others could take the request now.
   fn log_stall(&self, attempt: &Attempt) {
     let begun = self.response_framing.is_some();
-    let since = if begun {
-      self.last_event_at
-    } else {
-      self.incoming.arrived_at
-    };
+    let since = self.last_event_at.max(self.sending.sent_at);
     let others = self.hub.state().other_servers(attempt);
     info!(self.hub.log, "server stalled"; "request" => &self.id, "server" => &attempt.id,
       "send" => attempt.number, "begun" => begun, "events" => self.events.count,
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -57,7 +57,7 @@
     if self.hub.now() >= self.deadline {
       return outcome(End::Unsent, "time over while the connection came up");
     }
-    if self.stalled_run_goes_on() {
+    if self.poll_stalled() {
       self.release(connection.socket, attempt, Reuse::Within(None));
       return outcome(End::Withdrawn, "the earlier server continues the stream");
     }
@@ -229,7 +229,7 @@
   pub(super) fn read_server(&mut self, socket: &mut Socket, until: u64) -> Result<Fill, Outcome> {
     let mut timeout_at = self.hub.instant(until);
     loop {
-      let stopping = self.hub.stopping.load(Ordering::Relaxed);
+      let stopping = self.hub.stopping.load(Ordering::Acquire);
       let has_room = self.has_room()?;
       let listen = self.caller.input.is_empty();
       let caller = listen.then_some((&self.caller.stream as &dyn rustix::fd::AsFd, Interest::Read));
@@ -263,7 +263,7 @@
         // The server is not to blame for the time in which it was not read.
         timeout_at = timeout_at + waiting_since.elapsed();
       }
-      if stalled_ready && self.stalled_run_goes_on() {
+      if stalled_ready && self.poll_stalled() {
         return Err(outcome(
           End::Superseded,
           "the earlier server continues the stream",
--- a/src/relay/stalled.rs
+++ b/src/relay/stalled.rs
@@ -1,7 +1,7 @@
 //! The stream of a run whose server sends nothing for a while. Its connection is kept until another
 //! server continues the stream, and the run is continued if its server sends first.
 
-use super::{Outcome, Relay, STALLED, Stream, outcome};
+use super::{Relay, Stream, outcome};
 use crate::{
   dispatch::{End, Event},
   http::Framing,
@@ -24,15 +24,21 @@
     self.stalled = Some(stream);
   }
 
+  /// Bytes held for the stalled run.
+  pub(super) fn stalled_bytes(&self) -> usize {
+    let stream = self.stalled.as_ref();
+    stream.map_or(0, |stream| stream.partial.len() + stream.socket.input.len())
+  }
+
   /// The connection of the stalled run, if there is one.
   pub(super) fn stalled_source(&self) -> Option<(&dyn AsFd, Interest)> {
     let stream = self.stalled.as_ref()?;
     Some((&stream.socket.stream as &dyn AsFd, Interest::Read))
   }
 
-  /// Whether the server of the stalled run has sent something. If it has closed the connection
-  /// instead, the run is dropped.
-  pub(super) fn stalled_run_goes_on(&mut self) -> bool {
+  /// Reads what the server of the stalled run has sent; returns whether its stream continues. If it has
+  /// closed the connection, the run is dropped.
+  pub(super) fn poll_stalled(&mut self) -> bool {
     let Some(stream) = &mut self.stalled else {
       return false;
     };
@@ -43,7 +49,7 @@
       Ok(Fill::Eof) if stream.framing == Framing::Close => return true,
       Ok(Fill::Eof) | Err(_) => {}
     }
-    self.end_stalled();
+    self.end_stalled("connection closed by server");
     self.apply(Event::StalledRunLost(self.ticket));
     false
   }
@@ -61,15 +67,14 @@
     self.events.set_partial(std::mem::take(&mut stream.partial));
     let attempt = stream.attempt.clone();
     let result = self.follow(stream);
-    let result: Outcome = result.unwrap_or_else(|result| self.check_crash(result, &attempt));
+    let result = result.unwrap_or_else(|result| self.check_crash(result, &attempt));
     self.end_send(&attempt, &result)
   }
 
-  /// Closes the connection of the stalled run, if there is one: another server continues its stream,
-  /// or its request has ended.
-  pub(super) fn end_stalled(&mut self) {
+  /// Closes the connection of the stalled run, if there is one.
+  pub(super) fn end_stalled(&mut self, why: &'static str) {
     if let Some(stream) = self.stalled.take() {
-      let result = outcome(End::Broken, STALLED);
+      let result = outcome(End::Broken, why);
       self.log_send(&stream.attempt, &result, &stream.sending);
     }
   }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -81,7 +81,7 @@
   fn forward_events(&mut self, stream: &mut Stream, complete: &[u8]) -> Result<(), Outcome> {
     if !std::mem::replace(&mut stream.started, true) && self.first_event_at.is_some() {
       self.resumed = true;
-      self.end_stalled();
+      self.end_stalled(STALLED);
       self.apply(Event::Resumed(self.ticket));
     }
     self.record_event();
