relay: a silent run is given up only where another server can take the request

Cause: a run that had sent nothing for four objectives, and 900 ms at least, was given up whatever could be done instead: with no other server, at the last attempt or without retry budget its caller got a 502 at once, though the run was alive and the deadline far.

Ruled out: keeping such a run beside a second one, like that of a stream that has begun: a second run of a request that is not a stream may cost as much as the first, and its caller has nothing to lose yet.

Change: before a silent run is given up, the reducer is asked whether the route and the retry budget allow another one and another server can take it now; otherwise the wait goes on and asks again each 100 ms.

--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -66,6 +66,24 @@
     self.dispatch_waiting();
   }
 
+  /// Whether a silent run whose caller has got nothing from it may be given up: the route and the retry
+  /// budget allow another one, and another server can take it now.
+  pub fn may_replace_run(&mut self, now: u64, ticket: Ticket) -> bool {
+    self.now = self.now.max(now);
+    let Some(request) = self.requests.get(&ticket) else {
+      return true;
+    };
+    let current = request.backend;
+    if request.runs + 1 >= request.descriptor.route.attempts {
+      return false;
+    }
+    let candidates = self.candidates(ticket);
+    let has_other = candidates.iter().any(|(key, _)| Some(*key) != current);
+    let may = has_other && self.reserve_retry(ticket);
+    self.cancel_retry(ticket);
+    may
+  }
+
   /// Sends a request whose stream has stalled to another server if one can take it now.
   pub(super) fn dispatch_stalled(&mut self, ticket: Ticket) {
     let now = self.now;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -111,7 +111,7 @@
       self
         .backlog
         .gathered(self.incoming.account.as_ref(), bytes.len());
-      if self.read_server(socket, until)? == Fill::Eof && !body.finish() {
+      if self.read_patiently(socket, until)? == Fill::Eof && !body.finish() {
         return Err(disconnected("answer broken off"));
       }
     }
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -20,6 +20,9 @@
 /// A resumable stream is retried after a pause of this many allowed gaps.
 const STALL_GAPS: u64 = 4;
 
+/// Interval at which a silent run is checked again after that.
+const SILENCE_CHECK_MS: u64 = 100;
+
 /// A connection that breaks sooner than this after a send belongs to a server that had already
 /// ended: bytes between availability zones take some ms, and a first token takes longer.
 const MIN_RUN_MS: u64 = 10;
@@ -225,6 +228,29 @@
     self.deadline.min(self.hub.end_at())
   }
 
+  /// Like `read_server`, but goes on waiting for a silent server while no other one can take the
+  /// request: silence does not show that it has given the run up.
+  pub(super) fn read_patiently(
+    &mut self,
+    socket: &mut Socket,
+    until: u64,
+  ) -> Result<Fill, Outcome> {
+    let mut until = until;
+    loop {
+      let read = self.read_server(socket, until);
+      let now = self.hub.now();
+      match read {
+        Err(result) if result.why == STALLED => {
+          if self.hub.state().may_replace_run(now, self.ticket) {
+            return Err(result);
+          }
+          until = now + SILENCE_CHECK_MS;
+        }
+        read => return read,
+      }
+    }
+  }
+
   /// Waits for data from the server; an error is the outcome that ends the send.
   pub(super) fn read_server(&mut self, socket: &mut Socket, until: u64) -> Result<Fill, Outcome> {
     let mut timeout_at = self.hub.instant(until);
@@ -329,7 +355,7 @@
         return Err(outcome(End::Broken, "not an answer"));
       };
       let Some((head, length)) = parsed else {
-        if self.read_server(socket, until)? == Fill::Eof {
+        if self.read_patiently(socket, until)? == Fill::Eof {
           return Err(disconnected("connection closed by server"));
         }
         continue;
@@ -365,7 +391,7 @@
       if body.is_complete() {
         return Ok(());
       }
-      if self.read_server(socket, until)? == Fill::Eof {
+      if self.read_patiently(socket, until)? == Fill::Eof {
         return Err(outcome(End::Broken, "connection closed by server"));
       }
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -66,7 +66,11 @@
         return self.finish_stream(stream);
       }
       let until = self.read_deadline(stream.started);
-      match self.read_server(&mut stream.socket, until) {
+      let read = match self.may_stall() {
+        true => self.read_server(&mut stream.socket, until),
+        false => self.read_patiently(&mut stream.socket, until),
+      };
+      match read {
         Ok(Fill::Eof) if !stream.body.finish() => return Err(disconnected("stream broken off")),
         Ok(_) => {}
         Err(result) if result.why == STALLED && self.may_stall() => {
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -295,6 +295,25 @@
   assert_eq!(sent(&effects), Some("two".into()));
 }
 
+// A run without a response was given up though no other server could take the request.
+#[test]
+fn a_silent_run_is_replaced_only_where_another_server_can_take_it() {
+  let at = STALLED_AT;
+  assert!(begun(&["two"], 3).may_replace_run(at, TICKET));
+  assert!(
+    !begun(&[], 3).may_replace_run(at, TICKET),
+    "no other server"
+  );
+  assert!(
+    !begun(&["two"], 1).may_replace_run(at, TICKET),
+    "last attempt"
+  );
+  let mut state = begun(&["two"], 3);
+  state.retry_bound.slack = 0.0;
+  state.retry_bound.ratio = 0.0;
+  assert!(!state.may_replace_run(at, TICKET), "no retry budget");
+}
+
 fn stopping() -> Event {
   Event::Stopping {
     accept_until: ARRIVED_AT + 2_000,
