--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -192,9 +192,13 @@
   }
   if answer.status == 200 {
     let body = match kind {
-      Kind::Stream | Kind::StreamOnce => (1..=EVENTS)
-        .map(|number| encode_event(id, number))
-        .collect(),
+      Kind::Stream | Kind::StreamOnce => {
+        let events = answer.events();
+        let mut versions = events.iter().map(|event| event.version.as_str());
+        (1..=EVENTS)
+          .map(|number| encode_event(id, number, versions.next().unwrap_or_default()))
+          .collect()
+      }
       _ => plain_body(id),
     };
     let intact = answer.is_signed() && answer.text() == body;
