soak: servers of several software versions, callers that resume streams

No seed could have found streams that go on at another version of a server: all servers stated v1, and no caller resumed a stream. Seeds from 80,000 on have servers of two, later three versions side by side: a server drains and one of another version takes its slot, or crashes and one of another version takes its address, whose entry comes later; every fourth seed also has servers that keep their id at another version, beside kills and stops of instances.

The check `build` counts streams with events of several versions, whatever the faults (more than two break it), and compares the share of resumptions that go on with that of new streams that begin (12 or more, by instances without a recent fault, while two servers of their version serve: at least half). The shares are taken on the plain service only, as elsewhere a server of the version may lack the model. Servers keep an id at another version only beside a sound store: their entry is all that tells the version.

Existing seeds, checks and bounds stay; a test holds that plans below 80,000 have no such step. Configurations have one more route.

Not run: the other switches.

--- a/justfile
+++ b/justfile
@@ -66,7 +66,7 @@
 
 # Each switch that breaks a mechanism must be noticed.
 soak-switches: release
-  for name in repeat lie mix lease grace deaf leave memory patience policy limit say rest; do \
+  for name in repeat lie mix lease grace deaf leave memory patience policy limit say rest build; do \
     target/release/soak --program target/release/bendsaddle-platform --seed 7 --break $name || exit 1; \
   done
 
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,5 +1,6 @@
 //! Checks the invariants of the system against a recorded history.
 
+use crate::build::{self, Shares};
 use crate::history::{End, FROZEN, History, Kind, Limit, Order, Request, STOPPED, Target};
 use crate::leaving::{self, LateRun};
 use crate::said::{self, LateArrival};
@@ -35,6 +36,12 @@
   pub max_backoff_requests: usize,
   /// Replicas that the policy allows for the bounded model.
   pub max_replicas: usize,
+  /// Most streams that may hold events of several software versions.
+  pub max_joined_streams: usize,
+  /// Least number of resumptions for which their share is checked, and the least share that goes
+  /// on, as a part of the share of new streams that begin.
+  pub min_resumptions: usize,
+  pub min_resumed_share: f64,
   /// Whether time limits are checked. They depend on the speed of the machine.
   pub timed: bool,
 }
@@ -59,6 +66,9 @@
       in_flight_ms: 500,
       max_backoff_requests: 2,
       max_replicas: 2,
+      max_joined_streams: 2,
+      min_resumptions: 12,
+      min_resumed_share: 0.5,
       timed: true,
     }
   }
@@ -102,6 +112,7 @@
   check.check_orders();
   check.check_memory();
   check.check_configurations();
+  check.check_builds();
   if bounds.timed {
     check.check_departures();
     check.check_limits();
@@ -451,6 +462,31 @@
     }
   }
 
+  /// Streams keep to the software version that began them, and enough of those that callers resume
+  /// go on.
+  fn check_builds(&mut self) {
+    let joined = build::joined(self.history);
+    if joined.len() > self.bounds.max_joined_streams {
+      let text = format!(
+        "{} of {} streams hold events of several software versions, the first is `{}` with {:?}",
+        joined.len(),
+        self.history.streams.len(),
+        joined[0].id,
+        joined[0].versions
+      );
+      self.report("build", joined[0].at, text);
+    }
+    let Shares { resumed, new } = build::shares(self.history, &self.bounds);
+    let least = new.ratio() * self.bounds.min_resumed_share;
+    if resumed.total >= self.bounds.min_resumptions && resumed.ratio() < least {
+      let text = format!(
+        "{} of {} resumed streams went on, {} of {} new ones began",
+        resumed.count, resumed.total, new.count, new.total
+      );
+      self.report("build", 0, text);
+    }
+  }
+
   /// After all faults have ended, requests of every kind are served again.
   fn check_recovery(&mut self) {
     let from = self.history.faults_ended_at + self.bounds.recovery_ms;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -182,6 +182,46 @@
   pub to: u64,
 }
 
+/// A resumable stream over all attempts of its caller.
+#[derive(Clone, Debug)]
+pub struct Stream {
+  /// Id of the first attempt.
+  pub id: String,
+  /// Whether its service has no models, so that every server of its software version can resume it.
+  pub plain: bool,
+  /// Instance of the first attempt.
+  pub instance: usize,
+  pub at: u64,
+  pub ended: u64,
+  /// Software versions of its events; empty if none came.
+  pub versions: Vec<String>,
+}
+
+/// A resumption of a stream by its caller, over all instances that it was sent to.
+#[derive(Clone, Debug)]
+pub struct Resumption {
+  /// Id of the stream's first attempt.
+  pub id: String,
+  pub plain: bool,
+  /// Software version that the stream had so far.
+  pub version: String,
+  pub instances: Vec<usize>,
+  pub at: u64,
+  pub ended: u64,
+  /// Whether it brought an event.
+  pub went_on: bool,
+}
+
+/// A server of the plain service that serves at a software version, until it is stopped or replaced.
+#[derive(Clone, Debug)]
+pub struct Serving {
+  pub server: String,
+  pub version: String,
+  pub from: u64,
+  /// `u64::MAX` while it serves.
+  pub to: u64,
+}
+
 /// Everything that a run recorded.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -207,6 +247,9 @@
   pub late_orders: bool,
   /// Servers that crashed or whose entries were removed for good, with times.
   pub removed: Vec<(String, u64)>,
+  pub streams: Vec<Stream>,
+  pub resumptions: Vec<Resumption>,
+  pub serving: Vec<Serving>,
   /// When the last fault ended.
   pub faults_ended_at: u64,
   /// Longest scheduling delay of the threads of this process, in ms.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,11 +2,13 @@
 //! platform, injects random faults, and checks the invariants from what callers and backend
 //! servers observed.
 
+pub mod build;
 pub mod check;
 pub mod history;
 pub mod leaving;
 pub mod load;
 pub mod plan;
 pub mod said;
+pub mod stream;
 pub mod switch;
 pub mod world;
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -1,6 +1,9 @@
 //! Callers that send requests of all kinds and record the outcome of each.
 
-use crate::history::{End, Kind, Recorder, Request};
+use crate::{
+  history::{End, Kind, Recorder, Request},
+  stream,
+};
 use platform_stand_in::{
   client::{self, Answer, Outgoing},
   deployment::MODELS,
@@ -36,6 +39,8 @@
   /// Multiplier of the deadline that callers state: 1, except for the switch `patience`, which the
   /// deadline check must notice.
   pub deadline_factor: u64,
+  /// Whether callers resume streams.
+  pub resumes: bool,
   pub stopped: AtomicBool,
 }
 
@@ -57,6 +62,10 @@
     number += 1;
     let kind = random_kind(&mut rng);
     let id = format!("r-{instance}-{caller}-{number}");
+    if traffic.resumes && kind == Kind::Stream {
+      stream::run(traffic, &mut rng, instance, &id);
+      continue;
+    }
     let model = random_model(&mut rng, kind);
     let abandons = rng.random_ratio(ABANDON_PERCENT, 100);
     let reused = connection.is_some();
@@ -105,7 +114,7 @@
 }
 
 /// Picks a model; two of them get most of the requests.
-fn random_model(rng: &mut SmallRng, kind: Kind) -> Option<String> {
+pub(crate) fn random_model(rng: &mut SmallRng, kind: Kind) -> Option<String> {
   let number: usize = rng.random_range(0..100);
   let index = match number {
     0..80 => number % 2,
@@ -176,7 +185,7 @@
     return unanswered(End::Closed);
   };
   let keep_alive = answer.is_complete && answer.keep_alive();
-  let end = outcome_end(kind, id, &answer);
+  let end = outcome_end(kind, id, &answer, 1);
   let unexpected_body = (end == End::Success { intact: false }).then(|| answer.text());
   Outcome {
     end,
@@ -186,7 +195,8 @@
   }
 }
 
-fn outcome_end(kind: Kind, id: &str, answer: &Answer) -> End {
+/// How a request ended for its caller; a stream is to begin with this event.
+pub(crate) fn outcome_end(kind: Kind, id: &str, answer: &Answer, first: u64) -> End {
   if !answer.is_complete {
     return End::Truncated;
   }
@@ -195,7 +205,7 @@
       Kind::Stream | Kind::StreamOnce => {
         let events = answer.events();
         let mut versions = events.iter().map(|event| event.version.as_str());
-        (1..=EVENTS)
+        (first..=EVENTS)
           .map(|number| encode_event(id, number, versions.next().unwrap_or_default()))
           .collect()
       }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,7 @@
 
 use lexopt::prelude::*;
 use soak::{
+  build::{self, Shares},
   check::{Bounds, Violation, check},
   history::{End, History},
   leaving,
@@ -148,6 +149,7 @@
   };
   report_requests(&history);
   report_leaving(&history);
+  report_streams(&history);
   if let Some((name, _, invariant)) = arguments.switch {
     let noticed = violations
       .iter()
@@ -238,6 +240,24 @@
   }
 }
 
+/// Prints how many streams were joined and resumed.
+fn report_streams(history: &History) {
+  if history.streams.is_empty() {
+    return;
+  }
+  let Shares { resumed, new } = build::shares(history, &Bounds::default());
+  println!(
+    "  {} streams, {} joined; {} resumptions, of those that count {} of {} went on; {} of {} new ones began",
+    history.streams.len(),
+    build::joined(history).len(),
+    history.resumptions.len(),
+    resumed.count,
+    resumed.total,
+    new.count,
+    new.total
+  );
+}
+
 /// Prints how late the last requests of connected instances to leaving servers came.
 fn report_leaving(history: &History) {
   let mut delays_ms: Vec<u64> = leaving::last_runs(history, &Bounds::default())
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -38,6 +38,13 @@
   Crash,
   /// Crashes and restarts with the same id and address.
   Restart,
+  /// The same, at this software version.
+  RestartAt(u32),
+  /// Crashes, and a server with another id and this software version takes its address, whose entry
+  /// replaces the old one later, in tenths of a second.
+  Renew(u32, u32),
+  /// Drains, and a server with this software version takes its slot.
+  Roll(u32),
   Drain,
   /// Its entry is removed without a draining state, and it keeps serving for a while.
   Vanish,
@@ -173,6 +180,23 @@
 const COPY_AGE_TENTHS_S: std::ops::Range<u32> = 3..40;
 const STORE_DOWN_MS: std::ops::Range<u64> = 200..2_600;
 
+/// First seed whose servers run several software versions, while callers resume streams. Seeds with
+/// remainder two modulo four have only restarts and departures of servers, kills and stops of
+/// instances.
+const BUILDS_FROM_SEED: u64 = 80_000;
+/// Mean pause between two changes of a server's software version.
+const BUILD_PAUSE_MS: u64 = 1_200;
+/// How long a server is down at a change, and how much later its entry is written.
+const BUILD_DOWN_MS: std::ops::Range<u64> = 50..600;
+const LATE_ENTRY_TENTHS_S: std::ops::Range<u32> = 2..20;
+/// Versions that are started in each third of a run.
+const ROLLOUT: [&[u32]; 3] = [&[1, 2], &[1, 2, 3], &[2, 3]];
+
+/// Whether servers of several software versions serve side by side.
+pub fn has_builds(seed: u64) -> bool {
+  seed >= BUILDS_FROM_SEED
+}
+
 /// Generates a plan; the same seed and size give the same plan.
 pub fn generate(seed: u64, size: &Size) -> Vec<Step> {
   if (DEPARTURES_ONLY_FROM_SEED..ANNOUNCEMENTS_FROM_SEED).contains(&seed) {
@@ -184,6 +208,9 @@
   if seed >= ANNOUNCEMENTS_FROM_SEED && seed.is_multiple_of(SCENARIO_MODULUS) {
     return announcement_steps(seed, size, true);
   }
+  if has_builds(seed) && seed % SCENARIO_MODULUS == 2 {
+    return build_steps(seed, size, true);
+  }
   let mut steps = base_steps(seed, size);
   if seed >= EXTENDED_FROM_SEED {
     steps.extend(extended_steps(seed, size));
@@ -200,6 +227,9 @@
   if seed >= RESTORES_FROM_SEED {
     steps.extend(restore_steps(seed, size, false));
   }
+  if has_builds(seed) {
+    steps.extend(build_steps(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -317,6 +347,44 @@
   steps
 }
 
+/// Servers whose software version changes. If `isolated`, the plan also has servers that keep their
+/// id, and kills and stops of instances. Beside a store that is cut off, nobody could tell the
+/// version of a server that keeps its id.
+fn build_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(40));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..BUILD_PAUSE_MS).min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let third = at * ROLLOUT.len() as u64 / size.faults_ms;
+    let version = pick(&mut rng, ROLLOUT[third as usize]);
+    let change = match rng.random_range(0..3) {
+      0 => Server::Roll(version),
+      1 if isolated => Server::RestartAt(version),
+      _ => Server::Renew(version, rng.random_range(LATE_ENTRY_TENTHS_S)),
+    };
+    let server = rng.random_range(0..size.servers * 2);
+    steps.push(Step {
+      at,
+      duration_ms: rng.random_range(BUILD_DOWN_MS),
+      fault: Fault::Server(server, change),
+    });
+    if isolated {
+      let instance = rng.random_range(0..size.instances);
+      let fault = match rng.random_bool(0.5) {
+        true => Fault::Kill(instance),
+        false => Fault::Stop(instance),
+      };
+      steps.push(Step {
+        at,
+        duration_ms: rng.random_range(200..1_500),
+        fault,
+      });
+    }
+    at += rng.random_range(BUILD_PAUSE_MS / 3..BUILD_PAUSE_MS * 5 / 3);
+  }
+  steps
+}
+
 /// Servers that announce rate limits.
 fn limit_steps(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/switch.rs
+++ b/soak/src/switch.rs
@@ -31,11 +31,13 @@
   Say,
   /// Servers that decline requests do not ask for a backoff.
   Rest,
+  /// Entries of servers state one software version, whatever theirs is.
+  Build,
 }
 
 impl Break {
   /// All switches: name, value, and the invariant whose check must notice it.
-  pub const ALL: [(&'static str, Self, &'static str); 13] = [
+  pub const ALL: [(&'static str, Self, &'static str); 14] = [
     ("repeat", Self::Repeat, "once"),
     ("lie", Self::Lie, "refusal"),
     ("mix", Self::Mix, "answer"),
@@ -49,6 +51,7 @@
     ("limit", Self::Limit, "limit"),
     ("say", Self::Say, "said leaving"),
     ("rest", Self::Rest, "rest"),
+    ("build", Self::Build, "build"),
   ];
 
   /// Returns the faults that reveal the broken mechanism.
@@ -77,6 +80,7 @@
       Self::Rest => vec![step(500, 5_000, Fault::Server(5, Server::Rest(20)))],
       // Models that only this server held are loaded on servers without free memory.
       Self::Memory => vec![step(500, 500, Fault::Server(0, Server::Crash))],
+      Self::Build => vec![step(500, 1_000, Fault::Kill(0))],
       Self::Repeat | Self::Lie | Self::Mix | Self::Lease | Self::Patience => {
         vec![step(300, 4_000, Fault::Burst)]
       }
--- a/soak/src/world/configuration.rs
+++ b/soak/src/world/configuration.rs
@@ -1,7 +1,7 @@
 //! The current configuration, and the default behavior of servers.
 
 use super::{World, lock};
-use crate::switch::Break;
+use crate::{stream::PLAIN_STREAM_ROUTE, switch::Break};
 use platform_stand_in::{
   deployment::{MODELS, config, route},
   runner::Behavior,
@@ -25,8 +25,9 @@
 impl World {
   /// Behavior of all servers without a fault.
   pub(super) fn default_mood(&self) -> Behavior {
+    let work_ms = if self.has_builds { 160 } else { 20 };
     let mut mood = Behavior {
-      work: Duration::from_millis(20),
+      work: Duration::from_millis(work_ms),
       ..Behavior::default()
     };
     match self.switch {
@@ -74,6 +75,7 @@
     route("again", "safe", "plain"),
     route("stream", "streaming", "models"),
     single,
+    route(PLAIN_STREAM_ROUTE, "streaming", "plain"),
     route("batch", "safe", "models"),
     route(&format!("version-{version}"), "safe", "plain"),
   ];
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -11,7 +11,7 @@
 use crate::{
   history::{History, Recorder},
   load::Traffic,
-  plan::{Size, Step},
+  plan::{self, Size, Step},
   switch::Break,
 };
 use member::Member;
@@ -57,6 +57,8 @@
   version: Mutex<u64>,
   late_orders: AtomicBool,
   switch: Option<Break>,
+  /// Whether servers of several software versions serve side by side.
+  has_builds: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -100,15 +102,20 @@
     }
     let recorder = Arc::new(Recorder::start());
     let size = options.size;
+    let has_builds = plan::has_builds(options.seed) || switch == Some(Break::Build);
     let slots = (0..size.servers * 2)
-      .map(|number| Slot::start(&store, number, size.servers))
+      .map(|number| Slot::start(&store, number, size.servers, has_builds))
       .collect::<io::Result<Vec<Slot>>>()?;
     let runners = slots.iter().map(|slot| lock(&slot.runner).clone());
     let runners = Mutex::new(runners.collect());
     let members = (0..size.instances)
       .map(|number| Member::start(options, &store, number))
       .collect::<io::Result<Vec<Member>>>()?;
-    let traffic = Arc::new(new_traffic(&recorder, &members, switch));
+    let traffic = new_traffic(&recorder, &members, switch);
+    let traffic = Arc::new(Traffic {
+      resumes: has_builds,
+      ..traffic
+    });
     let world = Self {
       recorder,
       store,
@@ -119,6 +126,7 @@
       version: Mutex::new(0),
       late_orders: AtomicBool::new(false),
       switch,
+      has_builds,
     };
     world.prepare();
     Ok(world)
@@ -128,7 +136,9 @@
   fn prepare(&self) {
     self.configure();
     for slot in &self.slots {
-      lock(&slot.runner).set_behavior(self.default_mood());
+      let runner = lock(&slot.runner);
+      self.prepare_runner(&runner);
+      self.list(slot, &runner);
     }
     for member in &self.members {
       lock(&member.instance).wait_ready();
@@ -152,6 +162,7 @@
     } else {
       1
     },
+    resumes: false,
     stopped: AtomicBool::new(false),
   }
 }
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -1,10 +1,14 @@
 //! A slot for consecutive servers at one address, and the faults of servers.
 
 use super::{World, faults::cut_temporarily, lock};
-use crate::{history::Target, plan::Server, switch::Break};
+use crate::{
+  history::{Serving, Target},
+  plan::Server,
+  switch::Break,
+};
 use platform_stand_in::{
   deployment::MODELS,
-  runner::{Behavior, Runner},
+  runner::{self, Behavior, Runner},
   store::Store,
 };
 use stand_ins::proxy::{Fault as ProxyFault, Proxy};
@@ -34,7 +38,12 @@
 }
 
 impl Slot {
-  pub(super) fn start(store: &Store, number: usize, engines: usize) -> io::Result<Self> {
+  pub(super) fn start(
+    store: &Store,
+    number: usize,
+    engines: usize,
+    has_builds: bool,
+  ) -> io::Result<Self> {
     // The proxy's target is set once the server listens.
     let proxy = Proxy::bind(store.address)?;
     let (service, id) = match number < engines {
@@ -43,7 +52,8 @@
     };
     let pair = [MODELS[number % 2], MODELS[2 + number % 4]];
     let models: &[&str] = if service == "models" { &pair } else { &[] };
-    let runner = start_runner(store, &proxy, &id, service, models);
+    let version = if has_builds { 1 + number as u32 % 2 } else { 1 };
+    let runner = start_runner(store, &proxy, (&id, service), models, version);
     Ok(Self {
       proxy,
       service,
@@ -63,9 +73,15 @@
     let mood = self.default_mood();
     match fault {
       Server::Crash => self.crash(slot, &mut runner, duration),
-      Server::Restart => self.restart(slot, &mut runner, duration),
-      Server::Drain => self.drain(slot, &mut runner, true),
-      Server::Vanish => self.drain(slot, &mut runner, false),
+      Server::Restart => self.restart(slot, &mut runner, duration, None),
+      Server::RestartAt(version) => self.restart(slot, &mut runner, duration, Some(version)),
+      Server::Renew(version, tenths) => {
+        let entry_delay = Duration::from_millis(u64::from(tenths) * 100);
+        self.renew(slot, &mut runner, duration, (version, entry_delay));
+      }
+      Server::Roll(version) => self.drain(slot, &mut runner, true, Some(version)),
+      Server::Drain => self.drain(slot, &mut runner, true, None),
+      Server::Vanish => self.drain(slot, &mut runner, false, None),
       Server::Cut(cut) => cut_temporarily(&slot.proxy, cut, duration),
       Server::Delay => delay_temporarily(&slot.proxy, duration),
       Server::Slow => {
@@ -91,7 +107,7 @@
       Server::Says => {
         runner.announce_leaving();
         thread::sleep(duration);
-        self.drain(slot, &mut runner, true);
+        self.drain(slot, &mut runner, true, None);
       }
       Server::Rest(tenths) => {
         let seconds = f64::from(tenths) / 10.0;
@@ -114,6 +130,7 @@
 
   /// The server crashes, and another one starts at its address.
   fn crash(&self, slot: &Slot, runner: &mut Runner, duration: Duration) {
+    self.record_end_of_service(&runner.id);
     runner.kill();
     self.record_removal(&runner.id);
     slot.proxy.fault(ProxyFault::Refuse);
@@ -121,26 +138,50 @@
     self.store.remove("servers", &runner.id);
     thread::sleep(duration);
     slot.proxy.fault(ProxyFault::None);
-    self.replace(slot, runner);
+    self.replace(slot, runner, None);
+  }
+
+  /// The server crashes, and another one with this software version starts at its address. The
+  /// entry of the old one stays until that of the new one is written.
+  fn renew(
+    &self,
+    slot: &Slot,
+    runner: &mut Runner,
+    duration: Duration,
+    (version, entry_delay): (u32, Duration),
+  ) {
+    let old = runner.id.clone();
+    self.record_end_of_service(&old);
+    runner.kill();
+    slot.proxy.fault(ProxyFault::Refuse);
+    thread::sleep(duration);
+    slot.proxy.fault(ProxyFault::None);
+    *runner = self.start_next(slot, runner, Some(version));
+    thread::sleep(entry_delay);
+    self.remove_entry(&old);
+    self.list(slot, runner);
   }
 
-  /// The server crashes and restarts with the same id and address, while its entry stays.
-  fn restart(&self, slot: &Slot, runner: &mut Runner, duration: Duration) {
+  /// The server crashes and restarts with the same id and address, while its entry stays. Its
+  /// software version stays if none is given.
+  fn restart(&self, slot: &Slot, runner: &mut Runner, duration: Duration, version: Option<u32>) {
+    self.record_end_of_service(&runner.id);
     runner.kill();
     slot.proxy.fault(ProxyFault::Refuse);
     thread::sleep(duration);
     slot.proxy.fault(ProxyFault::None);
     let id = runner.id.clone();
-    *runner = start_runner(&self.store, &slot.proxy, &id, slot.service, &[]);
-    runner.set_behavior(self.default_mood());
-    lock(&self.runners).push(runner.clone());
+    *runner = self.start_runner(slot, &id, version.unwrap_or_else(|| version_of(runner)));
+    self.list(slot, runner);
   }
 
   /// The server leaves, and another one takes its slot. If `announced`, its entry changes to
-  /// draining first; otherwise the entry is removed at once.
-  fn drain(&self, slot: &Slot, runner: &mut Runner, announced: bool) {
+  /// draining first; otherwise the entry is removed at once. The other one has the same software
+  /// version if none is given.
+  fn drain(&self, slot: &Slot, runner: &mut Runner, announced: bool, version: Option<u32>) {
     let at = self.recorder.now();
     let id = runner.id.clone();
+    self.record_end_of_service(&id);
     if self.switch != Some(Break::Leave) {
       match announced {
         true => runner.write_entry("draining"),
@@ -154,7 +195,7 @@
     self.remove_entry(&runner.id);
     runner.kill();
     slot.proxy.close_connections();
-    self.replace(slot, runner);
+    self.replace(slot, runner, version);
   }
 
   /// Removes the entry of a server for good.
@@ -170,16 +211,73 @@
       .record(|history| history.removed.push((id.to_string(), at)));
   }
 
-  fn replace(&self, slot: &Slot, runner: &mut Runner) {
+  fn replace(&self, slot: &Slot, runner: &mut Runner, version: Option<u32>) {
+    *runner = self.start_next(slot, runner, version);
+    self.list(slot, runner);
+  }
+
+  /// Starts a server with the next id of the slot, which has no entry yet.
+  fn start_next(&self, slot: &Slot, runner: &Runner, version: Option<u32>) -> Runner {
     let start = slot.starts.fetch_add(1, Ordering::Relaxed);
     let name = runner.id.split('.').next().unwrap_or_default();
     let id = format!("{name}.{}", start + 1);
-    *runner = start_runner(&self.store, &slot.proxy, &id, slot.service, &[]);
-    runner.set_behavior(self.default_mood());
+    self.start_runner(slot, &id, version.unwrap_or_else(|| version_of(runner)))
+  }
+
+  /// Starts a server that has no entry yet.
+  fn start_runner(&self, slot: &Slot, id: &str, version: u32) -> Runner {
+    let runner = start_runner(&self.store, &slot.proxy, (id, slot.service), &[], version);
+    self.prepare_runner(&runner);
     lock(&self.runners).push(runner.clone());
+    runner
+  }
+
+  /// Sets the behavior of a server that has started.
+  pub(super) fn prepare_runner(&self, runner: &Runner) {
+    runner.set_behavior(self.default_mood());
+    if self.switch == Some(Break::Build) {
+      runner.state_version(runner::VERSION);
+    }
+  }
+
+  /// Writes the entry of a server that has started, from which on it counts as serving.
+  pub(super) fn list(&self, slot: &Slot, runner: &Runner) {
+    runner.write_entry("ready");
+    if slot.service == "plain" {
+      self.record_service(runner);
+    }
+  }
+
+  fn record_service(&self, runner: &Runner) {
+    let serving = Serving {
+      server: runner.id.clone(),
+      version: runner.version(),
+      from: self.recorder.now(),
+      to: u64::MAX,
+    };
+    self
+      .recorder
+      .record(|history| history.serving.push(serving));
+  }
+
+  fn record_end_of_service(&self, id: &str) {
+    let at = self.recorder.now();
+    self.recorder.record(|history| {
+      let serving = history.serving.iter_mut();
+      serving
+        .filter(|one| one.server == id && one.to == u64::MAX)
+        .for_each(|one| one.to = at);
+    });
   }
 }
 
+/// Number of a server's software version.
+fn version_of(runner: &Runner) -> u32 {
+  let version = runner.version();
+  let number = version.strip_prefix('v').and_then(|text| text.parse().ok());
+  number.expect("not a version of this soak")
+}
+
 fn set_mood_temporarily(runner: &Runner, mood: Behavior, normal: Behavior, duration: Duration) {
   runner.set_behavior(mood);
   thread::sleep(duration);
@@ -192,8 +290,16 @@
   proxy.fault(ProxyFault::None);
 }
 
-fn start_runner(store: &Store, proxy: &Proxy, id: &str, service: &str, models: &[&str]) -> Runner {
-  Runner::start_behind_proxy(store, id, service, models, |address| {
+/// Starts a server that has no entry yet.
+fn start_runner(
+  store: &Store,
+  proxy: &Proxy,
+  (id, service): (&str, &str),
+  models: &[&str],
+  version: u32,
+) -> Runner {
+  let version = format!("v{version}");
+  Runner::start_unlisted(store, id, service, models, &version, |address| {
     proxy.retarget(address);
     proxy.address
   })
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -4,7 +4,7 @@
   check::{Bounds, check},
   history::{
     Arrival, Backoff, Departure, End, FROZEN, History, Hold, Incident, Kind, Limit, Order, Probe,
-    Request, Run, STOPPED, Target,
+    Request, Resumption, Run, STOPPED, Serving, Stream, Target,
   },
 };
 
@@ -477,3 +477,105 @@
     "the instance may not have known"
   );
 }
+
+/// Two servers of `v1` and two of `v2`. Twelve streams begin at `v1`; their callers resume them at
+/// another instance, and `went_on` of them go on.
+fn resumed(went_on: usize) -> History {
+  let mut history = baseline();
+  for (server, version) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
+    history.serving.push(Serving {
+      server: server.into(),
+      version: version.into(),
+      from: 0,
+      to: u64::MAX,
+    });
+  }
+  for number in 0..12 {
+    let id = format!("s{number}");
+    history.streams.push(Stream {
+      id: id.clone(),
+      plain: true,
+      instance: 0,
+      at: 7_000,
+      ended: 7_100,
+      versions: vec!["v1".into()],
+    });
+    history.resumptions.push(Resumption {
+      id,
+      plain: true,
+      version: "v1".into(),
+      instances: vec![1],
+      at: 8_100,
+      ended: 8_300,
+      went_on: number < went_on,
+    });
+  }
+  history
+}
+
+#[test]
+fn at_most_two_streams_hold_events_of_two_versions() {
+  let joined = |count: usize| {
+    let mut history = resumed(12);
+    let streams = history.streams.iter_mut().take(count);
+    streams.for_each(|stream| stream.versions.push("v2".into()));
+    broken(&history)
+  };
+  assert!(joined(2).is_empty());
+  assert_eq!(joined(3), ["build"]);
+}
+
+/// Guards against a check that counts joined streams only where no fault excuses them.
+#[test]
+fn no_fault_excuses_streams_of_two_versions() {
+  let mut history = resumed(12);
+  let streams = history.streams.iter_mut().take(3);
+  streams.for_each(|stream| stream.versions.push("v2".into()));
+  for target in [Target::Instance(0), Target::Instance(1), Target::Store] {
+    history.incidents.push(incident(target, "cut", 0, 9_000));
+  }
+  assert_eq!(broken(&history), ["build"]);
+}
+
+#[test]
+fn half_of_the_resumed_streams_go_on() {
+  assert!(broken(&resumed(6)).is_empty());
+  assert_eq!(broken(&resumed(5)), ["build"]);
+  let mut fewer = resumed(0);
+  fewer.resumptions.pop();
+  assert!(broken(&fewer).is_empty(), "eleven resumptions");
+  let mut alone = resumed(0);
+  alone.serving[1].to = 8_200;
+  assert!(broken(&alone).is_empty(), "one server of the version");
+  let mut unknown = resumed(0);
+  unknown.serving[1].from = 5_500;
+  assert!(broken(&unknown).is_empty(), "the second server is new");
+  let mut scarce = resumed(5);
+  let streams = scarce.streams.iter_mut().take(2);
+  streams.for_each(|stream| stream.versions.clear());
+  assert!(broken(&scarce).is_empty(), "ten of twelve new ones began");
+}
+
+#[test]
+fn a_fault_at_the_resuming_instance_or_at_a_server_excuses_a_resumption() {
+  let with_fault = |target| {
+    let mut history = resumed(0);
+    history
+      .incidents
+      .push(incident(target, "kill", 8_000, 8_050));
+    broken(&history).is_empty()
+  };
+  assert!(with_fault(Target::Instance(1)));
+  assert!(with_fault(Target::Store));
+  let began = with_fault(Target::Instance(0));
+  assert!(!began, "the instance that began the streams was killed");
+  let mut history = resumed(0);
+  let server = Target::Server("a".into());
+  history
+    .incidents
+    .push(incident(server, "server", 8_000, 8_200));
+  assert!(
+    broken(&history).is_empty(),
+    "a server of the version failed"
+  );
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -1,7 +1,7 @@
 //! Plans of faults are determined by their seed.
 
 use quickcheck::quickcheck;
-use soak::plan::{Size, generate};
+use soak::plan::{Fault, Server, Size, Step, generate};
 
 quickcheck! {
   fn a_seed_fixes_its_plan(seed: u64) -> bool {
@@ -22,3 +22,24 @@
   let size = Size::default();
   assert_ne!(generate(1, &size), generate(2, &size));
 }
+
+/// Guards against seeds that failed once and no longer play what they found.
+#[test]
+fn earlier_seeds_have_one_software_version() {
+  let changes_version = |step: &Step| {
+    let Fault::Server(_, fault) = step.fault else {
+      return false;
+    };
+    matches!(
+      fault,
+      Server::RestartAt(_) | Server::Renew(..) | Server::Roll(_)
+    )
+  };
+  let size = Size::default();
+  for seed in (0..80_000).step_by(997) {
+    assert!(!generate(seed, &size).iter().any(changes_version), "{seed}");
+  }
+  for seed in [80_002, 80_003, 123_458] {
+    assert!(generate(seed, &size).iter().any(changes_version), "{seed}");
+  }
+}
