logs: the build of a server and of a send, and the attempt that a caller continues

It is decoded now as build::Id, a hash of the stated text, part of a server's spec; the lines of a server and of a send name it, and the line of a send names the attempt that the caller continues. A server that is known to have restarted while its entry is still the earlier one has an unknown build. No decision depends on it yet. The fixtures of the tests state a build; nothing else in them changes.

No tests were run for this commit.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers: what they state about themselves, and what is learned from using them.
 
-use crate::{life::Life, pace::Pace, report::Tier};
+use crate::{build, life::Life, pace::Pace, report::Tier};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Time for which a model is considered missing after its server has reported that it lacks it:
@@ -33,6 +33,7 @@
   pub id: String,
   /// When the server started, in ms since the Unix epoch; 0 if unknown.
   pub born: u64,
+  pub build: build::Id,
   pub pool: String,
   pub address: SocketAddr,
   pub zone: String,
--- /dev/null
+++ b/src/build/mod.rs
@@ -0,0 +1,33 @@
+//! Builds: the versions of the software that backend servers run.
+//!
+//! Servers of one pool may run several builds side by side. What two builds write does not fit
+//! together, so a stream continues only at the build that began it.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifies a build. Not related to the version of a model's weights or of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id(u32);
+
+impl Id {
+  /// The build of a server that has restarted and whose entry has not been read since.
+  pub const UNKNOWN: Self = Self(0);
+
+  /// The build with the version that a server states; servers that state none share one build.
+  pub fn of(version: &str) -> Self {
+    Self((xxh3_64(version.as_bytes()) as u32).max(1))
+  }
+
+  /// Whether a stream of this build may continue at a server of the `other` build.
+  pub fn matches(self, other: Self) -> bool {
+    self == other && self != Self::UNKNOWN
+  }
+}
+
+impl fmt::Display for Id {
+  fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(formatter, "{:08x}", self.0)
+  }
+}
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -17,6 +17,8 @@
   pub length_hint: &'static str,
   /// The customer; sent to backend servers.
   pub customer: &'static str,
+  /// Of a request that continues a stream: id of the caller's attempt that received its first event.
+  pub resumes: &'static str,
   /// Proves that a response comes from a backend server.
   pub signature: &'static str,
   /// The server that the request is meant for; any other server declines it.
@@ -46,6 +48,7 @@
     token_usage: "x-token-usage",
     length_hint: "x-length-hint",
     customer: "x-customer",
+    resumes: "x-resumes",
     signature: "x-signature",
     expected_server: "x-expected-server",
     server: "x-server",
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -754,6 +754,7 @@
       backend: key,
       id: backend.spec.id.clone(),
       life: backend.spec.life(),
+      build: backend.spec.build,
       address: backend.spec.address,
       number: request.sends,
     };
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -3,7 +3,7 @@
 use super::choice::expect::Lateness;
 use crate::{
   backend::{self, Holding, Spec},
-  content,
+  build, content,
   crash::{Quarantined, Suspected},
   customer::Caller,
   demand::Model,
@@ -58,6 +58,7 @@
   pub backend: backend::Key,
   pub id: String,
   pub life: Life,
+  pub build: build::Id,
   pub address: SocketAddr,
   /// Number of this send among the sends of its request, from 1.
   pub number: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod batch;
 pub mod batches;
 pub mod bucket;
+pub mod build;
 pub mod call;
 pub mod callers;
 pub mod catalog;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -3,6 +3,7 @@
 
 use crate::{
   backend::{self, Backend, Holding, Spec, Stage},
+  build,
   dispatch::{Change, Effect, State},
   reachability::Outage,
 };
@@ -232,10 +233,11 @@
 }
 
 /// The spec of a restarted server, as far as the planner has published it: copies in memory are
-/// lost, copies on disk remain.
+/// lost, copies on disk remain. It may have restarted with another build.
 fn restarted_spec(known: &Spec, holding: &Holding) -> Spec {
   Spec {
     born: holding.born,
+    build: build::Id::UNKNOWN,
     stage: Stage::Ready,
     models: holding.models.clone(),
     in_memory: Vec::new(),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -358,6 +358,11 @@
     self.apply(Event::CallerGone(self.ticket));
   }
 
+  /// The attempt whose stream the caller continues.
+  fn resumes(&self) -> Option<&str> {
+    self.incoming.head.headers.get(self.hub.dialect.resumes)
+  }
+
   fn model(&self) -> Option<&str> {
     self.incoming.head.headers.get(self.hub.dialect.model)
   }
@@ -395,8 +400,8 @@
     info!(self.hub.log, "sent"; "request" => &self.id, "route" => &self.incoming.route.name,
       "customer" => self.hub.customer_name(caller), "units" => caller.map(|caller| caller.cost),
       "content" => content,
-      "model" => self.model(), "late" => self.lateness(),
-      "server" => &attempt.id, "via" => sending.via.map(|peer| peer.to_string()), "limit" => &hints.limit,
+      "resumes" => self.resumes(), "model" => self.model(), "late" => self.lateness(),
+      "server" => &attempt.id, "build" => %attempt.build, "via" => sending.via.map(|peer| peer.to_string()), "limit" => &hints.limit,
       "leaving" => &hints.leaving, "retry_after" => &hints.retry_after,
       "head_ms" => sending.head_at.map(|at| at.saturating_sub(sent_at)), "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().as_str(),
--- a/src/router.rs
+++ b/src/router.rs
@@ -322,7 +322,8 @@
         return false;
       }
       info!(hub.log, "server"; "server" => &spec.id, "pool" => &spec.pool,
-        "stage" => format!("{:?}", spec.stage), "address" => %spec.address, "born" => spec.born);
+        "stage" => format!("{:?}", spec.stage), "address" => %spec.address, "born" => spec.born,
+        "build" => %spec.build);
       true
     }
     Change::Removed(_) => true,
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -6,6 +6,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
+  build,
   command::{Act, Command, Inventory, Taken, Unheard},
   demand::{Demand, Model},
   deployment::{Checkpoint, Deployment, Engine, Pool},
@@ -771,6 +772,7 @@
   let spec = Spec {
     id: format!("i-{number:08x}"),
     born: 1,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address: SocketAddr::from(([10, 2, (number >> 8) as u8, number as u8], 8_000)),
     zone: "a".into(),
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -6,6 +6,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
+  build,
   command::{Act, Command, Inventory, Taken},
   content,
   demand::Model,
@@ -64,6 +65,7 @@
     let spec = Spec {
       id: format!("s{number}"),
       born: 1,
+      build: build::Id::of("1"),
       pool: "pool".into(),
       address: "127.0.0.1:9".parse().unwrap(),
       zone: "a".into(),
--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -4,6 +4,7 @@
 
 use bendsaddle::{
   backend::Spec,
+  build,
   deployment::{Deployment, Pool},
   dispatch::{Attempt, Change, Descriptor, Effect, End, Event, State},
   life::Life,
@@ -133,6 +134,7 @@
   Spec {
     id: format!("s{number}"),
     born,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address: "127.0.0.1:9".parse().unwrap(),
     zone: "a".into(),
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -3,6 +3,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
+  build,
   command::{Act, Command, Inventory, Taken, Unheard},
   demand::{Demand, Model},
   deployment::{Checkpoint, Deployment, Engine, Pool},
@@ -101,6 +102,7 @@
         let spec = Spec {
           id: id.to_string(),
           born: 0,
+          build: build::Id::of("1"),
           pool: "pool".into(),
           address: "127.0.0.1:9".parse().unwrap(),
           zone: "a".into(),
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -2,6 +2,7 @@
 
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
+  build,
   demand::Model,
   deployment::{Deployment, Engine, Pool},
   dialect::Dialect,
@@ -71,6 +72,7 @@
   let spec = Spec {
     id: "s".into(),
     born: 0,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address: "127.0.0.1:9".parse().unwrap(),
     zone: "a".into(),
--- a/tests/order_faults.rs
+++ b/tests/order_faults.rs
@@ -381,6 +381,7 @@
       .map(|(id, server)| Spec {
         id: id.clone(),
         born: 0,
+        build: bendsaddle::build::Id::of("1"),
         pool: "pool".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         zone: "a".into(),
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -3,6 +3,7 @@
 
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
+  build,
   command::Inventory,
   demand::Model,
   deployment::{Checkpoint, Deployment, Engine, Pool},
@@ -87,6 +88,7 @@
   Spec {
     id: format!("s{number:02}"),
     born: 0,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address: "127.0.0.1:1".parse().unwrap(),
     zone: "a".into(),
--- a/tests/requests/mod.rs
+++ b/tests/requests/mod.rs
@@ -2,6 +2,7 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
+  build,
   deployment::{Deployment, Engine, Pool},
   dispatch::{Effect, Event, State},
   refusal::Refusal,
@@ -42,6 +43,7 @@
   Spec {
     id: id.into(),
     born: 0,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address: "127.0.0.1:9".parse().unwrap(),
     zone: "a".into(),
--- a/tests/sends.rs
+++ b/tests/sends.rs
@@ -2,6 +2,7 @@
 
 use bendsaddle::{
   backend::{self, Spec, Stage},
+  build,
   deployment::{Deployment, Pool},
   dialect::Dialect,
   dispatch::{Change, Event, State},
@@ -56,6 +57,7 @@
   Spec {
     id: id.into(),
     born: 0,
+    build: build::Id::of("1"),
     pool: "pool".into(),
     address,
     zone: "a".into(),
