dispatch: a stream continues at the build that began it

Callers saw one answer with events of two versions of the server software: after a broken send an instance continued a stream at any server of the pool.

A request remembers the build of the server that delivered its first event, and every choice and count of its servers goes by it: the candidates, the eligible servers, whether it has failed everywhere, whether its model is held or when it will be ready. Where no server of the build is left it ends. A server that is known to have restarted while its entry is the earlier one continues no stream, a send is decided again if the entry's build has changed since, and a changed build counts as a change that other instances need. Ruled out as the place of the check: the send itself, where a server that does not fit would cost a retry.

--- a/src/build/mod.rs
+++ b/src/build/mod.rs
@@ -3,6 +3,8 @@
 //! Servers of one pool may run several builds side by side. What two builds write does not fit
 //! together, so a stream continues only at the build that began it.
 
+mod begun;
+
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -90,13 +90,22 @@
   /// the request waits.
   pub(crate) fn retry_after_ms(&self, request: &Request) -> Option<u64> {
     let model = request.descriptor.model.as_ref()?;
-    if request.verdict != Verdict::NotRun || self.is_held(&request.descriptor.pool, &model.name) {
+    if request.verdict != Verdict::NotRun || self.is_held_for(request, &model.name) {
       return None;
     }
     let ready = self.ready_at(request, |_| true)?;
     (ready > give_up_at(request)).then(|| ready.saturating_sub(self.now) + RETRY_AFTER_MARGIN_MS)
   }
 
+  /// Returns whether a server that may run a request holds a model.
+  fn is_held_for(&self, request: &Request, model: &str) -> bool {
+    let until = self.holdings_valid_until();
+    let mut backends = self.accepting_backends(&request.descriptor.pool);
+    backends.any(|backend| {
+      request.accepts_build(backend.spec.build) && backend.holds(model, None, until, self.now)
+    })
+  }
+
   /// Returns whether a server that accepts work holds a model.
   pub(crate) fn is_held(&self, pool: &str, model: &str) -> bool {
     let until = self.holdings_valid_until();
@@ -116,6 +125,8 @@
     let model = descriptor.model.as_ref()?;
     let engine = self.engine(&descriptor.pool)?;
     let checkpoint = engine.models.get(&model.name)?;
+    let is_eligible =
+      |backend: &&Backend| request.accepts_build(backend.spec.build) && is_eligible(backend);
     let loading = self
       .accepting_backends(&descriptor.pool)
       .filter(&is_eligible)
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use crate::{
   backend::{self, Backend, Holding},
+  build,
   cold::{Deferrals, give_up_at},
   crash::{Admission, Filter, Permit},
   customer::Scheduler,
@@ -99,6 +100,10 @@
   /// The run whose stream has stalled and that no other server has continued yet.
   pub(crate) stalled: Option<stalled::Run>,
   pub(crate) counted: Counted,
+  /// The build of the server of the current send.
+  pub(crate) sent_build: Option<build::Id>,
+  /// The build at which the caller's stream began; `None` before its first event.
+  pub(crate) build: Option<build::Id>,
 }
 
 /// The state on which decisions about routed requests are based. Times are in milliseconds.
@@ -260,6 +265,7 @@
       Event::Arrived(descriptor) => self.on_arrived(descriptor),
       Event::Ended { ticket, end } => self.on_ended(ticket, end),
       Event::ResponseStarted(ticket) => {
+        self.record_build(ticket);
         self.record_first_event(ticket);
         self.record_answer_start(ticket);
       }
@@ -352,6 +358,8 @@
       held: None,
       stalled: None,
       counted: Counted::default(),
+      sent_build: None,
+      build: None,
     };
     self.learn_arrival(&request.descriptor);
     self.requests.insert(ticket, request);
@@ -667,6 +675,9 @@
     if self.failed_everywhere(&request) {
       return self.refuse(ticket, Reason::ServerFailed);
     }
+    if self.build_is_gone(&request) {
+      return self.refuse(ticket, Reason::BuildGone);
+    }
     if let Some(retry_after) = self.retry_after_backoff_ms(&request) {
       self.add_deferral(&request.descriptor, retry_after);
       self.out.push(Effect::ReportDemand);
@@ -707,7 +718,10 @@
   fn failed_everywhere(&self, request: &Request) -> bool {
     let pool = &request.descriptor.pool;
     let untried = |(key, backend): (backend::Key, &Backend)| {
-      backend.spec.pool == *pool && !backend.is_leaving() && !request.tried.contains(&key)
+      backend.spec.pool == *pool
+        && !backend.is_leaving()
+        && request.accepts_build(backend.spec.build)
+        && !request.tried.contains(&key)
     };
     !request.tried.is_empty() && !self.backends.iter().any(untried)
   }
@@ -721,6 +735,7 @@
     };
     request.sends += 1;
     request.backend = Some(key);
+    request.sent_build = Some(self.backends[key].spec.build);
     let retries = std::mem::take(&mut request.retry_pending);
     request.waiting_since = None;
     request.sent = self.now;
--- a/src/dispatch/choice/mod.rs
+++ b/src/dispatch/choice/mod.rs
@@ -37,6 +37,7 @@
       let fits = backend.spec.pool == descriptor.pool
         && backend.is_usable(self.now)
         && self.accepts_requests(backend)
+        && request.accepts_build(backend.spec.build)
         && !request.tried.contains(&key)
         && self.holds_model(backend, descriptor)
         && self.has_room(backend, urgent)
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -227,7 +227,10 @@
         .crash_filter
         .is_quarantined(self.now, request.descriptor.content)
     };
-    if request.is_some_and(quarantined) || backend.is_none_or(Backend::is_leaving) {
+    // The server has restarted, or its entry was older than it is.
+    let other_build = |backend: &Backend| backend.spec.build != attempt.build;
+    let unfit = |backend: &Backend| backend.is_leaving() || other_build(backend);
+    if request.is_some_and(quarantined) || backend.is_none_or(unfit) {
       return Some(End::Leaving);
     }
     let backing_off = backend.is_some_and(|backend| self.is_backing_off(backend));
--- a/src/limit/selection.rs
+++ b/src/limit/selection.rs
@@ -146,6 +146,7 @@
         let ask = &request.descriptor;
         backend.spec.pool == ask.pool
           && !backend.is_leaving()
+          && request.accepts_build(backend.spec.build)
           && !request.tried.contains(key)
           && self.holds_model(backend, ask)
       })
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -33,6 +33,8 @@
   ServerRest,
   /// This instance holds as many bytes for callers as its memory allows.
   MemoryFull,
+  /// No server is left of the build at which the stream began.
+  BuildGone,
 }
 
 impl Reason {
@@ -57,6 +59,7 @@
       Self::ServerLimit => "server-limit",
       Self::ServerRest => "server-rest",
       Self::MemoryFull => "memory-full",
+      Self::BuildGone => "build-gone",
     }
   }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -331,7 +331,7 @@
   }
 }
 
-/// Whether a server is already known with this life, stage and address; its holdings are ignored.
+/// Whether a server is already known with this life, build, stage and address; its holdings are ignored.
 fn is_known(state: &State, spec: &Spec) -> bool {
   let Some(key) = state.by_id.get(&spec.id) else {
     return false;
@@ -339,7 +339,7 @@
   let backend = &state.backends[*key];
   // An entry that reappears is also a change for instances that lack it.
   let known = &backend.spec;
-  let same_life = known.life() == spec.life();
+  let same_life = known.life() == spec.life() && known.build == spec.build;
   let same = same_life && known.stage == spec.stage && known.address == spec.address;
   same && backend.missing_since.is_none()
 }
