build: a stream that its caller resumes continues at the build that began it

A resumption was served like a new request, and nothing told another instance which build had begun the stream.

The instance that delivers the first event records the build by the attempt. While its pool has several builds, or has lately had them, it sends the record to two other instances, picked by rendezvous hashing of the attempt; when a second build joins, it sends its recent ones. At a resumption an instance looks up its own records and otherwise asks three instances, twice, for at most 60 ms; the request waits like any other. A stream that nobody knows continues where the pool's only build lately is known by a recent list; otherwise it is refused at once as not run.

tests/builds.rs: 17 tests pass; with resumptions ignored 8 of the 11 new ones fail. Not run yet: other tests, the real-process tests.

--- a/src/build/begun.rs
+++ b/src/build/begun.rs
@@ -1,8 +1,8 @@
 //! Keeps a stream at the build that began it.
 
-use super::Id;
+use super::{Id, Key};
 use crate::{
-  dispatch::{Request, State},
+  dispatch::{Effect, Request, State},
   request::Ticket,
 };
 
@@ -19,8 +19,16 @@
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
-    if let Some(sent) = request.sent_build {
-      request.build.get_or_insert(sent);
+    let (Some(stream), Some(sent)) = (request.descriptor.route.stream, request.sent_build) else {
+      return;
+    };
+    let build = *request.build.get_or_insert(sent);
+    if !stream.resumable {
+      return;
+    }
+    let (attempt, pool) = (Key::of(&request.descriptor.id), &request.descriptor.pool);
+    if self.streams.record(self.now, attempt, pool, build) {
+      self.out.push(Effect::ExchangeBuilds);
     }
   }
 
--- /dev/null
+++ b/src/build/exchange.rs
@@ -0,0 +1,115 @@
+//! Exchange of the records of streams between instances.
+//!
+//! Rendezvous hashing picks the instances that get the record of an attempt, and those that are asked
+//! for it.
+
+use super::{Key, Record, resume::ASKED};
+use crate::{dispatch::Event, message::Message, planner::Planner};
+use std::{collections::BTreeMap, net::SocketAddr};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Number of other instances that get a record. A third of the instances may end at once together
+/// with the one that recorded it: eight of nine records remain.
+const COPIES: usize = 2;
+/// Maximum number of records or attempts in a datagram, at about 15 bytes each.
+const MAX_ITEMS: usize = 80;
+/// Maximum number of records taken at a time.
+const MAX_TAKEN: usize = 1_024;
+
+/// The `count` members with the highest weights for an attempt.
+pub fn holders(members: &[SocketAddr], attempt: Key, count: usize) -> Vec<SocketAddr> {
+  let weight = |member: &SocketAddr| match member {
+    SocketAddr::V4(address) => {
+      let number = u64::from(address.ip().to_bits()) << 16 | u64::from(address.port());
+      xxh3_64_with_seed(&number.to_le_bytes(), attempt.0)
+    }
+    SocketAddr::V6(address) => xxh3_64_with_seed(address.to_string().as_bytes(), attempt.0),
+  };
+  let mut ranked: Vec<(u64, SocketAddr)> = members
+    .iter()
+    .map(|member| (weight(member), *member))
+    .collect();
+  ranked.sort_unstable_by(|left, right| right.cmp(left));
+  let highest = ranked.into_iter().take(count);
+  highest.map(|(_, member)| member).collect()
+}
+
+/// Items by the instances to which they are sent.
+fn by_holder<T: Copy>(
+  members: &[SocketAddr],
+  items: &[T],
+  attempt: impl Fn(&T) -> Key,
+  count: usize,
+) -> BTreeMap<SocketAddr, Vec<T>> {
+  let mut groups: BTreeMap<SocketAddr, Vec<T>> = BTreeMap::new();
+  for item in items {
+    for holder in holders(members, attempt(item), count) {
+      groups.entry(holder).or_default().push(*item);
+    }
+  }
+  groups
+}
+
+impl Planner {
+  /// Sends records to the instances that hold them, and questions about attempts.
+  pub(crate) fn exchange_builds(&mut self) {
+    let mut members = self.members.clone();
+    members.retain(|member| *member != self.own_address);
+    let (records, attempts) = {
+      let mut state = self.hub.state();
+      // Records wait until other instances are known.
+      let count = if members.is_empty() { 0 } else { MAX_TAKEN };
+      (
+        state.streams.take_unshared(count),
+        state.streams.take_questions(),
+      )
+    };
+    let groups = by_holder(&members, &attempts, |attempt| *attempt, ASKED);
+    for (holder, attempts) in groups {
+      for part in attempts.chunks(MAX_ITEMS) {
+        self.send(&Message::BuildQuestion(part.to_vec()), &[holder]);
+      }
+    }
+    let groups = by_holder(&members, &records, |record| record.attempt, COPIES);
+    for (holder, records) in groups {
+      for part in records.chunks(MAX_ITEMS) {
+        self.send_paced(&Message::Builds(part.to_vec()), &[holder]);
+      }
+    }
+  }
+
+  /// Answers another instance's question about attempts.
+  pub(crate) fn answer_builds(&self, now: u64, attempts: &[Key], from: SocketAddr) {
+    let (mut known, mut unknown) = (Vec::new(), Vec::new());
+    {
+      let state = self.hub.state();
+      for attempt in attempts {
+        match state.streams.find(now, *attempt) {
+          Some(found) => known.push(Record {
+            attempt: *attempt,
+            build: found.build,
+          }),
+          None => unknown.push(*attempt),
+        }
+      }
+    }
+    if !known.is_empty() {
+      self.send(&Message::Builds(known), &[from]);
+    }
+    if !unknown.is_empty() {
+      self.send(&Message::BuildsUnknown(unknown), &[from]);
+    }
+  }
+
+  /// Processes records of another instance.
+  pub(crate) fn receive_builds(&self, records: Vec<Record>, from: SocketAddr) {
+    self.hub.apply(Event::Builds { from, records }, None);
+  }
+
+  /// Processes that another instance does not know attempts.
+  pub(crate) fn receive_unknown_builds(&self, attempts: Vec<Key>, from: SocketAddr) {
+    self
+      .hub
+      .apply(Event::BuildsUnknown { from, attempts }, None);
+  }
+}
--- a/src/build/mod.rs
+++ b/src/build/mod.rs
@@ -4,6 +4,9 @@
 //! together, so a stream continues only at the build that began it.
 
 mod begun;
+pub mod exchange;
+pub mod resume;
+pub mod streams;
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -33,3 +36,21 @@
     write!(formatter, "{:08x}", self.0)
   }
 }
+
+/// Identifies a caller's attempt, by the hash of its request id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key(u64);
+
+impl Key {
+  /// The key of the attempt with a request id.
+  pub fn of(id: &str) -> Self {
+    Self(xxh3_64(id.as_bytes()))
+  }
+}
+
+/// The build at which the stream of an attempt began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+  pub attempt: Key,
+  pub build: Id,
+}
--- /dev/null
+++ b/src/build/resume.rs
@@ -0,0 +1,212 @@
+//! Decides at which build a stream continues that a caller resumes.
+
+use super::{Id, Key};
+use crate::{
+  dispatch::{Effect, State},
+  refusal::Reason,
+  request::Ticket,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Number of instances that are asked about an attempt. One more than have its record, because two
+/// instances may know different lists of instances.
+pub(crate) const ASKED: usize = 3;
+/// How long answers are awaited, in ms, and how many times the question is sent. The answers of
+/// instances with a quarter of a core take up to some ten ms.
+const ANSWER_MS: u64 = 30;
+const ROUNDS: u32 = 2;
+/// Oldest list of servers, in ms, that shows that a pool has one build only.
+const MAX_LIST_AGE_MS: u64 = 2_000;
+
+/// A caller's resumption of a stream, at its arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resumption {
+  /// The attempt whose caller received the first event; `None` if the caller does not name it.
+  pub attempt: Option<Key>,
+  /// How old the list of servers is, in ms; `None` if it was never read.
+  pub list_age_ms: Option<u64>,
+}
+
+/// A question to other instances about the stream of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Question {
+  /// When it was last sent, in ms, and how many times.
+  sent_at: u64,
+  rounds: u32,
+  /// Instances that do not know the stream.
+  unknown_to: Vec<SocketAddr>,
+}
+
+/// The build at which a resumed stream continues, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decision {
+  pub request: String,
+  /// `None` if the stream is refused because its build is unknown.
+  pub build: Option<Id>,
+  pub basis: Basis,
+  /// How long the decision took, in ms.
+  pub took_ms: u64,
+  /// Number of instances that answered that they do not know the stream.
+  pub unknown_to: usize,
+}
+
+/// What a decision rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+  /// A record: the instance that sent it, `None` if it is this one, and its age in ms.
+  Record(Option<SocketAddr>, u64),
+  /// The pool's servers have had one build lately.
+  OnlyBuild,
+  /// The stream is unknown, and the pool has had several builds.
+  SeveralBuilds,
+  /// The stream is unknown, and so is whether the pool has several builds.
+  OldList,
+}
+
+impl State {
+  /// Finds the build of the stream that a caller resumes. Returns whether the request may be sent
+  /// now; otherwise it waits for answers of other instances, or was refused.
+  pub(crate) fn resolve_build(&mut self, ticket: Ticket) -> bool {
+    let now = self.now;
+    let Some(request) = self.requests.get(&ticket) else {
+      return false;
+    };
+    let Some(resumption) = request.descriptor.resumption else {
+      return true;
+    };
+    if request.build.is_some() {
+      return true;
+    }
+    let known = resumption
+      .attempt
+      .and_then(|attempt| self.streams.find(now, attempt));
+    if let Some(known) = known {
+      let basis = Basis::Record(known.from, now - known.at);
+      return self.decide_build(ticket, Some(known.build), basis);
+    }
+    if let Some(attempt) = resumption.attempt
+      && let Some(until) = self.question_until(ticket, attempt)
+    {
+      self.enqueue(ticket, until);
+      return false;
+    }
+    let request = &self.requests[&ticket];
+    let waited_ms = now - request.arrived;
+    let fresh = resumption
+      .list_age_ms
+      .is_some_and(|age_ms| age_ms + waited_ms <= MAX_LIST_AGE_MS);
+    let only = self.streams.only_build(now, &request.descriptor.pool);
+    let (build, basis) = match (only, fresh) {
+      (_, false) => (None, Basis::OldList),
+      (None, true) => (None, Basis::SeveralBuilds),
+      (only, true) => (only, Basis::OnlyBuild),
+    };
+    self.decide_build(ticket, build, basis)
+  }
+
+  /// Until when an answer to the question about an attempt is awaited, in ms; `None` if no more
+  /// answers are expected. Sends the question if it is due.
+  fn question_until(&mut self, ticket: Ticket, attempt: Key) -> Option<u64> {
+    let (now, others) = (self.now, self.instances.saturating_sub(1));
+    let request = self.requests.get_mut(&ticket)?;
+    let question = request.question.get_or_insert(Question {
+      sent_at: 0,
+      rounds: 0,
+      unknown_to: Vec::new(),
+    });
+    if question.unknown_to.len() >= others.min(ASKED) {
+      return None;
+    }
+    let until = question.sent_at + ANSWER_MS;
+    if question.rounds > 0 && now < until {
+      return Some(until);
+    }
+    if question.rounds >= ROUNDS {
+      return None;
+    }
+    question.rounds += 1;
+    question.sent_at = now;
+    self.streams.ask(attempt);
+    self.out.push(Effect::ExchangeBuilds);
+    Some(now + ANSWER_MS)
+  }
+
+  fn decide_build(&mut self, ticket: Ticket, build: Option<Id>, basis: Basis) -> bool {
+    let now = self.now;
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return false;
+    };
+    request.build = build;
+    let question = request.question.take();
+    self.out.push(Effect::Resumption(Decision {
+      request: request.descriptor.id.clone(),
+      build,
+      basis,
+      took_ms: now - request.arrived,
+      unknown_to: question.map_or(0, |question| question.unknown_to.len()),
+    }));
+    if build.is_none() {
+      self.refuse(ticket, Reason::BuildUnknown);
+    }
+    build.is_some()
+  }
+
+  /// Processes what another instance answered, or sent on its own.
+  pub(crate) fn receive_builds(&mut self, from: SocketAddr, known: &[super::Record]) {
+    for record in known {
+      self.streams.receive(self.now, *record, from);
+    }
+    let attempts: Vec<Key> = known.iter().map(|record| record.attempt).collect();
+    for ticket in self.asking(&attempts) {
+      self.dispatch(ticket);
+    }
+  }
+
+  /// Processes that another instance does not know these attempts.
+  pub(crate) fn receive_unknown(&mut self, from: SocketAddr, attempts: &[Key]) {
+    for ticket in self.asking(attempts) {
+      let request = self.requests.get_mut(&ticket);
+      if let Some(question) = request.and_then(|request| request.question.as_mut())
+        && !question.unknown_to.contains(&from)
+      {
+        question.unknown_to.push(from);
+      }
+      self.dispatch(ticket);
+    }
+  }
+
+  /// Requests that wait for answers about one of these attempts.
+  fn asking(&self, attempts: &[Key]) -> Vec<Ticket> {
+    let waiting = self.waiting.iter().map(|(.., ticket)| *ticket);
+    let asking = waiting.filter(|ticket| {
+      let request = &self.requests[ticket];
+      let resumption = request.descriptor.resumption;
+      let attempt = resumption.and_then(|resumption| resumption.attempt);
+      request.question.is_some() && attempt.is_some_and(|key| attempts.contains(&key))
+    });
+    asking.collect()
+  }
+
+  /// Updates the builds of the pools after servers changed.
+  pub(crate) fn update_builds(&mut self) {
+    let specs = self.by_id.values().map(|key| &self.backends[*key].spec);
+    let servers = specs.map(|spec| (spec.pool.as_str(), spec.build));
+    if self.streams.update_pools(self.now, servers) {
+      self.out.push(Effect::ExchangeBuilds);
+    }
+  }
+}
+
+impl Resumption {
+  /// The resumption that a caller's headers state; `None` if it has no events yet.
+  pub fn parse(
+    last_event: Option<&str>,
+    attempt: Option<&str>,
+    list_age: Option<Duration>,
+  ) -> Option<Self> {
+    last_event.map(|_| Self {
+      attempt: attempt.map(Key::of),
+      list_age_ms: list_age.map(|age| age.as_millis() as u64),
+    })
+  }
+}
--- /dev/null
+++ b/src/build/streams.rs
@@ -0,0 +1,201 @@
+//! The builds at which recent streams began, by the attempt whose caller received the first event.
+//!
+//! The instance that delivers a first event records the build. While its pool serves several builds,
+//! it sends the record to other instances: the caller may resume its stream at any of them.
+
+use super::{Id, Key, Record};
+use std::{
+  collections::{BTreeMap, HashMap, VecDeque},
+  net::SocketAddr,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long records are kept, and how long a build counts after its last server has left, in ms. The
+/// longest deadline of a request is 35 s.
+const TTL_MS: u64 = 40_000;
+/// Maximum number of records, about 0.5 MB.
+const MAX_RECORDS: usize = 8_192;
+
+/// What is known of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+  pub build: Id,
+  /// When it was recorded or received, in ms.
+  pub at: u64,
+  /// The instance that sent the record; `None` if this instance delivered the first event.
+  pub from: Option<SocketAddr>,
+  /// Hash of the pool's name; 0 in a record of another instance.
+  pool: u64,
+}
+
+/// Whether a pool has servers of a build.
+#[derive(Clone, Copy, Debug)]
+struct Presence {
+  present: bool,
+  /// When it last had one, in ms.
+  last: u64,
+}
+
+/// Records of streams, and the builds of each pool.
+#[derive(Clone, Debug, Default)]
+pub struct Streams {
+  records: HashMap<Key, Known>,
+  /// Attempts in the order of their records' times.
+  order: VecDeque<(Key, u64)>,
+  /// Records to send to other instances.
+  unshared: VecDeque<Key>,
+  /// Attempts about which other instances are to be asked.
+  questions: Vec<Key>,
+  /// Builds by the hash of the pool's name.
+  pools: BTreeMap<(u64, Id), Presence>,
+}
+
+impl Streams {
+  /// Updates the builds of all pools. Returns whether records are to be sent.
+  pub fn update_pools<'a>(
+    &mut self,
+    now: u64,
+    servers: impl Iterator<Item = (&'a str, Id)>,
+  ) -> bool {
+    for presence in self.pools.values_mut() {
+      if std::mem::take(&mut presence.present) {
+        presence.last = now;
+      }
+    }
+    let mut grown = Vec::new();
+    for (pool, build) in servers.filter(|(_, build)| *build != Id::UNKNOWN) {
+      let pool = hash(pool);
+      let before = self.pools.insert(
+        (pool, build),
+        Presence {
+          present: true,
+          last: now,
+        },
+      );
+      if before.is_none() {
+        grown.push(pool);
+      }
+    }
+    self
+      .pools
+      .retain(|_, presence| presence.present || now < presence.last + TTL_MS);
+    grown.retain(|pool| self.count(now, *pool) > 1);
+    let own = self.order.iter().filter(|(key, at)| {
+      let known = self.records.get(key);
+      known.is_some_and(|known| known.at == *at && grown.contains(&known.pool))
+    });
+    // The newest streams are the most likely to be resumed.
+    let own: Vec<Key> = own.rev().map(|(key, _)| *key).collect();
+    for attempt in &own {
+      self.share(*attempt);
+    }
+    !own.is_empty()
+  }
+
+  /// The only build that a pool has had lately; `None` if it has had several, or no server.
+  pub fn only_build(&self, now: u64, pool: &str) -> Option<Id> {
+    let pool = hash(pool);
+    let mut builds = self.builds(now, pool);
+    builds.next().filter(|_| self.count(now, pool) == 1)
+  }
+
+  fn builds(&self, now: u64, pool: u64) -> impl Iterator<Item = Id> {
+    let builds = self.pools.range((pool, Id::UNKNOWN)..);
+    let builds = builds.take_while(move |((other, _), _)| *other == pool);
+    let lately = builds.filter(move |(_, seen)| seen.present || now < seen.last + TTL_MS);
+    lately.map(|((_, build), _)| *build)
+  }
+
+  fn count(&self, now: u64, pool: u64) -> usize {
+    self.builds(now, pool).count()
+  }
+
+  /// Records the build of a stream whose first event this instance has delivered. Returns whether
+  /// the record is to be sent.
+  pub fn record(&mut self, now: u64, attempt: Key, pool: &str, build: Id) -> bool {
+    let pool = hash(pool);
+    let known = Known {
+      build,
+      at: now,
+      from: None,
+      pool,
+    };
+    self.insert(attempt, known);
+    let several = self.count(now, pool) > 1;
+    if several {
+      self.share(attempt);
+    }
+    several
+  }
+
+  fn share(&mut self, attempt: Key) {
+    if self.unshared.len() < MAX_RECORDS {
+      self.unshared.push_back(attempt);
+    }
+  }
+
+  /// Records what another instance knows. Its own records stay as they are.
+  pub fn receive(&mut self, now: u64, record: Record, from: SocketAddr) {
+    let known = Known {
+      build: record.build,
+      at: now,
+      from: Some(from),
+      pool: 0,
+    };
+    if self.find(now, record.attempt).is_none() {
+      self.insert(record.attempt, known);
+    }
+  }
+
+  fn insert(&mut self, attempt: Key, known: Known) {
+    self.records.insert(attempt, known);
+    self.order.push_back((attempt, known.at));
+    while let Some((oldest, at)) = self.order.front().copied() {
+      if known.at < at + TTL_MS && self.order.len() <= MAX_RECORDS {
+        break;
+      }
+      self.order.pop_front();
+      if self
+        .records
+        .get(&oldest)
+        .is_some_and(|known| known.at == at)
+      {
+        self.records.remove(&oldest);
+      }
+    }
+  }
+
+  /// What is known of the stream of an attempt.
+  pub fn find(&self, now: u64, attempt: Key) -> Option<Known> {
+    let known = self.records.get(&attempt).copied();
+    known.filter(|known| now < known.at + TTL_MS)
+  }
+
+  /// Requests that other instances are asked about an attempt.
+  pub fn ask(&mut self, attempt: Key) {
+    self.questions.push(attempt);
+  }
+
+  /// Takes at most `count` records to send.
+  pub fn take_unshared(&mut self, count: usize) -> Vec<Record> {
+    let count = count.min(self.unshared.len());
+    let taken = self.unshared.drain(..count);
+    let records = taken.filter_map(|attempt| {
+      let known = self.records.get(&attempt)?;
+      Some(Record {
+        attempt,
+        build: known.build,
+      })
+    });
+    records.collect()
+  }
+
+  /// Takes the attempts about which other instances are to be asked.
+  pub fn take_questions(&mut self) -> Vec<Key> {
+    std::mem::take(&mut self.questions)
+  }
+}
+
+fn hash(pool: &str) -> u64 {
+  xxh3_64(pool.as_bytes())
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,7 +12,7 @@
 
 use crate::{
   backend::{self, Backend, Holding},
-  build,
+  build::{self, resume::Question, streams::Streams},
   cold::{Deferrals, give_up_at},
   crash::{Admission, Filter, Permit},
   customer::Scheduler,
@@ -104,6 +104,8 @@
   pub(crate) sent_build: Option<build::Id>,
   /// The build at which the caller's stream began; `None` before its first event.
   pub(crate) build: Option<build::Id>,
+  /// The question to other instances about that build.
+  pub(crate) question: Option<Question>,
 }
 
 /// The state on which decisions about routed requests are based. Times are in milliseconds.
@@ -159,6 +161,8 @@
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
   pub(crate) backoffs: Backoffs,
+  /// The builds at which streams began.
+  pub streams: Streams,
   /// Relates the clock of events to the time in which servers state their start.
   pub wall: wall::Clock,
   /// Quota units that this instance may use.
@@ -216,6 +220,7 @@
       limits: Limits::default(),
       leaving: Leaving::default(),
       backoffs: Backoffs::default(),
+      streams: Streams::default(),
       wall: wall::Clock::default(),
       quotas: Balances::new(seed),
       quota_bound: quota::DEFAULT_BOUND,
@@ -305,6 +310,8 @@
       Event::Leaving(server) => self.receive_leaving(server, now, true),
       Event::Backoff { server, backoff_ms } => self.receive_backoff(server, backoff_ms),
       Event::TrialAccepted(server) => self.record_trial_accepted(server),
+      Event::Builds { from, records } => self.receive_builds(from, &records),
+      Event::BuildsUnknown { from, attempts } => self.receive_unknown(from, &attempts),
       Event::Suspected(entries) => self.crash_filter.update_suspects(now, &entries),
       Event::Stopping {
         accept_until,
@@ -360,6 +367,7 @@
       counted: Counted::default(),
       sent_build: None,
       build: None,
+      question: None,
     };
     self.learn_arrival(&request.descriptor);
     self.requests.insert(ticket, request);
@@ -473,7 +481,7 @@
   }
 
   /// Adds a request to the waiting requests and schedules its next check for `until`.
-  fn enqueue(&mut self, ticket: Ticket, until: u64) {
+  pub(crate) fn enqueue(&mut self, ticket: Ticket, until: u64) {
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
@@ -520,7 +528,7 @@
     &self.quotas
   }
 
-  fn refuse(&mut self, ticket: Ticket, reason: Reason) {
+  pub(crate) fn refuse(&mut self, ticket: Ticket, reason: Reason) {
     self.refuse_with_retry_after(ticket, reason, RETRY_AFTER_MS);
   }
 
@@ -552,7 +560,7 @@
   }
 
   /// Sends a request, lets it wait or refuses it.
-  fn dispatch(&mut self, ticket: Ticket) {
+  pub(crate) fn dispatch(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get(&ticket) else {
       return;
     };
@@ -586,7 +594,7 @@
     if request.awaits_budget && !self.reserve_retry(ticket) {
       return self.wait_for_budget(ticket);
     }
-    if !self.charge_quota(ticket) {
+    if !self.resolve_build(ticket) || !self.charge_quota(ticket) {
       return;
     }
     let choice = match pass {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -3,7 +3,11 @@
 use super::choice::expect::Lateness;
 use crate::{
   backend::{self, Holding, Spec},
-  build, content,
+  build::{
+    self,
+    resume::{Decision, Resumption},
+  },
+  content,
   crash::{Quarantined, Suspected},
   customer::Caller,
   demand::Model,
@@ -41,6 +45,8 @@
   pub caller: Option<Caller>,
   /// `None` if the caller does not state them.
   pub tokens: Option<Tokens>,
+  /// The stream that the caller resumes; `None` if it has no events yet.
+  pub resumption: Option<Resumption>,
 }
 
 impl Descriptor {
@@ -283,6 +289,16 @@
   },
   /// A server accepted a trial request after its backoff.
   TrialAccepted(Life),
+  /// Builds at which streams began, sent by another instance.
+  Builds {
+    from: SocketAddr,
+    records: Vec<build::Record>,
+  },
+  /// Another instance does not know these attempts.
+  BuildsUnknown {
+    from: SocketAddr,
+    attempts: Vec<build::Key>,
+  },
   /// Requests that may have caused crashes, with the order in which they may run.
   Suspected(Vec<Suspected>),
   /// Graceful shutdown.
@@ -323,6 +339,10 @@
   ReportCrashes,
   /// Report quota use and needs to the lease holder.
   RequestQuota,
+  /// Send records of streams, and questions about attempts, to other instances.
+  ExchangeBuilds,
+  /// At which build a stream continues that its caller resumes.
+  Resumption(Decision),
   /// A pool's retry budget, at most once per second.
   RetryBudget {
     pool: String,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -2,6 +2,7 @@
 
 use crate::{
   backend,
+  build::resume::{Basis, Decision},
   clock::{self, Moment},
   customer::{Caller, Standing},
   deployment::Deployment,
@@ -119,6 +120,8 @@
   pub stop_waker: Waker,
   /// Signalled when demand should be reported to the planner.
   pub report_waker: Waker,
+  /// Wakes the planner without a report.
+  planner_waker: OnceLock<Arc<Waker>>,
   /// Number of requests in progress.
   pub active: AtomicUsize,
   /// Bytes held for callers, if they are bounded.
@@ -158,6 +161,7 @@
       end_at: AtomicU64::new(u64::MAX),
       stop_waker: Waker::new()?,
       report_waker: Waker::new()?,
+      planner_waker: OnceLock::new(),
       active: AtomicUsize::new(0),
       readers: OnceLock::new(),
       standings: Mutex::default(),
@@ -169,6 +173,24 @@
     }))
   }
 
+  /// Sets the waker of the planner. Only the first one counts.
+  pub(crate) fn set_planner_waker(&self, waker: Arc<Waker>) {
+    self.planner_waker.get_or_init(|| waker);
+  }
+
+  fn log_resumption(&self, decision: &Decision) {
+    let (basis, from, age_ms) = match decision.basis {
+      Basis::Record(from, age_ms) => ("record", from, Some(age_ms)),
+      Basis::OnlyBuild => ("only build of the pool", None, None),
+      Basis::SeveralBuilds => ("unknown, and the pool has several builds", None, None),
+      Basis::OldList => ("unknown, and the list of servers is old", None, None),
+    };
+    info!(self.log, "stream resumed by its caller"; "request" => &decision.request,
+      "build" => decision.build.map(|build| build.to_string()), "basis" => basis,
+      "from" => from.map(|from| from.to_string()), "age_ms" => age_ms,
+      "took_ms" => decision.took_ms, "unknown_to" => decision.unknown_to);
+  }
+
   /// Sets how long keys are trusted after the moment as of which they are known with certainty.
   pub fn set_max_key_age(&self, age: Duration) {
     let ms = age.as_millis() as u64;
@@ -265,6 +287,16 @@
           self.report_waker.wake();
           continue;
         }
+        Effect::ExchangeBuilds => {
+          if let Some(waker) = self.planner_waker.get() {
+            waker.wake();
+          }
+          continue;
+        }
+        Effect::Resumption(decision) => {
+          self.log_resumption(&decision);
+          continue;
+        }
         Effect::RetryBudget { pool, standing } => {
           info!(self.log, "retry budget"; "pool" => pool, "allowed" => standing.fits,
             "retries" => standing.retries, "retries_allowed" => standing.allowed,
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -34,6 +34,7 @@
       }
     }
     self.drop_missing();
+    self.update_builds();
     self.dispatch_waiting();
   }
 
@@ -205,6 +206,7 @@
           }
           if holding.life().supersedes(known.life()) {
             self.upsert(restarted_spec(&known, &holding));
+            self.update_builds();
           }
           let key = self.by_id[&holding.id];
           self.backends[key].update(holding, now);
--- a/src/message.rs
+++ b/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::{
   backend::Holding,
+  build,
   crash::{Crash, Quarantined, Suspected},
   feed,
   lease::Heartbeat,
@@ -47,6 +48,12 @@
   Grants(Grants),
   /// Statements of backend servers about themselves.
   Statements(Vec<Statement>),
+  /// Builds at which streams began.
+  Builds(Vec<build::Record>),
+  /// Question about attempts, to instances that may have their records.
+  BuildQuestion(Vec<build::Key>),
+  /// The attempts of a question that the sender does not know.
+  BuildsUnknown(Vec<build::Key>),
 }
 
 /// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -239,6 +239,7 @@
     next_sums_publish_at: 0,
     buffer: vec![0; MAX_DATAGRAM_BYTES],
   };
+  hub.set_planner_waker(planner.waker.clone());
   hub.gates.deployments.set_waker(planner.waker.clone());
   hub.gates.servers.set_waker(planner.waker.clone());
   let builder = thread::Builder::new().name("planner".into());
@@ -323,6 +324,7 @@
       self.read_policies();
       self.sync_quarantine();
       self.exchange_statements();
+      self.exchange_builds();
       self.report_uses(report_requested);
       self.report(report_requested);
       self.publish_changes();
@@ -406,6 +408,9 @@
         Ok((Message::Uses(uses), _)) => self.receive_uses(now, &uses, from),
         Ok((Message::Grants(answer), _)) => self.receive_grants(answer),
         Ok((Message::Statements(statements), _)) => self.receive_statements(statements),
+        Ok((Message::Builds(records), _)) => self.receive_builds(records, from),
+        Ok((Message::BuildQuestion(attempts), _)) => self.answer_builds(now, &attempts, from),
+        Ok((Message::BuildsUnknown(attempts), _)) => self.receive_unknown_builds(attempts, from),
         Ok((Message::Promise(index, promise, store_ms), _)) => {
           self.receive_store_age(store_ms);
           let group = self.groups.get_mut(index as usize);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -33,6 +33,8 @@
   ServerRest,
   /// This instance holds as many bytes for callers as its memory allows.
   MemoryFull,
+  /// The build at which the stream began is unknown, and servers may have several builds.
+  BuildUnknown,
   /// No server is left of the build at which the stream began.
   BuildGone,
 }
@@ -59,6 +61,7 @@
       Self::ServerLimit => "server-limit",
       Self::ServerRest => "server-rest",
       Self::MemoryFull => "memory-full",
+      Self::BuildUnknown => "build-unknown",
       Self::BuildGone => "build-gone",
     }
   }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,7 @@
 use stream::Stream;
 
 use crate::{
+  build::resume::Resumption,
   content,
   customer::Caller,
   demand::Model,
@@ -181,6 +182,7 @@
     content,
     caller: incoming.caller,
     tokens: Tokens::parse(header(dialect.token_usage), header(dialect.length_hint)),
+    resumption: resumption(hub, incoming),
   };
   let keep_alive = incoming.head.keep_alive() && !hub.stopping.load(Ordering::Relaxed);
   let mut relay = Relay {
@@ -225,6 +227,14 @@
   relay.disposition
 }
 
+/// The stream that a request resumes.
+fn resumption(hub: &Hub, incoming: &Incoming) -> Option<Resumption> {
+  incoming.route.stream.filter(|stream| stream.resumable)?;
+  let header = |name: &str| incoming.head.headers.get(name);
+  let (last_event, attempt) = (header("Last-Event-Id"), header(hub.dialect.resumes));
+  Resumption::parse(last_event, attempt, hub.gates.servers.age())
+}
+
 /// Hash that is equal for requests whose prompts share a prefix: all parts but the last, which is
 /// specific to the request.
 fn affinity(parts: Option<&str>, model: Option<&Model>) -> u64 {
--- a/tests/bounded_sends.rs
+++ b/tests/bounded_sends.rs
@@ -65,6 +65,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -4,15 +4,16 @@
 
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
-  build,
+  build::{self, exchange::holders, resume::Resumption},
   deployment::Engine,
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   refusal::Reason,
   request::Ticket,
   route::{Repeat, Route, Stream},
+  verdict::Verdict,
 };
 use requests::refused;
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 /// Number of times that a choice among servers is repeated.
 const REPETITIONS: u64 = 50;
@@ -57,9 +58,60 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   }
 }
 
+/// Arrival of a request whose caller has events of the stream of `attempt`.
+fn resumed(ticket: u64, attempt: Option<&str>, list_age_ms: u64) -> Event {
+  Event::Arrived(Descriptor {
+    resumption: Some(Resumption {
+      attempt: attempt.map(build::Key::of),
+      list_age_ms: Some(list_age_ms),
+    }),
+    ..descriptor(ticket)
+  })
+}
+
+/// Arrival of a request that resumes a stream which another instance began.
+fn resumed_elsewhere(ticket: u64) -> Event {
+  resumed(ticket, Some("other"), 100)
+}
+
+/// An answer of another instance about the stream of `other`.
+fn answer(peer: u16, version: Option<&str>) -> Event {
+  let from = SocketAddr::from(([127, 0, 0, 1], peer));
+  let attempt = build::Key::of("other");
+  match version {
+    Some(version) => Event::Builds {
+      from,
+      records: vec![build::Record {
+        attempt,
+        build: build::Id::of(version),
+      }],
+    },
+    None => Event::BuildsUnknown {
+      from,
+      attempts: vec![attempt],
+    },
+  }
+}
+
+/// Until when a request waits, in ms.
+fn waits(effects: &[Effect]) -> Option<u64> {
+  effects.iter().find_map(|effect| match effect {
+    Effect::Wait(_, until) => Some(*until),
+    _ => None,
+  })
+}
+
+fn assert_refused(effects: &[Effect], reason: Reason) {
+  let refusal = refused(effects).expect("not refused");
+  assert_eq!(refusal.reason, reason);
+  assert_eq!(refusal.verdict, Verdict::NotRun);
+  assert_eq!(sent(effects), None);
+}
+
 fn ended(ticket: u64, end: End) -> Event {
   Event::Ended {
     ticket: Ticket(ticket),
@@ -182,3 +234,162 @@
   state.reduce(2, Event::Servers(vec![Change::Set(changed)]));
   assert_eq!(state.abort_reason(&attempt), Some(End::Leaving));
 }
+
+const TWO_BUILDS: [&str; 4] = ["v1-a", "v1-b", "v2-a", "v2-b"];
+
+/// Guards against a resumption that is served like a new request, by the instance that began the
+/// stream.
+#[test]
+fn a_stream_that_its_caller_resumes_here_continues_at_its_build() {
+  for ticket in 0..REPETITIONS {
+    let mut state = state(&TWO_BUILDS);
+    let begun = begin(&mut state, ticket);
+    state.reduce(3, ended(ticket, End::Left));
+    let attempt = ticket.to_string();
+    let effects = state.reduce(4, resumed(1_000 + ticket, Some(&attempt), 100));
+    assert_eq!(sent(&effects).unwrap()[..2], begun);
+  }
+}
+
+/// The same where another instance began it and answers.
+#[test]
+fn a_stream_that_its_caller_resumes_elsewhere_continues_at_its_build() {
+  for ticket in 0..REPETITIONS {
+    let mut state = state(&TWO_BUILDS);
+    let effects = state.reduce(1, resumed_elsewhere(ticket));
+    assert_eq!(sent(&effects), None);
+    assert!(effects.contains(&Effect::ExchangeBuilds));
+    assert_eq!(state.streams.take_questions(), [build::Key::of("other")]);
+    state.reduce(3, answer(1, None));
+    let effects = state.reduce(4, answer(2, Some("v2")));
+    assert_eq!(&sent(&effects).unwrap()[..2], "v2");
+  }
+}
+
+/// Guards against a stream of an unknown build that is joined to any, or held.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_beside_several_builds() {
+  let mut state = state(&TWO_BUILDS);
+  state.reduce(1, resumed_elsewhere(1));
+  state.reduce(2, answer(1, None));
+  let effects = state.reduce(3, answer(1, None));
+  assert_eq!(refused(&effects), None, "one instance counted twice");
+  state.reduce(4, answer(2, None));
+  let effects = state.reduce(5, answer(3, None));
+  assert_refused(&effects, Reason::BuildUnknown);
+}
+
+/// Guards against a resumption that waits for instances that have ended.
+#[test]
+fn a_question_without_answers_is_asked_again_and_ends_in_a_refusal() {
+  let mut state = state(&TWO_BUILDS);
+  let mut effects = state.reduce(1, resumed_elsewhere(1));
+  let mut asked = 0;
+  let mut now = 1;
+  while let Some(until) = waits(&effects) {
+    asked += state.streams.take_questions().len();
+    now = until;
+    effects = state.reduce(now, Event::Recheck(Ticket(1)));
+  }
+  assert_refused(&effects, Reason::BuildUnknown);
+  assert_eq!(asked, 2);
+  // Refusals come within a quarter of the objective of 300 ms.
+  assert!(now <= 1 + 300 / 4, "refused at {now}");
+}
+
+/// Guards against refusals where all servers have one build.
+#[test]
+fn a_stream_that_nobody_knows_continues_beside_one_build() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  state.reduce(1, resumed_elsewhere(1));
+  state.reduce(2, answer(1, None));
+  state.reduce(3, answer(2, None));
+  let effects = state.reduce(4, answer(3, None));
+  assert!(sent(&effects).is_some());
+}
+
+/// Guards against a list of servers that lacks the second build because it is old.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_while_the_list_of_servers_is_old() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  state.reduce(1, resumed(1, Some("other"), 5_000));
+  for peer in 1..3 {
+    state.reduce(2, answer(peer, None));
+  }
+  let effects = state.reduce(3, answer(3, None));
+  assert_refused(&effects, Reason::BuildUnknown);
+}
+
+/// Guards against a stream that continues at the second build because its own has left.
+#[test]
+fn a_build_that_has_left_still_counts_while_its_streams_may_be_resumed() {
+  for (now, refuses) in [(20_000, true), (50_000, false)] {
+    let mut state = state(&["v1-a", "v2-a"]);
+    state.reduce(1_000, Event::Servers(vec![Change::Removed("v1-a".into())]));
+    let arrival = Descriptor {
+      deadline: now + 5_000,
+      resumption: Some(Resumption {
+        attempt: None,
+        list_age_ms: Some(100),
+      }),
+      ..descriptor(1)
+    };
+    let effects = state.reduce(now, Event::Arrived(arrival));
+    assert_eq!(refused(&effects).is_some(), refuses, "at {now}");
+    assert_eq!(sent(&effects).is_none(), refuses, "at {now}");
+  }
+}
+
+/// Guards against a resumption that waits for a build without any server.
+#[test]
+fn a_resumption_is_refused_when_no_server_of_its_build_is_left() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  state.reduce(1, resumed_elsewhere(1));
+  let effects = state.reduce(2, answer(1, Some("v2")));
+  assert_refused(&effects, Reason::BuildGone);
+}
+
+/// Guards against streams that are unknown elsewhere because they began beside one build.
+#[test]
+fn records_of_earlier_streams_are_sent_when_a_second_build_joins() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  begin(&mut state, 1);
+  assert_eq!(state.streams.take_unshared(10), []);
+  let effects = state.reduce(3, Event::Servers(vec![Change::Set(spec("v2-a"))]));
+  assert!(effects.contains(&Effect::ExchangeBuilds));
+  let record = build::Record {
+    attempt: build::Key::of("1"),
+    build: build::Id::of("v1"),
+  };
+  assert_eq!(state.streams.take_unshared(10), [record]);
+}
+
+/// Guards against a second resumption that names the first one.
+#[test]
+fn a_resumed_stream_has_a_record_under_its_own_attempt() {
+  for ticket in 0..REPETITIONS {
+    let mut state = state(&TWO_BUILDS);
+    state.reduce(1, resumed_elsewhere(ticket));
+    state.reduce(2, answer(1, Some("v2")));
+    state.reduce(3, Event::ResponseStarted(Ticket(ticket)));
+    state.reduce(4, ended(ticket, End::Left));
+    let attempt = ticket.to_string();
+    let effects = state.reduce(5, resumed(1_000 + ticket, Some(&attempt), 100));
+    assert_eq!(&sent(&effects).unwrap()[..2], "v2");
+  }
+}
+
+/// Guards against instances that look for a record where it was not sent.
+#[test]
+fn holders_of_a_record_do_not_depend_on_the_order_of_members() {
+  let members: Vec<SocketAddr> = (1..8)
+    .map(|host| SocketAddr::from(([10, 0, 0, host], 7_000)))
+    .collect();
+  let reversed: Vec<SocketAddr> = members.iter().rev().copied().collect();
+  for number in 0..REPETITIONS {
+    let attempt = build::Key::of(&number.to_string());
+    let holders = holders(&members, attempt, 3);
+    assert_eq!(holders, build::exchange::holders(&reversed, attempt, 3));
+    assert_eq!(holders[..2], build::exchange::holders(&members, attempt, 2));
+  }
+}
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -240,6 +240,7 @@
       content: content::Key(u128::from(ticket.0)),
       caller: None,
       tokens: Tokens::parse(Some("1460,200"), None),
+      resumption: None,
     };
     self.silent.insert(ticket, self.now + PATIENCE_MS);
     self.models.insert(ticket, model.into());
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -91,6 +91,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   };
   state.reduce(now, Event::Arrived(descriptor))
 }
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -120,6 +120,7 @@
       content,
       caller: None,
       tokens: None,
+      resumption: None,
     };
     self.apply(index, Event::Arrived(descriptor));
   }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -51,6 +51,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -500,6 +500,7 @@
         content: Default::default(),
         caller: None,
         tokens: None,
+        resumption: None,
       };
       self.apply(now, index, Event::Arrived(descriptor));
     }
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -134,6 +134,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   };
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   assert!(
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -326,6 +326,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -236,6 +236,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   };
   let effects = state.reduce(now, Event::Arrived(descriptor));
   effects
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -549,6 +549,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   };
   let effects = state.reduce(10, Event::Arrived(descriptor));
   match effects.into_iter().next() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -210,6 +210,7 @@
     content: content::Key(content),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -31,6 +31,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   }
 }
 
--- a/tests/returned.rs
+++ b/tests/returned.rs
@@ -53,6 +53,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   });
   let effects = state.reduce(now, arrived);
   state.reduce(now, Event::CallerGone(ticket));
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -42,6 +42,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/token_memory.rs
+++ b/tests/token_memory.rs
@@ -51,6 +51,7 @@
     deadline: 60_000,
     content: Default::default(),
     caller: None,
+    resumption: None,
     tokens: Some(Tokens {
       input,
       max_output,
