exchange: instances that have just started know each other

By the logs the records were not sent, and questions got no answer: an instance learns the others from a list that the holder publishes every two seconds, it reports to a holder that it reads in the lease up to a second later, and the list that it gets then lacks those that report after it.

An instance reports as soon as it first knows the holder, the answer to an instance that misses changes has the list, and the list is published again sooner while it holds instances that were not in the last one: after 5 ms for each of them, so at 400 it is as rare as before. Records sent while fewer than two other instances were known are sent again.

Not run yet: the soak, the other tests, larger fleets.

--- a/src/build/exchange.rs
+++ b/src/build/exchange.rs
@@ -53,10 +53,14 @@
 impl Planner {
   /// Sends records to the instances that hold them, and questions about attempts.
   pub(crate) fn exchange_builds(&mut self) {
-    let mut members = self.members.clone();
-    members.retain(|member| *member != self.own_address);
+    let members = self.other_members(self.hub.now());
+    let known_before = std::mem::replace(&mut self.record_holders, members.len());
+    let grown = known_before < COPIES && known_before < members.len();
     let (records, attempts) = {
       let mut state = self.hub.state();
+      if grown {
+        state.streams.share_again();
+      }
       // Records wait until other instances are known.
       let count = if members.is_empty() { 0 } else { MAX_TAKEN };
       (
@@ -78,6 +82,18 @@
     }
   }
 
+  /// Addresses of the other instances, as far as this one knows them.
+  fn other_members(&self, now: u64) -> Vec<SocketAddr> {
+    let mut members = self.peer_addresses(now, 0);
+    let holders = self.groups.iter().filter_map(|group| group.lease.holder());
+    for holder in holders {
+      if holder != self.own_address && !members.contains(&holder) {
+        members.push(holder);
+      }
+    }
+    members
+  }
+
   /// Answers another instance's question about attempts.
   pub(crate) fn answer_builds(&self, now: u64, attempts: &[Key], from: SocketAddr) {
     let (mut known, mut unknown) = (Vec::new(), Vec::new());
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -128,6 +128,21 @@
     several
   }
 
+  /// Sends the records of pools with several builds once more, because too few instances were known.
+  pub fn share_again(&mut self) {
+    let own = self.order.iter().rev().map(|(attempt, _)| *attempt);
+    let own: Vec<Key> = own.filter(|attempt| self.is_shared(*attempt)).collect();
+    self.unshared.clear();
+    self.unshared.extend(own);
+  }
+
+  fn is_shared(&self, attempt: Key) -> bool {
+    let Some(known) = self.records.get(&attempt) else {
+      return false;
+    };
+    known.from.is_none() && self.count(known.at, known.pool) > 1
+  }
+
   fn share(&mut self, attempt: Key) {
     if self.unshared.len() < MAX_RECORDS {
       self.unshared.push_back(attempt);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -19,6 +19,9 @@
 
 /// Interval at which the holder publishes the list of instances.
 const MEMBERS_INTERVAL_MS: u64 = 2_000;
+/// The same for each instance in the list, while some of them were not published yet: the bytes of a
+/// publication grow with the square of their number.
+const JOINED_INTERVAL_MS: u64 = 5;
 /// One of this many rounds of promise requests is logged.
 const ROUNDS_PER_LOG_LINE: u32 = 10;
 /// A holder publishes at the rate of its link divided by this, because it also serves requests.
@@ -385,7 +388,7 @@
     }
   }
 
-  /// The list of instances if it is due to be published; otherwise empty.
+  /// The list of instances if it is due to be published, or for a single instance; otherwise empty.
   fn members_to_publish(
     &mut self,
     now: u64,
@@ -393,10 +396,20 @@
     update: &Publication,
     members: Vec<SocketAddr>,
   ) -> Vec<SocketAddr> {
-    let group = &mut self.groups[index];
-    if update.to.is_some() || now < group.members_published_at + MEMBERS_INTERVAL_MS {
+    if update.to.is_some() {
+      // An instance that has just started knows no others.
+      return members;
+    }
+    let published_at = self.groups[index].members_published_at;
+    let joined = members.iter().any(|member| !self.members.contains(member));
+    let interval = match joined {
+      true => MEMBERS_INTERVAL_MS.min(JOINED_INTERVAL_MS * members.len() as u64),
+      false => MEMBERS_INTERVAL_MS,
+    };
+    if now < published_at + interval {
       return Vec::new();
     }
+    let group = &mut self.groups[index];
     group.members_published_at = now;
     let known = group.plan.members(now);
     self.set_members(known);
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -165,6 +165,8 @@
   pub(crate) resync_attempts: u32,
   /// Instances published by the holders.
   pub(crate) members: Vec<SocketAddr>,
+  /// Number of other instances to which records of streams could be sent.
+  pub(crate) record_holders: usize,
   /// Requests known or suspected to crash servers.
   pub(crate) registry: Registry,
   pub(crate) stored_quarantine: stored::Stored,
@@ -224,6 +226,7 @@
     stalled: false,
     resync_attempts: 0,
     members: Vec::new(),
+    record_holders: 0,
     registry: Registry::default(),
     stored_quarantine: stored::Stored::default(),
     reported_crashes: Repeated::default(),
@@ -493,7 +496,13 @@
       // Inform other instances of the renewal without delay.
       group.plan.request_publish();
     }
-    if group.lease.record_call_result(now, call, result) {
+    let knew_holder = group.lease.holder().is_some();
+    let acquired = group.lease.record_call_result(now, call, result);
+    if !knew_holder && group.lease.holder().is_some() {
+      // The holder's answer to a report names the other instances.
+      self.needs_resync = true;
+    }
+    if acquired {
       let term = group.lease.term(now).unwrap_or_default();
       self.hub.measures.record_lease();
       let foreign_orders_until = group.lease.foreign_orders_until();
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -88,6 +88,7 @@
     deadline: 60_000,
     content: Default::default(),
     caller: None,
+    resumption: None,
     tokens: Some(Tokens {
       input,
       max_output: 200,
