admit: a completion that breaks off after its time limit is continued

What callers saw: in the product's own deployment, a completion that had begun was ended with `too-late` when its server failed after the time limit and no replica had a free slot in that moment: with a single replica always, since its server is skipped for a second after a failure.

The request's thread also stopped waiting for the reducer 30 s after that deadline.

Change: the end of an attempt says whether the caller received a part of the response from it (`CutOff`); such a request gets as much time for its next token as it had for the first one. Attempts that deliver nothing don't renew it.

By reading: items of batches go through the same path and stay waiting after a refusal.

Not run: a break more than 30 s after the time limit, a pause that uses up all attempts.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -38,6 +38,7 @@
       arrived: self.now,
       sent: 0,
       cold: false,
+      time_limit: descriptor.deadline.saturating_sub(self.now),
       descriptor,
     };
     let ticket = request.descriptor.ticket;
@@ -299,6 +300,10 @@
       End::Whole | End::CallerGone => self.finish(ticket, end, answer),
       End::Declined => self.retry(ticket, Verdict::NotRun),
       End::Broken(verdict) => self.retry(ticket, verdict),
+      End::CutOff => {
+        self.renew_deadline(ticket);
+        self.retry(ticket, Verdict::MayHaveRun);
+      }
     }
     if let Some(key) = group {
       self.dispatch_queued(key);
@@ -325,7 +330,7 @@
     }
     match end {
       End::Whole => group.service_ms = moving_average(group.service_ms, held_ms.max(1)),
-      End::Broken(_) => server.avoid_until = now + AVOID_AFTER_FAILURE_MS,
+      End::Broken(_) | End::CutOff => server.avoid_until = now + AVOID_AFTER_FAILURE_MS,
       // Requests of other instances fill the replica, or it is being unloaded.
       End::Declined => server.avoid_until = server.avoid_until.max(now + AVOID_AFTER_DECLINE_MS),
       End::CallerGone => {}
@@ -340,6 +345,15 @@
     }
   }
 
+  /// Gives a request whose response has begun as much time for the next token as it had for the
+  /// first one.
+  fn renew_deadline(&mut self, ticket: Ticket) {
+    if let Some(request) = self.requests.get_mut(&ticket) {
+      let renewed = self.now + request.time_limit;
+      request.descriptor.deadline = request.descriptor.deadline.max(renewed);
+    }
+  }
+
   fn retry(&mut self, ticket: Ticket, verdict: Verdict) {
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -23,6 +23,8 @@
   Declined,
   /// The connection or the backend server failed.
   Broken(Verdict),
+  /// Like `Broken`, after the caller received a part of the response from this attempt.
+  CutOff,
   /// The caller disconnected and the stream was cancelled.
   CallerGone,
 }
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -123,8 +123,11 @@
     priority,
     resume: Vec::new(),
   };
+  let time_limit = deadline.saturating_sub(shared.now());
   shared.notify(Event::RequestArrived(descriptor));
   loop {
+    // A response that was cut off has its time limit anew.
+    let deadline = deadline.max(shared.now() + time_limit);
     let attempt = match wait_for_directive(shared, directives, ticket, deadline, reply) {
       Some(Directive::Send(attempt)) => attempt,
       Some(Directive::Refuse(refusal)) => return reply.refuse(refusal),
@@ -138,6 +141,10 @@
       tokens.push(text);
       connected
     });
+    let end = match end {
+      End::Broken(_) if !tokens.is_empty() => End::CutOff,
+      end => end,
+    };
     completion.resume.append(&mut tokens);
     if end == End::CallerGone {
       engine::cancel(
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,8 @@
   pub arrived: u64,
   /// Time in ms at which the latest attempt was sent.
   pub sent: u64,
+  /// Time in ms from the arrival to the deadline that the caller asked for.
+  pub time_limit: u64,
   /// Whether no replica was ready on arrival, so that the request waits for a load.
   pub cold: bool,
 }
