--- a/tests/begun_completions.rs
+++ b/tests/begun_completions.rs
@@ -1,5 +1,6 @@
 //! Completions that have begun for the caller: they go on as long as a server can continue them.
 
+use bendsaddle::{fact::MachineState, report::Stage};
 use serde_json::json;
 use stand_ins::{
   caller::{Answer, Request},
@@ -86,3 +87,24 @@
   fleet.proxies[0].pause(false, false);
   assert_whole(caller, "paused");
 }
+
+// Guards against a drain that ends what its server still runs.
+#[test]
+fn a_completion_outlives_the_drain_of_its_server() {
+  let fleet = fleet();
+  let caller = begin(&fleet, "drained", LONG);
+  let server = fleet.engines[0].name().to_string();
+  let leaving = MachineState::Leaving;
+  fleet.platform.machine(&server, None, leaving);
+  wait_for("the replica to be unloaded", || {
+    let stages = fleet.engines[0].residents();
+    stages.iter().all(|(_, stage)| *stage != Stage::Ready)
+  });
+  assert_eq!(
+    fleet.engines[0].busy(),
+    1,
+    "the completion has ended before"
+  );
+  assert_whole(caller, "drained");
+  assert_eq!(fleet.engines[0].runs().len(), 2);
+}
