tests: requests of the reducer's tests state their resumption

Cause: a field that was added to the descriptor of a request was missing in two tests that were merged at the same time; they did not compile (E0063). The requests resume nothing.

--- a/tests/begun.rs
+++ b/tests/begun.rs
@@ -39,6 +39,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   })
 }
 
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -43,6 +43,7 @@
     content: Default::default(),
     caller: None,
     tokens: None,
+    resumption: None,
   };
   assert_eq!(
     sent(&state.reduce(ARRIVED_AT, Event::Arrived(descriptor))),
