dispatch: at the first start a retry waits for the number of instances

What was seen: `a_server_that_asks_for_rest_gets_two_requests_in_it_at_the_most`, many at once: one request is refused as `no-server` although another server has room.

The second request that the server rejects is not retried.

Ruled out: a share that is too small (slack 0 in the line `retry budget`), and a full or resting second server (it serves the other requests of these milliseconds). Also a share before the number is known: neither the settings nor the seeds bound the number of instances, so none above zero keeps the bound.

Change: at the first start the share is not zero but unknown. A request whose retry does not fit waits for the number, at most until 2 s after the start of the process, in the way in which a begun response waits for the budget. No retry is sent that was not allowed before, so the bound holds as before.

Tests: `a_retry_at_the_first_start_waits_for_the_number_of_instances` failed before (refused, slack 0) and passes; `a_retry_without_a_published_number_of_instances_is_refused_in_the_end` and `instances_at_their_first_start_use_no_slack_before_they_know_their_number` pass before and after.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -592,7 +592,7 @@
       return self.refuse(ticket, Reason::NoServer);
     }
     if request.awaits_budget && !self.reserve_retry(ticket) {
-      return self.wait_for_budget(ticket);
+      return self.defer_retry(ticket);
     }
     if !self.resolve_build(ticket) || !self.charge_quota(ticket) {
       return;
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -96,9 +96,14 @@
   }
 
   fn retry(&mut self, ticket: Ticket) {
-    if self.reserve_retry(ticket) {
-      return self.dispatch(ticket);
+    match self.reserve_retry(ticket) {
+      true => self.dispatch(ticket),
+      false => self.defer_retry(ticket),
     }
+  }
+
+  /// Lets a request whose retry the budget does not allow wait, or refuses it.
+  pub(super) fn defer_retry(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get(&ticket).cloned() else {
       return;
     };
@@ -108,6 +113,9 @@
     if let Some(retry_after) = self.retry_after_last_send_ms(&request) {
       return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
     }
+    if self.retry_share.is_pending(self.now) && self.now < give_up_at(&request) {
+      return self.wait_for_budget(ticket);
+    }
     let reason = match request.verdict {
       Verdict::NotRun => Reason::NoServer,
       Verdict::MayHaveRun => Reason::ServerFailed,
@@ -115,9 +123,10 @@
     self.refuse(ticket, reason);
   }
 
-  /// Lets a request whose response has begun wait until the budget allows a retry: without the rest,
-  /// what the caller has got is worth nothing.
-  pub(super) fn wait_for_budget(&mut self, ticket: Ticket) {
+  /// Lets a request wait until the budget allows a retry: one whose response has begun, because
+  /// without the rest what the caller has got is worth nothing, or one whose instance does not know
+  /// its share of the budget yet.
+  fn wait_for_budget(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get_mut(&ticket) else {
       return;
     };
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -7,6 +7,9 @@
 /// different windows.
 const USABLE_SHARE: f64 = 0.7;
 
+/// Time after the first start of the system in which the number of instances is published.
+const FIRST_UPDATE_MS: u64 = 2_000;
+
 /// The bound on retries that all instances together keep.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
@@ -61,6 +64,12 @@
     }
   }
 
+  /// Whether the share is not known yet, but will be shortly, `now` ms after the process started.
+  /// Without the number of instances no part of the slack is safe to use.
+  pub fn is_pending(&self, now: u64) -> bool {
+    self.first && self.fleet_sizes.is_empty() && now < FIRST_UPDATE_MS
+  }
+
   /// Drops the numbers that were replaced before the last window.
   fn trim(&mut self, now: u64, bound: &Bound) {
     let oldest = now.saturating_sub(bound.window_ms);
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -8,10 +8,10 @@
   deployment::Engine,
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   request::Ticket,
-  retry::Bound,
+  retry::{Bound, Share},
   route::Repeat,
 };
-use requests::{BOUND, restarted, route, spec};
+use requests::{BOUND, refused, restarted, route, spec};
 use std::sync::Arc;
 
 const INSTANCES: usize = 9;
@@ -169,6 +169,76 @@
   record.assert_within(&BOUND);
 }
 
+/// An instance that starts with the whole system and knows no number of instances yet.
+fn first_start() -> Process {
+  let mut process = Process::start(0);
+  process.state.retry_share = Share::first();
+  process
+}
+
+/// Whether the effects let the request wait.
+fn waits(effects: &[Effect]) -> bool {
+  let waits = |effect: &Effect| matches!(effect, Effect::Wait(..));
+  effects.iter().any(waits) && refused(effects).is_none()
+}
+
+/// Guards against requests that are refused at the first start of the system, though another server has
+/// room, because the number of instances is not known yet.
+#[test]
+fn a_retry_at_the_first_start_waits_for_the_number_of_instances() {
+  let mut process = first_start();
+  let ticket = Ticket(1);
+  process.reduce(200, Event::Arrived(descriptor(ticket, 5_200)));
+  let effects = process.reduce(
+    210,
+    Event::Ended {
+      ticket,
+      end: End::Full,
+    },
+  );
+  assert!(waits(&effects), "{effects:?}");
+  let effects = process.reduce(310, Event::Recheck(ticket));
+  assert!(waits(&effects), "{effects:?}");
+  process.update(350, INSTANCES);
+  let effects = process.reduce(410, Event::Recheck(ticket));
+  let sent = |effect: &Effect| matches!(effect, Effect::Send(_));
+  assert!(effects.iter().any(sent), "{effects:?}");
+}
+
+/// Guards against requests that wait for a number of instances that nobody publishes.
+#[test]
+fn a_retry_without_a_published_number_of_instances_is_refused_in_the_end() {
+  let mut process = first_start();
+  let ticket = Ticket(1);
+  process.reduce(200, Event::Arrived(descriptor(ticket, 5_200)));
+  let end = End::Full;
+  let mut effects = process.reduce(210, Event::Ended { ticket, end });
+  let mut now = 210;
+  while waits(&effects) {
+    now += 100;
+    effects = process.reduce(now, Event::Recheck(ticket));
+  }
+  assert!(refused(&effects).is_some(), "{effects:?}");
+  assert!(now <= 2_200, "refused after {now} ms");
+}
+
+/// Guards against a share that many instances assume before they know how many they are.
+#[test]
+fn instances_at_their_first_start_use_no_slack_before_they_know_their_number() {
+  let fleet = 300;
+  let mut retries = 0;
+  for _ in 0..fleet {
+    let mut process = first_start();
+    for now in (0..2_000).step_by(500) {
+      retries += process.reject(now).saturating_sub(1);
+    }
+  }
+  assert_eq!(
+    retries, 0,
+    "retries of instances that sent four requests each"
+  );
+}
+
 /// Guards against retries that wait, and arrive in a window that does not count them.
 #[test]
 fn a_retry_that_waits_counts_when_it_is_sent() {
