web, health: connections outlast a suspension of their process

What was seen: `a_frozen_decider_that_wakes_loads_nothing_undecided_without_fencing`: one connection ended without any response after 4.4 s, about as long as the instance is frozen (1 of 48 plays).

Cause: Linux interrupts a read of a socket with a receive timeout when its process is stopped and resumed. The callers' port took that for the end of the connection while it waited for a request, and dropped a request that had arrived. The health check's port did the same.

Ruled out: the request's deadline (30 s) and a broken engine connection (it would leave a status). Routed requests and tunnels wait in poll; ureq retries interrupted reads (read, not run).

Change: both read again after an interruption; the callers' port within the same deadline.

--- a/src/health.rs
+++ b/src/health.rs
@@ -71,6 +71,8 @@
       }
       Ok(None) if input.len() < MAX_HEAD_BYTES => match stream.read(&mut bytes) {
         Ok(length) if length > 0 => input.extend_from_slice(&bytes[..length]),
+        // A read with a timeout is interrupted when its process is suspended.
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
         _ => return,
       },
       _ => return,
--- a/src/web.rs
+++ b/src/web.rs
@@ -67,12 +67,18 @@
 
 impl Read for DeadlineReader {
   fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
-    let left = self.deadline.saturating_duration_since(Moment::now());
-    if left.is_zero() {
-      return Err(io::ErrorKind::TimedOut.into());
+    loop {
+      let left = self.deadline.saturating_duration_since(Moment::now());
+      if left.is_zero() {
+        return Err(io::ErrorKind::TimedOut.into());
+      }
+      self.stream.set_read_timeout(Some(left))?;
+      match self.stream.read(bytes) {
+        // A read with a timeout is interrupted when its process is suspended.
+        Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+        result => return result,
+      }
     }
-    self.stream.set_read_timeout(Some(left))?;
-    self.stream.read(bytes)
   }
 }
 
--- a/tests/web.rs
+++ b/tests/web.rs
@@ -6,6 +6,7 @@
 use std::{
   io::{Read, Write},
   net::{SocketAddr, TcpStream},
+  thread,
   time::Duration,
 };
 
@@ -19,6 +20,9 @@
   stack_bytes: 128 << 10,
 };
 
+/// Time in which all threads of a process have stopped or wait again.
+const SIGNAL_TIME: Duration = Duration::from_millis(300);
+
 fn echo(limits: Limits) -> SocketAddr {
   web::bind("127.0.0.1:0", limits, "busy".into(), |request| {
     let body = request.body.clone();
@@ -153,3 +157,32 @@
   });
   assert_eq!(fleet.engines[0].runs().len(), 0);
 }
+
+/// Guards against a connection that is closed without a response because its process was suspended
+/// while it waited for the request.
+#[test]
+fn a_request_that_arrives_while_the_process_is_suspended_is_served() {
+  let fleet = Plan::default()
+    .program(env!("CARGO_BIN_EXE_bendsaddle"))
+    .engines(1, |_| {})
+    .model("contracts", 200)
+    .start()
+    .unwrap();
+  let mut stream = TcpStream::connect(fleet.callers(0)).unwrap();
+  stream
+    .set_read_timeout(Some(Duration::from_secs(10)))
+    .unwrap();
+  for connection in ["new", "kept"] {
+    // The thread of the connection waits for the first byte by then, and is stopped before it arrives.
+    thread::sleep(SIGNAL_TIME);
+    fleet.members[0].signal("-STOP");
+    thread::sleep(SIGNAL_TIME);
+    send(&mut stream, "GET /v1/models HTTP/1.1\r\nhost: test\r\n\r\n");
+    fleet.members[0].signal("-CONT");
+    let text = read_to(&mut stream, "}");
+    assert!(
+      text.starts_with("HTTP/1.1 200"),
+      "{connection} connection: {text:?}"
+    );
+  }
+}
