relay: a silent run without any response ends where another server is free

Cause: a silent run was kept also where another server could take the request and only the retry budget or the route's attempts forbade it. The caller of a response that has not begun can send its request again, to that server; it was kept waiting for a server that may hang instead.

Ruled out: giving up in that case what has begun, which no caller can have continued by a new request alone.

Change: only a response that has begun waits for want of budget or attempts.

--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -66,20 +66,22 @@
     self.dispatch_waiting();
   }
 
-  /// Whether a silent run whose caller has got nothing from it may be given up: the route and the retry
-  /// budget allow another one, and another server can take it now.
+  /// Whether a silent run whose caller has got nothing from it may be given up: another server can take
+  /// the request now. A response that has begun goes on there only if the route and the retry budget
+  /// allow it; the caller of one that has not may send its request again.
   pub fn may_replace_run(&mut self, now: u64, ticket: Ticket) -> bool {
     self.now = self.now.max(now);
     let Some(request) = self.requests.get(&ticket) else {
       return true;
     };
-    let current = request.backend;
-    if request.runs + 1 >= request.descriptor.route.attempts {
-      return false;
-    }
+    let (current, begun) = (request.backend, request.response_started);
+    let has_attempt = request.runs + 1 < request.descriptor.route.attempts;
     let candidates = self.candidates(ticket);
     let has_other = candidates.iter().any(|(key, _)| Some(*key) != current);
-    let may = has_other && self.reserve_retry(ticket);
+    if !has_other || !begun {
+      return has_other;
+    }
+    let may = has_attempt && self.reserve_retry(ticket);
     self.cancel_retry(ticket);
     may
   }
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -25,6 +25,13 @@
 
 /// A stream that runs at server `one` and has begun, beside these further servers.
 fn begun(others: &[&str], attempts: u32) -> State {
+  let mut state = running_at_one(others, attempts);
+  state.reduce(ARRIVED_AT + 102, Event::ResponseStarted(TICKET));
+  state
+}
+
+/// A request for a stream that runs at server `one`, beside these further servers.
+fn running_at_one(others: &[&str], attempts: u32) -> State {
   let mut state = requests::deployed(Engine::default());
   let servers = vec![Change::All(vec![spec("one")])];
   state.reduce(ARRIVED_AT - 1, Event::Servers(servers));
@@ -49,7 +56,6 @@
     sent(&state.reduce(ARRIVED_AT, Event::Arrived(descriptor))),
     Some("one".into())
   );
-  state.reduce(ARRIVED_AT + 100, Event::ResponseStarted(TICKET));
   let others: Vec<Change> = others.iter().map(|id| Change::Set(spec(id))).collect();
   state.reduce(ARRIVED_AT + 101, Event::Servers(others));
   state
@@ -315,6 +321,15 @@
   assert!(!state.may_replace_run(at, TICKET), "no retry budget");
 }
 
+// The caller of a request without any response can send it again, and was kept waiting instead.
+#[test]
+fn a_silent_run_without_a_response_ends_where_another_server_is_free() {
+  for attempts in [1, 3] {
+    assert!(running_at_one(&["two"], attempts).may_replace_run(STALLED_AT, TICKET));
+    assert!(!running_at_one(&[], attempts).may_replace_run(STALLED_AT, TICKET));
+  }
+}
+
 fn stopping() -> Event {
   Event::Stopping {
     accept_until: ARRIVED_AT + 2_000,
