build: a list as old as an outage of the store counts as the newest

Not seen by callers, found by reading: while the store responds to no instance for more than two seconds, a resumption that nobody knows was refused also where all servers have one build, because the list of servers was older than that. Records are not sent beside one build, so after an instance ended in such an outage all its streams would have been refused.

The list's age counts less the time since the store last responded to any instance, if another instance has answered the question; alone, an instance cannot tell an outage from its own partition.

tests/builds.rs: 18 tests pass, the new one with them. Not run: real processes on this commit.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -15,8 +15,8 @@
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
 const ROUNDS: u32 = 2;
-/// Oldest list of servers, in ms, that shows that a pool has one build only.
-const MAX_LIST_AGE_MS: u64 = 2_000;
+/// How far a list of servers may be behind, in ms, to show that a pool has one build only.
+const MAX_LIST_LAG_MS: u64 = 2_000;
 
 /// A caller's resumption of a stream, at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +25,20 @@
   pub attempt: Option<Key>,
   /// How old the list of servers is, in ms; `None` if it was never read.
   pub list_age_ms: Option<u64>,
+  /// Time since the store last responded to any instance, as far as this one knows, in ms.
+  pub store_age_ms: Option<u64>,
+}
+
+impl Resumption {
+  /// Whether the list of servers was complete a moment before the request arrived. `in_touch` means
+  /// that another instance answers: while the store responds to none, no list is newer.
+  fn has_fresh_list(&self, waited_ms: u64, in_touch: bool) -> bool {
+    let Some(age_ms) = self.list_age_ms else {
+      return false;
+    };
+    let store_age_ms = self.store_age_ms.filter(|_| in_touch).unwrap_or_default();
+    age_ms.saturating_sub(store_age_ms) + waited_ms <= MAX_LIST_LAG_MS
+  }
 }
 
 /// A question to other instances about the stream of a request.
@@ -92,9 +106,9 @@
     }
     let request = &self.requests[&ticket];
     let waited_ms = now - request.arrived;
-    let fresh = resumption
-      .list_age_ms
-      .is_some_and(|age_ms| age_ms + waited_ms <= MAX_LIST_AGE_MS);
+    let question = request.question.as_ref();
+    let in_touch = question.is_some_and(|question| !question.unknown_to.is_empty());
+    let fresh = resumption.has_fresh_list(waited_ms, in_touch || self.instances == 1);
     let only = self.streams.only_build(now, &request.descriptor.pool);
     let (build, basis) = match (only, fresh) {
       (_, false) => (None, Basis::OldList),
@@ -203,10 +217,13 @@
     last_event: Option<&str>,
     attempt: Option<&str>,
     list_age: Option<Duration>,
+    store_age: Option<Duration>,
   ) -> Option<Self> {
+    let ms = |age: Duration| age.as_millis() as u64;
     last_event.map(|_| Self {
       attempt: attempt.map(Key::of),
-      list_age_ms: list_age.map(|age| age.as_millis() as u64),
+      list_age_ms: list_age.map(ms),
+      store_age_ms: store_age.map(ms),
     })
   }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -232,7 +232,8 @@
   incoming.route.stream.filter(|stream| stream.resumable)?;
   let header = |name: &str| incoming.head.headers.get(name);
   let (last_event, attempt) = (header("Last-Event-Id"), header(hub.dialect.resumes));
-  Resumption::parse(last_event, attempt, hub.gates.servers.age())
+  let store_age = hub.gates.reachability.age();
+  Resumption::parse(last_event, attempt, hub.gates.servers.age(), store_age)
 }
 
 /// Hash that is equal for requests whose prompts share a prefix: all parts but the last, which is
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -68,6 +68,7 @@
     resumption: Some(Resumption {
       attempt: attempt.map(build::Key::of),
       list_age_ms: Some(list_age_ms),
+      store_age_ms: Some(0),
     }),
     ..descriptor(ticket)
   })
@@ -320,6 +321,31 @@
   assert_refused(&effects, Reason::BuildUnknown);
 }
 
+/// Guards against refusals in an outage of the store, while no instance can have a newer list.
+#[test]
+fn a_list_that_is_as_old_as_the_outage_of_the_store_counts_beside_other_instances() {
+  for in_touch in [true, false] {
+    let mut state = state(&["v1-a", "v1-b"]);
+    let arrival = Descriptor {
+      resumption: Some(Resumption {
+        attempt: Some(build::Key::of("other")),
+        list_age_ms: Some(9_500),
+        store_age_ms: Some(9_000),
+      }),
+      ..descriptor(1)
+    };
+    let mut effects = state.reduce(1, Event::Arrived(arrival));
+    if in_touch {
+      state.reduce(2, answer(1, None));
+    }
+    while let Some(until) = waits(&effects) {
+      effects = state.reduce(until, Event::Recheck(Ticket(1)));
+    }
+    assert_eq!(sent(&effects).is_some(), in_touch);
+    assert_eq!(refused(&effects).is_none(), in_touch);
+  }
+}
+
 /// Guards against a stream that continues at the second build because its own has left.
 #[test]
 fn a_build_that_has_left_still_counts_while_its_streams_may_be_resumed() {
@@ -331,6 +357,7 @@
       resumption: Some(Resumption {
         attempt: None,
         list_age_ms: Some(100),
+        store_age_ms: Some(0),
       }),
       ..descriptor(1)
     };
