soak: servers that pause in streams, beside stops of instances

Cause: no seed had a stream that pauses for longer than an instance waits and goes on, so none could show that it is cut.

A pause is no incident, so it excuses no response that is cut. Plans below 90,000 stay, which a test holds.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -53,6 +53,8 @@
   Declines,
   LosesAnswers,
   BreaksStreams,
+  /// Pauses in some streams for longer than an instance waits for the next event.
+  PausesStreams,
   OrdersLate,
   Cut(Cut),
   Delay,
@@ -192,6 +194,13 @@
 /// Versions that are started in each third of a run.
 const ROLLOUT: [&[u32]; 3] = [&[1, 2], &[1, 2, 3], &[2, 3]];
 
+/// First seed whose plan has servers that pause in streams. Seeds with remainder three modulo four have
+/// only these and stops of instances.
+const PAUSES_FROM_SEED: u64 = 90_000;
+/// Mean pause between two such faults, and how long one lasts.
+const PAUSES_PAUSE_MS: u64 = 2_000;
+const PAUSES_DURATION_MS: std::ops::Range<u64> = 2_000..5_000;
+
 /// Whether servers of several software versions serve side by side.
 pub fn has_builds(seed: u64) -> bool {
   seed >= BUILDS_FROM_SEED
@@ -211,6 +220,9 @@
   if has_builds(seed) && seed % SCENARIO_MODULUS == 2 {
     return build_steps(seed, size, true);
   }
+  if seed >= PAUSES_FROM_SEED && seed % SCENARIO_MODULUS == 3 {
+    return pause_steps(seed, size, true);
+  }
   let mut steps = base_steps(seed, size);
   if seed >= EXTENDED_FROM_SEED {
     steps.extend(extended_steps(seed, size));
@@ -230,6 +242,9 @@
   if has_builds(seed) {
     steps.extend(build_steps(seed, size, false));
   }
+  if seed >= PAUSES_FROM_SEED {
+    steps.extend(pause_steps(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -385,6 +400,33 @@
   steps
 }
 
+/// Servers that pause in streams. If `isolated`, the plan also has stops of instances, which excuse no
+/// response that is cut.
+fn pause_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(56));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..PAUSES_PAUSE_MS).min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let server = rng.random_range(0..size.servers * 2);
+    steps.push(Step {
+      at,
+      duration_ms: rng.random_range(PAUSES_DURATION_MS),
+      fault: Fault::Server(server, Server::PausesStreams),
+    });
+    if isolated && rng.random_bool(0.5) {
+      steps.push(Step {
+        at: at + rng.random_range(0..1_000),
+        duration_ms: rng.random_range(200..1_500),
+        fault: Fault::Stop(rng.random_range(0..size.instances)),
+      });
+    }
+    steps.retain(|step| step.at < size.faults_ms);
+    at += rng.random_range(PAUSES_PAUSE_MS / 3..PAUSES_PAUSE_MS * 5 / 3);
+  }
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
 /// Servers that announce rate limits.
 fn limit_steps(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -67,9 +67,9 @@
   pub(super) fn inject_server_fault(&self, number: usize, fault: Server, duration: Duration) {
     let slot = &self.slots[number];
     let mut runner = lock(&slot.runner);
-    let incident = self
-      .recorder
-      .start_incident(Target::Server(runner.id.clone()), "server");
+    // A pause excuses nothing: the server goes on.
+    let target = (fault != Server::PausesStreams).then(|| Target::Server(runner.id.clone()));
+    let incident = target.map(|target| self.recorder.start_incident(target, "server"));
     let mood = self.default_mood();
     match fault {
       Server::Crash => self.crash(slot, &mut runner, duration),
@@ -104,6 +104,9 @@
       Server::BreaksStreams => {
         set_mood_temporarily(&runner, Behavior { cut: 30, ..mood }, mood, duration)
       }
+      Server::PausesStreams => {
+        set_mood_temporarily(&runner, Behavior { pause: 30, ..mood }, mood, duration)
+      }
       Server::Says => {
         runner.announce_leaving();
         thread::sleep(duration);
@@ -125,7 +128,9 @@
         set_mood_temporarily(&runner, Behavior { late: 50, ..mood }, mood, duration);
       }
     }
-    self.recorder.end_incident(incident);
+    if let Some(incident) = incident {
+      self.recorder.end_incident(incident);
+    }
   }
 
   /// The server crashes, and another one starts at its address.
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -43,3 +43,19 @@
     assert!(generate(seed, &size).iter().any(changes_version), "{seed}");
   }
 }
+
+/// Guards against plans of earlier seeds that change, and against pauses that no plan has.
+#[test]
+fn seeds_from_90_000_on_have_servers_that_pause_in_streams() {
+  let pauses = |step: &Step| matches!(step.fault, Fault::Server(_, Server::PausesStreams));
+  let size = Size::default();
+  for seed in (0..90_000).step_by(997) {
+    assert!(!generate(seed, &size).iter().any(pauses), "{seed}");
+  }
+  for seed in [90_000, 90_003, 123_459] {
+    assert!(generate(seed, &size).iter().any(pauses), "{seed}");
+  }
+  let isolated = generate(90_003, &size);
+  let stops = |step: &Step| matches!(step.fault, Fault::Stop(_));
+  assert!(isolated.iter().all(|step| pauses(step) || stops(step)));
+}
