soak: seeds from 90,000 on draw mixes of all faults again

Change: plans with nothing but pauses and stops are those with the remainder three modulo eight; seven mixes all faults.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -194,9 +194,10 @@
 /// Versions that are started in each third of a run.
 const ROLLOUT: [&[u32]; 3] = [&[1, 2], &[1, 2, 3], &[2, 3]];
 
-/// First seed whose plan has servers that pause in streams. Seeds with remainder three modulo four have
-/// only these and stops of instances.
+/// First seed whose plan has servers that pause in streams. Seeds with remainder three modulo eight have
+/// only these and stops of instances, and those with remainder seven all faults.
 const PAUSES_FROM_SEED: u64 = 90_000;
+const PAUSES_MODULUS: u64 = 8;
 /// Mean pause between two such faults, and how long one lasts.
 const PAUSES_PAUSE_MS: u64 = 2_000;
 const PAUSES_DURATION_MS: std::ops::Range<u64> = 2_000..5_000;
@@ -220,7 +221,7 @@
   if has_builds(seed) && seed % SCENARIO_MODULUS == 2 {
     return build_steps(seed, size, true);
   }
-  if seed >= PAUSES_FROM_SEED && seed % SCENARIO_MODULUS == 3 {
+  if seed >= PAUSES_FROM_SEED && seed % PAUSES_MODULUS == 3 {
     return pause_steps(seed, size, true);
   }
   let mut steps = base_steps(seed, size);
