limit: the latest statement of each server is a type of its own

Cause: limits keep what a server stated last, its changes and its end; statements of another kind need the same. Ruled out: a copy of the logic beside limits. Change: statement::Latest holds it; Limits keeps the ids of quotas beside it. No change of behavior.

--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -19,7 +19,7 @@
 use crate::{
   life::Life,
   quota::{Allowance, Bound, Id, Quota},
-  statement::{Content, RETENTION_MS, Statement, age_ms},
+  statement::{Content, Latest, Stated, Statement, age_ms},
 };
 use std::{collections::BTreeMap, ops::Range};
 
@@ -34,29 +34,12 @@
 /// Lowest enforced limit, which is one request per window. A server without any requests sends no
 /// responses, and could never state that its limit has ended.
 const MIN_REQUESTS_PER_S: f64 = 0.25;
-/// How long the end of a limit is published: several rounds of the list that starting instances
-/// receive.
-const ENDED_PUBLISH_MS: u64 = 10_000;
-
-/// The latest limit of one server.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Limit {
-  /// Requests per second; `None` if the limit has ended.
-  rate: Option<f64>,
-  /// Time in ms: when the limit arrived, or when the request was sent whose response showed that
-  /// the limit has ended.
-  at: u64,
-}
-
 /// Limits by server life: a server that restarts has no limit.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-  latest: BTreeMap<Life, Limit>,
+  latest: Latest<f64>,
   /// Servers by the ids of their quotas.
   ids: BTreeMap<Id, Life>,
-  /// Changes that the planner has not taken yet, and whether this instance got them from the
-  /// server itself.
-  changed: Vec<(Life, bool)>,
 }
 
 /// Parses the limit that a response states, in requests per second.
@@ -86,12 +69,12 @@
 impl Limits {
   /// A server's limit in requests per second; `None` if it has none.
   pub fn rate(&self, server: Life) -> Option<f64> {
-    self.latest.get(&server)?.rate
+    self.latest.value(server)
   }
 
   /// Returns whether any server has a limit.
   pub fn any(&self) -> bool {
-    self.latest.values().any(|limit| limit.rate.is_some())
+    self.latest.current().next().is_some()
   }
 
   /// Looks up the allowance of a server by the id of its quota.
@@ -102,18 +85,16 @@
 
   /// Statements of current limits and of those that ended recently.
   pub fn statements(&self, now: u64) -> Vec<Statement> {
-    let latest = self.latest.iter();
-    let is_published = |limit: &Limit| limit.rate.is_some() || now < limit.at + ENDED_PUBLISH_MS;
-    latest
-      .filter(|(_, limit)| is_published(limit))
-      .map(|(server, limit)| limit.statement(*server, now))
+    let published = self.latest.published(now);
+    published
+      .map(|(server, limit)| statement(server, limit, now))
       .collect()
   }
 
   /// Statement of a server's latest limit.
   pub fn statement(&self, server: Life, now: u64) -> Option<Statement> {
-    let limit = self.latest.get(&server)?;
-    Some(limit.statement(server, now))
+    let limit = self.latest.get(server)?;
+    Some(statement(server, limit, now))
   }
 
   /// Statement of a server's latest limit, by the id of its quota.
@@ -123,43 +104,29 @@
 
   /// The lives within a range that stated a limit or its end.
   pub(crate) fn lives(&self, range: Range<Life>) -> impl Iterator<Item = Life> {
-    self.latest.range(range).map(|(life, _)| *life)
+    self.latest.lives(range)
   }
 
   /// Assigns to a life the limit that was recorded for the earlier life of its server but stated
   /// after the life began, by `is_own` of a time in ms.
   pub(crate) fn inherit(&mut self, earlier: Life, life: Life, is_own: impl Fn(u64) -> bool) {
-    let latest = self.latest.get(&earlier).copied();
-    if let Some(limit) = latest.filter(|limit| is_own(limit.at)) {
-      self.update(life, limit.rate, limit.at, false);
+    self.latest.inherit(earlier, life, is_own);
+    if self.latest.get(life).is_some() {
+      self.ids.insert(Id::for_server(life), life);
     }
   }
 
   /// Servers that have a limit.
   pub fn servers(&self) -> impl Iterator<Item = Life> {
-    let latest = self.latest.iter();
-    latest
-      .filter(|(_, limit)| limit.rate.is_some())
-      .map(|(server, _)| *server)
+    self.latest.current().map(|(server, _)| server)
   }
 
   /// Records the limit that a server stated at time `at`, in ms, and returns whether the limit
   /// changed. `own` means that this instance got it from the server itself.
   pub fn update(&mut self, server: Life, rate: Option<f64>, at: u64, own: bool) -> bool {
-    let known = self.latest.get(&server).copied();
-    let known = known.unwrap_or(Limit { rate: None, at: 0 });
-    let newer = match rate {
-      Some(_) => at >= known.at,
-      None => at > known.at,
-    };
-    if !newer {
-      return false;
-    }
-    self.latest.insert(server, Limit { rate, at });
-    self.ids.insert(Id::for_server(server), server);
-    let changed = known.rate != rate;
-    if changed {
-      self.changed.push((server, own));
+    let changed = self.latest.update(server, rate, at, own);
+    if self.latest.get(server).is_some() {
+      self.ids.insert(Id::for_server(server), server);
     }
     changed
   }
@@ -167,25 +134,21 @@
   /// Takes the changes since the last call, and whether this instance got them from the server
   /// itself.
   pub fn take_changed(&mut self) -> Vec<(Life, bool)> {
-    std::mem::take(&mut self.changed)
+    self.latest.take_changed()
   }
 
   /// Drops old limits of servers that no longer exist.
   pub fn prune(&mut self, now: u64, exists: impl Fn(Life) -> bool) {
-    self
-      .latest
-      .retain(|server, limit| exists(*server) || now < limit.at + RETENTION_MS);
+    self.latest.prune(now, exists);
     let latest = &self.latest;
-    self.ids.retain(|_, server| latest.contains_key(server));
+    self.ids.retain(|_, server| latest.get(*server).is_some());
   }
 }
 
-impl Limit {
-  fn statement(&self, server: Life, now: u64) -> Statement {
-    Statement {
-      server,
-      content: Content::Limit(self.rate),
-      age_ms: age_ms(now, self.at),
-    }
+fn statement(server: Life, limit: Stated<f64>, now: u64) -> Statement {
+  Statement {
+    server,
+    content: Content::Limit(limit.value),
+    age_ms: age_ms(now, limit.at),
   }
 }
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -12,10 +12,12 @@
 pub mod compliance;
 mod exchange;
 mod hints;
+mod latest;
 mod leaving;
 mod rest;
 
 pub use hints::{Hints, MISDIRECTED_REQUEST, Reply};
+pub use latest::{Latest, Stated};
 pub use leaving::Leaving;
 pub(crate) use rest::{Backoffs, REJECTION_MS};
 
