concurrency: brittle servers get no more requests than they have slots, over all instances

Callers saw servers fall over one after the other, and with them everything that ran there. Cause: Server-Brittle was not read, and rejections were left to each instance alone: one or two of each are dozens at one server. Class: what servers state in their responses is not read, and a bound on a server is kept by each instance for itself. Change: the statement is read from every response, exchanged like limits and kept by life; a server of the pool that has not responded yet counts as brittle. While a server is brittle, an instance sends to it only with a slot granted by the lease holder, which counts what all instances run there. Reports state the numbers that run, so a lost one falsifies nothing; a report follows another only after its answer; a new holder grants after all have reported. What has no slot goes elsewhere, waits at its instance, or is refused where it can't be served in time. Without a holder an instance uses its part of three quarters of the slots. Statements of the new kind travel in datagrams of their own, so that instances of the version before lose nothing else.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -1,6 +1,6 @@
 //! Backend servers: what they state about themselves, and what is learned from using them.
 
-use crate::{build, life::Life, pace::Pace, report::Tier};
+use crate::{build, concurrency, life::Life, pace::Pace, report::Tier};
 use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Time for which a model is considered missing after its server has reported that it lacks it:
@@ -146,6 +146,8 @@
   /// instance's may be sent until the next publication.
   pub waiting: u32,
   pub allotment: u32,
+  /// This instance's slots while the server is brittle.
+  pub share: concurrency::Share,
 }
 
 impl Backend {
@@ -172,6 +174,7 @@
       held_tokens: 0,
       waiting: 0,
       allotment: 0,
+      share: concurrency::Share::default(),
     }
   }
 
--- /dev/null
+++ b/src/concurrency/slots.rs
@@ -0,0 +1,294 @@
+//! Slots of brittle servers for the requests of an instance.
+
+use super::Share;
+use crate::{
+  backend::{self, Backend},
+  dispatch::{Effect, State},
+  life::Life,
+  quota::{GRANT_RETRY_MS, Grant, Id, Use},
+  request::Ticket,
+};
+use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How long a request waits for a grant: an answer takes a few ms, and a lost one is requested again.
+const GRANT_TIMEOUT_MS: u64 = 150;
+/// Time after which the answer to a report counts as lost.
+const ANSWER_TIMEOUT_MS: u64 = GRANT_RETRY_MS;
+/// Part of a server's slots, in percent, that instances share while no holder responds: their own
+/// shares are drawn independently of each other.
+const UNGRANTED_PERCENT: u64 = 75;
+
+/// Result of acquiring a slot of a server for a request.
+pub(crate) enum Slot {
+  Granted,
+  /// A slot is requested; to be checked again at this time, in ms.
+  Pending(u64),
+  /// The server has no free slot for this time, in ms.
+  Full(u64),
+}
+
+/// Reports of slots to the lease holder. One follows another only when that is answered: the holder
+/// grants to others what the latest report does not state, so an earlier answer must not be used after
+/// it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reports {
+  /// When the last report was sent, in ms.
+  sent_at: u64,
+  answered: bool,
+  /// Whether something is to be reported as soon as that report is answered.
+  deferred: bool,
+  /// Whether slots were released that other instances may wait for.
+  pub(crate) released: bool,
+}
+
+impl Reports {
+  /// Until when no other report may be sent unless the last one is answered; `None` if one may be
+  /// sent now.
+  pub(crate) fn wait_until(&mut self, now: u64) -> Option<u64> {
+    let until = self.sent_at + ANSWER_TIMEOUT_MS;
+    let waits = !self.answered && now < until;
+    self.deferred |= waits;
+    waits.then_some(until)
+  }
+
+  fn record_sent(&mut self, now: u64) {
+    *self = Self {
+      sent_at: now,
+      ..Self::default()
+    };
+  }
+
+  /// Records an answer; returns whether it is that to the last report.
+  fn record_answer(&mut self, sent: u64) -> bool {
+    let is_latest = sent == self.sent_at;
+    self.answered |= is_latest;
+    is_latest
+  }
+}
+
+impl State {
+  /// Acquires a slot for a request if the server is brittle. `is_last` means that no other candidate
+  /// is left. A slot is in use while the instance runs a request on the server.
+  pub(crate) fn acquire_slot(&mut self, ticket: Ticket, key: backend::Key, is_last: bool) -> Slot {
+    let now = self.now;
+    let backend = &self.backends[key];
+    if !self.is_brittle(backend) {
+      return Slot::Granted;
+    }
+    let (id, running) = (Id::for_slots(backend.spec.life()), backend.running);
+    let own_share = self.own_share(backend);
+    let holder_responds = self.quotas.holder_responds(now);
+    let share = &mut self.backends[key].share;
+    share.record_need(now);
+    let Some(request) = self.requests.get_mut(&ticket) else {
+      return Slot::Full(GRANT_RETRY_MS);
+    };
+    let requested = request.pending_unit.filter(|(pending, _)| *pending == id);
+    let requested = requested.map(|(_, since)| since);
+    if share.has_slot(now, running) {
+      request.pending_unit = None;
+      return Slot::Granted;
+    }
+    if let Some(until) = share.full_until(now) {
+      request.pending_unit = None;
+      return Slot::Full(until - now);
+    }
+    let timeout = requested.unwrap_or(now) + GRANT_TIMEOUT_MS;
+    if holder_responds && now < timeout {
+      if requested.is_none() {
+        request.pending_unit = Some((id, now));
+        self.out.push(Effect::RequestQuota);
+      }
+      let retry_at = requested.unwrap_or(now) + GRANT_RETRY_MS;
+      if !is_last && now >= retry_at {
+        // Try the next candidate instead of waiting any longer.
+        return Slot::Full(GRANT_RETRY_MS);
+      }
+      return Slot::Pending(if is_last { timeout } else { retry_at });
+    }
+    request.pending_unit = None;
+    if running < own_share {
+      return Slot::Granted;
+    }
+    share.set_full(now + GRANT_RETRY_MS);
+    Slot::Full(GRANT_RETRY_MS)
+  }
+
+  /// Whether a server counts as brittle.
+  pub(crate) fn is_brittle(&self, backend: &Backend) -> bool {
+    self
+      .brittle
+      .contains(backend.spec.life(), &backend.spec.pool)
+  }
+
+  /// The number of requests that this instance may run on a server while no holder responds. Where
+  /// there are fewer slots than instances, a hash selects the instances that have one.
+  fn own_share(&self, backend: &Backend) -> u32 {
+    let instances = self.instances.max(1) as u64;
+    let shared = u64::from(self.slots(backend).max(1)) * UNGRANTED_PERCENT;
+    let whole = shared / (instances * 100);
+    let rest = shared % (instances * 100);
+    let draw = xxh3_64_with_seed(&backend.spec.life().bytes(), self.seed) % (instances * 100);
+    (whole + u64::from(draw < rest)) as u32
+  }
+
+  /// The server whose slot was requested for a request, if it is still a candidate: a grant for it
+  /// may have arrived.
+  pub(crate) fn requested_server(
+    &self,
+    ticket: Ticket,
+    candidates: &[(backend::Key, u32)],
+  ) -> Option<backend::Key> {
+    let (id, _) = self.requests.get(&ticket)?.pending_unit?;
+    let mut keys = candidates.iter().map(|(key, _)| *key);
+    keys.find(|key| Id::for_slots(self.backends[*key].spec.life()) == id)
+  }
+
+  /// Records that a server rejected a request, for want of room or without a reason.
+  pub(crate) fn record_rejection(&mut self, key: backend::Key) {
+    let brittle = self
+      .backends
+      .get(key)
+      .is_some_and(|backend| self.is_brittle(backend));
+    if brittle {
+      self.backends[key].share.record_rejection(self.now);
+      self.slot_reports.released = true;
+      self.out.push(Effect::RequestQuota);
+    }
+  }
+
+  /// Reports a slot at once that has become free at a brittle server, if others may wait for it.
+  pub(crate) fn report_free_slot(&mut self, key: backend::Key) {
+    let Some(backend) = self.backends.get(key) else {
+      return;
+    };
+    if self.is_brittle(backend) && backend.load.max(backend.running) * 2 >= self.slots(backend) {
+      self.slot_reports.released = true;
+      self.out.push(Effect::RequestQuota);
+    }
+  }
+
+  /// What this instance runs on brittle servers, and the slots that it needs there.
+  pub(crate) fn slot_uses(&mut self, now: u64, needs: &HashMap<Id, u32>) -> Vec<Use> {
+    if !self.brittle.any() {
+      return Vec::new();
+    }
+    self.slot_reports.record_sent(now);
+    let mut uses: BTreeMap<Id, Use> = BTreeMap::new();
+    let brittle = &self.brittle;
+    let backends = self.backends.values_mut();
+    let bounded =
+      backends.filter(|backend| brittle.contains(backend.spec.life(), &backend.spec.pool));
+    for backend in bounded.filter(|backend| backend.share.is_reported(now, backend.running)) {
+      let id = Id::for_slots(backend.spec.life());
+      let used = uses.entry(id).or_insert(Use {
+        id,
+        used: 0,
+        need: needs.get(&id).copied().unwrap_or_default(),
+        unreported: 0,
+      });
+      used.used += i64::from(backend.running);
+      used.unreported += backend.share.report(backend.running);
+    }
+    uses.into_values().collect()
+  }
+
+  /// Applies the holder's answer to the report that was sent at `sent`, and returns the grants that
+  /// are not of slots.
+  pub(crate) fn receive_slots(&mut self, sent: u64, grants: Vec<Grant>) -> Vec<Grant> {
+    if grants.is_empty() || !self.brittle.any() {
+      return grants;
+    }
+    let now = self.now;
+    let is_latest = self.slot_reports.record_answer(sent);
+    if std::mem::take(&mut self.slot_reports.deferred) {
+      self.slot_reports.released = true;
+      self.out.push(Effect::RequestQuota);
+    }
+    let of_slots: HashMap<Id, Grant> = grants.iter().map(|grant| (grant.id, *grant)).collect();
+    let mut applied = Vec::new();
+    let earlier = self.running_on_earlier_lives();
+    for (key, backend) in &mut self.backends {
+      let id = Id::for_slots(backend.spec.life());
+      if let Some(grant) = of_slots.get(&id) {
+        applied.push(id);
+        let limit = u32::try_from(grant.limit).unwrap_or_default();
+        let limit = limit.saturating_sub(earlier.get(&id).copied().unwrap_or_default());
+        let listed = self.by_id.get(&backend.spec.id) == Some(&key);
+        if is_latest && listed {
+          backend
+            .share
+            .receive_grant(now, sent, limit, grant.over_ms.into());
+        }
+      }
+    }
+    let others = grants.into_iter();
+    others
+      .filter(|grant| !applied.contains(&grant.id))
+      .collect()
+  }
+
+  /// The number of requests that this instance still runs on earlier lives of listed servers.
+  fn running_on_earlier_lives(&self) -> HashMap<Id, u32> {
+    let backends = self.backends.iter();
+    let earlier = backends.filter(|(key, it)| self.by_id.get(&it.spec.id) != Some(key));
+    let mut running: HashMap<Id, u32> = HashMap::new();
+    for (_, backend) in earlier {
+      *running
+        .entry(Id::for_slots(backend.spec.life()))
+        .or_default() += backend.running;
+    }
+    running
+  }
+
+  /// The slots of all listed servers, by the ids under which they are reported.
+  pub(crate) fn slots_by_id(&self) -> BTreeMap<Id, u32> {
+    let backends = self.backends.values();
+    backends
+      .map(|backend| {
+        let id = Id::for_slots(backend.spec.life());
+        (id, self.slots(backend).max(1))
+      })
+      .collect()
+  }
+
+  /// Records what a server stated at time `at`, in ms. `own` means that it did so to this instance.
+  pub(crate) fn receive_brittle(&mut self, server: Life, max: Option<u32>, at: u64, own: bool) {
+    if !self.brittle.update(server, max, at, own) {
+      return;
+    }
+    self.update_brittle();
+    let backends = self.backends.values();
+    let id = backends
+      .map(|backend| &backend.spec)
+      .find(|spec| spec.life() == server);
+    let id = id.map(|spec| spec.id.clone()).unwrap_or_default();
+    self.out.push(Effect::BrittleChanged {
+      id,
+      max_rejections: max,
+      own,
+    });
+    self.dispatch_waiting();
+  }
+
+  /// Updates the pools of brittle servers after a statement or the list of servers has changed.
+  pub(crate) fn update_brittle(&mut self) {
+    let lives: Vec<Life> = self
+      .backends
+      .values()
+      .map(|backend| backend.spec.life())
+      .collect();
+    self.brittle.prune(self.now, |life| lives.contains(&life));
+    let listed = self.by_id.values().map(|key| {
+      let spec = &self.backends[*key].spec;
+      (spec.life(), spec.pool.as_str())
+    });
+    self.brittle.set_pools(listed);
+    if !self.brittle.any() {
+      for backend in self.backends.values_mut() {
+        backend.share = Share::default();
+      }
+    }
+  }
+}
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -32,6 +32,8 @@
   pub limit: &'static str,
   /// `1` in all responses of a server that is leaving and accepts no new requests.
   pub leaving: &'static str,
+  /// Number of requests that a brittle server can reject within a second; in all its responses.
+  pub brittle: &'static str,
   /// Priority of the request; 0 is the most urgent.
   pub priority: &'static str,
   /// Headers that only this system may set.
@@ -55,6 +57,7 @@
     not_run: "x-not-run",
     limit: "x-server-limit",
     leaving: "x-server-leaving",
+    brittle: "x-server-brittle",
     priority: "x-priority",
     reserved: &["x-expected-server", "x-priority"],
   };
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -14,6 +14,7 @@
   backend::{self, Backend, Holding},
   build::{self, resume::Question, streams::Streams},
   cold::{Deferrals, give_up_at},
+  concurrency::{Brittle, Reports},
   crash::{Admission, Filter, Permit},
   customer::Scheduler,
   demand::Model,
@@ -161,6 +162,10 @@
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
   pub(crate) backoffs: Backoffs,
+  pub(crate) brittle: Brittle,
+  pub(crate) slot_reports: Reports,
+  /// Selects the servers of which this instance has a slot while no holder responds.
+  pub(crate) seed: u64,
   /// The builds at which streams began.
   pub streams: Streams,
   /// Relates the clock of events to the time in which servers state their start.
@@ -220,6 +225,9 @@
       limits: Limits::default(),
       leaving: Leaving::default(),
       backoffs: Backoffs::default(),
+      brittle: Brittle::default(),
+      slot_reports: Reports::default(),
+      seed,
       streams: Streams::default(),
       wall: wall::Clock::default(),
       quotas: Balances::new(seed),
@@ -302,11 +310,16 @@
       Event::RecordsRead => self.records_read = true,
       Event::QuotaUsage(sums) => self.quotas.receive_sums(now, &sums),
       Event::Granted { sent, grants } => {
+        let grants = self.receive_slots(sent, grants);
         self.quotas.receive_grants(now, sent, &grants);
         self.dispatch_waiting();
       }
       Event::LimitAnnounced { ticket, rate } => self.record_announced_limit(ticket, rate),
       Event::Statements(statements) => self.receive_statements(&statements),
+      Event::Brittle { server, max, sent } => {
+        let at = if max.is_some() { now } else { sent };
+        self.receive_brittle(server, max, at, true);
+      }
       Event::Leaving(server) => self.receive_leaving(server, now, true),
       Event::Backoff { server, backoff_ms } => self.receive_backoff(server, backoff_ms),
       Event::TrialAccepted(server) => self.record_trial_accepted(server),
@@ -510,7 +523,9 @@
         *needs.entry(id).or_default() += 1;
       }
     }
-    self.quotas.uses(now, &needs)
+    let mut uses = self.slot_uses(now, &needs);
+    uses.extend(self.quotas.uses(now, &needs));
+    uses
   }
 
   /// The limits that servers have announced, as known to this instance.
--- a/src/dispatch/choice/room.rs
+++ b/src/dispatch/choice/room.rs
@@ -56,7 +56,8 @@
     bound(slots, rates.duration_ms * backend.slowness())
   }
 
-  fn slots(&self, backend: &Backend) -> u32 {
+  /// Number of requests that a server runs at once.
+  pub(crate) fn slots(&self, backend: &Backend) -> u32 {
     let engine = self.engine(&backend.spec.pool);
     engine.map_or(backend.spec.slots, |engine| engine.slots)
   }
@@ -76,6 +77,11 @@
     self.bounds_sends(&descriptor.pool) && self.is_urgent(descriptor)
   }
 
+  /// Whether requests that exceed the slots of a pool's servers wait at their instances.
+  fn queues_at_instances(&self, pool: &str) -> bool {
+    self.bounds_sends(pool) || self.brittle.contains_pool(pool)
+  }
+
   /// Whether another request may be sent to a server now.
   pub(super) fn has_room(&self, backend: &Backend, urgent: bool) -> bool {
     if !self.bounds_sends(&backend.spec.pool) {
@@ -148,7 +154,7 @@
   pub(crate) fn retry_after_room_ms(&self, request: &Request) -> Option<u64> {
     let descriptor = &request.descriptor;
     let model = descriptor.model.as_ref()?;
-    if !self.bounds_sends(&descriptor.pool) || request.verdict != Verdict::NotRun {
+    if !self.queues_at_instances(&descriptor.pool) || request.verdict != Verdict::NotRun {
       return None;
     }
     let rates = self.rates(&descriptor.pool);
@@ -175,7 +181,7 @@
   /// Whether a request waits although servers hold its model. The planner counts it like one that a
   /// full server declined.
   pub(crate) fn waits_for_room(&self, request: &Request) -> bool {
-    self.bounds_sends(&request.descriptor.pool)
+    self.queues_at_instances(&request.descriptor.pool)
       && request.descriptor.model.is_some()
       && self.eligible_servers(request).next().is_some()
   }
@@ -200,6 +206,6 @@
     let Some(model) = &descriptor.model else {
       return false;
     };
-    self.bounds_sends(&descriptor.pool) && self.waiting_before(request, &model.name) > 0
+    self.queues_at_instances(&descriptor.pool) && self.waiting_before(request, &model.name) > 0
   }
 }
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -50,6 +50,7 @@
     };
     let model = request.descriptor.model.clone();
     if end == End::Full {
+      self.record_rejection(key);
       self.record_declined(ticket, key);
     }
     if end == End::Crashed {
@@ -220,6 +221,7 @@
         }
       }
     }
+    self.report_free_slot(key);
     let backend = &self.backends[key];
     if backend.running == 0 && self.by_id.get(&backend.spec.id) != Some(&key) {
       self.backends.remove(key);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -287,6 +287,12 @@
     server: Life,
     backoff_ms: u64,
   },
+  /// The response to a request that was sent at `sent` states that its server is brittle, or not.
+  Brittle {
+    server: Life,
+    max: Option<u32>,
+    sent: u64,
+  },
   /// A server accepted a trial request after its backoff.
   TrialAccepted(Life),
   /// Builds at which streams began, sent by another instance.
@@ -321,6 +327,7 @@
         | Self::LimitAnnounced { .. }
         | Self::Statements(_)
         | Self::Leaving(_)
+        | Self::Brittle { .. }
         | Self::Backoff { .. }
     )
   }
@@ -369,6 +376,12 @@
     born: u64,
     backoff_ms: u64,
   },
+  /// A server became brittle, or ceased to be (`None`); `own` if it stated that to this instance.
+  BrittleChanged {
+    id: String,
+    max_rejections: Option<u32>,
+    own: bool,
+  },
   /// A server's limit changed; `rate` is in requests per second, `None` if it has no limit.
   LimitChanged {
     id: String,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -309,6 +309,16 @@
           self.report_waker.wake();
           continue;
         }
+        Effect::BrittleChanged {
+          id,
+          max_rejections,
+          own,
+        } => {
+          info!(self.log, "brittle server changed"; "server" => id, "max_rejections" => max_rejections,
+            "to_this_instance" => own);
+          self.report_waker.wake();
+          continue;
+        }
         Effect::Leaving { id, own } => {
           info!(self.log, "server says that it leaves"; "server" => id, "to_this_instance" => own);
           self.report_waker.wake();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod command;
 pub mod compare;
 pub mod completions;
+pub mod concurrency;
 pub mod content;
 pub mod crash;
 pub mod customer;
--- a/src/limit/selection.rs
+++ b/src/limit/selection.rs
@@ -4,6 +4,7 @@
 use crate::{
   backend::{self, Backend},
   cold::give_up_at,
+  concurrency::Slot,
   crash::Permit,
   dispatch::{Effect, Request, State},
   life::Life,
@@ -39,7 +40,14 @@
   pub(crate) fn choose_server(&mut self, ticket: Ticket, crashes: Option<u32>) -> Choice {
     let mut candidates = self.candidates(ticket);
     let mut soonest: Option<u64> = None;
-    while let Some(key) = self.pick_backend(ticket, &candidates, crashes) {
+    let mut requested = self.requested_server(ticket, &candidates);
+    loop {
+      let picked = requested
+        .take()
+        .or_else(|| self.pick_backend(ticket, &candidates, crashes));
+      let Some(key) = picked else {
+        break;
+      };
       candidates.retain(|(other, _)| *other != key);
       let server = self.backends[key].spec.life();
       match self.acquire_server_permit(ticket, server, crashes.unwrap_or_default()) {
@@ -48,6 +56,14 @@
         // Another suspect runs on this server.
         Permit::Taken => continue,
       }
+      match self.acquire_slot(ticket, key, candidates.is_empty()) {
+        Slot::Granted => {}
+        Slot::Pending(until) => return Choice::Pending(until),
+        Slot::Full(after) => {
+          soonest = Some(soonest.map_or(after, |least| least.min(after)));
+          continue;
+        }
+      }
       match self.acquire_limit_unit(ticket, key, candidates.is_empty()) {
         Outcome::Granted => return Choice::Server(key),
         Outcome::Pending(until) => return Choice::Pending(until),
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -35,6 +35,7 @@
     }
     self.drop_missing();
     self.update_builds();
+    self.update_brittle();
     self.dispatch_waiting();
   }
 
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -8,6 +8,7 @@
   backend::{self, Backend, Spec},
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken, Unheard},
+  concurrency::Ledger,
   crash::{Crash, Quarantined, Registry, Repeated, stored},
   dispatch::Event,
   edge::Edge,
@@ -178,6 +179,8 @@
   pub(crate) published_statements: Repeated<Life>,
   /// Quota usage of all instances while this one holds the lease.
   pub(crate) accounts: Accounts,
+  /// Requests of all instances on brittle servers, as counted by this holder.
+  pub(crate) slots: Ledger,
   pub(crate) quota_bound: Bound,
   /// Identifies this process in its usage reports.
   pub(crate) process: u64,
@@ -234,6 +237,7 @@
     reported_statements: Repeated::default(),
     published_statements: Repeated::default(),
     accounts: Accounts::default(),
+    slots: Ledger::default(),
     quota_bound: routing.quota_bound(),
     process: rand::random(),
     next_uses_report_at: 0,
@@ -437,7 +441,7 @@
         Completion::Ordered(index, command, reply) => {
           self
             .hub
-            .apply_hints(command.life(), &command.id, &reply.hints);
+            .apply_hints(command.life(), &command.id, now, &reply.hints);
           let taken = reply.outcome;
           info!(self.hub.log, "ordered"; "server" => &command.id,
             "act" => format!("{:?}", command.act), "model" => &command.model.name,
@@ -453,7 +457,7 @@
         Completion::Queried(index, id, reply) => {
           let inventory = reply.outcome;
           let life = self.life_of(&id, &inventory);
-          self.hub.apply_hints(life, &id, &reply.hints);
+          self.hub.apply_hints(life, &id, now, &reply.hints);
           if let Err(error) = &inventory {
             info!(self.hub.log, "server returned no inventory"; "server" => &id,
               "why" => format!("{error:?}"));
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -207,14 +207,12 @@
   }
 
   /// Records the process at an address. The one before it at the same address has ended: it uses no
-  /// share of its own, and the units granted to it count as used.
-  pub fn record_process(&mut self, now: u64, address: u64, instance: u64) {
+  /// share of its own, and the units granted to it count as used. Returns the process that has ended.
+  pub fn record_process(&mut self, now: u64, address: u64, instance: u64) -> Option<u64> {
     let previous = self.processes.insert(address, instance);
-    let Some(previous) = previous.filter(|previous| *previous != instance) else {
-      return;
-    };
+    let previous = previous.filter(|previous| *previous != instance)?;
     let Some(ended) = self.instances.remove(&previous) else {
-      return;
+      return Some(previous);
     };
     for (id, usage) in &ended.usages {
       if let Some(account) = self.accounts.get_mut(id) {
@@ -222,6 +220,7 @@
         account.window.add(now, usage.granted);
       }
     }
+    Some(previous)
   }
 
   /// Fraction of a quota that may be granted, without the shares of silent instances.
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -37,6 +37,12 @@
     Self(xxh3_64_with_seed(&life.bytes(), SERVER_SEED) & !PERMIT_BIT)
   }
 
+  /// Slots of a brittle backend server. All its lives share them, because instances learn of a new
+  /// life at different times.
+  pub fn for_slots(life: Life) -> Self {
+    Self(xxh3_64_with_seed(&life.server().to_le_bytes(), SLOTS_SEED) & !PERMIT_BIT)
+  }
+
   /// Permit for a content at a stage.
   pub fn for_permit(content: u128, stage: u32) -> Self {
     Self(xxh3_64_with_seed(&content.to_le_bytes(), stage.into()) | PERMIT_BIT)
@@ -52,8 +58,9 @@
 /// Bit that is set only in the ids of permits.
 const PERMIT_BIT: u64 = 1 << 63;
 
-/// Hash seed that separates the ids of servers from those of customers.
+/// Hash seeds that separate the ids of servers' limits and slots from those of customers.
 const SERVER_SEED: u64 = 1;
+const SLOTS_SEED: u64 = 2;
 
 /// A quota that all instances share.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -117,10 +124,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Use {
   pub id: Id,
+  /// Of a brittle server's slots: the requests that run there.
   pub used: i64,
   /// Units needed by requests that wait for a grant.
   pub need: u32,
-  /// Units used within the last window that a holder which has just taken over does not know.
+  /// Units used within the last window that a holder which has just taken over does not know. Of a
+  /// brittle server's slots: the requests that it has rejected.
   #[serde(rename = "apart")]
   pub unreported: u32,
 }
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -6,6 +6,7 @@
 //! the socket of a suspended process does not make outdated keys look confirmed.
 
 use crate::{
+  concurrency::Ledger,
   crash::permit,
   customer::{Directory, Standing},
   dispatch::Event,
@@ -84,10 +85,17 @@
     }
     let (uses, next_request_at, has_limits, permits_released) = {
       let mut state = self.hub.state();
-      let permits_released = state.take_permits_released();
+      if state.brittle.any()
+        && let Some(until) = state.slot_reports.wait_until(now)
+      {
+        self.next_uses_report_at = until;
+        return;
+      }
+      let slots_released = std::mem::take(&mut state.slot_reports.released);
+      let permits_released = state.take_permits_released() || slots_released;
       let deployment = state.deployment.as_ref();
       let has_customers = deployment.is_some_and(|deployment| deployment.customers.is_some());
-      let has_limits = state.limits.any();
+      let has_limits = state.limits.any() || state.brittle.any();
       let has_unit_needs = permits_released || state.needs_units();
       if !has_customers && !has_limits && !has_unit_needs && !statements_due {
         self.next_uses_report_at = now + MAX_REPORT_INTERVAL_MS;
@@ -142,6 +150,7 @@
     else {
       return;
     };
+    let statements = self.send_new_statements(statements, holder);
     let uses = Uses {
       process: self.process,
       sent: now,
@@ -154,15 +163,44 @@
   fn record_uses(&mut self, now: u64, from: SocketAddr, process: u64, uses: &[Use]) -> Vec<Grant> {
     let address = from.to_string();
     let instance = xxh3_64_with_seed(address.as_bytes(), process);
-    self
-      .accounts
-      .record_process(now, xxh3_64_with_seed(address.as_bytes(), 0), instance);
+    let ended =
+      self
+        .accounts
+        .record_process(now, xxh3_64_with_seed(address.as_bytes(), 0), instance);
+    if let Some(ended) = ended {
+      self.slots.remove(ended);
+    }
     let allowances = self.allowances();
+    let mut grants = self.record_slots(now, instance, uses, &allowances);
     let allow = |id| allowances.get(id);
     let promise = |id| allowances.promises_returns(id);
-    self
+    let of_quotas = self
       .accounts
-      .report_with_promises(now, instance, uses, allow, promise)
+      .report_with_promises(now, instance, uses, allow, promise);
+    grants.extend(of_quotas);
+    grants
+  }
+
+  /// Records what an instance runs on brittle servers, and grants it slots.
+  fn record_slots(
+    &mut self,
+    now: u64,
+    instance: u64,
+    uses: &[Use],
+    allowances: &Allowances,
+  ) -> Vec<Grant> {
+    let others = uses.iter().filter(|used| allowances.get(used.id).is_none());
+    let others: Vec<&Use> = others.collect();
+    if others.is_empty() {
+      return Vec::new();
+    }
+    let slots = self.hub.state().slots_by_id();
+    self.slots.prune(now);
+    let grants = others.into_iter().filter_map(|used| {
+      let slots = slots.get(&used.id)?;
+      Some(self.slots.report(now, instance, used, *slots))
+    });
+    grants.collect()
   }
 
   /// Answers an instance's report with grants.
@@ -252,8 +290,10 @@
     if first {
       // Nothing was used before the very first holder.
       self.accounts = Accounts::default();
+      self.slots = Ledger::default();
       return;
     }
+    self.slots = Ledger::new(now);
     let known = self.known_sums.as_ref();
     let sums = known.map(|(received_at, sums)| (*received_at, sums));
     info!(self.hub.log, "accounts opened"; "term" => term,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -412,7 +412,7 @@
       "customer" => self.hub.customer_name(caller), "units" => caller.map(|caller| caller.cost),
       "content" => content,
       "resumes" => self.resumes(), "model" => self.model(), "late" => self.lateness(),
-      "server" => &attempt.id, "build" => %attempt.build, "via" => sending.via.map(|peer| peer.to_string()), "limit" => &hints.limit,
+      "server" => &attempt.id, "build" => %attempt.build, "via" => sending.via.map(|peer| peer.to_string()), "limit" => &hints.limit, "brittle" => &hints.brittle,
       "leaving" => &hints.leaving, "retry_after" => &hints.retry_after,
       "head_ms" => sending.head_at.map(|at| at.saturating_sub(sent_at)), "send" => attempt.number, "end" => format!("{:?}", result.end),
       "why" => result.why, "verdict" => result.end.verdict().as_str(),
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -422,9 +422,10 @@
     }
     self.sending.hints = Hints::from_head(head.status, &head.headers, &self.hub.dialect);
     self.sending.head_at = Some(self.hub.now());
+    let (sent_at, hints) = (self.sending.sent_at, &self.sending.hints);
     self
       .hub
-      .apply_hints(attempt.life, &attempt.id, &self.sending.hints);
+      .apply_hints(attempt.life, &attempt.id, sent_at, hints);
   }
 
   fn exchange(&mut self, mut socket: Socket, attempt: &Attempt) -> Result<Outcome, Outcome> {
--- a/src/statement/exchange.rs
+++ b/src/statement/exchange.rs
@@ -45,7 +45,12 @@
 
   /// Publishes statements to some instances.
   pub(crate) fn publish_statements(&mut self, statements: Vec<Statement>, to: &[SocketAddr]) {
-    for part in statements.chunks(MAX_STATEMENTS) {
+    // In datagrams of their own, because an earlier version drops one that it cannot decode whole.
+    let (known, new) = by_version(statements);
+    for part in known
+      .chunks(MAX_STATEMENTS)
+      .chain(new.chunks(MAX_STATEMENTS))
+    {
       self.send_paced(&Message::Statements(part.to_vec()), to);
     }
   }
@@ -79,6 +84,20 @@
     statements
   }
 
+  /// Sends the holder the statements that instances of earlier versions cannot decode, which would
+  /// otherwise drop the report with them, and returns the others.
+  pub(crate) fn send_new_statements(
+    &mut self,
+    statements: Vec<Statement>,
+    holder: SocketAddr,
+  ) -> Vec<Statement> {
+    let (known, new) = by_version(statements);
+    if !new.is_empty() {
+      self.send(&Message::Statements(new), &[holder]);
+    }
+    known
+  }
+
   fn statements_of(&self, now: u64, servers: &[Life]) -> Vec<Statement> {
     let state = self.hub.state();
     let servers = servers.iter();
@@ -96,11 +115,19 @@
   }
 }
 
+/// Divides statements into those that instances of all versions can decode, and others.
+fn by_version(statements: Vec<Statement>) -> (Vec<Statement>, Vec<Statement>) {
+  let statements = statements.into_iter();
+  statements.partition(Statement::is_known_to_all)
+}
+
 impl State {
   /// Statements of a server, for other instances.
   pub fn statements_of(&self, server: Life, now: u64) -> impl Iterator<Item = Statement> {
     let limit = self.limits.statement(server, now);
-    limit.into_iter().chain(self.leaving.statement(server, now))
+    let leaving = self.leaving.statement(server, now);
+    let brittle = self.brittle.statement(server, now);
+    limit.into_iter().chain(leaving).chain(brittle)
   }
 
   /// Statements of all servers, for instances that have just started.
@@ -112,6 +139,7 @@
       .statements(now)
       .into_iter()
       .chain(leaving)
+      .chain(self.brittle.statements(now))
       .collect()
   }
 
@@ -120,6 +148,7 @@
   pub fn take_statements(&mut self) -> Vec<(Life, bool)> {
     let mut changed = self.limits.take_changed();
     changed.extend(self.leaving.take_changed());
+    changed.extend(self.brittle.take_changed());
     changed
   }
 
@@ -130,6 +159,7 @@
       match statement.content {
         Content::Limit(rate) => self.receive_limit(statement.server, rate, at),
         Content::Leaving => self.receive_leaving(statement.server, at, false),
+        Content::Brittle(max) => self.receive_brittle(statement.server, max, at, false),
       }
     }
   }
@@ -137,7 +167,16 @@
 
 impl Hub {
   /// Applies the hints from the head of a response.
-  pub(crate) fn apply_hints(&self, server: Life, id: &str, hints: &Hints) {
+  ///
+  /// `sent` is when the request was sent, in ms.
+  pub(crate) fn apply_hints(&self, server: Life, id: &str, sent: u64, hints: &Hints) {
+    match hints.max_rejections() {
+      Ok(None) if !hints.responded || !self.state().brittle.is_stated(server) => {}
+      Ok(max) => self.apply(Event::Brittle { server, max, sent }, None),
+      Err(error) => {
+        warn!(self.log, "server statement could not be parsed"; "server" => id, "error" => error)
+      }
+    }
     match hints.is_leaving() {
       Ok(true) => self.apply(Event::Leaving(server), None),
       Ok(false) => {}
--- a/src/statement/hints.rs
+++ b/src/statement/hints.rs
@@ -1,6 +1,6 @@
 //! Hints about a server in the head of one of its responses.
 
-use crate::{dialect::Dialect, http::Headers};
+use crate::{concurrency, dialect::Dialect, http::Headers};
 
 /// Status of a response from a server that is not the intended one, or lacks the model.
 pub const MISDIRECTED_REQUEST: u16 = 421;
@@ -10,12 +10,16 @@
 /// Hints in a response about the server that sent it, as the unparsed header values.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Hints {
+  /// Whether the server responded at all.
+  pub responded: bool,
   /// Requests per second that the server accepts from all instances together.
   pub limit: Option<String>,
   /// The server accepts no new work.
   pub leaving: Option<String>,
   /// Seconds for which this instance must send nothing to the server.
   pub retry_after: Option<String>,
+  /// Number of requests that the server can reject within a second.
+  pub brittle: Option<String>,
 }
 
 impl Hints {
@@ -28,9 +32,11 @@
     let value = |name: &str| headers.get(name).map(str::to_string);
     let unavailable = status == SERVICE_UNAVAILABLE;
     Self {
+      responded: true,
       limit: value(dialect.limit),
       leaving: value(dialect.leaving),
       retry_after: value("retry-after").filter(|_| unavailable),
+      brittle: value(dialect.brittle),
     }
   }
 }
@@ -56,6 +62,15 @@
     }
   }
 
+  /// The number of requests that the server can reject within a second; `None` if it is not brittle.
+  ///
+  /// # Errors
+  ///
+  /// Returns an error for a value that is not a whole number.
+  pub fn max_rejections(&self) -> Result<Option<u32>, String> {
+    self.brittle.as_deref().map(concurrency::parse).transpose()
+  }
+
   /// Backoff in ms that the server requests from this instance; `None` if it requests none.
   ///
   /// # Errors
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -6,7 +6,7 @@
 //! restarted under its id may make one before its entry names the new life; such a statement is
 //! recorded for the earlier life, and assigned to the new one when its entry arrives. An announcement that a
 //! server is leaving holds until that life ends. A backoff applies only between the server and the
-//! instance that it asked. Limits are kept by `limit`, and `quota` keeps what all instances
+//! instance that it asked. Limits are kept by `limit`, brittle servers by `concurrency`, and `quota` keeps what all instances
 //! together may send under them.
 
 pub mod compliance;
@@ -45,13 +45,21 @@
   Limit(Option<f64>),
   /// The server accepts no new work.
   Leaving,
+  /// The number of requests that the server can reject within a second; `None` if it is no longer
+  /// brittle.
+  Brittle(Option<u32>),
 }
 
 impl Statement {
+  /// Whether instances of earlier versions can decode the statement.
+  pub fn is_known_to_all(&self) -> bool {
+    !matches!(self.content, Content::Brittle(_))
+  }
+
   /// Whether the statement still applies when it is read late, after this process was suspended.
-  /// The end of a limit does not: a new limit may have replaced it, and it is published again.
+  /// The end of one does not: a new one may have replaced it, and it is published again.
   pub fn applies_when_late(&self) -> bool {
-    self.content != Content::Limit(None)
+    !matches!(self.content, Content::Limit(None) | Content::Brittle(None))
   }
 }
 
@@ -64,10 +72,12 @@
     let mut earlier: BTreeSet<Life> = self.backoffs.lives(life.earlier()).collect();
     earlier.extend(self.leaving.lives(life.earlier()));
     earlier.extend(self.limits.lives(life.earlier()));
+    earlier.extend(self.brittle.lives(life.earlier()));
     for earlier in earlier {
       self.backoffs.inherit(earlier, life, is_own);
       self.leaving.inherit(earlier, life, is_own);
       self.limits.inherit(earlier, life, is_own);
+      self.brittle.inherit(earlier, life, is_own);
     }
   }
 }
--- /dev/null
+++ b/tests/concurrency.rs
@@ -0,0 +1,212 @@
+//! Slots of brittle servers: what all instances together run on one.
+
+use bendsaddle::{
+  concurrency::{Ledger, Share, parse},
+  life::Life,
+  quota::{Grant, Id, Use},
+};
+use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::VecDeque;
+
+const SLOTS: u32 = 16;
+
+fn id() -> Id {
+  Id::for_slots(Life::of("server", 1))
+}
+
+fn report(running: u32, need: u32, rejections: u32) -> Use {
+  Use {
+    id: id(),
+    used: running.into(),
+    need,
+    unreported: rejections,
+  }
+}
+
+fn granted(grant: Grant) -> u32 {
+  grant.limit as u32
+}
+
+#[test]
+fn all_instances_together_get_the_slots_and_no_more() {
+  let mut ledger = Ledger::default();
+  let limits =
+    (0..20).map(|instance| granted(ledger.report(10, instance, &report(0, 1, 0), SLOTS)));
+  assert_eq!(limits.sum::<u32>(), SLOTS);
+  // One that ends its request makes room for another.
+  ledger.report(20, 0, &report(0, 0, 0), SLOTS);
+  assert_eq!(granted(ledger.report(21, 19, &report(0, 1, 0), SLOTS)), 1);
+}
+
+/// A new holder knows nothing of what runs until all have reported.
+#[test]
+fn a_holder_that_takes_over_grants_nothing_before_all_have_reported() {
+  let mut ledger = Ledger::new(1_000);
+  for instance in 0..SLOTS as u64 {
+    assert_eq!(
+      granted(ledger.report(1_100, instance, &report(1, 1, 0), SLOTS)),
+      1
+    );
+  }
+  let late = ledger.report(2_300, 99, &report(0, 1, 0), SLOTS);
+  assert_eq!((granted(late), late.over_ms > 0), (0, true));
+}
+
+/// A process that has ended holds its slots no longer, one that is only silent holds them for a while.
+#[test]
+fn slots_of_an_instance_that_ended_are_free() {
+  let mut ledger = Ledger::default();
+  ledger.report(10, 1, &report(SLOTS, 0, 0), SLOTS);
+  assert_eq!(granted(ledger.report(20, 2, &report(0, 1, 0), SLOTS)), 0);
+  assert_eq!(granted(ledger.report(4_000, 2, &report(0, 1, 0), SLOTS)), 0);
+  assert_eq!(granted(ledger.report(5_100, 2, &report(0, 1, 0), SLOTS)), 1);
+  ledger.report(5_200, 3, &report(SLOTS, 0, 0), SLOTS);
+  ledger.remove(3);
+  assert_eq!(granted(ledger.report(5_300, 2, &report(1, 1, 0), SLOTS)), 2);
+}
+
+/// A server may take fewer requests than its slots, for want of memory.
+#[test]
+fn a_rejection_lowers_the_room_and_stops_grants_for_its_window() {
+  let mut ledger = Ledger::default();
+  ledger.report(10, 1, &report(6, 0, 0), SLOTS);
+  ledger.report(10, 2, &report(4, 2, 0), SLOTS);
+  ledger.report(50, 2, &report(4, 0, 2), SLOTS);
+  assert_eq!(granted(ledger.report(60, 1, &report(2, 1, 0), SLOTS)), 2);
+  assert_eq!(
+    granted(ledger.report(1_100, 1, &report(2, 20, 0), SLOTS)),
+    7
+  );
+  assert_eq!(
+    granted(ledger.report(3_100, 1, &report(7, 20, 0), SLOTS)),
+    9
+  );
+}
+
+#[test]
+fn an_instance_uses_no_slot_that_it_has_reported_free() {
+  let mut share = Share::default();
+  share.receive_grant(10, 5, 3, 0);
+  assert!(share.has_slot(20, 2));
+  assert!(!share.has_slot(20, 3));
+  share.report(1);
+  assert!(!share.has_slot(30, 1));
+  assert!(!share.has_slot(2_100, 0), "the grant has expired");
+}
+
+#[test]
+fn a_rejected_instance_sends_nothing_for_a_second() {
+  let mut share = Share::default();
+  share.receive_grant(10, 5, 3, 0);
+  share.record_rejection(20);
+  share.receive_grant(30, 25, 3, 0);
+  assert!(!share.has_slot(1_000, 0));
+  assert_eq!(share.full_until(1_000), Some(1_020));
+  assert!(share.has_slot(1_020, 0));
+}
+
+#[test]
+fn a_statement_is_a_whole_number() {
+  assert_eq!(parse(" 12 "), Ok(12));
+  assert_eq!(parse("0"), Ok(0));
+  for text in ["", "-1", "1.5", "many", "99999999999"] {
+    assert!(
+      parse(text).is_err_and(|error| error.contains(text)),
+      "{text}"
+    );
+  }
+}
+
+/// One instance of a simulated fleet.
+#[derive(Default)]
+struct Instance {
+  share: Share,
+  /// When its running requests end.
+  ends: Vec<u64>,
+  waiting: u32,
+  last_report: Option<u64>,
+}
+
+/// Plays a fleet before one server for some seconds, with reports and answers that are delayed, lost
+/// and overtake each other, and returns the most requests that ran at once and the number served.
+fn play(seed: u64, instances: usize, takeover: bool) -> (usize, usize) {
+  let mut rng = SmallRng::seed_from_u64(seed);
+  let mut ledger = Ledger::default();
+  let mut fleet: Vec<Instance> = (0..instances).map(|_| Instance::default()).collect();
+  let mut reports: VecDeque<(u64, usize, u64, Use)> = VecDeque::new();
+  let mut answers: VecDeque<(u64, usize, u64, Grant)> = VecDeque::new();
+  let (mut most, mut served) = (0, 0);
+  for now in 1..8_000u64 {
+    if takeover && now == 4_000 {
+      ledger = Ledger::new(now);
+    }
+    for (index, instance) in fleet.iter_mut().enumerate() {
+      let before = instance.ends.len();
+      instance.ends.retain(|end| now < *end);
+      let ended = before - instance.ends.len();
+      served += ended;
+      instance.waiting += u32::from(rng.random_range(0..200) == 0);
+      let running = instance.ends.len() as u32;
+      let free = instance.last_report.is_none_or(|at| now >= at + 40);
+      let due = instance.waiting > 0 || ended > 0 || now % 500 == index as u64 % 500;
+      if free && due {
+        let rejections = instance.share.report(running);
+        instance.last_report = Some(now);
+        let delay = now + rng.random_range(1..20);
+        if rng.random_range(0..10) > 0 {
+          reports.push_back((
+            delay,
+            index,
+            now,
+            report(running, instance.waiting, rejections),
+          ));
+        }
+      }
+    }
+    let due: Vec<_> = reports
+      .iter()
+      .filter(|entry| entry.0 <= now)
+      .copied()
+      .collect();
+    reports.retain(|entry| entry.0 > now);
+    for (_, index, sent, used) in due {
+      let grant = ledger.report(now, index as u64, &used, SLOTS);
+      answers.push_back((now + rng.random_range(1..20), index, sent, grant));
+    }
+    let due: Vec<_> = answers
+      .iter()
+      .filter(|entry| entry.0 <= now)
+      .copied()
+      .collect();
+    answers.retain(|entry| entry.0 > now);
+    for (_, index, sent, grant) in due {
+      let instance = &mut fleet[index];
+      // An answer to an earlier report is not used.
+      if instance.last_report == Some(sent) {
+        let limit = grant.limit as u32;
+        instance
+          .share
+          .receive_grant(now, sent, limit, grant.over_ms.into());
+      }
+    }
+    for instance in &mut fleet {
+      while instance.waiting > 0 && instance.share.has_slot(now, instance.ends.len() as u32) {
+        instance.waiting -= 1;
+        instance.ends.push(now + rng.random_range(50..400));
+      }
+    }
+    most = most.max(fleet.iter().map(|instance| instance.ends.len()).sum());
+  }
+  (most, served)
+}
+
+quickcheck! {
+  /// No instance may use slots that the holder has granted to others meanwhile, whatever is lost,
+  /// late or out of order, and whoever is the holder.
+  fn no_history_exceeds_the_slots(seed: u64, instances: u8, takeover: bool) -> bool {
+    let instances = usize::from(instances % 60) + 2;
+    let (most, served) = play(seed, instances, takeover);
+    most <= SLOTS as usize && served > 20
+  }
+}
