crash: parts of prompts that crash servers are quarantined

Callers saw one server after the other end, each with 20 to 90 runs, for as long as requests with one part in their prompts came, and sound requests refused or cut. Cause: evidence of crashes was kept by content. No two of these requests are alike, so each content was in one or two crashes and none was ever blamed. Class: evidence is kept under a key that the fault does not share. Ruled out: crashes that are not seen as such (the logs name them); counting crashes by part alone (the first part of a route is in all of them); a vote among the parts of a crash without what is served elsewhere (companions share parts). Change: runs that had hardly begun when their servers crashed report the parts of their prompts, without the last one. A part in two crashes, one after the other, is asked about at all instances, and those that served a request with it since the first crash say so, which clears it. Of several, one behind the first is preferred, then the one in most crashes, then the later one. Contents that were blamed for these crashes are released. A part that is served after all is released.

--- a/src/content.rs
+++ b/src/content.rs
@@ -4,7 +4,13 @@
 use crate::http::Request;
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
-use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed, xxh3_128_with_seed};
+
+/// Hash seed that separates the keys of parts from those of contents.
+const PART_SEED: u64 = 1;
+/// Parts of a prompt that are considered: those shared by most requests come first, and few prompts have
+/// more than a handful.
+const MAX_PARTS: usize = 16;
 
 /// Identifies the content of requests: a hash of method, host, target and body.
 ///
@@ -33,12 +39,31 @@
     Self(hash.digest128())
   }
 
+  /// Returns the key of a part of prompts with this id.
+  fn of_part(id: &str) -> Self {
+    Self(xxh3_128_with_seed(id.as_bytes(), PART_SEED))
+  }
+
   /// Returns a hash of the key that differs for each seed.
   pub fn seeded_hash(self, seed: u32) -> u64 {
     xxh3_64_with_seed(&self.0.to_le_bytes(), seed.into())
   }
 }
 
+/// Returns the keys of the parts of a prompt that other requests may share, in order: all but the last
+/// one of `ID:TOKENS`, separated by commas. Ids are in hex, in any case.
+pub fn shared_parts(prompt_parts: Option<&str>) -> Vec<Key> {
+  let parts = prompt_parts.and_then(|parts| parts.rsplit_once(','));
+  let Some((shared, _)) = parts else {
+    return Vec::new();
+  };
+  let ids = shared.split(',').take(MAX_PARTS).filter_map(|part| {
+    let id = part.split(':').next()?.trim();
+    (!id.is_empty()).then(|| id.to_ascii_lowercase())
+  });
+  ids.map(|id| Key::of_part(&id)).collect()
+}
+
 impl Display for Key {
   fn fmt(&self, f: &mut Formatter) -> fmt::Result {
     write!(f, "{:032x}", self.0)
--- a/src/crash/filter.rs
+++ b/src/crash/filter.rs
@@ -68,7 +68,7 @@
 pub struct Filter {
   /// Runs that ended in a crash and are not reported yet.
   crashes: Vec<Crash>,
-  /// When the quarantine of each content ends, in ms.
+  /// When the quarantine of each content or part of prompts ends, in ms.
   quarantined: HashMap<content::Key, u64>,
   suspects: HashMap<content::Key, Suspect>,
 }
@@ -86,9 +86,10 @@
     }
   }
 
-  /// Returns whether requests with this content must not be sent to any server.
-  pub fn is_quarantined(&self, now: u64, content: content::Key) -> bool {
-    let until = self.quarantined.get(&content);
+  /// Returns whether requests with this content, or this part of their prompts, must not be sent to
+  /// any server.
+  pub fn is_quarantined(&self, now: u64, key: content::Key) -> bool {
+    let until = self.quarantined.get(&key);
     until.is_some_and(|until| now < *until)
   }
 
--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -5,6 +5,7 @@
 //! server that starts it crashes together with everything else it runs. Pure: no I/O, no clock.
 
 mod filter;
+pub mod part;
 pub mod permit;
 mod registry;
 mod repeated;
--- /dev/null
+++ b/src/crash/part.rs
@@ -0,0 +1,272 @@
+//! Finds the parts of prompts that crash the servers that answer them.
+//!
+//! Load pattern: requests with such a part arrive at all instances, no two alike, and each server that
+//! begins an answer crashes together with everything else it runs. All other parts of these requests,
+//! and of their companions, belong to requests that are served. So a part is blamed if it was in several
+//! crashes, one after the other, and no instance has served a request with it since the first of them.
+//! Pure: no I/O, no clock.
+
+use crate::{content, life::Life};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Crashes after which a part is blamed, each of a run that began after the one before.
+const CULPRIT_CRASHES: usize = 3;
+/// Crashes after which instances are asked whether they have served requests with a part.
+const SUSPECT_CRASHES: usize = 2;
+/// Time in which most instances answer. The question is sent three times.
+const ANSWER_MS: u64 = 150;
+/// Interval at which instances are asked again.
+const ASK_INTERVAL_MS: u64 = 1_000;
+/// Time for which an instance that was asked reports a part when it serves it.
+const ASKED_MS: u64 = 30_000;
+/// Longest time from the first event of a run to a crash that it caused.
+pub const MAX_PROGRESS_MS: u32 = 150;
+/// Crashes are forgotten after this time.
+const CRASH_TTL_MS: u64 = 60_000;
+/// About 300 bytes each; the least recently seen parts are evicted first.
+const MAX_SUSPECTS: usize = 512;
+/// Number of parts after which the older half of those served is forgotten, 24 bytes each.
+const MAX_SERVED: usize = 2_048;
+
+/// A part of the prompt of a run that had hardly begun when its server crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+  pub part: content::Key,
+  /// Position of the part in the prompt; 0 for the first one.
+  pub position: u8,
+  pub server: Life,
+  /// Time from the send to the crash.
+  pub took_ms: u32,
+}
+
+/// Question whether requests with a part were served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+  pub part: content::Key,
+  /// Time since the first crash.
+  pub since_ms: u32,
+}
+
+/// A part found to crash servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Culprit {
+  pub part: content::Key,
+  pub crashes: usize,
+  pub position: u8,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+  position: u8,
+  /// When its run was sent and when the crash was reported, in ms, by server.
+  crashes: BTreeMap<Life, (u64, u64)>,
+  last_seen: u64,
+  /// When instances were first and last asked, in ms.
+  asked: Option<(u64, u64)>,
+}
+
+impl Suspect {
+  /// Number of crashes, one after the other, of servers that nothing else explains. Servers that end
+  /// at the same time count once.
+  fn chain(&self, explained: &BTreeSet<Life>) -> usize {
+    let unexplained = self.crashes.iter();
+    let unexplained = unexplained.filter(|(server, _)| !explained.contains(server));
+    let mut spans: Vec<(u64, u64)> = unexplained.map(|(_, span)| *span).collect();
+    spans.sort_by_key(|(_, ended)| *ended);
+    let (mut chain, mut last) = (0, 0);
+    for (sent, ended) in spans {
+      if chain == 0 || sent >= last {
+        chain += 1;
+        last = ended;
+      }
+    }
+    chain
+  }
+
+  fn first_crash_at(&self) -> u64 {
+    let ends = self.crashes.values().map(|(_, ended)| *ended);
+    ends.min().unwrap_or(self.last_seen)
+  }
+}
+
+/// The parts in reported crashes, as known to an instance that analyzes them.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+  suspects: BTreeMap<content::Key, Suspect>,
+  /// Parts that were blamed.
+  blamed: BTreeSet<content::Key>,
+  /// Servers whose crashes these explain.
+  explained: BTreeSet<Life>,
+}
+
+impl Registry {
+  /// Adds reported crashes; a crash may be reported several times.
+  pub fn add(&mut self, now: u64, crashes: &[Crash]) {
+    for crash in crashes {
+      if self.blamed.contains(&crash.part) {
+        self.explained.insert(crash.server);
+      }
+      let suspect = self.suspects.entry(crash.part).or_default();
+      suspect.position = suspect.position.max(crash.position);
+      suspect.last_seen = now;
+      let sent = now.saturating_sub(crash.took_ms.into());
+      suspect.crashes.entry(crash.server).or_insert((sent, now));
+    }
+    self.evict(now);
+  }
+
+  fn evict(&mut self, now: u64) {
+    self
+      .suspects
+      .retain(|_, suspect| now < suspect.last_seen + CRASH_TTL_MS);
+    while self.suspects.len() > MAX_SUSPECTS {
+      let oldest = self
+        .suspects
+        .iter()
+        .min_by_key(|(_, suspect)| suspect.last_seen);
+      let Some(oldest) = oldest.map(|(part, _)| *part) else {
+        return;
+      };
+      self.suspects.remove(&oldest);
+    }
+  }
+
+  /// Records that a request with a part was served after its first crash; returns whether the part was
+  /// blamed.
+  pub fn record_served(&mut self, part: content::Key) -> bool {
+    self.suspects.remove(&part);
+    self.blamed.remove(&part)
+  }
+
+  /// Returns the questions to ask now.
+  pub fn questions(&mut self, now: u64) -> Vec<Question> {
+    let explained = &self.explained;
+    let mut questions = Vec::new();
+    for (part, suspect) in &mut self.suspects {
+      let is_due = suspect
+        .asked
+        .is_none_or(|(_, last)| now >= last + ASK_INTERVAL_MS);
+      if !is_due || suspect.chain(explained) < SUSPECT_CRASHES {
+        continue;
+      }
+      let first = suspect.asked.map_or(now, |(first, _)| first);
+      suspect.asked = Some((first, now));
+      questions.push(Question {
+        part: *part,
+        since_ms: (now - suspect.first_crash_at()) as u32,
+      });
+    }
+    questions
+  }
+
+  /// When the next part may be blamed, in ms; `None` if none may.
+  pub fn analysis_at(&self) -> Option<u64> {
+    let candidates = self.candidates();
+    candidates
+      .filter_map(|(_, suspect)| Some(suspect.asked?.0 + ANSWER_MS))
+      .min()
+  }
+
+  fn candidates(&self) -> impl Iterator<Item = (&content::Key, &Suspect)> {
+    self.suspects.iter().filter(|(part, suspect)| {
+      !self.blamed.contains(part) && suspect.chain(&self.explained) >= CULPRIT_CRASHES
+    })
+  }
+
+  /// Finds the parts that explain the crashes. Of several, one behind the first is preferred, which most
+  /// requests of a route share, then the one with the most crashes, then the later one, which fewer
+  /// requests share.
+  pub fn find_culprits(&mut self, now: u64) -> Vec<Culprit> {
+    let mut found = Vec::new();
+    loop {
+      let answered = self.candidates().filter(|(_, suspect)| {
+        let asked = suspect.asked;
+        asked.is_some_and(|(first, _)| now >= first + ANSWER_MS)
+      });
+      let culprit = answered
+        .map(|(part, suspect)| Culprit {
+          part: *part,
+          crashes: suspect.chain(&self.explained),
+          position: suspect.position,
+        })
+        .max_by_key(|culprit| (culprit.position > 0, culprit.crashes, culprit.position));
+      let Some(culprit) = culprit else {
+        return found;
+      };
+      self.blame(culprit.part);
+      found.push(culprit);
+    }
+  }
+
+  /// Records that a part is to blame, as found here or by another instance.
+  pub fn blame(&mut self, part: content::Key) {
+    self.blamed.insert(part);
+    if let Some(suspect) = self.suspects.get(&part) {
+      self.explained.extend(suspect.crashes.keys());
+    }
+  }
+
+  /// Records that a part is no longer to blame.
+  pub fn release(&mut self, part: content::Key) {
+    self.blamed.remove(&part);
+  }
+
+  /// Whether a part was blamed.
+  pub fn is_blamed(&self, part: content::Key) -> bool {
+    self.blamed.contains(&part)
+  }
+
+  /// Servers whose crashes are explained by parts.
+  pub fn explained(&self) -> &BTreeSet<Life> {
+    &self.explained
+  }
+}
+
+/// When an instance last served requests with each part, and what it was asked.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+  latest: HashMap<content::Key, u64>,
+  earlier: HashMap<content::Key, u64>,
+  /// Until when a part is to be reported when it is served, in ms.
+  asked: HashMap<content::Key, u64>,
+  answers: BTreeSet<content::Key>,
+}
+
+impl Served {
+  /// Records that a request with these parts was served whole; returns whether that is to be reported.
+  pub fn record(&mut self, now: u64, parts: &[content::Key]) -> bool {
+    for part in parts {
+      if self.latest.len() >= MAX_SERVED {
+        self.earlier = std::mem::take(&mut self.latest);
+      }
+      self.latest.insert(*part, now);
+      if self.asked.remove(part).is_some_and(|until| now < until) {
+        self.answers.insert(*part);
+      }
+    }
+    !self.answers.is_empty()
+  }
+
+  /// Receives questions; returns whether there are answers.
+  pub fn ask(&mut self, now: u64, questions: &[Question]) -> bool {
+    self.asked.retain(|_, until| now < *until);
+    for question in questions {
+      let latest = self.latest.get(&question.part);
+      let served_at = latest.or_else(|| self.earlier.get(&question.part));
+      let since = now.saturating_sub(question.since_ms.into());
+      if served_at.is_some_and(|at| *at > since) {
+        self.answers.insert(question.part);
+      } else {
+        self.asked.insert(question.part, now + ASKED_MS);
+      }
+    }
+    !self.answers.is_empty()
+  }
+
+  /// Takes the parts that were served, for the instances that asked.
+  pub fn take_answers(&mut self) -> Vec<content::Key> {
+    let answers = std::mem::take(&mut self.answers);
+    answers.into_iter().collect()
+  }
+}
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -378,6 +378,42 @@
     true
   }
 
+  /// Quarantines contents or parts that were found to cause crashes.
+  pub fn quarantine_found(&mut self, now: u64, keys: &[content::Key]) {
+    let left_ms = QUARANTINE_MS as u32;
+    for content in keys.iter().copied() {
+      self.released.remove(&content);
+      self.quarantine(now, Quarantined { content, left_ms });
+    }
+  }
+
+  /// Releases and returns the quarantined contents that were in no crashes but those of these servers,
+  /// which a part of their prompts explains, and forgets these crashes.
+  pub fn release_explained(&mut self, now: u64, explained: &BTreeSet<Life>) -> Vec<content::Key> {
+    let suspects = self.suspects.iter();
+    let innocent = suspects.filter(|(content, suspect)| {
+      let mut servers = suspect.servers.keys();
+      self.quarantined.contains_key(content) && servers.all(|server| explained.contains(server))
+    });
+    let innocent: Vec<content::Key> = innocent.map(|(content, _)| *content).collect();
+    for content in &innocent {
+      let released = Quarantined {
+        content: *content,
+        left_ms: 0,
+      };
+      self.quarantine(now, released);
+    }
+    for suspect in self.suspects.values_mut() {
+      suspect
+        .servers
+        .retain(|server, _| !explained.contains(server));
+    }
+    self
+      .suspects
+      .retain(|_, suspect| !suspect.servers.is_empty());
+    innocent
+  }
+
   /// Returns the quarantined contents.
   pub fn quarantined(&self, now: u64) -> Vec<Quarantined> {
     let quarantined = self.quarantined.iter().filter(|(_, until)| now < **until);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -15,7 +15,7 @@
   build::{self, resume::Question, streams::Streams},
   cold::{Deferrals, give_up_at},
   concurrency::{Brittle, Reports},
-  crash::{Admission, Filter, Permit},
+  crash::{Admission, Filter, Permit, part},
   customer::Scheduler,
   demand::Model,
   deployment::{Deployment, Engine},
@@ -158,6 +158,9 @@
   pub updates: u64,
   /// Decides whether requests that may crash servers are sent.
   crash_filter: Filter,
+  /// Parts of prompts in crashes that are not reported yet, and parts that were served.
+  part_crashes: Vec<part::Crash>,
+  served_parts: part::Served,
   /// What servers stated in their responses: limits, whether they are leaving, and backoffs.
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
@@ -222,6 +225,8 @@
       early_holdings: BTreeMap::new(),
       updates: 0,
       crash_filter: Filter::default(),
+      part_crashes: Vec::new(),
+      served_parts: part::Served::default(),
       limits: Limits::default(),
       leaving: Leaving::default(),
       backoffs: Backoffs::default(),
@@ -307,6 +312,11 @@
         self.crash_filter.update_quarantine(now, &entries);
         self.dispatch_waiting();
       }
+      Event::PartQuestions(questions) => {
+        if self.served_parts.ask(now, &questions) {
+          self.out.push(Effect::ReportCrashes);
+        }
+      }
       Event::RecordsRead => self.records_read = true,
       Event::QuotaUsage(sums) => self.quotas.receive_sums(now, &sums),
       Event::Granted { sent, grants } => {
@@ -585,9 +595,7 @@
     if request.stalled.is_some() {
       return self.dispatch_stalled(ticket);
     }
-    let pass = self
-      .crash_filter
-      .admission(self.now, request.descriptor.content);
+    let pass = self.admission(&request.descriptor);
     if pass == Admission::Denied {
       return self.refuse_quarantined(ticket);
     }
@@ -631,6 +639,20 @@
     }
   }
 
+  /// Whether a request may be sent to a server, as far as it may crash servers.
+  pub(crate) fn admission(&self, descriptor: &Descriptor) -> Admission {
+    match self.is_quarantined(descriptor) {
+      true => Admission::Denied,
+      false => self.crash_filter.admission(self.now, descriptor.content),
+    }
+  }
+
+  /// Whether a request, or a part of its prompt, was found to crash servers.
+  pub(crate) fn is_quarantined(&self, descriptor: &Descriptor) -> bool {
+    let mut keys = descriptor.parts.iter().chain([&descriptor.content]);
+    keys.any(|key| self.crash_filter.is_quarantined(self.now, *key))
+  }
+
   /// Lets a request wait for the requested unit of a server's limit.
   fn wait_for_unit(&mut self, ticket: Ticket, until: u64) {
     let Some(request) = self.requests.get(&ticket) else {
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -8,7 +8,8 @@
 use crate::{
   backend::{self, Backend, missing_name},
   cold::give_up_at,
-  crash::Crash,
+  content,
+  crash::{Crash, part},
   demand::Model,
   dispatch::Request,
   refusal::Reason,
@@ -81,6 +82,10 @@
   fn record_served(&mut self, ticket: Ticket) {
     if let Some(request) = self.requests.get(&ticket) {
       self.crash_filter.record_served(request.descriptor.content);
+      let parts = &request.descriptor.parts;
+      if self.served_parts.record(self.now, parts) {
+        self.out.push(Effect::ReportCrashes);
+      }
     }
   }
 
@@ -233,11 +238,7 @@
   pub fn abort_reason(&self, attempt: &Attempt) -> Option<End> {
     let backend = self.backends.get(attempt.backend);
     let request = self.requests.get(&attempt.ticket);
-    let quarantined = |request: &Request| {
-      self
-        .crash_filter
-        .is_quarantined(self.now, request.descriptor.content)
-    };
+    let quarantined = |request: &Request| self.is_quarantined(&request.descriptor);
     // The server has restarted, or its entry was older than it is.
     let other_build = |backend: &Backend| backend.spec.build != attempt.build;
     let unfit = |backend: &Backend| backend.is_leaving() || other_build(backend);
@@ -261,6 +262,17 @@
       run: backend::short_hash(&request.descriptor.id),
       progress_ms: (self.now - since) as u32,
     };
+    if crash.progress_ms <= part::MAX_PROGRESS_MS {
+      let took_ms = self.now.saturating_sub(request.sent) as u32;
+      let parts = request.descriptor.parts.iter().zip(0u8..);
+      let crashes = parts.map(|(part, position)| part::Crash {
+        part: *part,
+        position,
+        server: crash.server,
+        took_ms,
+      });
+      self.part_crashes.extend(crashes);
+    }
     self.crash_filter.record_crash(self.now, crash);
     self.out.push(Effect::ReportCrashes);
   }
@@ -269,6 +281,16 @@
   pub fn take_crashes(&mut self) -> Vec<Crash> {
     self.crash_filter.take_crashes()
   }
+
+  /// Takes the parts of prompts in crashes that were recorded since the last call.
+  pub fn take_part_crashes(&mut self) -> Vec<part::Crash> {
+    std::mem::take(&mut self.part_crashes)
+  }
+
+  /// Takes the parts that were served although they are suspected.
+  pub fn take_served_parts(&mut self) -> Vec<content::Key> {
+    self.served_parts.take_answers()
+  }
 }
 
 /// Lets a server that has failed get no requests for a while.
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -8,7 +8,7 @@
     resume::{Decision, Resumption},
   },
   content,
-  crash::{Quarantined, Suspected},
+  crash::{Quarantined, Suspected, part},
   customer::Caller,
   demand::Model,
   deployment::Deployment,
@@ -41,6 +41,8 @@
   pub deadline: u64,
   /// Equal for requests with the same content.
   pub content: content::Key,
+  /// The parts of the prompt that other requests may share: all but the last one.
+  pub parts: Arc<Vec<content::Key>>,
   /// The authenticated caller, if customers are configured.
   pub caller: Option<Caller>,
   /// `None` if the caller does not state them.
@@ -201,6 +203,7 @@
 
 /// An input of the reducer. Times are in milliseconds.
 #[derive(Clone, Debug)]
+#[expect(clippy::large_enum_variant)] // arrivals are the most frequent events
 pub enum Event {
   Deployed(Arc<Deployment>),
   Servers(Vec<Change>),
@@ -262,6 +265,8 @@
   /// Requests that are not sent to any server from now on because they crash the servers that run
   /// them.
   Quarantined(Vec<Quarantined>),
+  /// Whether requests with these parts of their prompts were served.
+  PartQuestions(Vec<part::Question>),
   /// The quarantined requests were read from the store.
   RecordsRead,
   /// Usage of customers' quotas by all instances within the last window.
--- a/src/dispatch/stalled.rs
+++ b/src/dispatch/stalled.rs
@@ -143,9 +143,7 @@
     let request = self.requests.get(&ticket)?;
     let route = &request.descriptor.route;
     let retry_at = request.stalled?.retry_at?;
-    let admission = self
-      .crash_filter
-      .admission(self.now, request.descriptor.content);
+    let admission = self.admission(&request.descriptor);
     if admission != Admission::Allowed || request.runs >= route.attempts {
       return None;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod concurrency;
 pub mod content;
 pub mod crash;
+mod crash_parts;
 pub mod customer;
 pub mod decide;
 pub mod demand;
--- a/src/message.rs
+++ b/src/message.rs
@@ -5,8 +5,8 @@
 
 use crate::{
   backend::Holding,
-  build,
-  crash::{Crash, Quarantined, Suspected},
+  build, content,
+  crash::{Crash, Quarantined, Suspected, part},
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Request},
@@ -54,6 +54,12 @@
   BuildQuestion(Vec<build::Key>),
   /// The attempts of a question that the sender does not know.
   BuildsUnknown(Vec<build::Key>),
+  /// Parts of the prompts of runs that had just begun when their servers crashed.
+  PartCrashes(Vec<part::Crash>),
+  /// Question of an analyzer whether requests with these parts were served.
+  PartQuestions(Vec<part::Question>),
+  /// Parts of requests that were served since an analyzer asked, or since their first crash.
+  PartsServed(Vec<content::Key>),
 }
 
 /// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -9,7 +9,7 @@
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken, Unheard},
   concurrency::Ledger,
-  crash::{Crash, Quarantined, Registry, Repeated, stored},
+  crash::{Crash, Quarantined, Registry, Repeated, part, stored},
   dispatch::Event,
   edge::Edge,
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
@@ -174,6 +174,10 @@
   /// Crashes to report, and quarantined requests to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
+  /// Parts of prompts in crashes, and what is reported and asked about them.
+  pub(crate) parts: part::Registry,
+  pub(crate) reported_part_crashes: Repeated<part::Crash>,
+  pub(crate) part_questions: Repeated<part::Question>,
   /// Statements of servers to report, and to publish.
   pub(crate) reported_statements: Repeated<Life>,
   pub(crate) published_statements: Repeated<Life>,
@@ -233,6 +237,9 @@
     registry: Registry::default(),
     stored_quarantine: stored::Stored::default(),
     reported_crashes: Repeated::default(),
+    parts: part::Registry::default(),
+    reported_part_crashes: Repeated::default(),
+    part_questions: Repeated::default(),
     published_quarantine: Repeated::default(),
     reported_statements: Repeated::default(),
     published_statements: Repeated::default(),
@@ -367,6 +374,9 @@
     }
     let repeated = [
       self.analysis_at(now),
+      self.part_analysis_at(now),
+      self.reported_part_crashes.due(),
+      self.part_questions.due(),
       self.reported_crashes.due(),
       self.published_quarantine.due(),
       self.reported_statements.due(),
@@ -411,6 +421,9 @@
         Ok((Message::Changes(kind, batch), _)) => self.gate(kind).receive_batch(batch),
         Ok((Message::Crashes(crashes), _)) => self.receive_crashes(now, &crashes),
         Ok((Message::Quarantine(entries), _)) => self.receive_quarantine(now, &entries, from),
+        Ok((Message::PartCrashes(crashes), _)) => self.receive_part_crashes(now, &crashes),
+        Ok((Message::PartQuestions(questions), _)) => self.receive_part_questions(questions),
+        Ok((Message::PartsServed(parts), _)) => self.receive_served_parts(now, &parts),
         Ok((Message::Suspects(entries), _)) => self.hub.apply(Event::Suspected(entries), None),
         Ok((Message::Uses(uses), _)) => self.receive_uses(now, &uses, from),
         Ok((Message::Grants(answer), _)) => self.receive_grants(answer),
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -26,6 +26,7 @@
 impl Planner {
   /// Reports crashes, analyzes them if due, and publishes the results.
   pub(crate) fn process_crashes(&mut self) {
+    self.process_part_crashes();
     let now = self.hub.now();
     let crashes = self.hub.state().take_crashes();
     self.registry.add(now, &crashes);
@@ -54,6 +55,12 @@
     self.registry.analysis_at(now, || self.is_analyzer(now))
   }
 
+  /// Returns when this instance has to analyze the parts in crashes, in ms.
+  pub(crate) fn part_analysis_at(&self, now: u64) -> Option<u64> {
+    let at = self.parts.analysis_at()?;
+    self.is_analyzer(now).then_some(at)
+  }
+
   /// Analyzes crashes once their reports have settled, and publishes the results.
   fn analyze_crashes(&mut self, now: u64) {
     if self.analysis_at(now).is_none_or(|at| now < at) {
@@ -96,7 +103,7 @@
   }
 
   /// Publishes the release of requests that were blamed for crashes that other requests explain.
-  fn publish_release(&mut self, now: u64, innocent: &[content::Key]) {
+  pub(crate) fn publish_release(&mut self, now: u64, innocent: &[content::Key]) {
     let entries = innocent.iter().map(|content| Quarantined {
       content: *content,
       left_ms: 0,
@@ -115,12 +122,14 @@
       info!(self.hub.log, "request quarantined"; "content" => culprit.content.to_string(),
         "crashes" => culprit.crashes, "runs" => culprit.runs, "by" => "local crash analysis");
     }
+    let keys: Vec<content::Key> = culprits.iter().map(|culprit| culprit.content).collect();
+    self.publish_quarantined(now, &keys);
+  }
+
+  /// Publishes the quarantine of contents or parts that are in the registry.
+  fn publish_quarantined(&mut self, now: u64, keys: &[content::Key]) {
     let all = self.registry.quarantined(now);
-    let is_new = |entry: &&Quarantined| {
-      culprits
-        .iter()
-        .any(|culprit| culprit.content == entry.content)
-    };
+    let is_new = |entry: &&Quarantined| keys.contains(&entry.content);
     let new: Vec<Quarantined> = all.iter().filter(is_new).copied().collect();
     for entry in &new {
       self.published_quarantine.add(now, *entry);
@@ -128,6 +137,12 @@
     self.enforce(new);
   }
 
+  /// Quarantines parts and publishes that.
+  pub(crate) fn publish_blamed(&mut self, now: u64, parts: &[content::Key]) {
+    self.registry.quarantine_found(now, parts);
+    self.publish_quarantined(now, parts);
+  }
+
   /// Adds crashes reported by another instance.
   pub(crate) fn receive_crashes(&mut self, now: u64, crashes: &[Crash]) {
     self.registry.add(now, crashes);
@@ -136,6 +151,7 @@
   /// Applies quarantines and releases published by another instance.
   pub(crate) fn receive_quarantine(&mut self, now: u64, entries: &[Quarantined], from: SocketAddr) {
     let mut new = Vec::new();
+    self.record_quarantined_parts(entries);
     for entry in entries {
       if self.registry.quarantine(now, *entry) {
         let message = match entry.left_ms {
@@ -216,7 +232,7 @@
   }
 
   /// Returns all other known instances.
-  fn other_instances(&self, now: u64) -> Vec<SocketAddr> {
+  pub(crate) fn other_instances(&self, now: u64) -> Vec<SocketAddr> {
     let groups = 0..self.groups.len();
     let other_instances: BTreeSet<SocketAddr> = groups
       .flat_map(|index| self.peer_addresses(now, index))
@@ -240,13 +256,13 @@
     members
   }
 
-  fn is_analyzer(&self, now: u64) -> bool {
+  pub(crate) fn is_analyzer(&self, now: u64) -> bool {
     self.groups.iter().any(|group| group.holds_lease)
       || self.analyzers(now).contains(&self.own_address)
   }
 
   /// Returns the analyzers other than this instance.
-  fn other_analyzers(&self, now: u64) -> Vec<SocketAddr> {
+  pub(crate) fn other_analyzers(&self, now: u64) -> Vec<SocketAddr> {
     let mut other_analyzers = self.analyzers(now);
     other_analyzers.retain(|analyzer| *analyzer != self.own_address);
     other_analyzers
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -178,6 +178,7 @@
     pool: pool.unwrap_or_default().to_string(),
     model: model.clone(),
     affinity: affinity(header(dialect.prompt_parts), model.as_ref()),
+    parts: content::shared_parts(header(dialect.prompt_parts)).into(),
     deadline,
     content,
     caller: incoming.caller,
--- a/tests/begun.rs
+++ b/tests/begun.rs
@@ -37,6 +37,7 @@
     affinity: 0,
     deadline: 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/bounded_sends.rs
+++ b/tests/bounded_sends.rs
@@ -63,6 +63,7 @@
     affinity: 0,
     deadline: 60_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -56,6 +56,7 @@
     affinity: ticket,
     deadline: 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -238,6 +238,7 @@
       affinity: 0,
       deadline: self.now + 10_000,
       content: content::Key(u128::from(ticket.0)),
+      parts: Default::default(),
       caller: None,
       tokens: Tokens::parse(Some("1460,200"), None),
       resumption: None,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -87,6 +87,7 @@
     affinity,
     deadline: 60_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     resumption: None,
     tokens: Some(Tokens {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -89,6 +89,7 @@
     affinity: 0,
     deadline: now + 15_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -118,6 +118,7 @@
       affinity: 0,
       deadline,
       content,
+      parts: Default::default(),
       caller: None,
       tokens: None,
       resumption: None,
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -49,6 +49,7 @@
     affinity: 0,
     deadline: 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -132,6 +132,7 @@
     affinity: 0,
     deadline: PATIENCE_MS,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -324,6 +324,7 @@
     affinity: 0,
     deadline: 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/lives.rs
+++ b/tests/lives.rs
@@ -234,6 +234,7 @@
     affinity: 0,
     deadline: now + 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -547,6 +547,7 @@
     affinity: 0,
     deadline: 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- /dev/null
+++ b/tests/parts.rs
@@ -0,0 +1,152 @@
+//! Detection of parts of prompts that crash backend servers.
+
+use bendsaddle::{
+  content::{Key, shared_parts},
+  crash::part::{Crash, Question, Registry, Served},
+  life::Life,
+};
+use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const FIRST: Key = Key(1);
+const DEADLY: Key = Key(2);
+const OTHER: Key = Key(3);
+/// Time by which instances have answered a question.
+const ANSWERED_MS: u64 = 200;
+
+fn crash(part: Key, position: u8, server: u64) -> Crash {
+  Crash {
+    part,
+    position,
+    server: Life::of(&server.to_string(), 1),
+    took_ms: 50,
+  }
+}
+
+/// Crashes of one run with these parts each, one every 200 ms.
+fn crashes(registry: &mut Registry, from: u64, count: u64, parts: &[Key]) {
+  for number in 0..count {
+    let now = from + number * 200;
+    let parts = parts.iter().zip(0u8..);
+    let crashes: Vec<Crash> = parts
+      .map(|(part, position)| crash(*part, position, now))
+      .collect();
+    registry.add(now, &crashes);
+    registry.questions(now);
+  }
+}
+
+fn blamed(registry: &mut Registry, now: u64) -> Vec<Key> {
+  let found = registry.find_culprits(now);
+  found.iter().map(|culprit| culprit.part).collect()
+}
+
+#[test]
+fn a_part_in_three_crashes_is_blamed_and_the_first_part_is_not() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 2, &[FIRST, DEADLY]);
+  assert_eq!(blamed(&mut registry, 1_000), []);
+  crashes(&mut registry, 1_000, 1, &[FIRST, DEADLY]);
+  assert_eq!(blamed(&mut registry, 1_000 + ANSWERED_MS), [DEADLY]);
+  assert_eq!(blamed(&mut registry, 60_000), []);
+}
+
+/// A part that is served elsewhere was blamed for the crashes of another.
+#[test]
+fn a_part_that_was_served_since_its_first_crash_is_not_blamed() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST, DEADLY, OTHER]);
+  assert!(!registry.record_served(OTHER));
+  assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
+}
+
+#[test]
+fn a_part_that_was_blamed_is_released_when_it_is_served() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST, DEADLY]);
+  assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
+  assert!(registry.record_served(DEADLY));
+  assert!(!registry.is_blamed(DEADLY));
+}
+
+/// Servers that end together, as at a power failure, were taken for one crash after the other.
+#[test]
+fn servers_that_end_at_the_same_time_count_once() {
+  let mut registry = Registry::default();
+  let together: Vec<Crash> = (0..9).map(|server| crash(DEADLY, 1, server)).collect();
+  registry.add(1_000, &together);
+  registry.questions(1_000);
+  assert_eq!(blamed(&mut registry, 5_000), []);
+}
+
+#[test]
+fn nothing_is_blamed_before_instances_could_answer() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[DEADLY]);
+  let at = registry.analysis_at().expect("a part is suspected");
+  assert_eq!(blamed(&mut registry, at - 1), []);
+  assert_eq!(blamed(&mut registry, at), [DEADLY]);
+}
+
+#[test]
+fn an_instance_answers_for_what_it_served_after_the_first_crash() {
+  let mut served = Served::default();
+  served.record(1_000, &[FIRST, OTHER]);
+  let question = |part, since_ms| Question { part, since_ms };
+  assert!(served.ask(2_000, &[question(FIRST, 1_500), question(OTHER, 900)]));
+  assert_eq!(served.take_answers(), [FIRST]);
+  assert!(served.record(3_000, &[OTHER]));
+  assert_eq!(served.take_answers(), [OTHER]);
+  assert!(
+    !served.record(3_100, &[OTHER, FIRST]),
+    "each answer is given once"
+  );
+}
+
+#[test]
+fn the_last_part_of_a_prompt_is_its_own() {
+  let keys = shared_parts(Some("AB:10, cd:5,ef:1"));
+  assert_eq!(keys, shared_parts(Some("ab:3,CD:1,00:9")));
+  assert_eq!(keys.len(), 2);
+  for text in ["", "ab:1", ":,:", ","] {
+    assert!(shared_parts(Some(text)).is_empty(), "{text}");
+  }
+  assert!(shared_parts(None).is_empty());
+  assert_eq!(shared_parts(Some(&"a:1,".repeat(1_000))).len(), 16);
+}
+
+quickcheck! {
+  /// Whatever runs beside a part that crashes servers, that part alone is blamed, within a few crashes.
+  fn only_the_part_that_crashes_servers_is_blamed(seed: u64) -> bool {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut registry = Registry::default();
+    let mut served = Served::default();
+    let mut found = Vec::new();
+    let (mut crashed, mut deadly_sends) = (0, 0);
+    for round in 0..40u64 {
+      let now = 1_000 + round * 100;
+      // Sound requests that are served elsewhere.
+      for _ in 0..rng.random_range(1..6) {
+        served.record(now, &[FIRST, Key(rng.random_range(10..30))]);
+      }
+      if round % 2 == 0 && found.is_empty() {
+        crashed += 1;
+        deadly_sends += 1;
+        let mut runs = vec![vec![FIRST, Key(rng.random_range(10..30)), DEADLY]];
+        for _ in 0..rng.random_range(0..20) {
+          runs.push(vec![FIRST, Key(rng.random_range(10..30))]);
+        }
+        let parts = runs.iter().flat_map(|parts| parts.iter().copied().zip(0u8..));
+        let all: Vec<Crash> = parts.map(|(part, position)| crash(part, position, crashed)).collect();
+        registry.add(now, &all);
+      }
+      let questions = registry.questions(now);
+      served.ask(now, &questions);
+      for part in served.take_answers() {
+        registry.record_served(part);
+      }
+      found.extend(blamed(&mut registry, now));
+    }
+    found == [DEADLY] && deadly_sends <= 5
+  }
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -208,6 +208,7 @@
     affinity: 0,
     deadline: 20_000,
     content: content::Key(content),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -29,6 +29,7 @@
     affinity: 0,
     deadline,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/returned.rs
+++ b/tests/returned.rs
@@ -51,6 +51,7 @@
     affinity: 0,
     deadline: now + 5_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/stalled.rs
+++ b/tests/stalled.rs
@@ -48,6 +48,7 @@
     affinity: 0,
     deadline: DEADLINE_MS,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -40,6 +40,7 @@
     affinity: 0,
     deadline: deadline_ms,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     tokens: None,
     resumption: None,
--- a/tests/token_memory.rs
+++ b/tests/token_memory.rs
@@ -50,6 +50,7 @@
     affinity: 0,
     deadline: 60_000,
     content: Default::default(),
+    parts: Default::default(),
     caller: None,
     resumption: None,
     tokens: Some(Tokens {
