soak: brittle servers, and parts of prompts that crash servers

Change: from seed 100,000 on, plans draw both, apart (remainders 7 and 11 modulo 16, beside bursts, kills and stops) and among all other faults; earlier seeds keep their plans. Checks: falls of brittle servers (2 and a tenth of their number, except beside instances that are suspended or cut off) and runs with a part later than 3 s after its fifth crash (three). Callers send a first part that all prompts share.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,7 +1,7 @@
 //! Checks the invariants of the system against a recorded history.
 
 use crate::build::{self, Shares};
-use crate::history::{End, FROZEN, History, Kind, Limit, Order, Request, STOPPED, Target};
+use crate::history::{End, FROZEN, History, KILLED, Kind, Limit, Order, Request, STOPPED, Target};
 use crate::leaving::{self, LateRun};
 use crate::said::{self, LateArrival};
 use std::collections::{BTreeMap, HashMap};
@@ -36,6 +36,8 @@
   pub max_backoff_requests: usize,
   /// Replicas that the policy allows for the bounded model.
   pub max_replicas: usize,
+  /// Most runs of requests with a part that has crashed five servers, `contact_ms` after the fifth.
+  pub max_part_runs: usize,
   /// Most streams that may hold events of several software versions.
   pub max_joined_streams: usize,
   /// Least number of resumptions for which their share is checked, and the least share that goes
@@ -66,6 +68,7 @@
       in_flight_ms: 500,
       max_backoff_requests: 2,
       max_replicas: 2,
+      max_part_runs: 3,
       max_joined_streams: 2,
       min_resumptions: 12,
       min_resumed_share: 0.5,
@@ -117,6 +120,8 @@
     check.check_departures();
     check.check_limits();
     check.check_announcements();
+    check.check_falls();
+    check.check_parts();
   }
   check.check_recovery();
   let mut violations = check.violations;
@@ -462,6 +467,66 @@
     }
   }
 
+  /// Brittle servers rarely fall over. Instances that are suspended or cut off may not know of it.
+  fn check_falls(&mut self) {
+    for time in &self.history.brittle {
+      if self.instances_out_of_touch(time.from, time.to) {
+        continue;
+      }
+      let falls = self.history.falls.iter();
+      let falls = falls
+        .filter(|(server, at)| time.servers.contains(server) && (time.from..time.to).contains(at));
+      let (falls, allowed) = (falls.count(), 2 + time.size / 10);
+      if falls > allowed {
+        let text = format!(
+          "{} brittle servers fell over {falls} times; {allowed} are allowed",
+          time.size
+        );
+        self.report("brittle", time.from, text);
+      }
+    }
+  }
+
+  /// Requests with a part that has crashed five servers reach few more.
+  fn check_parts(&mut self) {
+    for part in &self.history.deadly {
+      let mut crashes = part.crashes.clone();
+      crashes.sort_unstable();
+      let Some(fifth) = crashes.get(4) else {
+        continue;
+      };
+      let known_at = fifth + self.bounds.contact_ms + self.lag_slack();
+      if self.instances_out_of_touch(crashes[0], u64::MAX) {
+        continue;
+      }
+      let runs = self.history.runs.iter();
+      let late = runs.filter(|run| run.id.starts_with(&part.prefix) && run.at > known_at);
+      let late = late.count();
+      if late > self.bounds.max_part_runs {
+        let text = format!(
+          "{late} requests `{}..` ran later than {known_at} ms, after five of {} crashes",
+          part.prefix,
+          crashes.len()
+        );
+        self.report("part", known_at, text);
+      }
+    }
+  }
+
+  /// Whether an instance may have been out of touch with the others or the store.
+  fn instances_out_of_touch(&self, from: u64, to: u64) -> bool {
+    let from = from.saturating_sub(self.bounds.contact_ms);
+    let mut incidents = self.history.incidents.iter();
+    incidents.any(|incident| {
+      let separates = match &incident.target {
+        Target::Instance(_) => !matches!(incident.cause, STOPPED | KILLED),
+        Target::Store => true,
+        Target::Server(_) => false,
+      };
+      separates && incident.from <= to && incident.to >= from
+    })
+  }
+
   /// Streams keep to the software version that began them, and enough of those that callers resume
   /// go on.
   fn check_builds(&mut self) {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! What a run recorded. All times are in milliseconds since the start of the run.
 
 use std::{
+  collections::BTreeSet,
   sync::{Mutex, PoisonError},
   time::Instant,
 };
@@ -150,6 +151,8 @@
 
 /// Cause of the incident that follows a planned stop.
 pub const STOPPED: &str = "stopped";
+/// Cause of an incident in which a process is killed and started again.
+pub const KILLED: &str = "kill";
 /// Cause of an incident in which a process is suspended.
 pub const FROZEN: &str = "freeze";
 
@@ -222,6 +225,26 @@
   pub to: u64,
 }
 
+/// A time in which the servers of a service were brittle.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Falls {
+  /// Servers of the service, also those that started meanwhile.
+  pub servers: BTreeSet<String>,
+  /// Number of its servers at a time.
+  pub size: usize,
+  pub from: u64,
+  pub to: u64,
+}
+
+/// Requests with a part in their prompts that crashes servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartRuns {
+  /// Prefix of their ids.
+  pub prefix: String,
+  /// When they crashed servers.
+  pub crashes: Vec<u64>,
+}
+
 /// Everything that a run recorded.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -250,6 +273,10 @@
   pub streams: Vec<Stream>,
   pub resumptions: Vec<Resumption>,
   pub serving: Vec<Serving>,
+  pub brittle: Vec<Falls>,
+  /// Servers that fell over because they had to reject too many requests, with times.
+  pub falls: Vec<(String, u64)>,
+  pub deadly: Vec<PartRuns>,
   /// When the last fault ended.
   pub faults_ended_at: u64,
   /// Longest scheduling delay of the threads of this process, in ms.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -29,6 +29,9 @@
 /// Most requests that a caller sends on one connection.
 const MAX_CONNECTION_REQUESTS: u32 = 12;
 
+/// The first part of all prompts, which callers share.
+pub const FIRST_PART: &str = "f1:10";
+
 /// State that callers share with the simulation.
 pub struct Traffic {
   pub recorder: Arc<Recorder>,
@@ -167,13 +170,14 @@
   };
   let mut stream = stream;
   let path = format!("/{}/x", kind.route());
+  let parts = format!("{FIRST_PART},{:x}:10", id.len());
   let request = Outgoing {
     method: "POST",
     path: &path,
     id,
     model: model.as_deref(),
     deadline_ms,
-    headers: &[],
+    headers: &[("Bendsaddle-Prompt-Prefix", &parts)],
     body: "body",
   };
   // A closed connection is detected when the response is read.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -86,6 +86,11 @@
   Configure(u32),
   /// Callers send several times as many requests.
   Burst,
+  /// The servers of a service (0: engines, 1: plain) state this number of rejections within a second
+  /// beyond which they fall over.
+  Brittle(usize, u32),
+  /// Requests with a part in their prompts that crashes servers, which this number tells apart.
+  DeadlyPart(u32),
 }
 
 /// A fault with its start, in ms since the load started, and its duration.
@@ -202,6 +207,16 @@
 const PAUSES_PAUSE_MS: u64 = 2_000;
 const PAUSES_DURATION_MS: std::ops::Range<u64> = 2_000..5_000;
 
+/// First seed whose plan has brittle servers and parts of prompts that crash servers. Seeds with
+/// remainder seven modulo sixteen have only brittle servers, bursts, kills and stops, those with
+/// remainder eleven only such parts beside them, and those with remainder fifteen all faults.
+const FRAGILE_FROM_SEED: u64 = 100_000;
+const FRAGILE_MODULUS: u64 = 16;
+/// Length of such a fault, and the rejections that a brittle server states.
+const BRITTLE_MS: std::ops::Range<u64> = 4_000..7_000;
+const DEADLY_MS: std::ops::Range<u64> = 4_000..8_000;
+const MAX_REJECTIONS: std::ops::Range<u32> = 0..6;
+
 /// Whether servers of several software versions serve side by side.
 pub fn has_builds(seed: u64) -> bool {
   seed >= BUILDS_FROM_SEED
@@ -221,6 +236,9 @@
   if has_builds(seed) && seed % SCENARIO_MODULUS == 2 {
     return build_steps(seed, size, true);
   }
+  if seed >= FRAGILE_FROM_SEED && matches!(seed % FRAGILE_MODULUS, 7 | 11) {
+    return fragile_steps(seed, size, true);
+  }
   if seed >= PAUSES_FROM_SEED && seed % PAUSES_MODULUS == 3 {
     return pause_steps(seed, size, true);
   }
@@ -246,6 +264,9 @@
   if seed >= PAUSES_FROM_SEED {
     steps.extend(pause_steps(seed, size, false));
   }
+  if seed >= FRAGILE_FROM_SEED {
+    steps.extend(fragile_steps(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -428,6 +449,51 @@
   steps
 }
 
+/// Brittle servers, and parts of prompts that crash servers. If `isolated`, the plan has one of both and
+/// faults of instances that leave the others in touch with each other.
+fn fragile_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(8));
+  let is_brittle = match isolated {
+    true => seed % FRAGILE_MODULUS == 7,
+    false => rng.random_bool(0.5),
+  };
+  let step = |at, duration_ms, fault| Step {
+    at,
+    duration_ms,
+    fault,
+  };
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..1_000).min(size.faults_ms - 1);
+  let mut number = 0;
+  while at < size.faults_ms {
+    let duration_ms = match is_brittle {
+      true => rng.random_range(BRITTLE_MS),
+      false => rng.random_range(DEADLY_MS),
+    };
+    let fault = match is_brittle {
+      true => Fault::Brittle(rng.random_range(0..2), rng.random_range(MAX_REJECTIONS)),
+      false => Fault::DeadlyPart(number),
+    };
+    number += 1;
+    steps.push(step(at, duration_ms, fault));
+    if isolated {
+      let within = at..at + duration_ms;
+      let burst = rng.random_range(within.clone());
+      steps.push(step(burst, rng.random_range(1_000..3_000), Fault::Burst));
+      let instance = rng.random_range(0..size.instances);
+      let fault = match rng.random_bool(0.5) {
+        true => Fault::Kill(instance),
+        false => Fault::Stop(instance),
+      };
+      steps.push(step(rng.random_range(within), 300, fault));
+    }
+    at += duration_ms + rng.random_range(1_000..3_000);
+  }
+  steps.retain(|step| step.at < size.faults_ms);
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
 /// Servers that announce rate limits.
 fn limit_steps(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/world/collect.rs
+++ b/soak/src/world/collect.rs
@@ -92,6 +92,7 @@
         });
       }
       self.collect_announcements(runner, &mut history);
+      self.collect_crashes(runner, &mut history);
       let holds = self.model_holds(runner, &history.removed);
       history.holds.extend(holds);
       let excess_loads = runner.overcommitted_loads();
--- a/soak/src/world/faults.rs
+++ b/soak/src/world/faults.rs
@@ -53,6 +53,8 @@
       Fault::Server(slot, fault) => self.inject_server_fault(slot, fault, duration),
       Fault::Configure(changes) => self.configure_repeatedly(changes),
       Fault::Burst => self.burst(duration),
+      Fault::Brittle(service, max) => self.let_be_brittle(service, max, duration),
+      Fault::DeadlyPart(number) => self.send_deadly_parts(number, duration),
     }
   }
 
--- a/soak/src/world/member.rs
+++ b/soak/src/world/member.rs
@@ -2,7 +2,7 @@
 
 use super::{LEASE_MS, Options, World, faults::cut_temporarily, lock};
 use crate::{
-  history::{FROZEN, STOPPED, Target},
+  history::{FROZEN, KILLED, STOPPED, Target},
   plan::Cut,
   switch::Break,
 };
@@ -70,7 +70,7 @@
     let mut instance = lock(&member.instance);
     let incident = self
       .recorder
-      .start_incident(Target::Instance(number), "kill");
+      .start_incident(Target::Instance(number), KILLED);
     let _ = instance.child.kill();
     thread::sleep(duration);
     member.restart(&mut instance);
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -3,6 +3,7 @@
 mod collect;
 mod configuration;
 mod faults;
+mod fragile;
 mod member;
 mod slot;
 mod store;
@@ -14,6 +15,7 @@
   plan::{self, Size, Step},
   switch::Break,
 };
+use fragile::Fragility;
 use member::Member;
 use platform_stand_in::{runner::Runner, store::Store};
 use slot::Slot;
@@ -56,6 +58,7 @@
   traffic: Arc<Traffic>,
   version: Mutex<u64>,
   late_orders: AtomicBool,
+  fragility: Mutex<Fragility>,
   switch: Option<Break>,
   /// Whether servers of several software versions serve side by side.
   has_builds: bool,
@@ -125,6 +128,7 @@
       traffic,
       version: Mutex::new(0),
       late_orders: AtomicBool::new(false),
+      fragility: Mutex::default(),
       switch,
       has_builds,
     };
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -31,7 +31,7 @@
 
 /// A slot for a server: its proxy, and the server that is currently behind it.
 pub(super) struct Slot {
-  proxy: Proxy,
+  pub(super) proxy: Proxy,
   service: &'static str,
   pub runner: Mutex<Runner>,
   starts: AtomicU32,
@@ -204,7 +204,7 @@
   }
 
   /// Removes the entry of a server for good.
-  fn remove_entry(&self, id: &str) {
+  pub(super) fn remove_entry(&self, id: &str) {
     self.store.remove("servers", id);
     self.record_removal(id);
   }
@@ -216,7 +216,7 @@
       .record(|history| history.removed.push((id.to_string(), at)));
   }
 
-  fn replace(&self, slot: &Slot, runner: &mut Runner, version: Option<u32>) {
+  pub(super) fn replace(&self, slot: &Slot, runner: &mut Runner, version: Option<u32>) {
     *runner = self.start_next(slot, runner, version);
     self.list(slot, runner);
   }
@@ -240,6 +240,7 @@
   /// Sets the behavior of a server that has started.
   pub(super) fn prepare_runner(&self, runner: &Runner) {
     runner.set_behavior(self.default_mood());
+    self.apply_fragility(runner);
     if self.switch == Some(Break::Build) {
       runner.state_version(runner::VERSION);
     }
@@ -265,7 +266,7 @@
       .record(|history| history.serving.push(serving));
   }
 
-  fn record_end_of_service(&self, id: &str) {
+  pub(super) fn record_end_of_service(&self, id: &str) {
     let at = self.recorder.now();
     self.recorder.record(|history| {
       let serving = history.serving.iter_mut();
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -3,8 +3,8 @@
 use soak::{
   check::{Bounds, check},
   history::{
-    Arrival, Backoff, Departure, End, FROZEN, History, Hold, Incident, Kind, Limit, Order, Probe,
-    Request, Resumption, Run, STOPPED, Serving, Stream, Target,
+    Arrival, Backoff, Departure, End, FROZEN, Falls, History, Hold, Incident, KILLED, Kind, Limit,
+    Order, PartRuns, Probe, Request, Resumption, Run, STOPPED, Serving, Stream, Target,
   },
 };
 
@@ -579,3 +579,53 @@
     "a server of the version failed"
   );
 }
+
+fn falls(count: u64) -> History {
+  History {
+    brittle: vec![Falls {
+      servers: ["p0.0".to_string(), "p1.0".to_string()].into(),
+      size: 4,
+      from: 2_000,
+      to: 6_000,
+    }],
+    falls: (0..count)
+      .map(|number| ("p1.0".to_string(), 3_000 + number * 500))
+      .collect(),
+    ..baseline()
+  }
+}
+
+#[test]
+fn brittle_servers_may_fall_over_twice() {
+  assert_eq!(broken(&falls(2)), Vec::<&str>::new());
+  assert_eq!(broken(&falls(3)), ["brittle"]);
+  let mut other = falls(3);
+  other.falls[0].0 = "m1.0".into();
+  assert_eq!(broken(&other), Vec::<&str>::new());
+}
+
+#[test]
+fn falls_beside_instances_that_were_killed_count_and_beside_suspended_ones_do_not() {
+  let with = |cause| History {
+    incidents: vec![incident(Target::Instance(0), cause, 2_500, 3_000)],
+    ..falls(3)
+  };
+  assert_eq!(broken(&with(KILLED)), ["brittle"]);
+  assert_eq!(broken(&with(FROZEN)), Vec::<&str>::new());
+}
+
+#[test]
+fn requests_with_a_part_that_crashed_five_servers_run_three_times_at_most() {
+  let history = |late| History {
+    deadly: vec![PartRuns {
+      prefix: "deadly-0-".into(),
+      crashes: vec![1_000, 1_100, 1_200, 1_300, 1_400, 1_500],
+    }],
+    runs: (0..late)
+      .map(|number| run(&format!("deadly-0-{number}"), "m0.0", 4_500 + number))
+      .collect(),
+    ..baseline()
+  };
+  assert_eq!(broken(&history(3)), Vec::<&str>::new());
+  assert_eq!(broken(&history(4)), ["part"]);
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -61,3 +61,25 @@
   let mixed = generate(90_007, &size);
   assert!(mixed.iter().any(|step| !pauses(step) && !stops(step)));
 }
+
+/// Guards against plans of earlier seeds that change, and against faults that no plan has.
+#[test]
+fn seeds_from_100_000_on_have_brittle_servers_and_parts_that_crash_servers() {
+  let brittle = |step: &Step| matches!(step.fault, Fault::Brittle(..));
+  let deadly = |step: &Step| matches!(step.fault, Fault::DeadlyPart(_));
+  let size = Size::default();
+  for seed in (0..100_000).step_by(997) {
+    let plan = generate(seed, &size);
+    assert!(
+      !plan.iter().any(|step| brittle(step) || deadly(step)),
+      "{seed}"
+    );
+  }
+  // Remainders seven and eleven modulo sixteen.
+  assert!(generate(100_007, &size).iter().any(brittle));
+  assert!(generate(100_011, &size).iter().any(deadly));
+  let mixed = (0..20).map(|number| generate(100_015 + number * 16, &size));
+  let mixed: Vec<Vec<Step>> = mixed.collect();
+  assert!(mixed.iter().any(|plan| plan.iter().any(brittle)));
+  assert!(mixed.iter().any(|plan| plan.iter().any(deadly)));
+}
