crash: contents that other instances serve are not quarantined

Cause: a content in three crashes was blamed whatever else was known of it; that it was served counted at the instance that served it alone. Ruled out: forgetting crashes of restarts (a crash that a request causes looks the same). Change: analyzers ask about contents in two crashes as they do about parts; a content that an instance has served whole since its first crash is cleared, and released if it was quarantined. Questions and memory are one module for both. Tests of crashes and parts pass.

--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -9,6 +9,7 @@
 pub mod permit;
 mod registry;
 mod repeated;
+pub mod served;
 pub mod stored;
 
 pub use filter::{Admission, Filter};
--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -6,9 +6,10 @@
 //! crashes, one after the other, and no instance has served a request with it since the first of them.
 //! Pure: no I/O, no clock.
 
+use super::served::Question;
 use crate::{content, life::Life};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Crashes after which a part is blamed, each of a run that began after the one before.
 const CULPRIT_CRASHES: usize = 3;
@@ -17,17 +18,13 @@
 /// Time in which most instances answer. The question is sent three times.
 const ANSWER_MS: u64 = 150;
 /// Interval at which instances are asked again.
-const ASK_INTERVAL_MS: u64 = 1_000;
-/// Time for which an instance that was asked reports a part when it serves it.
-const ASKED_MS: u64 = 30_000;
+pub(super) const ASK_INTERVAL_MS: u64 = 1_000;
 /// Longest time from the first event of a run to a crash that it caused.
 pub const MAX_PROGRESS_MS: u32 = 150;
 /// Crashes are forgotten after this time.
 const CRASH_TTL_MS: u64 = 60_000;
 /// About 300 bytes each; the least recently seen parts are evicted first.
 const MAX_SUSPECTS: usize = 512;
-/// Number of parts after which the older half of those served is forgotten, 24 bytes each.
-const MAX_SERVED: usize = 2_048;
 
 /// A part of the prompt of a run that had hardly begun when its server crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,14 +37,6 @@
   pub took_ms: u32,
 }
 
-/// Question whether requests with a part were served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Question {
-  pub part: content::Key,
-  /// Time since the first crash.
-  pub since_ms: u32,
-}
-
 /// A part found to crash servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Culprit {
@@ -132,11 +121,10 @@
     }
   }
 
-  /// Records that a request with a part was served after its first crash; returns whether the part was
-  /// blamed.
-  pub fn record_served(&mut self, part: content::Key) -> bool {
+  /// Records that a request with a part was served after its first crash.
+  pub fn record_served(&mut self, part: content::Key) {
     self.suspects.remove(&part);
-    self.blamed.remove(&part)
+    self.blamed.remove(&part);
   }
 
   /// Returns the questions to ask now.
@@ -153,7 +141,7 @@
       let first = suspect.asked.map_or(now, |(first, _)| first);
       suspect.asked = Some((first, now));
       questions.push(Question {
-        part: *part,
+        key: *part,
         since_ms: (now - suspect.first_crash_at()) as u32,
       });
     }
@@ -222,51 +210,3 @@
     &self.explained
   }
 }
-
-/// When an instance last served requests with each part, and what it was asked.
-#[derive(Clone, Debug, Default)]
-pub struct Served {
-  latest: HashMap<content::Key, u64>,
-  earlier: HashMap<content::Key, u64>,
-  /// Until when a part is to be reported when it is served, in ms.
-  asked: HashMap<content::Key, u64>,
-  answers: BTreeSet<content::Key>,
-}
-
-impl Served {
-  /// Records that a request with these parts was served whole; returns whether that is to be reported.
-  pub fn record(&mut self, now: u64, parts: &[content::Key]) -> bool {
-    for part in parts {
-      if self.latest.len() >= MAX_SERVED {
-        self.earlier = std::mem::take(&mut self.latest);
-      }
-      self.latest.insert(*part, now);
-      if self.asked.remove(part).is_some_and(|until| now < until) {
-        self.answers.insert(*part);
-      }
-    }
-    !self.answers.is_empty()
-  }
-
-  /// Receives questions; returns whether there are answers.
-  pub fn ask(&mut self, now: u64, questions: &[Question]) -> bool {
-    self.asked.retain(|_, until| now < *until);
-    for question in questions {
-      let latest = self.latest.get(&question.part);
-      let served_at = latest.or_else(|| self.earlier.get(&question.part));
-      let since = now.saturating_sub(question.since_ms.into());
-      if served_at.is_some_and(|at| *at > since) {
-        self.answers.insert(question.part);
-      } else {
-        self.asked.insert(question.part, now + ASKED_MS);
-      }
-    }
-    !self.answers.is_empty()
-  }
-
-  /// Takes the parts that were served, for the instances that asked.
-  pub fn take_answers(&mut self) -> Vec<content::Key> {
-    let answers = std::mem::take(&mut self.answers);
-    answers.into_iter().collect()
-  }
-}
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -6,7 +6,10 @@
 //! first, and again with each newly reported crash. Contents that were blamed for crashes that
 //! another content explains better are released.
 
-use super::{Crash, Quarantined, REPUBLISHED, Suspected, filter::SUSPECT_TTL_MS};
+use super::{
+  Crash, Quarantined, REPUBLISHED, Suspected, filter::SUSPECT_TTL_MS, part::ASK_INTERVAL_MS,
+  served::Question,
+};
 use crate::{content, life::Life};
 use std::{
   cmp::Reverse,
@@ -57,6 +60,9 @@
   progress: Option<(u32, u32)>,
   /// When the last crash was reported, in ms.
   last_seen: u64,
+  /// When the first crash was reported, and when instances were last asked, in ms.
+  first_seen: u64,
+  asked_at: Option<u64>,
   /// When it reached `CULPRIT_CRASHES`, in ms.
   culprit_since: Option<u64>,
 }
@@ -144,7 +150,10 @@
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
     for crash in crashes {
-      let suspect = self.suspects.entry(crash.content).or_default();
+      let suspect = self.suspects.entry(crash.content).or_insert(Suspect {
+        first_seen: now,
+        ..Suspect::default()
+      });
       suspect.last_seen = now;
       let known_servers = suspect.servers.len();
       let runs = suspect.servers.entry(crash.server).or_default();
@@ -378,6 +387,36 @@
     true
   }
 
+  /// Returns the questions to ask about contents in two or more crashes.
+  pub fn questions(&mut self, now: u64) -> Vec<Question> {
+    let mut questions = Vec::new();
+    for (content, suspect) in &mut self.suspects {
+      let is_due = suspect
+        .asked_at
+        .is_none_or(|at| now >= at + ASK_INTERVAL_MS);
+      if is_due && suspect.servers.len() >= SUSPECT_CRASHES {
+        suspect.asked_at = Some(now);
+        questions.push(Question {
+          key: *content,
+          since_ms: (now - suspect.first_seen) as u32,
+        });
+      }
+    }
+    questions
+  }
+
+  /// Records that a request with a content or a part was served after its first crash; returns whether
+  /// that releases it from the quarantine.
+  pub fn record_served(&mut self, now: u64, key: content::Key) -> bool {
+    self.suspects.remove(&key);
+    self.published.remove(&key);
+    let released = Quarantined {
+      content: key,
+      left_ms: 0,
+    };
+    self.quarantined.contains_key(&key) && self.quarantine(now, released)
+  }
+
   /// Quarantines contents or parts that were found to cause crashes.
   pub fn quarantine_found(&mut self, now: u64, keys: &[content::Key]) {
     let left_ms = QUARANTINE_MS as u32;
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -1,20 +1,24 @@
 //! Reports the parts of prompts in crashes, and publishes the quarantine of those that cause them.
 //!
 //! As with whole requests, instances report to the analyzers. An analyzer asks all instances about a
-//! part that it suspects: one that has served requests with it answers at once.
+//! content or part that it suspects: one that has served requests with it answers at once.
 
 use crate::{
   content,
   crash::{
     Quarantined,
-    part::{Crash, Culprit, Question},
+    part::{Crash, Culprit},
+    served::Question,
   },
   dispatch::Event,
   message::Message,
   planner::Planner,
+  quarantine::EXPLAINED,
 };
 use slog::info;
 
+/// Why a content or part is released.
+const SERVED: &str = "it was served";
 /// Entries per datagram, 30 bytes each.
 const MAX_ENTRIES: usize = 100;
 
@@ -24,7 +28,7 @@
     let now = self.hub.now();
     let (crashes, served) = {
       let mut state = self.hub.state();
-      (state.take_part_crashes(), state.take_served_parts())
+      (state.take_part_crashes(), state.take_served())
     };
     self.parts.add(now, &crashes);
     for crash in crashes {
@@ -32,8 +36,8 @@
     }
     if !served.is_empty() {
       let other_analyzers = self.other_analyzers(now);
-      self.send(&Message::PartsServed(served.clone()), &other_analyzers);
-      self.receive_served_parts(now, &served);
+      self.send(&Message::Served(served.clone()), &other_analyzers);
+      self.receive_served(now, &served);
     }
     if self.is_analyzer(now) {
       self.analyze_parts(now);
@@ -45,24 +49,30 @@
         self.send(&Message::PartCrashes(entries.to_vec()), &other_analyzers);
       }
     }
-    let due = self.part_questions.take(now);
+    let due = self.served_questions.take(now);
     if !due.is_empty() {
       let other_instances = self.other_instances(now);
       for entries in due.chunks(MAX_ENTRIES) {
-        self.send_paced(&Message::PartQuestions(entries.to_vec()), &other_instances);
+        self.send_paced(
+          &Message::ServedQuestions(entries.to_vec()),
+          &other_instances,
+        );
       }
     }
   }
 
   fn analyze_parts(&mut self, now: u64) {
-    let questions = self.parts.questions(now);
+    let mut questions = self.parts.questions(now);
     for question in &questions {
-      info!(self.hub.log, "prompt part suspected"; "part" => question.part.to_string(),
+      info!(self.hub.log, "prompt part suspected"; "part" => question.key.to_string(),
         "since_ms" => question.since_ms);
-      self.part_questions.add(now, *question);
+    }
+    questions.extend(self.registry.questions(now));
+    for question in &questions {
+      self.served_questions.add(now, *question);
     }
     if !questions.is_empty() {
-      self.hub.apply(Event::PartQuestions(questions), None);
+      self.hub.apply(Event::ServedQuestions(questions), None);
     }
     let culprits = self.parts.find_culprits(now);
     if !culprits.is_empty() {
@@ -80,7 +90,7 @@
     // Requests that were in no other crashes were not to blame for them.
     let innocent = self.registry.release_explained(now, self.parts.explained());
     if !innocent.is_empty() {
-      self.publish_release(now, &innocent);
+      self.publish_release(now, &innocent, EXPLAINED);
     }
   }
 
@@ -89,18 +99,23 @@
     self.parts.add(now, crashes);
   }
 
-  /// Processes the parts of requests that this or another instance has served since their first crash.
-  pub(crate) fn receive_served_parts(&mut self, now: u64, parts: &[content::Key]) {
-    let blamed = parts.iter().filter(|part| self.parts.record_served(**part));
-    let innocent: Vec<content::Key> = blamed.copied().collect();
+  /// Processes contents and parts that this or another instance has served since their first crash.
+  pub(crate) fn receive_served(&mut self, now: u64, keys: &[content::Key]) {
+    let mut innocent = Vec::new();
+    for key in keys {
+      self.parts.record_served(*key);
+      if self.registry.record_served(now, *key) {
+        innocent.push(*key);
+      }
+    }
     if !innocent.is_empty() {
-      self.publish_release(now, &innocent);
+      self.publish_release(now, &innocent, SERVED);
     }
   }
 
   /// Processes another analyzer's questions.
-  pub(crate) fn receive_part_questions(&self, questions: Vec<Question>) {
-    self.hub.apply(Event::PartQuestions(questions), None);
+  pub(crate) fn receive_served_questions(&self, questions: Vec<Question>) {
+    self.hub.apply(Event::ServedQuestions(questions), None);
   }
 
   /// Records quarantines and releases that another instance has published, for parts among them.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -15,7 +15,7 @@
   build::{self, resume::Question, streams::Streams},
   cold::{Deferrals, give_up_at},
   concurrency::{Brittle, Reports},
-  crash::{Admission, Filter, Permit, part},
+  crash::{Admission, Filter, Permit, part, served::Served},
   customer::Scheduler,
   demand::Model,
   deployment::{Deployment, Engine},
@@ -158,9 +158,10 @@
   pub updates: u64,
   /// Decides whether requests that may crash servers are sent.
   crash_filter: Filter,
-  /// Parts of prompts in crashes that are not reported yet, and parts that were served.
+  /// Parts of prompts in crashes that are not reported yet.
   part_crashes: Vec<part::Crash>,
-  served_parts: part::Served,
+  /// Contents and parts that were served.
+  served: Served,
   /// What servers stated in their responses: limits, whether they are leaving, and backoffs.
   pub(crate) limits: Limits,
   pub(crate) leaving: Leaving,
@@ -226,7 +227,7 @@
       updates: 0,
       crash_filter: Filter::default(),
       part_crashes: Vec::new(),
-      served_parts: part::Served::default(),
+      served: Served::default(),
       limits: Limits::default(),
       leaving: Leaving::default(),
       backoffs: Backoffs::default(),
@@ -312,8 +313,8 @@
         self.crash_filter.update_quarantine(now, &entries);
         self.dispatch_waiting();
       }
-      Event::PartQuestions(questions) => {
-        if self.served_parts.ask(now, &questions) {
+      Event::ServedQuestions(questions) => {
+        if self.served.ask(now, &questions) {
           self.out.push(Effect::ReportCrashes);
         }
       }
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -83,7 +83,10 @@
     if let Some(request) = self.requests.get(&ticket) {
       self.crash_filter.record_served(request.descriptor.content);
       let parts = &request.descriptor.parts;
-      if self.served_parts.record(self.now, parts) {
+      if self
+        .served
+        .record(self.now, request.descriptor.content, parts)
+      {
         self.out.push(Effect::ReportCrashes);
       }
     }
@@ -287,9 +290,9 @@
     std::mem::take(&mut self.part_crashes)
   }
 
-  /// Takes the parts that were served although they are suspected.
-  pub fn take_served_parts(&mut self) -> Vec<content::Key> {
-    self.served_parts.take_answers()
+  /// Takes the contents and parts that were served although they are suspected.
+  pub fn take_served(&mut self) -> Vec<content::Key> {
+    self.served.take_answers()
   }
 }
 
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -8,7 +8,7 @@
     resume::{Decision, Resumption},
   },
   content,
-  crash::{Quarantined, Suspected, part},
+  crash::{Quarantined, Suspected, served},
   customer::Caller,
   demand::Model,
   deployment::Deployment,
@@ -265,8 +265,8 @@
   /// Requests that are not sent to any server from now on because they crash the servers that run
   /// them.
   Quarantined(Vec<Quarantined>),
-  /// Whether requests with these parts of their prompts were served.
-  PartQuestions(Vec<part::Question>),
+  /// Whether requests with these contents or parts of their prompts were served.
+  ServedQuestions(Vec<served::Question>),
   /// The quarantined requests were read from the store.
   RecordsRead,
   /// Usage of customers' quotas by all instances within the last window.
--- a/src/message.rs
+++ b/src/message.rs
@@ -6,7 +6,7 @@
 use crate::{
   backend::Holding,
   build, content,
-  crash::{Crash, Quarantined, Suspected, part},
+  crash::{Crash, Quarantined, Suspected, part, served},
   feed,
   lease::Heartbeat,
   lease::promise::{Promise, Request},
@@ -56,10 +56,10 @@
   BuildsUnknown(Vec<build::Key>),
   /// Parts of the prompts of runs that had just begun when their servers crashed.
   PartCrashes(Vec<part::Crash>),
-  /// Question of an analyzer whether requests with these parts were served.
-  PartQuestions(Vec<part::Question>),
-  /// Parts of requests that were served since an analyzer asked, or since their first crash.
-  PartsServed(Vec<content::Key>),
+  /// Question of an analyzer whether requests with these contents or parts were served.
+  ServedQuestions(Vec<served::Question>),
+  /// Contents and parts of requests that were served since their first crash.
+  Served(Vec<content::Key>),
 }
 
 /// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -20,19 +20,21 @@
 
 /// Instances besides the lease holders to which crashes are reported.
 const EXTRA_ANALYZERS: usize = 2;
+/// Why a content is released.
+pub(crate) const EXPLAINED: &str = "another request explains its crashes";
 /// Entries per datagram, 40 bytes each.
 const MAX_ENTRIES: usize = 100;
 
 impl Planner {
   /// Reports crashes, analyzes them if due, and publishes the results.
   pub(crate) fn process_crashes(&mut self) {
-    self.process_part_crashes();
     let now = self.hub.now();
     let crashes = self.hub.state().take_crashes();
     self.registry.add(now, &crashes);
     for crash in crashes {
       self.reported_crashes.add(now, crash);
     }
+    self.process_part_crashes();
     self.analyze_crashes(now);
     let due = self.reported_crashes.take(now);
     if !due.is_empty() {
@@ -72,7 +74,7 @@
     }
     let innocent = self.registry.release_companions(now);
     if !innocent.is_empty() {
-      self.publish_release(now, &innocent);
+      self.publish_release(now, &innocent, EXPLAINED);
     }
     let suspects = self.registry.new_suspects(now);
     if !suspects.is_empty() {
@@ -102,8 +104,8 @@
     }
   }
 
-  /// Publishes the release of requests that were blamed for crashes that other requests explain.
-  pub(crate) fn publish_release(&mut self, now: u64, innocent: &[content::Key]) {
+  /// Publishes the release of contents or parts.
+  pub(crate) fn publish_release(&mut self, now: u64, innocent: &[content::Key], why: &str) {
     let entries = innocent.iter().map(|content| Quarantined {
       content: *content,
       left_ms: 0,
@@ -111,7 +113,7 @@
     let entries: Vec<Quarantined> = entries.collect();
     for entry in &entries {
       info!(self.hub.log, "request released"; "content" => entry.content.to_string(),
-        "why" => "another request explains its crashes");
+        "why" => why);
       self.published_quarantine.add(now, *entry);
     }
     self.enforce(entries);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -2,7 +2,10 @@
 
 use bendsaddle::{
   content::{Key, shared_parts},
-  crash::part::{Crash, Question, Registry, Served},
+  crash::{
+    part::{Crash, Registry},
+    served::{Question, Served},
+  },
   life::Life,
 };
 use quickcheck::quickcheck;
@@ -11,6 +14,8 @@
 const FIRST: Key = Key(1);
 const DEADLY: Key = Key(2);
 const OTHER: Key = Key(3);
+/// Content of requests that are served.
+const OWN: Key = Key(4);
 /// Time by which instances have answered a question.
 const ANSWERED_MS: u64 = 200;
 
@@ -56,7 +61,7 @@
 fn a_part_that_was_served_since_its_first_crash_is_not_blamed() {
   let mut registry = Registry::default();
   crashes(&mut registry, 0, 3, &[FIRST, DEADLY, OTHER]);
-  assert!(!registry.record_served(OTHER));
+  registry.record_served(OTHER);
   assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
 }
 
@@ -65,7 +70,7 @@
   let mut registry = Registry::default();
   crashes(&mut registry, 0, 3, &[FIRST, DEADLY]);
   assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
-  assert!(registry.record_served(DEADLY));
+  registry.record_served(DEADLY);
   assert!(!registry.is_blamed(DEADLY));
 }
 
@@ -91,14 +96,14 @@
 #[test]
 fn an_instance_answers_for_what_it_served_after_the_first_crash() {
   let mut served = Served::default();
-  served.record(1_000, &[FIRST, OTHER]);
-  let question = |part, since_ms| Question { part, since_ms };
+  served.record(1_000, OWN, &[FIRST, OTHER]);
+  let question = |key, since_ms| Question { key, since_ms };
   assert!(served.ask(2_000, &[question(FIRST, 1_500), question(OTHER, 900)]));
   assert_eq!(served.take_answers(), [FIRST]);
-  assert!(served.record(3_000, &[OTHER]));
+  assert!(served.record(3_000, OWN, &[OTHER]));
   assert_eq!(served.take_answers(), [OTHER]);
   assert!(
-    !served.record(3_100, &[OTHER, FIRST]),
+    !served.record(3_100, OWN, &[OTHER, FIRST]),
     "each answer is given once"
   );
 }
@@ -127,7 +132,7 @@
       let now = 1_000 + round * 100;
       // Sound requests that are served elsewhere.
       for _ in 0..rng.random_range(1..6) {
-        served.record(now, &[FIRST, Key(rng.random_range(10..30))]);
+        served.record(now, OWN, &[FIRST, Key(rng.random_range(10..30))]);
       }
       if round % 2 == 0 && found.is_empty() {
         crashed += 1;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -456,3 +456,27 @@
     })
   }
 }
+
+/// Equal requests that run everywhere were blamed for servers that restarted under them.
+#[test]
+fn a_content_that_was_served_since_its_first_crash_is_not_blamed() {
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(CULPRIT, 1, 1), crash(CULPRIT, 2, 2)]);
+  let questions = registry.questions(0);
+  assert_eq!(questions.len(), 1);
+  assert_eq!(questions[0].key, content::Key(CULPRIT));
+  assert!(!registry.record_served(10, content::Key(CULPRIT)));
+  registry.add(100, &[crash(CULPRIT, 3, 3)]);
+  assert_eq!(culprits(&mut registry, 10_000), Vec::<u128>::new());
+}
+
+#[test]
+fn a_content_that_was_blamed_and_is_served_is_released() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [CULPRIT]);
+  assert!(registry.record_served(200, content::Key(CULPRIT)));
+  assert!(registry.quarantined(200).is_empty());
+  assert_eq!(culprits(&mut registry, 300), Vec::<u128>::new());
+}
