concurrency: reports of slots are spaced by the number of instances

Cause, by reading: while servers are brittle an instance reports at each send and end, as fast as the holder answers; sixty instances send it some thousand datagrams a second. Ruled out: grants ahead (what is granted and not used is missing elsewhere). Change: two reports of an instance are 1 ms apart for each instance, 100 ms at most; the list of servers costs nothing more while none was ever brittle. At size not measured.

--- a/src/concurrency/mod.rs
+++ b/src/concurrency/mod.rs
@@ -65,6 +65,11 @@
     self.latest.value(server).is_some()
   }
 
+  /// Whether no server was ever brittle, as far as known.
+  pub(crate) fn is_empty(&self) -> bool {
+    self.pools.is_empty() && self.latest.is_empty()
+  }
+
   /// Whether any listed server of any pool is brittle.
   pub fn any(&self) -> bool {
     !self.pools.is_empty()
--- a/src/concurrency/slots.rs
+++ b/src/concurrency/slots.rs
@@ -15,6 +15,10 @@
 const GRANT_TIMEOUT_MS: u64 = 150;
 /// Time after which the answer to a report counts as lost.
 const ANSWER_TIMEOUT_MS: u64 = GRANT_RETRY_MS;
+/// Minimum time between two reports of an instance, for each instance of the fleet, and its maximum: the
+/// holder answers all of them.
+const INTERVAL_PER_INSTANCE_MS: u64 = 1;
+const MAX_INTERVAL_MS: u64 = 100;
 /// Part of a server's slots, in percent, that instances share while no holder responds: their own
 /// shares are drawn independently of each other.
 const UNGRANTED_PERCENT: u64 = 75;
@@ -43,11 +47,16 @@
 }
 
 impl Reports {
-  /// Until when no other report may be sent unless the last one is answered; `None` if one may be
-  /// sent now.
-  pub(crate) fn wait_until(&mut self, now: u64) -> Option<u64> {
-    let until = self.sent_at + ANSWER_TIMEOUT_MS;
-    let waits = !self.answered && now < until;
+  /// Until when no other report may be sent, unless the last one is answered before; `None` if one may
+  /// be sent now.
+  pub(crate) fn wait_until(&mut self, now: u64, instances: usize) -> Option<u64> {
+    let interval = (instances as u64 * INTERVAL_PER_INSTANCE_MS).min(MAX_INTERVAL_MS);
+    let wait = match self.answered {
+      true => interval,
+      false => interval.max(ANSWER_TIMEOUT_MS),
+    };
+    let until = self.sent_at + wait;
+    let waits = now < until;
     self.deferred |= waits;
     waits.then_some(until)
   }
@@ -274,6 +283,9 @@
 
   /// Updates the pools of brittle servers after a statement or the list of servers has changed.
   pub(crate) fn update_brittle(&mut self) {
+    if self.brittle.is_empty() {
+      return;
+    }
     let lives: Vec<Life> = self
       .backends
       .values()
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -85,8 +85,9 @@
     }
     let (uses, next_request_at, has_limits, permits_released) = {
       let mut state = self.hub.state();
+      let instances = state.instances;
       if state.brittle.any()
-        && let Some(until) = state.slot_reports.wait_until(now)
+        && let Some(until) = state.slot_reports.wait_until(now, instances)
       {
         self.next_uses_report_at = until;
         return;
--- a/src/statement/latest.rs
+++ b/src/statement/latest.rs
@@ -37,6 +37,11 @@
 }
 
 impl<T: Copy + PartialEq> Latest<T> {
+  /// Whether no statement is known.
+  pub fn is_empty(&self) -> bool {
+    self.stated.is_empty()
+  }
+
   /// A server's latest statement; `None` if it has made none.
   pub fn get(&self, server: Life) -> Option<Stated<T>> {
     self.stated.get(&server).copied()
