concurrency: slots are reported only when a report is sent

Cause, by reading: a step of the planner that sent no report took the numbers of the slots all the same; unused grants were given back to nobody, and the next report waited 40 ms for an answer that could not come. Change: slots are read where the report is sent; the needs of waiting requests are one function.

--- a/src/concurrency/slots.rs
+++ b/src/concurrency/slots.rs
@@ -178,11 +178,13 @@
     }
   }
 
-  /// What this instance runs on brittle servers, and the slots that it needs there.
-  pub(crate) fn slot_uses(&mut self, now: u64, needs: &HashMap<Id, u32>) -> Vec<Use> {
+  /// What this instance runs on brittle servers, and the slots that it needs there, for a report that
+  /// is sent now.
+  pub(crate) fn slot_uses(&mut self, now: u64) -> Vec<Use> {
     if !self.brittle.any() {
       return Vec::new();
     }
+    let needs = self.needs();
     self.slot_reports.record_sent(now);
     let mut uses: BTreeMap<Id, Use> = BTreeMap::new();
     let brittle = &self.brittle;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -524,6 +524,12 @@
 
   /// Quota units that this instance uses and needs, for the lease holder.
   pub fn uses(&mut self, now: u64) -> Vec<Use> {
+    let needs = self.needs();
+    self.quotas.uses(now, &needs)
+  }
+
+  /// Units and slots that waiting requests need.
+  pub(crate) fn needs(&self) -> HashMap<quota::Id, u32> {
     let mut needs: HashMap<quota::Id, u32> = HashMap::new();
     for (.., ticket) in &self.waiting {
       let request = &self.requests[ticket];
@@ -534,9 +540,7 @@
         *needs.entry(id).or_default() += 1;
       }
     }
-    let mut uses = self.slot_uses(now, &needs);
-    uses.extend(self.quotas.uses(now, &needs));
-    uses
+    needs
   }
 
   /// The limits that servers have announced, as known to this instance.
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -83,7 +83,7 @@
     if !woken && !statements_due && now < self.next_uses_report_at {
       return;
     }
-    let (uses, next_request_at, has_limits, permits_released) = {
+    let (uses, next_request_at, has_limits, permits_released, needs_units) = {
       let mut state = self.hub.state();
       let instances = state.instances;
       if state.brittle.any()
@@ -97,7 +97,8 @@
       let deployment = state.deployment.as_ref();
       let has_customers = deployment.is_some_and(|deployment| deployment.customers.is_some());
       let has_limits = state.limits.any() || state.brittle.any();
-      let has_unit_needs = permits_released || state.needs_units();
+      let needs_units = state.needs_units();
+      let has_unit_needs = permits_released || needs_units;
       if !has_customers && !has_limits && !has_unit_needs && !statements_due {
         self.next_uses_report_at = now + MAX_REPORT_INTERVAL_MS;
         return;
@@ -107,9 +108,10 @@
         state.quotas().next_request_at(),
         has_limits,
         permits_released,
+        needs_units,
       )
     };
-    let has_needs = uses.iter().any(|usage| usage.need > 0);
+    let has_needs = needs_units || uses.iter().any(|usage| usage.need > 0);
     if now < self.next_uses_report_at && !has_needs && !statements_due && !permits_released {
       return;
     }
@@ -121,7 +123,8 @@
       true => next_request_at.max(now + 1),
       false => now + interval,
     };
-    self.send_uses(now, uses);
+    let slot_uses = self.hub.state().slot_uses(now);
+    self.send_uses(now, slot_uses.into_iter().chain(uses).collect());
   }
 
   fn report_interval(&self) -> u64 {
