crash: each analyzer releases what a blamed part explains

Callers whose requests had run beside a part that crashes servers stayed refused after the part was found. Cause: only the instance that blamed the part released the contents of its crashes, and only those of crashes it knew then; another instance had blamed the content. Ruled out: contents that wait for the analysis of parts (a content that crashes servers would reach more of them). Change: an analyzer releases whenever more crashes are explained, whoever found the part.

--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -85,8 +85,9 @@
   suspects: BTreeMap<content::Key, Suspect>,
   /// Parts that were blamed.
   blamed: BTreeSet<content::Key>,
-  /// Servers whose crashes these explain.
+  /// Servers whose crashes these explain, and whether there are new ones.
   explained: BTreeSet<Life>,
+  explained_changed: bool,
 }
 
 impl Registry {
@@ -94,7 +95,7 @@
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
     for crash in crashes {
       if self.blamed.contains(&crash.part) {
-        self.explained.insert(crash.server);
+        self.explained_changed |= self.explained.insert(crash.server);
       }
       let suspect = self.suspects.entry(crash.part).or_default();
       suspect.position = suspect.position.max(crash.position);
@@ -191,7 +192,9 @@
   pub fn blame(&mut self, part: content::Key) {
     self.blamed.insert(part);
     if let Some(suspect) = self.suspects.get(&part) {
+      let known = self.explained.len();
       self.explained.extend(suspect.crashes.keys());
+      self.explained_changed |= self.explained.len() > known;
     }
   }
 
@@ -205,6 +208,11 @@
     self.blamed.contains(&part)
   }
 
+  /// Whether more crashes are explained since the last call.
+  pub fn take_explained_changed(&mut self) -> bool {
+    std::mem::take(&mut self.explained_changed)
+  }
+
   /// Servers whose crashes are explained by parts.
   pub fn explained(&self) -> &BTreeSet<Life> {
     &self.explained
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -78,6 +78,7 @@
     if !culprits.is_empty() {
       self.quarantine_parts(now, &culprits);
     }
+    self.release_explained(now);
   }
 
   fn quarantine_parts(&mut self, now: u64, culprits: &[Culprit]) {
@@ -87,7 +88,14 @@
     }
     let keys: Vec<content::Key> = culprits.iter().map(|culprit| culprit.part).collect();
     self.publish_blamed(now, &keys);
-    // Requests that were in no other crashes were not to blame for them.
+  }
+
+  /// Releases requests that were in no crashes but those that parts explain, also if another instance
+  /// found these parts, or reported more of their crashes since.
+  fn release_explained(&mut self, now: u64) {
+    if !self.parts.take_explained_changed() {
+      return;
+    }
     let innocent = self.registry.release_explained(now, self.parts.explained());
     if !innocent.is_empty() {
       self.publish_release(now, &innocent, EXPLAINED);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -155,3 +155,17 @@
     found == [DEADLY] && deadly_sends <= 5
   }
 }
+
+/// An analyzer that learned of the part from another instance kept the contents of its crashes blamed.
+#[test]
+fn crashes_of_a_part_that_another_instance_blamed_are_explained() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 2, &[FIRST, DEADLY]);
+  registry.blame(DEADLY);
+  assert!(registry.take_explained_changed());
+  assert_eq!(registry.explained().len(), 2);
+  assert!(!registry.take_explained_changed());
+  crashes(&mut registry, 500, 1, &[DEADLY]);
+  assert!(registry.take_explained_changed());
+  assert_eq!(registry.explained().len(), 3);
+}
