--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -177,7 +177,7 @@
     id,
     model: model.as_deref(),
     deadline_ms,
-    headers: &[("Bendsaddle-Prompt-Prefix", &parts)],
+    headers: &[(client::PROMPT_PARTS, &parts)],
     body: "body",
   };
   // A closed connection is detected when the response is read.
--- a/soak/src/world/fragile.rs
+++ b/soak/src/world/fragile.rs
@@ -186,7 +186,7 @@
     id: &id,
     model: Some(MODELS[attempt % 2]),
     deadline_ms: Kind::Stream.deadline_ms(),
-    headers: &[("Bendsaddle-Prompt-Prefix", &parts)],
+    headers: &[(client::PROMPT_PARTS, &parts)],
     body: &id,
   };
   client::send(address, &request);
