crash: a content is released if the crashes that no part explains are too few to blame it

Released was only a content whose crashes are all explained. Ruled out: reports of killed instances (all four crashes and three of the part were known to the instance that blamed the part), an instance that answers late. Change: what remains unexplained must be enough to blame a content, as where it is blamed at first. A content of which fewer crashes are known here than a blame needs is kept: another instance may know more.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -94,6 +94,15 @@
     )
   }
 
+  /// Whether the crashes that are not explained are too few to blame it. Another instance may have
+  /// blamed it for crashes that are unknown here.
+  fn is_cleared_by(&self, explained: &BTreeSet<Life>) -> bool {
+    let servers = self.servers.keys();
+    let unexplained = servers.filter(|server| !explained.contains(server)).count();
+    let is_known = self.servers.len() >= CULPRIT_CRASHES;
+    unexplained == 0 || (is_known && unexplained < CULPRIT_CRASHES)
+  }
+
   fn shares_crash(&self, other: &Self) -> bool {
     self
       .servers
@@ -426,13 +435,12 @@
     }
   }
 
-  /// Releases and returns the quarantined contents that were in no crashes but those of these servers,
-  /// which a part of their prompts explains, and forgets these crashes.
+  /// Releases and returns the quarantined contents that would not be blamed without the crashes of these
+  /// servers, which a part of their prompts explains, and forgets these crashes.
   pub fn release_explained(&mut self, now: u64, explained: &BTreeSet<Life>) -> Vec<content::Key> {
     let suspects = self.suspects.iter();
     let innocent = suspects.filter(|(content, suspect)| {
-      let mut servers = suspect.servers.keys();
-      self.quarantined.contains_key(content) && servers.all(|server| explained.contains(server))
+      self.quarantined.contains_key(content) && suspect.is_cleared_by(explained)
     });
     let innocent: Vec<content::Key> = innocent.map(|(content, _)| *content).collect();
     for content in &innocent {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -480,3 +480,45 @@
   assert!(registry.quarantined(200).is_empty());
   assert_eq!(culprits(&mut registry, 300), Vec::<u128>::new());
 }
+
+fn lives(servers: &[u64]) -> BTreeSet<Life> {
+  let lives = servers.iter();
+  lives
+    .map(|server| Life::of(&server.to_string(), 1))
+    .collect()
+}
+
+/// Equal requests beside a part that crashes servers stayed quarantined for one crash of four that the
+/// part did not explain.
+#[test]
+fn a_content_that_would_not_be_blamed_without_explained_crashes_is_released() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=4).map(|server| crash(BYSTANDER, server, 1)).collect();
+  registry.add(0, &crashes[..3]);
+  assert_eq!(culprits(&mut registry, 100), [BYSTANDER]);
+  registry.add(110, &crashes[3..]);
+  let released = registry.release_explained(120, &lives(&[1, 2, 4]));
+  assert_eq!(released, [content::Key(BYSTANDER)]);
+  assert!(registry.quarantined(120).is_empty());
+}
+
+/// Crashes that a part explains must not release a request that crashes servers by itself.
+#[test]
+fn a_content_with_enough_unexplained_crashes_stays_quarantined() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=4).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [CULPRIT]);
+  assert!(registry.release_explained(120, &lives(&[4])).is_empty());
+  assert_eq!(registry.quarantined(120).len(), 1);
+}
+
+/// An analyzer that has not received all reports must not release what another one has blamed.
+#[test]
+fn a_content_blamed_elsewhere_is_not_released_for_crashes_that_are_unknown_here() {
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(CULPRIT, 1, 1), crash(CULPRIT, 2, 1)]);
+  registry.quarantine_found(100, &[content::Key(CULPRIT)]);
+  assert!(registry.release_explained(120, &lives(&[1])).is_empty());
+  assert_eq!(registry.quarantined(120).len(), 1);
+}
