crash: reports of explained crashes that arrive again don't count

Callers saw: a request that was released because a part explains its crashes could be denied again a moment later. Cause: crashes are reported three times, some hundred ms apart. A release forgets the crashes, and the second report of them counts as new ones, with no further look at what parts explain. Ruled out: reports of the same instance (a crash counts once per server there). Change: the registry keeps the servers whose crashes are explained for as long as it keeps crashes, and ignores them. Figures: the new test fails before (the content is blamed again) and passes now.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -151,6 +151,8 @@
   /// Released contents, and until when quarantines of them that other instances still publish
   /// are ignored, in ms.
   released: BTreeMap<content::Key, u64>,
+  /// Servers whose crashes a part explains, and when that was found, in ms.
+  explained: BTreeMap<Life, u64>,
   /// Published suspects, with their number of crashes.
   published: BTreeMap<content::Key, usize>,
 }
@@ -158,7 +160,11 @@
 impl Registry {
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
-    for crash in crashes {
+    let explained = &self.explained;
+    let unexplained = crashes
+      .iter()
+      .filter(|crash| !explained.contains_key(&crash.server));
+    for crash in unexplained {
       let suspect = self.suspects.entry(crash.content).or_insert(Suspect {
         first_seen: now,
         ..Suspect::default()
@@ -182,6 +188,7 @@
   }
 
   fn evict_suspects(&mut self, now: u64) {
+    self.explained.retain(|_, at| now < *at + CRASH_TTL_MS);
     self
       .suspects
       .retain(|_, suspect| now < suspect.last_seen + CRASH_TTL_MS);
@@ -450,6 +457,9 @@
       };
       self.quarantine(now, released);
     }
+    for server in explained {
+      self.explained.entry(*server).or_insert(now);
+    }
     for suspect in self.suspects.values_mut() {
       suspect
         .servers
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -522,3 +522,16 @@
   assert!(registry.release_explained(120, &lives(&[1])).is_empty());
   assert_eq!(registry.quarantined(120).len(), 1);
 }
+
+/// Crashes are reported three times; the later reports blamed a released request again.
+#[test]
+fn an_explained_crash_that_is_reported_again_does_not_count() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(BYSTANDER, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [BYSTANDER]);
+  let released = registry.release_explained(120, &lives(&[1, 2, 3]));
+  assert_eq!(released, [content::Key(BYSTANDER)]);
+  registry.add(150, &crashes);
+  assert_eq!(culprits(&mut registry, 3_000), Vec::<u128>::new());
+}
