relay: a server whose port closes after its connections has ended

Cause: a run that is cut off counts as a crash if the port of its server refuses a new connection. A process that ends closes its descriptors one after the other, or its kernel takes connections that it no longer accepts. A connection made in that moment was taken for a server that runs, so nobody reported the crash. Change: the connection of the check is watched for 10 ms. If it is closed at once, the check connects again until it is refused or the time is over. The check has a module of its own. Costs a run whose connection alone breaks 10 ms.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod backlog;
 mod caller;
+mod crashed;
 mod late;
 mod refusal;
 mod send;
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -11,7 +11,7 @@
   tunnel,
 };
 use slog::{info, warn};
-use std::{io, net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
 /// A repeatable request is retried when its server has not responded within this many objectives.
 const STALL_OBJECTIVES: u64 = 4;
@@ -23,13 +23,6 @@
 /// Interval at which a silent run is checked again after that.
 const SILENCE_CHECK_MS: u64 = 100;
 
-/// A connection that breaks sooner than this after a send belongs to a server that had already
-/// ended: bytes between availability zones take some ms, and a first token takes longer.
-const MIN_RUN_MS: u64 = 10;
-/// Timeout of the connection that checks whether a server still runs. A refusal takes a few ms, and
-/// a machine that does not respond at all is no evidence of a crash.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// A connection to a server.
 struct Connection {
   socket: Socket,
@@ -120,7 +113,10 @@
     })
   }
 
-  fn open_tunnel(&self, attempt: &Attempt) -> Result<(Socket, SocketAddr), tunnel::Failure> {
+  pub(super) fn open_tunnel(
+    &self,
+    attempt: &Attempt,
+  ) -> Result<(Socket, SocketAddr), tunnel::Failure> {
     let target = tunnel::Target {
       server: &attempt.id,
       address: attempt.address,
@@ -130,39 +126,6 @@
     tunnel::open(self.hub, &target)
   }
 
-  /// Checks whether a server that cut off a run has ended.
-  pub(super) fn check_crash(&self, result: Outcome, attempt: &Attempt) -> Outcome {
-    let ran = self.hub.now() >= self.sending.sent_at + MIN_RUN_MS;
-    if !result.disconnected || !ran || !self.refuses_connections(attempt) {
-      return result;
-    }
-    outcome(End::Crashed, "server ended")
-  }
-
-  /// Whether a server's port refuses connections. A connection that succeeds is kept for the next
-  /// send. An instance that is partitioned from the server asks another one.
-  fn refuses_connections(&self, attempt: &Attempt) -> bool {
-    if self.sending.via.is_some() || self.hub.paths.is_partitioned() {
-      return self.open_tunnel(attempt).err() == Some(tunnel::Failure::Unreachable);
-    }
-    match Socket::connect(attempt.address, PROBE_TIMEOUT) {
-      Ok(socket) => {
-        self.hub.measures.record_connection();
-        self.hub.pool.release(attempt.backend, socket, None);
-        false
-      }
-      Err(error) => {
-        let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-        self
-          .hub
-          .paths
-          .record_failure(attempt.backend, self.hub.now());
-        // Another instance that connects shows that the path is lost, not the server.
-        refused && self.open_tunnel(attempt).is_err()
-      }
-    }
-  }
-
   /// If customers are configured, the server receives the configured customer name and no API key.
   fn set_customer(&self, head: &mut Request) {
     let state = self.hub.state();
