crash: the stored quarantine loses what is released

Cause: the lease holder writes the record when a content is added; a release changed nothing in the store until the next content was added. Ruled out: releases that did not arrive (the other two instances released it). Change: the holder also writes if a content in the record is quarantined no longer, before its time is over. Figures: the new test fails before (no second write) and passes now; one call to the store for each release.

--- a/src/crash/stored.rs
+++ b/src/crash/stored.rs
@@ -2,7 +2,7 @@
 //! server would otherwise be crashed again.
 //!
 //! Each instance reads it once at its start, and the lease holder writes it when a request is
-//! added: one call per instance start, and one per request that crashes servers.
+//! added or released: one call per instance start, and one or two per request that crashes servers.
 
 use super::Quarantined;
 use crate::{
@@ -11,7 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// Name of the object in the store.
 pub const NAME: &str = "main";
@@ -36,6 +36,13 @@
   pub until_ms: u64,
 }
 
+impl Entry {
+  fn key(&self) -> Option<content::Key> {
+    let key = u128::from_str_radix(&self.content, 16).ok()?;
+    Some(content::Key(key))
+  }
+}
+
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -56,8 +63,8 @@
 pub struct Stored {
   /// Revision of the record as last read or written; `None` if it has to be read.
   revision: Option<Revision>,
-  /// Contents in the record.
-  contents: BTreeSet<content::Key>,
+  /// Contents in the record, and when their quarantine ends, in ms since the Unix epoch.
+  contents: BTreeMap<content::Key, u64>,
   in_flight: bool,
   retry_at: u64,
   /// Whether the record was read at least once.
@@ -82,10 +89,10 @@
   pub fn quarantined(&self, unix_ms: u64) -> Vec<Quarantined> {
     let entries = self.entries.iter();
     let entries = entries.filter_map(|entry| {
-      let content = u128::from_str_radix(&entry.content, 16).ok()?;
+      let content = entry.key()?;
       let left_ms = entry.until_ms.saturating_sub(unix_ms);
       (left_ms > 0).then_some(Quarantined {
-        content: content::Key(content),
+        content,
         left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
       })
     });
@@ -105,10 +112,9 @@
     if self.in_flight || now < self.retry_at {
       return None;
     }
-    let is_new = |entry: &Quarantined| !self.contents.contains(&entry.content);
     let call = match self.revision {
       None => Call::Read,
-      Some(revision) if holding && entries.iter().any(is_new) => Call::Write {
+      Some(revision) if holding && self.differs(entries, unix_ms) => Call::Write {
         record: Record::of(entries, unix_ms),
         revision,
       },
@@ -118,6 +124,17 @@
     Some(call)
   }
 
+  /// Whether a content is missing from the record, or is in it although it was released.
+  fn differs(&self, entries: &[Quarantined], unix_ms: u64) -> bool {
+    let is_new = |entry: &Quarantined| !self.contents.contains_key(&entry.content);
+    let mut stored = self.contents.iter();
+    entries.iter().any(is_new)
+      || stored.any(|(content, until_ms)| {
+        let is_quarantined = entries.iter().any(|entry| entry.content == *content);
+        unix_ms < *until_ms && !is_quarantined
+      })
+  }
+
   /// Sets the era of the store; what was written in an earlier era may be lost.
   pub fn set_era(&mut self, era: u64) {
     if self.revision.is_some_and(|revision| revision.era < era) {
@@ -173,9 +190,11 @@
   }
 }
 
-fn contents(record: &Record) -> BTreeSet<content::Key> {
-  let all = record.quarantined(0);
-  all.iter().map(|entry| entry.content).collect()
+fn contents(record: &Record) -> BTreeMap<content::Key, u64> {
+  let entries = record.entries.iter();
+  entries
+    .filter_map(|entry| Some((entry.key()?, entry.until_ms)))
+    .collect()
 }
 
 /// Encodes a record as it is stored.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -535,3 +535,29 @@
   registry.add(150, &crashes);
   assert_eq!(culprits(&mut registry, 3_000), Vec::<u128>::new());
 }
+
+/// A released request was denied again by instances that read the stored quarantine later.
+#[test]
+fn a_release_is_written_to_the_store() {
+  let entry = |content| Quarantined {
+    content: content::Key(content),
+    left_ms: 60_000,
+  };
+  let mut holder = Stored::default();
+  let read = holder.call(0, 0, true, &[]).expect("a read first");
+  holder.answered(0, &read, Err(Error::Absent { era: 0 }));
+  let both = [entry(CULPRIT), entry(BYSTANDER)];
+  let write = holder.call(0, 0, true, &both).expect("a write");
+  holder.answered(0, &write, Ok(object(7, serde_json::Value::Null)));
+  let left = [entry(CULPRIT)];
+  assert_eq!(holder.call(1, 1, false, &left), None, "only holders write");
+  let write = holder.call(1, 1, true, &left).expect("a second write");
+  let Call::Write { record, .. } = &write else {
+    panic!("{write:?}");
+  };
+  assert_eq!(record.entries.len(), 1);
+  holder.answered(2, &write, Ok(object(8, serde_json::Value::Null)));
+  assert_eq!(holder.call(3, 3, true, &left), None, "written once");
+  // What expires needs no write.
+  assert_eq!(holder.call(4, 60_001, true, &[]), None);
+}
