crash: a quarantine that began before its release is ignored, and its sender is told

Cause: an instance that was down at the release read the record of the store from before it, took the lease and published the quarantine; the others ignore such a message for 2 s after the release only. Ruled out: a new crash (its log names none between the two), the three sends of the first quarantine (over after 0.4 s). Change: a release is remembered for as long as a quarantine lasts, and a quarantine that began before it is ignored. Analyzers send the release to the instance that still publishes the quarantine. Holders publish releases of the last 10 s with the whole quarantine, for instances that start before the store has them.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -35,9 +35,12 @@
 /// About 200 bytes each; enough for all runs of 80 servers that crash together. The least
 /// recently seen suspects are evicted first.
 const MAX_SUSPECTS: usize = 1_024;
-/// After the release of a content, published quarantines of it are ignored for this long: the
+/// After the release of a content, all published quarantines of it are ignored for this long: the
 /// three sends of an earlier quarantine are over by then.
 const RELEASE_HOLD_MS: u64 = 2_000;
+/// Time for which a release is published for instances that have just started: by then it is in the
+/// store.
+const RELEASE_PUBLISHED_MS: u64 = 10_000;
 /// The quarantines that end first are evicted first.
 const MAX_QUARANTINED: usize = 256;
 /// Greatest difference in progress between the runs of a culprit: those seen so far crashed
@@ -148,8 +151,7 @@
   unanalyzed_since: Option<u64>,
   /// Until when contents tied for the highest score are not blamed, in ms.
   tied_until: Option<u64>,
-  /// Released contents, and until when quarantines of them that other instances still publish
-  /// are ignored, in ms.
+  /// When contents were released, in ms. Quarantines of them that began before are ignored.
   released: BTreeMap<content::Key, u64>,
   /// Servers whose crashes a part explains, and when that was found, in ms.
   explained: BTreeMap<Life, u64>,
@@ -383,16 +385,13 @@
     self.quarantined.retain(|_, until| now < *until);
     let until = now + u64::from(entry.left_ms);
     if until <= now {
-      self.released.insert(entry.content, now + RELEASE_HOLD_MS);
+      self.record_release(now, entry.content);
       return self.quarantined.remove(&entry.content).is_some();
     }
-    self.released.retain(|_, until| now < *until);
-    if self.released.contains_key(&entry.content) {
-      return false;
-    }
-    if self.quarantined.contains_key(&entry.content) {
+    if self.is_stale(now, entry) || self.quarantined.contains_key(&entry.content) {
       return false;
     }
+    self.released.remove(&entry.content);
     self.quarantined.insert(entry.content, until);
     if self.quarantined.len() > MAX_QUARANTINED {
       let first = self.quarantined.iter().min_by_key(|(_, until)| **until);
@@ -403,6 +402,24 @@
     true
   }
 
+  fn record_release(&mut self, now: u64, content: content::Key) {
+    self.released.retain(|_, at| now < *at + QUARANTINE_MS);
+    self.released.insert(content, now);
+    if self.released.len() > MAX_QUARANTINED {
+      let first = self.released.iter().min_by_key(|(_, at)| **at);
+      if let Some(first) = first.map(|(content, _)| *content) {
+        self.released.remove(&first);
+      }
+    }
+  }
+
+  /// Whether a quarantine began before its content was released.
+  pub fn is_stale(&self, now: u64, entry: Quarantined) -> bool {
+    let began_before = |at: u64| now + u64::from(entry.left_ms) <= at + QUARANTINE_MS;
+    let released = self.released.get(&entry.content);
+    released.is_some_and(|at| now < at + RELEASE_HOLD_MS || began_before(*at))
+  }
+
   /// Returns the questions to ask about contents in two or more crashes.
   pub fn questions(&mut self, now: u64) -> Vec<Question> {
     let mut questions = Vec::new();
@@ -482,6 +499,18 @@
       .collect()
   }
 
+  /// Returns the quarantined contents and, without time left, those that were released lately.
+  pub fn published(&self, now: u64) -> Vec<Quarantined> {
+    let mut entries = self.quarantined(now);
+    let released = self.released.iter();
+    let released = released.filter(|(_, at)| now < **at + RELEASE_PUBLISHED_MS);
+    entries.extend(released.map(|(content, _)| Quarantined {
+      content: *content,
+      left_ms: 0,
+    }));
+    entries
+  }
+
   /// Drops all suspects after an instance that knows more has explained the crashes known here.
   pub fn clear_suspects(&mut self) {
     self.suspects.clear();
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -366,7 +366,7 @@
       loads: update.loads.clone(),
       // Sending 256 entries with every update would take 1.7 MB for 295 instances.
       quarantined: match extended {
-        true => self.registry.quarantined(now),
+        true => self.registry.published(now),
         false => Vec::new(),
       },
       // An update for a single instance must not count as the periodic publication to all.
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -152,9 +152,14 @@
 
   /// Applies quarantines and releases published by another instance.
   pub(crate) fn receive_quarantine(&mut self, now: u64, entries: &[Quarantined], from: SocketAddr) {
+    self.answer_stale(now, entries, from);
+    let current = entries.iter().copied();
+    let current: Vec<Quarantined> = current
+      .filter(|entry| entry.left_ms == 0 || !self.registry.is_stale(now, *entry))
+      .collect();
+    self.record_quarantined_parts(&current);
     let mut new = Vec::new();
-    self.record_quarantined_parts(entries);
-    for entry in entries {
+    for entry in &current {
       if self.registry.quarantine(now, *entry) {
         let message = match entry.left_ms {
           0 => "request released",
@@ -174,6 +179,25 @@
     self.enforce(new);
   }
 
+  /// Sends releases to an instance that missed them and still publishes the quarantine. Only analyzers
+  /// answer, so that not all instances do.
+  fn answer_stale(&mut self, now: u64, entries: &[Quarantined], from: SocketAddr) {
+    if !self.is_analyzer(now) {
+      return;
+    }
+    let stale = entries.iter().copied();
+    let stale = stale.filter(|entry| entry.left_ms > 0 && self.registry.is_stale(now, *entry));
+    let releases: Vec<Quarantined> = stale
+      .map(|entry| Quarantined {
+        content: entry.content,
+        left_ms: 0,
+      })
+      .collect();
+    for entries in releases.chunks(MAX_ENTRIES) {
+      self.send(&Message::Quarantine(entries.to_vec()), &[from]);
+    }
+  }
+
   /// Reads the stored quarantine if it was not read yet; writes new entries if this instance
   /// holds a lease.
   pub(crate) fn sync_quarantine(&mut self) {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -561,3 +561,39 @@
   // What expires needs no write.
   assert_eq!(holder.call(4, 60_001, true, &[]), None);
 }
+
+/// A holder that had missed the release of a request published its quarantine again, and all denied it.
+#[test]
+fn a_quarantine_that_began_before_its_release_is_ignored_and_answered() {
+  let content = content::Key(BYSTANDER);
+  let mut blamed = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(BYSTANDER, server, 1)).collect();
+  blamed.add(0, &crashes);
+  assert_eq!(culprits(&mut blamed, 100), [BYSTANDER]);
+  let mut released = blamed.clone();
+  released.record_served(200, content);
+  let stale = blamed.quarantined(60_000)[0];
+  assert!(released.is_stale(60_000, stale));
+  assert!(!released.quarantine(60_000, stale));
+  assert!(released.quarantined(60_000).is_empty());
+  // It crashes servers after its release.
+  let left_ms = stale.left_ms + 1_000;
+  assert!(released.quarantine(60_000, Quarantined { content, left_ms }));
+  assert!(!released.is_stale(60_000, stale));
+}
+
+/// An instance that starts reads the stored quarantine from before the release.
+#[test]
+fn a_recent_release_is_published_beside_the_quarantine() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(BYSTANDER, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [BYSTANDER]);
+  registry.record_served(200, content::Key(BYSTANDER));
+  let release = Quarantined {
+    content: content::Key(BYSTANDER),
+    left_ms: 0,
+  };
+  assert_eq!(registry.published(5_000), [release]);
+  assert!(registry.published(60_000).is_empty());
+}
