soak: servers that a part has crashed are replaced in every slot, and their ports refuse at once

Cause: a slot that another fault held when its server was crashed was passed over: its proxy went on taking connections, and when the requests were over nobody replaced the server, whose entry stayed for good. A drain left its successor behind a proxy that refuses. Ruled out: a fault of the instances (all three were refused by the server's address, its entry was renewed). Change: a server's proxy refuses before the crash ends its connections, told by the server itself, whatever holds the slot. Servers are replaced until all requests with the part are over and none is left. A server that starts has a proxy that forwards.

--- a/soak/src/world/fragile.rs
+++ b/soak/src/world/fragile.rs
@@ -13,7 +13,7 @@
 use stand_ins::proxy::Fault as ProxyFault;
 use std::{
   collections::BTreeSet,
-  sync::atomic::Ordering,
+  sync::atomic::{AtomicBool, Ordering},
   thread,
   time::{Duration, Instant},
 };
@@ -89,39 +89,49 @@
     for runner in lock(&self.runners).clone() {
       self.apply_fragility(&runner);
     }
-    let until = Instant::now() + duration;
+    let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
       scope.spawn(|| {
-        while Instant::now() < until + DOWNTIME {
-          self.replace_crashed();
+        while self.replace_crashed() || !is_over.load(Ordering::Relaxed) {
           thread::sleep(Duration::from_millis(1));
         }
       });
+      self.send_deadly_for(number, &part, duration);
+      is_over.store(true, Ordering::Relaxed);
+    });
+    self.recorder.record(|history| {
+      history.deadly.push(PartRuns {
+        prefix: format!("deadly-{number}-"),
+        crashes: Vec::new(),
+      })
+    });
+  }
+
+  /// Sends requests with a part for this long, and waits for their responses.
+  fn send_deadly_for(&self, number: u32, part: &str, duration: Duration) {
+    let until = Instant::now() + duration;
+    thread::scope(|scope| {
       for attempt in 0.. {
         if Instant::now() >= until {
           break;
         }
         let (address, ready) = &self.traffic.instances[attempt % self.members.len()];
         if ready.load(Ordering::Relaxed) {
-          let (part, address) = (&part, *address);
+          let address = *address;
           scope.spawn(move || send_deadly(address, part, number, attempt));
         }
         thread::sleep(DEADLY_PAUSE);
       }
     });
-    self.recorder.record(|history| {
-      history.deadly.push(PartRuns {
-        prefix: format!("deadly-{number}-"),
-        crashes: Vec::new(),
-      })
-    });
   }
 
-  /// Starts servers in the slots of those that a request has crashed.
-  fn replace_crashed(&self) {
+  /// Starts servers in the slots of those that a request has crashed; returns whether some are left.
+  fn replace_crashed(&self) -> bool {
+    let mut are_left = false;
     for slot in &self.slots {
       // Another fault holds the slot.
       let Ok(mut runner) = slot.runner.try_lock() else {
+        are_left = true;
         continue;
       };
       let Some(crashed_at) = runner.crashed_at() else {
@@ -129,12 +139,13 @@
       };
       slot.proxy.fault(ProxyFault::Refuse);
       if crashed_at.elapsed() < DOWNTIME.max(ENTRY_EXPIRY) {
+        are_left = true;
         continue;
       }
       self.end_crashed(&runner.id);
-      slot.proxy.fault(ProxyFault::None);
       self.replace(slot, &mut runner, None);
     }
+    are_left
   }
 
   fn end_crashed(&self, id: &str) {
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -142,7 +142,6 @@
     thread::sleep(ENTRY_EXPIRY);
     self.store.remove("servers", &runner.id);
     thread::sleep(duration);
-    slot.proxy.fault(ProxyFault::None);
     self.replace(slot, runner, None);
   }
 
@@ -160,7 +159,6 @@
     runner.kill();
     slot.proxy.fault(ProxyFault::Refuse);
     thread::sleep(duration);
-    slot.proxy.fault(ProxyFault::None);
     *runner = self.start_next(slot, runner, Some(version));
     thread::sleep(entry_delay);
     self.remove_entry(&old);
@@ -174,7 +172,6 @@
     runner.kill();
     slot.proxy.fault(ProxyFault::Refuse);
     thread::sleep(duration);
-    slot.proxy.fault(ProxyFault::None);
     let id = runner.id.clone();
     *runner = self.start_runner(slot, &id, version.unwrap_or_else(|| version_of(runner)));
     self.list(slot, runner);
@@ -231,6 +228,8 @@
 
   /// Starts a server that has no entry yet.
   fn start_runner(&self, slot: &Slot, id: &str, version: u32) -> Runner {
+    // A fault may have ended the server before.
+    slot.proxy.fault(ProxyFault::None);
     let runner = start_runner(&self.store, &slot.proxy, (id, slot.service), &[], version);
     self.prepare_runner(&runner);
     lock(&self.runners).push(runner.clone());
@@ -305,8 +304,11 @@
   version: u32,
 ) -> Runner {
   let version = format!("v{version}");
-  Runner::start_unlisted(store, id, service, models, &version, |address| {
+  let runner = Runner::start_unlisted(store, id, service, models, &version, |address| {
     proxy.retarget(address);
     proxy.address
-  })
+  });
+  let proxy = proxy.clone();
+  runner.before_crash(move || proxy.fault(ProxyFault::Refuse));
+  runner
 }
