crash: a release that is published again is not a new one

Cause: found by reading the diff. A holder publishes releases of the last 10 s, and a release that arrives set the time of the release anew, so that two lease holders would have published each other's releases for good. Ruled out: one holder (it receives nobody's releases). Change: the time of a release is kept unless the release ends a quarantine here. Figures: the new test fails before and passes now.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -385,8 +385,12 @@
     self.quarantined.retain(|_, until| now < *until);
     let until = now + u64::from(entry.left_ms);
     if until <= now {
-      self.record_release(now, entry.content);
-      return self.quarantined.remove(&entry.content).is_some();
+      let was_quarantined = self.quarantined.remove(&entry.content).is_some();
+      // Otherwise holders that publish each other's releases would never end.
+      if was_quarantined || !self.released.contains_key(&entry.content) {
+        self.record_release(now, entry.content);
+      }
+      return was_quarantined;
     }
     if self.is_stale(now, entry) || self.quarantined.contains_key(&entry.content) {
       return false;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -597,3 +597,17 @@
   assert_eq!(registry.published(5_000), [release]);
   assert!(registry.published(60_000).is_empty());
 }
+
+/// Two lease holders that publish each other's releases went on with that for good.
+#[test]
+fn a_release_that_is_published_again_is_not_a_new_one() {
+  let release = Quarantined {
+    content: content::Key(BYSTANDER),
+    left_ms: 0,
+  };
+  let mut registry = Registry::default();
+  registry.quarantine(0, release);
+  registry.quarantine(8_000, release);
+  assert_eq!(registry.published(9_000), [release]);
+  assert!(registry.published(12_000).is_empty());
+}
