crash: what is read from the store is told to the analyzers, which send word of releases

Cause, by its logs: the store had come back from a copy from before the release (12 s ago); holders publish a release for 10 s, and the instance that had read the old record held no lease, so it published nothing that could be answered. Ruled out: the record being written again (the store was silent for the holder until then). Change: an instance sends what it has read to the analyzers, three times and once it knows them; as with a holder's publication they answer with the releases. One datagram for each start while something is quarantined.

--- a/src/planner.rs
+++ b/src/planner.rs
@@ -9,6 +9,7 @@
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken, Unheard},
   concurrency::Ledger,
+  content,
   crash::{Crash, Quarantined, Registry, Repeated, part, served, stored},
   dispatch::Event,
   edge::Edge,
@@ -174,6 +175,8 @@
   /// Crashes to report, and quarantined requests to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
+  /// Contents read from the store, to be told to the analyzers, which may have released them since.
+  pub(crate) read_quarantine: Repeated<content::Key>,
   /// Parts of prompts in crashes, and what is reported and asked about them.
   pub(crate) parts: part::Registry,
   pub(crate) reported_part_crashes: Repeated<part::Crash>,
@@ -241,6 +244,7 @@
     reported_part_crashes: Repeated::default(),
     served_questions: Repeated::default(),
     published_quarantine: Repeated::default(),
+    read_quarantine: Repeated::default(),
     reported_statements: Repeated::default(),
     published_statements: Repeated::default(),
     accounts: Accounts::default(),
@@ -379,6 +383,7 @@
       self.served_questions.due(),
       self.reported_crashes.due(),
       self.published_quarantine.due(),
+      self.read_quarantine_due(now),
       self.reported_statements.due(),
       self.published_statements.due(),
     ];
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -43,6 +43,7 @@
         self.send(&Message::Crashes(entries.to_vec()), &other_analyzers);
       }
     }
+    self.tell_read_quarantine(now);
     let due = self.published_quarantine.take(now);
     if !due.is_empty() {
       let other_instances = self.other_instances(now);
@@ -52,6 +53,29 @@
     }
   }
 
+  /// Returns when contents read from the store are to be told to the analyzers, in ms; `None` while this
+  /// instance knows none.
+  pub(crate) fn read_quarantine_due(&self, now: u64) -> Option<u64> {
+    let due = self.read_quarantine.due()?;
+    let are_known = !self.other_analyzers(now).is_empty();
+    are_known.then_some(due)
+  }
+
+  /// Tells the analyzers what was read from the store: the record may be older than a release, of which
+  /// they then send word.
+  fn tell_read_quarantine(&mut self, now: u64) {
+    if self.read_quarantine_due(now).is_none_or(|due| now < due) {
+      return;
+    }
+    let due = self.read_quarantine.take(now);
+    let mut entries = self.registry.quarantined(now);
+    entries.retain(|entry| due.contains(&entry.content));
+    let other_analyzers = self.other_analyzers(now);
+    for entries in entries.chunks(MAX_ENTRIES) {
+      self.send(&Message::Quarantine(entries.to_vec()), &other_analyzers);
+    }
+  }
+
   /// Returns when this instance has to analyze the reported crashes, in ms.
   pub(crate) fn analysis_at(&self, now: u64) -> Option<u64> {
     self.registry.analysis_at(now, || self.is_analyzer(now))
@@ -244,6 +268,7 @@
       if self.registry.quarantine(now, entry) {
         info!(self.hub.log, "request quarantined"; "content" => entry.content.to_string(),
           "left_ms" => entry.left_ms, "by" => "the store");
+        self.read_quarantine.add(now, entry.content);
         new.push(entry);
       }
     }
