crash, soak: usual words for reports and periods

Cause: names and comments added lately speak of telling and of falls where the field reports and has periods. Ruled out: a change of behavior; a private function and a struct of the soak are renamed, the rest are comments. Change: report_read_quarantine, BrittlePeriod, and four comments. `falls` of the stand-in stays: the rule counts how often brittle servers fall over, which is not a crash by a request.

--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -227,7 +227,7 @@
 
 /// A time in which the servers of a service were brittle.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Falls {
+pub struct BrittlePeriod {
   /// Servers of the service, also those that started meanwhile.
   pub servers: BTreeSet<String>,
   /// Number of its servers at a time.
@@ -273,7 +273,7 @@
   pub streams: Vec<Stream>,
   pub resumptions: Vec<Resumption>,
   pub serving: Vec<Serving>,
-  pub brittle: Vec<Falls>,
+  pub brittle: Vec<BrittlePeriod>,
   /// Servers that fell over because they had to reject too many requests, with times.
   pub falls: Vec<(String, u64)>,
   pub deadly: Vec<PartRuns>,
--- a/soak/src/world/fragile.rs
+++ b/soak/src/world/fragile.rs
@@ -2,7 +2,7 @@
 
 use super::{World, lock, slot::ENTRY_EXPIRY};
 use crate::{
-  history::{Falls, Kind, PartRuns, Target},
+  history::{BrittlePeriod, Kind, PartRuns, Target},
   load,
 };
 use platform_stand_in::{
@@ -65,7 +65,7 @@
     let servers: BTreeSet<String> = ids.map(|runner| runner.id.clone()).collect();
     let size = self.slots.len() / 2;
     self.recorder.record(|history| {
-      history.brittle.push(Falls {
+      history.brittle.push(BrittlePeriod {
         servers,
         size,
         from,
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -3,8 +3,8 @@
 use soak::{
   check::{Bounds, check},
   history::{
-    Arrival, Backoff, Departure, End, FROZEN, Falls, History, Hold, Incident, KILLED, Kind, Limit,
-    Order, PartRuns, Probe, Request, Resumption, Run, STOPPED, Serving, Stream, Target,
+    Arrival, Backoff, BrittlePeriod, Departure, End, FROZEN, History, Hold, Incident, KILLED, Kind,
+    Limit, Order, PartRuns, Probe, Request, Resumption, Run, STOPPED, Serving, Stream, Target,
   },
 };
 
@@ -582,7 +582,7 @@
 
 fn falls(count: u64) -> History {
   History {
-    brittle: vec![Falls {
+    brittle: vec![BrittlePeriod {
       servers: ["p0.0".to_string(), "p1.0".to_string()].into(),
       size: 4,
       from: 2_000,
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -175,7 +175,7 @@
   /// Crashes to report, and quarantined requests to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
-  /// Contents read from the store, to be told to the analyzers, which may have released them since.
+  /// Contents read from the store, to be reported to the analyzers, which may have released them since.
   pub(crate) read_quarantine: Repeated<content::Key>,
   /// Parts of prompts in crashes, and what is reported and asked about them.
   pub(crate) parts: part::Registry,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -43,7 +43,7 @@
         self.send(&Message::Crashes(entries.to_vec()), &other_analyzers);
       }
     }
-    self.tell_read_quarantine(now);
+    self.report_read_quarantine(now);
     let due = self.published_quarantine.take(now);
     if !due.is_empty() {
       let other_instances = self.other_instances(now);
@@ -53,7 +53,7 @@
     }
   }
 
-  /// Returns when contents read from the store are to be told to the analyzers, in ms; `None` while this
+  /// Returns when contents read from the store are to be reported to the analyzers, in ms; `None` while this
   /// instance knows none.
   pub(crate) fn read_quarantine_due(&self, now: u64) -> Option<u64> {
     let due = self.read_quarantine.due()?;
@@ -61,9 +61,9 @@
     are_known.then_some(due)
   }
 
-  /// Tells the analyzers what was read from the store: the record may be older than a release, of which
-  /// they then send word.
-  fn tell_read_quarantine(&mut self, now: u64) {
+  /// Reports to the analyzers what was read from the store: the record may be older than a release, which
+  /// they then publish.
+  fn report_read_quarantine(&mut self, now: u64) {
     if self.read_quarantine_due(now).is_none_or(|due| now < due) {
       return;
     }
--- a/src/relay/crashed.rs
+++ b/src/relay/crashed.rs
@@ -1,4 +1,4 @@
-//! Tells whether a server that cut off a run has ended.
+//! Detects whether a server that cut off a run has ended.
 
 use super::{Outcome, Relay, outcome};
 use crate::{
