--- a/review/standin.py
+++ b/review/standin.py
@@ -1,7 +1,7 @@
 """Stand-ins for the scripts in this folder: the platform's store, runners, clients, and instances of
 bendsaddle that run as separate processes. Only the standard library. All addresses are loopback."""
 
-import asyncio, json, os, random, shutil, signal, socket, subprocess, tempfile, time
+import asyncio, json, os, random, shutil, signal, socket, subprocess, sys, tempfile, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "release", "bendsaddle-platform")
@@ -411,6 +411,8 @@
     folder = tempfile.mkdtemp(prefix="review-")
     record, instances = Record(os.path.join(here, "record.txt")), []
     code = 2
+    # Ends the instances also when the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(case(folder, record, instances))
         code = 1 if broken else 0
