Connections beyond the limit: log what holds them, measure how late their threads start

The log could not tell connections at rest from a short processor: it names the limit only. The line now states how many connections have a request, and how long the last accepted connection waited for its thread; the histogram caller_start_delay has the latter for all.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -91,6 +91,7 @@
 
 fn accept(hub: &Arc<Hub>, listener: &TcpListener, max_connections: usize) {
   let open_connections = Arc::new(AtomicUsize::new(0));
+  let start_delay_ms = Arc::new(AtomicUsize::new(0));
   loop {
     let stream = match listener.accept() {
       Ok((stream, _)) => stream,
@@ -102,15 +103,21 @@
     };
     if open_connections.fetch_add(1, Ordering::Relaxed) >= max_connections {
       open_connections.fetch_sub(1, Ordering::Relaxed);
-      warn!(hub.log, "connection rejected: limit reached"; "connections" => max_connections);
+      warn!(hub.log, "connection rejected: limit reached"; "connections" => max_connections,
+        "active" => hub.active.load(Ordering::Relaxed),
+        "start_delay_ms" => start_delay_ms.load(Ordering::Relaxed));
       reject(stream);
       continue;
     }
     let (hub, connection_count) = (hub.clone(), open_connections.clone());
+    let (accepted_at, start_delay_ms) = (Moment::now(), start_delay_ms.clone());
     let builder = thread::Builder::new()
       .name("caller".into())
       .stack_size(STACK_BYTES);
     let spawned = builder.spawn(move || {
+      let delay = accepted_at.elapsed();
+      start_delay_ms.store(delay.as_millis() as usize, Ordering::Relaxed);
+      hub.measures.record_start_delay(delay);
       serve(&hub, stream);
       connection_count.fetch_sub(1, Ordering::Relaxed);
     });
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -12,6 +12,7 @@
   refusal::Refusal,
 };
 use opentelemetry::metrics::{Counter, Histogram};
+use std::time::Duration;
 
 /// A completed send of a request.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +57,8 @@
   quarantined: Counter<u64>,
   /// Callers that were dropped because they did not read, by cause.
   readers_dropped: Counter<u64>,
+  /// From the accept of a caller's connection to the start of its thread.
+  start_delay: Histogram<f64>,
   first_byte: Histogram<f64>,
   wait: Histogram<f64>,
   pause: Histogram<f64>,
@@ -98,6 +101,11 @@
         "readers_dropped",
         "Callers dropped because they did not read, by cause",
       ),
+      start_delay: time_histogram(
+        &meter,
+        "caller_start_delay",
+        "From the accept of a connection to the start of its thread",
+      ),
       first_byte: time_histogram(&meter, "routed_first_byte", "From arrival to first byte"),
       wait: time_histogram(&meter, "routed_wait", "From arrival to the first send"),
       pause: time_histogram(&meter, "routed_pause", "Longest pause of a stream"),
@@ -167,6 +175,11 @@
       .add(1, &[label("cause", cause.as_str())]);
   }
 
+  /// Records how long an accepted connection of a caller waited for its thread.
+  pub fn record_start_delay(&self, delay: Duration) {
+    self.start_delay.record(delay.as_secs_f64(), &[]);
+  }
+
   /// Records a new connection to a server.
   pub fn record_connection(&self) {
     self.connections.add(1, &[]);
