Admission of connections: bounded at rest, in time by a window, closed unread beyond

Cause: a count of connections was the only bound. Connections at rest fill it (130 to 200 of 1,024 had a request), what is beyond it gets a 503, which reads the request; what is within it shares the processor, so that all are late. Ruled out: quotas, retries, slots (48 lines of the retry budget against 7,161 of the limit).

Change: src/admission.rs. Connections without a request take a quarter of the limit at most. A window bounds the connections whose threads have not started: halved by a start later than a quarter of the shortest objective, widened by each start in time. What exceeds either is closed unread, so its caller can use another instance at once; while that happens, kept connections close after their response. Lines for changes of state only, a counter by cause.

--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,148 @@
+//! Admission of callers' connections: which new ones are accepted, and which stay open between two
+//! requests.
+//!
+//! A connection that cannot be served in time is closed with its request unread, so that its caller
+//! can use another instance at once. A request that has been read would be served late or refused.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+/// Share of the connections that may be idle while all others have a request.
+const IDLE_DIVISOR: usize = 4;
+/// A thread starts late if it has waited for more than this part of the shortest objective.
+const START_DELAY_DIVISOR: u64 = 4;
+/// Shorter delays are not compared with any objective.
+const MIN_START_DELAY_MS: u64 = 20;
+/// Connections whose threads may wait to start, however late threads start.
+const MIN_STARTING: usize = 4;
+
+/// An instance counts as overloaded for this long after it closed a connection unread, in ms.
+const OVERLOAD_MS: u64 = 1_000;
+
+/// Why a new connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+  /// The maximum number of connections is open.
+  Full,
+  /// The threads of new connections start too late, for want of processor time.
+  Late,
+}
+
+impl Cause {
+  /// The label of metrics and log lines.
+  pub fn as_str(self) -> &'static str {
+    match self {
+      Self::Full => "full",
+      Self::Late => "late",
+    }
+  }
+}
+
+/// The connections of callers to this instance.
+///
+/// The threads that wait to start are bounded by a window. As the congestion window of TCP does, it
+/// grows while they start in time and is halved when one starts late.
+#[derive(Debug)]
+pub struct Admission {
+  max_connections: usize,
+  open: AtomicUsize,
+  /// Connections whose threads have not started, and how many there may be.
+  starting: AtomicUsize,
+  window: AtomicUsize,
+  /// A late start of a connection accepted before this moment has halved the window already; in ms
+  /// on the hub's clock.
+  halved_at: AtomicU64,
+  /// When a connection was last closed unread, in ms on the hub's clock.
+  closed_at: AtomicU64,
+}
+
+impl Admission {
+  /// Admits at most `max_connections` at once.
+  pub fn new(max_connections: usize) -> Self {
+    Self {
+      max_connections,
+      open: AtomicUsize::new(0),
+      starting: AtomicUsize::new(0),
+      window: AtomicUsize::new(max_connections),
+      halved_at: AtomicU64::new(0),
+      closed_at: AtomicU64::new(0),
+    }
+  }
+
+  /// Number of open connections.
+  pub fn open(&self) -> usize {
+    self.open.load(Ordering::Relaxed)
+  }
+
+  /// Number of connections whose threads may wait to start.
+  pub fn window(&self) -> usize {
+    self.window.load(Ordering::Relaxed)
+  }
+
+  /// Counts a new connection.
+  ///
+  /// # Errors
+  ///
+  /// The connection is not counted and has to be closed.
+  pub fn admit(&self) -> Result<(), Cause> {
+    // Only the thread that accepts connections adds to these counts.
+    if self.open() >= self.max_connections {
+      return Err(Cause::Full);
+    }
+    if self.starting.load(Ordering::Relaxed) >= self.window() {
+      return Err(Cause::Late);
+    }
+    self.open.fetch_add(1, Ordering::Relaxed);
+    self.starting.fetch_add(1, Ordering::Relaxed);
+    Ok(())
+  }
+
+  /// Counts the end of an admitted connection.
+  pub fn release(&self) {
+    self.open.fetch_sub(1, Ordering::Relaxed);
+  }
+
+  /// Counts the end of an admitted connection whose thread could not be created.
+  pub fn cancel(&self) {
+    self.starting.fetch_sub(1, Ordering::Relaxed);
+    self.release();
+  }
+
+  /// Records that the thread of a connection accepted at `accepted_at` starts at `now`, both in ms.
+  /// `objective_ms` returns the shortest objective of all routes.
+  pub fn record_start(
+    &self,
+    accepted_at: u64,
+    now: u64,
+    objective_ms: impl FnOnce() -> Option<u64>,
+  ) {
+    let waiting = self.starting.fetch_sub(1, Ordering::Relaxed);
+    let delay_ms = now.saturating_sub(accepted_at);
+    let is_late = |objective: u64| delay_ms > objective / START_DELAY_DIVISOR;
+    let late = delay_ms >= MIN_START_DELAY_MS && objective_ms().is_some_and(is_late);
+    let window = self.window();
+    if !late {
+      if window < self.max_connections {
+        self.window.store(window + 1, Ordering::Relaxed);
+      }
+    } else if accepted_at >= self.halved_at.load(Ordering::Relaxed) {
+      self.halved_at.store(now, Ordering::Relaxed);
+      let halved = (waiting.min(window) / 2).max(MIN_STARTING);
+      self.window.store(halved, Ordering::Relaxed);
+    }
+  }
+
+  /// Records at `now`, in ms, that a connection is closed unread.
+  pub fn record_closed(&self, now: u64) {
+    self.closed_at.store(now, Ordering::Relaxed);
+  }
+
+  /// Whether a connection may stay open without a request at `now`, in ms, given the number of
+  /// requests in progress. While others are closed unread, the callers of this one use other
+  /// instances as well.
+  pub fn keeps_idle(&self, now: u64, active: usize) -> bool {
+    let closed_at = self.closed_at.load(Ordering::Relaxed);
+    let overloaded = closed_at > 0 && now < closed_at + OVERLOAD_MS;
+    let idle = self.open().saturating_sub(active);
+    !overloaded && idle <= self.max_connections / IDLE_DIVISOR
+  }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! Caller port of a routing instance: accepts connections, reads requests and finds their routes.
 
 use crate::{
+  admission::{Admission, Cause},
   clock::Moment,
   customer::{self, Caller},
   deployment::{Bounds, Deployment},
@@ -18,10 +19,7 @@
 use std::{
   io,
   net::{SocketAddr, TcpListener, TcpStream},
-  sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
-  },
+  sync::{Arc, atomic::Ordering},
   thread,
   time::Duration,
 };
@@ -36,8 +34,7 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for the first byte on a connection that is accepted during a planned stop.
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Retry delay for a request that is refused because no configuration is known, and for a rejected
-/// connection.
+/// Retry delay for a request that is refused because no configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 
 /// Retry delay for a request whose key could not be checked. By then, the load balancer has taken
@@ -83,15 +80,17 @@
 pub fn bind(hub: &Arc<Hub>, address: &str, max_connections: usize) -> io::Result<SocketAddr> {
   let listener = web::listen(address)?;
   let address = listener.local_addr()?;
+  hub
+    .admission
+    .get_or_init(|| Admission::new(max_connections));
   let hub = hub.clone();
   let builder = thread::Builder::new().name("accept".into());
-  builder.spawn(move || accept(&hub, &listener, max_connections))?;
+  builder.spawn(move || accept(&hub, &listener))?;
   Ok(address)
 }
 
-fn accept(hub: &Arc<Hub>, listener: &TcpListener, max_connections: usize) {
-  let open_connections = Arc::new(AtomicUsize::new(0));
-  let start_delay_ms = Arc::new(AtomicUsize::new(0));
+fn accept(hub: &Arc<Hub>, listener: &TcpListener) {
+  let mut closed = Closed::default();
   loop {
     let stream = match listener.accept() {
       Ok((stream, _)) => stream,
@@ -101,42 +100,78 @@
         continue;
       }
     };
-    if open_connections.fetch_add(1, Ordering::Relaxed) >= max_connections {
-      open_connections.fetch_sub(1, Ordering::Relaxed);
-      warn!(hub.log, "connection rejected: limit reached"; "connections" => max_connections,
-        "active" => hub.active.load(Ordering::Relaxed),
-        "start_delay_ms" => start_delay_ms.load(Ordering::Relaxed));
-      reject(stream);
+    let Some(admission) = hub.admission.get() else {
       continue;
+    };
+    let admitted = admission.admit();
+    closed.record(hub, admission, admitted);
+    match admitted {
+      Ok(()) => spawn(hub, stream),
+      // Its caller sees that the request was not read, and may send it to another instance.
+      Err(_) => drop(stream),
     }
-    let (hub, connection_count) = (hub.clone(), open_connections.clone());
-    let (accepted_at, start_delay_ms) = (Moment::now(), start_delay_ms.clone());
-    let builder = thread::Builder::new()
-      .name("caller".into())
-      .stack_size(STACK_BYTES);
-    let spawned = builder.spawn(move || {
-      let delay = accepted_at.elapsed();
-      start_delay_ms.store(delay.as_millis() as usize, Ordering::Relaxed);
-      hub.measures.record_start_delay(delay);
-      serve(&hub, stream);
-      connection_count.fetch_sub(1, Ordering::Relaxed);
-    });
-    if spawned.is_err() {
-      open_connections.fetch_sub(1, Ordering::Relaxed);
+  }
+}
+
+/// Connections closed unread since the last one that was accepted.
+#[derive(Default)]
+struct Closed {
+  count: u64,
+  since: u64,
+}
+
+impl Closed {
+  /// Counts a connection that was closed; logs the first one, and how many there were once one is
+  /// accepted.
+  fn record(&mut self, hub: &Hub, admission: &Admission, admitted: Result<(), Cause>) {
+    let active = || hub.active.load(Ordering::Relaxed);
+    match admitted {
+      Ok(()) if self.count > 0 => {
+        info!(hub.log, "connections are accepted again"; "closed" => self.count,
+          "after_ms" => hub.now() - self.since, "connections" => admission.open(),
+          "active" => active());
+        self.count = 0;
+      }
+      Ok(()) => {}
+      Err(cause) => {
+        hub.measures.record_closed_unread(cause);
+        admission.record_closed(hub.now());
+        if self.count == 0 {
+          self.since = hub.now();
+          warn!(hub.log, "new connections are closed unread"; "cause" => cause.as_str(),
+            "connections" => admission.open(), "active" => active(), "window" => admission.window());
+        }
+        self.count += 1;
+      }
     }
   }
 }
 
-fn reject(stream: TcpStream) {
-  let refusal = Refusal {
-    reason: Reason::QueueFull,
-    verdict: Verdict::NotRun,
-    retry_after: Some(UNCONFIGURED_RETRY_MS),
-    shortage: None,
-  };
-  if let Ok(mut socket) = Socket::accept(stream) {
-    // Best effort: the connection is closed even if the caller does not accept this response.
-    let _ = socket.try_write(&relay::encode_refusal(&refusal, false));
+/// Serves an admitted connection in a thread.
+fn spawn(hub: &Arc<Hub>, stream: TcpStream) {
+  let (hub_of_thread, accepted_at) = (hub.clone(), hub.now());
+  let builder = thread::Builder::new()
+    .name("caller".into())
+    .stack_size(STACK_BYTES);
+  let spawned = builder.spawn(move || {
+    let hub = hub_of_thread;
+    record_start(&hub, accepted_at);
+    serve(&hub, stream);
+    hub.admission.get().inspect(|admission| admission.release());
+  });
+  if let Err(error) = spawned {
+    warn!(hub.log, "no thread for a connection"; "error" => %error);
+    hub.admission.get().inspect(|admission| admission.cancel());
+  }
+}
+
+fn record_start(hub: &Hub, accepted_at: u64) {
+  let now = hub.now();
+  hub
+    .measures
+    .record_start_delay(Duration::from_millis(now - accepted_at));
+  if let Some(admission) = hub.admission.get() {
+    admission.record_start(accepted_at, now, || hub.shortest_objective_ms());
   }
 }
 
@@ -428,7 +463,7 @@
     account,
   } = received;
   let deployment = known_deployment(hub);
-  let keep_alive = head.keep_alive();
+  let keep_alive = hub.keeps_alive(&head);
   let Some(deployment) = deployment else {
     let refusal = Refusal {
       reason: Reason::PlatformUnavailable,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -1,6 +1,7 @@
 //! Connects the reducer for routed requests with the threads that wait for its decisions.
 
 use crate::{
+  admission::Admission,
   backend,
   build::resume::{Basis, Decision},
   clock::{self, Moment},
@@ -10,6 +11,7 @@
   dispatch::{Attempt, Effect, End, Event, State},
   expiry::REAPPEAR_MS,
   feed::{Gate, OUTAGE_THRESHOLD},
+  http::Request,
   measures::Measures,
   reachability::Reachability,
   reader::Book,
@@ -124,6 +126,8 @@
   planner_waker: OnceLock<Arc<Waker>>,
   /// Number of requests in progress.
   pub active: AtomicUsize,
+  /// Connections of callers, once their port is bound.
+  pub admission: OnceLock<Admission>,
   /// Bytes held for callers, if they are bounded.
   pub readers: OnceLock<Book>,
   /// Customers' quota usage, if this instance holds the lease.
@@ -163,6 +167,7 @@
       report_waker: Waker::new()?,
       planner_waker: OnceLock::new(),
       active: AtomicUsize::new(0),
+      admission: OnceLock::new(),
       readers: OnceLock::new(),
       standings: Mutex::default(),
       max_key_age_ms: AtomicU64::new(u64::MAX),
@@ -212,6 +217,22 @@
     state.ready() && (!has_customers || self.keys_fresh()) && !self.stopping.load(Ordering::Relaxed)
   }
 
+  /// Whether a connection stays open after the response to its request.
+  pub fn keeps_alive(&self, request: &Request) -> bool {
+    let active = self.active.load(Ordering::Relaxed);
+    let has_room = |admission: &Admission| admission.keeps_idle(self.now(), active);
+    request.keep_alive()
+      && !self.stopping.load(Ordering::Relaxed)
+      && self.admission.get().is_none_or(has_room)
+  }
+
+  /// The shortest objective of the deployment's routes, in ms.
+  pub fn shortest_objective_ms(&self) -> Option<u64> {
+    let state = self.state();
+    let routes = &state.deployment.as_ref()?.routes;
+    routes.iter().map(|route| route.objective_ms).min()
+  }
+
   /// Why a caller's request may not be sent any more; `None` if it may.
   pub fn key_rejection(&self, caller: Option<&Caller>) -> Option<End> {
     let caller = caller?;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -4,6 +4,7 @@
 //! requests, models or servers.
 
 use crate::{
+  admission,
   command::{Act, Taken},
   dispatch::End,
   exporter::{Exporter, counter, label, ms_to_s, time_histogram},
@@ -57,6 +58,8 @@
   quarantined: Counter<u64>,
   /// Callers that were dropped because they did not read, by cause.
   readers_dropped: Counter<u64>,
+  /// Callers' connections closed with their request unread, by cause.
+  closed_unread: Counter<u64>,
   /// From the accept of a caller's connection to the start of its thread.
   start_delay: Histogram<f64>,
   first_byte: Histogram<f64>,
@@ -101,6 +104,11 @@
         "readers_dropped",
         "Callers dropped because they did not read, by cause",
       ),
+      closed_unread: counter(
+        &meter,
+        "callers_closed_unread",
+        "Connections of callers closed with their request unread, by cause",
+      ),
       start_delay: time_histogram(
         &meter,
         "caller_start_delay",
@@ -175,6 +183,11 @@
       .add(1, &[label("cause", cause.as_str())]);
   }
 
+  /// Records a caller's connection that was closed with its request unread.
+  pub fn record_closed_unread(&self, cause: admission::Cause) {
+    self.closed_unread.add(1, &[label("cause", cause.as_str())]);
+  }
+
   /// Records how long an accepted connection of a caller waited for its thread.
   pub fn record_start_delay(&self, delay: Duration) {
     self.start_delay.record(delay.as_secs_f64(), &[]);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -186,7 +186,7 @@
     tokens: Tokens::parse(header(dialect.token_usage), header(dialect.length_hint)),
     resumption: resumption(hub, incoming),
   };
-  let keep_alive = incoming.head.keep_alive() && !hub.stopping.load(Ordering::Relaxed);
+  let keep_alive = hub.keeps_alive(&incoming.head);
   let mut relay = Relay {
     hub,
     caller,
