Published loads: none is a statement, and what nobody confirms ends after 5 s

Cause: a publication in which no server has a load, and one that says nothing of loads, were both an empty list; the receiver took it for the second. The last loads above zero then counted as token memory in use, and what did not fit beside them waited, so nothing ran that could have changed them. Ruled out: the wire needs no new field, as the loads that may still be carried out are an Option that is sent with the loads.

Change: Publication::loads is an Option; Update::loads tells none from not included; published loads count for 5 s.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -184,6 +184,8 @@
   rng: SmallRng,
   /// What was learned from own requests, by pool.
   pub(crate) learned: BTreeMap<String, choice::learned::Learned>,
+  /// When loads of servers were last published, in ms; `None` once they are too old to count.
+  pub(crate) loads_at: Option<u64>,
   /// Published numbers of requests that wait for the models of a server, by its short hash.
   pub(crate) published_waiting: BTreeMap<u32, u16>,
   pub(crate) now: u64,
@@ -242,6 +244,7 @@
       permits_released: false,
       rng: SmallRng::seed_from_u64(seed),
       learned: BTreeMap::new(),
+      loads_at: None,
       published_waiting: BTreeMap::new(),
       now: 0,
       out: Vec::new(),
@@ -256,6 +259,7 @@
   /// Applies an event and returns the resulting effects.
   pub fn reduce(&mut self, now: u64, event: Event) -> Vec<Effect> {
     self.now = now;
+    self.expire_loads();
     // Entries that this event restores must not be dropped first.
     if !matches!(event, Event::Servers(_)) {
       self.drop_missing();
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -47,6 +47,7 @@
       return;
     };
     let term = update.heartbeat.term;
+    let loads = update.loads(&extension).map(<[_]>::to_vec);
     group.lease.receive(now, update.heartbeat, from);
     let holds_lease = group.holds_lease;
     let successor = !holds_lease && term != group.position.term;
@@ -85,17 +86,16 @@
       .receive(&mut group.position, range, update.holdings);
     // The next report requests the missing changes, unless they arrive before it.
     self.needs_resync |= fit == Fit::Gap;
-    let has_loads = !update.loads.is_empty();
     if was_behind && fit == Fit::Consecutive && !group.ahead.is_behind() {
       self.needs_resync = false;
     }
     let event = Event::Updated {
       holdings,
       group: (fit == Fit::Snapshot).then_some((update.group, groups)),
-      loads: has_loads.then_some(update.loads),
       instances: update.instances as usize,
+      loads,
     };
-    if has_loads {
+    if matches!(event, Event::Updated { loads: Some(_), .. }) {
       self.hub.apply(Event::Waiting(extension.waiting), None);
     }
     self.hub.apply(event, None);
@@ -363,7 +363,7 @@
       since: update.since,
       latest: update.latest,
       holdings: Vec::new(),
-      loads: update.loads.clone(),
+      loads: update.loads.clone().unwrap_or_default(),
       // Sending 256 entries with every update would take 1.7 MB for 295 instances.
       quarantined: match extended {
         true => self.registry.published(now),
@@ -455,14 +455,14 @@
     if let Some(unanswered) = &update.unanswered {
       self.groups[index].former_loads.publish(unanswered.clone());
     }
-    if !update.loads.is_empty() {
+    if update.loads.is_some() {
       self.hub.apply(Event::Waiting(update.waiting.clone()), None);
     }
     let holdings = update.holdings.iter();
     let event = Event::Updated {
       holdings: holdings.map(|(_, holding)| holding.clone()).collect(),
       group: (update.since == 0).then_some((index as u32, groups)),
-      loads: (!update.loads.is_empty()).then(|| update.loads.clone()),
+      loads: update.loads.clone(),
       instances,
     };
     self.hub.apply(event, None);
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -12,6 +12,9 @@
 /// path and is read again within a few seconds at most.
 const EARLY_HOLDING_TTL_MS: u64 = 10_000;
 
+/// How long published loads of servers count, in ms. A lease changes its holder within this time.
+const LOADS_VALID_MS: u64 = 5_000;
+
 impl State {
   pub(crate) fn update_servers(&mut self, changes: Vec<Change>) {
     self.changes += 1;
@@ -225,6 +228,7 @@
   }
 
   pub(crate) fn update_loads(&mut self, loads: &[(u32, u16)]) {
+    self.loads_at = Some(self.now);
     for backend in self.backends.values_mut() {
       let short = backend.spec.life().short_hash();
       // A server that is not listed has no requests.
@@ -233,6 +237,20 @@
       backend.running_at_publish = backend.running;
     }
   }
+
+  /// Forgets published loads that are too old: only this instance's own requests are known to run.
+  pub(crate) fn expire_loads(&mut self) {
+    let valid = |at: u64| self.now <= at + LOADS_VALID_MS;
+    if self.loads_at.is_none_or(valid) {
+      return;
+    }
+    self.loads_at = None;
+    for backend in self.backends.values_mut() {
+      backend.load = backend.running;
+      backend.running_at_publish = backend.running;
+    }
+    self.published_waiting.clear();
+  }
 }
 
 /// The spec of a restarted server, as far as the planner has published it: copies in memory are
--- a/src/message.rs
+++ b/src/message.rs
@@ -155,10 +155,19 @@
   pub since: u64,
   pub latest: u64,
   pub holdings: Vec<Holding>,
-  /// Number of requests from all instances for each server that has any; empty if not included.
+  /// Number of requests from all instances for each server that has any; see `Update::loads`.
   pub loads: Vec<(u32, u16)>,
   /// Requests that are not sent to any server, for instances that do not know them yet.
   pub quarantined: Vec<Quarantined>,
   /// Quota usage within the last windows; `None` if not included.
   pub sums: Option<Sums>,
 }
+
+impl Update {
+  /// The loads of servers, or `None` if the update does not include them. Loads that may still be
+  /// carried out are published with them, also where there are none.
+  pub fn loads(&self, extension: &Extension) -> Option<&[(u32, u16)]> {
+    let included = extension.unanswered.is_some() || !self.loads.is_empty();
+    included.then_some(&self.loads)
+  }
+}
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -27,7 +27,7 @@
   /// Each with the number of its change, in that order.
   pub holdings: Vec<(u64, Holding)>,
   /// Running requests of servers that have any, by the short hash of the server's life.
-  pub loads: Vec<(u32, u16)>,
+  pub loads: Option<Vec<(u32, u16)>>,
   /// Paces of servers that have changed, and of some others in turn.
   pub paces: Vec<Published>,
   /// Number of requests that wait for the models of a server, published with the loads.
@@ -60,13 +60,10 @@
     let since = self.changes;
     let dirty = std::mem::take(&mut self.dirty);
     dirty.into_iter().for_each(|key| self.record_change(key));
-    let loads = match loads_due {
-      true => {
-        self.loads_published_at = self.now;
-        self.server_loads()
-      }
-      false => Vec::new(),
-    };
+    let loads = loads_due.then(|| self.server_loads());
+    if loads_due {
+      self.loads_published_at = self.now;
+    }
     let unanswered = loads_due.then(|| self.unanswered_loads());
     let paces = self.due_paces();
     if self.changes > since {
@@ -134,7 +131,7 @@
         0 => self.known_paces(),
         _ => Vec::new(),
       };
-      self.publish_since(Some(address), since, Vec::new(), paces);
+      self.publish_since(Some(address), since, None, paces);
     }
   }
 
@@ -142,7 +139,7 @@
     &mut self,
     to: Option<SocketAddr>,
     since: u64,
-    loads: Vec<(u32, u16)>,
+    loads: Option<Vec<(u32, u16)>>,
     paces: Vec<Published>,
   ) {
     let changed = self.changed_servers.range(since + 1..);
@@ -150,9 +147,9 @@
       let published = self.servers.get(*key)?.published.clone()?;
       Some((*number, published))
     });
-    let waiting = match loads.is_empty() {
-      true => Vec::new(),
-      false => self.server_waiting(),
+    let waiting = match &loads {
+      Some(_) => self.server_waiting(),
+      None => Vec::new(),
     };
     let publication = Publication {
       to,
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -753,7 +753,7 @@
     latest: 0,
     holdings: Vec::new(),
     waiting: Vec::new(),
-    loads: Vec::new(),
+    loads: None,
     paces: Vec::new(),
     unanswered: None,
   }
--- a/tests/bounded_sends.rs
+++ b/tests/bounded_sends.rs
@@ -285,7 +285,10 @@
     world.report();
     for effect in world.plan.step(world.now) {
       if let plan::Effect::Publish(publication) = effect
-        && !publication.loads.is_empty()
+        && publication
+          .loads
+          .as_ref()
+          .is_some_and(|loads| !loads.is_empty())
       {
         published = publication.waiting;
       }
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -391,7 +391,7 @@
         self.apply(Event::Updated {
           holdings: holdings.map(|(_, holding)| holding).collect(),
           group: None,
-          loads: (!publication.loads.is_empty()).then_some(publication.loads),
+          loads: publication.loads,
           instances: 1,
         });
       }
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -267,7 +267,7 @@
       .collect(),
     paces: Vec::new(),
     unanswered: None,
-    loads: Vec::new(),
+    loads: None,
     waiting: Vec::new(),
   };
   let count = parts(&update).len();
@@ -316,7 +316,7 @@
     paces: Vec::new(),
     unanswered: None,
     waiting: Vec::new(),
-    loads: Vec::new(),
+    loads: None,
   };
   let mut instance = Instance::default();
   instance.receive(&publication(0, 5, "first"), |_| false);
@@ -347,7 +347,7 @@
     };
     holder.plan.receive_report(holder.now, address(), report);
     let (all, _) = holder.step();
-    published += all.iter().filter(|update| !update.loads.is_empty()).count();
+    published += all.iter().filter(|update| update.loads.is_some()).count();
   }
   // Every 500 ms of 2 s.
   assert!((3..=5).contains(&published), "published {published} times");
--- a/tests/token_memory.rs
+++ b/tests/token_memory.rs
@@ -152,3 +152,21 @@
     assert!(sent(&state.reduce(1, arrived(ticket, 4_000, 500, None))).is_some());
   }
 }
+
+/// Loads that a holder had published before it ended counted as memory in use until the next holder,
+/// however long that took.
+#[test]
+fn published_loads_count_for_a_bounded_time() {
+  let mut state = state(&["one"], true);
+  let life = requests::spec("one").life().short_hash();
+  let updated = Event::Updated {
+    holdings: Vec::new(),
+    group: None,
+    loads: Some(vec![(life, 12)]),
+    instances: 2,
+  };
+  state.reduce(1_000, updated);
+  assert!(sent(&state.reduce(1_001, arrived(1, 8_000, 500, None))).is_none());
+  let rechecked = state.reduce(30_000, Event::Recheck(Ticket(1)));
+  assert!(sent(&rechecked).is_some(), "{rechecked:?}");
+}
