Responses to HEAD: our own end with their heads too

Cause: each place that writes an answer of our own encoded it without knowing the method. Ruled out: forwarded plain answers, which are read and framed by the method already.

Change: http::Response::encode_complete knows the method, for refusals and rejections; the product's own port and the health port leave the body out as well. The same class in forwarded streams: a HEAD on a streaming route got a chunked end, and an HTTP/1.0 caller chunks; both follow the request now.

The property test of complete responses holds (100 cases).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -45,14 +45,22 @@
 enum ReadError {
   /// The connection was closed, or was idle for too long.
   Closed,
-  /// Status and message of the response.
-  Rejected(u16, String),
+  Rejected(Rejection),
   /// Too many bytes are held for callers.
   Full(Box<Full>),
 }
 
+/// A request that is invalid or exceeds a limit.
+struct Rejection {
+  status: u16,
+  message: String,
+  /// Method of the request; empty if its head was not read.
+  method: String,
+}
+
 /// A request that does not fit into the bounds on bytes held.
 struct Full {
+  method: String,
   /// Its id.
   request: Option<String>,
   scope: Scope,
@@ -69,6 +77,16 @@
   account: Option<Account>,
 }
 
+impl ReadError {
+  /// Adds the method of the request whose body could not be read.
+  fn with_method(mut self, method: &str) -> Self {
+    if let Self::Rejected(rejection) = &mut self {
+      rejection.method = method.into();
+    }
+    self
+  }
+}
+
 impl From<io::Error> for ReadError {
   fn from(_: io::Error) -> Self {
     // No response can be sent if the connection failed.
@@ -203,9 +221,10 @@
           return close(socket);
         }
       }
-      Err(ReadError::Rejected(status, text)) => {
-        info!(hub.log, "request rejected"; "status" => status, "why" => &text);
-        let response = error_response(status, &text);
+      Err(ReadError::Rejected(rejection)) => {
+        info!(hub.log, "request rejected"; "status" => rejection.status,
+          "why" => &rejection.message);
+        let response = error_response(&rejection, false);
         // Best effort: the sender of an invalid request may not read the response either.
         let _ = socket.write_all(&response, Moment::now() + RESPONSE_TIMEOUT);
         return close(socket);
@@ -284,6 +303,7 @@
   let id = head.headers.get(hub.dialect.request_id);
   let full = |scope, partial| {
     ReadError::Full(Box::new(Full {
+      method: head.method.clone(),
       request: id.map(str::to_string),
       scope,
       partial,
@@ -295,7 +315,8 @@
   };
   let body = read_body(socket, &head, &limits, account.as_ref(), |scope| {
     full(scope, true)
-  })?;
+  });
+  let body = body.map_err(|error| error.with_method(&head.method))?;
   if let Some(account) = &account {
     account.settle();
   }
@@ -319,7 +340,7 @@
   info!(hub.log, "refused"; "request" => &full.request, "reason" => refusal.reason.as_str(),
     "verdict" => refusal.verdict.as_str(), "bound" => full.scope.as_str(),
     "held_bytes" => hub.readers.get().map(Book::total), "partial" => full.partial);
-  let response = relay::encode_refusal(&refusal, keep_alive);
+  let response = relay::encode_refusal(&refusal, &full.method, keep_alive);
   write_response(socket, &response, keep_alive)
 }
 
@@ -336,13 +357,21 @@
   }
 }
 
+fn rejected(status: u16, message: String) -> ReadError {
+  ReadError::Rejected(Rejection {
+    status,
+    message,
+    method: String::new(),
+  })
+}
+
 fn invalid(error: Error) -> ReadError {
-  ReadError::Rejected(400, error.0)
+  rejected(400, error.0)
 }
 
 fn incomplete(error: io::Error, part: &str) -> ReadError {
   match error.kind() {
-    io::ErrorKind::TimedOut => ReadError::Rejected(408, format!("{part}: not whole in time")),
+    io::ErrorKind::TimedOut => rejected(408, format!("{part}: not whole in time")),
     _ => ReadError::Closed,
   }
 }
@@ -372,7 +401,7 @@
 }
 
 fn head_too_large(limits: &Bounds) -> ReadError {
-  ReadError::Rejected(431, format!("head: more than {} bytes", limits.head_bytes))
+  rejected(431, format!("head: more than {} bytes", limits.head_bytes))
 }
 
 fn read_body(
@@ -383,8 +412,7 @@
   full: impl Fn(Scope) -> ReadError,
 ) -> Result<Vec<u8>, ReadError> {
   let framing = head.framing().map_err(invalid)?;
-  let body_too_large =
-    || ReadError::Rejected(413, format!("body: more than {} bytes", limits.body_bytes));
+  let body_too_large = || rejected(413, format!("body: more than {} bytes", limits.body_bytes));
   if matches!(framing, Framing::Length(length) if length > limits.body_bytes as u64) {
     return Err(body_too_large());
   }
@@ -475,7 +503,7 @@
       "reason" => refusal.reason.as_str(), "why" => "no configuration is known");
     return write_response(
       socket,
-      &relay::encode_refusal(&refusal, keep_alive),
+      &relay::encode_refusal(&refusal, &head.method, keep_alive),
       keep_alive,
     );
   };
@@ -483,8 +511,12 @@
   let Some(route) = route::find(&deployment.routes, host, head.path()) else {
     info!(hub.log, "no route"; "request" => head.headers.get(hub.dialect.request_id),
       "host" => host, "path" => head.path(), "version" => deployment.version);
-    let text = format!("route: none for `{host}{}`", head.path());
-    return write_response(socket, &error_response(404, &text), keep_alive);
+    let rejection = Rejection {
+      status: 404,
+      message: format!("route: none for `{host}{}`", head.path()),
+      method: head.method.clone(),
+    };
+    return write_response(socket, &error_response(&rejection, keep_alive), keep_alive);
   };
   let caller = match caller(hub, &deployment, route, &head) {
     Ok(caller) => caller,
@@ -496,7 +528,7 @@
       hub.measures.record_refusal(&refusal);
       return write_response(
         socket,
-        &relay::encode_refusal(&refusal, keep_alive),
+        &relay::encode_refusal(&refusal, &head.method, keep_alive),
         keep_alive,
       );
     }
@@ -515,6 +547,7 @@
   {
     let request = incoming.head.headers.get(hub.dialect.request_id);
     let full = Full {
+      method: incoming.head.method.clone(),
       request: request.map(str::to_string),
       scope,
       partial: false,
@@ -564,18 +597,15 @@
   }
 }
 
-fn error_response(status: u16, text: &str) -> Vec<u8> {
+fn error_response(rejection: &Rejection, keep_alive: bool) -> Vec<u8> {
   let body = serde_json::json!({ "error": {
-    "type": "invalid_request", "message": text, "verdict": "not-run" } });
-  let body = body.to_string();
+    "type": "invalid_request", "message": &rejection.message, "verdict": "not-run" } });
   let mut head = Response {
-    status,
+    status: rejection.status,
     reason: "Declined".into(),
     minor: 1,
     headers: Headers::default(),
   };
   head.headers.set("Content-Type", "application/json");
-  let mut bytes = head.encode(Framing::Length(body.len() as u64), status == 404);
-  bytes.extend_from_slice(body.as_bytes());
-  bytes
+  head.encode_complete(&rejection.method, body.to_string().as_bytes(), keep_alive)
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,7 +1,7 @@
 //! Health port: readiness of an instance, its metrics, and the state of its customers.
 
 use crate::{
-  http::Request,
+  http::{self, Request},
   hub::{Hub, lock},
   quota::Id,
   web,
@@ -62,6 +62,10 @@
         input.drain(..length);
         let (status, body) = render(hub, head.path());
         let length = body.len();
+        let body = match http::has_body(&head.method, status) {
+          true => body,
+          false => String::new(),
+        };
         let response = format!(
           "HTTP/1.1 {status} Health\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\n\r\n{body}"
         );
--- a/src/http.rs
+++ b/src/http.rs
@@ -217,7 +217,7 @@
 
   /// Determines the framing of the body, given the method of the request.
   pub fn framing(&self, method: &str) -> Result<Framing, Error> {
-    if method == "HEAD" || self.status < 200 || matches!(self.status, 204 | 304) {
+    if !has_body(method, self.status) {
       return Ok(Framing::Empty);
     }
     let mut lengths = self.headers.get_all("content-length");
@@ -246,6 +246,21 @@
     };
     encode(start_line, &self.headers, framing, connection)
   }
+
+  /// Serializes a complete response to a request with this method. The response to a HEAD request
+  /// states the length of its body and leaves it out.
+  pub fn encode_complete(&self, method: &str, body: &[u8], keep_alive: bool) -> Vec<u8> {
+    let mut bytes = self.encode(Framing::Length(body.len() as u64), keep_alive);
+    if has_body(method, self.status) {
+      bytes.extend_from_slice(body);
+    }
+    bytes
+  }
+}
+
+/// Whether a response with this status to a request with this method may have a body.
+pub fn has_body(method: &str, status: u16) -> bool {
+  method != "HEAD" && status >= 200 && !matches!(status, 204 | 304)
 }
 
 fn parse_len(digits: &[u8]) -> Result<u64, Error> {
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -4,7 +4,7 @@
 use crate::{
   clock::Moment,
   dispatch::End,
-  http::{Framing, LAST_CHUNK, Response, encode_chunk},
+  http::{Framing, LAST_CHUNK, Response, encode_chunk, has_body},
   hub::Mailbox,
   refusal::Refusal,
   socket::{Fill, Interest, wait},
@@ -86,9 +86,9 @@
       self.forward(head, Framing::Close, &bytes, true)?;
       return self.finish_body(head, Framing::Close);
     }
-    let framing = match self.incoming.head.method == "HEAD" || matches!(head.status, 204 | 304) {
-      true => Framing::Empty,
-      false => Framing::Length(bytes.len() as u64),
+    let framing = match has_body(&self.incoming.head.method, head.status) {
+      true => Framing::Length(bytes.len() as u64),
+      false => Framing::Empty,
     };
     let mut head = head.clone();
     head.headers.remove_hop_by_hop();
@@ -110,9 +110,11 @@
     let mut response = Vec::new();
     if self.response_framing.is_none() {
       // A response delimited by the close of its connection is delimited that way for the caller
-      // too.
+      // too. Chunks are unknown to HTTP/1.0.
       let framing = match framing {
+        Framing::Empty => Framing::Empty,
         Framing::Close => Framing::Close,
+        _ if self.incoming.head.minor == 0 => Framing::Close,
         _ => Framing::Chunked,
       };
       let mut head = head.clone();
@@ -212,7 +214,7 @@
     let written = match self.held_failure.take() {
       Some((head, bytes)) => self.send_response(&head, bytes),
       None => {
-        let response = encode_refusal(&refusal, self.keep_alive());
+        let response = encode_refusal(&refusal, &self.incoming.head.method, self.keep_alive());
         self.write_caller(&response)
       }
     };
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -1,7 +1,7 @@
 //! The final response to a request that is not served.
 
 use crate::{
-  http::{Framing, Headers, Response},
+  http::{Headers, Response},
   refusal::{Reason, Refusal},
   reply,
   verdict::Verdict,
@@ -18,8 +18,8 @@
   }
 }
 
-/// Encodes a refusal as an HTTP response.
-pub fn encode_refusal(refusal: &Refusal, keep_alive: bool) -> Vec<u8> {
+/// Encodes a refusal as the HTTP response to a request with this method.
+pub fn encode_refusal(refusal: &Refusal, method: &str, keep_alive: bool) -> Vec<u8> {
   let status = status(refusal);
   let body = reply::refusal_body(*refusal).to_string();
   let mut head = Response {
@@ -36,7 +36,5 @@
     let seconds = format!("{:.1}", ms as f64 / 1_000.0);
     head.headers.set("Retry-After", &seconds);
   }
-  let mut bytes = head.encode(Framing::Length(body.len() as u64), keep_alive);
-  bytes.extend_from_slice(body.as_bytes());
-  bytes
+  head.encode_complete(method, body.as_bytes(), keep_alive)
 }
--- a/src/web.rs
+++ b/src/web.rs
@@ -6,7 +6,7 @@
 //! heads with `httparse`, decodes chunked bodies with `chunked_transfer`, and implements the rest.
 //! docs/DESIGN.md has the measurements.
 
-use crate::clock::Moment;
+use crate::{clock::Moment, http};
 use chunked_transfer::{Decoder, Encoder};
 use socket2::{Domain, Socket, Type};
 use std::{
@@ -108,7 +108,7 @@
     self.target.split('?').next().unwrap_or_default()
   }
 
-  /// Sends a complete response.
+  /// Sends a complete response. To a HEAD request, its body is left out.
   pub fn respond(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8]) {
     let head = encode_head(
       status,
@@ -116,6 +116,10 @@
       &format!("content-length: {}", body.len()),
       self.keep_alive,
     );
+    let body = match http::has_body(&self.method, status) {
+      true => body,
+      false => &[],
+    };
     let written = self
       .stream
       .write_all(&[head.as_bytes(), body].concat())
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -1,7 +1,7 @@
 //! Messages are parsed strictly, and independently of how their bytes are split on arrival.
 
 use bendsaddle::{
-  http::{Decoder, Framing, LAST_CHUNK, Request, Response, encode_chunk},
+  http::{Decoder, Framing, Headers, LAST_CHUNK, Request, Response, encode_chunk, has_body},
   sse::Parser,
 };
 use quickcheck::quickcheck;
@@ -130,3 +130,26 @@
   assert!(parser.partial().is_empty());
   assert_eq!(parser.last_id.as_deref(), Some("1"));
 }
+
+quickcheck! {
+  /// A complete response is read back as it was written, and nothing is left that the next response
+  /// would begin with.
+  fn complete_responses_end_where_their_framing_says(method: u8, status: u8, body: Vec<u8>, keep: bool) -> bool {
+    let method = ["GET", "POST", "HEAD"][usize::from(method) % 3];
+    let status = [200, 204, 304, 400, 404, 413, 429, 502, 503][usize::from(status) % 9];
+    let response = Response {
+      status,
+      reason: "Any".into(),
+      minor: 1,
+      headers: Headers::default(),
+    };
+    let mut bytes = response.encode_complete(method, &body, keep);
+    let (head, length) = Response::parse(&bytes).unwrap().unwrap();
+    bytes.drain(..length);
+    let mut decoder = Decoder::new(head.framing(method).unwrap());
+    let mut decoded = Vec::new();
+    decoder.decode(&mut bytes, &mut decoded).unwrap();
+    let expected = if has_body(method, status) { body } else { Vec::new() };
+    decoder.is_complete() && bytes.is_empty() && decoded == expected && head.keep_alive() == keep
+  }
+}
