Connections to servers: none carries a request twice

Cause: a response is told by the id of its request, which all sends of the request share. A server's second copy of a rejection comes late, in the place of the next response on its connection, and the next send used that connection.

Change: a connection remembers the requests it has carried, 64 at most, and carries none twice; a response without an id counts on a connection's first request only. Tunnels and resumed streams have new connections.

Left: reports and orders on kept connections have no id of their own.

--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -12,6 +12,7 @@
 };
 use slog::{info, warn};
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A repeatable request is retried when its server has not responded within this many objectives.
 const STALL_OBJECTIVES: u64 = 4;
@@ -85,7 +86,7 @@
   fn connect(&self, attempt: &Attempt, once: bool) -> Result<Connection, tunnel::Failure> {
     let hub = self.hub;
     let direct = |socket| Connection { socket, via: None };
-    if let Some(socket) = hub.pool.take_idle(attempt.backend, once) {
+    if let Some(socket) = hub.pool.take_idle(attempt.backend, once, self.id_hash()) {
       return Ok(direct(socket));
     }
     if let Some(timeout) = hub.paths.direct_timeout(attempt.backend, hub.now()) {
@@ -145,6 +146,11 @@
     let dialect = &self.hub.dialect;
     let mut head = self.incoming.head.clone();
     head.headers.remove_hop_by_hop();
+  /// Identifies the request among those that a connection has carried.
+  fn id_hash(&self) -> u64 {
+    xxh3_64(self.id.as_bytes())
+  }
+
     head.headers.remove("expect");
     for name in dialect.reserved {
       head.headers.remove(name);
@@ -333,6 +339,10 @@
       let echoed = head.headers.get(self.hub.dialect.request_id);
       match echoed {
         Some(echoed) if echoed != self.id => self.skip_body(socket, framing, until)?,
+        // On a connection that has carried others, it may be a further response to one of them.
+        None if !self.id.is_empty() && socket.carried.len() > 1 => {
+          return Err(outcome(End::Broken, "answer without an id"));
+        }
         _ => return Ok((head, framing)),
       }
     }
@@ -415,6 +425,7 @@
       return Err(outcome(End::Broken, "answer without signature"));
     }
     if success && head.headers.get("content-encoding").is_some() {
+    socket.carried.push(self.id_hash());
       return Err(outcome(End::Broken, "answer in an encoding not asked for"));
     }
     let reuse = match written && head.keep_alive() && framing != Framing::Close {
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -109,6 +109,8 @@
   pub stream: TcpStream,
   /// Data that has been read but not yet consumed.
   pub input: Vec<u8>,
+  /// Hashes of the ids of the requests that a connection to a server has carried.
+  pub carried: Vec<u64>,
 }
 
 /// Ends a connection whose peer no longer responds.
@@ -130,6 +132,7 @@
     Ok(Self {
       stream,
       input: Vec::new(),
+      carried: Vec::new(),
     })
   }
 
@@ -144,6 +147,7 @@
     Ok(Self {
       stream: raw.into(),
       input: Vec::new(),
+      carried: Vec::new(),
     })
   }
 
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -10,6 +10,8 @@
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(1_000);
 /// Maximum idle time of a connection.
 const MAX_IDLE: Duration = Duration::from_millis(4_000);
+/// Maximum number of requests on a connection, whose ids are remembered.
+const MAX_CARRIED: usize = 64;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -27,13 +29,16 @@
 }
 
 impl Pool {
-  /// Takes an idle connection to a server. `once` selects the shorter idle time, for a request that
-  /// may run only once.
-  pub fn take_idle(&self, key: backend::Key, once: bool) -> Option<Socket> {
+  /// Takes an idle connection to a server that has not carried the request with this hash of its id:
+  /// a second response to it may still arrive there. `once` selects the shorter idle time, for a
+  /// request that may run only once.
+  pub fn take_idle(&self, key: backend::Key, once: bool, request: u64) -> Option<Socket> {
     let mut pool = lock(&self.idle);
     let idle = pool.get_mut(key)?;
-    while let Some(mut last) = idle.pop() {
-      let limit = if once { MAX_IDLE_ONCE } else { MAX_IDLE };
+    let limit = if once { MAX_IDLE_ONCE } else { MAX_IDLE };
+    let is_other = |idle: &Idle| !idle.socket.carried.contains(&request);
+    while let Some(position) = idle.iter().rposition(is_other) {
+      let mut last = idle.remove(position);
       if last.idle_since.elapsed() < last.max_idle.min(limit) && last.socket.is_idle() {
         return Some(last.socket);
       }
@@ -47,7 +52,7 @@
     let Some(idle) = pool.entry(key).map(|entry| entry.or_default()) else {
       return;
     };
-    if idle.len() < MAX_IDLE_CONNECTIONS {
+    if idle.len() < MAX_IDLE_CONNECTIONS && socket.carried.len() < MAX_CARRIED {
       // Half of the allowed time, so that this side closes the connection first.
       let max_idle = max_idle.map_or(MAX_IDLE, |max_idle| max_idle / 2);
       let idle_since = Moment::now();
