Bytes without end: heads, skipped responses, events and time are bounded

Callers: a server that sends bytes which are no answer, without end, held its request past the deadline, and the instance's memory.

Cause: a deadline was checked only while a server sent nothing, and neither a head nor an event had a bound. Ruled out: chunks' size lines, which had one.

Change: a response's head has 64 KiB at most, skipped responses 4 MiB, an event 1 MiB, calls 16 interim responses; past the request's time a server is read 64 times more, so that a process that was suspended still finds its response.

--- a/src/http.rs
+++ b/src/http.rs
@@ -7,6 +7,8 @@
 
 /// Maximum number of headers of a message.
 const MAX_HEADERS: usize = 100;
+/// Maximum size of a response's head: bytes that are no response may come without end.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 /// Maximum length of a chunk's size line and of a trailer line.
 const MAX_LINE_BYTES: usize = 256;
 
@@ -203,6 +205,11 @@
     let mut parsed = httparse::Response::new(&mut lines);
     let length = match parsed.parse(bytes) {
       Ok(httparse::Status::Complete(length)) => length,
+      Ok(httparse::Status::Partial) if bytes.len() > MAX_RESPONSE_HEAD_BYTES => {
+        return Err(Error(format!(
+          "head: more than {MAX_RESPONSE_HEAD_BYTES} bytes"
+        )));
+      }
       Ok(httparse::Status::Partial) => return Ok(None),
       Err(error) => return Err(Error(format!("head: {error}"))),
     };
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -16,6 +16,8 @@
 
 /// Maximum size of a response body. A page of the store holds 1 MB.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum number of interim responses before a response.
+const MAX_INTERIM: usize = 16;
 /// An idle connection is not reused after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(2_000);
 /// Maximum number of idle connections per address.
@@ -132,13 +134,18 @@
   let mut bytes = request.encode(framing);
   bytes.extend_from_slice(call.body);
   socket.write_all(&bytes, read_deadline())?;
+  let mut interim = 0;
   let head = loop {
+    if interim > MAX_INTERIM {
+      return Err(io::ErrorKind::InvalidData.into());
+    }
     match Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))? {
       Some((head, length)) => {
         socket.input.drain(..length);
         if head.status >= 200 {
           break head;
         }
+        interim += 1;
       }
       None => match socket.fill_by(read_deadline())? {
         Fill::Eof => return Err(io::ErrorKind::UnexpectedEof.into()),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -98,6 +98,8 @@
   sending: Sending,
   /// The stream of a run whose server sends nothing for now; another server may continue it.
   stalled: Option<Stream>,
+  /// Reads of servers after the end of the request's time.
+  overdue_reads: u32,
   /// A server's error response, sent to the caller if no better response follows.
   held_failure: Option<(Response, Vec<u8>)>,
   abandoned: Option<Abandoned>,
@@ -207,6 +209,7 @@
     resumed: false,
     sending: Sending::default(),
     stalled: None,
+    overdue_reads: 0,
     held_failure: None,
     abandoned: None,
     disposition: if keep_alive {
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -21,6 +21,10 @@
 /// A resumable stream is retried after a pause of this many allowed gaps.
 const STALL_GAPS: u64 = 4;
 
+/// Maximum bytes that are skipped in front of a response: interim responses and those to others.
+const MAX_SKIPPED_BYTES: usize = 4 << 20;
+/// Reads after the end of a request's time. A process that was suspended finds a response there.
+const MAX_OVERDUE_READS: u32 = 64;
 /// Interval at which a silent run is checked again after that.
 const SILENCE_CHECK_MS: u64 = 100;
 
@@ -142,15 +146,15 @@
     }
   }
 
-  fn encode_request(&self, attempt: &Attempt) -> Vec<u8> {
-    let dialect = &self.hub.dialect;
-    let mut head = self.incoming.head.clone();
-    head.headers.remove_hop_by_hop();
   /// Identifies the request among those that a connection has carried.
   fn id_hash(&self) -> u64 {
     xxh3_64(self.id.as_bytes())
   }
 
+  fn encode_request(&self, attempt: &Attempt) -> Vec<u8> {
+    let dialect = &self.hub.dialect;
+    let mut head = self.incoming.head.clone();
+    head.headers.remove_hop_by_hop();
     head.headers.remove("expect");
     for name in dialect.reserved {
       head.headers.remove(name);
@@ -264,7 +268,7 @@
           "the earlier server continues the stream",
         ));
       }
-      if server_ready {
+      if server_ready && self.may_read_on() {
         return socket
           .fill()
           .map_err(|_| disconnected("connection reset by server"));
@@ -286,6 +290,15 @@
     }
   }
 
+  /// Whether the server is still read: bytes may come without end.
+  fn may_read_on(&mut self) -> bool {
+    if self.hub.now() < self.end_at() {
+      return true;
+    }
+    self.overdue_reads += 1;
+    self.overdue_reads <= MAX_OVERDUE_READS
+  }
+
   /// Writes the request; an early response stops the writing. Returns whether all of it was
   /// written.
   fn write_request(&mut self, socket: &mut Socket, bytes: &[u8]) -> Result<bool, Outcome> {
@@ -318,7 +331,11 @@
   fn read_head(&mut self, socket: &mut Socket) -> Result<(Response, Framing), Outcome> {
     let until = self.read_deadline(false);
     let method = self.incoming.head.method.clone();
+    let mut skipped = 0;
     loop {
+      if skipped > MAX_SKIPPED_BYTES {
+        return Err(outcome(End::Broken, "not an answer"));
+      }
       let parsed = Response::parse(&socket.input);
       let Ok(parsed) = parsed else {
         return Err(outcome(End::Broken, "not an answer"));
@@ -331,6 +348,7 @@
       };
       socket.input.drain(..length);
       if head.status < 200 {
+        skipped += length;
         continue;
       }
       let Ok(framing) = head.framing(&method) else {
@@ -338,7 +356,9 @@
       };
       let echoed = head.headers.get(self.hub.dialect.request_id);
       match echoed {
-        Some(echoed) if echoed != self.id => self.skip_body(socket, framing, until)?,
+        Some(echoed) if echoed != self.id => {
+          skipped += length + self.skip_body(socket, framing, until)?;
+        }
         // On a connection that has carried others, it may be a further response to one of them.
         None if !self.id.is_empty() && socket.carried.len() > 1 => {
           return Err(outcome(End::Broken, "answer without an id"));
@@ -348,21 +368,24 @@
     }
   }
 
+  /// Reads and discards the body of a response; returns its length in bytes.
   fn skip_body(
     &mut self,
     socket: &mut Socket,
     framing: Framing,
     until: u64,
-  ) -> Result<(), Outcome> {
+  ) -> Result<usize, Outcome> {
     let mut body = Decoder::new(framing);
-    let mut out = Vec::new();
+    let (mut out, mut length) = (Vec::new(), 0);
     loop {
-      if body.decode(&mut socket.input, &mut out).is_err() {
+      let decoded = body.decode(&mut socket.input, &mut out);
+      length += out.len();
+      if decoded.is_err() || length > MAX_SKIPPED_BYTES {
         return Err(outcome(End::Broken, "not an answer"));
       }
       out.clear();
       if body.is_complete() {
-        return Ok(());
+        return Ok(length);
       }
       if self.read_patiently(socket, until)? == Fill::Eof {
         return Err(outcome(End::Broken, "connection closed by server"));
@@ -402,6 +425,7 @@
   }
 
   fn exchange(&mut self, mut socket: Socket, attempt: &Attempt) -> Result<Outcome, Outcome> {
+    socket.carried.push(self.id_hash());
     let bytes = self.encode_request(attempt);
     let written = self.write_request(&mut socket, &bytes)?;
     drop(bytes);
@@ -425,7 +449,6 @@
       return Err(outcome(End::Broken, "answer without signature"));
     }
     if success && head.headers.get("content-encoding").is_some() {
-    socket.carried.push(self.id_hash());
       return Err(outcome(End::Broken, "answer in an encoding not asked for"));
     }
     let reuse = match written && head.keep_alive() && framing != Framing::Close {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -7,6 +7,9 @@
   socket::{Fill, Socket},
 };
 
+/// Maximum size of an event: bytes that are no event may come without end.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// A stream that a server sends.
 pub(super) struct Stream {
   pub(super) socket: Socket,
@@ -62,6 +65,9 @@
       if !complete.is_empty() {
         self.forward_events(&mut stream, &complete)?;
       }
+      if self.events.partial().len() > MAX_EVENT_BYTES {
+        return Err(outcome(End::Broken, "an event is too large"));
+      }
       if stream.body.is_complete() {
         return self.finish_stream(stream);
       }
