Signal handlers stand before anything else of a start

Cause: the handlers were registered after settings, logs and ports. Change: they are the first thing a serving process does; a signal that comes meanwhile is handled once the instance runs. Left: the time until main() begins.

--- a/src/run.rs
+++ b/src/run.rs
@@ -124,16 +124,17 @@
 }
 
 fn serve(options: &Options) -> CommandResult {
+  let start_error = || Error("could not start the instance".into());
+  // Until its handlers are registered, a signal ends the process.
+  let mut signals = Signals::new().change_context_lazy(start_error)?;
   let path = options.settings.clone();
   let path = path.ok_or_else(|| Report::new(Error(format!("--settings: missing\n{USAGE}"))))?;
   let settings = Settings::load(&path)?;
   let log = logger(&settings.instance);
-  let start_error = || Error("could not start the instance".into());
   let instance = Instance::spawn(settings, log).change_context_lazy(start_error)?;
   let ports = serde_json::json!({ "callers": instance.callers.to_string(),
     "peers": instance.peers.to_string(), "operators": instance.operators.to_string() });
   println!("{ports}");
-  let mut signals = Signals::new().change_context_lazy(start_error)?;
   // Settings are only read at startup, so a reload signal is ignored.
   while signals.wait().change_context_lazy(start_error)? == Signal::Reload {}
   instance.stop();
@@ -154,6 +155,9 @@
 }
 
 fn try_run_router(edge: fn(&Settings) -> Result<Edge, String>) -> CommandResult {
+  let start_error = || Error("could not start the instance".into());
+  // Until its handlers are registered, a signal ends the process.
+  let mut signals = Signals::new().change_context_lazy(start_error)?;
   let mut parser = Parser::from_env();
   let (command, options) = parse(&mut parser).change_context(Error(USAGE.into()))?;
   if command != "serve" {
@@ -166,9 +170,7 @@
   let settings = Settings::load(&path)?;
   let log = logger(&settings.instance);
   let edge = edge(&settings).map_err(|error| Report::new(Error(error)))?;
-  let start_error = || Error("could not start the instance".into());
   let router = Router::spawn(&settings, edge, log).change_context_lazy(start_error)?;
-  let mut signals = Signals::new().change_context_lazy(start_error)?;
   while signals.wait().change_context_lazy(start_error)? == Signal::Reload {
     router.reload(Settings::load(&path));
   }
