--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -14,7 +14,7 @@
   net::{SocketAddr, TcpStream},
   sync::{
     Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
   },
   thread,
   time::Duration,
@@ -32,6 +32,9 @@
 /// The first part of all prompts, which callers share.
 pub const FIRST_PART: &str = "f1:10";
 
+/// Value of `Traffic::crowded` if no instance gets all new connections.
+pub const NO_CROWD: usize = usize::MAX;
+
 /// State that callers share with the simulation.
 pub struct Traffic {
   pub recorder: Arc<Recorder>,
@@ -39,6 +42,8 @@
   pub instances: Vec<(SocketAddr, AtomicBool)>,
   /// Number of active bursts.
   pub bursts: AtomicU64,
+  /// The instance that gets all new connections; `NO_CROWD` if callers are spread evenly.
+  pub crowded: AtomicUsize,
   /// Multiplier of the deadline that callers state: 1, except for the switch `patience`, which the
   /// deadline check must notice.
   pub deadline_factor: u64,
@@ -47,9 +52,25 @@
   pub stopped: AtomicBool,
 }
 
+impl Traffic {
+  /// The instance to which the load balancer sends a caller's next connection.
+  fn instance_for(&self, own: usize) -> usize {
+    let crowded = self.crowded.load(Ordering::Relaxed);
+    let is_ready = |(_, ready): &(SocketAddr, AtomicBool)| ready.load(Ordering::Relaxed);
+    match self.instances.get(crowded).is_some_and(is_ready) {
+      true => crowded,
+      false => own,
+    }
+  }
+
+  fn is_crowded(&self) -> bool {
+    self.crowded.load(Ordering::Relaxed) != NO_CROWD
+  }
+}
+
 /// Sends requests to one instance until the traffic stops.
-pub fn run_caller(traffic: &Traffic, instance: usize, caller: usize, seed: u64) {
-  let mut rng = SmallRng::seed_from_u64(seed ^ (instance as u64 * 1_000 + caller as u64));
+pub fn run_caller(traffic: &Traffic, own: usize, caller: usize, seed: u64) {
+  let mut rng = SmallRng::seed_from_u64(seed ^ (own as u64 * 1_000 + caller as u64));
   let mut connection: Option<(TcpStream, u32)> = None;
   let mut number = 0;
   while !traffic.stopped.load(Ordering::Relaxed) {
@@ -57,6 +78,10 @@
     thread::sleep(Duration::from_millis(
       rng.random_range(1..=MEAN_PAUSE_MS * 2) / burst,
     ));
+    if traffic.is_crowded() {
+      connection = None;
+    }
+    let instance = traffic.instance_for(own);
     let (address, ready) = &traffic.instances[instance];
     if !ready.load(Ordering::Relaxed) {
       connection = None;
@@ -64,7 +89,7 @@
     }
     number += 1;
     let kind = random_kind(&mut rng);
-    let id = format!("r-{instance}-{caller}-{number}");
+    let id = format!("r-{own}-{caller}-{number}");
     if traffic.resumes && kind == Kind::Stream {
       stream::run(traffic, &mut rng, instance, &id);
       continue;
@@ -87,7 +112,8 @@
       &model,
       (stated_deadline_ms, abandons),
     );
-    connection = stream.filter(|(_, requests)| *requests < MAX_CONNECTION_REQUESTS);
+    connection =
+      stream.filter(|(_, requests)| *requests < MAX_CONNECTION_REQUESTS && instance == own);
     let ended = traffic.recorder.now();
     let request = Request {
       id,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -91,6 +91,9 @@
   Brittle(usize, u32),
   /// Requests with a part in their prompts that crashes servers, which this number tells apart.
   DeadlyPart(u32),
+  /// The load balancer sends new connections to this instance only while it is ready, and callers
+  /// open one for each request.
+  Crowd(usize),
 }
 
 /// A fault with its start, in ms since the load started, and its duration.
@@ -217,6 +220,13 @@
 const DEADLY_MS: std::ops::Range<u64> = 4_000..8_000;
 const MAX_REJECTIONS: std::ops::Range<u32> = 0..6;
 
+/// First seed whose plan has times in which new connections go to one instance. Seeds with remainder
+/// thirteen modulo sixteen have only these, together with bursts and stops.
+const CROWDS_FROM_SEED: u64 = 120_000;
+/// Mean pause between two such times, and how long one lasts.
+const CROWD_PAUSE_MS: u64 = 5_000;
+const CROWD_MS: std::ops::Range<u64> = 2_000..6_000;
+
 /// Whether servers of several software versions serve side by side.
 pub fn has_builds(seed: u64) -> bool {
   seed >= BUILDS_FROM_SEED
@@ -227,6 +237,9 @@
   if (DEPARTURES_ONLY_FROM_SEED..ANNOUNCEMENTS_FROM_SEED).contains(&seed) {
     return departure_steps(seed, size);
   }
+  if seed >= CROWDS_FROM_SEED && seed % FRAGILE_MODULUS == 13 {
+    return crowd_steps(seed, size, true);
+  }
   if seed >= RESTORES_FROM_SEED && seed % SCENARIO_MODULUS == 1 {
     return restore_steps(seed, size, true);
   }
@@ -267,6 +280,9 @@
   if seed >= FRAGILE_FROM_SEED {
     steps.extend(fragile_steps(seed, size, false));
   }
+  if seed >= CROWDS_FROM_SEED {
+    steps.extend(crowd_steps(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -494,6 +510,35 @@
   steps
 }
 
+/// New connections that all go to one instance, half of the times in a burst. If `isolated`, that
+/// instance is stopped meanwhile half of the times.
+fn crowd_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(40));
+  let mut steps = Vec::new();
+  let mut at = rng.random_range(0..1_000).min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let duration_ms = rng.random_range(CROWD_MS);
+    let instance = rng.random_range(0..size.instances);
+    let step = |at, fault| Step {
+      at,
+      duration_ms,
+      fault,
+    };
+    steps.push(step(at, Fault::Crowd(instance)));
+    if rng.random_bool(0.5) {
+      steps.push(step(at, Fault::Burst));
+    }
+    if isolated && rng.random_bool(0.5) {
+      let stop_at = rng.random_range(at..at + duration_ms);
+      steps.push(step(stop_at, Fault::Stop(instance)));
+    }
+    at += rng.random_range(CROWD_PAUSE_MS / 3..CROWD_PAUSE_MS * 5 / 3);
+  }
+  steps.retain(|step| step.at < size.faults_ms);
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
 /// Servers that announce rate limits.
 fn limit_steps(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/world/faults.rs
+++ b/soak/src/world/faults.rs
@@ -1,7 +1,10 @@
 //! Injects the faults of a plan.
 
 use super::{World, sleep_until_stopped};
-use crate::plan::{Cut, Fault, Step};
+use crate::{
+  load::NO_CROWD,
+  plan::{Cut, Fault, Step},
+};
 use stand_ins::proxy::{Fault as ProxyFault, Proxy};
 use std::{
   sync::{
@@ -54,6 +57,7 @@
       Fault::Configure(changes) => self.configure_repeatedly(changes),
       Fault::Burst => self.burst(duration),
       Fault::Brittle(service, max) => self.let_be_brittle(service, max, duration),
+      Fault::Crowd(instance) => self.crowd(instance, duration),
       Fault::DeadlyPart(number) => self.send_deadly_parts(number, duration),
     }
   }
@@ -65,6 +69,14 @@
     }
   }
 
+  fn crowd(&self, instance: usize, duration: Duration) {
+    let crowded = &self.traffic.crowded;
+    crowded.store(instance, Ordering::Relaxed);
+    thread::sleep(duration);
+    // Another such time may have begun.
+    let _ = crowded.compare_exchange(instance, NO_CROWD, Ordering::Relaxed, Ordering::Relaxed);
+  }
+
   fn burst(&self, duration: Duration) {
     self.traffic.bursts.fetch_add(1, Ordering::Relaxed);
     thread::sleep(duration);
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::{
   history::{History, Recorder},
-  load::Traffic,
+  load::{NO_CROWD, Traffic},
   plan::{self, Size, Step},
   switch::Break,
 };
@@ -24,7 +24,7 @@
   path::PathBuf,
   sync::{
     Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
   },
   thread,
   time::{Duration, Instant},
@@ -166,6 +166,7 @@
     } else {
       1
     },
+    crowded: AtomicUsize::new(NO_CROWD),
     resumes: false,
     stopped: AtomicBool::new(false),
   }
