--- a/src/admission.rs
+++ b/src/admission.rs
@@ -6,7 +6,7 @@
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
-/// Share of the connections that may be idle while all others have a request.
+/// At most the limit of connections divided by this may be open without a request.
 const IDLE_DIVISOR: usize = 4;
 /// A thread starts late if it has waited for more than this part of the shortest objective.
 const START_DELAY_DIVISOR: u64 = 4;
@@ -14,7 +14,6 @@
 const MIN_START_DELAY_MS: u64 = 20;
 /// Connections whose threads may wait to start, however late threads start.
 const MIN_STARTING: usize = 4;
-
 /// An instance counts as overloaded for this long after it closed a connection unread, in ms.
 const OVERLOAD_MS: u64 = 1_000;
 
