Responses are framed by the method of the request whose id they echo

Cause: `read_head` framed each response that it skipped by the method of the request that waits. A copy of a response to GET in place of one to HEAD left its body, which is no response; a copy of a response to HEAD in place of one to GET states a length whose bytes were taken from the response that was due.

Ruled out: the id alone (it tells whose a response is, not how long); closing every connection with a surplus response (also takes the response that is due from a request that may not be repeated).

Change: src/response.rs: a connection knows the id and method of each request that it has carried, and a reader frames each response by the request that it echoes. A response to a request that the connection never carried is framed by the request that waits, as before. A request without an id takes no response without one either, on a connection that has carried others. Skipped responses are logged with their request.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod reply;
 pub mod report;
 pub mod request;
+pub mod response;
 mod restored;
 pub mod retry;
 pub mod route;
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -4,15 +4,15 @@
 use crate::{
   clock::Moment,
   dispatch::{Attempt, End, Event},
-  http::{Decoder, Framing, Request, Response},
+  http::{Framing, Request, Response},
   limit,
+  response::{self, Reader},
   socket::{Fill, Interest, Socket, wait},
   statement::{Hints, MISDIRECTED_REQUEST},
   tunnel,
 };
 use slog::{info, warn};
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// A repeatable request is retried when its server has not responded within this many objectives.
 const STALL_OBJECTIVES: u64 = 4;
@@ -21,8 +21,6 @@
 /// A resumable stream is retried after a pause of this many allowed gaps.
 const STALL_GAPS: u64 = 4;
 
-/// Maximum bytes that are skipped in front of a response: interim responses and those to others.
-const MAX_SKIPPED_BYTES: usize = 4 << 20;
 /// Reads after the end of a request's time. A process that was suspended finds a response there.
 const MAX_OVERDUE_READS: u32 = 64;
 /// Interval at which a silent run is checked again after that.
@@ -90,7 +88,10 @@
   fn connect(&self, attempt: &Attempt, once: bool) -> Result<Connection, tunnel::Failure> {
     let hub = self.hub;
     let direct = |socket| Connection { socket, via: None };
-    if let Some(socket) = hub.pool.take_idle(attempt.backend, once, self.id_hash()) {
+    if let Some(socket) = hub
+      .pool
+      .take_idle(attempt.backend, once, response::hash(&self.id))
+    {
       return Ok(direct(socket));
     }
     if let Some(timeout) = hub.paths.direct_timeout(attempt.backend, hub.now()) {
@@ -146,11 +147,6 @@
     }
   }
 
-  /// Identifies the request among those that a connection has carried.
-  fn id_hash(&self) -> u64 {
-    xxh3_64(self.id.as_bytes())
-  }
-
   fn encode_request(&self, attempt: &Attempt) -> Vec<u8> {
     let dialect = &self.hub.dialect;
     let mut head = self.incoming.head.clone();
@@ -328,68 +324,29 @@
   }
 
   /// Reads the head of the response, skipping responses to other requests.
-  fn read_head(&mut self, socket: &mut Socket) -> Result<(Response, Framing), Outcome> {
+  fn read_head(
+    &mut self,
+    socket: &mut Socket,
+    reader: &mut Reader,
+  ) -> Result<(Response, Framing), Outcome> {
     let until = self.read_deadline(false);
-    let method = self.incoming.head.method.clone();
-    let mut skipped = 0;
+    let id_header = self.hub.dialect.request_id;
     loop {
-      if skipped > MAX_SKIPPED_BYTES {
-        return Err(outcome(End::Broken, "not an answer"));
+      let read = reader.read(&mut socket.input, &socket.carried, id_header);
+      let read = read.map_err(|error| outcome(End::Broken, error.as_str()))?;
+      if let Some(response) = read {
+        return Ok(response);
       }
-      let parsed = Response::parse(&socket.input);
-      let Ok(parsed) = parsed else {
-        return Err(outcome(End::Broken, "not an answer"));
-      };
-      let Some((head, length)) = parsed else {
-        if self.read_patiently(socket, until)? == Fill::Eof {
-          return Err(disconnected("connection closed by server"));
-        }
-        continue;
-      };
-      socket.input.drain(..length);
-      if head.status < 200 {
-        skipped += length;
-        continue;
-      }
-      let Ok(framing) = head.framing(&method) else {
-        return Err(outcome(End::Broken, "not an answer"));
-      };
-      let echoed = head.headers.get(self.hub.dialect.request_id);
-      match echoed {
-        Some(echoed) if echoed != self.id => {
-          skipped += length + self.skip_body(socket, framing, until)?;
-        }
-        // On a connection that has carried others, it may be a further response to one of them.
-        None if !self.id.is_empty() && socket.carried.len() > 1 => {
-          return Err(outcome(End::Broken, "answer without an id"));
-        }
-        _ => return Ok((head, framing)),
+      if self.read_patiently(socket, until)? == Fill::Eof {
+        return Err(disconnected("connection closed by server"));
       }
     }
   }
 
-  /// Reads and discards the body of a response; returns its length in bytes.
-  fn skip_body(
-    &mut self,
-    socket: &mut Socket,
-    framing: Framing,
-    until: u64,
-  ) -> Result<usize, Outcome> {
-    let mut body = Decoder::new(framing);
-    let (mut out, mut length) = (Vec::new(), 0);
-    loop {
-      let decoded = body.decode(&mut socket.input, &mut out);
-      length += out.len();
-      if decoded.is_err() || length > MAX_SKIPPED_BYTES {
-        return Err(outcome(End::Broken, "not an answer"));
-      }
-      out.clear();
-      if body.is_complete() {
-        return Ok(length);
-      }
-      if self.read_patiently(socket, until)? == Fill::Eof {
-        return Err(outcome(End::Broken, "connection closed by server"));
-      }
+  fn log_skipped(&self, reader: &Reader, attempt: &Attempt) {
+    if reader.skipped > 0 {
+      info!(self.hub.log, "surplus responses skipped"; "request" => &self.id,
+        "server" => &attempt.id, "send" => attempt.number, "count" => reader.skipped);
     }
   }
 
@@ -425,11 +382,14 @@
   }
 
   fn exchange(&mut self, mut socket: Socket, attempt: &Attempt) -> Result<Outcome, Outcome> {
-    socket.carried.push(self.id_hash());
+    socket.carried.push(&self.id, &self.incoming.head.method);
     let bytes = self.encode_request(attempt);
     let written = self.write_request(&mut socket, &bytes)?;
     drop(bytes);
-    let (head, framing) = match self.read_head(&mut socket) {
+    let mut reader = Reader::default();
+    let read = self.read_head(&mut socket, &mut reader);
+    self.log_skipped(&reader, attempt);
+    let (head, framing) = match read {
       Err(result) if result.end == End::Left => {
         self.abandon(socket, attempt);
         return Err(result);
--- /dev/null
+++ b/src/response.rs
@@ -0,0 +1,159 @@
+//! Finds the response to a request among those that arrive on its connection.
+//!
+//! A server may send a surplus response to an earlier request, in the place of the next one due. The
+//! id that a response echoes shows which request it belongs to, and the method of that request how
+//! it is framed.
+
+use crate::http::{Decoder, Framing, Response};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Maximum bytes in front of a response: interim responses and surplus ones.
+const MAX_SKIPPED_BYTES: usize = 4 << 20;
+
+/// Maximum number of requests on a connection, whose ids are remembered.
+const MAX_CARRIED: usize = 64;
+
+/// Why the response cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+  /// The bytes are not a response, or too many are in front of it.
+  Malformed,
+  /// The response echoes no id, on a connection that has carried other requests.
+  Unidentified,
+}
+
+impl Error {
+  /// Describes it for the log.
+  pub fn as_str(self) -> &'static str {
+    match self {
+      Self::Malformed => "not an answer",
+      Self::Unidentified => "answer without an id",
+    }
+  }
+}
+
+/// Returns the hash by which a request is told apart from others on its connection.
+pub fn hash(id: &str) -> u64 {
+  xxh3_64(id.as_bytes())
+}
+
+/// A request that a connection has carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Sent {
+  /// Hash of its id.
+  id: u64,
+  /// Whether it is a HEAD request, whose response has no body.
+  is_head: bool,
+}
+
+impl Sent {
+  fn framing(self, head: &Response) -> Result<Framing, Error> {
+    let method = if self.is_head { "HEAD" } else { "GET" };
+    head.framing(method).map_err(|_| Error::Malformed)
+  }
+}
+
+/// The requests that a connection has carried, oldest first. Each id occurs at most once.
+#[derive(Clone, Debug, Default)]
+pub struct Carried(Vec<Sent>);
+
+impl Carried {
+  /// Adds a request that is about to be sent.
+  pub fn push(&mut self, id: &str, method: &str) {
+    self.0.push(Sent {
+      id: hash(id),
+      is_head: method == "HEAD",
+    });
+  }
+
+  /// Whether it has carried a request with this hash of its id.
+  pub fn contains(&self, id: u64) -> bool {
+    self.0.iter().any(|sent| sent.id == id)
+  }
+
+  /// Whether its connection is to carry no further request.
+  pub fn is_full(&self) -> bool {
+    self.0.len() >= MAX_CARRIED
+  }
+}
+
+/// Reads the response to the last request that a connection has carried.
+#[derive(Debug, Default)]
+pub struct Reader {
+  /// Body of the surplus response that is being skipped.
+  surplus: Option<Decoder>,
+  skipped_bytes: usize,
+  /// Number of surplus responses.
+  pub skipped: u32,
+}
+
+impl Reader {
+  /// Returns the head of the response and the framing of its body, and removes everything up to
+  /// that body from `input`; `None` if more input is needed. `id_header` is the header in which
+  /// responses echo the ids of their requests.
+  pub fn read(
+    &mut self,
+    input: &mut Vec<u8>,
+    carried: &Carried,
+    id_header: &str,
+  ) -> Result<Option<(Response, Framing)>, Error> {
+    loop {
+      if !self.skip_body(input)? {
+        return Ok(None);
+      }
+      if self.skipped_bytes > MAX_SKIPPED_BYTES {
+        return Err(Error::Malformed);
+      }
+      let parsed = Response::parse(input).map_err(|_| Error::Malformed)?;
+      let Some((head, length)) = parsed else {
+        return Ok(None);
+      };
+      input.drain(..length);
+      if head.status < 200 {
+        self.skipped_bytes += length;
+        continue;
+      }
+      let (framing, due) = identify(&head, carried, id_header)?;
+      if due {
+        return Ok(Some((head, framing)));
+      }
+      self.skipped_bytes += length;
+      self.skipped += 1;
+      self.surplus = Some(Decoder::new(framing));
+    }
+  }
+
+  /// Removes what has arrived of the body of a surplus response; returns whether none remains.
+  fn skip_body(&mut self, input: &mut Vec<u8>) -> Result<bool, Error> {
+    let Some(body) = &mut self.surplus else {
+      return Ok(true);
+    };
+    let mut bytes = Vec::new();
+    let decoded = body.decode(input, &mut bytes);
+    self.skipped_bytes += bytes.len();
+    if decoded.is_err() || self.skipped_bytes > MAX_SKIPPED_BYTES {
+      return Err(Error::Malformed);
+    }
+    if !body.is_complete() {
+      return Ok(false);
+    }
+    self.surplus = None;
+    Ok(true)
+  }
+}
+
+/// Returns the framing of a response, and whether it is the response to the last request.
+fn identify(head: &Response, carried: &Carried, id_header: &str) -> Result<(Framing, bool), Error> {
+  let last = *carried.0.last().ok_or(Error::Unidentified)?;
+  let Some(echoed) = head.headers.get(id_header).map(hash) else {
+    // It may be a further response to an earlier request.
+    return match carried.0.len() {
+      1 => Ok((last.framing(head)?, true)),
+      _ => Err(Error::Unidentified),
+    };
+  };
+  let sent = carried.0.iter().rev().find(|sent| sent.id == echoed);
+  // Nothing shows how a response to a request of another connection is framed.
+  let framing = sent.unwrap_or(&last).framing(head)?;
+  Ok((framing, echoed == last.id))
+}
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -1,6 +1,6 @@
 //! Non-blocking sockets: reads, writes and waits, each with a time limit.
 
-use crate::clock::Moment;
+use crate::{clock::Moment, response::Carried};
 use rustix::{
   event::{EventfdFlags, PollFd, PollFlags, Timespec, eventfd, poll},
   fd::{AsFd, OwnedFd},
@@ -109,8 +109,8 @@
   pub stream: TcpStream,
   /// Data that has been read but not yet consumed.
   pub input: Vec<u8>,
-  /// Hashes of the ids of the requests that a connection to a server has carried.
-  pub carried: Vec<u64>,
+  /// Requests that a connection to a server has carried.
+  pub carried: Carried,
 }
 
 /// Ends a connection whose peer no longer responds.
@@ -132,7 +132,7 @@
     Ok(Self {
       stream,
       input: Vec::new(),
-      carried: Vec::new(),
+      carried: Carried::default(),
     })
   }
 
@@ -147,7 +147,7 @@
     Ok(Self {
       stream: raw.into(),
       input: Vec::new(),
-      carried: Vec::new(),
+      carried: Carried::default(),
     })
   }
 
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -10,8 +10,6 @@
 const MAX_IDLE_ONCE: Duration = Duration::from_millis(1_000);
 /// Maximum idle time of a connection.
 const MAX_IDLE: Duration = Duration::from_millis(4_000);
-/// Maximum number of requests on a connection, whose ids are remembered.
-const MAX_CARRIED: usize = 64;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -36,7 +34,7 @@
     let mut pool = lock(&self.idle);
     let idle = pool.get_mut(key)?;
     let limit = if once { MAX_IDLE_ONCE } else { MAX_IDLE };
-    let is_other = |idle: &Idle| !idle.socket.carried.contains(&request);
+    let is_other = |idle: &Idle| !idle.socket.carried.contains(request);
     while let Some(position) = idle.iter().rposition(is_other) {
       let mut last = idle.remove(position);
       if last.idle_since.elapsed() < last.max_idle.min(limit) && last.socket.is_idle() {
@@ -52,7 +50,7 @@
     let Some(idle) = pool.entry(key).map(|entry| entry.or_default()) else {
       return;
     };
-    if idle.len() < MAX_IDLE_CONNECTIONS && socket.carried.len() < MAX_CARRIED {
+    if idle.len() < MAX_IDLE_CONNECTIONS && !socket.carried.is_full() {
       // Half of the allowed time, so that this side closes the connection first.
       let max_idle = max_idle.map_or(MAX_IDLE, |max_idle| max_idle / 2);
       let idle_since = Moment::now();
