A copy that arrives after its caller left says nothing of the server

What callers saw: requests waited, or were refused, for a backoff that no server had asked for.

Cause: after a caller has left, the head of the response to its request is read for what it says of the server (src/relay/late.rs). Whatever came first was taken for that head, also a second copy of an earlier rejection, whose `Retry-After` then applied from that moment on.

Evidence: `a_copy_after_the_caller_left_says_nothing_of_the_server` on the code before: the next request waited 400 ms, the backoff of the first rejection once more; now it is sent at once (bound: half of the backoff).

Change: that head is read by the same reader, which goes on where the request's own reading ended, so that also a copy whose body is half read is skipped.

--- a/src/relay/late.rs
+++ b/src/relay/late.rs
@@ -5,7 +5,7 @@
 use crate::{
   clock::Moment,
   dispatch::Attempt,
-  http::Response,
+  response::Reader,
   socket::{Fill, Socket},
   statement::REJECTION_MS,
 };
@@ -21,17 +21,22 @@
 /// A send without a response whose caller has disconnected.
 pub(super) struct Abandoned {
   socket: Socket,
+  reader: Reader,
   attempt: Attempt,
 }
 
 impl Relay<'_> {
   /// Waits a moment for the response of a send whose caller has disconnected, and otherwise leaves
   /// it to `await_abandoned`.
-  pub(super) fn abandon(&mut self, mut socket: Socket, attempt: &Attempt) {
-    let read = self.read_late_head(&mut socket, attempt, Moment::now() + OPEN_TIMEOUT);
+  pub(super) fn abandon(&mut self, mut socket: Socket, mut reader: Reader, attempt: &Attempt) {
+    let until = Moment::now() + OPEN_TIMEOUT;
+    let read = self.read_late_head(&mut socket, &mut reader, attempt, until);
     if read.is_err_and(|error| error.kind() == io::ErrorKind::TimedOut) {
-      let attempt = attempt.clone();
-      self.abandoned = Some(Abandoned { socket, attempt });
+      self.abandoned = Some(Abandoned {
+        socket,
+        reader,
+        attempt: attempt.clone(),
+      });
     }
   }
 
@@ -46,6 +51,7 @@
     }
     let Abandoned {
       mut socket,
+      mut reader,
       attempt,
     } = abandoned;
     // The caller may have closed only its sending side. Connections that have already ended need no
@@ -56,7 +62,7 @@
       let _ = socket.stream.shutdown(Shutdown::Write);
     }
     let until = Moment::now() + REJECTION_TIMEOUT;
-    if let Err(error) = self.read_late_head(&mut socket, &attempt, until) {
+    if let Err(error) = self.read_late_head(&mut socket, &mut reader, &attempt, until) {
       info!(self.hub.log, "no response after the caller left"; "request" => &self.id,
         "server" => &attempt.id, "error" => %error);
     }
@@ -66,12 +72,14 @@
   fn read_late_head(
     &mut self,
     socket: &mut Socket,
+    reader: &mut Reader,
     attempt: &Attempt,
     until: Moment,
   ) -> io::Result<()> {
+    let id_header = self.hub.dialect.request_id;
     loop {
-      let parsed = Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))?;
-      if let Some((head, _)) = parsed {
+      let read = reader.read(&mut socket.input, &socket.carried, id_header);
+      if let Some((head, _)) = read.map_err(|error| io::Error::other(error.as_str()))? {
         self.apply_head(&head, attempt);
         return Ok(());
       }
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -391,7 +391,7 @@
     self.log_skipped(&reader, attempt);
     let (head, framing) = match read {
       Err(result) if result.end == End::Left => {
-        self.abandon(socket, attempt);
+        self.abandon(socket, reader, attempt);
         return Err(result);
       }
       head => head?,
