A copy without a length ends its connection

What callers saw: 504 at the deadline, where the response that was due could no longer come.

Cause: a surplus response that ends only with its connection was read until the server closed it, or the request's time was over.

Evidence: `a_copy_without_a_length_ends_its_connection` on the code before: 504 after 1,470 ms; now 502, or the response of another send, before the deadline (bound: no 504).

Change: the reader reports it, and the send ends at once, as one that may have run.

--- a/src/response.rs
+++ b/src/response.rs
@@ -20,6 +20,8 @@
   Malformed,
   /// The response echoes no id, on a connection that has carried other requests.
   Unidentified,
+  /// A surplus response ends only with the connection.
+  Unframed,
 }
 
 impl Error {
@@ -28,6 +30,7 @@
     match self {
       Self::Malformed => "not an answer",
       Self::Unidentified => "answer without an id",
+      Self::Unframed => "answer to another request without a length",
     }
   }
 }
@@ -117,6 +120,9 @@
       if due {
         return Ok(Some((head, framing)));
       }
+      if framing == Framing::Close {
+        return Err(Error::Unframed);
+      }
       self.skipped_bytes += length;
       self.skipped += 1;
       self.surplus = Some(Decoder::new(framing));
