Orders and reports: a second response is not taken for that of a later call

What operators would see: an order taken for done or accepted that the server refused, or a server that holds nothing.

Cause: calls of src/outbound.rs had no id. A second response to an earlier call on a kept connection comes in the place of the next one; all parts of a report were optional, so the body `{}` of an order's response passed for a report.

What remains where no id is echoed: the response to an earlier order in place of that to the next one.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -3,7 +3,8 @@
 
 use crate::{
   clock::Moment,
-  http::{Decoder, Framing, Headers, Request, Response},
+  http::{Decoder, Framing, Headers, Request},
+  response::{Carried, Reader},
   socket::{Fill, Socket},
 };
 use std::{
@@ -16,8 +17,6 @@
 
 /// Maximum size of a response body. A page of the store holds 1 MB.
 const MAX_BODY_BYTES: usize = 16 << 20;
-/// Maximum number of interim responses before a response.
-const MAX_INTERIM: usize = 16;
 /// An idle connection is not reused after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(2_000);
 /// Maximum number of idle connections per address.
@@ -64,10 +63,21 @@
 /// Makes calls and keeps idle connections for reuse.
 #[derive(Debug, Default)]
 pub struct Client {
+  /// Header in which servers echo the ids of calls; `None` if calls have no ids.
+  id_header: Option<&'static str>,
   idle: Mutex<HashMap<SocketAddr, Vec<(Socket, Moment)>>>,
 }
 
 impl Client {
+  /// Returns a client for servers that may send a response twice: each call has an id of its own, and
+  /// a response that echoes the id of another call is skipped.
+  pub fn with_ids(id_header: &'static str) -> Self {
+    Self {
+      id_header: Some(id_header),
+      ..Self::default()
+    }
+  }
+
   fn take_idle(&self, address: SocketAddr) -> Option<Socket> {
     let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
     let sockets = idle.get_mut(&address)?;
@@ -99,12 +109,76 @@
     {
       return Err(Failure::NotSent);
     }
-    let (answer, reusable) = exchange(&mut socket, address, call).map_err(|_| Failure::NoAnswer)?;
-    if reusable && socket.input.is_empty() {
+    let (answer, reusable) = self
+      .exchange(&mut socket, address, call)
+      .map_err(|_| Failure::NoAnswer)?;
+    if reusable && socket.input.is_empty() && !socket.carried.is_full() {
       self.release(address, socket);
     }
     Ok(answer)
   }
+
+  /// Sends a call and receives its response; returns whether the connection can be reused.
+  fn exchange(
+    &self,
+    socket: &mut Socket,
+    address: SocketAddr,
+    call: &Call,
+  ) -> io::Result<(Answer, bool)> {
+    let total_deadline = Moment::now() + call.total_timeout;
+    let read_deadline = || total_deadline.min(Moment::now() + call.read_timeout);
+    let bytes = self.encode(&mut socket.carried, address, call);
+    socket.write_all(&bytes, read_deadline())?;
+    let id_header = self.id_header.unwrap_or_default();
+    let mut reader = Reader::default();
+    let (head, framing) = loop {
+      let read = reader.read(&mut socket.input, &socket.carried, id_header);
+      if let Some(response) = read.map_err(|error| io::Error::other(error.as_str()))? {
+        break response;
+      }
+      if socket.fill_by(read_deadline())? == Fill::Eof {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+      }
+    };
+    let body = read_body(socket, framing, read_deadline)?;
+    if head.headers.get(id_header).is_none() {
+      // Only their order tells the responses of this server apart.
+      socket.carried = Carried::default();
+    }
+    let reusable = head.keep_alive() && framing != Framing::Close;
+    let answer = Answer {
+      status: head.status,
+      headers: head.headers,
+      body,
+    };
+    Ok((answer, reusable))
+  }
+
+  /// Encodes a call, which is added to those that its connection has carried.
+  fn encode(&self, carried: &mut Carried, address: SocketAddr, call: &Call) -> Vec<u8> {
+    let mut request = Request {
+      method: call.method.into(),
+      target: call.target.into(),
+      minor: 1,
+      headers: Headers::default(),
+    };
+    request.headers.set("Host", &address.to_string());
+    for (name, value) in call.headers {
+      request.headers.set(name, value);
+    }
+    let id = format!("{:016x}", rand::random::<u64>());
+    carried.push(&id, call.method);
+    if let Some(name) = self.id_header {
+      request.headers.set(name, &id);
+    }
+    let framing = match (call.method, call.body.len()) {
+      ("GET" | "DELETE", 0) => Framing::Empty,
+      (_, length) => Framing::Length(length as u64),
+    };
+    let mut bytes = request.encode(framing);
+    bytes.extend_from_slice(call.body);
+    bytes
+  }
 }
 
 fn to_failure(error: &io::Error) -> Failure {
@@ -114,48 +188,12 @@
   }
 }
 
-fn exchange(socket: &mut Socket, address: SocketAddr, call: &Call) -> io::Result<(Answer, bool)> {
-  let total_deadline = Moment::now() + call.total_timeout;
-  let read_deadline = || total_deadline.min(Moment::now() + call.read_timeout);
-  let mut request = Request {
-    method: call.method.into(),
-    target: call.target.into(),
-    minor: 1,
-    headers: Headers::default(),
-  };
-  request.headers.set("Host", &address.to_string());
-  for (name, value) in call.headers {
-    request.headers.set(name, value);
-  }
-  let framing = match (call.method, call.body.len()) {
-    ("GET" | "DELETE", 0) => Framing::Empty,
-    (_, length) => Framing::Length(length as u64),
-  };
-  let mut bytes = request.encode(framing);
-  bytes.extend_from_slice(call.body);
-  socket.write_all(&bytes, read_deadline())?;
-  let mut interim = 0;
-  let head = loop {
-    if interim > MAX_INTERIM {
-      return Err(io::ErrorKind::InvalidData.into());
-    }
-    match Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))? {
-      Some((head, length)) => {
-        socket.input.drain(..length);
-        if head.status >= 200 {
-          break head;
-        }
-        interim += 1;
-      }
-      None => match socket.fill_by(read_deadline())? {
-        Fill::Eof => return Err(io::ErrorKind::UnexpectedEof.into()),
-        Fill::Data | Fill::Empty => {}
-      },
-    }
-  };
-  let framing = head
-    .framing(call.method)
-    .map_err(|error| io::Error::other(error.0))?;
+/// Receives a body. `deadline` returns the time limit for its next bytes.
+fn read_body(
+  socket: &mut Socket,
+  framing: Framing,
+  deadline: impl Fn() -> Moment,
+) -> io::Result<Vec<u8>> {
   let mut decoder = Decoder::new(framing);
   let mut body = Vec::new();
   loop {
@@ -163,23 +201,16 @@
       .decode(&mut socket.input, &mut body)
       .map_err(|error| io::Error::other(error.0))?;
     if decoder.is_complete() {
-      break;
+      return Ok(body);
     }
     if body.len() > MAX_BODY_BYTES {
       return Err(io::ErrorKind::InvalidData.into());
     }
-    if socket.fill_by(read_deadline())? == Fill::Eof {
-      if decoder.finish() {
-        break;
-      }
-      return Err(io::ErrorKind::UnexpectedEof.into());
+    if socket.fill_by(deadline())? == Fill::Eof {
+      return match decoder.finish() {
+        true => Ok(body),
+        false => Err(io::ErrorKind::UnexpectedEof.into()),
+      };
     }
   }
-  let reusable = head.keep_alive() && framing != Framing::Close;
-  let answer = Answer {
-    status: head.status,
-    headers: head.headers,
-    body,
-  };
-  Ok((answer, reusable))
 }
--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -1,9 +1,12 @@
 //! Outbound calls: send deadlines and timeouts.
 
-use bendsaddle::outbound::{Call, Client, Failure};
+use bendsaddle::{
+  http::Request,
+  outbound::{Call, Client, Failure},
+};
 use std::{
   io::{Read, Write},
-  net::TcpListener,
+  net::{SocketAddr, TcpListener},
   thread,
   time::Duration,
 };
@@ -116,3 +119,79 @@
   let result = Client::default().send(address, &call);
   assert_eq!(result.err(), Some(Failure::Refused));
 }
+
+/// Responds to call N with body N, behind a copy of the response before.
+fn serve_copies() -> SocketAddr {
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  thread::spawn(move || {
+    let mut number = 0;
+    for mut stream in listener.incoming().flatten() {
+      let mut copy = String::new();
+      let mut input = Vec::new();
+      let mut bytes = [0; 1024];
+      while let Ok(count @ 1..) = stream.read(&mut bytes) {
+        input.extend_from_slice(&bytes[..count]);
+        let Some((head, length)) = Request::parse(&input).unwrap() else {
+          continue;
+        };
+        input.drain(..length);
+        number += 1;
+        let id = head.headers.get("X-Id").unwrap();
+        let body = number.to_string();
+        let length = body.len();
+        let response =
+          format!("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: {length}\r\n\r\n{body}");
+        let sent = std::mem::replace(&mut copy, response.clone()) + &response;
+        stream.write_all(sent.as_bytes()).unwrap();
+      }
+    }
+  });
+  address
+}
+
+fn get<'a>() -> Call<'a> {
+  Call {
+    method: "GET",
+    target: "/",
+    headers: &[],
+    body: &[],
+    connect_timeout: Duration::from_secs(5),
+    read_timeout: Duration::from_secs(5),
+    total_timeout: Duration::from_secs(5),
+    send_before: None,
+  }
+}
+
+/// Guards against a second response to an earlier call that is taken for the response to this one.
+#[test]
+fn a_copy_is_no_response_to_a_later_call() {
+  let address = serve_copies();
+  let client = Client::with_ids("X-Id");
+  for number in 1..=100 {
+    let answer = client.send(address, &get()).expect("a response");
+    assert_eq!(answer.body, number.to_string().as_bytes());
+  }
+}
+
+/// Guards against connections that are not reused because their server echoes no ids.
+#[test]
+fn connections_to_servers_that_echo_no_ids_are_reused() {
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  let server = thread::spawn(move || {
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut bytes = [0; 1024];
+    for _ in 0..3 {
+      let _ = stream.read(&mut bytes).unwrap();
+      stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
+    }
+  });
+  let client = Client::with_ids("X-Id");
+  for _ in 0..3 {
+    client.send(address, &get()).expect("a response");
+  }
+  server.join().unwrap();
+}
