--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -124,6 +124,7 @@
     check.check_parts();
   }
   check.check_recovery();
+  check.check_calm();
   let mut violations = check.violations;
   violations.sort_by_key(|violation| violation.at);
   violations
@@ -552,6 +553,28 @@
     }
   }
 
+  /// After all faults have ended, no request to a plain server fails for a fault of its own response.
+  fn check_calm(&mut self) {
+    let from = self.history.faults_ended_at + self.bounds.recovery_ms;
+    for request in &self.history.requests {
+      let plain = matches!(request.kind, Kind::Once | Kind::Repeatable);
+      let failed = matches!(
+        request.end,
+        End::Failure {
+          status: 502,
+          signed: false
+        }
+      );
+      if plain && failed && request.at >= from {
+        let text = format!(
+          "`{}` failed with 502 although nothing was at fault",
+          request.id
+        );
+        self.report("calm", request.at, text);
+      }
+    }
+  }
+
   /// After all faults have ended, requests of every kind are served again.
   fn check_recovery(&mut self) {
     let from = self.history.faults_ended_at + self.bounds.recovery_ms;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -277,6 +277,8 @@
   /// Servers that fell over because they had to reject too many requests, with times.
   pub falls: Vec<(String, u64)>,
   pub deadly: Vec<PartRuns>,
+  /// Responses that servers sent twice.
+  pub copies: u64,
   /// When the last fault ended.
   pub faults_ended_at: u64,
   /// Longest scheduling delay of the threads of this process, in ms.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -49,6 +49,8 @@
   pub deadline_factor: u64,
   /// Whether callers resume streams.
   pub resumes: bool,
+  /// Methods of requests that may be repeated; all others are POST.
+  pub methods: &'static [&'static str],
   pub stopped: AtomicBool,
 }
 
@@ -95,6 +97,10 @@
       continue;
     }
     let model = random_model(&mut rng, kind);
+    let method = match kind {
+      Kind::Repeatable if traffic.methods.len() > 1 => pick_method(&mut rng, traffic.methods),
+      _ => "POST",
+    };
     let abandons = rng.random_ratio(ABANDON_PERCENT, 100);
     let reused = connection.is_some();
     let at = traffic.recorder.now();
@@ -107,7 +113,7 @@
     } = send(
       connection.take(),
       *address,
-      kind,
+      (kind, method),
       &id,
       &model,
       (stated_deadline_ms, abandons),
@@ -132,6 +138,10 @@
   }
 }
 
+fn pick_method(rng: &mut SmallRng, methods: &[&'static str]) -> &'static str {
+  methods[rng.random_range(0..methods.len())]
+}
+
 fn random_kind(rng: &mut SmallRng) -> Kind {
   match rng.random_range(0..100) {
     0..25 => Kind::Once,
@@ -182,7 +192,7 @@
 fn send(
   connection: Connection,
   address: SocketAddr,
-  kind: Kind,
+  (kind, method): (Kind, &str),
   id: &str,
   model: &Option<String>,
   (deadline_ms, abandons): (u64, bool),
@@ -198,24 +208,30 @@
   let path = format!("/{}/x", kind.route());
   let parts = format!("{FIRST_PART},{:x}:10", id.len());
   let request = Outgoing {
-    method: "POST",
+    method,
     path: &path,
     id,
     model: model.as_deref(),
     deadline_ms,
     headers: &[(client::PROMPT_PARTS, &parts)],
-    body: "body",
+    body: if method == "POST" { "body" } else { "" },
   };
   // A closed connection is detected when the response is read.
   let _ = client::write(&mut stream, &request);
   if abandons {
     return unanswered(End::Left);
   }
-  let Some(answer) = client::read(&mut stream, "POST") else {
+  let Some(answer) = client::read(&mut stream, method) else {
     return unanswered(End::Closed);
   };
   let keep_alive = answer.is_complete && answer.keep_alive();
-  let end = outcome_end(kind, id, &answer, 1);
+  let end = match (method, answer.status) {
+    // Its body is left out.
+    ("HEAD", 200) => End::Success {
+      intact: answer.is_signed() && answer.body.is_empty(),
+    },
+    _ => outcome_end(kind, id, &answer, 1),
+  };
   let unexpected_body = (end == End::Success { intact: false }).then(|| answer.text());
   Outcome {
     end,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -227,6 +227,14 @@
 const CROWD_PAUSE_MS: u64 = 5_000;
 const CROWD_MS: std::ops::Range<u64> = 2_000..6_000;
 
+/// First seed whose servers send some responses twice, while callers use several methods.
+const COPIES_FROM_SEED: u64 = 140_000;
+
+/// Whether servers send some responses twice.
+pub fn has_copies(seed: u64) -> bool {
+  seed >= COPIES_FROM_SEED
+}
+
 /// Whether servers of several software versions serve side by side.
 pub fn has_builds(seed: u64) -> bool {
   seed >= BUILDS_FROM_SEED
--- a/soak/src/world/collect.rs
+++ b/soak/src/world/collect.rs
@@ -91,6 +91,7 @@
           at: self.recorder.ms_at(order.at),
         });
       }
+      history.copies += runner.copies_sent();
       self.collect_announcements(runner, &mut history);
       self.collect_crashes(runner, &mut history);
       let holds = self.model_holds(runner, &history.removed);
--- a/soak/src/world/configuration.rs
+++ b/soak/src/world/configuration.rs
@@ -10,6 +10,8 @@
 use serde_json::{Value, json};
 use std::time::Duration;
 
+/// Share of responses that servers send twice, in percent.
+const COPY_PERCENT: u64 = 5;
 /// Model whose number of replicas is bounded by a policy.
 pub(super) const BOUNDED_MODEL: &str = MODELS[0];
 /// Most replicas that the policy allows.
@@ -28,6 +30,7 @@
     let work_ms = if self.has_builds { 160 } else { 20 };
     let mut mood = Behavior {
       work: Duration::from_millis(work_ms),
+      copies: if self.copies { COPY_PERCENT } else { 0 },
       ..Behavior::default()
     };
     match self.switch {
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -62,6 +62,8 @@
   switch: Option<Break>,
   /// Whether servers of several software versions serve side by side.
   has_builds: bool,
+  /// Whether servers send some responses twice.
+  copies: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -105,6 +107,7 @@
     }
     let recorder = Arc::new(Recorder::start());
     let size = options.size;
+    let copies = plan::has_copies(options.seed);
     let has_builds = plan::has_builds(options.seed) || switch == Some(Break::Build);
     let slots = (0..size.servers * 2)
       .map(|number| Slot::start(&store, number, size.servers, has_builds))
@@ -117,6 +120,11 @@
     let traffic = new_traffic(&recorder, &members, switch);
     let traffic = Arc::new(Traffic {
       resumes: has_builds,
+      methods: if copies {
+        &["POST", "GET", "HEAD"]
+      } else {
+        &["POST"]
+      },
       ..traffic
     });
     let world = Self {
@@ -131,6 +139,7 @@
       fragility: Mutex::default(),
       switch,
       has_builds,
+      copies,
     };
     world.prepare();
     Ok(world)
@@ -168,6 +177,7 @@
     },
     crowded: AtomicUsize::new(NO_CROWD),
     resumes: false,
+    methods: &["POST"],
     stopped: AtomicBool::new(false),
   }
 }
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -282,6 +282,27 @@
   assert_eq!(broken(&history), ["recovery"]);
 }
 
+/// Guards against requests that fail while no fault is played.
+#[test]
+fn requests_do_not_fail_in_calm_times() {
+  let failed = End::Failure {
+    status: 502,
+    signed: false,
+  };
+  let mut history = baseline();
+  let served = history.requests.clone();
+  history
+    .requests
+    .extend(served.iter().cycle().take(100).cloned());
+  let mut during = request("during", Kind::Once, failed);
+  during.at = 12_000;
+  history.requests.push(during.clone());
+  assert!(broken(&history).is_empty());
+  during.at = 17_000;
+  history.requests.push(during);
+  assert_eq!(broken(&history), ["calm"]);
+}
+
 #[test]
 fn times_are_left_out_where_the_machine_decides_them() {
   let mut history = baseline();
