A rejected watch does not end the pause of another feed

Cause: a 429 counted as a response of the store to this instance. A response ends the pause of each feed of the instance that waits after a failed call, and resets its count of failures. Two feeds whose watches are rejected so end each other's pauses.

Evidence: `a_rejected_watch_does_not_end_the_pause_of_another_feed` failed on the code before (50 calls in 3 s, the pauses allow 20) and holds.

Ruled out: making a rejection a failure of the store (it would hide that the store responds, by which an instance tells an outage from its own lost connection).

Change: a rejection is recorded as a response of the store to others is.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -377,13 +377,11 @@
   }
 
   fn record_failure(&mut self, call: &str, started_at: Moment, error: &Error) {
-    if matches!(
-      error,
-      Error::HistoryGone | Error::Refused(TOO_MANY_REQUESTS)
-    ) {
-      self.gate.reachability().record_response(Moment::now());
-    } else {
-      self.gate.reachability().record_failure(started_at);
+    let reachability = self.gate.reachability();
+    match error {
+      Error::HistoryGone => reachability.record_response(Moment::now()),
+      Error::Refused(TOO_MANY_REQUESTS) => reachability.record_rejection(Moment::now()),
+      _ => reachability.record_failure(started_at),
     }
     if *error == Error::HistoryGone {
       info!(self.log, "store no longer has the history"; "kind" => self.kind, "revision" => self.known_revision.map(|known| known.to_string()));
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -39,7 +39,8 @@
   first_response: Option<Moment>,
   /// The last response to any instance.
   last_response: Option<Moment>,
-  /// The last response to this instance, or to the instance whose progress it follows.
+  /// The last response to this instance, or to the instance whose progress it follows, other than
+  /// rejections.
   last_own_response: Option<Moment>,
   gaps: VecDeque<Gap>,
   /// When this instance started calls that failed.
@@ -132,6 +133,12 @@
     self.changed.notify_all();
   }
 
+  /// Records that the store rejected a call of this instance: it responds, but it serves nothing to
+  /// those that wait for a response.
+  pub fn record_rejection(&self, at: Moment) {
+    lock(&self.state).record(at);
+  }
+
   /// Records a response to another instance.
   pub fn record_peer_response(&self, at: Moment) {
     lock(&self.state).record(at);
@@ -151,12 +158,12 @@
     lock(&self.state).last_response.map(Moment::elapsed)
   }
 
-  /// Whether the store has responded since a moment.
+  /// Whether the store has served this instance since a moment.
   pub fn responded_since(&self, moment: Moment) -> bool {
     lock(&self.state).last_own_response > Some(moment)
   }
 
-  /// Waits for a response after a moment, at most for `timeout`.
+  /// Waits until the store serves this instance after a moment, at most for `timeout`.
   pub fn wait_for_response(&self, moment: Moment, timeout: Duration) {
     let state = lock(&self.state);
     let waiting = |state: &mut State| state.last_own_response <= Some(moment);
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -3,6 +3,7 @@
 
 use bendsaddle::{
   feed::{Batch, Change, Event, Gate, OUTAGE_THRESHOLD, Progress, follow},
+  reachability::Reachability,
   store::{Changes, Error, Object, Page, Store},
 };
 use slog::{Discard, Logger, o};
@@ -22,8 +23,8 @@
   revision: AtomicU64,
   watches: AtomicU64,
   lists: AtomicU64,
-  /// Whether watches are refused.
-  refuses_watches: AtomicBool,
+  /// Status with which watches are refused; 0 if they are not.
+  watch_refusal: AtomicU64,
   /// A response with more changes than this does not arrive in time; 0 if there is no such limit.
   max_changes: AtomicU64,
   /// Whether lists get no response.
@@ -56,8 +57,9 @@
     watch: Box::new(move |_, from, wait| {
       let from = from.number;
       watch_state.watches.fetch_add(1, Ordering::Relaxed);
-      if watch_state.refuses_watches.load(Ordering::Relaxed) {
-        return Err(Error::Refused(503));
+      let status = watch_state.watch_refusal.load(Ordering::Relaxed);
+      if status > 0 {
+        return Err(Error::Refused(status as u16));
       }
       let until = Instant::now() + wait;
       loop {
@@ -224,9 +226,9 @@
     true
   });
   // The store responds neither to the holder nor to this instance.
-  shared.refuses_watches.store(true, Ordering::Relaxed);
+  shared.watch_refusal.store(503, Ordering::Relaxed);
   thread::sleep(OUTAGE_THRESHOLD + Duration::from_millis(500));
-  shared.refuses_watches.store(false, Ordering::Relaxed);
+  shared.watch_refusal.store(0, Ordering::Relaxed);
   let outage = outages.recv_timeout(TIMEOUT).unwrap();
   assert!(
     outage >= OUTAGE_THRESHOLD && outage <= start.elapsed(),
@@ -504,3 +506,29 @@
     thread::sleep(Duration::from_millis(5));
   }
 }
+
+/// Two feeds whose watches were rejected ended each other's pauses, and called thousands of times a
+/// second.
+#[test]
+fn a_rejected_watch_does_not_end_the_pause_of_another_feed() {
+  let reachability = Arc::new(Reachability::default());
+  let shared = Arc::new(Shared::default());
+  shared.revision.store(5, Ordering::Relaxed);
+  let feeds = [(); 2].map(|()| {
+    let gate = Arc::new(Gate::new(reachability.clone()));
+    let revisions = spawn(&shared, &gate);
+    assert_eq!(revisions.recv_timeout(TIMEOUT), Ok(5));
+    (gate, revisions)
+  });
+  shared.watch_refusal.store(429, Ordering::Relaxed);
+  shared.watches.store(0, Ordering::Relaxed);
+  thread::sleep(Duration::from_secs(3));
+  // Pauses of 100 ms, doubled up to 800 ms, each 0.5 to 1.5 times as long.
+  let watches = shared.watches.load(Ordering::Relaxed);
+  assert!(watches <= 20, "{watches} calls");
+  shared.watch_refusal.store(0, Ordering::Relaxed);
+  shared.revision.store(7, Ordering::Relaxed);
+  for (_, revisions) in &feeds {
+    assert_eq!(revisions.recv_timeout(TIMEOUT), Ok(7));
+  }
+}
