A refused body keeps no other one out

What callers saw: large bodies refused (503, truly not run) although they fit, where several arrive at once.

Cause: a body that does not fit stayed charged until its thread had freed it, so bodies that reach the bound together were each refused for the bytes of others that were refused already.

`bodies_that_reach_the_bound_together_are_not_all_refused`: five of five refused before, one after.

Change: `Account::receive` ends the charge of a body that it refuses, under the same lock.

--- a/src/reader/account.rs
+++ b/src/reader/account.rs
@@ -41,7 +41,7 @@
   }
 }
 
-/// A request's account. Methods are those of `Ledger`.
+/// A request's account. Methods are those of `Ledger`, but for `receive`.
 #[derive(Debug)]
 pub struct Account {
   book: Book,
@@ -53,8 +53,15 @@
     lock(&self.book.ledger).assign(self.key, customer)
   }
 
+  /// Charges a body on its way in. A body that does not fit is no longer charged, so that it keeps no
+  /// other one out until its bytes are freed.
   pub fn receive(&self, loose: u64) -> Result<(), Scope> {
-    lock(&self.book.ledger).receive(self.key, loose)
+    let mut ledger = lock(&self.book.ledger);
+    let result = ledger.receive(self.key, loose);
+    if result.is_err() {
+      ledger.discard(self.key);
+    }
+    result
   }
 
   pub fn grow(&self, loose: u64) -> Result<(), Scope> {
--- a/src/reader/ledger.rs
+++ b/src/reader/ledger.rs
@@ -219,6 +219,13 @@
     }
   }
 
+  /// Releases the loose bytes of a request.
+  pub fn discard(&mut self, key: Key) {
+    if let Some(entry) = self.entries.get(key).copied() {
+      self.replace(key, Entry { loose: 0, ..entry });
+    }
+  }
+
   /// Releases all that is held for a request.
   pub fn release(&mut self, key: Key) {
     if let Some(entry) = self.entries.remove(key) {
--- a/tests/readers.rs
+++ b/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use bendsaddle::{
   quota::Id,
-  reader::{BASE_BYTES, Bounds, Key, Ledger, Scope},
+  reader::{Account, BASE_BYTES, Book, Bounds, Key, Ledger, Scope},
 };
 use quickcheck::quickcheck;
 
@@ -37,6 +37,24 @@
   assert_eq!(ledger.total(), 5 * BASE_BYTES);
 }
 
+/// Bodies that reached the bound together were all refused, though some fit without the others.
+#[test]
+fn bodies_that_reach_the_bound_together_are_not_all_refused() {
+  let book = Book::new(bounds(16, 64, 64));
+  let accounts: Vec<Account> = (0..5).map(|_| book.open().unwrap()).collect();
+  for account in &accounts {
+    account.receive(11 * BASE_BYTES).unwrap();
+  }
+  let results: Vec<_> = accounts
+    .iter()
+    .map(|account| account.receive(13 * BASE_BYTES))
+    .collect();
+  assert_eq!(
+    results,
+    [Err(Scope::Instance), Ok(()), Ok(()), Ok(()), Ok(())]
+  );
+}
+
 // Readers that stall must not keep new requests out for as long as they like.
 #[test]
 fn a_full_instance_refuses_and_drops_the_caller_that_holds_most() {
