Crash analysis: one function evicts the oldest suspects

Cause: the same loop stood in three places (part, registry, filter). Ruled out: merging the three kinds of suspects, which expire by other clocks. Change: `crash::evict`; the filter keeps its suspects in a map in order of their keys like the other two, so that of several seen at the same time the same one goes everywhere. No behavior is meant to change; tests of crash analysis are unchanged.

--- a/src/crash/filter.rs
+++ b/src/crash/filter.rs
@@ -8,11 +8,11 @@
 //! there, and after the third for the result of the analysis. Pure: no I/O, no clock.
 
 use super::{
-  Crash, Quarantined, REPUBLISHED, Suspected,
+  Crash, Quarantined, REPUBLISHED, Suspected, evict,
   registry::{CULPRIT_CRASHES, SIMILAR_PROGRESS_MS, SUSPECT_CRASHES},
 };
 use crate::{content, life::Life};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// A turn is published within this time after a second crash: the analyzers collect reports
 /// for 20 ms, and the messages to them and back take a few more.
@@ -70,7 +70,7 @@
   crashes: Vec<Crash>,
   /// When the quarantine of each content or part of prompts ends, in ms.
   quarantined: HashMap<content::Key, u64>,
-  suspects: HashMap<content::Key, Suspect>,
+  suspects: BTreeMap<content::Key, Suspect>,
 }
 
 impl Filter {
@@ -173,15 +173,8 @@
   fn evict_suspects(&mut self, now: u64) {
     let is_current = |suspect: &Suspect| now < suspect.last_seen + SUSPECT_TTL_MS;
     self.suspects.retain(|_, suspect| is_current(suspect));
-    while self.suspects.len() > MAX_SUSPECTS {
-      let oldest = self
-        .suspects
-        .iter()
-        .min_by_key(|(_, suspect)| suspect.last_seen);
-      let Some(oldest) = oldest.map(|(content, _)| *content) else {
-        return;
-      };
-      self.suspects.remove(&oldest);
-    }
+    evict(&mut self.suspects, MAX_SUSPECTS, |suspect| {
+      suspect.last_seen
+    });
   }
 }
--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::{content, life::Life};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// A run that ended because its server process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -52,3 +53,14 @@
 
 /// Turn of a suspect that is published again for instances that have just started.
 pub const REPUBLISHED: u32 = u32::MAX;
+
+/// Removes the entries that were last seen longest ago, beyond `max` of them.
+fn evict<T>(entries: &mut BTreeMap<content::Key, T>, max: usize, last_seen: impl Fn(&T) -> u64) {
+  while entries.len() > max {
+    let oldest = entries.iter().min_by_key(|(_, entry)| last_seen(entry));
+    let Some(oldest) = oldest.map(|(key, _)| *key) else {
+      return;
+    };
+    entries.remove(&oldest);
+  }
+}
--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -6,7 +6,7 @@
 //! crashes, one after the other, and no instance has served a request with it since the first of them.
 //! Pure: no I/O, no clock.
 
-use super::served::Question;
+use super::{evict, served::Question};
 use crate::{content, life::Life};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -112,16 +112,9 @@
     self
       .suspects
       .retain(|_, suspect| now < suspect.last_seen + CRASH_TTL_MS);
-    while self.suspects.len() > MAX_SUSPECTS {
-      let oldest = self
-        .suspects
-        .iter()
-        .min_by_key(|(_, suspect)| suspect.last_seen);
-      let Some(oldest) = oldest.map(|(part, _)| *part) else {
-        return;
-      };
-      self.suspects.remove(&oldest);
-    }
+    evict(&mut self.suspects, MAX_SUSPECTS, |suspect| {
+      suspect.last_seen
+    });
   }
 
   /// Records that a request with a part was served after its first crash.
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -7,7 +7,7 @@
 //! another content explains better are released.
 
 use super::{
-  Crash, Quarantined, REPUBLISHED, Suspected, filter::SUSPECT_TTL_MS, part::ASK_INTERVAL_MS,
+  Crash, Quarantined, REPUBLISHED, Suspected, evict, filter::SUSPECT_TTL_MS, part::ASK_INTERVAL_MS,
   served::Question,
 };
 use crate::{content, life::Life};
@@ -194,16 +194,9 @@
     self
       .suspects
       .retain(|_, suspect| now < suspect.last_seen + CRASH_TTL_MS);
-    while self.suspects.len() > MAX_SUSPECTS {
-      let oldest = self
-        .suspects
-        .iter()
-        .min_by_key(|(_, suspect)| suspect.last_seen);
-      let Some(oldest) = oldest.map(|(content, _)| *content) else {
-        return;
-      };
-      self.suspects.remove(&oldest);
-    }
+    evict(&mut self.suspects, MAX_SUSPECTS, |suspect| {
+      suspect.last_seen
+    });
   }
 
   /// Returns when this instance has to analyze the reported crashes, in ms. All instances report a
