Responses on a connection: a property of the reader

Change: a test only. Ruled out: leaving this to the tests with processes, which send each response in one piece.

--- /dev/null
+++ b/tests/response.rs
@@ -0,0 +1,125 @@
+//! Finding the response to a request among surplus ones on its connection.
+
+use bendsaddle::{
+  http::{Decoder, Framing, Headers, LAST_CHUNK, Response, encode_chunk},
+  response::{Carried, Error, Reader},
+};
+use quickcheck::{TestResult, quickcheck};
+
+const ID: &str = "X-Id";
+const METHODS: [&str; 3] = ["GET", "HEAD", "POST"];
+
+/// A response to the request with this number: its head, and its body if its method has one.
+fn encode(number: usize, method: &str, status: u16, chunked: bool, body: &str) -> Vec<u8> {
+  let mut head = Response {
+    status,
+    reason: "X".into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  head.headers.set(ID, &number.to_string());
+  if !chunked {
+    return head.encode_complete(method, body.as_bytes(), true);
+  }
+  let mut bytes = head.encode(Framing::Chunked, true);
+  if method != "HEAD" {
+    bytes.extend(encode_chunk(body.as_bytes()));
+    bytes.extend(LAST_CHUNK);
+  }
+  bytes
+}
+
+/// Reads a response from input that arrives in pieces of `step` bytes; returns its id and body.
+fn read(
+  reader: &mut Reader,
+  carried: &Carried,
+  bytes: &[u8],
+  step: usize,
+) -> Option<(String, Vec<u8>)> {
+  let mut input = Vec::new();
+  let mut found = None;
+  let mut body = Vec::new();
+  for piece in bytes.chunks(step) {
+    input.extend_from_slice(piece);
+    if found.is_none()
+      && let Some((head, framing)) = reader.read(&mut input, carried, ID).unwrap()
+    {
+      found = Some((head, Decoder::new(framing)));
+    }
+    if let Some((_, decoder)) = &mut found {
+      decoder.decode(&mut input, &mut body).unwrap();
+    }
+  }
+  let (head, decoder) = found?;
+  assert!(decoder.is_complete() && input.is_empty());
+  Some((head.headers.get(ID)?.to_string(), body))
+}
+
+quickcheck! {
+  /// Guards against a surplus response that is framed by another request's method, or taken for the
+  /// response that is due, however its bytes arrive.
+  fn the_response_that_is_due_is_found(copies: Vec<(u8, bool)>, last: u8, step: u8) -> TestResult {
+    if copies.len() > 20 {
+      return TestResult::discard();
+    }
+    let mut carried = Carried::default();
+    let mut bytes = Vec::new();
+    let method = |kind: u8| METHODS[usize::from(kind) % METHODS.len()];
+    // Bodies that look like the response that is due.
+    let due = copies.len();
+    let alike = String::from_utf8(encode(due, "GET", 200, false, "foreign")).unwrap();
+    for (number, (kind, chunked)) in copies.iter().enumerate() {
+      carried.push(&number.to_string(), method(*kind));
+      bytes.extend(encode(number, method(*kind), 503, *chunked, &alike));
+      bytes.extend(b"HTTP/1.1 103 Early\r\n\r\n");
+    }
+    carried.push(&due.to_string(), method(last));
+    let whole = format!("{alike}{alike}");
+    bytes.extend(encode(due, method(last), 200, last % 2 == 0, &whole));
+    let expected = if method(last) == "HEAD" { "" } else { &whole };
+    let mut reader = Reader::default();
+    let found = read(&mut reader, &carried, &bytes, usize::from(step) + 1);
+    assert_eq!(reader.skipped as usize, copies.len());
+    TestResult::from_bool(found == Some((due.to_string(), expected.as_bytes().to_vec())))
+  }
+}
+
+/// Guards against a response without an id that is taken for the one that is due, though it may belong to
+/// an earlier request of the connection.
+#[test]
+fn a_response_without_an_id_counts_on_the_first_request_only() {
+  let bytes = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n".to_vec();
+  for id in ["one", ""] {
+    let mut carried = Carried::default();
+    carried.push(id, "GET");
+    let read = Reader::default().read(&mut bytes.clone(), &carried, ID);
+    assert!(read.is_ok_and(|response| response.is_some()));
+    carried.push("two", "GET");
+    let read = Reader::default().read(&mut bytes.clone(), &carried, ID);
+    assert_eq!(read.err(), Some(Error::Unidentified));
+  }
+}
+
+/// Guards against surplus responses that are read without end, or that end only with their connection.
+#[test]
+fn surplus_responses_without_an_end_are_errors() {
+  let mut carried = Carried::default();
+  carried.push("one", "GET");
+  carried.push("two", "GET");
+  let mut unframed = b"HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nbody".to_vec();
+  let read = Reader::default().read(&mut unframed, &carried, ID);
+  assert_eq!(read.err(), Some(Error::Unframed));
+  let copy = encode(0, "GET", 200, false, &"x".repeat(64 << 10));
+  let mut carried = Carried::default();
+  carried.push("0", "GET");
+  carried.push("1", "GET");
+  let (mut reader, mut count) = (Reader::default(), 0);
+  let error = loop {
+    count += 1;
+    assert!(count < 1_000);
+    if let Err(error) = reader.read(&mut copy.clone(), &carried, ID) {
+      break error;
+    }
+  };
+  assert_eq!(error, Error::Malformed);
+}
