--- a/tests/response.rs
+++ b/tests/response.rs
@@ -75,7 +75,7 @@
     }
     carried.push(&due.to_string(), method(last));
     let whole = format!("{alike}{alike}");
-    bytes.extend(encode(due, method(last), 200, last % 2 == 0, &whole));
+    bytes.extend(encode(due, method(last), 200, last.is_multiple_of(2), &whole));
     let expected = if method(last) == "HEAD" { "" } else { &whole };
     let mut reader = Reader::default();
     let found = read(&mut reader, &carried, &bytes, usize::from(step) + 1);
