Outbound tests: one call that tests vary

Cause: the same call stood in five tests. Ruled out: other time limits (each is as before). Change: `get` and the fields that differ.

--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -11,6 +11,20 @@
   time::Duration,
 };
 
+/// A call with long time limits.
+fn get<'a>() -> Call<'a> {
+  Call {
+    method: "GET",
+    target: "/",
+    headers: &[],
+    body: &[],
+    connect_timeout: Duration::from_secs(5),
+    read_timeout: Duration::from_secs(5),
+    total_timeout: Duration::from_secs(5),
+    send_before: None,
+  }
+}
+
 /// A call is not sent after its deadline even if the connection is established: the process may
 /// have been suspended in the meantime.
 #[test]
@@ -19,13 +33,9 @@
   let address = listener.local_addr().unwrap();
   let call = Call {
     method: "POST",
-    target: "/",
-    headers: &[],
     body: b"order",
-    connect_timeout: Duration::from_secs(5),
-    read_timeout: Duration::from_secs(5),
-    total_timeout: Duration::from_secs(5),
     send_before: Some(bendsaddle::clock::Moment::now()),
+    ..get()
   };
   let receiver = thread::spawn(move || {
     let (mut stream, _) = listener.accept().unwrap();
@@ -50,14 +60,9 @@
   let address = listener.local_addr().unwrap();
   let idle_timeout = Duration::from_millis(500);
   let call = Call {
-    method: "GET",
-    target: "/",
-    headers: &[],
-    body: &[],
-    connect_timeout: Duration::from_secs(5),
     read_timeout: idle_timeout,
     total_timeout: idle_timeout * 5,
-    send_before: None,
+    ..get()
   };
   thread::spawn(move || {
     let (mut stream, _) = listener.accept().unwrap();
@@ -79,14 +84,9 @@
   let listener = TcpListener::bind("127.0.0.1:0").unwrap();
   let address = listener.local_addr().unwrap();
   let call = Call {
-    method: "GET",
-    target: "/",
-    headers: &[],
-    body: &[],
-    connect_timeout: Duration::from_secs(5),
     read_timeout: Duration::from_millis(100),
     total_timeout: Duration::from_millis(500),
-    send_before: None,
+    ..get()
   };
   thread::spawn(move || {
     let (mut stream, _) = listener.accept().unwrap();
@@ -106,17 +106,7 @@
   let listener = TcpListener::bind("127.0.0.1:0").unwrap();
   let address = listener.local_addr().unwrap();
   drop(listener);
-  let call = Call {
-    method: "GET",
-    target: "/",
-    headers: &[],
-    body: &[],
-    connect_timeout: Duration::from_secs(5),
-    read_timeout: Duration::from_secs(5),
-    total_timeout: Duration::from_secs(5),
-    send_before: None,
-  };
-  let result = Client::default().send(address, &call);
+  let result = Client::default().send(address, &get());
   assert_eq!(result.err(), Some(Failure::Refused));
 }
 
@@ -150,19 +140,6 @@
   address
 }
 
-fn get<'a>() -> Call<'a> {
-  Call {
-    method: "GET",
-    target: "/",
-    headers: &[],
-    body: &[],
-    connect_timeout: Duration::from_secs(5),
-    read_timeout: Duration::from_secs(5),
-    total_timeout: Duration::from_secs(5),
-    send_before: None,
-  }
-}
-
 /// Guards against a second response to an earlier call that is taken for the response to this one.
 #[test]
 fn a_copy_is_no_response_to_a_later_call() {
