A new holder reserves what instances without an answer may use of brittle servers

Callers saw requests cut off: servers that state that they are brittle fell over, one after the other, 1.2 s after a holder had started again.

Two of three had not learned of it; they used their own shares while it granted all slots to the one that had. Also: own shares were used on top of grants of the last holder, and the size of the fleet fell to those that had reported. Ruled out: a share used by the instance that started (it waited for 1,156 ms), retries (few), a busy machine as the cause (load 2 to 11).

Change: the lease's record says how many machines to expect. Until they have been answered, or 5 s have passed, their shares are reserved, and nothing is granted while grants of the predecessor may be valid. An own share replaces grants only after they have expired everywhere, and is reported as in use.

Before the fix (the fixed time of 1.2 s put back): no_history_exceeds_the_slots fails at once with instances that learn late of a holder, and the new test of the ledger fails.

Tests changed: a_holder_that_takes_over_grants_nothing_before_all_have_reported allowed a holder to let each go on as it was; now none may get more than that, and each must have it back once all were answered. has_slot takes what is known of the holder.

--- a/src/concurrency/ledger.rs
+++ b/src/concurrency/ledger.rs
@@ -1,14 +1,15 @@
 //! The requests of all instances on each brittle server, counted by the lease holder.
 
-use super::REJECTION_WINDOW_MS;
+use super::{REJECTION_WINDOW_MS, UNGRANTED_PERCENT, share::GRANT_MS};
 use crate::quota::{Grant, Id, Use};
 use std::collections::HashMap;
 
 /// Time without a report after which the requests of an instance count as ended: its process has
 /// ended, or it is suspended and its callers have left.
 const HELD_MS: u64 = 5_000;
-/// Time after a takeover by which each instance has reported.
-const ALL_REPORTED_MS: u64 = 1_200;
+/// Time after its first report by which an instance has got an answer, although some are lost; it may
+/// use its own share until then.
+const ANSWERED_MS: u64 = 500;
 /// Time after which an instance may ask again for slots of a server that has none left.
 const RETRY_MS: u32 = 40;
 /// A room that was lowered after a rejection grows by one request per this time: more than one
@@ -19,7 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
   running: u32,
-  granted: u32,
+  /// The number of requests that it may run; fewer than run if slots are taken back.
+  limit: u32,
   rejections: u32,
   reported_at: u64,
 }
@@ -51,9 +53,21 @@
 
   /// Requests of all instances but one that run or may be sent.
   fn held_by_others(&self, now: u64, instance: u64) -> u32 {
+    let others = self.others(now, instance);
+    others.map(|held| held.running.max(held.limit)).sum()
+  }
+
+  /// Requests that all instances but one may run.
+  fn limits_of_others(&self, now: u64, instance: u64) -> u32 {
+    self.others(now, instance).map(|held| held.limit).sum()
+  }
+
+  fn others(&self, now: u64, instance: u64) -> impl Iterator<Item = &Held> {
     let others = self.held.iter();
-    let others = others.filter(|(other, held)| **other != instance && held.is_current(now));
-    others.map(|(_, held)| held.running + held.granted).sum()
+    let others = others.filter(move |(other, _)| **other != instance);
+    others
+      .map(|(_, held)| held)
+      .filter(move |held| held.is_current(now))
   }
 
   /// Lowers the room after rejections: what runs is what it takes.
@@ -68,58 +82,130 @@
   }
 }
 
+/// The instances that a holder which takes over has to hear from. An instance reports to it once it
+/// knows of it: after its next read of the lease, which may be seconds later.
+#[derive(Clone, Debug, Default)]
+struct Takeover {
+  expected: usize,
+  /// When each instance first reported, in ms.
+  reported: HashMap<u64, u64>,
+  /// Until when requests may run under grants of earlier holders, in ms.
+  earlier_until: u64,
+  /// When instances that have not reported count as ended, in ms.
+  ends_at: u64,
+}
+
+impl Takeover {
+  /// Number of instances that are expected and may not have got an answer yet.
+  fn unreported(&self, now: u64) -> u32 {
+    if now >= self.ends_at {
+      return 0;
+    }
+    let answered = self.reported.values();
+    let answered = answered
+      .filter(|first| now >= **first + ANSWERED_MS)
+      .count();
+    let unreported = self.expected.saturating_sub(answered);
+    u32::try_from(unreported).unwrap_or(u32::MAX)
+  }
+
+  /// Whether instances without an answer may run requests under grants of an earlier holder.
+  fn has_earlier_grants(&self, now: u64) -> bool {
+    now < self.earlier_until && self.unreported(now) > 0
+  }
+
+  /// Slots of a server for the own shares of instances without an answer, which use them once the
+  /// grants of an earlier holder have expired.
+  fn reserved(&self, now: u64, slots: u32) -> u32 {
+    let unreported = self.unreported(now);
+    if unreported == 0 {
+      return 0;
+    }
+    let shared = (slots.max(1) * UNGRANTED_PERCENT).div_ceil(100);
+    let instances = u32::try_from(self.expected).unwrap_or(u32::MAX);
+    let largest_share = shared.div_ceil(instances);
+    unreported.saturating_mul(largest_share).min(shared)
+  }
+}
+
 /// The requests of all instances on each server.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
   servers: HashMap<Id, Server>,
-  /// When this holder took over, in ms; 0 for the very first one.
-  takeover: u64,
+  takeover: Takeover,
 }
 
 impl Ledger {
-  /// Creates the ledger of a holder that takes over now. It grants nothing until all instances have
-  /// reported what they run.
-  pub fn new(now: u64) -> Self {
+  /// Creates the ledger of a holder that takes over at `now`, in ms. Earlier holders may have granted
+  /// slots until `last_grant_at`, and `expected` instances including this one may run requests.
+  pub fn new(now: u64, last_grant_at: u64, expected: usize) -> Self {
     Self {
       servers: HashMap::new(),
-      takeover: now,
+      takeover: Takeover {
+        expected,
+        reported: HashMap::new(),
+        earlier_until: last_grant_at + GRANT_MS,
+        ends_at: now + HELD_MS,
+      },
+    }
+  }
+
+  /// Number of instances that were there when this holder took over, while some may not have reported.
+  pub fn expected_instances(&self, now: u64) -> usize {
+    match self.takeover.unreported(now) {
+      0 => 0,
+      _ => self.takeover.expected,
+    }
+  }
+
+  /// Records that an instance has reported, whether it runs requests or not.
+  pub fn record_reporter(&mut self, now: u64, instance: u64) {
+    if now < self.takeover.ends_at {
+      self.takeover.reported.entry(instance).or_insert(now);
     }
   }
 
   /// Records what an instance runs on a server with this number of slots, and grants it slots.
   pub fn report(&mut self, now: u64, instance: u64, reported: &Use, slots: u32) -> Grant {
-    let taking_over = self.takeover > 0 && now < self.takeover + ALL_REPORTED_MS;
+    let reserved = self.takeover.reserved(now, slots);
+    let earlier_grants = self.takeover.has_earlier_grants(now);
     let server = self.servers.entry(reported.id).or_default();
     server.held.retain(|_, held| held.is_current(now));
     let running = u32::try_from(reported.used).unwrap_or_default();
     let others = server.held_by_others(now, instance);
+    let limits = server.limits_of_others(now, instance);
     let rejections = reported.unreported;
     let known = server.held.get(&instance);
     if known.is_some_and(|known| rejections > known.rejections) {
       server.record_rejections(now, slots, others + running);
     }
     let room = server.room(now, slots);
-    let free = match taking_over || server.has_just_rejected(now) {
+    let free = match earlier_grants || server.has_just_rejected(now) {
       true => 0,
-      false => room.saturating_sub(others + running),
+      false => room.saturating_sub(others + running + reserved),
     };
     let granted = reported.need.min(free);
+    let limit = match reserved {
+      0 => running + granted,
+      _ => (running + granted).min(room.saturating_sub(limits + reserved)),
+    };
     let held = Held {
       running,
-      granted,
+      limit,
       rejections,
       reported_at: now,
     };
     server.held.insert(instance, held);
     Grant {
       id: reported.id,
-      limit: i64::from(running + granted),
+      limit: i64::from(limit),
       over_ms: if granted < reported.need { RETRY_MS } else { 0 },
     }
   }
 
   /// Removes an instance whose process has ended.
   pub fn remove(&mut self, instance: u64) {
+    self.takeover.reported.remove(&instance);
     for server in self.servers.values_mut() {
       server.held.remove(&instance);
     }
--- a/src/concurrency/mod.rs
+++ b/src/concurrency/mod.rs
@@ -11,14 +11,15 @@
 //!
 //! An instance reports how many requests it runs on the server, not changes of that number. So a lost
 //! report delays a grant and falsifies nothing, and a holder that takes over knows all numbers as soon
-//! as each instance has reported. Pure: no I/O, no clock.
+//! as each instance has reported. Until then it reserves what the others may use. An instance without
+//! a holder uses its own share once no grant is valid any more. Pure: no I/O, no clock.
 
 mod ledger;
 mod share;
 mod slots;
 
 pub use ledger::Ledger;
-pub use share::Share;
+pub use share::{Share, have_grants_expired};
 pub(crate) use slots::{Reports, Slot};
 
 use crate::{
@@ -30,6 +31,10 @@
 /// Window in which a brittle server counts the requests that it rejects.
 const REJECTION_WINDOW_MS: u64 = 1_000;
 
+/// Part of a server's slots, in percent, that instances share while no holder responds: their own
+/// shares are drawn independently of each other.
+const UNGRANTED_PERCENT: u32 = 75;
+
 /// Parses the statement of a brittle server: the maximum number of requests that it can reject
 /// within a second.
 ///
--- a/src/concurrency/share.rs
+++ b/src/concurrency/share.rs
@@ -1,10 +1,20 @@
 //! The slots of a brittle server that one instance may use.
 
 /// Lifetime of a grant after the report that it answers: longer than three lost reports in a row.
-const GRANT_MS: u64 = 2_000;
+pub(super) const GRANT_MS: u64 = 2_000;
 /// Time without use after which a share is no longer reported.
 const IDLE_MS: u64 = 2_000;
 
+/// Time without an answer of the holder after which an instance uses at most its own share of its
+/// grants, so that what exceeds it has ended when other instances begin to use theirs.
+const SILENT_MS: u64 = 1_000;
+
+/// Whether all grants of a holder have expired that has been silent for `silent_ms`: only then do the
+/// instances' own shares not add to grants that others still use.
+pub fn have_grants_expired(silent_ms: u64) -> bool {
+  silent_ms >= GRANT_MS
+}
+
 /// The slots of a server that this instance may use. Times are in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Share {
@@ -19,12 +29,28 @@
   needed_at: u64,
   /// Requests that the server has rejected for want of room.
   rejections: u32,
+  /// The number of requests that this instance may run without a grant, as stated in its last report.
+  ungranted: u32,
 }
 
 impl Share {
-  /// Whether another request may be sent, in addition to those that run.
-  pub fn has_slot(&self, now: u64, running: u32) -> bool {
-    now < self.expires_at && running < self.limit && now >= self.paused_until
+  /// Whether another request may be sent, in addition to those that run. `own` is this instance's
+  /// share without a holder, and the holder has been silent for `silent_ms`.
+  pub fn has_slot(&self, now: u64, running: u32, own: u32, silent_ms: u64) -> bool {
+    now >= self.paused_until && running < self.usable(now, own, silent_ms)
+  }
+
+  fn usable(&self, now: u64, own: u32, silent_ms: u64) -> u32 {
+    if have_grants_expired(silent_ms) {
+      return self.ungranted;
+    }
+    if now >= self.expires_at {
+      return 0;
+    }
+    match silent_ms < SILENT_MS {
+      true => self.limit,
+      false => self.limit.min(own),
+    }
   }
 
   /// Until when the server counts as full; `None` if it does not.
@@ -55,10 +81,12 @@
     running > 0 || self.needed_at > 0 && now < self.needed_at + IDLE_MS
   }
 
-  /// Returns the number of rejections for a report of `running` requests. The holder grants all other
-  /// slots to other instances, so no more may be used without a new grant.
-  pub fn report(&mut self, running: u32) -> u32 {
+  /// Returns the number of rejections for a report of `running` requests and of those that may run
+  /// without a grant. The holder grants all other slots to other instances, so no more may be used
+  /// without a new grant.
+  pub fn report(&mut self, running: u32, ungranted: u32) -> u32 {
     self.limit = self.limit.min(running);
+    self.ungranted = ungranted;
     self.rejections
   }
 
@@ -66,6 +94,7 @@
   /// may run, and for how long no more slots are free.
   pub fn receive_grant(&mut self, now: u64, sent: u64, limit: u32, full_ms: u64) {
     self.limit = limit;
+    self.ungranted = 0;
     self.expires_at = sent + GRANT_MS;
     self.full_until = now + full_ms;
   }
--- a/src/concurrency/slots.rs
+++ b/src/concurrency/slots.rs
@@ -1,6 +1,6 @@
 //! Slots of brittle servers for the requests of an instance.
 
-use super::Share;
+use super::{Share, UNGRANTED_PERCENT, have_grants_expired};
 use crate::{
   backend::{self, Backend},
   dispatch::{Effect, State},
@@ -19,9 +19,6 @@
 /// holder answers all of them.
 const INTERVAL_PER_INSTANCE_MS: u64 = 1;
 const MAX_INTERVAL_MS: u64 = 100;
-/// Part of a server's slots, in percent, that instances share while no holder responds: their own
-/// shares are drawn independently of each other.
-const UNGRANTED_PERCENT: u64 = 75;
 
 /// Result of acquiring a slot of a server for a request.
 pub(crate) enum Slot {
@@ -86,8 +83,9 @@
       return Slot::Granted;
     }
     let (id, running) = (Id::for_slots(backend.spec.life()), backend.running);
-    let own_share = self.own_share(backend);
     let holder_responds = self.quotas.holder_responds(now);
+    let own_share = self.own_share(backend);
+    let silent_ms = self.quotas.holder_silent_ms(now);
     let share = &mut self.backends[key].share;
     share.record_need(now);
     let Some(request) = self.requests.get_mut(&ticket) else {
@@ -95,7 +93,7 @@
     };
     let requested = request.pending_unit.filter(|(pending, _)| *pending == id);
     let requested = requested.map(|(_, since)| since);
-    if share.has_slot(now, running) {
+    if share.has_slot(now, running, own_share, silent_ms) {
       request.pending_unit = None;
       return Slot::Granted;
     }
@@ -117,9 +115,6 @@
       return Slot::Pending(if is_last { timeout } else { retry_at });
     }
     request.pending_unit = None;
-    if running < own_share {
-      return Slot::Granted;
-    }
     share.set_full(now + GRANT_RETRY_MS);
     Slot::Full(GRANT_RETRY_MS)
   }
@@ -132,10 +127,14 @@
   }
 
   /// The number of requests that this instance may run on a server while no holder responds. Where
-  /// there are fewer slots than instances, a hash selects the instances that have one.
+  /// there are fewer slots than instances, a hash selects the instances that have one. An instance that
+  /// has never heard of the others has none.
   fn own_share(&self, backend: &Backend) -> u32 {
+    if self.planner_seen_at == 0 {
+      return 0;
+    }
     let instances = self.instances.max(1) as u64;
-    let shared = u64::from(self.slots(backend).max(1)) * UNGRANTED_PERCENT;
+    let shared = u64::from(self.slots(backend).max(1)) * u64::from(UNGRANTED_PERCENT);
     let whole = shared / (instances * 100);
     let rest = shared % (instances * 100);
     let draw = xxh3_64_with_seed(&backend.spec.life().bytes(), self.seed) % (instances * 100);
@@ -185,13 +184,18 @@
       return Vec::new();
     }
     let needs = self.needs();
+    let ungranted = self.ungranted_slots(now);
     self.slot_reports.record_sent(now);
     let mut uses: BTreeMap<Id, Use> = BTreeMap::new();
     let brittle = &self.brittle;
-    let backends = self.backends.values_mut();
+    let backends = self.backends.iter_mut();
     let bounded =
-      backends.filter(|backend| brittle.contains(backend.spec.life(), &backend.spec.pool));
-    for backend in bounded.filter(|backend| backend.share.is_reported(now, backend.running)) {
+      backends.filter(|(_, backend)| brittle.contains(backend.spec.life(), &backend.spec.pool));
+    for (key, backend) in bounded {
+      let ungranted = ungranted.get(&key).copied().unwrap_or_default();
+      if ungranted == 0 && !backend.share.is_reported(now, backend.running) {
+        continue;
+      }
       let id = Id::for_slots(backend.spec.life());
       let used = uses.entry(id).or_insert(Use {
         id,
@@ -199,12 +203,25 @@
         need: needs.get(&id).copied().unwrap_or_default(),
         unreported: 0,
       });
-      used.used += i64::from(backend.running);
-      used.unreported += backend.share.report(backend.running);
+      used.used += i64::from(backend.running.max(ungranted));
+      used.unreported += backend.share.report(backend.running, ungranted);
     }
     uses.into_values().collect()
   }
 
+  /// The slots of listed brittle servers that this instance may use without a grant; none while grants
+  /// of a holder may be valid.
+  fn ungranted_slots(&self, now: u64) -> HashMap<backend::Key, u32> {
+    if !have_grants_expired(self.quotas.holder_silent_ms(now)) {
+      return HashMap::new();
+    }
+    let listed = self.by_id.values().map(|key| (*key, &self.backends[*key]));
+    let brittle = listed.filter(|(_, backend)| self.is_brittle(backend));
+    brittle
+      .map(|(key, backend)| (key, self.own_share(backend)))
+      .collect()
+  }
+
   /// Applies the holder's answer to the report that was sent at `sent`, and returns the grants that
   /// are not of slots.
   pub(crate) fn receive_slots(&mut self, sent: u64, grants: Vec<Grant>) -> Vec<Grant> {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -340,7 +340,8 @@
       return;
     };
     let members = self.member_addresses(now, index);
-    let instances = members.len().max(1);
+    // A holder that has just taken over has not heard from all instances yet.
+    let instances = members.len().max(self.slots.expected_instances(now)).max(1);
     let own_address = self.own_address;
     let others = match update.to {
       Some(address) => vec![address],
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -157,6 +157,15 @@
     (!record.released).then_some(record.address)
   }
 
+  /// Number of machines that the lease's record lists, including its holder.
+  pub fn listed_machines(&self) -> usize {
+    let record = self
+      .observed
+      .as_ref()
+      .and_then(|observed| observed.record.as_ref());
+    record.map_or(0, |record| record.machines.len() + 1)
+  }
+
   /// The heartbeat for other instances; `None` if this machine is not the last holder.
   pub fn heartbeat(&self, now: u64) -> Option<Heartbeat> {
     let held = self.held.as_ref()?;
--- a/src/quota/purse.rs
+++ b/src/quota/purse.rs
@@ -274,6 +274,12 @@
       .is_none_or(|since| now < since + HOLDER_TIMEOUT_MS)
   }
 
+  /// Time since the oldest unanswered request for units, in ms.
+  pub fn holder_silent_ms(&self, now: u64) -> u64 {
+    let since = self.unanswered_since.unwrap_or(now);
+    now.saturating_sub(since)
+  }
+
   fn retry_after(&mut self, now: u64, id: Id) -> u64 {
     let fits_at = self
       .balances
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -11,6 +11,7 @@
   customer::{Directory, Standing},
   dispatch::Event,
   hub::lock,
+  lease::Lease,
   limit::Limits,
   message::{Grants, Message, Uses},
   planner::Planner,
@@ -174,6 +175,7 @@
     if let Some(ended) = ended {
       self.slots.remove(ended);
     }
+    self.slots.record_reporter(now, instance);
     let allowances = self.allowances();
     let mut grants = self.record_slots(now, instance, uses, &allowances);
     let allow = |id| allowances.get(id);
@@ -290,6 +292,8 @@
   }
 
   /// Creates the accounts of a holder that has acquired the lease.
+  ///
+  /// `first` means that there was none before it.
   pub(crate) fn open_accounts(&mut self, now: u64, term: u64, first: bool) {
     if first {
       // Nothing was used before the very first holder.
@@ -297,16 +301,23 @@
       self.slots = Ledger::default();
       return;
     }
-    self.slots = Ledger::new(now);
+    self.slots = self.new_ledger(now);
     let known = self.known_sums.as_ref();
     let sums = known.map(|(received_at, sums)| (*received_at, sums));
     info!(self.hub.log, "accounts opened"; "term" => term,
-      "customers" => sums.map(|(_, sums)| sums.len()),
+      "customers" => sums.map(|(_, sums)| sums.len()), "instances" => self.slots.expected_instances(now),
       "age_ms" => sums.map(|(received_at, _)| now.saturating_sub(received_at)));
     let allowances = self.allowances();
     self.accounts = Accounts::new(now, sums, |id| allowances.get(id));
   }
 
+  fn new_ledger(&self, now: u64) -> Ledger {
+    let lease = self.groups.first().map(|group| &group.lease);
+    let instances = lease.map_or(0, Lease::listed_machines);
+    let last_grant_at = lease.and_then(Lease::foreign_orders_until).unwrap_or(now);
+    Ledger::new(now, last_grant_at, instances)
+  }
+
   fn directory(&self) -> Option<Arc<Directory>> {
     let state = self.hub.state();
     state.deployment.as_ref()?.customers.clone()
--- a/tests/concurrency.rs
+++ b/tests/concurrency.rs
@@ -1,7 +1,7 @@
 //! Slots of brittle servers: what all instances together run on one.
 
 use bendsaddle::{
-  concurrency::{Ledger, Share, parse},
+  concurrency::{Ledger, Share, have_grants_expired, parse},
   life::Life,
   quota::{Grant, Id, Use},
 };
@@ -10,6 +10,8 @@
 use std::collections::VecDeque;
 
 const SLOTS: u32 = 16;
+/// Slots that instances share while no holder responds.
+const UNGRANTED: usize = 12;
 
 fn id() -> Id {
   Id::for_slots(Life::of("server", 1))
@@ -42,15 +44,74 @@
 /// A new holder knows nothing of what runs until all have reported.
 #[test]
 fn a_holder_that_takes_over_grants_nothing_before_all_have_reported() {
-  let mut ledger = Ledger::new(1_000);
+  let mut ledger = Ledger::new(1_000, 1_000, SLOTS as usize + 1);
   for instance in 0..SLOTS as u64 {
-    assert_eq!(
-      granted(ledger.report(1_100, instance, &report(1, 1, 0), SLOTS)),
-      1
-    );
+    ledger.record_reporter(1_100, instance);
+    let limit = granted(ledger.report(1_100, instance, &report(1, 1, 0), SLOTS));
+    assert!(limit <= 1, "{limit} for an instance that runs 1");
   }
   let late = ledger.report(2_300, 99, &report(0, 1, 0), SLOTS);
   assert_eq!((granted(late), late.over_ms > 0), (0, true));
+  ledger.record_reporter(2_300, 99);
+  for instance in 0..SLOTS as u64 {
+    let limit = granted(ledger.report(2_810, instance, &report(1, 1, 0), SLOTS));
+    assert_eq!(limit, 1, "an instance keeps what it runs");
+  }
+  let late = ledger.report(2_820, 99, &report(0, 1, 0), SLOTS);
+  assert_eq!((granted(late), late.over_ms > 0), (0, true));
+}
+
+/// Instances that learned late of a new holder still used their slots, which it granted to others.
+#[test]
+fn a_holder_that_takes_over_grants_nothing_that_an_instance_without_a_report_may_use() {
+  let mut ledger = Ledger::new(1_000, 1_000, 4);
+  let mut granted_at = |now: u64, reporters: &[u64]| {
+    for reporter in reporters {
+      ledger.record_reporter(now, *reporter);
+    }
+    granted(ledger.report(now, 0, &report(0, 99, 0), SLOTS))
+  };
+  assert_eq!(
+    granted_at(2_300, &[0, 1]),
+    0,
+    "earlier grants may be in use"
+  );
+  assert_eq!(granted_at(2_999, &[]), 0);
+  assert_eq!(
+    granted_at(3_000, &[]),
+    10,
+    "two own shares of 3 slots are reserved"
+  );
+  assert_eq!(granted_at(3_100, &[2]), 10, "the answer may be lost");
+  assert_eq!(granted_at(3_600, &[]), 13);
+  assert_eq!(granted_at(3_700, &[3]), 13);
+  assert_eq!(granted_at(4_200, &[]), SLOTS);
+
+  let mut ledger = Ledger::new(1_000, 1_000, 4);
+  ledger.record_reporter(1_100, 0);
+  let all = granted(ledger.report(6_000, 0, &report(0, 99, 0), SLOTS));
+  assert_eq!(all, SLOTS, "instances without a report have ended");
+}
+
+/// An own share was used while the holder granted all slots to others, which still used them.
+#[test]
+fn an_own_share_is_used_only_after_all_grants_have_expired() {
+  let mut share = Share::default();
+  share.receive_grant(10, 5, 3, 0);
+  share.report(3, 0);
+  assert!(share.has_slot(900, 2, 1, 890));
+  assert!(!share.has_slot(1_100, 1, 1, 1_090), "beyond its own share");
+  assert!(share.has_slot(1_100, 0, 1, 1_090));
+  assert!(!share.has_slot(2_004, 0, 0, 1_999));
+  assert!(
+    !share.has_slot(2_010, 0, 1, 2_000),
+    "the share is not reported"
+  );
+  share.report(0, 1);
+  assert!(share.has_slot(2_010, 0, 1, 2_000));
+  assert!(!share.has_slot(2_010, 1, 1, 2_000));
+  share.receive_grant(2_020, 2_015, 0, 0);
+  assert!(!share.has_slot(2_020, 0, 1, 0), "the holder grants none");
 }
 
 /// A process that has ended holds its slots no longer, one that is only silent holds them for a while.
@@ -88,11 +149,11 @@
 fn an_instance_uses_no_slot_that_it_has_reported_free() {
   let mut share = Share::default();
   share.receive_grant(10, 5, 3, 0);
-  assert!(share.has_slot(20, 2));
-  assert!(!share.has_slot(20, 3));
-  share.report(1);
-  assert!(!share.has_slot(30, 1));
-  assert!(!share.has_slot(2_100, 0), "the grant has expired");
+  assert!(share.has_slot(20, 2, 0, 0));
+  assert!(!share.has_slot(20, 3, 9, 0));
+  share.report(1, 0);
+  assert!(!share.has_slot(30, 1, 9, 0));
+  assert!(!share.has_slot(2_100, 0, 9, 0), "the grant has expired");
 }
 
 #[test]
@@ -101,9 +162,9 @@
   share.receive_grant(10, 5, 3, 0);
   share.record_rejection(20);
   share.receive_grant(30, 25, 3, 0);
-  assert!(!share.has_slot(1_000, 0));
+  assert!(!share.has_slot(1_000, 0, 9, 0));
   assert_eq!(share.full_until(1_000), Some(1_020));
-  assert!(share.has_slot(1_020, 0));
+  assert!(share.has_slot(1_020, 0, 0, 0));
 }
 
 #[test]
@@ -126,6 +187,30 @@
   ends: Vec<u64>,
   waiting: u32,
   last_report: Option<u64>,
+  /// When the oldest unanswered report was sent.
+  unanswered_since: Option<u64>,
+  /// Time from which it reports to a holder that has taken over.
+  knows_holder_at: u64,
+}
+
+impl Instance {
+  fn silent_ms(&self, now: u64) -> u64 {
+    now - self.unanswered_since.unwrap_or(now)
+  }
+
+  /// Its share of a server without a holder, for a report.
+  fn ungranted(&self, now: u64, own: u32) -> u32 {
+    match have_grants_expired(self.silent_ms(now)) {
+      true => own,
+      false => 0,
+    }
+  }
+}
+
+/// Slots of an instance without a holder.
+fn own_share(index: usize, instances: usize) -> u32 {
+  let rest = usize::from(index < UNGRANTED % instances);
+  (UNGRANTED / instances + rest) as u32
 }
 
 /// Plays a fleet before one server for some seconds, with reports and answers that are delayed, lost
@@ -139,7 +224,12 @@
   let (mut most, mut served) = (0, 0);
   for now in 1..8_000u64 {
     if takeover && now == 4_000 {
-      ledger = Ledger::new(now);
+      ledger = Ledger::new(now, now, instances);
+      // They are on their way to the earlier holder.
+      reports.clear();
+      for instance in &mut fleet {
+        instance.knows_holder_at = now + rng.random_range(0..3_000);
+      }
     }
     for (index, instance) in fleet.iter_mut().enumerate() {
       let before = instance.ends.len();
@@ -151,15 +241,17 @@
       let free = instance.last_report.is_none_or(|at| now >= at + 40);
       let due = instance.waiting > 0 || ended > 0 || now % 500 == index as u64 % 500;
       if free && due {
-        let rejections = instance.share.report(running);
+        let ungranted = instance.ungranted(now, own_share(index, instances));
+        let rejections = instance.share.report(running, ungranted);
         instance.last_report = Some(now);
+        instance.unanswered_since.get_or_insert(now);
         let delay = now + rng.random_range(1..20);
-        if rng.random_range(0..10) > 0 {
+        if rng.random_range(0..10) > 0 && now >= instance.knows_holder_at {
           reports.push_back((
             delay,
             index,
             now,
-            report(running, instance.waiting, rejections),
+            report(running.max(ungranted), instance.waiting, rejections),
           ));
         }
       }
@@ -171,6 +263,7 @@
       .collect();
     reports.retain(|entry| entry.0 > now);
     for (_, index, sent, used) in due {
+      ledger.record_reporter(now, index as u64);
       let grant = ledger.report(now, index as u64, &used, SLOTS);
       answers.push_back((now + rng.random_range(1..20), index, sent, grant));
     }
@@ -183,6 +276,7 @@
     for (_, index, sent, grant) in due {
       let instance = &mut fleet[index];
       // An answer to an earlier report is not used.
+      instance.unanswered_since = instance.unanswered_since.filter(|since| *since > sent);
       if instance.last_report == Some(sent) {
         let limit = grant.limit as u32;
         instance
@@ -190,8 +284,11 @@
           .receive_grant(now, sent, limit, grant.over_ms.into());
       }
     }
-    for instance in &mut fleet {
-      while instance.waiting > 0 && instance.share.has_slot(now, instance.ends.len() as u32) {
+    for (index, instance) in fleet.iter_mut().enumerate() {
+      let own = own_share(index, instances);
+      let silent_ms = instance.silent_ms(now);
+      let may_send = |running| instance.share.has_slot(now, running as u32, own, silent_ms);
+      while instance.waiting > 0 && may_send(instance.ends.len()) {
         instance.waiting -= 1;
         instance.ends.push(now + rng.random_range(50..400));
       }
