Soak: all features of the deployment, stated tokens, callers in step

The soak's instances ran without the features that the deploy file turns on, and its callers stated no tokens: that is why it never met a model that is refused for good while its server is idle. From seed 160,000 on instances have the settings' features, callers state the tokens of their requests (an engine holds some ten of them) and every third caller sends at the same moments, 500 ms apart.

Ruled out: turning it on for all seeds, as earlier seeds would stand for other plans. No check or bound is changed.

--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -29,8 +29,18 @@
 /// Most requests that a caller sends on one connection.
 const MAX_CONNECTION_REQUESTS: u32 = 12;
 
+/// Callers that send at the same moments: one in this many, and how far apart the moments are.
+const IN_STEP_EVERY: usize = 3;
+const STEP_MS: u64 = 500;
+/// Tokens of the last part of a prompt whose caller states them, and of its response. An engine's
+/// memory holds some ten such requests.
+const LAST_PART_TOKENS: std::ops::Range<u32> = 10..120;
+const RESPONSE_TOKENS: u32 = 20;
+
 /// The first part of all prompts, which callers share.
 pub const FIRST_PART: &str = "f1:10";
+/// Its tokens.
+const FIRST_PART_TOKENS: u32 = 10;
 
 /// Value of `Traffic::crowded` if no instance gets all new connections.
 pub const NO_CROWD: usize = usize::MAX;
@@ -49,6 +59,8 @@
   pub deadline_factor: u64,
   /// Whether callers resume streams.
   pub resumes: bool,
+  /// Whether callers state the tokens of their requests, and some of them send at the same moments.
+  pub states_tokens: bool,
   /// Methods of requests that may be repeated; all others are POST.
   pub methods: &'static [&'static str],
   pub stopped: AtomicBool,
@@ -77,9 +89,13 @@
   let mut number = 0;
   while !traffic.stopped.load(Ordering::Relaxed) {
     let burst = 1 + traffic.bursts.load(Ordering::Relaxed) * BURST_FACTOR;
-    thread::sleep(Duration::from_millis(
-      rng.random_range(1..=MEAN_PAUSE_MS * 2) / burst,
-    ));
+    let pause_ms = rng.random_range(1..=MEAN_PAUSE_MS * 2) / burst;
+    let in_step = traffic.states_tokens && caller.is_multiple_of(IN_STEP_EVERY);
+    let pause_ms = match in_step {
+      true => STEP_MS - traffic.recorder.now() % STEP_MS,
+      false => pause_ms,
+    };
+    thread::sleep(Duration::from_millis(pause_ms));
     if traffic.is_crowded() {
       connection = None;
     }
@@ -102,6 +118,9 @@
       _ => "POST",
     };
     let abandons = rng.random_ratio(ABANDON_PERCENT, 100);
+    let tokens = traffic
+      .states_tokens
+      .then(|| rng.random_range(LAST_PART_TOKENS));
     let reused = connection.is_some();
     let at = traffic.recorder.now();
     let stated_deadline_ms = kind.deadline_ms() * traffic.deadline_factor;
@@ -116,7 +135,7 @@
       (kind, method),
       &id,
       &model,
-      (stated_deadline_ms, abandons),
+      (stated_deadline_ms, abandons, tokens),
     );
     connection =
       stream.filter(|(_, requests)| *requests < MAX_CONNECTION_REQUESTS && instance == own);
@@ -195,7 +214,7 @@
   (kind, method): (Kind, &str),
   id: &str,
   model: &Option<String>,
-  (deadline_ms, abandons): (u64, bool),
+  (deadline_ms, abandons, tokens): (u64, bool, Option<u32>),
 ) -> Outcome {
   let (stream, requests) = match connection {
     Some(connection) => connection,
@@ -206,14 +225,21 @@
   };
   let mut stream = stream;
   let path = format!("/{}/x", kind.route());
-  let parts = format!("{FIRST_PART},{:x}:10", id.len());
+  let last_part = tokens.unwrap_or(10);
+  let parts = format!("{FIRST_PART},{:x}:{last_part}", id.len());
+  let usage = format!("{},{RESPONSE_TOKENS}", FIRST_PART_TOKENS + last_part);
+  let headers = [
+    (client::PROMPT_PARTS, &*parts),
+    (client::TOKEN_USAGE, &*usage),
+  ];
+  let stated = if tokens.is_some() { 2 } else { 1 };
   let request = Outgoing {
     method,
     path: &path,
     id,
     model: model.as_deref(),
     deadline_ms,
-    headers: &[(client::PROMPT_PARTS, &parts)],
+    headers: &headers[..stated],
     body: if method == "POST" { "body" } else { "" },
   };
   // A closed connection is detected when the response is read.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -235,6 +235,15 @@
   seed >= COPIES_FROM_SEED
 }
 
+/// First seed whose instances have all features of the deployment's settings, while callers state
+/// the tokens of their requests and some of them send at the same moments.
+const FEATURES_FROM_SEED: u64 = 160_000;
+
+/// Whether instances have all features, and callers state tokens.
+pub fn has_features(seed: u64) -> bool {
+  seed >= FEATURES_FROM_SEED
+}
+
 /// Whether servers of several software versions serve side by side.
 pub fn has_builds(seed: u64) -> bool {
   seed >= BUILDS_FROM_SEED
--- a/soak/src/world/member.rs
+++ b/soak/src/world/member.rs
@@ -3,7 +3,7 @@
 use super::{LEASE_MS, Options, World, faults::cut_temporarily, lock};
 use crate::{
   history::{FROZEN, KILLED, STOPPED, Target},
-  plan::Cut,
+  plan::{self, Cut},
   switch::Break,
 };
 use platform_stand_in::{
@@ -26,6 +26,9 @@
 /// Grace period of a planned stop.
 const GRACE_MS: u64 = 8_000;
 
+/// Memory of an instance with bounds for what it holds for callers, in MiB.
+const MEMORY_MB: u64 = 260;
+
 /// An instance, which is restarted each time it ends.
 pub(super) struct Member {
   /// Proxy between the instance and the store.
@@ -41,12 +44,15 @@
     let name = format!("soak-{}-{number}", options.seed);
     let log = options.logs.as_deref();
     let log = log.map(|folder: &Path| folder.join(format!("{number}.log")));
+    let all_features = plan::has_features(options.seed);
     let short_lease = options.switch == Some(Break::Lease) && number > 0;
     let short_grace = options.switch == Some(Break::Grace);
     let setup = Setup {
       lease_ms: if short_lease { 60 } else { LEASE_MS },
       grace_ms: if short_grace { 1_050 } else { GRACE_MS },
       log,
+      memory_mb: all_features.then_some(MEMORY_MB),
+      all_features,
       ..Setup::new(&options.program, &name, proxy.address)
     };
     Ok(Self {
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -120,6 +120,7 @@
     let traffic = new_traffic(&recorder, &members, switch);
     let traffic = Arc::new(Traffic {
       resumes: has_builds,
+      states_tokens: plan::has_features(options.seed),
       methods: if copies {
         &["POST", "GET", "HEAD"]
       } else {
@@ -177,6 +178,7 @@
     },
     crowded: AtomicUsize::new(NO_CROWD),
     resumes: false,
+    states_tokens: false,
     methods: &["POST"],
     stopped: AtomicBool::new(false),
   }
