Crashes: a first part is not blamed before all reports of a crash are in

The test's binary, ten plays at once on an idle machine: 4 of 100 break, each with the part that all requests begin with quarantined.

Cause (log of a broken play, one of two that it shows): a part is blamed as soon as the third crash is reported. The sound run on the server that crashed reported the first part 2 ms before the culprit's run reported both, so that the first part alone had three crashes. From then on its crashes counted as explained, and as nobody may be served with it any more, nothing released it for half an hour. Ruled out: load (4 % on an idle machine, with every instance answering within 1 ms).

Change: a part is blamed once the other reports of its third crash had the time that contents are given (20 ms). A first part that was blamed is released, and the other one found, if another part turns out to be in all of its crashes; that one is asked about first.

--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -6,7 +6,7 @@
 //! crashes, one after the other, and no instance has served a request with it since the first of them.
 //! Pure: no I/O, no clock.
 
-use super::{evict, served::Question};
+use super::{evict, registry::SETTLE_MS, served::Question};
 use crate::{content, life::Life};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,23 +58,43 @@
 }
 
 impl Suspect {
-  /// Number of crashes, one after the other, of servers that nothing else explains. Servers that end
-  /// at the same time count once.
-  fn chain(&self, explained: &BTreeSet<Life>) -> usize {
+  /// When crashes ended, one after the other, of servers that nothing else explains, in ms. Servers that
+  /// end at the same time count once.
+  fn chain(&self, explained: &BTreeSet<Life>) -> Vec<u64> {
     let unexplained = self.crashes.iter();
     let unexplained = unexplained.filter(|(server, _)| !explained.contains(server));
     let mut spans: Vec<(u64, u64)> = unexplained.map(|(_, span)| *span).collect();
     spans.sort_by_key(|(_, ended)| *ended);
-    let (mut chain, mut last) = (0, 0);
+    let mut chain = Vec::new();
     for (sent, ended) in spans {
-      if chain == 0 || sent >= last {
-        chain += 1;
-        last = ended;
+      if chain.last().is_none_or(|last| sent >= *last) {
+        chain.push(ended);
       }
     }
     chain
   }
 
+  /// When it may be blamed, in ms: instances have answered, and the other reports of its last necessary crash
+  /// have arrived. `None` if it may not.
+  fn blamable_at(&self, explained: &BTreeSet<Life>) -> Option<u64> {
+    let (asked, _) = self.asked?;
+    let chain = self.chain(explained);
+    let reported = chain.get(CULPRIT_CRASHES - 1)?;
+    Some((asked + ANSWER_MS).max(reported + SETTLE_MS))
+  }
+
+  /// Whether it may be to blame instead of a first part, as it is in all crashes of that part.
+  fn may_replace(&self, first: &Self) -> bool {
+    let mut servers = first.crashes.keys();
+    self.position > 0 && servers.all(|server| self.crashes.contains_key(server))
+  }
+
+  /// Whether it is to blame instead of a first part.
+  fn replaces(&self, first: &Self, now: u64) -> bool {
+    let blamable_at = self.blamable_at(&BTreeSet::new());
+    self.may_replace(first) && blamable_at.is_some_and(|at| now >= at)
+  }
+
   fn first_crash_at(&self) -> u64 {
     let ends = self.crashes.values().map(|(_, ended)| *ended);
     ends.min().unwrap_or(self.last_seen)
@@ -125,6 +145,7 @@
 
   /// Returns the questions to ask now.
   pub fn questions(&mut self, now: u64) -> Vec<Question> {
+    let replacing = self.replacing();
     let explained = &self.explained;
     let mut questions = Vec::new();
     for (part, suspect) in &mut self.suspects {
@@ -134,7 +155,9 @@
       let first = suspect.asked.map_or(now, |(first, _)| first);
       // An answer may have been lost, and one that is late releases the part.
       let may_be_released = self.blamed.contains(part) && now < first + RELEASE_ASKED_MS;
-      let is_suspect = suspect.chain(explained) >= SUSPECT_CRASHES || may_be_released;
+      let is_suspect = suspect.chain(explained).len() >= SUSPECT_CRASHES
+        || may_be_released
+        || replacing.contains(part);
       if !is_due || !is_suspect {
         continue;
       }
@@ -149,15 +172,16 @@
 
   /// When the next part may be blamed, in ms; `None` if none may.
   pub fn analysis_at(&self) -> Option<u64> {
-    let candidates = self.candidates();
-    candidates
-      .filter_map(|(_, suspect)| Some(suspect.asked?.0 + ANSWER_MS))
-      .min()
+    self.candidates().map(|(.., at)| at).min()
   }
 
-  fn candidates(&self) -> impl Iterator<Item = (&content::Key, &Suspect)> {
-    self.suspects.iter().filter(|(part, suspect)| {
-      !self.blamed.contains(part) && suspect.chain(&self.explained) >= CULPRIT_CRASHES
+  /// Parts that are in enough crashes, and when they may be blamed, in ms.
+  fn candidates(&self) -> impl Iterator<Item = (&content::Key, &Suspect, u64)> {
+    let others = self.suspects.iter();
+    let others = others.filter(|(part, _)| !self.blamed.contains(part));
+    others.filter_map(|(part, suspect)| {
+      let at = suspect.blamable_at(&self.explained)?;
+      Some((part, suspect, at))
     })
   }
 
@@ -167,14 +191,11 @@
   pub fn find_culprits(&mut self, now: u64) -> Vec<Culprit> {
     let mut found = Vec::new();
     loop {
-      let answered = self.candidates().filter(|(_, suspect)| {
-        let asked = suspect.asked;
-        asked.is_some_and(|(first, _)| now >= first + ANSWER_MS)
-      });
-      let culprit = answered
-        .map(|(part, suspect)| Culprit {
+      let settled = self.candidates().filter(|(.., at)| now >= *at);
+      let culprit = settled
+        .map(|(part, suspect, _)| Culprit {
           part: *part,
-          crashes: suspect.chain(&self.explained),
+          crashes: suspect.chain(&self.explained).len(),
           position: suspect.position,
         })
         .max_by_key(|culprit| (culprit.position > 0, culprit.crashes, culprit.position));
@@ -186,6 +207,52 @@
     }
   }
 
+  /// Releases and returns the first parts that were blamed before the reports of another part arrived that
+  /// is in all of their crashes. That part is found to be a culprit then.
+  pub fn release_replaced(&mut self, now: u64) -> Vec<content::Key> {
+    let replaced = self.blamed_firsts().filter(|(_, first)| {
+      let mut suspects = self.suspects.values();
+      suspects.any(|suspect| suspect.replaces(first, now))
+    });
+    let replaced: Vec<content::Key> = replaced.map(|(part, _)| *part).collect();
+    for part in &replaced {
+      self.blamed.remove(part);
+      let servers = &self.suspects[part].crashes;
+      self
+        .explained
+        .retain(|server| !servers.contains_key(server));
+    }
+    if !replaced.is_empty() {
+      self.explain_again();
+    }
+    replaced
+  }
+
+  fn blamed_firsts(&self) -> impl Iterator<Item = (&content::Key, &Suspect)> {
+    let blamed = self.blamed.iter();
+    let known = blamed.filter_map(|part| Some((part, self.suspects.get(part)?)));
+    known.filter(|(_, suspect)| suspect.position == 0)
+  }
+
+  /// Parts that may be to blame instead of first parts that were.
+  fn replacing(&self) -> BTreeSet<content::Key> {
+    let may_replace = |suspect: &Suspect| {
+      let mut firsts = self.blamed_firsts();
+      firsts.any(|(_, first)| suspect.may_replace(first))
+    };
+    let suspects = self.suspects.iter();
+    let replacing = suspects.filter(|(_, suspect)| may_replace(suspect));
+    replacing.map(|(part, _)| *part).collect()
+  }
+
+  /// Adds the crashes of all blamed parts to those explained.
+  fn explain_again(&mut self) {
+    let blamed: Vec<content::Key> = self.blamed.iter().copied().collect();
+    for part in blamed {
+      self.blame(part);
+    }
+  }
+
   /// Records that a part is to blame, as found here or by another instance.
   pub fn blame(&mut self, part: content::Key) {
     self.blamed.insert(part);
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -49,7 +49,7 @@
 pub const SIMILAR_PROGRESS_MS: u32 = 50;
 /// Time in which most reports of a crash arrive. With six and seven instances those of 178 of
 /// 184 crashes did; the slowest took 40 ms.
-const SETTLE_MS: u64 = 20;
+pub(super) const SETTLE_MS: u64 = 20;
 /// An instance that is not an analyzer knows only its own crashes, and analyzes them only if
 /// the analyzers have published nothing for this long.
 const NON_ANALYZER_DELAY_MS: u64 = 1_000;
@@ -236,15 +236,7 @@
     let quarantined = self.quarantined.keys();
     let innocent = quarantined.filter(|content| self.is_companion(content, &cover));
     let innocent: Vec<content::Key> = innocent.copied().collect();
-    for content in &innocent {
-      self.quarantine(
-        now,
-        Quarantined {
-          content: *content,
-          left_ms: 0,
-        },
-      );
-    }
+    self.release(now, &innocent);
     innocent
   }
 
@@ -447,6 +439,17 @@
     self.quarantined.contains_key(&key) && self.quarantine(now, released)
   }
 
+  /// Releases contents or parts that cause no crashes.
+  pub fn release(&mut self, now: u64, keys: &[content::Key]) {
+    for content in keys.iter().copied() {
+      let released = Quarantined {
+        content,
+        left_ms: 0,
+      };
+      self.quarantine(now, released);
+    }
+  }
+
   /// Quarantines contents or parts that were found to cause crashes.
   pub fn quarantine_found(&mut self, now: u64, keys: &[content::Key]) {
     let left_ms = QUARANTINE_MS as u32;
@@ -464,13 +467,7 @@
       self.quarantined.contains_key(content) && suspect.is_cleared_by(explained)
     });
     let innocent: Vec<content::Key> = innocent.map(|(content, _)| *content).collect();
-    for content in &innocent {
-      let released = Quarantined {
-        content: *content,
-        left_ms: 0,
-      };
-      self.quarantine(now, released);
-    }
+    self.release(now, &innocent);
     for server in explained {
       self.explained.entry(*server).or_insert(now);
     }
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -75,6 +75,11 @@
     if !questions.is_empty() {
       self.hub.apply(Event::ServedQuestions(questions), None);
     }
+    let innocent = self.parts.release_replaced(now);
+    if !innocent.is_empty() {
+      self.registry.release(now, &innocent);
+      self.publish_release(now, &innocent, EXPLAINED);
+    }
     let culprits = self.parts.find_culprits(now);
     if !culprits.is_empty() {
       self.quarantine_parts(now, &culprits);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -93,6 +93,60 @@
   assert_eq!(blamed(&mut registry, at), [DEADLY]);
 }
 
+/// The report of a sound request on the same server arrived first, and the first part of all prompts was blamed.
+#[test]
+fn the_first_part_is_not_blamed_before_all_reports_of_a_crash_have_arrived() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 2, &[FIRST, DEADLY]);
+  registry.add(1_000, &[crash(FIRST, 0, 1_000)]);
+  assert_eq!(blamed(&mut registry, 1_000), []);
+  registry.add(1_010, &[crash(DEADLY, 1, 1_000)]);
+  let at = registry.analysis_at().expect("both parts are suspected");
+  assert_eq!(blamed(&mut registry, at + 50), [DEADLY]);
+}
+
+/// The first part stayed blamed although a late report showed another part in all of its crashes.
+#[test]
+fn a_part_in_all_crashes_of_a_first_part_that_was_blamed_replaces_it() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 2, &[FIRST, DEADLY]);
+  registry.add(1_000, &[crash(FIRST, 0, 1_000)]);
+  assert_eq!(blamed(&mut registry, 1_000 + ANSWERED_MS), [FIRST]);
+  assert_eq!(registry.release_replaced(1_300), []);
+  registry.add(1_300, &[crash(DEADLY, 1, 1_000)]);
+  assert_eq!(registry.release_replaced(1_300 + ANSWERED_MS), [FIRST]);
+  assert!(!registry.is_blamed(FIRST));
+  assert_eq!(blamed(&mut registry, 1_300 + ANSWERED_MS), [DEADLY]);
+  assert_eq!(blamed(&mut registry, 60_000), []);
+  assert_eq!(registry.explained().len(), 3);
+}
+
+/// A part whose reports all arrived late was not asked about, and replaced nothing.
+#[test]
+fn a_part_is_asked_about_before_it_replaces_a_first_part() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST]);
+  assert_eq!(blamed(&mut registry, 1_000), [FIRST]);
+  for server in [0, 200, 400] {
+    registry.add(1_000 + server, &[crash(DEADLY, 1, server)]);
+  }
+  assert_eq!(registry.release_replaced(1_500), []);
+  let questions = registry.questions(1_500);
+  assert!(questions.iter().any(|question| question.key == DEADLY));
+  assert_eq!(registry.release_replaced(1_500 + ANSWERED_MS), [FIRST]);
+}
+
+/// A first part that crashes servers was released for a part that was beside it in some crashes.
+#[test]
+fn a_first_part_with_crashes_of_its_own_stays_blamed() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST]);
+  assert_eq!(blamed(&mut registry, 1_000), [FIRST]);
+  crashes(&mut registry, 1_000, 3, &[FIRST, OTHER]);
+  assert_eq!(registry.release_replaced(5_000), []);
+  assert!(registry.is_blamed(FIRST));
+}
+
 #[test]
 fn an_instance_answers_for_what_it_served_after_the_first_crash() {
   let mut served = Served::default();
