Crashes: a report repeated after a content or part was served counts no more

The first part was in four crashes and was served four times after them, which cleared it. The second and third sends of the same reports then opened it again, as crashes of the time at which they came: three, one after the other, and none served since. It was quarantined for half an hour, and all sound requests with it. The same for whole contents, by the test. Ruled out: a lost answer (instances were asked again each second, and answered as of the false times).

--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -4,6 +4,7 @@
 //! Load pattern: the same request arrives under new ids at all instances at once, and each
 //! server that starts it crashes together with everything else it runs. Pure: no I/O, no clock.
 
+mod cleared;
 mod filter;
 pub mod part;
 pub mod permit;
@@ -55,7 +56,11 @@
 pub const REPUBLISHED: u32 = u32::MAX;
 
 /// Removes the entries that were last seen longest ago, beyond `max` of them.
-fn evict<T>(entries: &mut BTreeMap<content::Key, T>, max: usize, last_seen: impl Fn(&T) -> u64) {
+fn evict<K: Copy + Ord, T>(
+  entries: &mut BTreeMap<K, T>,
+  max: usize,
+  last_seen: impl Fn(&T) -> u64,
+) {
   while entries.len() > max {
     let oldest = entries.iter().min_by_key(|(_, entry)| last_seen(entry));
     let Some(oldest) = oldest.map(|(key, _)| *key) else {
--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -6,7 +6,7 @@
 //! crashes, one after the other, and no instance has served a request with it since the first of them.
 //! Pure: no I/O, no clock.
 
-use super::{evict, registry::SETTLE_MS, served::Question};
+use super::{cleared::Cleared, evict, registry::SETTLE_MS, served::Question};
 use crate::{content, life::Life};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -105,6 +105,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
   suspects: BTreeMap<content::Key, Suspect>,
+  cleared: Cleared,
   /// Parts that were blamed.
   blamed: BTreeSet<content::Key>,
   /// Servers whose crashes these explain, and whether there are new ones.
@@ -115,7 +116,11 @@
 impl Registry {
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
-    for crash in crashes {
+    let cleared = &self.cleared;
+    let counted = crashes
+      .iter()
+      .filter(|crash| !cleared.contains(crash.part, crash.server));
+    for crash in counted {
       if self.blamed.contains(&crash.part) {
         self.explained_changed |= self.explained.insert(crash.server);
       }
@@ -138,8 +143,10 @@
   }
 
   /// Records that a request with a part was served after its first crash.
-  pub fn record_served(&mut self, part: content::Key) {
-    self.suspects.remove(&part);
+  pub fn record_served(&mut self, now: u64, part: content::Key) {
+    if let Some(suspect) = self.suspects.remove(&part) {
+      self.cleared.record(now, part, suspect.crashes.keys());
+    }
     self.blamed.remove(&part);
   }
 
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -7,8 +7,8 @@
 //! another content explains better are released.
 
 use super::{
-  Crash, Quarantined, REPUBLISHED, Suspected, evict, filter::SUSPECT_TTL_MS, part::ASK_INTERVAL_MS,
-  served::Question,
+  Crash, Quarantined, REPUBLISHED, Suspected, cleared::Cleared, evict, filter::SUSPECT_TTL_MS,
+  part::ASK_INTERVAL_MS, served::Question,
 };
 use crate::{content, life::Life};
 use std::{
@@ -145,6 +145,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
   suspects: BTreeMap<content::Key, Suspect>,
+  cleared: Cleared,
   /// When the quarantine of each content ends, in ms.
   quarantined: BTreeMap<content::Key, u64>,
   /// When the first crash since the last analysis was reported, in ms.
@@ -162,11 +163,11 @@
 impl Registry {
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
-    let explained = &self.explained;
-    let unexplained = crashes
-      .iter()
-      .filter(|crash| !explained.contains_key(&crash.server));
-    for crash in unexplained {
+    let (explained, cleared) = (&self.explained, &self.cleared);
+    let counted = crashes.iter().filter(|crash| {
+      !explained.contains_key(&crash.server) && !cleared.contains(crash.content, crash.server)
+    });
+    for crash in counted {
       let suspect = self.suspects.entry(crash.content).or_insert(Suspect {
         first_seen: now,
         ..Suspect::default()
@@ -430,7 +431,9 @@
   /// Records that a request with a content or a part was served after its first crash; returns whether
   /// that releases it from the quarantine.
   pub fn record_served(&mut self, now: u64, key: content::Key) -> bool {
-    self.suspects.remove(&key);
+    if let Some(suspect) = self.suspects.remove(&key) {
+      self.cleared.record(now, key, suspect.servers.keys());
+    }
     self.published.remove(&key);
     let released = Quarantined {
       content: key,
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -117,7 +117,7 @@
   pub(crate) fn receive_served(&mut self, now: u64, keys: &[content::Key]) {
     let mut innocent = Vec::new();
     for key in keys {
-      self.parts.record_served(*key);
+      self.parts.record_served(now, *key);
       if self.registry.record_served(now, *key) {
         innocent.push(*key);
       }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -61,16 +61,32 @@
 fn a_part_that_was_served_since_its_first_crash_is_not_blamed() {
   let mut registry = Registry::default();
   crashes(&mut registry, 0, 3, &[FIRST, DEADLY, OTHER]);
-  registry.record_served(OTHER);
+  registry.record_served(700, OTHER);
   assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
 }
 
+/// Repeated reports of crashes before a part was served counted as new crashes, one after the other.
+#[test]
+fn a_report_that_is_repeated_after_a_part_was_served_counts_no_more() {
+  let mut registry = Registry::default();
+  let reports: Vec<Crash> = (0..3).map(|server| crash(FIRST, 0, server)).collect();
+  registry.add(0, &reports);
+  registry.record_served(50, FIRST);
+  for (now, report) in (100..).step_by(100).zip(&reports) {
+    registry.add(now, &[*report]);
+    registry.questions(now);
+  }
+  assert_eq!(blamed(&mut registry, 1_000), []);
+  crashes(&mut registry, 1_000, 3, &[FIRST]);
+  assert_eq!(blamed(&mut registry, 2_000), [FIRST], "new crashes count");
+}
+
 #[test]
 fn a_part_that_was_blamed_is_released_when_it_is_served() {
   let mut registry = Registry::default();
   crashes(&mut registry, 0, 3, &[FIRST, DEADLY]);
   assert_eq!(blamed(&mut registry, 1_000), [DEADLY]);
-  registry.record_served(DEADLY);
+  registry.record_served(1_000, DEADLY);
   assert!(!registry.is_blamed(DEADLY));
 }
 
@@ -202,7 +218,7 @@
       let questions = registry.questions(now);
       served.ask(now, &questions);
       for part in served.take_answers() {
-        registry.record_served(part);
+        registry.record_served(now, part);
       }
       found.extend(blamed(&mut registry, now));
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -470,6 +470,24 @@
   assert_eq!(culprits(&mut registry, 10_000), Vec::<u128>::new());
 }
 
+/// Repeated reports of crashes before a content was served had it quarantined after it.
+#[test]
+fn a_report_that_is_repeated_after_a_content_was_served_counts_no_more() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes);
+  registry.record_served(10, content::Key(CULPRIT));
+  registry.add(100, &crashes);
+  assert_eq!(culprits(&mut registry, 10_000), Vec::<u128>::new());
+  let crashes: Vec<Crash> = (4..=6).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(20_000, &crashes);
+  assert_eq!(
+    culprits(&mut registry, 20_100),
+    [CULPRIT],
+    "new crashes count"
+  );
+}
+
 #[test]
 fn a_content_that_was_blamed_and_is_served_is_released() {
   let mut registry = Registry::default();
