Quotas: a new holder learns what the one before it published last

Cause: a holder that starts again knows only the sums in the lease's record.

Change: instances send a new holder the sums that they got from its predecessor, beside their first reports, and it adds what its accounts lack. Sums have a module of their own (src/sums.rs, out of src/quotas.rs).

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -56,6 +56,9 @@
     }
     self.receive_store_age(update.store);
     self.receive_quarantine(now, &update.quarantined, from);
+    if successor && update.group == 0 {
+      self.keep_former_sums(now);
+    }
     if let Some(sums) = update.sums.take() {
       self.receive_sums(now, sums);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -123,6 +123,7 @@
 pub mod store;
 pub mod strain;
 pub mod submissions;
+mod sums;
 pub mod timeline;
 pub mod tokens;
 mod tunnel;
--- a/src/message.rs
+++ b/src/message.rs
@@ -60,6 +60,11 @@
   ServedQuestions(Vec<served::Question>),
   /// Contents and parts of requests that were served since their first crash.
   Served(Vec<content::Key>),
+  /// Units of quotas that the former holder published last, and the time since then, for its successor.
+  FormerSums {
+    age_ms: u32,
+    sums: Sums,
+  },
 }
 
 /// Additions to a report or an update. Fields are only ever appended, because `postcard` does not
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -25,12 +25,12 @@
   policies,
   policy::Policy,
   pool::Pool,
-  quota::{Accounts, Bound, Sums},
+  quota::{Accounts, Bound},
   replication::{Ahead, Position},
   settings::{Routing, Settings},
   socket::{Interest, Waker, wait},
   statement::Reply,
-  store, tunnel,
+  store, sums, tunnel,
 };
 use slog::{info, warn};
 use std::{
@@ -196,7 +196,9 @@
   pub(crate) next_standings_write_at: u64,
   /// Usage of the customers within the last window with the time it refers to, kept for the next
   /// holder, and the time at which this instance publishes it next.
-  pub(crate) known_sums: Option<(u64, Sums)>,
+  pub(crate) known_sums: Option<sums::Known>,
+  /// What the former holder published last, and when its successor was first heard of, in ms.
+  pub(crate) former_sums: Option<(u64, sums::Known)>,
   pub(crate) next_sums_publish_at: u64,
   /// Receive buffer for datagrams.
   buffer: Vec<u8>,
@@ -254,6 +256,7 @@
     next_uses_report_at: 0,
     next_standings_write_at: 0,
     known_sums: None,
+    former_sums: None,
     next_sums_publish_at: 0,
     buffer: vec![0; MAX_DATAGRAM_BYTES],
   };
@@ -431,6 +434,9 @@
         Ok((Message::Served(keys), _)) => self.receive_served(now, &keys),
         Ok((Message::Suspects(entries), _)) => self.hub.apply(Event::Suspected(entries), None),
         Ok((Message::Uses(uses), _)) => self.receive_uses(now, &uses, from),
+        Ok((Message::FormerSums { age_ms, sums }, _)) => {
+          self.receive_former_sums(now, age_ms, &sums)
+        }
         Ok((Message::Grants(answer), _)) => self.receive_grants(answer),
         Ok((Message::Statements(statements), _)) => self.receive_statements(statements),
         Ok((Message::Builds(records), _)) => self.receive_builds(records, from),
--- a/src/quota/account.rs
+++ b/src/quota/account.rs
@@ -37,6 +37,8 @@
 /// Fraction of the unknown use that counts from then on: for instances that ended together with the
 /// previous holder, or are cut off.
 const UNREPORTED_FRACTION: f64 = 0.25;
+/// Time after a takeover for which sums of the former holder are taken.
+const FORMER_TAKEN_MS: u64 = 2 * ALL_REPORTED_MS;
 /// Units used over a period count in this number of equal parts of it.
 const SPREAD_PARTS: u64 = 8;
 /// Longest time in ms until units fit that is stated.
@@ -100,6 +102,8 @@
   processes: HashMap<u64, u64>,
   /// When this holder took over, in ms, and whether it knows the usage before that.
   takeover: Option<(u64, bool)>,
+  /// Units of each quota in the sums that it opened its accounts from, or got since.
+  former: HashMap<Id, f64>,
   /// Time up to which this holder knew the usage when it took over, in ms.
   known_until: Option<u64>,
   /// Longest window of all reported quotas.
@@ -141,10 +145,40 @@
       let left = most(&allowance, allowance.window_units()) - account.window.sum(now);
       account.unknown = account.unknown.min(left.max(0.0));
       accounts.accounts.insert(*id, account);
+      accounts.former.insert(*id, total(quarters));
     }
     accounts
   }
 
+  /// Adds the units in sums that the former holder published after those that the accounts were opened from.
+  /// Returns their number, over all quotas.
+  pub fn add_former(
+    &mut self,
+    now: u64,
+    as_of: u64,
+    sums: &Sums,
+    allow: impl Fn(Id) -> Option<Allowance>,
+  ) -> f64 {
+    let is_recent = |(since, _): (u64, bool)| now < since + FORMER_TAKEN_MS;
+    if !self.takeover.is_some_and(is_recent) {
+      return 0.0;
+    }
+    let mut added = 0.0;
+    for (id, quarters) in sums {
+      let Some(allowance) = allow(*id) else {
+        continue;
+      };
+      let known = self.former.entry(*id).or_default();
+      let missing = (total(quarters) - *known).max(0.0);
+      *known += missing;
+      added += missing;
+      let account = self.accounts.entry(*id);
+      let account = account.or_insert_with(|| Account::open(&allowance));
+      account.window.add_at(now, as_of, missing);
+    }
+    added
+  }
+
   /// Returns the units of each quota used within the last window, for the next holder.
   pub fn sums(&mut self, now: u64, allow: impl Fn(Id) -> Option<Allowance>) -> Sums {
     let accounts = self.accounts.iter_mut();
@@ -357,6 +391,10 @@
   }
 }
 
+fn total(quarters: &Quarters) -> f64 {
+  quarters.iter().copied().map(f64::from).sum()
+}
+
 /// Units that may be used within a window and granted ahead, where the quota allows `allowed`.
 fn most(allowance: &Allowance, allowed: f64) -> f64 {
   allowed + allowance.reserve() * USED_FRACTION
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -15,9 +15,8 @@
   limit::Limits,
   message::{Grants, Message, Uses},
   planner::Planner,
-  quota::{Accounts, Allowance, Bound, Grant, Id, Sums, Use},
+  quota::{Accounts, Allowance, Bound, Grant, Id, Use},
 };
-use serde_json::{Value, json};
 use slog::info;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -37,16 +36,9 @@
 const NEAR_QUOTA: f64 = 0.8;
 /// Number of customers that are checked for this.
 const MAX_NEAR_QUOTA_CHECKS: usize = 32;
-/// Interval at which sums of used units are published.
-const SUMS_INTERVAL_MS: u64 = 500;
-/// How long sums published by the last holder take precedence over those in the store.
-const SUMS_FRESH_MS: u64 = 10_000;
-/// Field of the lease's record that contains the sums.
-const SUMS_FIELD: &str = "sums";
-
 /// Allowances of customers, of permits and of servers with a limit.
-struct Allowances {
-  directory: Option<Arc<Directory>>,
+pub(crate) struct Allowances {
+  pub(crate) directory: Option<Arc<Directory>>,
   bound: Bound,
   limits: Limits,
   returns: bool,
@@ -62,7 +54,7 @@
     self.returns && customer.is_some()
   }
 
-  fn get(&self, id: Id) -> Option<Allowance> {
+  pub(crate) fn get(&self, id: Id) -> Option<Allowance> {
     let customer = self
       .directory
       .as_ref()
@@ -162,6 +154,7 @@
       uses,
       statements,
     };
+    self.send_former_sums(now, holder);
     self.send(&Message::Uses(uses), &[holder]);
   }
 
@@ -248,59 +241,6 @@
     self.hub.apply(event, None);
   }
 
-  /// Returns the units of quotas used within their last windows, as counted by this holder; `None`
-  /// if they are not due to be published, or if this instance does not hold the lease any more and
-  /// gets no reports. Empty sums are published too, so that the next holder knows that nothing was
-  /// used.
-  pub(crate) fn due_sums(&mut self, now: u64) -> Option<Sums> {
-    let holds_lease = self.groups.first().is_some_and(|group| group.holds_lease);
-    if !holds_lease || now < self.next_sums_publish_at {
-      return None;
-    }
-    self.next_sums_publish_at = now + SUMS_INTERVAL_MS;
-    let allowances = self.allowances();
-    let sums = self.accounts.sums(now, |id| allowances.get(id));
-    // The others count on these sums, also if the next holder is this instance.
-    self.receive_sums(now, sums.clone());
-    Some(sums)
-  }
-
-  /// Stores the sums that a holder has published.
-  pub(crate) fn receive_sums(&mut self, now: u64, sums: Sums) {
-    self.hub.apply(Event::QuotaUsage(sums.clone()), None);
-    self.known_sums = Some((now, sums));
-  }
-
-  /// Adds the sums to a record of the lease: after a loss of all instances they are not known
-  /// anywhere else.
-  pub(crate) fn with_sums(&mut self, now: u64, mut record: Value) -> Value {
-    let allowances = self.allowances();
-    if allowances.directory.is_none() {
-      // After a loss of all instances no server's limit is known, and servers announce theirs again.
-      return record;
-    }
-    let sums = self.accounts.sums(now, |id| allowances.get(id));
-    if let Some(fields) = record.as_object_mut() {
-      fields.insert(SUMS_FIELD.into(), json!(sums));
-    }
-    record
-  }
-
-  /// Applies the sums in a record of the lease that was read, unless sums were received from a
-  /// holder recently.
-  pub(crate) fn read_sums(&mut self, now: u64, record: &Value) {
-    let is_fresh = |(received_at, _): &(u64, Sums)| now < received_at + SUMS_FRESH_MS;
-    if self.known_sums.as_ref().is_some_and(is_fresh) {
-      return;
-    }
-    // A record of another writer or of an earlier release has no sums.
-    let sums = record.get(SUMS_FIELD);
-    let sums = sums.and_then(|sums| serde_json::from_value::<Sums>(sums.clone()).ok());
-    if let Some(sums) = sums {
-      self.receive_sums(now, sums);
-    }
-  }
-
   /// Creates the accounts of a holder that has acquired the lease.
   ///
   /// `first` means that there was none before it.
@@ -313,10 +253,11 @@
     }
     self.slots = self.new_ledger(now);
     let known = self.known_sums.as_ref();
-    let sums = known.map(|(received_at, sums)| (*received_at, sums));
     info!(self.hub.log, "accounts opened"; "term" => term,
-      "customers" => sums.map(|(_, sums)| sums.len()), "instances" => self.slots.expected_instances(now),
-      "age_ms" => sums.map(|(received_at, _)| now.saturating_sub(received_at)));
+      "customers" => known.map(|known| known.sums.len()), "instances" => self.slots.expected_instances(now),
+      "age_ms" => known.map(|known| now.saturating_sub(known.as_of)),
+      "published" => known.map(|known| known.published));
+    let sums = known.map(|known| (known.as_of, &known.sums));
     let allowances = self.allowances();
     self.accounts = Accounts::new(now, sums, |id| allowances.get(id));
   }
@@ -333,7 +274,7 @@
     state.deployment.as_ref()?.customers.clone()
   }
 
-  fn allowances(&self) -> Allowances {
+  pub(crate) fn allowances(&self) -> Allowances {
     let state = self.hub.state();
     let deployment = state.deployment.as_ref();
     Allowances {
--- a/tests/quota_refusals.rs
+++ b/tests/quota_refusals.rs
@@ -52,6 +52,16 @@
   }
 }
 
+fn without_slack() -> Allowance {
+  Allowance {
+    quota: allowance().quota,
+    bound: Bound {
+      slack: 0.0,
+      ..BOUND
+    },
+  }
+}
+
 /// Refused requests used up the share of their instance, and were reported as its usage.
 #[test]
 fn a_refused_request_is_not_reported_as_used() {
@@ -100,13 +110,7 @@
 #[test]
 fn what_was_used_during_an_outage_counts_from_its_time() {
   let id = Id::for_customer("one");
-  let allowance = Allowance {
-    quota: allowance().quota,
-    bound: Bound {
-      slack: 0.0,
-      ..BOUND
-    },
-  };
+  let allowance = without_slack();
   let sums = vec![(id, [0, 0, 0, 0])];
   let mut accounts = Accounts::new(7_000, Some((3_000, &sums)), |_| Some(allowance));
   let uses = |used, need, unreported| {
@@ -121,3 +125,36 @@
   let grants = accounts.report(12_500, 70, &uses(6_000, 4_000, 0), |_| Some(allowance));
   assert_eq!(grants[0].over_ms, 0, "{grants:?}");
 }
+
+/// A holder that had started again knew only the sums in the lease's record, and granted what was used since
+/// once more.
+#[test]
+fn what_the_former_holder_published_after_the_record_counts() {
+  let id = Id::for_customer("one");
+  let allowance = without_slack();
+  let most = allowance.window_units() as u32;
+  let record = vec![(id, [0, 1, 0, 0])];
+  let mut accounts = Accounts::new(7_000, Some((7_000, &record)), |_| Some(allowance));
+  let published = vec![(id, [most, 0, 0, 0])];
+  let added = accounts.add_former(7_100, 6_500, &published, |_| Some(allowance));
+  assert_eq!(added, f64::from(most - 1));
+  let again = accounts.add_former(7_200, 6_500, &published, |_| Some(allowance));
+  assert_eq!(again, 0.0, "several instances send the same sums");
+  let need = [Use {
+    id,
+    used: 0,
+    need: most,
+    unreported: 0,
+  }];
+  let grants = accounts.report(9_500, 70, &need, |_| Some(allowance));
+  let granted = grants[0].limit as u32;
+  let slack = (allowance.reserve() * 0.6) as u32;
+  assert!(
+    granted <= slack,
+    "{granted} beside {most} used, of {slack} in reserve"
+  );
+  let late = accounts.add_former(30_000, 29_000, &vec![(id, [2 * most, 0, 0, 0])], |_| {
+    Some(allowance)
+  });
+  assert_eq!(late, 0.0, "sums of a holder that has long ended");
+}
