Resumed streams: the log says since when the pools have been watched

The line 'stream resumed by its caller' could not tell an instance that has seen no other build because there was none from one that started a moment ago, nor from one with an old list. It now has watched_ms (how long the servers of all pools have been known) and list_age_ms.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -62,6 +62,10 @@
   pub took_ms: u64,
   /// Number of instances that answered that they do not know the stream.
   pub unknown_to: usize,
+  /// How long this instance has known the servers of all pools, in ms; `None` if it does not.
+  pub watched_ms: Option<u64>,
+  /// How old its list of servers was at the arrival, in ms; `None` if it was never read.
+  pub list_age_ms: Option<u64>,
 }
 
 /// What a decision rests on.
@@ -147,9 +151,11 @@
 
   fn decide_build(&mut self, ticket: Ticket, build: Option<Id>, basis: Basis) -> bool {
     let now = self.now;
+    let watched_ms = self.streams.watched_ms(now);
     let Some(request) = self.requests.get_mut(&ticket) else {
       return false;
     };
+    let resumption = request.descriptor.resumption;
     request.build = build;
     let question = request.question.take();
     self.out.push(Effect::Resumption(Decision {
@@ -158,6 +164,8 @@
       basis,
       took_ms: now - request.arrived,
       unknown_to: question.map_or(0, |question| question.unknown_to.len()),
+      watched_ms,
+      list_age_ms: resumption.and_then(|resumption| resumption.list_age_ms),
     }));
     if build.is_none() {
       self.refuse(ticket, Reason::BuildUnknown);
@@ -203,6 +211,9 @@
 
   /// Updates the builds of the pools after servers changed.
   pub(crate) fn update_builds(&mut self) {
+    if self.listed {
+      self.streams.watch(self.now);
+    }
     let specs = self.by_id.values().map(|key| &self.backends[*key].spec);
     let servers = specs.map(|spec| (spec.pool.as_str(), spec.build));
     if self.streams.update_pools(self.now, servers) {
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -48,9 +48,21 @@
   questions: Vec<Key>,
   /// Builds by the hash of the pool's name.
   pools: BTreeMap<(u64, Id), Presence>,
+  /// Since when this instance knows the servers of all pools, in ms.
+  watched_since: Option<u64>,
 }
 
 impl Streams {
+  /// Records that the servers of all pools are known.
+  pub fn watch(&mut self, now: u64) {
+    self.watched_since.get_or_insert(now);
+  }
+
+  /// How long the servers of all pools have been known, in ms; `None` if they are not.
+  pub fn watched_ms(&self, now: u64) -> Option<u64> {
+    self.watched_since.map(|since| now - since)
+  }
+
   /// Updates the builds of all pools. Returns whether records are to be sent.
   pub fn update_pools<'a>(
     &mut self,
