Builds that have left are kept in the store for instances that start later

Callers that resumed a stream after a loss of power, or after instances had restarted in turn, got 200 and the rest of the text from another version of the server software, if the servers of their own had left.

Cause: an instance that nobody can tell about a stream takes the pool's only build, and counts as builds those that had servers within 40 s. A process younger than 40 s has not seen them. Absence of knowledge was read as knowledge of absence.

The lease holder keeps the builds of the last 40 s in the store (build::history), and an instance reads them at its start. What it reads counts like a build that has just left. It knows the past from its first start with the whole system, by a complete record of the store's present era, or after 40 s of its own; until then it refuses, as not run ('unknown, and so are the builds that have left'). A list of servers more than 2 s behind ends that knowledge. Refusing for 40 s after each start was weighed and would cost every broken stream of a pool with one build. The calls for a stored record, which the quarantine had to itself, move to src/stored.rs.

--- a/src/build/mod.rs
+++ b/src/build/mod.rs
@@ -5,6 +5,7 @@
 
 mod begun;
 pub mod exchange;
+pub mod history;
 pub mod resume;
 pub mod streams;
 
@@ -12,6 +13,9 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// How far a list of servers may be behind, in ms, to show which builds a pool has.
+const MAX_LIST_LAG_MS: u64 = 2_000;
+
 /// Identifies a build. Not related to the version of a model's weights or of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(u32);
--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -1,6 +1,6 @@
 //! Decides at which build a stream continues that a caller resumes.
 
-use super::{Id, Key};
+use super::{Id, Key, MAX_LIST_LAG_MS};
 use crate::{
   dispatch::{Effect, State},
   refusal::Reason,
@@ -15,8 +15,6 @@
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
 const ROUNDS: u32 = 2;
-/// How far a list of servers may be behind, in ms, to show that a pool has one build only.
-const MAX_LIST_LAG_MS: u64 = 2_000;
 
 /// A caller's resumption of a stream, at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +77,9 @@
   SeveralBuilds,
   /// The stream is unknown, and so is whether the pool has several builds.
   OldList,
+  /// The stream is unknown, and so is whether the pool had another build before this instance knew
+  /// all servers.
+  UnknownPast,
 }
 
 impl State {
@@ -117,6 +118,7 @@
     let (build, basis) = match (only, fresh) {
       (_, false) => (None, Basis::OldList),
       (None, true) => (None, Basis::SeveralBuilds),
+      (Some(_), true) if !self.streams.knows_past(now) => (None, Basis::UnknownPast),
       (only, true) => (only, Basis::OnlyBuild),
     };
     self.decide_build(ticket, build, basis)
@@ -209,6 +211,13 @@
     asking.collect()
   }
 
+  /// Adds builds that were stored for instances that start later.
+  pub(crate) fn add_build_history(&mut self, history: &super::history::Known) {
+    if self.streams.add_history(self.now, history) {
+      self.out.push(Effect::ExchangeBuilds);
+    }
+  }
+
   /// Updates the builds of the pools after servers changed.
   pub(crate) fn update_builds(&mut self) {
     if self.listed {
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -3,7 +3,7 @@
 //! The instance that delivers a first event records the build. While its pool serves several builds,
 //! it sends the record to other instances: the caller may resume its stream at any of them.
 
-use super::{Id, Key, Record};
+use super::{Id, Key, Record, history::Known as KnownBuilds};
 use std::{
   collections::{BTreeMap, HashMap, VecDeque},
   net::SocketAddr,
@@ -36,6 +36,13 @@
   last: u64,
 }
 
+impl Presence {
+  /// Whether streams of the build may go on.
+  fn is_recent(self, now: u64) -> bool {
+    self.present || now < self.last + TTL_MS
+  }
+}
+
 /// Records of streams, and the builds of each pool.
 #[derive(Clone, Debug, Default)]
 pub struct Streams {
@@ -50,9 +57,19 @@
   pools: BTreeMap<(u64, Id), Presence>,
   /// Since when this instance knows the servers of all pools, in ms.
   watched_since: Option<u64>,
+  /// Whether `pools` has the builds that left before that.
+  past_known: bool,
 }
 
 impl Streams {
+  /// What an instance knows that starts with the whole system, before which there were no streams.
+  pub fn first_start() -> Self {
+    Self {
+      past_known: true,
+      ..Self::default()
+    }
+  }
+
   /// Records that the servers of all pools are known.
   pub fn watch(&mut self, now: u64) {
     self.watched_since.get_or_insert(now);
@@ -63,7 +80,48 @@
     self.watched_since.map(|since| now - since)
   }
 
-  /// Updates the builds of all pools. Returns whether records are to be sent.
+  /// Records that the servers of all pools are not known: builds may come and go unseen.
+  pub fn interrupt_watch(&mut self, now: u64) {
+    self.watched_since = Some(now);
+    self.past_known = false;
+  }
+
+  /// Whether the builds of all pools are known that can have streams.
+  pub fn knows_past(&self, now: u64) -> bool {
+    let watched_ms = self.watched_ms(now);
+    self.past_known || watched_ms.is_some_and(|watched_ms| watched_ms >= TTL_MS)
+  }
+
+  /// Builds that have servers, or had some lately.
+  pub fn known(&self, now: u64) -> KnownBuilds {
+    let pools = self.pools.iter();
+    let lately = pools.filter(|(_, seen)| seen.is_recent(now));
+    KnownBuilds {
+      builds: lately.map(|(build, _)| *build).collect(),
+      complete: self.knows_past(now),
+    }
+  }
+
+  /// Adds builds that other instances knew. Returns whether records are to be sent.
+  pub fn add_history(&mut self, now: u64, history: &KnownBuilds) -> bool {
+    self.past_known |= history.complete;
+    let mut grown = Vec::new();
+    for (pool, build) in &history.builds {
+      let absent = Presence {
+        present: false,
+        last: now,
+      };
+      let seen = self.pools.entry((*pool, *build)).or_insert_with(|| {
+        grown.push(*pool);
+        absent
+      });
+      seen.last = now;
+    }
+    self.share_pools(now, grown)
+  }
+
+  /// Updates the builds of all pools. Returns whether other threads are to be told: records are to
+  /// be sent, or a pool has another build.
   pub fn update_pools<'a>(
     &mut self,
     now: u64,
@@ -88,9 +146,13 @@
         grown.push(pool);
       }
     }
-    self
-      .pools
-      .retain(|_, presence| presence.present || now < presence.last + TTL_MS);
+    self.pools.retain(|_, seen| seen.is_recent(now));
+    let has_grown = !grown.is_empty();
+    self.share_pools(now, grown) || has_grown
+  }
+
+  /// Shares own records of pools that have several builds now. Returns whether there are any.
+  fn share_pools(&mut self, now: u64, mut grown: Vec<u64>) -> bool {
     grown.retain(|pool| self.count(now, *pool) > 1);
     let own = self.order.iter().filter(|(key, at)| {
       let known = self.records.get(key);
@@ -114,7 +176,7 @@
   fn builds(&self, now: u64, pool: u64) -> impl Iterator<Item = Id> {
     let builds = self.pools.range((pool, Id::UNKNOWN)..);
     let builds = builds.take_while(move |((other, _), _)| *other == pool);
-    let lately = builds.filter(move |(_, seen)| seen.present || now < seen.last + TTL_MS);
+    let lately = builds.filter(move |(_, seen)| seen.is_recent(now));
     lately.map(|((_, build), _)| *build)
   }
 
--- a/src/crash/stored.rs
+++ b/src/crash/stored.rs
@@ -7,18 +7,12 @@
 use super::Quarantined;
 use crate::{
   content,
-  store::{Error, Object, Result, Revision},
+  store::{Object, Result},
+  stored::{self, Calls, Content},
 };
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use std::collections::BTreeMap;
 
-/// Name of the object in the store.
-pub const NAME: &str = "main";
-/// Pause before a failed call is retried. While the store is down, 295 starting instances make
-/// this call in addition to their other calls.
-const RETRY_MS: u64 = 2_000;
-
 /// Content of the object.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -44,31 +38,14 @@
 }
 
 /// A call to the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
-  Read,
-  /// Replaces the record of this revision; its number is 0 if there is no record.
-  Write {
-    record: Record,
-    revision: Revision,
-  },
-}
-
-/// Pause before a failed call is retried until the first read has succeeded: before that an
-/// instance accepts no callers.
-const FIRST_READ_RETRY_MS: u64 = 250;
+pub type Call = stored::Call<Record>;
 
 /// An instance's view of the stored record.
 #[derive(Clone, Debug, Default)]
 pub struct Stored {
-  /// Revision of the record as last read or written; `None` if it has to be read.
-  revision: Option<Revision>,
+  calls: Calls,
   /// Contents in the record, and when their quarantine ends, in ms since the Unix epoch.
   contents: BTreeMap<content::Key, u64>,
-  in_flight: bool,
-  retry_at: u64,
-  /// Whether the record was read at least once.
-  read: bool,
   /// The store was restored from an older copy, so the record is read again.
   restored: bool,
 }
@@ -109,19 +86,10 @@
     holding: bool,
     entries: &[Quarantined],
   ) -> Option<Call> {
-    if self.in_flight || now < self.retry_at {
-      return None;
-    }
-    let call = match self.revision {
-      None => Call::Read,
-      Some(revision) if holding && self.differs(entries, unix_ms) => Call::Write {
-        record: Record::of(entries, unix_ms),
-        revision,
-      },
-      Some(_) => return None,
-    };
-    self.in_flight = true;
-    Some(call)
+    let is_due = holding && self.differs(entries, unix_ms);
+    self
+      .calls
+      .next(now, || is_due.then(|| Record::of(entries, unix_ms)))
   }
 
   /// Whether a content is missing from the record, or is in it although it was released.
@@ -137,55 +105,36 @@
 
   /// Sets the era of the store; what was written in an earlier era may be lost.
   pub fn set_era(&mut self, era: u64) {
-    if self.revision.is_some_and(|revision| revision.era < era) {
-      self.revision = None;
+    let revision = self.calls.revision();
+    if revision.is_some_and(|revision| revision.era < era) {
+      self.calls.invalidate();
       self.restored = true;
     }
   }
 
   /// Returns whether the record was read; until then the quarantine is unknown.
   pub fn is_read(&self) -> bool {
-    self.read
+    self.calls.is_read()
   }
 
   /// Handles the result of a call; returns the record that was read, if it is to be applied.
   pub fn answered(&mut self, now: u64, call: &Call, result: Result<Object>) -> Option<Record> {
-    self.in_flight = false;
-    self.read |= matches!(
-      (call, &result),
-      (Call::Read, Ok(_) | Err(Error::Absent { .. }))
-    );
-    match (call, result) {
-      (Call::Read, Err(Error::Absent { era })) => {
-        self.revision = Some(Revision::first(era));
+    match (call, self.calls.finish(now, call, result)) {
+      (_, Content::Absent) => {
         self.contents.clear();
         None
       }
-      (Call::Read, Ok(object)) => {
+      (_, Content::Read(record)) => {
         let restored = std::mem::take(&mut self.restored);
-        self.revision = Some(object.revision);
-        // A record corrupted by another writer quarantines nothing and is written again.
-        let record: Record = serde_json::from_value(object.spec).unwrap_or_default();
         self.contents = contents(&record);
         // An older copy lacks recent releases: contents released since then must stay released.
         (!restored).then_some(record)
       }
-      (Call::Write { record, .. }, Ok(object)) => {
-        self.revision = Some(object.revision);
+      (Call::Write { record, .. }, Content::Written) => {
         self.contents = contents(record);
         None
       }
-      (_, Err(_)) => {
-        // A write may have taken effect, or may still do so.
-        self.revision = None;
-        self.retry_at = now
-          + if self.read {
-            RETRY_MS
-          } else {
-            FIRST_READ_RETRY_MS
-          };
-        None
-      }
+      (_, Content::Written | Content::Unknown) => None,
     }
   }
 }
@@ -196,8 +145,3 @@
     .filter_map(|entry| Some((entry.key()?, entry.until_ms)))
     .collect()
 }
-
-/// Encodes a record as it is stored.
-pub fn encode(record: &Record) -> std::result::Result<Value, Error> {
-  serde_json::to_value(record).map_err(|error| Error::Malformed(error.to_string()))
-}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -322,6 +322,8 @@
           self.out.push(Effect::ReportCrashes);
         }
       }
+      Event::BuildHistory(history) => self.add_build_history(&history),
+      Event::BuildsUnwatched => self.streams.interrupt_watch(now),
       Event::RecordsRead => self.records_read = true,
       Event::QuotaUsage(sums) => self.quotas.receive_sums(now, &sums),
       Event::Granted { sent, grants } => {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -267,6 +267,10 @@
   Quarantined(Vec<Quarantined>),
   /// Whether requests with these contents or parts of their prompts were served.
   ServedQuestions(Vec<served::Question>),
+  /// Builds that the pools have had lately were read from the store.
+  BuildHistory(build::history::Known),
+  /// The servers of all pools are not known.
+  BuildsUnwatched,
   /// The quarantined requests were read from the store.
   RecordsRead,
   /// Usage of customers' quotas by all instances within the last window.
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -24,6 +24,8 @@
   pub policies: &'static str,
   /// Requests that crash servers.
   pub quarantine: &'static str,
+  /// Builds that the pools have had lately.
+  pub builds: &'static str,
 }
 
 /// Platform-specific parts of a routing instance.
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -189,6 +189,7 @@
       Basis::OnlyBuild => ("only build of the pool", None, None),
       Basis::SeveralBuilds => ("unknown, and the pool has several builds", None, None),
       Basis::OldList => ("unknown, and the list of servers is old", None, None),
+      Basis::UnknownPast => ("unknown, and so are the builds that have left", None, None),
     };
     info!(self.log, "stream resumed by its caller"; "request" => &decision.request,
       "build" => decision.build.map(|build| build.to_string()), "basis" => basis,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -121,6 +121,7 @@
 pub mod statement;
 pub mod status;
 pub mod store;
+pub mod stored;
 pub mod strain;
 pub mod submissions;
 mod sums;
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -6,13 +6,14 @@
 
 use crate::{
   backend::{self, Backend, Spec},
+  build::{self, history::History},
   clock::{Moment, Suspension},
   command::{Command, Inventory, Taken, Unheard},
   concurrency::Ledger,
   content,
-  crash::{Crash, Quarantined, Registry, Repeated, part, served, stored},
+  crash::{self, Crash, Quarantined, Registry, Repeated, part, served},
   dispatch::Event,
-  edge::Edge,
+  edge::{Edge, Kinds},
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
   former,
   hub::Hub,
@@ -30,8 +31,9 @@
   settings::{Routing, Settings},
   socket::{Interest, Waker, wait},
   statement::Reply,
-  store, sums, tunnel,
+  store, stored, sums, tunnel,
 };
+use serde::Serialize;
 use slog::{info, warn};
 use std::{
   collections::BTreeMap,
@@ -94,12 +96,16 @@
 const STEP_PAUSE_FACTOR: u32 = 6;
 
 /// Result of a call that ran on another thread.
-enum Completion {
+pub(crate) enum Completion {
   Lease(usize, lease::Call, store::Result<store::Object>),
   Ordered(usize, Command, Reply<Taken>),
   Queried(usize, String, Reply<Result<Inventory, Unheard>>),
   Policies(store::Result<Vec<store::Object>>),
-  Quarantine(stored::Call, store::Result<store::Object>),
+  Quarantine(crash::stored::Call, store::Result<store::Object>),
+  Builds(
+    stored::Call<build::history::Record>,
+    store::Result<store::Object>,
+  ),
 }
 
 /// A group of servers with its lease, and the plan that is in effect while this machine holds the
@@ -169,9 +175,11 @@
   pub(crate) members: Vec<SocketAddr>,
   /// Number of other instances to which records of streams could be sent.
   pub(crate) record_holders: usize,
+  /// The stored builds of the pools.
+  pub(crate) build_history: History,
   /// Requests known or suspected to crash servers.
   pub(crate) registry: Registry,
-  pub(crate) stored_quarantine: stored::Stored,
+  pub(crate) stored_quarantine: crash::stored::Stored,
   /// Crashes to report, and quarantined requests to publish.
   pub(crate) reported_crashes: Repeated<Crash>,
   pub(crate) published_quarantine: Repeated<Quarantined>,
@@ -240,7 +248,8 @@
     members: Vec::new(),
     record_holders: 0,
     registry: Registry::default(),
-    stored_quarantine: stored::Stored::default(),
+    stored_quarantine: crash::stored::Stored::default(),
+    build_history: History::default(),
     reported_crashes: Repeated::default(),
     parts: part::Registry::default(),
     reported_part_crashes: Repeated::default(),
@@ -344,6 +353,7 @@
       self.poll_leases();
       self.read_policies();
       self.sync_quarantine();
+      self.sync_build_history();
       self.exchange_statements();
       self.exchange_builds();
       self.report_uses(report_requested);
@@ -477,6 +487,7 @@
             .record_order_result(now, &command, taken);
         }
         Completion::Policies(objects) => self.finish_policies_read(now, objects),
+        Completion::Builds(call, result) => self.finish_builds_call(now, &call, result),
         Completion::Quarantine(call, result) => self.finish_quarantine_call(now, &call, result),
         Completion::Queried(index, id, reply) => {
           let inventory = reply.outcome;
@@ -630,26 +641,35 @@
     }
   }
 
-  /// Starts a read or write of the stored quarantine.
-  pub(crate) fn start_quarantine_call(&self, call: stored::Call) {
+  /// Starts a read or write of a record in the store.
+  pub(crate) fn start_record_call<R: Serialize + Send + 'static>(
+    &self,
+    kind: &'static str,
+    call: stored::Call<R>,
+    completion: fn(stored::Call<R>, store::Result<store::Object>) -> Completion,
+  ) {
     let (edge, completion_sender, waker) = (
       self.edge.clone(),
       self.completion_sender.clone(),
       self.waker.clone(),
     );
     self.calls.run(move || {
-      let kind = edge.kinds.quarantine;
       let result = match &call {
         stored::Call::Read => (edge.store.read)(kind, stored::NAME),
         stored::Call::Write { record, revision } => stored::encode(record)
           .and_then(|spec| (edge.store.write)(kind, stored::NAME, *revision, &spec)),
       };
       // The planner thread runs as long as the process, so the receiver exists.
-      let _ = completion_sender.send(Completion::Quarantine(call, result));
+      let _ = completion_sender.send(completion(call, result));
       waker.wake();
     });
   }
 
+  /// Kinds of the store's objects.
+  pub(crate) fn kinds(&self) -> Kinds {
+    self.edge.kinds
+  }
+
   fn start_lease_call(&mut self, index: usize, call: lease::Call) {
     let record = match &call {
       lease::Call::Write { record, .. } => serde_json::to_value(record).ok(),
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -11,7 +11,7 @@
   crash::{Crash, Culprit, Quarantined, Suspected, stored::Call},
   dispatch::Event,
   message::Message,
-  planner::Planner,
+  planner::{Completion, Planner},
   store,
 };
 use slog::info;
@@ -236,7 +236,7 @@
       .stored_quarantine
       .call(now, clock::unix_ms(), holding, &entries)
     {
-      self.start_quarantine_call(call);
+      self.start_record_call(self.kinds().quarantine, call, Completion::Quarantine);
     }
   }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::{
   backend::{self, Spec},
+  build::streams::Streams,
   clock::Moment,
   dispatch::{Change, Event, State},
   edge::Edge,
@@ -60,6 +61,9 @@
     let mut state = State::new(&settings.zone, routing.retry_bound(), rand::random());
     state.features = routing.features;
     state.retry_share = routing.retry_share();
+    if routing.first_start {
+      state.streams = Streams::first_start();
+    }
     let hub = Hub::new(state, edge.dialect, log)?;
     if let Some(bounds) = routing.reader_bounds() {
       hub.readers.get_or_init(|| reader::Book::new(bounds));
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -14,6 +14,7 @@
 };
 use requests::refused;
 use std::{net::SocketAddr, sync::Arc};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of times that a choice among servers is repeated.
 const REPETITIONS: u64 = 50;
@@ -34,7 +35,26 @@
   }
 }
 
+/// An instance that knows the builds that left before its start.
 fn state(ids: &[&str]) -> State {
+  let mut state = young_state(ids);
+  state.reduce(0, history(&[], true));
+  state
+}
+
+/// The stored builds of the pool.
+fn history(versions: &[&str], complete: bool) -> Event {
+  let pool = xxh3_64(b"pool");
+  let builds = versions
+    .iter()
+    .map(|version| (pool, build::Id::of(version)));
+  Event::BuildHistory(build::history::Known {
+    builds: builds.collect(),
+    complete,
+  })
+}
+
+fn young_state(ids: &[&str]) -> State {
   let engine = Engine {
     slots: 8,
     ..Engine::default()
@@ -368,6 +388,67 @@
   }
 }
 
+/// Resumes a stream that no instance knows. Returns whether it goes on; otherwise it is refused.
+fn goes_on(state: &mut State, now: u64) -> bool {
+  let arrival = Descriptor {
+    deadline: now + 5_000,
+    resumption: Some(Resumption {
+      attempt: None,
+      list_age_ms: Some(100),
+      store_age_ms: Some(0),
+    }),
+    ..descriptor(now)
+  };
+  let effects = state.reduce(now, Event::Arrived(arrival));
+  let goes_on = sent(&effects).is_some();
+  if !goes_on {
+    assert_refused(&effects, Reason::BuildUnknown);
+  }
+  goes_on
+}
+
+/// Guards against an instance that takes the builds which it has seen since its start for all.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_while_the_builds_that_left_are_unknown() {
+  let mut state = young_state(&["v1-a", "v1-b"]);
+  assert!(!goes_on(&mut state, 1));
+  state.reduce(2, history(&["v1"], false));
+  assert!(
+    !goes_on(&mut state, 3),
+    "the stored builds may be incomplete"
+  );
+  state.reduce(4, history(&["v1"], true));
+  assert!(goes_on(&mut state, 5));
+}
+
+/// Guards against a stored build that is ignored because it has no server.
+#[test]
+fn a_stored_build_counts_as_long_as_its_streams_may_be_resumed() {
+  let mut state = young_state(&["v2-a", "v2-b"]);
+  state.reduce(1_000, history(&["v1", "v2"], true));
+  assert!(!goes_on(&mut state, 1_001));
+  assert!(!goes_on(&mut state, 40_999));
+  assert!(goes_on(&mut state, 41_000));
+}
+
+/// Guards against refusals that never end where the stored builds stay incomplete.
+#[test]
+fn builds_that_left_are_known_after_a_stream_can_have_lasted() {
+  let mut state = young_state(&["v1-a", "v1-b"]);
+  assert!(!goes_on(&mut state, 39_999));
+  assert!(goes_on(&mut state, 40_000));
+}
+
+/// Guards against builds that came and went while an instance did not know the servers.
+#[test]
+fn builds_that_left_are_unknown_after_the_list_of_servers_was_old() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  state.reduce(100_000, Event::BuildsUnwatched);
+  assert!(!goes_on(&mut state, 100_001));
+  state.reduce(100_002, history(&["v1"], true));
+  assert!(goes_on(&mut state, 100_003));
+}
+
 /// Guards against a resumption that waits for a build without any server.
 #[test]
 fn a_resumption_is_refused_when_no_server_of_its_build_is_left() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -6,7 +6,7 @@
   content,
   crash::{
     Crash, Quarantined, Registry, Repeated,
-    stored::{Call, Entry, Record, Stored, encode},
+    stored::{Call, Entry, Record, Stored},
   },
   deployment::Engine,
   dispatch::{Change, Descriptor, Effect, End, Event, State},
@@ -15,6 +15,7 @@
   request::Ticket,
   route::Repeat,
   store::{Error, Object, Revision},
+  stored::encode,
   verdict::Verdict,
 };
 use quickcheck::quickcheck;
