Responses: a head with a second status line is no response

Callers saw a 200 with the body of a server's failure. Cause: a server sent a part of a surplus head ('HTTP/1.1 200 OK'), then the 500 that was due; httparse takes any text as the rest of a reason or of a header's value, so the status came from the surplus head, and id, signature and body from the response that was due. Class: two messages that are read as one.

Ruled out: heads that are cut at the end of a connection.

Change: a response head that contains a second status line ('HTTP/1.', a digit, a space, three digits) is an error, as other bytes that are no response are. A header may still name a protocol (Via, Upgrade).

--- a/src/http.rs
+++ b/src/http.rs
@@ -139,6 +139,25 @@
   line_feeds != crlf_pairs || carriage_returns != crlf_pairs
 }
 
+/// Length of the part of a status line that `is_status_line` checks.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
+
+fn is_status_line(bytes: &[u8]) -> bool {
+  match bytes.strip_prefix(b"HTTP/1.") {
+    Some([minor, b' ', status @ ..]) => {
+      minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+    }
+    _ => false,
+  }
+}
+
+/// Whether a response head contains a second status line: a head that was cut short, joined with the
+/// next one.
+fn is_joined(head: &[u8]) -> bool {
+  let lines = head.windows(STATUS_LINE_BYTES);
+  lines.filter(|bytes| is_status_line(bytes)).count() > 1
+}
+
 impl Request {
   /// Parses the request head at the start of `bytes` and returns it with its length in bytes;
   /// `None` if the head is incomplete.
@@ -213,6 +232,9 @@
       Ok(httparse::Status::Partial) => return Ok(None),
       Err(error) => return Err(Error(format!("head: {error}"))),
     };
+    if is_joined(&bytes[..length]) {
+      return Err(Error("head: a status line is within it".into()));
+    }
     let response = Self {
       status: parsed.code.unwrap_or_default(),
       reason: parsed.reason.unwrap_or_default().into(),
--- a/tests/response.rs
+++ b/tests/response.rs
@@ -84,6 +84,70 @@
   }
 }
 
+/// Heads of responses to a request with this id, as servers send them.
+fn heads(id: &str) -> [Vec<u8>; 5] {
+  let head = |start: &str, more: &str| {
+    format!("HTTP/1.1 {start}\r\nServer: s\r\n{ID}: {id}\r\n{more}X-Last: 1\r\n\r\n").into_bytes()
+  };
+  [
+    head("200 OK", "Content-Length: 0\r\n"),
+    head("200 OK", "Transfer-Encoding: chunked\r\n"),
+    head("200 OK", ""),
+    head("204 No Content", ""),
+    head("503 Service Unavailable", "Content-Length: 0\r\n"),
+  ]
+}
+
+/// Guards against a head that ends early with its connection and is taken for a response, whatever is in
+/// front of it.
+#[test]
+fn a_head_that_is_cut_is_no_response() {
+  let interim = b"HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n".to_vec();
+  let surplus = encode(0, "GET", 200, false, "body");
+  for (head, method) in heads("1").iter().zip(METHODS.iter().cycle()) {
+    for front in [Vec::new(), interim.clone(), surplus.clone()] {
+      let bytes = [front, head.clone()].concat();
+      for cut in 0..=bytes.len() {
+        let mut carried = Carried::default();
+        carried.push("0", "GET");
+        carried.push("1", method);
+        let read = Reader::default().read(&mut bytes[..cut].to_vec(), &carried, ID);
+        let found = read.expect("not a prefix of a response").is_some();
+        assert_eq!(found, cut == bytes.len(), "{method}, {cut} bytes");
+      }
+    }
+  }
+}
+
+/// Guards against the status or headers of a surplus response whose head is cut in the response that is due,
+/// which follows it.
+#[test]
+fn a_head_that_is_cut_adds_nothing_to_the_next_one() {
+  let mut carried = Carried::default();
+  carried.push("0", "GET");
+  carried.push("1", "GET");
+  for surplus in heads("0") {
+    for due in heads("1") {
+      let (expected, _) = Response::parse(&due).unwrap().unwrap();
+      for cut in 0..surplus.len() {
+        let mut bytes = [&surplus[..cut], &due].concat();
+        let read = Reader::default().read(&mut bytes, &carried, ID);
+        if let Ok(Some((head, _))) = read {
+          let surplus = String::from_utf8_lossy(&surplus[..cut]);
+          assert_eq!(head, expected, "after `{surplus}`");
+        }
+      }
+    }
+  }
+}
+
+/// Guards against a response that is rejected because a header quotes a protocol.
+#[test]
+fn a_header_may_name_a_protocol() {
+  let head = b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nUpgrade: HTTP/2.0\r\n\r\n";
+  assert!(matches!(Response::parse(head), Ok(Some(_))));
+}
+
 /// Guards against a response without an id that is taken for the one that is due, though it may belong to
 /// an earlier request of the connection.
 #[test]
