Responses: one to a request of another connection takes nothing of the next

What callers saw: bytes from within the body of a response in place of it; 502 to HEAD although the response followed.

Cause: a surplus response whose request the connection never carried was framed by the method of the request that waits. One to HEAD so took bytes of the response that is due. Ruled out: a response that is identified wrongly (its id was told apart).

Change: what follows the head tells whether it has a body. Where that starts like a response, both readings are possible and the connection ends with an error. Weighed: an error for each such response (502 for requests whose response follows), and methods by id over all connections (an id may be sent with two).

--- a/src/response.rs
+++ b/src/response.rs
@@ -13,6 +13,9 @@
 /// Maximum number of requests on a connection, whose ids are remembered.
 const MAX_CARRIED: usize = 64;
 
+/// First bytes of each response.
+const START: &[u8] = b"HTTP/1.";
+
 /// Why the response cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -22,6 +25,8 @@
   Unidentified,
   /// A surplus response ends only with the connection.
   Unframed,
+  /// Where a response to a request of another connection ends depends on the method of that request.
+  Stranger,
 }
 
 impl Error {
@@ -31,6 +36,7 @@
       Self::Malformed => "not an answer",
       Self::Unidentified => "answer without an id",
       Self::Unframed => "answer to another request without a length",
+      Self::Stranger => "answer to a request of another connection",
     }
   }
 }
@@ -111,13 +117,21 @@
       let Some((head, length)) = parsed else {
         return Ok(None);
       };
-      input.drain(..length);
       if head.status < 200 {
+        input.drain(..length);
         self.skipped_bytes += length;
         continue;
       }
-      let (framing, due) = identify(&head, carried, id_header)?;
-      if due {
+      let owner = identify(&head, carried, id_header)?;
+      let framing = match owner {
+        Some(sent) => sent.framing(&head)?,
+        None => match stranger_framing(&head, &input[length..])? {
+          Some(framing) => framing,
+          None => return Ok(None),
+        },
+      };
+      input.drain(..length);
+      if owner.is_some() && owner == carried.0.last().copied() {
         return Ok(Some((head, framing)));
       }
       if framing == Framing::Close {
@@ -148,18 +162,30 @@
   }
 }
 
-/// Returns the framing of a response, and whether it is the response to the last request.
-fn identify(head: &Response, carried: &Carried, id_header: &str) -> Result<(Framing, bool), Error> {
+/// Returns the request that a response belongs to; `None` if the connection has not carried it.
+fn identify(head: &Response, carried: &Carried, id_header: &str) -> Result<Option<Sent>, Error> {
   let last = *carried.0.last().ok_or(Error::Unidentified)?;
   let Some(echoed) = head.headers.get(id_header).map(hash) else {
     // It may be a further response to an earlier request.
     return match carried.0.len() {
-      1 => Ok((last.framing(head)?, true)),
+      1 => Ok(Some(last)),
       _ => Err(Error::Unidentified),
     };
   };
   let sent = carried.0.iter().rev().find(|sent| sent.id == echoed);
-  // Nothing shows how a response to a request of another connection is framed.
-  let framing = sent.unwrap_or(&last).framing(head)?;
-  Ok((framing, echoed == last.id))
+  Ok(sent.copied())
+}
+
+/// Returns the framing of a response to a request of another connection, whose method is not known;
+/// `None` if more input is needed. `rest` is what follows its head.
+fn stranger_framing(head: &Response, rest: &[u8]) -> Result<Option<Framing>, Error> {
+  let framing = head.framing("GET").map_err(|_| Error::Malformed)?;
+  if matches!(framing, Framing::Empty | Framing::Close) {
+    return Ok(Some(framing));
+  }
+  // A response to HEAD is followed by another response, which may also be the start of a body.
+  if rest.starts_with(START) {
+    return Err(Error::Stranger);
+  }
+  Ok((!START.starts_with(rest)).then_some(framing))
 }
--- a/tests/response.rs
+++ b/tests/response.rs
@@ -187,3 +187,42 @@
   };
   assert_eq!(error, Error::Malformed);
 }
+
+/// Guards against a response to a request of another connection that is framed by the method of the
+/// request that waits: it took bytes of the response that is due, or left its own body in front of it.
+#[test]
+fn a_stranger_takes_no_bytes_of_the_response_that_is_due() {
+  let body = "body of the stranger";
+  for (method, chunked, step) in METHODS
+    .iter()
+    .flat_map(|method| [(method, false), (method, true)])
+    .flat_map(|(method, chunked)| [1, 7, 10_000].map(|step| (*method, chunked, step)))
+  {
+    let mut carried = Carried::default();
+    carried.push("0", "GET");
+    carried.push("1", method);
+    let due = encode(1, method, 200, chunked, "due");
+    let mut bytes = encode(7, "GET", 503, chunked, body);
+    bytes.extend(&due);
+    let expected = if method == "HEAD" { "" } else { "due" };
+    let found = read(&mut Reader::default(), &carried, &bytes, step);
+    assert_eq!(found, Some(("1".into(), expected.into())), "{method}");
+    // Without its body, it may be one to HEAD, or one whose body looks like a response.
+    let mut bytes = encode(7, "HEAD", 503, chunked, body);
+    bytes.extend(&due);
+    let read = Reader::default().read(&mut bytes, &carried, ID);
+    assert_eq!(read.err(), Some(Error::Stranger), "{method}");
+    // Without a stated body, it ends with its head.
+    let mut bytes = encode(7, "GET", 204, false, "");
+    bytes.extend(&due);
+    let found = read_due(&carried, bytes);
+    assert_eq!(found.as_deref(), Some("1"), "{method}");
+  }
+}
+
+/// Reads a response whose bytes have all arrived; returns its id.
+fn read_due(carried: &Carried, mut bytes: Vec<u8>) -> Option<String> {
+  let response = Reader::default().read(&mut bytes, carried, ID).unwrap();
+  let (head, _) = response?;
+  Some(head.headers.get(ID)?.to_string())
+}
