Streams: a response within a stream is no event

What callers saw: the head and the body of another response in a stream that looked complete.

Cause: all bytes up to a blank line were taken for an event. In a chunked stream a copy breaks the framing and the stream is continued elsewhere; one that ends with its connection has nothing to break. An `id:` line in the copy would also have counted as the last event. Ruled out: chunked streams (held before).

Change: an event with a line that is the header in which responses echo ids ends the run as broken, before any of its bytes or ids count.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -60,7 +60,10 @@
       {
         return Err(outcome(End::Broken, "not an answer"));
       }
-      let complete = self.events.push(&bytes);
+      let complete = self
+        .events
+        .push(&bytes, self.hub.dialect.request_id)
+        .map_err(|_| outcome(End::Broken, "a response within the stream"))?;
       bytes.clear();
       if !complete.is_empty() {
         self.forward_events(&mut stream, &complete)?;
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,6 +1,10 @@
 //! Server-sent events. Complete events are separated from partial ones, so that a stream can be
 //! resumed on another backend server after its last complete event.
 
+/// The stream contains the head of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mixed;
+
 /// Splits a stream into events as its bytes arrive.
 #[derive(Clone, Debug, Default)]
 pub struct Parser {
@@ -12,13 +16,19 @@
 }
 
 impl Parser {
-  /// Adds bytes of the stream and returns all complete events that have not been returned yet.
-  pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+  /// Adds bytes of the stream and returns all complete events that have not been returned yet. It is an
+  /// error if one has a line with `id_header`, the header in which responses echo the ids of their
+  /// requests.
+  pub fn push(&mut self, bytes: &[u8], id_header: &str) -> Result<Vec<u8>, Mixed> {
     let checked = self.partial.len();
     self.partial.extend_from_slice(bytes);
     let Some(end) = last_event_end(&self.partial, checked) else {
-      return Vec::new();
+      return Ok(Vec::new());
     };
+    let mut lines = self.partial[..end].split(|byte| *byte == b'\n');
+    if lines.any(|line| is_header(line, id_header)) {
+      return Err(Mixed);
+    }
     let complete: Vec<u8> = self.partial.drain(..end).collect();
     for line in complete.split(|byte| *byte == b'\n') {
       if line.is_empty() || line == b"\r" {
@@ -30,7 +40,7 @@
       }
     }
     self.count = self.count.saturating_sub(1);
-    complete
+    Ok(complete)
   }
 
   /// Returns the bytes after the last complete event.
@@ -54,6 +64,12 @@
   }
 }
 
+/// Whether a line is a header with this name.
+fn is_header(line: &[u8], name: &str) -> bool {
+  let (start, rest) = line.split_at(name.len().min(line.len()));
+  rest.first() == Some(&b':') && start.eq_ignore_ascii_case(name.as_bytes())
+}
+
 /// Returns the offset after the last complete event. Bytes before `checked` were searched already.
 fn last_event_end(bytes: &[u8], checked: usize) -> Option<usize> {
   let from = checked.saturating_sub(3);
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -109,7 +109,7 @@
     while !wire.is_empty() {
       let length = cuts.next().map_or(wire.len(), |cut| cut % wire.len() + 1);
       let part: Vec<u8> = wire.drain(..length).collect();
-      let complete = parser.push(&part);
+      let complete = parser.push(&part, "X-Id").unwrap();
       if !complete.is_empty() && !complete.ends_with(b"\n\n") {
         return false;
       }
@@ -123,7 +123,7 @@
 #[test]
 fn a_stream_cut_within_an_event_keeps_the_last_whole_one() {
   let mut parser = Parser::default();
-  let complete = parser.push(b"id: 1\ndata: a\n\nid: 2\nda");
+  let complete = parser.push(b"id: 1\ndata: a\n\nid: 2\nda", "X-Id").unwrap();
   assert_eq!(complete, b"id: 1\ndata: a\n\n");
   assert_eq!(parser.last_id.as_deref(), Some("1"));
   parser.discard_partial();
@@ -153,3 +153,28 @@
     decoder.is_complete() && bytes.is_empty() && decoded == expected && head.keep_alive() == keep
   }
 }
+
+/// Guards against a response within a stream that is forwarded as events, or whose event ids count,
+/// however its bytes arrive.
+#[test]
+fn a_response_within_a_stream_is_no_event() {
+  let stream = b"id: 1\ndata: a\n\nid: 2\ndaHTTP/1.1 200 OK\r\nx-id: b\r\n\r\nid: 7\ndata: c\n\n";
+  for step in 1..=stream.len() {
+    let (mut parser, mut out) = (Parser::default(), Vec::new());
+    let mixed = stream
+      .chunks(step)
+      .any(|part| match parser.push(part, "X-Id") {
+        Ok(complete) => {
+          out.extend(complete);
+          false
+        }
+        Err(_) => true,
+      });
+    assert!(mixed, "step {step}");
+    assert!(b"id: 1\ndata: a\n\n".starts_with(&out[..]), "step {step}");
+    assert_ne!(parser.last_id.as_deref(), Some("7"), "step {step}");
+  }
+  // Not at the start of a line.
+  let event = b"data: X-Id: b\n\n";
+  assert_eq!(Parser::default().push(event, "X-Id"), Ok(event.to_vec()));
+}
