Callers: a connection that gets no thread counts as closed unread

Callers saw a connection that ends with its request unread, at once, which was right. Operators saw one line for each such connection and nothing in callers_closed_unread; connections at rest kept their threads meanwhile.

Cause: a connection without a thread was recorded in a way of its own, apart from those closed for other causes.

Change: spawn returns the cause no-thread; it is counted, logged and acted on as full and late are. bind_with takes the function that starts threads.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -24,6 +24,8 @@
   Full,
   /// The threads of new connections start too late, for want of processor time.
   Late,
+  /// The system has no further thread for this process.
+  NoThread,
 }
 
 impl Cause {
@@ -32,6 +34,7 @@
     match self {
       Self::Full => "full",
       Self::Late => "late",
+      Self::NoThread => "no-thread",
     }
   }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -41,6 +41,9 @@
 /// this instance out of service.
 const UNVERIFIED_KEY_RETRY_MS: u64 = 1_000;
 
+/// What a connection's thread runs.
+pub type Task = Box<dyn FnOnce() + Send>;
+
 /// Why a request could not be read.
 enum ReadError {
   /// The connection was closed, or was idle for too long.
@@ -96,6 +99,18 @@
 
 /// Binds the caller port and serves at most `max_connections` connections at once.
 pub fn bind(hub: &Arc<Hub>, address: &str, max_connections: usize) -> io::Result<SocketAddr> {
+  bind_with(hub, address, max_connections, |builder, task| {
+    builder.spawn(task).map(drop)
+  })
+}
+
+/// Like `bind`, with a function that starts the threads of connections.
+pub fn bind_with(
+  hub: &Arc<Hub>,
+  address: &str,
+  max_connections: usize,
+  start: impl Fn(thread::Builder, Task) -> io::Result<()> + Send + 'static,
+) -> io::Result<SocketAddr> {
   let listener = web::listen(address)?;
   let address = listener.local_addr()?;
   hub
@@ -103,11 +118,15 @@
     .get_or_init(|| Admission::new(max_connections));
   let hub = hub.clone();
   let builder = thread::Builder::new().name("accept".into());
-  builder.spawn(move || accept(&hub, &listener))?;
+  builder.spawn(move || accept(&hub, &listener, &start))?;
   Ok(address)
 }
 
-fn accept(hub: &Arc<Hub>, listener: &TcpListener) {
+fn accept(
+  hub: &Arc<Hub>,
+  listener: &TcpListener,
+  start: &impl Fn(thread::Builder, Task) -> io::Result<()>,
+) {
   let mut closed = Closed::default();
   loop {
     let stream = match listener.accept() {
@@ -121,13 +140,12 @@
     let Some(admission) = hub.admission.get() else {
       continue;
     };
-    let admitted = admission.admit();
+    // The caller of a connection that is closed here sees that its request was not read, and may send
+    // it to another instance.
+    let admitted = admission
+      .admit()
+      .and_then(|()| spawn(hub, admission, stream, start));
     closed.record(hub, admission, admitted);
-    match admitted {
-      Ok(()) => spawn(hub, stream),
-      // Its caller sees that the request was not read, and may send it to another instance.
-      Err(_) => drop(stream),
-    }
   }
 }
 
@@ -165,22 +183,26 @@
   }
 }
 
-/// Serves an admitted connection in a thread.
-fn spawn(hub: &Arc<Hub>, stream: TcpStream) {
-  let (hub_of_thread, accepted_at) = (hub.clone(), hub.now());
+/// Serves an admitted connection in a thread; closes it if none can be started.
+fn spawn(
+  hub: &Arc<Hub>,
+  admission: &Admission,
+  stream: TcpStream,
+  start: &impl Fn(thread::Builder, Task) -> io::Result<()>,
+) -> Result<(), Cause> {
+  let (hub, accepted_at) = (hub.clone(), hub.now());
   let builder = thread::Builder::new()
     .name("caller".into())
     .stack_size(STACK_BYTES);
-  let spawned = builder.spawn(move || {
-    let hub = hub_of_thread;
+  let task = move || {
     record_start(&hub, accepted_at);
     serve(&hub, stream);
     hub.admission.get().inspect(|admission| admission.release());
-  });
-  if let Err(error) = spawned {
-    warn!(hub.log, "no thread for a connection"; "error" => %error);
-    hub.admission.get().inspect(|admission| admission.cancel());
-  }
+  };
+  start(builder, Box::new(task)).map_err(|_| {
+    admission.cancel();
+    Cause::NoThread
+  })
 }
 
 fn record_start(hub: &Hub, accepted_at: u64) {
