Callers: connections closed and accepted in turn are one overload in the log

Operators saw, near a limit where each connection that ends makes room for one, a line for each connection that is closed and one for each that is accepted after it.

Cause: by reading, the first accepted connection ended the row of closed ones. Ruled out: the counter, which counts each.

Change: admission::Overload, a pure type: an overload ends once none was closed for OVERLOAD_MS; the line of its end has the number and the time.

Figures, tests/admission.rs connections_closed_and_accepted_in_turn_are_one_overload: 100 closed and 100 accepted in turn within a second start one overload and end none; there was no such type before, so the test did not run on the old code.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -14,7 +14,7 @@
 const MIN_START_DELAY_MS: u64 = 20;
 /// Connections whose threads may wait to start, however late threads start.
 const MIN_STARTING: usize = 4;
-/// An instance counts as overloaded for this long after it closed a connection unread, in ms.
+/// An instance counts as overloaded for this long after it last closed a connection unread, in ms.
 const OVERLOAD_MS: u64 = 1_000;
 
 /// Why a new connection is closed.
@@ -148,3 +148,46 @@
     !overloaded && idle <= self.max_connections / IDLE_DIVISOR
   }
 }
+
+/// The connections closed unread while an instance is overloaded.
+///
+/// Near a limit, connections are closed and accepted in turn. They are one overload.
+#[derive(Debug, Default)]
+pub struct Overload {
+  closed: u64,
+  /// When the first and the last connection were closed, in ms on the hub's clock.
+  since: u64,
+  closed_at: u64,
+}
+
+/// An overload that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Summary {
+  /// Connections closed unread.
+  pub closed: u64,
+  /// Time from its start to the next connection that was accepted after it, in ms.
+  pub after_ms: u64,
+}
+
+impl Overload {
+  /// Counts a connection closed at `now`, in ms; returns whether an overload starts with it.
+  pub fn record_closed(&mut self, now: u64) -> bool {
+    let starts = self.closed == 0;
+    if starts {
+      self.since = now;
+    }
+    self.closed += 1;
+    self.closed_at = now;
+    starts
+  }
+
+  /// Records that a connection is accepted at `now`, in ms; returns the overload that it ends.
+  pub fn record_accepted(&mut self, now: u64) -> Option<Summary> {
+    if self.closed == 0 || now < self.closed_at + OVERLOAD_MS {
+      return None;
+    }
+    let closed = std::mem::take(&mut self.closed);
+    let after_ms = now - self.since;
+    Some(Summary { closed, after_ms })
+  }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,7 +1,7 @@
 //! Caller port of a routing instance: accepts connections, reads requests and finds their routes.
 
 use crate::{
-  admission::{Admission, Cause},
+  admission::{Admission, Cause, Overload},
   clock::Moment,
   customer::{self, Caller},
   deployment::{Bounds, Deployment},
@@ -127,7 +127,7 @@
   listener: &TcpListener,
   start: &impl Fn(thread::Builder, Task) -> io::Result<()>,
 ) {
-  let mut closed = Closed::default();
+  let mut overload = Overload::default();
   loop {
     let stream = match listener.accept() {
       Ok((stream, _)) => stream,
@@ -145,41 +145,32 @@
     let admitted = admission
       .admit()
       .and_then(|()| spawn(hub, admission, stream, start));
-    closed.record(hub, admission, admitted);
+    record_admission(hub, admission, &mut overload, admitted);
   }
 }
 
-/// Connections closed unread since the last one that was accepted.
-#[derive(Default)]
-struct Closed {
-  count: u64,
-  since: u64,
-}
-
-impl Closed {
-  /// Counts a connection that was closed; logs the first one, and how many there were once one is
-  /// accepted.
-  fn record(&mut self, hub: &Hub, admission: &Admission, admitted: Result<(), Cause>) {
-    let active = || hub.active.load(Ordering::Relaxed);
-    match admitted {
-      Ok(()) if self.count > 0 => {
-        info!(hub.log, "connections are accepted again"; "closed" => self.count,
-          "after_ms" => hub.now() - self.since, "connections" => admission.open(),
-          "active" => active());
-        self.count = 0;
-      }
-      Ok(()) => {}
-      Err(cause) => {
-        hub.measures.record_closed_unread(cause);
-        admission.record_closed(hub.now());
-        if self.count == 0 {
-          self.since = hub.now();
-          warn!(hub.log, "new connections are closed unread"; "cause" => cause.as_str(),
-            "connections" => admission.open(), "active" => active(), "window" => admission.window());
-        }
-        self.count += 1;
-      }
+/// Records whether a connection was accepted; logs the first one of an overload that was closed, and
+/// how many there were in the end.
+fn record_admission(
+  hub: &Hub,
+  admission: &Admission,
+  overload: &mut Overload,
+  admitted: Result<(), Cause>,
+) {
+  let (now, open) = (hub.now(), admission.open());
+  let active = || hub.active.load(Ordering::Relaxed);
+  let Err(cause) = admitted else {
+    if let Some(ended) = overload.record_accepted(now) {
+      info!(hub.log, "connections are accepted again"; "closed" => ended.closed,
+        "after_ms" => ended.after_ms, "connections" => open, "active" => active());
     }
+    return;
+  };
+  hub.measures.record_closed_unread(cause);
+  admission.record_closed(now);
+  if overload.record_closed(now) {
+    warn!(hub.log, "new connections are closed unread"; "cause" => cause.as_str(),
+      "connections" => open, "active" => active(), "window" => admission.window());
   }
 }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of callers' connections.
 
-use bendsaddle::admission::{Admission, Cause};
+use bendsaddle::admission::{Admission, Cause, Overload, Summary};
 use quickcheck::quickcheck;
 
 const MAX_CONNECTIONS: usize = 100;
@@ -101,3 +101,24 @@
     })
   }
 }
+
+/// Near a limit, where each connection that ends makes room for one, each closed one was a line of the
+/// log, and each accepted one too.
+#[test]
+fn connections_closed_and_accepted_in_turn_are_one_overload() {
+  let mut overload = Overload::default();
+  let starts = (0..100).filter(|turn| {
+    let starts = overload.record_closed(turn * 10);
+    assert_eq!(overload.record_accepted(turn * 10 + 5), None);
+    starts
+  });
+  assert_eq!(starts.count(), 1);
+  let ended = overload.record_accepted(5_000);
+  let expected = Summary {
+    closed: 100,
+    after_ms: 5_000,
+  };
+  assert_eq!(ended, Some(expected));
+  assert_eq!(overload.record_accepted(5_001), None);
+  assert!(overload.record_closed(5_002), "the next one");
+}
