Crashes: quarantines and releases are evicted by the one function for it

Cause: the entry that ends first was searched for and removed in two places of the registry, beside evict, which does the same. Ruled out: a change of behaviour; both took the first entry with the earliest time, and each insert adds one entry at most.

Change: evict serves both; its words no longer say that the time is one of being seen.

--- a/src/crash/mod.rs
+++ b/src/crash/mod.rs
@@ -55,17 +55,13 @@
 /// Turn of a suspect that is published again for instances that have just started.
 pub const REPUBLISHED: u32 = u32::MAX;
 
-/// Removes the entries that were last seen longest ago, beyond `max` of them.
-fn evict<K: Copy + Ord, T>(
-  entries: &mut BTreeMap<K, T>,
-  max: usize,
-  last_seen: impl Fn(&T) -> u64,
-) {
+/// Removes the entries with the earliest times, beyond `max` of them.
+fn evict<K: Copy + Ord, T>(entries: &mut BTreeMap<K, T>, max: usize, time: impl Fn(&T) -> u64) {
   while entries.len() > max {
-    let oldest = entries.iter().min_by_key(|(_, entry)| last_seen(entry));
-    let Some(oldest) = oldest.map(|(key, _)| *key) else {
+    let earliest = entries.iter().min_by_key(|(_, entry)| time(entry));
+    let Some(earliest) = earliest.map(|(key, _)| *key) else {
       return;
     };
-    entries.remove(&oldest);
+    entries.remove(&earliest);
   }
 }
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -383,24 +383,14 @@
     }
     self.released.remove(&entry.content);
     self.quarantined.insert(entry.content, until);
-    if self.quarantined.len() > MAX_QUARANTINED {
-      let first = self.quarantined.iter().min_by_key(|(_, until)| **until);
-      if let Some(first) = first.map(|(content, _)| *content) {
-        self.quarantined.remove(&first);
-      }
-    }
+    evict(&mut self.quarantined, MAX_QUARANTINED, |until| *until);
     true
   }
 
   fn record_release(&mut self, now: u64, content: content::Key) {
     self.released.retain(|_, at| now < *at + QUARANTINE_MS);
     self.released.insert(content, now);
-    if self.released.len() > MAX_QUARANTINED {
-      let first = self.released.iter().min_by_key(|(_, at)| **at);
-      if let Some(first) = first.map(|(content, _)| *content) {
-        self.released.remove(&first);
-      }
-    }
+    evict(&mut self.released, MAX_QUARANTINED, |at| *at);
   }
 
   /// Whether a quarantine began before its content was released.
