--- a/stand-ins/src/engine/completion.rs
+++ b/stand-ins/src/engine/completion.rs
@@ -51,6 +51,7 @@
         request: completion.request.clone(),
         attempt: completion.attempt.clone(),
         model: completion.model.clone(),
+        prompt: completion.prompt.clone(),
         tokens: 0,
         is_complete: false,
       });
--- a/stand-ins/src/engine/mod.rs
+++ b/stand-ins/src/engine/mod.rs
@@ -85,6 +85,7 @@
   pub request: String,
   pub attempt: String,
   pub model: String,
+  pub prompt: String,
   pub tokens: usize,
   pub is_complete: bool,
 }
--- a/stand-ins/src/fleet.rs
+++ b/stand-ins/src/fleet.rs
@@ -28,6 +28,7 @@
 /// One instance of the fleet.
 pub struct Member {
   pub name: String,
+  pub zone: String,
   pub callers: String,
   pub peers: String,
   pub operators: String,
@@ -273,18 +274,28 @@
 
   /// Starts another instance and adds it to the platform's machine list.
   pub fn add(&mut self) -> io::Result<()> {
-    let name = format!("entry-{}", self.started);
-    let zone = ZONES[self.started % ZONES.len()];
+    let number = self.started;
     self.started += 1;
-    let settings = self.settings(&name, zone);
-    let member = match &self.program {
-      Some(program) => start_process(program, &name, &settings)?,
-      None => start_thread(&name, &settings)?,
+    self.start_instance(&format!("entry-{number}"), ZONES[number % ZONES.len()])
+  }
+
+  /// Kills an instance and starts it again under its name, at other addresses.
+  pub fn restart(&mut self, at: usize) -> io::Result<()> {
+    let name = self.members[at].name.clone();
+    let zone = self.members[at].zone.clone();
+    self.kill(at);
+    self.start_instance(&name, &zone)
+  }
+
+  fn start_instance(&mut self, name: &str, zone: &str) -> io::Result<()> {
+    let settings = self.settings(name, zone);
+    let mut member = match &self.program {
+      Some(program) => start_process(program, name, &settings)?,
+      None => start_thread(name, &settings)?,
     };
+    member.zone = zone.into();
     let peers = member.peers.clone();
-    self
-      .platform
-      .machine(&name, Some(peers), MachineState::Live);
+    self.platform.machine(name, Some(peers), MachineState::Live);
     self.members.push(member);
     Ok(())
   }
@@ -357,6 +368,7 @@
   let instance = Instance::spawn(settings, Logger::root(Discard, o!()))?;
   Ok(Member {
     name: name.into(),
+    zone: String::new(),
     callers: instance.callers.to_string(),
     peers: instance.peers.to_string(),
     operators: instance.operators.to_string(),
@@ -406,6 +418,7 @@
   let port = |field: &str| ports[field].as_str().unwrap_or_default().to_string();
   Ok(Member {
     name: name.into(),
+    zone: String::new(),
     callers: port("callers"),
     peers: port("peers"),
     operators: port("operators"),
