--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -172,3 +172,35 @@
   }
   server.join().unwrap();
 }
+
+/// Guards against an order or a call to the store that counts as done, or as absent, by a response
+/// whose head or body never arrived in full.
+#[test]
+fn a_response_cut_at_any_byte_is_none() {
+  let heads = [
+    "HTTP/1.1 200 OK\r\nStore-Era: 12\r\nContent-Length: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\n\r\n",
+  ];
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  let sends = heads
+    .iter()
+    .flat_map(|head| (0..head.len()).map(|cut| &head[..cut]));
+  let sends: Vec<&str> = sends.collect();
+  let server_sends = sends.clone();
+  thread::spawn(move || {
+    for part in server_sends {
+      let (mut stream, _) = listener.accept().unwrap();
+      let _ = stream.read(&mut [0; 1024]).unwrap();
+      stream.write_all(part.as_bytes()).unwrap();
+    }
+  });
+  let client = Client::default();
+  for part in sends {
+    let result = client.send(address, &get());
+    assert_eq!(result.err(), Some(Failure::NoAnswer), "`{part}`");
+  }
+}
