Relay: a response without a length is cut if its server crashed at its end

Callers saw a stream end as complete after 2 of 8 events, and a plain response as complete after 524,288 of 1,048,576 bytes, when the server crashed between two events or within the body. Cause: a response without a length ends with its connection, and the end of a process closes connections in the same way; whether the server had ended was asked only where a response was known to be cut. Class: a sign with two causes is taken for the harmless one, though the other can be told.

Change: when a successful response without a length ends, the instance connects to its server. If the port refuses and the server is not known to be leaving, the response is cut: a stream that may be resumed goes on elsewhere, anything else does not look complete, and the crash counts. A stream without a length that ends within an event is now checked for a crash as well. A leaving server's ends count as whole as before, since it may refuse connections and still finish what it runs.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -87,6 +87,7 @@
     // The caller already received the start of another response, which this one cannot continue.
     let astray = self.response_framing.is_some();
     let mut begun = false;
+    let success = (200..300).contains(&head.status);
     loop {
       if body.decode(&mut socket.input, &mut bytes).is_err() {
         return Err(outcome(End::Broken, "not an answer"));
@@ -111,7 +112,8 @@
       self
         .backlog
         .gathered(self.incoming.account.as_ref(), bytes.len());
-      if self.read_patiently(socket, until)? == Fill::Eof && !body.finish() {
+      let ended = self.read_patiently(socket, until)? == Fill::Eof;
+      if ended && (!body.finish() || success && self.has_crashed(attempt)) {
         return Err(disconnected("answer broken off"));
       }
     }
--- a/src/relay/crashed.rs
+++ b/src/relay/crashed.rs
@@ -2,6 +2,7 @@
 
 use super::{Outcome, Relay, outcome};
 use crate::{
+  backend::Backend,
   clock::Moment,
   dispatch::{Attempt, End},
   socket::{Fill, Socket},
@@ -52,6 +53,17 @@
     outcome(End::Crashed, "server ended")
   }
 
+  /// Whether a server has crashed, by which a response without a length would end too. One that is leaving
+  /// may refuse connections while it finishes its responses.
+  pub(super) fn has_crashed(&self, attempt: &Attempt) -> bool {
+    let is_leaving = {
+      let state = self.hub.state();
+      let backend = state.backends.get(attempt.backend);
+      backend.is_none_or(Backend::is_leaving)
+    };
+    !is_leaving && self.refuses_connections(attempt)
+  }
+
   /// Whether a server's port refuses connections. A connection that succeeds is kept for the next
   /// send. An instance that is partitioned from the server asks another one.
   fn refuses_connections(&self, attempt: &Attempt) -> bool {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -80,7 +80,9 @@
         false => self.read_patiently(&mut stream.socket, until),
       };
       match read {
-        Ok(Fill::Eof) if !stream.body.finish() => return Err(disconnected("stream broken off")),
+        Ok(Fill::Eof) if !self.ends_whole(&mut stream) => {
+          return Err(disconnected("stream broken off"));
+        }
         Ok(_) => {}
         Err(result) if result.why == STALLED && self.may_stall() => {
           self.keep_stalled(stream);
@@ -91,6 +93,12 @@
     }
   }
 
+  /// Whether a stream is complete that ends with its connection.
+  fn ends_whole(&self, stream: &mut Stream) -> bool {
+    let ends_between_events = self.events.partial().is_empty();
+    stream.body.finish() && ends_between_events && !self.has_crashed(&stream.attempt)
+  }
+
   fn forward_events(&mut self, stream: &mut Stream, complete: &[u8]) -> Result<(), Outcome> {
     if !std::mem::replace(&mut stream.started, true) && self.first_event_at.is_some() {
       self.resumed = true;
