Callers: a connection's wait to be accepted counts as its thread's late start

Cause: the window of threads that start counted from the accept. An instance that hardly runs accepts late: 100 to 340 connections waited in the queue of a listening port, while the instance's log has 1 to 3 ms to the first byte. Ruled out: connections without a thread (none was counted).

Change: socket::time_unread asks the system when data last arrived; admit_after closes a connection unread that has waited for more than a quarter of the shortest objective, while threads of at least MIN_STARTING others wait to start; late starts count from the arrival.

New tests: connections_that_have_waited_too_long_to_be_accepted_are_closed, what_arrived_unread_has_an_age; both use functions that did not exist.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -22,7 +22,8 @@
 pub enum Cause {
   /// The maximum number of connections is open.
   Full,
-  /// The threads of new connections start too late, for want of processor time.
+  /// New connections are accepted too late or their threads start too late, for want of processor
+  /// time.
   Late,
   /// The system has no further thread for this process.
   NoThread,
@@ -50,7 +51,7 @@
   /// Connections whose threads have not started, and how many there may be.
   starting: AtomicUsize,
   window: AtomicUsize,
-  /// A late start of a connection accepted before this moment has halved the window already; in ms
+  /// A late start of a connection that arrived before this moment has halved the window already; in ms
   /// on the hub's clock.
   halved_at: AtomicU64,
   /// When a connection was last closed unread, in ms on the hub's clock.
@@ -80,6 +81,20 @@
     self.window.load(Ordering::Relaxed)
   }
 
+  /// Like `admit`, for a connection whose request has waited for `waited_ms` to be accepted.
+  /// `objective_ms` returns the shortest objective of all routes.
+  pub fn admit_after(
+    &self,
+    waited_ms: u64,
+    objective_ms: impl FnOnce() -> Option<u64>,
+  ) -> Result<(), Cause> {
+    let starting = self.starting.load(Ordering::Relaxed);
+    if starting >= MIN_STARTING && is_late(waited_ms, objective_ms) {
+      return Err(Cause::Late);
+    }
+    self.admit()
+  }
+
   /// Counts a new connection.
   ///
   /// # Errors
@@ -109,24 +124,22 @@
     self.release();
   }
 
-  /// Records that the thread of a connection accepted at `accepted_at` starts at `now`, both in ms.
+  /// Records that the thread of a connection that arrived at `arrived_at` starts at `now`, both in ms.
   /// `objective_ms` returns the shortest objective of all routes.
   pub fn record_start(
     &self,
-    accepted_at: u64,
+    arrived_at: u64,
     now: u64,
     objective_ms: impl FnOnce() -> Option<u64>,
   ) {
     let waiting = self.starting.fetch_sub(1, Ordering::Relaxed);
-    let delay_ms = now.saturating_sub(accepted_at);
-    let is_late = |objective: u64| delay_ms > objective / START_DELAY_DIVISOR;
-    let late = delay_ms >= MIN_START_DELAY_MS && objective_ms().is_some_and(is_late);
+    let late = is_late(now.saturating_sub(arrived_at), objective_ms);
     let window = self.window();
     if !late {
       if window < self.max_connections {
         self.window.store(window + 1, Ordering::Relaxed);
       }
-    } else if accepted_at >= self.halved_at.load(Ordering::Relaxed) {
+    } else if arrived_at >= self.halved_at.load(Ordering::Relaxed) {
       self.halved_at.store(now, Ordering::Relaxed);
       let halved = (waiting.min(window) / 2).max(MIN_STARTING);
       self.window.store(halved, Ordering::Relaxed);
@@ -149,6 +162,12 @@
   }
 }
 
+/// Whether a request that waits for `delay_ms` to be read is late for the shortest objective.
+fn is_late(delay_ms: u64, objective_ms: impl FnOnce() -> Option<u64>) -> bool {
+  let exceeds = |objective: u64| delay_ms > objective / START_DELAY_DIVISOR;
+  delay_ms >= MIN_START_DELAY_MS && objective_ms().is_some_and(exceeds)
+}
+
 /// The connections closed unread while an instance is overloaded.
 ///
 /// Near a limit, connections are closed and accepted in turn. They are one overload.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,7 @@
   refusal::{Reason, Refusal},
   relay::{self, Disposition, Incoming},
   route::{self, Route},
-  socket::{Fill, Interest, READ_BYTES, Socket, wait},
+  socket::{self, Fill, Interest, READ_BYTES, Socket, wait},
   verdict::Verdict,
   web,
 };
@@ -142,9 +142,10 @@
     };
     // The caller of a connection that is closed here sees that its request was not read, and may send
     // it to another instance.
-    let admitted = admission
-      .admit()
-      .and_then(|()| spawn(hub, admission, stream, start));
+    let waited_ms = socket::time_unread(&stream).as_millis() as u64;
+    let admitted = admission.admit_after(waited_ms, || hub.shortest_objective_ms());
+    let arrived_at = hub.now().saturating_sub(waited_ms);
+    let admitted = admitted.and_then(|()| spawn(hub, admission, stream, arrived_at, start));
     record_admission(hub, admission, &mut overload, admitted);
   }
 }
@@ -179,14 +180,15 @@
   hub: &Arc<Hub>,
   admission: &Admission,
   stream: TcpStream,
+  arrived_at: u64,
   start: &impl Fn(thread::Builder, Task) -> io::Result<()>,
 ) -> Result<(), Cause> {
-  let (hub, accepted_at) = (hub.clone(), hub.now());
+  let hub = hub.clone();
   let builder = thread::Builder::new()
     .name("caller".into())
     .stack_size(STACK_BYTES);
   let task = move || {
-    record_start(&hub, accepted_at);
+    record_start(&hub, arrived_at);
     serve(&hub, stream);
     hub.admission.get().inspect(|admission| admission.release());
   };
@@ -196,13 +198,13 @@
   })
 }
 
-fn record_start(hub: &Hub, accepted_at: u64) {
+fn record_start(hub: &Hub, arrived_at: u64) {
   let now = hub.now();
   hub
     .measures
-    .record_start_delay(Duration::from_millis(now - accepted_at));
+    .record_start_delay(Duration::from_millis(now - arrived_at));
   if let Some(admission) = hub.admission.get() {
-    admission.record_start(accepted_at, now, || hub.shortest_objective_ms());
+    admission.record_start(arrived_at, now, || hub.shortest_objective_ms());
   }
 }
 
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -60,7 +60,7 @@
   readers_dropped: Counter<u64>,
   /// Callers' connections closed with their request unread, by cause.
   closed_unread: Counter<u64>,
-  /// From the accept of a caller's connection to the start of its thread.
+  /// From the arrival of a caller's connection to the start of its thread.
   start_delay: Histogram<f64>,
   first_byte: Histogram<f64>,
   wait: Histogram<f64>,
@@ -112,7 +112,7 @@
       start_delay: time_histogram(
         &meter,
         "caller_start_delay",
-        "From the accept of a connection to the start of its thread",
+        "From the arrival of a connection to the start of its thread",
       ),
       first_byte: time_histogram(&meter, "routed_first_byte", "From arrival to first byte"),
       wait: time_histogram(&meter, "routed_wait", "From arrival to the first send"),
@@ -188,7 +188,7 @@
     self.closed_unread.add(1, &[label("cause", cause.as_str())]);
   }
 
-  /// Records how long an accepted connection of a caller waited for its thread.
+  /// Records how long a connection of a caller waited for its thread.
   pub fn record_start_delay(&self, delay: Duration) {
     self.start_delay.record(delay.as_secs_f64(), &[]);
   }
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -8,7 +8,9 @@
 use socket2::{Domain, SockRef, Socket as RawSocket, TcpKeepalive, Type};
 use std::{
   io::{self, Read, Write},
+  mem::MaybeUninit,
   net::{SocketAddr, TcpStream},
+  os::fd::AsRawFd,
   time::Duration,
 };
 
@@ -50,6 +52,28 @@
   }
 }
 
+/// Time since data last arrived on a connection or, if none did, since it was established; zero if the
+/// system does not tell. What is unread has waited for at least this long.
+pub fn time_unread(stream: &TcpStream) -> Duration {
+  let mut info = MaybeUninit::<libc::tcp_info>::zeroed();
+  let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
+  // SAFETY: the system writes at most `length` bytes, and zeros are a valid `tcp_info`.
+  let info = unsafe {
+    let result = libc::getsockopt(
+      stream.as_raw_fd(),
+      libc::IPPROTO_TCP,
+      libc::TCP_INFO,
+      info.as_mut_ptr().cast(),
+      &mut length,
+    );
+    if result != 0 {
+      return Duration::ZERO;
+    }
+    info.assume_init()
+  };
+  Duration::from_millis(info.tcpi_last_data_recv.into())
+}
+
 /// The kind of readiness to wait for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Interest {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -122,3 +122,15 @@
   assert_eq!(overload.record_accepted(5_001), None);
   assert!(overload.record_closed(5_002), "the next one");
 }
+
+/// Connections that had waited to be accepted, as their instance did not run, were all served late.
+#[test]
+fn connections_that_have_waited_too_long_to_be_accepted_are_closed() {
+  let admission = Admission::new(MAX_CONNECTIONS);
+  let admit = |waited_ms| admission.admit_after(waited_ms, || Some(OBJECTIVE_MS));
+  let late = (0..MAX_CONNECTIONS).filter(|_| admit(LATE_MS).is_ok());
+  let some = late.count();
+  assert!((1..10).contains(&some), "{some} are accepted however late");
+  assert_eq!(admit(LATE_MS), Err(Cause::Late));
+  assert_eq!(admit(0), Ok(()), "one that has not waited");
+}
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -8,11 +8,12 @@
   entry,
   hub::Hub,
   retry::Bound,
+  socket,
 };
 use slog::{Discard, Drain, Logger, o};
 use std::{
   io::{self, Read, Write},
-  net::{SocketAddr, TcpStream},
+  net::{SocketAddr, TcpListener, TcpStream},
   sync::{
     Arc, Mutex,
     atomic::{AtomicBool, Ordering},
@@ -196,3 +197,16 @@
   assert_eq!(closed.len(), 1, "{closed:?}");
   assert_eq!(lines.find("thread"), closed);
 }
+
+/// A connection that waits to be accepted was taken for a new one.
+#[test]
+fn what_arrived_unread_has_an_age() {
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+  caller.write_all(b"POST").unwrap();
+  let waited = Duration::from_millis(100);
+  thread::sleep(waited);
+  let (stream, _) = listener.accept().unwrap();
+  // The system counts in units of a few ms.
+  assert!(socket::time_unread(&stream) >= waited * 9 / 10);
+}
