Builds: failing tests of streams joined where knowledge has gaps

Callers that resume a stream get 200 and the rest from another build:

- where their route is split over pools with different builds, or was moved to such a pool; no instance needs to restart
- at an instance whose first list of servers came long after its first start
- where a read of the stored builds was under way while the list was old
- where a build's only server joined and left between two updates

Six tests, all of them fail: one in build_history, five in builds.

--- a/tests/build_history.rs
+++ b/tests/build_history.rs
@@ -103,6 +103,23 @@
   }
 }
 
+/// Guards against a response that was on its way while builds came and went unseen.
+#[test]
+fn builds_are_read_again_if_the_watch_was_interrupted_during_the_read() {
+  let mut history = History::default();
+  let call = history.call(0, false, 0, Known::default).unwrap();
+  assert_eq!(call, Call::Read);
+  history.invalidate();
+  let record = Record {
+    complete: true,
+    ..Record::default()
+  };
+  let stored = history.answered(5_000, &call, Ok(object(0, 4, &record)));
+  assert_eq!(stored, None);
+  let stored = read(&mut history, 10_000, false, 0, Ok(object(0, 5, &record)));
+  assert_eq!(stored, Some(known(&[], true)));
+}
+
 /// Guards against builds that a store lost which was restored from an older copy.
 #[test]
 fn stored_builds_of_an_earlier_era_are_incomplete_until_a_holder_writes_them_again() {
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -5,11 +5,11 @@
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
   build::{self, exchange::holders, resume::Resumption},
-  deployment::Engine,
+  deployment::{Deployment, Engine, Pool},
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   refusal::Reason,
   request::Ticket,
-  route::{Repeat, Route, Stream},
+  route::{Part, Repeat, Route, Stream},
   verdict::Verdict,
 };
 use requests::refused;
@@ -449,6 +449,115 @@
   assert!(goes_on(&mut state, 100_003));
 }
 
+/// Guards against an instance that could not read the servers for long after its first start.
+#[test]
+fn builds_that_left_before_a_late_first_list_are_unknown_at_the_first_start() {
+  for (listed_at, known) in [(1_000, true), (30_000, false)] {
+    let mut state = requests::deployed(Engine::default());
+    state.streams = build::streams::Streams::first_start();
+    let specs = vec![spec("v2-a"), spec("v2-b")];
+    state.reduce(listed_at, Event::Servers(vec![Change::All(specs)]));
+    assert_eq!(
+      goes_on(&mut state, listed_at + 1),
+      known,
+      "listed at {listed_at}"
+    );
+  }
+}
+
+/// A server of another pool.
+fn spec_in(pool: &str, id: &str) -> Spec {
+  Spec {
+    pool: pool.into(),
+    ..spec(id)
+  }
+}
+
+/// Deploys the route with its requests shared by these pools.
+fn deploy(state: &mut State, now: u64, version: u64, pools: &[&str]) {
+  let parts = pools.iter().map(|pool| Part {
+    pool: (*pool).into(),
+    weight: 1,
+  });
+  let route = Route {
+    parts: parts.collect(),
+    ..(*route()).clone()
+  };
+  let engine = Engine {
+    slots: 8,
+    ..Engine::default()
+  };
+  let pool = Pool {
+    engine: Some(Arc::new(engine)),
+  };
+  let names = ["pool", "other"].map(|name| (name.to_string(), pool.clone()));
+  let deployment = Deployment {
+    version,
+    routes: vec![Arc::new(route)],
+    pools: names.into(),
+    ..Deployment::default()
+  };
+  state.reduce(now, Event::Deployed(Arc::new(deployment)));
+}
+
+/// Guards against a stream that began in another pool of its route, at another build.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_if_the_pools_of_its_route_have_several_builds() {
+  let mut state = state(&["v2-a"]);
+  let other = Change::Set(spec_in("other", "v1-b"));
+  state.reduce(1, Event::Servers(vec![other]));
+  deploy(&mut state, 2, 2, &["pool"]);
+  assert!(goes_on(&mut state, 3));
+  deploy(&mut state, 4, 3, &["pool", "other"]);
+  assert!(!goes_on(&mut state, 5));
+}
+
+/// The same after the route was moved to another pool.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_after_its_route_was_moved_to_another_build() {
+  let mut state = state(&["v2-a"]);
+  let other = Change::Set(spec_in("other", "v1-b"));
+  state.reduce(1, Event::Servers(vec![other]));
+  deploy(&mut state, 2, 2, &["other"]);
+  deploy(&mut state, 1_000, 3, &["pool"]);
+  assert!(!goes_on(&mut state, 1_001));
+  let known = state.streams.known(1_001);
+  assert!(
+    known
+      .builds
+      .contains(&(xxh3_64(b"pool"), build::Id::of("v1")))
+  );
+  assert!(!goes_on(&mut state, 40_999));
+  assert!(goes_on(&mut state, 41_000));
+}
+
+/// Guards against records that are not sent because each pool of a route has one build.
+#[test]
+fn records_are_sent_when_a_route_is_split_over_pools_of_several_builds() {
+  let mut state = state(&["v1-a"]);
+  let other = Change::Set(spec_in("other", "v2-b"));
+  state.reduce(1, Event::Servers(vec![other]));
+  deploy(&mut state, 1, 2, &["pool"]);
+  begin(&mut state, 1);
+  assert_eq!(state.streams.take_unshared(10), []);
+  deploy(&mut state, 3, 3, &["pool", "other"]);
+  let record = build::Record {
+    attempt: build::Key::of("1"),
+    build: build::Id::of("v1"),
+  };
+  assert_eq!(state.streams.take_unshared(10), [record]);
+}
+
+/// Guards against a build whose only server joins and leaves between two updates of the list.
+#[test]
+fn a_build_that_joined_and_left_within_one_update_counts() {
+  let mut state = state(&["v1-a"]);
+  let changes = vec![Change::Set(spec("v2-a")), Change::Removed("v2-a".into())];
+  state.reduce(1_000, Event::Servers(changes));
+  assert!(!goes_on(&mut state, 1_001));
+  assert!(goes_on(&mut state, 41_000));
+}
+
 /// Guards against a resumption that waits for a build without any server.
 #[test]
 fn a_resumption_is_refused_when_no_server_of_its_build_is_left() {
