Stored records: a response of before an interruption does not count

A read of the stored builds was under way while the list of servers fell behind. Its response, which can be seconds old, was taken for a new one: builds that came and went in between were unknown, and resumed streams were joined. A response to a call that was under way when the record became invalid is now dropped, and the record is read again. The same holds for the quarantine after a restore.

--- a/src/stored.rs
+++ b/src/stored.rs
@@ -31,7 +31,8 @@
   Absent,
   Read(R),
   Written,
-  /// The call failed. A write may have taken effect, or may still do so.
+  /// The call failed, or the record became invalid meanwhile. A write may have taken effect, or may
+  /// still do so.
   Unknown,
 }
 
@@ -41,6 +42,8 @@
   /// Revision of the record as last read or written; `None` if it has to be read.
   revision: Option<Revision>,
   in_flight: bool,
+  /// The record became invalid while a call was in flight.
+  outdated: bool,
   retry_at: u64,
   /// Whether the record was read at least once.
   read: bool,
@@ -60,6 +63,7 @@
   /// Has the record read again, because another instance may have written it, or it may be lost.
   pub fn invalidate(&mut self) {
     self.revision = None;
+    self.outdated = self.in_flight;
   }
 
   /// Returns the next call if one is due. `record` returns the record if it is to be written.
@@ -86,6 +90,10 @@
     result: Result<Object>,
   ) -> Content<R> {
     self.in_flight = false;
+    let responded = matches!(result, Ok(_) | Err(Error::Absent { .. }));
+    if std::mem::take(&mut self.outdated) && responded {
+      return Content::Unknown;
+    }
     match (call, result) {
       (Call::Read, Err(Error::Absent { era })) => {
         self.read = true;
