Streams: a late first list at the first start does not show all builds

An instance that was cut off from the store at the first start of the system took its first list, read half a minute later, for all builds there had been: streams of a build that had left meanwhile were joined to another one. The first start now counts only if the list was read within 2 s.

--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -3,7 +3,7 @@
 //! The instance that delivers a first event records the build. While its pool serves several builds,
 //! it sends the record to other instances: the caller may resume its stream at any of them.
 
-use super::{Id, Key, Record, history::Known as KnownBuilds};
+use super::{Id, Key, MAX_LIST_LAG_MS, Record, history::Known as KnownBuilds};
 use std::{
   collections::{BTreeMap, HashMap, VecDeque},
   net::SocketAddr,
@@ -70,9 +70,13 @@
     }
   }
 
-  /// Records that the servers of all pools are known.
+  /// Records that the servers of all pools are known. Times count from the start of the process:
+  /// other instances may have begun streams before a late first list, also at the first start.
   pub fn watch(&mut self, now: u64) {
-    self.watched_since.get_or_insert(now);
+    if self.watched_since.is_none() {
+      self.watched_since = Some(now);
+      self.past_known &= now <= MAX_LIST_LAG_MS;
+    }
   }
 
   /// How long the servers of all pools have been known, in ms; `None` if they are not.
