Builds: pools of one route count together, and so do servers that pass

Callers that resumed a stream of a route that is split over pools, or was moved to another one, got the rest from the other pool's build: builds were counted for each pool alone, so each seemed to have one, and no records were sent. Pools that have, or within 40 s had, a route with resumable streams in common now count together, also in the stored record. Builds of entries whose removal arrives in the same update count for 40 s too.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -2,7 +2,8 @@
 
 use super::{Id, Key, MAX_LIST_LAG_MS};
 use crate::{
-  dispatch::{Effect, State},
+  deployment::Deployment,
+  dispatch::{Change, Effect, State},
   refusal::Reason,
   request::Ticket,
 };
@@ -231,6 +232,32 @@
   }
 }
 
+impl State {
+  /// Updates the pools of the routes after the deployment changed.
+  pub(crate) fn update_build_routes(&mut self, deployment: &Deployment) {
+    let routes = deployment.routes.iter();
+    let resumable = routes.filter(|route| route.stream.is_some_and(|stream| stream.resumable));
+    let parts = resumable.flat_map(|route| {
+      let parts = route.parts.iter();
+      parts.map(|part| (route.name.as_str(), part.pool.as_str()))
+    });
+    if self.streams.update_routes(self.now, parts) {
+      self.out.push(Effect::ExchangeBuilds);
+    }
+  }
+
+  /// Records the builds of servers in changes, of which later ones may undo earlier ones.
+  pub(crate) fn record_passing_builds(&mut self, changes: &[Change]) {
+    let specs = changes.iter().filter_map(|change| match change {
+      Change::Set(spec) => Some((spec.pool.as_str(), spec.build)),
+      Change::All(_) | Change::Removed(_) | Change::Invalid(_) => None,
+    });
+    if self.streams.record_passing(self.now, specs) {
+      self.out.push(Effect::ExchangeBuilds);
+    }
+  }
+}
+
 impl Resumption {
   /// The resumption that a caller's headers state; `None` if it has no events yet.
   pub fn parse(
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -5,7 +5,7 @@
 
 use super::{Id, Key, MAX_LIST_LAG_MS, Record, history::Known as KnownBuilds};
 use std::{
-  collections::{BTreeMap, HashMap, VecDeque},
+  collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
   net::SocketAddr,
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -55,6 +55,8 @@
   questions: Vec<Key>,
   /// Builds by the hash of the pool's name.
   pools: BTreeMap<(u64, Id), Presence>,
+  /// Pools of routes with resumable streams, by the hashes of the names of the route and the pool.
+  routes: BTreeMap<(u64, u64), Presence>,
   /// Since when this instance knows the servers of all pools, in ms.
   watched_since: Option<u64>,
   /// Whether `pools` has the builds that left before that.
@@ -98,10 +100,13 @@
 
   /// Builds that have servers, or had some lately.
   pub fn known(&self, now: u64) -> KnownBuilds {
-    let pools = self.pools.iter();
-    let lately = pools.filter(|(_, seen)| seen.is_recent(now));
+    let pools: BTreeSet<u64> = self.pools.keys().map(|(pool, _)| *pool).collect();
+    let builds = pools.into_iter().flat_map(|pool| {
+      let builds = self.builds(now, pool).into_iter();
+      builds.map(move |build| (pool, build))
+    });
     KnownBuilds {
-      builds: lately.map(|(build, _)| *build).collect(),
+      builds: builds.collect(),
       complete: self.knows_past(now),
     }
   }
@@ -155,6 +160,55 @@
     self.share_pools(now, grown) || has_grown
   }
 
+  /// Updates which pools have the requests of routes with resumable streams. Returns whether records
+  /// are to be sent.
+  pub fn update_routes<'a>(
+    &mut self,
+    now: u64,
+    parts: impl Iterator<Item = (&'a str, &'a str)>,
+  ) -> bool {
+    for presence in self.routes.values_mut() {
+      if std::mem::take(&mut presence.present) {
+        presence.last = now;
+      }
+    }
+    let seen = Presence {
+      present: true,
+      last: now,
+    };
+    let mut grown = Vec::new();
+    for (route, pool) in parts {
+      let pool = hash(pool);
+      if self.routes.insert((hash(route), pool), seen).is_none() {
+        grown.push(pool);
+      }
+    }
+    self.routes.retain(|_, seen| seen.is_recent(now));
+    let grown = grown.into_iter();
+    let pools: BTreeSet<u64> = grown
+      .flat_map(|pool| self.pools_with_common_routes(now, pool))
+      .collect();
+    self.share_pools(now, pools.into_iter().collect())
+  }
+
+  /// Records builds of servers that may have left again since the last update. Returns whether
+  /// other threads are to be told, as `update_pools` does.
+  pub fn record_passing<'a>(
+    &mut self,
+    now: u64,
+    servers: impl Iterator<Item = (&'a str, Id)>,
+  ) -> bool {
+    let passing = KnownBuilds {
+      builds: servers
+        .filter(|(_, build)| *build != Id::UNKNOWN)
+        .map(|(pool, build)| (hash(pool), build))
+        .collect(),
+      complete: false,
+    };
+    let known_before = self.pools.len();
+    self.add_history(now, &passing) || self.pools.len() > known_before
+  }
+
   /// Shares own records of pools that have several builds now. Returns whether there are any.
   fn share_pools(&mut self, now: u64, mut grown: Vec<u64>) -> bool {
     grown.retain(|pool| self.count(now, *pool) > 1);
@@ -173,19 +227,33 @@
   /// The only build that a pool has had lately; `None` if it has had several, or no server.
   pub fn only_build(&self, now: u64, pool: &str) -> Option<Id> {
     let pool = hash(pool);
-    let mut builds = self.builds(now, pool);
-    builds.next().filter(|_| self.count(now, pool) == 1)
+    let builds = self.builds(now, pool);
+    builds.first().copied().filter(|_| builds.len() == 1)
+  }
+
+  /// Builds at which streams of the pool's routes may have begun.
+  fn builds(&self, now: u64, pool: u64) -> BTreeSet<Id> {
+    let pools = self.pools_with_common_routes(now, pool).into_iter();
+    let builds = pools.flat_map(|pool| {
+      let builds = self.pools.range((pool, Id::UNKNOWN)..);
+      builds.take_while(move |((other, _), _)| *other == pool)
+    });
+    let lately = builds.filter(|(_, seen)| seen.is_recent(now));
+    lately.map(|((_, build), _)| *build).collect()
   }
 
-  fn builds(&self, now: u64, pool: u64) -> impl Iterator<Item = Id> {
-    let builds = self.pools.range((pool, Id::UNKNOWN)..);
-    let builds = builds.take_while(move |((other, _), _)| *other == pool);
-    let lately = builds.filter(move |(_, seen)| seen.is_recent(now));
-    lately.map(|((_, build), _)| *build)
+  /// The pool, and those that have or lately had a route in common with it.
+  fn pools_with_common_routes(&self, now: u64, pool: u64) -> BTreeSet<u64> {
+    let lately = self.routes.iter().filter(|(_, seen)| seen.is_recent(now));
+    let lately = lately.map(|(part, _)| *part);
+    let own = lately.clone().filter(|(_, other)| *other == pool);
+    let own: BTreeSet<u64> = own.map(|(route, _)| route).collect();
+    let parts = lately.filter(|(route, _)| own.contains(route));
+    parts.map(|(_, pool)| pool).chain([pool]).collect()
   }
 
   fn count(&self, now: u64, pool: u64) -> usize {
-    self.builds(now, pool).count()
+    self.builds(now, pool).len()
   }
 
   /// Records the build of a stream whose first event this instance has delivered. Returns whether
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -359,6 +359,7 @@
   fn on_deployed(&mut self, deployment: Arc<Deployment>) {
     let newer = |old: &Arc<Deployment>| old.version < deployment.version;
     if self.deployment.as_ref().is_none_or(newer) {
+      self.update_build_routes(&deployment);
       self.deployment = Some(deployment);
       self.changes += 1;
       self.dispatch_waiting();
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -18,6 +18,7 @@
 impl State {
   pub(crate) fn update_servers(&mut self, changes: Vec<Change>) {
     self.changes += 1;
+    self.record_passing_builds(&changes);
     for change in changes {
       match change {
         Change::All(specs) => {
