Planner: lease calls, other calls and plan steps in modules of their own

Cause: src/planner.rs had grown to 846 lines with four jobs, and the same twelve lines for a call on another thread stood in it five times. Ruled out: moving the code that handles datagrams, which names most of the other modules. No logic is changed.

--- a/src/planner.rs
+++ b/src/planner/mod.rs
@@ -4,10 +4,13 @@
 //! that servers hold. Reports and updates are datagrams that may be lost, so each is repeated while
 //! it is relevant.
 
+mod calls;
+mod leases;
+mod steps;
+
 use crate::{
-  backend::{self, Backend, Spec},
   build::{self, history::History},
-  clock::{Moment, Suspension},
+  clock::Suspension,
   command::{Command, Inventory, Taken, Unheard},
   concurrency::Ledger,
   content,
@@ -22,27 +25,23 @@
   life::Life,
   message::{self, Message},
   outbox::{self, Outbox},
-  placement::plan::{Effect, OtherServer, Plan, Report},
+  placement::plan::{Plan, Report},
   policies,
-  policy::Policy,
   pool::Pool,
   quota::{Accounts, Bound},
   replication::{Ahead, Position},
-  settings::{Routing, Settings},
+  settings::Settings,
   socket::{Interest, Waker, wait},
   statement::Reply,
   store, stored, sums, tunnel,
 };
-use serde::Serialize;
 use serde_json::Value;
 use slog::{info, warn};
 use std::{
-  collections::BTreeMap,
   io,
   net::{SocketAddr, UdpSocket},
   sync::{
     Arc,
-    atomic::Ordering,
     mpsc::{Receiver, Sender, channel},
   },
   thread,
@@ -71,30 +70,9 @@
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// Maximum time for which the planner thread sleeps.
 const MAX_SLEEP_MS: u64 = 1_000;
-/// Interval at which the lease gets the list of reporting machines. Collecting 295 machines for
-/// every datagram took longer than processing the datagram.
-const MACHINES_INTERVAL_MS: u64 = 50;
-/// Upper bound of the random delay before a lease is acquired.
-const MAX_JITTER_MS: u64 = 250;
-/// Additional delay before an instance acquires a lease, for each lease that it already holds.
-const DELAY_PER_LEASE_MS: u64 = 400;
-/// An instance with fewer cores or a slower link delays acquiring a lease. With 90 servers and 69
-/// instances to update, orders from a holder with 0.12 cores and 10 Mbit/s took 0.5 s, compared to
-/// 7 ms from a larger one.
-const SMALL_CORES: f64 = 0.2;
-const SMALL_LINK_MBPS: f64 = 50.0;
-/// Delay of a small instance; longer than the random delay before a lease is acquired.
-const SMALL_DELAY_MS: u64 = 600;
-/// An instance with a link slower than this waits for a shorter time, so that one that can publish
-/// faster acquires the lease. With 295 instances, ten changes take 170 ms at a fifth of 50 Mbit/s.
-const MEDIUM_LINK_MBPS: f64 = 100.0;
-const MEDIUM_DELAY_MS: u64 = 300;
 /// A wait that ends this much too late shows that the process was stalled. With a tenth of a
 /// processor, the thread is delayed by about ten milliseconds at most.
 const STALL_THRESHOLD_MS: u64 = 500;
-/// The pause after a plan step, as a multiple of the duration of the step. It leaves the holder
-/// time to serve requests.
-const STEP_PAUSE_FACTOR: u32 = 6;
 
 /// Result of a call that ran on another thread.
 pub(crate) enum Completion {
@@ -230,7 +208,7 @@
     instance: settings.instance.clone(),
     machine: promise::short_hash(&routing.machine),
     groups: (0..routing.groups)
-      .map(|number| new_group(number, &routing, address))
+      .map(|number| leases::new_group(number, &routing, address))
       .collect(),
     calls: Pool::spawn("lease", 2)?,
     orders: Pool::spawn("order", MAX_ORDER_THREADS)?,
@@ -242,7 +220,7 @@
     last_report: None,
     policy_reads: policies::Reads::default(),
     unknown_servers: false,
-    acquire_delay_ms: acquire_delay_ms(&routing),
+    acquire_delay_ms: leases::acquire_delay_ms(&routing),
     outbox: Outbox::new(
       (routing.link_mbps * MBPS_BITS_PER_MS / BITS_PER_BYTE / PUBLISH_LINK_DIVISOR) as u64,
     ),
@@ -292,37 +270,6 @@
   Ok((socket, bound))
 }
 
-fn acquire_delay_ms(routing: &Routing) -> u64 {
-  let small = routing.cores < SMALL_CORES || routing.link_mbps < SMALL_LINK_MBPS;
-  match () {
-    () if small => SMALL_DELAY_MS,
-    () if routing.link_mbps < MEDIUM_LINK_MBPS => MEDIUM_DELAY_MS,
-    () => 0,
-  }
-}
-
-fn new_group(number: u32, routing: &Routing, address: SocketAddr) -> Group {
-  let jitter = rand::random::<u64>() % MAX_JITTER_MS;
-  let groups = routing.groups.max(1);
-  let overage = routing.load_overage.min(1.0) / f64::from(groups);
-  let mut plan = Plan::new(&routing.machine, number, routing.load_window_ms, overage);
-  plan.features = routing.features;
-  Group {
-    number,
-    name: format!("orders-{number}"),
-    lease: Lease::new(&routing.machine, address, routing.lease_ms, jitter, 0),
-    plan,
-    holds_lease: false,
-    paused_until: 0,
-    planned_counts: (0, 0),
-    position: Position::default(),
-    ahead: Ahead::default(),
-    former_loads: former::Loads::default(),
-    machines_updated_at: 0,
-    members_published_at: 0,
-  }
-}
-
 impl Planner {
   fn run(mut self) {
     let mut suspension = Suspension::start();
@@ -476,371 +423,8 @@
     self.buffer = buffer;
   }
 
-  fn process_completions(&mut self) {
-    while let Ok(completion) = self.completions.try_recv() {
-      let now = self.hub.now();
-      match completion {
-        Completion::Lease(index, call, result) => self.finish_lease_call(now, index, &call, result),
-        Completion::Ordered(index, command, reply) => {
-          self
-            .hub
-            .apply_hints(command.life(), &command.id, now, &reply.hints);
-          let taken = reply.outcome;
-          info!(self.hub.log, "ordered"; "server" => &command.id,
-            "act" => format!("{:?}", command.act), "model" => &command.model.name,
-            "adapter" => &command.model.adapter, "orders" => command.orders,
-            "term" => command.term, "taken" => format!("{taken:?}"));
-          self.hub.measures.record_order(command.act, taken);
-          self.groups[index]
-            .plan
-            .record_order_result(now, &command, taken);
-        }
-        Completion::Policies(objects) => self.finish_policies_read(now, objects),
-        Completion::Builds(call, result) => self.finish_builds_call(now, &call, result),
-        Completion::Quarantine(call, result) => self.finish_quarantine_call(now, &call, result),
-        Completion::Queried(index, id, reply) => {
-          let inventory = reply.outcome;
-          let life = self.life_of(&id, &inventory);
-          self.hub.apply_hints(life, &id, now, &reply.hints);
-          if let Err(error) = &inventory {
-            info!(self.hub.log, "server returned no inventory"; "server" => &id,
-              "why" => format!("{error:?}"));
-          }
-          self.groups[index]
-            .plan
-            .receive_inventory(now, &id, inventory);
-        }
-      }
-    }
-  }
-
-  /// The life that a queried server stated in its inventory; without one, the last known life.
-  fn life_of(&self, id: &str, inventory: &Result<Inventory, Unheard>) -> Life {
-    if let Ok(inventory) = inventory {
-      return Life::of(id, inventory.born);
-    }
-    let state = self.hub.state();
-    let known = state.by_id.get(id);
-    known.map_or(Life::of(id, 0), |key| state.backends[*key].spec.life())
-  }
-
-  fn finish_lease_call(
-    &mut self,
-    now: u64,
-    index: usize,
-    call: &lease::Call,
-    result: store::Result<store::Object>,
-  ) {
-    if let (Ok(object), lease::Call::Read) = (&result, call) {
-      self.read_sums(now, &object.spec);
-    }
-    if index == 0 && matches!(call, lease::Call::Write { .. }) {
-      self.accounts.finish_record(result.is_ok());
-    }
-    let group = &mut self.groups[index];
-    if let (Err(error), lease::Call::Write { record, revision }) = (&result, call) {
-      info!(self.hub.log, "failed to write the lease"; "lease" => &group.name, "error" => %error,
-        "term" => record.term, "revision" => %revision);
-    }
-    if result.is_ok() {
-      self.hub.gates.reachability.record_response(Moment::now());
-      // Inform other instances of the renewal without delay.
-      group.plan.request_publish();
-    }
-    let knew_holder = group.lease.holder().is_some();
-    let acquired = group.lease.record_call_result(now, call, result);
-    if !knew_holder && group.lease.holder().is_some() {
-      // The holder's answer to a report names the other instances.
-      self.needs_resync = true;
-    }
-    if acquired {
-      let term = group.lease.term(now).unwrap_or_default();
-      self.hub.measures.record_lease();
-      let foreign_orders_until = group.lease.foreign_orders_until();
-      info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term,
-        "earlier_orders_ms_ago" => foreign_orders_until.map(|until| now.saturating_sub(until)));
-      group.plan.start_term(now, term);
-      group.plan.set_last_foreign_order(foreign_orders_until);
-      group.plan.start_paces(self.hub.state().known_paces());
-      self.policy_reads.lease_acquired(now);
-      group.planned_counts = (0, 0);
-      group.members_published_at = 0;
-      self.needs_resync = true;
-      self.end_term_of_former_holder(now, index);
-      if index == 0 {
-        let first = matches!(call, lease::Call::Write { revision, .. } if revision.number == 0);
-        self.open_accounts(now, term, first);
-      }
-    }
-  }
-
-  fn poll_leases(&mut self) {
-    let now = self.hub.now();
-    // Orders need this instance's own connections: servers tell holders apart by their address.
-    let release = self.hub.stopping.load(Ordering::Relaxed) || self.hub.is_partitioned_alone();
-    let may_order = |group: &Group| !release && group.lease.term(now).is_some();
-    let held_leases = self.groups.iter().filter(|group| may_order(group)).count() as u64;
-    for index in 0..self.groups.len() {
-      let group = &mut self.groups[index];
-      let holds_lease = may_order(group);
-      if holds_lease != group.holds_lease {
-        group.holds_lease = holds_lease;
-        info!(self.hub.log, "orders"; "lease" => &group.name, "given_here" => holds_lease);
-      }
-      group
-        .lease
-        .set_acquire_delay(self.acquire_delay_ms + held_leases * DELAY_PER_LEASE_MS);
-      if group.leads(now) && now >= group.machines_updated_at + MACHINES_INTERVAL_MS {
-        group.machines_updated_at = now;
-        group.lease.set_machines(group.plan.machines(now));
-      }
-      if let Some(call) = group.lease.next_call(now, release) {
-        self.start_lease_call(index, call);
-      }
-      self.request_promises(now, index);
-    }
-    let holds_any = self.groups.iter().any(|group| group.holds_lease);
-    self.hub.gates.deployments.set_leading(holds_any);
-    self.hub.gates.servers.set_leading(holds_any);
-  }
-
-  /// Reads the operators' policies at intervals while this instance holds a lease.
-  fn read_policies(&mut self) {
-    let now = self.hub.now();
-    let holds_any = self.groups.iter().any(|group| group.holds_lease);
-    if !holds_any || !self.policy_reads.start(now) {
-      return;
-    }
-    let (edge, completion_sender, waker) = (
-      self.edge.clone(),
-      self.completion_sender.clone(),
-      self.waker.clone(),
-    );
-    self.calls.run(move || {
-      let policies = edge.store.list_all(edge.kinds.policies);
-      let _ = completion_sender.send(Completion::Policies(policies.map(|(objects, _)| objects)));
-      waker.wake();
-    });
-  }
-
-  fn finish_policies_read(&mut self, now: u64, objects: store::Result<Vec<store::Object>>) {
-    let objects = match objects {
-      Ok(objects) => objects,
-      Err(store::Error::Absent { .. }) => Vec::new(),
-      Err(error) => {
-        self.policy_reads.failed(now);
-        info!(self.hub.log, "failed to read policies; the previous ones stay in effect";
-          "error" => %error, "known" => self.policy_reads.are_known(),
-          "orders_wait" => !self.policy_reads.allow_orders(now));
-        return;
-      }
-    };
-    self.policy_reads.succeeded(now);
-    let mut policies = BTreeMap::new();
-    for object in objects {
-      let policy = serde_json::from_value::<Policy>(object.spec).map_err(|error| error.to_string());
-      let validated = policy.and_then(|policy| policy.validation_error().map_or(Ok(policy), Err));
-      match validated {
-        Ok(policy) => {
-          policies.insert(object.name, policy);
-        }
-        Err(error) => warn!(self.hub.log, "ignoring an invalid policy";
-          "policy" => &object.name, "revision" => %object.revision, "fault" => error),
-      }
-    }
-    for group in &mut self.groups {
-      group.plan.update_policies(policies.clone());
-    }
-  }
-
-  /// Starts a read or write of a record in the store.
-  pub(crate) fn start_record_call<R: Serialize + Send + 'static>(
-    &self,
-    kind: &'static str,
-    call: stored::Call<R>,
-    completion: fn(stored::Call<R>, store::Result<store::Object>) -> Completion,
-  ) {
-    let (edge, completion_sender, waker) = (
-      self.edge.clone(),
-      self.completion_sender.clone(),
-      self.waker.clone(),
-    );
-    self.calls.run(move || {
-      let result = match &call {
-        stored::Call::Read => (edge.store.read)(kind, stored::NAME),
-        stored::Call::Write { record, revision } => stored::encode(record)
-          .and_then(|spec| (edge.store.write)(kind, stored::NAME, *revision, &spec)),
-      };
-      // The planner thread runs as long as the process, so the receiver exists.
-      let _ = completion_sender.send(completion(call, result));
-      waker.wake();
-    });
-  }
-
   /// Kinds of the store's objects.
   pub(crate) fn kinds(&self) -> Kinds {
     self.edge.kinds
   }
-
-  fn start_lease_call(&mut self, index: usize, call: lease::Call) {
-    let record = match &call {
-      lease::Call::Write { record, .. } => serde_json::to_value(record).ok(),
-      lease::Call::Read => None,
-    };
-    let now = self.hub.now();
-    let record = match record {
-      Some(record) if index == 0 => Some(self.with_sums(now, record)),
-      record => record,
-    };
-    let (edge, completion_sender, waker) = (
-      self.edge.clone(),
-      self.completion_sender.clone(),
-      self.waker.clone(),
-    );
-    let name = self.groups[index].name.clone();
-    self.calls.run(move || {
-      let kind = edge.kinds.leases;
-      let result = match &call {
-        lease::Call::Read => (edge.store.read)(kind, &name),
-        lease::Call::Write { revision, .. } => match &record {
-          Some(spec) => (edge.store.write)(kind, &name, *revision, spec),
-          None => Err(store::Error::Malformed(
-            "failed to encode the lease record".into(),
-          )),
-        },
-      };
-      // The planner thread runs as long as the process, so the receiver exists.
-      let _ = completion_sender.send(Completion::Lease(index, call, result));
-      waker.wake();
-    });
-  }
-
-  fn step_plan(&mut self, index: usize) {
-    let now = self.hub.now();
-    let group = &mut self.groups[index];
-    if !group.leads(now) || now < group.paused_until {
-      return;
-    }
-    group
-      .plan
-      .set_ordering(group.holds_lease && self.policy_reads.allow_orders(now));
-    group.plan.set_policies_known(self.policy_reads.are_known());
-    self.update_unknown_servers(index);
-    self.update_plan(index);
-    let started_at = Moment::now();
-    let effects = self.groups[index].plan.step(now);
-    let pause = started_at.elapsed() * STEP_PAUSE_FACTOR;
-    self.groups[index].paused_until = now + pause.as_millis() as u64;
-    for effect in effects {
-      match effect {
-        Effect::Order(command) => self.send_order(index, command),
-        Effect::Query { id, address } => self.query_server(index, id, address),
-        Effect::Publish(update) => self.publish(index, &update),
-        Effect::Log {
-          what,
-          server,
-          model,
-          why,
-        } => info!(self.hub.log, "planned"; "what" => what, "server" => server,
-          "model" => model, "why" => why),
-      }
-    }
-  }
-
-  /// Updates whether entries of servers may be missing that expired before this instance started.
-  fn update_unknown_servers(&mut self, index: usize) {
-    let remaining = self.hub.gates.unknown_servers_for();
-    let unknown = !remaining.is_zero();
-    if unknown != self.unknown_servers {
-      self.unknown_servers = unknown;
-      info!(self.hub.log, "limited models wait for entries that may be missing"; "wait" => unknown,
-        "remaining_ms" => remaining.as_millis() as u64);
-    }
-    self.groups[index].plan.set_unknown_servers(unknown);
-  }
-
-  fn update_plan(&mut self, index: usize) {
-    let groups = self.groups.len() as u32;
-    let group = &mut self.groups[index];
-    let state = self.hub.state();
-    let counts = (state.changes, state.updates);
-    if counts == group.planned_counts {
-      return;
-    }
-    let Some(deployment) = state.deployment.clone() else {
-      return;
-    };
-    let in_group = |id: &str| backend::group(id, groups) == group.number;
-    if counts.0 != group.planned_counts.0 {
-      let specs: Vec<Spec> = state
-        .by_id
-        .iter()
-        .filter(|(id, _)| in_group(id))
-        .map(|(_, key)| state.backends[*key].effective_spec())
-        .collect();
-      group.plan.update_servers(deployment, specs);
-    }
-    if groups > 1 {
-      let others = state.by_id.iter().filter(|(id, _)| !in_group(id));
-      let others =
-        others.map(|(id, key)| other_server(backend::group(id, groups), &state.backends[*key]));
-      group.plan.update_other_servers(others.collect());
-    }
-    group.plan.update_limited(&state.limits.servers().collect());
-    group.planned_counts = counts;
-  }
-
-  fn send_order(&self, index: usize, command: Command) {
-    let (edge, completion_sender, waker) = (
-      self.edge.clone(),
-      self.completion_sender.clone(),
-      self.waker.clone(),
-    );
-    let (hub, until) = (self.hub.clone(), self.groups[index].lease.valid_until());
-    self.orders.run(move || {
-      // The deadline prevents a late send if the thread is delayed after the decision.
-      let reply = (edge.send_order)(&command, hub.instant(until));
-      let _ = completion_sender.send(Completion::Ordered(index, command, reply));
-      waker.wake();
-    });
-  }
-
-  fn query_server(&self, index: usize, id: String, address: SocketAddr) {
-    let (edge, completion_sender, waker) = (
-      self.edge.clone(),
-      self.completion_sender.clone(),
-      self.waker.clone(),
-    );
-    self.queries.run(move || {
-      let reply = (edge.query_inventory)(address, &id);
-      let _ = completion_sender.send(Completion::Queried(index, id, reply));
-      waker.wake();
-    });
-  }
-}
-
-/// A server of another group, as known to this instance.
-fn other_server(group: u32, backend: &Backend) -> OtherServer {
-  let (mut models, spec) = match &backend.holding {
-    Some(holding) => (holding.models.clone(), &backend.spec),
-    None => (backend.spec.models.clone(), &backend.spec),
-  };
-  if let Some(holding) = &backend.holding {
-    models.retain(|name, _| !holding.leaving.contains(name));
-  }
-  let ready = !backend.is_leaving();
-  if !ready {
-    models.clear();
-  }
-  let copies = spec.in_memory.iter().chain(&spec.on_disk);
-  OtherServer {
-    group,
-    pool: spec.pool.clone(),
-    models,
-    copies: if ready {
-      copies.cloned().collect()
-    } else {
-      Vec::new()
-    },
-  }
 }
