--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,9 +3,12 @@
 //! It takes events with timestamps and returns effects. The surrounding threads execute the
 //! effects and make no decisions of their own.
 
+mod charge;
 pub mod choice;
 mod ending;
 mod event;
+mod refuse;
+mod send;
 mod stalled;
 
 pub use event::{Attempt, Change, Descriptor, Effect, End, Event};
@@ -23,8 +26,8 @@
   feature::Features,
   limit::{Choice, Limits},
   pace::{samples::Samples, table::Table},
-  quota::{self, Allowance, Balances, Decision, Use},
-  refusal::{Reason, Refusal},
+  quota::{self, Balances},
+  refusal::Reason,
   request::Ticket,
   restored::Restored,
   retry::{Bound, Budget, Share},
@@ -51,8 +54,6 @@
 /// An instance that has lost the store and has received no planner update for this long cannot
 /// get models loaded. A planner publishes every half second, even while it may not issue orders.
 const ISOLATED_MS: u64 = 1_800;
-/// Default retry-after of a refusal. A load from a server's disk takes about as long.
-const RETRY_AFTER_MS: u64 = 500;
 
 /// State of a request between its arrival and its final response. Times are in milliseconds.
 #[derive(Clone, Debug)]
@@ -444,73 +445,6 @@
     }
   }
 
-  /// Charges a request to its customer's quota. Returns whether it may proceed now.
-  fn charge_quota(&mut self, ticket: Ticket) -> bool {
-    let now = self.now;
-    let customers = self.deployment.as_ref();
-    let customers = customers.and_then(|deployment| deployment.customers.clone());
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return false;
-    };
-    let quota = match (request.quota_charged, request.descriptor.caller, customers) {
-      (false, Some(caller), Some(book)) => {
-        let customer = book.get(caller.customer);
-        customer.and_then(|customer| Some((caller, customer.quota?)))
-      }
-      _ => None,
-    };
-    let Some((caller, quota)) = quota else {
-      request.quota_charged = true;
-      return true;
-    };
-    let allowance = Allowance {
-      quota,
-      bound: self.quota_bound,
-    };
-    let customer = (caller.customer, &allowance);
-    let requested_at = request.quota_requested_at;
-    match self
-      .quotas
-      .acquire(now, customer, caller.cost, requested_at, self.instances)
-    {
-      Decision::Granted => {
-        request.quota_charged = true;
-        true
-      }
-      Decision::Pending(until) => {
-        let new = request.quota_requested_at.is_none();
-        request.quota_requested_at.get_or_insert(now);
-        let until = until
-          .min(request.descriptor.deadline)
-          .min(now + quota::GRANT_RETRY_MS);
-        self.enqueue(ticket, until);
-        if new {
-          self.out.push(Effect::RequestQuota);
-        }
-        false
-      }
-      Decision::Exceeded(shortage) => {
-        let returns = self.features.returns;
-        if returns {
-          let (id, cost) = (caller.customer, caller.cost);
-          self.quotas.promise(id, cost, quota.rate, self.instances);
-        }
-        // A caller that would come back too late is not invited.
-        let in_time = now + shortage.retry_after < request.descriptor.deadline;
-        let retry_after = (!returns || in_time).then_some(shortage.retry_after);
-        let refusal = Refusal {
-          reason: Reason::QuotaExceeded,
-          verdict: request.verdict,
-          retry_after,
-          shortage: Some(shortage),
-        };
-        self.out.push(Effect::Refuse(ticket, refusal));
-        self.forget(ticket);
-        false
-      }
-    }
-  }
-
   /// Adds a request to the waiting requests and schedules its next check for `until`.
   pub(crate) fn enqueue(&mut self, ticket: Ticket, until: u64) {
     let Some(request) = self.requests.get_mut(&ticket) else {
@@ -523,72 +457,6 @@
     self.out.push(Effect::Wait(ticket, until));
   }
 
-  /// Whether any request waits for a unit of a limit or for a permit.
-  pub fn needs_units(&self) -> bool {
-    let mut waiting = self.waiting.iter();
-    waiting.any(|(.., ticket)| self.requests[ticket].pending_unit.is_some())
-  }
-
-  /// Quota units that this instance uses and needs, for the lease holder.
-  pub fn uses(&mut self, now: u64) -> Vec<Use> {
-    let needs = self.needs();
-    self.quotas.uses(now, &needs)
-  }
-
-  /// Units and slots that waiting requests need.
-  pub(crate) fn needs(&self) -> HashMap<quota::Id, u32> {
-    let mut needs: HashMap<quota::Id, u32> = HashMap::new();
-    for (.., ticket) in &self.waiting {
-      let request = &self.requests[ticket];
-      if let (false, Some(caller)) = (request.quota_charged, request.descriptor.caller) {
-        *needs.entry(caller.customer).or_default() += caller.cost;
-      }
-      if let Some((id, _)) = request.pending_unit {
-        *needs.entry(id).or_default() += 1;
-      }
-    }
-    needs
-  }
-
-  /// The limits that servers have announced, as known to this instance.
-  pub fn limits(&self) -> &Limits {
-    &self.limits
-  }
-
-  /// Sets the bound on customers' quotas that all instances together keep.
-  pub fn set_quota_bound(&mut self, bound: quota::Bound) {
-    self.quota_bound = bound;
-  }
-
-  /// The quota state of this instance.
-  pub fn quotas(&self) -> &Balances {
-    &self.quotas
-  }
-
-  pub(crate) fn refuse(&mut self, ticket: Ticket, reason: Reason) {
-    self.refuse_with_retry_after(ticket, reason, RETRY_AFTER_MS);
-  }
-
-  /// Refuses a request; its caller may retry after `retry_after` milliseconds.
-  pub(crate) fn refuse_with_retry_after(
-    &mut self,
-    ticket: Ticket,
-    reason: Reason,
-    retry_after: u64,
-  ) {
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let refusal = Refusal {
-      reason,
-      verdict: request.verdict,
-      retry_after: Some(retry_after),
-      shortage: None,
-    };
-    self.out.push(Effect::Refuse(ticket, refusal));
-    self.forget(ticket);
-  }
-
   pub(crate) fn dispatch_waiting(&mut self) {
     let tickets: Vec<Ticket> = self.waiting.iter().map(|entry| entry.2).collect();
     for ticket in tickets {
@@ -665,17 +533,6 @@
     keys.any(|key| self.crash_filter.is_quarantined(self.now, *key))
   }
 
-  /// Lets a request wait for the requested unit of a server's limit.
-  fn wait_for_unit(&mut self, ticket: Ticket, until: u64) {
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let until = until
-      .min(request.descriptor.deadline)
-      .min(self.now + quota::GRANT_RETRY_MS);
-    self.enqueue(ticket, until);
-  }
-
   /// Lets a request that may have caused crashes wait until it may run.
   fn wait_for_turn(&mut self, ticket: Ticket, turn_at: u64) {
     let Some(request) = self.requests.get(&ticket) else {
@@ -690,29 +547,6 @@
     self.enqueue(ticket, until);
   }
 
-  /// Records that the caller receives the start of a plain response.
-  fn on_plain_started(&mut self, ticket: Ticket) {
-    self.record_first_event(ticket);
-    self.record_answer_start(ticket);
-    if let Some(request) = self.requests.get_mut(&ticket) {
-      request.plain_started = true;
-    }
-  }
-
-  /// Records the first event of the current send.
-  fn record_first_event(&mut self, ticket: Ticket) {
-    let now = self.now;
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return;
-    };
-    if request.first_event_at.is_some() {
-      return;
-    }
-    request.first_event_at = Some(now);
-    self.learn_first(ticket);
-    self.prompt_was_read(ticket);
-  }
-
   pub(crate) fn wait_for_server(&mut self, ticket: Ticket) {
     self.count_arrival(ticket);
     let now = self.now;
@@ -783,86 +617,11 @@
     !request.tried.is_empty() && !self.backends.iter().any(untried)
   }
 
-  fn send(&mut self, ticket: Ticket, key: backend::Key) {
-    let expected = self.expected(ticket, key);
-    let tokens = self.stated_tokens(ticket);
-    self.observe_send(ticket, key);
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return;
-    };
-    request.sends += 1;
-    request.backend = Some(key);
-    request.sent_build = Some(self.backends[key].spec.build);
-    let retries = std::mem::take(&mut request.retry_pending);
-    request.waiting_since = None;
-    request.sent = self.now;
-    request.first_event_at = None;
-    let waiting_key = queue_key(request);
-    if let Some(tag) = request.tag.take() {
-      self.fair_queue.record_dispatch(tag);
-    }
-    let backend = &mut self.backends[key];
-    backend.running += 1;
-    if let Some(model) = &request.descriptor.model {
-      *self.running.entry((key, model.clone())).or_default() += 1;
-    }
-    let limited = self.limits.rate(backend.spec.life()).is_some();
-    let trial = self.backoffs.record_send(backend.spec.life(), self.now);
-    let missing_since = backend.missing_since;
-    let published_at = backend
-      .holding
-      .as_ref()
-      .map(|_| backend.holding_received_at);
-    let attempt = Attempt {
-      ticket,
-      expected_first_ms: expected.map(|(expected, _)| expected.first_ms as u32),
-      expected_pause_ms: expected.map(|(expected, _)| expected.pause_ms as u32),
-      expected_late: expected.map(|(_, lateness)| lateness),
-      tokens,
-      limited,
-      trial,
-      missing_ms: missing_since.map(|since| self.now.saturating_sub(since)),
-      holding_ms: published_at.map(|at| self.now.saturating_sub(at)),
-      backend: key,
-      id: backend.spec.id.clone(),
-      life: backend.spec.life(),
-      build: backend.spec.build,
-      address: backend.spec.address,
-      number: request.sends,
-    };
-    let (now, pool) = (self.now, backend.spec.pool.clone());
-    if retries {
-      self.budget(&pool).record_sent(now);
-    }
-    self.waiting.remove(&waiting_key);
-    self.hold_tokens(ticket, key);
-    self.out.push(Effect::Send(attempt));
-  }
-
-  /// Refuses a request that crashes servers. It gets no Retry-After, so that its caller is not
-  /// invited to retry.
-  fn refuse_quarantined(&mut self, ticket: Ticket) {
-    let refusal = Refusal {
-      reason: Reason::Quarantined,
-      // The same content has run under another request id.
-      verdict: Verdict::MayHaveRun,
-      retry_after: None,
-      shortage: None,
-    };
-    self.out.push(Effect::Refuse(ticket, refusal));
-    self.forget(ticket);
-  }
-
   /// Time in milliseconds until which the last published holdings are valid.
   pub(crate) fn holdings_valid_until(&self) -> u64 {
     self.planner_seen_at + HOLDINGS_VALID_MS
   }
 
-  /// The retry budget of a pool.
-  fn budget(&mut self, pool: &str) -> &mut Budget {
-    self.budgets.entry(pool.into()).or_default()
-  }
-
   pub(crate) fn engine(&self, pool: &str) -> Option<&Engine> {
     let pool = self.deployment.as_ref()?.pools.get(pool)?;
     pool.engine.as_deref()
