Responses that state their framing twice are no responses, also to HEAD

Callers got a complete 200 where a server stated two codings, and where its response to HEAD stated a length and chunks, several lengths, or a length that is no number; the connection was used again. Cause: the first of several Transfer-Encoding lines counted, one that is no text counted as none, and for responses without a body nothing was checked. Found while the report of heads that are cut was checked against all framings. Ruled out: a length beside chunks, several lengths and lengths that are no numbers to GET and POST, which were errors before. Change: Response::framing reads all lines that state it, whatever the method and status.

--- a/src/http.rs
+++ b/src/http.rs
@@ -244,20 +244,32 @@
     Ok(Some((response, length)))
   }
 
-  /// Determines the framing of the body, given the method of the request.
+  /// Determines the framing of the body, given the method of the request. An ambiguous response is an
+  /// error, also if it has no body: what follows it is in doubt.
   pub fn framing(&self, method: &str) -> Result<Framing, Error> {
-    if !has_body(method, self.status) {
-      return Ok(Framing::Empty);
-    }
+    let stated = self.stated_framing()?;
+    Ok(match has_body(method, self.status) {
+      true => stated,
+      false => Framing::Empty,
+    })
+  }
+
+  fn stated_framing(&self) -> Result<Framing, Error> {
     let mut lengths = self.headers.get_all("content-length");
-    match (self.headers.get("transfer-encoding"), lengths.next()) {
-      (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-      (Some(coding), _) => Err(Error(format!(
-        "transfer-encoding: `{coding}` is not understood"
-      ))),
-      (None, Some(length)) if lengths.next().is_none() => Ok(Framing::Length(parse_len(length)?)),
-      (None, Some(_)) => Err(Error("head: the body's length is given twice".into())),
+    let mut codings = self.headers.get_all("transfer-encoding");
+    let (length, coding) = (lengths.next(), codings.next());
+    if lengths.next().is_some() || codings.next().is_some() {
+      return Err(Error("head: the body's length is given twice".into()));
+    }
+    match (length, coding) {
       (None, None) => Ok(Framing::Close),
+      (Some(length), None) => Ok(Framing::Length(parse_len(length)?)),
+      (None, Some(coding)) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+      (None, Some(coding)) => Err(Error(format!(
+        "transfer-encoding: `{}` is not understood",
+        String::from_utf8_lossy(coding)
+      ))),
+      (Some(_), Some(_)) => Err(Error("head: the body's length is given twice".into())),
     }
   }
 
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -37,6 +37,38 @@
   );
 }
 
+/// A response that states two codings, or one that is no text, was framed by the first that was
+/// understood; for HEAD, 204 and 304 nothing was checked.
+#[test]
+fn a_response_whose_length_is_in_doubt_is_a_fault() {
+  let lines: [&[u8]; 11] = [
+    b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    b"Content-Length: 3\r\nContent-Length: 3\r\n",
+    b"Content-Length: 3, 3\r\n",
+    b"Content-Length: +3\r\n",
+    b"Content-Length: \r\n",
+    b"Content-Length: \xff\r\n",
+    b"Transfer-Encoding: gzip\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+    b"Transfer-Encoding: \xff\r\n",
+    b"Transfer-Encoding: \xff\r\nContent-Length: 3\r\n",
+  ];
+  for lines in lines {
+    for (status, method) in [
+      ("200", "GET"),
+      ("200", "HEAD"),
+      ("204", "GET"),
+      ("304", "GET"),
+    ] {
+      let head = [b"HTTP/1.1 ", status.as_bytes(), b" Any\r\n", lines, b"\r\n"].concat();
+      let (response, _) = Response::parse(&head).unwrap().unwrap();
+      let head = String::from_utf8_lossy(&head);
+      assert!(response.framing(method).is_err(), "{method}: {head:?}");
+    }
+  }
+}
+
 #[test]
 fn headers_of_one_connection_are_not_passed_on() {
   let text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n\
