Bodies: a chunk without a size does not end them

Callers got a complete 200 without the rest where a server's chunk had no size; a stream looked whole and was not continued. Cause: httparse takes a size line without digits for 0, the size of the last chunk. Ruled out: cuts within and after a size and the last chunk, which held before and are in the same test. Change: a size line begins with a digit, in bodies of callers too.

--- a/src/http.rs
+++ b/src/http.rs
@@ -428,7 +428,9 @@
     match self.expected {
       Expected::Size => {
         let parsed = httparse::parse_chunk_size(bytes);
-        let Ok(parsed) = parsed else {
+        // The parser takes a line without digits for a size of 0, which ends the body.
+        let starts_with_digit = bytes.first().is_none_or(u8::is_ascii_hexdigit);
+        let Some(parsed) = parsed.ok().filter(|_| starts_with_digit) else {
           return Err(Error("body: a chunk has no size".into()));
         };
         let httparse::Status::Complete((consumed, size)) = parsed else {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -69,6 +69,53 @@
   }
 }
 
+/// Decodes a chunked body that arrives in pieces of a size; returns its content, whether it is complete,
+/// and what is left.
+fn decode_chunked(body: &[u8], size: usize) -> Result<(Vec<u8>, bool, Vec<u8>), String> {
+  let mut decoder = Decoder::new(Framing::Chunked);
+  let (mut input, mut out) = (Vec::new(), Vec::new());
+  for piece in body.chunks(size) {
+    input.extend_from_slice(piece);
+    decoder
+      .decode(&mut input, &mut out)
+      .map_err(|error| error.0)?;
+  }
+  Ok((out, decoder.is_complete(), input))
+}
+
+/// A line without a size was taken for the chunk that ends a body.
+#[test]
+fn a_chunk_without_a_size_is_a_fault() {
+  for line in [
+    "",
+    " ",
+    "\t",
+    ";",
+    ";a=b",
+    " ;a=b",
+    " 0",
+    "+0",
+    "0x0",
+    "0 0",
+    "00000000000000000",
+  ] {
+    for size in [1, 7, 64] {
+      let body = format!("4\r\nfour\r\n{line}\r\n\r\n");
+      let decoded = decode_chunked(body.as_bytes(), size);
+      assert!(decoded.is_err(), "{line:?}: {decoded:?}");
+    }
+  }
+  for line in ["0", "00", "0;a=b", "0 ;a=b", "0 "] {
+    let body = format!("4\r\nfour\r\n{line}\r\n\r\nnext");
+    let decoded = decode_chunked(body.as_bytes(), 64);
+    assert_eq!(
+      decoded,
+      Ok((b"four".to_vec(), true, b"next".to_vec())),
+      "{line:?}"
+    );
+  }
+}
+
 #[test]
 fn headers_of_one_connection_are_not_passed_on() {
   let text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n\
