Bodies: the head of the next response is no trailer

A caller got 200 with bytes from within the body of its response, in place of the response. Cause: a surplus chunked response was cut behind its last chunk; the head of the response that was due was skipped as its trailer, or as an extension of its last chunk, and the body was read as the next response. Change: a status line within a size line or a trailer line is an error.

--- a/src/http.rs
+++ b/src/http.rs
@@ -151,11 +151,24 @@
   }
 }
 
+/// Number of status lines, at any position.
+fn count_status_lines(bytes: &[u8]) -> usize {
+  let lines = bytes.windows(STATUS_LINE_BYTES);
+  lines.filter(|bytes| is_status_line(bytes)).count()
+}
+
 /// Whether a response head contains a second status line: a head that was cut short, joined with the
 /// next one.
 fn is_joined(head: &[u8]) -> bool {
-  let lines = head.windows(STATUS_LINE_BYTES);
-  lines.filter(|bytes| is_status_line(bytes)).count() > 1
+  count_status_lines(head) > 1
+}
+
+/// Checks that a line of a chunked body is not joined with the head of the next response.
+fn check_line(line: &[u8]) -> Result<(), Error> {
+  match count_status_lines(line) {
+    0 => Ok(()),
+    _ => Err(Error("body: a status line is within it".into())),
+  }
 }
 
 impl Request {
@@ -439,6 +452,7 @@
             false => Ok(0),
           };
         };
+        check_line(&bytes[..consumed])?;
         self.expected = match size {
           0 => Expected::Trailer,
           size => Expected::Data(size),
@@ -468,6 +482,7 @@
             false => Ok(0),
           };
         };
+        check_line(&bytes[..end])?;
         self.complete = end == 0;
         Ok(end + 2)
       }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -116,6 +116,21 @@
   }
 }
 
+/// The head of the next response was taken for the trailer of a body that was cut after its last chunk.
+#[test]
+fn a_response_behind_a_last_chunk_is_no_trailer() {
+  for cut in ["0\r\n", "0;a", "0\r\nA: b\r\n", "0\r\nA"] {
+    for size in [1, 7, 256] {
+      let body = format!("4\r\nfour\r\n{cut}HTTP/1.1 200 OK\r\nX-Id: b\r\n\r\nnext");
+      let decoded = decode_chunked(body.as_bytes(), size);
+      assert!(decoded.is_err(), "{cut:?}: {decoded:?}");
+    }
+  }
+  let trailer = b"0\r\nA: b\r\nX-C: HTTP/1.1\r\n\r\nnext";
+  let expected = (Vec::new(), true, b"next".to_vec());
+  assert_eq!(decode_chunked(trailer, 256), Ok(expected));
+}
+
 #[test]
 fn headers_of_one_connection_are_not_passed_on() {
   let text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n\
