Servers that were found replaced get requests again after 5 s

After one 421 by mistake an instance sent nothing more to a server until its entry changed, which it does not while the server runs on; callers got 503 where it was the only one. Ruled out: what a 421 says about models, pauses after failures and rejections, backoffs, brittle servers: each has an end. Change: the belief ends after 5 s, and the planner reads the server again.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -133,9 +133,10 @@
   pub leaving: bool,
   /// Until this time, in ms, the server's entry may come from an older copy of the store.
   pub unconfirmed_until: u64,
-  /// Another server answered at its address. Kept apart from the stage in `spec`: a holder that
-  /// stored its own finding there would not publish the server's statement when it arrives.
-  pub replaced: bool,
+  /// Until when the server counts as replaced, in ms: another one answered at its address. Kept apart
+  /// from the stage in `spec`: a holder that stored its own finding there would not publish the
+  /// server's statement when it arrives.
+  pub replaced_until: Option<u64>,
   pub loading: Option<Loading>,
   pub pace: Pace,
   /// Prompt tokens of this instance's requests that have no event yet, and the tokens that its
@@ -167,7 +168,7 @@
       missing_since: None,
       leaving: false,
       unconfirmed_until: 0,
-      replaced: false,
+      replaced_until: None,
       loading: None,
       pace: Pace::default(),
       unread_tokens: 0,
@@ -260,7 +261,7 @@
   /// Returns whether the server is leaving, according to its entry, its own announcement or
   /// because it was replaced.
   pub fn is_leaving(&self) -> bool {
-    self.leaving || self.replaced || self.spec.stage == Stage::Draining
+    self.leaving || self.replaced_until.is_some() || self.spec.stage == Stage::Draining
   }
 
   /// Returns the server's spec with the stage that this instance has found.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -143,6 +143,8 @@
   /// When the last planner update arrived; 0 if none has arrived.
   pub planner_seen_at: u64,
   pub(crate) expiry: Expiry,
+  /// When the first of the servers that were found replaced no longer counts as such, in ms.
+  pub(crate) replaced_end: Option<u64>,
   pub(crate) restored: Restored,
   /// Demand of callers that were refused with a Retry-After.
   pub(crate) deferrals: Deferrals,
@@ -220,6 +222,7 @@
       end_at: u64::MAX,
       planner_seen_at: 0,
       expiry: Expiry::default(),
+      replaced_end: None,
       restored: Restored::default(),
       deferrals: Deferrals::new(),
       strain: Totals::new(),
@@ -265,6 +268,7 @@
     if !matches!(event, Event::Servers(_)) {
       self.drop_missing();
     }
+    self.end_replaced();
     match event {
       Event::Deployed(deployment) => self.on_deployed(deployment),
       Event::Servers(changes) => self.update_servers(changes),
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -215,7 +215,7 @@
           }
         }
       }
-      End::Replaced => backend.replaced = true,
+      End::Replaced => self.record_replaced(key),
       End::Unreached | End::Broken | End::Crashed => {
         avoid_after_failure(backend, now);
       }
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -12,6 +12,11 @@
 /// path and is read again within a few seconds at most.
 const EARLY_HOLDING_TTL_MS: u64 = 10_000;
 
+/// Time for which a server counts as replaced after another one answered at its address. The entry of
+/// a server that is gone is removed sooner. A server that is still there would get nothing until its
+/// entry changes, and so could not show it.
+const REPLACED_MS: u64 = 5_000;
+
 /// How long published loads of servers count, in ms. A lease changes its holder within this time.
 const LOADS_VALID_MS: u64 = 5_000;
 
@@ -81,7 +86,7 @@
         backend.spec = spec;
         backend.spec_received_at = self.now;
         backend.missing_since = None;
-        backend.replaced = false;
+        backend.replaced_until = None;
         backend.unconfirmed_until = 0;
         backend.leaving = self.leaving.contains(backend.spec.life());
       }
@@ -134,6 +139,31 @@
     }
   }
 
+  /// Records that another server answered at a server's address.
+  pub(crate) fn record_replaced(&mut self, key: backend::Key) {
+    let until = self.now + REPLACED_MS;
+    if let Some(backend) = self.backends.get_mut(key) {
+      backend.replaced_until = Some(until);
+      self.replaced_end = Some(self.replaced_end.map_or(until, |end| end.min(until)));
+    }
+  }
+
+  /// Lets servers that were found replaced some time ago get requests again, which show whether they
+  /// are there.
+  pub(crate) fn end_replaced(&mut self) {
+    let now = self.now;
+    if self.replaced_end.is_none_or(|end| now < end) {
+      return;
+    }
+    for backend in self.backends.values_mut() {
+      backend.replaced_until = backend.replaced_until.filter(|until| now < *until);
+    }
+    let untils = self.backends.values();
+    self.replaced_end = untils.filter_map(|backend| backend.replaced_until).min();
+    self.changes += 1;
+    self.dispatch_waiting();
+  }
+
   /// Handles the removal of a server's entry. Around an outage of the store the entry may return,
   /// so the server is kept for a while unless it was leaving.
   fn entry_removed(&mut self, id: &str) {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -523,6 +523,40 @@
   assert_eq!(sent(&state.reduce(3, arrived(2, &route, Some("m")))), None);
 }
 
+// Only a change of its entry ended that, and an entry that stays as it is is not sent again: a server that
+// was still there got nothing more.
+#[test]
+fn a_server_that_was_found_replaced_gets_requests_again_without_a_new_entry() {
+  let route = route(Repeat::Always, None, 2);
+  let mut state = state(vec![spec("s", &[])]);
+  let key = state.by_id["s"];
+  let arrives = |now, ticket| match arrived(ticket, &route, None) {
+    Event::Arrived(descriptor) => Event::Arrived(Descriptor {
+      deadline: now + 1_000,
+      ..descriptor
+    }),
+    event => event,
+  };
+  let mut now = 1;
+  for ticket in [1, 3, 5] {
+    assert!(sent(&state.reduce(now, arrives(now, ticket))).is_some());
+    state.reduce(now, ended(ticket, End::Replaced));
+    let stage = state.backends[key].effective_spec().stage;
+    assert_eq!(stage, Stage::Draining);
+    now += 4_999;
+    let effects = state.reduce(now, arrives(now, ticket + 1));
+    assert_eq!(sent(&effects), None, "another server may have the address");
+    now += 1;
+    let changes = state.changes;
+    let effects = state.reduce(now, Event::Recheck(Ticket(ticket + 1)));
+    assert!(sent(&effects).is_some(), "it is tried again");
+    let stage = state.backends[key].effective_spec().stage;
+    assert_eq!(stage, Stage::Ready);
+    assert!(state.changes > changes, "the planner reads it again");
+    state.reduce(now, ended(ticket + 1, End::Whole));
+  }
+}
+
 // The last failed call of this instance was 900 ms before it learned of the recovery, and the store
 // responded to another instance 300 ms before it: missing entries have two seconds from that
 // response to return.
