Builds: an absent or incomplete record is read again until the builds are known

What callers saw: beside one build, an instance that had started before a holder had completed the record refused each stream that nobody knew (`build-unknown`) for 40 s from its own start, although the complete record was in the store. So after an upgrade from a release without records, after a store came back older, and after a loss of all instances beside an incomplete record. Cause: an instance that does not hold the lease read the record once; what was absent or incomplete then stayed so. Ruled out: a record that is read but not used (the unit test of a complete record passed before). Change: it is read again each 2 s while the instance lacks the builds, for 40 s at most: its own watch is long enough then.

--- a/src/build/history.rs
+++ b/src/build/history.rs
@@ -1,9 +1,10 @@
 //! The builds that each pool has had lately, kept in the store for instances that start later: these
 //! cannot know which builds left before their start.
 //!
-//! Each instance reads the record at its start, and after it has not known all servers for a while.
-//! The lease holder writes it when a build joins, and once a build can have no streams any more: one
-//! call for each start of an instance, two for each change of a build.
+//! Each instance reads the record at its start, and after it has not known all servers for a while;
+//! again if it was absent or incomplete. The lease holder writes it when a build joins, and once a
+//! build can have no streams any more: one call for each start of an instance, two for each change
+//! of a build.
 
 use super::Id;
 use crate::{
@@ -16,6 +17,10 @@
 use slog::info;
 use std::collections::BTreeSet;
 
+/// Pause before a record that is absent or incomplete is read again. After an upgrade from a
+/// release without records, 295 instances make these calls for as long as a stream lasts.
+const REREAD_MS: u64 = 2_000;
+
 /// Builds by the hash of their pool's name.
 pub type Builds = BTreeSet<(u64, Id)>;
 
@@ -56,6 +61,8 @@
   stored: Known,
   /// Era in which the record was written.
   era: u64,
+  /// When the record was last read, in ms.
+  read_at: u64,
   holding: bool,
 }
 
@@ -104,7 +111,7 @@
     now: u64,
     holding: bool,
     era: u64,
-    known: impl FnOnce() -> Known,
+    known: impl Fn() -> Known,
   ) -> Option<Call<Record>> {
     let acquired = holding && !self.holding;
     self.holding = holding;
@@ -113,10 +120,15 @@
     if acquired || revision.is_some_and(|revision| revision.era < era) {
       self.calls.invalidate();
     }
+    // A holder of the lease may have completed it since.
+    let is_due = !holding && !self.stored.complete && now >= self.read_at + REREAD_MS;
+    if is_due && revision.is_some() && !known().complete {
+      self.calls.invalidate();
+    }
     let (stored, stored_era) = (&self.stored, self.era);
     self.calls.next(now, || {
       let era = revision?.era;
-      let known = holding.then(known)?;
+      let known = holding.then(&known)?;
       let is_current = stored_era == era && *stored == known;
       (!is_current).then(|| Record::new(era, known))
     })
@@ -138,11 +150,13 @@
     let era = self.calls.revision().map_or(0, |revision| revision.era);
     match (call, content) {
       (_, Content::Absent) => {
+        self.read_at = now;
         self.stored = Known::default();
         self.era = era;
         None
       }
       (_, Content::Read(record)) => {
+        self.read_at = now;
         self.stored = record.known(era);
         self.era = record.era;
         Some(self.stored.clone())
--- a/tests/build_history.rs
+++ b/tests/build_history.rs
@@ -165,6 +165,29 @@
   assert_eq!(history.call(9_001, true, 0, || known(&["v1"], true)), None);
 }
 
+/// Guards against an instance that refuses streams beside one build for as long as they last, because
+/// it read the record before a holder had completed it.
+#[test]
+fn an_absent_or_incomplete_record_is_read_again_until_the_builds_are_known() {
+  let incomplete = object(0, 4, &Record::default());
+  for first in [absent(0), Ok(incomplete)] {
+    let mut history = History::default();
+    read(&mut history, 0, false, 0, first);
+    assert_eq!(history.call(1_999, false, 0, Known::default), None);
+    let record = Record {
+      complete: true,
+      ..Record::default()
+    };
+    let stored = read(&mut history, 2_000, false, 0, Ok(object(0, 5, &record)));
+    assert_eq!(stored, Some(known(&[], true)));
+    assert_eq!(history.call(9_000, false, 0, Known::default), None);
+  }
+  let mut history = History::default();
+  read(&mut history, 0, false, 0, absent(0));
+  let own = || known(&["v1"], true);
+  assert_eq!(history.call(40_000, false, 0, own), None, "not needed");
+}
+
 /// Guards against a record that another program wrote and that hides a build.
 #[test]
 fn a_record_with_an_invalid_entry_is_incomplete() {
