Resumed streams: sent to the pool of their route that has servers of their build

What callers saw: on a route that is split over pools of different builds, a resumption drawn to another pool than the one that began the stream was refused (`build-gone`) though that pool had servers. Cause: the part of a route is drawn for each request, and only servers of the drawn pool were looked at. Ruled out: joins; only a pool of the route with a share (weight above 0) and a ready server of the recorded build is taken. A pool that the route has left stays closed to it. Change: once a record tells the build, the request moves to that pool.

By the reducer alone: no play of processes has a split route.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -170,12 +170,39 @@
       watched_ms,
       list_age_ms: resumption.and_then(|resumption| resumption.list_age_ms),
     }));
-    if build.is_none() {
-      self.refuse(ticket, Reason::BuildUnknown);
+    match build {
+      Some(build) => self.move_to_build(ticket, build),
+      None => self.refuse(ticket, Reason::BuildUnknown),
     }
     build.is_some()
   }
 
+  /// Moves a request to a pool of its route that has servers of a build, if its own has none: the
+  /// route's parts are drawn anew for each attempt of a caller.
+  fn move_to_build(&mut self, ticket: Ticket, build: Id) {
+    let Some(request) = self.requests.get(&ticket) else {
+      return;
+    };
+    let descriptor = &request.descriptor;
+    let has_build = |pool: &str| {
+      let mut backends = self.backends.values();
+      backends.any(|backend| {
+        backend.spec.pool == pool && !backend.is_leaving() && build.matches(backend.spec.build)
+      })
+    };
+    if has_build(&descriptor.pool) {
+      return;
+    }
+    let parts = descriptor.route.parts.iter().filter(|part| part.weight > 0);
+    let mut pools = parts.map(|part| &part.pool);
+    let Some(pool) = pools.find(|pool| has_build(pool)).cloned() else {
+      return;
+    };
+    if let Some(request) = self.requests.get_mut(&ticket) {
+      request.descriptor.pool = pool;
+    }
+  }
+
   /// Processes what another instance answered, or sent on its own.
   pub(crate) fn receive_builds(&mut self, from: SocketAddr, known: &[super::Record]) {
     for record in known {
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -473,16 +473,21 @@
   }
 }
 
-/// Deploys the route with its requests shared by these pools.
-fn deploy(state: &mut State, now: u64, version: u64, pools: &[&str]) {
+/// The route with its requests shared by these pools.
+fn split_route(pools: &[&str]) -> Route {
   let parts = pools.iter().map(|pool| Part {
     pool: (*pool).into(),
     weight: 1,
   });
-  let route = Route {
+  Route {
     parts: parts.collect(),
     ..(*route()).clone()
-  };
+  }
+}
+
+/// Deploys the route with its requests shared by these pools.
+fn deploy(state: &mut State, now: u64, version: u64, pools: &[&str]) {
+  let route = split_route(pools);
   let engine = Engine {
     slots: 8,
     ..Engine::default()
@@ -548,6 +553,69 @@
   assert_eq!(state.streams.take_unshared(10), [record]);
 }
 
+/// Guards against a resumption that is refused because it was sent to another part of its route than
+/// the one that began the stream.
+#[test]
+fn a_resumption_is_sent_to_the_pool_of_its_route_that_has_its_build() {
+  let mut state = state(&["v1-a"]);
+  let other = vec![Change::Set(spec_in("other", "v2-b"))];
+  state.reduce(1, Event::Servers(other));
+  let (pools, route) = (["pool", "other"], split_route(&["pool", "other"]));
+  deploy(&mut state, 2, 2, &pools);
+  for (ticket, (began, asked, server)) in [
+    ("v2", "pool", Some("v2-b")),
+    ("v1", "other", Some("v1-a")),
+    ("v3", "pool", None),
+  ]
+  .into_iter()
+  .enumerate()
+  {
+    let attempt = ticket.to_string();
+    let from = SocketAddr::from(([127, 0, 0, 1], 1));
+    let record = build::Record {
+      attempt: build::Key::of(&attempt),
+      build: build::Id::of(began),
+    };
+    let records = vec![record];
+    state.reduce(3, Event::Builds { from, records });
+    let Event::Arrived(arrival) = resumed(10 + ticket as u64, Some(&attempt), 100) else {
+      unreachable!();
+    };
+    let arrival = Descriptor {
+      pool: asked.into(),
+      route: Arc::new(route.clone()),
+      ..arrival
+    };
+    let effects = state.reduce(4, Event::Arrived(arrival));
+    assert_eq!(sent(&effects).as_deref(), server, "{began} at {asked}");
+    if server.is_none() {
+      assert_refused(&effects, Reason::BuildGone);
+    }
+  }
+}
+
+/// Guards against a stream that goes on in a pool which its route has left, or which has no share.
+#[test]
+fn a_resumption_is_refused_if_only_a_pool_without_a_share_of_its_route_has_its_build() {
+  let mut state = state(&["v1-a"]);
+  let other = vec![Change::Set(spec_in("other", "v2-b"))];
+  state.reduce(1, Event::Servers(other));
+  let mut unused = split_route(&["pool", "other"]);
+  unused.parts[1].weight = 0;
+  for (ticket, route) in [split_route(&["pool"]), unused].into_iter().enumerate() {
+    state.reduce(3, answer(1, Some("v2")));
+    let Event::Arrived(arrival) = resumed_elsewhere(ticket as u64) else {
+      unreachable!();
+    };
+    let arrival = Descriptor {
+      route: Arc::new(route),
+      ..arrival
+    };
+    let effects = state.reduce(4, Event::Arrived(arrival));
+    assert_refused(&effects, Reason::BuildGone);
+  }
+}
+
 /// Guards against a build whose only server joins and leaves between two updates of the list.
 #[test]
 fn a_build_that_joined_and_left_within_one_update_counts() {
