Resumed streams: wait a moment for the stored builds that are still to be read

What callers saw: beside one build, all instances killed while the store took 400 ms for a call: streams that nobody knew were refused (`build-unknown`) until each instance had read the record, one call after it was ready; a caller that comes again at once uses up its attempts. Cause: the record is read after the list of servers, and a resumption did not wait for what was on its way. Ruled out: reading the record beside the list. A build that joins and leaves between the two would be missed. Change: where one build is seen and the read is outstanding, a resumption waits for it, at most a quarter of the route's objective (refusals are due by then); once it has been read, whatever it says, none waits.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -16,6 +16,8 @@
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
 const ROUNDS: u32 = 2;
+/// Part of a route's objective within which the stored builds are awaited, as refusals are due then.
+const PAST_WAIT_PART: u64 = 4;
 
 /// A caller's resumption of a stream, at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -116,6 +118,14 @@
     let in_touch = question.is_some_and(|question| !question.unknown_to.is_empty());
     let fresh = resumption.has_fresh_list(waited_ms, in_touch || self.instances == 1);
     let only = self.streams.only_build(now, &request.descriptor.pool);
+    if only.is_some() && fresh && self.streams.awaits_past(now) {
+      let wait_ms = request.descriptor.route.objective_ms / PAST_WAIT_PART;
+      let until = request.arrived + wait_ms;
+      if now < until {
+        self.enqueue(ticket, until);
+        return false;
+      }
+    }
     let (build, basis) = match (only, fresh) {
       (_, false) => (None, Basis::OldList),
       (None, true) => (None, Basis::SeveralBuilds),
@@ -241,9 +251,11 @@
 
   /// Adds builds that were stored for instances that start later.
   pub(crate) fn add_build_history(&mut self, history: &super::history::Known) {
+    self.streams.end_wait();
     if self.streams.add_history(self.now, history) {
       self.out.push(Effect::ExchangeBuilds);
     }
+    self.dispatch_waiting();
   }
 
   /// Updates the builds of the pools after servers changed.
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -61,6 +61,8 @@
   watched_since: Option<u64>,
   /// Whether `pools` has the builds that left before that.
   past_known: bool,
+  /// Whether the stored builds are still to be read.
+  past_awaited: bool,
 }
 
 impl Streams {
@@ -72,6 +74,14 @@
     }
   }
 
+  /// What any other instance knows when it starts.
+  pub fn later_start() -> Self {
+    Self {
+      past_awaited: true,
+      ..Self::default()
+    }
+  }
+
   /// Records that the servers of all pools are known. Times count from the start of the process:
   /// other instances may have begun streams before a late first list, also at the first start.
   pub fn watch(&mut self, now: u64) {
@@ -90,6 +100,17 @@
   pub fn interrupt_watch(&mut self, now: u64) {
     self.watched_since = Some(now);
     self.past_known = false;
+    self.past_awaited = true;
+  }
+
+  /// Records that the stored builds were read.
+  pub fn end_wait(&mut self) {
+    self.past_awaited = false;
+  }
+
+  /// Whether the stored builds, still to be read, may complete what is known.
+  pub fn awaits_past(&self, now: u64) -> bool {
+    self.past_awaited && !self.knows_past(now)
   }
 
   /// Whether the builds of all pools are known that can have streams.
--- a/src/router.rs
+++ b/src/router.rs
@@ -63,6 +63,8 @@
     state.retry_share = routing.retry_share();
     if routing.first_start {
       state.streams = Streams::first_start();
+    } else {
+      state.streams = Streams::later_start();
     }
     let hub = Hub::new(state, edge.dialect, log)?;
     if let Some(bounds) = routing.reader_bounds() {
