Limits: instances that start all at once know what servers announced

Cause: absence of knowledge read as knowledge of absence, twice. What servers state was known to instances only, so those that start sent what they had until the first response. And a holder wrote no sums of units at all where the deployment has no customers: it took "no customers" for "customers are not read yet".

Ruled out: that what is granted after the last record must be reserved. A model in virtual time of seven instances, four limits and ten moments of the kill has no window beyond the limit with the record's limits and sums.

The simulation of tests/limits.rs can lose all instances.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -338,6 +338,7 @@
       }
       Event::LimitAnnounced { ticket, rate } => self.record_announced_limit(ticket, rate),
       Event::Statements(statements) => self.receive_statements(&statements),
+      Event::RecordedStatements(statements) => self.receive_recorded(&statements),
       Event::Brittle { server, max, sent } => {
         let at = if max.is_some() { now } else { sent };
         self.receive_brittle(server, max, at, true);
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -20,7 +20,7 @@
   request::Ticket,
   retry::Standing,
   route::Route,
-  statement::Statement,
+  statement::{Recorded, Statement},
   tokens::Tokens,
   verdict::Verdict,
 };
@@ -271,7 +271,7 @@
   BuildHistory(build::history::Known),
   /// The servers of all pools are not known.
   BuildsUnwatched,
-  /// The quarantined requests were read from the store.
+  /// The quarantined requests and the lease's record were read from the store.
   RecordsRead,
   /// Usage of customers' quotas by all instances within the last window.
   QuotaUsage(Sums),
@@ -289,6 +289,8 @@
   },
   /// Statements of servers, forwarded by other instances.
   Statements(Vec<Statement>),
+  /// Statements of servers that the lease's record contains.
+  RecordedStatements(Vec<Recorded>),
   /// A server announced to this instance that it is leaving.
   Leaving(Life),
   /// A server rejected a request of this instance and requested a backoff.
@@ -335,6 +337,7 @@
       Self::Servers(_)
         | Self::LimitAnnounced { .. }
         | Self::Statements(_)
+        | Self::RecordedStatements(_)
         | Self::Leaving(_)
         | Self::Brittle { .. }
         | Self::Backoff { .. }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -72,6 +72,11 @@
     self.latest.value(server)
   }
 
+  /// Returns whether a server stated a limit or its end.
+  pub(crate) fn is_known(&self, server: Life) -> bool {
+    self.latest.get(server).is_some()
+  }
+
   /// Returns whether any server has a limit.
   pub fn any(&self) -> bool {
     self.latest.current().next().is_some()
--- a/src/planner/leases.rs
+++ b/src/planner/leases.rs
@@ -70,7 +70,10 @@
     };
     let now = self.hub.now();
     let record = match record {
-      Some(record) if index == 0 => Some(self.with_sums(now, record)),
+      Some(record) if index == 0 => {
+        let record = self.with_sums(now, record);
+        Some(self.with_statements(record))
+      }
       record => record,
     };
     let name = self.groups[index].name.clone();
@@ -98,6 +101,13 @@
   ) {
     if let (Ok(object), lease::Call::Read) = (&result, call) {
       self.read_sums(now, &object.spec);
+      if index == 0 {
+        self.read_recorded_statements(&object.spec);
+      }
+    }
+    let responded = matches!(&result, Ok(_) | Err(store::Error::Absent { .. }));
+    if index == 0 && responded && *call == lease::Call::Read {
+      self.lease_read = true;
     }
     if index == 0 && matches!(call, lease::Call::Write { .. }) {
       self.accounts.finish_record(result.is_ok());
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -186,6 +186,10 @@
   pub(crate) known_sums: Option<sums::Known>,
   /// The record of the lease that was read last, and the sums in it.
   pub(crate) read_record: Option<Value>,
+  /// Whether the record of the lease was read at least once, or the store has none.
+  pub(crate) lease_read: bool,
+  /// Whether the state knows that the records were read.
+  pub(crate) records_reported: bool,
   pub(crate) recorded_sums: Option<sums::Known>,
   /// What the former holder published last, and when its successor was first heard of, in ms.
   pub(crate) former_sums: Option<(u64, sums::Known)>,
@@ -248,6 +252,8 @@
     next_standings_write_at: 0,
     known_sums: None,
     read_record: None,
+    lease_read: false,
+    records_reported: false,
     recorded_sums: None,
     former_sums: None,
     next_sums_publish_at: 0,
@@ -307,6 +313,7 @@
       self.read_policies();
       self.sync_quarantine();
       self.sync_build_history();
+      self.report_records_read();
       self.exchange_statements();
       self.exchange_builds();
       self.report_uses(report_requested);
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -11,7 +11,7 @@
   crash::{Crash, Culprit, Quarantined, Suspected, stored::Call},
   dispatch::Event,
   message::Message,
-  planner::{Completion, Planner},
+  planner::{Completion, Group, Planner},
   store,
 };
 use slog::info;
@@ -240,6 +240,17 @@
     }
   }
 
+  /// Reports that the records are read which an instance needs before it takes a caller. Where there is a
+  /// holder that others know, it publishes what the lease's record contains.
+  pub(crate) fn report_records_read(&mut self) {
+    let holder = |group: &Group| group.lease.holder().is_some();
+    let is_lease_known = self.lease_read || self.groups.first().is_none_or(holder);
+    if self.stored_quarantine.is_read() && is_lease_known && !self.records_reported {
+      self.records_reported = true;
+      self.hub.apply(Event::RecordsRead, None);
+    }
+  }
+
   /// Handles the result of a call that reads or writes the stored quarantine.
   pub(crate) fn finish_quarantine_call(
     &mut self,
@@ -254,11 +265,8 @@
     }
     let was_read = self.stored_quarantine.is_read();
     let record = self.stored_quarantine.answered(now, call, result);
-    if self.stored_quarantine.is_read() {
-      if !was_read {
-        info!(self.hub.log, "stored quarantine read"; "at_ms" => now);
-      }
-      self.hub.apply(Event::RecordsRead, None);
+    if self.stored_quarantine.is_read() && !was_read {
+      info!(self.hub.log, "stored quarantine read"; "at_ms" => now);
     }
     let Some(record) = record else {
       return;
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -39,6 +39,8 @@
 /// Allowances of customers, of permits and of servers with a limit.
 pub(crate) struct Allowances {
   pub(crate) directory: Option<Arc<Directory>>,
+  /// Whether the deployment is known, and with it whether there are customers.
+  pub(crate) deployed: bool,
   bound: Bound,
   limits: Limits,
   returns: bool,
@@ -296,6 +298,7 @@
     let state = self.hub.state();
     let deployment = state.deployment.as_ref();
     Allowances {
+      deployed: deployment.is_some(),
       directory: deployment.and_then(|deployment| deployment.customers.clone()),
       bound: self.quota_bound,
       limits: state.limits.clone(),
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -14,11 +14,13 @@
 mod hints;
 mod latest;
 mod leaving;
+pub mod recorded;
 mod rest;
 
 pub use hints::{Hints, MISDIRECTED_REQUEST, Reply};
 pub use latest::{Latest, Stated};
 pub use leaving::Leaving;
+pub use recorded::Recorded;
 pub(crate) use rest::{Backoffs, REJECTION_MS};
 
 use crate::{dispatch::State, life::Life};
--- a/src/sums.rs
+++ b/src/sums.rs
@@ -63,9 +63,8 @@
   pub(crate) fn with_sums(&mut self, now: u64, mut record: Value) -> Value {
     let holds_lease = self.groups.first().is_some_and(|group| group.holds_lease);
     let allowances = self.allowances();
-    if !holds_lease || allowances.directory.is_none() {
-      // This replaces a record that nobody else may remember. Servers' limits are not known either at a
-      // start, and servers announce theirs again.
+    if !holds_lease || !allowances.deployed {
+      // This replaces a record that nobody else may remember.
       let former = self.recorded_sums.as_ref();
       if let (Some(fields), Some(former)) = (record.as_object_mut(), former) {
         fields.insert(SUMS_FIELD.into(), json!(former.sums));
--- a/tests/fleet_limit/mod.rs
+++ b/tests/fleet_limit/mod.rs
@@ -13,9 +13,10 @@
   request::Ticket,
   retry::Bound,
   route::{Repeat, Route},
-  statement::Statement,
+  statement::{Recorded, Statement, recorded},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
 use std::{
   cmp::Reverse,
   collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -35,6 +36,8 @@
 /// Intervals at which the holder publishes usage sums and all limits that it knows, ms.
 const SUMS_MS: u64 = 500;
 const LISTS_MS: u64 = 2_000;
+/// Interval at which the holder writes the lease's record, ms.
+const RECORD_MS: u64 = 1_500;
 /// Times after a change at which it is sent, ms.
 const SENDS_MS: [u64; 3] = [0, 100, 400];
 
@@ -52,7 +55,7 @@
   /// Time at which the first server restarts, ms; it then announces the same limit.
   pub restart: Option<u64>,
   /// Number of instances that are killed and restart, at which time, ms, and whether the holder is
-  /// killed too.
+  /// killed too. Where all are, they know what the lease's record contains, and all their requests count.
   pub kill: Option<(usize, u64, bool)>,
   /// Number of instances whose datagrams are lost, with start and end, ms.
   pub partitioned: Option<(usize, u64, u64)>,
@@ -116,6 +119,8 @@
   holder_at: u64,
   accounts: Accounts,
   sums: (u64, Sums),
+  /// The sums and statements in the lease's record.
+  record: (Sums, Value),
   queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
   messages: BTreeMap<usize, Message>,
   number: usize,
@@ -186,6 +191,7 @@
     holder_at: 0,
     accounts: Accounts::default(),
     sums: (0, Sums::new()),
+    record: (Sums::new(), json!({})),
     queue: BinaryHeap::new(),
     messages: BTreeMap::new(),
     number: 0,
@@ -310,6 +316,9 @@
       for index in 0..count {
         self.instances[index] = self.instance(now);
       }
+      if count == self.instances.len() {
+        self.start_from_record(now);
+      }
       if holder {
         self.holder = (self.holder + 1) % self.instances.len();
         self.holder_at = now + TAKEOVER_MS;
@@ -330,6 +339,20 @@
     }
   }
 
+  /// Nothing is on its way any more after a loss of all instances.
+  fn start_from_record(&mut self, now: u64) {
+    self.queue.clear();
+    self.messages.clear();
+    let (sums, record) = self.record.clone();
+    self.sums = (now, sums.clone());
+    let statements: Vec<Recorded> = recorded::read(&record);
+    for index in 0..self.instances.len() {
+      self.instances[index].informed_at = Some(now.saturating_sub(ENFORCEMENT_DELAY_MS));
+      self.apply(now, index, Event::QuotaUsage(sums.clone()));
+      self.apply(now, index, Event::RecordedStatements(statements.clone()));
+    }
+  }
+
   fn apply(&mut self, now: u64, index: usize, event: Event) {
     let effects = self.instances[index].state.reduce(now, event);
     let process = self.instances[index].process;
@@ -523,6 +546,13 @@
         self.apply(now, holder, Event::QuotaUsage(self.sums.1.clone()));
       }
     }
+    if now.is_multiple_of(RECORD_MS) {
+      let state = &self.instances[holder].state;
+      let allow = |id| state.limits().allowance(id);
+      let mut record = json!({});
+      recorded::add(&mut record, &state.recorded_statements());
+      self.record = (self.accounts.sums(now, allow), record);
+    }
     let limits = match now.is_multiple_of(LISTS_MS) {
       true => self.instances[holder].state.limits().statements(now),
       false => self.take_due(now, holder),
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -13,12 +13,14 @@
   refusal::Reason,
   request::Ticket,
   route::{Repeat, Stream},
+  statement::{Content, Recorded, Statement, recorded},
   verdict::Verdict,
 };
 use fleet_limit::{Outcome, Scenario, WINDOW_MS, simulate};
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use requests::refused;
+use serde_json::{Value, json};
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Longest time that a refused request may wait for a unit of a server's limit: until the holder
@@ -164,6 +166,19 @@
   }
 }
 
+#[test]
+fn a_limit_holds_when_all_instances_are_killed_at_once() {
+  for rate in [1.0, 2.3, 0.3, 8.0] {
+    for seed in 50..60 {
+      let killed = Scenario {
+        kill: Some((7, 8_300 + seed * 37, true)),
+        ..scenario(seed, 7, rate)
+      };
+      assert_limit_kept(&format!("{rate} requests per second"), &simulate(&killed));
+    }
+  }
+}
+
 #[test]
 fn what_a_lone_server_takes_is_used_and_the_rest_is_refused_at_once() {
   for (instances, load) in [(7, 60.0), (295, 600.0)] {
@@ -290,6 +305,100 @@
   assert_eq!(limits.take_changed(), [(server, true), (server, true)]);
 }
 
+/// A state that knows limits of servers from other instances.
+fn informed(limits: &[(Life, Option<f64>)], age_ms: u32) -> State {
+  let mut state = state_without_holder(&["s"]);
+  state.reduce(100_000, heard(limits, age_ms));
+  state
+}
+
+fn heard(limits: &[(Life, Option<f64>)], age_ms: u32) -> Event {
+  let statements = limits.iter().map(|(server, rate)| Statement {
+    server: *server,
+    content: Content::Limit(*rate),
+    age_ms,
+  });
+  Event::Statements(statements.collect())
+}
+
+/// The lease's record of a holder in this state.
+fn recorded_by(state: &State) -> Value {
+  let mut record = json!({ "term": 3 });
+  recorded::add(&mut record, &state.recorded_statements());
+  record
+}
+
+/// Guards against limits that end with all instances that heard of them.
+#[test]
+fn a_limit_in_the_leases_record_is_known_to_an_instance_that_starts() {
+  let server = Life::of("s", 0);
+  let record = recorded_by(&informed(&[(server, Some(2.3))], 0));
+  let mut young = state_without_holder(&["s"]);
+  young.reduce(50, Event::RecordedStatements(recorded::read(&record)));
+  assert_eq!(young.limits().rate(server), Some(2.3));
+  assert_eq!(
+    young.limits().rate(Life::of("s", 1)),
+    None,
+    "the next life of the server has announced no limit"
+  );
+  assert_eq!(recorded_by(&young), record);
+}
+
+/// Guards against a limit that ended and comes back from a record, also from one of a restored store.
+#[test]
+fn whatever_else_is_known_of_a_limit_is_newer_than_a_record() {
+  let server = Life::of("s", 0);
+  let record = recorded_by(&informed(&[(server, Some(2.0))], 0));
+  let read = || Event::RecordedStatements(recorded::read(&record));
+  for (known, rate) in [(None, None), (Some(5.0), Some(5.0))] {
+    let mut later = informed(&[(server, Some(2.0))], 30_000);
+    later.reduce(100_001, heard(&[(server, known)], 9_000));
+    later.reduce(100_002, read());
+    assert_eq!(later.limits().rate(server), rate);
+    let mut earlier = state_without_holder(&["s"]);
+    earlier.reduce(100_000, read());
+    earlier.reduce(100_001, heard(&[(server, known)], 9_000));
+    assert_eq!(earlier.limits().rate(server), rate);
+  }
+  let ended = informed(&[(server, Some(2.0))], 30_000);
+  let mut ended_later = ended;
+  ended_later.reduce(100_001, heard(&[(server, None)], 0));
+  assert_eq!(recorded_by(&ended_later), json!({ "term": 3 }));
+}
+
+/// Maximum size of the statements in a record, in bytes.
+const MAX_RECORD_BYTES: usize = 5_000;
+
+#[test]
+fn a_record_contains_a_bounded_number_of_limits_the_lowest_ones() {
+  let limits: Vec<(Life, Option<f64>)> = (1..700_u32)
+    .map(|number| {
+      let life = Life::of(&format!("s{number}"), 1_764_892_800_000);
+      (life, Some(f64::from(number) / 10.0))
+    })
+    .collect();
+  let record = recorded_by(&informed(&limits, 0));
+  assert!(record.to_string().len() < MAX_RECORD_BYTES, "{record}");
+  let read = recorded::read(&record);
+  let lowest = limits[..read.len()].iter();
+  let lowest = lowest.map(|(server, rate)| Recorded {
+    server: *server,
+    content: Content::Limit(*rate),
+  });
+  assert_eq!(read, lowest.collect::<Vec<_>>());
+  assert!(read.len() >= 40);
+}
+
+#[test]
+fn a_record_of_another_version_is_read_as_far_as_it_is_understood() {
+  assert_eq!(recorded::read(&json!({ "term": 3 })), []);
+  assert_eq!(recorded::read(&json!({ "statements": "none" })), []);
+  let mut record = recorded_by(&informed(&[(Life::of("s", 0), Some(2.0))], 0));
+  let statements = record["statements"].as_array_mut().unwrap();
+  statements.insert(0, json!({ "server": 3, "content": "Other" }));
+  assert_eq!(recorded::read(&record).len(), 1);
+}
+
 quickcheck! {
   /// At least one request fits into a window at any announced rate.
   fn a_window_holds_a_request(rate: f64) -> bool {
