Brittle servers: instances that start all at once know which they are

Brittle servers fell over when all instances were killed at once, and callers waited for what they had run: instances that start sent them what callers had, as they knew of no brittle server until its first response.

Cause: as for limits, absence of knowledge read as knowledge of absence. In turn, peers and the holder's list tell; after a loss of all instances nobody does.

Ruled out: requests of the killed instances that still run.

Change: the lease's record holds up to 16 brittle servers too, 4 of a pool; the others of a pool count as brittle while nothing is known of them.

--- a/src/concurrency/mod.rs
+++ b/src/concurrency/mod.rs
@@ -65,6 +65,16 @@
       }
   }
 
+  /// Whether a server stated that it is brittle, or that it is no longer.
+  pub(crate) fn is_known(&self, server: Life) -> bool {
+    self.latest.get(server).is_some()
+  }
+
+  /// The rejections within a second that a server states it can bear; `None` if it states none.
+  pub(crate) fn max_rejections(&self, server: Life) -> Option<u32> {
+    self.latest.value(server)
+  }
+
   /// Whether a server itself states that it is brittle.
   pub fn is_stated(&self, server: Life) -> bool {
     self.latest.value(server).is_some()
--- a/src/statement/recorded.rs
+++ b/src/statement/recorded.rs
@@ -1,8 +1,9 @@
 //! Statements of servers in the lease's record: after a loss of all instances they are not known
 //! anywhere else.
 //!
-//! The holder adds the limits in force to each record. An instance that reads a record applies
-//! those of servers of which it knows nothing: whatever it hears otherwise is newer.
+//! The holder adds the limits in force and some brittle servers to each record. An instance that
+//! reads a record applies the statements of servers of which it knows nothing: whatever it hears
+//! otherwise is newer.
 
 use super::Content;
 use crate::{
@@ -12,11 +13,16 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 
 /// Field of the lease's record that contains the statements.
 const STATEMENTS_FIELD: &str = "statements";
 /// Maximum number of limits in a record, at about 80 bytes each: the lowest ones.
 const MAX_LIMITS: usize = 48;
+/// Maximum number of brittle servers in a record, and of those of one pool: the others of the pool
+/// count as brittle while nothing is known of them.
+const MAX_BRITTLE: usize = 16;
+const MAX_BRITTLE_PER_POOL: usize = 4;
 /// Age that statements in a record are taken to have: older than those that instances exchange, and
 /// still kept while their servers are not listed.
 const RECORDED_AGE_MS: u64 = 60_000;
@@ -41,7 +47,7 @@
   let statements = statements.into_iter().flatten();
   statements
     .filter_map(|statement| Recorded::deserialize(statement).ok())
-    .take(MAX_LIMITS)
+    .take(MAX_LIMITS + MAX_BRITTLE)
     .collect()
 }
 
@@ -64,6 +70,12 @@
 impl State {
   /// Statements that are in force, for the lease's record.
   pub fn recorded_statements(&self) -> Vec<Recorded> {
+    let mut statements = self.recorded_limits();
+    statements.extend(self.recorded_brittle());
+    statements
+  }
+
+  fn recorded_limits(&self) -> Vec<Recorded> {
     let mut limits: Vec<(f64, Life)> = self
       .limits
       .servers()
@@ -80,6 +92,27 @@
       .collect()
   }
 
+  fn recorded_brittle(&self) -> Vec<Recorded> {
+    let listed = self.by_id.values().map(|key| &self.backends[*key].spec);
+    let brittle: BTreeMap<Life, (&str, u32)> = listed
+      .filter_map(|spec| {
+        let max = self.brittle.max_rejections(spec.life())?;
+        Some((spec.life(), (spec.pool.as_str(), max)))
+      })
+      .collect();
+    let mut by_pool: BTreeMap<&str, usize> = BTreeMap::new();
+    let recorded = brittle.into_iter().filter(|(_, (pool, _))| {
+      let count = by_pool.entry(pool).or_default();
+      *count += 1;
+      *count <= MAX_BRITTLE_PER_POOL
+    });
+    let statements = recorded.map(|(server, (_, max))| Recorded {
+      server,
+      content: Content::Brittle(Some(max)),
+    });
+    statements.take(MAX_BRITTLE).collect()
+  }
+
   /// Processes statements from the lease's record.
   pub(crate) fn receive_recorded(&mut self, statements: &[Recorded]) {
     let at = self.now.saturating_sub(RECORDED_AGE_MS);
@@ -89,6 +122,9 @@
         Content::Limit(rate) if !self.limits.is_known(server) => {
           self.receive_limit(server, rate, at);
         }
+        Content::Brittle(max) if !self.brittle.is_known(server) => {
+          self.receive_brittle(server, max, at, false);
+        }
         _ => {}
       }
     }
--- a/tests/statements.rs
+++ b/tests/statements.rs
@@ -12,10 +12,11 @@
   refusal::Reason,
   request::Ticket,
   route::Repeat,
-  statement::{Content, Hints, Statement},
+  statement::{Content, Hints, Recorded, Statement, recorded},
   verdict::Verdict,
 };
 use quickcheck::quickcheck;
+use serde_json::json;
 use std::sync::Arc;
 
 fn servers(ids: &[&str]) -> State {
@@ -482,3 +483,68 @@
     })
   }
 }
+
+fn brittle(id: &str, max: Option<u32>, age_ms: u32) -> Event {
+  Event::Statements(vec![Statement {
+    server: life(id),
+    content: Content::Brittle(max),
+    age_ms,
+  }])
+}
+
+/// The brittle servers that became known or unknown by an event.
+fn brittle_changes(state: &mut State, now: u64, event: Event) -> Vec<(String, Option<u32>)> {
+  let effects = state.reduce(now, event).into_iter();
+  effects
+    .filter_map(|effect| match effect {
+      Effect::BrittleChanged {
+        id, max_rejections, ..
+      } => Some((id, max_rejections)),
+      _ => None,
+    })
+    .collect()
+}
+
+/// Guards against brittle servers that are known to nobody after a loss of all instances.
+#[test]
+fn a_brittle_server_in_the_leases_record_is_known_to_an_instance_that_starts() {
+  let mut state = servers(&["a", "b", "c", "d", "e", "f"]);
+  for id in ["a", "b", "c", "d", "e", "f"] {
+    state.reduce(100_000, brittle(id, Some(2), 0));
+  }
+  let mut record = json!({});
+  recorded::add(&mut record, &state.recorded_statements());
+  let read = recorded::read(&record);
+  assert_eq!(read.len(), 4, "the others of the pool count as brittle too");
+  let event = Event::RecordedStatements(read.clone());
+  let mut young = servers(&["a", "b", "c", "d", "e", "f"]);
+  let changes = brittle_changes(&mut young, 50, event);
+  assert_eq!(changes.len(), 4);
+  assert!(changes.iter().all(|(_, max)| *max == Some(2)));
+  assert_eq!(young.recorded_statements(), read);
+}
+
+/// Guards against a statement that ended and comes back from a record.
+#[test]
+fn whatever_else_is_known_of_a_brittle_server_is_newer_than_a_record() {
+  let recorded = || {
+    Event::RecordedStatements(vec![Recorded {
+      server: life("s"),
+      content: Content::Brittle(Some(2)),
+    }])
+  };
+  let ended = [("s".to_string(), None)];
+  let mut state = servers(&["s"]);
+  state.reduce(100_000, brittle("s", Some(2), 0));
+  assert_eq!(
+    brittle_changes(&mut state, 100_001, brittle("s", None, 0)),
+    ended
+  );
+  assert_eq!(brittle_changes(&mut state, 100_002, recorded()), []);
+  let mut state = servers(&["s"]);
+  assert_eq!(brittle_changes(&mut state, 100_000, recorded()).len(), 1);
+  assert_eq!(
+    brittle_changes(&mut state, 100_001, brittle("s", None, 9_000)),
+    ended
+  );
+}
