Soak: releases before all instances are killed, with callers that come back

Callers who resumed streams after a release and a kill of all instances got 200 and the rest of the text from another build; the soak had not found it.

Cause of the gap, by reading: no plan let all servers of a version leave before instances were killed, and callers resumed a broken stream within three times three attempts, 100 ms apart, or gave it up while the instances were down.

Change: seeds from 170,000 on with the remainder two modulo sixteen replace all servers by ones of another version and kill all instances 0.2 to 20 s later, at once or in turn; those with the remainder ten do the same with one version all along. Eight more callers an instance break their streams off and come back later. Beside one version no return may be refused for want of knowing the version (`build`), kills included, and returns count in the share of resumptions that go on. Resumptions of those callers are left out of `recovery`: beside two versions a refusal is right. Plans of earlier seeds are as before (soak/tests/plan.rs).

Changed tests: `faults_come_in_order_and_within_the_run` goes by the end of the seed's plan, which a new test fixes to the former value below 170,000; literals of two records in soak/tests/check.rs got the new fields.

--- a/soak/src/build.rs
+++ b/soak/src/build.rs
@@ -5,6 +5,9 @@
   history::{History, Resumption, Serving, Stream, Target},
 };
 
+/// Reason of a refusal where an instance does not know which version began a stream.
+const VERSION_UNKNOWN: &str = "build-unknown";
+
 /// A count out of a total.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Share {
@@ -40,9 +43,34 @@
   streams.filter(|stream| stream.versions.len() > 1).collect()
 }
 
+/// Returns the streams that instances refused when their callers came back long after they broke, because
+/// their version was not known, though all servers had one all along. The end of all instances does not
+/// excuse that.
+pub fn unknown_returns(history: &History) -> Vec<&Resumption> {
+  if !has_one_version(history) {
+    return Vec::new();
+  }
+  let returns = history.returns.iter();
+  returns
+    .filter(|one| {
+      let is_unknown = one.reasons.iter().any(|reason| reason == VERSION_UNKNOWN);
+      is_unknown && !history.had_incident(&Target::Store, one.at, one.ended)
+    })
+    .collect()
+}
+
+fn has_one_version(history: &History) -> bool {
+  let mut versions = history.serving.iter().map(|one| &one.version);
+  let first = versions.next();
+  versions.all(|version| Some(version) == first)
+}
+
 pub fn shares(history: &History, bounds: &Bounds) -> Shares {
   let mut shares = Shares::default();
-  for resumption in history.resumptions.iter().filter(|one| one.plain) {
+  // Beside two versions, those that began a stream may be known to nobody when its caller comes back.
+  let returns = history.returns.iter().filter(|_| has_one_version(history));
+  let resumptions = history.resumptions.iter().chain(returns);
+  for resumption in resumptions.filter(|one| one.plain) {
     if is_counted(history, bounds, resumption) {
       shares.resumed.add(resumption.went_on);
     }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -553,6 +553,16 @@
       );
       self.report("build", 0, text);
     }
+    let unknown = build::unknown_returns(self.history);
+    if let Some(first) = unknown.first() {
+      let text = format!(
+        "{} of {} streams were refused as of unknown version though there was one, the first is `{}`",
+        unknown.len(),
+        self.history.returns.len(),
+        first.id
+      );
+      self.report("build", first.at, text);
+    }
   }
 
   /// After all faults have ended, no request to a plain server fails for a fault of its own response.
@@ -613,7 +623,7 @@
       let after_faults = self.history.requests.iter();
       let after_faults: Vec<&Request> = after_faults
         .filter(|request| request.kind == kind && request.at >= from && request.end != End::Left)
-        .filter(|request| request.customer != Customer::Limited)
+        .filter(|request| request.customer != Customer::Limited && !request.returns)
         .collect();
       let served = after_faults.iter();
       let served = served
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -83,6 +83,8 @@
   pub customer: Customer,
   /// Whether the connection had carried earlier requests.
   pub reused: bool,
+  /// Whether it resumes a stream long after that broke, which may be refused.
+  pub returns: bool,
   pub at: u64,
   pub ended: u64,
   pub end: End,
@@ -215,6 +217,8 @@
   pub ended: u64,
   /// Whether it brought an event.
   pub went_on: bool,
+  /// Why instances refused it.
+  pub reasons: Vec<String>,
 }
 
 /// A server of the plain service that serves at a software version, until it is stopped or replaced.
@@ -274,6 +278,8 @@
   pub removed: Vec<(String, u64)>,
   pub streams: Vec<Stream>,
   pub resumptions: Vec<Resumption>,
+  /// Resumptions long after their streams broke.
+  pub returns: Vec<Resumption>,
   pub serving: Vec<Serving>,
   pub brittle: Vec<BrittlePeriod>,
   /// Servers that fell over because they had to reject too many requests, with times.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -63,6 +63,8 @@
   /// Whether callers state the tokens of their requests, some of them send at the same moments, and
   /// some belong to a customer with a quota.
   pub states_tokens: bool,
+  /// Longest time until a patient caller resumes a stream.
+  pub max_absence_ms: u64,
   /// Methods of requests that may be repeated; all others are POST.
   pub methods: &'static [&'static str],
   pub stopped: AtomicBool,
@@ -157,6 +159,7 @@
       instance,
       customer,
       reused,
+      returns: false,
       at,
       ended,
       end,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -256,6 +256,11 @@
     new.count,
     new.total
   );
+  let returns = &history.returns;
+  if !returns.is_empty() {
+    let went_on = returns.iter().filter(|one| one.went_on).count();
+    println!("  {} came back later, {went_on} went on", returns.len());
+  }
 }
 
 /// Prints how late the last requests of connected instances to leaving servers came.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,6 +1,10 @@
 //! The plan of a run: faults and load, generated from a seed.
 
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{
+  Rng, SeedableRng,
+  rngs::SmallRng,
+  seq::{IndexedRandom, SliceRandom},
+};
 use std::fmt;
 
 /// How connections are cut.
@@ -249,11 +253,52 @@
   seed >= BUILDS_FROM_SEED
 }
 
+/// First seed whose plan has releases: all servers change to another software version within some
+/// seconds, and all instances are killed later. Seeds with remainder two modulo sixteen have only this,
+/// and those with remainder ten the same with one version all along.
+const RELEASES_FROM_SEED: u64 = 170_000;
+const RELEASE_MODULUS: u64 = 16;
+/// When the first server changes, and the pause before the next one does.
+const RELEASE_AT_MS: std::ops::Range<u64> = 1_500..3_000;
+const RELEASE_PAUSE_MS: std::ops::Range<u64> = 0..400;
+/// Time from the end of the last server of the old version to the end of the first instance.
+const KILLED_SOON_MS: std::ops::Range<u64> = 200..3_000;
+const KILLED_LATE_MS: std::ops::Range<u64> = 3_000..20_000;
+/// How long the instances are down, and the pause before the next one is killed.
+const KILLED_MS: std::ops::Range<u64> = 100..1_500;
+const KILLS_PAUSE_MS: std::ops::Range<u64> = 300..2_000;
+/// How much longer than other plans a release may take.
+const RELEASE_MS: u64 = 20_000;
+
+/// Whether the plan is a release, so that callers resume streams long after they broke.
+pub fn has_release(seed: u64) -> bool {
+  seed >= RELEASES_FROM_SEED && matches!(seed % RELEASE_MODULUS, 2 | 10)
+}
+
+/// Software version of a slot's first server.
+pub fn first_version(seed: u64, slot: usize) -> u32 {
+  match has_builds(seed) && !has_release(seed) {
+    true => 1 + slot as u32 % 2,
+    false => 1,
+  }
+}
+
+/// Time until which faults start, in ms.
+pub fn end_ms(seed: u64, size: &Size) -> u64 {
+  match has_release(seed) {
+    true => size.faults_ms + RELEASE_MS,
+    false => size.faults_ms,
+  }
+}
+
 /// Generates a plan; the same seed and size give the same plan.
 pub fn generate(seed: u64, size: &Size) -> Vec<Step> {
   if (DEPARTURES_ONLY_FROM_SEED..ANNOUNCEMENTS_FROM_SEED).contains(&seed) {
     return departure_steps(seed, size);
   }
+  if has_release(seed) {
+    return release_steps(seed, size);
+  }
   if seed >= CROWDS_FROM_SEED && seed % FRAGILE_MODULUS == 13 {
     return crowd_steps(seed, size, true);
   }
@@ -455,6 +500,49 @@
   steps
 }
 
+/// All servers are replaced by others, and all instances are killed later, at once or in turn.
+fn release_steps(seed: u64, size: &Size) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(20));
+  let version = match seed % RELEASE_MODULUS {
+    2 => 2,
+    _ => 1,
+  };
+  let mut steps = Vec::new();
+  let mut servers: Vec<usize> = (0..size.servers * 2).collect();
+  servers.shuffle(&mut rng);
+  let mut at = rng.random_range(RELEASE_AT_MS);
+  let mut left_at = at;
+  for server in servers {
+    let duration_ms = rng.random_range(BUILD_DOWN_MS);
+    steps.push(Step {
+      at,
+      duration_ms,
+      fault: Fault::Server(server, Server::Renew(version, 0)),
+    });
+    left_at = left_at.max(at + duration_ms);
+    at += rng.random_range(RELEASE_PAUSE_MS);
+  }
+  let delay = match rng.random_bool(0.5) {
+    true => rng.random_range(KILLED_SOON_MS),
+    false => rng.random_range(KILLED_LATE_MS),
+  };
+  let kill = |rng: &mut SmallRng, at, fault| Step {
+    at,
+    duration_ms: rng.random_range(KILLED_MS),
+    fault,
+  };
+  let mut at = left_at + delay;
+  if rng.random_bool(0.5) {
+    steps.push(kill(&mut rng, at, Fault::KillAll));
+    return steps;
+  }
+  for instance in 0..size.instances {
+    steps.push(kill(&mut rng, at, Fault::Kill(instance)));
+    at += rng.random_range(KILLS_PAUSE_MS);
+  }
+  steps
+}
+
 /// Servers that pause in streams. If `isolated`, the plan also has stops of instances, which excuse no
 /// response that is cut.
 fn pause_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -47,6 +47,9 @@
 /// Shortest time between orders of two instances to one server.
 pub const LEASE_MS: u64 = 1_000;
 
+/// How long after the last fault callers still come back to streams that began with the run, in ms.
+const RETURNS_MS: u64 = 6_000;
+
 /// Instances, servers, callers and the store of a run.
 pub struct World {
   recorder: Arc<Recorder>,
@@ -112,16 +115,25 @@
     let copies = plan::has_copies(options.seed);
     let has_builds = plan::has_builds(options.seed) || switch == Some(Break::Build);
     let slots = (0..size.servers * 2)
-      .map(|number| Slot::start(&store, number, size.servers, has_builds))
+      .map(|number| {
+        let version = match switch {
+          Some(Break::Build) => 1 + number as u32 % 2,
+          _ => plan::first_version(options.seed, number),
+        };
+        Slot::start(&store, number, size.servers, version)
+      })
       .collect::<io::Result<Vec<Slot>>>()?;
     let runners = slots.iter().map(|slot| lock(&slot.runner).clone());
     let runners = Mutex::new(runners.collect());
     let members = (0..size.instances)
       .map(|number| Member::start(options, &store, number))
       .collect::<io::Result<Vec<Member>>>()?;
+    let last_fault_at = options.steps.iter().map(|step| step.at).max();
+    let last_fault_at = last_fault_at.unwrap_or_default();
     let traffic = new_traffic(&recorder, &members, switch);
     let traffic = Arc::new(Traffic {
       resumes: has_builds,
+      max_absence_ms: last_fault_at + RETURNS_MS,
       states_tokens: plan::has_features(options.seed),
       methods: if copies {
         &["POST", "GET", "HEAD"]
@@ -182,6 +194,7 @@
     crowded: AtomicUsize::new(NO_CROWD),
     resumes: false,
     states_tokens: false,
+    max_absence_ms: RETURNS_MS,
     methods: &["POST"],
     stopped: AtomicBool::new(false),
   }
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -42,7 +42,7 @@
     store: &Store,
     number: usize,
     engines: usize,
-    has_builds: bool,
+    version: u32,
   ) -> io::Result<Self> {
     // The proxy's target is set once the server listens.
     let proxy = Proxy::bind(store.address)?;
@@ -52,7 +52,6 @@
     };
     let pair = [MODELS[number % 2], MODELS[2 + number % 4]];
     let models: &[&str] = if service == "models" { &pair } else { &[] };
-    let version = if has_builds { 1 + number as u32 % 2 } else { 1 };
     let runner = start_runner(store, &proxy, (&id, service), models, version);
     Ok(Self {
       proxy,
--- a/soak/src/world/watchers.rs
+++ b/soak/src/world/watchers.rs
@@ -2,7 +2,7 @@
 //! measurement of scheduling lag.
 
 use super::{Options, World, lock};
-use crate::{history::Probe, load};
+use crate::{history::Probe, load, plan, stream};
 use platform_stand_in::client::{self, DEADLINE_MS, Outgoing};
 use std::{
   net::SocketAddr,
@@ -11,6 +11,8 @@
   time::{Duration, Instant},
 };
 
+/// Callers per instance that resume streams long after these broke.
+const PATIENT_CALLERS: usize = 8;
 /// Pause between two probes of the current configuration.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 /// Failed readiness checks after which the load balancer sends no more callers.
@@ -29,6 +31,16 @@
           load::run_caller(&traffic, instance, caller, seed);
         }));
       }
+      let patient_callers = match plan::has_release(options.seed) {
+        true => PATIENT_CALLERS,
+        false => 0,
+      };
+      for caller in 0..patient_callers {
+        let (traffic, seed) = (self.traffic.clone(), options.seed);
+        threads.push(thread::spawn(move || {
+          stream::run_patient_caller(&traffic, instance, caller, seed);
+        }));
+      }
       let world = self.clone();
       threads.push(thread::spawn(move || world.probe(instance)));
       let world = self.clone();
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -30,6 +30,7 @@
     instance: 0,
     customer: Customer::Unlimited,
     reused: false,
+    returns: false,
     at: 1_000,
     ended: 1_100,
     end,
@@ -531,6 +532,7 @@
       at: 8_100,
       ended: 8_300,
       went_on: number < went_on,
+      reasons: Vec::new(),
     });
   }
   history
@@ -603,6 +605,74 @@
   );
 }
 
+/// Twelve streams whose callers come back to instances that were killed meanwhile, among servers of one
+/// version; `unknown` of them are refused because their version is not known.
+fn returned(unknown: usize) -> History {
+  let mut history = resumed(12);
+  history.serving.truncate(2);
+  let mut returns = std::mem::take(&mut history.resumptions);
+  for one in returns.iter_mut().take(unknown) {
+    one.went_on = false;
+    one.reasons = vec!["build-unknown".into()];
+  }
+  history.returns = returns;
+  for instance in [0, 1] {
+    let killed = incident(Target::Instance(instance), KILLED, 7_500, 8_050);
+    history.incidents.push(killed);
+  }
+  history
+}
+
+#[test]
+fn beside_one_version_no_return_is_refused_as_unknown() {
+  assert!(broken(&returned(0)).is_empty());
+  assert_eq!(broken(&returned(1)), ["build"], "a kill does not excuse it");
+  let mut two_versions = returned(12);
+  two_versions.serving[1].version = "v2".into();
+  assert!(broken(&two_versions).is_empty(), "nobody may know it");
+  let mut without_store = returned(12);
+  let store = incident(Target::Store, "store", 8_000, 8_150);
+  without_store.incidents.push(store);
+  assert!(broken(&without_store).is_empty(), "nobody could read it");
+  let mut other_reason = returned(1);
+  other_reason.returns[0].reasons = vec!["no-server".into()];
+  assert!(broken(&other_reason).is_empty(), "another reason");
+}
+
+/// Guards against returns that do not count beside one version.
+#[test]
+fn beside_one_version_half_of_the_returns_go_on() {
+  let mut history = returned(12);
+  history.incidents.clear();
+  for one in &mut history.returns {
+    one.reasons = vec!["no-server".into()];
+  }
+  assert_eq!(broken(&history), ["build"]);
+}
+
+/// Guards against a check that lets refusals of returns, which two versions excuse, count as trouble.
+#[test]
+fn refused_returns_are_no_lack_of_recovery() {
+  let mut history = baseline();
+  let refused = End::Failure {
+    status: 503,
+    signed: false,
+  };
+  for number in 0..40 {
+    history.requests.push(Request {
+      at: 20_000,
+      ended: 20_050,
+      returns: true,
+      ..request(&format!("p{number}"), Kind::Stream, refused)
+    });
+  }
+  assert!(broken(&history).is_empty());
+  for request in &mut history.requests {
+    request.returns = false;
+  }
+  assert_eq!(broken(&history), ["recovery"]);
+}
+
 fn falls(count: u64) -> History {
   History {
     brittle: vec![BrittlePeriod {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -1,7 +1,7 @@
 //! Plans of faults are determined by their seed.
 
 use quickcheck::quickcheck;
-use soak::plan::{Fault, Server, Size, Step, generate};
+use soak::plan::{Fault, Server, Size, Step, end_ms, generate};
 
 quickcheck! {
   fn a_seed_fixes_its_plan(seed: u64) -> bool {
@@ -12,7 +12,7 @@
     let size = Size::default();
     let steps = generate(seed, &size);
     steps.windows(2).all(|pair| pair[0].at <= pair[1].at)
-      && steps.iter().all(|step| step.at < size.faults_ms)
+      && steps.iter().all(|step| step.at < end_ms(seed, &size))
       && !steps.is_empty()
   }
 }
@@ -83,3 +83,49 @@
   assert!(mixed.iter().any(|plan| plan.iter().any(brittle)));
   assert!(mixed.iter().any(|plan| plan.iter().any(deadly)));
 }
+
+/// Guards against plans of earlier seeds that change, and against releases that leave a server of the
+/// old version or an instance that is not killed.
+#[test]
+fn seeds_from_170_000_on_have_releases_before_all_instances_are_killed() {
+  let size = Size::default();
+  for seed in (0..170_000).step_by(997) {
+    assert_eq!(end_ms(seed, &size), size.faults_ms, "{seed}");
+  }
+  let (mut at_once, mut in_turn) = (0, 0);
+  for number in 0..40 {
+    let (seed, version) = match number % 2 {
+      0 => (170_002 + number * 8, 2),
+      _ => (170_002 + number * 8, 1),
+    };
+    let plan = generate(seed, &size);
+    let (releases, kills): (Vec<&Step>, Vec<&Step>) = plan
+      .iter()
+      .partition(|step| matches!(step.fault, Fault::Server(..)));
+    let mut servers: Vec<usize> = releases.iter().map(|step| server(step, version)).collect();
+    servers.sort_unstable();
+    assert!(servers.into_iter().eq(0..size.servers * 2), "{seed}");
+    let left_at = releases.iter().map(|step| step.at + step.duration_ms).max();
+    let after_ms = kills[0].at - left_at.expect("no server left");
+    assert!((200..20_000).contains(&after_ms), "{seed}: {after_ms}");
+    let killed: Vec<Fault> = kills.iter().map(|step| step.fault).collect();
+    let each: Vec<Fault> = (0..size.instances).map(Fault::Kill).collect();
+    match killed == [Fault::KillAll] {
+      true => at_once += 1,
+      false => in_turn += 1,
+    }
+    assert!(
+      killed == [Fault::KillAll] || killed == each,
+      "{seed}: {killed:?}"
+    );
+  }
+  assert!(at_once > 0 && in_turn > 0);
+}
+
+/// The server that a step replaces by one of this version.
+fn server(step: &Step, version: u32) -> usize {
+  match step.fault {
+    Fault::Server(number, Server::Renew(to, 0)) if to == version => number,
+    other => panic!("no change to v{version}: {other:?}"),
+  }
+}
