Placement: a model of servers that nobody reaches is loaded elsewhere

Callers waited and were refused for as long as the only server with their model refused connections and its entry stayed: 18 s in soak, without any load of the model elsewhere.

Cause: the planner took the entry's word that the server holds the model, had no reason to ask it, and an unanswered question only put off the next one.

Change: where requests have waited for 250 ms for a model of which no server runs one, its servers are asked, each at most once a second; a server that leaves two questions in a row unanswered counts as limited until it answers. It counts for replica limits as before. A later end of `any_rejecting_until` is no longer taken back by a report of another server.

Ruled out by the test: a replica limit, and demand that is not reported. Not taken: instances that name servers which they do not reach, as one that is cut off from a zone would have the zone's models loaded twice.

--- a/src/placement/need.rs
+++ b/src/placement/need.rs
@@ -12,6 +12,10 @@
 /// Demand that was reported longer ago does not count, ms.
 pub(crate) const DEMAND_TIMEOUT_MS: u64 = 600;
 
+/// Requests that have waited for longer than this for a model whose servers run none of them may be
+/// waiting for servers that nobody reaches, ms.
+const UNUSED_MS: u64 = 250;
+
 /// Requests of all instances that wait for a model or an adapter.
 #[derive(Clone, Debug)]
 pub(crate) struct Need {
@@ -76,6 +80,9 @@
       self.models[base].last_demand_step = self.demand_step;
     }
     let mut remote_searches = MAX_REMOTE_SEARCHES;
+    for need in &needs {
+      self.check_unused_holders(need);
+    }
     for need in self.needs_without_holder(&needs) {
       if !self.cancel_eviction(need.model) && self.is_own_turn(&need) {
         self.load_needed(&need, &mut remote_searches);
@@ -96,6 +103,26 @@
     self.needs = needs;
   }
 
+  /// Has the servers of a model queried if requests wait for it while none of them runs one: they may be
+  /// out of reach although their entries stay.
+  fn check_unused_holders(&mut self, need: &Need) {
+    if need.age_ms < UNUSED_MS {
+      return;
+    }
+    let now = self.now;
+    let base = self.models[need.model].base;
+    let holders: Vec<server::Key> = self.holders(base).to_vec();
+    let runs = |key: &server::Key| self.servers[*key].busy_with(base, &self.models);
+    if holders.iter().any(runs) {
+      return;
+    }
+    for key in holders {
+      if self.servers[key].can_take_order(now) {
+        self.change(key, |server, _| server.recheck(now));
+      }
+    }
+  }
+
   /// Needs of models that no server holds, or only limited servers, including the needs of their
   /// adapters; those that gain most from a load come first.
   fn needs_without_holder(&self, needs: &[Need]) -> Vec<Need> {
--- a/src/placement/orders.rs
+++ b/src/placement/orders.rs
@@ -8,6 +8,7 @@
   placement::{
     models,
     plan::{Effect, Plan, QUERY_INTERVAL_MS, REPORT_LAG_MS},
+    report::REJECTING_MS,
     server::{self, Loaded, Server, Step, intern_models},
   },
   report::Tier,
@@ -106,6 +107,11 @@
         server.querying = false;
         server.query_failed(now);
       });
+      let server = &self.servers[key];
+      if server.is_unheard() {
+        let next_query = server.paused_until + REJECTING_MS;
+        self.any_rejecting_until = self.any_rejecting_until.max(next_query);
+      }
       return;
     };
     let complete = self.servers[key].queried_at >= self.reports_complete_from;
--- a/src/placement/report.rs
+++ b/src/placement/report.rs
@@ -13,7 +13,7 @@
 const MEMBER_TIMEOUT_MS: u64 = 3_000;
 /// A server counts as rejecting requests for this long after a report that names it, ms: instances
 /// report at least every second.
-const REJECTING_MS: u64 = 1_500;
+pub(crate) const REJECTING_MS: u64 = 1_500;
 /// A report that arrives within this time after a publication or a resync may have been sent before
 /// its instance received that, ms: datagrams take a few milliseconds, and an instance handles them
 /// a few milliseconds later.
@@ -128,7 +128,7 @@
     for life in resting {
       if let Some(key) = self.find_server(*life) {
         self.servers[key].rejecting_until = now + REJECTING_MS;
-        self.any_rejecting_until = now + REJECTING_MS;
+        self.any_rejecting_until = self.any_rejecting_until.max(now + REJECTING_MS);
       }
     }
   }
--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -27,6 +27,8 @@
 pub(crate) const LEAVE_NOTICE_MS: u64 = 25;
 /// An order without an answer is carried out within this time or never, ms: engines take up to 12 s.
 pub(crate) const MAX_ORDER_DELAY_MS: u64 = 13_000;
+/// Consecutive queries without an answer after which a server counts as taking no requests.
+const UNHEARD_QUERIES: u32 = 2;
 /// Doublings of `RECHECK_MS` for a server that repeatedly does not answer.
 const MAX_RECHECK_DOUBLINGS: u32 = 3;
 /// Pause after an adapter order until requests may use the adapter, ms: it loads within a few
@@ -285,7 +287,12 @@
 
   /// Whether it accepts fewer requests than it gets.
   pub(crate) fn is_limited(&self, now: u64) -> bool {
-    self.limited || now < self.rejecting_until
+    self.limited || now < self.rejecting_until || self.is_unheard()
+  }
+
+  /// Whether several queries in a row got no answer: requests are likely to get none either.
+  pub(crate) fn is_unheard(&self) -> bool {
+    self.unanswered_queries >= UNHEARD_QUERIES
   }
 
   pub(crate) fn can_take_order(&self, now: u64) -> bool {
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -47,6 +47,8 @@
   pub ended: BTreeSet<String>,
   /// Servers whose responses have not arrived yet.
   pub unresponsive: BTreeSet<String>,
+  /// How long the oldest waiting request has waited, ms.
+  pub age_ms: u64,
 }
 
 pub struct Server {
@@ -144,6 +146,7 @@
       order_result: None,
       ended: BTreeSet::new(),
       unresponsive: BTreeSet::new(),
+      age_ms: 0,
     }
   }
 
@@ -165,7 +168,7 @@
       model: Model::parse(model),
       waiting: *waiting,
       priority: 0,
-      age_ms: 0,
+      age_ms: self.age_ms,
       waits: vec![Wait {
         requests: *waiting,
         objective_ms: 1_000,
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -995,3 +995,58 @@
     world.loads()
   );
 }
+
+/// A world in which one server holds `d` and two have copies, and nobody reaches the first any more,
+/// although its entry stays.
+fn world_without_reach() -> World {
+  let held: &[&str] = &["a"];
+  let mut world = World::new(
+    &["a", "d"],
+    &[
+      ("one", &["d"], &["d"]),
+      ("two", held, &["d"]),
+      ("three", held, &["d"]),
+    ],
+  );
+  world.run(1_500);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+  world.ended.insert("one".into());
+  world.waiting = vec![("d".into(), 3)];
+  world.age_ms = 300;
+  world
+}
+
+// Guards against requests that wait in vain: the only server with a model refused connections for 18 s
+// while its entry stayed, and the model was loaded nowhere else.
+#[test]
+fn a_model_whose_only_server_is_out_of_reach_is_loaded_elsewhere() {
+  let mut world = world_without_reach();
+  world.run(4_000);
+  assert!(world.holds("two", "d") || world.holds("three", "d"));
+  assert_eq!(world.loads().len(), 1, "{:?}", world.loads());
+  // The planner notices when it answers again.
+  world.ended.clear();
+  world.run(10_000);
+  assert_eq!(world.loads().len(), 1, "{:?}", world.loads());
+}
+
+#[test]
+fn a_server_out_of_reach_counts_for_the_bound() {
+  let mut world = world_without_reach();
+  let policy = r#"{ "models": { "matchLabels": { "model": "d" } }, "maxReplicas": 1 }"#;
+  let policies = [("one".to_string(), serde_json::from_str(policy).unwrap())];
+  world.plan.update_policies(policies.into_iter().collect());
+  world.run(20_000);
+  assert!(world.loads().is_empty(), "{:?}", world.loads());
+}
+
+#[test]
+fn a_server_that_runs_requests_is_not_queried_because_others_wait() {
+  let mut world = world_without_reach();
+  world.ended.clear();
+  world.running = vec![("one".into(), "d".into(), 1)];
+  world.run(100);
+  let earlier_count = world.query_count;
+  world.run(5_000);
+  assert_eq!(world.query_count, earlier_count);
+}
