--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -4,6 +4,7 @@
 use crate::customer::{self, Customer};
 use crate::history::{End, FROZEN, History, KILLED, Kind, Limit, Order, Request, STOPPED, Target};
 use crate::leaving::{self, LateRun};
+use crate::plan;
 use crate::said::{self, LateArrival};
 use std::collections::{BTreeMap, HashMap};
 
@@ -78,6 +79,21 @@
   }
 }
 
+impl Bounds {
+  /// The limits for a seed. Where nothing but a release changes software versions, no stream may be
+  /// joined.
+  pub fn for_seed(seed: u64) -> Self {
+    let bounds = Self::default();
+    match plan::has_release(seed) {
+      true => Self {
+        max_joined_streams: 0,
+        ..bounds
+      },
+      false => bounds,
+    }
+  }
+}
+
 /// A violated invariant. `at` is in ms since the start of the run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -197,7 +197,7 @@
   let bounds = Bounds {
     lease_ms: LEASE_MS,
     timed: arguments.timed,
-    ..Bounds::default()
+    ..Bounds::for_seed(seed)
   };
   match simulate(&options, stop) {
     Ok(history) => {
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -550,6 +550,13 @@
   assert_eq!(joined(3), ["build"]);
 }
 
+#[test]
+fn a_release_joins_no_stream() {
+  assert_eq!(Bounds::for_seed(170_002).max_joined_streams, 0);
+  assert_eq!(Bounds::for_seed(169_986).max_joined_streams, 2);
+  assert_eq!(Bounds::for_seed(170_006).max_joined_streams, 2);
+}
+
 /// Guards against a check that counts joined streams only where no fault excuses them.
 #[test]
 fn no_fault_excuses_streams_of_two_versions() {
