Reports: posted to a holder whose updates do not arrive

Cause: demand is stated in datagrams alone, each of which stands in for the last one. A link that is full loses all of them for seconds, while connections only get slower; neither side notices, as the record of the lease in the store still names the holder. Ruled out: a change of the holder, a store that does not respond (such an instance refuses already).

Change: an instance with waiting requests that has heard nothing from a holder for 1 s (it publishes every 500 ms) posts its report over a connection to the holder's peer address, one at a time and every 500 ms at most, and the holder responds with what the instance lacks and the loads. Ages in the response grow by the time since the post was started. A holder of an earlier version closes the connection, and datagrams go on between posts.

Tests: a relay that forwards connections and loses datagrams.

--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -15,6 +15,7 @@
   concurrency::Ledger,
   content,
   crash::{self, Crash, Quarantined, Registry, Repeated, part, served},
+  delivery::Posts,
   dispatch::Event,
   edge::{Edge, Kinds},
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
@@ -24,6 +25,7 @@
   lease::{self, Lease},
   life::Life,
   message::{self, Message},
+  outbound::Client,
   outbox::{self, Outbox},
   placement::plan::{Plan, Report},
   policies,
@@ -85,6 +87,11 @@
     stored::Call<build::history::Record>,
     store::Result<store::Object>,
   ),
+  Posted {
+    holder: SocketAddr,
+    started_at: u64,
+    updates: Option<Vec<u8>>,
+  },
 }
 
 /// A group of servers with its lease, and the plan that is in effect while this machine holds the
@@ -109,6 +116,10 @@
   pub(crate) machines_updated_at: u64,
   /// Time at which the list of instances was last published.
   pub(crate) members_published_at: u64,
+  /// Time at which an update last arrived as a datagram.
+  pub(crate) heard_at: u64,
+  /// Reports are posted to the holder.
+  pub(crate) posting: bool,
 }
 
 impl Group {
@@ -131,12 +142,14 @@
   pub(crate) groups: Vec<Group>,
   calls: Pool,
   orders: Pool,
-  queries: Pool,
+  pub(crate) queries: Pool,
   completion_sender: Sender<Completion>,
   completions: Receiver<Completion>,
   waker: Arc<Waker>,
   pub(crate) last_report_at: u64,
   pub(crate) last_report: Option<Report>,
+  pub(crate) posts: Posts,
+  pub(crate) post_client: Arc<Client>,
   policy_reads: policies::Reads,
   /// Whether entries of servers may be missing that expired before this instance started.
   unknown_servers: bool,
@@ -222,6 +235,8 @@
     waker: Arc::new(Waker::new()?),
     last_report_at: 0,
     last_report: None,
+    posts: Posts::default(),
+    post_client: Arc::default(),
     policy_reads: policies::Reads::default(),
     unknown_servers: false,
     acquire_delay_ms: leases::acquire_delay_ms(&routing),
@@ -306,6 +321,7 @@
         self.record_suspension(suspended_for);
       }
       self.receive_datagrams();
+      self.process_posts();
       self.process_crashes();
       self.flush_outbox();
       self.process_completions();
@@ -394,6 +410,7 @@
           }
         }
         Ok((Message::Update(update), extension)) => {
+          self.record_heard(now, update.group);
           self.receive_update(now, update, extension, from)
         }
         Ok((Message::PromiseRequest(index, request), _)) => {
