Streams: the end of one without events left is no reset, and one without any event is not whole

Callers that had all events of a stream, and asked for the rest, got a reset each time where the server's response had no length. Cause: a response that ends with its connection was marked as complete only if its head had gone out before its end. Ruled out: that a stream whose server stops right behind the head looks complete. It did not, but only because of this; with the mark alone it would. Change: the mark is set in both cases; a stream without a length that ends before its first event has broken off, unless the caller resumes it.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -142,7 +142,10 @@
   /// Ends the body unless `forward` has done so.
   pub(super) fn finish_body(&mut self, head: &Response, framing: Framing) -> Result<(), Outcome> {
     match self.response_framing {
-      None => self.forward(head, framing, &[], true),
+      None => {
+        self.unframed_complete = true;
+        self.forward(head, framing, &[], true)
+      }
       Some(Framing::Chunked) => {
         self.response_framing = Some(Framing::Length(0));
         self.write_caller(LAST_CHUNK)
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -95,10 +95,17 @@
 
   /// Whether a stream is complete that ends with its connection.
   fn ends_whole(&self, stream: &mut Stream) -> bool {
-    let ends_between_events = self.events.partial().is_empty();
+    let ends_between_events = self.events.partial().is_empty() && self.has_events();
     stream.body.finish() && ends_between_events && !self.has_crashed(&stream.attempt)
   }
 
+  /// Whether the caller has got an event of the stream, in this response or in an earlier one: a server
+  /// that stops right behind the head has sent none.
+  fn has_events(&self) -> bool {
+    let headers = &self.incoming.head.headers;
+    self.events.count > 0 || headers.get("Last-Event-Id").is_some()
+  }
+
   fn forward_events(&mut self, stream: &mut Stream, complete: &[u8]) -> Result<(), Outcome> {
     if !std::mem::replace(&mut stream.started, true) && self.first_event_at.is_some() {
       self.resumed = true;
