--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -204,3 +204,34 @@
     assert_eq!(result.err(), Some(Failure::NoAnswer), "`{part}`");
   }
 }
+
+/// An answer of the store, or to an order or a report, that states its framing twice or lacks the size of a chunk
+/// counted as whole.
+#[test]
+fn a_response_whose_end_is_in_doubt_is_none() {
+  let responses = [
+    "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    "Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
+    "Content-Length: two\r\n\r\n{}",
+    "Transfer-Encoding: gzip\r\n\r\n{}",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n;a\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  ];
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  thread::spawn(move || {
+    for response in responses {
+      let (mut stream, _) = listener.accept().unwrap();
+      let _ = stream.read(&mut [0; 1024]).unwrap();
+      let bytes = format!("HTTP/1.1 200 OK\r\n{response}");
+      stream.write_all(bytes.as_bytes()).unwrap();
+    }
+  });
+  let client = Client::default();
+  for response in responses {
+    let result = client.send(address, &get());
+    assert_eq!(result.err(), Some(Failure::NoAnswer), "`{response}`");
+  }
+}
