Placement: servers are asked only after two seconds without a request

Change: a server is asked only if none of the model's servers has run a request for it within 2 s; a load that was just done counts as a use.

--- a/src/placement/need.rs
+++ b/src/placement/need.rs
@@ -12,9 +12,10 @@
 /// Demand that was reported longer ago does not count, ms.
 pub(crate) const DEMAND_TIMEOUT_MS: u64 = 600;
 
-/// Requests that have waited for longer than this for a model whose servers run none of them may be
-/// waiting for servers that nobody reaches, ms.
-const UNUSED_MS: u64 = 250;
+/// Requests that have waited for longer than this may be waiting for servers that nobody reaches, if
+/// these have run none for the other time, ms. Instances learn of a load within that time.
+const MIN_AGE_MS: u64 = 250;
+const UNUSED_MS: u64 = 2_000;
 
 /// Requests of all instances that wait for a model or an adapter.
 #[derive(Clone, Debug)]
@@ -103,17 +104,20 @@
     self.needs = needs;
   }
 
-  /// Has the servers of a model queried if requests wait for it while none of them runs one: they may be
-  /// out of reach although their entries stay.
+  /// Has the servers of a model queried if requests wait for it while none of them has run one for some
+  /// time: they may be out of reach although their entries stay.
   fn check_unused_holders(&mut self, need: &Need) {
-    if need.age_ms < UNUSED_MS {
+    if need.age_ms < MIN_AGE_MS {
       return;
     }
     let now = self.now;
     let base = self.models[need.model].base;
     let holders: Vec<server::Key> = self.holders(base).to_vec();
-    let runs = |key: &server::Key| self.servers[*key].busy_with(base, &self.models);
-    if holders.iter().any(runs) {
+    let is_used = |key: &server::Key| {
+      let server = &self.servers[*key];
+      server.busy_with(base, &self.models) || now < server.last_used(base) + UNUSED_MS
+    };
+    if holders.iter().any(is_used) {
       return;
     }
     for key in holders {
