--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -4,7 +4,6 @@
 use crate::{
   backend,
   clock::Moment,
-  delivery::is_silent,
   dispatch::Event,
   feed::Gate,
   lease::promise::Request,
@@ -231,8 +230,7 @@
       0
     };
     self.needs_resync = false;
-    let waiting = !report.demand.is_empty();
-    let (mut holders, mut posts): (Vec<SocketAddr>, Vec<SocketAddr>) = Default::default();
+    let mut holders: Vec<SocketAddr> = Vec::new();
     for group in &mut self.groups {
       if group.leads(now) {
         group
@@ -244,38 +242,15 @@
       } else if let Some(holder) = group.lease.holder()
         && holder != self.own_address
         && !holders.contains(&holder)
-        && !posts.contains(&holder)
       {
-        let silent = waiting && is_silent(now, group.heard_at);
-        if silent && !group.posting {
-          group.posting = true;
-          info!(self.hub.log, "no updates from the holder; reports are posted to it";
-            "lease" => &group.name, "holder" => %holder, "last_ms_ago" => now - group.heard_at);
-        }
-        match silent && self.posts.start(now, holder) {
-          true => posts.push(holder),
-          false => holders.push(holder),
-        }
+        holders.push(holder);
       }
     }
     let message = Message::Report(report.clone());
     self.send_extended(&message, &extension, &holders);
-    for holder in posts {
-      self.start_post(holder, &message, &extension);
-    }
     self.last_report = Some(report);
   }
 
-  /// Records that an update of a group's holder arrived as a datagram.
-  pub(crate) fn record_heard(&mut self, now: u64, group: u32) {
-    if let Some(group) = self.groups.get_mut(group as usize) {
-      group.heard_at = now;
-      if std::mem::take(&mut group.posting) {
-        info!(self.hub.log, "updates from the holder arrive again"; "lease" => &group.name);
-      }
-    }
-  }
-
   fn build_report(&self, now: u64) -> Report {
     let mut state = self.hub.state();
     let strain = state.take_strain();
@@ -363,10 +338,12 @@
     // Changes must be sent before the progress that refers to them.
     self.publish_changes();
     let now = self.hub.now();
-    let members = self.member_addresses(now, index);
-    let Some(mut header) = self.update_header(now, index, update, &members) else {
+    let Some(heartbeat) = self.groups[index].lease.heartbeat(now) else {
       return;
     };
+    let members = self.member_addresses(now, index);
+    // A holder that has just taken over has not heard from all instances yet.
+    let instances = members.len().max(self.slots.expected_instances(now)).max(1);
     let own_address = self.own_address;
     let others = match update.to {
       Some(address) => vec![address],
@@ -378,19 +355,30 @@
     let mine = update.to.is_none() || !mine.is_empty();
     let published_members = self.members_to_publish(now, index, update, members);
     let extended = update.to.is_some() || !published_members.is_empty();
-    header.members = published_members;
-    if extended {
+    let header = Update {
+      group: index as u32,
+      heartbeat: heartbeat.clone(),
+      deployments: self.hub.gates.deployments.progress(),
+      servers: self.hub.gates.servers.progress(),
+      store: self.store_age(),
+      instances: instances as u32,
+      members: published_members,
+      since: update.since,
+      latest: update.latest,
+      holdings: Vec::new(),
+      loads: update.loads.clone().unwrap_or_default(),
       // Sending 256 entries with every update would take 1.7 MB for 295 instances.
-      header.quarantined = self.registry.published(now);
-    }
-    if update.to.is_none() {
+      quarantined: match extended {
+        true => self.registry.published(now),
+        false => Vec::new(),
+      },
       // An update for a single instance must not count as the periodic publication to all.
-      header.sums = self.due_sums(now);
-    }
-    let (term, instances) = (header.heartbeat.term, header.instances as usize);
-    for (message, extension) in messages(header, update) {
-      self.send_paced_extended(&message, &extension, &others);
-    }
+      sums: match update.to {
+        Some(_) => None,
+        None => self.due_sums(now),
+      },
+    };
+    self.send_parts(header, update, &others);
     if extended {
       let statements = self.hub.state().all_statements(now);
       self.publish_statements(statements, &others);
@@ -399,53 +387,8 @@
     let interval = self.outbox.drain_time_ms();
     self.groups[index].plan.set_publish_interval(interval);
     if mine {
-      self.apply_own_update(index, term, update, instances);
-    }
-  }
-
-  /// The messages with which a posted report is answered.
-  pub(crate) fn response_to_post(
-    &self,
-    now: u64,
-    index: usize,
-    update: &Publication,
-  ) -> Vec<(Message, Extension)> {
-    let members = self.member_addresses(now, index);
-    let Some(mut header) = self.update_header(now, index, update, &members) else {
-      return Vec::new();
-    };
-    if update.since == 0 {
-      header.members = members;
-      header.quarantined = self.registry.published(now);
+      self.apply_own_update(index, heartbeat.term, update, instances);
     }
-    messages(header, update)
-  }
-
-  /// An update without holdings, members, quarantine and sums; `None` if this instance leads no more.
-  fn update_header(
-    &self,
-    now: u64,
-    index: usize,
-    update: &Publication,
-    members: &[SocketAddr],
-  ) -> Option<Update> {
-    // A holder that has just taken over has not heard from all instances yet.
-    let instances = members.len().max(self.slots.expected_instances(now)).max(1);
-    Some(Update {
-      group: index as u32,
-      heartbeat: self.groups[index].lease.heartbeat(now)?,
-      deployments: self.hub.gates.deployments.progress(),
-      servers: self.hub.gates.servers.progress(),
-      store: self.store_age(),
-      instances: instances as u32,
-      members: Vec::new(),
-      since: update.since,
-      latest: update.latest,
-      holdings: Vec::new(),
-      loads: update.loads.clone().unwrap_or_default(),
-      quarantined: Vec::new(),
-      sums: None,
-    })
   }
 
   /// The list of instances if it is due to be published, or for a single instance; otherwise empty.
@@ -483,6 +426,28 @@
     self.members = members;
   }
 
+  /// Sends an update in parts; only the first part carries members, loads, quarantine and sums.
+  fn send_parts(&mut self, mut header: Update, update: &Publication, to: &[SocketAddr]) {
+    let mut extension = Extension {
+      paces: update.paces.clone(),
+      waiting: update.waiting.clone(),
+      unanswered: update.unanswered.clone(),
+      ..Extension::default()
+    };
+    for part in parts(update) {
+      header.since = part.since;
+      header.latest = part.latest;
+      header.holdings = part.holdings;
+      let message = Message::Update(header.clone());
+      self.send_paced_extended(&message, &extension, to);
+      extension = Extension::default();
+      header.members.clear();
+      header.loads.clear();
+      header.quarantined.clear();
+      header.sums = None;
+    }
+  }
+
   /// Applies an update that this instance publishes itself.
   fn apply_own_update(&mut self, index: usize, term: u64, update: &Publication, instances: usize) {
     let groups = self.groups.len() as u32;
@@ -507,26 +472,3 @@
     self.receive_paces(update.paces.clone());
   }
 }
-
-/// Splits an update into messages; only the first one carries members, loads, quarantine and sums.
-fn messages(mut header: Update, update: &Publication) -> Vec<(Message, Extension)> {
-  let mut extension = Extension {
-    paces: update.paces.clone(),
-    waiting: update.waiting.clone(),
-    unanswered: update.unanswered.clone(),
-    ..Extension::default()
-  };
-  let mut messages = Vec::new();
-  for part in parts(update) {
-    header.since = part.since;
-    header.latest = part.latest;
-    header.holdings = part.holdings;
-    let message = Message::Update(header.clone());
-    messages.push((message, std::mem::take(&mut extension)));
-    header.members.clear();
-    header.loads.clear();
-    header.quarantined.clear();
-    header.sums = None;
-  }
-  messages
-}
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -6,7 +6,6 @@
   build::resume::{Basis, Decision},
   clock::{self, Moment},
   customer::{Caller, Standing},
-  delivery::Posted,
   deployment::Deployment,
   dialect::Dialect,
   dispatch::{Attempt, Effect, End, Event, State},
@@ -125,8 +124,6 @@
   pub report_waker: Waker,
   /// Wakes the planner without a report.
   planner_waker: OnceLock<Arc<Waker>>,
-  /// Reports that other instances posted, for the planner.
-  posts: Mutex<Vec<Posted>>,
   /// Number of requests in progress.
   pub active: AtomicUsize,
   /// Connections of callers, once their port is bound.
@@ -169,7 +166,6 @@
       stop_waker: Waker::new()?,
       report_waker: Waker::new()?,
       planner_waker: OnceLock::new(),
-      posts: Mutex::default(),
       active: AtomicUsize::new(0),
       admission: OnceLock::new(),
       readers: OnceLock::new(),
@@ -187,25 +183,6 @@
     self.planner_waker.get_or_init(|| waker);
   }
 
-  /// Queues a report for the planner. Returns `false` if too many wait already.
-  pub(crate) fn queue_post(&self, posted: Posted, max_waiting: usize) -> bool {
-    let mut posts = lock(&self.posts);
-    let accepted = posts.len() < max_waiting;
-    if accepted {
-      posts.push(posted);
-    }
-    drop(posts);
-    if let Some(waker) = self.planner_waker.get() {
-      waker.wake();
-    }
-    accepted
-  }
-
-  /// Takes the reports that wait for the planner.
-  pub(crate) fn take_posts(&self) -> Vec<Posted> {
-    std::mem::take(&mut *lock(&self.posts))
-  }
-
   fn log_resumption(&self, decision: &Decision) {
     let (basis, from, age_ms) = match decision.basis {
       Basis::Record(from, age_ms) => ("record", from, Some(age_ms)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,7 +30,6 @@
 mod crash_parts;
 pub mod customer;
 pub mod decide;
-pub mod delivery;
 pub mod demand;
 pub mod departures;
 pub mod deployment;
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -140,7 +140,7 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
       }
     };
-    let body = read_body(socket, framing, MAX_BODY_BYTES, read_deadline)?;
+    let body = read_body(socket, framing, read_deadline)?;
     if head.headers.get(id_header).is_none() {
       // Only their order tells the responses of this server apart.
       socket.carried = Carried::default();
@@ -189,10 +189,9 @@
 }
 
 /// Receives a body. `deadline` returns the time limit for its next bytes.
-pub(crate) fn read_body(
+fn read_body(
   socket: &mut Socket,
   framing: Framing,
-  max_bytes: usize,
   deadline: impl Fn() -> Moment,
 ) -> io::Result<Vec<u8>> {
   let mut decoder = Decoder::new(framing);
@@ -204,7 +203,7 @@
     if decoder.is_complete() {
       return Ok(body);
     }
-    if body.len() > max_bytes {
+    if body.len() > MAX_BODY_BYTES {
       return Err(io::ErrorKind::InvalidData.into());
     }
     if socket.fill_by(deadline())? == Fill::Eof {
--- a/src/placement/publish.rs
+++ b/src/placement/publish.rs
@@ -135,28 +135,6 @@
     }
   }
 
-  /// The changes that an instance lacks according to its last report, with the loads.
-  pub fn publication_for(&mut self, now: u64, address: SocketAddr) -> Option<Publication> {
-    let changes = self.changes;
-    let member = self.members.get_mut(&address)?;
-    let since = if member.known <= changes {
-      member.known
-    } else {
-      0
-    };
-    member.lacks_changes = false;
-    member.resynced_at = now;
-    let paces = match since {
-      0 => self.known_paces(),
-      _ => Vec::new(),
-    };
-    let publication = self.publication(Some(address), since, Some(self.server_loads()), paces);
-    Some(Publication {
-      unanswered: Some(self.unanswered_loads()),
-      ..publication
-    })
-  }
-
   fn publish_since(
     &mut self,
     to: Option<SocketAddr>,
@@ -164,17 +142,6 @@
     loads: Option<Vec<(u32, u16)>>,
     paces: Vec<Published>,
   ) {
-    let publication = self.publication(to, since, loads, paces);
-    self.effects.push(Effect::Publish(publication));
-  }
-
-  fn publication(
-    &self,
-    to: Option<SocketAddr>,
-    since: u64,
-    loads: Option<Vec<(u32, u16)>>,
-    paces: Vec<Published>,
-  ) -> Publication {
     let changed = self.changed_servers.range(since + 1..);
     let holdings = changed.filter_map(|(number, key)| {
       let published = self.servers.get(*key)?.published.clone()?;
@@ -184,7 +151,7 @@
       Some(_) => self.server_waiting(),
       None => Vec::new(),
     };
-    Publication {
+    let publication = Publication {
       to,
       waiting,
       since,
@@ -193,7 +160,8 @@
       loads,
       paces,
       unanswered: None,
-    }
+    };
+    self.effects.push(Effect::Publish(publication));
   }
 
   /// Requests of all instances that wait although a server holds their model, by server.
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -15,7 +15,7 @@
 
 impl Planner {
   /// Runs a call on a thread of a pool, and has its result processed by the planner thread.
-  pub(crate) fn run_call(
+  pub(super) fn run_call(
     &self,
     pool: &Pool,
     call: impl FnOnce(&Edge) -> Completion + Send + 'static,
@@ -51,11 +51,6 @@
             .record_order_result(now, &command, taken);
         }
         Completion::Policies(objects) => self.finish_policies_read(now, objects),
-        Completion::Posted {
-          holder,
-          started_at,
-          updates,
-        } => self.finish_post(now, holder, started_at, updates),
         Completion::Builds(call, result) => self.finish_builds_call(now, &call, result),
         Completion::Quarantine(call, result) => self.finish_quarantine_call(now, &call, result),
         Completion::Queried(index, id, reply) => {
--- a/src/planner/leases.rs
+++ b/src/planner/leases.rs
@@ -180,7 +180,5 @@
     former_loads: former::Loads::default(),
     machines_updated_at: 0,
     members_published_at: 0,
-    heard_at: 0,
-    posting: false,
   }
 }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -15,7 +15,6 @@
   concurrency::Ledger,
   content,
   crash::{self, Crash, Quarantined, Registry, Repeated, part, served},
-  delivery::Posts,
   dispatch::Event,
   edge::{Edge, Kinds},
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
@@ -25,7 +24,6 @@
   lease::{self, Lease},
   life::Life,
   message::{self, Message},
-  outbound::Client,
   outbox::{self, Outbox},
   placement::plan::{Plan, Report},
   policies,
@@ -87,11 +85,6 @@
     stored::Call<build::history::Record>,
     store::Result<store::Object>,
   ),
-  Posted {
-    holder: SocketAddr,
-    started_at: u64,
-    updates: Option<Vec<u8>>,
-  },
 }
 
 /// A group of servers with its lease, and the plan that is in effect while this machine holds the
@@ -116,10 +109,6 @@
   pub(crate) machines_updated_at: u64,
   /// Time at which the list of instances was last published.
   pub(crate) members_published_at: u64,
-  /// Time at which an update last arrived as a datagram.
-  pub(crate) heard_at: u64,
-  /// Reports are posted to the holder.
-  pub(crate) posting: bool,
 }
 
 impl Group {
@@ -142,14 +131,12 @@
   pub(crate) groups: Vec<Group>,
   calls: Pool,
   orders: Pool,
-  pub(crate) queries: Pool,
+  queries: Pool,
   completion_sender: Sender<Completion>,
   completions: Receiver<Completion>,
   waker: Arc<Waker>,
   pub(crate) last_report_at: u64,
   pub(crate) last_report: Option<Report>,
-  pub(crate) posts: Posts,
-  pub(crate) post_client: Arc<Client>,
   policy_reads: policies::Reads,
   /// Whether entries of servers may be missing that expired before this instance started.
   unknown_servers: bool,
@@ -235,8 +222,6 @@
     waker: Arc::new(Waker::new()?),
     last_report_at: 0,
     last_report: None,
-    posts: Posts::default(),
-    post_client: Arc::default(),
     policy_reads: policies::Reads::default(),
     unknown_servers: false,
     acquire_delay_ms: leases::acquire_delay_ms(&routing),
@@ -321,7 +306,6 @@
         self.record_suspension(suspended_for);
       }
       self.receive_datagrams();
-      self.process_posts();
       self.process_crashes();
       self.flush_outbox();
       self.process_completions();
@@ -410,7 +394,6 @@
           }
         }
         Ok((Message::Update(update), extension)) => {
-          self.record_heard(now, update.group);
           self.receive_update(now, update, extension, from)
         }
         Ok((Message::PromiseRequest(index, request), _)) => {
--- a/src/tunnel/mod.rs
+++ b/src/tunnel/mod.rs
@@ -12,7 +12,7 @@
 
 pub(crate) use client::{Failure, Peers, Target, open};
 pub(crate) use path::Paths;
-pub(crate) use server::{bind, read_head};
+pub(crate) use server::bind;
 
 use std::time::Duration;
 
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -7,7 +7,6 @@
 use crate::{
   backend::{self, Backend},
   clock::Moment,
-  delivery,
   http::{Request, Response},
   hub::Hub,
   socket::{Fill, Socket},
@@ -110,14 +109,8 @@
   let Ok(mut peer) = Socket::accept_peer(stream) else {
     return;
   };
-  let opened =
-    read_head(&mut peer, started + HEAD_TIMEOUT).and_then(|head| match head.method.as_str() {
-      "POST" => delivery::serve(hub, &mut peer, from, head).map(|()| None),
-      _ => parse_opening(hub, &head).map(Some),
-    });
-  let opening = match opened {
-    Ok(Some(opening)) => opening,
-    Ok(None) => return,
+  let opening = match read_opening(hub, &mut peer) {
+    Ok(opening) => opening,
     Err(error) => {
       warn!(hub.log, "tunnel was not opened"; "from" => %from, "error" => %error);
       return;
@@ -151,21 +144,18 @@
   }
 }
 
-/// Reads the head of a request of another instance.
-pub(crate) fn read_head(peer: &mut Socket, until: Moment) -> Result<Request, String> {
-  loop {
+fn read_opening(hub: &Hub, peer: &mut Socket) -> Result<Opening, String> {
+  let until = Moment::now() + HEAD_TIMEOUT;
+  let head = loop {
     if let Some((head, length)) = Request::parse(&peer.input).map_err(|error| error.0)? {
       peer.input.drain(..length);
-      return Ok(head);
+      break head;
     }
     let closed = peer.fill_by(until).map_err(|error| error.to_string())? == Fill::Eof;
     if closed || peer.input.len() > MAX_HEAD_BYTES {
       return Err(format!("head: {} bytes without an end", peer.input.len()));
     }
-  }
-}
-
-fn parse_opening(hub: &Hub, head: &Request) -> Result<Opening, String> {
+  };
   if head.method != "CONNECT" {
     return Err(format!("method: `{}` opens no tunnel", head.method));
   }
