Lease: a holder whose acquisition was answered late orders under its term

Cause, by its log: the response to the write that acquires the lease took longer than the lease lasts, so no order might be sent at that moment and the plan was started with a default, 0; promises of the others extended the lease 250 ms later (request for promises: term 1000033). Ruled out: a restored copy without a record, as that request has the right term. Change: the plan starts with the term that is held. Where the response is in time nothing changes.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -133,6 +133,11 @@
     (now < held.valid_until).then_some(held.term)
   }
 
+  /// The term of the lease that this machine holds, whether or not it may send orders now.
+  pub fn held_term(&self) -> Option<u64> {
+    self.held.as_ref().map(|held| held.term)
+  }
+
   /// Time until which orders may be sent; 0 if this machine does not hold the lease.
   pub fn valid_until(&self) -> u64 {
     self.held.as_ref().map_or(0, |held| held.valid_until)
--- a/src/planner/leases.rs
+++ b/src/planner/leases.rs
@@ -129,7 +129,8 @@
       self.needs_resync = true;
     }
     if acquired {
-      let term = group.lease.term(now).unwrap_or_default();
+      // Promises may extend a lease whose time was over when the response arrived.
+      let term = group.lease.held_term().unwrap_or_default();
       self.hub.measures.record_lease();
       let foreign_orders_until = group.lease.foreign_orders_until();
       info!(self.hub.log, "lease taken"; "lease" => &group.name, "term" => term,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -662,3 +662,22 @@
   let changes: usize = (0..20).map(holders).sum();
   assert!(changes > 20, "{changes}");
 }
+
+/// Guards against orders with no term under a lease that was acquired by a slow response and whose time other
+/// instances then extend.
+#[test]
+fn a_lease_whose_time_is_over_when_it_is_acquired_has_its_term() {
+  let mut store = Store::default();
+  let mut old = new_lease("one");
+  run(&mut old, &mut store, 0);
+  let mut new = new_lease("one");
+  let read = new.next_call(10, false).unwrap();
+  assert_eq!(read, Call::Read);
+  new.record_call_result(10, &read, store.apply(&read));
+  let write = new.next_call(11, false).unwrap();
+  let result = store.apply(&write);
+  let late = 11 + GAP_MS;
+  assert!(new.record_call_result(late, &write, result), "not acquired");
+  assert_eq!(new.term(late), None);
+  assert_eq!(new.held_term(), Some(2));
+}
