--- a/review/standin2.py
+++ b/review/standin2.py
@@ -15,7 +15,7 @@
 import time
 import uuid
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.environ.get("REPOSITORY", os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target/release/bendsaddle-platform")
 HEARTBEAT_S = 1.2
 
@@ -214,6 +214,7 @@
 
     What it does with a request follows from the request's path, after the route's prefix:
     PIECES-PAUSE_MS-FRAMING, for example `40-100-close`; framing is `close`, `length` or `chunked`.
+    A runner with `framed` states a length instead of `close`.
     """
 
     def __init__(self, spec):
@@ -221,6 +222,11 @@
         self.id = spec["id"]
         self.state = "ready"
         self.seq = 0
+        self.lock = threading.Lock()
+        self.models = set(spec.get("models", []))
+        self.loading = None
+        self.orders = 0
+        self.in_flight = 0
         self.log_lock = threading.Lock()
         self.log_file = open(spec["log"], "a", buffering=1)
         host, port = spec["address"].rsplit(":", 1)
@@ -238,6 +244,16 @@
                                             **fields}) + "\n")
 
     def entry(self):
+        if "engine" in self.spec:
+            return {**self.plain_entry(), "stage": "both", "models": self.held(),
+                    "available": {"in_memory": [], "on_disk": []}}
+        return self.plain_entry()
+
+    def held(self):
+        with self.lock:
+            return [{"name": name, "version": 1, "adapters": []} for name in sorted(self.models)]
+
+    def plain_entry(self):
         entry = {"service": self.spec["service"], "address": self.spec["address"],
                  "zone": self.spec.get("zone", "z1"), "version": "v1",
                  "slots": self.spec.get("slots", 64), "state": self.state, "cold_left_ms": 0,
@@ -301,14 +317,76 @@
             connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nBendsaddle-Instance-Id: "
                                + self.id.encode() + b"\r\nContent-Length: 0\r\n\r\n")
             return True
+        if target == "/api/report":
+            return self.report(connection)
+        if target == "/api/order":
+            return self.take_order(connection, json.loads(body))
         request = headers.get("bendsaddle-request-id", "")
+        model = headers.get("bendsaddle-model")
+        if model is not None and model.split("/")[0] not in self.models:
+            connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nBendsaddle-Request-Id: "
+                               + request.encode() + b"\r\nBendsaddle-Instance-Id: "
+                               + self.id.encode() + b"\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self.in_flight += 1
+        try:
+            return self.run_request(connection, target, headers, request)
+        finally:
+            self.in_flight -= 1
+
+    def report(self, connection):
+        with self.lock:
+            models = sorted(self.models)
+            answer = {"stage": "both", "busy": self.loading is not None, "seq": self.orders,
+                      "models": [{"name": name, "version": 1, "adapters": []} for name in models],
+                      "queued": 0, "in_flight": self.in_flight, "kv_used": 0, "kv_total": 150000,
+                      "handles": 0}
+        return self.write_json(connection, 200, answer)
+
+    def take_order(self, connection, order):
+        """Loads or unloads a model; loads take as long as the configuration says."""
+        with self.lock:
+            model = order.get("model")
+            status = 202
+            if order.get("holder") is None or order.get("fencing_token") is None:
+                status = 400
+            elif self.loading is not None or order.get("expected", self.orders) != self.orders:
+                status = 409
+            elif (order["operation"] == "load") == (model in self.models):
+                status = 200
+            else:
+                self.orders += 1
+                if order["operation"] == "unload":
+                    self.models.discard(model)
+                else:
+                    self.loading = model
+                    threading.Thread(target=self.load, args=(model,), daemon=True).start()
+        self.log("order", status=status, **order)
+        return self.write_json(connection, status, {})
+
+    def load(self, model):
+        time.sleep(self.spec["engine"]["load_time_s"])
+        with self.lock:
+            self.models.add(model)
+            self.loading = None
+        self.enter()
+
+    def write_json(self, connection, status, answer):
+        data = json.dumps(answer).encode()
+        connection.sendall(b"HTTP/1.1 %d Answer\r\nContent-Type: application/json\r\n"
+                           b"Content-Length: %d\r\n\r\n" % (status, len(data)) + data)
+        return True
+
+    def run_request(self, connection, target, headers, request):
         pieces, pause_ms, framing = target.rsplit("/", 1)[1].split("-")[:3]
         pieces, pause = int(pieces), int(pause_ms) / 1000
+        if framing == "close" and self.spec.get("framed"):
+            framing = "length"
         first = int(headers.get("last-event-id", 0))
         self.log("runs", request=request, target=target, after=first)
         head = ("HTTP/1.1 200 OK\r\nBendsaddle-Request-Id: %s\r\nBendsaddle-Server-Stamp: %s.1\r\n"
                 % (request, self.id))
-        stream = "/stream/" in target
+        stream = "/stream/" in target or "/chat/" in target
         texts = [piece(request, number, stream) for number in range(first + 1, pieces + 1)]
         if stream:
             head += "Content-Type: text/event-stream\r\n"
@@ -349,6 +427,13 @@
         self.lines = []
         self.processes = []
         self.store = Store()
+        # Loopback addresses and internal ports of this run, so that runs do not meet.
+        self.net = "127.%d.%d" % (16 + os.getpid() % 200, os.getpid() // 200 % 250)
+        self.internal_ports = [free_port(), free_port()]
+
+    def host(self, number):
+        """The address of a machine of the system."""
+        return "%s.%d" % (self.net, 10 + number)
 
     def note(self, text):
         self.lines.append("%8.3f  %s" % (time.time() - self.started, text))
@@ -374,7 +459,7 @@
         fields = {
             "node_name": name, "zone": "z1", "ip": host,
             "listen": {"front": "%s:%d" % (host, ports[0]), "ready_addr": "%s:%d" % (host, ports[1])},
-            "internal_ports": more.pop("internal_ports", [ports[2], ports[3]]),
+            "internal_ports": more.pop("internal_ports", self.internal_ports),
             "platform": {"address": store or self.store.address}, "bootstrap": first,
             "bounds": {"budget_ratio": 0.2, "budget_slack": 58, "budget_window_s": 10,
                        "lease_ms": 3000, "ceiling_window_s": 5, "ceiling_overage": 1.1,
@@ -517,6 +602,15 @@
                        "header_timeout_ms": 5000, "idle_timeout_ms": 10000}}
 
 
+def engine(name, models, load_time_s, weights_mb=220000):
+    """A service of model runners; each model takes a tenth of a runner's memory."""
+    return {**service(name), "engine": {
+        "slots": 64, "kv_capacity": 150000, "weights_mb": weights_mb, "adapter_slots": 8,
+        "loads_per_s": 3.1, "models": [
+            {"name": model, "weights_mb": weights_mb / 10, "load_time_s": load_time_s,
+             "adapters": 0, "adapter_mb": 12} for model in models]}}
+
+
 def service(name):
     return {"name": name, "health_path": "/healthz", "max_conns": 300, "protocol": "h1",
             "tls": False}
