--- a/review/standin2.py
+++ b/review/standin2.py
@@ -214,6 +214,7 @@
 
     What it does with a request follows from the request's path, after the route's prefix:
     PIECES-PAUSE_MS-FRAMING, for example `40-100-close`; framing is `close`, `length` or `chunked`.
+    Where the path does not say, the answer has an event for 5 of the tokens asked for.
     A runner with `framed` states a length instead of `close`.
     """
 
@@ -378,7 +379,12 @@
         return True
 
     def run_request(self, connection, target, headers, request):
-        pieces, pause_ms, framing = target.rsplit("/", 1)[1].split("-")[:3]
+        last = target.rsplit("/", 1)[1]
+        if "-" not in last:
+            # As a model runner does: an event holds 5 of the tokens that the request asks for.
+            tokens = headers.get("bendsaddle-token-usage", "100,100").split(",")[1]
+            last = "%d-%d-chunked" % (int(tokens) // 5, self.spec.get("event_ms", 25))
+        pieces, pause_ms, framing = last.split("-")
         pieces, pause = int(pieces), int(pause_ms) / 1000
         if framing == "close" and self.spec.get("framed"):
             framing = "length"
