--- a/review/standin2.py
+++ b/review/standin2.py
@@ -392,7 +392,7 @@
         self.log("runs", request=request, target=target, after=first)
         head = ("HTTP/1.1 200 OK\r\nBendsaddle-Request-Id: %s\r\nBendsaddle-Server-Stamp: %s.1\r\n"
                 % (request, self.id))
-        stream = "/stream/" in target or "/chat/" in target
+        stream = target.split("/")[1] in ("stream", "chat", "fix")
         texts = [piece(request, number, stream) for number in range(first + 1, pieces + 1)]
         if stream:
             head += "Content-Type: text/event-stream\r\n"
