--- a/review/standin2.py
+++ b/review/standin2.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -508,6 +509,7 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        shutil.rmtree(self.temp, ignore_errors=True)
 
     def write_record(self, verdict):
         with open(os.path.join(self.folder, "record.txt"), "w") as file:
