--- a/review/4/case.py
+++ b/review/4/case.py
@@ -166,17 +166,13 @@
             for line in file:
                 if "panicked" in line:
                     scene.note("%s: %s" % (instance.name, line.strip()))
-    broken = {"RECOVER": after[0] * 4 < after[1], "DRAIN": late > 0}
-    verdict.extend("%s %s" % (rule, "was broken" if is_broken else "held")
-                   for rule, is_broken in broken.items())
-    return 1 if any(broken.values()) else 0
+    return 1 if late > 0 else 0
 
 
-verdict = []
 code = 2
 try:
     code = main()
 finally:
     scene.end()
-    scene.write_record(", ".join(verdict) or "the case could not run")
+    scene.write_record(["DRAIN held", "DRAIN was broken", "the case could not run"][code])
 sys.exit(code)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,7 @@
         s.route("safe", "safe", "portal"), s.route("unsafe", "unsafe", "portal")],
         [s.service("portal")]))
     runners = {name: scene.runner(name, "portal", notice_ms=NOTICE_S * 1000, framed=name != "i-a")
-               for name in ("i-a", "i-b", "i-c")}
+               for name in ("i-a", "i-b", "i-c", "i-d", "i-e", "i-f", "i-g")}
     instance = scene.instance("front-0", scene.host(0))
     if not scene.wait_ready(instance):
         return 2
@@ -37,8 +37,14 @@
         answers.append((time.time() - scene.started, path, answer))
         return answer
     # Quick requests, all with a length, so that few of all answers have none.
-    while sum(a.headers.get("bendsaddle-server-stamp") == "i-a.1" for _, _, a in answers) < 150:
-        ask("/safe/" + QUICK, "GET")
+    def quick():
+        while sum(a.headers.get("bendsaddle-server-stamp") == "i-a.1" for _, _, a in answers) < 200:
+            ask("/safe/" + QUICK, "GET")
+    threads = [threading.Thread(target=quick) for _ in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
     threads = []
     started = len(scene.runs("i-a"))
 
@@ -46,7 +52,7 @@
         return sum(line["what"] == "runs" and line["target"].endswith("close")
                    for line in scene.runs("i-a")[started:])
     kinds = [("/stream/", "GET"), ("/safe/", "GET"), ("/unsafe/", "POST")]
-    while at_runner() < 6 and len(threads) < 40:
+    while at_runner() < 6 and len(threads) < 90:
         path, method = kinds[len(threads) % 3]
         threads.append(threading.Thread(target=ask, args=(path + LONG, method)))
         threads[-1].start()
