Tests: the last run of an engine is read once it is recorded

Cause: the stand-in's engine writes the last token first and records the end of the run after it; the test read in between. Ruled out: a run that the product lost (the repeat's text is whole, asserted before). The assertion is as it was; it waits until the engine has no run. No product code.

--- a/tests/killed.rs
+++ b/tests/killed.rs
@@ -191,6 +191,10 @@
     let repeat = request.send(fleet.callers(fleet.members.len() - 1));
     assert!(repeat.matches(&answer(&prompt, TOKENS)), "{repeat:?}");
   }
+  // The engine records the end of a run after it has written the last token.
+  wait_for("the last run to be recorded", || {
+    fleet.engines[0].busy() == 0
+  });
   let runs = fleet.engines[0].runs();
   let whole = runs.iter().filter(|run| run.is_complete).count();
   assert_eq!(whole, 4, "{runs:?}");
