Readiness and long lists have log lines

Change: a line when what an instance has of its readiness changes, and one for a list each time that its pages have doubled, from 8 on: both bounded. Ruled out: a line for each page.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -255,11 +255,6 @@
     }
   }
 
-  /// Whether requests can be served.
-  pub fn ready(&self) -> bool {
-    self.deployment.is_some() && self.listed && self.records_read
-  }
-
   /// Applies an event and returns the resulting effects.
   pub fn reduce(&mut self, now: u64, event: Event) -> Vec<Effect> {
     self.now = now;
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Moment;
 use crate::reachability::Outage;
-use crate::store::{Error, Object, Revision, Store};
+use crate::store::{Error, Object, Reading, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -47,6 +47,8 @@
 
 /// Status of a call beyond the store's rate limit; it shows that the store is reachable.
 const TOO_MANY_REQUESTS: u16 = 429;
+/// A list of at least this many pages is logged: lists have one page per 500 objects.
+const LONG_LIST_PAGES: u32 = 8;
 /// One in this many consecutive failures is logged.
 const FAILURES_PER_LOG_LINE: u32 = 4;
 
@@ -201,7 +203,10 @@
 
   fn list(&mut self) {
     let (started_at, age) = (Moment::now(), self.gate.age());
-    match self.store.list_all(self.kind) {
+    match self
+      .store
+      .list_all(self.kind, |reading| self.log_long_list(reading))
+    {
       Ok((_, revision))
         if self
           .known_revision
@@ -222,6 +227,14 @@
     }
   }
 
+  /// Logs a list of many pages, each time that their number has doubled.
+  fn log_long_list(&self, reading: Reading) {
+    if reading.pages >= LONG_LIST_PAGES && reading.pages.is_power_of_two() {
+      info!(self.log, "list continues"; "kind" => self.kind, "pages" => reading.pages,
+        "objects" => reading.objects, "after" => reading.after);
+    }
+  }
+
   fn watch(&mut self, revision: Revision, immediate: bool) {
     let (started_at, age) = (Moment::now(), self.gate.age());
     let timeout = match self.gate.is_leading() {
--- a/src/health.rs
+++ b/src/health.rs
@@ -125,7 +125,7 @@
   if path.ends_with("/customers") {
     return (200, customers(hub));
   }
-  match hub.ready() {
+  match hub.readiness().is_ready() {
     true => (200, "ready\n".into()),
     false => (503, "not ready\n".into()),
   }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -15,6 +15,7 @@
   measures::Measures,
   reachability::Reachability,
   reader::Book,
+  readiness::Readiness,
   refusal::Refusal,
   request::Ticket,
   socket::Waker,
@@ -136,6 +137,8 @@
   max_key_age_ms: AtomicU64,
   started: Moment,
   tickets: AtomicU64,
+  /// Readiness as last logged; `None` before the first question.
+  last_readiness: Mutex<Option<Readiness>>,
   state: Mutex<State>,
   mailboxes: Mutex<HashMap<Ticket, Arc<Mailbox>>>,
 }
@@ -173,6 +176,7 @@
       max_key_age_ms: AtomicU64::new(u64::MAX),
       started: Moment::now(),
       tickets: AtomicU64::new(0),
+      last_readiness: Mutex::default(),
       state: Mutex::new(state),
       mailboxes: Mutex::default(),
     }))
@@ -211,12 +215,27 @@
     max_age_ms == u64::MAX || age.is_some_and(|age| age.as_millis() < u128::from(max_age_ms))
   }
 
-  /// Whether requests can be served, including those with a key if customers are configured.
-  pub fn ready(&self) -> bool {
+  /// What this instance has of what it needs to serve requests, including those with a key if
+  /// customers are configured. Logs changes.
+  pub fn readiness(&self) -> Readiness {
     let state = self.state();
     let with_customers = |deployment: &Arc<Deployment>| deployment.customers.is_some();
     let has_customers = state.deployment.as_ref().is_some_and(with_customers);
-    state.ready() && (!has_customers || self.keys_fresh()) && !self.stopping.load(Ordering::Relaxed)
+    let readiness = Readiness {
+      configuration: state.deployment.is_some(),
+      servers: state.listed,
+      records: state.records_read,
+      keys: !has_customers || self.keys_fresh(),
+      running: !self.stopping.load(Ordering::Relaxed),
+    };
+    drop(state);
+    let previous = lock(&self.last_readiness).replace(readiness);
+    if previous != Some(readiness) {
+      info!(self.log, "readiness"; "ready" => readiness.is_ready(),
+        "configuration" => readiness.configuration, "servers" => readiness.servers,
+        "records" => readiness.records, "keys" => readiness.keys, "running" => readiness.running);
+    }
+    readiness
   }
 
   /// Whether a connection stays open after the response to its request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod quotas;
 pub mod reachability;
 pub mod reader;
+pub mod readiness;
 pub mod record;
 pub mod reduce;
 pub mod refusal;
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -87,7 +87,7 @@
       return;
     }
     self.run_call(&self.calls, |edge| {
-      let policies = edge.store.list_all(edge.kinds.policies);
+      let policies = edge.store.list_all(edge.kinds.policies, |_| {});
       Completion::Policies(policies.map(|(objects, _)| objects))
     });
   }
--- a/src/store.rs
+++ b/src/store.rs
@@ -127,14 +127,35 @@
   pub write: Box<Write>,
 }
 
+/// How far a list in pages has got.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading<'a> {
+  /// Number of pages read.
+  pub pages: u32,
+  /// Number of objects read.
+  pub objects: usize,
+  /// Name behind which the next page begins; `None` before the first page.
+  pub after: Option<&'a str>,
+}
+
 impl Store {
   /// Lists all objects of a kind page by page. Returns them with the store's revision at the
-  /// first page: a watch from there returns all later changes, some of them again.
-  pub fn list_all(&self, kind: &str) -> Result<(Vec<Object>, Revision)> {
+  /// first page: a watch from there returns all later changes, some of them again. `observe` is called
+  /// before each page.
+  pub fn list_all(
+    &self,
+    kind: &str,
+    mut observe: impl FnMut(Reading),
+  ) -> Result<(Vec<Object>, Revision)> {
     let mut objects: Vec<Object> = Vec::new();
     let mut revision: Option<Revision> = None;
-    loop {
+    for pages in 0.. {
       let after = objects.last().map(|object| object.name.clone());
+      observe(Reading {
+        pages,
+        objects: objects.len(),
+        after: after.as_deref(),
+      });
       let page = (self.list)(kind, after.as_deref())?;
       let first = *revision.get_or_insert(page.revision);
       if page.revision.era != first.era {
@@ -144,8 +165,9 @@
       let more = page.more && !page.objects.is_empty();
       objects.extend(page.objects);
       if !more {
-        return Ok((objects, revision.unwrap_or_default()));
+        break;
       }
     }
+    Ok((objects, revision.unwrap_or_default()))
   }
 }
