Lists: names are encoded in targets, and a list ends

What callers saw: no instance became ready after all were killed, beside entries of another writer named as `a02&b=` or `a03+`, for as long as the entries were there; the store got some 30,000 calls a second of each instance. Cause: the name behind which the next page begins was written into the query as it is, so the store read another name, and the list asked for as long as the store said that there is more. Change: targets are encoded by a library; a list ends within 2,000 pages, 8 MB and 10 s, goes on behind a page that is repeated, and says where objects may be missing; an instance serves with an incomplete list, without removing anything by it. Ruled out: refusing to be ready until a list is complete (one odd entry of another writer would keep all instances out for good).

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -260,7 +260,7 @@
 
   /// Updates the builds of the pools after servers changed.
   pub(crate) fn update_builds(&mut self) {
-    if self.listed {
+    if self.list_complete {
       self.streams.watch(self.now);
     }
     let specs = self.by_id.values().map(|key| &self.backends[*key].spec);
@@ -289,7 +289,7 @@
   pub(crate) fn record_passing_builds(&mut self, changes: &[Change]) {
     let specs = changes.iter().filter_map(|change| match change {
       Change::Set(spec) => Some((spec.pool.as_str(), spec.build)),
-      Change::All(_) | Change::Removed(_) | Change::Invalid(_) => None,
+      Change::All(_) | Change::Part(_) | Change::Removed(_) | Change::Invalid(_) => None,
     });
     if self.streams.record_passing(self.now, specs) {
       self.out.push(Effect::ExchangeBuilds);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -120,6 +120,8 @@
   pub by_id: HashMap<String, backend::Key>,
   /// Whether the list of servers was read at least once.
   pub listed: bool,
+  /// Whether the last list was complete.
+  pub list_complete: bool,
   /// Whether the quarantined requests were read from the store.
   pub records_read: bool,
   /// Number of changes of the deployment and of servers.
@@ -209,6 +211,7 @@
       backends: SlotMap::with_key(),
       by_id: HashMap::new(),
       listed: false,
+      list_complete: false,
       records_read: false,
       changes: 0,
       requests: HashMap::new(),
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -195,6 +195,8 @@
 pub enum Change {
   /// The complete list of servers.
   All(Vec<Spec>),
+  /// A list of servers in which some may be missing.
+  Part(Vec<Spec>),
   Set(Spec),
   Removed(String),
   /// The server's entry exists but does not describe a usable server.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Moment;
 use crate::reachability::Outage;
-use crate::store::{Error, Object, Reading, Revision, Store};
+use crate::store::{Error, Gap, List, Object, Reading, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -47,6 +47,8 @@
 
 /// Status of a call beyond the store's rate limit; it shows that the store is reachable.
 const TOO_MANY_REQUESTS: u16 = 429;
+/// Interval at which a list is read again that may lack objects.
+const LIST_INTERVAL: Duration = Duration::from_secs(30);
 /// A list of at least this many pages is logged: lists have one page per 500 objects.
 const LONG_LIST_PAGES: u32 = 8;
 /// One in this many consecutive failures is logged.
@@ -57,6 +59,8 @@
 pub enum Event {
   /// All current objects.
   Listed(Vec<Object>),
+  /// Current objects, of which some may be missing.
+  PartlyListed(Vec<Object>),
   /// Objects that changed, each with whether it was removed.
   Changed(Vec<(Object, bool)>),
   /// The store does not respond, so known objects may be out of date.
@@ -74,7 +78,7 @@
   /// Number of objects in the event.
   fn count(&self) -> usize {
     match self {
-      Self::Listed(objects) => objects.len(),
+      Self::Listed(objects) | Self::PartlyListed(objects) => objects.len(),
       Self::Changed(objects) => objects.len(),
       Self::Unreachable | Self::Reachable(_) | Self::Restored | Self::CaughtUp => 0,
     }
@@ -118,6 +122,9 @@
     first_failure: None,
     recovered_at: None,
     changed_since_restore: None,
+    gap: None,
+    list_again_at: None,
+    unreadable: 0,
   };
   loop {
     feed.step();
@@ -146,6 +153,12 @@
   recovered_at: Option<Moment>,
   /// Objects that changed after the store was restored from a copy; `None` if it was not.
   changed_since_restore: Option<BTreeSet<String>>,
+  /// Where the last list may lack objects.
+  gap: Option<Gap>,
+  /// When a list that may lack objects is read again.
+  list_again_at: Option<Moment>,
+  /// Number of objects and changes so far that were not readable.
+  unreadable: usize,
 }
 
 /// Result of a successful call.
@@ -162,8 +175,13 @@
 
 impl<M: Fn(&Object, bool) -> bool, T: FnMut(Event) -> bool> Feed<'_, M, T> {
   fn step(&mut self) {
+    let list_again = self
+      .list_again_at
+      .take_if(|at| *at <= Moment::now())
+      .is_some();
     let next = match self.known_revision {
       None => Next::List,
+      Some(_) if list_again => Next::List,
       Some(_) => self.gate.wait(self.last_failure),
     };
     match next {
@@ -207,22 +225,29 @@
       .store
       .list_all(self.kind, |reading| self.log_long_list(reading))
     {
-      Ok((_, revision))
+      Ok(list)
         if self
           .known_revision
-          .is_some_and(|known| revision.era < known.era) =>
+          .is_some_and(|known| list.revision.era < known.era) =>
       {
-        let error = Error::Malformed(format!("era: `{}` has ended", revision.era));
+        let error = Error::Malformed(format!("era: `{}` has ended", list.revision.era));
         self.record_failure("list", started_at, &error);
       }
-      Ok((objects, revision)) => self.handle_response(Response {
-        event: Event::Listed(objects),
-        revision,
-        confirmed_at: started_at,
-        started_at,
-        source: "list",
-        age,
-      }),
+      Ok(list) => {
+        self.record_unreadable(list.unreadable);
+        self.record_gap(&list);
+        self.handle_response(Response {
+          revision: list.revision,
+          event: match list.gap {
+            None => Event::Listed(list.objects),
+            Some(_) => Event::PartlyListed(list.objects),
+          },
+          confirmed_at: started_at,
+          started_at,
+          source: "list",
+          age,
+        });
+      }
       Err(error) => self.record_failure("list", started_at, &error),
     }
   }
@@ -235,6 +260,34 @@
     }
   }
 
+  /// Has a list read again that may lack objects. Logs where, once.
+  fn record_gap(&mut self, list: &List) {
+    self.list_again_at = list.gap.as_ref().map(|_| Moment::now() + LIST_INTERVAL);
+    if self.gap == list.gap {
+      return;
+    }
+    match &list.gap {
+      Some(gap) => {
+        warn!(self.log, "list is incomplete"; "kind" => self.kind, "gap" => %gap,
+        "objects" => list.objects.len(), "revision" => %list.revision)
+      }
+      None => info!(self.log, "list is complete again"; "kind" => self.kind,
+        "objects" => list.objects.len(), "revision" => %list.revision),
+    }
+    self.gap = list.gap.clone();
+  }
+
+  /// Counts objects or changes that were not readable. Logs the first ones, and each time that their
+  /// number has doubled.
+  fn record_unreadable(&mut self, count: usize) {
+    let before = self.unreadable.checked_ilog2();
+    self.unreadable += count;
+    if self.unreadable.checked_ilog2() != before {
+      warn!(self.log, "objects are unreadable and are ignored"; "kind" => self.kind,
+        "count" => self.unreadable);
+    }
+  }
+
   fn watch(&mut self, revision: Revision, immediate: bool) {
     let (started_at, age) = (Moment::now(), self.gate.age());
     let timeout = match self.gate.is_leading() {
@@ -249,6 +302,7 @@
         self.record_failure("watch", started_at, &Error::HistoryGone);
       }
       Ok(changes) => {
+        self.record_unreadable(changes.unreadable);
         // Without changes, the store responds only after the whole timeout.
         let waited = if changes.objects.is_empty() {
           timeout
@@ -290,7 +344,8 @@
     };
     let count = event.count();
     // A list does not show objects that changed and changed back since other instances read them.
-    let listed = matches!(&event, Event::Listed(_)) && self.gate.is_leading();
+    let listed = matches!(&event, Event::Listed(_) | Event::PartlyListed(_));
+    let listed = listed && self.gate.is_leading();
     let reverts_copy = self.reverts_copy(&event);
     let relevant = !empty && (self.handle)(event) || listed || reverts_copy;
     if self.recovered_at.take().is_some() || restored {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -126,6 +126,7 @@
 pub mod strain;
 pub mod submissions;
 mod sums;
+pub mod target;
 pub mod timeline;
 pub mod tokens;
 mod tunnel;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -36,6 +36,13 @@
           removed.iter().for_each(|id| self.entry_removed(id));
           specs.into_iter().for_each(|spec| self.upsert_listed(spec));
           self.listed = true;
+          self.list_complete = true;
+        }
+        Change::Part(specs) => {
+          specs.into_iter().for_each(|spec| self.upsert_listed(spec));
+          self.listed = true;
+          self.list_complete = false;
+          self.streams.interrupt_watch(self.now);
         }
         Change::Set(spec) => self.upsert(spec),
         Change::Removed(id) => self.entry_removed(&id),
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -87,15 +87,14 @@
       return;
     }
     self.run_call(&self.calls, |edge| {
-      let policies = edge.store.list_all(edge.kinds.policies, |_| {});
-      Completion::Policies(policies.map(|(objects, _)| objects))
+      Completion::Policies(edge.store.list_all(edge.kinds.policies, |_| {}))
     });
   }
 
-  fn finish_policies_read(&mut self, now: u64, objects: store::Result<Vec<store::Object>>) {
-    let objects = match objects {
-      Ok(objects) => objects,
-      Err(store::Error::Absent { .. }) => Vec::new(),
+  fn finish_policies_read(&mut self, now: u64, list: store::Result<store::List>) {
+    let list = match list {
+      Ok(list) => list,
+      Err(store::Error::Absent { .. }) => store::List::default(),
       Err(error) => {
         self.policy_reads.failed(now);
         info!(self.hub.log, "failed to read policies; the previous ones stay in effect";
@@ -104,9 +103,17 @@
         return;
       }
     };
+    if let Some(gap) = &list.gap {
+      warn!(self.hub.log, "policies may be missing"; "gap" => %gap,
+        "known" => self.policy_reads.are_known());
+      if self.policy_reads.are_known() {
+        self.policy_reads.failed(now);
+        return;
+      }
+    }
     self.policy_reads.succeeded(now);
     let mut policies = BTreeMap::new();
-    for object in objects {
+    for object in list.objects {
       let policy = serde_json::from_value::<Policy>(object.spec).map_err(|error| error.to_string());
       let validated = policy.and_then(|policy| policy.validation_error().map_or(Ok(policy), Err));
       match validated {
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -79,7 +79,7 @@
   Lease(usize, lease::Call, store::Result<store::Object>),
   Ordered(usize, Command, Reply<Taken>),
   Queried(usize, String, Reply<Result<Inventory, Unheard>>),
-  Policies(store::Result<Vec<store::Object>>),
+  Policies(store::Result<store::List>),
   Quarantine(crash::stored::Call, store::Result<store::Object>),
   Builds(
     stored::Call<build::history::Record>,
--- a/src/planner/steps.rs
+++ b/src/planner/steps.rs
@@ -48,7 +48,7 @@
   /// Updates whether entries of servers may be missing that expired before this instance started.
   fn update_unknown_servers(&mut self, index: usize) {
     let remaining = self.hub.gates.unknown_servers_for();
-    let unknown = !remaining.is_zero();
+    let unknown = !remaining.is_zero() || !self.hub.state().list_complete;
     if unknown != self.unknown_servers {
       self.unknown_servers = unknown;
       info!(self.hub.log, "limited models wait for entries that may be missing"; "wait" => unknown,
--- a/src/router.rs
+++ b/src/router.rs
@@ -10,7 +10,7 @@
   hub::Hub,
   planner, reader,
   settings::{self, Settings},
-  store::{Object, Revision},
+  store::Object,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -150,7 +150,7 @@
       |_, _| true,
       |change| {
         let objects = match change {
-          feed::Event::Listed(objects) => objects,
+          feed::Event::Listed(objects) | feed::Event::PartlyListed(objects) => objects,
           feed::Event::Changed(objects) => objects
             .into_iter()
             .filter_map(|(object, removed)| (!removed).then_some(object))
@@ -221,7 +221,7 @@
         let mut decode = |object: &Object| match (edge.parse_server)(object) {
           Ok(spec) => Change::Set(spec),
           Err(fault) => {
-            if invalid_entries.insert(object) {
+            if invalid_entries.insert(object, &fault) {
               hub.measures.record_invalid_entry(edge.kinds.servers);
               warn!(hub.log, "server entry is invalid and is ignored"; "server" => &object.name,
               "revision" => %object.revision, "fault" => fault);
@@ -230,7 +230,12 @@
           }
         };
         let changes = match change {
-          feed::Event::Listed(objects) => list_changes(objects.iter().map(decode).collect()),
+          feed::Event::Listed(objects) => {
+            list_changes(Change::All, objects.iter().map(decode).collect())
+          }
+          feed::Event::PartlyListed(objects) => {
+            list_changes(Change::Part, objects.iter().map(decode).collect())
+          }
           feed::Event::Changed(objects) => objects
             .iter()
             .map(|(object, removed)| match removed {
@@ -284,8 +289,8 @@
   }
 }
 
-/// Combines the changes for the entries of a complete list into the changes for the list.
-fn list_changes(entries: Vec<Change>) -> Vec<Change> {
+/// Combines the changes for the entries of a list into the changes for the list.
+fn list_changes(list: fn(Vec<Spec>) -> Change, entries: Vec<Change>) -> Vec<Change> {
   let mut specs = Vec::new();
   let mut changes = Vec::new();
   for entry in entries {
@@ -294,24 +299,31 @@
       other => changes.push(other),
     }
   }
-  changes.insert(0, Change::All(specs));
+  changes.insert(0, list(specs));
   changes
 }
 
-/// Revisions of invalid entries by name, so that each is logged once and not with every list.
+/// Faults of invalid entries by name, so that each is logged once and not with every list or change.
 #[derive(Default)]
 struct InvalidEntries {
-  revisions: HashMap<String, Revision>,
+  faults: HashMap<String, String>,
 }
 
 impl InvalidEntries {
-  /// Records an entry. Returns whether it is new.
-  fn insert(&mut self, object: &Object) -> bool {
-    if self.revisions.len() >= MAX_INVALID_ENTRIES {
-      self.revisions.clear();
+  /// Records an entry's fault. Returns whether it is new.
+  fn insert(&mut self, object: &Object, fault: &str) -> bool {
+    if self
+      .faults
+      .get(&object.name)
+      .is_some_and(|known| known == fault)
+    {
+      return false;
+    }
+    if self.faults.len() >= MAX_INVALID_ENTRIES {
+      self.faults.clear();
     }
-    let previous = self.revisions.insert(object.name.clone(), object.revision);
-    previous != Some(object.revision)
+    self.faults.insert(object.name.clone(), fault.into());
+    true
   }
 }
 
@@ -319,7 +331,7 @@
 fn log_change(hub: &Hub, change: &Change) -> bool {
   let state = hub.state();
   match change {
-    Change::All(specs) => {
+    Change::All(specs) | Change::Part(specs) => {
       info!(hub.log, "server list read"; "count" => specs.len());
       specs.len() != state.by_id.len() || !specs.iter().all(|spec| is_known(&state, spec))
     }
--- a/src/store.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,10 @@
 //!
 //! The closures hide the protocol of the deployment's store.
 
+mod list;
+
+pub use list::{Gap, List, Reading};
+
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::{fmt, time::Duration};
@@ -52,10 +56,17 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Page {
   pub objects: Vec<Object>,
+  /// Name of the last object, also of one that is not readable otherwise; `None` if no object of the
+  /// page has a readable name.
+  pub last: Option<String>,
   /// Whether more objects follow the last one of this page.
   pub more: bool,
   /// The store's revision.
   pub revision: Revision,
+  /// Size of the page as received.
+  pub bytes: usize,
+  /// Number of objects without a readable name or revision, which are left out.
+  pub unreadable: usize,
 }
 
 /// Changes since a revision.
@@ -65,6 +76,8 @@
   pub objects: Vec<(Object, bool)>,
   /// The store's revision.
   pub revision: Revision,
+  /// Number of changes without a readable name or revision, which are left out.
+  pub unreadable: usize,
 }
 
 /// Why a call failed.
@@ -110,7 +123,7 @@
 /// Result of a call.
 pub type Result<T> = std::result::Result<T, Error>;
 
-type List = dyn Fn(&str, Option<&str>) -> Result<Page> + Send + Sync;
+type ListPage = dyn Fn(&str, Option<&str>) -> Result<Page> + Send + Sync;
 type Watch = dyn Fn(&str, Revision, Duration) -> Result<Changes> + Send + Sync;
 type Read = dyn Fn(&str, &str) -> Result<Object> + Send + Sync;
 type Write = dyn Fn(&str, &str, Revision, &Value) -> Result<Object> + Send + Sync;
@@ -118,7 +131,7 @@
 /// Calls to the store.
 pub struct Store {
   /// Lists objects of a kind after a name.
-  pub list: Box<List>,
+  pub list: Box<ListPage>,
   /// Waits for changes of a kind after a revision. It must not return changes of a later era, as
   /// those up to the revision's number would be missing.
   pub watch: Box<Watch>,
@@ -127,47 +140,9 @@
   pub write: Box<Write>,
 }
 
-/// How far a list in pages has got.
-#[derive(Clone, Copy, Debug)]
-pub struct Reading<'a> {
-  /// Number of pages read.
-  pub pages: u32,
-  /// Number of objects read.
-  pub objects: usize,
-  /// Name behind which the next page begins; `None` before the first page.
-  pub after: Option<&'a str>,
-}
-
 impl Store {
-  /// Lists all objects of a kind page by page. Returns them with the store's revision at the
-  /// first page: a watch from there returns all later changes, some of them again. `observe` is called
-  /// before each page.
-  pub fn list_all(
-    &self,
-    kind: &str,
-    mut observe: impl FnMut(Reading),
-  ) -> Result<(Vec<Object>, Revision)> {
-    let mut objects: Vec<Object> = Vec::new();
-    let mut revision: Option<Revision> = None;
-    for pages in 0.. {
-      let after = objects.last().map(|object| object.name.clone());
-      observe(Reading {
-        pages,
-        objects: objects.len(),
-        after: after.as_deref(),
-      });
-      let page = (self.list)(kind, after.as_deref())?;
-      let first = *revision.get_or_insert(page.revision);
-      if page.revision.era != first.era {
-        return Err(Error::HistoryGone);
-      }
-      // An empty page ends the listing: it would otherwise be requested endlessly.
-      let more = page.more && !page.objects.is_empty();
-      objects.extend(page.objects);
-      if !more {
-        break;
-      }
-    }
-    Ok((objects, revision.unwrap_or_default()))
+  /// Lists all objects of a kind page by page. `observe` is called before each page.
+  pub fn list_all(&self, kind: &str, observe: impl FnMut(Reading)) -> Result<List> {
+    list::read(|after| (self.list)(kind, after), observe)
   }
 }
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -50,6 +50,7 @@
         objects: vec![object(&shared)],
         more: false,
         revision: shared.revision,
+        ..Page::default()
       })
     }),
     watch: Box::new(move |_, from, wait| {
@@ -65,6 +66,7 @@
           return Ok(Changes {
             objects: object.into_iter().collect(),
             revision: shared.revision,
+            ..Changes::default()
           });
         }
         thread::sleep(Duration::from_millis(5));
@@ -113,7 +115,7 @@
       |_, _| true,
       |event| {
         let objects: Vec<Object> = match event {
-          Event::Listed(objects) => objects,
+          Event::Listed(objects) | Event::PartlyListed(objects) => objects,
           Event::Changed(objects) => objects.into_iter().map(|(object, _)| object).collect(),
           _ => return false,
         };
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -52,6 +52,7 @@
         objects: vec![object(revision)],
         more: false,
         revision: revision.into(),
+        ..Page::default()
       })
     }),
     watch: Box::new(move |_, from, wait| {
@@ -73,6 +74,7 @@
           return Ok(Changes {
             objects: objects.into_iter().collect(),
             revision: revision.into(),
+            ..Changes::default()
           });
         }
         thread::sleep(Duration::from_millis(5));
@@ -88,7 +90,7 @@
   let (sender, receiver) = channel();
   follow_events(shared, gate, move |event| {
     let revision = match event {
-      Event::Listed(objects) => objects[0].revision.number,
+      Event::Listed(objects) | Event::PartlyListed(objects) => objects[0].revision.number,
       Event::Changed(objects) => objects[0].0.revision.number,
       Event::Unreachable | Event::Reachable(_) | Event::Restored | Event::CaughtUp => return false,
     };
@@ -420,6 +422,7 @@
         objects: vec![object(5)],
         more: false,
         revision: 5.into(),
+        ..Page::default()
       })
     }),
     watch: Box::new(move |_, _, wait| {
@@ -428,7 +431,11 @@
         thread::sleep(wait);
       }
       let objects = changes.iter().filter(|_| first).cloned().collect();
-      Ok(Changes { objects, revision })
+      Ok(Changes {
+        objects,
+        revision,
+        ..Changes::default()
+      })
     }),
     read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
     write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -64,6 +64,7 @@
           objects: vec![object(revision)],
           more: false,
           revision: revision.into(),
+          ..Page::default()
         })
       }
     }),
@@ -80,6 +81,7 @@
           return Ok(Changes {
             objects: objects.into_iter().collect(),
             revision: revision.into(),
+            ..Changes::default()
           });
         }
         thread::sleep(Duration::from_millis(5));
