What other parties name is encoded in targets, and checked before it goes into headers

What callers could see: a server under a name with a line end gets headers that no caller sent, as do servers of a customer named so, and the one that resumes a stream with an event id that holds a carriage return (found by looking for the cause of the list that never ends elsewhere; not reported). Cause: text of other writers was put into headers and targets as it is. Ruled out: a check where heads are written, which could not say whose name it is.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod facts;
 pub mod feature;
 pub mod feed;
+pub mod field;
 pub mod former;
 pub mod gossip;
 pub mod group;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,6 +16,7 @@
   fact::MachineState,
   object::{Kind, Name, Object},
   settings::Settings,
+  target,
   update::{Change, Outcome, Stored, Value},
 };
 use serde::{Deserialize, de::DeserializeOwned};
@@ -182,7 +183,7 @@
 
   /// Reads an object; its version is 0 if it is absent.
   pub fn read(&self, name: &Name) -> Result<Object, Error> {
-    let response: Option<ReadResponse> = self.get(&format!("/objects/{name}"), CALL_TIMEOUT)?;
+    let response: Option<ReadResponse> = self.get(&target(name, &[]), CALL_TIMEOUT)?;
     Ok(match response {
       Some(read) => Object {
         name: name.clone(),
@@ -199,7 +200,8 @@
 
   /// Writes an object if it still has `version`, and returns the new version.
   pub fn write(&self, name: &Name, version: u64, value: &str) -> Result<u64, Error> {
-    let url = format!("http://{}/objects/{name}?version={version}", self.address);
+    let target = target(name, &[("version", &version.to_string())]);
+    let url = format!("http://{}{target}", self.address);
     let request = self.agent.put(url);
     let request = request.config().timeout_global(Some(CALL_TIMEOUT)).build();
     match self.read_response::<WriteResponse>(request.send(value))? {
@@ -212,7 +214,8 @@
 
   /// Removes an object if it still has `version`, and returns the new version.
   pub fn remove(&self, name: &Name, version: u64) -> Result<u64, Error> {
-    let url = format!("http://{}/objects/{name}?version={version}", self.address);
+    let target = target(name, &[("version", &version.to_string())]);
+    let url = format!("http://{}{target}", self.address);
     let request = self.agent.delete(url);
     let request = request.config().timeout_global(Some(CALL_TIMEOUT)).build();
     match self.read_response::<WriteResponse>(request.call())? {
@@ -353,6 +356,11 @@
   }
 }
 
+/// The target of a call for an object.
+fn target(name: &Name, query: &[(&str, &str)]) -> String {
+  target::encode(&["objects", name.kind.as_str(), &name.name], query)
+}
+
 fn decode_object(changed: ChangedObject) -> Option<Object> {
   Some(Object {
     name: Name::new(Kind::parse(&changed.kind)?, changed.name),
--- a/src/sse.rs
+++ b/src/sse.rs
@@ -1,7 +1,9 @@
 //! Server-sent events. Complete events are separated from partial ones, so that a stream can be
 //! resumed on another backend server after its last complete event.
 
-/// The stream contains the head of a response.
+use crate::field;
+
+/// The stream contains the head of a response, or an id that no header can hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mixed;
 
@@ -18,7 +20,7 @@
 impl Parser {
   /// Adds bytes of the stream and returns all complete events that have not been returned yet. It is an
   /// error if one has a line with `id_header`, the header in which responses echo the ids of their
-  /// requests.
+  /// requests, or an id that cannot be sent to resume the stream.
   pub fn push(&mut self, bytes: &[u8], id_header: &str) -> Result<Vec<u8>, Mixed> {
     let checked = self.partial.len();
     self.partial.extend_from_slice(bytes);
@@ -35,8 +37,11 @@
         self.count += 1;
       }
       if let Some(id) = line.strip_prefix(b"id:") {
-        let id = String::from_utf8_lossy(id);
-        self.last_id = Some(id.trim().to_string());
+        let id = String::from_utf8_lossy(id).trim().to_string();
+        if !id.is_empty() && !field::is_value(&id) {
+          return Err(Mixed);
+        }
+        self.last_id = Some(id);
       }
     }
     self.count = self.count.saturating_sub(1);
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -3,8 +3,10 @@
 
 use crate::http;
 use bendsaddle::{fact::MachineState, ledger::Ledger, object::Kind, record::Record};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use std::{
+  borrow::Cow,
   collections::BTreeMap,
   io,
   net::SocketAddr,
@@ -259,7 +261,11 @@
   }
   let url = request.url().to_string();
   let path = url.split('?').next().unwrap_or_default().to_string();
-  let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+  let parts = path.trim_start_matches('/').split('/');
+  let parts: Vec<Cow<str>> = parts
+    .map(|part| percent_decode_str(part).decode_utf8_lossy())
+    .collect();
+  let parts: Vec<&str> = parts.iter().map(Cow::as_ref).collect();
   match (request.method().clone(), parts.as_slice()) {
     (Method::Get, ["objects"]) => watch(inner, request, &url),
     (Method::Get, ["objects", kind, name]) => {
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -272,3 +272,14 @@
   let event = b"data: X-Id: b\n\n";
   assert_eq!(Parser::default().push(event, "X-Id"), Ok(event.to_vec()));
 }
+
+/// Guards against an id that adds a header to the request that resumes its stream.
+#[test]
+fn an_id_that_no_header_can_hold_ends_its_stream() {
+  for id in ["5\rx: y", "5\0", "5\tb", "\u{7f}"] {
+    let event = format!("id: {id}\ndata: a\n\n");
+    let mut parser = Parser::default();
+    assert!(parser.push(event.as_bytes(), "X-Id").is_err(), "{id:?}");
+    assert_eq!(parser.last_id, None, "{id:?}");
+  }
+}
