--- a/justfile
+++ b/justfile
@@ -16,6 +16,10 @@
 test *args:
   cargo test --workspace --locked {{args}}
 
+# All tests but the known failures, which are printed and played alone.
+test-all:
+  .ci/test
+
 demo:
   cargo run --locked -p stand-ins -- demo
 
