--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -239,6 +239,22 @@
   seed >= COPIES_FROM_SEED
 }
 
+/// First seed whose store lists in pages of a few objects, beside entries of another writer under odd
+/// names in each kind that is listed.
+const ODD_NAMES_FROM_SEED: u64 = 180_000;
+/// Largest page of such a store.
+const MAX_PAGE: u64 = 7;
+
+/// Number of objects in a page of the store; `None` if lists have a single one and plain names.
+pub fn page_size(seed: u64) -> Option<usize> {
+  (seed >= ODD_NAMES_FROM_SEED).then_some((seed % MAX_PAGE + 1) as usize)
+}
+
+/// Whether the store reads a plus in a query as a blank.
+pub fn plus_is_blank(seed: u64) -> bool {
+  seed / MAX_PAGE % 2 == 1
+}
+
 /// First seed whose instances have all features of the deployment's settings, while callers state
 /// the tokens of their requests and some of them send at the same moments.
 const FEATURES_FROM_SEED: u64 = 160_000;
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -106,6 +106,7 @@
 impl World {
   fn start(options: &Options) -> io::Result<Self> {
     let store = Store::start();
+    store::prepare(&store, options.seed);
     let switch = options.switch;
     if switch != Some(Break::Policy) {
       configuration::write_policy(&store);
--- a/soak/src/world/store.rs
+++ b/soak/src/world/store.rs
@@ -1,8 +1,14 @@
 //! Faults of the platform's store.
 
 use super::{World, lock, slot::ENTRY_EXPIRY};
-use crate::{history::Target, plan::Store as StoreFault};
-use platform_stand_in::{runner::Runner, store::Mode};
+use crate::{
+  history::Target,
+  plan::{self, Store as StoreFault},
+};
+use platform_stand_in::{
+  runner::Runner,
+  store::{Mode, Store},
+};
 use std::{sync::MutexGuard, thread, time::Duration};
 
 /// Delay after a restore until the operator writes the configuration again, and pause between the
@@ -17,6 +23,32 @@
   b"{\"service\":\"\xff\xfe\"}",
 ];
 
+/// Names that mean something else in a target, or elsewhere, unless they are encoded.
+const ODD_NAMES: [&str; 12] = [
+  "&b=", "+", "%25", "%41", "%C3%A9", "%", "#x", "?x", " x", " é/", ";\"", "\r\nx: y",
+];
+/// Kinds that instances list.
+const LISTED_KINDS: [&str; 3] = ["servers", "config", "bendsaddle-policies"];
+
+/// Has the store list in pages, if the seed has it, beside entries of another writer.
+pub(super) fn prepare(store: &Store, seed: u64) {
+  let Some(size) = plan::page_size(seed) else {
+    return;
+  };
+  if plan::plus_is_blank(seed) {
+    store.read_plus_as_blank();
+  }
+  for kind in LISTED_KINDS {
+    store.page_lists(kind, size);
+    for (number, odd) in ODD_NAMES.iter().enumerate() {
+      let content = FOREIGN_ENTRIES[number % FOREIGN_ENTRIES.len()];
+      for start in ["a", "m0", "z"] {
+        store.put_raw(kind, &format!("{start}{odd}"), content);
+      }
+    }
+  }
+}
+
 impl World {
   pub(super) fn inject_store_fault(&self, fault: StoreFault, duration: Duration) {
     let incident = self.recorder.start_incident(Target::Store, "store");
