Listing: a server that is gone is removed once

Cause: a removed server whose requests still run keeps its backend, and that kept `missing_since`. At the end of the next outage it was dropped again: its id was looked up in a map that no longer had it, and the thread that brought the event panicked. Where the server had come back in another life meanwhile, the drop of the former life removed the present one.

Ruled out: an entry of a request that ended; the backend is still there when the lookup fails.

Change: `remove` is the one place that takes a server off the list and clears what awaits its entry; only listed servers count as missing, and servers of the list are looked up by functions that return an option.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -230,10 +230,7 @@
       }
     }
     self.report_free_slot(key);
-    let backend = &self.backends[key];
-    if backend.running == 0 && self.by_id.get(&backend.spec.id) != Some(&key) {
-      self.backends.remove(key);
-    }
+    self.drop_if_unused(key);
   }
 
   /// Why a send must be aborted because of something learned since it was decided; `None` if it may
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -5,6 +5,7 @@
   backend::{self, Backend, Holding, Spec, Stage},
   build,
   dispatch::{Change, Effect, State},
+  life::Life,
   reachability::Outage,
 };
 
@@ -59,15 +60,13 @@
   /// store.
   fn upsert_listed(&mut self, spec: Spec) {
     let (id, life) = (spec.id.clone(), spec.life());
-    let known = self.by_id.get(&id);
-    let previous = known.map_or(0, |key| self.backends[*key].unconfirmed_until);
-    let unsure_until = match known {
-      Some(_) => previous,
+    let unsure_until = match self.listed_backend(&id) {
+      Some(known) => known.unconfirmed_until,
       None => self.restored.unconfirmed_until(life, self.now),
     };
     self.upsert(spec);
-    if let Some(key) = self.by_id.get(&id) {
-      self.backends[*key].unconfirmed_until = unsure_until;
+    if let Some(backend) = self.listed_backend_mut(&id) {
+      backend.unconfirmed_until = unsure_until;
     }
   }
 
@@ -75,8 +74,8 @@
     if spec.stage == Stage::Draining {
       self.record_leaving_entry(spec.life());
     }
-    let known = self.by_id.get(&spec.id);
-    let known = known.map(|key| self.backends[*key].spec.life());
+    let known = self.listed_backend(&spec.id);
+    let known = known.map(|backend| backend.spec.life());
     if known.is_some_and(|known| known.supersedes(spec.life())) {
       return;
     }
@@ -87,27 +86,28 @@
       // Requests that still run on the server remain counted for its previous life.
       self.remove(&spec.id);
     }
-    match self.by_id.get(&spec.id) {
-      Some(key) => {
-        let backend = &mut self.backends[*key];
+    let is_leaving = self.leaving.contains(spec.life());
+    let now = self.now;
+    match self.listed_backend_mut(&spec.id) {
+      Some(backend) => {
         backend.spec = spec;
-        backend.spec_received_at = self.now;
+        backend.spec_received_at = now;
         backend.missing_since = None;
         backend.replaced_until = None;
         backend.unconfirmed_until = 0;
-        backend.leaving = self.leaving.contains(backend.spec.life());
+        backend.leaving = is_leaving;
       }
       None => {
         let id = spec.id.clone();
-        let mut backend = Backend::new(spec, self.now);
+        let mut backend = Backend::new(spec, now);
         if let Some((holding, _)) = self.early_holdings.remove(&id)
           && holding.life().applies_to(backend.spec.life())
         {
-          backend.update(holding, self.now);
+          backend.update(holding, now);
         }
         // A restored entry may be older than the server's own statement that it is leaving.
-        backend.leaving = self.leaving.contains(backend.spec.life());
-        backend.pace = self.paces.pace(backend.spec.life(), self.now);
+        backend.leaving = is_leaving;
+        backend.pace = self.paces.pace(backend.spec.life(), now);
         let key = self.backends.insert(backend);
         self.by_id.insert(id, key);
       }
@@ -120,12 +120,22 @@
     self.expiry.store_back(self.now, outage, missing);
   }
 
+  /// The server with this id, unless it is gone.
+  fn listed_backend(&self, id: &str) -> Option<&Backend> {
+    self.backends.get(*self.by_id.get(id)?)
+  }
+
+  fn listed_backend_mut(&mut self, id: &str) -> Option<&mut Backend> {
+    self.backends.get_mut(*self.by_id.get(id)?)
+  }
+
   /// Servers whose entries are missing but may return.
   fn missing_backends(&self) -> impl Iterator<Item = &Backend> {
-    self
-      .backends
+    let listed = self
+      .by_id
       .values()
-      .filter(|backend| backend.missing_since.is_some())
+      .filter_map(|key| self.backends.get(*key));
+    listed.filter(|backend| backend.missing_since.is_some())
   }
 
   /// Removes the servers whose entries did not return in time.
@@ -133,13 +143,12 @@
     if !self.expiry.take_ended(self.now) {
       return;
     }
-    let ids: Vec<String> = self
+    let missing: Vec<(String, Life)> = self
       .missing_backends()
-      .map(|backend| backend.spec.id.clone())
+      .map(|backend| (backend.spec.id.clone(), backend.spec.life()))
       .collect();
-    self.changes += u64::from(!ids.is_empty());
-    for id in ids {
-      let life = self.backends[self.by_id[&id]].spec.life();
+    self.changes += u64::from(!missing.is_empty());
+    for (id, life) in missing {
       self.restored.record_removal(life, self.now);
       self.remove(&id);
       self.out.push(Effect::Expired(id));
@@ -174,17 +183,17 @@
   /// Handles the removal of a server's entry. Around an outage of the store the entry may return,
   /// so the server is kept for a while unless it was leaving.
   fn entry_removed(&mut self, id: &str) {
-    let Some(key) = self.by_id.get(id).copied() else {
+    let (now, remaining_ms) = (self.now, self.expiry.remaining_ms(self.now));
+    let Some(backend) = self.listed_backend_mut(id) else {
       return;
     };
-    let backend = &mut self.backends[key];
     if backend.missing_since.is_some() {
       return;
     }
     let id = id.to_string();
-    match self.expiry.remaining_ms(self.now) {
+    match remaining_ms {
       Some(kept_ms) if !backend.is_leaving() => {
-        backend.missing_since = Some(self.now);
+        backend.missing_since = Some(now);
         self.out.push(Effect::Missing { id, kept_ms });
       }
       _ => {
@@ -196,22 +205,27 @@
     }
   }
 
-  /// Removes a server; its backend is kept while requests run on it.
+  /// Removes a server; its backend is kept while requests run on it, and no entry concerns it any more.
   fn remove(&mut self, id: &str) {
-    let Some(key) = self.by_id.get(id).copied() else {
+    let Some(key) = self.by_id.remove(id) else {
       return;
     };
-    self.backends[key].spec.stage = Stage::Draining;
-    if self.backends[key].running == 0 {
-      self.drop_backend(key);
-    } else {
-      self.by_id.remove(id);
+    if let Some(backend) = self.backends.get_mut(key) {
+      backend.spec.stage = Stage::Draining;
+      backend.missing_since = None;
+      backend.replaced_until = None;
     }
+    self.drop_if_unused(key);
   }
 
-  fn drop_backend(&mut self, key: backend::Key) {
-    if let Some(backend) = self.backends.remove(key) {
-      self.by_id.remove(&backend.spec.id);
+  /// Drops the backend of a server that is gone once no request runs on it.
+  pub(crate) fn drop_if_unused(&mut self, key: backend::Key) {
+    let unused = self.backends.get(key).is_some_and(|backend| {
+      let is_listed = self.by_id.get(&backend.spec.id) == Some(&key);
+      backend.running == 0 && !is_listed
+    });
+    if unused {
+      self.backends.remove(key);
     }
   }
 
@@ -240,9 +254,9 @@
     let changed = !holdings.is_empty();
     self.updates += u64::from(changed || snapshot_of.is_some());
     for holding in holdings {
-      match self.by_id.get(&holding.id) {
-        Some(key) => {
-          let known = self.backends[*key].spec.clone();
+      match self.listed_backend(&holding.id) {
+        Some(backend) => {
+          let known = backend.spec.clone();
           if known.life().supersedes(holding.life()) {
             continue;
           }
@@ -250,8 +264,9 @@
             self.upsert(restarted_spec(&known, &holding));
             self.update_builds();
           }
-          let key = self.by_id[&holding.id];
-          self.backends[key].update(holding, now);
+          if let Some(backend) = self.listed_backend_mut(&holding.id) {
+            backend.update(holding, now);
+          }
         }
         None => {
           self
