Threads: an instance does not go on without one it needs

What callers saw: an instance whose thread had panicked said that it was ready; one without its planner had no models loaded, one without its feed sent requests to servers that had left.

Cause: a panic ends its thread alone, and locks ignore poisoning.

Change: `essential` starts the feeds, the planner, the listeners of callers, tunnels and health, and the threads of the product's own program. Where one of them ends, the reason is logged and the process ends with status 70. So it does where a closure of a pool panics, whose outcome is waited for, and where a thread panicked with the state locked: the reducer may have left it half-changed. A caller's or a tunnel's thread that panics ends alone, releases its connection and its request in progress, and its request ends in the reducer.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -5,6 +5,7 @@
   clock::Moment,
   customer::{self, Caller},
   deployment::{Bounds, Deployment},
+  essential,
   http::{Decoder, Error, Framing, Headers, Request, Response},
   hub::{Hub, Mailbox},
   reader::{self, Account, Book, Scope},
@@ -117,8 +118,10 @@
     .admission
     .get_or_init(|| Admission::new(max_connections));
   let hub = hub.clone();
-  let builder = thread::Builder::new().name("accept".into());
-  builder.spawn(move || accept(&hub, &listener, &start))?;
+  let (builder, log) = (thread::Builder::new(), hub.log.clone());
+  essential::spawn(builder, "accept", &log, move || {
+    accept(&hub, &listener, &start)
+  })?;
   Ok(address)
 }
 
@@ -188,9 +191,9 @@
     .name("caller".into())
     .stack_size(STACK_BYTES);
   let task = move || {
+    let _open = Open(&hub);
     record_start(&hub, arrived_at);
     serve(&hub, stream);
-    hub.admission.get().inspect(|admission| admission.release());
   };
   start(builder, Box::new(task)).map_err(|_| {
     admission.cancel();
@@ -198,6 +201,17 @@
   })
 }
 
+/// A connection whose thread runs; releases its place, however the thread ends.
+struct Open<'a>(&'a Hub);
+
+impl Drop for Open<'_> {
+  fn drop(&mut self) {
+    if let Some(admission) = self.0.admission.get() {
+      admission.release();
+    }
+  }
+}
+
 fn record_start(hub: &Hub, arrived_at: u64) {
   let now = hub.now();
   hub
@@ -217,16 +231,11 @@
   loop {
     let ready = wait_for_request(hub, &mut socket, std::mem::take(&mut first));
     match ready.and_then(|ready| ready.then(|| read_request(hub, &mut socket)).transpose()) {
-      Ok(Some(received)) => {
-        hub.active.fetch_add(1, Ordering::Relaxed);
-        let next = respond(hub, &mailbox, &mut socket, received);
-        hub.active.fetch_sub(1, Ordering::Relaxed);
-        match next {
-          Disposition::Keep => {}
-          Disposition::Close => return close(socket),
-          Disposition::Reset => return reset(hub, socket),
-        }
-      }
+      Ok(Some(received)) => match active_response(hub, &mailbox, &mut socket, received) {
+        Disposition::Keep => {}
+        Disposition::Close => return close(socket),
+        Disposition::Reset => return reset(hub, socket),
+      },
       Ok(None) | Err(ReadError::Closed) => return,
       Err(ReadError::Full(full)) => {
         let keep_alive = !full.partial;
@@ -248,6 +257,17 @@
   }
 }
 
+/// Responds to a request, which counts as active meanwhile.
+fn active_response(
+  hub: &Hub,
+  mailbox: &Arc<Mailbox>,
+  socket: &mut Socket,
+  received: Received,
+) -> Disposition {
+  let _active = hub.begin();
+  respond(hub, mailbox, socket, received)
+}
+
 /// Closes a connection so that everything written still arrives. Closing it with unread input would
 /// reset it.
 fn close(mut socket: Socket) {
--- a/src/health.rs
+++ b/src/health.rs
@@ -1,6 +1,7 @@
 //! Health port: readiness of an instance, its metrics, and the state of its customers.
 
 use crate::{
+  essential,
   http::{self, Request},
   hub::{Hub, lock},
   quota::Id,
@@ -27,8 +28,8 @@
   let listener = web::listen(address)?;
   let address = listener.local_addr()?;
   let hub = hub.clone();
-  let builder = thread::Builder::new().name("health".into());
-  builder.spawn(move || {
+  let (builder, log) = (thread::Builder::new(), hub.log.clone());
+  essential::spawn(builder, "health", &log, move || {
     loop {
       // A failed accept needs no handling, since health checks are repeated.
       let Ok((stream, _)) = listener.accept() else {
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -5,10 +5,12 @@
   backend,
   build::resume::{Basis, Decision},
   clock::{self, Moment},
+  counter,
   customer::{Caller, Standing},
   deployment::Deployment,
   dialect::Dialect,
   dispatch::{Attempt, Effect, End, Event, State},
+  essential,
   expiry::REAPPEAR_MS,
   feed::{Gate, OUTAGE_THRESHOLD},
   http::Request,
@@ -301,9 +303,22 @@
     lock(&self.mailboxes).remove(&ticket);
   }
 
-  /// Locks the state.
+  /// Locks the state. A thread that panicked with the state locked may have left it half-changed, and
+  /// then the process ends.
   pub fn state(&self) -> MutexGuard<'_, State> {
-    lock(&self.state)
+    let state = self.state.lock();
+    state.unwrap_or_else(|_| {
+      essential::end_process(
+        &self.log,
+        "state",
+        "a thread panicked with the state locked",
+      )
+    })
+  }
+
+  /// Counts a request as active until the guard is dropped.
+  pub(crate) fn begin(&self) -> counter::Guard<'_> {
+    counter::Guard::add(&self.active).0
   }
 
   fn reduce(&self, event: Event) -> Vec<Effect> {
@@ -418,7 +433,7 @@
   }
 }
 
-/// Locks a mutex and ignores poisoning: no panic leaves its contents inconsistent.
+/// Locks a mutex and ignores poisoning, for contents that no panic leaves inconsistent.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
   mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -6,7 +6,7 @@
   clock::Moment,
   completions,
   effect::Effect,
-  engine,
+  engine, essential,
   event::Event,
   metrics::Metrics,
   operators, order,
@@ -91,8 +91,10 @@
     watchers::spawn(&shared)?;
     let executor = Executor::new(shared.clone(), port)?;
     let state = State::new(me, shared.settings.limits.clone(), rand::random(), boot);
-    let builder = thread::Builder::new().name("reducer".into());
-    builder.spawn(move || run_reducer(state, &executor, &inputs, &finished))?;
+    let log = shared.log.clone();
+    essential::spawn(thread::Builder::new(), "reducer", &log, move || {
+      run_reducer(state, &executor, &inputs, &finished)
+    })?;
     Ok(Self {
       shared,
       callers,
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' HTTP port: health, metrics, status, configuration and timeline.
 
-use crate::{shared::Shared, status::Configuration};
+use crate::{essential, shared::Shared, status::Configuration};
 use rouille::{Request, Response, Server};
 use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, thread, time::Duration};
 
@@ -12,13 +12,12 @@
 /// Binds the port and serves requests until the process ends.
 pub fn bind(shared: &Arc<Shared>) -> io::Result<SocketAddr> {
   let address = shared.settings.operators.clone();
-  let shared = shared.clone();
+  let (shared, log) = (shared.clone(), shared.log.clone());
   let server = Server::new(address, move |request| respond(&shared, request))
     .map_err(|error| io::Error::other(error.to_string()))?
     .pool_size(THREADS);
   let address = server.server_addr();
-  let builder = thread::Builder::new().name("operators".into());
-  builder.spawn(move || {
+  essential::spawn(thread::Builder::new(), "operators", &log, move || {
     loop {
       server.poll_timeout(POLL_TIMEOUT);
     }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -17,6 +17,7 @@
   crash::{self, Crash, Quarantined, Registry, Repeated, part, served},
   dispatch::Event,
   edge::{Edge, Kinds},
+  essential,
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
   former,
   hub::Hub,
@@ -262,8 +263,8 @@
   hub.set_planner_waker(planner.waker.clone());
   hub.gates.deployments.set_waker(planner.waker.clone());
   hub.gates.servers.set_waker(planner.waker.clone());
-  let builder = thread::Builder::new().name("planner".into());
-  builder.spawn(move || planner.run())?;
+  let (builder, log) = (thread::Builder::new(), hub.log.clone());
+  essential::spawn(builder, "planner", &log, move || planner.run())?;
   Ok(address)
 }
 
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,6 +1,7 @@
 //! A thread pool that runs closures in order of arrival. Threads are started as needed up to a
 //! limit, and all but one end after a while without work.
 
+use crate::essential;
 use std::{
   collections::VecDeque,
   sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
@@ -73,11 +74,11 @@
 
   fn start(&self) -> std::io::Result<()> {
     self.shared.lock().threads += 1;
-    let shared = self.shared.clone();
+    let (shared, name) = (self.shared.clone(), self.name.clone());
     let builder = thread::Builder::new()
-      .name(self.name.clone())
+      .name(name.clone())
       .stack_size(STACK_BYTES);
-    let started = builder.spawn(move || run_tasks(&shared));
+    let started = builder.spawn(move || run_tasks(&shared, &name));
     if started.is_err() {
       self.shared.lock().threads -= 1;
     }
@@ -92,12 +93,13 @@
   }
 }
 
-fn run_tasks(shared: &Shared) {
+fn run_tasks(shared: &Shared, name: &str) {
   let mut state = shared.lock();
   loop {
     if let Some(task) = state.tasks.pop_front() {
       drop(state);
-      task();
+      // Who passed the closure waits for its outcome.
+      essential::complete(&essential::no_log(), name, task);
       state = shared.lock();
       continue;
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,6 +41,7 @@
 use std::{
   net::SocketAddr,
   sync::{Arc, atomic::Ordering},
+  thread,
   time::Duration,
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -222,9 +223,10 @@
   hub.measures.record_request();
   mailbox.waker.clear();
   mailbox.take();
+  let open = Open { hub, ticket };
   hub.apply(Event::Arrived(descriptor), Some(ticket));
   relay.run(mailbox);
-  hub.close(ticket);
+  drop(open);
   relay.end_stalled(STALLED);
   relay.flush();
   relay.end_unframed();
@@ -232,6 +234,22 @@
   relay.disposition
 }
 
+/// A request that the reducer knows of. If its thread panics, it ends as if its caller had left, and
+/// takes no place at its server any more.
+struct Open<'a> {
+  hub: &'a Hub,
+  ticket: Ticket,
+}
+
+impl Drop for Open<'_> {
+  fn drop(&mut self) {
+    self.hub.close(self.ticket);
+    if thread::panicking() {
+      self.hub.apply(Event::CallerGone(self.ticket), None);
+    }
+  }
+}
+
 /// The stream that a request resumes.
 fn resumption(hub: &Hub, incoming: &Incoming) -> Option<Resumption> {
   incoming.route.stream.filter(|stream| stream.resumable)?;
--- a/src/router.rs
+++ b/src/router.rs
@@ -6,7 +6,7 @@
   clock::Moment,
   dispatch::{Change, Event, State},
   edge::Edge,
-  entry, feed, health,
+  entry, essential, feed, health,
   hub::Hub,
   planner, reader,
   settings::{self, Settings},
@@ -137,10 +137,9 @@
 
 fn feed_deployments(hub: &Arc<Hub>, edge: &Arc<Edge>) -> io::Result<()> {
   let (hub, edge) = (hub.clone(), edge.clone());
-  let builder = thread::Builder::new()
-    .name("deployments".into())
-    .stack_size(STACK_BYTES);
-  builder.spawn(move || {
+  let builder = thread::Builder::new().stack_size(STACK_BYTES);
+  let log = hub.log.clone();
+  essential::spawn(builder, "deployments", &log, move || {
     let gate = &hub.gates.deployments;
     feed::follow(
       &edge.store,
@@ -171,8 +170,7 @@
           > 0
       },
     )
-  })?;
-  Ok(())
+  })
 }
 
 /// Applies the deployment in an object. Returns whether it is newer than the current one.
@@ -203,10 +201,9 @@
 
 fn feed_servers(hub: &Arc<Hub>, edge: &Arc<Edge>) -> io::Result<()> {
   let (hub, edge) = (hub.clone(), edge.clone());
-  let builder = thread::Builder::new()
-    .name("servers".into())
-    .stack_size(STACK_BYTES);
-  builder.spawn(move || {
+  let builder = thread::Builder::new().stack_size(STACK_BYTES);
+  let log = hub.log.clone();
+  essential::spawn(builder, "servers", &log, move || {
     let gate = &hub.gates.servers;
     let mut invalid_entries = InvalidEntries::default();
     let affects_others =
@@ -273,8 +270,7 @@
         affects_others
       },
     )
-  })?;
-  Ok(())
+  })
 }
 
 /// Whether other instances need a server's changed entry. Its holdings reach them by other means.
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -7,6 +7,7 @@
 use crate::{
   backend::{self, Backend},
   clock::Moment,
+  counter, essential,
   http::{Request, Response},
   hub::Hub,
   socket::{Fill, Socket},
@@ -57,10 +58,9 @@
   };
   let address = listener.local_addr()?;
   let hub = hub.clone();
-  let builder = thread::Builder::new()
-    .name("tunnels".into())
-    .stack_size(STACK_BYTES);
-  builder.spawn(move || accept(&hub, &listener))?;
+  let builder = thread::Builder::new().stack_size(STACK_BYTES);
+  let log = hub.log.clone();
+  essential::spawn(builder, "tunnels", &log, move || accept(&hub, &listener))?;
   Ok(address)
 }
 
@@ -94,9 +94,8 @@
       .name("tunnel".into())
       .stack_size(STACK_BYTES);
     let spawned = builder.spawn(move || {
-      let others = count.fetch_add(1, Ordering::Relaxed);
+      let (_open, others) = counter::Guard::add(&count);
       serve(&tunnel_hub, stream, from, others);
-      count.fetch_sub(1, Ordering::Relaxed);
     });
     if let Err(error) = spawned {
       warn!(hub.log, "no thread for a tunnel"; "from" => %from, "error" => %error);
@@ -127,10 +126,10 @@
   // A response that the close of its connection delimits must not look complete unless it is.
   set_reset_on_close(hub, &peer, true);
   answer(&mut peer, 200, "connected");
-  hub.active.fetch_add(1, Ordering::Relaxed);
+  let active = hub.begin();
   let until = started + opening.remaining + DEADLINE_MARGIN;
   let end = pipe::run(&mut peer, &mut server, until);
-  hub.active.fetch_sub(1, Ordering::Relaxed);
+  drop(active);
   info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
     "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
   if end == End::Finished {
--- a/src/watchers.rs
+++ b/src/watchers.rs
@@ -1,6 +1,6 @@
 //! Threads that watch the platform's configuration and list its instances for the fleet.
 
-use crate::{event::Event, journal::Entry, object::Kind, shared::Shared};
+use crate::{essential, event::Event, journal::Entry, object::Kind, shared::Shared};
 use std::{
   io,
   sync::{Arc, atomic::Ordering},
@@ -17,15 +17,11 @@
 
 /// Starts the threads; they only read while the reducer has enabled watching.
 pub fn spawn(shared: &Arc<Shared>) -> io::Result<()> {
-  let watcher = shared.clone();
-  thread::Builder::new()
-    .name("watch".into())
-    .spawn(move || watch(&watcher))?;
-  let lister = shared.clone();
-  thread::Builder::new()
-    .name("list".into())
-    .spawn(move || list(&lister))?;
-  Ok(())
+  let (log, watcher, lister) = (&shared.log, shared.clone(), shared.clone());
+  essential::spawn(thread::Builder::new(), "watch", log, move || {
+    watch(&watcher)
+  })?;
+  essential::spawn(thread::Builder::new(), "list", log, move || list(&lister))
 }
 
 fn sleep_jittered(base: Duration) {
--- a/src/web.rs
+++ b/src/web.rs
@@ -6,7 +6,7 @@
 //! heads with `httparse`, decodes chunked bodies with `chunked_transfer`, and implements the rest.
 //! docs/DESIGN.md has the measurements.
 
-use crate::{clock::Moment, http};
+use crate::{clock::Moment, essential, http};
 use chunked_transfer::{Decoder, Encoder};
 use socket2::{Domain, Socket, Type};
 use std::{
@@ -201,15 +201,21 @@
   let address = listener.local_addr()?;
   let handle = Arc::new(handle);
   let open_connections = Arc::new(AtomicUsize::new(0));
-  let builder = thread::Builder::new().name("callers".into());
-  builder.spawn(move || {
-    loop {
-      match listener.accept() {
-        Ok((stream, peer)) => accept(stream, peer, limits, &busy_body, &open_connections, &handle),
-        Err(_) => thread::sleep(ACCEPT_RETRY_DELAY),
+  essential::spawn(
+    thread::Builder::new(),
+    "callers",
+    &essential::no_log(),
+    move || {
+      loop {
+        match listener.accept() {
+          Ok((stream, peer)) => {
+            accept(stream, peer, limits, &busy_body, &open_connections, &handle)
+          }
+          Err(_) => thread::sleep(ACCEPT_RETRY_DELAY),
+        }
       }
-    }
-  })?;
+    },
+  )?;
   Ok(address)
 }
 
--- /dev/null
+++ b/tests/essential.rs
@@ -0,0 +1,158 @@
+//! An instance does not go on without one of its threads, and goes on without a caller's.
+//!
+//! A thread's end ends its process, so these tests run themselves again as a child process.
+
+use bendsaddle::{
+  dialect::Dialect,
+  dispatch::{Event, State},
+  entry, essential,
+  hub::Hub,
+  pool::Pool,
+  retry::Bound,
+};
+use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
+use std::{
+  env,
+  io::{Read, Write},
+  net::{SocketAddr, TcpStream},
+  process::{Command, Output},
+  sync::{Arc, atomic::Ordering},
+  thread,
+  time::{Duration, Instant},
+};
+
+/// Set in the child process.
+const CHILD: &str = "BENDSADDLE_TEST_CHILD";
+/// Longest time that the child process waits for its end; it succeeds after it.
+const CHILD_LIFE: Duration = Duration::from_secs(5);
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Runs a test again as a child process, which runs `run`; `None` in the child, which ends with
+/// success unless `run` has ended it.
+fn in_child(test: &str, run: impl FnOnce()) -> Option<Output> {
+  if env::var_os(CHILD).is_some() {
+    run();
+    thread::sleep(CHILD_LIFE);
+    return None;
+  }
+  let mut command = Command::new(env::current_exe().unwrap());
+  command
+    .args(["--exact", test, "--nocapture"])
+    .env(CHILD, "1");
+  Some(command.output().unwrap())
+}
+
+/// The child process has failed, and said which part of it and why.
+fn assert_ended(output: Option<Output>, part: &str, why: &str) {
+  let Some(output) = output else {
+    return;
+  };
+  let text = String::from_utf8_lossy(&output.stderr);
+  let line = format!("error: `{part}` has failed: {why}");
+  assert!(text.contains(&line), "{text}");
+  assert_eq!(output.status.code(), Some(70), "{text}");
+}
+
+fn hub(log: Logger) -> Arc<Hub> {
+  let bound = Bound {
+    ratio: 0.2,
+    slack: 80.0,
+    window_ms: 10_000,
+  };
+  Hub::new(State::new("a", bound, 1), Dialect::DEFAULT, log).unwrap()
+}
+
+fn quiet() -> Logger {
+  Logger::root(Discard, o!())
+}
+
+/// An instance whose thread had panicked went on without the servers' entries, and said that it was
+/// ready.
+#[test]
+fn a_thread_that_panics_ends_the_process() {
+  let output = in_child("a_thread_that_panics_ends_the_process", || {
+    let run = || panic!("entry {} is gone", 7);
+    essential::spawn(thread::Builder::new(), "servers", &quiet(), run).unwrap();
+  });
+  assert_ended(output, "servers", "entry 7 is gone");
+}
+
+/// A thread that gives up is as much missed as one that panics.
+#[test]
+fn a_thread_that_returns_ends_the_process() {
+  let output = in_child("a_thread_that_returns_ends_the_process", || {
+    essential::spawn(thread::Builder::new(), "planner", &quiet(), || {}).unwrap();
+  });
+  assert_ended(output, "planner", "the thread has returned");
+}
+
+/// The outcome of a call that panicked was waited for without an end.
+#[test]
+fn a_call_that_panics_ends_the_process() {
+  let output = in_child("a_call_that_panics_ends_the_process", || {
+    let pool = Pool::spawn("order", 1).unwrap();
+    pool.run(|| panic!("no answer"));
+    thread::sleep(CHILD_LIFE);
+  });
+  assert_ended(output, "order", "no answer");
+}
+
+/// A panic within the reducer, in whatever thread, leaves a state that nothing is known of.
+#[test]
+fn a_panic_with_the_state_locked_ends_the_process() {
+  let output = in_child("a_panic_with_the_state_locked_ends_the_process", || {
+    let hub = hub(quiet());
+    let other = hub.clone();
+    let panicked = thread::spawn(move || {
+      let _state = other.state();
+      panic!("half-changed");
+    });
+    assert!(panicked.join().is_err());
+    hub.apply(Event::RecordsRead, None);
+  });
+  assert_ended(output, "state", "a thread panicked with the state locked");
+}
+
+/// A log that panics on the line with this message.
+struct Trap(&'static str);
+
+impl Drain for Trap {
+  type Ok = ();
+  type Err = Never;
+
+  fn log(&self, record: &Record, _: &OwnedKVList) -> Result<(), Never> {
+    let message = record.msg().to_string();
+    assert_ne!(message, self.0, "trapped");
+    Ok(())
+  }
+}
+
+/// Sends a request to an instance whose log panics on a line; returns what is answered.
+fn ask(address: SocketAddr) -> Vec<u8> {
+  let mut stream = TcpStream::connect(address).unwrap();
+  stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+  let request = b"GET / HTTP/1.1\r\nhost: host\r\nconnection: close\r\n\r\n";
+  stream.write_all(request).unwrap();
+  let mut answer = Vec::new();
+  // The connection may be reset.
+  let _ = stream.read_to_end(&mut answer);
+  answer
+}
+
+/// Requests in progress were counted without an end where their threads had panicked, so a planned
+/// stop waited for them, and their connections took the places of others.
+#[test]
+fn a_callers_thread_that_panics_releases_what_it_holds() {
+  const CONNECTIONS: usize = 4;
+  let hub = hub(Logger::root(Trap("refused"), o!()));
+  let address = entry::bind(&hub, "127.0.0.1:0", CONNECTIONS).unwrap();
+  for _ in 0..3 * CONNECTIONS {
+    assert_eq!(ask(address), b"");
+  }
+  let open = || hub.admission.get().unwrap().open();
+  let started = Instant::now();
+  while (open() > 0 || hub.active.load(Ordering::Relaxed) > 0) && started.elapsed() < TIMEOUT {
+    thread::sleep(Duration::from_millis(1));
+  }
+  assert_eq!((open(), hub.active.load(Ordering::Relaxed)), (0, 0));
+}
