Reducer: no index by a key that an event may have removed

Change: servers and waiting requests are looked up by functions that leave out what is gone, and keys that are passed on are looked up with `get`: a request whose server is gone waits for another one, a slot or unit of such a server is not granted, and what is counted there is left out. `src/placement/` keeps its indexes: two functions add a server to all of them and remove it from all, and models are never removed.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -112,7 +112,9 @@
       self.enqueue(ticket, until);
       return false;
     }
-    let request = &self.requests[&ticket];
+    let Some(request) = self.requests.get(&ticket) else {
+      return false;
+    };
     let waited_ms = now - request.arrived;
     let question = request.question.as_ref();
     let in_touch = question.is_some_and(|question| !question.unknown_to.is_empty());
@@ -239,14 +241,12 @@
 
   /// Requests that wait for answers about one of these attempts.
   fn asking(&self, attempts: &[Key]) -> Vec<Ticket> {
-    let waiting = self.waiting.iter().map(|(.., ticket)| *ticket);
-    let asking = waiting.filter(|ticket| {
-      let request = &self.requests[ticket];
+    let asking = self.waiting_requests().filter(|request| {
       let resumption = request.descriptor.resumption;
       let attempt = resumption.and_then(|resumption| resumption.attempt);
       request.question.is_some() && attempt.is_some_and(|key| attempts.contains(&key))
     });
-    asking.collect()
+    asking.map(|request| request.descriptor.ticket).collect()
   }
 
   /// Adds builds that were stored for instances that start later.
@@ -263,7 +263,8 @@
     if self.list_complete {
       self.streams.watch(self.now);
     }
-    let specs = self.by_id.values().map(|key| &self.backends[*key].spec);
+    let by_id = self.by_id.values();
+    let specs = by_id.filter_map(|key| Some(&self.backends.get(*key)?.spec));
     let servers = specs.map(|spec| (spec.pool.as_str(), spec.build));
     if self.streams.update_pools(self.now, servers) {
       self.out.push(Effect::ExchangeBuilds);
--- a/src/concurrency/slots.rs
+++ b/src/concurrency/slots.rs
@@ -78,7 +78,9 @@
   /// is left. A slot is in use while the instance runs a request on the server.
   pub(crate) fn acquire_slot(&mut self, ticket: Ticket, key: backend::Key, is_last: bool) -> Slot {
     let now = self.now;
-    let backend = &self.backends[key];
+    let Some(backend) = self.backends.get(key) else {
+      return Slot::Full(GRANT_RETRY_MS);
+    };
     if !self.is_brittle(backend) {
       return Slot::Granted;
     }
@@ -86,11 +88,12 @@
     let holder_responds = self.quotas.holder_responds(now);
     let own_share = self.own_share(backend);
     let silent_ms = self.quotas.holder_silent_ms(now);
-    let share = &mut self.backends[key].share;
-    share.record_need(now);
-    let Some(request) = self.requests.get_mut(&ticket) else {
+    let (backend, request) = (self.backends.get_mut(key), self.requests.get_mut(&ticket));
+    let (Some(backend), Some(request)) = (backend, request) else {
       return Slot::Full(GRANT_RETRY_MS);
     };
+    let share = &mut backend.share;
+    share.record_need(now);
     let requested = request.pending_unit.filter(|(pending, _)| *pending == id);
     let requested = requested.map(|(_, since)| since);
     if share.has_slot(now, running, own_share, silent_ms) {
@@ -150,7 +153,10 @@
   ) -> Option<backend::Key> {
     let (id, _) = self.requests.get(&ticket)?.pending_unit?;
     let mut keys = candidates.iter().map(|(key, _)| *key);
-    keys.find(|key| Id::for_slots(self.backends[*key].spec.life()) == id)
+    keys.find(|key| {
+      let server = self.backends.get(*key).map(|backend| backend.spec.life());
+      server.is_some_and(|server| Id::for_slots(server) == id)
+    })
   }
 
   /// Records that a server rejected a request, for want of room or without a reason.
@@ -159,8 +165,8 @@
       .backends
       .get(key)
       .is_some_and(|backend| self.is_brittle(backend));
-    if brittle {
-      self.backends[key].share.record_rejection(self.now);
+    if let Some(backend) = self.backends.get_mut(key).filter(|_| brittle) {
+      backend.share.record_rejection(self.now);
       self.slot_reports.released = true;
       self.out.push(Effect::RequestQuota);
     }
@@ -215,8 +221,9 @@
     if !have_grants_expired(self.quotas.holder_silent_ms(now)) {
       return HashMap::new();
     }
-    let listed = self.by_id.values().map(|key| (*key, &self.backends[*key]));
-    let brittle = listed.filter(|(_, backend)| self.is_brittle(backend));
+    let brittle = self
+      .listed()
+      .filter(|(_, backend)| self.is_brittle(backend));
     brittle
       .map(|(key, backend)| (key, self.own_share(backend)))
       .collect()
@@ -311,9 +318,10 @@
       .map(|backend| backend.spec.life())
       .collect();
     self.brittle.prune(self.now, |life| lives.contains(&life));
-    let listed = self.by_id.values().map(|key| {
-      let spec = &self.backends[*key].spec;
-      (spec.life(), spec.pool.as_str())
+    let by_id = self.by_id.values();
+    let listed = by_id.filter_map(|key| {
+      let spec = &self.backends.get(*key)?.spec;
+      Some((spec.life(), spec.pool.as_str()))
     });
     self.brittle.set_pools(listed);
     if !self.brittle.any() {
--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -224,10 +224,12 @@
     let replaced: Vec<content::Key> = replaced.map(|(part, _)| *part).collect();
     for part in &replaced {
       self.blamed.remove(part);
-      let servers = &self.suspects[part].crashes;
-      self
-        .explained
-        .retain(|server| !servers.contains_key(server));
+      if let Some(suspect) = self.suspects.get(part) {
+        let servers = &suspect.crashes;
+        self
+          .explained
+          .retain(|server| !servers.contains_key(server));
+      }
     }
     if !replaced.is_empty() {
       self.explain_again();
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -264,7 +264,10 @@
         return cover;
       }
       for culprit in highest_scored {
-        let servers = self.suspects[&culprit.content].servers.keys();
+        let suspect = self.suspects.get(&culprit.content);
+        let servers = suspect
+          .into_iter()
+          .flat_map(|suspect| suspect.servers.keys());
         cover.explained.extend(servers.copied());
         cover.culprits.push(culprit);
       }
@@ -354,8 +357,10 @@
   /// other instances remember these suspects.
   pub fn current_suspects(&self, now: u64) -> Vec<Suspected> {
     let suspects = self.unexplained_suspects(now).into_iter();
-    let is_recent =
-      |content: &content::Key| now < self.suspects[content].last_seen + SUSPECT_TTL_MS;
+    let is_recent = |content: &content::Key| {
+      let suspect = self.suspects.get(content);
+      suspect.is_some_and(|suspect| now < suspect.last_seen + SUSPECT_TTL_MS)
+    };
     suspects
       .filter(|(_, content, _)| is_recent(content))
       .map(|(_, content, crashes)| Suspected {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -460,6 +460,12 @@
     self.out.push(Effect::Wait(ticket, until));
   }
 
+  /// The waiting requests, in the order of their turns.
+  pub(crate) fn waiting_requests(&self) -> impl Iterator<Item = &Request> {
+    let tickets = self.waiting.iter().map(|(.., ticket)| ticket);
+    tickets.filter_map(|ticket| self.requests.get(ticket))
+  }
+
   pub(crate) fn dispatch_waiting(&mut self) {
     let tickets: Vec<Ticket> = self.waiting.iter().map(|entry| entry.2).collect();
     for ticket in tickets {
--- a/src/dispatch/charge.rs
+++ b/src/dispatch/charge.rs
@@ -79,8 +79,8 @@
 
   /// Whether any request waits for a unit of a limit or for a permit.
   pub fn needs_units(&self) -> bool {
-    let mut waiting = self.waiting.iter();
-    waiting.any(|(.., ticket)| self.requests[ticket].pending_unit.is_some())
+    let mut waiting = self.waiting_requests();
+    waiting.any(|request| request.pending_unit.is_some())
   }
 
   /// Quota units that this instance uses and needs, for the lease holder.
@@ -92,8 +92,7 @@
   /// Units and slots that waiting requests need.
   pub(crate) fn needs(&self) -> HashMap<quota::Id, u32> {
     let mut needs: HashMap<quota::Id, u32> = HashMap::new();
-    for (.., ticket) in &self.waiting {
-      let request = &self.requests[ticket];
+    for request in self.waiting_requests() {
       if let (false, Some(caller)) = (request.quota_charged, request.descriptor.caller) {
         *needs.entry(caller.customer).or_default() += caller.cost;
       }
--- a/src/dispatch/choice/memory.rs
+++ b/src/dispatch/choice/memory.rs
@@ -88,7 +88,9 @@
       unread: self.prompt_tokens(request) as u32,
       tokens: self.request_tokens(request),
     };
-    let backend = &mut self.backends[key];
+    let Some(backend) = self.backends.get_mut(key) else {
+      return;
+    };
     backend.unread_tokens += u64::from(held.unread);
     backend.held_tokens += u64::from(held.tokens);
     if let Some(request) = self.requests.get_mut(&ticket) {
--- a/src/dispatch/choice/mod.rs
+++ b/src/dispatch/choice/mod.rs
@@ -99,15 +99,15 @@
     let tokens = self.prompt_tokens(request);
     let limits = self.limits_of(request);
     let judge = |(key, _): &(backend::Key, u32)| {
-      let server = self.situation(&self.backends[*key], slots);
+      let server = self.situation(self.backends.get(*key)?, slots);
       let expected = expect(&server, tokens, &rates);
-      (
+      Some((
         *key,
         expected.ratio(&limits),
         weight(&server, &expected, &limits),
-      )
+      ))
     };
-    let judged: Vec<(backend::Key, f32, f32)> = candidates.iter().map(judge).collect();
+    let judged: Vec<(backend::Key, f32, f32)> = candidates.iter().filter_map(judge).collect();
     let keeps_limits = judged.iter().any(|(_, ratio, _)| *ratio <= 1.0);
     let eligible = judged
       .iter()
@@ -230,8 +230,8 @@
   /// Rendezvous hashing: picks the same candidate for a seed on all instances.
   fn rendezvous_hash(&self, candidates: &[(backend::Key, u32)], seed: u64) -> Option<backend::Key> {
     let best = candidates.iter().max_by_key(|(key, _)| {
-      let id = self.backends[*key].spec.id.as_bytes();
-      xxhash_rust::xxh3::xxh3_64_with_seed(id, seed)
+      let id = self.backends.get(*key).map(|backend| &backend.spec.id);
+      id.map(|id| xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), seed))
     });
     best.map(|(key, _)| *key)
   }
--- a/src/dispatch/choice/room.rs
+++ b/src/dispatch/choice/room.rs
@@ -112,7 +112,9 @@
     let own = self.own_waiting();
     let keys: Vec<backend::Key> = self.backends.keys().collect();
     for key in keys {
-      let backend = &self.backends[key];
+      let Some(backend) = self.backends.get(key) else {
+        continue;
+      };
       let all = self
         .published_waiting
         .get(&backend.spec.life().short_hash());
@@ -129,17 +131,18 @@
       // An instance where none waits may get one until the next publication.
       let share = allotment(room, own.max(1), all);
       let extra = self.rng.random::<f32>() < share.fract();
-      let backend = &mut self.backends[key];
-      backend.waiting = all;
-      backend.allotment = share as u32 + u32::from(extra);
+      if let Some(backend) = self.backends.get_mut(key) {
+        backend.waiting = all;
+        backend.allotment = share as u32 + u32::from(extra);
+      }
     }
   }
 
   /// Number of requests that wait at this instance, by pool and model.
   fn own_waiting(&self) -> BTreeMap<(String, String), u32> {
     let mut own = BTreeMap::new();
-    for (.., ticket) in &self.waiting {
-      let descriptor = &self.requests[ticket].descriptor;
+    for request in self.waiting_requests() {
+      let descriptor = &request.descriptor;
       if let Some(model) = &descriptor.model {
         *own
           .entry((descriptor.pool.clone(), model.name.clone()))
@@ -189,12 +192,14 @@
   /// Number of requests of this instance that wait for the same model and go before.
   fn waiting_before(&self, request: &Request, model: &str) -> u32 {
     let own = super::super::queue_key(request);
-    let before = self.waiting.range(..own).filter(|(.., ticket)| {
-      let other = &self.requests[ticket].descriptor;
+    let before = self.waiting.range(..own);
+    let others = before.filter_map(|(.., ticket)| self.requests.get(ticket));
+    let same = others.filter(|other| {
+      let other = &other.descriptor;
       other.pool == request.descriptor.pool
         && other.model.as_ref().is_some_and(|it| it.name == model)
     });
-    before.count() as u32
+    same.count() as u32
   }
 
   /// Whether a request of this instance waits for the same model and goes before this one.
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -9,6 +9,9 @@
 
 impl State {
   pub(super) fn send(&mut self, ticket: Ticket, key: backend::Key) {
+    let Some(build) = self.backends.get(key).map(|backend| backend.spec.build) else {
+      return self.wait_for_server(ticket);
+    };
     let expected = self.expected(ticket, key);
     let tokens = self.stated_tokens(ticket);
     self.observe_send(ticket, key);
@@ -17,7 +20,7 @@
     };
     request.sends += 1;
     request.backend = Some(key);
-    request.sent_build = Some(self.backends[key].spec.build);
+    request.sent_build = Some(build);
     let retries = std::mem::take(&mut request.retry_pending);
     request.waiting_since = None;
     request.sent = self.now;
@@ -26,7 +29,9 @@
     if let Some(tag) = request.tag.take() {
       self.fair_queue.record_dispatch(tag);
     }
-    let backend = &mut self.backends[key];
+    let Some(backend) = self.backends.get_mut(key) else {
+      return;
+    };
     backend.running += 1;
     if let Some(model) = &request.descriptor.model {
       *self.running.entry((key, model.clone())).or_default() += 1;
--- a/src/limit/selection.rs
+++ b/src/limit/selection.rs
@@ -49,7 +49,10 @@
         break;
       };
       candidates.retain(|(other, _)| *other != key);
-      let server = self.backends[key].spec.life();
+      let Some(backend) = self.backends.get(key) else {
+        continue;
+      };
+      let server = backend.spec.life();
       match self.acquire_server_permit(ticket, server, crashes.unwrap_or_default()) {
         Permit::Granted => {}
         Permit::Requested(until) => return Choice::Pending(until),
@@ -77,7 +80,10 @@
   /// candidate is left.
   fn acquire_limit_unit(&mut self, ticket: Ticket, key: backend::Key, is_last: bool) -> Outcome {
     let now = self.now;
-    let server = self.backends[key].spec.life();
+    let Some(backend) = self.backends.get(key) else {
+      return Outcome::AtLimit(GRANT_RETRY_MS);
+    };
+    let server = backend.spec.life();
     let (Some(rate), Some(request)) = (self.limits.rate(server), self.requests.get_mut(&ticket))
     else {
       return Outcome::Granted;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -120,8 +120,14 @@
     self.expiry.store_back(self.now, outage, missing);
   }
 
+  /// The servers that are not gone.
+  pub(crate) fn listed(&self) -> impl Iterator<Item = (backend::Key, &Backend)> {
+    let keys = self.by_id.values();
+    keys.filter_map(|key| Some((*key, self.backends.get(*key)?)))
+  }
+
   /// The server with this id, unless it is gone.
-  fn listed_backend(&self, id: &str) -> Option<&Backend> {
+  pub(crate) fn listed_backend(&self, id: &str) -> Option<&Backend> {
     self.backends.get(*self.by_id.get(id)?)
   }
 
@@ -131,10 +137,7 @@
 
   /// Servers whose entries are missing but may return.
   fn missing_backends(&self) -> impl Iterator<Item = &Backend> {
-    let listed = self
-      .by_id
-      .values()
-      .filter_map(|key| self.backends.get(*key));
+    let listed = self.listed().map(|(_, backend)| backend);
     listed.filter(|backend| backend.missing_since.is_some())
   }
 
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -75,8 +75,8 @@
       return Life::of(id, inventory.born);
     }
     let state = self.hub.state();
-    let known = state.by_id.get(id);
-    known.map_or(Life::of(id, 0), |key| state.backends[*key].spec.life())
+    let known = state.listed_backend(id);
+    known.map_or(Life::of(id, 0), |backend| backend.spec.life())
   }
 
   /// Reads the operators' policies at intervals while this instance holds a lease.
--- a/src/planner/steps.rs
+++ b/src/planner/steps.rs
@@ -68,20 +68,18 @@
     let Some(deployment) = state.deployment.clone() else {
       return;
     };
-    let in_group = |id: &str| backend::group(id, groups) == group.number;
+    let number = group.number;
+    let in_group = |backend: &Backend| backend::group(&backend.spec.id, groups) == number;
+    let listed = || state.listed().map(|(_, backend)| backend);
     if counts.0 != group.planned_counts.0 {
-      let specs: Vec<Spec> = state
-        .by_id
-        .iter()
-        .filter(|(id, _)| in_group(id))
-        .map(|(_, key)| state.backends[*key].effective_spec())
-        .collect();
+      let specs = listed().filter(|backend| in_group(backend));
+      let specs: Vec<Spec> = specs.map(Backend::effective_spec).collect();
       group.plan.update_servers(deployment, specs);
     }
     if groups > 1 {
-      let others = state.by_id.iter().filter(|(id, _)| !in_group(id));
+      let others = listed().filter(|backend| !in_group(backend));
       let others =
-        others.map(|(id, key)| other_server(backend::group(id, groups), &state.backends[*key]));
+        others.map(|backend| other_server(backend::group(&backend.spec.id, groups), backend));
       group.plan.update_other_servers(others.collect());
     }
     group.plan.update_limited(&state.limits.servers().collect());
--- a/src/router.rs
+++ b/src/router.rs
@@ -347,10 +347,9 @@
 
 /// Whether a server is already known with this life, build, stage and address; its holdings are ignored.
 fn is_known(state: &State, spec: &Spec) -> bool {
-  let Some(key) = state.by_id.get(&spec.id) else {
+  let Some(backend) = state.listed_backend(&spec.id) else {
     return false;
   };
-  let backend = &state.backends[*key];
   // An entry that reappears is also a change for instances that lack it.
   let known = &backend.spec;
   let same_life = known.life() == spec.life() && known.build == spec.build;
--- a/src/samples.rs
+++ b/src/samples.rs
@@ -113,7 +113,8 @@
   /// Records whether the server of a send has no other requests.
   pub(crate) fn observe_send(&mut self, ticket: Ticket, key: backend::Key) {
     self.count_arrival(ticket);
-    let quiet = self.backends[key].estimated_load(self.instances) == 0;
+    let backend = self.backends.get(key);
+    let quiet = backend.is_some_and(|backend| backend.estimated_load(self.instances) == 0);
     if let Some(request) = self.requests.get_mut(&ticket) {
       request.counted.quiet = quiet;
       request.counted.waiting_since = None;
--- a/src/statement/recorded.rs
+++ b/src/statement/recorded.rs
@@ -93,7 +93,7 @@
   }
 
   fn recorded_brittle(&self) -> Vec<Recorded> {
-    let listed = self.by_id.values().map(|key| &self.backends[*key].spec);
+    let listed = self.listed().map(|(_, backend)| &backend.spec);
     let brittle: BTreeMap<Life, (&str, u32)> = listed
       .filter_map(|spec| {
         let max = self.brittle.max_rejections(spec.life())?;
