Crashes: the content of a request holds its prompt's headers

Cause: the content by which requests are told apart was method, host, target and body. Where the prompt stands in headers, all requests of a route were one.

Ruled out: wrong reports of crashes; each server had ended.

Change: the dialect names the headers that a server reads as content: model, parts of the prompt, tokens. The id, the deadline, the estimate of the length, what a stream resumes and headers of the connection differ between attempts and stay out. Keys in the store are of the former kind until they expire; instances of both versions do not share new ones.

tests/quarantine.rs: the call of `content::Key::of` in the former test names no headers, its checks are the same. The new test fails without named headers.

--- a/src/content.rs
+++ b/src/content.rs
@@ -8,11 +8,14 @@
 
 /// Hash seed that separates the keys of parts from those of contents.
 const PART_SEED: u64 = 1;
+/// Hashed in place of the length of a header that a request does not have.
+const ABSENT: u64 = u64::MAX;
 /// Parts of a prompt that are considered: those shared by most requests come first, and few prompts have
 /// more than a handful.
 const MAX_PARTS: usize = 16;
 
-/// Identifies the content of requests: a hash of method, host, target and body.
+/// Identifies the content of requests: a hash of all that the server reads, which is method, host, target,
+/// the headers that carry a prompt, and body.
 ///
 /// Among a million contents in use, two share a key with a probability of 2 in 10^27.
 #[derive(
@@ -21,19 +24,19 @@
 pub struct Key(pub u128);
 
 impl Key {
-  /// Returns the key of a request with its complete body.
-  pub fn of(head: &Request, body: &[u8]) -> Self {
+  /// Returns the key of a request with its complete body. `headers` names those of its headers that are
+  /// the same in each of its attempts.
+  pub fn of(head: &Request, headers: &[&str], body: &[u8]) -> Self {
     let host = head.headers.get("host").unwrap_or_default();
     let host = host.to_ascii_lowercase();
     let mut hash = Xxh3::new();
-    for part in [
-      head.method.as_bytes(),
-      host.as_bytes(),
-      head.target.as_bytes(),
-    ] {
+    let start = [&head.method, &host, &head.target].map(|part| Some(part.as_str()));
+    let headers = headers.iter().map(|name| head.headers.get(name));
+    for part in start.into_iter().chain(headers) {
       // The lengths separate the parts unambiguously.
-      hash.update(&(part.len() as u64).to_le_bytes());
-      hash.update(part);
+      let length = part.map_or(ABSENT, |part| part.len() as u64);
+      hash.update(&length.to_le_bytes());
+      hash.update(part.unwrap_or_default().as_bytes());
     }
     hash.update(body);
     Self(hash.digest128())
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -36,6 +36,8 @@
   pub brittle: &'static str,
   /// Priority of the request; 0 is the most urgent.
   pub priority: &'static str,
+  /// Headers of a request that servers read as part of its content, the same in each of its attempts.
+  pub content: &'static [&'static str],
   /// Headers that only this system may set.
   pub reserved: &'static [&'static str],
 }
@@ -59,6 +61,7 @@
     leaving: "x-server-leaving",
     brittle: "x-server-brittle",
     priority: "x-priority",
+    content: &["x-model", "x-prompt-parts", "x-token-usage"],
     reserved: &["x-expected-server", "x-priority"],
   };
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -173,7 +173,7 @@
   let deadline = incoming.arrived_at + allowed_ms.saturating_sub(RESPONSE_RESERVE_MS);
   let model = header(dialect.model).map(Model::parse);
   let ticket = hub.ticket(mailbox);
-  let content = content::Key::of(&incoming.head, &incoming.body);
+  let content = content::Key::of(&incoming.head, dialect.content, &incoming.body);
   let pool = incoming.route.pool(xxh3_64(id.as_bytes()));
   let descriptor = Descriptor {
     ticket,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -9,6 +9,7 @@
     stored::{Call, Entry, Record, Stored},
   },
   deployment::Engine,
+  dialect::Dialect,
   dispatch::{Change, Descriptor, Effect, End, Event, State},
   life::Life,
   refusal::Reason,
@@ -290,19 +291,71 @@
     head.headers.set("X-Request-Id", "any");
     head
   };
-  let base = content::Key::of(&head("POST", "host", "/a"), b"body");
-  assert_eq!(base, content::Key::of(&head("POST", "HOST", "/a"), b"body"));
+  let key = |head: &bendsaddle::http::Request, body: &[u8]| content::Key::of(head, &[], body);
+  let base = key(&head("POST", "host", "/a"), b"body");
+  assert_eq!(base, key(&head("POST", "HOST", "/a"), b"body"));
   for other in [
-    content::Key::of(&head("PUT", "host", "/a"), b"body"),
-    content::Key::of(&head("POST", "other", "/a"), b"body"),
-    content::Key::of(&head("POST", "host", "/a?b"), b"body"),
-    content::Key::of(&head("POST", "host", "/a"), b"bodies"),
-    content::Key::of(&head("POST", "host", "/abody"), b""),
+    key(&head("PUT", "host", "/a"), b"body"),
+    key(&head("POST", "other", "/a"), b"body"),
+    key(&head("POST", "host", "/a?b"), b"body"),
+    key(&head("POST", "host", "/a"), b"bodies"),
+    key(&head("POST", "host", "/abody"), b""),
   ] {
     assert_ne!(base, other);
   }
 }
 
+/// Requests without a body, whose prompts are named in headers, had one content, and servers that ended
+/// under them had a whole route refused.
+#[test]
+fn contents_differ_by_the_headers_that_carry_the_prompt() {
+  let dialect = Dialect::DEFAULT;
+  let key = |headers: &[(&str, &str)]| {
+    let mut head = bendsaddle::http::Request {
+      method: "POST".into(),
+      target: "/chat".into(),
+      minor: 1,
+      headers: Default::default(),
+    };
+    for (name, value) in headers {
+      head.headers.set(name, value);
+    }
+    content::Key::of(&head, dialect.content, b"")
+  };
+  let prompt = [
+    (dialect.model, "m"),
+    (dialect.prompt_parts, "aa:10,bb:20"),
+    (dialect.token_usage, "30,60"),
+  ];
+  let base = key(&prompt);
+  for changed in 0..prompt.len() {
+    let mut other = prompt;
+    other[changed].1 = "40";
+    assert_ne!(key(&other), base, "{other:?}");
+    other[changed].1 = "";
+    let without: Vec<(&str, &str)> = other
+      .iter()
+      .filter(|(_, value)| !value.is_empty())
+      .copied()
+      .collect();
+    assert_ne!(key(&without), base, "{without:?}");
+    assert_ne!(
+      key(&without),
+      key(&other),
+      "an empty header is not an absent one"
+    );
+  }
+  // The same request in another attempt.
+  let attempt = [
+    (dialect.request_id, "second"),
+    (dialect.deadline_ms, "100"),
+    (dialect.length_hint, "7"),
+    (dialect.resumes, "first"),
+    ("connection", "close"),
+  ];
+  assert_eq!(key(&[&prompt[..], &attempt[..]].concat()), base);
+}
+
 fn object(revision: u64, spec: serde_json::Value) -> bendsaddle::store::Object {
   bendsaddle::store::Object {
     name: "main".into(),
