A stop waits for requests that are being read, and refuses those it cannot serve

What callers saw: an upload in progress when the last running request ends, from 3 s after SIGTERM on, has its connection closed with a part of it read, and one that is still going on at the exit too. Its caller cannot tell whether the request was passed on. Cause: a request counted as in progress once it had been read whole, so the process did not wait for it; nothing bounded the reading by the stop. A request read whole just before the exit could end the same way, as could a tunnel while it connects.

Change: requests count from before their first byte is read, tunnels from before they connect, and the check that nothing is in progress lets nothing begin any more, in one step: what arrives later stays unread. What has not arrived in full when waiting requests are refused gets a 503, `not-run`, with `Connection: close`.

Ruled out: refusing uploads from the time on at which new requests are refused; a caller that is still writing may not read the refusal.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! Caller port of a routing instance: accepts connections, reads requests and finds their routes.
 
 use crate::{
+  activity::Active,
   admission::{Admission, Cause, Overload},
   clock::Moment,
   customer::{self, Caller},
@@ -20,7 +21,7 @@
 use std::{
   io,
   net::{SocketAddr, TcpListener, TcpStream},
-  sync::{Arc, atomic::Ordering},
+  sync::Arc,
   thread,
   time::Duration,
 };
@@ -38,6 +39,8 @@
 /// Retry delay for a request that is refused because no configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
 
+/// Retry delay for a request that has not arrived in full when a planned stop refuses requests.
+const STOPPING_RETRY_MS: u64 = 500;
 /// Retry delay for a request whose key could not be checked. By then, the load balancer has taken
 /// this instance out of service.
 const UNVERIFIED_KEY_RETRY_MS: u64 = 1_000;
@@ -50,6 +53,8 @@
   /// The connection was closed, or was idle for too long.
   Closed,
   Rejected(Rejection),
+  /// It has not arrived in full when a planned stop refuses requests.
+  Stopping(Box<Partial>),
   /// Too many bytes are held for callers.
   Full(Box<Full>),
 }
@@ -62,6 +67,15 @@
   method: String,
 }
 
+/// A request that has not arrived in full.
+#[derive(Default)]
+struct Partial {
+  /// Empty if its head was not read.
+  method: String,
+  /// Its id.
+  request: Option<String>,
+}
+
 /// A request that does not fit into the bounds on bytes held.
 struct Full {
   method: String,
@@ -82,10 +96,15 @@
 }
 
 impl ReadError {
-  /// Adds the method of the request whose body could not be read.
-  fn with_method(mut self, method: &str) -> Self {
-    if let Self::Rejected(rejection) = &mut self {
-      rejection.method = method.into();
+  /// Adds the method and the id of the request whose body could not be read.
+  fn with_head(mut self, method: &str, id: Option<&str>) -> Self {
+    match &mut self {
+      Self::Rejected(rejection) => rejection.method = method.into(),
+      Self::Stopping(partial) => {
+        partial.method = method.into();
+        partial.request = id.map(str::to_string);
+      }
+      Self::Closed | Self::Full(_) => {}
     }
     self
   }
@@ -162,7 +181,7 @@
   admitted: Result<(), Cause>,
 ) {
   let (now, open) = (hub.now(), admission.open());
-  let active = || hub.active.load(Ordering::Relaxed);
+  let active = || hub.active.count();
   let Err(cause) = admitted else {
     if let Some(ended) = overload.record_accepted(now) {
       info!(hub.log, "connections are accepted again"; "closed" => ended.closed,
@@ -230,21 +249,29 @@
   let mut first = true;
   loop {
     let ready = wait_for_request(hub, &mut socket, std::mem::take(&mut first));
-    match ready.and_then(|ready| ready.then(|| read_request(hub, &mut socket)).transpose()) {
-      Ok(Some(received)) => match active_response(hub, &mailbox, &mut socket, received) {
+    let Ok(Some(_active)) = ready else {
+      return;
+    };
+    match read_request(hub, &mut socket) {
+      Ok(received) => match respond(hub, &mailbox, &mut socket, received) {
         Disposition::Keep => {}
         Disposition::Close => return close(socket),
         Disposition::Reset => return reset(hub, socket),
       },
-      Ok(None) | Err(ReadError::Closed) => return,
+      Err(ReadError::Closed) => return,
       Err(ReadError::Full(full)) => {
         let keep_alive = !full.partial;
         let written = refuse_full(hub, &mut socket, &full, keep_alive);
         if written != Disposition::Keep {
-          discard_input(&mut socket);
+          discard_input(hub, &mut socket);
           return close(socket);
         }
       }
+      Err(ReadError::Stopping(partial)) => {
+        refuse_partial(hub, &mut socket, &partial);
+        discard_input(hub, &mut socket);
+        return close(socket);
+      }
       Err(ReadError::Rejected(rejection)) => {
         info!(hub.log, "request rejected"; "status" => rejection.status,
           "why" => &rejection.message);
@@ -257,17 +284,6 @@
   }
 }
 
-/// Responds to a request, which counts as active meanwhile.
-fn active_response(
-  hub: &Hub,
-  mailbox: &Arc<Mailbox>,
-  socket: &mut Socket,
-  received: Received,
-) -> Disposition {
-  let _active = hub.begin();
-  respond(hub, mailbox, socket, received)
-}
-
 /// Closes a connection so that everything written still arrives. Closing it with unread input would
 /// reset it.
 fn close(mut socket: Socket) {
@@ -294,16 +310,20 @@
     .unwrap_or_default()
 }
 
-/// Waits for the first byte of the next request; returns false if the connection is to be closed.
+/// Waits for the first byte of the next request; returns `None` if the connection is to be closed.
 /// A planned stop closes idle connections. New connections are still served, because a load
 /// balancer that does not know of the stop yet keeps opening them.
-fn wait_for_request(hub: &Hub, socket: &mut Socket, first: bool) -> Result<bool, ReadError> {
+fn wait_for_request<'a>(
+  hub: &'a Hub,
+  socket: &mut Socket,
+  first: bool,
+) -> Result<Option<Active<'a>>, ReadError> {
   let idle_since = Moment::now();
   let mut idle_deadline = idle_since + limits(hub).idle_timeout;
   while socket.input.is_empty() {
-    let stopping = hub.stopping.load(Ordering::Relaxed);
+    let stopping = hub.is_stopping();
     if stopping && !first {
-      return Ok(false);
+      return Ok(None);
     }
     let deadline = match stopping {
       true => idle_deadline.min(Moment::now() + STOPPING_IDLE_TIMEOUT),
@@ -315,26 +335,32 @@
       deadline,
     )?;
     if readable {
-      if socket.fill()? == Fill::Eof {
-        return Ok(false);
+      // Begins before it is read: a request that the process does not answer stays unread.
+      let Some(active) = hub.active.begin() else {
+        return Ok(None);
+      };
+      match socket.fill()? {
+        Fill::Data => return Ok(Some(active)),
+        Fill::Eof => return Ok(None),
+        Fill::Empty => {}
       }
     } else if !stopped {
       // A deployment that was received in the meantime may allow a longer idle time.
       let new_deadline = idle_since + limits(hub).idle_timeout;
       if stopping || new_deadline <= idle_deadline {
-        return Ok(false);
+        return Ok(None);
       }
       idle_deadline = new_deadline;
     }
   }
-  Ok(true)
+  Ok(hub.active.begin())
 }
 
 /// Reads a request whose first byte has arrived, within the limits of the current deployment.
 fn read_request(hub: &Hub, socket: &mut Socket) -> Result<Received, ReadError> {
   let arrived = hub.now();
   let limits = limits(hub);
-  let head = read_head(socket, &limits)?;
+  let head = read_head(hub, socket, &limits)?;
   let id = head.headers.get(hub.dialect.request_id);
   let full = |scope, partial| {
     ReadError::Full(Box::new(Full {
@@ -348,10 +374,10 @@
     Ok(account) => account,
     Err(scope) => return Err(full(scope, head.framing() != Ok(Framing::Empty))),
   };
-  let body = read_body(socket, &head, &limits, account.as_ref(), |scope| {
+  let body = read_body(hub, socket, &head, &limits, account.as_ref(), |scope| {
     full(scope, true)
   });
-  let body = body.map_err(|error| error.with_method(&head.method))?;
+  let body = body.map_err(|error| error.with_head(&head.method, id))?;
   if let Some(account) = &account {
     account.settle();
   }
@@ -379,10 +405,27 @@
   write_response(socket, &response, keep_alive)
 }
 
+/// Refuses a request that has not arrived in full and that no server would get any more.
+fn refuse_partial(hub: &Hub, socket: &mut Socket, partial: &Partial) {
+  let refusal = Refusal {
+    reason: Reason::Stopping,
+    verdict: Verdict::NotRun,
+    retry_after: Some(STOPPING_RETRY_MS),
+    shortage: None,
+  };
+  hub.measures.record_refusal(&refusal);
+  info!(hub.log, "refused"; "request" => &partial.request, "reason" => refusal.reason.as_str(),
+    "verdict" => refusal.verdict.as_str(), "partial" => true);
+  let response = relay::encode_refusal(&refusal, &partial.method, false);
+  write_response(socket, &response, false);
+}
+
 /// Reads and discards the rest of a body, for a short time: closing a connection with unread input
 /// would reset it, and its caller might not see the response.
-fn discard_input(socket: &mut Socket) {
+fn discard_input(hub: &Hub, socket: &mut Socket) {
+  let end_at = hub.shutdown().map(|shutdown| hub.instant(shutdown.end_at));
   let deadline = Moment::now() + RESPONSE_TIMEOUT;
+  let deadline = end_at.map_or(deadline, |end_at| end_at.min(deadline));
   socket.input = Vec::new();
   while let Ok(Fill::Data | Fill::Empty) = socket.fill_by(deadline) {
     socket.input.clear();
@@ -404,14 +447,39 @@
   rejected(400, error.0)
 }
 
-fn incomplete(error: io::Error, part: &str) -> ReadError {
+/// Like `Socket::fill_by`, but not beyond the time at which a planned stop refuses requests.
+fn fill_by(hub: &Hub, socket: &mut Socket, deadline: Moment) -> io::Result<Fill> {
+  loop {
+    let refuse_at = hub.shutdown().map(|times| hub.instant(times.refuse_at));
+    let until = refuse_at.map_or(deadline, |refuse_at| refuse_at.min(deadline));
+    let stop = refuse_at.is_none().then_some(&hub.stop_waker);
+    let stop = stop.map(|waker| (waker as _, Interest::Read));
+    let connection = Some((&socket.stream as _, Interest::Read));
+    let [readable, stopped] = wait([connection, stop], until)?;
+    if readable {
+      return socket.fill();
+    }
+    if !stopped {
+      return Err(io::ErrorKind::TimedOut.into());
+    }
+  }
+}
+
+/// Whether a planned stop refuses requests that have not arrived in full.
+fn refuses_partial(hub: &Hub) -> bool {
+  let shutdown = hub.shutdown();
+  shutdown.is_some_and(|times| hub.now() >= times.refuse_at)
+}
+
+fn incomplete(hub: &Hub, error: io::Error, part: &str) -> ReadError {
   match error.kind() {
+    io::ErrorKind::TimedOut if refuses_partial(hub) => ReadError::Stopping(Box::default()),
     io::ErrorKind::TimedOut => rejected(408, format!("{part}: not whole in time")),
     _ => ReadError::Closed,
   }
 }
 
-fn read_head(socket: &mut Socket, limits: &Bounds) -> Result<Request, ReadError> {
+fn read_head(hub: &Hub, socket: &mut Socket, limits: &Bounds) -> Result<Request, ReadError> {
   let deadline = Moment::now() + limits.head_timeout;
   loop {
     // Empty lines before a request are allowed.
@@ -428,8 +496,8 @@
     if socket.input.len() > limits.head_bytes {
       return Err(head_too_large(limits));
     }
-    let fill = socket.fill_by(deadline);
-    if fill.map_err(|error| incomplete(error, "head"))? == Fill::Eof {
+    let fill = fill_by(hub, socket, deadline);
+    if fill.map_err(|error| incomplete(hub, error, "head"))? == Fill::Eof {
       return Err(ReadError::Closed);
     }
   }
@@ -440,6 +508,7 @@
 }
 
 fn read_body(
+  hub: &Hub,
   socket: &mut Socket,
   head: &Request,
   limits: &Bounds,
@@ -476,29 +545,30 @@
       account.receive(held).map_err(&full)?;
     }
     let fill = match bounded {
-      Some(account) => fill_bounded(socket, deadline, account).map_err(&full)?,
-      None => socket.fill_by(deadline),
+      Some(account) => fill_bounded(hub, socket, deadline, account).map_err(&full)?,
+      None => fill_by(hub, socket, deadline),
     };
-    if fill.map_err(|error| incomplete(error, "body"))? == Fill::Eof {
+    if fill.map_err(|error| incomplete(hub, error, "body"))? == Fill::Eof {
       return Err(ReadError::Closed);
     }
   }
 }
 
-/// Like `Socket::fill_by`; an error means that the sender was chosen to be dropped.
+/// Like `fill_by`; an error means that the sender was chosen to be dropped.
 fn fill_bounded(
+  hub: &Hub,
   socket: &mut Socket,
   deadline: Moment,
   account: &Account,
 ) -> Result<io::Result<Fill>, Scope> {
   loop {
     let check_at = Moment::now() + reader::CHECK_INTERVAL;
-    let fill = socket.fill_by(check_at.min(deadline));
+    let fill = fill_by(hub, socket, check_at.min(deadline));
     let timed_out = matches!(&fill, Err(error) if error.kind() == io::ErrorKind::TimedOut);
     if account.is_dropped() {
       return Err(Scope::Instance);
     }
-    if !timed_out || Moment::now() >= deadline {
+    if !timed_out || Moment::now() >= deadline || refuses_partial(hub) {
       return Ok(fill);
     }
   }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -1,11 +1,11 @@
 //! Connects the reducer for routed requests with the threads that wait for its decisions.
 
 use crate::{
+  activity::Activity,
   admission::Admission,
   backend,
   build::resume::{Basis, Decision},
   clock::{self, Moment},
-  counter,
   customer::{Caller, Standing},
   deployment::Deployment,
   dialect::Dialect,
@@ -30,7 +30,7 @@
   io,
   sync::{
     Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
   },
   time::Duration,
 };
@@ -38,6 +38,17 @@
 /// A partition from all servers is acted on after this time; lost packets end sooner.
 const PARTITION_CONFIRMED_MS: u64 = 1_500;
 
+/// Times of a graceful shutdown, in ms on the hub's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+  /// New requests are accepted until then.
+  pub accept_until: u64,
+  /// Requests that still wait or arrive then are refused.
+  pub refuse_at: u64,
+  /// Requests that still run then are ended.
+  pub end_at: u64,
+}
+
 /// The next action of a request's thread.
 #[derive(Clone, Debug)]
 pub enum Directive {
@@ -119,16 +130,16 @@
   pub gates: Gates,
   /// Whether a graceful shutdown has started.
   pub stopping: AtomicBool,
-  /// When requests that still run end because the process exits, in ms.
-  end_at: AtomicU64,
+  /// Its times, once it has started.
+  shutdown: OnceLock<Shutdown>,
   /// Signalled when a graceful shutdown starts.
   pub stop_waker: Waker,
   /// Signalled when demand should be reported to the planner.
   pub report_waker: Waker,
   /// Wakes the planner without a report.
   planner_waker: OnceLock<Arc<Waker>>,
-  /// Number of requests in progress.
-  pub active: AtomicUsize,
+  /// Requests in progress.
+  pub active: Activity,
   /// Connections of callers, once their port is bound.
   pub admission: OnceLock<Admission>,
   /// Bytes held for callers, if they are bounded.
@@ -167,11 +178,11 @@
       measures,
       gates: Gates::new(),
       stopping: AtomicBool::new(false),
-      end_at: AtomicU64::new(u64::MAX),
+      shutdown: OnceLock::new(),
       stop_waker: Waker::new()?,
       report_waker: Waker::new()?,
       planner_waker: OnceLock::new(),
-      active: AtomicUsize::new(0),
+      active: Activity::default(),
       admission: OnceLock::new(),
       readers: OnceLock::new(),
       standings: Mutex::default(),
@@ -242,11 +253,14 @@
 
   /// Whether a connection stays open after the response to its request.
   pub fn keeps_alive(&self, request: &Request) -> bool {
-    let active = self.active.load(Ordering::Relaxed);
+    let active = self.active.count();
     let has_room = |admission: &Admission| admission.keeps_idle(self.now(), active);
-    request.keep_alive()
-      && !self.stopping.load(Ordering::Relaxed)
-      && self.admission.get().is_none_or(has_room)
+    request.keep_alive() && !self.is_stopping() && self.admission.get().is_none_or(has_room)
+  }
+
+  /// Whether a graceful shutdown has started.
+  pub fn is_stopping(&self) -> bool {
+    self.stopping.load(Ordering::Acquire)
   }
 
   /// The shortest objective of the deployment's routes, in ms.
@@ -316,11 +330,6 @@
     })
   }
 
-  /// Counts a request as active until the guard is dropped.
-  pub(crate) fn begin(&self) -> counter::Guard<'_> {
-    counter::Guard::add(&self.active).0
-  }
-
   fn reduce(&self, event: Event) -> Vec<Effect> {
     let mut state = self.state();
     let now = self.now();
@@ -419,15 +428,20 @@
     }
   }
 
+  /// The times of a graceful shutdown; `None` before it.
+  pub fn shutdown(&self) -> Option<&Shutdown> {
+    self.shutdown.get()
+  }
+
   /// When requests that still run end because the process exits, in ms.
   pub fn end_at(&self) -> u64 {
-    self.end_at.load(Ordering::Relaxed)
+    self.shutdown().map_or(u64::MAX, |shutdown| shutdown.end_at)
   }
 
-  /// Starts a graceful shutdown. Requests that still run end at `end_at`, in ms.
-  pub fn stop(&self, end_at: u64) {
-    self.end_at.store(end_at, Ordering::Relaxed);
-    // Who sees that the shutdown has started also sees when requests end.
+  /// Starts a graceful shutdown.
+  pub fn stop(&self, shutdown: Shutdown) {
+    self.shutdown.get_or_init(|| shutdown);
+    // Who sees that the shutdown has started also sees its times.
     self.stopping.store(true, Ordering::Release);
     self.stop_waker.wake();
   }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! A library with thin daemons. A single reducer turns events into effects; the threads
 //! around it carry out the effects as calls and report the results as events.
 
+pub mod activity;
 pub mod admission;
 pub mod admit;
 mod allocator;
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,20 +7,13 @@
   dispatch::{Change, Event, State},
   edge::Edge,
   entry, essential, feed, health,
-  hub::Hub,
+  hub::{Hub, Shutdown},
   planner, reader,
   settings::{self, Settings},
   store::Object,
 };
 use slog::{Logger, info, warn};
-use std::{
-  collections::HashMap,
-  io,
-  net::SocketAddr,
-  sync::{Arc, atomic::Ordering},
-  thread,
-  time::Duration,
-};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 /// Load balancers remove an instance after two failed health checks, one each second, and send new
 /// connections until then.
@@ -114,23 +107,30 @@
   /// have ended.
   pub fn stop(&self) {
     let started = Moment::now();
-    let active = || self.hub.active.load(Ordering::Relaxed);
-    info!(self.hub.log, "stopping"; "active" => active());
+    let active = &self.hub.active;
+    info!(self.hub.log, "stopping"; "active" => active.count());
     let refuse_after_ms = self.grace.saturating_sub(REFUSAL_RESERVE).as_millis() as u64;
     let exit_after = self.grace.max(BALANCER_REMOVAL);
     let end_after_ms = (exit_after - END_RESERVE).as_millis() as u64;
     let now = self.hub.now();
-    self.hub.stop(now + end_after_ms);
-    let stopping = Event::Stopping {
+    let shutdown = Shutdown {
       accept_until: now + BALANCER_REMOVAL.as_millis() as u64 - REMOVAL_MARGIN_MS,
-      refuse_waiting_at: now + refuse_after_ms,
+      refuse_at: now + refuse_after_ms,
       end_at: now + end_after_ms,
     };
+    self.hub.stop(shutdown);
+    let stopping = Event::Stopping {
+      accept_until: shutdown.accept_until,
+      refuse_waiting_at: shutdown.refuse_at,
+      end_at: shutdown.end_at,
+    };
     self.hub.apply(stopping, None);
-    while started.elapsed() < BALANCER_REMOVAL || (active() > 0 && started.elapsed() < self.grace) {
+    thread::sleep(BALANCER_REMOVAL.saturating_sub(started.elapsed()));
+    while started.elapsed() < self.grace && !active.close_if_idle() {
       thread::sleep(STOP_CHECK_INTERVAL);
     }
-    info!(self.hub.log, "stopped"; "active" => active(),
+    active.close();
+    info!(self.hub.log, "stopped"; "active" => active.count(),
       "took_ms" => started.elapsed().as_millis() as u64);
   }
 }
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -115,6 +115,9 @@
       return;
     }
   };
+  let Some(_active) = hub.active.begin() else {
+    return;
+  };
   let mut server = match connect(hub, &opening, others) {
     Ok(server) => server,
     Err((status, why)) => {
@@ -126,10 +129,8 @@
   // A response that the close of its connection delimits must not look complete unless it is.
   set_reset_on_close(hub, &peer, true);
   answer(&mut peer, 200, "connected");
-  let active = hub.begin();
   let until = started + opening.remaining + DEADLINE_MARGIN;
   let end = pipe::run(&mut peer, &mut server, until);
-  drop(active);
   info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
     "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
   if end == End::Finished {
@@ -179,7 +180,7 @@
   if hub.stopping.load(Ordering::Relaxed) {
     return Err((STATUS_UNAVAILABLE, "stopping"));
   }
-  let own_requests = hub.active.load(Ordering::Relaxed).saturating_sub(others);
+  let own_requests = hub.active.count().saturating_sub(others + 1);
   if others + own_requests / REQUESTS_PER_TUNNEL >= MAX_TUNNELS {
     return Err((STATUS_UNAVAILABLE, "too many tunnels"));
   }
