Responses say that a stop closes their connection, and the next request on others is answered

What callers saw: each one that keeps its connection has the request that follows SIGTERM closed unread, once. A caller that cannot tell unread from lost has to give up a request that may not be repeated. Cause: whether a connection stays open was decided when its request arrived, so responses written after the signal did not say `Connection: close`, and the connection was closed all the same; idle ones were closed at once, also those whose next request had arrived already.

Change: it is decided when the head is written (answers, refusals, failures, streams). Connections that were not told stay open until new requests are refused, or 1 s after the response if that is later, and the process waits for these; the next request gets an answer or a 503 that says that the connection is closed. A pipelined request that was read already is answered first.

Ruled out: closing idle connections at once, with a half-close first: what crosses it can only stay unread. A request that crosses the close of a connection without traffic for 2.7 s still does.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -34,7 +34,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time limit for writing a short response that this instance creates itself.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for the first byte on a connection that is accepted during a planned stop.
+/// Time limit for the first byte on a connection that is accepted during a planned stop, and for the
+/// next request on one whose last response did not say that it is closed.
 const STOPPING_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Retry delay for a request that is refused because no configuration is known.
 const UNCONFIGURED_RETRY_MS: u64 = 300;
@@ -247,11 +248,14 @@
   };
   let mailbox = Arc::new(mailbox);
   let mut first = true;
+  // Held until the next request if the response before it has not said that the connection closes.
+  let mut kept = None;
   loop {
     let ready = wait_for_request(hub, &mut socket, std::mem::take(&mut first));
-    let Ok(Some(_active)) = ready else {
+    let Ok(Some(active)) = ready else {
       return;
     };
+    drop(kept.take());
     match read_request(hub, &mut socket) {
       Ok(received) => match respond(hub, &mailbox, &mut socket, received) {
         Disposition::Keep => {}
@@ -260,7 +264,7 @@
       },
       Err(ReadError::Closed) => return,
       Err(ReadError::Full(full)) => {
-        let keep_alive = !full.partial;
+        let keep_alive = !full.partial && !hub.closes(&socket);
         let written = refuse_full(hub, &mut socket, &full, keep_alive);
         if written != Disposition::Keep {
           discard_input(hub, &mut socket);
@@ -281,6 +285,7 @@
         return close(socket);
       }
     }
+    kept = hub.is_stopping().then_some(active);
   }
 }
 
@@ -311,8 +316,9 @@
 }
 
 /// Waits for the first byte of the next request; returns `None` if the connection is to be closed.
-/// A planned stop closes idle connections. New connections are still served, because a load
-/// balancer that does not know of the stop yet keeps opening them.
+/// A planned stop closes idle connections, but not at once: the next request may be on its way, and
+/// the response to it says that the connection is closed. New connections are still served, because
+/// a load balancer that does not know of the stop yet keeps opening them.
 fn wait_for_request<'a>(
   hub: &'a Hub,
   socket: &mut Socket,
@@ -322,11 +328,8 @@
   let mut idle_deadline = idle_since + limits(hub).idle_timeout;
   while socket.input.is_empty() {
     let stopping = hub.is_stopping();
-    if stopping && !first {
-      return Ok(None);
-    }
     let deadline = match stopping {
-      true => idle_deadline.min(Moment::now() + STOPPING_IDLE_TIMEOUT),
+      true => idle_deadline.min(stopping_deadline(hub, idle_since, first)),
       false => idle_deadline,
     };
     let stop = (!stopping).then_some((&hub.stop_waker as _, Interest::Read));
@@ -356,6 +359,17 @@
   Ok(hub.active.begin())
 }
 
+/// Until when a planned stop leaves an idle connection open.
+fn stopping_deadline(hub: &Hub, idle_since: Moment, first: bool) -> Moment {
+  match hub.shutdown() {
+    Some(shutdown) if !first => {
+      let accept_until = hub.instant(shutdown.accept_until);
+      accept_until.max(idle_since + STOPPING_IDLE_TIMEOUT)
+    }
+    _ => Moment::now() + STOPPING_IDLE_TIMEOUT,
+  }
+}
+
 /// Reads a request whose first byte has arrived, within the limits of the current deployment.
 fn read_request(hub: &Hub, socket: &mut Socket) -> Result<Received, ReadError> {
   let arrived = hub.now();
@@ -596,7 +610,7 @@
     account,
   } = received;
   let deployment = known_deployment(hub);
-  let keep_alive = hub.keeps_alive(&head);
+  let keep_alive = hub.keeps_alive(&head) && !hub.closes(socket);
   let Some(deployment) = deployment else {
     let refusal = Refusal {
       reason: Reason::PlatformUnavailable,
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -20,7 +20,7 @@
   readiness::Readiness,
   refusal::Refusal,
   request::Ticket,
-  socket::Waker,
+  socket::{Socket, Waker},
   tunnel::{Paths, Peers},
   upstream::Pool,
 };
@@ -251,11 +251,17 @@
     readiness
   }
 
-  /// Whether a connection stays open after the response to its request.
+  /// Whether a connection stays open after the response to its request, unless a planned stop closes it.
   pub fn keeps_alive(&self, request: &Request) -> bool {
     let active = self.active.count();
     let has_room = |admission: &Admission| admission.keeps_idle(self.now(), active);
-    request.keep_alive() && !self.is_stopping() && self.admission.get().is_none_or(has_room)
+    request.keep_alive() && self.admission.get().is_none_or(has_room)
+  }
+
+  /// Whether a planned stop closes a connection after the response that is written now. A request on
+  /// it that has been read already is answered first.
+  pub fn closes(&self, caller: &Socket) -> bool {
+    self.is_stopping() && caller.input.is_empty()
   }
 
   /// Whether a graceful shutdown has started.
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -77,7 +77,11 @@
     }
   }
 
-  fn keep_alive(&self) -> bool {
+  /// Whether the connection stays open after the response whose head is written now.
+  fn keep_alive(&mut self) -> bool {
+    if self.disposition == Disposition::Keep && self.hub.closes(self.caller) {
+      self.disposition = Disposition::Close;
+    }
     self.disposition == Disposition::Keep
   }
 
