A request whose body its server takes slowly ends with its time, and with a stop

What callers saw: a request that may not be repeated, read whole and sent on in part, has its connection closed without any response when its instance exits (LOST). Cause: the body was written for as long as the server took some of it, beyond the request's deadline and the end of a stop; only the response was awaited within both. Change: the write ends at the request's deadline and when a stop ends what still runs, as the wait for the response does; the caller gets a 504.

Ruled out: ending it when nobody has read for some time; a server that is merely slow may finish.

--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -197,6 +197,15 @@
     self.deadline.min(self.hub.end_at())
   }
 
+  /// The outcome of a send that is still under way when the request ends.
+  fn time_over(&self) -> Option<Outcome> {
+    let now = self.hub.now();
+    match now >= self.deadline {
+      true => Some(outcome(End::Late, "time over")),
+      false => (now >= self.end_at()).then(|| outcome(End::Late, "instance exits")),
+    }
+  }
+
   /// Like `read_server`, but goes on waiting for a silent server while no other one can take the
   /// request: silence does not show that it has given the run up.
   pub(super) fn read_patiently(
@@ -274,12 +283,8 @@
           self.disposition = Disposition::Close;
           return Err(outcome(End::Left, "caller left"));
         }
-      } else if self.hub.now() >= self.end_at() {
-        let why = match self.hub.now() >= self.deadline {
-          true => "time over",
-          false => "instance exits",
-        };
-        return Err(outcome(End::Late, why));
+      } else if let Some(result) = self.time_over() {
+        return Err(result);
       } else if Moment::now() >= timeout_at {
         return Err(outcome(End::Broken, STALLED));
       }
@@ -299,7 +304,7 @@
   /// written.
   fn write_request(&mut self, socket: &mut Socket, bytes: &[u8]) -> Result<bool, Outcome> {
     let mut remaining = bytes;
-    let until = self.hub.instant(self.read_deadline(false));
+    let until = self.read_deadline(false);
     loop {
       match socket.try_write(remaining) {
         Ok(length) => remaining = &remaining[length..],
@@ -309,15 +314,24 @@
       if remaining.is_empty() {
         return Ok(true);
       }
+      let stopping = self.hub.is_stopping();
+      if let Some(result) = self.time_over() {
+        return Err(result);
+      }
       let server = Some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Write));
       let response = Some((&socket.stream as &dyn rustix::fd::AsFd, Interest::Read));
-      let Ok([writable, readable]) = wait([server, response], until) else {
+      let stop = (!stopping).then_some((
+        &self.hub.stop_waker as &dyn rustix::fd::AsFd,
+        Interest::Read,
+      ));
+      let wait_until = self.hub.instant(until.min(self.end_at()));
+      let Ok([writable, readable, _]) = wait([server, response, stop], wait_until) else {
         return Err(outcome(End::Broken, "wait failed"));
       };
       if readable && !writable {
         return Ok(false);
       }
-      if !writable {
+      if !writable && self.hub.now() >= until {
         return Err(outcome(End::Broken, "server takes no bytes"));
       }
     }
