Crashes: servers that end together count once for a content

What callers saw: a content that all callers of a route share was refused for half an hour after three servers had ended at one moment under it.

Cause: each crashed server was a crash of the content, also where one event took several servers.

Change: servers whose crashes become known within 150 ms count as one crash of a content. It is suspected and asked about as soon as before, and its copies run one at a time from then on, so two more crashes tell a request that crashes servers. A report that was lost and comes with the first repeat counts with its event.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -16,10 +16,13 @@
   collections::{BTreeMap, BTreeSet},
 };
 
-/// Crashes after which a request is blamed. A request that only ran beside a culprit may be in
+/// Crashes, one after the other, after which a request is blamed. A request that only ran beside a culprit may be in
 /// two, because most routes allow two sends.
 pub const CULPRIT_CRASHES: usize = 3;
-/// Crashes after which a request waits for its turn.
+/// Servers that end within this time end together, as those on one machine do, and count as one crash. A
+/// report that was lost is repeated within it.
+const TOGETHER_MS: u64 = 150;
+/// Crashed servers after which a request waits for its turn.
 pub const SUSPECT_CRASHES: usize = 2;
 /// Two contents that were in the same crashes are both quarantined after this time: within it
 /// the innocent one is mostly served. Half of 3 s, the shortest time within which deployments
@@ -57,8 +60,8 @@
 /// A content whose runs ended in crashes.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-  /// Runs by crashed server.
-  servers: BTreeMap<Life, BTreeSet<u32>>,
+  /// Its runs, by crashed server.
+  servers: BTreeMap<Life, Ended>,
   /// Lowest and highest progress of its runs, in ms.
   progress: Option<(u32, u32)>,
   /// When the last crash was reported, in ms.
@@ -70,6 +73,14 @@
   culprit_since: Option<u64>,
 }
 
+/// The runs of a content at a server that crashed.
+#[derive(Clone, Debug, Default)]
+struct Ended {
+  /// When the crash was first reported, in ms.
+  at: u64,
+  runs: BTreeSet<u32>,
+}
+
 /// Evidence against a content, in order of precedence: crashes, whether its runs had similar
 /// progress, and runs.
 type Score = (usize, bool, usize);
@@ -86,23 +97,24 @@
       .map_or(0, |(lowest, highest)| highest - lowest)
   }
 
+  /// Its runs at the servers whose crashes are not explained.
+  fn unexplained(&self, explained: &BTreeSet<Life>) -> impl Iterator<Item = &Ended> {
+    let servers = self.servers.iter();
+    let unexplained = servers.filter(|(server, _)| !explained.contains(server));
+    unexplained.map(|(_, ended)| ended)
+  }
+
   fn score(&self, explained: &BTreeSet<Life>) -> Score {
-    let unexplained = self.servers.iter();
-    let unexplained = unexplained.filter(|(server, _)| !explained.contains(server));
-    unexplained.fold(
-      (0, self.has_similar_progress(), 0),
-      |(crashes, similar_progress, runs), (_, server_runs)| {
-        (crashes + 1, similar_progress, runs + server_runs.len())
-      },
-    )
+    let crashes = count_crashes(self.unexplained(explained));
+    let runs = self.unexplained(explained).map(|ended| ended.runs.len());
+    (crashes, self.has_similar_progress(), runs.sum())
   }
 
   /// Whether the crashes that are not explained are too few to blame it. Another instance may have
   /// blamed it for crashes that are unknown here.
   fn is_cleared_by(&self, explained: &BTreeSet<Life>) -> bool {
-    let servers = self.servers.keys();
-    let unexplained = servers.filter(|server| !explained.contains(server)).count();
-    let is_known = self.servers.len() >= CULPRIT_CRASHES;
+    let unexplained = count_crashes(self.unexplained(explained));
+    let is_known = count_crashes(self.servers.values()) >= CULPRIT_CRASHES;
     unexplained == 0 || (is_known && unexplained < CULPRIT_CRASHES)
   }
 
@@ -114,6 +126,21 @@
   }
 }
 
+/// Number of crashes, where servers that ended together count once.
+fn count_crashes<'a>(ended: impl Iterator<Item = &'a Ended>) -> usize {
+  let mut times: Vec<u64> = ended.map(|ended| ended.at).collect();
+  times.sort_unstable();
+  let mut crashes = 0;
+  let mut counted_until = 0;
+  for at in times {
+    if crashes == 0 || at >= counted_until {
+      crashes += 1;
+      counted_until = at + TOGETHER_MS;
+    }
+  }
+  crashes
+}
+
 /// A content found to cause crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Culprit {
@@ -174,7 +201,11 @@
       });
       suspect.last_seen = now;
       let known_servers = suspect.servers.len();
-      let runs = suspect.servers.entry(crash.server).or_default();
+      let ended = suspect.servers.entry(crash.server).or_insert(Ended {
+        at: now,
+        ..Ended::default()
+      });
+      let runs = &mut ended.runs;
       if runs.len() < MAX_RUNS_PER_CRASH && runs.insert(crash.run) {
         let (lowest, highest) = suspect.progress.unwrap_or((u32::MAX, 0));
         let progress = crash.progress_ms;
@@ -183,7 +214,7 @@
       if suspect.servers.len() > known_servers {
         self.unanalyzed_since.get_or_insert(now);
       }
-      if suspect.servers.len() >= CULPRIT_CRASHES {
+      if count_crashes(suspect.servers.values()) >= CULPRIT_CRASHES {
         suspect.culprit_since.get_or_insert(now);
       }
     }
@@ -336,8 +367,8 @@
     turns.collect()
   }
 
-  /// Returns the contents in two or more unexplained crashes that may be to blame, each as the
-  /// difference in progress of its runs in ms, the content and its number of crashes.
+  /// Returns the contents at two or more servers whose crashes are not explained that may be to blame,
+  /// each as the difference in progress of its runs in ms, the content and its number of servers.
   fn unexplained_suspects(&self, now: u64) -> Vec<(u32, content::Key, usize)> {
     let cover = self.cover(now);
     let suspects = self.suspects.iter();
@@ -346,8 +377,8 @@
         suspect.has_similar_progress() && !self.quarantined.contains_key(content)
       })
       .map(|(content, suspect)| {
-        let (crashes, ..) = suspect.score(&cover.explained);
-        (suspect.progress_spread_ms(), *content, crashes)
+        let servers = suspect.unexplained(&cover.explained).count();
+        (suspect.progress_spread_ms(), *content, servers)
       })
       .filter(|(.., crashes)| *crashes >= SUSPECT_CRASHES)
       .collect()
