A connection that broke has no end

Seen: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports a reset once. The write that failed took it, and the next reads returned what had arrived and then an end of the input, which ends a body without a length.

Ruled out: the check whether the server has crashed (it goes on listening); the decoder and the forwarding of the body, which see an ordinary end.

Change: a socket remembers that it broke, whether a read or a write met that first, and the end of its input is an error from then on. A broken pipe is no break: there the peer had ended its side before, and its answer is whole.

--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -308,7 +308,7 @@
     loop {
       match socket.try_write(remaining) {
         Ok(length) => remaining = &remaining[length..],
-        // Data received before the connection broke may be a response.
+        // Data received before the connection broke may be a response, if it states its end.
         Err(_) => return Ok(false),
       }
       if remaining.is_empty() {
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -135,6 +135,9 @@
   pub input: Vec<u8>,
   /// Requests that a connection to a server has carried.
   pub carried: Carried,
+  /// Whether the connection broke before its peer ended it. The system reports that once, to a read or
+  /// a write, and an end of the input from then on.
+  broken: bool,
 }
 
 /// Ends a connection whose peer no longer responds.
@@ -157,6 +160,7 @@
       stream,
       input: Vec::new(),
       carried: Carried::default(),
+      broken: false,
     })
   }
 
@@ -172,6 +176,7 @@
       stream: raw.into(),
       input: Vec::new(),
       carried: Carried::default(),
+      broken: false,
     })
   }
 
@@ -195,11 +200,13 @@
     SockRef::from(&self.stream).set_linger(reset.then_some(Duration::ZERO))
   }
 
-  /// Reads available data into the input buffer.
+  /// Reads available data into the input buffer. The end of a connection that broke is an error, even if
+  /// a write has met the break first.
   pub fn fill(&mut self) -> io::Result<Fill> {
     let mut bytes = [0; READ_BYTES];
     loop {
       match self.stream.read(&mut bytes) {
+        Ok(0) if self.broken => return Err(io::ErrorKind::ConnectionReset.into()),
         Ok(0) => return Ok(Fill::Eof),
         Ok(length) => {
           self.input.extend_from_slice(&bytes[..length]);
@@ -207,11 +214,18 @@
         }
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(Fill::Empty),
         Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-        Err(error) => return Err(error),
+        Err(error) => return Err(self.record_break(error)),
       }
     }
   }
 
+  /// A pipe is reported as broken where the peer had ended its side before, and all that it sent can be
+  /// read.
+  fn record_break(&mut self, error: io::Error) -> io::Error {
+    self.broken |= error.kind() != io::ErrorKind::BrokenPipe;
+    error
+  }
+
   /// Writes as much as possible without blocking; returns the number of bytes written.
   pub fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
     loop {
@@ -220,7 +234,7 @@
         Ok(length) => return Ok(length),
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(0),
         Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-        Err(error) => return Err(error),
+        Err(error) => return Err(self.record_break(error)),
       }
     }
   }
