A status without a class is no response

Cause: any three digits counted as a status.

Change: a status outside 100 to 599 (RFC 9110, section 15) makes a head invalid, in responses of servers, the store, orders, reports and other instances, and in the calls to the product's own engines and services.

--- a/src/call.rs
+++ b/src/call.rs
@@ -3,7 +3,7 @@
 //! Each call uses a new connection: if a reused connection fails, it is unknown whether the server
 //! received the request. Calls are not retried and redirects are not followed.
 
-use crate::verdict::Verdict;
+use crate::{http::STATUSES, verdict::Verdict};
 use std::{
   sync::{
     Arc,
@@ -102,13 +102,21 @@
     .build();
   let connector = TcpConnector::default().chain(SendRecorder(sent.clone()));
   let agent = Agent::with_parts(config, connector, DefaultResolver::default());
-  agent.run(request).map_err(|error| Failure {
+  let response = agent.run(request).map_err(|error| Failure {
     verdict: match sent.load(Ordering::Relaxed) {
       true => Verdict::MayHaveRun,
       false => Verdict::NotRun,
     },
     text: error.to_string(),
-  })
+  })?;
+  let status = response.status().as_u16();
+  match STATUSES.contains(&status) {
+    true => Ok(response),
+    false => Err(Failure {
+      verdict: Verdict::MayHaveRun,
+      text: format!("head: status `{status:03}` has no class"),
+    }),
+  }
 }
 
 /// Creates a POST request with a JSON body.
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,7 +3,7 @@
 //! Parsing is strict to prevent request smuggling: a message that two parsers could split
 //! differently is an error.
 
-use std::fmt::Write;
+use std::{fmt::Write, ops::RangeInclusive};
 
 /// Maximum number of headers of a message.
 const MAX_HEADERS: usize = 100;
@@ -11,6 +11,8 @@
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 /// Maximum length of a chunk's size line and of a trailer line.
 const MAX_LINE_BYTES: usize = 256;
+/// Statuses that have a class (RFC 9110, section 15). A response with another one is invalid.
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// Describes why a message is invalid.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -248,8 +250,12 @@
     if is_joined(&bytes[..length]) {
       return Err(Error("head: a status line is within it".into()));
     }
+    let status = parsed.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+      return Err(Error(format!("head: status `{status:03}` has no class")));
+    }
     let response = Self {
-      status: parsed.code.unwrap_or_default(),
+      status,
       reason: parsed.reason.unwrap_or_default().into(),
       minor: parsed.version.unwrap_or(1),
       headers: convert_headers(parsed.headers),
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -131,6 +131,23 @@
   assert_eq!(decode_chunked(trailer, 256), Ok(expected));
 }
 
+/// A status that HTTP does not define was read as that of a response.
+#[test]
+fn a_status_without_a_class_is_a_fault() {
+  for status in ["000", "099", "600", "999"] {
+    let head = format!("HTTP/1.1 {status} Odd\r\n\r\n");
+    let parsed = Response::parse(head.as_bytes());
+    assert!(parsed.is_err(), "{status}: {parsed:?}");
+  }
+  for status in ["100", "599"] {
+    let head = format!("HTTP/1.1 {status} Any\r\n\r\n");
+    assert!(
+      matches!(Response::parse(head.as_bytes()), Ok(Some(_))),
+      "{status}"
+    );
+  }
+}
+
 #[test]
 fn headers_of_one_connection_are_not_passed_on() {
   let text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nKeep-Alive: timeout=5\r\n\
--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -235,3 +235,35 @@
     assert_eq!(result.err(), Some(Failure::NoAnswer), "`{response}`");
   }
 }
+
+/// Guards against a call that counts as answered by a response whose status HTTP does not define, or whose
+/// head another reader would split differently.
+#[test]
+fn a_response_with_a_malformed_head_is_none() {
+  let heads = [
+    "000 Odd\r\n",
+    "099 Odd\r\n",
+    "600 Odd\r\n",
+    "999 Odd\r\n",
+    "200 OK\r\nX Name: a\r\n",
+    "200 OK\r\nX-Name : a\r\n",
+    "200 OK\r\nX-\x01Name: a\r\n",
+    "200 OK\r\n folded\r\n",
+    "200 OK\r\nX-Name: a\r\n folded\r\n",
+  ];
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  thread::spawn(move || {
+    for head in heads {
+      let (mut stream, _) = listener.accept().unwrap();
+      let _ = stream.read(&mut [0; 1024]).unwrap();
+      let bytes = format!("HTTP/1.1 {head}Content-Length: 2\r\n\r\n{{}}");
+      stream.write_all(bytes.as_bytes()).unwrap();
+    }
+  });
+  let client = Client::default();
+  for head in heads {
+    let result = client.send(address, &get());
+    assert_eq!(result.err(), Some(Failure::NoAnswer), "`{head:?}`");
+  }
+}
