Trailers have a bound and are fields

Cause: each trailer line had a bound, all of them had none, so a body of which only the end was missing was read up to the end of its request's time: 1,490 ms with a deadline of 1,500 ms.

Ruled out: memory (grew by 240 KiB).

Change: the trailers of a body have 64 KiB at most, and a line that is no field is an error.

--- a/src/http.rs
+++ b/src/http.rs
@@ -11,6 +11,8 @@
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 /// Maximum length of a chunk's size line and of a trailer line.
 const MAX_LINE_BYTES: usize = 256;
+/// Maximum size of the trailers of a body.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
 /// Statuses that have a class (RFC 9110, section 15). A response with another one is invalid.
 pub const STATUSES: RangeInclusive<u16> = 100..=599;
 
@@ -173,6 +175,21 @@
   }
 }
 
+/// Checks that a trailer line is a field. Empty is the line that ends the trailers.
+fn check_trailer(line: &[u8]) -> Result<(), Error> {
+  check_line(line)?;
+  if line.is_empty() {
+    return Ok(());
+  }
+  // The parser of heads takes a line with the end of a head behind it.
+  let line = [line, b"\r\n\r\n"].concat();
+  match httparse::parse_headers(&line, &mut [httparse::EMPTY_HEADER; 1]) {
+    Ok(httparse::Status::Complete(_)) => Ok(()),
+    Ok(httparse::Status::Partial) => Err(Error("body: a trailer is cut".into())),
+    Err(error) => Err(Error(format!("body: trailer: {error}"))),
+  }
+}
+
 impl Request {
   /// Parses the request head at the start of `bytes` and returns it with its length in bytes;
   /// `None` if the head is incomplete.
@@ -384,6 +401,8 @@
   framing: Framing,
   remaining: u64,
   expected: Expected,
+  /// Size of the trailers so far.
+  trailer_bytes: usize,
   complete: bool,
 }
 
@@ -398,6 +417,7 @@
       framing,
       remaining,
       expected: Expected::Size,
+      trailer_bytes: 0,
       complete: matches!(framing, Framing::Empty | Framing::Length(0)),
     }
   }
@@ -488,7 +508,13 @@
             false => Ok(0),
           };
         };
-        check_line(&bytes[..end])?;
+        check_trailer(&bytes[..end])?;
+        self.trailer_bytes += end;
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+          return Err(Error(format!(
+            "body: more than {MAX_TRAILER_BYTES} bytes of trailers"
+          )));
+        }
         self.complete = end == 0;
         Ok(end + 2)
       }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -131,6 +131,31 @@
   assert_eq!(decode_chunked(trailer, 256), Ok(expected));
 }
 
+/// Trailers without end were read up to the end of a request's time.
+#[test]
+fn trailers_without_end_are_a_fault() {
+  let trailers = "X-Name: value\r\n".repeat(10_000);
+  let body = format!("4\r\nfour\r\n0\r\n{trailers}");
+  assert!(decode_chunked(body.as_bytes(), 4_096).is_err());
+}
+
+/// A line that is no field was taken for a trailer.
+#[test]
+fn a_trailer_whose_name_is_malformed_is_a_fault() {
+  for line in [
+    "X Name: a",
+    "X-Name : a",
+    "X-\x01Name: a",
+    " folded",
+    ": a",
+    "X-Name",
+  ] {
+    let body = format!("4\r\nfour\r\n0\r\n{line}\r\n\r\n");
+    let decoded = decode_chunked(body.as_bytes(), 64);
+    assert!(decoded.is_err(), "{line:?}: {decoded:?}");
+  }
+}
+
 /// A status that HTTP does not define was read as that of a response.
 #[test]
 fn a_status_without_a_class_is_a_fault() {
