Tunnels pass on responses that come before their request is written

Seen (a test, no report): an instance that reaches servers through another one loses responses that come before their request is written, though their server has ended them: 24 of 24 callers get a 502; on direct connections 16 of 16 get the response.

Cause: a tunnel ended with a reset as soon as a write to the server failed, whatever the server had sent before. And where it ended in order, its close reset the connection all the same while the opener was still sending.

Ruled out: the opener's own reads (direct connections are read by the same code).

Change: a tunnel whose server reads no further discards the rest of the request and passes on what the server has sent, up to its end or its reset. A tunnel that has finished ends its side and waits for the opener to close, until the request's time is over.

--- a/src/tunnel/pipe.rs
+++ b/src/tunnel/pipe.rs
@@ -4,6 +4,7 @@
   clock::Moment,
   socket::{Fill, Interest, READ_BYTES, Socket, wait},
 };
+use std::{io, net::Shutdown};
 
 /// How a tunnel ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,10 +33,13 @@
 /// Passes bytes on until either side ends. Each direction holds at most two reads.
 pub(super) fn run(peer: &mut Socket, server: &mut Socket, until: Moment) -> End {
   let mut server_ended = false;
+  // A server that reads no further may have responded before.
+  let mut server_reads = true;
   loop {
     // A connection's input is what it has read and the other one has not written yet.
-    if pass_on(peer, server).is_err() {
-      return End::Broken;
+    server_reads &= pass_on(peer, server).is_ok();
+    if !server_reads {
+      peer.input.clear();
     }
     if pass_on(server, peer).is_err() {
       return End::Closed;
@@ -43,13 +47,13 @@
     if server_ended && server.input.is_empty() {
       return End::Finished;
     }
-    let reads = |socket: &Socket| socket.input.len() < READ_BYTES;
-    let peer_reads = reads(peer).then_some((&peer.stream as _, Interest::Read));
-    let server_reads =
-      (!server_ended && reads(server)).then_some((&server.stream as _, Interest::Read));
-    let peer_writes = (!server.input.is_empty()).then_some((&peer.stream as _, Interest::Write));
-    let server_writes = (!peer.input.is_empty()).then_some((&server.stream as _, Interest::Write));
-    let sources = [peer_reads, server_reads, peer_writes, server_writes];
+    let has_room = |socket: &Socket| socket.input.len() < READ_BYTES;
+    let peer_input = has_room(peer).then_some((&peer.stream as _, Interest::Read));
+    let server_input =
+      (!server_ended && has_room(server)).then_some((&server.stream as _, Interest::Read));
+    let peer_output = (!server.input.is_empty()).then_some((&peer.stream as _, Interest::Write));
+    let server_output = (!peer.input.is_empty()).then_some((&server.stream as _, Interest::Write));
+    let sources = [peer_input, server_input, peer_output, server_output];
     let Ok([peer_ready, server_ready, ..]) = wait(sources, until) else {
       return End::Broken;
     };
@@ -69,8 +73,21 @@
   }
 }
 
+/// Ends the connection to the instance that opened a finished tunnel, and discards what that still sends until it
+/// closes the connection: a close with unread input would reset it.
+pub(super) fn finish(peer: &mut Socket, until: Moment) -> io::Result<()> {
+  peer.stream.shutdown(Shutdown::Write)?;
+  while peer.fill_by(until)? != Fill::Eof {
+    peer.input.clear();
+    if Moment::now() >= until {
+      return Err(io::ErrorKind::TimedOut.into());
+    }
+  }
+  Ok(())
+}
+
 /// Writes what `from` has read to `to`, as much as fits.
-fn pass_on(from: &mut Socket, to: &mut Socket) -> std::io::Result<()> {
+fn pass_on(from: &mut Socket, to: &mut Socket) -> io::Result<()> {
   if !from.input.is_empty() {
     let length = to.try_write(&from.input)?;
     from.input.drain(..length);
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -131,11 +131,15 @@
   answer(&mut peer, 200, "connected");
   let until = started + opening.remaining + DEADLINE_MARGIN;
   let end = pipe::run(&mut peer, &mut server, until);
-  info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
-    "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
   if end == End::Finished {
     set_reset_on_close(hub, &peer, false);
+    if let Err(error) = pipe::finish(&mut peer, until) {
+      info!(hub.log, "end of a tunnel was not awaited"; "request" => &opening.request,
+        "from" => %from, "error" => %error);
+    }
   }
+  info!(hub.log, "tunnel ended"; "request" => &opening.request, "server" => &opening.server,
+    "from" => %from, "end" => end.as_str(), "took_ms" => started.elapsed().as_millis() as u64);
 }
 
 fn set_reset_on_close(hub: &Hub, peer: &Socket, reset: bool) {
