Each call bounds its answer by what it expects

Seen (a test, no report): 48 servers that answered queries with 15 MB each made an instance grow by 356,088 KiB from 7,744; instances have 120 to 260 MB. An order counted as done by an answer of 15 MB.

Cause: any call took up to 16 MiB, whatever it expected, and 24 orders, 24 queries, two feeds and two calls for records may run at once: 832 MiB.

Ruled out: what is skipped in front of a response (bounded, and discarded as it arrives).

A length beyond the bound is an error before the body is read.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -15,8 +15,6 @@
   time::Duration,
 };
 
-/// Maximum size of a response body. A page of the store holds 1 MB.
-const MAX_BODY_BYTES: usize = 16 << 20;
 /// An idle connection is not reused after this time.
 const MAX_IDLE_TIME: Duration = Duration::from_millis(2_000);
 /// Maximum number of idle connections per address.
@@ -49,6 +47,8 @@
   /// Headers other than `Host` and the framing.
   pub headers: &'a [(&'a str, &'a str)],
   pub body: &'a [u8],
+  /// Maximum size of the body of the response: many calls are made at once, and bytes may come without end.
+  pub max_answer_bytes: usize,
   /// Time limit for connecting.
   pub connect_timeout: Duration,
   /// Time limit for the next bytes of the response.
@@ -140,7 +140,7 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
       }
     };
-    let body = read_body(socket, framing, read_deadline)?;
+    let body = read_body(socket, framing, call.max_answer_bytes, read_deadline)?;
     if head.headers.get(id_header).is_none() {
       // Only their order tells the responses of this server apart.
       socket.carried = Carried::default();
@@ -188,24 +188,32 @@
   }
 }
 
-/// Receives a body. `deadline` returns the time limit for its next bytes.
+fn too_large(max_bytes: usize) -> io::Error {
+  io::Error::other(format!("body: more than {max_bytes} bytes"))
+}
+
+/// Receives a body of at most `max_bytes`. `deadline` returns the time limit for its next bytes.
 fn read_body(
   socket: &mut Socket,
   framing: Framing,
+  max_bytes: usize,
   deadline: impl Fn() -> Moment,
 ) -> io::Result<Vec<u8>> {
+  if matches!(framing, Framing::Length(length) if length > max_bytes as u64) {
+    return Err(too_large(max_bytes));
+  }
   let mut decoder = Decoder::new(framing);
   let mut body = Vec::new();
   loop {
     decoder
       .decode(&mut socket.input, &mut body)
       .map_err(|error| io::Error::other(error.0))?;
+    if body.len() > max_bytes {
+      return Err(too_large(max_bytes));
+    }
     if decoder.is_complete() {
       return Ok(body);
     }
-    if body.len() > MAX_BODY_BYTES {
-      return Err(io::ErrorKind::InvalidData.into());
-    }
     if socket.fill_by(deadline())? == Fill::Eof {
       return match decoder.finish() {
         true => Ok(body),
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -62,6 +62,7 @@
     target: "/order",
     headers: &[],
     body: b"{}",
+    max_answer_bytes: 1 << 10,
     connect_timeout: Duration::from_secs(1),
     read_timeout: Duration::from_millis(100),
     total_timeout: Duration::from_millis(100),
--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -18,6 +18,7 @@
     target: "/",
     headers: &[],
     body: &[],
+    max_answer_bytes: 1 << 10,
     connect_timeout: Duration::from_secs(5),
     read_timeout: Duration::from_secs(5),
     total_timeout: Duration::from_secs(5),
@@ -267,3 +268,47 @@
     assert_eq!(result.err(), Some(Failure::NoAnswer), "`{head:?}`");
   }
 }
+
+/// Guards against calls that together take the memory of an instance: each took up to 16 MiB of whatever
+/// came.
+#[test]
+fn a_body_beyond_the_bound_of_its_call_is_none() {
+  let max = get().max_answer_bytes;
+  let over = "x".repeat(max + 1);
+  let whole = &over[1..];
+  let length = |body: &str| format!("Content-Length: {}\r\n\r\n{body}", body.len());
+  let chunk = |body: &str| {
+    format!(
+      "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+      body.len()
+    )
+  };
+  let close = |body: &str| format!("\r\n{body}");
+  let cases = [
+    length(&over),
+    chunk(&over),
+    close(&over),
+    length(whole),
+    chunk(whole),
+    close(whole),
+  ];
+  let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+  let address = listener.local_addr().unwrap();
+  let responses = cases.clone();
+  thread::spawn(move || {
+    for response in responses {
+      let (mut stream, _) = listener.accept().unwrap();
+      let _ = stream.read(&mut [0; 1024]).unwrap();
+      let bytes = format!("HTTP/1.1 200 OK\r\n{response}");
+      stream.write_all(bytes.as_bytes()).unwrap();
+    }
+  });
+  let client = Client::default();
+  let lengths = cases.map(|_| {
+    client
+      .send(address, &get())
+      .ok()
+      .map(|answer| answer.body.len())
+  });
+  assert_eq!(lengths, [None, None, None, Some(max), Some(max), Some(max)]);
+}
