A response without a length is whole only if its server then lives

Callers saw plain responses and streams without a length end as complete with what had come so far, where their server was leaving and ended, or crashed while no server had responded to the instance for 0.3 s. The same for the bodies of failures, at any crash.

Cause: the end counted as the response's unless the server was shown to have crashed, and it was not asked where it was leaving, nor where the instance took itself for partitioned, which one refused connection makes it do in a quiet time, also at the instances that it asks.

Ruled out: a probe that is too short, or a port that closes late: the port closes first in the test, and the probe was not made. Other open connections to the server as a sign of its life: a lost FIN makes one of a dead server look open.

Change: the question is reversed. The server must accept a connection after the end, here or at another instance that is asked with PROBE, also if it is leaving, and its address must not be another server's. Otherwise the response is cut: retried or resumed where it may be.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -249,6 +249,18 @@
     backing_off.then_some(End::Resting)
   }
 
+  /// Whether the address of a send belongs to another server by now, or to a later life of the same
+  /// one.
+  pub(crate) fn has_new_server(&self, attempt: &Attempt) -> bool {
+    let mut there = self
+      .backends
+      .values()
+      .filter(|backend| backend.spec.address == attempt.address);
+    there.any(|backend| {
+      backend.replaced_until.is_some() || !attempt.life.applies_to(backend.spec.life())
+    })
+  }
+
   /// Records that a server's process ended while it ran the request.
   fn record_crash(&mut self, ticket: Ticket, key: backend::Key) {
     let (Some(request), Some(backend)) = (self.requests.get(&ticket), self.backends.get(key))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod life;
 pub mod limit;
 pub mod listing;
+mod liveness;
 pub mod losses;
 pub mod measures;
 pub mod members;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -87,7 +87,6 @@
     // The caller already received the start of another response, which this one cannot continue.
     let astray = self.response_framing.is_some();
     let mut begun = false;
-    let success = (200..300).contains(&head.status);
     loop {
       if body.decode(&mut socket.input, &mut bytes).is_err() {
         return Err(outcome(End::Broken, "not an answer"));
@@ -112,9 +111,14 @@
       self
         .backlog
         .gathered(self.incoming.account.as_ref(), bytes.len());
-      let ended = self.read_patiently(socket, until)? == Fill::Eof;
-      if ended && (!body.finish() || success && self.has_crashed(attempt)) {
-        return Err(disconnected("answer broken off"));
+      if self.read_patiently(socket, until)? == Fill::Eof {
+        if !body.finish() {
+          return Err(disconnected("answer broken off"));
+        }
+        // A head that declines the request needs no body.
+        if self.decline_outcome(&head, attempt).is_none() {
+          self.confirm_end(attempt)?;
+        }
       }
     }
     if let Some(result) = self.decline_outcome(&head, attempt) {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -80,10 +80,11 @@
         false => self.read_patiently(&mut stream.socket, until),
       };
       match read {
-        Ok(Fill::Eof) if !self.ends_whole(&mut stream) => {
+        Ok(Fill::Eof) if !self.ends_between_events(&mut stream) => {
           return Err(disconnected("stream broken off"));
         }
-        Ok(_) => {}
+        Ok(Fill::Eof) => self.confirm_end(&stream.attempt)?,
+        Ok(Fill::Data | Fill::Empty) => {}
         Err(result) if result.why == STALLED && self.may_stall() => {
           self.keep_stalled(stream);
           return Err(outcome(End::Stalled, STALLED));
@@ -93,10 +94,9 @@
     }
   }
 
-  /// Whether a stream is complete that ends with its connection.
-  fn ends_whole(&self, stream: &mut Stream) -> bool {
-    let ends_between_events = self.events.partial().is_empty() && self.has_events();
-    stream.body.finish() && ends_between_events && !self.has_crashed(&stream.attempt)
+  /// Whether a stream may be complete that ends with its connection.
+  fn ends_between_events(&self, stream: &mut Stream) -> bool {
+    stream.body.finish() && self.events.partial().is_empty() && self.has_events()
   }
 
   /// Whether the caller has got an event of the stream, in this response or in an earlier one: a server
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -1,13 +1,15 @@
 //! Opens tunnels to backend servers through other instances.
 
-use super::{MAX_HEAD_BYTES, SERVER_CONNECT_TIMEOUT, STATUS_UNREACHABLE};
+use super::{ASK, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNREACHABLE};
 use crate::{
   clock::Moment,
   http::{Framing, Headers, Request, Response},
   hub::{Hub, lock},
+  liveness::Liveness,
   socket::{Fill, Socket},
 };
 use rand::seq::SliceRandom;
+use slog::info;
 use std::{
   io,
   net::SocketAddr,
@@ -111,7 +113,7 @@
     if hub.now() >= target.deadline {
       break;
     }
-    match connect(hub, peer, target) {
+    match call(hub, peer, OPEN, target) {
       Ok((socket, 200)) => {
         hub.peers.last_opened.store(hub.now(), Ordering::Relaxed);
         return Ok((socket, peer));
@@ -123,11 +125,31 @@
   Err(failure)
 }
 
-/// Asks an instance for a tunnel. Returns the connection and the status of the answer.
-fn connect(hub: &Hub, peer: SocketAddr, target: &Target) -> io::Result<(Socket, u16)> {
+/// Asks other instances whether a server runs, first the one whose tunnel was used.
+pub(crate) fn ask(hub: &Hub, target: &Target, first: Option<SocketAddr>) -> Liveness {
+  for peer in first.into_iter().chain(hub.peers.candidates()) {
+    if hub.now() >= target.deadline {
+      break;
+    }
+    match call(hub, peer, ASK, target) {
+      Ok((_, 200)) => return Liveness::Running,
+      Ok((_, STATUS_UNREACHABLE)) => return Liveness::Ended,
+      Ok(_) => {}
+      Err(error) => {
+        info!(hub.log, "instance does not say whether a server runs"; "server" => target.server,
+          "instance" => %peer, "error" => %error);
+        hub.peers.avoid(peer);
+      }
+    }
+  }
+  Liveness::Unknown
+}
+
+/// Calls an instance. Returns the connection and the status of the answer.
+fn call(hub: &Hub, peer: SocketAddr, method: &str, target: &Target) -> io::Result<(Socket, u16)> {
   let mut socket = Socket::connect(peer, PEER_CONNECT_TIMEOUT)?;
   let until = Moment::now() + ANSWER_TIMEOUT;
-  socket.write_all(&encode(hub, target), until)?;
+  socket.write_all(&encode(hub, method, target), until)?;
   loop {
     let parsed = Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))?;
     if let Some((head, length)) = parsed {
@@ -141,9 +163,9 @@
   }
 }
 
-fn encode(hub: &Hub, target: &Target) -> Vec<u8> {
+fn encode(hub: &Hub, method: &str, target: &Target) -> Vec<u8> {
   let mut head = Request {
-    method: "CONNECT".into(),
+    method: method.into(),
     target: target.address.to_string(),
     minor: 1,
     headers: Headers::default(),
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -1,7 +1,7 @@
 //! Carries tunnels of other instances.
 
 use super::{
-  MAX_HEAD_BYTES, SERVER_CONNECT_TIMEOUT, STATUS_UNAVAILABLE, STATUS_UNREACHABLE,
+  ASK, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNAVAILABLE, STATUS_UNREACHABLE,
   pipe::{self, End},
 };
 use crate::{
@@ -10,6 +10,7 @@
   counter, essential,
   http::{Request, Response},
   hub::Hub,
+  liveness::{self, Probe},
   socket::{Fill, Socket},
 };
 use slog::{info, warn};
@@ -43,8 +44,9 @@
 /// Time for which a tunnel outlasts its request's deadline; its opener ends it at the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 
-/// The head that opens a tunnel.
+/// The head that opens a tunnel or asks about a server.
 struct Opening {
+  asks: bool,
   server: String,
   request: String,
   remaining: Duration,
@@ -115,6 +117,12 @@
       return;
     }
   };
+  if opening.asks {
+    let (status, why) = probe(hub, &opening);
+    info!(hub.log, "asked whether a server runs"; "request" => &opening.request,
+      "server" => &opening.server, "from" => %from, "status" => status, "why" => why);
+    return answer(&mut peer, status, why);
+  }
   let Some(_active) = hub.active.begin() else {
     return;
   };
@@ -160,7 +168,8 @@
       return Err(format!("head: {} bytes without an end", peer.input.len()));
     }
   };
-  if head.method != "CONNECT" {
+  let asks = head.method == ASK;
+  if !asks && head.method != OPEN {
     return Err(format!("method: `{}` opens no tunnel", head.method));
   }
   let header = |name: &str| {
@@ -173,12 +182,29 @@
     .parse()
     .map_err(|_| format!("deadline: `{remaining}` is not a number"))?;
   Ok(Opening {
+    asks,
     server: header(dialect.expected_server)?.into(),
     request: header(dialect.request_id)?.into(),
     remaining: Duration::from_millis(remaining_ms).min(MAX_REMAINING),
   })
 }
 
+/// Returns the status and the reason of the answer to whether a server runs. One that is leaving
+/// counts as long as it accepts connections.
+fn probe(hub: &Hub, opening: &Opening) -> (u16, &'static str) {
+  let Some(address) = known_address(hub, &opening.server) else {
+    return (STATUS_UNAVAILABLE, "server unknown");
+  };
+  match liveness::probe(address) {
+    Probe::Accepts(_) => {
+      hub.measures.record_connection();
+      (200, "runs")
+    }
+    Probe::Refuses => (STATUS_UNREACHABLE, "connection refused"),
+    Probe::Silent => (STATUS_UNAVAILABLE, "no answer"),
+  }
+}
+
 /// Connects to the server of a tunnel; otherwise returns the status of the answer and its reason.
 fn connect(hub: &Hub, opening: &Opening, others: usize) -> Result<Socket, (u16, &'static str)> {
   if hub.stopping.load(Ordering::Relaxed) {
@@ -214,6 +240,19 @@
   }
 }
 
+/// The address of a server; `None` if another one is known there, or none.
+fn known_address(hub: &Hub, id: &str) -> Option<SocketAddr> {
+  let state = hub.state();
+  let key = *state.by_id.get(id)?;
+  let address = state.backends.get(key)?.spec.address;
+  let mut others = state
+    .backends
+    .values()
+    .filter(|backend| backend.spec.id != id);
+  let taken = others.any(|backend| backend.spec.address == address);
+  (!taken).then_some(address)
+}
+
 fn server_address(hub: &Hub, id: &str) -> Option<(backend::Key, SocketAddr)> {
   let state = hub.state();
   let key = *state.by_id.get(id)?;
