Streams that nobody knows wait for the store where an instance does not answer

What callers saw: streams that began at servers of a new version on other instances, resumed at an instance that was partitioned while these servers joined, got the rest of another version.

Cause: a stream that nobody was known to know went on at a pool's only build if the list of servers was at most 2 s old, also where no instance had answered. The list of an instance that hears no others is up to 1.3 s behind, that of one cut off from the store too up to 2 s, and two that are cut off together took theirs for the newest for as long as one of them answered. In the logs all joined streams were decided on 'only build of the pool', with no answer or one of two, and lists of 0.8 to 5.3 s.

Ruled out: records (none named another build); ages by a clock that stands still (a suspended process counts the time: 20 cases, none joined, with answers of the others).

Change: such a stream goes on if all instances that are asked answer and the list is new, as before; otherwise the store is asked for the servers that changed since, by a call that starts after the arrival, at most one each 150 ms, within a quarter of the objective, and else the stream is refused as not run. A list as old as an outage does not count after an instance was taken for gone since.

Streams without an attempt, about which nobody can be asked, and those beside an old list wait for the store in tests/builds.rs, which tells of no other servers there; without its answer they are refused as before.

--- /dev/null
+++ b/src/build/confirm.rs
@@ -0,0 +1,162 @@
+//! Asks the store whether servers of other builds have joined, for streams that nobody knows.
+//!
+//! While an instance is partitioned or suspended, builds may join unseen, streams begin at them on
+//! other instances, and their records may not arrive. A stream began before its resumption arrived,
+//! so the servers as of a call that starts after the arrival include those of its build.
+
+use super::Id;
+use crate::{
+  dispatch::{Event, State},
+  planner::{Completion, Planner},
+  store::{Changes, Error, Object, Result},
+};
+use slog::info;
+use std::time::Duration;
+
+/// Timeout of the watch, which only reads the changes so far.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+/// Minimum time between the starts of two calls, in ms. If all of 295 instances make them, that is
+/// fewer than the 2,000 reads per second that deployments allow.
+const MIN_INTERVAL_MS: u64 = 150;
+
+/// A server's pool and build.
+pub type Server = (String, Id);
+
+/// The last time as of which the builds were asked for, in ms, by outcome.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Confirmation {
+  requested: bool,
+  confirmed_as_of: Option<u64>,
+  failed_as_of: Option<u64>,
+}
+
+/// What is known of the builds as of a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Knowledge {
+  Confirmed,
+  /// A call that started later has failed.
+  Unavailable,
+  Unconfirmed,
+}
+
+impl Confirmation {
+  /// What is known of the builds as of a time, in ms.
+  pub(super) fn knowledge(&self, at: u64) -> Knowledge {
+    if self.confirmed_as_of.is_some_and(|as_of| as_of >= at) {
+      return Knowledge::Confirmed;
+    }
+    match self.failed_as_of {
+      Some(as_of) if as_of >= at => Knowledge::Unavailable,
+      _ => Knowledge::Unconfirmed,
+    }
+  }
+
+  pub(super) fn request(&mut self) {
+    self.requested = true;
+  }
+
+  pub(super) fn take_request(&mut self) -> bool {
+    std::mem::take(&mut self.requested)
+  }
+
+  pub(super) fn confirm(&mut self, as_of: u64) {
+    self.confirmed_as_of = self.confirmed_as_of.max(Some(as_of));
+  }
+
+  pub(super) fn fail(&mut self, as_of: u64) {
+    self.failed_as_of = self.failed_as_of.max(Some(as_of));
+  }
+}
+
+/// A planner's calls.
+#[derive(Debug, Default)]
+pub(crate) struct Calls {
+  in_progress: bool,
+  /// When the last one was started, in ms.
+  started_at: Option<u64>,
+  requested: bool,
+}
+
+impl Calls {
+  /// When the next call may start, in ms; `None` if none is needed or one is in progress.
+  pub(crate) fn due(&self) -> Option<u64> {
+    let is_due = self.requested && !self.in_progress;
+    let next_at = self.started_at.map_or(0, |at| at + MIN_INTERVAL_MS);
+    is_due.then_some(next_at)
+  }
+}
+
+impl State {
+  /// Processes the servers that changed before a time, in ms, and are not all known yet; `None` if
+  /// the store did not tell them.
+  pub(crate) fn confirm_builds(&mut self, as_of: u64, servers: Option<&[Server]>) {
+    match servers {
+      Some(servers) => {
+        self.record_passing(servers.iter().map(|(pool, build)| (pool.as_str(), *build)));
+        self.streams.confirmation.confirm(as_of);
+      }
+      None => self.streams.confirmation.fail(as_of),
+    }
+    self.dispatch_waiting();
+  }
+}
+
+impl Planner {
+  /// Starts a call if a stream needs it.
+  pub(crate) fn confirm_builds(&mut self) {
+    self.confirmations.requested |= self.hub.state().streams.take_confirmation_request();
+    let now = self.hub.now();
+    if self.confirmations.due().is_none_or(|due| now < due) {
+      return;
+    }
+    let gate = &self.hub.gates.servers;
+    if gate.age().is_none() {
+      // Nothing is known yet that a call could complete.
+      self.confirmations.requested = false;
+      return;
+    }
+    // The state has all changes up to this revision.
+    let revision = gate.progress().revision;
+    self.confirmations = Calls {
+      in_progress: true,
+      started_at: Some(now),
+      requested: false,
+    };
+    self.run_call(&self.build_calls, move |edge| {
+      let changes = (edge.store.watch)(edge.kinds.servers, revision, WATCH_TIMEOUT);
+      let changes = changes.and_then(|changes| match changes.revision.era == revision.era {
+        true => Ok(changes),
+        false => Err(Error::HistoryGone),
+      });
+      Completion::BuildsConfirmed(now, changes)
+    });
+  }
+
+  /// Processes the result of a call that was started at `as_of`, in ms.
+  pub(crate) fn finish_confirmation(&mut self, as_of: u64, result: Result<Changes>) {
+    self.confirmations.in_progress = false;
+    let servers = match result {
+      Ok(changes) => {
+        let present = changes.objects.iter().filter(|(_, removed)| !removed);
+        Some(
+          present
+            .filter_map(|(object, _)| self.server(object))
+            .collect(),
+        )
+      }
+      Err(error) => {
+        info!(self.hub.log, "failed to confirm the builds of the pools"; "error" => %error);
+        None
+      }
+    };
+    self
+      .hub
+      .apply(Event::BuildsConfirmed { as_of, servers }, None);
+  }
+
+  /// The pool and build of a server's entry. Whoever follows the servers logs an invalid one.
+  fn server(&self, object: &Object) -> Option<Server> {
+    let spec = (self.edge().parse_server)(object).ok()?;
+    Some((spec.pool, spec.build))
+  }
+}
--- a/src/build/mod.rs
+++ b/src/build/mod.rs
@@ -4,6 +4,7 @@
 //! together, so a stream continues only at the build that began it.
 
 mod begun;
+pub mod confirm;
 pub mod exchange;
 pub mod history;
 pub mod resume;
--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -1,9 +1,9 @@
 //! Decides at which build a stream continues that a caller resumes.
 
-use super::{Id, Key, MAX_LIST_LAG_MS};
+use super::{Id, Key, MAX_LIST_LAG_MS, confirm::Knowledge};
 use crate::{
   deployment::Deployment,
-  dispatch::{Change, Effect, State},
+  dispatch::{Change, Effect, Request, State},
   refusal::Reason,
   request::Ticket,
 };
@@ -16,8 +16,8 @@
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
 const ROUNDS: u32 = 2;
-/// Part of a route's objective within which the stored builds are awaited, as refusals are due then.
-const PAST_WAIT_PART: u64 = 4;
+/// Part of a route's objective within which the store is awaited, as refusals are due then.
+const STORE_WAIT_PART: u64 = 4;
 
 /// A caller's resumption of a stream, at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,13 +31,13 @@
 }
 
 impl Resumption {
-  /// Whether the list of servers was complete a moment before the request arrived. `in_touch` means
-  /// that another instance answers: while the store responds to none, no list is newer.
-  fn has_fresh_list(&self, waited_ms: u64, in_touch: bool) -> bool {
+  /// Whether the list of servers was complete a moment before the request arrived. `is_outage` means
+  /// that the store responds to no instance if it does not respond to this one: no list is newer.
+  fn has_fresh_list(&self, waited_ms: u64, is_outage: bool) -> bool {
     let Some(age_ms) = self.list_age_ms else {
       return false;
     };
-    let store_age_ms = self.store_age_ms.filter(|_| in_touch).unwrap_or_default();
+    let store_age_ms = self.store_age_ms.filter(|_| is_outage).unwrap_or_default();
     age_ms.saturating_sub(store_age_ms) + waited_ms <= MAX_LIST_LAG_MS
   }
 }
@@ -115,20 +115,20 @@
     let Some(request) = self.requests.get(&ticket) else {
       return false;
     };
-    let waited_ms = now - request.arrived;
-    let question = request.question.as_ref();
-    let in_touch = question.is_some_and(|question| !question.unknown_to.is_empty());
-    let fresh = resumption.has_fresh_list(waited_ms, in_touch || self.instances == 1);
     let only = self.streams.only_build(now, &request.descriptor.pool);
-    if only.is_some() && fresh && self.streams.awaits_past(now) {
-      let wait_ms = request.descriptor.route.objective_ms / PAST_WAIT_PART;
-      let until = request.arrived + wait_ms;
-      if now < until {
-        self.enqueue(ticket, until);
-        return false;
+    let covered = self.knows_present(request, resumption);
+    let until = request.arrived + request.descriptor.route.objective_ms / STORE_WAIT_PART;
+    let knowledge = self.streams.confirmation.knowledge(request.arrived);
+    let awaits_present = !covered && knowledge == Knowledge::Unconfirmed;
+    let awaits_past = covered && self.streams.awaits_past(now);
+    if only.is_some() && now < until && (awaits_present || awaits_past) {
+      if awaits_present {
+        self.request_confirmation();
       }
+      self.enqueue(ticket, until);
+      return false;
     }
-    let (build, basis) = match (only, fresh) {
+    let (build, basis) = match (only, covered) {
       (_, false) => (None, Basis::OldList),
       (None, true) => (None, Basis::SeveralBuilds),
       (Some(_), true) if !self.streams.knows_past(now) => (None, Basis::UnknownPast),
@@ -137,6 +137,35 @@
     self.decide_build(ticket, build, basis)
   }
 
+  /// Whether the builds of the time at which a stream began are known, which nobody knows. The store
+  /// has confirmed them since; or the list of servers is new, and no instance that may know of
+  /// another build is partitioned from this one.
+  fn knows_present(&self, request: &Request, resumption: Resumption) -> bool {
+    let knowledge = self.streams.confirmation.knowledge(request.arrived);
+    if knowledge == Knowledge::Confirmed {
+      return true;
+    }
+    let others = self.instances.saturating_sub(1);
+    let question = request.question.as_ref();
+    let answers = question.map_or(0, |question| question.unknown_to.len());
+    let all_answer = match others {
+      // Nobody else is known, so the store is asked first.
+      0 => knowledge == Knowledge::Unavailable,
+      _ => answers >= others.min(ASKED),
+    };
+    let listed_at = request
+      .arrived
+      .saturating_sub(resumption.list_age_ms.unwrap_or_default());
+    let is_outage = self.streams.has_all_instances_since(listed_at);
+    let waited_ms = self.now - request.arrived;
+    all_answer && resumption.has_fresh_list(waited_ms, is_outage)
+  }
+
+  fn request_confirmation(&mut self) {
+    self.streams.confirmation.request();
+    self.out.push(Effect::ExchangeBuilds);
+  }
+
   /// Until when an answer to the question about an attempt is awaited, in ms; `None` if no more
   /// answers are expected. Sends the question if it is due.
   fn question_until(&mut self, ticket: Ticket, attempt: Key) -> Option<u64> {
@@ -159,6 +188,11 @@
     }
     question.rounds += 1;
     question.sent_at = now;
+    let unanswered = question.rounds > 1;
+    let pool = &request.descriptor.pool;
+    if unanswered && self.streams.only_build(now, pool).is_some() {
+      self.streams.confirmation.request();
+    }
     self.streams.ask(attempt);
     self.out.push(Effect::ExchangeBuilds);
     Some(now + ANSWER_MS)
@@ -292,7 +326,12 @@
       Change::Set(spec) => Some((spec.pool.as_str(), spec.build)),
       Change::All(_) | Change::Part(_) | Change::Removed(_) | Change::Invalid(_) => None,
     });
-    if self.streams.record_passing(self.now, specs) {
+    self.record_passing(specs);
+  }
+
+  /// Records the builds of servers that may have left again.
+  pub(super) fn record_passing<'a>(&mut self, servers: impl Iterator<Item = (&'a str, Id)>) {
+    if self.streams.record_passing(self.now, servers) {
       self.out.push(Effect::ExchangeBuilds);
     }
   }
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -3,7 +3,9 @@
 //! The instance that delivers a first event records the build. While its pool serves several builds,
 //! it sends the record to other instances: the caller may resume its stream at any of them.
 
-use super::{Id, Key, MAX_LIST_LAG_MS, Record, history::Known as KnownBuilds};
+use super::{
+  Id, Key, MAX_LIST_LAG_MS, Record, confirm::Confirmation, history::Known as KnownBuilds,
+};
 use std::{
   collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
   net::SocketAddr,
@@ -63,6 +65,9 @@
   past_known: bool,
   /// Whether the stored builds are still to be read.
   past_awaited: bool,
+  pub(super) confirmation: Confirmation,
+  /// When this instance last knew of fewer instances than before, in ms.
+  instances_fell_at: Option<u64>,
 }
 
 impl Streams {
@@ -113,6 +118,21 @@
     self.past_awaited && !self.knows_past(now)
   }
 
+  /// Takes the request that the store be asked for the present builds.
+  pub fn take_confirmation_request(&mut self) -> bool {
+    self.confirmation.take_request()
+  }
+
+  /// Records that instances are taken for gone; they may also be partitioned from this one.
+  pub fn record_lost_instances(&mut self, now: u64) {
+    self.instances_fell_at = Some(now);
+  }
+
+  /// Whether no instance was taken for gone since a time, in ms.
+  pub fn has_all_instances_since(&self, since: u64) -> bool {
+    self.instances_fell_at.is_none_or(|fell_at| fell_at < since)
+  }
+
   /// Whether the builds of all pools are known that can have streams.
   pub fn knows_past(&self, now: u64) -> bool {
     let watched_ms = self.watched_ms(now);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -276,6 +276,10 @@
         loads,
         instances,
       } => {
+        let were_known = self.planner_seen_at > 0;
+        if were_known && instances < self.instances {
+          self.streams.record_lost_instances(now);
+        }
         self.instances = instances.max(1);
         let bound = self.retry_bound;
         self
@@ -327,6 +331,7 @@
       }
       Event::BuildHistory(history) => self.add_build_history(&history),
       Event::BuildsUnwatched => self.streams.interrupt_watch(now),
+      Event::BuildsConfirmed { as_of, servers } => self.confirm_builds(as_of, servers.as_deref()),
       Event::RecordsRead => self.records_read = true,
       Event::QuotaUsage(sums) => self.quotas.receive_sums(now, &sums),
       Event::Granted { sent, grants } => {
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -273,6 +273,11 @@
   BuildHistory(build::history::Known),
   /// The servers of all pools are not known.
   BuildsUnwatched,
+  /// The store was asked at `as_of` for the servers that changed; `None` if it did not tell them.
+  BuildsConfirmed {
+    as_of: u64,
+    servers: Option<Vec<build::confirm::Server>>,
+  },
   /// The quarantined requests and the lease's record were read from the store.
   RecordsRead,
   /// Usage of customers' quotas by all instances within the last window.
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -15,7 +15,7 @@
 
 impl Planner {
   /// Runs a call on a thread of a pool, and has its result processed by the planner thread.
-  pub(super) fn run_call(
+  pub(crate) fn run_call(
     &self,
     pool: &Pool,
     call: impl FnOnce(&Edge) -> Completion + Send + 'static,
@@ -52,6 +52,7 @@
         }
         Completion::Policies(objects) => self.finish_policies_read(now, objects),
         Completion::Builds(call, result) => self.finish_builds_call(now, &call, result),
+        Completion::BuildsConfirmed(as_of, result) => self.finish_confirmation(as_of, result),
         Completion::Quarantine(call, result) => self.finish_quarantine_call(now, &call, result),
         Completion::Queried(index, id, reply) => {
           let inventory = reply.outcome;
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -9,7 +9,7 @@
 mod steps;
 
 use crate::{
-  build::{self, history::History},
+  build::{self, confirm::Calls as Confirmations, history::History},
   clock::Suspension,
   command::{Command, Inventory, Taken, Unheard},
   concurrency::Ledger,
@@ -86,6 +86,8 @@
     stored::Call<build::history::Record>,
     store::Result<store::Object>,
   ),
+  /// Changes of the servers since the known ones, as of a time in ms.
+  BuildsConfirmed(u64, store::Result<store::Changes>),
 }
 
 /// A group of servers with its lease, and the plan that is in effect while this machine holds the
@@ -157,6 +159,8 @@
   pub(crate) record_holders: usize,
   /// The stored builds of the pools.
   pub(crate) build_history: History,
+  pub(crate) build_calls: Pool,
+  pub(crate) confirmations: Confirmations,
   /// Requests known or suspected to crash servers.
   pub(crate) registry: Registry,
   pub(crate) stored_quarantine: crash::stored::Stored,
@@ -237,6 +241,8 @@
     registry: Registry::default(),
     stored_quarantine: crash::stored::Stored::default(),
     build_history: History::default(),
+    build_calls: Pool::spawn("build", 1)?,
+    confirmations: Confirmations::default(),
     reported_crashes: Repeated::default(),
     parts: part::Registry::default(),
     reported_part_crashes: Repeated::default(),
@@ -314,6 +320,7 @@
       self.read_policies();
       self.sync_quarantine();
       self.sync_build_history();
+      self.confirm_builds();
       self.report_records_read();
       self.exchange_statements();
       self.exchange_builds();
@@ -363,6 +370,7 @@
       self.read_quarantine_due(now),
       self.reported_statements.due(),
       self.published_statements.due(),
+      self.confirmations.due(),
     ];
     for next in repeated {
       due = due.min(next.unwrap_or(due));
@@ -431,6 +439,10 @@
     self.buffer = buffer;
   }
 
+  pub(crate) fn edge(&self) -> &Edge {
+    &self.edge
+  }
+
   /// Kinds of the store's objects.
   pub(crate) fn kinds(&self) -> Kinds {
     self.edge.kinds
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -119,6 +119,16 @@
   }
 }
 
+/// The store's answer to a call at a time, with the versions of servers that joined.
+fn confirmed(as_of: u64, versions: &[&str]) -> Event {
+  let servers = versions.iter();
+  let servers = servers.map(|version| ("pool".to_string(), build::Id::of(version)));
+  Event::BuildsConfirmed {
+    as_of,
+    servers: Some(servers.collect()),
+  }
+}
+
 /// Until when a request waits, in ms.
 fn waits(effects: &[Effect]) -> Option<u64> {
   effects.iter().find_map(|effect| match effect {
@@ -339,9 +349,87 @@
     state.reduce(2, answer(peer, None));
   }
   let effects = state.reduce(3, answer(3, None));
+  assert_eq!(waits(&effects), Some(1 + 300 / 4));
+  let effects = state.reduce(1 + 300 / 4, Event::Recheck(Ticket(1)));
   assert_refused(&effects, Reason::BuildUnknown);
 }
 
+/// Guards against a build that is missing because this instance was partitioned, and against refusals
+/// where the store can tell that there is no other.
+#[test]
+fn a_stream_that_nobody_knows_waits_for_the_store_where_an_instance_does_not_answer() {
+  for (event, sends) in [
+    (confirmed(20, &[]), true),
+    (confirmed(20, &["v1"]), true),
+    (confirmed(20, &["v2"]), false),
+    (
+      Event::BuildsConfirmed {
+        as_of: 20,
+        servers: None,
+      },
+      false,
+    ),
+  ] {
+    let mut state = state(&["v1-a", "v1-b"]);
+    state.reduce(10, resumed_elsewhere(1));
+    state.reduce(11, answer(1, None));
+    state.reduce(12, answer(2, None));
+    assert!(!state.streams.take_confirmation_request());
+    state.reduce(40, Event::Recheck(Ticket(1)));
+    assert!(state.streams.take_confirmation_request());
+    // A call that started before the arrival says nothing.
+    let effects = state.reduce(41, confirmed(9, &[]));
+    assert_eq!((sent(&effects), refused(&effects)), (None, None));
+    let mut effects = state.reduce(42, event);
+    while let Some(until) = waits(&effects) {
+      effects = state.reduce(until, Event::Recheck(Ticket(1)));
+    }
+    assert_eq!(sent(&effects).is_some(), sends);
+    assert_eq!(refused(&effects).is_none(), sends);
+  }
+}
+
+/// Guards against instances that are partitioned together from the store and from others, and take
+/// these for gone.
+#[test]
+fn a_list_as_old_as_an_outage_does_not_count_after_an_instance_was_lost() {
+  for lost_at in [None, Some(5_000)] {
+    let mut state = state(&["v1-a", "v1-b"]);
+    let updated = |instances| Event::Updated {
+      holdings: Vec::new(),
+      group: None,
+      instances,
+      loads: None,
+    };
+    state.reduce(500, updated(4));
+    if let Some(at) = lost_at {
+      state.reduce(at, updated(3));
+    }
+    let arrival = Descriptor {
+      deadline: 15_000,
+      resumption: Some(Resumption {
+        attempt: Some(build::Key::of("other")),
+        list_age_ms: Some(9_500),
+        store_age_ms: Some(9_000),
+      }),
+      ..descriptor(1)
+    };
+    let mut effects = state.reduce(10_000, Event::Arrived(arrival));
+    for peer in 1..4 {
+      effects.extend(state.reduce(10_001, answer(peer, None)));
+    }
+    state.reduce(
+      10_002,
+      Event::BuildsConfirmed {
+        as_of: 10_001,
+        servers: None,
+      },
+    );
+    effects.extend(state.reduce(10_100, Event::Recheck(Ticket(1))));
+    assert_eq!(sent(&effects).is_some(), lost_at.is_none());
+  }
+}
+
 /// Guards against refusals in an outage of the store, while no instance can have a newer list.
 #[test]
 fn a_list_that_is_as_old_as_the_outage_of_the_store_counts_beside_other_instances() {
@@ -357,7 +445,10 @@
     };
     let mut effects = state.reduce(1, Event::Arrived(arrival));
     if in_touch {
-      state.reduce(2, answer(1, None));
+      // An instance that does not answer may be one with a newer list.
+      for peer in 1..4 {
+        effects = state.reduce(2, answer(peer, None));
+      }
     }
     while let Some(until) = waits(&effects) {
       effects = state.reduce(until, Event::Recheck(Ticket(1)));
@@ -382,14 +473,17 @@
       }),
       ..descriptor(1)
     };
-    let effects = state.reduce(now, Event::Arrived(arrival));
+    let mut effects = state.reduce(now, Event::Arrived(arrival));
+    if state.streams.take_confirmation_request() {
+      effects = state.reduce(now, confirmed(now, &[]));
+    }
     assert_eq!(refused(&effects).is_some(), refuses, "at {now}");
     assert_eq!(sent(&effects).is_none(), refuses, "at {now}");
   }
 }
 
-/// Resumes a stream that no instance knows. Returns whether it goes on; otherwise it is refused,
-/// within a quarter of the objective of 300 ms.
+/// Resumes a stream that no instance knows, beside a store that tells of no other servers. Returns
+/// whether it goes on; otherwise it is refused, within a quarter of the objective of 300 ms.
 fn goes_on(state: &mut State, now: u64) -> bool {
   let arrival = Descriptor {
     deadline: now + 5_000,
@@ -401,6 +495,9 @@
     ..descriptor(now)
   };
   let mut effects = state.reduce(now, Event::Arrived(arrival));
+  if state.streams.take_confirmation_request() {
+    effects = state.reduce(now, confirmed(now, &[]));
+  }
   while let Some(until) = waits(&effects) {
     assert!(until <= now + 300 / 4, "waits until {until}");
     effects = state.reduce(until, Event::Recheck(Ticket(now)));
