The product's own port says that a stop closes its connections

What callers saw: each one that keeps its connection has the request that follows SIGTERM cut without a response, once. Cause: as with routing instances, responses written in a stop did not say `Connection: close`; besides, the process exited once the reducer had no request left, also while others were being read, refused or answered. Change: they say so, unless the next request has been read already, and the exit waits up to 1 s for what is in progress; what comes later stays unread or is closed at once.

tests/web.rs hands `web::bind` the new parameter; its checks are as they were.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -46,6 +46,7 @@
     &shared.settings.callers,
     web_limits,
     busy_body,
+    &shared.stop,
     move |request| {
       handle(&handler_shared, request);
     },
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -39,6 +39,11 @@
 const PLATFORM_THREADS: usize = 8;
 const ORDER_THREADS: usize = 8;
 const POLL_THREADS: usize = 4;
+/// Maximum time for which a planned stop without further work waits for requests that are being read,
+/// refused or answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval at which it checks whether there are any.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Stack size of a thread that handles a request.
 pub const STACK_BYTES: usize = 192 << 10;
 
@@ -67,7 +72,7 @@
       journal: Mutex::default(),
       platform: Client::new(&settings),
       traffic: Arc::default(),
-      stopping: AtomicBool::new(false),
+      stop: Arc::default(),
       input,
       directives: Mutex::default(),
       tickets: AtomicU64::new(0),
@@ -106,7 +111,8 @@
 
   /// Starts a planned stop.
   pub fn stop(&self) {
-    self.shared.stopping.store(true, Ordering::Relaxed);
+    let stop = &self.shared.stop;
+    stop.has_started.store(true, Ordering::Relaxed);
     self.shared.notify(Event::Stop);
   }
 
@@ -114,6 +120,12 @@
   pub fn wait(&self) {
     // An error also means that the reducer has ended.
     let _ = self.stopped.recv();
+    let active = &self.shared.stop.active;
+    let started = Moment::now();
+    while started.elapsed() < ANSWER_TIMEOUT && !active.close_if_idle() {
+      thread::sleep(STOP_CHECK_INTERVAL);
+    }
+    active.close();
   }
 }
 
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -48,7 +48,7 @@
 }
 
 fn health(shared: &Shared) -> Response {
-  if shared.stopping.load(Ordering::Relaxed) {
+  if shared.stop.has_started.load(Ordering::Relaxed) {
     return Response::text("stopping").with_status_code(503);
   }
   match shared.status() {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -14,6 +14,7 @@
   state::State,
   status::Status,
   update::Outcome,
+  web::Stop,
 };
 use slog::{Logger, info};
 use std::{
@@ -56,8 +57,8 @@
   pub platform: Client,
   /// Traffic counters between this instance and others.
   pub traffic: Arc<Traffic>,
-  /// Set once a planned stop has started.
-  pub stopping: AtomicBool,
+  /// A planned stop, and the requests in progress.
+  pub stop: Arc<Stop>,
   pub(crate) input: Sender<Input>,
   pub(crate) directives: Mutex<HashMap<Ticket, Sender<Directive>>>,
   pub(crate) tickets: AtomicU64,
--- a/src/web.rs
+++ b/src/web.rs
@@ -6,7 +6,7 @@
 //! heads with `httparse`, decodes chunked bodies with `chunked_transfer`, and implements the rest.
 //! docs/DESIGN.md has the measurements.
 
-use crate::{clock::Moment, essential, http};
+use crate::{activity::Activity, clock::Moment, essential, http};
 use chunked_transfer::{Decoder, Encoder};
 use socket2::{Domain, Socket, Type};
 use std::{
@@ -14,7 +14,7 @@
   net::{SocketAddr, TcpListener, TcpStream},
   sync::{
     Arc,
-    atomic::{AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicUsize, Ordering},
   },
   thread,
   time::Duration,
@@ -93,9 +93,19 @@
   pub peer: SocketAddr,
   stream: TcpStream,
   keep_alive: bool,
+  /// A stop that closes the connection after this request; `None` if the next request has been read
+  /// already.
+  stop: Option<Arc<Stop>>,
 }
 
 impl Request {
+  /// Whether the connection stays open after the response whose head is written now.
+  fn keeps_alive(&mut self) -> bool {
+    let stops = |stop: &Arc<Stop>| stop.has_started.load(Ordering::Relaxed);
+    self.keep_alive &= !self.stop.as_ref().is_some_and(stops);
+    self.keep_alive
+  }
+
   /// Returns the first value of a header.
   pub fn header(&self, name: &str) -> Option<&str> {
     let mut headers = self.headers.iter();
@@ -110,11 +120,12 @@
 
   /// Sends a complete response. To a HEAD request, its body is left out.
   pub fn respond(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8]) {
+    let keep_alive = self.keeps_alive();
     let head = encode_head(
       status,
       headers,
       &format!("content-length: {}", body.len()),
-      self.keep_alive,
+      keep_alive,
     );
     let body = match http::has_body(&self.method, status) {
       true => body,
@@ -130,7 +141,8 @@
 
   /// Starts a chunked response with status 200 whose parts are sent as they are written.
   pub fn stream(&mut self, headers: &[(&str, &str)]) -> io::Result<Writer> {
-    let head = encode_head(200, headers, "transfer-encoding: chunked", self.keep_alive);
+    let keep_alive = self.keeps_alive();
+    let head = encode_head(200, headers, "transfer-encoding: chunked", keep_alive);
     self.stream.write_all(head.as_bytes())?;
     Ok(Writer {
       encoder: Encoder::new(self.stream.try_clone()?),
@@ -189,17 +201,26 @@
   head + "\r\n"
 }
 
+/// A planned stop, as the connections of callers see it.
+#[derive(Debug, Default)]
+pub struct Stop {
+  pub has_started: AtomicBool,
+  /// Requests that are read, handled or answered.
+  pub active: Activity,
+}
+
 /// Binds an address and serves it in a thread. `handle` responds to each request; `busy_body` is
 /// the response body for connections beyond the limit.
 pub fn bind(
   address: &str,
   limits: Limits,
   busy_body: String,
+  stop: &Arc<Stop>,
   handle: impl Fn(&mut Request) + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
   let listener = listen(address)?;
   let address = listener.local_addr()?;
-  let handle = Arc::new(handle);
+  let (handle, stop) = (Arc::new(handle), stop.clone());
   let open_connections = Arc::new(AtomicUsize::new(0));
   essential::spawn(
     thread::Builder::new(),
@@ -209,7 +230,8 @@
       loop {
         match listener.accept() {
           Ok((stream, peer)) => {
-            accept(stream, peer, limits, &busy_body, &open_connections, &handle)
+            let serve = (&handle, &stop);
+            accept(stream, peer, limits, &busy_body, &open_connections, serve);
           }
           Err(_) => thread::sleep(ACCEPT_RETRY_DELAY),
         }
@@ -247,7 +269,7 @@
   limits: Limits,
   busy_body: &str,
   open_connections: &Arc<AtomicUsize>,
-  handle: &Arc<F>,
+  (handle, stop): (&Arc<F>, &Arc<Stop>),
 ) {
   if open_connections.fetch_add(1, Ordering::Relaxed) >= limits.connections {
     open_connections.fetch_sub(1, Ordering::Relaxed);
@@ -255,13 +277,14 @@
     return;
   }
   let (slot_count, handle) = (open_connections.clone(), handle.clone());
+  let stop = stop.clone();
   let builder = thread::Builder::new()
     .name("caller".into())
     .stack_size(limits.stack_bytes);
   let spawned = builder.spawn(move || {
     // Releases the slot, however the thread ends.
     let _slot = Slot(slot_count);
-    serve(stream, peer, limits, &*handle);
+    serve(stream, peer, limits, &stop, &*handle);
   });
   if spawned.is_err() {
     open_connections.fetch_sub(1, Ordering::Relaxed);
@@ -289,7 +312,13 @@
   let _ = stream.write_all(format!("{head}{busy_body}").as_bytes());
 }
 
-fn serve(stream: TcpStream, peer: SocketAddr, limits: Limits, handle: &impl Fn(&mut Request)) {
+fn serve(
+  stream: TcpStream,
+  peer: SocketAddr,
+  limits: Limits,
+  stop: &Arc<Stop>,
+  handle: &impl Fn(&mut Request),
+) {
   let configured = stream
     .set_nodelay(true)
     .and_then(|()| stream.set_write_timeout(Some(limits.write_timeout)));
@@ -310,11 +339,17 @@
     if !matches!(reader.fill_buf(), Ok(bytes) if !bytes.is_empty()) {
       return;
     }
+    let Some(_active) = stop.active.begin() else {
+      return;
+    };
     reader.get_mut().deadline = Moment::now() + limits.request_timeout;
     let mut request = match read_request(&mut reader, &stream, peer, limits) {
       Ok(request) => request,
       Err(error) => return respond_to_error(stream, &error),
     };
+    if reader.buffer().is_empty() {
+      request.stop = Some(stop.clone());
+    }
     handle(&mut request);
     if !request.keep_alive {
       return;
@@ -367,6 +402,7 @@
     peer,
     stream: stream.try_clone()?,
     keep_alive: parsed.version == Some(1),
+    stop: None,
   };
   let is_close = |value: &str| value.eq_ignore_ascii_case("close");
   request.keep_alive &= !request.header("connection").is_some_and(is_close);
--- a/tests/web.rs
+++ b/tests/web.rs
@@ -6,6 +6,7 @@
 use std::{
   io::{Read, Write},
   net::{SocketAddr, TcpStream},
+  sync::Arc,
   thread,
   time::Duration,
 };
@@ -24,10 +25,16 @@
 const SIGNAL_TIME: Duration = Duration::from_millis(300);
 
 fn echo(limits: Limits) -> SocketAddr {
-  web::bind("127.0.0.1:0", limits, "busy".into(), |request| {
-    let body = request.body.clone();
-    request.respond(200, &[], &body);
-  })
+  web::bind(
+    "127.0.0.1:0",
+    limits,
+    "busy".into(),
+    &Arc::default(),
+    |request| {
+      let body = request.body.clone();
+      request.respond(200, &[], &body);
+    },
+  )
   .unwrap()
 }
 
