Tests: a request ends with its caller's thread

A caller's thread that panics while its server is sought leaves a request in the reducer and a place at the server, for good.

--- a/tests/essential.rs
+++ b/tests/essential.rs
@@ -3,15 +3,20 @@
 //! A thread's end ends its process, so these tests run themselves again as a child process.
 
 use bendsaddle::{
+  backend::{Spec, Stage},
+  build,
+  deployment::{self, Deployment},
   dialect::Dialect,
-  dispatch::{Event, State},
+  dispatch::{Change, Event, State},
   entry, essential,
   hub::Hub,
   pool::Pool,
   retry::Bound,
+  route::{Part, Repeat, Route},
 };
 use slog::{Discard, Drain, Logger, Never, OwnedKVList, Record, o};
 use std::{
+  collections::BTreeMap,
   env,
   io::{Read, Write},
   net::{SocketAddr, TcpStream},
@@ -25,6 +30,8 @@
 const CHILD: &str = "BENDSADDLE_TEST_CHILD";
 /// Longest time that the child process waits for its end; it succeeds after it.
 const CHILD_LIFE: Duration = Duration::from_secs(5);
+/// Connections of callers that an instance takes.
+const CONNECTIONS: usize = 4;
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Runs a test again as a child process, which runs `run`; `None` in the child, which ends with
@@ -127,6 +134,14 @@
   }
 }
 
+/// Waits until a condition holds, but not for longer than `TIMEOUT`.
+fn wait_until(condition: impl Fn() -> bool) {
+  let started = Instant::now();
+  while !condition() && started.elapsed() < TIMEOUT {
+    thread::sleep(Duration::from_millis(1));
+  }
+}
+
 /// Sends a request to an instance whose log panics on a line; returns what is answered.
 fn ask(address: SocketAddr) -> Vec<u8> {
   let mut stream = TcpStream::connect(address).unwrap();
@@ -143,16 +158,76 @@
 /// stop waited for them, and their connections took the places of others.
 #[test]
 fn a_callers_thread_that_panics_releases_what_it_holds() {
-  const CONNECTIONS: usize = 4;
   let hub = hub(Logger::root(Trap("refused"), o!()));
   let address = entry::bind(&hub, "127.0.0.1:0", CONNECTIONS).unwrap();
   for _ in 0..3 * CONNECTIONS {
     assert_eq!(ask(address), b"");
   }
   let open = || hub.admission.get().unwrap().open();
-  let started = Instant::now();
-  while (open() > 0 || hub.active.count() > 0) && started.elapsed() < TIMEOUT {
-    thread::sleep(Duration::from_millis(1));
+  let active = || hub.active.count();
+  wait_until(|| open() == 0 && active() == 0);
+  assert_eq!((open(), active()), (0, 0));
+}
+
+fn route() -> Route {
+  Route {
+    name: "r".into(),
+    host: "host".into(),
+    prefix: "/".into(),
+    parts: vec![Part {
+      pool: "pool".into(),
+      weight: 1,
+    }],
+    repeat: Repeat::Always,
+    stream: None,
+    attempts: 2,
+    timeout_ms: 5_000,
+    objective_ms: 300,
+    priority: 1,
+    public: false,
   }
-  assert_eq!((open(), hub.active.count()), (0, 0));
+}
+
+/// A server at a port that refuses connections.
+fn unreachable_server() -> Spec {
+  Spec {
+    id: "s".into(),
+    born: 0,
+    build: build::Id::of("1"),
+    pool: "pool".into(),
+    address: "127.0.0.1:9".parse().unwrap(),
+    zone: "a".into(),
+    slots: 8,
+    stage: Stage::Ready,
+    models: BTreeMap::new(),
+    in_memory: Vec::new(),
+    on_disk: Vec::new(),
+  }
+}
+
+/// A server counted a request without an end whose thread had panicked, and was taken for busy.
+#[test]
+fn a_request_ends_with_its_thread() {
+  let hub = hub(Logger::root(Trap("server not reached"), o!()));
+  let pool = deployment::Pool { engine: None };
+  let deployment = Deployment {
+    version: 1,
+    routes: vec![Arc::new(route())],
+    pools: BTreeMap::from([("pool".into(), pool)]),
+    ..Deployment::default()
+  };
+  hub.apply(Event::Deployed(Arc::new(deployment)), None);
+  let servers = vec![Change::All(vec![unreachable_server()])];
+  hub.apply(Event::Servers(servers), None);
+  hub.apply(Event::RecordsRead, None);
+  let address = entry::bind(&hub, "127.0.0.1:0", CONNECTIONS).unwrap();
+  assert_eq!(ask(address), b"");
+  let running = || {
+    let state = hub.state();
+    let servers = state.backends.values();
+    let at_servers: u32 = servers.map(|backend| backend.running).sum();
+    (state.requests.len(), at_servers)
+  };
+  wait_until(|| running() == (0, 0));
+  assert_eq!(running(), (0, 0));
 }
