The builds that left are read again after the servers were listed again

What callers saw: a version joined and left while an instance was cut off from the store for a second; it then joined 6 of 6 streams of that version to another one.

Cause: where the store has no history left, or a watch was broken off, the servers are listed again. A list does not show what came and went since the changes that were read last, and the knowledge of the builds that left was ended only by a list more than 2 s behind.

Ruled out: answers of the other instances (they had been restarted, and their record was complete); the confirmation by the store, which completes a list.

Change: a further list ends the knowledge in the same event, and the stored builds are read again: one call for each list after the first.

--- a/src/build/history.rs
+++ b/src/build/history.rs
@@ -181,7 +181,13 @@
       return;
     };
     if lag_ms > super::MAX_LIST_LAG_MS {
-      return self.interrupt_build_watch();
+      self.interrupt_build_watch();
+    }
+    if self.hub.state().streams.take_missed_past() {
+      self.build_history.invalidate();
+    }
+    if lag_ms > super::MAX_LIST_LAG_MS {
+      return;
     }
     let holding = self.groups.first().is_some_and(|group| group.holds_lease);
     let era = self.hub.gates.servers.progress().revision.era;
@@ -193,8 +199,7 @@
   }
 
   /// Handles that builds may have come and gone unseen.
-  pub(crate) fn interrupt_build_watch(&mut self) {
-    self.build_history.invalidate();
+  pub(crate) fn interrupt_build_watch(&self) {
     self.hub.apply(Event::BuildsUnwatched, None);
   }
 
--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -322,6 +322,15 @@
 
   /// Records the builds of servers in changes, of which later ones may undo earlier ones.
   pub(crate) fn record_passing_builds(&mut self, changes: &[Change]) {
+    // A further list does not show builds that came and went since the changes that were read last.
+    if self.listed
+      && changes
+        .iter()
+        .any(|change| matches!(change, Change::All(_)))
+    {
+      self.streams.interrupt_watch(self.now);
+      self.out.push(Effect::ExchangeBuilds);
+    }
     let specs = changes.iter().filter_map(|change| match change {
       Change::Set(spec) => Some((spec.pool.as_str(), spec.build)),
       Change::All(_) | Change::Part(_) | Change::Removed(_) | Change::Invalid(_) => None,
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -65,6 +65,8 @@
   past_known: bool,
   /// Whether the stored builds are still to be read.
   past_awaited: bool,
+  /// Whether they are to be read once more.
+  past_missed: bool,
   pub(super) confirmation: Confirmation,
   /// When this instance last knew of fewer instances than before, in ms.
   instances_fell_at: Option<u64>,
@@ -106,6 +108,12 @@
     self.watched_since = Some(now);
     self.past_known = false;
     self.past_awaited = true;
+    self.past_missed = true;
+  }
+
+  /// Takes whether builds may have come and gone unseen, so that the stored ones are read once more.
+  pub fn take_missed_past(&mut self) -> bool {
+    std::mem::take(&mut self.past_missed)
   }
 
   /// Records that the stored builds were read.
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -551,6 +551,19 @@
   assert!(goes_on(&mut state, 100_103));
 }
 
+/// Guards against builds that came and went before a list that replaces changes which are not known.
+#[test]
+fn builds_that_left_are_unknown_after_the_servers_were_listed_again() {
+  let mut state = state(&["v1-a", "v1-b"]);
+  let specs = vec![spec("v1-a"), spec("v1-b")];
+  let effects = state.reduce(100_000, Event::Servers(vec![Change::All(specs)]));
+  assert!(effects.contains(&Effect::ExchangeBuilds));
+  assert!(state.streams.take_missed_past());
+  assert!(!goes_on(&mut state, 100_001));
+  state.reduce(100_102, history(&["v1"], true));
+  assert!(goes_on(&mut state, 100_103));
+}
+
 /// Guards against refusals because a slow store is still to return the builds that left.
 #[test]
 fn a_stream_that_nobody_knows_waits_for_the_stored_builds_a_moment() {
