A confirmation by the store includes the routes

What callers saw: a route was split over two services with different versions; streams that began at the second one were joined to the first one's version by an instance that heard no others.

Cause: which pools' builds count together depends on the routes, and only the servers were confirmed by the store; the configuration of an instance that hears no others is up to 1.3 s old.

Change: the store is also asked whether deployments have changed; if so the builds are not confirmed, and the stream is refused as not run unless all others answer. Two calls for each confirmation; their interval grows with the number of instances, so that all together make no more than 1,000 calls per second.

--- a/src/build/confirm.rs
+++ b/src/build/confirm.rs
@@ -1,4 +1,5 @@
-//! Asks the store whether servers of other builds have joined, for streams that nobody knows.
+//! Asks the store whether servers of other builds have joined, or routes have changed, for streams
+//! that nobody knows.
 //!
 //! While an instance is partitioned or suspended, builds may join unseen, streams begin at them on
 //! other instances, and their records may not arrive. A stream began before its resumption arrived,
@@ -7,17 +8,18 @@
 use super::Id;
 use crate::{
   dispatch::{Event, State},
+  edge::Edge,
   planner::{Completion, Planner},
-  store::{Changes, Error, Object, Result},
+  store::{Changes, Error, Object, Result, Revision},
 };
 use slog::info;
 use std::time::Duration;
 
 /// Timeout of the watch, which only reads the changes so far.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
-/// Minimum time between the starts of two calls, in ms. If all of 295 instances make them, that is
-/// fewer than the 2,000 reads per second that deployments allow.
-const MIN_INTERVAL_MS: u64 = 150;
+/// Minimum time between two confirmations, in ms, for each instance: all together make at most 1,000
+/// calls per second, half of the reads that deployments allow.
+const INTERVAL_PER_INSTANCE_MS: u64 = 2;
 
 /// A server's pool and build.
 pub type Server = (String, Id);
@@ -68,21 +70,38 @@
   }
 }
 
+/// The servers that changed since a revision; `None` if deployments changed, whose routes tell which
+/// pools' builds count together.
+fn changed_servers(
+  edge: &Edge,
+  servers: Revision,
+  deployments: Revision,
+) -> Result<Option<Changes>> {
+  let read = |kind, revision: Revision| {
+    let changes = (edge.store.watch)(kind, revision, WATCH_TIMEOUT)?;
+    match changes.revision.era == revision.era {
+      true => Ok(changes),
+      false => Err(Error::HistoryGone),
+    }
+  };
+  let deployed = read(edge.kinds.deployments, deployments)?;
+  let changes = read(edge.kinds.servers, servers)?;
+  Ok(deployed.objects.is_empty().then_some(changes))
+}
+
 /// A planner's calls.
 #[derive(Debug, Default)]
 pub(crate) struct Calls {
   in_progress: bool,
-  /// When the last one was started, in ms.
-  started_at: Option<u64>,
+  /// When the next ones may start, in ms.
+  next_at: u64,
   requested: bool,
 }
 
 impl Calls {
-  /// When the next call may start, in ms; `None` if none is needed or one is in progress.
+  /// When the next calls may start, in ms; `None` if none are needed or some are in progress.
   pub(crate) fn due(&self) -> Option<u64> {
-    let is_due = self.requested && !self.in_progress;
-    let next_at = self.started_at.map_or(0, |at| at + MIN_INTERVAL_MS);
-    is_due.then_some(next_at)
+    (self.requested && !self.in_progress).then_some(self.next_at)
   }
 }
 
@@ -102,41 +121,42 @@
 }
 
 impl Planner {
-  /// Starts a call if a stream needs it.
+  /// Starts calls if a stream needs them.
   pub(crate) fn confirm_builds(&mut self) {
-    self.confirmations.requested |= self.hub.state().streams.take_confirmation_request();
+    let instances = {
+      let mut state = self.hub.state();
+      self.confirmations.requested |= state.streams.take_confirmation_request();
+      state.instances as u64
+    };
     let now = self.hub.now();
     if self.confirmations.due().is_none_or(|due| now < due) {
       return;
     }
-    let gate = &self.hub.gates.servers;
-    if gate.age().is_none() {
+    let gates = &self.hub.gates;
+    if gates.servers.age().is_none() || gates.deployments.age().is_none() {
       // Nothing is known yet that a call could complete.
       self.confirmations.requested = false;
       return;
     }
-    // The state has all changes up to this revision.
-    let revision = gate.progress().revision;
+    // The state has all changes up to these revisions.
+    let servers = gates.servers.progress().revision;
+    let deployments = gates.deployments.progress().revision;
     self.confirmations = Calls {
       in_progress: true,
-      started_at: Some(now),
+      next_at: now + instances * INTERVAL_PER_INSTANCE_MS,
       requested: false,
     };
     self.run_call(&self.build_calls, move |edge| {
-      let changes = (edge.store.watch)(edge.kinds.servers, revision, WATCH_TIMEOUT);
-      let changes = changes.and_then(|changes| match changes.revision.era == revision.era {
-        true => Ok(changes),
-        false => Err(Error::HistoryGone),
-      });
+      let changes = changed_servers(edge, servers, deployments);
       Completion::BuildsConfirmed(now, changes)
     });
   }
 
-  /// Processes the result of a call that was started at `as_of`, in ms.
-  pub(crate) fn finish_confirmation(&mut self, as_of: u64, result: Result<Changes>) {
+  /// Processes the result of calls that were started at `as_of`, in ms.
+  pub(crate) fn finish_confirmation(&mut self, as_of: u64, result: Result<Option<Changes>>) {
     self.confirmations.in_progress = false;
     let servers = match result {
-      Ok(changes) => {
+      Ok(Some(changes)) => {
         let present = changes.objects.iter().filter(|(_, removed)| !removed);
         Some(
           present
@@ -144,6 +164,13 @@
             .collect(),
         )
       }
+      Ok(None) => {
+        info!(
+          self.hub.log,
+          "builds of the pools are not confirmed: deployments have changed"
+        );
+        None
+      }
       Err(error) => {
         info!(self.hub.log, "failed to confirm the builds of the pools"; "error" => %error);
         None
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -86,8 +86,8 @@
     stored::Call<build::history::Record>,
     store::Result<store::Object>,
   ),
-  /// Changes of the servers since the known ones, as of a time in ms.
-  BuildsConfirmed(u64, store::Result<store::Changes>),
+  /// Changes of the servers since the known ones, as of a time in ms; `None` if deployments changed.
+  BuildsConfirmed(u64, store::Result<Option<store::Changes>>),
 }
 
 /// A group of servers with its lease, and the plan that is in effect while this machine holds the
