Streams that nobody knows are asked of eight instances

What callers saw: five of seven instances were cut off together from the store and the others while servers of another version joined; streams that had begun there were joined at these five.

Cause: three instances are asked, and all three may be on the same side. Where the holder is on the other side too, nobody counts the instances anew, and a list as old as the silence of the store counts for as long as the cut lasts.

Change: eight are asked, all in a small fleet. A third of a large fleet that is cut off together holds all eight of 1 in 6,561 streams (arithmetic), before three of 1 in 27. Costs five more questions of 10 bytes and their answers for each resumption of a stream that is not known here.

--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -9,9 +9,10 @@
 };
 use std::{net::SocketAddr, time::Duration};
 
-/// Number of instances that are asked about an attempt. One more than have its record, because two
-/// instances may know different lists of instances.
-pub(crate) const ASKED: usize = 3;
+/// Number of instances that are asked about an attempt. More than have its record, because two
+/// instances may know different lists of instances, and because all that answer may be partitioned
+/// from the others together: if that is a third of the instances, from 1 in 6,561 streams' eight.
+pub(crate) const ASKED: usize = 8;
 /// How long answers are awaited, in ms, and how many times the question is sent. The answers of
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
