A store that answers watches at once is not called without end

What callers could see: found by looking for loops that take another's word for their progress, not reported. A store that answers a watch at once, without changes, was asked again at once, which takes the rate of all instances. Cause: the feed relied on the store to wait. Change: a watch without changes is followed by the next one after 100 ms at the earliest, and the product's own watch of its platform after 200 ms. Ruled out: a pause after each watch, which would delay changes.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -47,6 +47,8 @@
 
 /// Status of a call beyond the store's rate limit; it shows that the store is reachable.
 const TOO_MANY_REQUESTS: u16 = 429;
+/// Minimum time from one watch without changes to the next one.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a list is read again that may lack objects.
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
 /// A list of at least this many pages is logged: lists have one page per 500 objects.
@@ -131,6 +133,12 @@
   }
 }
 
+/// The pause after a watch without changes that took this long: a store that does not wait must not be
+/// called without end.
+fn pause_after_empty_watch(timeout: Duration, took: Duration) -> Duration {
+  timeout.min(MIN_WATCH_INTERVAL).saturating_sub(took)
+}
+
 /// State of following one kind.
 struct Feed<'a, M, T> {
   store: &'a Store,
@@ -317,6 +325,9 @@
           source: "watch",
           age,
         });
+        if !waited.is_zero() {
+          thread::sleep(pause_after_empty_watch(timeout, started_at.elapsed()));
+        }
       }
       Err(error) => self.record_failure("watch", started_at, &error),
     }
--- a/src/watchers.rs
+++ b/src/watchers.rs
@@ -1,6 +1,6 @@
 //! Threads that watch the platform's configuration and list its instances for the fleet.
 
-use crate::{essential, event::Event, journal::Entry, object::Kind, shared::Shared};
+use crate::{clock::Moment, essential, event::Event, journal::Entry, object::Kind, shared::Shared};
 use std::{
   io,
   sync::{Arc, atomic::Ordering},
@@ -12,6 +12,8 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Base delay before a failed watch is retried.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Minimum time from a watch that brought nothing new to the next one.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(200);
 /// Reads of the instance list per listing of batches.
 const READS_PER_BATCH_LIST: u32 = 10;
 
@@ -36,6 +38,7 @@
       sleep_jittered(WATCH_RETRY_DELAY);
       continue;
     }
+    let started_at = Moment::now();
     let result = shared.platform.watch(last_revision, WATCH_TIMEOUT);
     if result.is_ok() != is_reachable {
       is_reachable = result.is_ok();
@@ -46,8 +49,13 @@
     }
     match result {
       Ok((revision, objects)) => {
+        let advanced = revision > last_revision;
         last_revision = last_revision.max(revision);
         shared.notify(Event::ConfigurationRead(objects));
+        if !advanced {
+          // A platform that does not wait must not be called without end.
+          thread::sleep(MIN_WATCH_INTERVAL.saturating_sub(started_at.elapsed()));
+        }
       }
       Err(_) => sleep_jittered(WATCH_RETRY_DELAY * 2),
     }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -27,6 +27,8 @@
   watch_refusal: AtomicU64,
   /// A response with more changes than this does not arrive in time; 0 if there is no such limit.
   max_changes: AtomicU64,
+  /// Whether watches end at once, also without changes.
+  ends_watches: AtomicBool,
   /// Whether lists get no response.
   loses_lists: AtomicBool,
 }
@@ -69,7 +71,8 @@
         if max_changes > 0 && revision - from > max_changes {
           return Err(Error::NoAnswer);
         }
-        if revision > from || Instant::now() >= until {
+        let ends = watch_state.ends_watches.load(Ordering::Relaxed);
+        if ends || revision > from || Instant::now() >= until {
           let objects = (revision > from).then(|| (object(revision), false));
           return Ok(Changes {
             objects: objects.into_iter().collect(),
@@ -123,6 +126,23 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Guards against a store that answers watches at once, and is then called without end.
+#[test]
+fn a_store_that_does_not_wait_is_not_watched_without_end() {
+  let shared = Arc::new(Shared::default());
+  shared.revision.store(5, Ordering::Relaxed);
+  shared.ends_watches.store(true, Ordering::Relaxed);
+  let gate = Arc::new(Gate::default());
+  let revisions = spawn(&shared, &gate);
+  assert_eq!(revisions.recv_timeout(TIMEOUT), Ok(5));
+  let started = Instant::now();
+  let before = shared.watches.load(Ordering::Relaxed);
+  thread::sleep(Duration::from_secs(1));
+  let watches = shared.watches.load(Ordering::Relaxed) - before;
+  let most = started.elapsed().as_millis() as u64 / 100 + 1;
+  assert!(watches <= most, "{watches} watches");
+}
+
 /// Passes on a holder's progress every 20 ms until `done`; returns the longest interval between two
 /// of them, which may be long on a busy machine.
 fn keep_following(
