A connection closed in the first millisecond counts as an overload

Cause: 0 stood for never, and is also the time of the first millisecond after a start. Change: a value of its own for never.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -16,6 +16,8 @@
 const MIN_STARTING: usize = 4;
 /// An instance counts as overloaded for this long after it last closed a connection unread, in ms.
 const OVERLOAD_MS: u64 = 1_000;
+/// Time of an event that has not happened.
+const NEVER: u64 = u64::MAX;
 
 /// Why a new connection is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,7 +69,7 @@
       starting: AtomicUsize::new(0),
       window: AtomicUsize::new(max_connections),
       halved_at: AtomicU64::new(0),
-      closed_at: AtomicU64::new(0),
+      closed_at: AtomicU64::new(NEVER),
     }
   }
 
@@ -156,7 +158,7 @@
   /// instances as well.
   pub fn keeps_idle(&self, now: u64, active: usize) -> bool {
     let closed_at = self.closed_at.load(Ordering::Relaxed);
-    let overloaded = closed_at > 0 && now < closed_at + OVERLOAD_MS;
+    let overloaded = closed_at != NEVER && now < closed_at + OVERLOAD_MS;
     let idle = self.open().saturating_sub(active);
     !overloaded && idle <= self.max_connections / IDLE_DIVISOR
   }
