--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,7 @@
 //! Caller port of a routing instance: accepts connections, reads requests and finds their routes.
 
+mod read;
+
 use crate::{
   activity::Active,
   admission::{Admission, Cause, Overload},
@@ -7,16 +9,17 @@
   customer::{self, Caller},
   deployment::{Bounds, Deployment},
   essential,
-  http::{Decoder, Error, Framing, Headers, Request, Response},
+  http::{Headers, Request, Response},
   hub::{Hub, Mailbox},
-  reader::{self, Account, Book, Scope},
+  reader::{self, Book},
   refusal::{Reason, Refusal},
   relay::{self, Disposition, Incoming},
   route::{self, Route},
-  socket::{self, Fill, Interest, READ_BYTES, Socket, wait},
+  socket::{self, Fill, Interest, Socket, wait},
   verdict::Verdict,
   web,
 };
+use read::{Full, Partial, ReadError, Received, Rejection, read_request};
 use slog::{info, warn};
 use std::{
   io,
@@ -30,8 +33,6 @@
 const STACK_BYTES: usize = 128 << 10;
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Time limit for receiving a body, from the end of its head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time limit for writing a short response that this instance creates itself.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time limit for the first byte on a connection that is accepted during a planned stop, and for the
@@ -49,75 +50,6 @@
 /// What a connection's thread runs.
 pub type Task = Box<dyn FnOnce() + Send>;
 
-/// Why a request could not be read.
-enum ReadError {
-  /// The connection was closed, or was idle for too long.
-  Closed,
-  Rejected(Rejection),
-  /// It has not arrived in full when a planned stop refuses requests.
-  Stopping(Box<Partial>),
-  /// Too many bytes are held for callers.
-  Full(Box<Full>),
-}
-
-/// A request that is invalid or exceeds a limit.
-struct Rejection {
-  status: u16,
-  message: String,
-  /// Method of the request; empty if its head was not read.
-  method: String,
-}
-
-/// A request that has not arrived in full.
-#[derive(Default)]
-struct Partial {
-  /// Empty if its head was not read.
-  method: String,
-  /// Its id.
-  request: Option<String>,
-}
-
-/// A request that does not fit into the bounds on bytes held.
-struct Full {
-  method: String,
-  /// Its id.
-  request: Option<String>,
-  scope: Scope,
-  /// Whether its body has not arrived in full.
-  partial: bool,
-}
-
-/// A request as it was received.
-struct Received {
-  head: Request,
-  body: Vec<u8>,
-  /// When its first byte was read, in ms.
-  arrived: u64,
-  account: Option<Account>,
-}
-
-impl ReadError {
-  /// Adds the method and the id of the request whose body could not be read.
-  fn with_head(mut self, method: &str, id: Option<&str>) -> Self {
-    match &mut self {
-      Self::Rejected(rejection) => rejection.method = method.into(),
-      Self::Stopping(partial) => {
-        partial.method = method.into();
-        partial.request = id.map(str::to_string);
-      }
-      Self::Closed | Self::Full(_) => {}
-    }
-    self
-  }
-}
-
-impl From<io::Error> for ReadError {
-  fn from(_: io::Error) -> Self {
-    // No response can be sent if the connection failed.
-    Self::Closed
-  }
-}
-
 /// Binds the caller port and serves at most `max_connections` connections at once.
 pub fn bind(hub: &Arc<Hub>, address: &str, max_connections: usize) -> io::Result<SocketAddr> {
   bind_with(hub, address, max_connections, |builder, task| {
@@ -370,39 +302,6 @@
   }
 }
 
-/// Reads a request whose first byte has arrived, within the limits of the current deployment.
-fn read_request(hub: &Hub, socket: &mut Socket) -> Result<Received, ReadError> {
-  let arrived = hub.now();
-  let limits = limits(hub);
-  let head = read_head(hub, socket, &limits)?;
-  let id = head.headers.get(hub.dialect.request_id);
-  let full = |scope, partial| {
-    ReadError::Full(Box::new(Full {
-      method: head.method.clone(),
-      request: id.map(str::to_string),
-      scope,
-      partial,
-    }))
-  };
-  let account = match hub.readers.get().map(Book::open).transpose() {
-    Ok(account) => account,
-    Err(scope) => return Err(full(scope, head.framing() != Ok(Framing::Empty))),
-  };
-  let body = read_body(hub, socket, &head, &limits, account.as_ref(), |scope| {
-    full(scope, true)
-  });
-  let body = body.map_err(|error| error.with_head(&head.method, id))?;
-  if let Some(account) = &account {
-    account.settle();
-  }
-  Ok(Received {
-    head,
-    body,
-    arrived,
-    account,
-  })
-}
-
 /// Refuses a request that does not fit into the bounds on bytes held.
 fn refuse_full(hub: &Hub, socket: &mut Socket, full: &Full, keep_alive: bool) -> Disposition {
   let refusal = Refusal {
@@ -449,145 +348,6 @@
   }
 }
 
-fn rejected(status: u16, message: String) -> ReadError {
-  ReadError::Rejected(Rejection {
-    status,
-    message,
-    method: String::new(),
-  })
-}
-
-fn invalid(error: Error) -> ReadError {
-  rejected(400, error.0)
-}
-
-/// Like `Socket::fill_by`, but not beyond the time at which a planned stop refuses requests.
-fn fill_by(hub: &Hub, socket: &mut Socket, deadline: Moment) -> io::Result<Fill> {
-  loop {
-    let refuse_at = hub.shutdown().map(|times| hub.instant(times.refuse_at));
-    let until = refuse_at.map_or(deadline, |refuse_at| refuse_at.min(deadline));
-    let stop = refuse_at.is_none().then_some(&hub.stop_waker);
-    let stop = stop.map(|waker| (waker as _, Interest::Read));
-    let connection = Some((&socket.stream as _, Interest::Read));
-    let [readable, stopped] = wait([connection, stop], until)?;
-    if readable {
-      return socket.fill();
-    }
-    if !stopped {
-      return Err(io::ErrorKind::TimedOut.into());
-    }
-  }
-}
-
-/// Whether a planned stop refuses requests that have not arrived in full.
-fn refuses_partial(hub: &Hub) -> bool {
-  let shutdown = hub.shutdown();
-  shutdown.is_some_and(|times| hub.now() >= times.refuse_at)
-}
-
-fn incomplete(hub: &Hub, error: io::Error, part: &str) -> ReadError {
-  match error.kind() {
-    io::ErrorKind::TimedOut if refuses_partial(hub) => ReadError::Stopping(Box::default()),
-    io::ErrorKind::TimedOut => rejected(408, format!("{part}: not whole in time")),
-    _ => ReadError::Closed,
-  }
-}
-
-fn read_head(hub: &Hub, socket: &mut Socket, limits: &Bounds) -> Result<Request, ReadError> {
-  let deadline = Moment::now() + limits.head_timeout;
-  loop {
-    // Empty lines before a request are allowed.
-    while socket.input.starts_with(b"\r\n") {
-      socket.input.drain(..2);
-    }
-    if let Some((head, length)) = Request::parse(&socket.input).map_err(invalid)? {
-      if length > limits.head_bytes {
-        return Err(head_too_large(limits));
-      }
-      socket.input.drain(..length);
-      return Ok(head);
-    }
-    if socket.input.len() > limits.head_bytes {
-      return Err(head_too_large(limits));
-    }
-    let fill = fill_by(hub, socket, deadline);
-    if fill.map_err(|error| incomplete(hub, error, "head"))? == Fill::Eof {
-      return Err(ReadError::Closed);
-    }
-  }
-}
-
-fn head_too_large(limits: &Bounds) -> ReadError {
-  rejected(431, format!("head: more than {} bytes", limits.head_bytes))
-}
-
-fn read_body(
-  hub: &Hub,
-  socket: &mut Socket,
-  head: &Request,
-  limits: &Bounds,
-  account: Option<&Account>,
-  full: impl Fn(Scope) -> ReadError,
-) -> Result<Vec<u8>, ReadError> {
-  let framing = head.framing().map_err(invalid)?;
-  let body_too_large = || rejected(413, format!("body: more than {} bytes", limits.body_bytes));
-  if matches!(framing, Framing::Length(length) if length > limits.body_bytes as u64) {
-    return Err(body_too_large());
-  }
-  let mut decoder = Decoder::new(framing);
-  let mut bytes = Vec::new();
-  let deadline = Moment::now() + BODY_TIMEOUT;
-  if head.headers.has_token("expect", "100-continue")
-    && !decoder.is_complete()
-    && socket.input.is_empty()
-  {
-    socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)?;
-  }
-  loop {
-    decoder
-      .decode(&mut socket.input, &mut bytes)
-      .map_err(invalid)?;
-    if bytes.len() > limits.body_bytes {
-      return Err(body_too_large());
-    }
-    if decoder.is_complete() {
-      return Ok(bytes);
-    }
-    let held = (bytes.len() + READ_BYTES) as u64;
-    let bounded = account.filter(|_| held > reader::BASE_BYTES);
-    if let Some(account) = bounded {
-      account.receive(held).map_err(&full)?;
-    }
-    let fill = match bounded {
-      Some(account) => fill_bounded(hub, socket, deadline, account).map_err(&full)?,
-      None => fill_by(hub, socket, deadline),
-    };
-    if fill.map_err(|error| incomplete(hub, error, "body"))? == Fill::Eof {
-      return Err(ReadError::Closed);
-    }
-  }
-}
-
-/// Like `fill_by`; an error means that the sender was chosen to be dropped.
-fn fill_bounded(
-  hub: &Hub,
-  socket: &mut Socket,
-  deadline: Moment,
-  account: &Account,
-) -> Result<io::Result<Fill>, Scope> {
-  loop {
-    let check_at = Moment::now() + reader::CHECK_INTERVAL;
-    let fill = fill_by(hub, socket, check_at.min(deadline));
-    let timed_out = matches!(&fill, Err(error) if error.kind() == io::ErrorKind::TimedOut);
-    if account.is_dropped() {
-      return Err(Scope::Instance);
-    }
-    if !timed_out || Moment::now() >= deadline || refuses_partial(hub) {
-      return Ok(fill);
-    }
-  }
-}
-
 /// Returns the current deployment; `None` until the records of requests that crash servers have
 /// been read, since without them such a request would be sent to a server.
 fn known_deployment(hub: &Hub) -> Option<Arc<Deployment>> {
