--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -142,6 +142,9 @@
   /// has confirmed them since; or the list of servers is new, and no instance that may know of
   /// another build is partitioned from this one.
   fn knows_present(&self, request: &Request, resumption: Resumption) -> bool {
+    if !self.list_complete {
+      return false;
+    }
     let knowledge = self.streams.confirmation.knowledge(request.arrived);
     if knowledge == Knowledge::Confirmed {
       return true;
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Kinds {
   pub deployments: &'static str,
+  /// Name of the object that holds the latest deployment.
+  pub deployment: &'static str,
   pub servers: &'static str,
   pub leases: &'static str,
   pub policies: &'static str,
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Moment;
 use crate::reachability::Outage;
-use crate::store::{Error, Gap, List, Object, Reading, Revision, Store};
+use crate::store::{Error, Gap, List, Object, Range, Reading, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -47,6 +47,8 @@
 
 /// Status of a call beyond the store's rate limit; it shows that the store is reachable.
 const TOO_MANY_REQUESTS: u16 = 429;
+/// Time limit for that, as changes are not watched meanwhile.
+const LIST_AGAIN_TIME: Duration = Duration::from_millis(500);
 /// Minimum time from one watch without changes to the next one.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a list is read again that may lack objects.
@@ -126,6 +128,7 @@
     changed_since_restore: None,
     gap: None,
     list_again_at: None,
+    list_again: Range::default(),
     unreadable: 0,
   };
   loop {
@@ -133,6 +136,12 @@
   }
 }
 
+/// When a list that may lack objects is read again. Instances that start together must not read it at
+/// the same time.
+fn next_list_at() -> Moment {
+  Moment::now() + LIST_INTERVAL.mul_f64(rand::random_range(RETRY_JITTER))
+}
+
 /// The pause after a watch without changes that took this long: a store that does not wait must not be
 /// called without end.
 fn pause_after_empty_watch(timeout: Duration, took: Duration) -> Duration {
@@ -163,8 +172,9 @@
   changed_since_restore: Option<BTreeSet<String>>,
   /// Where the last list may lack objects.
   gap: Option<Gap>,
-  /// When a list that may lack objects is read again.
+  /// When a list that may lack objects is read again, and which part of it.
   list_again_at: Option<Moment>,
+  list_again: Range,
   /// Number of objects and changes so far that were not readable.
   unreadable: usize,
 }
@@ -189,14 +199,17 @@
       .is_some();
     let next = match self.known_revision {
       None => Next::List,
-      Some(_) if list_again => Next::List,
+      Some(_) if list_again => {
+        let range = self.list_again.clone();
+        return self.list(&range);
+      }
       Some(_) => self.gate.wait(self.last_failure),
     };
     match next {
       Next::Apply(batch) => self.apply_batch(batch),
       Next::Reachable => self.record_recovery(),
-      Next::List => self.list(),
-      Next::Watch { .. } if self.needs_list => self.list(),
+      Next::List => self.list(&Range::default()),
+      Next::Watch { .. } if self.needs_list => self.list(&Range::default()),
       Next::Watch {
         revision,
         immediate,
@@ -227,11 +240,11 @@
     self.gate.record_batch(batch.revision, relevant);
   }
 
-  fn list(&mut self) {
+  fn list(&mut self, range: &Range) {
     let (started_at, age) = (Moment::now(), self.gate.age());
     match self
       .store
-      .list_all(self.kind, |reading| self.log_long_list(reading))
+      .list(self.kind, range, |reading| self.log_long_list(reading))
     {
       Ok(list)
         if self
@@ -243,12 +256,12 @@
       }
       Ok(list) => {
         self.record_unreadable(list.unreadable);
-        self.record_gap(&list);
+        self.record_gap(range, &list);
         self.handle_response(Response {
           revision: list.revision,
-          event: match list.gap {
-            None => Event::Listed(list.objects),
-            Some(_) => Event::PartlyListed(list.objects),
+          event: match (&list.gap, &range.after) {
+            (None, None) => Event::Listed(list.objects),
+            _ => Event::PartlyListed(list.objects),
           },
           confirmed_at: started_at,
           started_at,
@@ -256,7 +269,14 @@
           age,
         });
       }
-      Err(error) => self.record_failure("list", started_at, &error),
+      Err(error) => {
+        self.list_again_at = self.gap.as_ref().map(|_| next_list_at());
+        self.record_failure("list", started_at, &error);
+        if error == Error::HistoryGone {
+          // A list over two eras of the store is read again.
+          thread::sleep(RETRY_DELAY);
+        }
+      }
     }
   }
 
@@ -269,9 +289,17 @@
   }
 
   /// Has a list read again that may lack objects. Logs where, once.
-  fn record_gap(&mut self, list: &List) {
-    self.list_again_at = list.gap.as_ref().map(|_| Moment::now() + LIST_INTERVAL);
-    if self.gap == list.gap {
+  fn record_gap(&mut self, range: &Range, list: &List) {
+    let complete = list.gap.is_none() && range.after.is_none();
+    self.list_again_at = (!complete).then(next_list_at);
+    self.list_again = Range {
+      after: match &list.gap {
+        Some(Gap::TooLong { after }) => Some(after.clone()),
+        _ => None,
+      },
+      time_limit: LIST_AGAIN_TIME,
+    };
+    if self.gap == list.gap || range.after.is_some() {
       return;
     }
     match &list.gap {
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -88,7 +88,11 @@
       return;
     }
     self.run_call(&self.calls, |edge| {
-      Completion::Policies(edge.store.list_all(edge.kinds.policies, |_| {}))
+      Completion::Policies(
+        edge
+          .store
+          .list(edge.kinds.policies, &store::Range::default(), |_| {}),
+      )
     });
   }
 
@@ -108,7 +112,6 @@
       warn!(self.hub.log, "policies may be missing"; "gap" => %gap,
         "known" => self.policy_reads.are_known());
       if self.policy_reads.are_known() {
-        self.policy_reads.failed(now);
         return;
       }
     }
--- a/src/relay/crashed.rs
+++ b/src/relay/crashed.rs
@@ -26,12 +26,23 @@
   pub(super) fn confirm_end(&self, attempt: &Attempt) -> Result<(), Outcome> {
     match self.liveness(attempt) {
       Liveness::Running => Ok(()),
-      Liveness::Ended if self.has_run() => Err(outcome(End::Crashed, "server ended")),
+      // A server that is leaving ends whatever it runs.
+      Liveness::Ended if self.has_run() && !self.is_leaving(attempt) => {
+        Err(outcome(End::Crashed, "server ended"))
+      }
       Liveness::Ended => Err(outcome(End::Broken, "server had ended")),
       Liveness::Unknown => Err(outcome(End::Broken, "end of the answer is not confirmed")),
     }
   }
 
+  fn is_leaving(&self, attempt: &Attempt) -> bool {
+    let state = self.hub.state();
+    state
+      .backends
+      .get(attempt.backend)
+      .is_none_or(Backend::is_leaving)
+  }
+
   fn has_run(&self) -> bool {
     self.hub.now() >= self.sending.sent_at + MIN_RUN_MS
   }
@@ -71,11 +82,7 @@
     match liveness::probe(attempt.address) {
       Probe::Accepts(socket) => {
         self.hub.measures.record_connection();
-        let leaves = {
-          let state = self.hub.state();
-          let backend = state.backends.get(attempt.backend);
-          backend.is_none_or(Backend::is_leaving)
-        };
+        let leaves = self.is_leaving(attempt);
         if let Some(socket) = socket.filter(|_| !leaves) {
           self.hub.pool.release(attempt.backend, socket, None);
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -38,6 +38,8 @@
 /// Maximum number of invalid entries remembered: a writer of thousands must not exhaust the memory
 /// of an instance.
 const MAX_INVALID_ENTRIES: usize = 256;
+/// Maximum length of a fault in the log.
+const MAX_FAULT_CHARS: usize = 200;
 /// Stack size of a feed's thread.
 const STACK_BYTES: usize = 256 << 10;
 
@@ -152,7 +154,8 @@
       |_, _| true,
       |change| {
         let objects = match change {
-          feed::Event::Listed(objects) | feed::Event::PartlyListed(objects) => objects,
+          feed::Event::Listed(objects) => objects,
+          feed::Event::PartlyListed(objects) => with_latest(&hub, &edge, objects),
           feed::Event::Changed(objects) => objects
             .into_iter()
             .filter_map(|(object, removed)| (!removed).then_some(object))
@@ -176,6 +179,16 @@
   })
 }
 
+/// Adds the object with the latest deployment, which an incomplete list may lack.
+fn with_latest(hub: &Hub, edge: &Edge, mut objects: Vec<Object>) -> Vec<Object> {
+  let kinds = &edge.kinds;
+  match (edge.store.read)(kinds.deployments, kinds.deployment) {
+    Ok(object) => objects.push(object),
+    Err(error) => warn!(hub.log, "configuration could not be read"; "error" => %error),
+  }
+  objects
+}
+
 /// Applies the deployment in an object. Returns whether it is newer than the current one.
 fn deploy(hub: &Hub, edge: &Edge, object: &Object) -> bool {
   match (edge.parse_deployment)(object) {
@@ -220,7 +233,8 @@
       |change| {
         let mut decode = |object: &Object| match (edge.parse_server)(object) {
           Ok(spec) => Change::Set(spec),
-          Err(fault) => {
+          Err(mut fault) => {
+            truncate(&mut fault);
             if invalid_entries.insert(object, &fault) {
               hub.measures.record_invalid_entry(edge.kinds.servers);
               warn!(hub.log, "server entry is invalid and is ignored"; "server" => &object.name,
@@ -302,6 +316,13 @@
   changes
 }
 
+/// Shortens a fault, which may quote any text of another writer.
+fn truncate(fault: &mut String) {
+  if let Some((end, _)) = fault.char_indices().nth(MAX_FAULT_CHARS) {
+    fault.truncate(end);
+  }
+}
+
 /// Faults of invalid entries by name, so that each is logged once and not with every list or change.
 #[derive(Default)]
 struct InvalidEntries {
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -5,9 +5,10 @@
 
 use super::{Error, Object, Page, Result, Revision};
 use crate::clock::Moment;
+use serde_json::Value;
 use std::{
   collections::{BTreeSet, HashMap},
-  fmt,
+  fmt, thread,
   time::Duration,
 };
 
@@ -15,10 +16,36 @@
 const MAX_PAGES: u32 = 2_000;
 /// Maximum time of a list. A page takes some ms, or a few hundred if the store is slow.
 const MAX_TIME: Duration = Duration::from_secs(10);
-/// Maximum size of all pages of a list, as received. Decoded objects take a few times as much.
+/// Maximum size of the objects of a list, as received. Decoded ones take a few times as much.
 const MAX_BYTES: usize = 8 << 20;
+/// Where a list exceeds that, larger objects are listed without their content.
+const LARGE_BYTES: usize = 64 << 10;
 /// Maximum number of times that a list continues behind a name that the store did not pass.
 const MAX_SKIPS: u32 = 16;
+/// Maximum number of times that a page is read again which the store could not return, and the delay
+/// before the first time, doubled for each further one.
+const MAX_RETRIES: u32 = 4;
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Statuses of calls that may succeed later.
+const TRANSIENT_STATUSES: [u16; 2] = [429, 503];
+
+/// The part of a list to read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Range {
+  /// Name behind which it begins; `None` for the start.
+  pub after: Option<String>,
+  /// Time after which it ends.
+  pub time_limit: Duration,
+}
+
+impl Default for Range {
+  fn default() -> Self {
+    Self {
+      after: None,
+      time_limit: MAX_TIME,
+    }
+  }
+}
 
 /// Where objects of a list may be missing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,8 +55,16 @@
     after: String,
     continued: Option<String>,
   },
-  /// A page had no name behind which the next one begins.
+  /// The store refused the page behind a name, or it was unreadable. The list continued behind another
+  /// name, if any.
+  Unreadable {
+    after: String,
+    continued: Option<String>,
+  },
+  /// The first page had no name behind which the next one begins.
   Unnamed,
+  /// The list was too large for the content of an object.
+  TooLarge { name: String },
   /// The list had too many pages, was too large or took too long.
   TooLong { after: String },
 }
@@ -42,7 +77,13 @@
         continued: Some(name),
       } => write!(f, "repeated after `{after}`, continued after `{name}`"),
       Self::Repeated { after, .. } => write!(f, "repeated after `{after}`"),
+      Self::Unreadable {
+        after,
+        continued: Some(name),
+      } => write!(f, "unreadable after `{after}`, continued after `{name}`"),
+      Self::Unreadable { after, .. } => write!(f, "unreadable after `{after}`"),
       Self::Unnamed => f.write_str("a page without a readable name"),
+      Self::TooLarge { name } => write!(f, "too large for the content of `{name}`"),
       Self::TooLong { after } => write!(f, "too long, ended after `{after}`"),
     }
   }
@@ -83,23 +124,68 @@
   pages: u32,
   bytes: usize,
   skips: u32,
+  retries: u32,
   started_at: Moment,
+  time_limit: Duration,
 }
 
 impl Reader {
-  fn new() -> Self {
+  fn new(range: &Range) -> Self {
     Self {
       list: List::default(),
       positions: HashMap::new(),
       cursors: BTreeSet::new(),
-      after: None,
+      after: range.after.clone(),
       pages: 0,
       bytes: 0,
       skips: 0,
+      retries: 0,
       started_at: Moment::now(),
+      time_limit: range.time_limit,
     }
   }
 
+  /// Handles the result of a call for a page; returns whether another call follows.
+  fn receive(&mut self, page: Result<Page>) -> Result<bool> {
+    match page {
+      Ok(page) => {
+        self.retries = 0;
+        self.add(page)
+      }
+      // Without a page there is nothing to continue.
+      Err(error) if self.pages == 0 => Err(error),
+      Err(error) if is_transient(&error) => self.wait_for_retry(error),
+      Err(Error::Refused(_) | Error::Malformed(_)) => Ok(self.pass_unreadable()),
+      Err(error) => Err(error),
+    }
+  }
+
+  /// Waits before a page is read again; returns the error if it was read again often enough.
+  fn wait_for_retry(&mut self, error: Error) -> Result<bool> {
+    if self.retries >= MAX_RETRIES || self.started_at.elapsed() >= self.time_limit {
+      return Err(error);
+    }
+    let delay = RETRY_DELAY * (1 << self.retries);
+    self.retries += 1;
+    // Instances that start together must not call the store at the same time.
+    thread::sleep(delay.mul_f64(rand::random_range(0.5..1.5)));
+    Ok(true)
+  }
+
+  /// Continues behind a page that is not readable; returns whether the list may continue.
+  fn pass_unreadable(&mut self) -> bool {
+    let Some(after) = self.after.take() else {
+      self.record_gap(Gap::Unnamed);
+      return false;
+    };
+    self.after = self.skip(&after);
+    self.record_gap(Gap::Unreadable {
+      after,
+      continued: self.after.clone(),
+    });
+    self.after.is_some()
+  }
+
   /// Adds a page; returns whether another one follows.
   fn add(&mut self, page: Page) -> Result<bool> {
     if self.pages == 0 {
@@ -109,21 +195,37 @@
       return Err(Error::HistoryGone);
     }
     self.pages += 1;
-    self.bytes += page.bytes;
     self.list.unreadable += page.unreadable;
-    let more = page.more;
-    let last = page.last;
-    for object in page.objects {
+    let (more, last) = (page.more, page.last);
+    for object in self.fit(page.objects, page.bytes) {
       self.add_object(object);
     }
-    if !more {
-      return Ok(false);
+    match last {
+      _ if !more => Ok(false),
+      Some(last) => Ok(self.advance(last)),
+      None => Ok(self.pass_unreadable()),
     }
-    let Some(last) = last else {
-      self.record_gap(Gap::Unnamed);
-      return Ok(false);
-    };
-    Ok(self.advance(last))
+  }
+
+  /// Counts the objects of a page. Where the list becomes too large, the content of large ones is left
+  /// out: one writer must not hide the objects of others.
+  fn fit(&mut self, mut objects: Vec<Object>, bytes: usize) -> Vec<Object> {
+    if self.bytes + bytes < MAX_BYTES {
+      self.bytes += bytes;
+      return objects;
+    }
+    for object in &mut objects {
+      let size = object.spec.to_string().len();
+      if size <= LARGE_BYTES {
+        self.bytes += size;
+        continue;
+      }
+      object.spec = Value::Null;
+      self.record_gap(Gap::TooLarge {
+        name: object.name.clone(),
+      });
+    }
+    objects
   }
 
   /// Adds an object, or replaces an older one: a page may repeat what an earlier one contained.
@@ -161,7 +263,9 @@
   }
 
   fn is_too_long(&self) -> bool {
-    self.pages >= MAX_PAGES || self.bytes >= MAX_BYTES || self.started_at.elapsed() >= MAX_TIME
+    self.pages >= MAX_PAGES
+      || self.bytes >= MAX_BYTES
+      || self.started_at.elapsed() >= self.time_limit
   }
 
   /// A name behind one that the store does not pass, of characters that every store reads alike.
@@ -186,20 +290,30 @@
   }
 }
 
+/// Whether a call may succeed later.
+fn is_transient(error: &Error) -> bool {
+  match error {
+    Error::Refused(status) => TRANSIENT_STATUSES.contains(status),
+    Error::NoAnswer | Error::Unreached => true,
+    _ => false,
+  }
+}
+
 /// Reads a list with a function that returns the page behind a name. `observe` is called before each
 /// page.
 pub(super) fn read(
+  range: &Range,
   page: impl Fn(Option<&str>) -> Result<Page>,
   mut observe: impl FnMut(Reading),
 ) -> Result<List> {
-  let mut reader = Reader::new();
+  let mut reader = Reader::new(range);
   loop {
     observe(Reading {
       pages: reader.pages,
       objects: reader.list.objects.len(),
       after: reader.after.as_deref(),
     });
-    if !reader.add(page(reader.after.as_deref())?)? {
+    if !reader.receive(page(reader.after.as_deref()))? {
       return Ok(reader.list);
     }
   }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,7 +5,7 @@
 
 mod list;
 
-pub use list::{Gap, List, Reading};
+pub use list::{Gap, List, Range, Reading};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -141,8 +141,8 @@
 }
 
 impl Store {
-  /// Lists all objects of a kind page by page. `observe` is called before each page.
-  pub fn list_all(&self, kind: &str, observe: impl FnMut(Reading)) -> Result<List> {
-    list::read(|after| (self.list)(kind, after), observe)
+  /// Lists the objects of a kind page by page. `observe` is called before each page.
+  pub fn list(&self, kind: &str, range: &Range, observe: impl FnMut(Reading)) -> Result<List> {
+    list::read(range, |after| (self.list)(kind, after), observe)
   }
 }
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -28,6 +28,8 @@
 const MAX_TRIES: usize = 4;
 /// How long an instance that carries no tunnels is not tried again.
 const AVOID: Duration = Duration::from_millis(1_000);
+/// Time within which instances are asked whether a server runs, in ms: a complete response waits.
+const ASK_MS: u64 = 300;
 
 /// Why no tunnel was opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,8 +129,11 @@
 
 /// Asks other instances whether a server runs, first the one whose tunnel was used.
 pub(crate) fn ask(hub: &Hub, target: &Target, first: Option<SocketAddr>) -> Liveness {
-  for peer in first.into_iter().chain(hub.peers.candidates()) {
-    if hub.now() >= target.deadline {
+  let others = hub.peers.candidates();
+  let others = others.into_iter().filter(|peer| Some(*peer) != first);
+  let until = target.deadline.min(hub.now() + ASK_MS);
+  for peer in first.into_iter().chain(others) {
+    if hub.now() >= until {
       break;
     }
     match call(hub, peer, ASK, target) {
@@ -138,7 +143,6 @@
       Err(error) => {
         info!(hub.log, "instance does not say whether a server runs"; "server" => target.server,
           "instance" => %peer, "error" => %error);
-        hub.peers.avoid(peer);
       }
     }
   }
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -482,6 +482,18 @@
   }
 }
 
+/// Guards against a stream that goes on at a pool's only known build, where a list may lack servers of
+/// another one.
+#[test]
+fn a_stream_that_nobody_knows_is_refused_beside_an_incomplete_list() {
+  let mut state = state(&["v1-a"]);
+  assert!(goes_on(&mut state, 50_000));
+  let specs = vec![spec("v1-a")];
+  state.reduce(51_000, Event::Servers(vec![Change::Part(specs)]));
+  state.reduce(120_000, Event::Recheck(Ticket(9)));
+  assert!(!goes_on(&mut state, 120_000));
+}
+
 /// Resumes a stream that no instance knows, beside a store that tells of no other servers. Returns
 /// whether it goes on; otherwise it is refused, within a quarter of the objective of 300 ms.
 fn goes_on(state: &mut State, now: u64) -> bool {
--- a/tests/listing.rs
+++ b/tests/listing.rs
@@ -306,3 +306,21 @@
     .min_tests_passed(HISTORIES)
     .quickcheck(holds as fn(Vec<Step>) -> Result<(), String>);
 }
+
+/// Guards against an incomplete list by which servers are removed, or that counts as a complete one.
+#[test]
+fn an_incomplete_list_removes_nothing() {
+  let mut state = state();
+  state.reduce(0, servers(vec![Change::Part(vec![spec("a", 1)])]));
+  assert!(state.listed && !state.list_complete);
+  state.reduce(
+    10,
+    servers(vec![Change::All(vec![spec("a", 1), spec("b", 1)])]),
+  );
+  assert!(state.listed && state.list_complete);
+  state.reduce(20, servers(vec![Change::Part(vec![spec("c", 1)])]));
+  assert!(state.listed && !state.list_complete);
+  let mut known: Vec<&String> = state.by_id.keys().collect();
+  known.sort();
+  assert_eq!(known, ["a", "b", "c"]);
+}
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -2,7 +2,7 @@
 //! ends within bounds, and says where objects may be missing.
 
 use bendsaddle::{
-  store::{Changes, Error, Gap, List, Object, Page, Revision, Store},
+  store::{Changes, Error, Gap, List, Object, Page, Range, Revision, Store},
   target,
 };
 use percent_encoding::percent_decode_str;
@@ -69,7 +69,9 @@
 }
 
 fn list(store: &Store) -> List {
-  store.list_all("kind", |_| {}).expect("failed to list")
+  store
+    .list("kind", &Range::default(), |_| {})
+    .expect("failed to list")
 }
 
 /// Guards against a list that asks for the same page without end, and against objects behind it that
@@ -119,24 +121,48 @@
   assert!(calls.load(Ordering::Relaxed) <= 2_000, "{calls:?}");
 }
 
-/// Guards against pages that fill the memory of an instance.
+/// Guards against large objects of one writer that hide all others, or that fill the memory of an
+/// instance.
 #[test]
-fn a_list_of_large_pages_ends() {
-  let next = AtomicU32::new(0);
-  let (store, calls) = store(Box::new(move |_| Page {
-    bytes: 1 << 20,
-    ..page(
-      &[&format!("n{}", next.fetch_add(1, Ordering::Relaxed))],
-      true,
-    )
+fn large_objects_hide_no_others() {
+  let large: Vec<String> = (0..20).map(|number| format!("a{number:02}")).collect();
+  let (store, calls) = store(Box::new(move |after| {
+    let next = large
+      .iter()
+      .find(|name| after.is_none_or(|after| name.as_str() > after));
+    let Some(name) = next else {
+      return page(&["i-1", "main"], false);
+    };
+    let mut object = object(name, 1);
+    object.spec = "x".repeat(1 << 20).into();
+    Page {
+      objects: vec![object],
+      bytes: 1 << 20,
+      ..page(&[name], true)
+    }
   }));
   let list = list(&store);
   assert!(
-    matches!(list.gap, Some(Gap::TooLong { .. })),
+    matches!(list.gap, Some(Gap::TooLarge { .. })),
     "{:?}",
     list.gap
   );
-  assert!(calls.load(Ordering::Relaxed) <= 8, "{calls:?}");
+  assert_eq!(
+    (names(&list).len(), calls.load(Ordering::Relaxed)),
+    (22, 21)
+  );
+  let held: usize = list
+    .objects
+    .iter()
+    .map(|object| object.spec.to_string().len())
+    .sum();
+  assert!(held <= 9 << 20, "{held} bytes");
+  assert!(
+    list.objects[20..]
+      .iter()
+      .all(|object| !object.spec.is_null()),
+    "small ones are kept"
+  );
 }
 
 /// Guards against a page of unreadable objects that ends a list as though it were complete.
@@ -150,7 +176,11 @@
     },
   }));
   let list = list(&store);
-  assert_eq!((list.gap.clone(), list.unreadable), (Some(Gap::Unnamed), 3));
+  let gap = Gap::Unreadable {
+    after: "a".into(),
+    continued: Some("a~".into()),
+  };
+  assert_eq!((list.gap.clone(), list.unreadable), (Some(gap), 9));
   assert_eq!(names(&list), ["a"]);
 }
 
@@ -181,7 +211,9 @@
     revision: Revision::first(u64::from(after.is_some())),
     ..page(&[after.unwrap_or("a")], true)
   }));
-  let error = store.list_all("kind", |_| {}).expect_err("a list");
+  let error = store
+    .list("kind", &Range::default(), |_| {})
+    .expect_err("a list");
   assert_eq!(error, Error::HistoryGone);
 }
 
@@ -207,3 +239,71 @@
     .tests(2_000)
     .quickcheck(holds as fn(String, String, String) -> bool);
 }
+
+/// Guards against one page that the store cannot return now, with which the pages before it are lost.
+#[test]
+fn a_page_that_is_refused_for_a_moment_is_read_again() {
+  for error in [
+    Error::Refused(429),
+    Error::Refused(503),
+    Error::NoAnswer,
+    Error::Unreached,
+  ] {
+    let refused = AtomicU32::new(0);
+    let (store, calls) = failing(move |after| match after {
+      Some("b") if refused.fetch_add(1, Ordering::Relaxed) < 2 => Some(error.clone()),
+      _ => None,
+    });
+    let list = list(&store);
+    assert_eq!(
+      (names(&list), list.gap.clone()),
+      (vec!["a", "b", "c", "main"], None)
+    );
+    assert_eq!(calls.load(Ordering::Relaxed), 6);
+  }
+}
+
+/// Guards against a name that the store refuses, or behind which a page is malformed, and that hides all
+/// others for good.
+#[test]
+fn a_page_that_is_not_readable_hides_only_what_is_near() {
+  for error in [Error::Refused(400), Error::Malformed("cut".into())] {
+    let (store, _) = failing(move |after| (after == Some("b")).then(|| error.clone()));
+    let list = list(&store);
+    assert_eq!(names(&list), ["a", "b", "c", "main"]);
+    assert!(
+      matches!(list.gap, Some(Gap::Unreadable { .. })),
+      "{:?}",
+      list.gap
+    );
+  }
+}
+
+/// Guards against a first page that fails and is taken for an empty list.
+#[test]
+fn a_list_without_a_first_page_is_an_error() {
+  for error in [Error::Refused(400), Error::Refused(503), Error::NoAnswer] {
+    let expected = error.clone();
+    let (store, calls) = failing(move |_| Some(error.clone()));
+    assert_eq!(store.list("kind", &Range::default(), |_| {}), Err(expected));
+    assert_eq!(calls.load(Ordering::Relaxed), 1);
+  }
+}
+
+/// A store with pages of one object, whose calls fail by this function.
+fn failing(
+  error: impl Fn(Option<&str>) -> Option<Error> + Send + Sync + 'static,
+) -> (Store, Arc<AtomicU32>) {
+  let (store, calls) = store(Box::new(|after| {
+    paged(&["a", "b", "c", "main"], 1, str::to_string, after)
+  }));
+  let list = store.list;
+  let store = Store {
+    list: Box::new(move |kind, after| {
+      let page = list(kind, after)?;
+      error(after).map_or(Ok(page), Err)
+    }),
+    ..store
+  };
+  (store, calls)
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -94,11 +94,10 @@
 #[test]
 fn a_crash_that_is_reported_again_counts_once() {
   let mut registry = Registry::default();
-  for turn in 0..5 {
-    registry.add(
-      turn * APART_MS,
-      &[crash(CULPRIT, 1, 1), crash(CULPRIT, 2, 1)],
-    );
+  let crashes = [crash(CULPRIT, 1, 1), crash(CULPRIT, 2, 1)];
+  let last = add_in_turn(&mut registry, 0, &crashes);
+  for turn in 1..5 {
+    registry.add(last + turn * APART_MS, &crashes);
   }
   assert_eq!(culprits(&mut registry, 10_000), Vec::<u128>::new());
 }
