What follows a switch of protocols is no response

Seen (a test, no report): a 101 was skipped as an interim response, and what followed it was read as the response, though another protocol may be spoken there. No request asks for one.

Cause: all statuses below 200 counted as interim.

Change: a 101 is an error, and the connection ends. Other interim responses are skipped as before.

Test: tests/response.rs, `nothing_behind_a_switch_of_protocols_is_a_response`; failed before (the response was returned), holds.

--- a/src/response.rs
+++ b/src/response.rs
@@ -13,6 +13,9 @@
 /// Maximum number of requests on a connection, whose ids are remembered.
 const MAX_CARRIED: usize = 64;
 
+/// Status of a response behind which another protocol is spoken.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// First bytes of each response.
 const START: &[u8] = b"HTTP/1.";
 
@@ -117,6 +120,10 @@
       let Some((head, length)) = parsed else {
         return Ok(None);
       };
+      // No request asks for another protocol.
+      if head.status == SWITCHING_PROTOCOLS {
+        return Err(Error::Malformed);
+      }
       if head.status < 200 {
         input.drain(..length);
         self.skipped_bytes += length;
--- a/tests/response.rs
+++ b/tests/response.rs
@@ -226,3 +226,20 @@
   let (head, _) = response?;
   Some(head.headers.get(ID)?.to_string())
 }
+
+/// What followed a switch to another protocol was taken for the response.
+#[test]
+fn nothing_behind_a_switch_of_protocols_is_a_response() {
+  let mut carried = Carried::default();
+  carried.push("b", "GET");
+  let whole = b"HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n";
+  for (status, expected) in [
+    ("100 Continue", None),
+    ("101 Switching Protocols", Some(Error::Malformed)),
+  ] {
+    let front = format!("HTTP/1.1 {status}\r\nUpgrade: x\r\n\r\n");
+    let mut bytes = [front.as_bytes(), whole].concat();
+    let read = Reader::default().read(&mut bytes, &carried, ID);
+    assert_eq!(read.err(), expected, "{status}");
+  }
+}
