--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -16,11 +16,11 @@
   collections::{BTreeMap, BTreeSet},
 };
 
-/// Crashes, one after the other, after which a request is blamed. A request that only ran beside a culprit may be in
+/// Crashes after which a request is blamed. A request that only ran beside a culprit may be in
 /// two, because most routes allow two sends.
 pub const CULPRIT_CRASHES: usize = 3;
-/// Servers that end within this time end together, as those on one machine do, and count as one crash. A
-/// report that was lost is repeated within it.
+/// Servers that end within this time end together, as those on one machine do. A report that was lost is
+/// repeated within it.
 const TOGETHER_MS: u64 = 150;
 /// Crashed servers after which a request waits for its turn.
 pub const SUSPECT_CRASHES: usize = 2;
@@ -104,8 +104,18 @@
     unexplained.map(|(_, ended)| ended)
   }
 
+  /// The number of its crashes that are not explained. Runs that a request ends come equally far each time;
+  /// where they have not, servers that ended together did so for another reason, and count once.
+  fn crashes(&self, explained: &BTreeSet<Life>) -> usize {
+    let unexplained = self.unexplained(explained);
+    match self.has_similar_progress() {
+      true => unexplained.count(),
+      false => count_events(unexplained),
+    }
+  }
+
   fn score(&self, explained: &BTreeSet<Life>) -> Score {
-    let crashes = count_crashes(self.unexplained(explained));
+    let crashes = self.crashes(explained);
     let runs = self.unexplained(explained).map(|ended| ended.runs.len());
     (crashes, self.has_similar_progress(), runs.sum())
   }
@@ -113,8 +123,8 @@
   /// Whether the crashes that are not explained are too few to blame it. Another instance may have
   /// blamed it for crashes that are unknown here.
   fn is_cleared_by(&self, explained: &BTreeSet<Life>) -> bool {
-    let unexplained = count_crashes(self.unexplained(explained));
-    let is_known = count_crashes(self.servers.values()) >= CULPRIT_CRASHES;
+    let unexplained = self.crashes(explained);
+    let is_known = self.crashes(&BTreeSet::new()) >= CULPRIT_CRASHES;
     unexplained == 0 || (is_known && unexplained < CULPRIT_CRASHES)
   }
 
@@ -126,19 +136,18 @@
   }
 }
 
-/// Number of crashes, where servers that ended together count once.
-fn count_crashes<'a>(ended: impl Iterator<Item = &'a Ended>) -> usize {
+/// Number of events in which servers ended; those that ended together were one.
+fn count_events<'a>(ended: impl Iterator<Item = &'a Ended>) -> usize {
   let mut times: Vec<u64> = ended.map(|ended| ended.at).collect();
   times.sort_unstable();
-  let mut crashes = 0;
-  let mut counted_until = 0;
+  let (mut events, mut counted_until) = (0, 0);
   for at in times {
-    if crashes == 0 || at >= counted_until {
-      crashes += 1;
+    if events == 0 || at >= counted_until {
+      events += 1;
       counted_until = at + TOGETHER_MS;
     }
   }
-  crashes
+  events
 }
 
 /// A content found to cause crashes.
@@ -214,7 +223,7 @@
       if suspect.servers.len() > known_servers {
         self.unanalyzed_since.get_or_insert(now);
       }
-      if count_crashes(suspect.servers.values()) >= CULPRIT_CRASHES {
+      if suspect.crashes(&BTreeSet::new()) >= CULPRIT_CRASHES {
         suspect.culprit_since.get_or_insert(now);
       }
     }
