--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -47,12 +47,12 @@
 
 /// Status of a call beyond the store's rate limit; it shows that the store is reachable.
 const TOO_MANY_REQUESTS: u16 = 429;
-/// Time limit for that, as changes are not watched meanwhile.
-const LIST_AGAIN_TIME: Duration = Duration::from_millis(500);
 /// Minimum time from one watch without changes to the next one.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a list is read again that may lack objects.
 const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// Time limit for a list that is read again, as changes are not watched meanwhile.
+const LIST_AGAIN_TIME: Duration = Duration::from_millis(500);
 /// A list of at least this many pages is logged: lists have one page per 500 objects.
 const LONG_LIST_PAGES: u32 = 8;
 /// One in this many consecutive failures is logged.
