Lease: schedule and outcomes of calls are modules of their own

Ruled out: a type for each part; all three work on the same fields.

Tests lease (20), order_faults (1) and plan (53) pass, clippy of the library is clean.

--- a/src/lease/record.rs
+++ b/src/lease/record.rs
@@ -1,7 +1,7 @@
 //! The lease record in the store, the heartbeat to other instances, and one instance's knowledge of
 //! the lease.
 
-use super::{LATE_RENEWAL_MS, RENEWALS_PER_DURATION};
+use super::{LATE_RENEWAL_MS, schedule::RENEWALS_PER_DURATION};
 use crate::{
   lease::promise::{Candidates, MAX_COPY_AGE_MS, Rounds},
   store::Revision,
