Dispatch: waiting requests are a module of their own

Order of checks and effects unchanged.

Ruled out: a table of checks; three of them have an effect of their own.

89 tests of dispatch, reducer, choice, retry, outage, cold, losses, returns and suspects pass, clippy of the library is clean.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -10,13 +10,15 @@
 mod refuse;
 mod send;
 mod stalled;
+mod wait;
 
 pub use event::{Attempt, Change, Descriptor, Effect, End, Event};
+pub(crate) use wait::queue_key;
 
 use crate::{
   backend::{self, Backend, Holding},
   build::{self, resume::Question, streams::Streams},
-  cold::{Deferrals, give_up_at},
+  cold::Deferrals,
   concurrency::{Brittle, Reports},
   crash::{Admission, Filter, Permit, part, served::Served},
   customer::Scheduler,
@@ -51,9 +53,6 @@
 /// How long published holdings are valid. The planner publishes every half second, and a server's
 /// own entry takes about two seconds to show a change.
 const HOLDINGS_VALID_MS: u64 = 2_500;
-/// An instance that has lost the store and has received no planner update for this long cannot
-/// get models loaded. A planner publishes every half second, even while it may not issue orders.
-const ISOLATED_MS: u64 = 1_800;
 
 /// State of a request between its arrival and its final response. Times are in milliseconds.
 #[derive(Clone, Debug)]
@@ -453,31 +452,6 @@
     }
   }
 
-  /// Adds a request to the waiting requests and schedules its next check for `until`.
-  pub(crate) fn enqueue(&mut self, ticket: Ticket, until: u64) {
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return;
-    };
-    if let (None, Some(caller)) = (request.tag, request.descriptor.caller) {
-      request.tag = Some(self.fair_queue.tag(caller.customer, caller.cost));
-    }
-    self.waiting.insert(queue_key(request));
-    self.out.push(Effect::Wait(ticket, until));
-  }
-
-  /// The waiting requests, in the order of their turns.
-  pub(crate) fn waiting_requests(&self) -> impl Iterator<Item = &Request> {
-    let tickets = self.waiting.iter().map(|(.., ticket)| ticket);
-    tickets.filter_map(|ticket| self.requests.get(ticket))
-  }
-
-  pub(crate) fn dispatch_waiting(&mut self) {
-    let tickets: Vec<Ticket> = self.waiting.iter().map(|entry| entry.2).collect();
-    for ticket in tickets {
-      self.dispatch(ticket);
-    }
-  }
-
   /// Sends a request, lets it wait or refuses it.
   pub(crate) fn dispatch(&mut self, ticket: Ticket) {
     let Some(request) = self.requests.get(&ticket) else {
@@ -547,90 +521,6 @@
     keys.any(|key| self.crash_filter.is_quarantined(self.now, *key))
   }
 
-  /// Lets a request that may have caused crashes wait until it may run.
-  fn wait_for_turn(&mut self, ticket: Ticket, turn_at: u64) {
-    let Some(request) = self.requests.get(&ticket) else {
-      return;
-    };
-    let give_up = give_up_at(request);
-    if self.now >= give_up {
-      return self.refuse(ticket, Reason::NoServer);
-    }
-    let deadline = request.descriptor.deadline.min(self.end_at);
-    let until = deadline.min(give_up).min(turn_at);
-    self.enqueue(ticket, until);
-  }
-
-  pub(crate) fn wait_for_server(&mut self, ticket: Ticket) {
-    self.count_arrival(ticket);
-    let now = self.now;
-    let planner_silent = self.planner_seen_at > 0 && now > self.planner_seen_at + ISOLATED_MS;
-    let isolated = planner_silent && self.expiry.is_store_lost();
-    let Some(request) = self.requests.get_mut(&ticket) else {
-      return;
-    };
-    if isolated && request.descriptor.model.is_some() && request.verdict == Verdict::NotRun {
-      // No planner receives the demand of this instance; another instance may serve the request.
-      return self.refuse(ticket, Reason::NoServer);
-    }
-    let new = request.waiting_since.is_none();
-    request.waiting_since.get_or_insert(now);
-    let give_up = give_up_at(request);
-    let request = request.clone();
-    if self.failed_everywhere(&request) {
-      return self.refuse(ticket, Reason::ServerFailed);
-    }
-    if self.build_is_gone(&request) {
-      return self.refuse(ticket, Reason::BuildGone);
-    }
-    if let Some(retry_after) = self.retry_after_backoff_ms(&request) {
-      self.add_deferral(&request.descriptor, retry_after);
-      self.out.push(Effect::ReportDemand);
-      return self.refuse_with_retry_after(ticket, Reason::ServerRest, retry_after);
-    }
-    if let Some(retry_after) = self.retry_after_ms(&request) {
-      self.add_deferral(&request.descriptor, retry_after);
-      self.out.push(Effect::ReportDemand);
-      return self.refuse_with_retry_after(ticket, Reason::Loading, retry_after);
-    }
-    if now >= give_up {
-      return self.refuse(ticket, Reason::NoServer);
-    }
-    if let Some(retry_after) = self.retry_after_room_ms(&request) {
-      // A deferral would count as a waiting request, and have others refused.
-      if new {
-        self.record_no_room(ticket);
-      }
-      return self.refuse_with_retry_after(ticket, Reason::NoServer, retry_after);
-    }
-    let until = request
-      .descriptor
-      .deadline
-      .min(give_up)
-      .min(now + RECHECK_MS);
-    let needs_model = request.descriptor.model.is_some();
-    self.enqueue(ticket, until);
-    if new && self.waits_for_room(&request) {
-      self.record_no_room(ticket);
-    }
-    if new && needs_model {
-      self.out.push(Effect::ReportDemand);
-    }
-  }
-
-  /// Whether a request has already run at each server that could take it, so that waiting would be
-  /// pointless.
-  fn failed_everywhere(&self, request: &Request) -> bool {
-    let pool = &request.descriptor.pool;
-    let untried = |(key, backend): (backend::Key, &Backend)| {
-      backend.spec.pool == *pool
-        && !backend.is_leaving()
-        && request.accepts_build(backend.spec.build)
-        && !request.tried.contains(&key)
-    };
-    !request.tried.is_empty() && !self.backends.iter().any(untried)
-  }
-
   /// Time in milliseconds until which the last published holdings are valid.
   pub(crate) fn holdings_valid_until(&self) -> u64 {
     self.planner_seen_at + HOLDINGS_VALID_MS
@@ -641,14 +531,3 @@
     pool.engine.as_deref()
   }
 }
-
-/// Sort key of waiting requests: the priority, then the customer's fair queuing tag or, without a
-/// customer, the deadline.
-fn queue_key(request: &Request) -> (u8, u64, Ticket) {
-  let descriptor = &request.descriptor;
-  (
-    descriptor.priority(),
-    request.tag.unwrap_or(descriptor.deadline),
-    descriptor.ticket,
-  )
-}
