Streams are not joined where only young instances answer

Callers whose streams broke got 200 and the rest of the text from another software version: an instance was cut off, suspended or without the store while a version joined and left, all others were killed and started again at their addresses, and the store forgot its history.

Cause: an instance that has just started answers that it does not know a stream, which counted like the answer of one that would have its record.

Change: an instance says with its answer whether it has run for longer than streams last, or since the first start of the whole system; an answer without this, from an earlier release, counts as a young one. Beside a young answer the store is asked for the changes first. If it has forgotten them, the knowledge of the builds ends at once and the stream is refused as not run. Only where the store does not respond within a quarter of the objective, or turns the call away, do young answers count: a whole system that has lost its power goes on beside a store that is down or slow.

--- a/src/build/confirm.rs
+++ b/src/build/confirm.rs
@@ -10,7 +10,7 @@
   dispatch::{Event, State},
   edge::Edge,
   planner::{Completion, Planner},
-  store::{Changes, Error, Object, Result, Revision},
+  store::{self, Changes, Error, Object, Revision},
 };
 use slog::info;
 use std::time::Duration;
@@ -24,32 +24,45 @@
 /// A server's pool and build.
 pub type Server = (String, Id);
 
+/// Why the servers that changed are not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+  /// The store did not respond, or turned the call away.
+  Unavailable,
+  /// The store responded and cannot tell them.
+  Untold,
+}
+
 /// The last time as of which the builds were asked for, in ms, by outcome.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Confirmation {
   requested: bool,
   confirmed_as_of: Option<u64>,
-  failed_as_of: Option<u64>,
+  unavailable_as_of: Option<u64>,
+  untold_as_of: Option<u64>,
 }
 
 /// What is known of the builds as of a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Knowledge {
   Confirmed,
-  /// A call that started later has failed.
-  Unavailable,
+  /// The last call that started later and ended has failed.
+  Failed(Failure),
   Unconfirmed,
 }
 
 impl Confirmation {
   /// What is known of the builds as of a time, in ms.
   pub(super) fn knowledge(&self, at: u64) -> Knowledge {
-    if self.confirmed_as_of.is_some_and(|as_of| as_of >= at) {
-      return Knowledge::Confirmed;
-    }
-    match self.failed_as_of {
-      Some(as_of) if as_of >= at => Knowledge::Unavailable,
-      _ => Knowledge::Unconfirmed,
+    let is_after = |as_of: Option<u64>| as_of.is_some_and(|as_of| as_of >= at);
+    if is_after(self.confirmed_as_of) {
+      Knowledge::Confirmed
+    } else if is_after(self.untold_as_of) {
+      Knowledge::Failed(Failure::Untold)
+    } else if is_after(self.unavailable_as_of) {
+      Knowledge::Failed(Failure::Unavailable)
+    } else {
+      Knowledge::Unconfirmed
     }
   }
 
@@ -65,8 +78,12 @@
     self.confirmed_as_of = self.confirmed_as_of.max(Some(as_of));
   }
 
-  pub(super) fn fail(&mut self, as_of: u64) {
-    self.failed_as_of = self.failed_as_of.max(Some(as_of));
+  pub(super) fn fail(&mut self, as_of: u64, failure: Failure) {
+    let last = match failure {
+      Failure::Unavailable => &mut self.unavailable_as_of,
+      Failure::Untold => &mut self.untold_as_of,
+    };
+    *last = (*last).max(Some(as_of));
   }
 }
 
@@ -76,7 +93,7 @@
   edge: &Edge,
   servers: Revision,
   deployments: Revision,
-) -> Result<Option<Changes>> {
+) -> store::Result<Option<Changes>> {
   let read = |kind, revision: Revision| {
     let changes = (edge.store.watch)(kind, revision, WATCH_TIMEOUT)?;
     match changes.revision.era == revision.era {
@@ -106,15 +123,14 @@
 }
 
 impl State {
-  /// Processes the servers that changed before a time, in ms, and are not all known yet; `None` if
-  /// the store did not tell them.
-  pub(crate) fn confirm_builds(&mut self, as_of: u64, servers: Option<&[Server]>) {
+  /// Processes the servers that changed before a time, in ms, and are not all known yet.
+  pub(crate) fn confirm_builds(&mut self, as_of: u64, servers: Result<Vec<Server>, Failure>) {
     match servers {
-      Some(servers) => {
+      Ok(servers) => {
         self.record_passing(servers.iter().map(|(pool, build)| (pool.as_str(), *build)));
         self.streams.confirmation.confirm(as_of);
       }
-      None => self.streams.confirmation.fail(as_of),
+      Err(failure) => self.streams.confirmation.fail(as_of, failure),
     }
     self.dispatch_waiting();
   }
@@ -153,12 +169,12 @@
   }
 
   /// Processes the result of calls that were started at `as_of`, in ms.
-  pub(crate) fn finish_confirmation(&mut self, as_of: u64, result: Result<Option<Changes>>) {
+  pub(crate) fn finish_confirmation(&mut self, as_of: u64, result: store::Result<Option<Changes>>) {
     self.confirmations.in_progress = false;
     let servers = match result {
       Ok(Some(changes)) => {
         let present = changes.objects.iter().filter(|(_, removed)| !removed);
-        Some(
+        Ok(
           present
             .filter_map(|(object, _)| self.server(object))
             .collect(),
@@ -169,11 +185,11 @@
           self.hub.log,
           "builds of the pools are not confirmed: deployments have changed"
         );
-        None
+        Err(Failure::Untold)
       }
       Err(error) => {
         info!(self.hub.log, "failed to confirm the builds of the pools"; "error" => %error);
-        None
+        Err(self.record_failure(&error))
       }
     };
     self
@@ -181,6 +197,16 @@
       .apply(Event::BuildsConfirmed { as_of, servers }, None);
   }
 
+  /// Processes that the store did not tell the servers that changed. Where it has forgotten them,
+  /// builds may have come and gone unseen.
+  fn record_failure(&self, error: &Error) -> Failure {
+    if *error != Error::HistoryGone {
+      return Failure::Unavailable;
+    }
+    self.interrupt_build_watch();
+    Failure::Untold
+  }
+
   /// The pool and build of a server's entry. Whoever follows the servers logs an invalid one.
   fn server(&self, object: &Object) -> Option<Server> {
     let spec = (self.edge().parse_server)(object).ok()?;
--- a/src/build/exchange.rs
+++ b/src/build/exchange.rs
@@ -4,7 +4,11 @@
 //! for it.
 
 use super::{Key, Record, resume::ASKED};
-use crate::{dispatch::Event, message::Message, planner::Planner};
+use crate::{
+  dispatch::Event,
+  message::{Extension, Message},
+  planner::Planner,
+};
 use std::{collections::BTreeMap, net::SocketAddr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -97,7 +101,7 @@
   /// Answers another instance's question about attempts.
   pub(crate) fn answer_builds(&self, now: u64, attempts: &[Key], from: SocketAddr) {
     let (mut known, mut unknown) = (Vec::new(), Vec::new());
-    {
+    let outlasts_streams = {
       let state = self.hub.state();
       for attempt in attempts {
         match state.streams.find(now, *attempt) {
@@ -108,12 +112,17 @@
           None => unknown.push(*attempt),
         }
       }
-    }
+      state.streams.outlasts_streams(now)
+    };
     if !known.is_empty() {
       self.send(&Message::Builds(known), &[from]);
     }
     if !unknown.is_empty() {
-      self.send(&Message::BuildsUnknown(unknown), &[from]);
+      let extension = Extension {
+        outlasts_streams,
+        ..Extension::default()
+      };
+      self.send_extended(&Message::BuildsUnknown(unknown), &extension, &[from]);
     }
   }
 
@@ -123,9 +132,17 @@
   }
 
   /// Processes that another instance does not know attempts.
-  pub(crate) fn receive_unknown_builds(&self, attempts: Vec<Key>, from: SocketAddr) {
-    self
-      .hub
-      .apply(Event::BuildsUnknown { from, attempts }, None);
+  pub(crate) fn receive_unknown_builds(
+    &self,
+    attempts: Vec<Key>,
+    from: SocketAddr,
+    outlasts_streams: bool,
+  ) {
+    let event = Event::BuildsUnknown {
+      from,
+      attempts,
+      outlasts_streams,
+    };
+    self.hub.apply(event, None);
   }
 }
--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -1,6 +1,9 @@
 //! Decides at which build a stream continues that a caller resumes.
 
-use super::{Id, Key, MAX_LIST_LAG_MS, confirm::Knowledge};
+use super::{
+  Id, Key, MAX_LIST_LAG_MS,
+  confirm::{Failure, Knowledge},
+};
 use crate::{
   deployment::Deployment,
   dispatch::{Change, Effect, Request, State},
@@ -51,6 +54,8 @@
   rounds: u32,
   /// Instances that do not know the stream.
   unknown_to: Vec<SocketAddr>,
+  /// Whether the stream may have begun before one of them started.
+  has_young_answer: bool,
 }
 
 /// The build at which a resumed stream continues, for the log.
@@ -64,6 +69,8 @@
   pub took_ms: u64,
   /// Number of instances that answered that they do not know the stream.
   pub unknown_to: usize,
+  /// Whether the stream may have begun before one of these started.
+  pub has_young_answer: bool,
   /// How long this instance has known the servers of all pools, in ms; `None` if it does not.
   pub watched_ms: Option<u64>,
   /// How old its list of servers was at the arrival, in ms; `None` if it was never read.
@@ -86,6 +93,11 @@
   UnknownPast,
 }
 
+/// Until when the store is awaited for a request, in ms.
+fn store_deadline(request: &Request) -> u64 {
+  request.arrived + request.descriptor.route.objective_ms / STORE_WAIT_PART
+}
+
 impl State {
   /// Finds the build of the stream that a caller resumes. Returns whether the request may be sent
   /// now; otherwise it waits for answers of other instances, or was refused.
@@ -118,7 +130,7 @@
     };
     let only = self.streams.only_build(now, &request.descriptor.pool);
     let covered = self.knows_present(request, resumption);
-    let until = request.arrived + request.descriptor.route.objective_ms / STORE_WAIT_PART;
+    let until = store_deadline(request);
     let knowledge = self.streams.confirmation.knowledge(request.arrived);
     let awaits_present = !covered && knowledge == Knowledge::Unconfirmed;
     let awaits_past = covered && self.streams.awaits_past(now);
@@ -130,8 +142,8 @@
       return false;
     }
     let (build, basis) = match (only, covered) {
-      (_, false) => (None, Basis::OldList),
-      (None, true) => (None, Basis::SeveralBuilds),
+      (None, _) => (None, Basis::SeveralBuilds),
+      (Some(_), false) => (None, Basis::OldList),
       (Some(_), true) if !self.streams.knows_past(now) => (None, Basis::UnknownPast),
       (only, true) => (only, Basis::OnlyBuild),
     };
@@ -140,7 +152,8 @@
 
   /// Whether the builds of the time at which a stream began are known, which nobody knows. The store
   /// has confirmed them since; or the list of servers is new, and no instance that may know of
-  /// another build is partitioned from this one.
+  /// another build is partitioned from this one. Those that have just started know only the present,
+  /// so their answers count only if the store does not respond in time.
   fn knows_present(&self, request: &Request, resumption: Resumption) -> bool {
     if !self.list_complete {
       return false;
@@ -152,9 +165,13 @@
     let others = self.instances.saturating_sub(1);
     let question = request.question.as_ref();
     let answers = question.map_or(0, |question| question.unknown_to.len());
+    let is_young = question.is_some_and(|question| question.has_young_answer);
+    let is_unavailable = knowledge == Knowledge::Failed(Failure::Unavailable);
+    let is_late = knowledge == Knowledge::Unconfirmed && self.now >= store_deadline(request);
     let all_answer = match others {
       // Nobody else is known, so the store is asked first.
-      0 => knowledge == Knowledge::Unavailable,
+      0 => is_unavailable,
+      _ if is_young => answers >= others.min(ASKED) && (is_unavailable || is_late),
       _ => answers >= others.min(ASKED),
     };
     let listed_at = request
@@ -179,6 +196,7 @@
       sent_at: 0,
       rounds: 0,
       unknown_to: Vec::new(),
+      has_young_answer: false,
     });
     if question.unknown_to.len() >= others.min(ASKED) {
       return None;
@@ -216,7 +234,10 @@
       build,
       basis,
       took_ms: now - request.arrived,
-      unknown_to: question.map_or(0, |question| question.unknown_to.len()),
+      unknown_to: question
+        .as_ref()
+        .map_or(0, |question| question.unknown_to.len()),
+      has_young_answer: question.is_some_and(|question| question.has_young_answer),
       watched_ms,
       list_age_ms: resumption.and_then(|resumption| resumption.list_age_ms),
     }));
@@ -264,14 +285,21 @@
     }
   }
 
-  /// Processes that another instance does not know these attempts.
-  pub(crate) fn receive_unknown(&mut self, from: SocketAddr, attempts: &[Key]) {
+  /// Processes that another instance does not know these attempts, and whether it has run for longer
+  /// than streams last.
+  pub(crate) fn receive_unknown(
+    &mut self,
+    from: SocketAddr,
+    attempts: &[Key],
+    outlasts_streams: bool,
+  ) {
     for ticket in self.asking(attempts) {
       let request = self.requests.get_mut(&ticket);
-      if let Some(question) = request.and_then(|request| request.question.as_mut())
-        && !question.unknown_to.contains(&from)
-      {
-        question.unknown_to.push(from);
+      if let Some(question) = request.and_then(|request| request.question.as_mut()) {
+        question.has_young_answer |= !outlasts_streams;
+        if !question.unknown_to.contains(&from) {
+          question.unknown_to.push(from);
+        }
       }
       self.dispatch(ticket);
     }
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -70,6 +70,8 @@
   pub(super) confirmation: Confirmation,
   /// When this instance last knew of fewer instances than before, in ms.
   instances_fell_at: Option<u64>,
+  /// Whether there were no streams before this process started.
+  is_first_start: bool,
 }
 
 impl Streams {
@@ -77,6 +79,7 @@
   pub fn first_start() -> Self {
     Self {
       past_known: true,
+      is_first_start: true,
       ..Self::default()
     }
   }
@@ -147,6 +150,11 @@
     self.past_known || watched_ms.is_some_and(|watched_ms| watched_ms >= TTL_MS)
   }
 
+  /// Whether all streams that callers may resume began after this process started.
+  pub fn outlasts_streams(&self, now: u64) -> bool {
+    self.is_first_start || now >= TTL_MS
+  }
+
   /// Builds that have servers, or had some lately.
   pub fn known(&self, now: u64) -> KnownBuilds {
     let pools: BTreeSet<u64> = self.pools.keys().map(|(pool, _)| *pool).collect();
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -330,7 +330,7 @@
       }
       Event::BuildHistory(history) => self.add_build_history(&history),
       Event::BuildsUnwatched => self.streams.interrupt_watch(now),
-      Event::BuildsConfirmed { as_of, servers } => self.confirm_builds(as_of, servers.as_deref()),
+      Event::BuildsConfirmed { as_of, servers } => self.confirm_builds(as_of, servers),
       Event::RecordsRead => self.records_read = true,
       Event::QuotaUsage(sums) => self.quotas.receive_sums(now, &sums),
       Event::Granted { sent, grants } => {
@@ -349,7 +349,11 @@
       Event::Backoff { server, backoff_ms } => self.receive_backoff(server, backoff_ms),
       Event::TrialAccepted(server) => self.record_trial_accepted(server),
       Event::Builds { from, records } => self.receive_builds(from, &records),
-      Event::BuildsUnknown { from, attempts } => self.receive_unknown(from, &attempts),
+      Event::BuildsUnknown {
+        from,
+        attempts,
+        outlasts_streams,
+      } => self.receive_unknown(from, &attempts, outlasts_streams),
       Event::Suspected(entries) => self.crash_filter.update_suspects(now, &entries),
       Event::Stopping {
         accept_until,
--- a/src/dispatch/event.rs
+++ b/src/dispatch/event.rs
@@ -273,10 +273,10 @@
   BuildHistory(build::history::Known),
   /// The servers of all pools are not known.
   BuildsUnwatched,
-  /// The store was asked at `as_of` for the servers that changed; `None` if it did not tell them.
+  /// The store was asked at `as_of` for the servers that changed.
   BuildsConfirmed {
     as_of: u64,
-    servers: Option<Vec<build::confirm::Server>>,
+    servers: Result<Vec<build::confirm::Server>, build::confirm::Failure>,
   },
   /// The quarantined requests and the lease's record were read from the store.
   RecordsRead,
@@ -322,6 +322,8 @@
   BuildsUnknown {
     from: SocketAddr,
     attempts: Vec<build::Key>,
+    /// Whether it has run for longer than streams last.
+    outlasts_streams: bool,
   },
   /// Requests that may have caused crashes, with the order in which they may run.
   Suspected(Vec<Suspected>),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -295,7 +295,8 @@
     self.send_extended(message, &Extension::default(), to);
   }
 
-  fn send_extended(&self, message: &Message, extension: &Extension, to: &[SocketAddr]) {
+  /// The same with additions.
+  pub(crate) fn send_extended(&self, message: &Message, extension: &Extension, to: &[SocketAddr]) {
     match message::encode(message, extension) {
       Ok(bytes) => {
         for address in to {
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -211,7 +211,7 @@
     info!(self.log, "stream resumed by its caller"; "request" => &decision.request,
       "build" => decision.build.map(|build| build.to_string()), "basis" => basis,
       "from" => from.map(|from| from.to_string()), "age_ms" => age_ms,
-      "took_ms" => decision.took_ms, "unknown_to" => decision.unknown_to,
+      "took_ms" => decision.took_ms, "unknown_to" => decision.unknown_to, "young_answer" => decision.has_young_answer,
       "watched_ms" => decision.watched_ms, "list_age_ms" => decision.list_age_ms);
   }
 
--- a/src/message.rs
+++ b/src/message.rs
@@ -83,6 +83,9 @@
   /// Of an update: loads that may still be carried out; `None` if not included. Of a report: those
   /// that an earlier holder published last.
   pub unanswered: Option<Vec<Unanswered>>,
+  /// Of attempts that the sender does not know: whether it has run for longer than streams last.
+  /// Earlier versions do not state it, and count as instances that have just started.
+  pub outlasts_streams: bool,
 }
 
 /// A load that a server may carry out although its order got no answer.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -423,7 +423,9 @@
         Ok((Message::Statements(statements), _)) => self.receive_statements(statements),
         Ok((Message::Builds(records), _)) => self.receive_builds(records, from),
         Ok((Message::BuildQuestion(attempts), _)) => self.answer_builds(now, &attempts, from),
-        Ok((Message::BuildsUnknown(attempts), _)) => self.receive_unknown_builds(attempts, from),
+        Ok((Message::BuildsUnknown(attempts), extension)) => {
+          self.receive_unknown_builds(attempts, from, extension.outlasts_streams)
+        }
         Ok((Message::Promise(index, promise, store_ms), _)) => {
           self.receive_store_age(store_ms);
           let group = self.groups.get_mut(index as usize);
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -4,9 +4,10 @@
 
 use bendsaddle::{
   backend::{Holding, Spec, Stage},
-  build::{self, exchange::holders, resume::Resumption},
+  build::{self, confirm::Failure, exchange::holders, resume::Resumption, streams::Streams},
   deployment::{Deployment, Engine, Pool},
   dispatch::{Change, Descriptor, Effect, End, Event, State},
+  message::{self, Extension, Message},
   refusal::Reason,
   request::Ticket,
   route::{Part, Repeat, Route, Stream},
@@ -115,17 +116,35 @@
     None => Event::BuildsUnknown {
       from,
       attempts: vec![attempt],
+      outlasts_streams: true,
     },
   }
 }
 
+/// The same of an instance that has just started and does not know the stream.
+fn young_answer(peer: u16) -> Event {
+  Event::BuildsUnknown {
+    from: SocketAddr::from(([127, 0, 0, 1], peer)),
+    attempts: vec![build::Key::of("other")],
+    outlasts_streams: false,
+  }
+}
+
 /// The store's answer to a call at a time, with the versions of servers that joined.
 fn confirmed(as_of: u64, versions: &[&str]) -> Event {
   let servers = versions.iter();
   let servers = servers.map(|version| ("pool".to_string(), build::Id::of(version)));
   Event::BuildsConfirmed {
     as_of,
-    servers: Some(servers.collect()),
+    servers: Ok(servers.collect()),
+  }
+}
+
+/// A call at a time that the store did not answer, or could not.
+fn unconfirmed(as_of: u64, failure: Failure) -> Event {
+  Event::BuildsConfirmed {
+    as_of,
+    servers: Err(failure),
   }
 }
 
@@ -362,13 +381,8 @@
     (confirmed(20, &[]), true),
     (confirmed(20, &["v1"]), true),
     (confirmed(20, &["v2"]), false),
-    (
-      Event::BuildsConfirmed {
-        as_of: 20,
-        servers: None,
-      },
-      false,
-    ),
+    (unconfirmed(20, Failure::Unavailable), false),
+    (unconfirmed(20, Failure::Untold), false),
   ] {
     let mut state = state(&["v1-a", "v1-b"]);
     state.reduce(10, resumed_elsewhere(1));
@@ -389,6 +403,63 @@
   }
 }
 
+/// Guards against an instance that was partitioned and takes the answers of others that have started
+/// since for those of instances that would know the stream.
+#[test]
+fn a_stream_that_only_young_instances_do_not_know_waits_for_the_store() {
+  for (event, sends) in [
+    (Some(confirmed(20, &[])), true),
+    (Some(confirmed(20, &["v2"])), false),
+    (Some(unconfirmed(20, Failure::Untold)), false),
+    // A whole system that has lost its power goes on beside a store that is down, or slow.
+    (Some(unconfirmed(20, Failure::Unavailable)), true),
+    (None, true),
+  ] {
+    let mut state = state(&["v1-a", "v1-b"]);
+    state.reduce(10, resumed_elsewhere(1));
+    state.reduce(11, answer(1, None));
+    state.reduce(12, young_answer(2));
+    let mut effects = state.reduce(13, answer(3, None));
+    assert_eq!((sent(&effects), refused(&effects)), (None, None));
+    assert!(state.streams.take_confirmation_request());
+    if let Some(event) = event {
+      effects = state.reduce(42, event);
+    }
+    while let Some(until) = waits(&effects) {
+      assert!(until <= 10 + 300 / 4, "waits until {until}");
+      effects = state.reduce(until, Event::Recheck(Ticket(1)));
+    }
+    assert_eq!(sent(&effects).is_some(), sends);
+    assert_eq!(refused(&effects).is_none(), sends);
+  }
+}
+
+/// Guards against an instance that vouches for streams which began before its start.
+#[test]
+fn an_instance_outlasts_streams_once_they_may_all_have_begun_since_its_start() {
+  assert!(!Streams::later_start().outlasts_streams(39_999));
+  assert!(Streams::later_start().outlasts_streams(40_000));
+  assert!(Streams::first_start().outlasts_streams(0));
+}
+
+/// Guards against an answer of an earlier version that counts as one of an instance that has run for
+/// long.
+#[test]
+fn an_answer_that_does_not_state_the_instances_age_counts_as_a_young_one() {
+  let unknown = Message::BuildsUnknown(vec![build::Key::of("other")]);
+  for outlasts_streams in [false, true] {
+    let extension = Extension {
+      outlasts_streams,
+      ..Extension::default()
+    };
+    let bytes = message::encode(&unknown, &extension).unwrap();
+    let received = message::decode(&bytes).unwrap();
+    assert_eq!(received, (unknown.clone(), extension));
+  }
+  let earlier = message::encode(&unknown, &Extension::default()).unwrap();
+  assert!(!message::decode(&earlier).unwrap().1.outlasts_streams);
+}
+
 /// Guards against instances that are partitioned together from the store and from others, and take
 /// these for gone.
 #[test]
@@ -418,13 +489,7 @@
     for peer in 1..4 {
       effects.extend(state.reduce(10_001, answer(peer, None)));
     }
-    state.reduce(
-      10_002,
-      Event::BuildsConfirmed {
-        as_of: 10_001,
-        servers: None,
-      },
-    );
+    state.reduce(10_002, unconfirmed(10_001, Failure::Unavailable));
     effects.extend(state.reduce(10_100, Event::Recheck(Ticket(1))));
     assert_eq!(sent(&effects).is_some(), lost_at.is_none());
   }
@@ -602,7 +667,7 @@
 fn builds_that_left_before_a_late_first_list_are_unknown_at_the_first_start() {
   for (listed_at, known) in [(1_000, true), (30_000, false)] {
     let mut state = requests::deployed(Engine::default());
-    state.streams = build::streams::Streams::first_start();
+    state.streams = Streams::first_start();
     let specs = vec![spec("v2-a"), spec("v2-b")];
     state.reduce(listed_at, Event::Servers(vec![Change::All(specs)]));
     assert_eq!(
