Stored builds name the revision of the servers up to which they count

Callers whose streams broke got 200 and the rest of the text from another software version, after all instances were killed: a version had joined and left while the store took no writes (or the holder was lost), so the stored builds lacked it, and every instance that started took them for complete.

Cause: the record said that it had all builds, and not as of when.

Change: the record names the revision of the servers up to which it counts, and a reader asks the store for the servers that changed since, by one call more. An instance that has never known the builds that left takes the record for incomplete where the store has forgotten the history since, and reads it again each 2 s. The holder renews the revision each 5 s if it has moved (12 writes a minute), and at once after it has read the record again, as after the store forgot its history. A record without a revision, written by an earlier release, counts as before; earlier releases ignore the new field.

Weighed: an instance that has known the builds goes by the record as before where the history is gone. When a store forgets its history all instances read their lists again at once, and each would refuse for 40 s. After a loss of power beside one version streams go on as far as the history reaches; at most 5 s are lost to the renewal.

The new tests were not run on the code before.

--- a/src/build/confirm.rs
+++ b/src/build/confirm.rs
@@ -208,7 +208,7 @@
   }
 
   /// The pool and build of a server's entry. Whoever follows the servers logs an invalid one.
-  fn server(&self, object: &Object) -> Option<Server> {
+  pub(super) fn server(&self, object: &Object) -> Option<Server> {
     let spec = (self.edge().parse_server)(object).ok()?;
     Some((spec.pool, spec.build))
   }
--- a/src/build/history.rs
+++ b/src/build/history.rs
@@ -2,25 +2,32 @@
 //! cannot know which builds left before their start.
 //!
 //! Each instance reads the record at its start, and after it has not known all servers for a while;
-//! again if it was absent or incomplete. The lease holder writes it when a build joins, and once a
-//! build can have no streams any more: one call for each start of an instance, two for each change
-//! of a build.
+//! again if it was absent or incomplete. It also reads the servers that changed since the revision in
+//! the record. The lease holder writes the record when a build joins, once a build can have no streams
+//! any more, and regularly, so that the store's history reaches back to its revision: two calls for
+//! each start of an instance and for each change of a build, 12 a minute.
 
-use super::Id;
+use super::{Id, confirm::Server, streams::hash};
 use crate::{
   dispatch::Event,
+  edge::Edge,
   planner::{Completion, Planner},
-  store::{Error, Object, Result},
-  stored::{Call, Calls, Content},
+  store::{Changes, Error, Object, Result, Revision},
+  stored::{self, Call, Calls, Content},
 };
 use serde::{Deserialize, Serialize};
 use slog::info;
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 /// Pause before a record that is absent or incomplete is read again. After an upgrade from a
 /// release without records, 295 instances make these calls for as long as a stream lasts.
 const REREAD_MS: u64 = 2_000;
 
+/// Interval in which the holder renews the revision in the record.
+const RENEWAL_MS: u64 = 5_000;
+/// Timeout of the watch, which only reads the changes so far.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+
 /// Builds by the hash of their pool's name.
 pub type Builds = BTreeSet<(u64, Id)>;
 
@@ -32,6 +39,10 @@
   pub era: u64,
   /// Whether its writer knew all builds that can have had streams.
   pub complete: bool,
+  /// Number of the revision in this era up to which the writer knew the servers. Earlier versions
+  /// do not write it; their records count as complete without it.
+  #[serde(default, skip_serializing_if = "Option::is_none")]
+  pub servers: Option<u64>,
   pub builds: Vec<Entry>,
 }
 
@@ -61,6 +72,10 @@
   stored: Known,
   /// Era in which the record was written.
   era: u64,
+  /// Number of the servers' revision in the record.
+  servers: Option<u64>,
+  /// When this instance last wrote the record, in ms; `None` if it has not since it was invalidated.
+  written_at: Option<u64>,
   /// When the record was last read, in ms.
   read_at: u64,
   holding: bool,
@@ -82,17 +97,25 @@
 }
 
 impl Record {
-  fn new(era: u64, known: Known) -> Self {
+  fn new(era: u64, servers: Revision, known: Known) -> Self {
     let builds = known.builds.into_iter();
     Self {
       era,
       complete: known.complete,
+      servers: (servers.era == era).then_some(servers.number),
       builds: builds
         .map(|(pool, build)| Entry::new(pool, build))
         .collect(),
     }
   }
 
+  /// The revision since which servers may have changed, in an era of the store; `None` if the record
+  /// is incomplete anyway, or names none.
+  fn servers(&self, era: u64) -> Option<Revision> {
+    let number = self.servers.filter(|_| self.complete && self.era == era)?;
+    Some(Revision { era, number })
+  }
+
   /// What the record says in an era of the store. A record of an earlier era may lack builds, and so
   /// does one with an invalid entry.
   fn known(&self, era: u64) -> Known {
@@ -105,19 +128,20 @@
 }
 
 impl History {
-  /// Returns the next call if one is due. `known` returns what this instance knows.
+  /// Returns the next call if one is due. `known` returns what this instance knows, which includes the
+  /// `servers` up to this revision.
   pub fn call(
     &mut self,
     now: u64,
     holding: bool,
-    era: u64,
+    servers: Revision,
     known: impl Fn() -> Known,
   ) -> Option<Call<Record>> {
     let acquired = holding && !self.holding;
     self.holding = holding;
     let revision = self.calls.revision();
     // Another holder may have written the record, or an older copy may have replaced it.
-    if acquired || revision.is_some_and(|revision| revision.era < era) {
+    if acquired || revision.is_some_and(|revision| revision.era < servers.era) {
       self.calls.invalidate();
     }
     // A holder of the lease may have completed it since.
@@ -126,17 +150,26 @@
       self.calls.invalidate();
     }
     let (stored, stored_era) = (&self.stored, self.era);
+    let is_old = self.written_at.is_none_or(|at| now >= at + RENEWAL_MS);
+    let has_advanced = self.servers.is_none_or(|number| number < servers.number);
     self.calls.next(now, || {
       let era = revision?.era;
       let known = holding.then(&known)?;
       let is_current = stored_era == era && *stored == known;
-      (!is_current).then(|| Record::new(era, known))
+      let is_renewed = known.complete && is_old && has_advanced;
+      (!is_current || is_renewed).then(|| Record::new(era, servers, known))
     })
   }
 
   /// Has the record read again: builds may have come and gone unseen.
   pub fn invalidate(&mut self) {
     self.calls.invalidate();
+    self.written_at = None;
+  }
+
+  /// Has the record that was read count as incomplete: builds may have come and gone since.
+  pub fn mark_incomplete(&mut self) {
+    self.stored.complete = false;
   }
 
   /// Handles the result of a call. Returns the builds that were read.
@@ -153,17 +186,21 @@
         self.read_at = now;
         self.stored = Known::default();
         self.era = era;
+        self.servers = None;
         None
       }
       (_, Content::Read(record)) => {
         self.read_at = now;
         self.stored = record.known(era);
         self.era = record.era;
+        self.servers = record.servers;
         Some(self.stored.clone())
       }
       (Call::Write { record, .. }, Content::Written) => {
         self.stored = record.known(record.era);
         self.era = record.era;
+        self.servers = record.servers;
+        self.written_at = Some(now);
         None
       }
       (_, Content::Written | Content::Unknown) => None,
@@ -171,6 +208,30 @@
   }
 }
 
+/// The servers that changed since the revision in a record.
+#[derive(Debug)]
+pub(crate) enum Since {
+  /// The record names no revision, or was not read.
+  Unnamed,
+  Changed(Changes),
+  /// The store no longer has the changes.
+  Forgotten,
+}
+
+/// Reads the record, and the servers that changed since its revision.
+fn read(edge: &Edge) -> Result<(Object, Since)> {
+  let object = (edge.store.read)(edge.kinds.builds, stored::NAME)?;
+  let record: Record = serde_json::from_value(object.spec.clone()).unwrap_or_default();
+  let Some(revision) = record.servers(object.revision.era) else {
+    return Ok((object, Since::Unnamed));
+  };
+  match (edge.store.watch)(edge.kinds.servers, revision, WATCH_TIMEOUT) {
+    Ok(changes) if changes.revision.era == revision.era => Ok((object, Since::Changed(changes))),
+    Ok(_) | Err(Error::HistoryGone) => Ok((object, Since::Forgotten)),
+    Err(error) => Err(error),
+  }
+}
+
 impl Planner {
   /// Reads the builds of the time before this instance knew all servers, if it has not; writes those
   /// of late if it holds the lease.
@@ -190,11 +251,19 @@
       return;
     }
     let holding = self.groups.first().is_some_and(|group| group.holds_lease);
-    let era = self.hub.gates.servers.progress().revision.era;
+    // The state has all changes up to this revision.
+    let servers = self.hub.gates.servers.progress().revision;
     let hub = &self.hub;
     let known = || hub.state().streams.known(now);
-    if let Some(call) = self.build_history.call(now, holding, era, known) {
-      self.start_record_call(self.kinds().builds, call, Completion::Builds);
+    match self.build_history.call(now, holding, servers, known) {
+      Some(Call::Read) => self.run_call(&self.calls, |edge| match read(edge) {
+        Ok((object, since)) => Completion::Builds(Call::Read, Ok(object), since),
+        Err(error) => Completion::Builds(Call::Read, Err(error), Since::Unnamed),
+      }),
+      Some(write) => self.start_record_call(self.kinds().builds, write, |call, result| {
+        Completion::Builds(call, result, Since::Unnamed)
+      }),
+      None => {}
     }
   }
 
@@ -217,6 +286,7 @@
     now: u64,
     call: &Call<Record>,
     result: Result<Object>,
+    since: Since,
   ) {
     if let Err(error) = &result
       && !matches!(error, Error::Absent { .. })
@@ -229,10 +299,35 @@
     }
     let absent = matches!(result, Err(Error::Absent { .. }));
     let read = self.build_history.answered(now, call, result);
-    if let Some(known) = read.or(absent.then(Known::default)) {
+    if let Some(mut known) = read.or(absent.then(Known::default)) {
+      self.add_changes(now, &mut known, since);
       info!(self.hub.log, "builds of the pools read"; "builds" => known.builds.len(),
         "complete" => known.complete);
       self.hub.apply(Event::BuildHistory(known), None);
     }
   }
+
+  /// Adds the builds of servers that joined since a record was written. Where the store has forgotten
+  /// them, an instance that has never known the builds goes by an incomplete record; one that has
+  /// known them until a moment ago, as all instances when the store forgets its history, goes on.
+  fn add_changes(&mut self, now: u64, known: &mut Known, since: Since) {
+    match since {
+      Since::Changed(changes) => {
+        let present = changes.objects.iter().filter(|(_, removed)| !removed);
+        let servers = present.filter_map(|(object, _)| self.server(object));
+        let stated = servers.filter(|(_, build)| *build != Id::UNKNOWN);
+        let builds = stated.map(|(pool, build): Server| (hash(&pool), build));
+        known.builds.extend(builds);
+      }
+      Since::Forgotten if !self.hub.state().streams.has_known_past(now) => {
+        info!(
+          self.hub.log,
+          "store no longer has the servers since the builds of the pools"
+        );
+        known.complete = false;
+        self.build_history.mark_incomplete();
+      }
+      Since::Forgotten | Since::Unnamed => {}
+    }
+  }
 }
--- a/src/planner/calls.rs
+++ b/src/planner/calls.rs
@@ -51,7 +51,9 @@
             .record_order_result(now, &command, taken);
         }
         Completion::Policies(objects) => self.finish_policies_read(now, objects),
-        Completion::Builds(call, result) => self.finish_builds_call(now, &call, result),
+        Completion::Builds(call, result, since) => {
+          self.finish_builds_call(now, &call, result, since);
+        }
         Completion::BuildsConfirmed(as_of, result) => self.finish_confirmation(as_of, result),
         Completion::Quarantine(call, result) => self.finish_quarantine_call(now, &call, result),
         Completion::Queried(index, id, reply) => {
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -85,6 +85,7 @@
   Builds(
     stored::Call<build::history::Record>,
     store::Result<store::Object>,
+    build::history::Since,
   ),
   /// Changes of the servers since the known ones, as of a time in ms; `None` if deployments changed.
   BuildsConfirmed(u64, store::Result<Option<store::Changes>>),
@@ -132,7 +133,7 @@
   /// Hash of this machine's name.
   pub(crate) machine: u32,
   pub(crate) groups: Vec<Group>,
-  calls: Pool,
+  pub(crate) calls: Pool,
   orders: Pool,
   queries: Pool,
   completion_sender: Sender<Completion>,
--- a/tests/build_history.rs
+++ b/tests/build_history.rs
@@ -20,17 +20,21 @@
   }
 }
 
+fn at(era: u64, number: u64) -> Revision {
+  Revision { era, number }
+}
+
 fn object(era: u64, number: u64, record: &Record) -> Object {
   Object {
     name: "main".into(),
-    revision: Revision { era, number },
+    revision: at(era, number),
     spec: encode(record).unwrap(),
   }
 }
 
 /// Performs the call that is due, which has to be a write, at revision `number`.
 fn write(history: &mut History, now: u64, era: u64, known: &Known, number: u64) -> Record {
-  let call = history.call(now, true, era, || known.clone());
+  let call = history.call(now, true, at(era, 0), || known.clone());
   let Some(Call::Write { record, .. }) = call.clone() else {
     panic!("no write: {call:?}");
   };
@@ -47,7 +51,7 @@
   era: u64,
   result: Result<Object, Error>,
 ) -> Option<Known> {
-  let call = history.call(now, holding, era, Known::default);
+  let call = history.call(now, holding, at(era, 0), Known::default);
   assert_eq!(call, Some(Call::Read));
   history.answered(now, &call.unwrap(), result)
 }
@@ -63,12 +67,12 @@
   assert_eq!(read(&mut history, 0, true, 0, absent(0)), None);
   let one = known(&["v1"], true);
   write(&mut history, 1, 0, &one, 4);
-  assert_eq!(history.call(2, true, 0, || one.clone()), None);
+  assert_eq!(history.call(2, true, at(0, 0), || one.clone()), None);
   let two = known(&["v1", "v2"], true);
   write(&mut history, 3, 0, &two, 5);
   write(&mut history, 4, 0, &known(&["v2"], true), 6);
   assert_eq!(
-    history.call(5, false, 0, || two.clone()),
+    history.call(5, false, at(0, 0), || two.clone()),
     None,
     "not the holder"
   );
@@ -94,7 +98,9 @@
   for error in [Error::NoAnswer, Error::Conflict] {
     let mut history = History::default();
     read(&mut history, 0, true, 0, absent(0));
-    let call = history.call(1, true, 0, || known(&["v1"], true)).unwrap();
+    let call = history
+      .call(1, true, at(0, 0), || known(&["v1"], true))
+      .unwrap();
     assert!(matches!(call, Call::Write { .. }));
     history.answered(2, &call, Err(error));
     let record = Record::default();
@@ -107,7 +113,7 @@
 #[test]
 fn builds_are_read_again_if_the_watch_was_interrupted_during_the_read() {
   let mut history = History::default();
-  let call = history.call(0, false, 0, Known::default).unwrap();
+  let call = history.call(0, false, at(0, 0), Known::default).unwrap();
   assert_eq!(call, Call::Read);
   history.invalidate();
   let record = Record {
@@ -162,7 +168,10 @@
   history.invalidate();
   let own = read(&mut history, 9_000, true, 0, Ok(object(0, 4, &record)));
   assert_eq!(own, Some(known(&["v1"], true)));
-  assert_eq!(history.call(9_001, true, 0, || known(&["v1"], true)), None);
+  assert_eq!(
+    history.call(9_001, true, at(0, 0), || known(&["v1"], true)),
+    None
+  );
 }
 
 /// Guards against an instance that refuses streams beside one build for as long as they last, because
@@ -173,19 +182,23 @@
   for first in [absent(0), Ok(incomplete)] {
     let mut history = History::default();
     read(&mut history, 0, false, 0, first);
-    assert_eq!(history.call(1_999, false, 0, Known::default), None);
+    assert_eq!(history.call(1_999, false, at(0, 0), Known::default), None);
     let record = Record {
       complete: true,
       ..Record::default()
     };
     let stored = read(&mut history, 2_000, false, 0, Ok(object(0, 5, &record)));
     assert_eq!(stored, Some(known(&[], true)));
-    assert_eq!(history.call(9_000, false, 0, Known::default), None);
+    assert_eq!(history.call(9_000, false, at(0, 0), Known::default), None);
   }
   let mut history = History::default();
   read(&mut history, 0, false, 0, absent(0));
   let own = || known(&["v1"], true);
-  assert_eq!(history.call(40_000, false, 0, own), None, "not needed");
+  assert_eq!(
+    history.call(40_000, false, at(0, 0), own),
+    None,
+    "not needed"
+  );
 }
 
 /// Guards against a record that another program wrote and that hides a build.
@@ -207,3 +220,91 @@
     assert!(!stored.complete, "{spec}");
   }
 }
+
+/// Guards against a record whose revision the store's history does not reach, as it was written long ago.
+#[test]
+fn the_holder_renews_the_revision_in_its_record() {
+  let mut history = History::default();
+  read(&mut history, 0, true, 0, absent(0));
+  let own = known(&["v1"], true);
+  let mut call = |now, number| {
+    let call = history.call(now, true, at(0, number), || own.clone());
+    if let Some(Call::Write { record, .. }) = &call {
+      history.answered(now, call.as_ref().unwrap(), Ok(object(0, now, record)));
+    }
+    call.map(|call| match call {
+      Call::Write { record, .. } => record.servers,
+      Call::Read => panic!("read again"),
+    })
+  };
+  assert_eq!(call(1, 10), Some(Some(10)));
+  assert_eq!(call(5_000, 20), None, "too soon");
+  assert_eq!(call(5_001, 10), None, "nothing has changed");
+  assert_eq!(call(5_002, 20), Some(Some(20)));
+}
+
+/// The same of a record that an earlier version wrote, and after the store forgot its history.
+#[test]
+fn a_holder_that_has_read_its_record_again_renews_it_at_once() {
+  let mut history = History::default();
+  read(&mut history, 0, true, 0, absent(0));
+  let own = known(&["v1"], true);
+  let record = write(&mut history, 1, 0, &own, 4);
+  let earlier = Record {
+    servers: None,
+    ..record.clone()
+  };
+  for (now, stored) in [(2, record), (3, earlier)] {
+    history.invalidate();
+    read(&mut history, now, true, 0, Ok(object(0, 4, &stored)));
+    let call = history.call(now, true, at(0, 9), || own.clone());
+    let Some(Call::Write { record, .. }) = &call else {
+      panic!("no write: {call:?}");
+    };
+    assert_eq!(record.servers, Some(9));
+    history.answered(now, call.as_ref().unwrap(), Ok(object(0, now + 10, record)));
+  }
+}
+
+/// Guards against a revision of another era of the store than the record's.
+#[test]
+fn a_record_names_no_revision_of_another_era() {
+  let mut history = History::default();
+  read(&mut history, 0, true, 1, absent(1));
+  let call = history.call(1, true, at(0, 9), || known(&["v1"], true));
+  let Some(Call::Write { record, .. }) = call else {
+    panic!("no write: {call:?}");
+  };
+  assert_eq!((record.era, record.servers), (1, None));
+}
+
+/// Guards against an instance that goes by a record for as long as a stream lasts although builds may
+/// have come and gone since it was written.
+#[test]
+fn a_record_that_counts_as_incomplete_is_read_again() {
+  let mut history = History::default();
+  let record = Record {
+    complete: true,
+    servers: Some(3),
+    ..Record::default()
+  };
+  read(&mut history, 0, false, 0, Ok(object(0, 4, &record)));
+  history.mark_incomplete();
+  assert_eq!(history.call(1_999, false, at(0, 0), Known::default), None);
+  let stored = read(&mut history, 2_000, false, 0, Ok(object(0, 5, &record)));
+  assert_eq!(stored, Some(known(&[], true)));
+}
+
+/// Guards against a record of an earlier version that is taken for an incomplete one.
+#[test]
+fn a_record_without_a_revision_counts_as_before() {
+  let mut history = History::default();
+  let spec = json!({ "era": 0, "complete": true, "builds": [] });
+  let object = Object {
+    name: "main".into(),
+    revision: Revision::from(4),
+    spec,
+  };
+  let stored = read(&mut history, 0, false, 0, Ok(object));
+  assert_eq!(stored, Some(known(&[], true)));
+}
