In a small fleet all instances have the records of streams

What callers saw: six of seven instances lost power beside two builds; callers took their streams up again and were refused (`build-unknown`) until their deadline, though servers of their build were there.

Cause: a record is at the instance that began the stream and at two others. Ruled out as the main cause: instances that have just started and know nobody to ask (each refusal names six answers).

Change: up to seven instances send each record to all others (5.7 KB/s at 21 streams a second and instance, arithmetic, only beside several builds), and all recent ones to an instance that joins their list. An instance that has heard of no holder, or knows fewer addresses than it is to ask, asks again each 30 ms before it refuses, within a quarter of the objective. Large fleets send two copies as before.

--- a/src/build/exchange.rs
+++ b/src/build/exchange.rs
@@ -12,14 +12,25 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Number of other instances that get a record. A third of the instances may end at once together
-/// with the one that recorded it: eight of nine records remain.
+/// Number of other instances that get a record in a large fleet. A third of the instances may end at
+/// once together with the one that recorded it: eight of nine records remain.
 const COPIES: usize = 2;
+/// Maximum number of other instances that all get each record: in a small fleet most instances may end
+/// at once. 21 streams per second cost an instance 5.7 KB/s each way, with headers.
+const ALL_OTHERS: usize = 6;
 /// Maximum number of records or attempts in a datagram, at about 15 bytes each.
 const MAX_ITEMS: usize = 80;
 /// Maximum number of records taken at a time.
 const MAX_TAKEN: usize = 1_024;
 
+/// Number of other instances that get a record, of this many.
+pub fn copies(others: usize) -> usize {
+  match others <= ALL_OTHERS {
+    true => others,
+    false => COPIES,
+  }
+}
+
 /// The `count` members with the highest weights for an attempt.
 pub fn holders(members: &[SocketAddr], attempt: Key, count: usize) -> Vec<SocketAddr> {
   let weight = |member: &SocketAddr| match member {
@@ -58,19 +69,27 @@
   /// Sends records to the instances that hold them, and questions about attempts.
   pub(crate) fn exchange_builds(&mut self) {
     let members = self.other_members(self.hub.now());
-    let known_before = std::mem::replace(&mut self.record_holders, members.len());
-    let grown = known_before < COPIES && known_before < members.len();
-    let (records, attempts) = {
+    let before = std::mem::replace(&mut self.record_holders, members.clone());
+    let grown = before.len() < COPIES && before.len() < members.len();
+    let copies = copies(members.len());
+    let (records, earlier, attempts) = {
       let mut state = self.hub.state();
       if grown {
         state.streams.share_again();
       }
+      let asked = state.instances.saturating_sub(1).min(ASKED);
+      let misses_instances = state.planner_seen_at == 0 || members.len() < asked;
+      state.streams.set_misses_instances(misses_instances);
+      let everywhere = !grown && members.len() <= ALL_OTHERS;
+      let has_joined = everywhere && members.iter().any(|member| !before.contains(member));
       // Records wait until other instances are known.
       let count = if members.is_empty() { 0 } else { MAX_TAKEN };
-      (
-        state.streams.take_unshared(count),
-        state.streams.take_questions(),
-      )
+      let records = state.streams.take_unshared(count);
+      let earlier = match has_joined {
+        true => state.streams.shared(),
+        false => Vec::new(),
+      };
+      (records, earlier, state.streams.take_questions())
     };
     let groups = by_holder(&members, &attempts, |attempt| *attempt, ASKED);
     for (holder, attempts) in groups {
@@ -78,7 +97,11 @@
         self.send(&Message::BuildQuestion(part.to_vec()), &[holder]);
       }
     }
-    let groups = by_holder(&members, &records, |record| record.attempt, COPIES);
+    let mut groups = by_holder(&members, &records, |record| record.attempt, copies);
+    if !earlier.is_empty() {
+      let joined = members.iter().filter(|member| !before.contains(member));
+      groups.extend(joined.map(|member| (*member, earlier.clone())));
+    }
     for (holder, records) in groups {
       for part in records.chunks(MAX_ITEMS) {
         self.send_paced(&Message::Builds(part.to_vec()), &[holder]);
--- a/src/build/resume.rs
+++ b/src/build/resume.rs
@@ -20,8 +20,9 @@
 /// instances with a quarter of a core take up to some ten ms.
 const ANSWER_MS: u64 = 30;
 const ROUNDS: u32 = 2;
-/// Part of a route's objective within which the store is awaited, as refusals are due then.
-const STORE_WAIT_PART: u64 = 4;
+/// Part of a route's objective within which the store, or the list of instances, is awaited, as refusals
+/// are due then.
+const WAIT_PART: u64 = 4;
 
 /// A caller's resumption of a stream, at its arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +50,9 @@
 /// A question to other instances about the stream of a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Question {
-  /// When it was last sent, in ms, and how many times.
-  sent_at: u64,
+  /// Until when answers are awaited, in ms.
+  until: u64,
+  /// Number of times that it was sent.
   rounds: u32,
   /// Instances that do not know the stream.
   unknown_to: Vec<SocketAddr>,
@@ -93,9 +95,9 @@
   UnknownPast,
 }
 
-/// Until when the store is awaited for a request, in ms.
-fn store_deadline(request: &Request) -> u64 {
-  request.arrived + request.descriptor.route.objective_ms / STORE_WAIT_PART
+/// Until when the store, or the list of instances, is awaited for a request, in ms.
+fn wait_deadline(request: &Request) -> u64 {
+  request.arrived + request.descriptor.route.objective_ms / WAIT_PART
 }
 
 impl State {
@@ -130,7 +132,7 @@
     };
     let only = self.streams.only_build(now, &request.descriptor.pool);
     let covered = self.knows_present(request, resumption);
-    let until = store_deadline(request);
+    let until = wait_deadline(request);
     let knowledge = self.streams.confirmation.knowledge(request.arrived);
     let awaits_present = !covered && knowledge == Knowledge::Unconfirmed;
     let awaits_past = covered && self.streams.awaits_past(now);
@@ -167,7 +169,7 @@
     let answers = question.map_or(0, |question| question.unknown_to.len());
     let is_young = question.is_some_and(|question| question.has_young_answer);
     let is_unavailable = knowledge == Knowledge::Failed(Failure::Unavailable);
-    let is_late = knowledge == Knowledge::Unconfirmed && self.now >= store_deadline(request);
+    let is_late = knowledge == Knowledge::Unconfirmed && self.now >= wait_deadline(request);
     let all_answer = match others {
       // Nobody else is known, so the store is asked first.
       0 => is_unavailable,
@@ -191,25 +193,30 @@
   /// answers are expected. Sends the question if it is due.
   fn question_until(&mut self, ticket: Ticket, attempt: Key) -> Option<u64> {
     let (now, others) = (self.now, self.instances.saturating_sub(1));
+    let last_round_at = self.last_round_at(ticket).filter(|at| now < *at);
     let request = self.requests.get_mut(&ticket)?;
     let question = request.question.get_or_insert(Question {
-      sent_at: 0,
+      until: 0,
       rounds: 0,
       unknown_to: Vec::new(),
       has_young_answer: false,
     });
-    if question.unknown_to.len() >= others.min(ASKED) {
+    if last_round_at.is_none() && question.unknown_to.len() >= others.min(ASKED) {
       return None;
     }
-    let until = question.sent_at + ANSWER_MS;
-    if question.rounds > 0 && now < until {
-      return Some(until);
+    if now < question.until {
+      return Some(question.until);
     }
     if question.rounds >= ROUNDS {
       return None;
     }
-    question.rounds += 1;
-    question.sent_at = now;
+    question.rounds = match last_round_at {
+      Some(_) => ROUNDS - 1,
+      None => question.rounds + 1,
+    };
+    let until = now + ANSWER_MS;
+    let until = last_round_at.map_or(until, |at| until.min(at));
+    question.until = until;
     let unanswered = question.rounds > 1;
     let pool = &request.descriptor.pool;
     if unanswered && self.streams.only_build(now, pool).is_some() {
@@ -217,7 +224,17 @@
     }
     self.streams.ask(attempt);
     self.out.push(Effect::ExchangeBuilds);
-    Some(now + ANSWER_MS)
+    Some(until)
+  }
+
+  /// Until when the question about a stream that may be of several builds is repeated, in ms, because
+  /// instances that are to be asked are not known yet: one that has just started knows none.
+  fn last_round_at(&self, ticket: Ticket) -> Option<u64> {
+    let request = self.requests.get(&ticket)?;
+    let pool = &request.descriptor.pool;
+    let several = self.streams.only_build(self.now, pool).is_none();
+    let last_round_at = wait_deadline(request).saturating_sub(ANSWER_MS);
+    (several && self.streams.misses_instances()).then_some(last_round_at)
   }
 
   fn decide_build(&mut self, ticket: Ticket, build: Option<Id>, basis: Basis) -> bool {
--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -74,6 +74,8 @@
   instances_fell_at: Option<u64>,
   /// Whether there were no streams before this process started.
   is_first_start: bool,
+  /// Whether addresses of instances that are to be asked are not known yet.
+  misses_instances: bool,
 }
 
 impl Streams {
@@ -148,6 +150,16 @@
     self.instances_fell_at.is_none_or(|fell_at| fell_at < since)
   }
 
+  /// Records whether addresses of instances that are to be asked are not known yet.
+  pub fn set_misses_instances(&mut self, misses_instances: bool) {
+    self.misses_instances = misses_instances;
+  }
+
+  /// Whether addresses of instances that are to be asked are not known yet.
+  pub fn misses_instances(&self) -> bool {
+    self.misses_instances
+  }
+
   /// Whether the builds of all pools are known that can have streams.
   pub fn knows_past(&self, now: u64) -> bool {
     let watched_ms = self.watched_ms(now);
@@ -343,10 +355,28 @@
 
   /// Sends the records of pools with several builds once more, because too few instances were known.
   pub fn share_again(&mut self) {
-    let own = self.order.iter().rev().map(|(attempt, _)| *attempt);
-    let own: Vec<Key> = own.filter(|attempt| self.is_shared(*attempt)).collect();
+    let shared = self.shared();
     self.unshared.clear();
-    self.unshared.extend(own);
+    self
+      .unshared
+      .extend(shared.iter().map(|record| record.attempt));
+  }
+
+  /// Own records of pools with several builds, the newest first.
+  pub fn shared(&self) -> Vec<Record> {
+    let attempts = self.order.iter().rev().map(|(attempt, _)| *attempt);
+    let shared = attempts.filter(|attempt| self.is_shared(*attempt));
+    shared
+      .filter_map(|attempt| self.to_record(attempt))
+      .collect()
+  }
+
+  fn to_record(&self, attempt: Key) -> Option<Record> {
+    let known = self.records.get(&attempt)?;
+    Some(Record {
+      attempt,
+      build: known.build,
+    })
   }
 
   fn is_shared(&self, attempt: Key) -> bool {
@@ -407,15 +437,11 @@
   /// Takes at most `count` records to send.
   pub fn take_unshared(&mut self, count: usize) -> Vec<Record> {
     let count = count.min(self.unshared.len());
-    let taken = self.unshared.drain(..count);
-    let records = taken.filter_map(|attempt| {
-      let known = self.records.get(&attempt)?;
-      Some(Record {
-        attempt,
-        build: known.build,
-      })
-    });
-    records.collect()
+    let taken: Vec<Key> = self.unshared.drain(..count).collect();
+    let taken = taken.into_iter();
+    taken
+      .filter_map(|attempt| self.to_record(attempt))
+      .collect()
   }
 
   /// Takes the attempts about which other instances are to be asked.
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -156,8 +156,8 @@
   pub(crate) resync_attempts: u32,
   /// Instances published by the holders.
   pub(crate) members: Vec<SocketAddr>,
-  /// Number of other instances to which records of streams could be sent.
-  pub(crate) record_holders: usize,
+  /// Other instances to which records of streams could be sent.
+  pub(crate) record_holders: Vec<SocketAddr>,
   /// The stored builds of the pools.
   pub(crate) build_history: History,
   pub(crate) build_calls: Pool,
@@ -238,7 +238,7 @@
     stalled: false,
     resync_attempts: 0,
     members: Vec::new(),
-    record_holders: 0,
+    record_holders: Vec::new(),
     registry: Registry::default(),
     stored_quarantine: crash::stored::Stored::default(),
     build_history: History::default(),
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -148,6 +148,16 @@
   }
 }
 
+/// An update that tells the number of instances.
+fn instances(instances: usize) -> Event {
+  Event::Updated {
+    holdings: Vec::new(),
+    group: None,
+    loads: None,
+    instances,
+  }
+}
+
 /// Until when a request waits, in ms.
 fn waits(effects: &[Effect]) -> Option<u64> {
   effects.iter().find_map(|effect| match effect {
@@ -330,6 +340,54 @@
   assert_refused(&effects, Reason::BuildUnknown);
 }
 
+/// Guards against refusals by an instance that has just started and knows no other yet.
+#[test]
+fn a_stream_of_an_unknown_build_waits_until_other_instances_are_known() {
+  let mut state = state(&TWO_BUILDS);
+  state.instances = 1;
+  state.streams.set_misses_instances(true);
+  let effects = state.reduce(1, resumed_elsewhere(1));
+  let until = waits(&effects).expect("does not wait");
+  state.streams.take_questions();
+  state.reduce(2, instances(4));
+  state.streams.set_misses_instances(false);
+  state.reduce(until, Event::Recheck(Ticket(1)));
+  assert_eq!(state.streams.take_questions(), [build::Key::of("other")]);
+  let effects = state.reduce(until + 1, answer(1, Some("v2")));
+  assert_eq!(&sent(&effects).unwrap()[..2], "v2");
+}
+
+/// Guards against a resumption that is held while the other instances are not known.
+#[test]
+fn a_stream_of_an_unknown_build_is_refused_in_time_while_other_instances_are_not_known() {
+  for instances in [1, 4] {
+    let mut state = state(&TWO_BUILDS);
+    state.instances = instances;
+    state.streams.set_misses_instances(true);
+    let mut effects = state.reduce(1, resumed_elsewhere(1));
+    let mut now = 1;
+    while let Some(until) = waits(&effects) {
+      now = until;
+      effects = state.reduce(now, Event::Recheck(Ticket(1)));
+    }
+    assert_refused(&effects, Reason::BuildUnknown);
+    assert!(now <= 1 + 300 / 4, "refused at {now}");
+  }
+}
+
+/// Guards against an answer of the first known instance that counts as the answer of all.
+#[test]
+fn a_stream_of_an_unknown_build_waits_for_instances_beyond_those_that_answered() {
+  let mut state = state(&TWO_BUILDS);
+  state.instances = 2;
+  state.streams.set_misses_instances(true);
+  state.reduce(1, resumed_elsewhere(1));
+  let effects = state.reduce(2, answer(1, None));
+  assert_eq!(refused(&effects), None);
+  let effects = state.reduce(3, answer(2, Some("v1")));
+  assert_eq!(&sent(&effects).unwrap()[..2], "v1");
+}
+
 /// Guards against a resumption that waits for instances that have ended.
 #[test]
 fn a_question_without_answers_is_asked_again_and_ends_in_a_refusal() {
@@ -892,3 +950,26 @@
     assert_eq!(holders[..2], build::exchange::holders(&members, attempt, 2));
   }
 }
+
+/// Guards against records that are gone in a small fleet with most of its instances, and against a cost
+/// that grows with a large one.
+#[test]
+fn all_others_get_a_record_in_a_small_fleet_and_two_in_a_large_one() {
+  for (others, copies) in [(0, 0), (1, 1), (6, 6), (7, 2), (139, 2)] {
+    assert_eq!(build::exchange::copies(others), copies, "{others} others");
+  }
+}
+
+/// Guards against an instance that starts and is not sent the records of the streams before.
+#[test]
+fn records_of_recent_streams_stay_to_be_sent_to_instances_that_join() {
+  let mut state = state(&TWO_BUILDS);
+  let begun = begin(&mut state, 1);
+  let records = [build::Record {
+    attempt: build::Key::of("1"),
+    build: build::Id::of(&begun),
+  }];
+  assert_eq!(state.streams.take_unshared(10), records);
+  state.reduce(3, answer(1, Some("v2")));
+  assert_eq!(state.streams.shared(), records);
+}
