Uploads go on behind interim and surplus responses

What callers saw: a 504 that says `may-have-run` for an upload whose server sent a 103, or a surplus response to another request, while the upload was still being written; the server got no more of it.

Cause: any byte that arrived while the connection took none ended the writing.

Ruled out: that the bytes in front are not skipped (the same reader skips them after the writing); that the server is not read meanwhile.

Change: what arrives is read and skipped by the reader of the response; its head, an end or a break of the connection ends the writing.

--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -42,6 +42,15 @@
   Within(Option<Duration>),
 }
 
+/// How the writing of a request ended.
+enum Written {
+  Whole,
+  /// The connection broke or ended. A response may have come before.
+  Cut,
+  /// The response came before the end of its request.
+  Early(Response, Framing),
+}
+
 impl Relay<'_> {
   /// Sends the request once and forwards the response.
   pub(super) fn send(&mut self, attempt: &Attempt) -> Outcome {
@@ -301,19 +310,23 @@
     self.overdue_reads <= MAX_OVERDUE_READS
   }
 
-  /// Writes the request; an early response stops the writing. Returns whether all of it was
-  /// written.
-  fn write_request(&mut self, socket: &mut Socket, bytes: &[u8]) -> Result<bool, Outcome> {
+  /// Writes the request; an early response stops the writing, what may come in front of one does not.
+  fn write_request(
+    &mut self,
+    socket: &mut Socket,
+    bytes: &[u8],
+    reader: &mut Reader,
+  ) -> Result<Written, Outcome> {
     let mut remaining = bytes;
     let until = self.read_deadline(false);
     loop {
       match socket.try_write(remaining) {
         Ok(length) => remaining = &remaining[length..],
         // Data received before the connection broke may be a response, if it states its end.
-        Err(_) => return Ok(false),
+        Err(_) => return Ok(Written::Cut),
       }
       if remaining.is_empty() {
-        return Ok(true);
+        return Ok(Written::Whole);
       }
       let stopping = self.hub.is_stopping();
       if let Some(result) = self.time_over() {
@@ -330,7 +343,13 @@
         return Err(outcome(End::Broken, "wait failed"));
       };
       if readable && !writable {
-        return Ok(false);
+        match socket.fill() {
+          Ok(Fill::Data | Fill::Empty) => {}
+          Ok(Fill::Eof) | Err(_) => return Ok(Written::Cut),
+        }
+        if let Some((head, framing)) = self.parse_head(socket, reader)? {
+          return Ok(Written::Early(head, framing));
+        }
       }
       if !writable && self.hub.now() >= until {
         return Err(outcome(End::Broken, "server takes no bytes"));
@@ -338,6 +357,17 @@
     }
   }
 
+  /// Parses the head of the response, skipping responses to other requests; `None` if more input is needed.
+  fn parse_head(
+    &self,
+    socket: &mut Socket,
+    reader: &mut Reader,
+  ) -> Result<Option<(Response, Framing)>, Outcome> {
+    let id_header = self.hub.dialect.request_id;
+    let read = reader.read(&mut socket.input, &socket.carried, id_header);
+    read.map_err(|error| outcome(End::Broken, error.as_str()))
+  }
+
   /// Reads the head of the response, skipping responses to other requests.
   fn read_head(
     &mut self,
@@ -345,11 +375,8 @@
     reader: &mut Reader,
   ) -> Result<(Response, Framing), Outcome> {
     let until = self.read_deadline(false);
-    let id_header = self.hub.dialect.request_id;
     loop {
-      let read = reader.read(&mut socket.input, &socket.carried, id_header);
-      let read = read.map_err(|error| outcome(End::Broken, error.as_str()))?;
-      if let Some(response) = read {
+      if let Some(response) = self.parse_head(socket, reader)? {
         return Ok(response);
       }
       if self.read_patiently(socket, until)? == Fill::Eof {
@@ -399,10 +426,14 @@
   fn exchange(&mut self, mut socket: Socket, attempt: &Attempt) -> Result<Outcome, Outcome> {
     socket.carried.push(&self.id, &self.incoming.head.method);
     let bytes = self.encode_request(attempt);
-    let written = self.write_request(&mut socket, &bytes)?;
-    drop(bytes);
     let mut reader = Reader::default();
-    let read = self.read_head(&mut socket, &mut reader);
+    let written = self.write_request(&mut socket, &bytes, &mut reader)?;
+    drop(bytes);
+    let is_written = matches!(written, Written::Whole);
+    let read = match written {
+      Written::Early(head, framing) => Ok((head, framing)),
+      Written::Whole | Written::Cut => self.read_head(&mut socket, &mut reader),
+    };
     self.log_skipped(&reader, attempt);
     let (head, framing) = match read {
       Err(result) if result.end == End::Left => {
@@ -426,7 +457,7 @@
     if success && head.headers.get("content-encoding").is_some() {
       return Err(outcome(End::Broken, "answer in an encoding not asked for"));
     }
-    let reuse = match written && head.keep_alive() && framing != Framing::Close {
+    let reuse = match is_written && head.keep_alive() && framing != Framing::Close {
       true => Reuse::Within(keep_alive_timeout(&head)),
       false => Reuse::No,
     };
