Crash analysis: crashes count again once the part blamed for them is served

Timeline of a play with all logs (six servers ended, s): third crash 12.086; the content quarantined 12.116; a part in the same crashes blamed 12.1195 and the content released as explained; the part served, thus released, 12.788; the content ends servers at 14.61, 14.85 and 20.69; the same again at 20.72.

Cause: what a part explained was dropped, and nothing brought it back when the part turned out innocent.

Ruled out by that log: instances that had not heard (all seven had each verdict within 2 ms), the rule for servers that end together (0.3 and 2.6 s apart; the content was blamed with 3 crashes), another key (one content in all six).

Change: crashes that a part explains are kept; when the part is released, they count against contents again, and contents that are to blame are quarantined before the part's release is published. Such a quarantine lasts 2 s longer, by which instances tell it from one that began before the release; sends that newer ones replace end.

--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -111,6 +111,9 @@
   /// Servers whose crashes these explain, and whether there are new ones.
   explained: BTreeSet<Life>,
   explained_changed: bool,
+  /// Servers whose crashes only parts explained that were released since. No other part is blamed for these
+  /// crashes, but contents are.
+  refuted: BTreeSet<Life>,
 }
 
 impl Registry {
@@ -142,12 +145,14 @@
     });
   }
 
-  /// Records that a request with a part was served after its first crash.
-  pub fn record_served(&mut self, now: u64, part: content::Key) {
+  /// Records that a request with a part was served after its first crash; returns the servers whose crashes
+  /// no part explains any more.
+  pub fn record_served(&mut self, now: u64, part: content::Key) -> BTreeSet<Life> {
+    let refuted = self.release(part);
     if let Some(suspect) = self.suspects.remove(&part) {
       self.cleared.record(now, part, suspect.crashes.keys());
     }
-    self.blamed.remove(&part);
+    refuted
   }
 
   /// Returns the questions to ask now.
@@ -268,13 +273,33 @@
     if let Some(suspect) = self.suspects.get(&part) {
       let known = self.explained.len();
       self.explained.extend(suspect.crashes.keys());
-      self.explained_changed |= self.explained.len() > known;
+      let refuted = self.refuted.len();
+      self
+        .refuted
+        .retain(|server| !suspect.crashes.contains_key(server));
+      self.explained_changed |= self.explained.len() > known || self.refuted.len() < refuted;
     }
   }
 
-  /// Records that a part is no longer to blame.
-  pub fn release(&mut self, part: content::Key) {
-    self.blamed.remove(&part);
+  /// Records that a part is no longer to blame; returns the servers whose crashes no part explains any more.
+  pub fn release(&mut self, part: content::Key) -> BTreeSet<Life> {
+    if !self.blamed.remove(&part) {
+      return BTreeSet::new();
+    }
+    let suspect = self.suspects.get(&part);
+    let servers = suspect
+      .into_iter()
+      .flat_map(|suspect| suspect.crashes.keys());
+    let refuted = servers.filter(|server| !self.is_explained_by_blamed(server));
+    let refuted: BTreeSet<Life> = refuted.copied().collect();
+    self.refuted.extend(&refuted);
+    refuted
+  }
+
+  fn is_explained_by_blamed(&self, server: &Life) -> bool {
+    let blamed = self.blamed.iter();
+    let mut suspects = blamed.filter_map(|part| self.suspects.get(part));
+    suspects.any(|suspect| suspect.crashes.contains_key(server))
   }
 
   /// Whether there are crashes to analyze.
@@ -294,7 +319,7 @@
   }
 
   /// Servers whose crashes are explained by parts.
-  pub fn explained(&self) -> &BTreeSet<Life> {
-    &self.explained
+  pub fn explained(&self) -> BTreeSet<Life> {
+    &self.explained - &self.refuted
   }
 }
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -35,11 +35,14 @@
 /// Duration of a quarantine: by then an operator has fixed the servers or no longer needs it,
 /// and a mistaken quarantine ends.
 const QUARANTINE_MS: u64 = 1_800_000;
+/// Duration of the quarantine of a content that is blamed again after its release. It is longer, which tells it
+/// from a quarantine that began before the release.
+const RENEWED_QUARANTINE_MS: u64 = QUARANTINE_MS + RELEASE_HOLD_MS;
 /// About 200 bytes each; enough for all runs of 80 servers that crash together. The least
 /// recently seen suspects are evicted first.
 const MAX_SUSPECTS: usize = 1_024;
-/// After the release of a content, all published quarantines of it are ignored for this long: the
-/// three sends of an earlier quarantine are over by then.
+/// After the release of a content, all published quarantines of it that are not renewed are ignored for this
+/// long: the three sends of an earlier quarantine are over by then.
 const RELEASE_HOLD_MS: u64 = 2_000;
 /// Time for which a release is published for instances that have just started: by then it is in the
 /// store.
@@ -128,11 +131,10 @@
     unexplained == 0 || (is_known && unexplained < CULPRIT_CRASHES)
   }
 
-  fn shares_crash(&self, other: &Self) -> bool {
-    self
-      .servers
-      .keys()
-      .any(|server| other.servers.contains_key(server))
+  /// Whether both were in a crash that is not explained.
+  fn shares_crash(&self, other: &Self, explained: &BTreeSet<Life>) -> bool {
+    let mut servers = self.servers.keys();
+    servers.any(|server| !explained.contains(server) && other.servers.contains_key(server))
   }
 }
 
@@ -199,10 +201,11 @@
 impl Registry {
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
-    let (explained, cleared) = (&self.explained, &self.cleared);
-    let counted = crashes.iter().filter(|crash| {
-      !explained.contains_key(&crash.server) && !cleared.contains(crash.content, crash.server)
-    });
+    let explained = self.explained_servers();
+    let cleared = &self.cleared;
+    let counted = crashes
+      .iter()
+      .filter(|crash| !cleared.contains(crash.content, crash.server));
     for crash in counted {
       let suspect = self.suspects.entry(crash.content).or_insert(Suspect {
         first_seen: now,
@@ -220,10 +223,10 @@
         let progress = crash.progress_ms;
         suspect.progress = Some((lowest.min(progress), highest.max(progress)));
       }
-      if suspect.servers.len() > known_servers {
+      if suspect.servers.len() > known_servers && !explained.contains(&crash.server) {
         self.unanalyzed_since.get_or_insert(now);
       }
-      if suspect.crashes(&BTreeSet::new()) >= CULPRIT_CRASHES {
+      if suspect.crashes(&explained) >= CULPRIT_CRASHES {
         suspect.culprit_since.get_or_insert(now);
       }
     }
@@ -231,7 +234,7 @@
   }
 
   fn evict_suspects(&mut self, now: u64) {
-    self.explained.retain(|_, at| now < *at + CRASH_TTL_MS);
+    self.forget_explained(now);
     self
       .suspects
       .retain(|_, suspect| now < suspect.last_seen + CRASH_TTL_MS);
@@ -240,6 +243,25 @@
     });
   }
 
+  /// Forgets crashes that were explained long ago.
+  fn forget_explained(&mut self, now: u64) {
+    let suspects = &mut self.suspects;
+    self.explained.retain(|server, at| {
+      let is_kept = now < *at + CRASH_TTL_MS;
+      if !is_kept {
+        suspects.values_mut().for_each(|suspect| {
+          suspect.servers.remove(server);
+        });
+      }
+      is_kept
+    });
+    suspects.retain(|_, suspect| !suspect.servers.is_empty());
+  }
+
+  fn explained_servers(&self) -> BTreeSet<Life> {
+    self.explained.keys().copied().collect()
+  }
+
   /// Returns when this instance has to analyze the reported crashes, in ms. All instances report a
   /// crash within a few milliseconds, and an analysis of only some of the reports blames a
   /// companion. `is_analyzer` returns whether crashes are reported to this instance; it is
@@ -260,10 +282,7 @@
     self.tied_until = cover.tied_until;
     let mut found = Vec::new();
     for culprit in cover.culprits {
-      let content = culprit.content;
-      self.released.remove(&content);
-      let left_ms = QUARANTINE_MS as u32;
-      if self.quarantine(now, Quarantined { content, left_ms }) {
+      if self.quarantine_culprit(now, culprit.content) {
         found.push(culprit);
       }
     }
@@ -297,7 +316,10 @@
 
   /// Explains the crashes by as few contents as possible, the highest score first.
   fn cover(&self, now: u64) -> Cover {
-    let mut cover = Cover::default();
+    let mut cover = Cover {
+      explained: self.explained_servers(),
+      ..Cover::default()
+    };
     loop {
       let highest_scored = self.highest_scored(now, &mut cover);
       if highest_scored.is_empty() {
@@ -326,9 +348,10 @@
     let Some((highest, _, first)) = scored.iter().max_by_key(|(score, ..)| *score) else {
       return Vec::new();
     };
+    let explained = self.explained_servers();
     let mut tied: Vec<Culprit> = scored
       .iter()
-      .filter(|(score, _, suspect)| score == highest && first.shares_crash(suspect))
+      .filter(|(score, _, suspect)| score == highest && first.shares_crash(suspect, &explained))
       .map(|((crashes, _, runs), content, _)| Culprit {
         content: **content,
         crashes: *crashes,
@@ -440,9 +463,12 @@
 
   /// Whether a quarantine began before its content was released.
   pub fn is_stale(&self, now: u64, entry: Quarantined) -> bool {
-    let began_before = |at: u64| now + u64::from(entry.left_ms) <= at + QUARANTINE_MS;
+    let left_ms = u64::from(entry.left_ms);
     let released = self.released.get(&entry.content);
-    released.is_some_and(|at| now < at + RELEASE_HOLD_MS || began_before(*at))
+    released.is_some_and(|at| match now < at + RELEASE_HOLD_MS {
+      true => left_ms <= QUARANTINE_MS,
+      false => now + left_ms <= at + QUARANTINE_MS,
+    })
   }
 
   /// Returns the questions to ask about contents in two or more crashes.
@@ -490,36 +516,49 @@
 
   /// Quarantines contents or parts that were found to cause crashes.
   pub fn quarantine_found(&mut self, now: u64, keys: &[content::Key]) {
-    let left_ms = QUARANTINE_MS as u32;
     for content in keys.iter().copied() {
-      self.released.remove(&content);
-      self.quarantine(now, Quarantined { content, left_ms });
+      self.quarantine_culprit(now, content);
     }
   }
 
+  fn quarantine_culprit(&mut self, now: u64, content: content::Key) -> bool {
+    let left_ms = match self.released.remove(&content) {
+      Some(_) => RENEWED_QUARANTINE_MS,
+      None => QUARANTINE_MS,
+    };
+    let left_ms = left_ms as u32;
+    self.quarantine(now, Quarantined { content, left_ms })
+  }
+
   /// Releases and returns the quarantined contents that would not be blamed without the crashes of these
-  /// servers, which a part of their prompts explains, and forgets these crashes.
+  /// servers, which a part of their prompts explains, and counts these crashes no more.
   pub fn release_explained(&mut self, now: u64, explained: &BTreeSet<Life>) -> Vec<content::Key> {
+    let is_new = |server: &Life| explained.contains(server) && !self.explained.contains_key(server);
     let suspects = self.suspects.iter();
     let innocent = suspects.filter(|(content, suspect)| {
-      self.quarantined.contains_key(content) && suspect.is_cleared_by(explained)
+      self.quarantined.contains_key(content)
+        && suspect.servers.keys().any(is_new)
+        && suspect.is_cleared_by(explained)
     });
     let innocent: Vec<content::Key> = innocent.map(|(content, _)| *content).collect();
     self.release(now, &innocent);
     for server in explained {
       self.explained.entry(*server).or_insert(now);
     }
-    for suspect in self.suspects.values_mut() {
-      suspect
-        .servers
-        .retain(|server, _| !explained.contains(server));
-    }
-    self
-      .suspects
-      .retain(|_, suspect| !suspect.servers.is_empty());
     innocent
   }
 
+  /// Counts the crashes of these servers again, after the part that explained them was released. They are due
+  /// to be analyzed at once, as all their reports have arrived.
+  pub fn count_again(&mut self, now: u64, servers: &BTreeSet<Life>) {
+    for server in servers {
+      if self.explained.remove(server).is_some() {
+        let settled_since = now.saturating_sub(SETTLE_MS);
+        self.unanalyzed_since.get_or_insert(settled_since);
+      }
+    }
+  }
+
   /// Returns the quarantined contents.
   pub fn quarantined(&self, now: u64) -> Vec<Quarantined> {
     let quarantined = self.quarantined.iter().filter(|(_, until)| now < **until);
--- a/src/crash/repeated.rs
+++ b/src/crash/repeated.rs
@@ -36,6 +36,11 @@
     self.entries.push(entry);
   }
 
+  /// Removes entries whose remaining sends are not needed.
+  pub fn remove(&mut self, is_removed: impl Fn(&T) -> bool) {
+    self.entries.retain(|entry| !is_removed(&entry.value));
+  }
+
   /// Returns when the next send is due, in ms.
   pub fn due(&self) -> Option<u64> {
     let due = self.entries.iter();
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -102,7 +102,9 @@
     if !self.parts.take_explained_changed() {
       return;
     }
-    let innocent = self.registry.release_explained(now, self.parts.explained());
+    let innocent = self
+      .registry
+      .release_explained(now, &self.parts.explained());
     if !innocent.is_empty() {
       self.publish_release(now, &innocent, EXPLAINED);
     }
@@ -117,12 +119,15 @@
   pub(crate) fn receive_served(&mut self, now: u64, keys: &[content::Key]) {
     let mut innocent = Vec::new();
     for key in keys {
-      self.parts.record_served(now, *key);
+      let refuted = self.parts.record_served(now, *key);
+      self.registry.count_again(now, &refuted);
       if self.registry.record_served(now, *key) {
         innocent.push(*key);
       }
     }
     if !innocent.is_empty() {
+      // Contents that are blamed instead of a part are quarantined before it is released.
+      self.analyze_crashes(now);
       self.publish_release(now, &innocent, SERVED);
     }
   }
@@ -133,12 +138,14 @@
   }
 
   /// Records quarantines and releases that another instance has published, for parts among them.
-  pub(crate) fn record_quarantined_parts(&mut self, entries: &[Quarantined]) {
+  pub(crate) fn record_quarantined_parts(&mut self, now: u64, entries: &[Quarantined]) {
     for entry in entries {
-      match entry.left_ms {
-        0 => self.parts.release(entry.content),
-        _ => self.parts.blame(entry.content),
+      if entry.left_ms > 0 {
+        self.parts.blame(entry.content);
+        continue;
       }
+      let refuted = self.parts.release(entry.content);
+      self.registry.count_again(now, &refuted);
     }
   }
 }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -88,7 +88,7 @@
   }
 
   /// Analyzes crashes once their reports have settled, and publishes the results.
-  fn analyze_crashes(&mut self, now: u64) {
+  pub(crate) fn analyze_crashes(&mut self, now: u64) {
     if self.analysis_at(now).is_none_or(|at| now < at) {
       return;
     }
@@ -138,8 +138,8 @@
     for entry in &entries {
       info!(self.hub.log, "request released"; "content" => entry.content.to_string(),
         "why" => why);
-      self.published_quarantine.add(now, *entry);
     }
+    self.publish_entries(now, &entries);
     self.enforce(entries);
   }
 
@@ -157,10 +157,23 @@
     let all = self.registry.quarantined(now);
     let is_new = |entry: &&Quarantined| keys.contains(&entry.content);
     let new: Vec<Quarantined> = all.iter().filter(is_new).copied().collect();
-    for entry in &new {
+    self.publish_entries(now, &new);
+    self.enforce(new);
+  }
+
+  /// Publishes entries in place of what is still being sent about their contents.
+  fn publish_entries(&mut self, now: u64, entries: &[Quarantined]) {
+    self.withdraw(entries);
+    for entry in entries {
       self.published_quarantine.add(now, *entry);
     }
-    self.enforce(new);
+  }
+
+  /// Ends the sends of entries that newer ones about the same contents replace.
+  fn withdraw(&mut self, newer: &[Quarantined]) {
+    let is_replaced =
+      |entry: &Quarantined| newer.iter().any(|newer| newer.content == entry.content);
+    self.published_quarantine.remove(is_replaced);
   }
 
   /// Quarantines parts and publishes that.
@@ -181,7 +194,7 @@
     let current: Vec<Quarantined> = current
       .filter(|entry| entry.left_ms == 0 || !self.registry.is_stale(now, *entry))
       .collect();
-    self.record_quarantined_parts(&current);
+    self.record_quarantined_parts(now, &current);
     let mut new = Vec::new();
     for entry in &current {
       if self.registry.quarantine(now, *entry) {
@@ -197,6 +210,7 @@
     if new.is_empty() {
       return;
     }
+    self.withdraw(&new);
     if !self.is_analyzer(now) {
       self.registry.clear_suspects();
     }
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -254,3 +254,36 @@
   assert!(asked(&mut registry, 5_000));
   assert!(!asked(&mut registry, 20_000), "nobody has served it");
 }
+
+/// Crashes that a part explained counted against no content once that part was served.
+#[test]
+fn crashes_of_a_part_that_is_served_are_explained_no_more() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST, DEADLY, OTHER]);
+  assert_eq!(blamed(&mut registry, 1_000), [OTHER]);
+  assert_eq!(registry.explained().len(), 3);
+  assert_eq!(registry.record_served(1_100, OTHER).len(), 3);
+  assert!(registry.explained().is_empty());
+  assert_eq!(
+    blamed(&mut registry, 2_000),
+    [],
+    "contents are blamed for them"
+  );
+  assert!(registry.release(OTHER).is_empty(), "released before");
+}
+
+#[test]
+fn crashes_that_another_part_explains_stay_explained() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST, DEADLY, OTHER]);
+  registry.blame(OTHER);
+  registry.blame(DEADLY);
+  assert!(registry.release(OTHER).is_empty());
+  assert_eq!(registry.explained().len(), 3);
+  // They are explained again by a part that is blamed later.
+  assert_eq!(registry.release(DEADLY).len(), 3);
+  registry.take_explained_changed();
+  registry.blame(DEADLY);
+  assert!(registry.take_explained_changed());
+  assert_eq!(registry.explained().len(), 3);
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -641,6 +641,85 @@
   assert_eq!(culprits(&mut registry, 3_000), Vec::<u128>::new());
 }
 
+/// Three more servers crashed on a request whose crashes were explained by a part that was served later.
+#[test]
+fn a_content_is_blamed_again_after_the_part_that_explained_its_crashes_was_served() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [CULPRIT]);
+  registry.release_explained(120, &lives(&[1, 2, 3]));
+  assert!(registry.quarantined(600).is_empty());
+  registry.count_again(600, &lives(&[1, 2, 3]));
+  assert_eq!(registry.analysis_at(600, || true), Some(600));
+  assert_eq!(culprits(&mut registry, 600), [CULPRIT]);
+}
+
+/// Crashes that were explained before they were analyzed were lost too.
+#[test]
+fn a_content_whose_crashes_were_explained_first_is_blamed_after_the_part_was_served() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes[..2]);
+  registry.release_explained(120, &lives(&[1, 2, 3]));
+  registry.add(130, &crashes[2..]);
+  assert_eq!(culprits(&mut registry, 200), Vec::<u128>::new());
+  registry.count_again(600, &lives(&[1, 2, 3]));
+  assert_eq!(culprits(&mut registry, 600), [CULPRIT]);
+}
+
+#[test]
+fn a_content_that_was_served_is_not_blamed_again_with_the_part_released() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(BYSTANDER, server, 1)).collect();
+  registry.add(0, &crashes);
+  assert_eq!(culprits(&mut registry, 100), [BYSTANDER]);
+  registry.release_explained(120, &lives(&[1, 2, 3]));
+  let asked = registry.questions(130);
+  assert_eq!(asked[0].key, content::Key(BYSTANDER));
+  registry.record_served(300, content::Key(BYSTANDER));
+  registry.count_again(600, &lives(&[1, 2, 3]));
+  assert_eq!(culprits(&mut registry, 5_000), Vec::<u128>::new());
+}
+
+/// Instances ignored the quarantine of a content that was blamed again within two seconds of its release.
+#[test]
+fn a_renewed_quarantine_holds_at_instances_that_have_just_released_the_content() {
+  let entry = |left_ms| Quarantined {
+    content: content::Key(CULPRIT),
+    left_ms,
+  };
+  let mut analyzer = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  analyzer.add(0, &crashes);
+  assert_eq!(culprits(&mut analyzer, 100), [CULPRIT]);
+  let first = analyzer.quarantined(100)[0];
+  let mut other = Registry::default();
+  other.quarantine(100, first);
+  analyzer.release_explained(120, &lives(&[1, 2, 3]));
+  other.quarantine(120, entry(0));
+  assert!(!other.quarantine(520, first), "a late send of the first");
+  analyzer.count_again(600, &lives(&[1, 2, 3]));
+  assert_eq!(culprits(&mut analyzer, 600), [CULPRIT]);
+  let renewed = analyzer.quarantined(600)[0];
+  assert!(!other.is_stale(605, renewed));
+  assert!(other.quarantine(605, renewed));
+  // A renewed quarantine that began before a later release is stale as well.
+  other.quarantine(9_000, entry(0));
+  assert!(other.is_stale(60_000, analyzer.quarantined(60_000)[0]));
+}
+
+/// The last send of a release undid the quarantine of a content that was blamed again.
+#[test]
+fn sends_about_a_content_end_when_newer_ones_replace_them() {
+  let mut sends = Repeated::default();
+  sends.add(0, CULPRIT);
+  sends.add(0, BYSTANDER);
+  assert_eq!(sends.take(0), [CULPRIT, BYSTANDER]);
+  sends.remove(|content| *content == CULPRIT);
+  assert_eq!(sends.take(1_000), [BYSTANDER]);
+}
+
 /// A released request was denied again by instances that read the stored quarantine later.
 #[test]
 fn a_release_is_written_to_the_store() {
