A stored record whose history is gone counts as it is

Cause: an instance that starts took a record for incomplete where the store had forgotten the history since, and the holder that had started again, with the lease it held before, could not complete it, while six other instances knew the builds and write nothing.

Ruled out: a shorter interval of renewal, which makes the window smaller only. The holder's log shows nothing of the loss in the 3.4 s from its record to its end, so it had no cause to renew earlier.

Change: such a record counts as it is, as before the record named a revision.

No other is changed.

--- a/src/build/streams.rs
+++ b/src/build/streams.rs
@@ -63,8 +63,6 @@
   watched_since: Option<u64>,
   /// Whether `pools` has the builds that left before that.
   past_known: bool,
-  /// Whether it was ever so.
-  past_was_known: bool,
   /// Whether the stored builds are still to be read.
   past_awaited: bool,
   /// Whether they are to be read once more.
@@ -83,7 +81,6 @@
   pub fn first_start() -> Self {
     Self {
       past_known: true,
-      past_was_known: true,
       is_first_start: true,
       ..Self::default()
     }
@@ -113,7 +110,6 @@
 
   /// Records that the servers of all pools are not known: builds may come and go unseen.
   pub fn interrupt_watch(&mut self, now: u64) {
-    self.past_was_known |= self.knows_past(now);
     self.watched_since = Some(now);
     self.past_known = false;
     self.past_awaited = true;
@@ -166,11 +162,6 @@
     self.past_known || watched_ms.is_some_and(|watched_ms| watched_ms >= TTL_MS)
   }
 
-  /// Whether the builds that left were ever known.
-  pub fn has_known_past(&self, now: u64) -> bool {
-    self.past_was_known || self.knows_past(now)
-  }
-
   /// Whether all streams that callers may resume began after this process started.
   pub fn outlasts_streams(&self, now: u64) -> bool {
     self.is_first_start || now >= TTL_MS
@@ -192,7 +183,6 @@
   /// Adds builds that other instances knew. Returns whether records are to be sent.
   pub fn add_history(&mut self, now: u64, history: &KnownBuilds) -> bool {
     self.past_known |= history.complete;
-    self.past_was_known |= history.complete;
     let mut grown = Vec::new();
     for (pool, build) in &history.builds {
       let absent = Presence {
