Lists keep what they have read beyond the store's rate

Cause: a page refused five times in a row ended the list as an error, so all its pages were read again, at the same rate, by every instance. Class: work that is thrown away under load, which makes the load.

Change: a page beyond the rate is read again until the list's time is over; the list then ends with what was read and continues there after 250 ms, up to 2,000 pages. An interval between pages grows with each refusal. The configuration that an incomplete list lacks is read by its name until the store returns it, at most 5 s (one refused read kept an instance from readiness for over 30 s, log line `configuration could not be read`).

Found beside it: an instance that follows a holder never read an incomplete list again, as its feed waits in the gate for as long as the holder's progress is recent. The gate now returns when the list is due, and the interval is a parameter (`feed::Source`).

--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -31,6 +31,8 @@
 pub(super) enum Next {
   /// List all objects.
   List,
+  /// List again objects that may be missing.
+  ListAgain,
   /// Watch from a revision; `immediate` if a response is needed at once.
   Watch { revision: Revision, immediate: bool },
   /// Apply changes that another instance read.
@@ -269,10 +271,14 @@
   }
 
   /// Waits until a call is needed or a batch applies, and returns which. `failed` is the start of
-  /// the last call if it failed.
-  pub(super) fn wait(&self, failed: Option<Moment>) -> Next {
+  /// the last call if it failed, `list_at` when objects that may be missing are listed again.
+  pub(super) fn wait(&self, failed: Option<Moment>, list_at: Option<Moment>) -> Next {
     let mut state = lock(&self.state);
     loop {
+      let now = Moment::now();
+      if list_at.is_some_and(|at| at <= now) {
+        return Next::ListAgain;
+      }
       if state.leading && state.needs_list {
         state.needs_list = false;
         return Next::List;
@@ -315,6 +321,9 @@
         };
         timeout = timeout.min(remaining);
       }
+      if let Some(at) = list_at {
+        timeout = timeout.min(at.saturating_duration_since(now));
+      }
       let waited = self.changed.wait_timeout(state, timeout);
       state = waited.map_or_else(|poisoned| poisoned.into_inner().0, |waited| waited.0);
     }
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Moment;
 use crate::reachability::Outage;
-use crate::store::{Error, Gap, List, Object, Range, Reading, Revision, Store};
+use crate::store::{Error, Gap, List, MAX_PAGES, Object, Range, Reading, Revision, Store};
 use gate::Next;
 use slog::{Logger, info, warn};
 use std::{
@@ -49,8 +49,10 @@
 const TOO_MANY_REQUESTS: u16 = 429;
 /// Minimum time from one watch without changes to the next one.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which a list is read again that may lack objects.
-const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// Default of `Source::list_interval`.
+pub const LIST_INTERVAL: Duration = Duration::from_secs(30);
+/// Delay before a list continues that took too long.
+const CONTINUE_DELAY: Duration = Duration::from_millis(250);
 /// Time limit for a list that is read again, as changes are not watched meanwhile.
 const LIST_AGAIN_TIME: Duration = Duration::from_millis(500);
 /// A list of at least this many pages is logged: lists have one page per 500 objects.
@@ -101,20 +103,29 @@
     "count" => count, "age_ms" => age.map(|age| age.as_millis() as u64));
 }
 
+/// A kind of objects in a store.
+#[derive(Clone, Copy)]
+pub struct Source<'a> {
+  pub store: &'a Store,
+  pub kind: &'a str,
+  /// Interval at which a list is read again that may lack objects.
+  pub list_interval: Duration,
+}
+
 /// Follows a kind forever. `is_relevant` tells whether other instances need an object that was
 /// changed (`false`) or removed (`true`); `handle` processes an event and tells whether other
 /// instances need any of it.
 pub fn follow(
-  store: &Store,
-  kind: &str,
+  source: Source,
   gate: &Gate,
   log: &Logger,
   is_relevant: impl Fn(&Object, bool) -> bool,
   handle: impl FnMut(Event) -> bool,
 ) -> ! {
   let mut feed = Feed {
-    store,
-    kind,
+    store: source.store,
+    kind: source.kind,
+    list_interval: source.list_interval,
     gate,
     log,
     is_relevant,
@@ -129,6 +140,7 @@
     gap: None,
     list_again_at: None,
     list_again: Range::default(),
+    pages: 0,
     unreadable: 0,
   };
   loop {
@@ -136,10 +148,9 @@
   }
 }
 
-/// When a list that may lack objects is read again. Instances that start together must not read it at
-/// the same time.
-fn next_list_at() -> Moment {
-  Moment::now() + LIST_INTERVAL.mul_f64(rand::random_range(RETRY_JITTER))
+/// A moment after about this time. Instances that start together must not read a list at the same time.
+fn in_about(time: Duration) -> Moment {
+  Moment::now() + time.mul_f64(rand::random_range(RETRY_JITTER))
 }
 
 /// The pause after a watch without changes that took this long: a store that does not wait must not be
@@ -152,6 +163,7 @@
 struct Feed<'a, M, T> {
   store: &'a Store,
   kind: &'a str,
+  list_interval: Duration,
   gate: &'a Gate,
   log: &'a Logger,
   is_relevant: M,
@@ -175,6 +187,8 @@
   /// When a list that may lack objects is read again, and which part of it.
   list_again_at: Option<Moment>,
   list_again: Range,
+  /// Number of pages read since the start of the list, in all its parts.
+  pages: u32,
   /// Number of objects and changes so far that were not readable.
   unreadable: usize,
 }
@@ -193,22 +207,19 @@
 
 impl<M: Fn(&Object, bool) -> bool, T: FnMut(Event) -> bool> Feed<'_, M, T> {
   fn step(&mut self) {
-    let list_again = self
-      .list_again_at
-      .take_if(|at| *at <= Moment::now())
-      .is_some();
     let next = match self.known_revision {
       None => Next::List,
-      Some(_) if list_again => {
-        let range = self.list_again.clone();
-        return self.list(&range);
-      }
-      Some(_) => self.gate.wait(self.last_failure),
+      Some(_) => self.gate.wait(self.last_failure, self.list_again_at),
     };
     match next {
       Next::Apply(batch) => self.apply_batch(batch),
       Next::Reachable => self.record_recovery(),
       Next::List => self.list(&Range::default()),
+      Next::ListAgain => {
+        self.list_again_at = None;
+        let range = self.list_again.clone();
+        self.list(&range);
+      }
       Next::Watch { .. } if self.needs_list => self.list(&Range::default()),
       Next::Watch {
         revision,
@@ -270,7 +281,8 @@
         });
       }
       Err(error) => {
-        self.list_again_at = self.gap.as_ref().map(|_| next_list_at());
+        let delay = self.delay_after_failure(range, &error);
+        self.list_again_at = self.gap.is_some().then(|| in_about(delay));
         self.record_failure("list", started_at, &error);
         if error == Error::HistoryGone {
           // A list over two eras of the store is read again.
@@ -291,7 +303,8 @@
   /// Has a list read again that may lack objects. Logs where, once.
   fn record_gap(&mut self, range: &Range, list: &List) {
     let complete = list.gap.is_none() && range.after.is_none();
-    self.list_again_at = (!complete).then(next_list_at);
+    let delay = self.list_again_delay(range, list);
+    self.list_again_at = (!complete).then(|| in_about(delay));
     self.list_again = Range {
       after: match &list.gap {
         Some(Gap::TooLong { after }) => Some(after.clone()),
@@ -313,6 +326,29 @@
     self.gap = list.gap.clone();
   }
 
+  /// The delay before a list is read again that may lack objects: a short one where it took too long, or
+  /// the interval once it has too many pages.
+  fn list_again_delay(&mut self, range: &Range, list: &List) -> Duration {
+    if range.after.is_none() {
+      self.pages = 0;
+    }
+    self.pages += list.pages;
+    let has_more = matches!(list.gap, Some(Gap::TooLong { .. }));
+    match has_more && self.pages < MAX_PAGES {
+      true => CONTINUE_DELAY.min(self.list_interval),
+      false => self.list_interval,
+    }
+  }
+
+  /// The delay before a list is read again that failed: a short one where it continues and was beyond the
+  /// store's rate, which other instances take meanwhile.
+  fn delay_after_failure(&self, range: &Range, error: &Error) -> Duration {
+    match (&range.after, error) {
+      (Some(_), Error::Refused(TOO_MANY_REQUESTS)) => CONTINUE_DELAY.min(self.list_interval),
+      _ => self.list_interval,
+    }
+  }
+
   /// Counts objects or changes that were not readable. Logs the first ones, and each time that their
   /// number has doubled.
   fn record_unreadable(&mut self, count: usize) {
@@ -331,6 +367,7 @@
       true => LEADING_WATCH_TIMEOUT,
       false => WATCH_TIMEOUT,
     };
+    let timeout = timeout.min(self.time_to_list()).max(PROBE_TIMEOUT);
     self.known_revision = Some(revision);
     match (self.store.watch)(self.kind, revision, timeout) {
       // The store reuses revision numbers after a restore, so these are not all the changes.
@@ -361,6 +398,14 @@
     }
   }
 
+  /// The time until a list is read again that may lack objects.
+  fn time_to_list(&self) -> Duration {
+    let list_at = self.list_again_at;
+    list_at.map_or(Duration::MAX, |at| {
+      at.saturating_duration_since(Moment::now())
+    })
+  }
+
   fn handle_response(&mut self, response: Response) {
     let Response {
       event, revision, ..
--- a/src/router.rs
+++ b/src/router.rs
@@ -6,7 +6,9 @@
   clock::Moment,
   dispatch::{Change, Event, State},
   edge::Edge,
-  entry, essential, feed, health,
+  entry, essential,
+  feed::{self, Source},
+  health,
   hub::{Hub, Shutdown},
   planner, reader,
   settings::{self, Settings},
@@ -40,6 +42,8 @@
 const MAX_INVALID_ENTRIES: usize = 256;
 /// Maximum length of a fault in the log.
 const MAX_FAULT_CHARS: usize = 200;
+/// Time limit for reading the configuration by its name, which an incomplete list lacks.
+const CONFIGURATION_READ_TIME: Duration = Duration::from_secs(5);
 /// Stack size of a feed's thread.
 const STACK_BYTES: usize = 256 << 10;
 
@@ -147,8 +151,11 @@
   essential::spawn(builder, "deployments", &log, move || {
     let gate = &hub.gates.deployments;
     feed::follow(
-      &edge.store,
-      edge.kinds.deployments,
+      Source {
+        store: &edge.store,
+        kind: edge.kinds.deployments,
+        list_interval: feed::LIST_INTERVAL,
+      },
       gate,
       &hub.log,
       |_, _| true,
@@ -182,7 +189,10 @@
 /// Adds the object with the latest deployment, which an incomplete list may lack.
 fn with_latest(hub: &Hub, edge: &Edge, mut objects: Vec<Object>) -> Vec<Object> {
   let kinds = &edge.kinds;
-  match (edge.store.read)(kinds.deployments, kinds.deployment) {
+  match edge
+    .store
+    .read_in(CONFIGURATION_READ_TIME, kinds.deployments, kinds.deployment)
+  {
     Ok(object) => objects.push(object),
     Err(error) => warn!(hub.log, "configuration could not be read"; "error" => %error),
   }
@@ -225,8 +235,11 @@
     let affects_others =
       |object: &Object, removed: bool| affects_others(&hub, &edge, object, removed);
     feed::follow(
-      &edge.store,
-      edge.kinds.servers,
+      Source {
+        store: &edge.store,
+        kind: edge.kinds.servers,
+        list_interval: feed::LIST_INTERVAL,
+      },
       gate,
       &hub.log,
       affects_others,
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -3,17 +3,20 @@
 //! A store may repeat a page, or add pages without end. Each list ends within bounds, and says where
 //! objects may be missing.
 
-use super::{Error, Object, Page, Result, Revision};
+use super::{
+  Error, Object, Page, Result, Revision,
+  retry::{TOO_MANY_REQUESTS, is_transient, sleep, sleep_after},
+};
 use crate::clock::Moment;
 use serde_json::Value;
 use std::{
   collections::{BTreeSet, HashMap},
-  fmt, thread,
+  fmt,
   time::Duration,
 };
 
 /// Maximum number of pages of a list, more than there are servers.
-const MAX_PAGES: u32 = 2_000;
+pub const MAX_PAGES: u32 = 2_000;
 /// Maximum time of a list. A page takes some ms, or a few hundred if the store is slow.
 const MAX_TIME: Duration = Duration::from_secs(10);
 /// Maximum size of the objects of a list, as received. Decoded ones take a few times as much.
@@ -22,12 +25,13 @@
 const LARGE_BYTES: usize = 64 << 10;
 /// Maximum number of times that a list continues behind a name that the store did not pass.
 const MAX_SKIPS: u32 = 16;
-/// Maximum number of times that a page is read again which the store could not return, and the delay
-/// before the first time, doubled for each further one.
+/// Maximum number of times that a page is read again which the store could not return.
 const MAX_RETRIES: u32 = 4;
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Statuses of calls that may succeed later.
-const TRANSIENT_STATUSES: [u16; 2] = [429, 503];
+/// Range of the interval between pages once one of them was beyond the store's rate. The interval is
+/// doubled by each further one, and shortened by each page in between.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
+const MAX_INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL_DECREASE: f64 = 0.95;
 
 /// The part of a list to read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +104,8 @@
   pub gap: Option<Gap>,
   /// Number of objects without a readable name or revision, which are left out.
   pub unreadable: usize,
+  /// Number of pages read.
+  pub pages: u32,
 }
 
 /// How far a list has got.
@@ -125,6 +131,8 @@
   bytes: usize,
   skips: u32,
   retries: u32,
+  /// Interval between pages; zero until one was beyond the store's rate.
+  interval: Duration,
   started_at: Moment,
   time_limit: Duration,
 }
@@ -140,6 +148,7 @@
       bytes: 0,
       skips: 0,
       retries: 0,
+      interval: Duration::ZERO,
       started_at: Moment::now(),
       time_limit: range.time_limit,
     }
@@ -150,10 +159,15 @@
     match page {
       Ok(page) => {
         self.retries = 0;
-        self.add(page)
+        let more = self.add(page)?;
+        if more {
+          self.pause();
+        }
+        Ok(more)
       }
       // Without a page there is nothing to continue.
       Err(error) if self.pages == 0 => Err(error),
+      Err(Error::Refused(TOO_MANY_REQUESTS)) => Ok(self.wait_for_rate()),
       Err(error) if is_transient(&error) => self.wait_for_retry(error),
       Err(Error::Refused(_) | Error::Malformed(_)) => Ok(self.pass_unreadable()),
       Err(error) => Err(error),
@@ -165,13 +179,34 @@
     if self.retries >= MAX_RETRIES || self.started_at.elapsed() >= self.time_limit {
       return Err(error);
     }
-    let delay = RETRY_DELAY * (1 << self.retries);
+    sleep_after(self.retries);
     self.retries += 1;
-    // Instances that start together must not call the store at the same time.
-    thread::sleep(delay.mul_f64(rand::random_range(0.5..1.5)));
     Ok(true)
   }
 
+  /// Waits before a page is read again that was beyond the store's rate. Returns whether the list
+  /// continues: it ends after its time, and keeps what was read, since all instances would otherwise
+  /// read again what they have read, at the same rate.
+  fn wait_for_rate(&mut self) -> bool {
+    if self.started_at.elapsed() >= self.time_limit {
+      let after = self.after.clone().unwrap_or_default();
+      self.record_gap(Gap::TooLong { after });
+      return false;
+    }
+    sleep_after(self.retries);
+    self.retries += 1;
+    self.interval = (self.interval * 2).clamp(MIN_INTERVAL, MAX_INTERVAL);
+    true
+  }
+
+  /// Waits before the next page if one was beyond the store's rate.
+  fn pause(&mut self) {
+    if !self.interval.is_zero() {
+      sleep(self.interval);
+      self.interval = self.interval.mul_f64(INTERVAL_DECREASE);
+    }
+  }
+
   /// Continues behind a page that is not readable; returns whether the list may continue.
   fn pass_unreadable(&mut self) -> bool {
     let Some(after) = self.after.take() else {
@@ -290,15 +325,6 @@
   }
 }
 
-/// Whether a call may succeed later.
-fn is_transient(error: &Error) -> bool {
-  match error {
-    Error::Refused(status) => TRANSIENT_STATUSES.contains(status),
-    Error::NoAnswer | Error::Unreached => true,
-    _ => false,
-  }
-}
-
 /// Reads a list with a function that returns the page behind a name. `observe` is called before each
 /// page.
 pub(super) fn read(
@@ -314,7 +340,10 @@
       after: reader.after.as_deref(),
     });
     if !reader.receive(page(reader.after.as_deref()))? {
-      return Ok(reader.list);
+      return Ok(List {
+        pages: reader.pages,
+        ..reader.list
+      });
     }
   }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,8 +4,9 @@
 //! The closures hide the protocol of the deployment's store.
 
 mod list;
+mod retry;
 
-pub use list::{Gap, List, Range, Reading};
+pub use list::{Gap, List, MAX_PAGES, Range, Reading};
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -145,4 +146,9 @@
   pub fn list(&self, kind: &str, range: &Range, observe: impl FnMut(Reading)) -> Result<List> {
     list::read(range, |after| (self.list)(kind, after), observe)
   }
+  /// Reads an object, again while the store does not return it for a moment, about until the time is
+  /// over.
+  pub fn read_in(&self, time_limit: Duration, kind: &str, name: &str) -> Result<Object> {
+    retry::read(time_limit, || (self.read)(kind, name))
+  }
 }
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -1,7 +1,7 @@
 //! Eras of the store: after a restore from an older copy, its revision numbers are assigned again.
 
 use bendsaddle::{
-  feed::{Batch, Change, Event, Gate, Progress, follow},
+  feed::{Batch, Change, Event, Gate, LIST_INTERVAL, Progress, Source, follow},
   store::{Changes, Error, Object, Page, Revision, Store},
 };
 use quickcheck::quickcheck;
@@ -107,9 +107,13 @@
   let (store, gate) = (store(&server), gate.clone());
   thread::spawn(move || {
     let log = Logger::root(Discard, o!());
+    let source = Source {
+      store: &store,
+      kind: "kind",
+      list_interval: LIST_INTERVAL,
+    };
     follow(
-      &store,
-      "kind",
+      source,
       &gate,
       &log,
       |_, _| true,
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -2,7 +2,7 @@
 //! holder's progress is outdated or names a change that they have not received.
 
 use bendsaddle::{
-  feed::{Batch, Change, Event, Gate, OUTAGE_THRESHOLD, Progress, follow},
+  feed::{Batch, Change, Event, Gate, LIST_INTERVAL, OUTAGE_THRESHOLD, Progress, Source, follow},
   reachability::Reachability,
   store::{Changes, Error, Object, Page, Store},
 };
@@ -88,6 +88,14 @@
   }
 }
 
+fn source(store: &Store) -> Source<'_> {
+  Source {
+    store,
+    kind: "kind",
+    list_interval: LIST_INTERVAL,
+  }
+}
+
 /// Follows the store in a thread; returns a channel of the revisions that it reads.
 fn spawn(shared: &Arc<Shared>, gate: &Arc<Gate>) -> Receiver<u64> {
   let (sender, receiver) = channel();
@@ -113,7 +121,7 @@
   let log = Logger::root(Discard, o!());
   // Only objects with an odd revision are relevant to other instances.
   let odd = |object: &Object, _| object.revision.number % 2 == 1;
-  thread::spawn(move || follow(&store, "kind", &gate, &log, odd, take));
+  thread::spawn(move || follow(source(&store), &gate, &log, odd, take));
 }
 
 fn progress(revision: u64, changed: u64, age_ms: u64) -> Progress {
@@ -463,7 +471,7 @@
   let gate = Arc::new(Gate::default());
   gate.set_leading(true);
   let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
-  thread::spawn(move || follow(&store, "kind", &followed, &log, is_relevant, |_| true));
+  thread::spawn(move || follow(source(&store), &followed, &log, is_relevant, |_| true));
   published(&gate).swap_remove(0)
 }
 
@@ -526,6 +534,66 @@
   assert_eq!(gate.progress().changed.number, 8);
 }
 
+/// Guards against a list that may lack objects and is not read again: a call for it failed, or a holder's
+/// progress was followed, which needs no call.
+#[test]
+fn an_incomplete_list_is_read_again_until_it_is_complete() {
+  const FAILED: u64 = 3;
+  for follows in [false, true] {
+    let lists = Arc::new(AtomicU64::new(0));
+    let counted = lists.clone();
+    let store = Store {
+      list: Box::new(move |_, _| match counted.fetch_add(1, Ordering::Relaxed) {
+        // A page that claims more, which no name leads to.
+        0 => Ok(Page {
+          more: true,
+          revision: 5.into(),
+          ..Page::default()
+        }),
+        1..=FAILED => Err(Error::Refused(503)),
+        _ => Ok(Page {
+          objects: vec![object(5)],
+          revision: 5.into(),
+          ..Page::default()
+        }),
+      }),
+      watch: Box::new(|_, from, wait| {
+        thread::sleep(wait);
+        Ok(Changes {
+          revision: from,
+          ..Changes::default()
+        })
+      }),
+      read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+      write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
+    };
+    let gate = Arc::new(Gate::default());
+    let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
+    let (sender, complete) = channel();
+    let take = move |event| {
+      if let Event::Listed(objects) = event {
+        let _ = sender.send(objects.len());
+      }
+      false
+    };
+    thread::spawn(move || {
+      let source = Source {
+        list_interval: Duration::from_millis(100),
+        ..source(&store)
+      };
+      follow(source, &followed, &log, |_, _| true, take)
+    });
+    wait_for("a complete list", || {
+      if follows {
+        gate.receive_progress(progress(5, 5, 0));
+      }
+      complete.try_recv().is_ok()
+    });
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(lists.load(Ordering::Relaxed), FAILED + 2, "it is complete");
+  }
+}
+
 fn wait_for(condition: &str, mut holds: impl FnMut() -> bool) {
   let start = Instant::now();
   while !holds() {
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -7,9 +7,12 @@
 };
 use percent_encoding::percent_decode_str;
 use quickcheck::{Gen, QuickCheck};
-use std::sync::{
-  Arc,
-  atomic::{AtomicU32, Ordering},
+use std::{
+  sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+  },
+  time::Duration,
 };
 
 type Lister = dyn Fn(Option<&str>) -> Page + Send + Sync;
@@ -263,6 +266,38 @@
   }
 }
 
+/// Guards against a store's rate that many instances share: each read its list again from the start, at
+/// the same rate.
+#[test]
+fn a_list_beyond_the_rate_goes_on_where_it_was() {
+  const REJECTIONS: u32 = 7;
+  let rejected = AtomicU32::new(0);
+  let (store, calls) = failing(move |after| {
+    let is_beyond = after == Some("b") && rejected.fetch_add(1, Ordering::Relaxed) < REJECTIONS;
+    is_beyond.then_some(Error::Refused(429))
+  });
+  let list = list(&store);
+  assert_eq!(
+    (names(&list), list.gap.clone()),
+    (vec!["a", "b", "c", "main"], None)
+  );
+  assert_eq!(calls.load(Ordering::Relaxed), 4 + REJECTIONS);
+}
+
+/// Guards against a list whose pages stay beyond the rate, and that takes no end or loses what was read.
+#[test]
+fn a_list_that_stays_beyond_the_rate_ends_in_time_with_what_was_read() {
+  let (store, calls) = failing(|after| (after == Some("b")).then_some(Error::Refused(429)));
+  let range = Range {
+    time_limit: Duration::from_millis(300),
+    ..Range::default()
+  };
+  let list = store.list("kind", &range, |_| {}).expect("failed to list");
+  assert_eq!(names(&list), ["a", "b"]);
+  assert_eq!(list.gap, Some(Gap::TooLong { after: "b".into() }));
+  assert!(calls.load(Ordering::Relaxed) <= 8, "{calls:?}");
+}
+
 /// Guards against a name that the store refuses, or behind which a page is malformed, and that hides all
 /// others for good.
 #[test]
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -2,7 +2,7 @@
 //! the store.
 
 use bendsaddle::{
-  feed::{Batch, Change, Event, Gate, OUTAGE_THRESHOLD, Progress, follow},
+  feed::{Batch, Change, Event, Gate, LIST_INTERVAL, OUTAGE_THRESHOLD, Progress, Source, follow},
   store::{Changes, Error, Object, Page, Store},
 };
 use slog::{Discard, Logger, o};
@@ -107,9 +107,13 @@
   let mut seen = false;
   thread::spawn(move || {
     let log = Logger::root(Discard, o!());
+    let source = Source {
+      store: &store,
+      kind: "kind",
+      list_interval: LIST_INTERVAL,
+    };
     follow(
-      &store,
-      "kind",
+      source,
       &gate,
       &log,
       |_, _| true,
