Soak: servers that send what is no response, while callers upload

What callers saw: nothing new. Early answers, resets in the middle of an upload, odd heads, heads and bodies without end and answers without a length were played in tests with few requests only.

Change: from seed 190,000 on, odd seeds have servers that do so, one or all four of a service (`soak/src/plan.rs`), and callers send uploads of 3 MB. Proxies pass on resets there: they closed such connections before, which makes a part without a length whole. A new check for all seeds: no instance ends by itself (`process`).

The plans of 1,959 seeds below 190,000 have the same hash as before (`soak/tests/plan.rs`).

Not played: early answers and odd heads to orders, reports and calls of the store; even seeds from 190,000 on are as before.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -128,6 +128,7 @@
     runs,
     violations: Vec::new(),
   };
+  check.check_processes();
   check.check_requests();
   check.check_orders();
   check.check_memory();
@@ -185,6 +186,14 @@
     LAG_FACTOR * self.history.max_lag_ms
   }
 
+  /// No instance ends by itself.
+  fn check_processes(&mut self) {
+    for (instance, at, status) in &self.history.ended {
+      let text = format!("instance {instance} ended by itself: {status}");
+      self.report("process", *at, text);
+    }
+  }
+
   fn check_requests(&mut self) {
     for request in &self.history.requests {
       self.check_single_run(request);
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -289,6 +289,8 @@
   pub copies: u64,
   /// Whether customers have quotas.
   pub has_quotas: bool,
+  /// Instances whose process ended by itself, with the time at which that was found, and its status.
+  pub ended: Vec<(usize, u64, String)>,
   /// When the last fault ended.
   pub faults_ended_at: u64,
   /// Longest scheduling delay of the threads of this process, in ms.
--- a/soak/src/load.rs
+++ b/soak/src/load.rs
@@ -27,6 +27,9 @@
 const BURST_FACTOR: u64 = 6;
 /// Share of requests whose caller disconnects before the response, in percent.
 const ABANDON_PERCENT: u32 = 3;
+/// One in this many requests to a plain server is an upload, whose body does not fit into the system's buffers.
+const UPLOAD_EVERY: u64 = 64;
+pub const UPLOAD_BYTES: usize = 3 << 20;
 /// Most requests that a caller sends on one connection.
 const MAX_CONNECTION_REQUESTS: u32 = 12;
 
@@ -63,6 +66,8 @@
   /// Whether callers state the tokens of their requests, some of them send at the same moments, and
   /// some belong to a customer with a quota.
   pub states_tokens: bool,
+  /// Whether a few requests have large bodies.
+  pub uploads: bool,
   /// Longest time until a patient caller resumes a stream.
   pub max_absence_ms: u64,
   /// Methods of requests that may be repeated; all others are POST.
@@ -134,6 +139,11 @@
     let tokens = traffic
       .states_tokens
       .then(|| rng.random_range(LAST_PART_TOKENS));
+    let uploads = traffic.uploads && number % UPLOAD_EVERY == 0 && method == "POST";
+    let body = match uploads && matches!(kind, Kind::Once | Kind::Repeatable) {
+      true => format!("{id} {}", "x".repeat(UPLOAD_BYTES)),
+      false => "body".to_string(),
+    };
     let reused = connection.is_some();
     let at = traffic.recorder.now();
     let stated_deadline_ms = kind.deadline_ms() * traffic.deadline_factor;
@@ -145,7 +155,7 @@
     } = send(
       connection.take(),
       *address,
-      (kind, method),
+      (kind, method, &body),
       &id,
       &model,
       (stated_deadline_ms, abandons, tokens, customer),
@@ -226,7 +236,7 @@
 fn send(
   connection: Connection,
   address: SocketAddr,
-  (kind, method): (Kind, &str),
+  (kind, method, body): (Kind, &str, &str),
   id: &str,
   model: &Option<String>,
   (deadline_ms, abandons, tokens, customer): (u64, bool, Option<u32>, Customer),
@@ -257,7 +267,7 @@
     model: model.as_deref(),
     deadline_ms,
     headers: &headers,
-    body: if method == "POST" { "body" } else { "" },
+    body: if method == "POST" { body } else { "" },
   };
   // A closed connection is detected when the response is read.
   let _ = client::write(&mut stream, &request);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -66,6 +66,12 @@
   Says,
   /// Declines all requests and asks for a backoff, in tenths of a second.
   Rest(u32),
+  /// Responds to some requests with what is no response.
+  Malformed,
+  /// The same, or an interim response, before it has read them.
+  Early,
+  /// Its responses have no length.
+  Unframed,
   /// Is overloaded and announces a limit, in requests per ten seconds.
   Limit(u32),
 }
@@ -231,6 +237,21 @@
 const CROWD_PAUSE_MS: u64 = 5_000;
 const CROWD_MS: std::ops::Range<u64> = 2_000..6_000;
 
+/// First seed whose plan has servers that send what is no response, while callers send uploads. Seeds with
+/// remainder one modulo four have only these, bursts, kills and stops, and those with remainder three all
+/// faults.
+const MALFORMED_FROM_SEED: u64 = 190_000;
+/// Mean pause between two such faults, how long one lasts, and the share that concerns all servers of a
+/// service at once.
+const MALFORMED_PAUSE_MS: u64 = 1_500;
+const MALFORMED_MS: std::ops::Range<u64> = 1_000..4_000;
+const SERVICE_PERCENT: u32 = 25;
+
+/// Whether the plan has servers that send what is no response, and callers send uploads.
+pub fn has_malformed(seed: u64) -> bool {
+  seed >= MALFORMED_FROM_SEED && !seed.is_multiple_of(2)
+}
+
 /// First seed whose servers send some responses twice, while callers use several methods.
 const COPIES_FROM_SEED: u64 = 140_000;
 
@@ -315,6 +336,9 @@
   if has_release(seed) {
     return release_steps(seed, size);
   }
+  if has_malformed(seed) && seed % SCENARIO_MODULUS == 1 {
+    return malformed_steps(seed, size, true);
+  }
   if seed >= CROWDS_FROM_SEED && seed % FRAGILE_MODULUS == 13 {
     return crowd_steps(seed, size, true);
   }
@@ -327,10 +351,10 @@
   if has_builds(seed) && seed % SCENARIO_MODULUS == 2 {
     return build_steps(seed, size, true);
   }
-  if seed >= FRAGILE_FROM_SEED && matches!(seed % FRAGILE_MODULUS, 7 | 11) {
+  if seed >= FRAGILE_FROM_SEED && matches!(seed % FRAGILE_MODULUS, 7 | 11) && !has_malformed(seed) {
     return fragile_steps(seed, size, true);
   }
-  if seed >= PAUSES_FROM_SEED && seed % PAUSES_MODULUS == 3 {
+  if seed >= PAUSES_FROM_SEED && seed % PAUSES_MODULUS == 3 && !has_malformed(seed) {
     return pause_steps(seed, size, true);
   }
   let mut steps = base_steps(seed, size);
@@ -361,6 +385,9 @@
   if seed >= CROWDS_FROM_SEED {
     steps.extend(crowd_steps(seed, size, false));
   }
+  if has_malformed(seed) {
+    steps.extend(malformed_steps(seed, size, false));
+  }
   steps.sort_by_key(|step| step.at);
   steps
 }
@@ -660,6 +687,51 @@
   steps
 }
 
+/// Servers that send what is no response, one or all of a service. If `isolated`, the plan also has bursts, and
+/// kills and stops of instances.
+fn malformed_steps(seed: u64, size: &Size, isolated: bool) -> Vec<Step> {
+  let mut rng = SmallRng::seed_from_u64(seed.rotate_left(28));
+  let mut steps = Vec::new();
+  let mut at = rng
+    .random_range(0..MALFORMED_PAUSE_MS)
+    .min(size.faults_ms - 1);
+  while at < size.faults_ms {
+    let fault = pick(
+      &mut rng,
+      &[Server::Malformed, Server::Early, Server::Unframed],
+    );
+    let server = rng.random_range(0..size.servers * 2);
+    let first = server / size.servers * size.servers;
+    let servers = match rng.random_ratio(SERVICE_PERCENT, 100) {
+      true => first..first + size.servers,
+      false => server..server + 1,
+    };
+    let duration_ms = rng.random_range(MALFORMED_MS);
+    steps.extend(servers.map(|server| Step {
+      at,
+      duration_ms,
+      fault: Fault::Server(server, fault),
+    }));
+    if isolated && rng.random_bool(0.5) {
+      let instance = rng.random_range(0..size.instances);
+      let fault = match rng.random_range(0..3) {
+        0 => Fault::Kill(instance),
+        1 => Fault::Stop(instance),
+        _ => Fault::Burst,
+      };
+      steps.push(Step {
+        at: at + rng.random_range(0..1_000),
+        duration_ms: rng.random_range(200..1_500),
+        fault,
+      });
+    }
+    at += rng.random_range(MALFORMED_PAUSE_MS / 3..MALFORMED_PAUSE_MS * 5 / 3);
+  }
+  steps.retain(|step| step.at < size.faults_ms);
+  steps.sort_by_key(|step| step.at);
+  steps
+}
+
 /// Servers that announce rate limits.
 fn limit_steps(seed: u64, size: &Size) -> Vec<Step> {
   let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
--- a/soak/src/world/collect.rs
+++ b/soak/src/world/collect.rs
@@ -74,6 +74,9 @@
 
   /// Completes the history with what servers recorded, and returns it.
   pub(super) fn collect(&self) -> History {
+    for (number, member) in self.members.iter().enumerate() {
+      self.record_own_end(number, &mut lock(&member.instance));
+    }
     let mut history = self.recorder.record(std::mem::take);
     for runner in lock(&self.runners).iter() {
       for seen in runner.executed() {
--- a/soak/src/world/configuration.rs
+++ b/soak/src/world/configuration.rs
@@ -1,7 +1,7 @@
 //! The current configuration, and the default behavior of servers.
 
 use super::{World, lock};
-use crate::{customer, stream::PLAIN_STREAM_ROUTE, switch::Break};
+use crate::{customer, load::UPLOAD_BYTES, stream::PLAIN_STREAM_ROUTE, switch::Break};
 use platform_stand_in::{
   deployment::{MODELS, config, route},
   runner::Behavior,
@@ -67,6 +67,9 @@
 
   fn configuration(&self, version: u64) -> Value {
     let mut spec = configuration(version, self.switch);
+    if self.has_uploads {
+      spec["limits"]["max_body_bytes"] = json!(2 * UPLOAD_BYTES);
+    }
     if self.has_quotas {
       spec["tenants"] = customer::all();
     }
--- a/soak/src/world/member.rs
+++ b/soak/src/world/member.rs
@@ -73,9 +73,20 @@
 }
 
 impl World {
+  /// Records if the process of an instance has ended without a fault of its own.
+  pub(super) fn record_own_end(&self, number: usize, instance: &mut Instance) {
+    if let Ok(Some(status)) = instance.child.try_wait() {
+      let (at, status) = (self.recorder.now(), status.to_string());
+      self
+        .recorder
+        .record(|history| history.ended.push((number, at, status)));
+    }
+  }
+
   pub(super) fn kill(&self, number: usize, duration: Duration) {
     let member = &self.members[number];
     let mut instance = lock(&member.instance);
+    self.record_own_end(number, &mut instance);
     let incident = self
       .recorder
       .start_incident(Target::Instance(number), KILLED);
@@ -86,7 +97,8 @@
   }
 
   pub(super) fn freeze(&self, number: usize, duration: Duration) {
-    let instance = lock(&self.members[number].instance);
+    let mut instance = lock(&self.members[number].instance);
+    self.record_own_end(number, &mut instance);
     let incident = self
       .recorder
       .start_incident(Target::Instance(number), FROZEN);
@@ -101,6 +113,7 @@
   pub(super) fn stop(&self, number: usize) {
     let member = &self.members[number];
     let mut instance = lock(&member.instance);
+    self.record_own_end(number, &mut instance);
     let _ = instance.signal(Signal::TERM);
     let _ = instance.child.wait();
     let incident = self
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -69,6 +69,8 @@
   copies: bool,
   /// Whether customers have quotas.
   has_quotas: bool,
+  /// Whether callers send uploads.
+  has_uploads: bool,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -124,6 +126,9 @@
         Slot::start(&store, number, size.servers, version)
       })
       .collect::<io::Result<Vec<Slot>>>()?;
+    if plan::has_malformed(options.seed) {
+      slots.iter().for_each(|slot| slot.proxy.pass_resets());
+    }
     let runners = slots.iter().map(|slot| lock(&slot.runner).clone());
     let runners = Mutex::new(runners.collect());
     let members = (0..size.instances)
@@ -136,6 +141,7 @@
       resumes: has_builds,
       max_absence_ms: last_fault_at + RETURNS_MS,
       states_tokens: plan::has_features(options.seed),
+      uploads: plan::has_malformed(options.seed),
       methods: if copies {
         &["POST", "GET", "HEAD"]
       } else {
@@ -157,6 +163,7 @@
       has_builds,
       copies,
       has_quotas: plan::has_features(options.seed),
+      has_uploads: plan::has_malformed(options.seed),
     };
     world.prepare();
     Ok(world)
@@ -195,6 +202,7 @@
     crowded: AtomicUsize::new(NO_CROWD),
     resumes: false,
     states_tokens: false,
+    uploads: false,
     max_absence_ms: RETURNS_MS,
     methods: &["POST"],
     stopped: AtomicBool::new(false),
--- a/soak/src/world/slot.rs
+++ b/soak/src/world/slot.rs
@@ -26,6 +26,10 @@
 pub(super) const ENTRY_EXPIRY: Duration = Duration::from_millis(800);
 /// How long a server keeps serving after its entry is removed.
 const SERVES_AFTER_REMOVAL: Duration = Duration::from_millis(2_500);
+/// Share of requests to a server in trouble that get what is no response, in percent.
+const TROUBLE_PERCENT: u64 = 40;
+/// Time in which responses without a length end.
+const UNFRAMED_END: Duration = Duration::from_millis(500);
 /// How long the delay fault delays each chunk of data.
 const PROXY_DELAY: Duration = Duration::from_millis(40);
 
@@ -106,6 +110,29 @@
       Server::PausesStreams => {
         set_mood_temporarily(&runner, Behavior { pause: 30, ..mood }, mood, duration)
       }
+      Server::Malformed => {
+        let malformed = Behavior {
+          malformed: TROUBLE_PERCENT,
+          ..mood
+        };
+        set_mood_temporarily(&runner, malformed, mood, duration);
+      }
+      Server::Early => {
+        let early = Behavior {
+          early: TROUBLE_PERCENT,
+          ..mood
+        };
+        set_mood_temporarily(&runner, early, mood, duration);
+      }
+      Server::Unframed => {
+        let unframed = Behavior {
+          unframed: true,
+          ..mood
+        };
+        set_mood_temporarily(&runner, unframed, mood, duration);
+        // A crash behind the proxy would look like the end of a response.
+        thread::sleep(UNFRAMED_END);
+      }
       Server::Says => {
         runner.announce_leaving();
         thread::sleep(duration);
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -769,3 +769,12 @@
     );
   }
 }
+
+#[test]
+fn no_instance_ends_by_itself() {
+  let history = History {
+    ended: vec![(1, 2_000, "signal: 6".into())],
+    ..baseline()
+  };
+  assert_eq!(broken(&history), ["process"]);
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -2,6 +2,7 @@
 
 use quickcheck::quickcheck;
 use soak::plan::{Fault, Server, Size, Step, end_ms, generate};
+use std::hash::Hasher;
 
 quickcheck! {
   fn a_seed_fixes_its_plan(seed: u64) -> bool {
@@ -129,3 +130,35 @@
     other => panic!("no change to v{version}: {other:?}"),
   }
 }
+
+/// Hash of the plans of the seeds below 190,000 that this test draws.
+const EARLIER_PLANS: u64 = 5_956_007_777_274_789_732;
+
+/// Guards against plans of earlier seeds that change, and against faults that no plan has.
+#[test]
+fn seeds_from_190_000_on_have_servers_that_send_what_is_no_response() {
+  let odd = |step: &Step| {
+    matches!(
+      step.fault,
+      Fault::Server(_, Server::Malformed | Server::Early | Server::Unframed)
+    )
+  };
+  let size = Size::default();
+  let mut hasher = std::hash::DefaultHasher::new();
+  for seed in (0..190_000).step_by(97) {
+    let plan = generate(seed, &size);
+    assert!(!plan.iter().any(odd), "{seed}");
+    hasher.write(format!("{plan:?}").as_bytes());
+  }
+  assert_eq!(hasher.finish(), EARLIER_PLANS);
+  for fault in [Server::Malformed, Server::Early, Server::Unframed] {
+    let has = |step: &Step| matches!(step.fault, Fault::Server(_, found) if found == fault);
+    let plans = (0..8).map(|number| generate(190_001 + number * 2, &size));
+    assert!(plans.flatten().any(|step| has(&step)), "{fault:?}");
+  }
+  let isolated = generate(190_001, &size);
+  let others = |step: &Step| matches!(step.fault, Fault::Burst | Fault::Kill(_) | Fault::Stop(_));
+  assert!(isolated.iter().all(|step| odd(step) || others(step)));
+  let mixed = generate(190_003, &size);
+  assert!(mixed.iter().any(|step| !odd(step) && !others(step)));
+}
--- a/stand-ins/src/proxy.rs
+++ b/stand-ins/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::reservation::{self, Reservation};
 use bendsaddle::web::listen;
+use socket2::SockRef;
 use std::{
   collections::HashMap,
   io::{self, Read, Write},
@@ -44,6 +45,8 @@
   open: Mutex<HashMap<u64, [TcpStream; 2]>>,
   connections: AtomicU64,
   closing: AtomicBool,
+  /// Whether a connection that its target resets is reset, and not closed.
+  passes_resets: AtomicBool,
   /// Whether forwarding is paused towards the target, and from it.
   paused: [AtomicBool; 2],
 }
@@ -96,6 +99,7 @@
       open: Mutex::default(),
       connections: AtomicU64::new(0),
       closing: AtomicBool::new(false),
+      passes_resets: AtomicBool::new(false),
       paused: Default::default(),
     });
     let served = inner.clone();
@@ -134,6 +138,11 @@
     self.inner.paused[1].store(down, Ordering::SeqCst);
   }
 
+  /// Resets connections that their target resets, from now on.
+  pub fn pass_resets(&self) {
+    self.inner.passes_resets.store(true, Ordering::SeqCst);
+  }
+
   /// Closes every open connection.
   pub fn close_connections(&self) {
     lock(&self.inner.open).values().for_each(close);
@@ -212,11 +221,36 @@
     inner.register(number, [client, server]);
   }
   let upstream_inner = inner.clone();
-  let upstream = thread::spawn(move || copy(client_read, server, up, &upstream_inner.paused[0]));
-  copy(server_read, client, down, &inner.paused[1]);
+  let upstream = thread::spawn(move || {
+    copy(
+      client_read,
+      server,
+      up,
+      &upstream_inner.paused[0],
+      &AtomicBool::new(false),
+    )
+  });
+  let (passes_resets, paused) = (&inner.passes_resets, &inner.paused[1]);
+  let Ok(reset) = client.try_clone() else {
+    return;
+  };
+  let ended = copy(server_read, client, down, paused, passes_resets);
+  if ended == Ended::Reset {
+    // The reset comes with the last of its descriptors, which the other direction holds.
+    let _ = SockRef::from(&reset).set_linger(Some(Duration::ZERO));
+    let _ = reset.shutdown(Shutdown::Read);
+  }
   let _ = upstream.join();
 }
 
+/// How one direction of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+  Closed,
+  /// It was reset, which is to be passed on.
+  Reset,
+}
+
 #[derive(Clone, Copy)]
 enum Pass {
   All,
@@ -226,12 +260,19 @@
   Cut(usize),
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, pass: Pass, paused: &AtomicBool) {
+fn copy(
+  mut from: TcpStream,
+  mut to: TcpStream,
+  pass: Pass,
+  paused: &AtomicBool,
+  passes_resets: &AtomicBool,
+) -> Ended {
   let mut buffer = [0; 8 << 10];
   let mut passed = 0;
   loop {
     let length = match from.read(&mut buffer) {
       Ok(length) if length > 0 => length,
+      Err(_) if passes_resets.load(Ordering::SeqCst) => return Ended::Reset,
       _ => break,
     };
     let mut length = length;
@@ -249,7 +290,7 @@
         if passed >= limit {
           let _ = from.shutdown(Shutdown::Both);
           let _ = to.shutdown(Shutdown::Both);
-          return;
+          return Ended::Closed;
         }
         continue;
       }
@@ -259,4 +300,5 @@
     }
   }
   let _ = to.shutdown(Shutdown::Write);
+  Ended::Closed
 }
