Crash analysis: a part is not blamed beside a content that was in all its crashes

Cause: a part always ranked before contents, also where one content was in the very same crashes, the narrower explanation that fits as well.

Ruled out: an instance that had not heard (all had the verdict in 1.4 ms); copies past the permit (suspicion had been dropped by that verdict); part of the request itself (its copies were sent while the part was quarantined).

Change: no part is blamed while a content that may be to blame was in all of its unexplained crashes. One more crash without that content blames the part.

--- a/src/crash/part.rs
+++ b/src/crash/part.rs
@@ -4,6 +4,7 @@
 //! begins an answer crashes together with everything else it runs. All other parts of these requests,
 //! and of their companions, belong to requests that are served. So a part is blamed if it was in several
 //! crashes, one after the other, and no instance has served a request with it since the first of them.
+//! Where a single content was in all of these crashes, it is the narrower explanation.
 //! Pure: no I/O, no clock.
 
 use super::{cleared::Cleared, evict, registry::SETTLE_MS, served::Question};
@@ -114,9 +115,26 @@
   /// Servers whose crashes only parts explained that were released since. No other part is blamed for these
   /// crashes, but contents are.
   refuted: BTreeSet<Life>,
+  /// Servers that crashed under each content that may be to blame.
+  contents: Vec<BTreeSet<Life>>,
 }
 
 impl Registry {
+  /// Sets the servers that crashed under each content that may be to blame.
+  pub fn set_contents(&mut self, contents: Vec<BTreeSet<Life>>) {
+    self.contents = contents;
+  }
+
+  /// Whether a content was in all crashes of a part that nothing else explains.
+  fn is_explained_by_content(&self, suspect: &Suspect) -> bool {
+    let mut contents = self.contents.iter();
+    contents.any(|servers| {
+      let crashed = suspect.crashes.keys();
+      let mut unexplained = crashed.filter(|server| !self.explained.contains(server));
+      unexplained.all(|server| servers.contains(server))
+    })
+  }
+
   /// Adds reported crashes; a crash may be reported several times.
   pub fn add(&mut self, now: u64, crashes: &[Crash]) {
     let cleared = &self.cleared;
@@ -190,7 +208,9 @@
   /// Parts that are in enough crashes, and when they may be blamed, in ms.
   fn candidates(&self) -> impl Iterator<Item = (&content::Key, &Suspect, u64)> {
     let others = self.suspects.iter();
-    let others = others.filter(|(part, _)| !self.blamed.contains(part));
+    let others = others.filter(|(part, suspect)| {
+      !self.blamed.contains(part) && !self.is_explained_by_content(suspect)
+    });
     others.filter_map(|(part, suspect)| {
       let at = suspect.blamable_at(&self.explained)?;
       Some((part, suspect, at))
--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -372,6 +372,18 @@
     tied
   }
 
+  /// Returns the servers that crashed under each content with enough crashes to be blamed.
+  pub fn candidates(&self) -> Vec<BTreeSet<Life>> {
+    let explained = self.explained_servers();
+    let suspects = self.suspects.values();
+    let candidates = suspects.filter(|suspect| {
+      suspect.has_similar_progress() && suspect.crashes(&explained) >= CULPRIT_CRASHES
+    });
+    candidates
+      .map(|suspect| suspect.servers.keys().copied().collect())
+      .collect()
+  }
+
   /// Returns the contents in two or more unexplained crashes that may be to blame, in the order
   /// of their turns; empty if all of them were published before.
   pub fn new_suspects(&mut self, now: u64) -> Vec<Suspected> {
--- a/src/crash_parts.rs
+++ b/src/crash_parts.rs
@@ -75,6 +75,7 @@
     if !questions.is_empty() {
       self.hub.apply(Event::ServedQuestions(questions), None);
     }
+    self.parts.set_contents(self.registry.candidates());
     let innocent = self.parts.release_replaced(now);
     if !innocent.is_empty() {
       self.registry.release(now, &innocent);
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -287,3 +287,22 @@
   assert!(registry.take_explained_changed());
   assert_eq!(registry.explained().len(), 3);
 }
+
+/// Parts beside a request that crashes servers were blamed, and all requests with them refused, while that request
+/// was sent on.
+#[test]
+fn a_part_is_not_blamed_while_a_content_was_in_all_of_its_crashes() {
+  let mut registry = Registry::default();
+  crashes(&mut registry, 0, 3, &[FIRST, OTHER]);
+  let server = |number: u64| Life::of(&number.to_string(), 1);
+  registry.set_contents(vec![[0, 200, 400].map(server).into()]);
+  assert_eq!(
+    registry.analysis_at(),
+    None,
+    "nothing is due in the meantime"
+  );
+  assert_eq!(blamed(&mut registry, 1_000), []);
+  // One more crash, without that content.
+  crashes(&mut registry, 1_000, 1, &[FIRST, OTHER]);
+  assert_eq!(blamed(&mut registry, 1_000 + ANSWERED_MS), [OTHER]);
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -709,6 +709,18 @@
   assert!(other.is_stale(60_000, analyzer.quarantined(60_000)[0]));
 }
 
+#[test]
+fn a_content_with_three_crashes_that_nothing_explains_may_be_to_blame() {
+  let mut registry = Registry::default();
+  let crashes: Vec<Crash> = (1..=3).map(|server| crash(CULPRIT, server, 1)).collect();
+  registry.add(0, &crashes[..2]);
+  assert!(registry.candidates().is_empty());
+  registry.add(500, &crashes[2..]);
+  assert_eq!(registry.candidates(), [lives(&[1, 2, 3])]);
+  registry.release_explained(600, &lives(&[1]));
+  assert!(registry.candidates().is_empty());
+}
+
 /// The last send of a release undid the quarantine of a content that was blamed again.
 #[test]
 fn sends_about_a_content_end_when_newer_ones_replace_them() {
