Tests: readers and decoders on mutations of valid input

What callers saw: nothing. `tests/fuzz.rs` gave decoders random bytes and parts of JSON; heads, bodies, and lists of the store had no such test.

Change: valid heads, chunked bodies, lists, changes, entries, reports and configurations with up to four mutations each (`stand-ins/src/mutation.rs`), seeded, 5,000 inputs a property; `BENDSADDLE_FUZZ_INPUTS` for a long run. What holds: an accepted head reads the same when it is passed on, and no shorter part of it is one; a body and a response are the same however their bytes arrive; a page counts each of its objects as read or unreadable.

Of the new test itself: its first count of a list's objects refused numbers that the decoder skips.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod http;
+pub mod mutation;
 pub mod platform;
 pub mod proxy;
 pub mod replay;
