Events: blank lines behind an event belong to no other one

What callers saw: a stream whose server sends one more blank line behind its last event ended without its last chunk, where that line arrived by itself.

Cause: the end of an event is searched as two line ends, and the third one counted as the start of an event that is not complete.

Ruled out: the chunks (a body is the same however it arrives); the check of servers that ended (the stream ends with its last chunk).

Change: blank lines are taken with the event before them, and do not count as events.

--- a/src/sse.rs
+++ b/src/sse.rs
@@ -32,10 +32,11 @@
       return Err(Mixed);
     }
     let complete: Vec<u8> = self.partial.drain(..end).collect();
+    let mut within = false;
     for line in complete.split(|byte| *byte == b'\n') {
-      if line.is_empty() || line == b"\r" {
-        self.count += 1;
-      }
+      let blank = line.is_empty() || line == b"\r";
+      self.count += u64::from(within && blank);
+      within = !blank;
       if let Some(id) = line.strip_prefix(b"id:") {
         let id = String::from_utf8_lossy(id).trim().to_string();
         if !id.is_empty() && !field::is_value(&id) {
@@ -44,7 +45,6 @@
         self.last_id = Some(id);
       }
     }
-    self.count = self.count.saturating_sub(1);
     Ok(complete)
   }
 
@@ -75,7 +75,7 @@
   rest.first() == Some(&b':') && start.eq_ignore_ascii_case(name.as_bytes())
 }
 
-/// Returns the offset after the last complete event. Bytes before `checked` were searched already.
+/// Returns the offset after the last complete event and the blank lines behind it, which belong to none. Bytes before `checked` were searched already.
 fn last_event_end(bytes: &[u8], checked: usize) -> Option<usize> {
   let from = checked.saturating_sub(3);
   let tail = &bytes[from..];
@@ -85,5 +85,20 @@
       .rposition(|window| window == separator);
     start.map(|start| from + start + separator.len())
   };
-  end_after(b"\n\n").max(end_after(b"\r\n\r\n"))
+  let end = end_after(b"\n\n").max(end_after(b"\r\n\r\n"));
+  let end = end.unwrap_or_default();
+  let end = end + blank_lines(&bytes[end..]);
+  (end > 0).then_some(end)
+}
+
+/// Length of the blank lines at the start of `bytes`.
+fn blank_lines(bytes: &[u8]) -> usize {
+  let mut length = 0;
+  loop {
+    match &bytes[length..] {
+      [b'\n', ..] => length += 1,
+      [b'\r', b'\n', ..] => length += 2,
+      _ => return length,
+    }
+  }
 }
--- a/tests/mutations.rs
+++ b/tests/mutations.rs
@@ -1,9 +1,10 @@
-//! Readers of heads and bodies, run on mutations of valid ones. `BENDSADDLE_FUZZ_INPUTS` is the
+//! Readers of heads, bodies and events, run on mutations of valid ones. `BENDSADDLE_FUZZ_INPUTS` is the
 //! number of inputs of each property.
 
 use bendsaddle::{
   http::{Decoder, Framing, Request, Response, STATUSES},
   response::{Carried, Reader},
+  sse::Parser,
 };
 use quickcheck::{Gen, QuickCheck};
 use stand_ins::mutation::{inputs, mutate, rng, split};
@@ -43,6 +44,13 @@
   "ffffffffffffffff\r\nx",
 ];
 
+const EVENTS: [&str; 4] = [
+  "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+  "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+  ": comment\n\nevent: e\ndata: a\ndata: b\nid: 7\n\nid:\ndata\n\n",
+  "id: ä\ndata: a\n\ndata: HTTP/1.1 200 OK\n\n",
+];
+
 /// What may be put into a message.
 const PARTS: [&[u8]; 26] = [
   b"\r\n",
@@ -200,3 +208,54 @@
   }
   check(104, property);
 }
+
+/// Guards against events that depend on how their bytes arrive, or that are lost or doubled.
+#[test]
+fn events_are_the_same_however_they_arrive() {
+  fn property(seed: u64) {
+    let mut rng = rng(seed);
+    let bytes = mutate(&mut rng, &EVENTS, &PARTS);
+    let (mut parser, mut complete) = (Parser::default(), Vec::new());
+    let mut mixed = false;
+    for piece in split(&mut rng, &bytes) {
+      match parser.push(&piece, ID) {
+        Ok(events) => complete.extend(events),
+        Err(_) => {
+          mixed = true;
+          break;
+        }
+      }
+    }
+    assert!(bytes.starts_with(&complete));
+    let mut whole = Parser::default();
+    let events = whole.push(&bytes, ID);
+    assert_eq!(events.is_err(), mixed);
+    if let Ok(events) = events {
+      assert_eq!(events, complete);
+      assert_eq!(whole.partial(), parser.partial());
+      assert_eq!(whole.last_id, parser.last_id);
+      assert_eq!([events, whole.partial().to_vec()].concat(), bytes);
+    }
+  }
+  check(105, property);
+}
+
+/// A blank line behind the last event, which arrived by itself, made its stream look cut.
+#[test]
+fn a_blank_line_behind_an_event_is_no_part_of_another_one() {
+  for blank in ["\n", "\r\n", "\n\n", "\n\r\n"] {
+    let mut parser = Parser::default();
+    parser.push(b"id: 1\ndata: a\n\n", ID).unwrap();
+    let events = parser.push(blank.as_bytes(), ID).unwrap();
+    assert_eq!(events, blank.as_bytes());
+    assert_eq!((parser.partial(), parser.count), (&b""[..], 1), "{blank:?}");
+  }
+}
+
+/// Guards against a stream of blank lines that counts as one with an event.
+#[test]
+fn blank_lines_are_no_event() {
+  let mut parser = Parser::default();
+  parser.push(b"\n\n\r\n", ID).unwrap();
+  assert_eq!((parser.partial(), parser.count), (&b""[..], 0));
+}
