Settings: errors quote line ends in escaped form

What operators saw: an error of several lines, where a name or an address in the settings holds a line end: "callers: `127.", then ".0.1:1` is not ip:port".

Cause: errors quote what was read as it is.

Change: control characters in an error of settings are escaped.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -292,8 +292,12 @@
     Self::parse(&text).map_err(|error| Report::new(Error(format!("{}: {error}", path.display()))))
   }
 
-  /// Parses and validates settings.
+  /// Parses and validates settings. An error is one line.
   pub fn parse(text: &str) -> Result<Self, String> {
+    Self::decode(text).map_err(|error| one_line(&error))
+  }
+
+  fn decode(text: &str) -> Result<Self, String> {
     let value = parse_jsonc(text)?;
     let settings: Self = serde_json::from_value(value).map_err(|error| error.to_string())?;
     match settings.validation_error() {
@@ -354,6 +358,15 @@
   }
 }
 
+/// Escapes the control characters of an error, which may quote text with a line end.
+fn one_line(error: &str) -> String {
+  let escape = |char: char| match char.is_control() {
+    true => char.escape_default().to_string(),
+    false => char.to_string(),
+  };
+  error.chars().map(escape).collect()
+}
+
 /// Parses JSON with comments.
 pub fn parse_jsonc(text: &str) -> Result<serde_json::Value, String> {
   jsonc_parser::parse_to_serde_value(text, &Default::default()).map_err(|error| error.to_string())
--- a/tests/mutations.rs
+++ b/tests/mutations.rs
@@ -1,9 +1,10 @@
-//! Readers of heads, bodies and events, run on mutations of valid ones. `BENDSADDLE_FUZZ_INPUTS` is the
+//! Readers of heads, bodies, events and settings, run on mutations of valid ones. `BENDSADDLE_FUZZ_INPUTS` is the
 //! number of inputs of each property.
 
 use bendsaddle::{
   http::{Decoder, Framing, Request, Response, STATUSES},
   response::{Carried, Reader},
+  settings::Settings,
   sse::Parser,
 };
 use quickcheck::{Gen, QuickCheck};
@@ -51,6 +52,15 @@
   "id: ä\ndata: a\n\ndata: HTTP/1.1 200 OK\n\n",
 ];
 
+const SETTINGS: [&str; 2] = [
+  r#"{ "instance": "entry-0", "zone": "a", "callers": "127.0.0.1:1", "health": "127.0.0.1:2",
+  "peers": "127.0.0.1:3", "operators": "127.0.0.1:4", "platform": "127.0.0.1:5", // a comment
+  "routing": { "machine": "entry-0", "leaseMs": 600, "firstStart": true } }"#,
+  r#"{ "instance": "entry-0", "zone": "a", "callers": "[::1]:1", "peers": "127.0.0.1:3",
+  "operators": "127.0.0.1:4", "platform": "127.0.0.1:5", "seeds": ["127.0.0.1:6"],
+  "limits": { "requests": 5, "queue": 5, "deadlineMs": 18446744073709551615, "thrift": 100 } }"#,
+];
+
 /// What may be put into a message.
 const PARTS: [&[u8]; 26] = [
   b"\r\n",
@@ -81,6 +91,25 @@
   b"HTTP/1.1 000 None\r\n\r\n",
 ];
 
+const JSON_PARTS: [&[u8]; 16] = [
+  b"null",
+  b"-1",
+  b"0",
+  b"1e999",
+  b"\"\"",
+  b"\"x\"",
+  b"{}",
+  b"[]",
+  b",",
+  b"\"",
+  b"/*",
+  b"//",
+  b"\\u0000",
+  b"\\ud800",
+  b"18446744073709551616",
+  b"[[[[[[[[",
+];
+
 fn is_token(name: &str) -> bool {
   let is_legal = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
   !name.is_empty() && name.bytes().all(is_legal)
@@ -240,6 +269,20 @@
   check(105, property);
 }
 
+/// An error of settings is one line for the log.
+#[test]
+fn settings_are_taken_or_rejected_in_one_line() {
+  fn property(seed: u64) {
+    let mut rng = rng(seed);
+    let bytes = mutate(&mut rng, &SETTINGS, &JSON_PARTS);
+    let text = String::from_utf8_lossy(&bytes);
+    if let Err(error) = Settings::parse(&text) {
+      assert!(!error.is_empty() && !error.contains('\n'), "{error:?}");
+    }
+  }
+  check(106, property);
+}
+
 /// A blank line behind the last event, which arrived by itself, made its stream look cut.
 #[test]
 fn a_blank_line_behind_an_event_is_no_part_of_another_one() {
