A list may begin behind a first page that is never returned

Cause: a page beyond the first that is refused for good is passed over; the first one was an error each time, and the list began with it again.

Ruled out: errors for a moment (429, 503, no response, no connection) still begin again at the first page; `a_list_without_a_first_page_is_an_error` holds unchanged.

Change: each fourth list in a row that fails for good may begin behind one of eleven names; it is incomplete, says so, and is read again from the start.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -53,6 +53,8 @@
 pub const LIST_INTERVAL: Duration = Duration::from_secs(30);
 /// Delay before a list continues that took too long.
 const CONTINUE_DELAY: Duration = Duration::from_millis(250);
+/// One in this many lists in a row that fail for good begins behind its first page.
+const FAILED_LISTS_PER_SKIP: u32 = 4;
 /// Time limit for a list that is read again, as changes are not watched meanwhile.
 const LIST_AGAIN_TIME: Duration = Duration::from_millis(500);
 /// A list of at least this many pages is logged: lists have one page per 500 objects.
@@ -140,6 +142,7 @@
     gap: None,
     list_again_at: None,
     list_again: Range::default(),
+    failed_lists: 0,
     pages: 0,
     unreadable: 0,
   };
@@ -187,6 +190,8 @@
   /// When a list that may lack objects is read again, and which part of it.
   list_again_at: Option<Moment>,
   list_again: Range,
+  /// Number of lists in a row that failed for good, or lacked their first page.
+  failed_lists: u32,
   /// Number of pages read since the start of the list, in all its parts.
   pages: u32,
   /// Number of objects and changes so far that were not readable.
@@ -252,10 +257,15 @@
   }
 
   fn list(&mut self, range: &Range) {
+    let range = Range {
+      skips_first: range.after.is_none()
+        && self.failed_lists % FAILED_LISTS_PER_SKIP == FAILED_LISTS_PER_SKIP - 1,
+      ..range.clone()
+    };
     let (started_at, age) = (Moment::now(), self.gate.age());
     match self
       .store
-      .list(self.kind, range, |reading| self.log_long_list(reading))
+      .list(self.kind, &range, |reading| self.log_long_list(reading))
     {
       Ok(list)
         if self
@@ -267,7 +277,7 @@
       }
       Ok(list) => {
         self.record_unreadable(list.unreadable);
-        self.record_gap(range, &list);
+        self.record_gap(&range, &list);
         self.handle_response(Response {
           revision: list.revision,
           event: match (&list.gap, &range.after) {
@@ -281,7 +291,8 @@
         });
       }
       Err(error) => {
-        let delay = self.delay_after_failure(range, &error);
+        self.failed_lists += u32::from(error.is_final());
+        let delay = self.delay_after_failure(&range, &error);
         self.list_again_at = self.gap.is_some().then(|| in_about(delay));
         self.record_failure("list", started_at, &error);
         if error == Error::HistoryGone {
@@ -311,7 +322,12 @@
         _ => None,
       },
       time_limit: LIST_AGAIN_TIME,
+      ..Range::default()
     };
+    let lacks_first = matches!(&list.gap, Some(Gap::Unreadable { after, .. }) if after.is_empty());
+    if !lacks_first {
+      self.failed_lists = 0;
+    }
     if self.gap == list.gap || range.after.is_some() {
       return;
     }
--- a/src/store/list.rs
+++ b/src/store/list.rs
@@ -25,6 +25,8 @@
 const LARGE_BYTES: usize = 64 << 10;
 /// Maximum number of times that a list continues behind a name that the store did not pass.
 const MAX_SKIPS: u32 = 16;
+/// Names behind which a list begins whose first page is not readable, in the order of stores.
+const FIRST_NAMES: [&str; 11] = ["!", "0", "8", "A", "N", "a", "d", "h", "m", "r", "w"];
 /// Maximum number of times that a page is read again which the store could not return.
 const MAX_RETRIES: u32 = 4;
 /// Range of the interval between pages once one of them was beyond the store's rate. The interval is
@@ -40,6 +42,9 @@
   pub after: Option<String>,
   /// Time after which it ends.
   pub time_limit: Duration,
+  /// Whether the list begins behind some name if the store refuses the first page for good, or it is
+  /// unreadable.
+  pub skips_first: bool,
 }
 
 impl Default for Range {
@@ -47,6 +52,7 @@
     Self {
       after: None,
       time_limit: MAX_TIME,
+      skips_first: false,
     }
   }
 }
@@ -133,6 +139,8 @@
   retries: u32,
   /// Interval between pages; zero until one was beyond the store's rate.
   interval: Duration,
+  /// Names behind which the list may begin if its first page is not readable.
+  first_names: std::slice::Iter<'static, &'static str>,
   started_at: Moment,
   time_limit: Duration,
 }
@@ -149,6 +157,10 @@
       skips: 0,
       retries: 0,
       interval: Duration::ZERO,
+      first_names: match range.skips_first {
+        true => FIRST_NAMES.iter(),
+        false => [].iter(),
+      },
       started_at: Moment::now(),
       time_limit: range.time_limit,
     }
@@ -165,6 +177,7 @@
         }
         Ok(more)
       }
+      Err(error) if self.pages == 0 && error.is_final() => self.skip_first(error),
       // Without a page there is nothing to continue.
       Err(error) if self.pages == 0 => Err(error),
       Err(Error::Refused(TOO_MANY_REQUESTS)) => Ok(self.wait_for_rate()),
@@ -174,6 +187,17 @@
     }
   }
 
+  /// Begins behind the next name that the list may begin behind; returns the error if there is none.
+  fn skip_first(&mut self, error: Error) -> Result<bool> {
+    let name = self.first_names.next().ok_or(error)?;
+    self.after = Some(name.to_string());
+    self.list.gap = Some(Gap::Unreadable {
+      after: String::new(),
+      continued: self.after.clone(),
+    });
+    Ok(true)
+  }
+
   /// Waits before a page is read again; returns the error if it was read again often enough.
   fn wait_for_retry(&mut self, error: Error) -> Result<bool> {
     if self.retries >= MAX_RETRIES || self.started_at.elapsed() >= self.time_limit {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -105,6 +105,11 @@
   pub fn may_have_run(&self) -> bool {
     matches!(self, Self::NoAnswer | Self::Malformed(_))
   }
+
+  /// Whether the same read fails again, as far as its error shows.
+  pub fn is_final(&self) -> bool {
+    matches!(self, Self::Refused(_) | Self::Malformed(_)) && !retry::is_transient(self)
+  }
 }
 
 impl fmt::Display for Error {
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -325,6 +325,30 @@
   }
 }
 
+/// Guards against a first page that the store never returns, and that hides all others.
+#[test]
+fn a_list_may_begin_behind_its_first_page() {
+  let range = Range {
+    skips_first: true,
+    ..Range::default()
+  };
+  for error in [Error::Refused(400), Error::Malformed("cut".into())] {
+    let (store, _) =
+      failing(move |after| after.is_none_or(|after| after < "8").then(|| error.clone()));
+    let list = store.list("kind", &range, |_| {}).expect("failed to list");
+    let gap = Gap::Unreadable {
+      after: "".into(),
+      continued: Some("8".into()),
+    };
+    assert_eq!(list.gap, Some(gap));
+    assert_eq!(names(&list), ["a", "b", "c", "main"]);
+  }
+  let (store, calls) = failing(|_| Some(Error::Refused(400)));
+  let list = store.list("kind", &range, |_| {});
+  assert_eq!(list, Err(Error::Refused(400)));
+  assert_eq!(calls.load(Ordering::Relaxed), 12);
+}
+
 /// A store with pages of one object, whose calls fail by this function.
 fn failing(
   error: impl Fn(Option<&str>) -> Option<Error> + Send + Sync + 'static,
