--- a/src/sse.rs
+++ b/src/sse.rs
@@ -75,7 +75,8 @@
   rest.first() == Some(&b':') && start.eq_ignore_ascii_case(name.as_bytes())
 }
 
-/// Returns the offset after the last complete event and the blank lines behind it, which belong to none. Bytes before `checked` were searched already.
+/// Returns the offset after the last complete event and the blank lines behind it, which belong to
+/// none. Bytes before `checked` were searched already.
 fn last_event_end(bytes: &[u8], checked: usize) -> Option<usize> {
   let from = checked.saturating_sub(3);
   let tail = &bytes[from..];
