A server whose entry is gone is removed by an incomplete list

What callers saw: requests are sent to a server whose entry was removed while the store's history was gone, for as long as the list lacks parts.

Cause: nothing is removed by an incomplete list, since it may only hide the entry.

Ruled out: taking an absence within a page as removal; the order of names is the store's, and `i-10` may stand elsewhere than between `i-1` and `i-2`.

A 404 in the list's era removes the server; an entry that is found is applied.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -135,6 +135,7 @@
 pub mod timeline;
 pub mod tokens;
 mod tunnel;
+pub mod unlisted;
 pub mod update;
 pub mod upstream;
 pub mod verdict;
--- a/src/router.rs
+++ b/src/router.rs
@@ -13,9 +13,17 @@
   planner, reader,
   settings::{self, Settings},
   store::Object,
+  unlisted,
 };
 use slog::{Logger, info, warn};
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+  collections::{BTreeSet, HashMap, HashSet},
+  io,
+  net::SocketAddr,
+  sync::Arc,
+  thread,
+  time::Duration,
+};
 
 /// Load balancers remove an instance after two failed health checks, one each second, and send new
 /// connections until then.
@@ -232,6 +240,7 @@
   essential::spawn(builder, "servers", &log, move || {
     let gate = &hub.gates.servers;
     let mut invalid_entries = InvalidEntries::default();
+    let mut unlisted_reader = unlisted::Reader::default();
     let affects_others =
       |object: &Object, removed: bool| affects_others(&hub, &edge, object, removed);
     feed::follow(
@@ -260,8 +269,15 @@
           feed::Event::Listed(objects) => {
             list_changes(Change::All, objects.iter().map(decode).collect())
           }
-          feed::Event::PartlyListed(objects) => {
-            list_changes(Change::Part, objects.iter().map(decode).collect())
+          feed::Event::PartlyListed(mut objects) => {
+            let unlisted = unlisted_names(&hub, &objects);
+            let read = |name: &str| (edge.store.read)(edge.kinds.servers, name);
+            let era = objects.iter().map(|object| object.revision.era).max();
+            let (found, absent) = unlisted_reader.read(&unlisted, era, read);
+            objects.extend(found);
+            let entries = objects.iter().map(decode);
+            let removed = absent.into_iter().map(Change::Removed);
+            list_changes(Change::Part, entries.chain(removed).collect())
           }
           feed::Event::Changed(objects) => objects
             .iter()
@@ -315,6 +331,17 @@
   }
 }
 
+/// Names of the known servers that a list lacks.
+fn unlisted_names(hub: &Hub, objects: &[Object]) -> BTreeSet<String> {
+  let listed: HashSet<&str> = objects.iter().map(|object| object.name.as_str()).collect();
+  let state = hub.state();
+  let known = state.by_id.keys();
+  known
+    .filter(|id| !listed.contains(id.as_str()))
+    .cloned()
+    .collect()
+}
+
 /// Combines the changes for the entries of a list into the changes for the list.
 fn list_changes(list: fn(Vec<Spec>) -> Change, entries: Vec<Change>) -> Vec<Change> {
   let mut specs = Vec::new();
