Crash analysis: explained crashes keep no companion quarantined

Cause: since explained crashes are kept, and the check whether all crashes of a companion are the culprit's counted them.

Change: only crashes that no part explains are compared. A content that has none of these is no companion, as before, where it was forgotten; a test guards that.

Before: a_companion_in_an_explained_crash_besides_is_released failed.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -290,7 +290,8 @@
   }
 
   /// Releases and returns companions: quarantined contents that were in some of a culprit's
-  /// crashes and in no others, and were blamed while fewer crashes were known.
+  /// crashes and in no others, and were blamed while fewer crashes were known. Crashes that a part
+  /// explains speak neither for nor against it.
   pub fn release_companions(&mut self, now: u64) -> Vec<content::Key> {
     let cover = self.cover(now);
     let quarantined = self.quarantined.keys();
@@ -304,16 +305,24 @@
     let Some(suspect) = self.suspects.get(content) else {
       return false;
     };
+    let servers = self.unexplained_servers(suspect);
     let culprits = cover.culprits.iter();
     let mut culprits = culprits.filter_map(|culprit| self.suspects.get(&culprit.content));
-    !cover.is_culprit(content)
+    !servers.is_empty()
+      && !cover.is_culprit(content)
       && culprits.any(|culprit| {
-        let mut servers = suspect.servers.keys();
-        let is_subset = servers.all(|server| culprit.servers.contains_key(server));
-        is_subset && culprit.servers.len() > suspect.servers.len()
+        let others = self.unexplained_servers(culprit);
+        servers.is_subset(&others) && others.len() > servers.len()
       })
   }
 
+  /// Servers whose crashes with a content no part explains.
+  fn unexplained_servers(&self, suspect: &Suspect) -> BTreeSet<Life> {
+    let servers = suspect.servers.keys();
+    let unexplained = servers.filter(|server| !self.explained.contains_key(server));
+    unexplained.copied().collect()
+  }
+
   /// Explains the crashes by as few contents as possible, the highest score first.
   fn cover(&self, now: u64) -> Cover {
     let mut cover = Cover {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -682,6 +682,38 @@
   assert_eq!(culprits(&mut registry, 5_000), Vec::<u128>::new());
 }
 
+/// A companion stayed quarantined for a crash that a part explained and its culprit was not in.
+#[test]
+fn a_companion_in_an_explained_crash_besides_is_released() {
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(BYSTANDER, 1, 1)]);
+  registry.release_explained(100, &lives(&[1]));
+  for server in 2..=4 {
+    registry.add(
+      200,
+      &[crash(CULPRIT, server, 1), crash(BYSTANDER, server, 1)],
+    );
+  }
+  registry.quarantine_found(300, &[content::Key(BYSTANDER)]);
+  registry.add(400, &[crash(CULPRIT, 5, 1)]);
+  assert_eq!(culprits(&mut registry, 500), [CULPRIT]);
+  assert_eq!(registry.release_companions(500), [content::Key(BYSTANDER)]);
+}
+
+/// Guards against a release for a culprit that has nothing to do with the content.
+#[test]
+fn a_content_whose_crashes_are_all_explained_is_no_companion() {
+  let mut registry = Registry::default();
+  registry.add(0, &[crash(BYSTANDER, 1, 1)]);
+  registry.release_explained(100, &lives(&[1]));
+  registry.quarantine_found(200, &[content::Key(BYSTANDER)]);
+  for server in 2..=4 {
+    registry.add(300, &[crash(CULPRIT, server, 1)]);
+  }
+  assert_eq!(culprits(&mut registry, 400), [CULPRIT]);
+  assert_eq!(registry.release_companions(400), []);
+}
+
 /// Instances ignored the quarantine of a content that was blamed again within two seconds of its release.
 #[test]
 fn a_renewed_quarantine_holds_at_instances_that_have_just_released_the_content() {
