Crash analysis: ties of crashes that count again end

Found by review, no caller met it: two contents in the same three crashes that a part explained were never quarantined after that part was served; each went on to end servers until a fourth crash.

Cause: a tie lasts from when a content reached three crashes, which only a new report recorded. Where the crashes were explained before the third report, the tie began anew at each analysis, every 1.5 s.

Change: that crashes count again records when a content reached three.

Before: the new test failed, nothing blamed in 20 s. After: tests/quarantine.rs 41 of 41, parts.rs 17, suspects.rs 11, copies.rs 10.

--- a/src/crash/registry.rs
+++ b/src/crash/registry.rs
@@ -578,6 +578,11 @@
         self.unanalyzed_since.get_or_insert(settled_since);
       }
     }
+    let explained = self.explained_servers();
+    let suspects = self.suspects.values_mut();
+    for suspect in suspects.filter(|suspect| suspect.crashes(&explained) >= CULPRIT_CRASHES) {
+      suspect.culprit_since.get_or_insert(now);
+    }
   }
 
   /// Returns the quarantined contents.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -682,6 +682,27 @@
   assert_eq!(culprits(&mut registry, 5_000), Vec::<u128>::new());
 }
 
+/// Of two contents in the same crashes neither was ever blamed again, as their tie began anew at each analysis.
+#[test]
+fn contents_tied_for_crashes_that_count_again_are_blamed_once_the_tie_has_lasted() {
+  let mut registry = Registry::default();
+  let crashes = |server| [crash(CULPRIT, server, 1), crash(BYSTANDER, server, 1)];
+  registry.add(0, &crashes(1));
+  registry.add(10, &crashes(2));
+  registry.release_explained(120, &lives(&[1, 2, 3]));
+  registry.add(130, &crashes(3));
+  registry.count_again(600, &lives(&[1, 2, 3]));
+  let mut blamed = Vec::new();
+  while let Some(at) = registry
+    .analysis_at(60_000, || true)
+    .filter(|at| *at < 20_000)
+  {
+    blamed.extend(culprits(&mut registry, at));
+  }
+  blamed.sort_unstable();
+  assert_eq!(blamed, [CULPRIT, BYSTANDER]);
+}
+
 /// A companion stayed quarantined for a crash that a part explained and its culprit was not in.
 #[test]
 fn a_companion_in_an_explained_crash_besides_is_released() {
