Tests: a server that closes its connections says so

Cause: the test's server closed each connection after a whole response that did not say so.

Change: the response says that the connection closes. Bodies, bounds and checks are the same.

--- a/tests/outbound.rs
+++ b/tests/outbound.rs
@@ -299,7 +299,7 @@
     for response in responses {
       let (mut stream, _) = listener.accept().unwrap();
       let _ = stream.read(&mut [0; 1024]).unwrap();
-      let bytes = format!("HTTP/1.1 200 OK\r\n{response}");
+      let bytes = format!("HTTP/1.1 200 OK\r\nConnection: close\r\n{response}");
       stream.write_all(bytes.as_bytes()).unwrap();
     }
   });
