A holder publishes what appeared while it read its list

What callers saw: two of three instances not ready after a start (soak), "configuration":false for 20 s.

Cause, by the logs: config/main was written while all read their lists in pages. The holder's list had it; its first watch returned it again, as known, so it was neither published nor named as a change, and the others, who had read their lists before, never asked for it.

Ruled out: a list that does not end, or is refused (the lists of all three were read within 50 ms).

Change: the first changes after a list of several pages are relevant and published whole.

Before, the new test of tests/feed.rs failed (not in time).

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -144,6 +144,7 @@
     list_again: Range::default(),
     failed_lists: 0,
     pages: 0,
+    listed_in_pages: false,
     unreadable: 0,
   };
   loop {
@@ -194,6 +195,10 @@
   failed_lists: u32,
   /// Number of pages read since the start of the list, in all its parts.
   pages: u32,
+  /// Whether no changes were read since a list of several pages. It may have objects that changed
+  /// while it was read, so the next response is relevant even if it brings what is known here: other
+  /// instances may have read their lists before.
+  listed_in_pages: bool,
   /// Number of objects and changes so far that were not readable.
   unreadable: usize,
 }
@@ -278,6 +283,7 @@
       Ok(list) => {
         self.record_unreadable(list.unreadable);
         self.record_gap(&range, &list);
+        self.listed_in_pages |= list.pages > 1 || range.after.is_some();
         self.handle_response(Response {
           revision: list.revision,
           event: match (&list.gap, &range.after) {
@@ -437,8 +443,11 @@
       self.changed_since_restore = Some(BTreeSet::new());
       (self.handle)(Event::Restored);
     }
+    let changed = matches!(&event, Event::Changed(_));
     let empty = matches!(&event, Event::Changed(objects) if objects.is_empty());
+    let repeats_list = changed && !empty && self.listed_in_pages;
     let to_publish = match &event {
+      Event::Changed(objects) if repeats_list => Some(objects.clone()),
       Event::Changed(objects) if !empty => Some(self.relevant_changes(objects)),
       _ => None,
     };
@@ -447,7 +456,8 @@
     let listed = matches!(&event, Event::Listed(_) | Event::PartlyListed(_));
     let listed = listed && self.gate.is_leading();
     let reverts_copy = self.reverts_copy(&event);
-    let relevant = !empty && (self.handle)(event) || listed || reverts_copy;
+    let relevant = !empty && (self.handle)(event) || listed || reverts_copy || repeats_list;
+    self.listed_in_pages &= !changed;
     if self.recovered_at.take().is_some() || restored {
       (self.handle)(Event::CaughtUp);
     }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -475,6 +475,62 @@
   published(&gate).swap_remove(0)
 }
 
+/// A store that lists two objects in a page each. The second one appears while the list is read, and
+/// the first watch returns it again.
+fn changing_store() -> Store {
+  let responded = AtomicBool::new(false);
+  Store {
+    list: Box::new(|_, after| {
+      let object = match after {
+        None => Object {
+          name: "a".into(),
+          ..object(5)
+        },
+        Some(_) => object(7),
+      };
+      Ok(Page {
+        last: Some(object.name.clone()),
+        objects: vec![object],
+        more: after.is_none(),
+        revision: if after.is_none() { 5 } else { 7 }.into(),
+        ..Page::default()
+      })
+    }),
+    watch: Box::new(move |_, _, wait| {
+      let first = !responded.swap(true, Ordering::Relaxed);
+      if !first {
+        thread::sleep(wait);
+      }
+      Ok(Changes {
+        objects: first.then(|| (object(7), false)).into_iter().collect(),
+        revision: 7.into(),
+        ..Changes::default()
+      })
+    }),
+    read: Box::new(|_, _| Err(Error::Absent { era: 0 })),
+    write: Box::new(|_, _, _, _| Err(Error::Absent { era: 0 })),
+  }
+}
+
+/// An object that appeared while a holder read its list, and after others had read theirs, was known to
+/// the holder when a watch returned it, and the others never learned of it.
+#[test]
+fn a_holder_publishes_what_appeared_while_it_read_its_list() {
+  let gate = Arc::new(Gate::default());
+  gate.set_leading(true);
+  let (followed, log) = (gate.clone(), Logger::root(Discard, o!()));
+  thread::spawn(move || {
+    let store = changing_store();
+    let is_listed = |event: Event| matches!(event, Event::Listed(_));
+    follow(source(&store), &followed, &log, |_, _| false, is_listed)
+  });
+  let batch = published(&gate).swap_remove(0);
+  assert_eq!(revisions(&batch), [(7, false)]);
+  wait_for("the progress names it", || {
+    gate.progress().changed == 7.into()
+  });
+}
+
 /// Revisions of the changes in a batch, each with whether it is a removal.
 fn revisions(batch: &Batch) -> Vec<(u64, bool)> {
   let changes = batch.changes.iter();
