A response without a length is whole only if its server answers afterwards

Cause: an instance asked only whether the port accepts a connection. The system accepts connections for a process that serves nothing more, until its port is closed too. Ruled out as causes of their own: another server at the port (held before), questions to other instances (a lone instance fails alike).

Change: the server has to answer a health check sent after the end, on a connection from before it if one is idle. The path comes from the configuration; without one the port decides as before.

--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -38,6 +38,8 @@
 pub struct Pool {
   /// `None` for a plain service.
   pub engine: Option<Arc<Engine>>,
+  /// Path of the servers' health check.
+  pub health_path: Option<String>,
 }
 
 /// Size and time limits on callers' requests.
--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -12,10 +12,12 @@
   crash::{Crash, part},
   demand::Model,
   dispatch::Request,
+  life::Life,
   refusal::Reason,
   request::Ticket,
   verdict::Verdict,
 };
+use std::net::SocketAddr;
 
 /// How long a server gets no requests after its first failure; doubled for each further failure.
 const FAILURE_PAUSE_MS: u64 = 500;
@@ -249,16 +251,20 @@
     backing_off.then_some(End::Resting)
   }
 
-  /// Whether the address of a send belongs to another server by now, or to a later life of the same
-  /// one.
-  pub(crate) fn has_new_server(&self, attempt: &Attempt) -> bool {
+  /// Whether an address belongs to another server than this one by now, or to a later life of it.
+  pub(crate) fn has_other_server(&self, address: SocketAddr, life: Life) -> bool {
     let mut there = self
       .backends
       .values()
-      .filter(|backend| backend.spec.address == attempt.address);
-    there.any(|backend| {
-      backend.replaced_until.is_some() || !attempt.life.applies_to(backend.spec.life())
-    })
+      .filter(|backend| backend.spec.address == address);
+    there.any(|backend| backend.replaced_until.is_some() || !life.applies_to(backend.spec.life()))
+  }
+
+  /// The path of a server's health check; `None` if none is configured.
+  pub(crate) fn health_path(&self, key: backend::Key) -> Option<String> {
+    let backend = self.backends.get(key)?;
+    let pools = &self.deployment.as_ref()?.pools;
+    pools.get(&backend.spec.pool)?.health_path.clone()
   }
 
   /// Records that a server's process ended while it ran the request.
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -14,6 +14,7 @@
   expiry::REAPPEAR_MS,
   feed::{Gate, OUTAGE_THRESHOLD},
   http::Request,
+  liveness::Ends,
   measures::Measures,
   reachability::Reachability,
   reader::Book,
@@ -126,6 +127,8 @@
   /// Which servers this instance reaches, and the instances that may carry tunnels to them.
   pub(crate) paths: Paths,
   pub(crate) peers: Peers,
+  /// When connections to servers ended together with a response.
+  pub(crate) ends: Ends,
   pub measures: Measures,
   pub gates: Gates,
   /// Whether a graceful shutdown has started.
@@ -175,6 +178,7 @@
       pool: Pool::default(),
       paths: Paths::default(),
       peers: Peers::default(),
+      ends: Ends::default(),
       measures,
       gates: Gates::new(),
       stopping: AtomicBool::new(false),
@@ -287,6 +291,26 @@
     (!book.is_key_valid(caller)).then_some(End::Barred)
   }
 
+  /// Keeps a connection to a server for the next send, if there may be one. `idle` is the time for
+  /// which the server keeps it, if stated.
+  pub(crate) fn keep_connection(
+    &self,
+    key: backend::Key,
+    socket: Option<Socket>,
+    idle: Option<Duration>,
+  ) {
+    let is_leaving = {
+      let state = self.state();
+      state
+        .backends
+        .get(key)
+        .is_none_or(backend::Backend::is_leaving)
+    };
+    if let Some(socket) = socket.filter(|_| !is_leaving) {
+      self.pool.release(key, socket, idle);
+    }
+  }
+
   /// Records an established connection to a server.
   pub(crate) fn record_path(&self, key: backend::Key, id: &str) {
     if self.paths.record_connection(key, self.now()) {
--- a/src/liveness.rs
+++ b/src/liveness/mod.rs
@@ -1,4 +1,10 @@
-//! Whether the process of a backend server still runs, as its port shows.
+//! Whether the process of a backend server still runs.
+
+mod check;
+mod ends;
+
+pub(crate) use check::{ANSWER_TIMEOUT, Server, check, check_port};
+pub(crate) use ends::Ends;
 
 use crate::{
   clock::Moment,
@@ -32,6 +38,9 @@
   Silent,
 }
 
+/// What the port of a server says of its process. The system accepts connections also for a process that
+/// has stopped serving, so this does not show that a response is complete: see `check`.
+///
 /// Connects to a server, and again as long as connections are closed at once, within
 /// `CLOSING_TIME`: the port of a process that ends refuses them by then.
 pub(crate) fn probe(address: SocketAddr) -> Probe {
--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -109,76 +109,85 @@
     {
       return Err(Failure::NotSent);
     }
-    let (answer, reusable) = self
-      .exchange(&mut socket, address, call)
-      .map_err(|_| Failure::NoAnswer)?;
-    if reusable && socket.input.is_empty() && !socket.carried.is_full() {
-      self.release(address, socket);
-    }
-    Ok(answer)
-  }
-
-  /// Sends a call and receives its response; returns whether the connection can be reused.
-  fn exchange(
-    &self,
-    socket: &mut Socket,
-    address: SocketAddr,
-    call: &Call,
-  ) -> io::Result<(Answer, bool)> {
-    let total_deadline = Moment::now() + call.total_timeout;
-    let read_deadline = || total_deadline.min(Moment::now() + call.read_timeout);
-    let bytes = self.encode(&mut socket.carried, address, call);
-    socket.write_all(&bytes, read_deadline())?;
-    let id_header = self.id_header.unwrap_or_default();
-    let mut reader = Reader::default();
-    let (head, framing) = loop {
-      let read = reader.read(&mut socket.input, &socket.carried, id_header);
-      if let Some(response) = read.map_err(|error| io::Error::other(error.as_str()))? {
-        break response;
-      }
-      if socket.fill_by(read_deadline())? == Fill::Eof {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-      }
-    };
-    let body = read_body(socket, framing, call.max_answer_bytes, read_deadline)?;
-    if head.headers.get(id_header).is_none() {
+    let (answer, reusable) =
+      exchange(&mut socket, address, call, self.id_header).map_err(|_| Failure::NoAnswer)?;
+    if answer
+      .headers
+      .get(self.id_header.unwrap_or_default())
+      .is_none()
+    {
       // Only their order tells the responses of this server apart.
       socket.carried = Carried::default();
     }
-    let reusable = head.keep_alive() && framing != Framing::Close;
-    let answer = Answer {
-      status: head.status,
-      headers: head.headers,
-      body,
-    };
-    Ok((answer, reusable))
+    if reusable && !socket.carried.is_full() {
+      self.release(address, socket);
+    }
+    Ok(answer)
   }
+}
 
-  /// Encodes a call, which is added to those that its connection has carried.
-  fn encode(&self, carried: &mut Carried, address: SocketAddr, call: &Call) -> Vec<u8> {
-    let mut request = Request {
-      method: call.method.into(),
-      target: call.target.into(),
-      minor: 1,
-      headers: Headers::default(),
-    };
-    request.headers.set("Host", &address.to_string());
-    for (name, value) in call.headers {
-      request.headers.set(name, value);
+/// Sends a call on a connection and receives its response; returns whether the connection can be reused.
+/// `id_header` is the header in which the server echoes the ids of calls, if they have any.
+pub(crate) fn exchange(
+  socket: &mut Socket,
+  address: SocketAddr,
+  call: &Call,
+  id_header: Option<&str>,
+) -> io::Result<(Answer, bool)> {
+  let total_deadline = Moment::now() + call.total_timeout;
+  let read_deadline = || total_deadline.min(Moment::now() + call.read_timeout);
+  let bytes = encode(&mut socket.carried, address, call, id_header);
+  socket.write_all(&bytes, read_deadline())?;
+  let id_header = id_header.unwrap_or_default();
+  let mut reader = Reader::default();
+  let (head, framing) = loop {
+    let read = reader.read(&mut socket.input, &socket.carried, id_header);
+    if let Some(response) = read.map_err(|error| io::Error::other(error.as_str()))? {
+      break response;
     }
-    let id = format!("{:016x}", rand::random::<u64>());
-    carried.push(&id, call.method);
-    if let Some(name) = self.id_header {
-      request.headers.set(name, &id);
+    if socket.fill_by(read_deadline())? == Fill::Eof {
+      return Err(io::ErrorKind::UnexpectedEof.into());
     }
-    let framing = match (call.method, call.body.len()) {
-      ("GET" | "DELETE", 0) => Framing::Empty,
-      (_, length) => Framing::Length(length as u64),
-    };
-    let mut bytes = request.encode(framing);
-    bytes.extend_from_slice(call.body);
-    bytes
+  };
+  let body = read_body(socket, framing, call.max_answer_bytes, read_deadline)?;
+  let reusable = head.keep_alive() && framing != Framing::Close && socket.input.is_empty();
+  let answer = Answer {
+    status: head.status,
+    headers: head.headers,
+    body,
+  };
+  Ok((answer, reusable))
+}
+
+/// Encodes a call, which is added to those that its connection has carried.
+fn encode(
+  carried: &mut Carried,
+  address: SocketAddr,
+  call: &Call,
+  id_header: Option<&str>,
+) -> Vec<u8> {
+  let mut request = Request {
+    method: call.method.into(),
+    target: call.target.into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  request.headers.set("Host", &address.to_string());
+  for (name, value) in call.headers {
+    request.headers.set(name, value);
+  }
+  let id = format!("{:016x}", rand::random::<u64>());
+  carried.push(&id, call.method);
+  if let Some(name) = id_header {
+    request.headers.set(name, &id);
   }
+  let framing = match (call.method, call.body.len()) {
+    ("GET" | "DELETE", 0) => Framing::Empty,
+    (_, length) => Framing::Length(length as u64),
+  };
+  let mut bytes = request.encode(framing);
+  bytes.extend_from_slice(call.body);
+  bytes
 }
 
 fn to_failure(error: &io::Error) -> Failure {
--- a/src/relay/crashed.rs
+++ b/src/relay/crashed.rs
@@ -3,8 +3,9 @@
 use super::{Outcome, Relay, outcome};
 use crate::{
   backend::Backend,
+  clock::Moment,
   dispatch::{Attempt, End},
-  liveness::{self, Liveness, Probe},
+  liveness::{self, Liveness},
   tunnel,
 };
 
@@ -15,7 +16,8 @@
 impl Relay<'_> {
   /// Checks whether a server that cut off a run has ended.
   pub(super) fn check_crash(&self, result: Outcome, attempt: &Attempt) -> Outcome {
-    if !result.disconnected || !self.has_run() || self.liveness(attempt) != Liveness::Ended {
+    let may_be_crash = result.disconnected && self.has_run();
+    if !may_be_crash || self.liveness(attempt, Self::probe) != Liveness::Ended {
       return result;
     }
     outcome(End::Crashed, "server ended")
@@ -24,7 +26,7 @@
   /// Checks a response that ended with its connection, as it would also end with the server: it is
   /// whole only if the server is shown to run afterwards.
   pub(super) fn confirm_end(&self, attempt: &Attempt) -> Result<(), Outcome> {
-    match self.liveness(attempt) {
+    match self.liveness(attempt, Self::check) {
       Liveness::Running => Ok(()),
       // A server that is leaving ends whatever it runs.
       Liveness::Ended if self.has_run() && !self.is_leaving(attempt) => {
@@ -47,49 +49,58 @@
     self.hub.now() >= self.sending.sent_at + MIN_RUN_MS
   }
 
-  /// Whether a server runs.
-  fn liveness(&self, attempt: &Attempt) -> Liveness {
-    if self.hub.state().has_new_server(attempt) {
+  /// Whether a server runs, by what this instance finds itself and by what others do.
+  fn liveness(&self, attempt: &Attempt, find: impl Fn(&Self, &Attempt) -> Liveness) -> Liveness {
+    let (address, life) = (attempt.address, attempt.life);
+    if self.hub.state().has_other_server(address, life) {
       return Liveness::Unknown;
     }
     if self.sending.via.is_none() {
-      return self.probe_first(attempt);
+      return self.find_first(attempt, find);
     }
     match self.ask_others(attempt) {
-      Liveness::Unknown => self.probe(attempt),
+      Liveness::Unknown => find(self, attempt),
       known => known,
     }
   }
 
-  /// Connects to a server, and asks other instances if that fails: one that connects shows that the
+  /// Asks other instances if this one does not find that a server runs: one that does shows that the
   /// path is lost, not the server.
-  fn probe_first(&self, attempt: &Attempt) -> Liveness {
-    let own = self.probe(attempt);
+  fn find_first(&self, attempt: &Attempt, find: impl Fn(&Self, &Attempt) -> Liveness) -> Liveness {
+    let own = find(self, attempt);
     if own == Liveness::Running {
       return own;
     }
     let others = self.ask_others(attempt);
-    if others == Liveness::Running || own == Liveness::Unknown {
+    if own == Liveness::Ended && others == Liveness::Running {
       let now = self.hub.now();
       self.hub.paths.record_failure(attempt.backend, now);
-      return others;
     }
-    own
+    match others == Liveness::Running || own == Liveness::Unknown {
+      true => others,
+      false => own,
+    }
   }
 
-  /// Connects to a server. The connection is kept for the next send, if there may be one.
+  /// Whether the port of a server accepts connections.
   fn probe(&self, attempt: &Attempt) -> Liveness {
-    match liveness::probe(attempt.address) {
-      Probe::Accepts(socket) => {
-        self.hub.measures.record_connection();
-        let leaves = self.is_leaving(attempt);
-        if let Some(socket) = socket.filter(|_| !leaves) {
-          self.hub.pool.release(attempt.backend, socket, None);
-        }
-        Liveness::Running
-      }
-      Probe::Refuses => Liveness::Ended,
-      Probe::Silent => Liveness::Unknown,
+    liveness::check_port(self.hub, &self.server(attempt))
+  }
+
+  /// Whether a server responds.
+  fn check(&self, attempt: &Attempt) -> Liveness {
+    let limit = Moment::now() + liveness::ANSWER_TIMEOUT;
+    let until = limit.min(self.hub.instant(self.deadline));
+    liveness::check(self.hub, &self.server(attempt), until)
+  }
+
+  fn server<'a>(&'a self, attempt: &'a Attempt) -> liveness::Server<'a> {
+    liveness::Server {
+      key: attempt.backend,
+      id: &attempt.id,
+      life: attempt.life,
+      address: attempt.address,
+      request: &self.id,
     }
   }
 
--- a/src/relay/send.rs
+++ b/src/relay/send.rs
@@ -9,7 +9,7 @@
   response::{self, Reader},
   socket::{Fill, Interest, Socket, wait},
   statement::{Hints, MISDIRECTED_REQUEST},
-  tunnel,
+  tunnel, upstream,
 };
 use slog::{info, warn};
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
@@ -458,7 +458,7 @@
       return Err(outcome(End::Broken, "answer in an encoding not asked for"));
     }
     let reuse = match is_written && head.keep_alive() && framing != Framing::Close {
-      true => Reuse::Within(keep_alive_timeout(&head)),
+      true => Reuse::Within(upstream::idle_timeout(&head.headers)),
       false => Reuse::No,
     };
     if success && self.incoming.route.stream.is_some() {
@@ -470,12 +470,3 @@
     Ok(result)
   }
 }
-
-/// Time for which a server keeps a connection idle, if stated.
-fn keep_alive_timeout(head: &Response) -> Option<Duration> {
-  let header = head.headers.get("keep-alive")?;
-  let timeout = header
-    .split(',')
-    .find_map(|item| item.trim().strip_prefix("timeout="))?;
-  timeout.parse().ok().map(Duration::from_secs)
-}
--- a/src/response.rs
+++ b/src/response.rs
@@ -78,6 +78,12 @@
     });
   }
 
+  /// Adds the requests that the connection carried before these.
+  pub fn prepend(&mut self, earlier: Self) {
+    let later = std::mem::replace(self, earlier);
+    self.0.extend(later.0);
+  }
+
   /// Whether it has carried a request with this hash of its id.
   pub fn contains(&self, id: u64) -> bool {
     self.0.iter().any(|sent| sent.id == id)
--- a/src/router.rs
+++ b/src/router.rs
@@ -313,6 +313,7 @@
         let known: Vec<backend::Key> = hub.state().by_id.values().copied().collect();
         hub.pool.retain(|key| known.contains(&key));
         hub.paths.retain(|key| known.contains(&key));
+        hub.ends.retain(|key| known.contains(&key));
         affects_others
       },
     )
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -1,6 +1,6 @@
 //! Opens tunnels to backend servers through other instances.
 
-use super::{ASK, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNREACHABLE};
+use super::{ASK, CHECK_TIMEOUT, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNREACHABLE};
 use crate::{
   clock::Moment,
   http::{Framing, Headers, Request, Response},
@@ -22,14 +22,15 @@
 
 /// Timeout for connecting to another instance, which accepts within a few milliseconds.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time limit for another instance's answer; it includes the connection to the server.
-const ANSWER_TIMEOUT: Duration = SERVER_CONNECT_TIMEOUT.saturating_mul(2);
+/// Time limits for another instance's answer, which include what it waits for the server.
+const OPEN_TIMEOUT: Duration = SERVER_CONNECT_TIMEOUT.saturating_mul(2);
+const ASK_TIMEOUT: Duration = CHECK_TIMEOUT.saturating_add(SERVER_CONNECT_TIMEOUT);
 /// Maximum number of instances that are tried for one request.
 const MAX_TRIES: usize = 4;
 /// How long an instance that carries no tunnels is not tried again.
 const AVOID: Duration = Duration::from_millis(1_000);
 /// Time within which instances are asked whether a server runs, in ms: a complete response waits.
-const ASK_MS: u64 = 300;
+const ASK_MS: u64 = 1_000;
 
 /// Why no tunnel was opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,7 +153,12 @@
 /// Calls an instance. Returns the connection and the status of the answer.
 fn call(hub: &Hub, peer: SocketAddr, method: &str, target: &Target) -> io::Result<(Socket, u16)> {
   let mut socket = Socket::connect(peer, PEER_CONNECT_TIMEOUT)?;
-  let until = Moment::now() + ANSWER_TIMEOUT;
+  let timeout = if method == ASK {
+    ASK_TIMEOUT
+  } else {
+    OPEN_TIMEOUT
+  };
+  let until = Moment::now() + timeout;
   socket.write_all(&encode(hub, method, target), until)?;
   loop {
     let parsed = Response::parse(&socket.input).map_err(|error| io::Error::other(error.0))?;
--- a/src/tunnel/mod.rs
+++ b/src/tunnel/mod.rs
@@ -21,6 +21,8 @@
 /// How long an instance may take to connect to a server for another one. A running server accepts
 /// within a few milliseconds.
 const SERVER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long an instance may take to check for another one whether a server runs.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of the heads that open a tunnel.
 const MAX_HEAD_BYTES: usize = 4 << 10;
 /// Method that opens a tunnel.
--- a/src/tunnel/server.rs
+++ b/src/tunnel/server.rs
@@ -1,7 +1,8 @@
 //! Carries tunnels of other instances.
 
 use super::{
-  ASK, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNAVAILABLE, STATUS_UNREACHABLE,
+  ASK, CHECK_TIMEOUT, MAX_HEAD_BYTES, OPEN, SERVER_CONNECT_TIMEOUT, STATUS_UNAVAILABLE,
+  STATUS_UNREACHABLE,
   pipe::{self, End},
 };
 use crate::{
@@ -10,7 +11,8 @@
   counter, essential,
   http::{Request, Response},
   hub::Hub,
-  liveness::{self, Probe},
+  life::Life,
+  liveness::{self, Liveness, Server},
   socket::{Fill, Socket},
 };
 use slog::{info, warn};
@@ -118,7 +120,7 @@
     }
   };
   if opening.asks {
-    let (status, why) = probe(hub, &opening);
+    let (status, why) = check(hub, &opening);
     info!(hub.log, "asked whether a server runs"; "request" => &opening.request,
       "server" => &opening.server, "from" => %from, "status" => status, "why" => why);
     return answer(&mut peer, status, why);
@@ -190,18 +192,23 @@
 }
 
 /// Returns the status and the reason of the answer to whether a server runs. One that is leaving
-/// counts as long as it accepts connections.
-fn probe(hub: &Hub, opening: &Opening) -> (u16, &'static str) {
-  let Some(address) = known_address(hub, &opening.server) else {
+/// counts as long as it responds.
+fn check(hub: &Hub, opening: &Opening) -> (u16, &'static str) {
+  let Some((key, life, address)) = known_server(hub, &opening.server) else {
     return (STATUS_UNAVAILABLE, "server unknown");
   };
-  match liveness::probe(address) {
-    Probe::Accepts(_) => {
-      hub.measures.record_connection();
-      (200, "runs")
-    }
-    Probe::Refuses => (STATUS_UNREACHABLE, "connection refused"),
-    Probe::Silent => (STATUS_UNAVAILABLE, "no answer"),
+  let server = Server {
+    key,
+    id: &opening.server,
+    life,
+    address,
+    request: &opening.request,
+  };
+  let until = Moment::now() + opening.remaining.min(CHECK_TIMEOUT);
+  match liveness::check(hub, &server, until) {
+    Liveness::Running => (200, "runs"),
+    Liveness::Ended => (STATUS_UNREACHABLE, "connection refused"),
+    Liveness::Unknown => (STATUS_UNAVAILABLE, "no answer"),
   }
 }
 
@@ -240,17 +247,13 @@
   }
 }
 
-/// The address of a server; `None` if another one is known there, or none.
-fn known_address(hub: &Hub, id: &str) -> Option<SocketAddr> {
+/// A server by its id, with its life and address; `None` if another one is known there, or none.
+fn known_server(hub: &Hub, id: &str) -> Option<(backend::Key, Life, SocketAddr)> {
   let state = hub.state();
   let key = *state.by_id.get(id)?;
-  let address = state.backends.get(key)?.spec.address;
-  let mut others = state
-    .backends
-    .values()
-    .filter(|backend| backend.spec.id != id);
-  let taken = others.any(|backend| backend.spec.address == address);
-  (!taken).then_some(address)
+  let spec = &state.backends.get(key)?.spec;
+  let (life, address) = (spec.life(), spec.address);
+  (!state.has_other_server(address, life)).then_some((key, life, address))
 }
 
 fn server_address(hub: &Hub, id: &str) -> Option<(backend::Key, SocketAddr)> {
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,7 +1,7 @@
 //! Pool of connections to backend servers.
 
 use crate::clock::Moment;
-use crate::{backend, hub::lock, socket::Socket};
+use crate::{backend, http::Headers, hub::lock, socket::Socket};
 use slotmap::SecondaryMap;
 use std::{sync::Mutex, time::Duration};
 
@@ -20,6 +20,27 @@
   max_idle: Duration,
 }
 
+/// An idle connection lost sooner than this was not closed for being idle, whatever its server states.
+const MIN_IDLE: Duration = Duration::from_millis(250);
+
+/// What is left of the idle connections to a server.
+#[derive(Debug)]
+pub(crate) struct Kept {
+  /// The one used last that is still open.
+  pub(crate) socket: Option<Socket>,
+  /// Whether the server has closed one too early for it to have been idle for too long.
+  pub(crate) lost: bool,
+}
+
+/// Time for which a server keeps a connection idle, if stated.
+pub(crate) fn idle_timeout(headers: &Headers) -> Option<Duration> {
+  let header = headers.get("keep-alive")?;
+  let timeout = header
+    .split(',')
+    .find_map(|item| item.trim().strip_prefix("timeout="))?;
+  timeout.parse().ok().map(Duration::from_secs)
+}
+
 /// Idle connections by server; a restarted server has none from before its restart.
 #[derive(Default)]
 pub struct Pool {
@@ -44,6 +65,23 @@
     None
   }
 
+  /// Drops the idle connections to a server that it has closed, and takes the one used last of the others.
+  pub(crate) fn take_kept(&self, key: backend::Key) -> Kept {
+    let mut pool = lock(&self.idle);
+    let mut lost = false;
+    let Some(idle) = pool.get_mut(key) else {
+      return Kept { socket: None, lost };
+    };
+    idle.retain_mut(|idle| {
+      let is_open = idle.socket.is_idle();
+      lost |= !is_open && idle.idle_since.elapsed() < MIN_IDLE;
+      is_open
+    });
+    let last = idle.pop_if(|last| last.idle_since.elapsed() < last.max_idle);
+    let socket = last.map(|last| last.socket);
+    Kept { socket, lost }
+  }
+
   /// Returns a connection to the pool when no response is pending on it.
   pub fn release(&self, key: backend::Key, socket: Socket, max_idle: Option<Duration>) {
     let mut pool = lock(&self.idle);
--- a/stand-ins/src/replay.rs
+++ b/stand-ins/src/replay.rs
@@ -263,6 +263,7 @@
   };
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   Deployment {
     version: 1,
--- a/tests/begun.rs
+++ b/tests/begun.rs
@@ -168,7 +168,13 @@
   };
   let pools = pools.iter().map(|name| {
     let engine = Some(Arc::new(Engine::default()));
-    (name.to_string(), Pool { engine })
+    (
+      name.to_string(),
+      Pool {
+        engine,
+        ..Pool::default()
+      },
+    )
   });
   Event::Deployed(Arc::new(Deployment {
     version: 2,
--- a/tests/builds.rs
+++ b/tests/builds.rs
@@ -765,6 +765,7 @@
   };
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   let names = ["pool", "other"].map(|name| (name.to_string(), pool.clone()));
   let deployment = Deployment {
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -147,6 +147,7 @@
   };
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   Deployment {
     version: 1,
--- a/tests/essential.rs
+++ b/tests/essential.rs
@@ -209,7 +209,7 @@
 #[test]
 fn a_request_ends_with_its_thread() {
   let hub = hub(Logger::root(Trap("server not reached"), o!()));
-  let pool = deployment::Pool { engine: None };
+  let pool = deployment::Pool::default();
   let deployment = Deployment {
     version: 1,
     routes: vec![Arc::new(route())],
--- a/tests/holder/mod.rs
+++ b/tests/holder/mod.rs
@@ -88,6 +88,7 @@
     let mut plan = Plan::new("10.0.0.1", 0, 5_000, 1.0);
     let pool = Pool {
       engine: Some(Arc::new(engine(models))),
+      ..Pool::default()
     };
     let deployment = Deployment {
       version: 1,
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -62,6 +62,7 @@
       slots: 8,
       ..Engine::default()
     })),
+    ..Pool::default()
   };
   let deployment = Deployment {
     version: 1,
--- a/tests/order_faults.rs
+++ b/tests/order_faults.rs
@@ -331,6 +331,7 @@
   };
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   Arc::new(Deployment {
     version: 1,
--- a/tests/overcommit.rs
+++ b/tests/overcommit.rs
@@ -146,6 +146,7 @@
   change(&mut engine);
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   deployment.pools.insert("pool".into(), pool);
   world.deployment = Arc::new(deployment);
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -138,6 +138,7 @@
   fn list_specs(&mut self, specs: Vec<Spec>) {
     let pool = Pool {
       engine: Some(Arc::new(Engine::default())),
+      ..Pool::default()
     };
     let deployment = Deployment {
       version: 1,
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -120,6 +120,7 @@
   };
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   Deployment {
     pools: [("pool".to_string(), pool)].into_iter().collect(),
--- a/tests/requests/mod.rs
+++ b/tests/requests/mod.rs
@@ -73,6 +73,7 @@
   let mut state = State::new("a", BOUND, seed);
   let pool = Pool {
     engine: Some(Arc::new(engine)),
+    ..Pool::default()
   };
   let deployment = Deployment {
     version: 1,
