A loop that hangs ends its process

Cause: the threads an instance cannot do without were watched for their end, not for their progress.

Change: the loops of the planner, the two feeds and the reducer of the product's own program beat a pulse; one that does not within 60 checks, a second apart, ends the process as a thread that ends does. Checks are counted and not time, since a suspended process checks nothing. Ruled out: a limit on the loops' own clock, which a suspension would exceed. Threads that wait for connections have no loop to beat.

--- a/src/feed/gate.rs
+++ b/src/feed/gate.rs
@@ -3,8 +3,8 @@
 //! that it is missing.
 
 use crate::{
-  clock::Moment, feed::Batch, hub::lock, reachability::Reachability, socket::Waker, store::Object,
-  store::Revision,
+  clock::Moment, essential::Pulse, feed::Batch, hub::lock, reachability::Reachability,
+  socket::Waker, store::Object, store::Revision,
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -272,9 +272,15 @@
 
   /// Waits until a call is needed or a batch applies, and returns which. `failed` is the start of
   /// the last call if it failed, `list_at` when objects that may be missing are listed again.
-  pub(super) fn wait(&self, failed: Option<Moment>, list_at: Option<Moment>) -> Next {
+  pub(super) fn wait(
+    &self,
+    failed: Option<Moment>,
+    list_at: Option<Moment>,
+    pulse: &Pulse,
+  ) -> Next {
     let mut state = lock(&self.state);
     loop {
+      pulse.beat();
       let now = Moment::now();
       if list_at.is_some_and(|at| at <= now) {
         return Next::ListAgain;
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -8,6 +8,7 @@
 pub use gate::{Gate, Progress};
 
 use crate::clock::Moment;
+use crate::essential::Pulse;
 use crate::reachability::Outage;
 use crate::store::{Error, Gap, List, MAX_PAGES, Object, Range, Reading, Revision, Store};
 use gate::Next;
@@ -112,6 +113,8 @@
   pub kind: &'a str,
   /// Interval at which a list is read again that may lack objects.
   pub list_interval: Duration,
+  /// Beaten with each call and each page of a list.
+  pub pulse: &'a Pulse,
 }
 
 /// Follows a kind forever. `is_relevant` tells whether other instances need an object that was
@@ -128,6 +131,7 @@
     store: source.store,
     kind: source.kind,
     list_interval: source.list_interval,
+    pulse: source.pulse,
     gate,
     log,
     is_relevant,
@@ -168,6 +172,7 @@
   store: &'a Store,
   kind: &'a str,
   list_interval: Duration,
+  pulse: &'a Pulse,
   gate: &'a Gate,
   log: &'a Logger,
   is_relevant: M,
@@ -217,9 +222,12 @@
 
 impl<M: Fn(&Object, bool) -> bool, T: FnMut(Event) -> bool> Feed<'_, M, T> {
   fn step(&mut self) {
+    self.pulse.beat();
     let next = match self.known_revision {
       None => Next::List,
-      Some(_) => self.gate.wait(self.last_failure, self.list_again_at),
+      Some(_) => self
+        .gate
+        .wait(self.last_failure, self.list_again_at, self.pulse),
     };
     match next {
       Next::Apply(batch) => self.apply_batch(batch),
@@ -270,7 +278,7 @@
     let (started_at, age) = (Moment::now(), self.gate.age());
     match self
       .store
-      .list(self.kind, &range, |reading| self.log_long_list(reading))
+      .list(self.kind, &range, |reading| self.record_page(reading))
     {
       Ok(list)
         if self
@@ -309,8 +317,9 @@
     }
   }
 
-  /// Logs a list of many pages, each time that their number has doubled.
-  fn log_long_list(&self, reading: Reading) {
+  /// Records that a list goes on. Logs one of many pages, each time that their number has doubled.
+  fn record_page(&self, reading: Reading) {
+    self.pulse.beat();
     if reading.pages >= LONG_LIST_PAGES && reading.pages.is_power_of_two() {
       info!(self.log, "list continues"; "kind" => self.kind, "pages" => reading.pages,
         "objects" => reading.objects, "after" => reading.after);
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -6,7 +6,8 @@
   clock::Moment,
   completions,
   effect::Effect,
-  engine, essential,
+  engine,
+  essential::{self, Pulse},
   event::Event,
   metrics::Metrics,
   operators, order,
@@ -97,8 +98,8 @@
     let executor = Executor::new(shared.clone(), port)?;
     let state = State::new(me, shared.settings.limits.clone(), rand::random(), boot);
     let log = shared.log.clone();
-    essential::spawn(thread::Builder::new(), "reducer", &log, move || {
-      run_reducer(state, &executor, &inputs, &finished)
+    essential::spawn_loop(thread::Builder::new(), "reducer", &log, move |pulse| {
+      run_reducer(state, &executor, &inputs, (pulse, &finished))
     })?;
     Ok(Self {
       shared,
@@ -145,9 +146,10 @@
   mut state: State,
   executor: &Executor,
   inputs: &Receiver<Input>,
-  finished: &Sender<()>,
+  (pulse, finished): (&Pulse, &Sender<()>),
 ) {
   loop {
+    pulse.beat();
     let event = match inputs.recv_timeout(TICK_INTERVAL) {
       Ok(Input::Event(event)) => event,
       Ok(Input::Query(query)) => {
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -17,7 +17,7 @@
   crash::{self, Crash, Quarantined, Registry, Repeated, part, served},
   dispatch::Event,
   edge::{Edge, Kinds},
-  essential,
+  essential::{self, Pulse},
   exchange::{BITS_PER_BYTE, MBPS_BITS_PER_MS, PUBLISH_LINK_DIVISOR},
   former,
   hub::Hub,
@@ -271,7 +271,7 @@
   hub.gates.deployments.set_waker(planner.waker.clone());
   hub.gates.servers.set_waker(planner.waker.clone());
   let (builder, log) = (thread::Builder::new(), hub.log.clone());
-  essential::spawn(builder, "planner", &log, move || planner.run())?;
+  essential::spawn_loop(builder, "planner", &log, move |pulse| planner.run(pulse))?;
   Ok(address)
 }
 
@@ -285,9 +285,10 @@
 }
 
 impl Planner {
-  fn run(mut self) {
+  fn run(mut self, pulse: &Pulse) {
     let mut suspension = Suspension::start();
     loop {
+      pulse.beat();
       let now = self.hub.now();
       let due = self.due(now);
       let until = self.hub.instant(due);
--- a/src/router.rs
+++ b/src/router.rs
@@ -156,13 +156,14 @@
   let (hub, edge) = (hub.clone(), edge.clone());
   let builder = thread::Builder::new().stack_size(STACK_BYTES);
   let log = hub.log.clone();
-  essential::spawn(builder, "deployments", &log, move || {
+  essential::spawn_loop(builder, "deployments", &log, move |pulse| {
     let gate = &hub.gates.deployments;
     feed::follow(
       Source {
         store: &edge.store,
         kind: edge.kinds.deployments,
         list_interval: feed::LIST_INTERVAL,
+        pulse,
       },
       gate,
       &hub.log,
@@ -237,7 +238,7 @@
   let (hub, edge) = (hub.clone(), edge.clone());
   let builder = thread::Builder::new().stack_size(STACK_BYTES);
   let log = hub.log.clone();
-  essential::spawn(builder, "servers", &log, move || {
+  essential::spawn_loop(builder, "servers", &log, move |pulse| {
     let gate = &hub.gates.servers;
     let mut invalid_entries = InvalidEntries::default();
     let mut unlisted_reader = unlisted::Reader::default();
@@ -248,6 +249,7 @@
         store: &edge.store,
         kind: edge.kinds.servers,
         list_interval: feed::LIST_INTERVAL,
+        pulse,
       },
       gate,
       &hub.log,
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -1,6 +1,7 @@
 //! Eras of the store: after a restore from an older copy, its revision numbers are assigned again.
 
 use bendsaddle::{
+  essential::Pulse,
   feed::{Batch, Change, Event, Gate, LIST_INTERVAL, Progress, Source, follow},
   store::{Changes, Error, Object, Page, Revision, Store},
 };
@@ -111,6 +112,7 @@
       store: &store,
       kind: "kind",
       list_interval: LIST_INTERVAL,
+      pulse: &Pulse::default(),
     };
     follow(
       source,
--- a/tests/essential.rs
+++ b/tests/essential.rs
@@ -8,7 +8,8 @@
   deployment::{self, Deployment},
   dialect::Dialect,
   dispatch::{Change, Event, State},
-  entry, essential,
+  entry,
+  essential::{self, Pulse},
   hub::Hub,
   pool::Pool,
   retry::Bound,
@@ -28,6 +29,8 @@
 
 /// Set in the child process.
 const CHILD: &str = "BENDSADDLE_TEST_CHILD";
+/// Checks of loops, more than one may miss.
+const CHECKS: usize = 100;
 /// Longest time that the child process waits for its end; it succeeds after it.
 const CHILD_LIFE: Duration = Duration::from_secs(5);
 /// Connections of callers that an instance takes.
@@ -104,6 +107,42 @@
   assert_ended(output, "order", "no answer");
 }
 
+/// An instance whose planner or feed hung would go on as if it were ready.
+#[test]
+fn a_loop_that_hangs_ends_the_process() {
+  let output = in_child("a_loop_that_hangs_ends_the_process", || {
+    let run = |pulse: &Pulse| {
+      pulse.beat();
+      thread::sleep(2 * CHILD_LIFE);
+    };
+    essential::spawn_loop(thread::Builder::new(), "planner", &quiet(), run).unwrap();
+    (0..CHECKS).for_each(|_| essential::check_loops());
+  });
+  assert_ended(output, "planner", "its loop has hung for 60 checks");
+}
+
+/// Guards against the end of a process whose loops go round, however often they are checked.
+#[test]
+fn a_loop_that_goes_round_goes_on() {
+  let output = in_child("a_loop_that_goes_round_goes_on", || {
+    let run = |pulse: &Pulse| {
+      loop {
+        pulse.beat();
+        thread::sleep(Duration::from_millis(1));
+      }
+    };
+    essential::spawn_loop(thread::Builder::new(), "planner", &quiet(), run).unwrap();
+    for _ in 0..CHECKS {
+      essential::check_loops();
+      thread::sleep(Duration::from_millis(10));
+    }
+  });
+  if let Some(output) = output {
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}");
+  }
+}
+
 /// A panic within the reducer, in whatever thread, leaves a state that nothing is known of.
 #[test]
 fn a_panic_with_the_state_locked_ends_the_process() {
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -2,6 +2,7 @@
 //! holder's progress is outdated or names a change that they have not received.
 
 use bendsaddle::{
+  essential::Pulse,
   feed::{Batch, Change, Event, Gate, LIST_INTERVAL, OUTAGE_THRESHOLD, Progress, Source, follow},
   reachability::Reachability,
   store::{Changes, Error, Object, Page, Store},
@@ -9,7 +10,7 @@
 use slog::{Discard, Logger, o};
 use std::{
   sync::{
-    Arc,
+    Arc, LazyLock,
     atomic::{AtomicBool, AtomicU64, Ordering},
     mpsc::{Receiver, channel},
   },
@@ -88,11 +89,15 @@
   }
 }
 
+/// Of all threads that follow a store.
+static PULSE: LazyLock<Pulse> = LazyLock::new(Pulse::default);
+
 fn source(store: &Store) -> Source<'_> {
   Source {
     store,
     kind: "kind",
     list_interval: LIST_INTERVAL,
+    pulse: &PULSE,
   }
 }
 
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -2,6 +2,7 @@
 //! the store.
 
 use bendsaddle::{
+  essential::Pulse,
   feed::{Batch, Change, Event, Gate, LIST_INTERVAL, OUTAGE_THRESHOLD, Progress, Source, follow},
   store::{Changes, Error, Object, Page, Store},
 };
@@ -111,6 +112,7 @@
       store: &store,
       kind: "kind",
       list_interval: LIST_INTERVAL,
+      pulse: &Pulse::default(),
     };
     follow(
       source,
