A request whose event ends an instance counts as one that crashes servers

No such request is known.

Cause: the process ended without a word of the request that it was on.

Change: the reducer runs within a guard. On a panic the instance sends the request's content to all others as a crash of its own, and ends. After three such ends the content is refused, kept in the store and published, by the analysis that servers' crashes go through; one that was served since does not count. Ruled out: going on with the state, which may be half-changed; refusing the content after one end, since contents of a route can be alike.

The analysis itself was not played with instances in place of servers.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -423,7 +423,7 @@
   fn set_members(&mut self, members: Vec<SocketAddr>) {
     let own_address = self.own_address;
     let others = members.iter().filter(|member| **member != own_address);
-    self.hub.peers.set(others.copied());
+    self.hub.set_instances(others.copied());
     self.members = members;
   }
 
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -6,6 +6,8 @@
   backend,
   build::resume::{Basis, Decision},
   clock::{self, Moment},
+  content,
+  crash::Crash,
   customer::{Caller, Standing},
   deployment::Deployment,
   dialect::Dialect,
@@ -14,8 +16,10 @@
   expiry::REAPPEAR_MS,
   feed::{Gate, OUTAGE_THRESHOLD},
   http::Request,
+  life::Life,
   liveness::Ends,
   measures::Measures,
+  message::{self, Extension, Message},
   reachability::Reachability,
   reader::Book,
   readiness::Readiness,
@@ -25,10 +29,12 @@
   tunnel::{Paths, Peers},
   upstream::Pool,
 };
-use slog::{Logger, info};
+use slog::{Logger, crit, info, warn};
 use std::{
   collections::{HashMap, VecDeque},
   io,
+  net::SocketAddr,
+  panic::{AssertUnwindSafe, catch_unwind},
   sync::{
     Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     atomic::{AtomicBool, AtomicU64, Ordering},
@@ -152,6 +158,8 @@
   /// How long known keys are trusted after they were last confirmed.
   max_key_age_ms: AtomicU64,
   started: Moment,
+  /// This process, among the servers that requests crash.
+  life: Life,
   tickets: AtomicU64,
   /// Readiness as last logged; `None` before the first question.
   last_readiness: Mutex<Option<Readiness>>,
@@ -192,6 +200,7 @@
       standings: Mutex::default(),
       max_key_age_ms: AtomicU64::new(u64::MAX),
       started: Moment::now(),
+      life: Life::of(&format!("{:016x}", rand::random::<u64>()), clock::unix_ms()),
       tickets: AtomicU64::new(0),
       last_readiness: Mutex::default(),
       state: Mutex::new(state),
@@ -199,6 +208,11 @@
     }))
   }
 
+  /// Sets the addresses of the other instances.
+  pub fn set_instances(&self, others: impl Iterator<Item = SocketAddr>) {
+    self.peers.set(others);
+  }
+
   /// Sets the waker of the planner. Only the first one counts.
   pub(crate) fn set_planner_waker(&self, waker: Arc<Waker>) {
     self.planner_waker.get_or_init(|| waker);
@@ -360,20 +374,71 @@
     })
   }
 
-  fn reduce(&self, event: Event) -> Vec<Effect> {
+  fn reduce(&self, event: Event, own: Option<Ticket>) -> Vec<Effect> {
+    let arrived = match &event {
+      Event::Arrived(descriptor) => Some((descriptor.content, descriptor.id.clone())),
+      _ => None,
+    };
+    let known = |state: &State| {
+      let descriptor = &state.requests.get(&own?)?.descriptor;
+      Some((descriptor.content, descriptor.id.clone()))
+    };
+    let request = |state: &State| arrived.or_else(|| known(state));
+    self.change(request, |state| {
+      let now = self.now();
+      if event.concerns_lives() {
+        state.wall.observe(now, clock::unix_ms());
+      }
+      state.reduce(now, event)
+    })
+  }
+
+  /// Changes the state. A panic ends the process, as it may leave the state half-changed; if it is a
+  /// request's, which `request` returns by its content and id, the other instances count it as one of a
+  /// server that the request has crashed: sent again, it would end one instance after the other.
+  pub fn change<T>(
+    &self,
+    request: impl FnOnce(&State) -> Option<(content::Key, String)>,
+    change: impl FnOnce(&mut State) -> T,
+  ) -> T {
     let mut state = self.state();
-    let now = self.now();
-    if event.concerns_lives() {
-      state.wall.observe(now, clock::unix_ms());
+    match catch_unwind(AssertUnwindSafe(|| change(&mut state))) {
+      Ok(value) => value,
+      Err(panic) => {
+        let why = essential::message(&*panic);
+        if let Some((content, id)) = request(&state) {
+          crit!(self.log, "a request has ended this instance"; "request" => &id,
+            "content" => content.to_string(), "why" => why);
+          self.report_end(content, &id);
+        }
+        // The state stays locked, so that no other thread uses it.
+        essential::end_process(&self.log, "state", why)
+      }
+    }
+  }
+
+  /// Reports to the other instances that a request ends this one.
+  fn report_end(&self, content: content::Key, id: &str) {
+    let crash = Crash {
+      content,
+      server: self.life,
+      run: backend::short_hash(id),
+      progress_ms: 0,
+    };
+    let message = Message::Crashes(vec![crash]);
+    let sent = message::encode(&message, &Extension::default())
+      .map_err(io::Error::other)
+      .and_then(|bytes| self.peers.send(&bytes));
+    if let Err(error) = sent {
+      warn!(self.log, "the end of this instance was not reported"; "error" => %error);
     }
-    state.reduce(now, event)
   }
 
   /// Applies an event and distributes its effects. The thread of ticket `own` is not woken.
   pub fn apply(&self, event: Event, own: Option<Ticket>) {
     // Locked before the decision, so that later decisions are not distributed earlier.
     let mailboxes = lock(&self.mailboxes);
-    let effects = self.reduce(event);
+    let effects = self.reduce(event, own);
     for effect in effects {
       let (ticket, directive) = match effect {
         Effect::Send(attempt) => (attempt.ticket, Directive::Send(attempt)),
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -12,7 +12,7 @@
 use slog::info;
 use std::{
   io,
-  net::SocketAddr,
+  net::{Ipv4Addr, SocketAddr, UdpSocket},
   sync::{
     Mutex,
     atomic::{AtomicU64, Ordering},
@@ -70,6 +70,15 @@
     }));
   }
 
+  /// Sends a datagram to all of them.
+  pub(crate) fn send(&self, bytes: &[u8]) -> io::Result<()> {
+    let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    for peer in lock(&self.known).iter() {
+      socket.send_to(bytes, peer.address)?;
+    }
+    Ok(())
+  }
+
   /// Addresses to try now, in random order.
   fn candidates(&self) -> Vec<SocketAddr> {
     let now = Moment::now();
--- a/tests/essential.rs
+++ b/tests/essential.rs
@@ -4,13 +4,15 @@
 
 use bendsaddle::{
   backend::{Spec, Stage},
-  build,
+  build, content,
   deployment::{self, Deployment},
   dialect::Dialect,
   dispatch::{Change, Event, State},
   entry,
   essential::{self, Pulse},
+  http::{Headers, Request},
   hub::Hub,
+  message::{self, Message},
   pool::Pool,
   retry::Bound,
   route::{Part, Repeat, Route},
@@ -20,7 +22,7 @@
   collections::BTreeMap,
   env,
   io::{Read, Write},
-  net::{SocketAddr, TcpStream},
+  net::{SocketAddr, TcpStream, UdpSocket},
   process::{Command, Output},
   sync::Arc,
   thread,
@@ -29,6 +31,7 @@
 
 /// Set in the child process.
 const CHILD: &str = "BENDSADDLE_TEST_CHILD";
+const INPUT: &str = "BENDSADDLE_TEST_INPUT";
 /// Checks of loops, more than one may miss.
 const CHECKS: usize = 100;
 /// Longest time that the child process waits for its end; it succeeds after it.
@@ -40,6 +43,11 @@
 /// Runs a test again as a child process, which runs `run`; `None` in the child, which ends with
 /// success unless `run` has ended it.
 fn in_child(test: &str, run: impl FnOnce()) -> Option<Output> {
+  in_child_with(test, "", run)
+}
+
+/// Like `in_child`; the child finds `input` in the variable `INPUT`.
+fn in_child_with(test: &str, input: &str, run: impl FnOnce()) -> Option<Output> {
   if env::var_os(CHILD).is_some() {
     run();
     thread::sleep(CHILD_LIFE);
@@ -48,7 +56,8 @@
   let mut command = Command::new(env::current_exe().unwrap());
   command
     .args(["--exact", test, "--nocapture"])
-    .env(CHILD, "1");
+    .env(CHILD, "1")
+    .env(INPUT, input);
   Some(command.output().unwrap())
 }
 
@@ -143,6 +152,44 @@
   }
 }
 
+/// Guards against a request that ends one instance after the other: the others count its ends like
+/// those of servers.
+#[test]
+fn a_request_whose_event_panics_is_reported_to_the_other_instances() {
+  let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+  other.set_read_timeout(Some(TIMEOUT)).unwrap();
+  let address = other.local_addr().unwrap().to_string();
+  let test = "a_request_whose_event_panics_is_reported_to_the_other_instances";
+  let head = Request {
+    method: "GET".into(),
+    target: "/x".into(),
+    minor: 1,
+    headers: Headers::default(),
+  };
+  let content = content::Key::of(&head, &[], b"body");
+  let output = in_child_with(test, &address, || {
+    let hub = hub(quiet());
+    let other = env::var(INPUT).unwrap().parse().unwrap();
+    hub.set_instances([other].into_iter());
+    hub.change(
+      |_| Some((content, "request".into())),
+      |_| panic!("half-changed"),
+    )
+  });
+  if output.is_none() {
+    return;
+  }
+  assert_ended(output, "state", "half-changed");
+  let mut bytes = [0; 1_500];
+  let length = other.recv(&mut bytes).unwrap();
+  let (message, _) = message::decode(&bytes[..length]).unwrap();
+  let Message::Crashes(crashes) = message else {
+    panic!("another message");
+  };
+  let contents: Vec<content::Key> = crashes.iter().map(|crash| crash.content).collect();
+  assert_eq!(contents, [content]);
+}
+
 /// A panic within the reducer, in whatever thread, leaves a state that nothing is known of.
 #[test]
 fn a_panic_with_the_state_locked_ends_the_process() {
