An item of a batch whose run panics ends as refused

Change: the panic is caught and logged, and the item ends with the reason `internal-error`. Ruled out: ending the process, since the item would be started again and end instance after instance; starting it again.

No test: nothing is known that makes an item panic. batch and instance tests were not run with it yet; the whole suite follows.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -21,10 +21,11 @@
   state::{Identity, State},
   watchers,
 };
-use slog::Logger;
+use slog::{Logger, error};
 use std::{
   io,
   net::SocketAddr,
+  panic::{AssertUnwindSafe, catch_unwind},
   sync::{
     Arc, Mutex,
     atomic::{AtomicBool, AtomicU64, Ordering},
@@ -34,6 +35,8 @@
   time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+/// Why an item is refused whose run panicked.
+const INTERNAL_ERROR: &str = "internal-error";
 /// Maximum time between two events of the reducer.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of threads for platform calls, for orders and for status requests.
@@ -286,7 +289,15 @@
           deadline,
           caller,
         };
-        let item = completions::run_item(&shared, descriptor, &directives, prompt, max_tokens);
+        let run = || completions::run_item(&shared, descriptor, &directives, prompt, max_tokens);
+        // The reducer waits for an outcome, and an item that panics once would do so again.
+        let item = catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|panic| {
+          let why = essential::message(&*panic);
+          error!(shared.log, "item of a batch failed"; "batch" => %id, "item" => at, "why" => why);
+          Item::Refused {
+            reason: INTERNAL_ERROR.into(),
+          }
+        });
         shared.close_ticket(ticket);
         shared.notify(Event::ItemEnded {
           id,
