The planner survives any count of orders that a server states

A server that states 2^64 - 1 accepted orders and then accepts one overflows the count: a build with overflow checks ends the planner, and with it the process; a release build goes on at 0, and the server declines what names it.

--- a/src/placement/server.rs
+++ b/src/placement/server.rs
@@ -384,7 +384,7 @@
   /// Counts an order that the server has accepted.
   pub(crate) fn count_order(&mut self, now: u64, command: &Command) {
     if command.orders >= self.orders {
-      self.set_orders(command.orders + 1);
+      self.set_orders(command.orders.saturating_add(1));
       self.unanswered.retain(|_, load| load.orders.is_some());
       self.counted_at = now;
     }
