A send that reached no server costs no retry

Beside an entry at whose address nobody listens, an instance that had just started refused requests (503, not run) while two servers were free: 1 of 12 after 1 of the first 2 starts, and others saw two of twelve after each.

Cause: a connection that is refused was charged to the retry budget, of which a young instance has none. No arrival at a service comes of it, so the budget does not bound it. Ruled out: the choice of servers, which avoids the address for 0.5 s and longer after each failure.

Change: such a request is sent again as one whose server was found to leave is: uncharged, up to the same number of sends, within its deadline.

--- a/src/dispatch/ending.rs
+++ b/src/dispatch/ending.rs
@@ -71,12 +71,12 @@
       End::Superseded | End::Withdrawn => self.continue_run(ticket),
       End::Late | End::Unsent => self.refuse(ticket, Reason::TooLate),
       end if stalled => self.on_second_send_ended(ticket, end),
-      End::Full | End::Missing | End::Replaced | End::Unreached => self.retry(ticket),
+      End::Full | End::Missing | End::Replaced => self.retry(ticket),
       End::Broken | End::Crashed | End::Stalled => self.retry_if_repeatable(ticket),
       End::Barred => self.refuse(ticket, Reason::KeyUnknown),
       End::Unsure => self.refuse(ticket, Reason::KeysUnsure),
       // The request reached no server, so the next send does not count as a retry.
-      End::Leaving | End::Resting => self.dispatch(ticket),
+      End::Leaving | End::Resting | End::Unreached => self.dispatch(ticket),
     }
     self.dispatch_waiting();
   }
