Only connections from before an end vouch for the server of a response

Cause: a check of another response that ended at the same moment may have opened a connection meanwhile, to a later life of the server, and left it idle; it was taken for one from before the end, whose answer counts at once.

Change: a connection knows since when it is open. Also, one instance that cannot be reached no longer keeps the others from the report of a request that ends an instance (by reading).

--- a/src/liveness/check.rs
+++ b/src/liveness/check.rs
@@ -125,7 +125,7 @@
   fn run(&self, ended_at: Moment) -> (Reply, u32) {
     // A process that ends closes its connections one after the other.
     thread::sleep(CLOSING_TIME);
-    let kept = self.hub.pool.take_kept(self.server.key);
+    let kept = self.hub.pool.take_kept(self.server.key, ended_at);
     let mut is_doubtful = kept.lost;
     if let Some(socket) = kept.socket {
       // A connection from before the end belongs to the same process.
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -138,6 +138,8 @@
   /// Whether the connection broke before its peer ended it. The system reports that once, to a read or
   /// a write, and an end of the input from then on.
   broken: bool,
+  /// When it was accepted or established.
+  pub open_since: Moment,
 }
 
 /// Ends a connection whose peer no longer responds.
@@ -161,6 +163,7 @@
       input: Vec::new(),
       carried: Carried::default(),
       broken: false,
+      open_since: Moment::now(),
     })
   }
 
@@ -177,6 +180,7 @@
       input: Vec::new(),
       carried: Carried::default(),
       broken: false,
+      open_since: Moment::now(),
     })
   }
 
--- a/src/tunnel/client.rs
+++ b/src/tunnel/client.rs
@@ -70,13 +70,16 @@
     }));
   }
 
-  /// Sends a datagram to all of them.
+  /// Sends a datagram to all of them; returns the last error.
   pub(crate) fn send(&self, bytes: &[u8]) -> io::Result<()> {
     let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+    let mut result = Ok(());
     for peer in lock(&self.known).iter() {
-      socket.send_to(bytes, peer.address)?;
+      if let Err(error) = socket.send_to(bytes, peer.address) {
+        result = Err(error);
+      }
     }
-    Ok(())
+    result
   }
 
   /// Addresses to try now, in random order.
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -26,7 +26,7 @@
 /// What is left of the idle connections to a server.
 #[derive(Debug)]
 pub(crate) struct Kept {
-  /// The one used last that is still open.
+  /// One that is still open.
   pub(crate) socket: Option<Socket>,
   /// Whether the server has closed one too early for it to have been idle for too long.
   pub(crate) lost: bool,
@@ -65,8 +65,9 @@
     None
   }
 
-  /// Drops the idle connections to a server that it has closed, and takes the one used last of the others.
-  pub(crate) fn take_kept(&self, key: backend::Key) -> Kept {
+  /// Drops the idle connections to a server that it has closed, and takes one of the others that was open
+  /// before a moment.
+  pub(crate) fn take_kept(&self, key: backend::Key, before: Moment) -> Kept {
     let mut pool = lock(&self.idle);
     let mut lost = false;
     let Some(idle) = pool.get_mut(key) else {
@@ -77,8 +78,10 @@
       lost |= !is_open && idle.idle_since.elapsed() < MIN_IDLE;
       is_open
     });
-    let last = idle.pop_if(|last| last.idle_since.elapsed() < last.max_idle);
-    let socket = last.map(|last| last.socket);
+    let usable =
+      |idle: &Idle| idle.socket.open_since < before && idle.idle_since.elapsed() < idle.max_idle;
+    let position = idle.iter().rposition(usable);
+    let socket = position.map(|position| idle.remove(position).socket);
     Kept { socket, lost }
   }
 
